--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3
+VENV := .venv
+PACKAGES := wire platform config mesh calls daemon cli testing
+EDITABLE := $(foreach name,$(PACKAGES),-e packages/fulmarstile_$(name))
+SEEDS ?= 200
+
+.PHONY: setup test lint format demo scenarios bench-config bench-calls clean
+
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt -r requirements-dev.txt
+	$(VENV)/bin/pip install -q -c constraints.txt --no-build-isolation $(EDITABLE)
+	touch $@
+
+setup: $(VENV)/.installed
+
+test: setup
+	$(VENV)/bin/python -m unittest discover -s tests -t . -b
+
+lint: setup
+	$(VENV)/bin/black --check -q packages tests
+	$(VENV)/bin/ruff check -q packages tests
+
+format: setup
+	$(VENV)/bin/black -q packages tests
+	$(VENV)/bin/ruff check -q --fix packages tests
+
+demo: setup
+	$(VENV)/bin/python -m fulmarstile_testing.demo
+
+scenarios: setup
+	$(VENV)/bin/python -m fulmarstile_testing.scenarios --seeds=$(SEEDS)
+
+bench-config: setup
+	$(VENV)/bin/python -m fulmarstile_testing.bench_config
+
+bench-calls: setup
+	$(VENV)/bin/python -m fulmarstile_testing.bench_calls
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, balancing, admission, retry and claim cores."""
--- /dev/null
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The fulmarstile operators' command."""
--- /dev/null
+++ b/packages/fulmarstile_config/src/fulmarstile_config/__init__.py
@@ -0,0 +1,1 @@
+"""Document model, publications, fold, snapshots and the routing table."""
--- /dev/null
+++ b/packages/fulmarstile_config/src/fulmarstile_config/publication.py
@@ -0,0 +1,73 @@
+"""Publications, their verdicts, and the records of a configuration stream."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class SectionChange(msgspec.Struct, frozen=True, array_like=True):
+    """New body of one section."""
+
+    section: str
+    """Section identifier, `kind` or `kind.name`."""
+    base_version: int
+    """Version at which the section was last changed, as the publisher saw it; 0 if absent."""
+    body: str
+    """YAML text; empty to remove the section."""
+
+
+class Publication(msgspec.Struct, frozen=True, array_like=True, tag="publication"):
+    """Signed request of a team to change sections of a customer's document."""
+
+    publication_id: str
+    """Unique, chosen by the publisher; sending the same publication again is idempotent."""
+    customer: str
+    team: str
+    changes: tuple[SectionChange, ...]
+    signature: bytes = b""
+    """Ed25519 signature of the publication with an empty signature."""
+
+
+class RefusalCode(enum.Enum):
+    """Why a publication was refused."""
+
+    MALFORMED = "malformed"
+    OVERSIZE = "oversize"
+    WRONG_CUSTOMER = "wrong-customer"
+    UNKNOWN_TEAM = "unknown-team"
+    BAD_SIGNATURE = "bad-signature"
+    NOT_OWNER = "not-owner"
+    CONFLICT = "conflict"
+    SYNTAX = "syntax"
+    INVALID = "invalid"
+    DANGLING_REFERENCE = "dangling-reference"
+    REPLAYED = "replayed"
+    QUOTA = "quota"
+    LOG_RESET = "log-reset"
+
+
+class Refusal(msgspec.Struct, frozen=True, array_like=True):
+    """Reason for a refusal, with its place in the publication."""
+
+    code: RefusalCode
+    reason: str
+    section: str = ""
+    line: int = 0
+    """Line in the section's body, from 1; 0 if the refusal concerns no line."""
+
+
+class PublicationVerdict(msgspec.Struct, frozen=True, array_like=True):
+    """What became of one publication."""
+
+    publication_id: str
+    team: str
+    offset: int
+    """Offset in the log of the record that the verdict was reached on."""
+    appended_at_ms: int
+    accepted: bool
+    version: int
+    """Version of the document after the publication was handled."""
+    sections: tuple[str, ...] = ()
+    refusal: Refusal | None = None
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The fulmarstiled binary."""
--- /dev/null
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Membership, overlay and dissemination cores."""
--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, scenario language, test-data builders and benches."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test suite of fulmarstile."""
