--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/settings/reference.py
@@ -0,0 +1,171 @@
+"""Every key of the settings file: its kind, default and purpose."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from fulmarstile_daemon.settings.values import (
+    AddressListReader,
+    AddressReader,
+    ChoiceReader,
+    IntegerReader,
+    KeyReader,
+    NameReader,
+    SecondsReader,
+)
+
+if TYPE_CHECKING:
+    from fulmarstile_daemon.settings.values import ValueReader
+
+KEY_BYTES: Final = 32
+"""Length of the mesh key and of an owner's public key, in bytes."""
+
+CUSTOMERS_SECTION: Final = "customers"
+"""Section whose keys are the names of customers."""
+
+
+@dataclass(frozen=True, slots=True)
+class SettingKey:
+    """One key of the settings file."""
+
+    section: str
+    key: str
+    reader: ValueReader
+    default: str | None
+    """Text used if the key is absent; None if the key is required."""
+    purpose: str
+
+
+SETTING_KEYS: Final[tuple[SettingKey, ...]] = (
+    SettingKey("daemon", "name", NameReader(), None, "Unique name of the daemon in the mesh."),
+    SettingKey("daemon", "region", NameReader(), "default", "Region of the VM."),
+    SettingKey("daemon", "availability_zone", NameReader(), None, "Availability zone of the VM."),
+    SettingKey(
+        "daemon",
+        "drain_limit_s",
+        SecondsReader(0.0, 3600.0),
+        "60",
+        "Longest time that a planned stop waits for calls in flight.",
+    ),
+    SettingKey(
+        "daemon", "log_format", ChoiceReader(("human", "json")), "human", "Form of log lines."
+    ),
+    SettingKey(
+        "daemon",
+        "log_level",
+        ChoiceReader(("DEBUG", "INFO", "WARNING", "ERROR")),
+        "INFO",
+        "Lowest level of log lines written.",
+    ),
+    SettingKey("peers", "address", AddressReader(), None, "Listener for messages between daemons."),
+    SettingKey(
+        "peers",
+        "advertise",
+        AddressReader(allow_empty=True),
+        "",
+        "Address that peers dial; the listener's address if empty.",
+    ),
+    SettingKey(
+        "peers",
+        "seeds",
+        AddressListReader(),
+        "",
+        "Daemons to join through, in addition to those found in the log.",
+    ),
+    SettingKey(
+        "peers",
+        "dissemination",
+        ChoiceReader(("push", "pull")),
+        "push",
+        "push sends new records with their announcement and converges faster; "
+        "pull announces first and sends fewer bytes.",
+    ),
+    SettingKey(
+        "peers",
+        "active_peers",
+        IntegerReader(2, 32, "links"),
+        "6",
+        "Links that the daemon keeps open to other daemons.",
+    ),
+    SettingKey(
+        "peers",
+        "probe_interval_s",
+        SecondsReader(0.1, 10.0),
+        "1",
+        "Time between probes of one peer after another.",
+    ),
+    SettingKey("calls", "address", AddressReader(), None, "Listener for calls."),
+    SettingKey(
+        "calls",
+        "advertise",
+        AddressReader(allow_empty=True),
+        "",
+        "Address that other daemons send calls to; the listener's address if empty.",
+    ),
+    SettingKey(
+        "calls",
+        "default_customer",
+        NameReader(allow_empty=True),
+        "",
+        "Customer of calls without a Fulmarstile-Customer header; one of [customers].",
+    ),
+    SettingKey(
+        "calls",
+        "queue_limit",
+        IntegerReader(0, 10_000, "calls"),
+        "64",
+        "Calls that may wait for a slot of the upstream.",
+    ),
+    SettingKey(
+        "calls",
+        "max_connections",
+        IntegerReader(1, 100_000, "connections"),
+        "4096",
+        "Connections that callers and daemons may keep open.",
+    ),
+    SettingKey(
+        "calls",
+        "head_timeout_s",
+        SecondsReader(0.1, 300.0),
+        "10",
+        "Longest time from the first byte of a request to the end of its head.",
+    ),
+    SettingKey(
+        "calls",
+        "progress_timeout_s",
+        SecondsReader(0.1, 300.0),
+        "10",
+        "Longest time without a byte while a body is transferred.",
+    ),
+    SettingKey(
+        "admin",
+        "address",
+        AddressReader(),
+        "127.0.0.1:7402",
+        "Listener for operators and for the upstream's announcements.",
+    ),
+    SettingKey("log", "address", AddressReader(), None, "The platform's log service."),
+    SettingKey(
+        "log",
+        "timeout_s",
+        SecondsReader(0.1, 60.0),
+        "5",
+        "Longest wait for an answer of the log, beyond a long poll.",
+    ),
+    SettingKey(
+        "log",
+        "retention_s",
+        SecondsReader(10.0, 31_536_000.0),
+        "86400",
+        "Time for which the log keeps records.",
+    ),
+    SettingKey(
+        "mesh",
+        "key",
+        KeyReader(KEY_BYTES),
+        None,
+        "Secret shared by all daemons; authenticates messages and snapshots.",
+    ),
+)
+"""All keys, in the order of the reference page; `[customers]` has free keys besides."""
--- /dev/null
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
@@ -0,0 +1,207 @@
+"""Small HTTP/1.1 server for JSON interfaces, over h11 and trio.
+
+It serves the admin interface and the stand-ins; calls have a proxy of their own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, Final
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import h11
+import msgspec
+import trio
+
+from fulmarstile_wire.errors import FulmarstileError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MAX_BODY_BYTES: Final = 4 << 20
+"""Largest request body accepted, in bytes."""
+
+RECEIVE_BYTES: Final = 65_536
+"""Bytes read from a connection at a time."""
+
+REQUEST_TIMEOUT_S: Final = 30.0
+"""Longest time from the first byte of a request to its last, in seconds."""
+
+IDLE_TIMEOUT_S: Final = 300.0
+"""Time after which a connection without a request is closed, in seconds."""
+
+MAX_CONNECTIONS: Final = 512
+"""Connections served at the same time; further ones wait to be accepted."""
+
+JSON_TYPE: Final = "application/json"
+"""Media type of JSON bodies."""
+
+
+class HttpListenError(FulmarstileError):
+    """The address of an HTTP server cannot be listened at."""
+
+
+class HttpProblemError(FulmarstileError):
+    """A request cannot be fulfilled.
+
+    Args:
+        status: HTTP status of the answer.
+        reason: What is wrong, in plain words.
+    """
+
+    def __init__(self, status: HTTPStatus, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A whole request."""
+
+    method: str
+    path: str
+    """Decoded path without the query."""
+    query: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int = HTTPStatus.OK
+    body: bytes = b""
+    content_type: str = JSON_TYPE
+
+
+HttpHandler = Callable[[HttpRequest], Awaitable[HttpAnswer]]
+"""Answers a request or raises `HttpProblemError`."""
+
+
+def encode_answer(value: Any, status: int = HTTPStatus.OK) -> HttpAnswer:
+    """Returns an answer with `value` as its JSON body."""
+    return HttpAnswer(status, msgspec.json.encode(value))
+
+
+async def listen_http(address: str) -> list[trio.SocketListener]:
+    """Opens the listener of an HTTP server.
+
+    Args:
+        address: `host:port`; port 0 takes a free one.
+
+    Returns:
+        The listeners, to be passed to `serve_http`.
+
+    Raises:
+        HttpListenError: If the address cannot be listened at.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        return await trio.open_tcp_listeners(int(port), host=host)
+    except OSError as error:
+        raise HttpListenError(f"cannot listen at {address}: {error.strerror}") from error
+
+
+async def serve_http(listeners: list[trio.SocketListener], handler: HttpHandler) -> None:
+    """Serves requests until cancelled.
+
+    Args:
+        listeners: Listeners from `listen_http`; closed on exit.
+        handler: Answers each request.
+    """
+    limiter = trio.CapacityLimiter(MAX_CONNECTIONS)
+
+    async def serve_connection(stream: trio.SocketStream) -> None:
+        async with limiter:
+            await _Connection(stream, handler).serve()
+
+    await trio.serve_listeners(serve_connection, listeners)
+
+
+class _Connection:
+    """One connection of a client, serving one request after another."""
+
+    def __init__(self, stream: trio.SocketStream, handler: HttpHandler) -> None:
+        self._stream = stream
+        self._handler = handler
+        self._protocol = h11.Connection(h11.SERVER)
+
+    async def serve(self) -> None:
+        async with self._stream:
+            try:
+                while await self._serve_request():
+                    self._protocol.start_next_cycle()
+            except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
+                return
+
+    async def _serve_request(self) -> bool:
+        try:
+            with trio.fail_after(IDLE_TIMEOUT_S):
+                head = await self._next_event()
+            if not isinstance(head, h11.Request):
+                return False
+            with trio.fail_after(REQUEST_TIMEOUT_S):
+                body = await self._read_body()
+        except h11.RemoteProtocolError as error:
+            await self._send(_describe_problem(HTTPStatus.BAD_REQUEST, str(error)))
+            return False
+        if body is None:
+            reason = f"the body exceeds {MAX_BODY_BYTES} bytes"
+            await self._send(_describe_problem(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, reason))
+            return False
+        await self._send(await self._handle(_parse_request(head, body)))
+        return self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE
+
+    async def _handle(self, request: HttpRequest) -> HttpAnswer:
+        try:
+            return await self._handler(request)
+        except HttpProblemError as problem:
+            return _describe_problem(problem.status, str(problem))
+
+    async def _read_body(self) -> bytes | None:
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next_event()
+            if not isinstance(event, h11.Data):
+                return b"".join(chunks)
+            size += len(event.data)
+            if size > MAX_BODY_BYTES:
+                return None
+            chunks.append(bytes(event.data))
+
+    async def _next_event(self) -> Any:
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._protocol.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+
+    async def _send(self, answer: HttpAnswer) -> None:
+        if self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        headers = [
+            ("Content-Type", answer.content_type),
+            ("Content-Length", str(len(answer.body))),
+        ]
+        response = h11.Response(status_code=int(answer.status), headers=headers)
+        parts = [self._protocol.send(response)]
+        parts.append(self._protocol.send(h11.Data(data=answer.body)))
+        parts.append(self._protocol.send(h11.EndOfMessage()))
+        await self._stream.send_all(b"".join(part for part in parts if part))
+
+
+def _parse_request(head: h11.Request, body: bytes) -> HttpRequest:
+    target = urlsplit(head.target.decode("ascii", "replace"))
+    return HttpRequest(
+        method=head.method.decode("ascii", "replace"),
+        path=unquote(target.path),
+        query=dict(parse_qsl(target.query)),
+        body=body,
+    )
+
+
+def _describe_problem(status: HTTPStatus, reason: str) -> HttpAnswer:
+    return encode_answer({"error": reason}, status)
