Add the HTTP client of the log and the log stand-in

The daemon and the command need the platform's log over HTTP/JSON, with verdicts that say whether a failed append may have taken effect. A time-out drops every idle connection, since a path that lost its state stays silent for good while new connections work.

--- a/packages/fulmarstile_platform/src/fulmarstile_platform/__init__.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/__init__.py
@@ -1,5 +1,14 @@
 """Client of the platform's append-only log."""
 
+from fulmarstile_platform.http import (
+    HttpClient,
+    HttpClientSettings,
+    HttpError,
+    HttpResponse,
+    HttpTimeoutError,
+    open_http_client,
+)
+from fulmarstile_platform.http_log import HttpLog, HttpLogSettings, open_http_log
 from fulmarstile_platform.log import (
     Log,
     LogError,
@@ -9,4 +18,20 @@
     LogUnavailableError,
 )
 
-__all__ = ["Log", "LogError", "LogPage", "LogRecord", "LogRefusedError", "LogUnavailableError"]
+__all__ = [
+    "HttpClient",
+    "HttpClientSettings",
+    "HttpError",
+    "HttpLog",
+    "HttpLogSettings",
+    "HttpResponse",
+    "HttpTimeoutError",
+    "Log",
+    "LogError",
+    "LogPage",
+    "LogRecord",
+    "LogRefusedError",
+    "LogUnavailableError",
+    "open_http_client",
+    "open_http_log",
+]
--- /dev/null
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
@@ -0,0 +1,272 @@
+"""Small HTTP/1.1 client with pooled connections, for JSON services on one address."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import h11
+import trio
+
+from fulmarstile_wire.errors import VerdictError
+from fulmarstile_wire.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+RECEIVE_BYTES: Final = 65_536
+"""Bytes read from a connection at a time."""
+
+MAX_RESPONSE_BYTES: Final = 32 << 20
+"""Largest response body accepted, in bytes."""
+
+
+class HttpError(VerdictError):
+    """A request got no whole response; `verdict` says whether the server may have handled it."""
+
+
+class HttpTimeoutError(HttpError):
+    """A request got no whole response in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpClientSettings:
+    """Limits of an `HttpClient`."""
+
+    max_connections: int = 8
+    """Open connections; further requests wait."""
+    connect_timeout_s: float = 2.0
+    max_idle_s: float = 20.0
+    """Idle time after which a connection is replaced instead of being used again."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A whole response."""
+
+    status: int
+    body: bytes
+
+
+class HttpClient:
+    """Sends requests to one address over a bounded pool of keep-alive connections.
+
+    Args:
+        address: `host:port` of the server.
+        settings: Limits of the client.
+    """
+
+    def __init__(self, address: str, settings: HttpClientSettings | None = None) -> None:
+        self._address = address
+        self._settings = settings or HttpClientSettings()
+        self._limiter = trio.CapacityLimiter(self._settings.max_connections)
+        self._idle: list[_Connection] = []
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_s: float = 5.0,
+    ) -> HttpResponse:
+        """Sends one request and waits for its whole response; never sends it twice.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: JSON body.
+            timeout_s: Longest time for the whole exchange, in seconds.
+
+        Returns:
+            The response, of whatever status.
+
+        Raises:
+            HttpError: If no whole response arrived; its verdict is NOT_RUN only if no byte of
+                the request was sent.
+        """
+        progress = _Progress()
+        try:
+            with trio.fail_after(timeout_s):
+                async with self._limiter:
+                    return await self._exchange(method, path, body, progress)
+        except trio.TooSlowError as error:
+            # The path to the server may have lost its state: no open connection is trusted.
+            await self.aclose()
+            raise HttpTimeoutError(
+                f"{self._address} did not answer within {timeout_s:g} s", progress.verdict
+            ) from error
+
+    async def aclose(self) -> None:
+        """Closes the idle connections; the client can still be used."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            await connection.aclose()
+
+    async def _exchange(
+        self, method: str, path: str, body: bytes, progress: _Progress
+    ) -> HttpResponse:
+        connection = await self._take()
+        reusable = False
+        try:
+            response = await connection.exchange(method, path, body, progress)
+            reusable = connection.is_reusable
+            return response
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise HttpError(f"{self._address}: {error}", progress.verdict) from error
+        except h11.ProtocolError as error:
+            message = f"{self._address} sent a malformed response: {error}"
+            raise HttpError(message, progress.verdict) from error
+        finally:
+            if reusable:
+                connection.idle_since = trio.current_time()
+                self._idle.append(connection)
+            else:
+                await connection.aclose()
+
+    async def _take(self) -> _Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable(self._settings.max_idle_s):
+                return connection
+            await connection.aclose()
+        return await self._connect()
+
+    async def _connect(self) -> _Connection:
+        host, _, port = self._address.rpartition(":")
+        try:
+            with trio.fail_after(self._settings.connect_timeout_s):
+                stream = await trio.open_tcp_stream(host, int(port))
+        except (OSError, ValueError) as error:
+            message = f"cannot connect to {self._address}: {error}"
+            raise HttpError(message, Verdict.NOT_RUN) from error
+        except trio.TooSlowError as error:
+            message = f"no connection to {self._address} in time"
+            raise HttpTimeoutError(message, Verdict.NOT_RUN) from error
+        return _Connection(stream, self._address)
+
+
+@asynccontextmanager
+async def open_http_client(
+    address: str, settings: HttpClientSettings | None = None
+) -> AsyncIterator[HttpClient]:
+    """Opens a client and closes its connections at the end.
+
+    Args:
+        address: `host:port` of the server.
+        settings: Limits of the client.
+
+    Yields:
+        The client.
+    """
+    client = HttpClient(address, settings)
+    try:
+        yield client
+    finally:
+        with trio.CancelScope(shield=True):
+            await client.aclose()
+
+
+class _Progress:
+    """Whether any byte of a request may have reached the server."""
+
+    def __init__(self) -> None:
+        self.is_sent = False
+
+    @property
+    def verdict(self) -> Verdict:
+        """Verdict of a request that fails now."""
+        return Verdict.MAY_HAVE_RUN if self.is_sent else Verdict.NOT_RUN
+
+
+class _Connection:
+    """One connection, used for one exchange at a time."""
+
+    def __init__(self, stream: trio.SocketStream, host: str) -> None:
+        self._stream = stream
+        self._host = host
+        self._http = h11.Connection(h11.CLIENT)
+        self.idle_since = 0.0
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the last exchange ended cleanly on both sides; prepares the next one."""
+        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+            return False
+        if self._http.trailing_data[0]:
+            return False
+        self._http.start_next_cycle()
+        return True
+
+    def is_usable(self, max_idle_s: float) -> bool:
+        """Tells whether an idle connection looks alive.
+
+        Args:
+            max_idle_s: Idle time after which it is not trusted, in seconds.
+
+        Returns:
+            False if it was idle too long, or the server closed it or sent data unasked.
+        """
+        if trio.current_time() - self.idle_since > max_idle_s:
+            return False
+        return not self._stream.socket.is_readable()
+
+    async def exchange(
+        self, method: str, path: str, body: bytes, progress: _Progress
+    ) -> HttpResponse:
+        """Sends a request and reads its response.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: JSON body.
+            progress: Notes that the request is being sent.
+
+        Returns:
+            The whole response.
+        """
+        data = self._encode(method, path, body)
+        progress.is_sent = True
+        await self._stream.send_all(data)
+        return await self._read_response()
+
+    async def aclose(self) -> None:
+        """Closes the connection at once."""
+        await trio.aclose_forcefully(self._stream)
+
+    def _encode(self, method: str, path: str, body: bytes) -> bytes:
+        headers = [
+            ("Host", self._host),
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ]
+        data = self._http.send(h11.Request(method=method, target=path, headers=headers))
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        return data + self._http.send(h11.EndOfMessage())
+
+    async def _read_response(self) -> HttpResponse:
+        status = 0
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_RESPONSE_BYTES:
+                    raise h11.RemoteProtocolError("response body is too large")
+            elif isinstance(event, h11.EndOfMessage):
+                return HttpResponse(status, bytes(body))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise h11.RemoteProtocolError("connection closed before the response")
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+            elif event is h11.PAUSED:
+                raise h11.RemoteProtocolError("response to a request that was not sent")
+            else:
+                return event
--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes at the interfaces of the decision cores, in virtual time."""
