Add the daemon's shell, the local fleet and the first pages

Cause: the cores are being written against fixed interfaces; the shell and the process harness can be written beside them.

--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/views.py
@@ -0,0 +1,169 @@
+"""JSON bodies of the admin interface."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from fulmarstile_config import CustomerFold, PublicationVerdict
+    from fulmarstile_mesh import ConvergenceReport
+    from fulmarstile_wire.records import MemberRecord, UpstreamRecord
+
+
+class SectionView(msgspec.Struct, frozen=True):
+    """A section in force."""
+
+    version: int
+    team: str
+    publication_id: str
+
+
+class CustomerView(msgspec.Struct, frozen=True):
+    """A customer's configuration as this daemon has folded it."""
+
+    customer: str
+    version: int
+    digest: str
+    generation: int
+    next_offset: int
+    sections: dict[str, SectionView]
+
+
+class RefusalView(msgspec.Struct, frozen=True):
+    """Why a publication was refused."""
+
+    code: str
+    reason: str
+    section: str
+    line: int
+
+
+class VerdictView(msgspec.Struct, frozen=True):
+    """What became of one publication."""
+
+    publication_id: str
+    team: str
+    offset: int
+    appended_at_ms: int
+    accepted: bool
+    version: int
+    sections: tuple[str, ...]
+    refusal: RefusalView | None
+
+
+class MissingView(msgspec.Struct, frozen=True):
+    """A daemon on which a version is not in force yet."""
+
+    daemon_id: str
+    version: int
+    """Version that the daemon has in force."""
+    status: str
+    since_s: float
+
+
+class ConvergenceView(msgspec.Struct, frozen=True):
+    """How far a version has come into force."""
+
+    version: int
+    total: int
+    in_force: int
+    missing: tuple[MissingView, ...]
+
+
+class UpstreamView(msgspec.Struct, frozen=True):
+    """The upstream beside a daemon."""
+
+    service: str
+    status: str
+    slots: int
+
+
+class MemberView(msgspec.Struct, frozen=True):
+    """A daemon as this one knows it."""
+
+    daemon_id: str
+    status: str
+    incarnation: int
+    peer_address: str
+    calls_address: str
+    availability_zone: str
+    region: str
+    upstreams: tuple[UpstreamView, ...]
+
+
+class UpstreamAnnouncement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body with which an upstream announces itself or renews its lease."""
+
+    service: str
+    address: str
+    """`host:port` of the upstream, on this VM."""
+    slots: int
+    connections: int
+    status: str = "ready"
+    """`ready` or `draining`."""
+    ttl_s: float = 10.0
+    """Time after which the upstream counts as gone unless it renews, in seconds."""
+
+
+def describe_customer(fold: CustomerFold) -> CustomerView:
+    """Returns the view of a customer's fold."""
+    head = fold.head
+    sections = {
+        name: SectionView(state.version, state.team, state.publication_id)
+        for name, state in sorted(fold.sections.items())
+    }
+    return CustomerView(
+        customer=fold.customer,
+        version=fold.version,
+        digest=head.digest.hex(),
+        generation=head.generation,
+        next_offset=head.next_offset,
+        sections=sections,
+    )
+
+
+def describe_verdict(verdict: PublicationVerdict) -> VerdictView:
+    """Returns the view of a publication's verdict."""
+    refusal = verdict.refusal
+    return VerdictView(
+        publication_id=verdict.publication_id,
+        team=verdict.team,
+        offset=verdict.offset,
+        appended_at_ms=verdict.appended_at_ms,
+        accepted=verdict.accepted,
+        version=verdict.version,
+        sections=verdict.sections,
+        refusal=refusal
+        and RefusalView(refusal.code.value, refusal.reason, refusal.section, refusal.line),
+    )
+
+
+def describe_convergence(report: ConvergenceReport) -> ConvergenceView:
+    """Returns the view of a convergence report."""
+    missing = tuple(
+        MissingView(item.daemon_id, item.version, item.status.name.lower(), item.since_s)
+        for item in report.missing
+    )
+    return ConvergenceView(report.version, report.total, report.in_force, missing)
+
+
+def describe_member(member: MemberRecord, upstreams: Mapping[str, UpstreamRecord]) -> MemberView:
+    """Returns the view of a member and the upstream beside it."""
+    upstream = upstreams.get(member.daemon_id)
+    views = ()
+    if upstream is not None:
+        views = (UpstreamView(upstream.service, upstream.status.name.lower(), upstream.slots),)
+    return MemberView(
+        daemon_id=member.daemon_id,
+        status=member.status.name.lower(),
+        incarnation=member.incarnation,
+        peer_address=member.peer_address,
+        calls_address=member.calls_address,
+        availability_zone=member.availability_zone,
+        region=member.region,
+        upstreams=views,
+    )
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/core.py
@@ -0,0 +1,232 @@
+"""Decision core of one daemon: membership, configuration and their meeting points.
+
+It does no I/O and reads no clock, so that the daemon and the scenarios share it: messages,
+log pages and time go in, effects for the shell come out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from fulmarstile_calls.request import UpstreamEndpoint
+from fulmarstile_config import RoutingTable, compile_document
+from fulmarstile_mesh import Apply, MembersChanged
+from fulmarstile_wire import messages
+from fulmarstile_wire.records import MemberRecord, MemberStatus, UpstreamStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from fulmarstile_config import CustomerFold
+    from fulmarstile_mesh import Effect, Membership, Relay
+    from fulmarstile_platform.log import LogPage
+    from fulmarstile_wire.messages import AnyMessage
+
+RENDEZVOUS_STREAM: Final = "rendezvous"
+"""Stream of the log in which daemons publish their addresses."""
+
+_USABLE_STATUSES: Final = frozenset({MemberStatus.ALIVE, MemberStatus.SUSPECT})
+
+
+@dataclass(slots=True)
+class CoreCounters:
+    """Counters of the daemon's decisions since the start."""
+
+    applied_versions: int = 0
+    """Times a newer version was put in force."""
+    endpoint_changes: int = 0
+    """Times the set of usable upstreams changed."""
+    unreadable_rendezvous: int = 0
+    """Rendezvous records that could not be decoded."""
+
+
+class DaemonCore:
+    """Dispatches messages to the decision cores and puts their results in force.
+
+    Args:
+        membership: Core that knows the other daemons and their upstreams.
+        relay: Core that keeps the configuration streams up to date.
+        folds: Folded configuration of each customer that the daemon needs.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        relay: Relay,
+        folds: Mapping[str, CustomerFold],
+    ) -> None:
+        self._membership = membership
+        self._relay = relay
+        self._folds = folds
+        self._routing_table = RoutingTable()
+        self._endpoints: tuple[UpstreamEndpoint, ...] = ()
+        self._counters = CoreCounters()
+        self._handlers: dict[type, Callable[..., list[Effect]]] = {
+            messages.Join: membership.on_join,
+            messages.Members: membership.on_members,
+            messages.MemberDigest: membership.on_member_digest,
+            messages.Probe: membership.on_probe,
+            messages.ProbeReply: membership.on_probe_reply,
+            messages.IndirectProbe: membership.on_indirect_probe,
+            messages.Heads: relay.on_heads,
+            messages.RecordRequest: relay.on_record_request,
+            messages.RecordBatch: relay.on_record_batch,
+            messages.SnapshotRequest: relay.on_snapshot_request,
+            messages.SnapshotOffer: relay.on_snapshot_offer,
+        }
+
+    @property
+    def membership(self) -> Membership:
+        """Core that knows the other daemons."""
+        return self._membership
+
+    @property
+    def relay(self) -> Relay:
+        """Core that keeps the configuration streams up to date."""
+        return self._relay
+
+    @property
+    def folds(self) -> Mapping[str, CustomerFold]:
+        """Folded configuration of each customer."""
+        return self._folds
+
+    @property
+    def routing_table(self) -> RoutingTable:
+        """Routing table in force; replaced as a whole."""
+        return self._routing_table
+
+    @property
+    def endpoints(self) -> tuple[UpstreamEndpoint, ...]:
+        """Upstreams that may get new calls, sorted by daemon."""
+        return self._endpoints
+
+    @property
+    def counters(self) -> CoreCounters:
+        """Counters since the start."""
+        return self._counters
+
+    def on_message(self, message: AnyMessage, now: float) -> list[Effect]:
+        """Handles a message from another daemon.
+
+        Args:
+            message: Message as received; those of other cores are ignored.
+            now: Time in seconds.
+
+        Returns:
+            Effects for the shell.
+        """
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return []
+        return self._carry_out(handler(message, now), now)
+
+    def on_tick(self, now: float) -> list[Effect]:
+        """Handles the passing of time; called about every 100 ms."""
+        effects = self._membership.on_tick(now)
+        effects += self._relay.on_tick(now)
+        return self._carry_out(effects, now)
+
+    def on_log_page(self, stream: str, page: LogPage, now: float) -> list[Effect]:
+        """Handles a page that was read from the log."""
+        if stream == RENDEZVOUS_STREAM:
+            records = self._decode_rendezvous(page)
+            return self._carry_out(self._membership.on_rendezvous(records, now), now)
+        return self._carry_out(self._relay.on_log_page(stream, page, now), now)
+
+    def on_log_failure(self, stream: str, now: float) -> list[Effect]:
+        """Handles a read of the log that failed."""
+        if stream == RENDEZVOUS_STREAM:
+            return []
+        return self._carry_out(self._relay.on_log_failure(stream, now), now)
+
+    def on_append_done(self, stream: str, offset: int, now: float) -> list[Effect]:
+        """Handles an append that succeeded."""
+        if stream == RENDEZVOUS_STREAM:
+            return []
+        return self._carry_out(self._relay.on_append_done(stream, offset, now), now)
+
+    def on_append_failure(self, stream: str, now: float) -> list[Effect]:
+        """Handles an append that failed or whose outcome is unknown."""
+        if stream == RENDEZVOUS_STREAM:
+            return []
+        return self._carry_out(self._relay.on_append_failure(stream, now), now)
+
+    def announce_upstream(
+        self, service: str, status: UpstreamStatus, slots: int, now: float
+    ) -> list[Effect]:
+        """Makes the state of the local upstream known to the mesh."""
+        effects = self._membership.announce_upstream(service, status, slots, now)
+        return self._carry_out(effects, now, members_changed=True)
+
+    def begin_leaving(self, now: float) -> list[Effect]:
+        """Announces that this daemon takes no new calls."""
+        return self._carry_out(self._membership.begin_leaving(now), now)
+
+    def leave(self, now: float) -> list[Effect]:
+        """Announces that this daemon stops now."""
+        return self._carry_out(self._membership.leave(now), now)
+
+    def _carry_out(
+        self, effects: Iterable[Effect], now: float, *, members_changed: bool = False
+    ) -> list[Effect]:
+        remaining: list[Effect] = []
+        pending = list(effects)
+        while pending:
+            effect = pending.pop(0)
+            if isinstance(effect, Apply):
+                pending += self._apply(effect.customer, now)
+            elif isinstance(effect, MembersChanged):
+                members_changed = True
+            else:
+                remaining.append(effect)
+        if members_changed:
+            self._replace_endpoints()
+        return remaining
+
+    def _apply(self, customer: str, now: float) -> list[Effect]:
+        fold = self._folds[customer]
+        in_force = self._routing_table.versions.get(customer, 0)
+        if fold.version < in_force:
+            return []
+        compiled = compile_document(customer, fold.document, fold.version)
+        self._routing_table = self._routing_table.replace_customer(compiled)
+        self._counters.applied_versions += 1
+        return self._membership.report_applied(customer, fold.version, fold.head.digest, now)
+
+    def _replace_endpoints(self) -> None:
+        members = self._membership.members
+        endpoints = []
+        for daemon_id, upstream in sorted(self._membership.upstreams.items()):
+            member = members.get(daemon_id)
+            if member is None or member.status not in _USABLE_STATUSES:
+                continue
+            if upstream.status is UpstreamStatus.READY:
+                endpoints.append(self._describe_endpoint(member, upstream.service, upstream.slots))
+        if tuple(endpoints) != self._endpoints:
+            self._endpoints = tuple(endpoints)
+            self._counters.endpoint_changes += 1
+
+    def _describe_endpoint(
+        self, member: MemberRecord, service: str, slots: int
+    ) -> UpstreamEndpoint:
+        return UpstreamEndpoint(
+            daemon_id=member.daemon_id,
+            calls_address=member.calls_address,
+            service=service,
+            availability_zone=member.availability_zone,
+            region=member.region,
+            slots=slots,
+            is_local=member.daemon_id == self._membership.record.daemon_id,
+        )
+
+    def _decode_rendezvous(self, page: LogPage) -> list[MemberRecord]:
+        records = []
+        for record in page.records:
+            try:
+                records.append(msgspec.msgpack.decode(record.payload, type=MemberRecord))
+            except msgspec.DecodeError:
+                self._counters.unreadable_rendezvous += 1
+        return records
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/metrics.py
@@ -0,0 +1,63 @@
+"""Metrics page of the daemon, rendered with aioprometheus."""
+
+from __future__ import annotations
+
+from dataclasses import fields, is_dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+from aioprometheus import Gauge, Registry, render
+from aioprometheus.formats import text
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+METRIC_PREFIX: Final = "fulmarstile_"
+"""Prefix of every metric name."""
+
+
+class MetricsPage:
+    """Copies the counters of the daemon's parts into a registry when it is read."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._gauges: dict[str, Gauge] = {}
+
+    def render(self, counters: Mapping[str, Any], labels: Mapping[str, str]) -> bytes:
+        """Renders the page.
+
+        Args:
+            counters: Counters of each part by its name: numbers, or dataclasses of numbers.
+            labels: Labels of every metric.
+
+        Returns:
+            The page in the Prometheus text format.
+        """
+        for part, value in sorted(counters.items()):
+            for name, number in _list_numbers(part, value):
+                self._get_gauge(name).set(dict(labels), number)
+        page, _ = render(self._registry, [text.TEXT_CONTENT_TYPE])
+        return page
+
+    def _get_gauge(self, name: str) -> Gauge:
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = Gauge(METRIC_PREFIX + name, _describe(name), registry=self._registry)
+            self._gauges[name] = gauge
+        return gauge
+
+
+def _list_numbers(part: str, value: Any) -> list[tuple[str, float]]:
+    if isinstance(value, int | float):
+        return [(part, float(value))]
+    if not is_dataclass(value):
+        return []
+    pairs = ((item.name, getattr(value, item.name)) for item in fields(value))
+    return [
+        (f"{part}_{name}", float(number))
+        for name, number in pairs
+        if isinstance(number, int | float)
+    ]
+
+
+def _describe(name: str) -> str:
+    return name.replace("_", " ").capitalize() + "."
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/service.py
@@ -0,0 +1,147 @@
+"""Assembles a daemon from its settings and runs it until it is told to stop."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Final
+
+import trio
+from loguru import logger
+
+from fulmarstile_config import CustomerFold
+from fulmarstile_daemon.admin import AdminApi
+from fulmarstile_daemon.call_context import CoreCallContext
+from fulmarstile_daemon.calls import CallProxy, CallSettings
+from fulmarstile_daemon.core import DaemonCore
+from fulmarstile_daemon.daemon import Daemon
+from fulmarstile_daemon.peers import open_peer_links
+from fulmarstile_mesh import Membership, MembershipSettings, Relay, RelaySettings
+from fulmarstile_platform import HttpLogSettings, open_http_log
+from fulmarstile_platform.http_server import listen_http, serve_http
+from fulmarstile_wire.records import MemberRecord, MemberStatus
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from fulmarstile_daemon.settings import Settings
+    from fulmarstile_platform import HttpLog
+
+EXTRA_LOG_CONNECTIONS: Final = 8
+"""Connections to the log besides one long poll for each customer."""
+
+
+async def run_daemon(settings: Settings) -> None:
+    """Runs a daemon until a planned stop has ended.
+
+    Args:
+        settings: The daemon's settings.
+
+    Raises:
+        PeerListenError: If the listener for peers cannot be opened.
+        HttpListenError: If the admin listener cannot be opened.
+    """
+    admin_listeners = await listen_http(settings.admin.address)
+    with open_peer_links(settings.peers.address, settings.mesh.key) as links:
+        async with _open_log(settings) as log, trio.open_nursery() as nursery:
+            context = CoreCallContext(settings.daemon.name, settings.calls.default_customer)
+            proxy = CallProxy(_call_settings(settings), context)
+            calls_address = await nursery.start(proxy.serve)
+            core = _assemble_core(settings, settings.calls.advertise or calls_address)
+            context.attach(core)
+            daemon = Daemon(settings, core, links, log, proxy, nursery)
+            nursery.start_soon(serve_http, admin_listeners, AdminApi(daemon).handle)
+            nursery.start_soon(daemon.receive_messages)
+            nursery.start_soon(daemon.run_ticks)
+            logger.info("started", daemon=settings.daemon.name, calls=calls_address)
+            await _wait_for_stop(daemon)
+            nursery.cancel_scope.cancel()
+
+
+async def _wait_for_stop(daemon: Daemon) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        await anext(aiter(signals))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_on_second_signal, signals, nursery.cancel_scope)
+            await daemon.drain()
+            nursery.cancel_scope.cancel()
+
+
+async def _cancel_on_second_signal(
+    signals: AsyncIterator[int], cancel_scope: trio.CancelScope
+) -> None:
+    await anext(aiter(signals))
+    logger.warning("second signal: stopping at once")
+    cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def _open_log(settings: Settings) -> AsyncIterator[HttpLog]:
+    log_settings = HttpLogSettings(
+        append_timeout_s=settings.log.timeout_s,
+        read_timeout_s=settings.log.timeout_s,
+        max_read_connections=len(settings.customers) + EXTRA_LOG_CONNECTIONS,
+    )
+    async with open_http_log(settings.log.address, log_settings) as log:
+        yield log
+
+
+def _assemble_core(settings: Settings, calls_address: str) -> DaemonCore:
+    seed = random.Random()
+    record = _describe_member(settings, calls_address)
+    membership = Membership(_membership_settings(settings), record, random.Random(seed.random()))
+    folds = {
+        customer: CustomerFold(customer, owner_key, settings.mesh.key)
+        for customer, owner_key in settings.customers.items()
+    }
+    relay = Relay(
+        _relay_settings(settings),
+        record.daemon_id,
+        record.peer_address,
+        record.availability_zone,
+        record.region,
+        folds,
+        membership,
+        random.Random(seed.random()),
+    )
+    return DaemonCore(membership, relay, folds)
+
+
+def _describe_member(settings: Settings, calls_address: str) -> MemberRecord:
+    return MemberRecord(
+        daemon_id=settings.daemon.name,
+        incarnation=time.time_ns() // 1_000_000,
+        status=MemberStatus.ALIVE,
+        peer_address=settings.peers.advertise or settings.peers.address,
+        calls_address=calls_address,
+        availability_zone=settings.daemon.availability_zone,
+        region=settings.daemon.region,
+        customers=tuple(sorted(settings.customers)),
+    )
+
+
+def _membership_settings(settings: Settings) -> MembershipSettings:
+    return MembershipSettings(
+        probe_interval_s=settings.peers.probe_interval_s,
+        active_peers=settings.peers.active_peers,
+        seeds=settings.peers.seeds,
+    )
+
+
+def _relay_settings(settings: Settings) -> RelaySettings:
+    return RelaySettings(mode=settings.peers.dissemination, retention_s=settings.log.retention_s)
+
+
+def _call_settings(settings: Settings) -> CallSettings:
+    return CallSettings(
+        address=settings.calls.address,
+        mesh_key=settings.mesh.key,
+        availability_zone=settings.daemon.availability_zone,
+        region=settings.daemon.region,
+        connection_limit=settings.calls.max_connections,
+        queue_limit=settings.calls.queue_limit,
+        head_timeout_s=settings.calls.head_timeout_s,
+        progress_timeout_s=settings.calls.progress_timeout_s,
+    )
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/state.py
@@ -0,0 +1,61 @@
+"""Dump of the daemon's whole state, for operators."""
+
+from __future__ import annotations
+
+import resource
+from dataclasses import asdict, is_dataclass
+from typing import TYPE_CHECKING, Any
+
+from fulmarstile_daemon.admin.views import describe_customer, describe_member
+
+if TYPE_CHECKING:
+    from fulmarstile_daemon.daemon import Daemon
+
+
+def describe_state(daemon: Daemon) -> dict[str, Any]:
+    """Describes the state of a daemon.
+
+    Args:
+        daemon: The daemon.
+
+    Returns:
+        The state as plain data, to be encoded as JSON.
+    """
+    core = daemon.core
+    membership = core.membership
+    members = sorted(membership.members.items())
+    return {
+        "daemon": _describe(membership.record),
+        "leaving": daemon.is_leaving,
+        "upstream": daemon.announcement,
+        "applied": dict(sorted(core.routing_table.versions.items())),
+        "customers": [describe_customer(fold) for _, fold in sorted(core.folds.items())],
+        "members": [describe_member(item, membership.upstreams) for _, item in members],
+        "endpoints": [asdict(endpoint) for endpoint in core.endpoints],
+        "links": daemon.links.addresses,
+        "calls": daemon.proxy.dump(),
+        "membership": membership.dump(),
+        "counters": {
+            "core": _describe(core.counters),
+            "membership": _describe(membership.counters),
+            "relay": _describe(core.relay.counters),
+            "links": _describe(daemon.links.counters),
+            "log": _describe(daemon.log_worker.counters),
+            "calls": _describe(daemon.proxy.counters),
+        },
+        "process": _describe_process(),
+    }
+
+
+def _describe(value: Any) -> Any:
+    if is_dataclass(value) and not isinstance(value, type):
+        return asdict(value)
+    return value
+
+
+def _describe_process() -> dict[str, float]:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return {
+        "processor_s": usage.ru_utime + usage.ru_stime,
+        "peak_memory_kib": usage.ru_maxrss,
+    }
