--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/settings/page.py
@@ -0,0 +1,52 @@
+"""Renders the reference page of the settings file.
+
+Run it with `python -m fulmarstile_daemon.settings.page > docs/SETTINGS.md`.
+"""
+
+from __future__ import annotations
+
+from itertools import groupby
+from typing import Final
+
+from fulmarstile_daemon.settings.reference import CUSTOMERS_SECTION, KEY_BYTES, SETTING_KEYS
+
+_HEADER: Final = """\
+# Settings of `fulmarstiled`
+
+The daemon reads one INI file, given by `--settings=FILE`, and checks all of it before it
+opens a socket. An unknown section or key, a value of the wrong form, out of range, or a
+missing required key ends the daemon with exit code 2 and one line that names file, section,
+key and reason; an address that cannot be listened at ends it with exit code 3.
+
+This page is generated from the daemon's own table by
+`python -m fulmarstile_daemon.settings.page`.
+"""
+
+_CUSTOMERS: Final = f"""\
+
+## [{CUSTOMERS_SECTION}]
+
+One key for each customer whose configuration the daemon needs. The key is the customer's
+name; the value is the owner's Ed25519 public key, base64, {KEY_BYTES} bytes
+(`fulmarstile keygen` prints it). Only publications signed by the owner or by a team that the
+owner has named are accepted.
+"""
+
+
+def render_page() -> str:
+    """Returns the reference page in Markdown."""
+    parts = [_HEADER]
+    for section, items in groupby(SETTING_KEYS, key=lambda item: item.section):
+        parts.append(f"\n## [{section}]\n\n")
+        parts.append("| key | unit | range | default | purpose |\n")
+        parts.append("|---|---|---|---|---|\n")
+        for item in items:
+            default = "required" if item.default is None else item.default or "empty"
+            row = (item.key, item.reader.unit, item.reader.bounds, default, item.purpose)
+            parts.append("| " + " | ".join(row) + " |\n")
+    parts.append(_CUSTOMERS)
+    return "".join(parts)
+
+
+if __name__ == "__main__":
+    print(render_page(), end="")
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fleet.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fleet.py
@@ -76,7 +76,7 @@
 
     def allocate(self) -> None:
         """Reserves an address for every listener and writes the settings files."""
-        ports = _find_free_ports(1 + 4 * len(self.specs))
+        ports = find_free_ports(1 + 4 * len(self.specs))
         self.log_address = f"{_LOOPBACK}:{next(ports)}"
         for name in self.specs:
             self.admin_addresses[name] = f"{_LOOPBACK}:{next(ports)}"
@@ -235,7 +235,15 @@
             fleet.stop_all()
 
 
-def _find_free_ports(count: int) -> Iterator[int]:
+def find_free_ports(count: int) -> Iterator[int]:
+    """Finds ports of the loopback address that nothing listens at.
+
+    Args:
+        count: Number of ports.
+
+    Returns:
+        The ports.
+    """
     candidates = range(_FIRST_PORT, _LAST_PORT)
     start = random.Random().randrange(len(candidates) - count)
     found: list[int] = []
--- /dev/null
+++ b/tests/daemon/test_peer_links.py
@@ -0,0 +1,77 @@
+"""Links between daemons lose messages rather than block, and authenticate frames."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from fulmarstile_daemon.peers import open_peer_links
+from fulmarstile_daemon.peers.links import SEND_BUFFER_MESSAGES, PeerListenError
+from fulmarstile_daemon.peers.seal import open_frame, seal_frame
+from fulmarstile_testing.fleet import find_free_ports
+from fulmarstile_wire.errors import WireError
+from fulmarstile_wire.messages import Probe
+
+KEY = bytes(32)
+OTHER_KEY = bytes([1]) * 32
+RECEIVE_LIMIT_S = 30
+
+
+def build_addresses(count: int) -> list[str]:
+    return [f"127.0.0.1:{port}" for port in find_free_ports(count)]
+
+
+class PeerLinksTest(unittest.TestCase):
+    def test_a_message_arrives_and_again_after_a_disconnect(self) -> None:
+        async def run() -> None:
+            first, second = build_addresses(2)
+            with open_peer_links(first, KEY) as sender, open_peer_links(second, KEY) as receiver:
+                with trio.fail_after(RECEIVE_LIMIT_S):
+                    sender.send(second, Probe("a", first, 1))
+                    self.assertEqual((await receiver.receive()).sequence, 1)
+                    sender.disconnect(second)
+                    self.assertEqual(sender.addresses, ())
+                    sender.send(second, Probe("a", first, 2))
+                    self.assertEqual((await receiver.receive()).sequence, 2)
+
+        trio.run(run)
+
+    def test_a_frame_of_another_mesh_key_is_refused_and_counted(self) -> None:
+        async def run() -> None:
+            first, second, third = build_addresses(3)
+            with (
+                open_peer_links(first, KEY) as sender,
+                open_peer_links(second, KEY) as receiver,
+                open_peer_links(third, OTHER_KEY) as stranger,
+            ):
+                with trio.fail_after(RECEIVE_LIMIT_S):
+                    stranger.send(second, Probe("x", third, 1))
+                    while receiver.counters.refused_frames == 0:
+                        sender.send(second, Probe("a", first, 2))
+                        self.assertEqual((await receiver.receive()).sender, "a")
+
+        trio.run(run)
+
+    def test_messages_to_an_absent_peer_are_dropped_once_the_link_is_full(self) -> None:
+        async def run() -> None:
+            first, absent = build_addresses(2)
+            with open_peer_links(first, KEY) as sender:
+                for number in range(2 * SEND_BUFFER_MESSAGES):
+                    sender.send(absent, Probe("a", first, number))
+                self.assertEqual(sender.counters.dropped_messages, SEND_BUFFER_MESSAGES)
+
+        trio.run(run)
+
+    def test_an_address_in_use_is_a_clear_error(self) -> None:
+        (address,) = build_addresses(1)
+        with open_peer_links(address, KEY):
+            with self.assertRaisesRegex(PeerListenError, "cannot listen at"):
+                with open_peer_links(address, KEY):
+                    self.fail("the address was opened twice")
+
+    def test_a_changed_frame_is_not_authentic(self) -> None:
+        sealed = seal_frame(b"frame", KEY)
+        self.assertEqual(open_frame(sealed, KEY), b"frame")
+        with self.assertRaises(WireError):
+            open_frame(sealed[:-1] + b"x", KEY)
