--- a/packages/fulmarstile_config/src/fulmarstile_config/errors.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/errors.py
@@ -24,3 +24,7 @@
 
 class SnapshotError(ConfigError):
     """A snapshot is malformed, forged or older than the state it would replace."""
+
+
+class KeyFormatError(ConfigError):
+    """A key is not in the expected form."""
--- a/packages/fulmarstile_config/src/fulmarstile_config/publication.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/publication.py
@@ -27,7 +27,9 @@
     team: str
     changes: tuple[SectionChange, ...]
     signature: bytes = b""
-    """Ed25519 signature of the publication with an empty signature."""
+    """Ed25519 signature over all other fields, with each body replaced by its SHA-256."""
+    base_sequence: int = 0
+    """The fold's `sequence` as the publisher saw it; limits how long a copy can be replayed."""
 
 
 class RefusalCode(enum.Enum):
--- /dev/null
+++ b/packages/fulmarstile_config/src/fulmarstile_config/records.py
@@ -0,0 +1,73 @@
+"""Records of a customer's configuration stream and their encoding.
+
+A record is one byte with the version of the fold's rules, and a MessagePack body.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from fulmarstile_config.errors import ConfigError
+from fulmarstile_config.publication import Publication
+
+RULES_VERSION: Final = 1
+"""Version of the rules that the records are folded by."""
+
+STREAM_PREFIX: Final = "config."
+
+
+class SnapshotRecord(msgspec.Struct, frozen=True, array_like=True, tag="snapshot"):
+    """State of a fold, sealed with the mesh key."""
+
+    customer: str
+    generation: int
+    next_offset: int
+    """Offset of the first record that the state does not cover; for a seed, the end of the new
+    log when the seed was made."""
+    version: int
+    sequence: int
+    digest: bytes
+    is_seed: bool
+    """Whether the snapshot begins its generation after the log has lost the stream."""
+    content: bytes
+    """`SnapshotContent` as MessagePack, compressed with Zstandard."""
+    seal: bytes
+    """HMAC-SHA256 of the snapshot with an empty seal, keyed with the mesh key."""
+
+
+AnyRecord = Publication | SnapshotRecord
+"""Every record of a configuration stream."""
+
+
+class RecordError(ConfigError):
+    """A record is malformed or of unknown rules."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(AnyRecord)
+
+
+def stream_name(customer: str) -> str:
+    """Returns the name of a customer's configuration stream."""
+    return STREAM_PREFIX + customer
+
+
+def encode_record(record: AnyRecord) -> bytes:
+    """Returns the payload of a record."""
+    return bytes((RULES_VERSION,)) + _encoder.encode(record)
+
+
+def decode_record(payload: bytes) -> AnyRecord:
+    """Decodes the payload of a record.
+
+    Raises:
+        RecordError: If the payload is malformed or its rules are unknown.
+    """
+    if not payload or payload[0] != RULES_VERSION:
+        raise RecordError("record is empty or follows unknown rules")
+    try:
+        return _decoder.decode(memoryview(payload)[1:])
+    except (msgspec.DecodeError, RecursionError, ValueError, OverflowError) as error:
+        raise RecordError(f"malformed record: {error}") from None
--- /dev/null
+++ b/packages/fulmarstile_config/src/fulmarstile_config/snapshot.py
@@ -0,0 +1,267 @@
+"""Snapshots of a fold: self-certifying copies of its whole state."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+import zstandard
+
+from fulmarstile_config.assembly import assemble_document, find_refusals
+from fulmarstile_config.errors import RefusedError, SnapshotError
+from fulmarstile_config.fold_state import FoldState, SectionState, SignedPublication
+from fulmarstile_config.judge import TEAMS_SECTION, find_team
+from fulmarstile_config.keys import SignedChange, digest_body, is_signed_by, signed_bytes
+from fulmarstile_config.ownership import OWNER_TEAM, owns_section
+from fulmarstile_config.publication import PublicationVerdict
+from fulmarstile_config.quota import QuotaMeter, QuotaState
+from fulmarstile_config.records import SnapshotRecord
+from fulmarstile_config.section import parse_section
+from fulmarstile_config.verdict_book import VerdictBook
+
+if TYPE_CHECKING:
+    from fulmarstile_config.judge import Judge
+    from fulmarstile_config.limits import FoldLimits
+
+_SEAL_CONTEXT: Final = b"fulmarstile snapshot 1\0"
+_NO_TEAMS: Final = -1
+
+
+class KeptSection(msgspec.Struct, frozen=True, array_like=True):
+    """A section's body with the publication that proves it."""
+
+    section: str
+    version: int
+    publication: int
+    """Index in `SnapshotContent.publications`."""
+    teams: int
+    """Index in `SnapshotContent.teams` of the teams section it was accepted under, or -1."""
+    body: str
+
+
+class SnapshotContent(msgspec.Struct, frozen=True, array_like=True):
+    """State of a fold in encoded form."""
+
+    publications: tuple[SignedPublication, ...]
+    teams: tuple[KeptSection, ...]
+    """Teams sections that publications in force were accepted under."""
+    sections: tuple[KeptSection, ...]
+    verified: tuple[PublicationVerdict, ...]
+    unverified: tuple[PublicationVerdict, ...]
+    quota: QuotaState
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(SnapshotContent)
+
+
+def make_snapshot(
+    customer: str, mesh_key: bytes, state: FoldState, next_offset: int, *, is_seed: bool = False
+) -> SnapshotRecord:
+    """Returns a sealed snapshot of a state.
+
+    Args:
+        customer: Customer that the state belongs to.
+        mesh_key: Key shared by the daemons of the deployment.
+        state: State to copy; its generation is the snapshot's.
+        next_offset: Offset of the first record that the state does not cover.
+        is_seed: Whether the snapshot begins its generation.
+
+    Returns:
+        The snapshot.
+    """
+    content = _encoder.encode(_collect_content(state))
+    snapshot = SnapshotRecord(
+        customer=customer,
+        generation=state.generation,
+        next_offset=next_offset,
+        version=state.version,
+        sequence=state.sequence,
+        digest=state.digest,
+        is_seed=is_seed,
+        content=zstandard.ZstdCompressor(level=3).compress(content),
+        seal=b"",
+    )
+    return msgspec.structs.replace(snapshot, seal=_compute_seal(snapshot, mesh_key))
+
+
+def is_sealed(snapshot: SnapshotRecord, mesh_key: bytes) -> bool:
+    """Returns whether the snapshot was sealed with the mesh key."""
+    return hmac.compare_digest(snapshot.seal, _compute_seal(snapshot, mesh_key))
+
+
+def _compute_seal(snapshot: SnapshotRecord, mesh_key: bytes) -> bytes:
+    unsealed = _encoder.encode(msgspec.structs.replace(snapshot, seal=b""))
+    return hmac.digest(mesh_key, _SEAL_CONTEXT + unsealed, hashlib.sha256)
+
+
+def _collect_content(state: FoldState) -> SnapshotContent:
+    collector = _Collector()
+    sections = tuple(collector.keep(state.sections[section]) for section in sorted(state.sections))
+    return SnapshotContent(
+        publications=tuple(collector.publications),
+        teams=tuple(collector.teams),
+        sections=sections,
+        verified=state.book.verified,
+        unverified=state.book.unverified,
+        quota=state.quota.state,
+    )
+
+
+class _Collector:
+    """Gives each publication and each former teams section one index."""
+
+    def __init__(self) -> None:
+        self.publications: list[SignedPublication] = []
+        self.teams: list[KeptSection] = []
+        self._publication_indexes: dict[tuple[str, str, int], int] = {}
+        self._teams_indexes: dict[int, int] = {}
+
+    def keep(self, state: SectionState) -> KeptSection:
+        teams = self._keep_teams(state.teams)
+        publication = self._keep_publication(state)
+        return KeptSection(state.section, state.version, publication, teams, state.body)
+
+    def _keep_publication(self, state: SectionState) -> int:
+        key = (state.team, state.publication_id, state.version)
+        if key not in self._publication_indexes:
+            self._publication_indexes[key] = len(self.publications)
+            self.publications.append(state.publication)
+        return self._publication_indexes[key]
+
+    def _keep_teams(self, teams: SectionState | None) -> int:
+        if teams is None:
+            return _NO_TEAMS
+        if teams.version not in self._teams_indexes:
+            publication = self._keep_publication(teams)
+            kept = KeptSection(teams.section, teams.version, publication, _NO_TEAMS, teams.body)
+            self._teams_indexes[teams.version] = len(self.teams)
+            self.teams.append(kept)
+        return self._teams_indexes[teams.version]
+
+
+class SnapshotReader:
+    """Rebuilds states from snapshots and proves them.
+
+    Args:
+        customer: Customer whose snapshots are read.
+        judge: Knows the owner's key.
+        limits: Bounds on the state.
+    """
+
+    def __init__(self, customer: str, judge: Judge, limits: FoldLimits) -> None:
+        self._customer = customer
+        self._judge = judge
+        self._limits = limits
+
+    def read_state(self, snapshot: SnapshotRecord) -> FoldState:
+        """Returns the state of a snapshot whose seal is valid.
+
+        Raises:
+            SnapshotError: If the snapshot is malformed, or a team's signature does not prove a
+                section.
+        """
+        content = self._decode_content(snapshot)
+        try:
+            sections = self._read_sections(content)
+        except (RefusedError, IndexError) as error:
+            raise SnapshotError(f"snapshot holds an invalid section: {error}") from error
+        parsed = {section: entry.parsed for section, entry in sections.items()}
+        if next(find_refusals(parsed, frozenset(parsed)), None) is not None:
+            raise SnapshotError("sections of the snapshot do not fit together")
+        state = FoldState(
+            book=VerdictBook(self._limits),
+            quota=QuotaMeter(self._limits, content.quota),
+            generation=snapshot.generation,
+            version=snapshot.version,
+            sequence=snapshot.sequence,
+            sections=sections,
+            document=assemble_document(parsed),
+        )
+        state.book.load(content.verified, content.unverified)
+        if state.digest != snapshot.digest:
+            raise SnapshotError("digest of the snapshot does not fit its content")
+        return state
+
+    def _decode_content(self, snapshot: SnapshotRecord) -> SnapshotContent:
+        try:
+            size = zstandard.frame_content_size(snapshot.content)
+            if not 0 <= size <= self._limits.max_snapshot_bytes:
+                raise SnapshotError(f"snapshot of {size} bytes is out of bounds")
+            encoded = zstandard.ZstdDecompressor().decompress(snapshot.content)
+            return _decoder.decode(encoded)
+        except (zstandard.ZstdError, msgspec.DecodeError, RecursionError, ValueError) as error:
+            raise SnapshotError(f"malformed snapshot: {error}") from error
+
+    def _read_sections(self, content: SnapshotContent) -> dict[str, SectionState]:
+        teams = [self._read_section(kept, content, []) for kept in content.teams]
+        sections = {}
+        for kept in content.sections:
+            sections[kept.section] = self._read_section(kept, content, teams)
+        return sections
+
+    def _read_section(
+        self, kept: KeptSection, content: SnapshotContent, teams: list[SectionState]
+    ) -> SectionState:
+        publication = content.publications[kept.publication]
+        under = teams[kept.teams] if kept.teams != _NO_TEAMS else None
+        state = SectionState(
+            section=kept.section,
+            version=kept.version,
+            team=publication.team,
+            publication_id=publication.publication_id,
+            body=kept.body,
+            parsed=parse_section(kept.section, kept.body, self._limits),
+            publication=publication,
+            teams=under,
+        )
+        self._prove(state)
+        return state
+
+    def _prove(self, state: SectionState) -> None:
+        publication = state.publication
+        if not _covers(publication, state):
+            raise SnapshotError(f"publication does not cover section {state.section!r}")
+        if not _may_publish(publication.team, state):
+            raise SnapshotError(f"team does not own section {state.section!r}")
+        key = self._judge.find_team_key(publication.team, state.teams)
+        signed = signed_bytes(
+            publication.publication_id,
+            self._customer,
+            publication.team,
+            publication.base_sequence,
+            publication.changes,
+        )
+        if key is None or not is_signed_by(signed, publication.signature, key):
+            raise SnapshotError(f"signature does not prove section {state.section!r}")
+
+
+def _covers(publication: SignedPublication, state: SectionState) -> bool:
+    digest = digest_body(state.body)
+    return any(
+        change.section == state.section and change.body_digest == digest
+        for change in publication.changes
+    )
+
+
+def _may_publish(team: str, state: SectionState) -> bool:
+    if team == OWNER_TEAM:
+        return True
+    found = find_team(team, state.teams)
+    return (
+        found is not None
+        and state.section != TEAMS_SECTION
+        and state.teams.section == TEAMS_SECTION
+        and owns_section(found, state.section)
+    )
+
+
+__all__ = [
+    "SignedChange",
+    "SnapshotContent",
+    "SnapshotReader",
+    "is_sealed",
+    "make_snapshot",
+]
--- /dev/null
+++ b/packages/fulmarstile_config/src/fulmarstile_config/verdict_book.py
@@ -0,0 +1,80 @@
+"""Bounded memory of the verdicts on recent publications."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fulmarstile_config.limits import FoldLimits
+    from fulmarstile_config.publication import PublicationVerdict
+
+
+class VerdictBook:
+    """Verdicts on verified publications, and apart from them on unverified records.
+
+    Records without a valid signature cannot displace the verdicts on verified publications, nor
+    claim their identifiers.
+    """
+
+    def __init__(self, limits: FoldLimits) -> None:
+        self._max_verified = limits.recent_publications
+        self._verified: dict[tuple[str, str], PublicationVerdict] = {}
+        self._unverified: deque[PublicationVerdict] = deque(maxlen=limits.recent_unverified)
+
+    @property
+    def verified(self) -> tuple[PublicationVerdict, ...]:
+        """Verdicts on verified publications, oldest first."""
+        return tuple(self._verified.values())
+
+    @property
+    def unverified(self) -> tuple[PublicationVerdict, ...]:
+        """Verdicts on records without a valid signature, oldest first."""
+        return tuple(self._unverified)
+
+    @property
+    def history(self) -> tuple[PublicationVerdict, ...]:
+        """All verdicts kept, in the order of the log."""
+        verdicts = (*self._verified.values(), *self._unverified)
+        return tuple(sorted(verdicts, key=lambda verdict: (verdict.appended_at_ms, verdict.offset)))
+
+    def load(
+        self, verified: Iterable[PublicationVerdict], unverified: Iterable[PublicationVerdict]
+    ) -> None:
+        """Adds verdicts that a snapshot carries."""
+        for verdict in verified:
+            self.add_verified(verdict)
+        self._unverified.extend(unverified)
+
+    def is_known(self, team: str, publication_id: str) -> bool:
+        """Returns whether a verified publication has already got its verdict."""
+        return (team, publication_id) in self._verified
+
+    def add_verified(self, verdict: PublicationVerdict) -> None:
+        """Adds the verdict on a verified publication and drops the oldest beyond the bound."""
+        self._verified[verdict.team, verdict.publication_id] = verdict
+        if len(self._verified) > self._max_verified:
+            del self._verified[next(iter(self._verified))]
+
+    def add_unverified(self, verdict: PublicationVerdict) -> None:
+        """Adds the verdict on a record without a valid signature."""
+        self._unverified.append(verdict)
+
+    def find(self, publication_id: str) -> PublicationVerdict | None:
+        """Returns the latest verdict on a publication, verified ones first."""
+        for verdict in reversed(self._verified.values()):
+            if verdict.publication_id == publication_id:
+                return verdict
+        for verdict in reversed(self._unverified):
+            if verdict.publication_id == publication_id:
+                return verdict
+        return None
+
+    def find_last_change(self, section: str) -> PublicationVerdict | None:
+        """Returns the latest accepted verdict kept that changed a section."""
+        for verdict in reversed(self._verified.values()):
+            if verdict.accepted and section in verdict.sections:
+                return verdict
+        return None
