Add the public API of the call cores

OutcomeRecord gains body_omitted at its end, RefusalReason gains key-completed, key-outcome-unknown and overloaded.

--- /dev/null
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/_replies.py
@@ -0,0 +1,54 @@
+"""Replies of a batcher and the reasons that they carry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from fulmarstile_wire.messages import ClaimReply
+
+if TYPE_CHECKING:
+    from fulmarstile_calls.claims.book import ClaimState
+
+LOG_UNAVAILABLE: Final = "log-unavailable"
+"""The log cannot be reached; the claim was not appended by this batcher."""
+
+OVERLOADED: Final = "overloaded"
+"""Too many claims wait at the batcher; the claim was not appended by it."""
+
+EXPIRED: Final = "expired"
+"""The claim has no effect, because its key is too old or older than the stream."""
+
+DEAD: Final = "dead"
+"""The claim has lost or was released; it can never win."""
+
+
+class ReplyFactory:
+    """Makes the replies of one daemon.
+
+    Args:
+        daemon_id: Name of the daemon.
+        address: `host:port` at which it takes messages.
+    """
+
+    def __init__(self, daemon_id: str, address: str) -> None:
+        self._daemon_id = daemon_id
+        self._address = address
+
+    def refuse(self, claim_id: str, refusal: str) -> ClaimReply:
+        """Returns the reply that a claim certainly does not hold its key."""
+        return ClaimReply(self._daemon_id, self._address, claim_id, "", refusal=refusal)
+
+    def report(self, claim_id: str, state: ClaimState | None) -> ClaimReply:
+        """Returns the reply to a claim that the book has been folded over."""
+        if state is None or not (state.winner_id or state.is_dead):
+            return self.refuse(claim_id, EXPIRED)
+        if not state.winner_id:
+            return self.refuse(claim_id, DEAD)
+        return ClaimReply(
+            self._daemon_id,
+            self._address,
+            claim_id,
+            state.winner_id,
+            state.fingerprint,
+            state.outcome,
+        )
--- /dev/null
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/batch.py
@@ -0,0 +1,38 @@
+"""Encoding of the records of a claim stream."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from fulmarstile_wire.records import ClaimRecord, OutcomeRecord
+
+MAX_PAYLOAD_BYTES: Final = 4 << 20
+"""Largest record of a claim stream that is read, in bytes."""
+
+
+class ClaimBatch(msgspec.Struct, frozen=True, array_like=True, tag="claims1"):
+    """Claims and outcomes that one append carries; the outcomes take effect first."""
+
+    outcomes: tuple[OutcomeRecord, ...] = ()
+    claims: tuple[ClaimRecord, ...] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(ClaimBatch)
+
+
+def encode_batch(batch: ClaimBatch) -> bytes:
+    """Encodes a batch as the payload of a log record."""
+    return _encoder.encode(batch)
+
+
+def decode_batch(payload: bytes) -> ClaimBatch | None:
+    """Decodes the payload of a log record; returns None if it is no batch of claims."""
+    if len(payload) > MAX_PAYLOAD_BYTES:
+        return None
+    try:
+        return _decoder.decode(payload)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        return None
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
@@ -32,6 +32,12 @@
     TIMEOUT = "timeout"
     TRUNCATED = "truncated"
     BAD_REQUEST = "bad-request"
+    KEY_COMPLETED = "key-completed"
+    """The request ran under its key, but its answer is not stored."""
+    KEY_OUTCOME_UNKNOWN = "key-outcome-unknown"
+    """The request was sent under its key and got no whole answer."""
+    OVERLOADED = "overloaded"
+    """The daemon itself has too much work."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/records.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/records.py
@@ -136,3 +136,5 @@
     """HTTP status of the stored answer; 0 if none is stored."""
     content_type: str = ""
     body: bytes = b""
+    body_omitted: bool = False
+    """Whether the answer was too large to be stored; `body` is empty then."""
