--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -0,0 +1,304 @@
+"""Server side of an HTTP connection from a caller or a daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import h11
+import trio
+
+from fulmarstile_calls.request import RefusalReason
+from fulmarstile_daemon.calls._call import (
+    CallerGoneError,
+    CallFailedError,
+    make_refusal,
+    refusal_body,
+    refusal_headers,
+)
+from fulmarstile_wire.verdict import Verdict
+
+if TYPE_CHECKING:
+    from fulmarstile_calls.request import CallRefusal
+    from fulmarstile_daemon.calls import _headers
+    from fulmarstile_daemon.calls._stream import ByteStream
+    from fulmarstile_daemon.calls.settings import CallSettings
+
+_HEAD_END: Final = b"\r\n\r\n"
+_LINGER_S: Final = 1.0
+"""Time for which input is discarded after a final answer, in seconds."""
+_LINGER_BYTES: Final = 1024 * 1024
+
+
+class CallerConnection:
+    """Reads requests and writes answers, one after the other.
+
+    Args:
+        stream: Accepted stream, owned by the connection from now on.
+        settings: Settings of the call proxy.
+    """
+
+    def __init__(self, stream: ByteStream, settings: CallSettings) -> None:
+        self._stream = stream
+        self._settings = settings
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=settings.head_limit)
+        self.is_idle = True
+        """Whether no byte of a next request has arrived."""
+        self.hop = b""
+        """Last `Fulmarstile-Hop` header of this connection that proved valid."""
+        self.scope = trio.CancelScope()
+        """Scope of the task that serves the connection."""
+
+    @property
+    def wants_continue(self) -> bool:
+        """Whether the caller waits for `100 Continue` before it sends the body."""
+        return self._http.they_are_waiting_for_100_continue
+
+    @property
+    def may_continue(self) -> bool:
+        """Whether another request may follow on the connection."""
+        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+
+    @property
+    def is_body_received(self) -> bool:
+        """Whether the whole request has arrived."""
+        return self._http.their_state is not h11.SEND_BODY
+
+    def fileno(self) -> int:
+        """Returns the file descriptor, negative if closed."""
+        return self._stream.fileno()
+
+    async def receive_request(self) -> h11.Request | None:
+        """Receives the head of the next request.
+
+        Returns:
+            The head, or None if the caller closed the connection or sent none in time.
+
+        Raises:
+            CallFailedError: If the head is malformed, oversize or late.
+        """
+        if self._http.our_state is h11.DONE:
+            self._http.start_next_cycle()
+        received = self._http.trailing_data[0]
+        if received:
+            await trio.lowlevel.checkpoint()
+        else:
+            received = await self._receive_first()
+            if not received:
+                return None
+            self._http.receive_data(received)
+        self.is_idle = False
+        if received.find(_HEAD_END) < 0:
+            received = await self._receive_rest(received)
+        end = received.find(_HEAD_END)
+        if end > self._settings.head_limit:
+            raise _bad_request("the request head is too large", status=431)
+        _check_lines(received[: end + 2])
+        event = self._parse()
+        if type(event) is not h11.Request:
+            raise _bad_request("no request")
+        _check_framing(event)
+        return event
+
+    async def receive_body(self) -> bytes | None:
+        """Receives a part of the request body.
+
+        Returns:
+            The part, or None once the body is complete.
+
+        Raises:
+            CallerGoneError: If the caller left.
+            CallFailedError: If the body is malformed.
+        """
+        while True:
+            event = self._parse()
+            if type(event) is h11.Data:
+                return bytes(event.data)
+            if type(event) is h11.EndOfMessage:
+                return None
+            if event is not h11.NEED_DATA:
+                raise CallerGoneError
+            data = await self._receive()
+            if not data:
+                raise CallerGoneError
+            self._http.receive_data(data)
+
+    async def receive_small_body(self, limit: int) -> tuple[bytes, bool]:
+        """Receives the request body as a whole, or its beginning if it is larger than a limit.
+
+        Args:
+            limit: Size beyond which receiving stops, in bytes.
+
+        Returns:
+            What was received, and whether the body is complete.
+
+        Raises:
+            CallerGoneError: If the caller left.
+            CallFailedError: If the body is malformed.
+        """
+        body = b""
+        while len(body) <= limit:
+            part = await self.receive_body()
+            if part is None:
+                return body, True
+            body += part
+        return body, False
+
+    async def send_continue(self) -> None:
+        """Asks the caller for the body.
+
+        Raises:
+            CallerGoneError: If the caller left.
+        """
+        await self._send(self._http.send(h11.InformationalResponse(status_code=100, headers=[])))
+
+    async def send_head(
+        self, status: int, headers: list[_headers.Header], body: bytes, complete: bool
+    ) -> None:
+        """Sends the head of an answer with the first part of its body.
+
+        Args:
+            status: HTTP status.
+            headers: Headers, without those of the connection.
+            body: Body, or its first part.
+            complete: Whether the body ends there.
+
+        Raises:
+            CallerGoneError: If the caller left.
+        """
+        http = self._http
+        if http.their_state is h11.SEND_BODY:
+            headers = [*headers, (b"connection", b"close")]
+        data = http.send(h11.Response(status_code=status, headers=headers))
+        if body:
+            data += http.send(h11.Data(data=body))
+        if complete:
+            data += http.send(h11.EndOfMessage())
+        await self._send(data)
+
+    async def send_body(self, data: bytes | None) -> None:
+        """Sends a further part of an answer's body.
+
+        Args:
+            data: The part; None ends the body.
+
+        Raises:
+            CallerGoneError: If the caller left.
+        """
+        event = h11.EndOfMessage() if data is None else h11.Data(data=data)
+        await self._send(self._http.send(event) or b"")
+
+    async def send_refusal(self, refusal: CallRefusal, *, close: bool) -> None:
+        """Sends a refusal as a complete answer.
+
+        Args:
+            refusal: What the caller is told.
+            close: Whether the connection is closed afterwards.
+
+        Raises:
+            CallerGoneError: If the caller left.
+        """
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            raise CallerGoneError
+        self._skip_received_body()
+        body = refusal_body(refusal)
+        headers = refusal_headers(refusal)
+        headers.append((b"content-type", b"application/json"))
+        headers.append((b"content-length", b"%d" % len(body)))
+        if close and self.is_body_received:
+            headers.append((b"connection", b"close"))
+        await self.send_head(refusal.status, headers, body, True)
+
+    async def close(self) -> None:
+        """Closes the connection after what was sent has reached the caller."""
+        if self._http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
+            self._stream.close()
+            return
+        self._stream.send_end()
+        discarded = 0
+        with trio.move_on_after(_LINGER_S):
+            while discarded < _LINGER_BYTES:
+                data = await self._receive()
+                if not data:
+                    break
+                discarded += len(data)
+        self._stream.close()
+
+    def abort(self) -> None:
+        """Breaks the connection, so that a cut answer cannot pass for a complete one."""
+        self._stream.abort()
+
+    def _skip_received_body(self) -> None:
+        """Discards what has arrived of a request body; if it is all, the connection lives on."""
+        try:
+            while type(self._http.next_event()) is h11.Data:
+                pass
+        except h11.RemoteProtocolError:
+            return
+
+    async def _receive_first(self) -> bytes:
+        with trio.move_on_after(self._settings.idle_timeout_s):
+            return await self._receive()
+        return b""
+
+    async def _receive_rest(self, received: bytes) -> bytes:
+        with trio.move_on_after(self._settings.head_timeout_s):
+            while received.find(_HEAD_END) < 0:
+                if len(received) > self._settings.head_limit:
+                    raise _bad_request("the request head is too large", status=431)
+                if received[0] <= 0x20 or b"\n\n" in received:
+                    raise _bad_request("the request head is malformed")
+                data = await self._receive()
+                if not data:
+                    raise CallerGoneError
+                self._http.receive_data(data)
+                received += data
+            return received
+        raise _bad_request("the request head arrived too slowly", status=408)
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self._stream.receive()
+        except OSError:
+            return b""
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except OSError as error:
+            raise CallerGoneError from error
+
+    def _parse(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise _bad_request(str(error), status=error.error_status_hint) from error
+
+
+def _bad_request(detail: str, status: int = 400) -> CallFailedError:
+    return CallFailedError(
+        make_refusal(RefusalReason.BAD_REQUEST, Verdict.NOT_RUN, detail, status=status)
+    )
+
+
+def _check_lines(head: bytes) -> None:
+    """Refuses line ends and continuation lines that other parsers read differently."""
+    lines = head.count(b"\r\n")
+    if head.count(b"\n") != lines or head.count(b"\r") != lines:
+        raise _bad_request("a line of the request head does not end in CR LF")
+    if b"\n " in head or b"\n\t" in head:
+        raise _bad_request("a header is continued on the next line")
+
+
+def _check_framing(request: h11.Request) -> None:
+    """Refuses requests whose body length is ambiguous."""
+    lengths = 0
+    chunked = False
+    for name, _ in request.headers:
+        if name == b"content-length":
+            lengths += 1
+        elif name == b"transfer-encoding":
+            chunked = True
+    if chunked and (lengths or request.http_version != b"1.1"):
+        raise _bad_request("Transfer-Encoding conflicts with Content-Length or HTTP/1.0")
+    if request.method in (b"CONNECT", b"TRACE"):
+        raise _bad_request("the method is not supported", status=501)
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_entry.py
@@ -0,0 +1,168 @@
+"""Turns request heads into calls."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from fulmarstile_calls.deadline import compute_deadline, parse_remaining_ms
+from fulmarstile_calls.request import RefusalReason
+from fulmarstile_calls.retries import Attempt
+from fulmarstile_daemon.calls import _headers
+from fulmarstile_daemon.calls._call import Call, CallFailedError, make_refusal
+from fulmarstile_daemon.calls._hop import HopHeaders, read_priority, read_weight
+from fulmarstile_wire.verdict import Verdict
+
+if TYPE_CHECKING:
+    import h11
+
+    from fulmarstile_calls.retries import RetryBudgets
+    from fulmarstile_daemon.calls._caller import CallerConnection
+    from fulmarstile_daemon.calls.context import CallContext
+
+_FORWARDED_TIMEOUT_MS: Final = 60_000
+"""Time allowed to a forwarded call that carries no deadline, in milliseconds."""
+_MAX_CUSTOMER_LENGTH: Final = 128
+
+
+class CallReader:
+    """Finds route, customer and deadline of requests.
+
+    Args:
+        context: State of the daemon.
+        hop: Checks which requests come from a daemon.
+        budgets: Retry budgets, which say what a call may still spend.
+    """
+
+    def __init__(self, context: CallContext, hop: HopHeaders, budgets: RetryBudgets) -> None:
+        self._context = context
+        self._hop = hop
+        self._budgets = budgets
+
+    def read(self, request: h11.Request, caller: CallerConnection, now: float) -> Call:
+        """Makes the call of a request.
+
+        Args:
+            request: Head of the request.
+            caller: Connection that it came from.
+            now: Current time in seconds.
+
+        Returns:
+            The call, without its body.
+
+        Raises:
+            CallFailedError: If the request names no customer, route or proper path.
+        """
+        special = _own_headers(request)
+        if self._is_forwarded(special.get(_headers.HOP), caller):
+            return self._read_forwarded(request, special, now)
+        return self._read_entering(request, special, now)
+
+    def _is_forwarded(self, hop: bytes | None, caller: CallerConnection) -> bool:
+        if hop is None:
+            return False
+        if hop == caller.hop:
+            return True
+        if not self._hop.is_valid(hop):
+            return False
+        caller.hop = hop
+        return True
+
+    def _read_entering(self, request: h11.Request, special: dict[bytes, bytes], now: float) -> Call:
+        path = _read_path(request.target)
+        customer = self._read_customer(special)
+        route = self._context.routing_table.match(customer, request.method.decode(), path)
+        if route is None:
+            raise _refuse(RefusalReason.NO_ROUTE, f"customer {customer} has no route for it")
+        remaining_ms = _read_remaining(special)
+        return Call(
+            request=request,
+            customer=customer,
+            service=route.pool.service,
+            path=path,
+            arrived_at=now,
+            deadline=compute_deadline(now, route.route.timeout_ms, remaining_ms),
+            route=route,
+            priority=route.priority,
+            weight=route.limit.weight if route.limit else 1.0,
+            key=special.get(_headers.IDEMPOTENCY_KEY, b"").decode("latin-1"),
+            headers=_headers.end_to_end_headers(request.headers),
+            attempt=self._read_attempt(special),
+        )
+
+    def _read_forwarded(
+        self, request: h11.Request, special: dict[bytes, bytes], now: float
+    ) -> Call:
+        return Call(
+            request=request,
+            customer=_read_text(special, _headers.CUSTOMER),
+            service=_read_text(special, _headers.SERVICE),
+            path="",
+            arrived_at=now,
+            deadline=compute_deadline(now, _FORWARDED_TIMEOUT_MS, _read_remaining(special)),
+            priority=read_priority(special.get(_headers.PRIORITY)),
+            weight=read_weight(special.get(_headers.WEIGHT)),
+            forwarded=True,
+            headers=_headers.end_to_end_headers(request.headers),
+            attempt=_read_forwarded_attempt(special),
+        )
+
+    def _read_customer(self, special: dict[bytes, bytes]) -> str:
+        customer = _read_text(special, _headers.CUSTOMER) or self._context.default_customer
+        if not customer:
+            raise _refuse(RefusalReason.NO_CUSTOMER, "the request names no customer")
+        if len(customer) > _MAX_CUSTOMER_LENGTH or not customer.isprintable():
+            raise _refuse(RefusalReason.NO_CUSTOMER, "the customer's name is malformed")
+        return customer
+
+    def _read_attempt(self, special: dict[bytes, bytes]) -> Attempt:
+        return self._budgets.open_call(
+            _read_text(special, _headers.ATTEMPT), _read_text(special, _headers.RETRY_BUDGET)
+        )
+
+
+def _own_headers(request: h11.Request) -> dict[bytes, bytes]:
+    """Picks the headers that concern daemons; of repeated ones the first counts."""
+    special: dict[bytes, bytes] = {}
+    for name, value in request.headers:
+        if name == _headers.IDEMPOTENCY_KEY or name.startswith(_headers.PREFIX):
+            special.setdefault(name, value)
+    return special
+
+
+def _read_text(special: dict[bytes, bytes], name: bytes) -> str:
+    return special.get(name, b"").decode("latin-1")
+
+
+def _read_remaining(special: dict[bytes, bytes]) -> int | None:
+    return parse_remaining_ms(_read_text(special, _headers.DEADLINE))
+
+
+def _read_forwarded_attempt(special: dict[bytes, bytes]) -> Attempt:
+    number = _read_text(special, _headers.ATTEMPT)
+    left = _read_text(special, _headers.RETRY_BUDGET)
+    return Attempt(
+        int(number) if number.isdecimal() else 1,
+        int(left) if left.isdecimal() else 0,
+    )
+
+
+def _read_path(target: bytes) -> str:
+    """Returns the path of a request target, refusing what upstreams may read differently."""
+    path = target.partition(b"?")[0]
+    if not path.startswith(b"/"):
+        path = _absolute_path(path)
+    folded = path.lower().replace(b"%2e", b".")
+    if b"/./" in folded + b"/" or b"/../" in folded + b"/" or b"\\" in path:
+        raise _refuse(RefusalReason.BAD_REQUEST, "the path has dot segments")
+    return path.decode("ascii", "replace")
+
+
+def _absolute_path(path: bytes) -> bytes:
+    scheme, _, rest = path.partition(b"://")
+    if scheme.lower() not in (b"http", b"https") or not rest:
+        raise _refuse(RefusalReason.BAD_REQUEST, "the request target is no path")
+    return b"/" + rest.partition(b"/")[2]
+
+
+def _refuse(reason: RefusalReason, detail: str) -> CallFailedError:
+    return CallFailedError(make_refusal(reason, Verdict.NOT_RUN, detail))
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_exchange.py
@@ -0,0 +1,241 @@
+"""One attempt of a call over a connection that has been acquired for it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+from fulmarstile_calls.request import RefusalReason
+from fulmarstile_daemon.calls import _headers
+from fulmarstile_daemon.calls._call import CallFailedError, make_refusal
+from fulmarstile_daemon.calls._client import ClientConnection, ExchangeError, request_head
+from fulmarstile_wire.errors import VerdictError
+from fulmarstile_wire.verdict import Verdict
+
+if TYPE_CHECKING:
+    import h11
+
+    from fulmarstile_calls.request import CallRefusal
+    from fulmarstile_daemon.calls._call import Call
+    from fulmarstile_daemon.calls._caller import CallerConnection
+    from fulmarstile_daemon.calls.settings import CallSettings
+
+_NO_BODY_STATUSES: Final = (204, 304)
+
+
+@dataclass(slots=True)
+class Answer:
+    """Answer of an upstream, or its beginning."""
+
+    status: int
+    headers: list[_headers.Header]
+    body: bytes
+    """Body, or its first part."""
+    complete: bool
+    """Whether the body ends there."""
+
+
+class Exchange:
+    """Sends a call's request over a connection and takes the answer.
+
+    Args:
+        call: The call.
+        caller: Connection that the call came from.
+        connection: Connection acquired for this attempt.
+        settings: Settings of the call proxy.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        caller: CallerConnection,
+        connection: ClientConnection,
+        settings: CallSettings,
+    ) -> None:
+        self._call = call
+        self._caller = caller
+        self._connection = connection
+        self._settings = settings
+
+    async def run(self, headers: list[_headers.Header], *, to_daemon: bool) -> Answer:
+        """Sends the request and receives the answer, or a large answer's beginning.
+
+        Args:
+            headers: Headers of the request.
+            to_daemon: Whether the other side is a daemon, whose verdict is believed.
+
+        Returns:
+            The answer.
+
+        Raises:
+            CallFailedError: If there is no answer that may be passed on.
+            CallerGoneError: If the caller left while it sent its body.
+        """
+        call = self._call
+        try:
+            response = await self._send(headers, to_daemon)
+            refusal = await self._receive_refusal(response) if to_daemon else None
+            if refusal is None:
+                call.verdict = Verdict.RAN
+                return await self._receive_body(response)
+        except ExchangeError as error:
+            self._note_sent()
+            raise self._failure(error) from error
+        except BaseException:
+            self._note_sent()
+            raise
+        call.verdict = refusal.verdict
+        raise CallFailedError(refusal)
+
+    async def stream_body(self) -> None:
+        """Passes on the rest of the answer.
+
+        Raises:
+            CallFailedError: If the answer is cut off.
+            CallerGoneError: If the caller left.
+        """
+        try:
+            while (part := await self._connection.receive_body()) is not None:
+                await self._caller.send_body(part)
+                self._extend_deadline()
+        except ExchangeError as error:
+            raise self._failure(error) from error
+
+    def _note_sent(self) -> None:
+        call = self._call
+        if call.verdict is Verdict.NOT_RUN and self._connection.head_may_have_arrived:
+            call.verdict = Verdict.MAY_HAVE_RUN
+
+    def _failure(self, error: ExchangeError) -> CallFailedError:
+        reason = RefusalReason.CONNECTION_LOST
+        if self._call.verdict is Verdict.RAN:
+            reason = RefusalReason.TRUNCATED
+        return self._call.fail(reason, str(error))
+
+    async def _send(self, headers: list[_headers.Header], to_daemon: bool) -> h11.Response:
+        call = self._call
+        connection = self._connection
+        if call.body_complete:
+            head = _request_head(call, headers)
+            await connection.send_request(head, call.body, True)
+            return await connection.receive_response()
+        if to_daemon:
+            headers.append((b"expect", b"100-continue"))
+        await connection.send_request(_request_head(call, headers), b"", False)
+        if to_daemon:
+            response = await connection.receive_continue()
+            if response is not None:
+                return response
+        return await self._upload()
+
+    async def _upload(self) -> h11.Response:
+        """Streams the rest of the body, while an early answer ends the upload."""
+        call = self._call
+        call.has_streamed = True
+        upload = _Upload()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._stream_request, upload, nursery.cancel_scope)
+            try:
+                upload.response = await self._connection.receive_response()
+            except ExchangeError as error:
+                upload.error = error
+            nursery.cancel_scope.cancel()
+        if upload.response is not None:
+            return upload.response
+        if upload.error is None:
+            raise ExchangeError("the upload was cancelled")
+        raise upload.error
+
+    async def _stream_request(self, upload: _Upload, scope: trio.CancelScope) -> None:
+        call = self._call
+        try:
+            if self._caller.wants_continue:
+                await self._caller.send_continue()
+            if call.body:
+                await self._connection.send_body(call.body)
+            while (part := await self._caller.receive_body()) is not None:
+                await self._connection.send_body(part)
+                self._extend_deadline()
+            await self._connection.send_body(None)
+            call.restore_deadline()
+        except ExchangeError:
+            return
+        except VerdictError as error:
+            upload.error = error
+            scope.cancel()
+
+    def _extend_deadline(self) -> None:
+        """Allows the next part of a long body its time, within the call's deadline."""
+        self._call.limit_wait(trio.current_time() + self._settings.progress_timeout_s)
+
+    async def _receive_refusal(self, response: h11.Response) -> CallRefusal | None:
+        """Takes the whole refusal that another daemon answered with, if it is one."""
+        verdict = _headers.find_header(response.headers, _headers.VERDICT)
+        if verdict is None:
+            return None
+        while await self._connection.receive_body() is not None:
+            pass
+        return _read_refusal(response, verdict)
+
+    async def _receive_body(self, response: h11.Response) -> Answer:
+        length = _content_length(response)
+        if length is None and not self._is_delimited(response):
+            raise ExchangeError("the answer has no length, so its end cannot be told")
+        headers = _headers.end_to_end_headers(response.headers)
+        body, complete = self._connection.read_body_received()
+        if not complete and length is not None and length <= self._settings.buffered_body_limit:
+            body += await self._receive_rest()
+            complete = True
+        return Answer(response.status_code, headers, body, complete)
+
+    async def _receive_rest(self) -> bytes:
+        parts = []
+        while (part := await self._connection.receive_body()) is not None:
+            parts.append(part)
+        return b"".join(parts)
+
+    def _is_delimited(self, response: h11.Response) -> bool:
+        if self._call.request.method == b"HEAD" or response.status_code in _NO_BODY_STATUSES:
+            return True
+        return _headers.find_header(response.headers, b"transfer-encoding") is not None
+
+
+@dataclass(slots=True)
+class _Upload:
+    """How the two directions of an upload ended."""
+
+    response: h11.Response | None = None
+    error: VerdictError | ExchangeError | None = None
+
+
+def _request_head(call: Call, headers: list[_headers.Header]) -> h11.Request:
+    if _headers.find_header(headers, b"content-length") is not None:
+        return request_head(call.request, headers, chunked=False)
+    if not call.body_complete:
+        return request_head(call.request, headers, chunked=True)
+    if call.body:
+        headers.append((b"content-length", b"%d" % len(call.body)))
+    return request_head(call.request, headers, chunked=False)
+
+
+def _content_length(response: h11.Response) -> int | None:
+    value = _headers.find_header(response.headers, b"content-length")
+    return None if value is None else int(value)
+
+
+def _read_refusal(response: h11.Response, verdict: bytes) -> CallRefusal:
+    """Reads a refusal from the headers of a daemon's answer."""
+    reason = _headers.find_header(response.headers, _headers.REASON) or b""
+    retry_after = _headers.find_header(response.headers, _headers.RETRY_AFTER) or b"0"
+    try:
+        return make_refusal(
+            RefusalReason(reason.decode("ascii")),
+            Verdict(verdict.decode("ascii")),
+            "refused by the daemon beside the upstream",
+            status=response.status_code,
+            retry_after_s=float(retry_after),
+        )
+    except ValueError as error:
+        raise ExchangeError(f"unknown refusal: {error}") from error
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_listener.py
@@ -0,0 +1,81 @@
+"""Listening socket of the call proxy."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+from fulmarstile_daemon.calls._stream import ByteStream
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+_BACKLOG: Final = 1024
+_OUT_OF_DESCRIPTORS: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class OutOfDescriptorsError(OSError):
+    """The process can open no further connection at the moment."""
+
+
+class CallListener:
+    """Accepts connections.
+
+    Args:
+        sock: Listening socket.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._socket = sock
+
+    @property
+    def address(self) -> str:
+        """`host:port` that is listened at."""
+        host, port = self._socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def accept(self) -> ByteStream:
+        """Waits for the next connection.
+
+        Returns:
+            The accepted stream.
+
+        Raises:
+            OutOfDescriptorsError: If the process has too many files open.
+        """
+        while True:
+            await trio.lowlevel.wait_readable(self._socket)
+            try:
+                return ByteStream(self._socket.accept()[0])
+            except OSError as error:
+                if error.errno in _OUT_OF_DESCRIPTORS:
+                    raise OutOfDescriptorsError(error.errno, "cannot accept") from error
+
+
+@contextmanager
+def listen(address: str) -> Iterator[CallListener]:
+    """Listens at an address until the context ends.
+
+    Args:
+        address: `host:port` with an IP number; port 0 takes any free port.
+
+    Yields:
+        The listener.
+
+    Raises:
+        OSError: If the address cannot be listened at.
+    """
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.create_server((host, int(port)), family=family, backlog=_BACKLOG)
+    sock.setblocking(False)
+    try:
+        yield CallListener(sock)
+    finally:
+        trio.lowlevel.notify_closing(sock)
+        sock.close()
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
@@ -0,0 +1,246 @@
+"""The upstream beside this daemon: its slots and connections."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import trio
+import xxhash
+
+from fulmarstile_calls.admission import (
+    AdmissionSettings,
+    AdmissionTicket,
+    Admitted,
+    FairAdmission,
+    Refused,
+)
+from fulmarstile_calls.quarantine import request_fingerprint
+from fulmarstile_calls.request import RefusalReason
+from fulmarstile_daemon.calls._call import CallFailedError
+from fulmarstile_daemon.calls._pool import ConnectionPool
+from fulmarstile_daemon.calls._stream import open_stream
+from fulmarstile_daemon.calls.dump import PoolDump
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from fulmarstile_calls.admission import Admission, AdmissionEffect
+    from fulmarstile_calls.request import CallRefusal
+    from fulmarstile_daemon.calls._call import Call
+    from fulmarstile_daemon.calls.settings import CallSettings
+
+_PROBE_TIMEOUT_S: Final = 0.5
+"""Longest time to find out whether an upstream still accepts connections, in seconds."""
+
+
+class _Waiter:
+    """A call that asked for a slot."""
+
+    __slots__ = ("admitted", "event", "refusal")
+
+    def __init__(self) -> None:
+        self.admitted = False
+        self.refusal: CallRefusal | None = None
+        self.event: trio.Event | None = None
+
+    @property
+    def is_decided(self) -> bool:
+        return self.admitted or self.refusal is not None
+
+
+class LocalUpstream:
+    """Guards the slots and connections of the upstream beside this daemon.
+
+    Args:
+        settings: Settings of the call proxy.
+        make_admission: Makes the admission control for an upstream's limits.
+    """
+
+    def __init__(
+        self,
+        settings: CallSettings,
+        make_admission: Callable[[AdmissionSettings], Admission] = FairAdmission,
+    ) -> None:
+        self._settings = settings
+        self._make_admission = make_admission
+        self._admission: Admission | None = None
+        self._pool: ConnectionPool | None = None
+        self._waiters: dict[int, _Waiter] = {}
+        self._running: dict[int, Call] = {}
+        self._next_ticket = 0
+        self._probing = False
+
+    @property
+    def pool(self) -> ConnectionPool | None:
+        """Connections to the upstream; None before it has announced itself."""
+        return self._pool
+
+    @property
+    def running(self) -> int:
+        """Calls that hold a slot."""
+        return self._admission.running if self._admission else 0
+
+    @property
+    def queued(self) -> int:
+        """Calls that wait for a slot."""
+        return self._admission.queued if self._admission else 0
+
+    def configure(self, address: str, slots: int, connections: int, now: float) -> None:
+        """Takes over what the upstream announced.
+
+        Args:
+            address: `host:port` of the upstream.
+            slots: Requests that it runs at the same time.
+            connections: Connections that it accepts.
+            now: Current time in seconds.
+        """
+        allowed = min(slots, connections)
+        if self._admission is None:
+            limits = AdmissionSettings(allowed, self._settings.queue_limit, connections)
+            self._admission = self._make_admission(limits)
+        else:
+            self._apply(self._admission.set_slots(allowed, now))
+        if self._pool is None or self._pool.address != address:
+            if self._pool is not None:
+                self._pool.retire()
+            self._pool = ConnectionPool(address, connections, self._settings)
+        self._pool.limit = connections
+
+    async def enter(self, call: Call, now: float) -> int:
+        """Takes a slot, waiting for one if need be.
+
+        Args:
+            call: The call.
+            now: Current time in seconds.
+
+        Returns:
+            Ticket to hand to `leave` when the call is over.
+
+        Raises:
+            CallFailedError: If the call is refused.
+        """
+        admission = self._admission
+        if admission is None:
+            raise call.fail(RefusalReason.NO_UPSTREAM, "no upstream has announced itself", 1.0)
+        ticket_id = self._next_ticket = self._next_ticket + 1
+        ticket = AdmissionTicket(
+            ticket_id, call.customer, call.priority, call.weight, call.deadline
+        )
+        waiter = self._waiters[ticket_id] = _Waiter()
+        try:
+            self._apply(admission.on_arrival(ticket, now))
+            if not waiter.is_decided:
+                waiter.event = trio.Event()
+                await waiter.event.wait()
+        except BaseException:
+            self._apply(admission.on_cancelled(ticket_id, trio.current_time()))
+            raise
+        finally:
+            del self._waiters[ticket_id]
+        if waiter.refusal is not None:
+            raise CallFailedError(waiter.refusal)
+        self._running[ticket_id] = call
+        return ticket_id
+
+    def leave(self, ticket_id: int) -> None:
+        """Gives a slot back.
+
+        Args:
+            ticket_id: Ticket from `enter`.
+        """
+        del self._running[ticket_id]
+        if self._admission is not None:
+            self._apply(self._admission.on_finished(ticket_id, trio.current_time()))
+
+    def tick(self, now: float) -> None:
+        """Refuses waiting calls whose deadline can no longer be met.
+
+        Args:
+            now: Current time in seconds.
+        """
+        if self._admission is not None:
+            self._apply(self._admission.on_tick(now))
+
+    def begin_draining(self, now: float) -> None:
+        """Refuses waiting and later calls.
+
+        Args:
+            now: Current time in seconds.
+        """
+        if self._admission is not None:
+            self._apply(self._admission.begin_draining(now))
+
+    def fingerprints(self) -> tuple[bytes, ...]:
+        """Lists the fingerprints of the calls that hold a slot."""
+        return tuple(dict.fromkeys(map(fingerprint, self._running.values())))
+
+    async def has_crashed(self) -> bool:
+        """Finds out whether a lost connection means that the upstream is gone.
+
+        Returns:
+            True if it refuses new connections; False also while another check runs.
+        """
+        if self._probing or self._pool is None:
+            return False
+        self._probing = True
+        try:
+            crashed = await _refuses_connections(self._pool.address)
+        finally:
+            self._probing = False
+        if crashed:
+            self._pool.close_idle()
+        return crashed
+
+    def dump(self) -> PoolDump | None:
+        """Describes the connections to the upstream."""
+        if self._pool is None:
+            return None
+        return dump_pool(self._pool)
+
+    def _apply(self, effects: Iterable[AdmissionEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Admitted):
+                waiter = self._waiters[effect.ticket_id]
+                waiter.admitted = True
+            elif isinstance(effect, Refused):
+                waiter = self._waiters[effect.ticket_id]
+                waiter.refusal = effect.refusal
+            if waiter.event is not None:
+                waiter.event.set()
+
+
+def fingerprint(call: Call) -> bytes:
+    """Computes what a request is recognized by when its caller sends it again.
+
+    Args:
+        call: The call.
+
+    Returns:
+        Hash of customer, method, target and body.
+    """
+    request = call.request
+    body_hash = xxhash.xxh3_128_digest(call.body) if call.body else b""
+    target = request.target.decode("latin-1")
+    return request_fingerprint(call.customer, request.method.decode(), target, body_hash)
+
+
+def dump_pool(pool: ConnectionPool) -> PoolDump:
+    """Describes a pool.
+
+    Args:
+        pool: The pool.
+
+    Returns:
+        Its connections in numbers.
+    """
+    return PoolDump(pool.address, pool.open_count, pool.idle_count, pool.limit)
+
+
+async def _refuses_connections(address: str) -> bool:
+    with trio.move_on_after(_PROBE_TIMEOUT_S):
+        try:
+            stream = await open_stream(address)
+        except OSError:
+            return True
+        stream.close()
+    return False
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_stream.py
@@ -0,0 +1,140 @@
+"""Byte stream over a non-blocking socket."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from contextlib import suppress
+from typing import Final
+
+import trio
+
+READ_SIZE: Final = 64 * 1024
+"""Most bytes read at once."""
+_LINGER_NONE: Final = struct.pack("ii", 1, 0)
+"""`struct linger` that resets the connection on close."""
+
+
+class ByteStream:
+    """Socket that counts what it sent and can be examined without waiting.
+
+    Reads and writes skip the scheduler if they need not wait.
+
+    Args:
+        sock: Connected socket, owned by the stream from now on.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        with suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = sock
+        self.sent_bytes = 0
+        """Bytes handed to the kernel since the stream was opened."""
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the stream was closed by this side."""
+        return self._socket.fileno() < 0
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the stream is open and has nothing to read, not even its end."""
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def fileno(self) -> int:
+        """Returns the file descriptor, negative if closed."""
+        return self._socket.fileno()
+
+    async def receive(self) -> bytes:
+        """Reads what is there, or waits for more.
+
+        Returns:
+            Bytes read; empty at the end of the stream.
+
+        Raises:
+            OSError: If the connection broke.
+        """
+        while True:
+            await trio.lowlevel.wait_readable(self._socket)
+            with suppress(BlockingIOError):
+                return self._socket.recv(READ_SIZE)
+
+    async def send_all(self, data: bytes) -> None:
+        """Sends all bytes, waiting only if the kernel's buffer is full.
+
+        Args:
+            data: Bytes to send.
+
+        Raises:
+            OSError: If the connection broke.
+        """
+        unsent = memoryview(data)
+        while unsent:
+            try:
+                count = self._socket.send(unsent)
+            except BlockingIOError:
+                await trio.lowlevel.wait_writable(self._socket)
+                continue
+            self.sent_bytes += count
+            unsent = unsent[count:]
+
+    def send_end(self) -> None:
+        """Tells the other side that nothing more will be sent."""
+        with suppress(OSError):
+            self._socket.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._socket.fileno() >= 0:
+            trio.lowlevel.notify_closing(self._socket)
+            self._socket.close()
+
+    def abort(self) -> None:
+        """Closes the connection so that the other side sees it broken, not ended."""
+        if self._socket.fileno() < 0:
+            return
+        with suppress(OSError):
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+        self.close()
+
+
+async def open_stream(address: str) -> ByteStream:
+    """Opens a TCP connection.
+
+    Args:
+        address: `host:port` with an IP number.
+
+    Returns:
+        The connected stream.
+
+    Raises:
+        OSError: If the connection cannot be opened.
+    """
+    host, _, port = address.rpartition(":")
+    host = host.strip("[]")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        await _connect(sock, (host, int(port)))
+    except BaseException:
+        sock.close()
+        raise
+    return ByteStream(sock)
+
+
+async def _connect(sock: socket.socket, address: tuple[str, int]) -> None:
+    sock.setblocking(False)
+    try:
+        sock.connect(address)
+    except BlockingIOError:
+        await trio.lowlevel.wait_writable(sock)
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, "connection failed") from None
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/counters.py
@@ -0,0 +1,44 @@
+"""Counters of the call proxy."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from fulmarstile_calls.request import CallRefusal
+
+
+@dataclass(slots=True)
+class CallCounters:
+    """Counts of what the call proxy did since it was started."""
+
+    calls: int = 0
+    """Requests whose head was received whole."""
+    forwarded_calls: int = 0
+    """Requests among them that another daemon sent."""
+    answers: int = 0
+    """Answers of upstreams passed on whole."""
+    broken_answers: int = 0
+    """Answers cut off because the upstream's answer was cut off."""
+    callers_gone: int = 0
+    """Calls whose caller left before the end."""
+    retries: int = 0
+    upstream_crashes: int = 0
+    connections: int = 0
+    """Connections accepted."""
+    connections_evicted: int = 0
+    """Idle connections closed to make room for new ones."""
+    errors: int = 0
+    """Unexpected errors; each one is logged."""
+    refusals: Counter[str] = field(default_factory=Counter)
+    """Refusals by reason and verdict, as `reason/VERDICT`."""
+
+    def count_refusal(self, refusal: CallRefusal) -> None:
+        """Counts a refusal.
+
+        Args:
+            refusal: The refusal.
+        """
+        self.refusals[f"{refusal.reason.value}/{refusal.verdict.name}"] += 1
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -0,0 +1,267 @@
+"""The call proxy: carries callers' HTTP requests to upstreams."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Final
+
+import trio
+from loguru import logger
+
+from fulmarstile_calls.balancing import BalancerSettings, TwoChoicesBalancer
+from fulmarstile_calls.rate_limiter import RateLimiter
+from fulmarstile_calls.request import RefusalReason
+from fulmarstile_calls.retries import RetryBudgets, RetrySettings
+from fulmarstile_daemon.calls._call import CallerGoneError, CallFailedError
+from fulmarstile_daemon.calls._caller import CallerConnection
+from fulmarstile_daemon.calls._entry import CallReader
+from fulmarstile_daemon.calls._hop import HopHeaders
+from fulmarstile_daemon.calls._listener import OutOfDescriptorsError, listen
+from fulmarstile_daemon.calls._local import LocalUpstream, dump_pool
+from fulmarstile_daemon.calls._runner import CallRunner
+from fulmarstile_daemon.calls._watch import CallWatch
+from fulmarstile_daemon.calls.counters import CallCounters
+from fulmarstile_daemon.calls.dump import CallDump
+
+if TYPE_CHECKING:
+    import h11
+
+    from fulmarstile_calls.balancing import Balancer
+    from fulmarstile_calls.request import CallRefusal, UpstreamEndpoint
+    from fulmarstile_calls.retries import RetryPolicy
+    from fulmarstile_daemon.calls._call import Call
+    from fulmarstile_daemon.calls._listener import CallListener
+    from fulmarstile_daemon.calls._stream import ByteStream
+    from fulmarstile_daemon.calls.context import CallContext
+    from fulmarstile_daemon.calls.settings import CallSettings
+
+_TICK_S: Final = 0.05
+"""Interval at which deadlines of waiting calls and leaving callers are checked, in seconds."""
+_DRAIN_POLL_S: Final = 0.02
+_ACCEPT_PAUSE_S: Final = 0.05
+"""Pause before accepting again when the process has too many files open, in seconds."""
+
+
+class CallProxy:
+    """Serves callers and other daemons on one HTTP listener.
+
+    Args:
+        settings: Settings.
+        context: State of the daemon that the proxy belongs to.
+        balancer: Chooses upstreams; by default the better of two random ones.
+        retries: Decides about retries; by default within budgets.
+        local: Guard of the upstream beside the daemon.
+    """
+
+    def __init__(
+        self,
+        settings: CallSettings,
+        context: CallContext,
+        *,
+        balancer: Balancer | None = None,
+        retries: RetryPolicy | None = None,
+        local: LocalUpstream | None = None,
+    ) -> None:
+        rng = random.Random()
+        budgets = RetryBudgets(RetrySettings(), rng)
+        hop = HopHeaders(context.daemon_id, settings.mesh_key)
+        self._settings = settings
+        self._context = context
+        self._balancer = balancer or TwoChoicesBalancer(
+            BalancerSettings(), settings.availability_zone, rng
+        )
+        self._local = local or LocalUpstream(settings)
+        self._limiter = RateLimiter()
+        self._reader = CallReader(context, hop, budgets)
+        self._counters = CallCounters()
+        self._runner = CallRunner(
+            settings,
+            context,
+            self._local,
+            self._balancer,
+            retries or budgets,
+            hop,
+            self._counters,
+            self._on_connection_lost,
+        )
+        self._watch = CallWatch()
+        self._connections: dict[CallerConnection, None] = {}
+        self._nursery: trio.Nursery | None = None
+        self._address = settings.address
+        self._draining = False
+
+    @property
+    def counters(self) -> CallCounters:
+        """Counts of what the proxy did."""
+        return self._counters
+
+    @property
+    def address(self) -> str:
+        """`host:port` that the proxy listens at."""
+        return self._address
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether new calls are refused."""
+        return self._draining
+
+    async def serve(self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
+        """Accepts and serves connections until cancelled.
+
+        Args:
+            task_status: Told the `host:port` that is listened at.
+
+        Raises:
+            OSError: If the address cannot be listened at.
+        """
+        self.replace_endpoints(self._context.endpoints)
+        with listen(self._settings.address) as listener:
+            self._address = listener.address
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._tick_forever)
+                task_status.started(listener.address)
+                await self._accept_forever(listener, nursery)
+
+    def replace_endpoints(self, endpoints: tuple[UpstreamEndpoint, ...]) -> None:
+        """Replaces the upstreams that calls may be sent to.
+
+        Args:
+            endpoints: All upstreams, of any service.
+        """
+        self._balancer.replace_endpoints(endpoints, trio.current_time())
+        self._runner.keep_daemons(frozenset(endpoint.calls_address for endpoint in endpoints))
+
+    def set_upstream(self, address: str, slots: int, connections: int) -> None:
+        """Takes over what the upstream beside this daemon announced.
+
+        Args:
+            address: `host:port` of the upstream.
+            slots: Requests that it runs at the same time.
+            connections: Connections that it accepts.
+        """
+        self._local.configure(address, slots, connections, trio.current_time())
+
+    def begin_draining(self) -> None:
+        """Refuses new calls from now on; calls in flight finish."""
+        self._draining = True
+        self._local.begin_draining(trio.current_time())
+
+    async def wait_drained(self) -> None:
+        """Waits until no call is in flight."""
+        while self._watch:
+            await trio.sleep(_DRAIN_POLL_S)
+
+    def dump(self) -> CallDump:
+        """Describes what the proxy is doing."""
+        return CallDump(
+            address=self._address,
+            draining=self._draining,
+            caller_connections=len(self._connections),
+            calls_in_flight=len(self._watch),
+            upstream_running=self._local.running,
+            upstream_queued=self._local.queued,
+            upstream=self._local.dump(),
+            daemons=tuple(map(dump_pool, self._runner.daemon_pools)),
+        )
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await trio.sleep(_TICK_S)
+            now = trio.current_time()
+            self._local.tick(now)
+            self._watch.tick(now)
+
+    async def _accept_forever(self, listener: CallListener, nursery: trio.Nursery) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OutOfDescriptorsError:
+                self._evict_idle()
+                await trio.sleep(_ACCEPT_PAUSE_S)
+                continue
+            self._counters.connections += 1
+            if len(self._connections) >= self._settings.connection_limit:
+                self._evict_idle()
+            nursery.start_soon(self._serve_connection, stream)
+
+    def _evict_idle(self) -> None:
+        """Closes the oldest connection that waits for a request."""
+        for caller in self._connections:
+            if caller.is_idle:
+                self._counters.connections_evicted += 1
+                caller.scope.cancel()
+                return
+
+    async def _serve_connection(self, stream: ByteStream) -> None:
+        caller = CallerConnection(stream, self._settings)
+        self._connections[caller] = None
+        try:
+            with caller.scope:
+                await self._serve_requests(caller)
+        except CallerGoneError:
+            pass
+        except Exception:
+            self._counters.errors += 1
+            logger.exception("serving a connection failed")
+        finally:
+            del self._connections[caller]
+            caller.abort()
+
+    async def _serve_requests(self, caller: CallerConnection) -> None:
+        while True:
+            try:
+                request = await caller.receive_request()
+            except CallFailedError as error:
+                await self._refuse(caller, error.refusal, close=True)
+                break
+            if request is None:
+                break
+            await self._serve_request(caller, request)
+            if not caller.may_continue:
+                break
+            caller.is_idle = True
+        await caller.close()
+
+    async def _serve_request(self, caller: CallerConnection, request: h11.Request) -> None:
+        now = trio.current_time()
+        self._counters.calls += 1
+        call: Call | None = None
+        try:
+            call = self._reader.read(request, caller, now)
+            self._check(call, now)
+            self._watch.add(call, caller)
+            await self._runner.run(call, caller)
+            self._counters.answers += 1
+        except CallFailedError as error:
+            await self._refuse(caller, error.refusal, close=self._draining)
+        except CallerGoneError:
+            self._counters.callers_gone += 1
+            raise
+        finally:
+            self._watch.discard(call)
+
+    def _check(self, call: Call, now: float) -> None:
+        if self._draining:
+            raise call.fail(RefusalReason.DRAINING, "the daemon is draining", 1.0)
+        if call.route is None:
+            self._counters.forwarded_calls += 1
+            return
+        refusal = self._limiter.check(call.route, now)
+        if refusal is not None:
+            raise CallFailedError(refusal)
+
+    async def _refuse(self, caller: CallerConnection, refusal: CallRefusal, *, close: bool) -> None:
+        self._counters.count_refusal(refusal)
+        await caller.send_refusal(refusal, close=close)
+
+    def _on_connection_lost(self, suspects: tuple[bytes, ...]) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self._check_crash, suspects)
+
+    async def _check_crash(self, suspects: tuple[bytes, ...]) -> None:
+        if not await self._local.has_crashed():
+            return
+        self._counters.upstream_crashes += 1
+        logger.warning("the upstream crashed with {} calls in flight", len(suspects))
+        self._context.on_upstream_crash(suspects)
