--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios of failures in virtual time."""
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fulmarstile_mesh."""
