Add the membership, overlay and relay cores

The daemons need to find one another and to spread configuration without a list of members or a leader. The cores take messages and the time and return effects: membership by gossip on a bounded-degree overlay of rings, and a relay between the log and the daemons that a customer concerns.

Not yet tested beyond import; tests and the fake network follow.

--- /dev/null
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_joining.py
@@ -0,0 +1,150 @@
+"""How a daemon finds its first members, and keeps the rendezvous stream fresh."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from fulmarstile_mesh._rate import Backoff
+from fulmarstile_mesh.effects import AppendLog, Effect, ReadLog, Send
+from fulmarstile_mesh.rendezvous import RENDEZVOUS_STREAM, encode_rendezvous
+from fulmarstile_wire.messages import Join
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+    from fulmarstile_mesh.settings import MembershipSettings
+    from fulmarstile_wire.records import MemberRecord
+
+_JOINS_PER_ATTEMPT: Final = 3
+_ATTEMPTS_PER_ADDRESS: Final = 3
+_FIRST_APPEND_RATE: Final = 0.1
+"""Appends per second of an isolated daemon at first; doubles every second."""
+_MAX_APPEND_RATE: Final = 1.0
+_ISOLATED_APPEND_INTERVAL_S: Final = 30.0
+
+
+class Joining:
+    """Decides when to read the rendezvous stream, append to it and send joins."""
+
+    def __init__(self, settings: MembershipSettings, random: Random) -> None:
+        self._settings = settings
+        self._random = random
+        self._backoff = Backoff(settings.join_backoff_s, settings.join_backoff_max_s, random)
+        self._started_at: float | None = None
+        self._isolated_since: float | None = None
+        self._last_tick_at = 0.0
+        self._next_attempt_at = 0.0
+        self._next_append_at = 0.0
+        self._end_offset = 0
+        self._is_settled = False
+        self._candidates: dict[str, int] = {}
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether a settled member has answered, or none could be found in time."""
+        return self._is_settled
+
+    def on_join_answered(self) -> None:
+        """Handles the answer of a settled member."""
+        self._is_settled = True
+        self._backoff.reset()
+
+    def on_rendezvous(self, records: Iterable[MemberRecord], end_offset: int) -> None:
+        """Handles records read from the rendezvous stream.
+
+        Args:
+            records: Records read.
+            end_offset: Offset after the last record of the stream; 0 if unknown.
+        """
+        self._end_offset = max(end_offset, 0)
+        for record in records:
+            self._candidates[record.peer_address] = 0
+
+    def on_tick(self, own: MemberRecord, others: list[MemberRecord], now: float) -> list[Effect]:
+        """Advances the timers.
+
+        Args:
+            own: Record of the local daemon.
+            others: Running members besides the local daemon.
+            now: Current time, in seconds.
+
+        Returns:
+            Joins, reads and appends.
+        """
+        if self._started_at is None:
+            self._start(now)
+        elapsed_s = max(0.0, now - self._last_tick_at)
+        self._last_tick_at = now
+        if others:
+            self._isolated_since = None
+        elif self._isolated_since is None:
+            self._isolated_since = now
+        self._settle_alone(now)
+        effects = self._attempt(own, others, now)
+        if self._must_append(len(others), elapsed_s, now):
+            effects.append(AppendLog(RENDEZVOUS_STREAM, encode_rendezvous(own)))
+            effects += self._read_tail()
+        return effects
+
+    def join_known(self, own: MemberRecord, known: Iterable[str]) -> list[Effect]:
+        """Returns a join to one rendezvous address that is not known, if there is one.
+
+        Two groups that started apart find each other this way.
+        """
+        addresses = sorted(set(self._candidates) - set(known) - {own.peer_address})
+        self._candidates.clear()
+        if not addresses:
+            return []
+        return [self._join(own, self._random.choice(addresses))]
+
+    def _start(self, now: float) -> None:
+        self._started_at = now
+        self._last_tick_at = now
+        self._next_attempt_at = now + self._backoff.next_delay()
+
+    def _settle_alone(self, now: float) -> None:
+        assert self._started_at is not None
+        if now - self._started_at >= self._settings.settle_s:
+            self._is_settled = True
+
+    def _attempt(self, own: MemberRecord, others: list[MemberRecord], now: float) -> list[Effect]:
+        if now < self._next_attempt_at or (others and self._is_settled):
+            return []
+        self._next_attempt_at = now + max(0.1, self._backoff.next_delay())
+        if others:
+            return [self._join(own, self._random.choice(others).peer_address)]
+        addresses = sorted(set(self._candidates) - {own.peer_address})
+        chosen = self._random.sample(addresses, min(_JOINS_PER_ATTEMPT, len(addresses)))
+        for address in chosen:
+            self._count_attempt(address)
+        return [*(self._join(own, address) for address in chosen), *self._read_tail()]
+
+    def _count_attempt(self, address: str) -> None:
+        self._candidates[address] += 1
+        if self._candidates[address] >= _ATTEMPTS_PER_ADDRESS:
+            del self._candidates[address]
+
+    def _must_append(self, other_count: int, elapsed_s: float, now: float) -> bool:
+        rate = self._get_append_rate(other_count, now)
+        if self._random.random() >= rate * elapsed_s:
+            return False
+        if other_count == 0:
+            self._next_append_at = now + _ISOLATED_APPEND_INTERVAL_S
+        return True
+
+    def _get_append_rate(self, other_count: int, now: float) -> float:
+        if other_count > 0:
+            fleet_interval_s = (other_count + 1) * self._settings.rendezvous_interval_s
+            return 1.0 / max(fleet_interval_s, self._settings.rendezvous_min_interval_s)
+        if self._isolated_since is None or now < self._next_append_at:
+            return 0.0
+        isolated_s = min(now - self._isolated_since, _ISOLATED_APPEND_INTERVAL_S)
+        return min(_MAX_APPEND_RATE, _FIRST_APPEND_RATE * 2.0**isolated_s)
+
+    def _read_tail(self) -> list[Effect]:
+        offset = max(0, self._end_offset - self._settings.rendezvous_tail)
+        return [ReadLog(RENDEZVOUS_STREAM, offset, 0.0)]
+
+    def _join(self, own: MemberRecord, address: str) -> Send:
+        return Send(address, Join(own.daemon_id, own.peer_address, own))
--- /dev/null
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_member_table.py
@@ -0,0 +1,122 @@
+"""Mergeable table of members, their upstreams and applied versions."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from fulmarstile_mesh.view import is_running
+
+if TYPE_CHECKING:
+    from fulmarstile_wire.records import AppliedRecord, MemberRecord, UpstreamRecord
+
+
+class MergeResult(enum.Enum):
+    """How a received record compares with the table."""
+
+    NEWER = "newer"
+    SAME = "same"
+    STALE = "stale"
+    IGNORED = "ignored"
+
+
+class MemberTable:
+    """Holds the newest record of each kind; merging is commutative and idempotent."""
+
+    def __init__(self) -> None:
+        self.members: dict[str, MemberRecord] = {}
+        self.upstreams: dict[str, UpstreamRecord] = {}
+        self.applied: dict[tuple[str, str], AppliedRecord] = {}
+        self._applied_customers: dict[str, set[str]] = {}
+        self._ended_at: dict[str, float] = {}
+        self._observed_at: dict[tuple[str, str], float] = {}
+
+    def merge_member(self, record: MemberRecord, now: float) -> MergeResult:
+        """Merges a member's record."""
+        known = self.members.get(record.daemon_id)
+        if known is None and not is_running(record):
+            return MergeResult.IGNORED
+        if known is not None:
+            result = _compare(
+                (record.incarnation, record.status), (known.incarnation, known.status)
+            )
+            if result is not MergeResult.NEWER:
+                return result
+        self.members[record.daemon_id] = record
+        if is_running(record):
+            self._ended_at.pop(record.daemon_id, None)
+        else:
+            self._ended_at[record.daemon_id] = now
+        return MergeResult.NEWER
+
+    def merge_upstream(self, record: UpstreamRecord) -> MergeResult:
+        """Merges an upstream's record."""
+        if record.daemon_id not in self.members:
+            return MergeResult.IGNORED
+        known = self.upstreams.get(record.daemon_id)
+        if known is not None:
+            result = _compare(
+                (record.incarnation, record.sequence), (known.incarnation, known.sequence)
+            )
+            if result is not MergeResult.NEWER:
+                return result
+        self.upstreams[record.daemon_id] = record
+        return MergeResult.NEWER
+
+    def merge_applied(self, record: AppliedRecord, now: float) -> MergeResult:
+        """Merges an applied version."""
+        if record.daemon_id not in self.members:
+            return MergeResult.IGNORED
+        key = (record.daemon_id, record.customer)
+        known = self.applied.get(key)
+        if known is not None:
+            result = _compare(
+                (record.incarnation, record.version), (known.incarnation, known.version)
+            )
+            if result is not MergeResult.NEWER:
+                return result
+        self.applied[key] = record
+        self._applied_customers.setdefault(record.daemon_id, set()).add(record.customer)
+        self._observed_at[key] = now
+        return MergeResult.NEWER
+
+    def list_applied(self, daemon_id: str) -> list[AppliedRecord]:
+        """Returns the applied versions of one daemon, by customer."""
+        customers = sorted(self._applied_customers.get(daemon_id, ()))
+        return [self.applied[daemon_id, customer] for customer in customers]
+
+    def observed_at(self, daemon_id: str, customer: str) -> float:
+        """Returns when an applied version last changed; 0 if none is known."""
+        return self._observed_at.get((daemon_id, customer), 0.0)
+
+    def expire(self, before: float) -> list[str]:
+        """Forgets members that ended before a time.
+
+        Args:
+            before: Time, in seconds.
+
+        Returns:
+            Ids of the forgotten members.
+        """
+        expired = sorted(
+            daemon_id for daemon_id, ended_at in self._ended_at.items() if ended_at < before
+        )
+        for daemon_id in expired:
+            self._forget(daemon_id)
+        return expired
+
+    def _forget(self, daemon_id: str) -> None:
+        del self.members[daemon_id]
+        del self._ended_at[daemon_id]
+        self.upstreams.pop(daemon_id, None)
+        for customer in sorted(self._applied_customers.pop(daemon_id, ())):
+            del self.applied[daemon_id, customer]
+            del self._observed_at[daemon_id, customer]
+
+
+def _compare(received: tuple[int, int], known: tuple[int, int]) -> MergeResult:
+    if received > known:
+        return MergeResult.NEWER
+    if received == known:
+        return MergeResult.SAME
+    return MergeResult.STALE
--- /dev/null
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/relay.py
@@ -0,0 +1,506 @@
+"""Relay core: spreads the records of configuration streams between the log and daemons."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from fulmarstile_mesh._log_following import LogFollowing
+from fulmarstile_mesh._rate import Backoff, TokenBucket
+from fulmarstile_mesh._stream import (
+    CONFIG_STREAM_PREFIX,
+    OutstandingRequest,
+    Stream,
+    build_topology,
+)
+from fulmarstile_mesh.effects import Apply, Effect, Send
+from fulmarstile_mesh.relay_state import RelayCounters, RelayState, StreamState
+from fulmarstile_mesh.settings import SpreadMode
+from fulmarstile_wire.messages import (
+    Heads,
+    RecordBatch,
+    RecordRequest,
+    SnapshotOffer,
+    SnapshotRequest,
+)
+from fulmarstile_wire.records import StreamHead, StreamRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping, Sequence
+    from random import Random
+
+    from fulmarstile_mesh.replica import StreamReplica
+    from fulmarstile_mesh.settings import RelaySettings
+    from fulmarstile_mesh.view import MeshView
+    from fulmarstile_platform.log import LogPage
+    from fulmarstile_wire.messages import Message
+    from fulmarstile_wire.records import MemberRecord
+
+_TOPOLOGY_LIFETIME_S: Final = 1.0
+_BURST_SNAPSHOT_OFFERS: Final = 8.0
+_MAX_BATCHES_PER_ANSWER: Final = 4
+
+
+class Relay:
+    """Moves records between the log, the local replicas and the daemons concerned.
+
+    Args:
+        settings: Settings.
+        daemon_id: Id of the local daemon.
+        reply_to: `host:port` at which the local daemon listens for messages.
+        availability_zone: Availability zone of the local daemon.
+        region: Region of the local daemon.
+        replicas: Replicas by customer; customers may be added while the relay runs.
+        view: Membership view.
+        random: Source of all random choices.
+        is_snapshot: Tells whether the payload of a log record is a snapshot.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        daemon_id: str,
+        reply_to: str,
+        availability_zone: str,
+        region: str,
+        replicas: Mapping[str, StreamReplica],
+        view: MeshView,
+        random: Random,
+        is_snapshot: Callable[[bytes], bool] = lambda payload: False,
+    ) -> None:
+        self._settings = settings
+        self._daemon_id = daemon_id
+        self._reply_to = reply_to
+        self._availability_zone = availability_zone
+        self._region = region
+        self._replicas = replicas
+        self._view = view
+        self._random = random
+        self._counters = RelayCounters()
+        self._log = LogFollowing(settings, random, self._counters, is_snapshot)
+        self._streams: dict[str, Stream] = {}
+        self._offer_budget = TokenBucket(settings.snapshot_offers_per_s, _BURST_SNAPSHOT_OFFERS)
+        self._next_anti_entropy_at: float | None = None
+
+    @property
+    def counters(self) -> RelayCounters:
+        """Counters since the start."""
+        return self._counters
+
+    def dump(self) -> RelayState:
+        """Returns the whole state for inspection."""
+        return RelayState(
+            mode=self._settings.mode.value,
+            streams=tuple(
+                StreamState.of(self._streams[customer]) for customer in sorted(self._streams)
+            ),
+            counters=self._counters,
+        )
+
+    def on_heads(self, message: Heads, now: float) -> list[Effect]:
+        """Handles the announcement of a peer."""
+        effects: list[Effect] = []
+        for head in message.heads:
+            stream = self._get_stream(head.customer)
+            if stream is not None:
+                effects += self._on_head(stream, head, message, now)
+        return effects
+
+    def on_record_request(self, message: RecordRequest, now: float) -> list[Effect]:
+        """Sends the records asked for, or a snapshot where they are not kept."""
+        stream = self._get_stream(message.customer)
+        if stream is None or not stream.is_synced:
+            return []
+        head = stream.replica.head
+        if message.generation > head.generation:
+            return []
+        if message.generation < head.generation:
+            return self._offer_snapshot(stream, message.reply_to, now)
+        if message.from_offset >= head.next_offset:
+            return [self._send_heads(message.reply_to, [head])]
+        records = stream.replica.records_from(message.from_offset)
+        if records is None:
+            return self._offer_snapshot(stream, message.reply_to, now)
+        return self._send_batches(message.reply_to, head, records)
+
+    def on_record_batch(self, message: RecordBatch, now: float) -> list[Effect]:
+        """Folds records received from a peer, in the order of their offsets."""
+        stream = self._get_stream(message.customer)
+        if stream is None:
+            return []
+        self._counters.batches_received += 1
+        head = stream.replica.head
+        if message.generation != head.generation:
+            return self._pull(stream, now) if message.generation > head.generation else []
+        self._note_head(stream, message.sender, message.generation, message.next_offset)
+        if message.next_offset <= head.next_offset:
+            self._counters.duplicate_batches += 1
+        is_answer = stream.request is not None and stream.request.peer == message.sender
+        self._hold(stream, message.records)
+        effects = self._fold_held(stream, message.sender, now)
+        if is_answer and message.records and stream.replica.head.next_offset == head.next_offset:
+            effects += self._request_snapshot(stream, message.sender, now)
+        return effects
+
+    def on_snapshot_request(self, message: SnapshotRequest, now: float) -> list[Effect]:
+        """Sends a snapshot."""
+        stream = self._get_stream(message.customer)
+        if stream is None or not stream.is_synced:
+            return []
+        return self._offer_snapshot(stream, message.reply_to, now)
+
+    def on_snapshot_offer(self, message: SnapshotOffer, now: float) -> list[Effect]:
+        """Adopts a snapshot if it is newer than the replica."""
+        stream = self._get_stream(message.customer)
+        if stream is None:
+            return []
+        self._end_request(stream, message.sender)
+        if not stream.replica.restore_snapshot(message.payload):
+            return []
+        self._counters.snapshots_restored += 1
+        stream.is_dirty = True
+        stream.gap_since = None
+        stream.scan_offset = None
+        stream.reset_since = None
+        return self._fold_held(stream, message.sender, now)
+
+    def on_log_page(self, stream: str, page: LogPage, now: float) -> list[Effect]:
+        """Folds a page read from the log."""
+        state = self._find_by_name(stream)
+        if state is None:
+            return []
+        effects = self._log.on_page(state, page, now)
+        return effects + self._follow_up(state, "", now)
+
+    def on_log_failure(self, stream: str, now: float) -> list[Effect]:
+        """Backs off after a failed read."""
+        state = self._find_by_name(stream)
+        if state is not None:
+            self._log.on_failure(state, now)
+        return []
+
+    def on_append_done(self, stream: str, offset: int, now: float) -> list[Effect]:
+        """Notes that a snapshot was appended at an offset."""
+        state = self._find_by_name(stream)
+        if state is not None:
+            self._log.on_append_done(state, offset, now)
+        return []
+
+    def on_append_failure(self, stream: str, now: float) -> list[Effect]:
+        """Notes that a snapshot may not have been appended."""
+        state = self._find_by_name(stream)
+        if state is not None:
+            self._log.on_append_failure(state, now)
+        return []
+
+    def on_tick(self, now: float) -> list[Effect]:
+        """Advances all timers; to be called about every 100 ms."""
+        effects: list[Effect] = []
+        for customer in sorted(self._replicas):
+            stream = self._get_stream(customer)
+            if stream is not None:
+                effects += self._tick_stream(stream, now)
+        effects += self._exchange_heads(now)
+        return effects
+
+    def _tick_stream(self, stream: Stream, now: float) -> list[Effect]:
+        self._refresh_topology(stream, now)
+        if stream.started_at is None:
+            stream.started_at = now
+        if not self._view.is_settled:
+            return []
+        effects = self._pull_if_due(stream, now)
+        effects += self._log.on_tick(stream, now)
+        effects += self._try_apply(stream)
+        return effects
+
+    def _on_head(
+        self, stream: Stream, head: StreamHead, message: Message, now: float
+    ) -> list[Effect]:
+        self._end_request(stream, message.sender)
+        stream.peer_heads[message.sender] = head
+        own = stream.replica.head
+        remote = (head.generation, head.next_offset)
+        if remote > stream.position:
+            return self._schedule_pull(stream, message.sender, now)
+        if remote == stream.position:
+            if head.digest != own.digest:
+                self._counters.divergences += 1
+            return self._note_synced(stream, now)
+        if not stream.is_synced:
+            return []
+        return self._help_behind(stream, head, message.reply_to)
+
+    def _help_behind(self, stream: Stream, head: StreamHead, reply_to: str) -> list[Effect]:
+        own = stream.replica.head
+        if self._settings.mode is SpreadMode.PUSH and head.generation == own.generation:
+            records = stream.replica.records_from(head.next_offset)
+            if records is not None:
+                return self._send_batches(reply_to, own, records)
+        return [self._send_heads(reply_to, [own])]
+
+    def _schedule_pull(self, stream: Stream, sender: str, now: float) -> list[Effect]:
+        if stream.lagging_since is None:
+            stream.lagging_since = now
+        if stream.request is not None:
+            return []
+        record = self._view.members.get(sender)
+        is_near = record is not None and record.availability_zone == self._availability_zone
+        if is_near and self._settings.mode is SpreadMode.PULL:
+            return self._request(stream, sender, now)
+        delay_s = self._random.uniform(0.5, 1.5) * self._settings.pull_delay_s
+        stream.pull_at = min(stream.pull_at, now + delay_s)
+        return []
+
+    def _pull_if_due(self, stream: Stream, now: float) -> list[Effect]:
+        if stream.request is not None and now >= stream.request.expires_at:
+            self._counters.requests_timed_out += 1
+            stream.request = None
+            stream.pull_at = now
+        if not stream.is_synced and stream.request is None:
+            return self._ask_neighbour(stream, now)
+        if now < stream.pull_at:
+            return []
+        return self._pull(stream, now)
+
+    def _pull(self, stream: Stream, now: float) -> list[Effect]:
+        stream.pull_at = float("inf")
+        ahead = stream.list_ahead()
+        if not ahead or stream.request is not None:
+            return []
+        near = [
+            daemon_id
+            for daemon_id in ahead
+            if daemon_id in self._view.members
+            and self._view.members[daemon_id].availability_zone == self._availability_zone
+        ]
+        return self._request(stream, self._random.choice(near or ahead), now)
+
+    def _ask_neighbour(self, stream: Stream, now: float) -> list[Effect]:
+        neighbours = stream.topology.neighbours
+        if not neighbours:
+            return []
+        return self._request(stream, self._random.choice(neighbours).daemon_id, now)
+
+    def _request(self, stream: Stream, peer: str, now: float) -> list[Effect]:
+        record = self._view.members.get(peer)
+        if record is None:
+            return []
+        timeout_s = self._settings.request_timeout_s * self._random.uniform(1.0, 1.5)
+        stream.request = OutstandingRequest(peer, now + timeout_s)
+        stream.pull_at = float("inf")
+        self._counters.requests_sent += 1
+        head = stream.replica.head
+        remote = stream.peer_heads.get(peer)
+        if remote is not None and remote.generation > head.generation:
+            snapshot_request = SnapshotRequest(self._daemon_id, self._reply_to, stream.customer)
+            return [Send(record.peer_address, snapshot_request)]
+        request = RecordRequest(
+            self._daemon_id, self._reply_to, stream.customer, head.generation, head.next_offset
+        )
+        return [Send(record.peer_address, request)]
+
+    def _request_snapshot(self, stream: Stream, peer: str, now: float) -> list[Effect]:
+        record = self._view.members.get(peer)
+        if record is None:
+            return []
+        stream.request = OutstandingRequest(peer, now + self._settings.request_timeout_s)
+        request = SnapshotRequest(self._daemon_id, self._reply_to, stream.customer)
+        return [Send(record.peer_address, request)]
+
+    def _end_request(self, stream: Stream, sender: str) -> None:
+        if stream.request is not None and stream.request.peer == sender:
+            stream.request = None
+
+    def _note_head(self, stream: Stream, sender: str, generation: int, next_offset: int) -> None:
+        known = stream.peer_heads.get(sender)
+        if known is None or (known.generation, known.next_offset) < (generation, next_offset):
+            stream.peer_heads[sender] = StreamHead(
+                stream.customer, generation, next_offset, version=0, digest=b""
+            )
+
+    def _hold(self, stream: Stream, records: Iterable[StreamRecord]) -> None:
+        next_offset = stream.replica.head.next_offset
+        for record in records:
+            if record.offset < next_offset:
+                continue
+            if len(stream.held) >= self._settings.max_held_records:
+                self._counters.records_dropped += 1
+                return
+            stream.held[record.offset] = record
+
+    def _fold_held(self, stream: Stream, source: str, now: float) -> list[Effect]:
+        replica = stream.replica
+        while (record := stream.held.pop(replica.head.next_offset, None)) is not None:
+            self._log.fold(stream, record, now)
+        next_offset = replica.head.next_offset
+        for offset in [offset for offset in stream.held if offset < next_offset]:
+            del stream.held[offset]
+        self._end_request(stream, source)
+        return self._follow_up(stream, source, now)
+
+    def _follow_up(self, stream: Stream, source: str, now: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if not stream.list_ahead():
+            stream.lagging_since = None
+            stream.pull_at = float("inf")
+            if source:
+                stream.is_synced = True
+        elif source and stream.request is None:
+            effects += self._pull(stream, now)
+        if stream.is_synced and stream.position > stream.announced:
+            effects += self._announce(stream, source)
+        effects += self._try_apply(stream)
+        return effects
+
+    def _note_synced(self, stream: Stream, now: float) -> list[Effect]:
+        stream.lagging_since = None
+        if not stream.is_synced:
+            stream.is_synced = True
+            return self._try_apply(stream)
+        return []
+
+    def _announce(self, stream: Stream, source: str) -> list[Effect]:
+        head = stream.replica.head
+        records = self._list_unannounced(stream)
+        stream.announced = stream.position
+        effects: list[Effect] = []
+        for peer in stream.topology.zone_neighbours:
+            if not self._is_behind(stream, peer, source):
+                continue
+            if records:
+                effects += self._send_batches(peer.peer_address, head, records)
+            else:
+                effects.append(self._send_heads(peer.peer_address, [head]))
+        for peer in stream.topology.far_neighbours:
+            if self._is_behind(stream, peer, source):
+                effects.append(self._send_heads(peer.peer_address, [head]))
+        return effects
+
+    def _list_unannounced(self, stream: Stream) -> tuple[StreamRecord, ...]:
+        generation, offset = stream.announced
+        if self._settings.mode is not SpreadMode.PUSH:
+            return ()
+        if generation != stream.replica.head.generation:
+            return ()
+        records = stream.replica.records_from(offset) or ()
+        if sum(len(record.payload) for record in records) > self._settings.max_batch_bytes:
+            return ()
+        return records
+
+    def _is_behind(self, stream: Stream, peer: MemberRecord, source: str) -> bool:
+        if peer.daemon_id == source:
+            return False
+        known = stream.peer_heads.get(peer.daemon_id)
+        return known is None or (known.generation, known.next_offset) < stream.position
+
+    def _send_heads(self, address: str, heads: Iterable[StreamHead]) -> Send:
+        return Send(address, Heads(self._daemon_id, self._reply_to, tuple(heads)))
+
+    def _send_batches(
+        self, address: str, head: StreamHead, records: Sequence[StreamRecord]
+    ) -> list[Effect]:
+        parts = _split_records(records, self._settings.max_batch_bytes)
+        effects: list[Effect] = []
+        if len(parts) > 1:
+            effects.append(self._send_heads(address, [head]))
+        for index, part in enumerate(parts[:_MAX_BATCHES_PER_ANSWER]):
+            is_last = index == len(parts) - 1
+            batch = RecordBatch(
+                self._daemon_id,
+                self._reply_to,
+                head.customer,
+                head.generation,
+                part,
+                head.next_offset if is_last else part[-1].offset + 1,
+            )
+            self._counters.batches_sent += 1
+            effects.append(Send(address, batch))
+        return effects
+
+    def _offer_snapshot(self, stream: Stream, address: str, now: float) -> list[Effect]:
+        if not self._offer_budget.take(1.0, now):
+            self._counters.offers_withheld += 1
+            return []
+        self._counters.snapshots_offered += 1
+        payload = stream.replica.encode_snapshot()
+        offer = SnapshotOffer(self._daemon_id, self._reply_to, stream.customer, payload)
+        return [Send(address, offer), self._send_heads(address, [stream.replica.head])]
+
+    def _try_apply(self, stream: Stream) -> list[Effect]:
+        if not stream.is_dirty:
+            return []
+        version = stream.replica.head.version
+        applied = self._view.applied.get((self._daemon_id, stream.customer))
+        floor = applied.version if applied is not None else 0
+        if not self._view.is_settled or not stream.is_synced or version < floor:
+            if not stream.is_apply_held:
+                self._counters.applies_held += 1
+            stream.is_apply_held = True
+            return []
+        stream.is_dirty = False
+        stream.is_apply_held = False
+        return [Apply(stream.customer)]
+
+    def _exchange_heads(self, now: float) -> list[Effect]:
+        interval_s = self._settings.anti_entropy_interval_s
+        if self._next_anti_entropy_at is None:
+            self._next_anti_entropy_at = now + self._random.uniform(0.0, interval_s)
+        if now < self._next_anti_entropy_at:
+            return []
+        self._next_anti_entropy_at = now + self._random.uniform(0.5, 1.5) * interval_s
+        peers = {
+            peer.daemon_id: peer
+            for stream in self._streams.values()
+            for peer in stream.topology.neighbours
+        }
+        if not peers:
+            return []
+        peer = peers[self._random.choice(sorted(peers))]
+        heads = [
+            stream.replica.head
+            for customer, stream in sorted(self._streams.items())
+            if customer in peer.customers and stream.is_synced
+        ]
+        return [self._send_heads(peer.peer_address, heads)] if heads else []
+
+    def _refresh_topology(self, stream: Stream, now: float) -> None:
+        own = self._view.members.get(self._daemon_id)
+        if now < stream.topology_expires_at or own is None:
+            return
+        stream.topology_expires_at = now + _TOPOLOGY_LIFETIME_S * self._random.uniform(0.5, 1.0)
+        stream.topology = build_topology(own, self._view, stream.customer, self._settings)
+        stream.prune_heads(self._view)
+
+    def _get_stream(self, customer: str) -> Stream | None:
+        replica = self._replicas.get(customer)
+        if replica is None:
+            return None
+        if customer not in self._streams:
+            backoff = Backoff(
+                self._settings.log_backoff_s, self._settings.log_backoff_max_s, self._random
+            )
+            self._streams[customer] = Stream(replica, backoff)
+        return self._streams[customer]
+
+    def _find_by_name(self, name: str) -> Stream | None:
+        if not name.startswith(CONFIG_STREAM_PREFIX):
+            return None
+        return self._get_stream(name.removeprefix(CONFIG_STREAM_PREFIX))
+
+
+def _split_records(
+    records: Sequence[StreamRecord], max_bytes: int
+) -> list[tuple[StreamRecord, ...]]:
+    parts: list[tuple[StreamRecord, ...]] = []
+    part: list[StreamRecord] = []
+    size = 0
+    for record in records:
+        if part and size + len(record.payload) > max_bytes:
+            parts.append(tuple(part))
+            part = []
+            size = 0
+        part.append(record)
+        size += len(record.payload)
+    if part:
+        parts.append(tuple(part))
+    return parts
--- /dev/null
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/rendezvous.py
@@ -0,0 +1,40 @@
+"""The log stream in which daemons find one another, and its encoding."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from fulmarstile_wire.records import MemberRecord
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+RENDEZVOUS_STREAM: Final = "rendezvous"
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(MemberRecord)
+
+
+def encode_rendezvous(record: MemberRecord) -> bytes:
+    """Encodes a member's record for the rendezvous stream."""
+    return _encoder.encode(record)
+
+
+def decode_rendezvous(payloads: Iterable[bytes]) -> list[MemberRecord]:
+    """Decodes records of the rendezvous stream; malformed ones are left out.
+
+    Args:
+        payloads: Payloads of the stream's records.
+
+    Returns:
+        The records, in the order of the stream.
+    """
+    records = []
+    for payload in payloads:
+        try:
+            records.append(_decoder.decode(payload))
+        except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+            continue
+    return records
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/messages.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/messages.py
@@ -36,12 +36,16 @@
     """Whole or partial membership view, in answer to `Join` or `MemberDigest`."""
 
     news: News
+    answers_join: bool = False
+    """Whether a settled member answers a `Join`; carries the joiner's own applied versions."""
 
 
 class MemberDigest(Message, frozen=True, array_like=True, tag="mdigest"):
     """Hash of the sender's membership view; a receiver with another hash answers `Members`."""
 
     digest: bytes
+    buckets: tuple[int, ...] = ()
+    """Hashes of parts of the view, by hash of `daemon_id`, to find what differs."""
 
 
 class Probe(Message, frozen=True, array_like=True, tag="probe"):
