--- a/packages/fulmarstile_testing/src/fulmarstile_testing/demo.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/demo.py
@@ -11,19 +11,20 @@
 import sys
 from collections import Counter
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 import trio
 
+from fulmarstile_config import encode_key, generate_key_pair
 from fulmarstile_platform.http import HttpError
 from fulmarstile_testing.fleet import DaemonSpec, LocalFleet, open_fleet, upstream_name
-from fulmarstile_testing.probe import ConditionError, FleetProbe, open_probe, wait_until
+from fulmarstile_testing.probe import FleetProbe, open_probe, wait_until
 from fulmarstile_wire.errors import FulmarstileError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
+    from pathlib import Path
 
 CUSTOMER: Final = "laundry"
 """Customer of the demo."""
@@ -275,14 +276,15 @@
     Returns:
         0 if every step ended as it should, else 1.
     """
-    with open_owner_key() as owner_key:
-        owners = {CUSTOMER: read_public_key(owner_key)}
-        with open_fleet(SPECS, owners, default_customer=CUSTOMER) as fleet:
-            try:
-                trio.run(_run, fleet, owner_key)
-            except* (DemoError, ConditionError, FulmarstileError) as group:
-                print(f"FAILED: {group.exceptions[0]}")
-                return 1
+    pair = generate_key_pair()
+    with open_fleet(SPECS, {CUSTOMER: pair.public_key}, default_customer=CUSTOMER) as fleet:
+        owner_key = fleet.directory / "owner.key"
+        owner_key.write_text(encode_key(pair.private_key) + "\n")
+        try:
+            trio.run(_run, fleet, owner_key)
+        except FulmarstileError as error:
+            print(f"FAILED: {error}")
+            return 1
     print("demo: every step ended as it should")
     return 0
 
--- a/tests/daemon/test_peer_links.py
+++ b/tests/daemon/test_peer_links.py
@@ -65,10 +65,12 @@
 
     def test_an_address_in_use_is_a_clear_error(self) -> None:
         (address,) = build_addresses(1)
-        with open_peer_links(address, KEY):
-            with self.assertRaisesRegex(PeerListenError, "cannot listen at"):
-                with open_peer_links(address, KEY):
-                    self.fail("the address was opened twice")
+        with (
+            open_peer_links(address, KEY),
+            self.assertRaisesRegex(PeerListenError, "cannot listen at"),
+            open_peer_links(address, KEY),
+        ):
+            self.fail("the address was opened twice")
 
     def test_a_changed_frame_is_not_authentic(self) -> None:
         sealed = seal_frame(b"frame", KEY)
