--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
@@ -191,6 +191,11 @@
             self._pool.close_idle()
         return crashed
 
+    def close(self) -> None:
+        """Closes the connections to the upstream, those in use after their exchange."""
+        if self._pool is not None:
+            self._pool.retire()
+
     def dump(self) -> PoolDump | None:
         """Describes the connections to the upstream."""
         if self._pool is None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -121,7 +121,11 @@
                 self._nursery = nursery
                 nursery.start_soon(self._tick_forever)
                 task_status.started(listener.address)
-                await self._accept_forever(listener, nursery)
+                try:
+                    await self._accept_forever(listener, nursery)
+                finally:
+                    self._local.close()
+                    self._runner.keep_daemons(frozenset())
 
     def replace_endpoints(self, endpoints: tuple[UpstreamEndpoint, ...]) -> None:
         """Replaces the upstreams that calls may be sent to.
@@ -234,7 +238,8 @@
             await self._runner.run(call, caller)
             self._counters.answers += 1
         except CallFailedError as error:
-            await self._refuse(caller, error.refusal, close=self._draining)
+            is_malformed = error.refusal.reason is RefusalReason.BAD_REQUEST
+            await self._refuse(caller, error.refusal, close=self._draining or is_malformed)
         except CallerGoneError:
             self._counters.callers_gone += 1
             raise
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/call_proxies.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/call_proxies.py
@@ -82,6 +82,8 @@
     context: FakeContext
     upstream: UpstreamStandIn
     nursery: trio.Nursery
+    callers: list[RawCaller] = field(default_factory=list)
+    """Callers that connected; closed at the end."""
 
     @property
     def endpoint(self) -> UpstreamEndpoint:
@@ -91,7 +93,9 @@
     async def connect(self) -> RawCaller:
         """Opens a caller's connection to the proxy."""
         host, _, port = self.proxy.address.rpartition(":")
-        return RawCaller(await trio.open_tcp_stream(host, int(port)))
+        caller = RawCaller(await trio.open_tcp_stream(host, int(port)))
+        self.callers.append(caller)
+        return caller
 
     async def call(self, request: bytes) -> RawAnswer:
         """Sends a request on a connection of its own.
@@ -285,8 +289,12 @@
         daemon = ServedDaemon(proxy, context, stand_in, nursery)
         context.endpoints = (daemon.endpoint,)
         proxy.replace_endpoints(context.endpoints)
-        yield daemon
-        nursery.cancel_scope.cancel()
+        try:
+            yield daemon
+        finally:
+            for caller in daemon.callers:
+                caller.stream.socket.close()
+            nursery.cancel_scope.cancel()
 
 
 @asynccontextmanager
