Follow the fold's rules for gaps and generations in the relay

A log that lost a stream is found by two short pages; the replica is put in its reset state and only a record that begins a generation brings it on.

--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/__init__.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/__init__.py
@@ -10,7 +10,8 @@
     ReadLog,
     Send,
 )
-from fulmarstile_mesh.membership import Membership, MembershipCounters, MembershipState
+from fulmarstile_mesh.membership import Membership
+from fulmarstile_mesh.membership_state import MembershipCounters, MembershipState
 from fulmarstile_mesh.relay import Relay
 from fulmarstile_mesh.relay_state import RelayCounters, RelayState, StreamState
 from fulmarstile_mesh.rendezvous import RENDEZVOUS_STREAM, decode_rendezvous, encode_rendezvous
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_log_following.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_log_following.py
@@ -19,7 +19,8 @@
 _RESET_SIGHTINGS: Final = 2
 """Consecutive short pages after which a stream counts as lost by the log."""
 _RESET_RECHECK_S: Final = 0.5
-_SCAN_INTERVAL_S: Final = 1.0
+_SEED_POLL_S: Final = 1.0
+"""Longest wait of a read that looks for the record which begins a generation."""
 _FIRST_SNAPSHOT_FRACTION: Final = 0.05
 """Fraction of the retention within which a writer that knows of no snapshot writes one."""
 
@@ -42,27 +43,27 @@
     def fold(self, stream: Stream, record: StreamRecord, now: float) -> None:
         """Folds one record and notes snapshots."""
         self._counters.records_folded += 1
-        if stream.replica.on_record(record):
-            stream.is_dirty = True
+        stream.replica.on_record(record)
         self._note_snapshot(stream, record, now)
 
-    def on_page(self, stream: Stream, page: LogPage, now: float) -> list[Effect]:
+    def on_page(self, stream: Stream, page: LogPage, now: float) -> None:
         """Handles a page of the stream."""
         read = stream.read
         if read is None:
-            return []
+            return
         stream.read = None
         stream.backoff.reset()
         stream.next_read_at = now
         if stream.reset_since is not None:
-            return self._scan_generation(stream, page, now)
+            self._look_for_seed(stream, page, now)
+            return
         if page.end_offset < read.offset:
-            return self._on_short_page(stream, page, now)
+            self._on_short_page(stream, page, now)
+            return
         stream.reset_sightings = 0
-        if page.first_offset > stream.replica.head.next_offset:
-            return self._on_gap(stream, page, now)
         self._fold_page(stream, page, now)
-        return []
+        if stream.replica.needs_generation:
+            self._begin_reset(stream, page, now)
 
     def on_failure(self, stream: Stream, now: float) -> None:
         """Backs off after a failed read."""
@@ -76,8 +77,6 @@
         if stream.reset_since is None:
             stream.snapshot_at = now
             stream.records_since_snapshot = 0
-        else:
-            stream.next_read_at = now
 
     def on_append_failure(self, stream: Stream, now: float) -> None:
         """Lets the snapshot be written again, after a while."""
@@ -85,6 +84,9 @@
 
     def on_tick(self, stream: Stream, now: float) -> list[Effect]:
         """Returns the reads and appends that are due."""
+        if stream.started_at is None:
+            stream.started_at = now
+            stream.next_read_at = now + stream.backoff.next_delay()
         if stream.read is not None and now >= stream.read.expires_at:
             self.on_failure(stream, now)
         effects = self._read_if_due(stream, now)
@@ -99,10 +101,18 @@
         if self._is_backup(stream):
             stream.next_read_at = now + self._settings.backup_interval_s
             return self._read(stream, 0.0, now)
-        if self._has_waited_for_peers(stream, now):
-            stream.next_read_at = now + self._get_fallback_delay(stream)
-            return self._read(stream, 0.0, now)
-        return []
+        return self._fall_back_if_due(stream, now)
+
+    def _fall_back_if_due(self, stream: Stream, now: float) -> list[Effect]:
+        if not self._has_waited_for_peers(stream, now):
+            stream.fallback_at = None
+            return []
+        if stream.fallback_at is None:
+            stream.fallback_at = now + self._get_fallback_delay(stream)
+        if now < stream.fallback_at:
+            return []
+        stream.fallback_at = now + self._get_fallback_delay(stream)
+        return self._read(stream, 0.0, now)
 
     def _is_reader(self, stream: Stream) -> bool:
         return stream.topology.reader_rank < self._settings.readers_per_zone
@@ -121,106 +131,68 @@
 
     def _read(self, stream: Stream, wait_s: float, now: float) -> list[Effect]:
         offset = stream.replica.head.next_offset
-        if stream.scan_offset is not None:
-            offset = stream.scan_offset
-            wait_s = 0.0
         if stream.reset_sightings:
             wait_s = 0.0
+        if stream.reset_since is not None:
+            wait_s = min(wait_s, _SEED_POLL_S)
         stream.read = OutstandingRead(offset, now + wait_s + self._settings.poll_grace_s)
         self._counters.log_reads += 1
         return [ReadLog(name_stream(stream.customer), offset, wait_s)]
 
     def _fold_page(self, stream: Stream, page: LogPage, now: float) -> None:
         replica = stream.replica
-        for record in page.records:
+        if page.first_offset > replica.head.next_offset:
+            self._counters.gaps_seen += 1
+            replica.skip_to(page.first_offset)
+        for logged in page.records:
+            record = StreamRecord(logged.offset, logged.payload, logged.appended_at_ms)
             if record.offset >= replica.head.next_offset:
-                self.fold(
-                    stream,
-                    StreamRecord(record.offset, record.payload, record.appended_at_ms),
-                    now,
-                )
-        stream.gap_since = None
-        stream.scan_offset = None
-        if replica.head.next_offset >= page.end_offset:
+                self.fold(stream, record, now)
+            else:
+                replica.on_record(record)
+        if replica.head.next_offset >= page.end_offset and not replica.needs_snapshot:
             stream.is_synced = True
 
-    def _on_short_page(self, stream: Stream, page: LogPage, now: float) -> list[Effect]:
+    def _on_short_page(self, stream: Stream, page: LogPage, now: float) -> None:
         stream.reset_sightings += 1
         stream.next_read_at = now + _RESET_RECHECK_S
-        if stream.reset_sightings < _RESET_SIGHTINGS:
-            return []
+        if stream.reset_sightings >= _RESET_SIGHTINGS:
+            self._begin_reset(stream, page, now)
+
+    def _begin_reset(self, stream: Stream, page: LogPage, now: float) -> None:
         self._counters.resets_seen += 1
         stream.reset_sightings = 0
         stream.reset_since = now
-        stream.scan_offset = page.first_offset
-        stream.next_read_at = now
-        return []
+        stream.request = None
+        stream.held.clear()
+        stream.replica.begin_generation(page.end_offset)
 
-    def _scan_generation(self, stream: Stream, page: LogPage, now: float) -> list[Effect]:
+    def _look_for_seed(self, stream: Stream, page: LogPage, now: float) -> None:
         generation = stream.replica.head.generation
-        for record in page.records:
-            if not stream.replica.restore_snapshot(record.payload):
-                continue
-            if stream.replica.head.generation > generation:
-                self._adopt_generation(stream, record.offset, now)
-                return []
-        stream.scan_offset = page.first_offset
-        if page.records:
-            stream.scan_offset = page.records[-1].offset + 1
-        if stream.scan_offset < page.end_offset:
-            return []
-        stream.next_read_at = now + _SCAN_INTERVAL_S * self._random.uniform(0.5, 1.5)
-        return self._begin_generation_if_due(stream, now)
+        self._fold_page(stream, page, now)
+        if stream.replica.head.generation > generation:
+            self.end_reset(stream, now)
 
-    def _adopt_generation(self, stream: Stream, offset: int, now: float) -> None:
-        stream.replica.skip_to(offset + 1)
+    def end_reset(self, stream: Stream, now: float) -> None:
+        """Notes that a higher generation was adopted."""
         stream.reset_since = None
-        stream.scan_offset = None
-        stream.held.clear()
-        stream.is_dirty = True
-        stream.is_synced = True
         stream.snapshot_at = now
         stream.records_since_snapshot = 0
 
     def _begin_generation_if_due(self, stream: Stream, now: float) -> list[Effect]:
         assert stream.reset_since is not None
-        wait_s = stream.topology.writer_rank * self._settings.takeover_s
+        wait_s = _SEED_POLL_S + stream.topology.writer_rank * self._settings.takeover_s
         if now - stream.reset_since < wait_s or now < stream.append_expires_at:
             return []
         stream.append_expires_at = now + self._settings.takeover_s
         self._counters.generations_begun += 1
-        payload = stream.replica.begin_generation()
+        payload = stream.replica.begin_generation(stream.replica.head.next_offset)
         return [AppendLog(name_stream(stream.customer), payload)]
 
-    def _on_gap(self, stream: Stream, page: LogPage, now: float) -> list[Effect]:
-        if stream.gap_since is None:
-            self._counters.gaps_seen += 1
-            stream.gap_since = now
-        for record in page.records:
-            if stream.replica.restore_snapshot(record.payload):
-                stream.is_dirty = True
-                break
-        if page.first_offset <= stream.replica.head.next_offset:
-            stream.scan_offset = None
-            self._fold_page(stream, page, now)
-            return []
-        self._scan_on(stream, page, now)
-        return []
-
-    def _scan_on(self, stream: Stream, page: LogPage, now: float) -> None:
-        assert stream.gap_since is not None
-        last_offset = page.records[-1].offset + 1 if page.records else page.end_offset
-        stream.scan_offset = last_offset
-        if last_offset < page.end_offset:
-            return
-        stream.scan_offset = None
-        stream.next_read_at = now + _SCAN_INTERVAL_S * self._random.uniform(0.5, 1.5)
-        if now - stream.gap_since >= self._settings.gap_patience_s:
-            stream.replica.skip_to(page.first_offset)
-            stream.gap_since = None
-
     def _write_snapshot_if_due(self, stream: Stream, now: float) -> list[Effect]:
-        if stream.reset_since is not None or not stream.is_synced or stream.lagging_since:
+        if stream.reset_since is not None:
+            return self._begin_generation_if_due(stream, now)
+        if not self._is_reader(stream) or not stream.is_reliable or stream.list_ahead():
             return []
         if stream.replica.head.next_offset == 0 or now < stream.append_expires_at:
             return []
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_stream.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_stream.py
@@ -109,19 +109,19 @@
     lagging_since: float | None = None
     read: OutstandingRead | None = None
     next_read_at: float = float("-inf")
+    fallback_at: float | None = None
+    """When a daemon that is no reader reads the log; None unless peers have failed it."""
     is_synced: bool = False
     """Whether the end of the log, or the head of a synced peer, has been reached once."""
-    is_dirty: bool = False
-    """Whether the document changed since it was last applied."""
+    applied_version: int = 0
+    """Version that was last handed over to be put in force."""
     is_apply_held: bool = False
     announced: tuple[int, int] = (0, 0)
     """Generation and offset up to which peers have been told."""
     reset_sightings: int = 0
     """Consecutive pages that end before the offset asked for."""
-    scan_offset: int | None = None
-    """Where the search for a snapshot record goes on."""
-    gap_since: float | None = None
     reset_since: float | None = None
+    """When the log was found to have lost the stream; None unless it waits to be re-seeded."""
     append_expires_at: float = float("-inf")
     snapshot_at: float | None = None
     """Time of the newest snapshot in the log, by the local clock; None if unknown."""
@@ -141,6 +141,11 @@
         head = self.replica.head
         return head.generation, head.next_offset
 
+    @property
+    def is_reliable(self) -> bool:
+        """Whether peers may be given the replica's state."""
+        return self.is_synced and self.reset_since is None and not self.replica.needs_snapshot
+
     def list_ahead(self) -> list[str]:
         """Returns the peers that have folded more, by `daemon_id`."""
         return [
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/membership.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/membership.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
@@ -16,13 +15,12 @@
     ReplaceLink,
     SuspectPeer,
 )
+from fulmarstile_mesh._gossip import Gossip
 from fulmarstile_mesh._joining import Joining
-from fulmarstile_mesh._news_queue import NewsPriority, split_news
-from fulmarstile_mesh._rate import TokenBucket
+from fulmarstile_mesh._news_queue import NewsPriority
 from fulmarstile_mesh._shared_view import SharedView
-from fulmarstile_mesh._view_digest import find_differing
 from fulmarstile_mesh.effects import Disconnect, Effect, MembersChanged, Send
-from fulmarstile_mesh.overlay import choose_peers
+from fulmarstile_mesh.membership_state import MembershipCounters, MembershipState
 from fulmarstile_mesh.view import is_running
 from fulmarstile_wire.messages import (
     IndirectProbe,
@@ -47,53 +45,14 @@
     from random import Random
 
     from fulmarstile_mesh._failure_detector import DetectorAction
-    from fulmarstile_mesh._news_queue import NewsRecord
     from fulmarstile_mesh.settings import MembershipSettings
     from fulmarstile_wire.messages import Message
 
-_MAX_VIEW_MESSAGE_BYTES: Final = 131_072
-_MIN_DIGEST_INTERVAL_S: Final = 1.0
 _EXPIRY_INTERVAL_S: Final = 1.0
 _CRASHES_PER_INCARNATION: Final = 1000
 _TICK_INTERVAL_S: Final = 0.1
 
 
-@dataclass(slots=True)
-class MembershipCounters:
-    """Counters of the membership core; they only grow."""
-
-    probes_sent: int = 0
-    probes_missed: int = 0
-    links_replaced: int = 0
-    suspicions: int = 0
-    deaths_declared: int = 0
-    refutations: int = 0
-    joins_sent: int = 0
-    joins_answered: int = 0
-    views_withheld: int = 0
-    """Whole or partial views not sent because of the byte budget."""
-    late_ticks: int = 0
-    rendezvous_appends: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class MembershipState:
-    """State of the membership core for inspection."""
-
-    record: MemberRecord
-    is_settled: bool
-    slowness: int
-    members: tuple[MemberRecord, ...]
-    upstreams: tuple[UpstreamRecord, ...]
-    applied: tuple[AppliedRecord, ...]
-    active_peers: tuple[str, ...]
-    suspected: tuple[str, ...]
-    pending_news: int
-    quarantined: tuple[str, ...]
-    """Fingerprints in hexadecimal."""
-    counters: MembershipCounters
-
-
 class Membership:
     """Keeps the membership view by gossip between a bounded number of active peers.
 
@@ -109,19 +68,10 @@
         self._view = SharedView(settings, record)
         self._detector = FailureDetector(settings, random)
         self._joining = Joining(settings, random)
-        self._news_budget = TokenBucket(settings.news_bytes_per_s, settings.news_burst_bytes)
-        self._view_budget = TokenBucket(settings.view_bytes_per_s, settings.view_burst_bytes)
         self._counters = MembershipCounters()
-        self._active_peers: tuple[MemberRecord, ...] = ()
-        self._peers_outdated = True
+        self._gossip = Gossip(settings, self._view, self._counters, random)
         self._last_tick_at: float | None = None
-        self._last_urgent_at = float("-inf")
-        self._next_news_at = 0.0
         self._next_expiry_at = 0.0
-        self._next_reconnect_at = 0.0
-        self._next_digest_at = 0.0
-        self._digest_interval_s = _MIN_DIGEST_INTERVAL_S
-        self._digest_sent_at: dict[str, float] = {}
         self._reported: dict[str, AppliedRecord] = {}
         self._crash_count = 0
 
@@ -153,9 +103,7 @@
     @property
     def active_peers(self) -> tuple[MemberRecord, ...]:
         """Members that the local daemon keeps links with, ordered by `daemon_id`."""
-        if self._peers_outdated:
-            self._update_peers()
-        return self._active_peers
+        return self._gossip.active_peers
 
     @property
     def is_settled(self) -> bool:
@@ -192,13 +140,9 @@
         """Answers a joining daemon with the view, or a part of it if the budget is used up."""
         effects = self._merge(News(members=(message.record,)), message, now, answer_stale=False)
         self._counters.joins_answered += 1
-        records = [*self._view.list_records_of(message.sender), self.record]
-        if self._view_budget.available(now) > 0:
-            records += self._view.list_records(None, now)
-        else:
-            self._counters.views_withheld += 1
-            records += self.active_peers
-        effects += self._send_view(message.reply_to, records, now, answers_join=self.is_settled)
+        effects += self._gossip.answer_join(
+            message.sender, message.reply_to, now, is_settled=self.is_settled
+        )
         return effects
 
     def on_members(self, message: Members, now: float) -> list[Effect]:
@@ -209,25 +153,12 @@
 
     def on_member_digest(self, message: MemberDigest, now: float) -> list[Effect]:
         """Sends what differs from the sender's view."""
-        effects = self._greet(message, now)
-        digest = self._view.digest
-        if message.digest == digest.digest:
-            return effects
-        if self._view_budget.available(now) <= 0:
-            self._counters.views_withheld += 1
-            return effects
-        differing = find_differing(digest.buckets, message.buckets)
-        records = self._view.list_records(differing, now)
-        effects += self._send_view(message.reply_to, records, now)
-        last_sent_at = self._digest_sent_at.get(message.reply_to, float("-inf"))
-        if now - last_sent_at >= _MIN_DIGEST_INTERVAL_S:
-            effects.append(self._send_digest(message.reply_to, now))
-        return effects
+        return self._greet(message, now) + self._gossip.answer_digest(message, now)
 
     def on_probe(self, message: Probe, now: float) -> list[Effect]:
         """Replies to a probe."""
         effects = self._merge(message.news, message, now, answer_stale=False)
-        news = self._take_news(message.sender, now)
+        news = self._gossip.take_news(message.sender, now)
         reply = ProbeReply(self.record.daemon_id, self.record.peer_address, message.sequence, news)
         effects.append(Send(message.reply_to, reply))
         effects += self._greet(message, now)
@@ -288,7 +219,7 @@
         if known is not None and msgspec.structs.replace(record, sequence=known.sequence) == known:
             return []
         self._view.put_upstream(record)
-        return [MembersChanged(), *self._flush_urgent(now)]
+        return [MembersChanged(), *self._gossip.flush_urgent(now)]
 
     def report_applied(
         self, customer: str, version: int, digest: bytes, now: float
@@ -315,7 +246,7 @@
             expires_in_ms=int(self._settings.quarantine_s * 1000),
         )
         self._view.put_crash(record, now)
-        return self._flush_urgent(now)
+        return self._gossip.flush_urgent(now)
 
     def begin_leaving(self, now: float) -> list[Effect]:
         """Announces that the local daemon drains and takes no new work."""
@@ -332,9 +263,7 @@
         self._check_lateness(now)
         effects = self._detect(now)
         effects += self._join(now)
-        effects += self._compare_views(now)
-        effects += self._reach_dead(now)
-        effects += self._deliver_news(now)
+        effects += self._gossip.on_tick(now)
         self._expire(now)
         return effects
 
@@ -378,17 +307,17 @@
         suspected = msgspec.structs.replace(record, status=MemberStatus.SUSPECT)
         if not self._view.put_member(suspected, NewsPriority.URGENT, now):
             return []
-        return [MembersChanged(), *self._flush_urgent(now)]
+        return [MembersChanged(), *self._gossip.flush_urgent(now)]
 
     def _declare_dead(self, daemon_id: str, incarnation: int, now: float) -> list[Effect]:
         record = self.members.get(daemon_id)
         if record is None or record.incarnation != incarnation or not is_running(record):
             return []
         self._counters.deaths_declared += 1
-        self._peers_outdated = True
+        self._gossip.on_members_changed()
         dead = msgspec.structs.replace(record, status=MemberStatus.DEAD)
         self._view.put_member(dead, NewsPriority.URGENT, now)
-        return [Disconnect(record.peer_address), MembersChanged(), *self._flush_urgent(now)]
+        return [Disconnect(record.peer_address), MembersChanged(), *self._gossip.flush_urgent(now)]
 
     def _join(self, now: float) -> list[Effect]:
         effects = self._joining.on_tick(self.record, self._view.list_others(), now)
@@ -397,64 +326,6 @@
                 self._counters.joins_sent += 1
         return effects
 
-    def _compare_views(self, now: float) -> list[Effect]:
-        peers = self.active_peers
-        if now < self._next_digest_at or not peers:
-            return []
-        interval_s = self._digest_interval_s
-        self._next_digest_at = now + self._random.uniform(0.5, 1.5) * interval_s
-        self._digest_interval_s = min(2.0 * interval_s, self._settings.digest_interval_s)
-        return [self._send_digest(self._random.choice(peers).peer_address, now)]
-
-    def _reach_dead(self, now: float) -> list[Effect]:
-        if now < self._next_reconnect_at:
-            return []
-        interval_s = self._settings.reconnect_interval_s
-        self._next_reconnect_at = now + self._random.uniform(0.5, 1.5) * interval_s
-        dead = [
-            record
-            for _, record in sorted(self.members.items())
-            if record.status is MemberStatus.DEAD
-        ]
-        if not dead:
-            return []
-        return [self._send_digest(self._random.choice(dead).peer_address, now)]
-
-    def _deliver_news(self, now: float) -> list[Effect]:
-        effects = self._flush_urgent(now)
-        if now < self._next_news_at:
-            return effects
-        self._next_news_at = now + self._settings.news_interval_s
-        for peer in self.active_peers:
-            if self._view.queue.has_news(peer.daemon_id, NewsPriority.LOW):
-                effects += self._push_news(peer, now)
-        return effects
-
-    def _flush_urgent(self, now: float) -> list[Effect]:
-        if now - self._last_urgent_at < self._settings.urgent_interval_s:
-            return []
-        effects: list[Effect] = []
-        for peer in self.active_peers:
-            if self._view.queue.has_news(peer.daemon_id, NewsPriority.URGENT):
-                effects += self._push_news(peer, now)
-        if effects:
-            self._last_urgent_at = now
-        return effects
-
-    def _push_news(self, peer: MemberRecord, now: float) -> list[Effect]:
-        news = self._take_news(peer.daemon_id, now)
-        if news == News():
-            return []
-        message = Members(self.record.daemon_id, self.record.peer_address, news)
-        return [Send(peer.peer_address, message)]
-
-    def _take_news(self, peer: str, now: float) -> News:
-        available = self._news_budget.available(now)
-        max_bytes = min(self._settings.news_bytes_per_message, available)
-        delivery = self._view.queue.take(peer, max_bytes, NewsPriority.LOW)
-        self._news_budget.force(delivery.size, now)
-        return delivery.news
-
     def _merge(
         self, news: News, message: Message, now: float, *, answer_stale: bool
     ) -> list[Effect]:
@@ -463,28 +334,27 @@
         summary = self._view.merge(news, message.sender, now)
         effects = self._follow_members(summary.members, now)
         if summary.newer_count > 1 and answer_stale:
-            self._digest_interval_s = _MIN_DIGEST_INTERVAL_S
+            self._gossip.on_views_differed()
         if summary.challenge is not None:
             effects += self._refute(summary.challenge, message.reply_to, now)
         if summary.stale and answer_stale:
-            effects += self._send_view(message.reply_to, summary.stale, now)
+            effects += self._gossip.send_view(message.reply_to, summary.stale, now)
         if summary.is_visible:
             effects.append(MembersChanged())
-        effects += self._flush_urgent(now)
+        effects += self._gossip.flush_urgent(now)
         return effects
 
     def _follow_members(self, records: list[MemberRecord], now: float) -> list[Effect]:
         if not records:
             return []
         effects: list[Effect] = []
-        linked = {peer.daemon_id for peer in self._active_peers}
-        self._peers_outdated = True
+        self._gossip.on_members_changed()
         for record in records:
             if record.status is MemberStatus.SUSPECT:
                 self._detector.suspect(record.daemon_id, record.incarnation, now)
                 continue
             self._detector.clear(record.daemon_id)
-            if not is_running(record) and record.daemon_id in linked:
+            if not is_running(record) and self._gossip.is_linked(record.daemon_id):
                 effects.append(Disconnect(record.peer_address))
         return effects
 
@@ -500,81 +370,34 @@
         upstream = self.upstreams.get(record.daemon_id)
         if upstream is not None:
             self.announce_upstream(upstream.service, upstream.status, upstream.slots, now)
-        return self._send_view(reply_to, [record], now)
+        return self._gossip.send_view(reply_to, [record], now)
 
     def _greet(self, message: Message, now: float) -> list[Effect]:
         known = self.members.get(message.sender)
         if known is None:
-            return [self._send_digest(message.reply_to, now)]
+            return [self._gossip.send_digest(message.reply_to, now)]
         if known.status is MemberStatus.ALIVE or known.status is MemberStatus.LEAVING:
             return []
-        return self._send_view(message.reply_to, [known], now)
+        return self._gossip.send_view(message.reply_to, [known], now)
 
     def _change_own_status(self, status: MemberStatus, now: float) -> list[Effect]:
         record = msgspec.structs.replace(self.record, status=status)
         if not self._view.put_member(record, NewsPriority.URGENT, now):
             return []
-        self._last_urgent_at = float("-inf")
-        return [MembersChanged(), *self._flush_urgent(now)]
+        return [MembersChanged(), *self._gossip.flush_urgent(now, at_once=True)]
 
     def _send_probe(self, peer: MemberRecord, sequence: int, now: float) -> Send:
         self._counters.probes_sent += 1
-        news = self._take_news(peer.daemon_id, now)
+        news = self._gossip.take_news(peer.daemon_id, now)
         known = self.members.get(peer.daemon_id, peer)
         if known.status is MemberStatus.SUSPECT:
             news = msgspec.structs.replace(news, members=(*news.members, known))
         probe = Probe(self.record.daemon_id, self.record.peer_address, sequence, news)
         return Send(peer.peer_address, probe)
 
-    def _send_digest(self, address: str, now: float) -> Send:
-        self._digest_sent_at[address] = now
-        own = self.record
-        digest = self._view.digest
-        return Send(
-            address, MemberDigest(own.daemon_id, own.peer_address, digest.digest, digest.buckets)
-        )
-
-    def _send_view(
-        self,
-        address: str,
-        records: list[NewsRecord],
-        now: float,
-        *,
-        answers_join: bool = False,
-    ) -> list[Effect]:
-        own = self.record
-        effects: list[Effect] = []
-        for news in split_news(records, _MAX_VIEW_MESSAGE_BYTES):
-            message = Members(own.daemon_id, own.peer_address, news, answers_join)
-            self._view_budget.force(len(msgspec.msgpack.encode(message)), now)
-            effects.append(Send(address, message))
-        return effects
-
-    def _update_peers(self) -> None:
-        self._peers_outdated = False
-        known = {peer.daemon_id for peer in self._active_peers}
-        self._active_peers = choose_peers(
-            self.record,
-            self._view.list_others(),
-            self._settings.zone_rings,
-            self._settings.global_rings,
-        )
-        self._view.queue.set_peers(peer.daemon_id for peer in self._active_peers)
-        for peer in self._active_peers:
-            if peer.daemon_id not in known:
-                self._introduce(peer)
-
-    def _introduce(self, peer: MemberRecord) -> None:
-        for record in self._view.list_records_of(self.record.daemon_id):
-            self._view.queue.add_for(peer.daemon_id, record, NewsPriority.NORMAL)
-
     def _expire(self, now: float) -> None:
         if now < self._next_expiry_at:
             return
         self._next_expiry_at = now + _EXPIRY_INTERVAL_S
         self._view.expire(now - self._settings.tombstone_s, now)
-        self._digest_sent_at = {
-            address: sent_at
-            for address, sent_at in self._digest_sent_at.items()
-            if now - sent_at < _MIN_DIGEST_INTERVAL_S
-        }
+        self._gossip.expire(now)
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/relay.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/relay.py
@@ -108,7 +108,7 @@
     def on_record_request(self, message: RecordRequest, now: float) -> list[Effect]:
         """Sends the records asked for, or a snapshot where they are not kept."""
         stream = self._get_stream(message.customer)
-        if stream is None or not stream.is_synced:
+        if stream is None or not stream.is_reliable:
             return []
         head = stream.replica.head
         if message.generation > head.generation:
@@ -129,9 +129,9 @@
             return []
         self._counters.batches_received += 1
         head = stream.replica.head
-        if message.generation != head.generation:
-            return self._pull(stream, now) if message.generation > head.generation else []
         self._note_head(stream, message.sender, message.generation, message.next_offset)
+        if message.generation != head.generation or stream.reset_since is not None:
+            return self._pull(stream, now)
         if message.next_offset <= head.next_offset:
             self._counters.duplicate_batches += 1
         is_answer = stream.request is not None and stream.request.peer == message.sender
@@ -144,7 +144,7 @@
     def on_snapshot_request(self, message: SnapshotRequest, now: float) -> list[Effect]:
         """Sends a snapshot."""
         stream = self._get_stream(message.customer)
-        if stream is None or not stream.is_synced:
+        if stream is None or not stream.is_reliable:
             return []
         return self._offer_snapshot(stream, message.reply_to, now)
 
@@ -154,13 +154,13 @@
         if stream is None:
             return []
         self._end_request(stream, message.sender)
+        generation = stream.replica.head.generation
         if not stream.replica.restore_snapshot(message.payload):
             return []
         self._counters.snapshots_restored += 1
-        stream.is_dirty = True
-        stream.gap_since = None
-        stream.scan_offset = None
-        stream.reset_since = None
+        if stream.replica.head.generation > generation:
+            stream.held.clear()
+            self._log.end_reset(stream, now)
         return self._fold_held(stream, message.sender, now)
 
     def on_log_page(self, stream: str, page: LogPage, now: float) -> list[Effect]:
@@ -168,8 +168,8 @@
         state = self._find_by_name(stream)
         if state is None:
             return []
-        effects = self._log.on_page(state, page, now)
-        return effects + self._follow_up(state, "", now)
+        self._log.on_page(state, page, now)
+        return self._follow_up(state, "", now)
 
     def on_log_failure(self, stream: str, now: float) -> list[Effect]:
         """Backs off after a failed read."""
@@ -204,8 +204,6 @@
 
     def _tick_stream(self, stream: Stream, now: float) -> list[Effect]:
         self._refresh_topology(stream, now)
-        if stream.started_at is None:
-            stream.started_at = now
         if not self._view.is_settled:
             return []
         effects = self._pull_if_due(stream, now)
@@ -220,16 +218,25 @@
         stream.peer_heads[message.sender] = head
         own = stream.replica.head
         remote = (head.generation, head.next_offset)
+        if stream.reset_since is not None:
+            return self._pull(stream, now) if head.generation > own.generation else []
         if remote > stream.position:
             return self._schedule_pull(stream, message.sender, now)
         if remote == stream.position:
-            if head.digest != own.digest:
-                self._counters.divergences += 1
-            return self._note_synced(stream, now)
-        if not stream.is_synced:
+            return self._on_same_head(stream, head)
+        if not stream.is_reliable:
             return []
         return self._help_behind(stream, head, message.reply_to)
 
+    def _on_same_head(self, stream: Stream, head: StreamHead) -> list[Effect]:
+        if head.digest != stream.replica.head.digest:
+            self._counters.divergences += 1
+        if stream.replica.needs_snapshot:
+            return []
+        stream.lagging_since = None
+        stream.is_synced = True
+        return self._try_apply(stream)
+
     def _help_behind(self, stream: Stream, head: StreamHead, reply_to: str) -> list[Effect]:
         own = stream.replica.head
         if self._settings.mode is SpreadMode.PUSH and head.generation == own.generation:
@@ -256,7 +263,9 @@
             self._counters.requests_timed_out += 1
             stream.request = None
             stream.pull_at = now
-        if not stream.is_synced and stream.request is None:
+        if stream.reset_since is not None:
+            return []
+        if not stream.is_reliable and stream.request is None:
             return self._ask_neighbour(stream, now)
         if now < stream.pull_at:
             return []
@@ -279,7 +288,10 @@
         neighbours = stream.topology.neighbours
         if not neighbours:
             return []
-        return self._request(stream, self._random.choice(neighbours).daemon_id, now)
+        peer = self._random.choice(neighbours).daemon_id
+        if stream.replica.needs_snapshot:
+            return self._request_snapshot(stream, peer, now)
+        return self._request(stream, peer, now)
 
     def _request(self, stream: Stream, peer: str, now: float) -> list[Effect]:
         record = self._view.members.get(peer)
@@ -343,22 +355,14 @@
         if not stream.list_ahead():
             stream.lagging_since = None
             stream.pull_at = float("inf")
-            if source:
-                stream.is_synced = True
+            stream.is_synced |= bool(source)
         elif source and stream.request is None:
             effects += self._pull(stream, now)
-        if stream.is_synced and stream.position > stream.announced:
+        if stream.is_reliable and stream.position > stream.announced:
             effects += self._announce(stream, source)
         effects += self._try_apply(stream)
         return effects
 
-    def _note_synced(self, stream: Stream, now: float) -> list[Effect]:
-        stream.lagging_since = None
-        if not stream.is_synced:
-            stream.is_synced = True
-            return self._try_apply(stream)
-        return []
-
     def _announce(self, stream: Stream, source: str) -> list[Effect]:
         head = stream.replica.head
         records = self._list_unannounced(stream)
@@ -427,9 +431,9 @@
         return [Send(address, offer), self._send_heads(address, [stream.replica.head])]
 
     def _try_apply(self, stream: Stream) -> list[Effect]:
-        if not stream.is_dirty:
-            return []
         version = stream.replica.head.version
+        if version <= stream.applied_version:
+            return []
         applied = self._view.applied.get((self._daemon_id, stream.customer))
         floor = applied.version if applied is not None else 0
         if not self._view.is_settled or not stream.is_synced or version < floor:
@@ -437,7 +441,7 @@
                 self._counters.applies_held += 1
             stream.is_apply_held = True
             return []
-        stream.is_dirty = False
+        stream.applied_version = version
         stream.is_apply_held = False
         return [Apply(stream.customer)]
 
@@ -459,7 +463,7 @@
         heads = [
             stream.replica.head
             for customer, stream in sorted(self._streams.items())
-            if customer in peer.customers and stream.is_synced
+            if customer in peer.customers and stream.is_reliable
         ]
         return [self._send_heads(peer.peer_address, heads)] if heads else []
 
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/replica.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/replica.py
@@ -25,8 +25,8 @@
         """Folds the record at `head.next_offset`; never raises on its content.
 
         Args:
-            record: Record whose offset is at least `head.next_offset`; a higher offset skips
-                records that the log has dropped.
+            record: Record; a higher offset than `head.next_offset` skips records that the log
+                has dropped, a lower one has no effect unless it begins a generation.
 
         Returns:
             Whether the document changed.
@@ -57,6 +57,23 @@
         """
         ...
 
-    def begin_generation(self) -> bytes:
-        """Returns the snapshot that re-seeds a stream which the log has lost."""
+    def begin_generation(self, end_offset: int = 0) -> bytes:
+        """Returns the snapshot that re-seeds a stream which the log has lost.
+
+        From then on the replica counts offsets from 0 and folds nothing until it meets a record
+        that begins a higher generation.
+
+        Args:
+            end_offset: End of the new stream as far as it has been read.
+        """
+        ...
+
+    @property
+    def needs_snapshot(self) -> bool:
+        """Whether records are missing, so that only a snapshot can bring the replica on."""
+        ...
+
+    @property
+    def needs_generation(self) -> bool:
+        """Whether the log contradicts the replica, so that it must be re-seeded."""
         ...
