--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/__init__.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/__init__.py
@@ -1,1 +1,1 @@
-"""Builders of test data."""
+"""Builders of test data, one module for each concern."""
