--- /dev/null
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/_customer_queue.py
@@ -0,0 +1,80 @@
+"""Waiting requests of one customer, shared among its priority classes."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from fulmarstile_calls.admission.admission import AdmissionTicket
+
+_CLASS_COSTS: Final = (1 / 27, 1 / 9, 1 / 3, 1.0)
+"""Virtual time that a request of each class costs; the inverse of the class's share."""
+
+
+class CustomerQueue:
+    """Waiting requests of one customer.
+
+    The classes share what the customer gets by start-time fair queueing. A class that is
+    served rarely is served first when it has a request, and each class has a share that the
+    others cannot take.
+    """
+
+    __slots__ = ("_class_times", "_classes", "_clock", "running", "size", "virtual_time", "weight")
+
+    def __init__(self, virtual_time: float) -> None:
+        self.weight = 1.0
+        self.virtual_time = virtual_time
+        """Slot time used so far, divided by the weight."""
+        self.size = 0
+        """Number of waiting requests."""
+        self.running = 0
+        """Number of requests that hold a slot."""
+        self._classes = tuple(OrderedDict[int, "AdmissionTicket"]() for _ in _CLASS_COSTS)
+        self._class_times = [0.0] * len(_CLASS_COSTS)
+        self._clock = 0.0
+
+    def add(self, ticket: AdmissionTicket) -> None:
+        """Adds a request."""
+        waiting = self._classes[ticket.priority]
+        if not waiting:
+            times = self._class_times
+            times[ticket.priority] = max(times[ticket.priority], self._clock)
+        waiting[ticket.ticket_id] = ticket
+        self.size += 1
+
+    def remove(self, ticket: AdmissionTicket) -> None:
+        """Removes a request that waits."""
+        del self._classes[ticket.priority][ticket.ticket_id]
+        self.size -= 1
+
+    def pop_next(self) -> AdmissionTicket:
+        """Removes and returns the request to be served next; there must be one."""
+        times = self._class_times
+        best = -1
+        for index, waiting in enumerate(self._classes):
+            if waiting and (best < 0 or times[index] < times[best]):
+                best = index
+        self._clock = times[best]
+        times[best] += _CLASS_COSTS[best]
+        self.size -= 1
+        return self._classes[best].popitem(last=False)[1]
+
+    def pop_worst(self) -> AdmissionTicket:
+        """Removes and returns the newest request of the lowest class; there must be one."""
+        for waiting in reversed(self._classes):
+            if waiting:
+                self.size -= 1
+                return waiting.popitem(last=True)[1]
+        raise LookupError("the queue is empty")
+
+    def worst_priority(self) -> int:
+        """Returns the lowest class with a waiting request, or -1 if there is none."""
+        for index in range(len(self._classes) - 1, -1, -1):
+            if self._classes[index]:
+                return index
+        return -1
+
+    def count_ahead(self, priority: int) -> int:
+        """Returns how many requests of the same or a higher class wait."""
+        return sum(len(self._classes[index]) for index in range(priority + 1))
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
@@ -2,8 +2,258 @@
 
 from __future__ import annotations
 
-from fulmarstile_calls.admission.baselines import FifoAdmission
+from typing import TYPE_CHECKING, Final
 
+from fulmarstile_calls.admission._customer_queue import CustomerQueue
+from fulmarstile_calls.admission._refusals import refuse, refuse_draining
+from fulmarstile_calls.admission._service_time import ServiceTime
+from fulmarstile_calls.admission.admission import Admitted, Refused
+from fulmarstile_calls.request import RefusalReason
 
-class FairAdmission(FifoAdmission):
-    """Shares an upstream's slots fairly among customers."""
+if TYPE_CHECKING:
+    from fulmarstile_calls.admission.admission import (
+        AdmissionEffect,
+        AdmissionSettings,
+        AdmissionTicket,
+    )
+
+MIN_WEIGHT: Final = 0.001
+"""Smallest weight of a customer."""
+
+_RETRY_SPREAD: Final = 16
+
+
+class _Running:
+    __slots__ = ("charged_s", "queue", "started_at")
+
+    def __init__(self, queue: CustomerQueue, started_at: float, charged_s: float) -> None:
+        self.queue = queue
+        self.started_at = started_at
+        self.charged_s = charged_s
+
+
+class FairAdmission:
+    """Shares an upstream's slots among customers by the slot time that they use.
+
+    Each customer has its own queue; a free slot goes to the customer that has used the least
+    slot time for its weight. When the queue is full, the longest one for its weight gives
+    way. Requests whose deadline cannot be met are refused at once.
+
+    Args:
+        settings: Limits of the upstream.
+    """
+
+    def __init__(self, settings: AdmissionSettings) -> None:
+        self._settings = settings
+        self._slots = min(settings.slots, settings.connections)
+        self._customers: dict[str, CustomerQueue] = {}
+        self._waiting: dict[int, AdmissionTicket] = {}
+        self._running: dict[int, _Running] = {}
+        self._service_time = ServiceTime()
+        self._virtual_time = 0.0
+        self._draining = False
+
+    @property
+    def running(self) -> int:
+        """Number of requests that hold a slot."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait for a slot."""
+        return len(self._waiting)
+
+    @property
+    def slots(self) -> int:
+        """Number of slots."""
+        return self._slots
+
+    @property
+    def customer_count(self) -> int:
+        """Number of customers remembered."""
+        return len(self._customers)
+
+    def on_arrival(self, ticket: AdmissionTicket, now: float) -> list[AdmissionEffect]:
+        """See `Admission.on_arrival`."""
+        if self._draining:
+            return [Refused(ticket.ticket_id, refuse_draining())]
+        if now >= ticket.deadline_s:
+            return [self._refuse_deadline(ticket, 0.0)]
+        queue = self._find_queue(ticket)
+        if not self._waiting and len(self._running) < self._slots:
+            self._start(ticket, queue, now)
+            return [Admitted(ticket.ticket_id)]
+        wait_s = self._estimate_wait(ticket, queue)
+        if now + wait_s + self._service_time.fast_s > ticket.deadline_s:
+            self._forget_if_idle(ticket.customer, queue)
+            return [self._refuse_deadline(ticket, wait_s)]
+        return self._enqueue(ticket, queue, wait_s, now)
+
+    def on_finished(self, ticket_id: int, now: float) -> list[AdmissionEffect]:
+        """See `Admission.on_finished`."""
+        running = self._running.pop(ticket_id, None)
+        if running is None:
+            return []
+        elapsed_s = now - running.started_at
+        self._service_time.observe(elapsed_s)
+        self._settle(running, elapsed_s)
+        return self._admit(now)
+
+    def on_cancelled(self, ticket_id: int, now: float) -> list[AdmissionEffect]:
+        """See `Admission.on_cancelled`."""
+        ticket = self._waiting.pop(ticket_id, None)
+        if ticket is not None:
+            queue = self._customers[ticket.customer]
+            queue.remove(ticket)
+            self._forget_if_idle(ticket.customer, queue)
+            return []
+        running = self._running.pop(ticket_id, None)
+        if running is None:
+            return []
+        elapsed_s = now - running.started_at
+        self._service_time.observe_cancelled(elapsed_s)
+        self._settle(running, elapsed_s)
+        return self._admit(now)
+
+    def on_tick(self, now: float) -> list[AdmissionEffect]:
+        """See `Admission.on_tick`."""
+        effects: list[AdmissionEffect] = []
+        for ticket in [t for t in self._waiting.values() if self._is_hopeless(t, now)]:
+            self._drop(ticket)
+            effects.append(self._refuse_deadline(ticket, self._service_time.mean_s))
+        self._forget_idle()
+        return effects
+
+    def set_slots(self, slots: int, now: float) -> list[AdmissionEffect]:
+        """See `Admission.set_slots`; never more than the connections."""
+        self._slots = max(0, min(slots, self._settings.connections))
+        return self._admit(now)
+
+    def begin_draining(self, now: float) -> list[AdmissionEffect]:
+        """See `Admission.begin_draining`."""
+        self._draining = True
+        tickets = list(self._waiting.values())
+        for ticket in tickets:
+            self._drop(ticket)
+        return [Refused(ticket.ticket_id, refuse_draining()) for ticket in tickets]
+
+    def _find_queue(self, ticket: AdmissionTicket) -> CustomerQueue:
+        queue = self._customers.get(ticket.customer)
+        if queue is None:
+            queue = self._customers[ticket.customer] = CustomerQueue(self._virtual_time)
+        queue.weight = max(MIN_WEIGHT, ticket.weight)
+        return queue
+
+    def _start(self, ticket: AdmissionTicket, queue: CustomerQueue, now: float) -> None:
+        start = max(queue.virtual_time, self._virtual_time)
+        self._virtual_time = start
+        charged_s = self._service_time.mean_s
+        queue.virtual_time = start + charged_s / queue.weight
+        queue.running += 1
+        self._running[ticket.ticket_id] = _Running(queue, now, charged_s)
+
+    def _settle(self, running: _Running, elapsed_s: float) -> None:
+        """Charges a customer for the slot time that its request really took."""
+        queue = running.queue
+        queue.running -= 1
+        queue.virtual_time += (elapsed_s - running.charged_s) / queue.weight
+
+    def _enqueue(
+        self, ticket: AdmissionTicket, queue: CustomerQueue, wait_s: float, now: float
+    ) -> list[AdmissionEffect]:
+        effects: list[AdmissionEffect] = []
+        if len(self._waiting) >= self._settings.queue_limit:
+            loser = self._choose_loser(ticket, queue)
+            if loser is None:
+                self._forget_if_idle(ticket.customer, queue)
+                return [self._refuse_full(ticket, wait_s)]
+            del self._waiting[loser.ticket_id]
+            effects.append(self._refuse_full(loser, wait_s))
+        if queue.size == 0:
+            queue.virtual_time = max(queue.virtual_time, self._virtual_time)
+        queue.add(ticket)
+        self._waiting[ticket.ticket_id] = ticket
+        effects.extend(self._admit(now))
+        return effects
+
+    def _choose_loser(
+        self, ticket: AdmissionTicket, queue: CustomerQueue
+    ) -> AdmissionTicket | None:
+        """Removes and returns the waiting request that gives way to a new one, if any does."""
+        longest = max(self._customers.values(), key=_relative_size, default=queue)
+        if longest is not queue and _relative_size(longest) > (queue.size + 1) / queue.weight:
+            return longest.pop_worst()
+        if queue.worst_priority() > ticket.priority:
+            return queue.pop_worst()
+        return None
+
+    def _admit(self, now: float) -> list[AdmissionEffect]:
+        effects: list[AdmissionEffect] = []
+        while self._waiting and len(self._running) < self._slots:
+            queue = self._choose_queue()
+            ticket = queue.pop_next()
+            del self._waiting[ticket.ticket_id]
+            if self._is_hopeless(ticket, now):
+                effects.append(self._refuse_deadline(ticket, self._service_time.mean_s))
+                continue
+            self._start(ticket, queue, now)
+            effects.append(Admitted(ticket.ticket_id))
+        return effects
+
+    def _choose_queue(self) -> CustomerQueue:
+        best: CustomerQueue | None = None
+        for queue in self._customers.values():
+            if queue.size and (best is None or queue.virtual_time < best.virtual_time):
+                best = queue
+        if best is None:
+            raise LookupError("no request waits")
+        return best
+
+    def _is_hopeless(self, ticket: AdmissionTicket, now: float) -> bool:
+        if now >= ticket.deadline_s:
+            return True
+        return bool(self._running) and now + self._service_time.fast_s > ticket.deadline_s
+
+    def _estimate_wait(self, ticket: AdmissionTicket, queue: CustomerQueue) -> float:
+        """Estimates the time until a request would get a slot, in seconds."""
+        if self._slots == 0:
+            return self._service_time.mean_s
+        slot_s = self._service_time.mean_s / self._slots
+        rivals = sum(other.weight for other in self._customers.values() if other.size)
+        if not queue.size:
+            rivals += queue.weight
+        ahead = queue.count_ahead(ticket.priority) + 1
+        fair_s = ahead * slot_s * rivals / queue.weight
+        return min(fair_s, (len(self._waiting) + 1) * slot_s)
+
+    def _refuse_full(self, ticket: AdmissionTicket, wait_s: float) -> Refused:
+        delay_s = self._spread(ticket, wait_s)
+        return Refused(
+            ticket.ticket_id, refuse(RefusalReason.QUEUE_FULL, "the queue is full", delay_s)
+        )
+
+    def _refuse_deadline(self, ticket: AdmissionTicket, wait_s: float) -> Refused:
+        delay_s = self._spread(ticket, wait_s)
+        detail = "the deadline cannot be met"
+        return Refused(ticket.ticket_id, refuse(RefusalReason.DEADLINE, detail, delay_s))
+
+    def _spread(self, ticket: AdmissionTicket, wait_s: float) -> float:
+        """Spreads the callers' next attempts over one to two times the wait."""
+        return wait_s * (1 + ticket.ticket_id % _RETRY_SPREAD / _RETRY_SPREAD)
+
+    def _drop(self, ticket: AdmissionTicket) -> None:
+        del self._waiting[ticket.ticket_id]
+        self._customers[ticket.customer].remove(ticket)
+
+    def _forget_if_idle(self, customer: str, queue: CustomerQueue) -> None:
+        if queue.size or queue.running or queue.virtual_time > self._virtual_time:
+            return
+        self._customers.pop(customer, None)
+
+    def _forget_idle(self) -> None:
+        for customer, queue in list(self._customers.items()):
+            self._forget_if_idle(customer, queue)
+
+
+def _relative_size(queue: CustomerQueue) -> float:
+    return queue.size / queue.weight
