--- a/packages/fulmarstile_config/src/fulmarstile_config/__init__.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/__init__.py
@@ -1,7 +1,8 @@
 """Document model, publications, fold, snapshots and the routing table."""
 
 from fulmarstile_config.errors import ConfigError, KeyFormatError, RefusedError, SnapshotError
-from fulmarstile_config.fold import CustomerFold, FoldCounters
+from fulmarstile_config.fold import CustomerFold
+from fulmarstile_config.fold_counters import FoldCounters
 from fulmarstile_config.fold_state import SectionState
 from fulmarstile_config.keys import (
     KeyPair,
--- a/packages/fulmarstile_config/src/fulmarstile_config/fold_state.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/fold_state.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from fulmarstile_config.quota import QuotaMeter
     from fulmarstile_config.section import ParsedSection
-    from fulmarstile_config.verdict_book import VerdictBook
+    from fulmarstile_config.verdict_history import VerdictHistory
 
 DIGEST_BYTES: Final = 8
 """Length of the digest of a fold's state, in bytes."""
@@ -48,12 +48,18 @@
     """The teams section that was in force when the publication was accepted, unless the owner
     published it."""
 
+    @property
+    def body_digest(self) -> bytes:
+        """SHA-256 of the body."""
+        changes = self.publication.changes
+        return next(change.body_digest for change in changes if change.section == self.section)
+
 
 @dataclass(slots=True)
 class FoldState:
     """Document, version and verdicts of one customer."""
 
-    book: VerdictBook
+    verdicts: VerdictHistory
     quota: QuotaMeter
     generation: int = 0
     version: int = 0
@@ -69,7 +75,7 @@
     def compute_digest(self) -> bytes:
         """Returns the digest of the document, its version and the sequence."""
         content = [
-            (state.section, state.version, state.team, state.publication_id, state.body)
+            (state.section, state.version, state.team, state.publication_id, state.body_digest)
             for state in (self.sections[section] for section in sorted(self.sections))
         ]
         encoded = _encoder.encode((self.version, self.sequence, content))
--- a/packages/fulmarstile_config/src/fulmarstile_config/judge.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/publication_rules.py
@@ -46,7 +46,7 @@
     document: Document
 
 
-class Judge:
+class PublicationRules:
     """Decides on publications of one customer.
 
     Args:
@@ -170,12 +170,20 @@
         if len(sections) > self._limits.max_sections:
             reason = f"document would have more than {self._limits.max_sections} sections"
             raise RefusedError(Refusal(RefusalCode.OVERSIZE, reason))
-        size = sum(len(entry.body.encode()) for entry in sections.values())
+        size = _count_document_bytes(sections)
         if size > self._limits.max_document_bytes:
             reason = f"document would exceed {self._limits.max_document_bytes} bytes"
             raise RefusedError(Refusal(RefusalCode.OVERSIZE, reason))
 
 
+def _count_document_bytes(sections: dict[str, SectionState]) -> int:
+    bodies = {(entry.section, entry.version): entry.body for entry in sections.values()}
+    for entry in sections.values():
+        if entry.teams is not None:
+            bodies[TEAMS_SECTION, entry.teams.version] = entry.teams.body
+    return sum(len(body.encode()) for body in bodies.values())
+
+
 def find_team(name: str, teams: SectionState | None) -> Team | None:
     """Returns a team of a teams section, or None."""
     if teams is None:
@@ -216,7 +224,7 @@
     change: SectionChange, current: SectionState | None, state: FoldState
 ) -> Refusal:
     base = f"section {change.section!r} has changed since version {change.base_version}"
-    winner = state.book.find_last_change(change.section)
+    winner = state.verdicts.find_last_change(change.section)
     if current is not None:
         reason = (
             f"{base}: team {current.team!r} published version {current.version} "
--- a/packages/fulmarstile_config/src/fulmarstile_config/records.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/records.py
@@ -19,7 +19,7 @@
 
 
 class SnapshotRecord(msgspec.Struct, frozen=True, array_like=True, tag="snapshot"):
-    """State of a fold, sealed with the mesh key."""
+    """State of a fold, authenticated with the mesh key."""
 
     customer: str
     generation: int
@@ -33,8 +33,8 @@
     """Whether the snapshot begins its generation after the log has lost the stream."""
     content: bytes
     """`SnapshotContent` as MessagePack, compressed with Zstandard."""
-    seal: bytes
-    """HMAC-SHA256 of the snapshot with an empty seal, keyed with the mesh key."""
+    mac: bytes
+    """HMAC-SHA256 of the snapshot with an empty `mac`, keyed with the mesh key."""
 
 
 AnyRecord = Publication | SnapshotRecord
--- a/packages/fulmarstile_config/src/fulmarstile_config/snapshot.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/snapshot.py
@@ -12,20 +12,20 @@
 from fulmarstile_config.assembly import assemble_document, find_refusals
 from fulmarstile_config.errors import RefusedError, SnapshotError
 from fulmarstile_config.fold_state import FoldState, SectionState, SignedPublication
-from fulmarstile_config.judge import TEAMS_SECTION, find_team
-from fulmarstile_config.keys import SignedChange, digest_body, is_signed_by, signed_bytes
+from fulmarstile_config.keys import digest_body, is_signed_by, signed_bytes
 from fulmarstile_config.ownership import OWNER_TEAM, owns_section
 from fulmarstile_config.publication import PublicationVerdict
+from fulmarstile_config.publication_rules import TEAMS_SECTION, find_team
 from fulmarstile_config.quota import QuotaMeter, QuotaState
 from fulmarstile_config.records import SnapshotRecord
 from fulmarstile_config.section import parse_section
-from fulmarstile_config.verdict_book import VerdictBook
+from fulmarstile_config.verdict_history import VerdictHistory
 
 if TYPE_CHECKING:
-    from fulmarstile_config.judge import Judge
     from fulmarstile_config.limits import FoldLimits
+    from fulmarstile_config.publication_rules import PublicationRules
 
-_SEAL_CONTEXT: Final = b"fulmarstile snapshot 1\0"
+_MAC_CONTEXT: Final = b"fulmarstile snapshot 1\0"
 _NO_TEAMS: Final = -1
 
 
@@ -60,7 +60,7 @@
 def make_snapshot(
     customer: str, mesh_key: bytes, state: FoldState, next_offset: int, *, is_seed: bool = False
 ) -> SnapshotRecord:
-    """Returns a sealed snapshot of a state.
+    """Returns an authenticated snapshot of a state.
 
     Args:
         customer: Customer that the state belongs to.
@@ -82,19 +82,19 @@
         digest=state.digest,
         is_seed=is_seed,
         content=zstandard.ZstdCompressor(level=3).compress(content),
-        seal=b"",
+        mac=b"",
     )
-    return msgspec.structs.replace(snapshot, seal=_compute_seal(snapshot, mesh_key))
+    return msgspec.structs.replace(snapshot, mac=_compute_mac(snapshot, mesh_key))
 
 
-def is_sealed(snapshot: SnapshotRecord, mesh_key: bytes) -> bool:
-    """Returns whether the snapshot was sealed with the mesh key."""
-    return hmac.compare_digest(snapshot.seal, _compute_seal(snapshot, mesh_key))
+def has_valid_mac(snapshot: SnapshotRecord, mesh_key: bytes) -> bool:
+    """Returns whether the snapshot was made with the mesh key."""
+    return hmac.compare_digest(snapshot.mac, _compute_mac(snapshot, mesh_key))
 
 
-def _compute_seal(snapshot: SnapshotRecord, mesh_key: bytes) -> bytes:
-    unsealed = _encoder.encode(msgspec.structs.replace(snapshot, seal=b""))
-    return hmac.digest(mesh_key, _SEAL_CONTEXT + unsealed, hashlib.sha256)
+def _compute_mac(snapshot: SnapshotRecord, mesh_key: bytes) -> bytes:
+    unsigned = _encoder.encode(msgspec.structs.replace(snapshot, mac=b""))
+    return hmac.digest(mesh_key, _MAC_CONTEXT + unsigned, hashlib.sha256)
 
 
 def _collect_content(state: FoldState) -> SnapshotContent:
@@ -104,8 +104,8 @@
         publications=tuple(collector.publications),
         teams=tuple(collector.teams),
         sections=sections,
-        verified=state.book.verified,
-        unverified=state.book.unverified,
+        verified=state.verdicts.verified,
+        unverified=state.verdicts.unverified,
         quota=state.quota.state,
     )
 
@@ -147,17 +147,17 @@
 
     Args:
         customer: Customer whose snapshots are read.
-        judge: Knows the owner's key.
+        rules: Knows the owner's key.
         limits: Bounds on the state.
     """
 
-    def __init__(self, customer: str, judge: Judge, limits: FoldLimits) -> None:
+    def __init__(self, customer: str, rules: PublicationRules, limits: FoldLimits) -> None:
         self._customer = customer
-        self._judge = judge
+        self._rules = rules
         self._limits = limits
 
     def read_state(self, snapshot: SnapshotRecord) -> FoldState:
-        """Returns the state of a snapshot whose seal is valid.
+        """Returns the state of a snapshot whose MAC is valid.
 
         Raises:
             SnapshotError: If the snapshot is malformed, or a team's signature does not prove a
@@ -172,7 +172,7 @@
         if next(find_refusals(parsed, frozenset(parsed)), None) is not None:
             raise SnapshotError("sections of the snapshot do not fit together")
         state = FoldState(
-            book=VerdictBook(self._limits),
+            verdicts=VerdictHistory(self._limits),
             quota=QuotaMeter(self._limits, content.quota),
             generation=snapshot.generation,
             version=snapshot.version,
@@ -180,7 +180,7 @@
             sections=sections,
             document=assemble_document(parsed),
         )
-        state.book.load(content.verified, content.unverified)
+        state.verdicts.load(content.verified, content.unverified)
         if state.digest != snapshot.digest:
             raise SnapshotError("digest of the snapshot does not fit its content")
         return state
@@ -226,7 +226,7 @@
             raise SnapshotError(f"publication does not cover section {state.section!r}")
         if not _may_publish(publication.team, state):
             raise SnapshotError(f"team does not own section {state.section!r}")
-        key = self._judge.find_team_key(publication.team, state.teams)
+        key = self._rules.find_team_key(publication.team, state.teams)
         signed = signed_bytes(
             publication.publication_id,
             self._customer,
@@ -256,12 +256,3 @@
         and state.teams.section == TEAMS_SECTION
         and owns_section(found, state.section)
     )
-
-
-__all__ = [
-    "SignedChange",
-    "SnapshotContent",
-    "SnapshotReader",
-    "is_sealed",
-    "make_snapshot",
-]
--- a/packages/fulmarstile_config/src/fulmarstile_config/verdict_book.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/verdict_history.py
@@ -12,7 +12,7 @@
     from fulmarstile_config.publication import PublicationVerdict
 
 
-class VerdictBook:
+class VerdictHistory:
     """Verdicts on verified publications, and apart from them on unverified records.
 
     Records without a valid signature cannot displace the verdicts on verified publications, nor
@@ -35,7 +35,7 @@
         return tuple(self._unverified)
 
     @property
-    def history(self) -> tuple[PublicationVerdict, ...]:
+    def all(self) -> tuple[PublicationVerdict, ...]:
         """All verdicts kept, in the order of the log."""
         verdicts = (*self._verified.values(), *self._unverified)
         return tuple(sorted(verdicts, key=lambda verdict: (verdict.appended_at_ms, verdict.offset)))
--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/__init__.py
@@ -0,0 +1,1 @@
+"""Builders of test data, one module for each concern."""
--- /dev/null
+++ b/tests/config/test_log_reset.py
@@ -0,0 +1,144 @@
+"""A log that has lost a stream is seeded again, and no replica takes a lower version."""
+
+from __future__ import annotations
+
+import unittest
+
+from fulmarstile_config import RefusalCode, encode_record
+from fulmarstile_testing.builders.config import LIMITS, START_MS, StreamBuilder, make_fold
+from fulmarstile_wire.records import StreamRecord
+
+
+def make_log(payloads: list[bytes], first: int = 0) -> list[StreamRecord]:
+    return [
+        StreamRecord(first + index, payload, START_MS + index)
+        for index, payload in enumerate(payloads)
+    ]
+
+
+class LogResetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.stream = StreamBuilder().publish_document()
+        self.fold = self.stream.fold
+        self.new_stream = StreamBuilder()
+
+    def make_early_publication(self) -> bytes:
+        """Returns a publication that a publisher made on the empty log."""
+        publication = self.new_stream.make_publication(
+            "owner", {"limits": LIMITS}, publication_id="early"
+        )
+        return encode_record(publication)
+
+    def test_seeded_log_keeps_the_document_and_refuses_what_came_before_the_seed(self) -> None:
+        seed = self.fold.begin_generation()
+        self.assertEqual(self.fold.head.next_offset, 0)
+        for record in make_log([self.make_early_publication(), seed]):
+            self.fold.on_record(record)
+        head = self.fold.head
+        self.assertEqual((head.generation, head.version, head.next_offset), (1, 3, 2))
+        self.assertEqual(self.fold.verdict("early").refusal.code, RefusalCode.LOG_RESET)
+
+    def test_replica_without_memory_ends_in_the_same_state(self) -> None:
+        log = make_log([self.make_early_publication(), self.fold.begin_generation()])
+        fresh = make_fold()
+        for record in log:
+            fresh.on_record(record)
+            self.fold.on_record(record)
+        self.assertEqual(fresh.head, self.fold.head)
+        self.assertEqual(fresh.history, self.fold.history)
+
+    def test_replica_that_does_not_know_of_the_loss_adopts_the_seed_at_a_lower_offset(self) -> None:
+        unaware = self.stream.replay(make_fold())
+        for record in make_log([self.fold.begin_generation()]):
+            unaware.on_record(record)
+            self.fold.on_record(record)
+        self.assertEqual(unaware.head, self.fold.head)
+
+    def test_several_replicas_may_seed_at_once(self) -> None:
+        other = self.stream.replay(make_fold())
+        seeds = [self.fold.begin_generation(), other.begin_generation()]
+        self.stream.publish("web", {"limits": LIMITS})
+        for record in make_log([*seeds, seeds[0]]):
+            for fold in (self.fold, other):
+                fold.on_record(record)
+        self.assertEqual(self.fold.head, other.head)
+        self.assertEqual(self.fold.head.generation, 1)
+        self.assertFalse(self.fold.needs_generation)
+
+    def test_replica_with_a_higher_version_seeds_again_instead_of_going_back(self) -> None:
+        lagging = self.stream.replay(make_fold(), last=2)
+        log = make_log([lagging.begin_generation()])
+        self.fold.begin_generation()
+        for fold in (self.fold, lagging):
+            fold.on_record(log[0])
+        self.assertEqual((lagging.version, self.fold.version), (2, 3))
+        self.assertTrue(self.fold.needs_generation)
+        log += make_log([self.fold.begin_generation()], first=1)
+        for fold in (self.fold, lagging):
+            fold.on_record(log[1])
+        self.assertEqual(self.fold.head, lagging.head)
+        self.assertEqual((lagging.version, lagging.head.generation), (3, 2))
+        self.assertFalse(self.fold.needs_generation)
+        fresh = make_fold()
+        for record in log:
+            fresh.on_record(record)
+        self.assertEqual(fresh.head, self.fold.head)
+
+    def test_snapshot_of_a_later_generation_with_a_lower_version_is_not_adopted(self) -> None:
+        lagging = self.stream.replay(make_fold(), last=2)
+        lagging.on_record(make_log([lagging.begin_generation()])[0])
+        self.assertEqual(lagging.head.generation, 1)
+        self.assertFalse(self.fold.restore_snapshot(lagging.encode_snapshot()))
+        self.assertEqual(self.fold.version, 3)
+        self.assertTrue(self.fold.needs_generation)
+
+    def test_log_that_lost_only_its_end_is_seeded_at_the_version_in_memory(self) -> None:
+        self.fold.begin_generation()
+        kept = self.stream.records[:2]
+        seed = self.fold.begin_generation(end_offset=2)
+        log = [*kept, *make_log([self.make_early_publication(), seed], first=2)]
+        fresh = make_fold()
+        for record in log:
+            self.fold.on_record(record)
+            fresh.on_record(record)
+        self.assertEqual((fresh.version, fresh.head.generation), (3, 1))
+        self.assertEqual(fresh.head, self.fold.head)
+        self.assertEqual(fresh.history, self.fold.history)
+
+    def test_seed_is_not_adopted_by_a_replica_that_may_have_missed_records_after_an_earlier_one(
+        self,
+    ) -> None:
+        seed = self.fold.begin_generation()
+        for record in make_log([seed]):
+            self.fold.on_record(record)
+        fresh = make_fold()
+        fresh.skip_to(40)
+        for record in make_log([seed], first=40):
+            fresh.on_record(record)
+        self.assertEqual(fresh.version, 0)
+        self.assertTrue(fresh.needs_snapshot)
+
+    def test_publications_continue_after_the_seed(self) -> None:
+        self.stream.records.clear()
+        self.stream.append(self.fold.begin_generation())
+        verdict = self.stream.publish("web", {"limits": LIMITS.replace("500", "900")})
+        self.assertTrue(verdict.accepted)
+        self.assertEqual((verdict.version, verdict.offset), (4, 1))
+
+    def test_another_record_at_a_folded_offset_shows_that_the_log_was_reset(self) -> None:
+        record = make_log([self.make_early_publication()], first=2)[0]
+        self.assertFalse(self.fold.on_record(record))
+        self.assertTrue(self.fold.needs_generation)
+        self.assertEqual(self.fold.version, 3)
+
+    def test_seeding_again_while_the_log_is_down_does_not_start_over(self) -> None:
+        first = self.fold.begin_generation()
+        self.fold.on_record(make_log([self.make_early_publication()])[0])
+        self.assertEqual(self.fold.begin_generation(), first)
+        self.assertEqual(self.fold.head.next_offset, 1)
+
+    def test_replica_that_knows_a_lost_log_takes_a_peers_higher_version(self) -> None:
+        lagging = self.stream.replay(make_fold(), last=2)
+        lagging.begin_generation()
+        self.assertTrue(lagging.restore_snapshot(self.fold.encode_snapshot()))
+        self.assertEqual(lagging.version, 3)
