--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/virtual_daemon.py
@@ -0,0 +1,298 @@
+"""A daemon in virtual time: the real decision core between fake links and a fake log."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from fulmarstile_mesh import AppendLog, Disconnect, ReadLog, Send
+from fulmarstile_testing.scenarios.calls.claims import (
+    CLAIM_MESSAGES,
+    STREAM_PREFIX,
+    ClaimDesk,
+)
+from fulmarstile_testing.scenarios.calls.entry import EntryProxy
+from fulmarstile_testing.scenarios.calls.guard import UpstreamGuard
+from fulmarstile_testing.scenarios.reference import digest_document
+from fulmarstile_testing.scenarios.trace import RouteInForce, TableApplied, UpstreamLeaving
+from fulmarstile_wire import Verdict, WireError, decode_message, encode_message
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from random import Random
+
+    from fulmarstile_config import CompiledDocument
+    from fulmarstile_daemon.core import DaemonCore
+    from fulmarstile_mesh import Effect
+    from fulmarstile_platform.log import LogPage
+    from fulmarstile_testing.scenarios.world import World
+    from fulmarstile_wire.messages import AnyMessage
+
+TICK_INTERVAL_S: Final = 0.1
+"""Time between two ticks of the cores, in seconds."""
+
+LEAVE_FLUSH_S: Final = 0.3
+"""Time for which links stay open after the daemon has announced its stop, in seconds."""
+
+
+class VirtualDaemon:
+    """Carries out the effects of a daemon's core in virtual time.
+
+    Args:
+        world: What surrounds the daemon.
+        core: The decision core.
+        clock_offset_s: What the daemon's monotonic clock shows at virtual time 0, in seconds.
+        random: Source of the random choices of the call cores.
+    """
+
+    def __init__(
+        self, world: World, core: DaemonCore, clock_offset_s: float, random: Random
+    ) -> None:
+        self._world = world
+        self._core = core
+        self._clock_offset_s = clock_offset_s
+        self._record = core.membership.record
+        self._is_running = False
+        self._is_paused = False
+        self._waiting: list[Callable[[], None]] = []
+        self._documents: dict[str, CompiledDocument] = {}
+        self._on_stopped: Callable[[], None] | None = None
+        self.claims = ClaimDesk(self)
+        """Claim cores of the daemon."""
+        self.entry = EntryProxy(world, self, random)
+        """Role towards the callers."""
+        self.guard = UpstreamGuard(world, self, world.setup_of(self.daemon_id))
+        """Role towards the upstream."""
+
+    @property
+    def core(self) -> DaemonCore:
+        """The decision core."""
+        return self._core
+
+    @property
+    def daemon_id(self) -> str:
+        """Name of the daemon."""
+        return self._record.daemon_id
+
+    @property
+    def address(self) -> str:
+        """Address of the listener for messages."""
+        return self._record.peer_address
+
+    @property
+    def availability_zone(self) -> str:
+        """Availability zone of the daemon."""
+        return self._record.availability_zone
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process exists, paused or not."""
+        return self._is_running
+
+    @property
+    def is_paused(self) -> bool:
+        """Whether the process is paused."""
+        return self._is_paused
+
+    @property
+    def now(self) -> float:
+        """The daemon's monotonic clock, in seconds."""
+        return self._world.clock.now + self._clock_offset_s
+
+    def start(self) -> None:
+        """Opens the listener and starts the ticks."""
+        self._is_running = True
+        self._world.links.attach(self.address, self._receive)
+        self._world.clock.call_later(
+            TICK_INTERVAL_S * self._world.random.random(), self._tick_regularly
+        )
+
+    def end(self) -> None:
+        """Ends the process at once."""
+        self._is_running = False
+        self._is_paused = False
+        self._waiting.clear()
+        self._world.links.detach(self.address)
+
+    def pause(self) -> None:
+        """Stops the process from running; its input waits."""
+        self._is_paused = True
+
+    def resume(self) -> None:
+        """Lets the process run again and take its input."""
+        self._is_paused = False
+        waiting, self._waiting = self._waiting, []
+        for callback in waiting:
+            self.run(callback)
+
+    def begin_stop(self, on_stopped: Callable[[], None]) -> None:
+        """Begins a planned stop.
+
+        Args:
+            on_stopped: Is called when the process may end.
+        """
+        self.run(lambda: self._begin_stop(on_stopped))
+
+    def on_announcement(self, *, is_draining: bool) -> None:
+        """Takes an announcement of the upstream beside the daemon."""
+        self.run(lambda: self.guard.on_announcement(is_draining=is_draining, now=self.now))
+
+    def run(self, callback: Callable[[], None]) -> None:
+        """Runs a callback in the process: now, after its pause, or never if the process ended.
+
+        Args:
+            callback: What to run.
+        """
+        if not self._is_running:
+            return
+        if self._is_paused:
+            self._waiting.append(callback)
+            return
+        callback()
+
+    def carry_out(self, effects: Iterable[Effect]) -> None:
+        """Carries out effects of the core, and records what came in force.
+
+        Args:
+            effects: The effects.
+        """
+        for effect in effects:
+            match effect:
+                case Send(address, message):
+                    self._send(address, message)
+                case Disconnect(address):
+                    self._world.links.disconnect(self.address, address)
+                case ReadLog():
+                    self._read_log(effect)
+                case AppendLog(stream, payload):
+                    self._append_log(stream, payload)
+        self._record_tables()
+
+    def _receive(self, frame: bytes) -> None:
+        self.run(lambda: self._handle_frame(frame))
+
+    def _handle_frame(self, frame: bytes) -> None:
+        try:
+            message = decode_message(frame)
+        except WireError:
+            return
+        if isinstance(message, CLAIM_MESSAGES):
+            self.claims.on_message(message, self.now)
+            return
+        self.carry_out(self._core.on_message(message, self.now))
+
+    def _tick_regularly(self) -> None:
+        if not self._is_running:
+            return
+        if not self._is_paused:
+            self._tick(self.now)
+        self._world.clock.call_later(TICK_INTERVAL_S, self._tick_regularly)
+
+    def _tick(self, now: float) -> None:
+        self.carry_out(self._core.on_tick(now))
+        self.claims.on_tick(now)
+        self.entry.on_tick(now)
+        self.guard.on_tick(now)
+        self._advance_stop(now)
+
+    def _begin_stop(self, on_stopped: Callable[[], None]) -> None:
+        if self._on_stopped is not None:
+            return
+        self._on_stopped = on_stopped
+        self._world.record(UpstreamLeaving(self.daemon_id))
+        self.entry.drain.begin(self.now)
+        self.guard.begin_draining(self.now)
+        self.carry_out(self._core.begin_leaving(self.now))
+
+    def _advance_stop(self, now: float) -> None:
+        drain = self.entry.drain
+        if self._on_stopped is None or drain.is_finished:
+            return
+        drain.on_tick(self.entry.in_flight + self.guard.in_flight, now)
+        if drain.is_finished:
+            self.carry_out(self._core.leave(now))
+            self._world.clock.call_later(LEAVE_FLUSH_S, self._finish_stop)
+
+    def _finish_stop(self) -> None:
+        if self._is_running and self._on_stopped is not None:
+            self._on_stopped()
+
+    def _send(self, address: str, message: AnyMessage) -> None:
+        frame = encode_message(message)
+        self._world.count_message(self.address, address, frame)
+        self._world.links.send(self.address, address, frame)
+
+    def _read_log(self, effect: ReadLog) -> None:
+        stream = effect.stream
+
+        def on_page(page: LogPage) -> None:
+            if self._world.is_cut_from_log(self.daemon_id):
+                on_failure()
+                return
+            self.run(lambda: self._handle_page(stream, page))
+
+        def on_failure() -> None:
+            self.run(lambda: self._handle_log_failure(stream))
+
+        if self._world.is_cut_from_log(self.daemon_id):
+            self._world.clock.call_later(self._world.connect_timeout_s, on_failure)
+            return
+        self._world.log.read(stream, effect.offset, effect.wait_s, on_page, on_failure)
+
+    def _append_log(self, stream: str, payload: bytes) -> None:
+        def on_done(offset: int) -> None:
+            self.run(lambda: self._handle_append_done(stream, offset))
+
+        def on_failure(verdict: Verdict) -> None:
+            self.run(lambda: self._handle_append_failure(stream, verdict))
+
+        if self._world.is_cut_from_log(self.daemon_id):
+            self._world.clock.call_later(
+                self._world.connect_timeout_s, lambda: on_failure(Verdict.NOT_RUN)
+            )
+            return
+        self._world.log.append(stream, payload, on_done, on_failure)
+
+    def _handle_page(self, stream: str, page: LogPage) -> None:
+        if stream.startswith(STREAM_PREFIX):
+            self.claims.on_log_page(stream, page, self.now)
+        else:
+            self.carry_out(self._core.on_log_page(stream, page, self.now))
+
+    def _handle_log_failure(self, stream: str) -> None:
+        if stream.startswith(STREAM_PREFIX):
+            self.claims.on_log_failure(stream, self.now)
+        else:
+            self.carry_out(self._core.on_log_failure(stream, self.now))
+
+    def _handle_append_done(self, stream: str, offset: int) -> None:
+        if stream.startswith(STREAM_PREFIX):
+            self.claims.on_append_done(stream, offset, self.now)
+        else:
+            self.carry_out(self._core.on_append_done(stream, offset, self.now))
+
+    def _handle_append_failure(self, stream: str, verdict: Verdict) -> None:
+        if stream.startswith(STREAM_PREFIX):
+            self.claims.on_append_failure(stream, verdict, self.now)
+        else:
+            self.carry_out(self._core.on_append_failure(stream, self.now))
+
+    def _record_tables(self) -> None:
+        for customer, compiled in self._core.routing_table.documents.items():
+            if self._documents.get(customer) is not compiled:
+                self._documents[customer] = compiled
+                self._world.record(_describe_table(self.daemon_id, compiled))
+
+
+def _describe_table(daemon_id: str, compiled: CompiledDocument) -> TableApplied:
+    return TableApplied(
+        daemon=daemon_id,
+        customer=compiled.customer,
+        version=compiled.version,
+        content=digest_document(compiled.document),
+        routes=tuple(
+            RouteInForce(entry.route.name, entry.pool.name, entry.pool.service)
+            for entry in compiled.routes
+        ),
+        pools=tuple(pool.name for pool in compiled.document.pools),
+        services=tuple(service.name for service in compiled.document.services),
+    )
