--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/_tail.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/_tail.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from fulmarstile_calls.claims._backoff import Backoff
 from fulmarstile_mesh.effects import ReadLog
@@ -12,6 +12,9 @@
     from fulmarstile_calls.claims.settings import ClaimSettings
     from fulmarstile_platform.log import LogPage
 
+CHECK_AFTER_S: Final = 5.0
+"""Delay of a long poll beyond its duration after which the stream is checked, in seconds."""
+
 
 class StreamTail:
     """Keeps a book up to date with its stream.
@@ -29,6 +32,9 @@
         self._backoff = Backoff(settings.min_backoff_s, settings.max_backoff_s)
         self._is_reading = False
         self._is_caught_up = False
+        self._is_checking = False
+        self._must_check = False
+        self._asked_at = 0.0
         self._resets = 0
 
     @property
@@ -46,10 +52,15 @@
         if self._is_reading or self._backoff.is_blocked(now):
             return []
         self._is_reading = True
+        self._asked_at = now
+        next_offset = self._book.next_offset
+        self._is_checking = self._must_check and next_offset > 0
+        if self._is_checking:
+            return [ReadLog(self._stream, next_offset - 1, 0.0)]
         wait_s = self._wait_s if self._is_caught_up else 0.0
-        return [ReadLog(self._stream, self._book.next_offset, wait_s)]
+        return [ReadLog(self._stream, next_offset, wait_s)]
 
-    def on_page(self, page: LogPage) -> list[str]:
+    def on_page(self, page: LogPage, now: float) -> list[str]:
         """Folds a page.
 
         Returns:
@@ -57,8 +68,9 @@
         """
         self._is_reading = False
         self._backoff.on_success()
+        self._must_check = now - self._asked_at > self._wait_s + CHECK_AFTER_S
         book = self._book
-        if page.end_offset < book.next_offset:
+        if self._has_lost_stream(page):
             self._resets += 1
             self._is_caught_up = False
             book.restart()
@@ -72,6 +84,15 @@
         return claim_ids
 
     def on_failure(self, now: float) -> None:
-        """Notes that a read failed."""
+        """Notes that a read failed; the next one checks that the stream is still the same."""
         self._is_reading = False
+        self._must_check = True
         self._backoff.on_failure(now)
+
+    def _has_lost_stream(self, page: LogPage) -> bool:
+        next_offset = self._book.next_offset
+        if page.end_offset < next_offset:
+            return True
+        if not self._is_checking or page.first_offset >= next_offset:
+            return False
+        return not page.records or page.records[0] != self._book.last_record
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/batcher.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/batcher.py
@@ -158,7 +158,7 @@
     def on_log_page(self, page: LogPage, now: float) -> list[Effect]:
         """Folds a page of the stream and replies to the claims found in it."""
         effects: list[Effect] = []
-        for claim_id in self._tail.on_page(page):
+        for claim_id in self._tail.on_page(page, now):
             self._queue.discard(claim_id)
             waiting = self._waiting.pop(claim_id, None)
             if waiting is not None:
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/book.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/book.py
@@ -63,6 +63,12 @@
         self._clock_ms = 0
         self._opened_at_ms = 0
         self._malformed = 0
+        self._last_record: LogRecord | None = None
+
+    @property
+    def last_record(self) -> LogRecord | None:
+        """The record that was folded last."""
+        return self._last_record
 
     @property
     def next_offset(self) -> int:
@@ -89,6 +95,7 @@
             Identifiers of the claims in the record, also of those reported an outcome.
         """
         self._next_offset = record.offset + 1
+        self._last_record = record
         self._advance_clock(record.appended_at_ms)
         if record.offset == 0:
             self._opened_at_ms = max(self._opened_at_ms, record.appended_at_ms)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_log.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_log.py
@@ -33,6 +33,8 @@
     """Mean time of an operation, in seconds."""
     timeout_s: float = 0.5
     """Time after which a lost answer is noticed, in seconds."""
+    retention_s: float = 1e9
+    """Age at which records expire, in seconds."""
 
 
 class VirtualLog:
@@ -134,7 +136,11 @@
 
     def _make_page(self, stream: str, offset: int) -> LogPage:
         records = self._streams.get(stream, [])
-        return LogPage(tuple(records[offset : offset + PAGE_RECORDS]), 0, len(records))
+        horizon_ms = EPOCH_MS + int((self._time.now - self._faults.retention_s) * 1000)
+        kept = [record.offset for record in records if record.appended_at_ms >= horizon_ms]
+        first = kept[0] if kept else len(records)
+        start = max(first, offset)
+        return LogPage(tuple(records[start : start + PAGE_RECORDS]), first, len(records))
 
     def _draw_latency(self) -> float:
         return self._random.expovariate(1 / self._faults.latency_s)
