--- a/packages/fulmarstile_config/src/fulmarstile_config/_yaml.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/_yaml.py
@@ -60,9 +60,7 @@
         _collect_lines(section, root, "$", lines)
         return YamlContent(SafeConstructor().construct_document(root), lines)
     except yaml.MarkedYAMLError as error:
-        mark = error.problem_mark or error.context_mark
-        line = mark.line + 1 if mark else 0
-        raise _refused(section, error.problem or "malformed YAML", line) from None
+        raise _refused(section, _describe(error), _line_of(error, body)) from None
     except yaml.YAMLError as error:
         raise _refused(section, str(error).splitlines()[0], 0) from None
     except (ValueError, OverflowError, RecursionError, KeyError, TypeError) as error:
@@ -73,6 +71,23 @@
     return RefusedError(Refusal(RefusalCode.SYNTAX, reason[:_MAX_REASON_CHARS], section, line))
 
 
+def _describe(error: yaml.MarkedYAMLError) -> str:
+    problem = error.problem or "malformed YAML"
+    if not error.context:
+        return problem
+    if error.context_mark is None:
+        return f"{error.context}: {problem}"
+    return f"{error.context} from line {error.context_mark.line + 1}: {problem}"
+
+
+def _line_of(error: yaml.MarkedYAMLError, body: str) -> int:
+    mark = error.problem_mark or error.context_mark
+    if mark is None:
+        return 0
+    # The parser may report the end of the text as a line of its own.
+    return min(mark.line + 1, max(1, len(body.splitlines())))
+
+
 def _check_events(section: str, body: str) -> None:
     depth = 0
     nodes = 0
--- a/packages/fulmarstile_config/src/fulmarstile_config/fold.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/fold.py
@@ -9,7 +9,7 @@
 
 from fulmarstile_config.errors import SnapshotError
 from fulmarstile_config.fold_counters import FoldCounters
-from fulmarstile_config.fold_state import FoldState
+from fulmarstile_config.fold_state import FoldState, digest_record
 from fulmarstile_config.limits import FoldLimits
 from fulmarstile_config.publication_handler import PublicationHandler
 from fulmarstile_config.publication_rules import PublicationRules
@@ -218,24 +218,32 @@
         self._recent.append(record)
         self._next_offset = record.offset + 1
         self._fold(record)
-        self._note_folded()
+        self._note_folded(record)
 
     def _check_earlier(self, record: StreamRecord) -> None:
-        known = self._recent.find(record.offset)
-        if known is not None and known.payload == record.payload:
-            return
-        snapshot = self._open_snapshot(record.payload)
+        is_other = self._is_other_record(record)
+        snapshot = self._open_snapshot(record.payload) if is_other is not False else None
         if snapshot is not None and snapshot.is_seed:
             self._on_earlier_seed(snapshot, record)
-        elif known is not None:
+        elif is_other:
             self._is_contradicted = True
 
+    def _is_other_record(self, record: StreamRecord) -> bool | None:
+        """Returns whether another record was folded at the offset; None if it is forgotten."""
+        known = self._recent.find(record.offset)
+        if known is not None:
+            return known.payload != record.payload
+        if record.offset == self._folded_offset - 1 and self._state.last_record:
+            return digest_record(record.payload) != self._state.last_record
+        return None
+
     def _on_earlier_seed(self, snapshot: SnapshotRecord, record: StreamRecord) -> None:
         if snapshot.generation <= self._state.generation:
             return
         # The records kept are those of the log that was lost; none of them follows the seed.
         self._recent.clear()
         self._on_seed(snapshot, record, ())
+        self._note_folded(record)
 
     def _note_gap(self, offset: int) -> None:
         self._seen_from = offset
@@ -244,10 +252,11 @@
         self._is_complete = False
         self._counters.gaps += 1
 
-    def _note_folded(self) -> None:
-        if not self._is_complete or self._is_reset:
+    def _note_folded(self, record: StreamRecord) -> None:
+        if not self._is_complete or self._is_reset or record.offset != self._next_offset - 1:
             return
         self._folded_offset = self._next_offset
+        self._state.last_record = digest_record(record.payload)
         if self._state.digest != self._digests[-1][1]:
             self._digests.append((self._next_offset, self._state.digest))
 
@@ -373,4 +382,4 @@
         while (record := self._recent.find(self._next_offset)) is not None:
             self._next_offset += 1
             self._fold(record)
-            self._note_folded()
+            self._note_folded(record)
--- a/packages/fulmarstile_config/src/fulmarstile_config/fold_state.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/fold_state.py
@@ -50,9 +50,10 @@
 
     @property
     def body_digest(self) -> bytes:
-        """SHA-256 of the body."""
+        """SHA-256 of the body as its publication states it; empty if it does not."""
         changes = self.publication.changes
-        return next(change.body_digest for change in changes if change.section == self.section)
+        digests = (change.body_digest for change in changes if change.section == self.section)
+        return next(digests, b"")
 
 
 @dataclass(slots=True)
@@ -68,6 +69,8 @@
     sections: dict[str, SectionState] = field(default_factory=dict)
     document: Document = field(default_factory=Document)
     digest: bytes = b""
+    last_record: bytes = b""
+    """Digest of the record folded last; shows whether the log still holds that record."""
 
     def __post_init__(self) -> None:
         self.digest = self.compute_digest()
@@ -80,3 +83,8 @@
         ]
         encoded = _encoder.encode((self.version, self.sequence, content))
         return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).digest()
+
+
+def digest_record(payload: bytes) -> bytes:
+    """Returns the digest of a record's payload."""
+    return hashlib.blake2b(payload, digest_size=DIGEST_BYTES).digest()
--- a/packages/fulmarstile_config/src/fulmarstile_config/snapshot.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/snapshot.py
@@ -51,6 +51,8 @@
     verified: tuple[PublicationVerdict, ...]
     unverified: tuple[PublicationVerdict, ...]
     quota: QuotaState
+    last_record: bytes
+    """Digest of the record folded last."""
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -107,6 +109,7 @@
         verified=state.verdicts.verified,
         unverified=state.verdicts.unverified,
         quota=state.quota.state,
+        last_record=state.last_record,
     )
 
 
@@ -179,6 +182,7 @@
             sequence=snapshot.sequence,
             sections=sections,
             document=assemble_document(parsed),
+            last_record=content.last_record,
         )
         state.verdicts.load(content.verified, content.unverified)
         if state.digest != snapshot.digest:
--- a/tests/config/test_snapshots.py
+++ b/tests/config/test_snapshots.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 import msgspec
 
-from fulmarstile_config import CustomerFold, FoldLimits, encode_record
+from fulmarstile_config import CustomerFold, FoldLimits, SectionState, encode_record
+from fulmarstile_config.fold_state import FoldState
+from fulmarstile_config.quota import QuotaMeter
 from fulmarstile_config.records import SnapshotRecord, decode_record
+from fulmarstile_config.section import parse_section
+from fulmarstile_config.snapshot import make_snapshot
+from fulmarstile_config.verdict_history import VerdictHistory
 from fulmarstile_testing.builders.config import (
     CUSTOMER,
     LIMITS,
@@ -77,6 +83,42 @@
         self.assertFalse(fold.restore_snapshot(intruder.encode_snapshot()))
         self.assertEqual(fold.counters.snapshots_refused, 1)
 
+    def test_snapshot_whose_sections_differ_from_their_publications_is_refused(self) -> None:
+        limits, routes = self.fold.sections["limits"], self.fold.sections["routes"]
+        altered = parse_section("limits", FASTER)
+        narrow = dataclasses.replace(
+            limits.teams, parsed=parse_section("teams", make_teams({"web": ("routes",)}))
+        )
+        for name, forged in {
+            "altered body": dataclasses.replace(limits, body=FASTER, parsed=altered),
+            "publication of another section": dataclasses.replace(
+                limits, publication=self.fold.sections["pools"].publication
+            ),
+            "section moved to another team": dataclasses.replace(limits, teams=routes.teams.teams),
+            "teams section that no owner signed": dataclasses.replace(
+                limits, teams=dataclasses.replace(narrow, body=make_teams({"web": ("limits",)}))
+            ),
+        }.items():
+            with self.subTest(name):
+                self.assertFalse(make_fold().restore_snapshot(self.pack({"limits": forged})))
+        self.assertTrue(make_fold().restore_snapshot(self.pack({"limits": limits})))
+
+    def test_snapshot_with_a_section_of_a_team_that_does_not_own_it_is_refused(self) -> None:
+        stream = StreamBuilder()
+        stream.publish("owner", {"teams": make_teams({"web": ("limits", "routes")})})
+        stream.publish("web", {"limits": LIMITS})
+        stream.publish("owner", {"teams": make_teams({"web": ("routes",)})})
+        limits = dataclasses.replace(
+            stream.fold.sections["limits"], teams=stream.fold.sections["teams"]
+        )
+        self.assertFalse(make_fold().restore_snapshot(self.pack({"limits": limits})))
+
+    def pack(self, sections: dict[str, SectionState]) -> bytes:
+        """Returns a snapshot of `sections`, authenticated with the true mesh key."""
+        limits = FoldLimits()
+        state = FoldState(VerdictHistory(limits), QuotaMeter(limits), sections=sections)
+        return encode_record(make_snapshot(CUSTOMER, MESH_KEY, state, next_offset=5))
+
     def test_sections_stay_proven_after_their_team_got_another_key_or_was_removed(self) -> None:
         owned = {"web": ("routes", "limits")}
         for teams in (make_teams(owned, {"web": "web-2"}), make_teams({"other": ("routes",)})):
