--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/calls/entry.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/calls/entry.py
@@ -109,7 +109,7 @@
         else:
             self._send(call)
 
-    def on_tick(self, now: float) -> None:
+    def follow_endpoints(self, now: float) -> None:
         """Follows the set of usable upstreams."""
         endpoints = self._daemon.core.endpoints
         if endpoints is not self._endpoints:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/reference.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/reference.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
+    from fulmarstile_config import PublicationVerdict
     from fulmarstile_config.document import Document
     from fulmarstile_platform.log import LogRecord
     from fulmarstile_testing.scenarios.trace import TraceEvent
@@ -43,6 +44,7 @@
         self._mesh_key = mesh_key
         self._record = record
         self._folds = {customer: self._new_fold(customer) for customer in sorted(owner_keys)}
+        self._decided: set[tuple[str, str]] = set()
         self._streams = {stream_name(customer): customer for customer in owner_keys}
 
     def fold(self, customer: str) -> CustomerFold:
@@ -60,11 +62,11 @@
         if customer is None:
             return
         fold = self._folds[customer]
-        known = len(fold.history)
-        last = fold.history[-1] if known else None
         fold.on_record(StreamRecord(record.offset, record.payload, record.appended_at_ms))
-        if fold.history and fold.history[-1] is not last:
-            self._record_verdict(customer)
+        for verdict in fold.history:
+            if (customer, verdict.publication_id) not in self._decided:
+                self._decided.add((customer, verdict.publication_id))
+                self._record_verdict(customer, verdict)
 
     def on_forget(self, daemon_folds: Mapping[str, Iterable[CustomerFold]]) -> None:
         """Goes on from the newest state in the daemons' memory once the log has lost its records.
@@ -75,17 +77,16 @@
         for customer in self._folds:
             newest = max(daemon_folds.get(customer, ()), key=_rank, default=None)
             fold = self._new_fold(customer)
-            if newest is not None:
+            if newest is not None and newest.sequence:
                 fold.restore_snapshot(newest.encode_snapshot())
-            fold.begin_generation()
+                fold.begin_generation()
             self._folds[customer] = fold
 
     def _new_fold(self, customer: str) -> CustomerFold:
         return CustomerFold(customer, self._owner_keys[customer], self._mesh_key)
 
-    def _record_verdict(self, customer: str) -> None:
+    def _record_verdict(self, customer: str, verdict: PublicationVerdict) -> None:
         fold = self._folds[customer]
-        verdict = fold.history[-1]
         reason = verdict.refusal.code.value if verdict.refusal is not None else ""
         self._record(
             PublicationDecided(
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/virtual_daemon.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/virtual_daemon.py
@@ -166,6 +166,7 @@
                 case AppendLog(stream, payload):
                     self._append_log(stream, payload)
         self._record_tables()
+        self.entry.follow_endpoints(self.now)
 
     def _receive(self, frame: bytes) -> None:
         self.run(lambda: self._handle_frame(frame))
@@ -190,7 +191,6 @@
     def _tick(self, now: float) -> None:
         self.carry_out(self._core.on_tick(now))
         self.claims.on_tick(now)
-        self.entry.on_tick(now)
         self.guard.on_tick(now)
         self._advance_stop(now)
 
