--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/_customer_queue.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/_customer_queue.py
@@ -60,21 +60,28 @@
         self.size -= 1
         return self._classes[best].popitem(last=False)[1]
 
-    def pop_worst(self) -> AdmissionTicket:
-        """Removes and returns the newest request of the lowest class; there must be one."""
-        for waiting in reversed(self._classes):
-            if waiting:
-                self.size -= 1
-                return waiting.popitem(last=True)[1]
-        raise LookupError("the queue is empty")
-
-    def worst_priority(self) -> int:
-        """Returns the lowest class with a waiting request, or -1 if there is none."""
-        for index in range(len(self._classes) - 1, -1, -1):
-            if self._classes[index]:
-                return index
-        return -1
+    def pop_excess(self) -> AdmissionTicket:
+        """Removes and returns the newest request of the longest class for its share."""
+        return self._pop_newest(self._longest_class())
+
+    def pop_for(self, priority: int) -> AdmissionTicket | None:
+        """Removes and returns a request that gives way to a new one of a class, if any does."""
+        longest = self._longest_class()
+        size_after = (len(self._classes[priority]) + 1) * _CLASS_COSTS[priority]
+        if longest == priority or self._relative_size(longest) <= size_after:
+            return None
+        return self._pop_newest(longest)
 
     def count_ahead(self, priority: int) -> int:
         """Returns how many requests of the same or a higher class wait."""
         return sum(len(self._classes[index]) for index in range(priority + 1))
+
+    def _longest_class(self) -> int:
+        return max(range(len(self._classes)), key=self._relative_size)
+
+    def _relative_size(self, index: int) -> float:
+        return len(self._classes[index]) * _CLASS_COSTS[index]
+
+    def _pop_newest(self, index: int) -> AdmissionTicket:
+        self.size -= 1
+        return self._classes[index].popitem(last=True)[1]
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
@@ -84,7 +84,7 @@
             self._start(ticket, queue, now)
             return [Admitted(ticket.ticket_id)]
         wait_s = self._estimate_wait(ticket, queue)
-        if now + wait_s + self._service_time.fast_s > ticket.deadline_s:
+        if now + wait_s + self._service_time.mean_s > ticket.deadline_s:
             self._forget_if_idle(ticket.customer, queue)
             return [self._refuse_deadline(ticket, wait_s)]
         return self._enqueue(ticket, queue, wait_s, now)
@@ -182,10 +182,8 @@
         """Removes and returns the waiting request that gives way to a new one, if any does."""
         longest = max(self._customers.values(), key=_relative_size, default=queue)
         if longest is not queue and _relative_size(longest) > (queue.size + 1) / queue.weight:
-            return longest.pop_worst()
-        if queue.worst_priority() > ticket.priority:
-            return queue.pop_worst()
-        return None
+            return longest.pop_excess()
+        return queue.pop_for(ticket.priority)
 
     def _admit(self, now: float) -> list[AdmissionEffect]:
         effects: list[AdmissionEffect] = []
@@ -193,7 +191,7 @@
             queue = self._choose_queue()
             ticket = queue.pop_next()
             del self._waiting[ticket.ticket_id]
-            if self._is_hopeless(ticket, now):
+            if self._is_hopeless(ticket, now) or self._is_risky(ticket, now):
                 effects.append(self._refuse_deadline(ticket, self._service_time.mean_s))
                 continue
             self._start(ticket, queue, now)
@@ -214,6 +212,12 @@
             return True
         return bool(self._running) and now + self._service_time.fast_s > ticket.deadline_s
 
+    def _is_risky(self, ticket: AdmissionTicket, now: float) -> bool:
+        """Returns whether a slot is better spent on one of the many others that wait."""
+        if len(self._waiting) < self._slots:
+            return False
+        return now + self._service_time.slow_s > ticket.deadline_s
+
     def _estimate_wait(self, ticket: AdmissionTicket, queue: CustomerQueue) -> float:
         """Estimates the time until a request would get a slot, in seconds."""
         if self._slots == 0:
