--- a/packages/fulmarstile_config/src/fulmarstile_config/fold.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/fold.py
@@ -186,6 +186,9 @@
         snapshot = self._open_snapshot(payload)
         if snapshot is None or snapshot.is_seed or not self._is_newer(snapshot):
             return False
+        if snapshot.generation > self._state.generation and not self._is_reset:
+            # The records kept are those of the log that was lost; none follows the snapshot.
+            self._recent.clear()
         return self._adopt(snapshot, snapshot.next_offset)
 
     def begin_generation(self, end_offset: int = 0) -> bytes:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/upstream.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/upstream.py
@@ -55,6 +55,7 @@
         clock: Virtual time.
         run_s: Time that a request takes, in seconds.
         find_daemon: Returns the daemon beside the upstream, or None if it does not run.
+        on_crash: Is called when the upstream ends at once.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         clock: VirtualClock,
         run_s: float,
         find_daemon: Callable[[], UpstreamDaemon | None],
+        on_crash: Callable[[], None],
     ) -> None:
         self.delay_s = 0.0
         """Time added to each request, in seconds."""
@@ -70,9 +72,9 @@
         self._clock = clock
         self._run_s = run_s
         self._find_daemon = find_daemon
+        self._on_crash = on_crash
         self._is_crashed = False
         self._is_draining = False
-        self._crash_count = 0
         self._runs: list[UpstreamRun] = []
         clock.call_later(0.0, self._announce_regularly)
 
@@ -111,6 +113,7 @@
             return
         self._is_crashed = True
         self._is_draining = False
+        self._on_crash()
         for run in list(self._runs):
             self._end(run, RunOutcome.CUT_OFF)
         self._clock.call_later(duration_s, self._recover)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/checkers/planned_stops_cut_nothing.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/checkers/planned_stops_cut_nothing.py
@@ -54,9 +54,11 @@
                 self._leaving.add(event.daemon)
             case UpstreamReady():
                 self._leaving.discard(event.daemon)
-            case DaemonKilled() | UpstreamCrashed():
+            case DaemonKilled():
                 self._stopping.discard(event.daemon)
                 self._leaving.discard(event.daemon)
+            case UpstreamCrashed():
+                self._leaving.discard(event.daemon)
 
     def on_end(self, at: float) -> None:
         """Handles the end of the run."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/checkers/version_never_falls.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/checkers/version_never_falls.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from fulmarstile_testing.scenarios.checkers.base import PromiseViolatedError
-from fulmarstile_testing.scenarios.trace import TableApplied
+from fulmarstile_testing.scenarios.trace import LogForgot, TableApplied
 
 if TYPE_CHECKING:
     from fulmarstile_testing.scenarios.trace import TraceEvent
@@ -19,6 +19,8 @@
 
     def on_event(self, at: float, event: TraceEvent) -> None:
         """Handles an event."""
+        if isinstance(event, LogForgot) and not event.survivors:
+            self._highest.clear()
         if not isinstance(event, TableApplied):
             return
         key = (event.daemon, event.customer)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/checkers/versions_are_whole.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/checkers/versions_are_whole.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from fulmarstile_testing.scenarios.checkers.base import PromiseViolatedError
-from fulmarstile_testing.scenarios.trace import PublicationDecided, TableApplied
+from fulmarstile_testing.scenarios.trace import LogForgot, PublicationDecided, TableApplied
 
 if TYPE_CHECKING:
     from fulmarstile_testing.scenarios.trace import TraceEvent
@@ -23,6 +23,8 @@
             self._on_decided(event)
         elif isinstance(event, TableApplied):
             self._on_applied(event)
+        elif isinstance(event, LogForgot) and not event.survivors:
+            self._contents.clear()
 
     def on_end(self, at: float) -> None:
         """Handles the end of the run."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/runner.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from dataclasses import dataclass
 from multiprocessing import get_context
 from pathlib import Path
@@ -10,6 +11,7 @@
 from fulmarstile_testing.scenarios.driver import run_scenario
 from fulmarstile_testing.scenarios.pairs import PAIR_NAMES, write_pair
 from fulmarstile_testing.scenarios.parser import parse_scenario
+from fulmarstile_wire.errors import FulmarstileError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -72,7 +74,7 @@
     if result.failure is None:
         return None
     last_steps = result.trace.encode(LAST_STEPS).decode()
-    return RunFailure(request, str(result.failure), last_steps)
+    return RunFailure(request, _describe_error(result.failure), last_steps)
 
 
 def run_all(requests: list[RunRequest], jobs: int) -> list[RunFailure]:
@@ -112,6 +114,12 @@
     ]
 
 
+def _describe_error(error: Exception) -> str:
+    if isinstance(error, FulmarstileError):
+        return str(error)
+    return "".join(traceback.format_exception(error)).strip()
+
+
 def _alternate(names: list[str], pairs: list[str]) -> Iterator[str]:
     """Yields one file and two pairs in turn, without end."""
     index = 0
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/trace.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/trace.py
@@ -62,6 +62,9 @@
 class LogForgot(TraceEvent, frozen=True):
     """The log lost all its records."""
 
+    survivors: tuple[str, ...]
+    """Running daemons; without any, no memory of the configuration is left."""
+
 
 class TimePassed(TraceEvent, frozen=True):
     """A second passed; carries a digest of all messages between daemons so far."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/world.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/world.py
@@ -24,6 +24,7 @@
     IsolationChanged,
     TimePassed,
     Trace,
+    UpstreamCrashed,
 )
 from fulmarstile_testing.scenarios.virtual_daemon import VirtualDaemon
 from fulmarstile_wire.records import MemberRecord, MemberStatus
@@ -78,7 +79,12 @@
         self.reference = ReferenceFolds(self._owner_keys, self._mesh_key, self.record)
         self.log.on_append = self.reference.on_append
         self.upstreams = {
-            daemon_id: FakeUpstream(self.clock, service.run_s, partial(self.daemons.get, daemon_id))
+            daemon_id: FakeUpstream(
+                self.clock,
+                service.run_s,
+                partial(self.daemons.get, daemon_id),
+                partial(self._record_crash, daemon_id),
+            )
             for service in scenario.services
             for daemon_id in service.daemon_ids
         }
@@ -259,6 +265,9 @@
     def _services_of(self, customer: str) -> tuple[ServiceSetup, ...]:
         return tuple(item for item in self.scenario.services if item.customer == customer)
 
+    def _record_crash(self, daemon_id: str) -> None:
+        self.record(UpstreamCrashed(daemon_id))
+
     def _pass_second(self) -> None:
         self.record(TimePassed(self._message_count, self._message_digest.hexdigest()))
         self.clock.call_later(1.0, self._pass_second)
