Test membership in virtual time and steady it under mass death

Trials on 60 to 200 virtual daemons showed stragglers after the death of half of them: neighbours that were already suspected stayed in the overlay until declared dead, and self-doubt at half of the peers stretched the time-outs although the local VM was fine. Suspected members are now left out of the overlay at once and told directly, and a VM doubts itself only when more than three quarters of its peers are silent.

The relay derives its topology only when a member changed.

--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_failure_detector.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_failure_detector.py
@@ -13,8 +13,8 @@
     from fulmarstile_wire.records import MemberRecord
 
 _RELAYED_PROBE_LIFETIME_S: Final = 5.0
-_MANY_MISSES_DIVISOR: Final = 2
-"""A VM that misses replies of more than one in this many peers doubts itself."""
+_SELF_DOUBT_SHARE: Final = 0.75
+"""Share of the peers whose replies a VM has to miss before it doubts itself."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,7 +206,7 @@
     def _doubt_self(self, peers: Sequence[MemberRecord]) -> None:
         ids = {peer.daemon_id for peer in peers}
         self._missed &= ids
-        if len(ids) > 1 and len(self._missed) * _MANY_MISSES_DIVISOR > len(ids):
+        if len(ids) > 1 and len(self._missed) > _SELF_DOUBT_SHARE * len(ids):
             self._raise_slowness()
 
     def _check_suspicions(self, now: float) -> list[DetectorAction]:
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_gossip.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_gossip.py
@@ -218,9 +218,10 @@
     def _update_peers(self) -> None:
         self._is_outdated = False
         known = {peer.daemon_id for peer in self._active_peers}
+        others = self._view.list_others()
         self._active_peers = choose_peers(
             self._view.own,
-            self._view.list_others(),
+            [other for other in others if other.status is not MemberStatus.SUSPECT] or others,
             self._settings.zone_rings,
             self._settings.global_rings,
         )
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_member_table.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_member_table.py
@@ -27,6 +27,8 @@
         self.members: dict[str, MemberRecord] = {}
         self.upstreams: dict[str, UpstreamRecord] = {}
         self.applied: dict[tuple[str, str], AppliedRecord] = {}
+        self.version = 0
+        """Raised whenever a member's record changes."""
         self._applied_customers: dict[str, set[str]] = {}
         self._ended_at: dict[str, float] = {}
         self._observed_at: dict[tuple[str, str], float] = {}
@@ -42,6 +44,7 @@
             )
             if result is not MergeResult.NEWER:
                 return result
+        self.version += 1
         self.members[record.daemon_id] = record
         if is_running(record):
             self._ended_at.pop(record.daemon_id, None)
@@ -106,6 +109,7 @@
         return expired
 
     def _forget(self, daemon_id: str) -> None:
+        self.version += 1
         del self.members[daemon_id]
         del self._ended_at[daemon_id]
         self.upstreams.pop(daemon_id, None)
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_shared_view.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_shared_view.py
@@ -57,6 +57,8 @@
         self.crashes = CrashBook(settings.quarantine_s, settings.quarantine_limit)
         self.digest = ViewDigest(self.table)
         self._own_id = own.daemon_id
+        self._others: list[MemberRecord] = []
+        self._others_version = -1
         self.put_member(own, NewsPriority.NORMAL, 0.0)
 
     @property
@@ -66,11 +68,14 @@
 
     def list_others(self) -> list[MemberRecord]:
         """Returns the running members besides the local daemon."""
-        return [
-            record
-            for daemon_id, record in self.table.members.items()
-            if daemon_id != self._own_id and is_running(record)
-        ]
+        if self._others_version != self.table.version:
+            self._others_version = self.table.version
+            self._others = [
+                record
+                for daemon_id, record in self.table.members.items()
+                if daemon_id != self._own_id and is_running(record)
+            ]
+        return self._others
 
     def put_member(self, record: MemberRecord, priority: NewsPriority, now: float) -> bool:
         """Takes over a record of local origin; returns whether it was newer."""
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_stream.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_stream.py
@@ -51,7 +51,10 @@
     """Derives the duties and neighbours of a daemon from the membership view."""
     concerned = list_concerned(view, customer)
     others = [record for record in concerned if record.daemon_id != own.daemon_id]
-    neighbours = choose_peers(own, others, settings.zone_rings, settings.global_rings)
+    unsuspected = [record for record in others if record.status is not MemberStatus.SUSPECT]
+    neighbours = choose_peers(
+        own, unsuspected or others, settings.zone_rings, settings.global_rings
+    )
     is_near = [peer.availability_zone == own.availability_zone for peer in neighbours]
     candidates = [own, *(record for record in others if record.status is MemberStatus.ALIVE)]
     zones: dict[str, list[MemberRecord]] = {}
@@ -100,7 +103,9 @@
     replica: StreamReplica
     backoff: Backoff
     topology: Topology = Topology()
-    topology_expires_at: float = float("-inf")
+    topology_at: float = float("-inf")
+    topology_version: int = -1
+    """Version of the members that the topology was derived from."""
     peer_heads: dict[str, StreamHead] = field(default_factory=dict)
     held: dict[int, StreamRecord] = field(default_factory=dict)
     """Records received ahead of their turn."""
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/membership.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/membership.py
@@ -85,6 +85,11 @@
         """Known members by `daemon_id`, the local daemon and ended members included."""
         return MappingProxyType(self._view.table.members)
 
+    @property
+    def members_version(self) -> int:
+        """Number that changes whenever a member's record does."""
+        return self._view.table.version
+
     @property
     def upstreams(self) -> Mapping[str, UpstreamRecord]:
         """Announced upstreams by `daemon_id`."""
@@ -307,7 +312,10 @@
         suspected = msgspec.structs.replace(record, status=MemberStatus.SUSPECT)
         if not self._view.put_member(suspected, NewsPriority.URGENT, now):
             return []
-        return [MembersChanged(), *self._gossip.flush_urgent(now)]
+        effects: list[Effect] = [MembersChanged(), *self._gossip.flush_urgent(now, at_once=True)]
+        effects += self._gossip.send_view(record.peer_address, [suspected], now)
+        self._gossip.on_members_changed()
+        return effects
 
     def _declare_dead(self, daemon_id: str, incarnation: int, now: float) -> list[Effect]:
         record = self.members.get(daemon_id)
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/relay.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/relay.py
@@ -5,39 +5,38 @@
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_mesh._log_following import LogFollowing
-from fulmarstile_mesh._rate import Backoff, TokenBucket
+from fulmarstile_mesh._rate import Backoff
+from fulmarstile_mesh._relay_mailer import RelayMailer
 from fulmarstile_mesh._stream import (
     CONFIG_STREAM_PREFIX,
     OutstandingRequest,
     Stream,
     build_topology,
 )
-from fulmarstile_mesh.effects import Apply, Effect, Send
+from fulmarstile_mesh.effects import Apply, Effect
 from fulmarstile_mesh.relay_state import RelayCounters, RelayState, StreamState
 from fulmarstile_mesh.settings import SpreadMode
-from fulmarstile_wire.messages import (
-    Heads,
-    RecordBatch,
-    RecordRequest,
-    SnapshotOffer,
-    SnapshotRequest,
-)
 from fulmarstile_wire.records import StreamHead, StreamRecord
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping, Sequence
+    from collections.abc import Callable, Iterable, Mapping
     from random import Random
 
     from fulmarstile_mesh.replica import StreamReplica
     from fulmarstile_mesh.settings import RelaySettings
     from fulmarstile_mesh.view import MeshView
     from fulmarstile_platform.log import LogPage
-    from fulmarstile_wire.messages import Message
+    from fulmarstile_wire.messages import (
+        Heads,
+        Message,
+        RecordBatch,
+        RecordRequest,
+        SnapshotOffer,
+        SnapshotRequest,
+    )
     from fulmarstile_wire.records import MemberRecord
 
-_TOPOLOGY_LIFETIME_S: Final = 1.0
-_BURST_SNAPSHOT_OFFERS: Final = 8.0
-_MAX_BATCHES_PER_ANSWER: Final = 4
+_MIN_TOPOLOGY_INTERVAL_S: Final = 0.5
 
 
 class Relay:
@@ -69,16 +68,14 @@
     ) -> None:
         self._settings = settings
         self._daemon_id = daemon_id
-        self._reply_to = reply_to
         self._availability_zone = availability_zone
-        self._region = region
         self._replicas = replicas
         self._view = view
         self._random = random
         self._counters = RelayCounters()
         self._log = LogFollowing(settings, random, self._counters, is_snapshot)
         self._streams: dict[str, Stream] = {}
-        self._offer_budget = TokenBucket(settings.snapshot_offers_per_s, _BURST_SNAPSHOT_OFFERS)
+        self._mailer = RelayMailer(settings, daemon_id, reply_to, self._counters)
         self._next_anti_entropy_at: float | None = None
 
     @property
@@ -114,13 +111,13 @@
         if message.generation > head.generation:
             return []
         if message.generation < head.generation:
-            return self._offer_snapshot(stream, message.reply_to, now)
+            return self._mailer.offer_snapshot(message.reply_to, stream.replica, now)
         if message.from_offset >= head.next_offset:
-            return [self._send_heads(message.reply_to, [head])]
+            return [self._mailer.send_heads(message.reply_to, [head])]
         records = stream.replica.records_from(message.from_offset)
         if records is None:
-            return self._offer_snapshot(stream, message.reply_to, now)
-        return self._send_batches(message.reply_to, head, records)
+            return self._mailer.offer_snapshot(message.reply_to, stream.replica, now)
+        return self._mailer.send_batches(message.reply_to, head, records)
 
     def on_record_batch(self, message: RecordBatch, now: float) -> list[Effect]:
         """Folds records received from a peer, in the order of their offsets."""
@@ -146,7 +143,7 @@
         stream = self._get_stream(message.customer)
         if stream is None or not stream.is_reliable:
             return []
-        return self._offer_snapshot(stream, message.reply_to, now)
+        return self._mailer.offer_snapshot(message.reply_to, stream.replica, now)
 
     def on_snapshot_offer(self, message: SnapshotOffer, now: float) -> list[Effect]:
         """Adopts a snapshot if it is newer than the replica."""
@@ -203,10 +200,10 @@
         return effects
 
     def _tick_stream(self, stream: Stream, now: float) -> list[Effect]:
-        self._refresh_topology(stream, now)
+        effects = self._refresh_topology(stream, now)
         if not self._view.is_settled:
-            return []
-        effects = self._pull_if_due(stream, now)
+            return effects
+        effects += self._pull_if_due(stream, now)
         effects += self._log.on_tick(stream, now)
         effects += self._try_apply(stream)
         return effects
@@ -242,8 +239,8 @@
         if self._settings.mode is SpreadMode.PUSH and head.generation == own.generation:
             records = stream.replica.records_from(head.next_offset)
             if records is not None:
-                return self._send_batches(reply_to, own, records)
-        return [self._send_heads(reply_to, [own])]
+                return self._mailer.send_batches(reply_to, own, records)
+        return [self._mailer.send_heads(reply_to, [own])]
 
     def _schedule_pull(self, stream: Stream, sender: str, now: float) -> list[Effect]:
         if stream.lagging_since is None:
@@ -301,23 +298,17 @@
         stream.request = OutstandingRequest(peer, now + timeout_s)
         stream.pull_at = float("inf")
         self._counters.requests_sent += 1
-        head = stream.replica.head
         remote = stream.peer_heads.get(peer)
-        if remote is not None and remote.generation > head.generation:
-            snapshot_request = SnapshotRequest(self._daemon_id, self._reply_to, stream.customer)
-            return [Send(record.peer_address, snapshot_request)]
-        request = RecordRequest(
-            self._daemon_id, self._reply_to, stream.customer, head.generation, head.next_offset
-        )
-        return [Send(record.peer_address, request)]
+        if remote is not None and remote.generation > stream.replica.head.generation:
+            return [self._mailer.request_snapshot(record.peer_address, stream.replica)]
+        return [self._mailer.request_records(record.peer_address, stream.replica)]
 
     def _request_snapshot(self, stream: Stream, peer: str, now: float) -> list[Effect]:
         record = self._view.members.get(peer)
         if record is None:
             return []
         stream.request = OutstandingRequest(peer, now + self._settings.request_timeout_s)
-        request = SnapshotRequest(self._daemon_id, self._reply_to, stream.customer)
-        return [Send(record.peer_address, request)]
+        return [self._mailer.request_snapshot(record.peer_address, stream.replica)]
 
     def _end_request(self, stream: Stream, sender: str) -> None:
         if stream.request is not None and stream.request.peer == sender:
@@ -372,12 +363,12 @@
             if not self._is_behind(stream, peer, source):
                 continue
             if records:
-                effects += self._send_batches(peer.peer_address, head, records)
+                effects += self._mailer.send_batches(peer.peer_address, head, records)
             else:
-                effects.append(self._send_heads(peer.peer_address, [head]))
+                effects.append(self._mailer.send_heads(peer.peer_address, [head]))
         for peer in stream.topology.far_neighbours:
             if self._is_behind(stream, peer, source):
-                effects.append(self._send_heads(peer.peer_address, [head]))
+                effects.append(self._mailer.send_heads(peer.peer_address, [head]))
         return effects
 
     def _list_unannounced(self, stream: Stream) -> tuple[StreamRecord, ...]:
@@ -397,39 +388,6 @@
         known = stream.peer_heads.get(peer.daemon_id)
         return known is None or (known.generation, known.next_offset) < stream.position
 
-    def _send_heads(self, address: str, heads: Iterable[StreamHead]) -> Send:
-        return Send(address, Heads(self._daemon_id, self._reply_to, tuple(heads)))
-
-    def _send_batches(
-        self, address: str, head: StreamHead, records: Sequence[StreamRecord]
-    ) -> list[Effect]:
-        parts = _split_records(records, self._settings.max_batch_bytes)
-        effects: list[Effect] = []
-        if len(parts) > 1:
-            effects.append(self._send_heads(address, [head]))
-        for index, part in enumerate(parts[:_MAX_BATCHES_PER_ANSWER]):
-            is_last = index == len(parts) - 1
-            batch = RecordBatch(
-                self._daemon_id,
-                self._reply_to,
-                head.customer,
-                head.generation,
-                part,
-                head.next_offset if is_last else part[-1].offset + 1,
-            )
-            self._counters.batches_sent += 1
-            effects.append(Send(address, batch))
-        return effects
-
-    def _offer_snapshot(self, stream: Stream, address: str, now: float) -> list[Effect]:
-        if not self._offer_budget.take(1.0, now):
-            self._counters.offers_withheld += 1
-            return []
-        self._counters.snapshots_offered += 1
-        payload = stream.replica.encode_snapshot()
-        offer = SnapshotOffer(self._daemon_id, self._reply_to, stream.customer, payload)
-        return [Send(address, offer), self._send_heads(address, [stream.replica.head])]
-
     def _try_apply(self, stream: Stream) -> list[Effect]:
         version = stream.replica.head.version
         if version <= stream.applied_version:
@@ -465,15 +423,27 @@
             for customer, stream in sorted(self._streams.items())
             if customer in peer.customers and stream.is_reliable
         ]
-        return [self._send_heads(peer.peer_address, heads)] if heads else []
+        return [self._mailer.send_heads(peer.peer_address, heads)] if heads else []
 
-    def _refresh_topology(self, stream: Stream, now: float) -> None:
+    def _refresh_topology(self, stream: Stream, now: float) -> list[Effect]:
+        version = self._view.members_version
         own = self._view.members.get(self._daemon_id)
-        if now < stream.topology_expires_at or own is None:
-            return
-        stream.topology_expires_at = now + _TOPOLOGY_LIFETIME_S * self._random.uniform(0.5, 1.0)
+        if version == stream.topology_version or own is None:
+            return []
+        if now - stream.topology_at < _MIN_TOPOLOGY_INTERVAL_S:
+            return []
+        known = {peer.daemon_id for peer in stream.topology.neighbours}
+        stream.topology_at = now
+        stream.topology_version = version
         stream.topology = build_topology(own, self._view, stream.customer, self._settings)
         stream.prune_heads(self._view)
+        if not stream.is_reliable:
+            return []
+        return [
+            self._mailer.send_heads(peer.peer_address, [stream.replica.head])
+            for peer in stream.topology.neighbours
+            if peer.daemon_id not in known
+        ]
 
     def _get_stream(self, customer: str) -> Stream | None:
         replica = self._replicas.get(customer)
@@ -490,21 +460,3 @@
         if not name.startswith(CONFIG_STREAM_PREFIX):
             return None
         return self._get_stream(name.removeprefix(CONFIG_STREAM_PREFIX))
-
-
-def _split_records(
-    records: Sequence[StreamRecord], max_bytes: int
-) -> list[tuple[StreamRecord, ...]]:
-    parts: list[tuple[StreamRecord, ...]] = []
-    part: list[StreamRecord] = []
-    size = 0
-    for record in records:
-        if part and size + len(record.payload) > max_bytes:
-            parts.append(tuple(part))
-            part = []
-            size = 0
-        part.append(record)
-        size += len(record.payload)
-    if part:
-        parts.append(tuple(part))
-    return parts
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/settings.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/settings.py
@@ -22,7 +22,7 @@
     """Time that a suspected member has to refute before it is declared dead."""
     late_tick_s: float = 0.5
     """Delay of a tick from which the local VM counts as slow."""
-    max_slowness: int = 3
+    max_slowness: int = 2
     """Most times that local slowness stretches the timeouts by their own length."""
     zone_rings: int = 2
     """Rings through the members of an availability zone; each gives two active peers."""
@@ -88,7 +88,7 @@
     """Time after which a request is sent to another peer."""
     max_batch_bytes: int = 262_144
     max_held_records: int = 1024
-    anti_entropy_interval_s: float = 10.0
+    anti_entropy_interval_s: float = 5.0
     """Mean time between two exchanges of heads with a peer."""
     lag_limit_s: float = 3.0
     """Lag behind the heads of peers after which a daemon reads the log itself."""
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/view.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/view.py
@@ -20,6 +20,11 @@
         """Known members by `daemon_id`, the local daemon included."""
         ...
 
+    @property
+    def members_version(self) -> int:
+        """Number that changes whenever a member's record does."""
+        ...
+
     @property
     def active_peers(self) -> tuple[MemberRecord, ...]:
         """Members that the local daemon keeps links with."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/log.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/log.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from fulmarstile_platform.log import DEFAULT_READ_LIMIT, LogPage
+from fulmarstile_platform.log import DEFAULT_READ_LIMIT, LogPage, LogRecord
 from fulmarstile_testing.log_store import LogCounts, LogStore, LogSwitches
 from fulmarstile_wire.verdict import Verdict
 
@@ -48,17 +48,28 @@
         self._epoch_s = epoch_s
         self._store = LogStore(LogSwitches())
         self._waiting: list[_WaitingRead] = []
+        self.on_append: Callable[[str, LogRecord], None] = lambda stream, record: None
+        """Is told of each append that took effect, also of those whose answer is lost."""
 
     @property
     def switches(self) -> LogSwitches:
         """Failures that the log shows; set `outage` with `begin_outage`."""
         return self._store.switches
 
+    @property
+    def is_down(self) -> bool:
+        """Whether no request can succeed."""
+        return self.switches.outage or self.switches.delay_ms >= TIMEOUT_S * _MS_PER_S
+
     @property
     def counts(self) -> LogCounts:
         """What the log was asked for."""
         return self._store.counts
 
+    @property
+    def _log_time(self) -> float:
+        return self._epoch_s + self._clock.now
+
     def append(
         self,
         stream: str,
@@ -135,10 +146,6 @@
         """
         return self._store.read(stream, offset, DEFAULT_READ_LIMIT, self._log_time)
 
-    @property
-    def _log_time(self) -> float:
-        return self._epoch_s + self._clock.now
-
     def _finish_append(
         self,
         stream: str,
@@ -154,6 +161,7 @@
         if offset is None:
             on_failure(Verdict.NOT_RUN)
             return
+        self.on_append(stream, LogRecord(offset, payload, round(self._log_time * _MS_PER_S)))
         self._wake_readers()
         if delay_s >= TIMEOUT_S:
             on_failure(Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/tests/mesh/test_failures.py
@@ -0,0 +1,115 @@
+"""Members that die, hang, are slow or cut off are told apart."""
+
+from __future__ import annotations
+
+import unittest
+
+from fulmarstile_testing.builders.mesh import MeshDaemon, VirtualMesh
+from fulmarstile_wire.records import MemberStatus
+
+SINGLE_FAILURE_LIMIT_S = 13.0
+
+
+def build_mesh(seed: int, count: int = 60) -> VirtualMesh:
+    mesh = VirtualMesh(seed)
+    mesh.add(count)
+    mesh.run(15.0)
+    return mesh
+
+
+def count_deaths(mesh: VirtualMesh) -> int:
+    return sum(daemon.membership.counters.deaths_declared for daemon in mesh.running)
+
+
+def is_dead_everywhere(mesh: VirtualMesh, dead: MeshDaemon) -> bool:
+    return all(
+        daemon.membership.members[dead.daemon_id].status is MemberStatus.DEAD
+        for daemon in mesh.running
+    )
+
+
+class FailureTest(unittest.TestCase):
+    def test_a_death_is_known_everywhere_in_time(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed):
+                mesh = build_mesh(seed)
+                dead = mesh.running[seed * 7]
+                dead.kill()
+                mesh.run(SINGLE_FAILURE_LIMIT_S)
+                self.assertTrue(is_dead_everywhere(mesh, dead))
+                self.assertTrue(mesh.knows_everybody())
+
+    def test_a_slow_vm_is_not_declared_dead_and_declares_nobody_dead(self) -> None:
+        for delay_s in (0.8, 1.5, 3.0):
+            with self.subTest(delay_s):
+                mesh = build_mesh(seed=10)
+                mesh.running[4].delay_s = delay_s
+                mesh.run(60.0)
+                self.assertEqual(count_deaths(mesh), 0)
+
+    def test_a_short_pause_is_no_death(self) -> None:
+        mesh = build_mesh(seed=11)
+        paused = mesh.running[9]
+        paused.pause()
+        mesh.run(4.0)
+        paused.resume()
+        mesh.run(20.0)
+        self.assertEqual(count_deaths(mesh), 0)
+        self.assertTrue(mesh.knows_everybody())
+
+    def test_a_daemon_that_wakes_after_its_death_is_taken_back(self) -> None:
+        mesh = build_mesh(seed=12)
+        paused = mesh.running[9]
+        paused.pause()
+        mesh.run(30.0)
+        self.assertNotIn(paused.daemon_id, mesh.list_alive(mesh.running[0]))
+        paused.resume()
+        mesh.run_until(mesh.knows_everybody, SINGLE_FAILURE_LIMIT_S)
+        self.assertTrue(mesh.knows_everybody())
+        self.assertEqual(paused.membership.counters.deaths_declared, 0)
+
+    def test_silent_links_are_replaced_and_nobody_is_declared_dead(self) -> None:
+        mesh = build_mesh(seed=13)
+        victim = mesh.running[5]
+        peers = victim.membership.active_peers
+        for peer in peers:
+            mesh.links.silence(victim.address, peer.peer_address)
+        mesh.run(SINGLE_FAILURE_LIMIT_S)
+        self.assertEqual(count_deaths(mesh), 0)
+        for peer in peers:
+            self.assertFalse(mesh.links.is_silent(victim.address, peer.peer_address))
+            self.assertFalse(mesh.links.is_silent(peer.peer_address, victim.address))
+
+    def test_lossy_links_cause_no_false_death(self) -> None:
+        mesh = build_mesh(seed=14)
+        mesh.links.faults.loss = 0.05
+        mesh.run(60.0)
+        mesh.links.faults.loss = 0.0
+        self.assertEqual(count_deaths(mesh), 0)
+
+    def test_half_of_the_fleet_dies_and_returns(self) -> None:
+        mesh = build_mesh(seed=15)
+        herd = mesh.running[::2]
+        for daemon in herd:
+            daemon.kill()
+        mesh.run_until(lambda: all(is_dead_everywhere(mesh, dead) for dead in herd), 60.0)
+        self.assertTrue(mesh.knows_everybody())
+        for daemon in herd:
+            mesh.restart(daemon.daemon_id)
+        mesh.run_until(mesh.knows_everybody, SINGLE_FAILURE_LIMIT_S)
+        self.assertTrue(mesh.knows_everybody())
+
+    def test_separated_regions_find_together_again_without_new_deaths(self) -> None:
+        mesh = build_mesh(seed=16)
+        regions = [
+            frozenset(d.address for d in mesh.running if d.membership.record.region == region)
+            for region in ("be", "kz")
+        ]
+        mesh.links.block(*regions)
+        mesh.run(40.0)
+        self.assertEqual(len(mesh.list_alive(mesh.running[0])), len(mesh.running) // 2)
+        deaths = count_deaths(mesh)
+        mesh.links.unblock(*regions)
+        mesh.run_until(mesh.knows_everybody, 30.0)
+        self.assertTrue(mesh.knows_everybody())
+        self.assertEqual(count_deaths(mesh), deaths)
--- /dev/null
+++ b/tests/mesh/test_joining.py
@@ -0,0 +1,89 @@
+"""Daemons find one another through the rendezvous stream without storming the log."""
+
+from __future__ import annotations
+
+import unittest
+
+from fulmarstile_testing.builders.mesh import MeshDaemon, VirtualMesh
+
+MAX_APPENDS_PER_S = 100
+JOIN_LIMIT_S = 13.0
+
+
+def count_appends(mesh: VirtualMesh) -> int:
+    return mesh.log.counts.appends_per_stream.get("rendezvous", 0)
+
+
+class JoiningTest(unittest.TestCase):
+    def test_a_fleet_that_starts_at_once_meets_within_the_append_limit(self) -> None:
+        mesh = VirtualMesh(seed=1)
+        mesh.add(200)
+        for _ in range(int(JOIN_LIMIT_S)):
+            before = count_appends(mesh)
+            mesh.run(1.0)
+            self.assertLessEqual(count_appends(mesh) - before, MAX_APPENDS_PER_S)
+        self.assertTrue(mesh.knows_everybody())
+
+    def test_a_returning_herd_meets_within_the_append_limit(self) -> None:
+        mesh = VirtualMesh(seed=2)
+        mesh.add(120)
+        mesh.run(JOIN_LIMIT_S)
+        herd = mesh.running[::2]
+        for daemon in herd:
+            daemon.kill()
+        mesh.run(30.0)
+        for daemon in herd:
+            mesh.restart(daemon.daemon_id)
+        for _ in range(int(JOIN_LIMIT_S)):
+            before = count_appends(mesh)
+            mesh.run(1.0)
+            self.assertLessEqual(count_appends(mesh) - before, MAX_APPENDS_PER_S)
+        self.assertTrue(mesh.knows_everybody())
+
+    def test_a_steady_fleet_appends_about_once_a_second_whatever_its_size(self) -> None:
+        for size in (30, 120):
+            with self.subTest(size):
+                mesh = VirtualMesh(seed=3)
+                mesh.add(size)
+                mesh.run(20.0)
+                before = count_appends(mesh)
+                mesh.run(60.0)
+                self.assertLessEqual(count_appends(mesh) - before, 120)
+
+    def test_two_groups_that_started_apart_become_one(self) -> None:
+        mesh = VirtualMesh(seed=4)
+        first = mesh.add(10)
+        second = mesh.add(10)
+        groups = [frozenset(daemon.address for daemon in group) for group in (first, second)]
+        mesh.links.block(*groups)
+        mesh.run(20.0)
+        self.assertEqual(len(first[0].membership.members), 10)
+        mesh.links.unblock(*groups)
+        mesh.run_until(mesh.knows_everybody, 120.0)
+        self.assertTrue(mesh.knows_everybody())
+
+    def test_a_restarted_daemon_settles_only_after_a_member_has_answered(self) -> None:
+        mesh = VirtualMesh(seed=5)
+        mesh.add(12)
+        mesh.run(JOIN_LIMIT_S)
+        restarted = mesh.restart("daemon-003")
+        mesh.run_until(lambda: restarted.membership.is_settled, JOIN_LIMIT_S)
+        self.assertGreater(len(restarted.membership.members), 1)
+
+    def test_views_sent_to_a_herd_are_bounded(self) -> None:
+        mesh = VirtualMesh(seed=6)
+        mesh.add(30)
+        mesh.run(JOIN_LIMIT_S)
+        target = mesh.running[0]
+        sent_before = target.traffic.bytes_by_type["Members"]
+        limit = mesh.membership_settings.view_burst_bytes
+        self._storm(target, mesh)
+        sent = target.traffic.bytes_by_type["Members"] - sent_before
+        self.assertGreater(target.membership.counters.views_withheld, 0)
+        self.assertLess(sent, 2 * limit)
+
+    def _storm(self, target: MeshDaemon, mesh: VirtualMesh) -> None:
+        joins = [daemon for daemon in mesh.running if daemon is not target]
+        for _ in range(40):
+            for daemon in joins:
+                target.join_from(daemon)
