--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/links.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/links.py
@@ -104,6 +104,11 @@
         for pair in ((first, second), (second, first)):
             self._connections.setdefault(pair, _Connection()).is_silent = True
 
+    def is_silent(self, source: str, destination: str) -> bool:
+        """Returns whether the present connection from one address to another is silent."""
+        connection = self._connections.get((source, destination))
+        return connection is not None and connection.is_silent
+
     def block(self, first: frozenset[str], second: frozenset[str]) -> None:
         """Loses all frames between two groups of addresses."""
         self._blocked.append((first, second))
