--- a/packages/fulmarstile_config/src/fulmarstile_config/limits.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/limits.py
@@ -27,7 +27,7 @@
     max_items: int = 1024
     """Most items in one section."""
 
-    verifications_per_min: int = 600
+    verifications_per_min: int = 300
     """Signatures verified for the customer per minute of log time."""
 
     publications_per_min: int = 60
@@ -36,6 +36,9 @@
     body_bytes_per_min: int = 512 << 10
     """Section bodies that one team may send per minute of log time, in bytes."""
 
+    customer_body_bytes_per_min: int = 2 << 20
+    """Section bodies that all teams of the customer may send per minute of log time, in bytes."""
+
     recent_publications: int = 256
     """Verified publications whose verdicts are kept; older publications are refused as replays."""
 
--- a/packages/fulmarstile_config/src/fulmarstile_config/quota.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/quota.py
@@ -61,6 +61,9 @@
             return f"team {team!r} has sent {usage.publications} publications within a minute"
         if usage.body_bytes + body_bytes > limits.body_bytes_per_min:
             return f"team {team!r} exceeds {limits.body_bytes_per_min} bytes within a minute"
+        total = sum(other.body_bytes for other in self._teams.values())
+        if total + body_bytes > limits.customer_body_bytes_per_min:
+            return f"customer exceeds {limits.customer_body_bytes_per_min} bytes within a minute"
         if self._verifications >= limits.verifications_per_min:
             return f"customer has sent {self._verifications} publications within a minute"
         return ""
--- a/tests/config/test_log_reset.py
+++ b/tests/config/test_log_reset.py
@@ -147,3 +147,10 @@
         lagging.begin_generation()
         self.assertTrue(lagging.restore_snapshot(self.fold.encode_snapshot()))
         self.assertEqual(lagging.version, 3)
+
+    def test_replica_that_knows_a_lost_log_is_not_led_back_to_it_by_a_peer(self) -> None:
+        ahead = self.stream.replay(make_fold())
+        ahead.on_record(make_log([b"garbage"], first=3)[0])
+        self.fold.begin_generation()
+        self.assertFalse(self.fold.restore_snapshot(ahead.encode_snapshot()))
+        self.assertEqual(self.fold.head.next_offset, 0)
--- a/tests/config/test_quotas.py
+++ b/tests/config/test_quotas.py
@@ -7,7 +7,7 @@
 
 from fulmarstile_config import FoldLimits, RefusalCode, encode_record
 from fulmarstile_config import publication_rules as rules_module
-from fulmarstile_testing.builders.config import LIMITS, ROUTES, StreamBuilder
+from fulmarstile_testing.builders.config import LIMITS, POOLS, ROUTES, TEAMS, StreamBuilder
 
 LIMITED = FoldLimits(
     verifications_per_min=20, publications_per_min=5, recent_publications=16, recent_unverified=8
@@ -72,6 +72,16 @@
         self.assertEqual([code and code.code for code in codes[:2]], [None, None])
         self.assertEqual(codes[2].code, RefusalCode.QUOTA)
 
+    def test_bodies_of_all_teams_are_bounded_within_a_minute(self) -> None:
+        limits = FoldLimits(customer_body_bytes_per_min=100_000)
+        stream = StreamBuilder(limits).publish_document()
+        stream.append(b"garbage", after_ms=MINUTE_MS)
+        padding = "#" * 40_000
+        self.assertTrue(stream.publish("web", {"limits": LIMITS + padding}).accepted)
+        self.assertTrue(stream.publish("platform", {"pools": POOLS + padding}).accepted)
+        refusal = stream.publish("owner", {"teams": TEAMS + padding}).refusal
+        self.assertEqual(refusal.code, RefusalCode.QUOTA)
+
     def test_quota_survives_a_snapshot(self) -> None:
         self.flood("web", 50)
         restored = StreamBuilder(LIMITED).fold
