--- /dev/null
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/views.py
@@ -0,0 +1,92 @@
+"""Answers of a daemon's admin interface, as far as the command uses them."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class SectionView(msgspec.Struct, frozen=True):
+    """A section in force."""
+
+    version: int
+    team: str
+    publication_id: str
+
+
+class CustomerView(msgspec.Struct, frozen=True):
+    """A customer's configuration as a daemon has folded it."""
+
+    customer: str
+    version: int
+    digest: str
+    generation: int
+    next_offset: int
+    sections: dict[str, SectionView]
+    sequence: int = 0
+
+
+class RefusalView(msgspec.Struct, frozen=True):
+    """Why a publication was refused."""
+
+    code: str
+    reason: str
+    section: str = ""
+    line: int = 0
+
+
+class VerdictView(msgspec.Struct, frozen=True):
+    """What became of one publication."""
+
+    publication_id: str
+    team: str
+    offset: int
+    appended_at_ms: int
+    accepted: bool
+    version: int
+    sections: tuple[str, ...] = ()
+    refusal: RefusalView | None = None
+
+
+class MissingView(msgspec.Struct, frozen=True):
+    """A daemon on which a version is not in force yet."""
+
+    daemon_id: str
+    version: int
+    status: str
+    since_s: float
+
+
+class ConvergenceView(msgspec.Struct, frozen=True):
+    """How far a version has come into force."""
+
+    version: int
+    total: int
+    in_force: int
+    missing: tuple[MissingView, ...] = ()
+
+
+class UpstreamView(msgspec.Struct, frozen=True):
+    """The upstream beside a daemon."""
+
+    service: str
+    status: str = ""
+    slots: int = 0
+
+
+class MemberView(msgspec.Struct, frozen=True):
+    """A daemon as the asked one knows it."""
+
+    daemon_id: str
+    status: str
+    incarnation: int
+    peer_address: str
+    calls_address: str
+    availability_zone: str
+    region: str
+    upstreams: tuple[UpstreamView, ...] = ()
+
+
+class ErrorView(msgspec.Struct, frozen=True):
+    """Body of an answer that is not 200."""
+
+    error: str = ""
