--- a/packages/fulmarstile_config/src/fulmarstile_config/fold.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/fold.py
@@ -64,6 +64,8 @@
         self._reader = SnapshotReader(customer, rules, self._limits)
         self._state = FoldState(VerdictHistory(self._limits), QuotaMeter(self._limits))
         self._recent = RecentRecords(self._limits)
+        self._unfolded = RecentRecords(self._limits)
+        """Records that the log holds now at offsets that were folded from a lost one."""
         self._digests = deque([(0, self._state.digest)], maxlen=RECENT_DIGESTS)
 
         self._next_offset = 0
@@ -75,6 +77,8 @@
         """Whether the state covers every record before `_next_offset`."""
         self._is_reset = False
         """Whether the log has lost the stream and no seed was read from it yet."""
+        self._is_unplaced = False
+        """Whether a seed was adopted whose offset in the log is still to be told."""
         self._is_contradicted = False
         self._competing_generation = 0
         """Highest generation met whose version was lower than this replica's."""
@@ -125,7 +129,7 @@
     @property
     def needs_snapshot(self) -> bool:
         """Whether records are missing, so that only a snapshot can bring the fold on."""
-        return not self._is_complete and not self._is_reset
+        return not self._is_complete
 
     @property
     def needs_generation(self) -> bool:
@@ -147,16 +151,23 @@
             Whether the document changed.
         """
         document = self._state.document
-        if record.offset < self._next_offset and not self._is_reset:
+        if record.offset < self._next_offset or self._is_reset:
             self._check_earlier(record)
         else:
             self._read(record)
         return self._state.document is not document
 
     def skip_to(self, offset: int) -> None:
-        """Notes that the log no longer keeps any record before `offset`."""
+        """Notes that the stream holds no record before `offset` that is not folded yet.
+
+        After `restore_snapshot` has adopted a seed, `offset` is the one that follows it;
+        otherwise the records up to `offset` are missing.
+        """
         if offset <= self._next_offset:
             return
+        if self._is_unplaced:
+            self._place(offset)
+            return
         self._note_gap(offset)
         self._next_offset = offset
         self._recent.clear()
@@ -184,16 +195,22 @@
             Whether the snapshot was adopted.
         """
         snapshot = self._open_snapshot(payload)
-        if snapshot is None or snapshot.is_seed or not self._is_newer(snapshot):
+        if snapshot is None or not self._is_newer(snapshot):
             return False
-        return self._adopt(snapshot, snapshot.next_offset)
+        if not snapshot.is_seed:
+            return self._adopt(snapshot, snapshot.next_offset)
+        if self._folded_offset == 0:
+            # Without memory it cannot be known whether the seed was the first of its generation.
+            return False
+        self._recent.clear()
+        self._is_unplaced = self._adopt(snapshot, 0)
+        return self._is_unplaced
 
     def begin_generation(self, end_offset: int = 0) -> bytes:
         """Returns the snapshot that seeds the stream again after the log has lost it.
 
-        From now on `head.next_offset` counts from 0 and no publication is folded, until a
-        snapshot that begins a higher generation is read from the log. Calling it again before
-        that gives the same snapshot.
+        From now on no publication is folded, until a snapshot of a higher generation is adopted.
+        Calling it again before that gives the same snapshot.
 
         Args:
             end_offset: End of the new log as far as it has been read.
@@ -201,11 +218,7 @@
         Returns:
             The payload to append to the stream.
         """
-        if not self._is_reset:
-            self._is_reset = True
-            self._next_offset = 0
-            self._seen_from = 0
-            self._recent.clear()
+        self._is_reset = True
         generation = max(self._state.generation, self._competing_generation) + 1
         seeded = dataclasses.replace(self._state, generation=generation)
         snapshot = make_snapshot(self._customer, self._mesh_key, seeded, end_offset, is_seed=True)
@@ -222,11 +235,14 @@
 
     def _check_earlier(self, record: StreamRecord) -> None:
         is_other = self._is_other_record(record)
-        snapshot = self._open_snapshot(record.payload) if is_other is not False else None
-        if snapshot is not None and snapshot.is_seed:
-            self._on_earlier_seed(snapshot, record)
-        elif is_other:
-            self._is_contradicted = True
+        if is_other is False:
+            return
+        self._unfolded.append(record)
+        snapshot = self._open_snapshot(record.payload)
+        if snapshot is None:
+            self._is_contradicted = self._is_contradicted or bool(is_other)
+        elif snapshot.generation > self._state.generation and self._is_newer(snapshot):
+            self._switch_log(snapshot, record)
 
     def _is_other_record(self, record: StreamRecord) -> bool | None:
         """Returns whether another record was folded at the offset; None if it is forgotten."""
@@ -237,23 +253,35 @@
             return digest_record(record.payload) != self._state.last_record
         return None
 
-    def _on_earlier_seed(self, snapshot: SnapshotRecord, record: StreamRecord) -> None:
-        if snapshot.generation <= self._state.generation:
+    def _switch_log(self, snapshot: SnapshotRecord, record: StreamRecord) -> None:
+        """Goes on with the log that a snapshot of a later generation was read from."""
+        first_offset = self._unfolded.first_offset
+        is_covered = first_offset is not None and first_offset <= snapshot.next_offset
+        if not snapshot.is_seed and not is_covered:
+            self._counters.snapshots_refused += 1
             return
-        # The records kept are those of the log that was lost; none of them follows the seed.
-        self._recent.clear()
-        self._on_seed(snapshot, record, ())
+        self._recent, self._unfolded = self._unfolded, RecentRecords(self._limits)
+        if snapshot.is_seed:
+            self._on_seed(snapshot, record, self._recent.since(snapshot.next_offset))
+        else:
+            self._adopt(snapshot, snapshot.next_offset)
         self._note_folded(record)
 
+    def _place(self, offset: int) -> None:
+        self._is_unplaced = False
+        self._next_offset = offset
+        self._folded_offset = offset
+        self._seen_from = offset
+        self._state.last_record = b""
+        self._digests.append((offset, self._state.digest))
+
     def _note_gap(self, offset: int) -> None:
         self._seen_from = offset
-        if self._is_reset:
-            return
         self._is_complete = False
         self._counters.gaps += 1
 
     def _note_folded(self, record: StreamRecord) -> None:
-        if not self._is_complete or self._is_reset or record.offset != self._next_offset - 1:
+        if not self._is_complete or record.offset != self._next_offset - 1:
             return
         self._folded_offset = self._next_offset
         self._state.last_record = digest_record(record.payload)
@@ -261,7 +289,7 @@
             self._digests.append((self._next_offset, self._state.digest))
 
     def _fold(self, record: StreamRecord) -> None:
-        is_foldable = self._is_complete and not self._is_reset
+        is_foldable = self._is_complete and not self._is_contradicted
         try:
             entry = self._decode(record.payload)
         except RecordError as error:
@@ -302,7 +330,7 @@
             self._on_seed(snapshot, record, self._recent.since(snapshot.next_offset))
         elif snapshot.generation > self._state.generation or self.needs_snapshot:
             self._close_gap(snapshot, record)
-        elif snapshot.generation == self._state.generation and not self._is_reset:
+        elif snapshot.generation == self._state.generation:
             self._compare(snapshot)
 
     def _on_seed(
@@ -352,8 +380,6 @@
             return False
         if snapshot.generation != state.generation:
             return snapshot.generation > state.generation
-        if self._is_reset:
-            return snapshot.version > state.version
         return snapshot.next_offset > self._folded_offset
 
     def _adopt(self, snapshot: SnapshotRecord, next_offset: int) -> bool:
@@ -367,6 +393,8 @@
         self._is_complete = True
         self._is_reset = False
         self._is_contradicted = False
+        self._is_unplaced = False
+        self._unfolded.clear()
         self._next_offset = next_offset
         self._folded_offset = next_offset
         self._seen_from = next_offset
