--- a/packages/fulmarstile_calls/src/fulmarstile_calls/retries/budgets.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/retries/budgets.py
@@ -43,6 +43,7 @@
 """Reasons for which another upstream would not answer differently."""
 
 _MAX_BUDGET_DIGITS: Final = 2
+_WHOLE_TOKEN: Final = 1.0 - 1e-9
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,8 @@
 
     burst: float = 10.0
     """Most retries that a budget can save up."""
+    advance: float = 2.0
+    """Retries of requests that were not run that a new budget starts with."""
     retries_per_call: int = 2
     """Most retries of one call at one daemon."""
     base_delay_s: float = 0.005
@@ -67,26 +70,31 @@
     percentage, so that together they stay within it.
     """
 
-    __slots__ = ("after_run", "before_run")
+    __slots__ = ("after_run", "before_run", "debt")
 
-    def __init__(self, burst: float) -> None:
-        self.before_run = burst
+    def __init__(self, advance: float) -> None:
+        self.before_run = advance
         self.after_run = 0.0
+        self.debt = advance
+        """What the first calls earn less, so that the advance is within the percentage."""
 
     def earn(self, rule: RetryRule, burst: float) -> None:
         """Adds what one call earns."""
         share = rule.budget_percent / 200
-        self.before_run = min(burst, self.before_run + share)
         self.after_run = min(burst, self.after_run + share)
+        if self.debt > 0.0:
+            self.debt -= share
+            return
+        self.before_run = min(burst, self.before_run + share)
 
     def take(self, may_have_run: bool) -> bool:
         """Takes one token, and returns whether there was one."""
         if may_have_run:
-            if self.after_run < 1.0:
+            if self.after_run < _WHOLE_TOKEN:
                 return False
             self.after_run -= 1.0
             return True
-        if self.before_run < 1.0:
+        if self.before_run < _WHOLE_TOKEN:
             return False
         self.before_run -= 1.0
         return True
@@ -192,7 +200,7 @@
         if budget is not None:
             self._budgets.move_to_end(key)
             return budget
-        budget = self._budgets[key] = _Budget(self._settings.burst)
+        budget = self._budgets[key] = _Budget(self._settings.advance)
         if len(self._budgets) > MAX_BUDGETS:
             self._budgets.popitem(last=False)
         return budget
