Spill over before the own availability zone refuses, and test balancing

Near capacity, daemons that see only their own calls filled the own zone until it refused (30 calls/s of 2,200, p99 131 ms).

--- a/packages/fulmarstile_calls/src/fulmarstile_calls/balancing/_observation.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/balancing/_observation.py
@@ -14,6 +14,10 @@
 MIN_LATENCY_S: Final = 0.0001
 """Shortest latency that is told apart, in seconds."""
 
+SLOWED_FACTOR: Final = 1.6
+"""Ratio of the latency to its usual floor above which requests are queueing."""
+
+_FLOOR_RISE: Final = 0.002
 _ERROR_GAIN: Final = 0.1
 _MIN_SAMPLE_WEIGHT: Final = 0.05
 
@@ -27,6 +31,7 @@
         "endpoint",
         "error_rate",
         "failures",
+        "floor_s",
         "full_until",
         "in_flight",
         "latency_s",
@@ -39,6 +44,8 @@
         self.in_flight = 0
         self.latency_s = 0.0
         """Moving average of the successful calls, in seconds; 0 before the first one."""
+        self.floor_s = 0.0
+        """Lowest recent value of `latency_s`, in seconds."""
         self.sampled_at = now
         self.error_rate = 0.0
         self.failures = 0
@@ -54,6 +61,10 @@
         """Returns whether the upstream is not known to be at capacity."""
         return self.in_flight < self.endpoint.slots and now >= self.full_until
 
+    def is_slowed(self) -> bool:
+        """Returns whether requests take so long that some of them must be queueing."""
+        return self.latency_s > SLOWED_FACTOR * self.floor_s
+
     def is_ejected(self, now: float) -> bool:
         """Returns whether the upstream is set aside."""
         return now < self.ejected_until
@@ -84,6 +95,9 @@
             gap_s = max(0.0, now - self.sampled_at)
             weight = max(_MIN_SAMPLE_WEIGHT, gap_s / (gap_s + half_life_s))
             self.latency_s += weight * (sample.latency_s - self.latency_s)
+        rising_s = self.floor_s + _FLOOR_RISE * (self.latency_s - self.floor_s)
+        known = self.floor_s > 0.0
+        self.floor_s = min(self.latency_s, rising_s) if known else self.latency_s
         self.sampled_at = now
 
     def record_failure(self) -> None:
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/balancing/two_choices.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/balancing/two_choices.py
@@ -91,7 +91,7 @@
         group.refresh(now, self._half_life_s)
         if pool.prefer_availability_zone:
             best = self._choose_from(group.nearby, group, now, exclude)
-            if best is not None and best.has_room(now):
+            if best is not None and best.has_room(now) and not best.is_slowed():
                 return best.endpoint
         best = self._choose_from(group.everywhere, group, now, exclude)
         if best is None or not best.has_room(now):
--- /dev/null
+++ b/tests/calls/test_balancing.py
@@ -0,0 +1,165 @@
+"""Calls go where own observations say that they are answered soonest."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fulmarstile_calls.balancing import (
+    BalancerSettings,
+    CallSample,
+    RandomBalancer,
+    RoundRobinBalancer,
+    TwoChoicesBalancer,
+)
+from fulmarstile_testing.builders.calls import make_endpoint, make_pool
+from fulmarstile_testing.virtual_pool import VirtualInstance, VirtualPool
+
+ANY_ZONE = make_pool(prefer_availability_zone=False)
+FAILED = CallSample(0.001, failed=True)
+
+
+def make_balancer(seed: int = 1) -> TwoChoicesBalancer:
+    return TwoChoicesBalancer(BalancerSettings(), "be-bru", random.Random(seed))
+
+
+def spread(balancers, instances, calls_per_s: float, pool=ANY_ZONE) -> VirtualPool:
+    virtual_pool = VirtualPool(balancers, instances, 1, pool)
+    virtual_pool.run(calls_per_s, 5.0)
+    virtual_pool.reset_counts()
+    virtual_pool.run(calls_per_s, 20.0)
+    return virtual_pool
+
+
+def local_part(virtual_pool: VirtualPool) -> float:
+    return (virtual_pool.sent[0] + virtual_pool.sent[3]) / sum(virtual_pool.sent.values())
+
+
+class SpeedAndSizeTest(unittest.TestCase):
+    """Upstreams of differing speed and size."""
+
+    def _compare(self, instances) -> tuple[VirtualPool, list[VirtualPool]]:
+        chosen = spread([make_balancer(seed) for seed in range(4)], instances(), 1700.0)
+        baselines = [
+            spread([RandomBalancer(random.Random(2))], instances(), 1700.0),
+            spread([RoundRobinBalancer()], instances(), 1700.0),
+        ]
+        return chosen, baselines
+
+    def test_slow_upstreams_get_fewer_calls_and_none_is_refused(self):
+        def make_instances():
+            return [VirtualInstance(n, service_s=0.01 * (n + 1)) for n in range(7)]
+
+        chosen, baselines = self._compare(make_instances)
+        self.assertEqual(chosen.refused, 0)
+        for baseline in baselines:
+            self.assertGreater(baseline.refused, 0)
+            self.assertLess(chosen.p99_s, baseline.p99_s / 2)
+
+    def test_small_upstreams_get_fewer_calls_and_none_is_refused(self):
+        def make_instances():
+            return [VirtualInstance(n, slots=(4, 10, 20)[n % 3]) for n in range(6)]
+
+        chosen, baselines = self._compare(make_instances)
+        self.assertEqual(chosen.refused, 0)
+        for baseline in baselines:
+            self.assertGreater(baseline.refused, 0)
+
+
+class EjectionTest(unittest.TestCase):
+    """Failing upstreams are set aside, but never too many."""
+
+    def test_failing_third_gets_almost_no_calls(self):
+        instances = [VirtualInstance(n, failing=1.0 if n < 2 else 0.0) for n in range(6)]
+        virtual_pool = spread([make_balancer()], instances, 1000.0)
+        self.assertLess(virtual_pool.failed, 0.01 * virtual_pool.good)
+
+    def test_upstream_that_works_again_gets_its_share_back(self):
+        instances = [VirtualInstance(n, failing=1.0 if n == 0 else 0.0) for n in range(4)]
+        virtual_pool = spread([make_balancer()], instances, 500.0)
+        instances[0].failing = 0.0
+        virtual_pool.run(500.0, 60.0)
+        virtual_pool.reset_counts()
+        virtual_pool.run(500.0, 10.0)
+        self.assertGreater(virtual_pool.sent[0], 0.15 * virtual_pool.good)
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(
+        count=st.integers(min_value=1, max_value=8),
+        events=st.lists(
+            st.tuples(st.integers(0, 7), st.sampled_from(("fail", "refuse", "succeed", "wait"))),
+            max_size=120,
+        ),
+        excluded=st.sets(st.integers(0, 7)),
+    )
+    def test_no_reports_ever_empty_a_pool(self, count, events, excluded):
+        balancer = make_balancer()
+        balancer.replace_endpoints([make_endpoint(n) for n in range(count)], 0.0)
+        now = 0.0
+        for number, event in events:
+            now += 1.0 if event == "wait" else 0.0
+            sample = CallSample(0.01, failed=event == "fail", refused=event == "refuse")
+            balancer.on_started(f"daemon-{number:03}", now)
+            balancer.on_finished(f"daemon-{number:03}", sample, now)
+            self.assertLessEqual(balancer.count_ejected("reservations", now), count // 2)
+            self.assertIsNotNone(balancer.choose(make_pool(), now))
+        exclude = frozenset(f"daemon-{n:03}" for n in excluded)
+        chosen = balancer.choose(make_pool(), now, exclude)
+        if any(n not in excluded for n in range(count)):
+            self.assertIsNotNone(chosen)
+            self.assertNotIn(chosen.daemon_id, exclude)
+        else:
+            self.assertIsNone(chosen)
+
+    def test_refusal_for_lack_of_room_is_no_failure_but_turns_calls_away(self):
+        balancer = make_balancer()
+        balancer.replace_endpoints([make_endpoint(n) for n in range(2)], 0.0)
+        for _ in range(50):
+            balancer.on_started("daemon-000", 0.0)
+            balancer.on_finished("daemon-000", CallSample(0.0, refused=True), 0.0)
+        self.assertEqual(balancer.count_ejected("reservations", 0.0), 0)
+        chosen = {balancer.choose(make_pool(), 0.1).daemon_id for _ in range(50)}
+        self.assertEqual(chosen, {"daemon-001"})
+        later = {balancer.choose(make_pool(), 5.0).daemon_id for _ in range(50)}
+        self.assertEqual(later, {"daemon-000", "daemon-001"})
+
+
+class AvailabilityZoneTest(unittest.TestCase):
+    """The own availability zone comes first while it has room."""
+
+    def _spread(self, calls_per_s: float) -> VirtualPool:
+        zones = ("be-bru", "be-ant", "be-lie")
+        instances = [VirtualInstance(n, availability_zone=zones[n % 3]) for n in range(6)]
+        balancers = [make_balancer(seed) for seed in range(8)]
+        return spread(balancers, instances, calls_per_s, make_pool())
+
+    def test_own_availability_zone_is_preferred_at_low_load(self):
+        self.assertGreater(local_part(self._spread(500.0)), 0.8)
+
+    def test_calls_spill_over_when_the_own_availability_zone_is_full(self):
+        virtual_pool = self._spread(2200.0)
+        self.assertLess(virtual_pool.refused, 0.01 * virtual_pool.good)
+        self.assertLess(local_part(virtual_pool), 0.5)
+
+
+class SlowStartTest(unittest.TestCase):
+    """A new upstream is eased in."""
+
+    def test_share_of_a_new_upstream_grows(self):
+        balancer = make_balancer()
+        pool = make_pool(prefer_availability_zone=False, slow_start_ms=10_000)
+        instances = [VirtualInstance(n) for n in range(4)]
+        virtual_pool = VirtualPool([balancer], instances[:3], 1, pool)
+        virtual_pool.run(500.0, 15.0)
+        virtual_pool.replace_instances(instances)
+        shares = []
+        for _ in range(3):
+            virtual_pool.reset_counts()
+            virtual_pool.run(500.0, 2.0 if not shares else 8.0)
+            shares.append(virtual_pool.sent[3] / sum(virtual_pool.sent.values()))
+        self.assertLess(shares[0], 0.1)
+        self.assertLess(shares[0], shares[1])
+        self.assertGreater(shares[2], 0.2)
