--- a/packages/fulmarstile_calls/src/fulmarstile_calls/quarantine.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/quarantine.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 import xxhash
 
@@ -32,6 +32,10 @@
     return digest.digest()
 
 
+_Crashes: TypeAlias = dict[tuple[str, int], float]
+"""Time of expiry of each crash, by daemon and crash number."""
+
+
 @dataclass(frozen=True, slots=True)
 class QuarantineSettings:
     """Settings of `Quarantine`."""
@@ -41,7 +45,9 @@
     lifetime_s: float = 600.0
     """Time for which a crash counts against a fingerprint, in seconds."""
     max_fingerprints: int = 4096
-    """Most fingerprints remembered; those that expire first are dropped first."""
+    """Most fingerprints remembered; the oldest with fewer crashes are dropped first."""
+    max_completed: int = 2048
+    """Most fingerprints remembered as having run without a crash."""
     max_suspects: int = 64
     """Most requests suspected of one crash; a crash under more is not gossiped."""
 
@@ -62,12 +68,26 @@
         self._settings = settings
         self._daemon_id = daemon_id
         self._next_crash_id = first_crash_id
-        self._crashes: OrderedDict[bytes, dict[tuple[str, int], float]] = OrderedDict()
+        self._suspects: OrderedDict[bytes, _Crashes] = OrderedDict()
+        self._quarantined: OrderedDict[bytes, _Crashes] = OrderedDict()
+        self._completed: OrderedDict[bytes, float] = OrderedDict()
 
     @property
     def fingerprint_count(self) -> int:
-        """Number of fingerprints remembered."""
-        return len(self._crashes)
+        """Number of fingerprints remembered with a crash."""
+        return len(self._suspects) + len(self._quarantined)
+
+    def on_completed(self, fingerprint: bytes, now: float) -> None:
+        """Notes that the local upstream answered a request and did not crash under it.
+
+        A request that many callers send is in flight at most crashes. It is not suspected as
+        long as it runs without one, too.
+        """
+        completed = self._completed
+        completed[fingerprint] = now
+        completed.move_to_end(fingerprint)
+        if len(completed) > self._settings.max_completed:
+            completed.popitem(last=False)
 
     def on_upstream_crash(
         self, in_flight: Iterable[bytes], now: float
@@ -81,7 +101,7 @@
         Returns:
             Records to gossip.
         """
-        suspects = sorted(set(in_flight))
+        suspects = [each for each in sorted(set(in_flight)) if not self._is_proven(each, now)]
         if not 0 < len(suspects) <= self._settings.max_suspects:
             return ()
         crash_id = self._next_crash_id
@@ -101,7 +121,7 @@
 
     def is_quarantined(self, fingerprint: bytes, now: float) -> bool:
         """Returns whether a request must be refused."""
-        crashes = self._crashes.get(fingerprint)
+        crashes = self._quarantined.get(fingerprint)
         if crashes is None:
             return False
         live = sum(1 for expires_at in crashes.values() if expires_at > now)
@@ -116,20 +136,40 @@
 
     def on_tick(self, now: float) -> None:
         """Forgets expired crashes."""
-        for fingerprint in list(self._crashes):
-            crashes = self._crashes[fingerprint]
-            for crash in [crash for crash, end in crashes.items() if end <= now]:
-                del crashes[crash]
-            if not crashes:
-                del self._crashes[fingerprint]
+        for table in (self._suspects, self._quarantined):
+            for fingerprint in list(table):
+                crashes = table[fingerprint]
+                for crash in [crash for crash, end in crashes.items() if end <= now]:
+                    del crashes[crash]
+                if not crashes:
+                    del table[fingerprint]
+
+    def _is_proven(self, fingerprint: bytes, now: float) -> bool:
+        completed_at = self._completed.get(fingerprint)
+        return completed_at is not None and now - completed_at < self._settings.lifetime_s
 
     def _note(self, record: QuarantineRecord, now: float) -> None:
         lifetime_s = min(self._settings.lifetime_s, record.expires_in_ms / 1000)
         if lifetime_s <= 0:
             return
-        crashes = self._crashes.setdefault(record.fingerprint, {})
         crash = (record.daemon_id, record.crash_id)
-        if crash not in crashes and len(crashes) < self._settings.crashes:
-            crashes[crash] = now + lifetime_s
-        if len(self._crashes) > self._settings.max_fingerprints:
-            self._crashes.popitem(last=False)
+        crashes = self._quarantined.get(record.fingerprint)
+        if crashes is None:
+            crashes = self._suspects.setdefault(record.fingerprint, {})
+        if crash in crashes:
+            return
+        crashes[crash] = now + lifetime_s
+        if len(crashes) >= self._settings.crashes:
+            self._drop_soonest(crashes)
+            self._suspects.pop(record.fingerprint, None)
+            self._quarantined[record.fingerprint] = crashes
+        self._evict()
+
+    def _drop_soonest(self, crashes: _Crashes) -> None:
+        while len(crashes) > self._settings.crashes:
+            del crashes[min(crashes, key=lambda crash: (crashes[crash], crash))]
+
+    def _evict(self) -> None:
+        while self.fingerprint_count > self._settings.max_fingerprints:
+            table = self._suspects or self._quarantined
+            table.popitem(last=False)
