--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/_append_queue.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/_append_queue.py
@@ -34,6 +34,7 @@
         self._in_flight: ClaimBatch | None = None
         self._maybe_appended: set[str] = set()
         self._needs_opening = False
+        self._outcomes_due_at = float("-inf")
         self._next_append_at = float("-inf")
         self._started_at = 0.0
         self._append_count = 0
@@ -43,6 +44,16 @@
         """Number of appends begun."""
         return self._append_count
 
+    @property
+    def due_at(self) -> float | None:
+        """Monotonic time of the next append, in seconds; None if none can be planned."""
+        if self._in_flight is not None:
+            return None
+        not_before = max(self._next_append_at, self._backoff.blocked_until)
+        if self._claims or self._needs_opening:
+            return not_before
+        return max(not_before, self._outcomes_due_at) if self._outcomes else None
+
     def add_claim(self, claim: ClaimRecord) -> None:
         """Adds a claim; a claim that is queued or under way already is not added again."""
         in_flight = self._in_flight
@@ -50,8 +61,10 @@
             return
         self._claims[claim.claim_id] = claim
 
-    def add_outcome(self, outcome: OutcomeRecord) -> None:
-        """Adds an outcome."""
+    def add_outcome(self, outcome: OutcomeRecord, now: float) -> None:
+        """Adds an outcome, which waits for a while for a claim to share its append."""
+        if not self._outcomes:
+            self._outcomes_due_at = now + self._settings.outcome_delay_s
         self._outcomes[outcome.claim_id] = outcome
 
     def request_opening(self) -> None:
@@ -71,11 +84,8 @@
 
     def append(self, now: float) -> list[AppendLog]:
         """Returns the next append if one is due."""
-        if self._in_flight is not None or now < self._next_append_at:
-            return []
-        if self._backoff.is_blocked(now):
-            return []
-        if not (self._claims or self._outcomes or self._needs_opening):
+        due_at = self.due_at
+        if due_at is None or now < due_at:
             return []
         self._in_flight = self._take_batch()
         self._started_at = now
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/_backoff.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/_backoff.py
@@ -24,6 +24,11 @@
         """Failures in a row."""
         return self._failures
 
+    @property
+    def blocked_until(self) -> float:
+        """Monotonic time at which the current delay ends, in seconds; 0 without one."""
+        return self._blocked_until
+
     def on_failure(self, now: float) -> None:
         """Notes a failure and starts the next delay."""
         doublings = min(self._failures, _MAX_DOUBLINGS)
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/batcher.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/batcher.py
@@ -85,6 +85,11 @@
         """Monotonic time of the last request, in seconds."""
         return self._last_used_at
 
+    @property
+    def due_at(self) -> float | None:
+        """Monotonic time at which `on_tick` has an append to begin, in seconds; or None."""
+        return self._queue.due_at if self._tail.is_caught_up else None
+
     @property
     def append_count(self) -> int:
         """Number of appends begun."""
@@ -129,7 +134,7 @@
         if len(self._waiting) >= 2 * self._settings.max_pending:
             return []
         self._wait(outcome, report.reply_to, now)
-        self._queue.add_outcome(outcome)
+        self._queue.add_outcome(outcome, now)
         return self._advance(now)
 
     def on_append_done(self, offset: int, now: float) -> list[Effect]:
@@ -209,7 +214,8 @@
             return None
         if self._queue.is_unavailable(now):
             return self._replies.refuse(claim.claim_id, LOG_UNAVAILABLE)
-        if len(self._waiting) >= self._settings.max_pending:
+        is_full = self._book.key_count >= self._settings.max_book_keys
+        if is_full or len(self._waiting) >= self._settings.max_pending:
             return self._replies.refuse(claim.claim_id, OVERLOADED)
         return None
 
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/book.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/book.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from fulmarstile_calls.claims.batch import decode_batch
 from fulmarstile_calls.claims.keys import parse_key_time
 
@@ -57,6 +59,8 @@
     def __init__(self, settings: ClaimSettings) -> None:
         self._window_ms = settings.window_ms
         self._max_ahead_ms = settings.max_ahead_ms
+        self._max_body_bytes = settings.max_book_body_bytes
+        self._body_bytes = 0
         self._entries: dict[tuple[str, str], _Entry] = {}
         self._buckets: dict[int, list[tuple[str, str]]] = {}
         self._next_offset = 0
@@ -80,6 +84,11 @@
         """Number of keys remembered."""
         return len(self._entries)
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of stored answers."""
+        return self._body_bytes
+
     @property
     def malformed_count(self) -> int:
         """Number of log records that were no batch of claims."""
@@ -134,7 +143,9 @@
         horizon = (appended_at_ms - self._window_ms) // _BUCKET_MS
         for bucket in [bucket for bucket in self._buckets if bucket < horizon]:
             for name in self._buckets.pop(bucket):
-                self._entries.pop(name, None)
+                entry = self._entries.pop(name)
+                if entry.outcome is not None:
+                    self._body_bytes -= len(entry.outcome.body)
 
     def _open_entry(self, customer: str, key: str) -> _Entry | None:
         entry = self._entries.get((customer, key))
@@ -175,7 +186,14 @@
         if entry is None or entry.holder != outcome.claim_id:
             return
         if entry.outcome is None or entry.outcome.status == 0:
-            entry.outcome = outcome
+            entry.outcome = self._limit_body(outcome)
+
+    def _limit_body(self, outcome: OutcomeRecord) -> OutcomeRecord:
+        size = len(outcome.body)
+        if self._body_bytes + size > self._max_body_bytes:
+            return msgspec.structs.replace(outcome, body=b"", body_omitted=True)
+        self._body_bytes += size
+        return outcome
 
     def _fold_release(self, outcome: OutcomeRecord) -> None:
         entry = self._open_entry(outcome.customer, outcome.key)
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/settings.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/settings.py
@@ -25,6 +25,12 @@
     """Most claims that wait at one batcher."""
     max_body_bytes: int = 2048
     """Largest stored answer, in bytes."""
+    max_book_body_bytes: int = 32 << 20
+    """Most bytes of stored answers in one book; further ones are noted without their body."""
+    max_book_keys: int = 200_000
+    """Keys in one book at which new claims are refused."""
+    outcome_delay_s: float = 0.25
+    """Longest time for which an outcome waits for a claim to share an append, in seconds."""
     stall_s: float = 1.0
     """Duration of an append after which new claims are refused, in seconds."""
     min_backoff_s: float = 0.2
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/shard_batchers.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/shard_batchers.py
@@ -51,6 +51,12 @@
         """Number of keys remembered in all books."""
         return sum(batcher.book.key_count for batcher in self._batchers.values())
 
+    @property
+    def due_at(self) -> float | None:
+        """Monotonic time at which `on_tick` has an append to begin, in seconds; or None."""
+        times = [batcher.due_at for batcher in self._batchers.values()]
+        return min((at for at in times if at is not None), default=None)
+
     @property
     def append_count(self) -> int:
         """Number of appends begun by the current batchers."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_claims.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_claims.py
@@ -163,6 +163,7 @@
         self._incarnation = 0
         self._paused_until = 0.0
         self._calls: dict[str, ClaimCall] = {}
+        self._wake_at = float("inf")
         self.start()
 
     def start(self) -> None:
@@ -170,6 +171,7 @@
         self._incarnation += 1
         self.is_running = True
         self._paused_until = 0.0
+        self._wake_at = float("inf")
         self._calls = {}
         settings = self._fleet.settings
         address = f"{self.daemon_id}:7000"
@@ -247,6 +249,17 @@
         self._perform(self.batchers.on_tick(now))
         self._schedule_tick()
 
+    def _schedule_append(self) -> None:
+        due_at = self.batchers.due_at
+        if due_at is None or due_at >= self._wake_at:
+            return
+        self._wake_at = due_at
+        self._fleet.time.call_at(due_at, self._resume(self._wake))
+
+    def _wake(self) -> None:
+        self._wake_at = float("inf")
+        self._perform(self.batchers.on_tick(self._fleet.time.now))
+
     def _perform(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
             if isinstance(effect, Send):
@@ -266,6 +279,7 @@
                 call = self._calls[effect.claim_id]
                 call.finished_at = self._fleet.time.now
                 call.refusal = effect.refusal
+        self._schedule_append()
 
     def _append(self, effect: AppendLog) -> None:
         stream = effect.stream
