Wire membership, relay, claims and call proxy into the daemon

Cause: the first run of real processes ended in a TypeError, since xxhash 4 takes no text. Conclusion: text is encoded before hashing; the daemons start but do not find one another yet.

--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/requester.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/requester.py
@@ -24,7 +24,6 @@
     from collections.abc import Iterable
 
     from fulmarstile_calls.claims.settings import ClaimSettings
-    from fulmarstile_config.routing_table import CompiledRoute
     from fulmarstile_mesh.effects import Effect
     from fulmarstile_wire.messages import ClaimReply
     from fulmarstile_wire.records import MemberRecord
@@ -108,7 +107,7 @@
 
     def claim(
         self,
-        route: CompiledRoute,
+        customer: str,
         key: str,
         fingerprint: bytes,
         now: float,
@@ -119,7 +118,7 @@
         """Claims a key for one call.
 
         Args:
-            route: Route of the call.
+            customer: Customer of the call.
             key: Normalized idempotency key; empty if the call has none.
             fingerprint: Hash of method, path and body, 16 bytes.
             now: Monotonic time in seconds.
@@ -136,8 +135,8 @@
             refusal = refuse_unavailable("too many claims are pending")
         if refusal is not None:
             return ClaimStart(claim_id, [ClaimFailed(claim_id, refusal)])
-        record = ClaimRecord(route.customer, key, claim_id, fingerprint)
-        shard = shard_of(route.customer, key, self._settings.shards)
+        record = ClaimRecord(customer, key, claim_id, fingerprint)
+        shard = shard_of(customer, key, self._settings.shards)
         give_up_at = min(deadline_s, now + self._settings.give_up_after_s)
         claim = self._pending[claim_id] = _Claim(record, shard, deadline_s, give_up_at)
         return ClaimStart(claim_id, [self._send(claim, now)])
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/sharding.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/sharding.py
@@ -12,7 +12,7 @@
 
 def shard_of(customer: str, key: str, shards: int) -> int:
     """Returns the shard of a customer's key, from 0."""
-    return xxhash.xxh64_intdigest(f"{customer}\n{key}") % shards
+    return xxhash.xxh64_intdigest(f"{customer}\n{key}".encode()) % shards
 
 
 def stream_of(shard: int) -> str:
@@ -31,4 +31,4 @@
 
 
 def _score(shard: int, member: str) -> int:
-    return xxhash.xxh64_intdigest(f"{shard}\n{member}")
+    return xxhash.xxh64_intdigest(f"{shard}\n{member}".encode())
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/api.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/api.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
+from fulmarstile_calls.upstream_lease import AnnouncementError, UpstreamAnnouncement
 from fulmarstile_daemon.admin.views import (
-    UpstreamAnnouncement,
+    AnnouncementBody,
     describe_convergence,
     describe_customer,
     describe_member,
@@ -28,16 +29,8 @@
 METRICS_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
 """Media type of the metrics page."""
 
-MIN_TTL_S: Final = 0.5
-"""Shortest lease that an upstream may ask for, in seconds."""
-
-MAX_TTL_S: Final = 60.0
-"""Longest lease that an upstream may ask for, in seconds."""
-
-MAX_SLOTS: Final = 10_000
-"""Most slots or connections that an upstream may announce."""
-
-_STATUSES: Final = frozenset({"ready", "draining"})
+_DRAINING: Final = "draining"
+_STATUSES: Final = frozenset({"ready", _DRAINING})
 
 
 class AdminContext(Protocol):
@@ -165,12 +158,11 @@
 
     def _announce_upstream(self, request: HttpRequest) -> HttpAnswer:
         try:
-            announcement = msgspec.json.decode(request.body, type=UpstreamAnnouncement)
-        except msgspec.DecodeError as error:
+            body = msgspec.json.decode(request.body, type=AnnouncementBody)
+            self._context.announce_upstream(_read_announcement(body))
+        except (msgspec.DecodeError, AnnouncementError) as error:
             raise HttpProblemError(HTTPStatus.BAD_REQUEST, str(error)) from error
-        _check_announcement(announcement)
-        self._context.announce_upstream(announcement)
-        return encode_answer(announcement)
+        return encode_answer(body)
 
     def _withdraw_upstream(self, _: HttpRequest) -> HttpAnswer:
         self._context.withdraw_upstream()
@@ -184,19 +176,14 @@
         return fold
 
 
-def _check_announcement(announcement: UpstreamAnnouncement) -> None:
-    if announcement.status not in _STATUSES:
-        _refuse(f"status '{announcement.status}' is neither ready nor draining")
-    if not MIN_TTL_S <= announcement.ttl_s <= MAX_TTL_S:
-        _refuse(f"ttl_s {announcement.ttl_s:g} is not between {MIN_TTL_S:g} and {MAX_TTL_S:g}")
-    if not 1 <= announcement.slots <= MAX_SLOTS:
-        _refuse(f"slots {announcement.slots} is not between 1 and {MAX_SLOTS}")
-    if not announcement.slots <= announcement.connections <= MAX_SLOTS:
-        _refuse(f"connections {announcement.connections} is not between slots and {MAX_SLOTS}")
-    host, separator, port = announcement.address.rpartition(":")
-    if not host or not separator or not port.isdigit():
-        _refuse(f"address '{announcement.address}' is not of the form host:port")
-
-
-def _refuse(reason: str) -> None:
-    raise HttpProblemError(HTTPStatus.BAD_REQUEST, reason)
+def _read_announcement(body: AnnouncementBody) -> UpstreamAnnouncement:
+    if body.status not in _STATUSES:
+        raise AnnouncementError(f"status '{body.status}' is neither ready nor draining")
+    return UpstreamAnnouncement(
+        service=body.service,
+        address=body.address,
+        slots=body.slots,
+        connections=body.connections,
+        ttl_s=body.ttl_s,
+        draining=body.status == _DRAINING,
+    )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/views.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/views.py
@@ -95,7 +95,7 @@
     upstreams: tuple[UpstreamView, ...]
 
 
-class UpstreamAnnouncement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class AnnouncementBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Body with which an upstream announces itself or renews its lease."""
 
     service: str
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/call_context.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/call_context.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from fulmarstile_calls.request import UpstreamEndpoint
     from fulmarstile_config import RoutingTable
     from fulmarstile_daemon.calls import Claims
@@ -12,32 +14,38 @@
 
 
 class CoreCallContext:
-    """Supplies the call proxy from the core, which is attached once it exists.
+    """Supplies the call proxy from the core.
 
     Args:
         daemon_id: Identifier of this daemon.
-        default_customer: Customer of requests that name none.
+        default_customer: Customer of requests that name none; empty to refuse them.
+        core: The decision core.
+        claims: Claims on at-most-once calls.
+        report_crash: Reports the requests in flight when the local upstream crashed.
     """
 
-    def __init__(self, daemon_id: str, default_customer: str) -> None:
+    def __init__(
+        self,
+        daemon_id: str,
+        default_customer: str,
+        core: DaemonCore,
+        claims: Claims,
+        report_crash: Callable[[tuple[bytes, ...]], None],
+    ) -> None:
         self._daemon_id = daemon_id
         self._default_customer = default_customer
-        self._core: DaemonCore | None = None
-        self._claims: Claims | None = None
-        self._routing_table = _empty_table()
+        self._core = core
+        self._claims = claims
+        self._report_crash = report_crash
 
     @property
     def routing_table(self) -> RoutingTable:
         """Routing table in force."""
-        if self._core is None:
-            return self._routing_table
         return self._core.routing_table
 
     @property
     def endpoints(self) -> tuple[UpstreamEndpoint, ...]:
         """Upstreams that may get new calls."""
-        if self._core is None:
-            return ()
         return self._core.endpoints
 
     @property
@@ -55,21 +63,10 @@
         """Claims on at-most-once calls."""
         return self._claims
 
-    def attach(self, core: DaemonCore) -> None:
-        """Connects the context to the core."""
-        self._core = core
-
     def is_quarantined(self, fingerprint: bytes) -> bool:
         """Tells whether a request is refused because it crashed upstreams."""
-        return self._core is not None and fingerprint in self._core.membership.quarantine
+        return fingerprint in self._core.quarantine
 
     def on_upstream_crash(self, fingerprints: tuple[bytes, ...]) -> None:
         """Reports the requests that were in flight when the local upstream crashed."""
-        if self._core is not None:
-            self._core.report_crash(fingerprints)
-
-
-def _empty_table() -> RoutingTable:
-    from fulmarstile_config import RoutingTable
-
-    return RoutingTable()
+        self._report_crash(fingerprints)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/core.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/core.py
@@ -1,4 +1,4 @@
-"""Decision core of one daemon: membership, configuration and their meeting points.
+"""Decision core of one daemon: membership, configuration, claims and their meeting points.
 
 It does no I/O and reads no clock, so that the daemon and the scenarios share it: messages,
 log pages and time go in, effects for the shell come out.
@@ -9,24 +9,25 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-import msgspec
-
 from fulmarstile_calls.request import UpstreamEndpoint
 from fulmarstile_config import RoutingTable, compile_document
-from fulmarstile_mesh import Apply, MembersChanged
+from fulmarstile_mesh import RENDEZVOUS_STREAM, Apply, MembersChanged, decode_rendezvous
 from fulmarstile_wire import messages
-from fulmarstile_wire.records import MemberRecord, MemberStatus, UpstreamStatus
+from fulmarstile_wire.records import MemberStatus, UpstreamStatus
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
+    from fulmarstile_calls.claims import ClaimRequester, ShardBatchers
     from fulmarstile_config import CustomerFold
     from fulmarstile_mesh import Effect, Membership, Relay
     from fulmarstile_platform.log import LogPage
     from fulmarstile_wire.messages import AnyMessage
+    from fulmarstile_wire.records import MemberRecord
+    from fulmarstile_wire.verdict import Verdict
 
-RENDEZVOUS_STREAM: Final = "rendezvous"
-"""Stream of the log in which daemons publish their addresses."""
+CLAIMS_PREFIX: Final = "claims."
+"""Start of the names of the streams that hold claims."""
 
 _USABLE_STATUSES: Final = frozenset({MemberStatus.ALIVE, MemberStatus.SUSPECT})
 
@@ -39,17 +40,17 @@
     """Times a newer version was put in force."""
     endpoint_changes: int = 0
     """Times the set of usable upstreams changed."""
-    unreadable_rendezvous: int = 0
-    """Rendezvous records that could not be decoded."""
 
 
 class DaemonCore:
-    """Dispatches messages to the decision cores and puts their results in force.
+    """Dispatches events to the decision cores and puts their results in force.
 
     Args:
         membership: Core that knows the other daemons and their upstreams.
         relay: Core that keeps the configuration streams up to date.
         folds: Folded configuration of each customer that the daemon needs.
+        requester: Core that claims idempotency keys for calls that enter here.
+        batchers: Core that appends claims to the log for other daemons.
     """
 
     def __init__(
@@ -57,12 +58,17 @@
         membership: Membership,
         relay: Relay,
         folds: Mapping[str, CustomerFold],
+        requester: ClaimRequester,
+        batchers: ShardBatchers,
     ) -> None:
         self._membership = membership
         self._relay = relay
         self._folds = folds
+        self._requester = requester
+        self._batchers = batchers
         self._routing_table = RoutingTable()
         self._endpoints: tuple[UpstreamEndpoint, ...] = ()
+        self._quarantine: frozenset[bytes] = frozenset()
         self._counters = CoreCounters()
         self._handlers: dict[type, Callable[..., list[Effect]]] = {
             messages.Join: membership.on_join,
@@ -76,6 +82,9 @@
             messages.RecordBatch: relay.on_record_batch,
             messages.SnapshotRequest: relay.on_snapshot_request,
             messages.SnapshotOffer: relay.on_snapshot_offer,
+            messages.ClaimRequest: batchers.on_claim_request,
+            messages.OutcomeReport: batchers.on_outcome_report,
+            messages.ClaimReply: requester.on_claim_reply,
         }
 
     @property
@@ -93,6 +102,16 @@
         """Folded configuration of each customer."""
         return self._folds
 
+    @property
+    def requester(self) -> ClaimRequester:
+        """Core that claims idempotency keys."""
+        return self._requester
+
+    @property
+    def batchers(self) -> ShardBatchers:
+        """Core that appends claims for other daemons."""
+        return self._batchers
+
     @property
     def routing_table(self) -> RoutingTable:
         """Routing table in force; replaced as a whole."""
@@ -100,66 +119,121 @@
 
     @property
     def endpoints(self) -> tuple[UpstreamEndpoint, ...]:
-        """Upstreams that may get new calls, sorted by daemon."""
+        """Upstreams that may get new calls, sorted by daemon; replaced as a whole."""
         return self._endpoints
 
+    @property
+    def quarantine(self) -> frozenset[bytes]:
+        """Fingerprints of requests that have crashed upstreams, as of the last tick."""
+        return self._quarantine
+
     @property
     def counters(self) -> CoreCounters:
         """Counters since the start."""
         return self._counters
 
+    def start(self, now: float) -> list[Effect]:
+        """Handles the start of the daemon.
+
+        Args:
+            now: Time in seconds.
+
+        Returns:
+            Effects for the shell.
+        """
+        return self._carry_out([MembersChanged()], now)
+
     def on_message(self, message: AnyMessage, now: float) -> list[Effect]:
         """Handles a message from another daemon.
 
         Args:
-            message: Message as received; those of other cores are ignored.
+            message: Message as received.
             now: Time in seconds.
 
         Returns:
             Effects for the shell.
         """
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            return []
+        handler = self._handlers[type(message)]
         return self._carry_out(handler(message, now), now)
 
     def on_tick(self, now: float) -> list[Effect]:
         """Handles the passing of time; called about every 100 ms."""
         effects = self._membership.on_tick(now)
         effects += self._relay.on_tick(now)
+        effects += self._requester.on_tick(now)
+        effects += self._batchers.on_tick(now)
+        self._quarantine = self._membership.quarantine
         return self._carry_out(effects, now)
 
     def on_log_page(self, stream: str, page: LogPage, now: float) -> list[Effect]:
         """Handles a page that was read from the log."""
         if stream == RENDEZVOUS_STREAM:
-            records = self._decode_rendezvous(page)
-            return self._carry_out(self._membership.on_rendezvous(records, now), now)
-        return self._carry_out(self._relay.on_log_page(stream, page, now), now)
+            records = decode_rendezvous(record.payload for record in page.records)
+            effects = self._membership.on_rendezvous(records, now, page.end_offset)
+        elif stream.startswith(CLAIMS_PREFIX):
+            effects = self._batchers.on_log_page(stream, page, now)
+        else:
+            effects = self._relay.on_log_page(stream, page, now)
+        return self._carry_out(effects, now)
 
     def on_log_failure(self, stream: str, now: float) -> list[Effect]:
         """Handles a read of the log that failed."""
         if stream == RENDEZVOUS_STREAM:
             return []
+        if stream.startswith(CLAIMS_PREFIX):
+            return self._carry_out(self._batchers.on_log_failure(stream, now), now)
         return self._carry_out(self._relay.on_log_failure(stream, now), now)
 
     def on_append_done(self, stream: str, offset: int, now: float) -> list[Effect]:
         """Handles an append that succeeded."""
         if stream == RENDEZVOUS_STREAM:
             return []
+        if stream.startswith(CLAIMS_PREFIX):
+            return self._carry_out(self._batchers.on_append_done(stream, offset, now), now)
         return self._carry_out(self._relay.on_append_done(stream, offset, now), now)
 
-    def on_append_failure(self, stream: str, now: float) -> list[Effect]:
-        """Handles an append that failed or whose outcome is unknown."""
+    def on_append_failure(self, stream: str, verdict: Verdict, now: float) -> list[Effect]:
+        """Handles an append that failed.
+
+        Args:
+            stream: Stream of the append.
+            verdict: Whether the append may have taken effect.
+            now: Time in seconds.
+
+        Returns:
+            Effects for the shell.
+        """
         if stream == RENDEZVOUS_STREAM:
             return []
+        if stream.startswith(CLAIMS_PREFIX):
+            return self._carry_out(self._batchers.on_append_failure(stream, verdict, now), now)
         return self._carry_out(self._relay.on_append_failure(stream, now), now)
 
+    def carry_out(self, effects: Iterable[Effect], now: float) -> list[Effect]:
+        """Carries out effects that one of the cores returned to the shell.
+
+        Args:
+            effects: Effects of any core of this daemon.
+            now: Time in seconds.
+
+        Returns:
+            The effects that are left for the shell.
+        """
+        return self._carry_out(effects, now)
+
     def announce_upstream(
         self, service: str, status: UpstreamStatus, slots: int, now: float
     ) -> list[Effect]:
         """Makes the state of the local upstream known to the mesh."""
         effects = self._membership.announce_upstream(service, status, slots, now)
-        return self._carry_out(effects, now, members_changed=True)
+        return self._carry_out(effects, now)
+
+    def report_crash(self, fingerprints: Iterable[bytes], now: float) -> list[Effect]:
+        """Reports the requests that were in flight when the local upstream crashed."""
+        effects: list[Effect] = []
+        for fingerprint in fingerprints:
+            effects += self._membership.report_crash(fingerprint, now)
+        return self._carry_out(effects, now)
 
     def begin_leaving(self, now: float) -> list[Effect]:
         """Announces that this daemon takes no new calls."""
@@ -169,13 +243,11 @@
         """Announces that this daemon stops now."""
         return self._carry_out(self._membership.leave(now), now)
 
-    def _carry_out(
-        self, effects: Iterable[Effect], now: float, *, members_changed: bool = False
-    ) -> list[Effect]:
+    def _carry_out(self, effects: Iterable[Effect], now: float) -> list[Effect]:
         remaining: list[Effect] = []
+        members_changed = False
         pending = list(effects)
-        while pending:
-            effect = pending.pop(0)
+        for effect in pending:
             if isinstance(effect, Apply):
                 pending += self._apply(effect.customer, now)
             elif isinstance(effect, MembersChanged):
@@ -183,7 +255,7 @@
             else:
                 remaining.append(effect)
         if members_changed:
-            self._replace_endpoints()
+            remaining += self._follow_members(now)
         return remaining
 
     def _apply(self, customer: str, now: float) -> list[Effect]:
@@ -196,6 +268,12 @@
         self._counters.applied_versions += 1
         return self._membership.report_applied(customer, fold.version, fold.head.digest, now)
 
+    def _follow_members(self, now: float) -> list[Effect]:
+        members = tuple(self._membership.members.values())
+        self._replace_endpoints()
+        self._requester.replace_members(members, now)
+        return self._batchers.replace_members(members, now)
+
     def _replace_endpoints(self) -> None:
         members = self._membership.members
         endpoints = []
@@ -221,12 +299,3 @@
             slots=slots,
             is_local=member.daemon_id == self._membership.record.daemon_id,
         )
-
-    def _decode_rendezvous(self, page: LogPage) -> list[MemberRecord]:
-        records = []
-        for record in page.records:
-            try:
-                records.append(msgspec.msgpack.decode(record.payload, type=MemberRecord))
-            except msgspec.DecodeError:
-                self._counters.unreadable_rendezvous += 1
-        return records
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, Any, Final
 
 import trio
 from loguru import logger
 
+from fulmarstile_calls.upstream_lease import UpstreamLease
+from fulmarstile_daemon.call_context import CoreCallContext
+from fulmarstile_daemon.calls import CallProxy, CallSettings
+from fulmarstile_daemon.claim_service import ClaimEffect, ClaimService
 from fulmarstile_daemon.log_worker import LogWorker
 from fulmarstile_daemon.metrics import MetricsPage
 from fulmarstile_daemon.state import describe_state
@@ -17,13 +20,13 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from fulmarstile_daemon.admin.views import UpstreamAnnouncement
-    from fulmarstile_daemon.calls import CallProxy
+    from fulmarstile_calls.upstream_lease import UpstreamAnnouncement
     from fulmarstile_daemon.core import DaemonCore
     from fulmarstile_daemon.peers import PeerLinks
     from fulmarstile_daemon.settings import Settings
     from fulmarstile_mesh import Effect
     from fulmarstile_platform.log import Log, LogPage
+    from fulmarstile_wire.verdict import Verdict
 
 TICK_INTERVAL_S: Final = 0.1
 """Time between two ticks of the cores, in seconds."""
@@ -40,7 +43,6 @@
         core: The decision core.
         links: Links to the other daemons.
         log: The platform's log.
-        proxy: The call proxy.
         nursery: Nursery of all tasks.
     """
 
@@ -50,17 +52,16 @@
         core: DaemonCore,
         links: PeerLinks,
         log: Log,
-        proxy: CallProxy,
         nursery: trio.Nursery,
     ) -> None:
         self._settings = settings
         self._core = core
         self._links = links
-        self._proxy = proxy
+        self._claims = ClaimService(core.requester, self._carry_out_claims)
+        self._proxy = CallProxy(_call_settings(settings), self._make_call_context())
         self._log_worker = LogWorker(log, nursery, self)
         self._metrics = MetricsPage()
-        self._announcement: UpstreamAnnouncement | None = None
-        self._lease_ends_at = math.inf
+        self._lease = UpstreamLease()
         self._leaving = False
         self._endpoints = core.endpoints
 
@@ -90,9 +91,9 @@
         return self._proxy
 
     @property
-    def announcement(self) -> UpstreamAnnouncement | None:
-        """Last announcement of the local upstream, while its lease lasts."""
-        return self._announcement
+    def lease(self) -> UpstreamLease:
+        """Lease of the local upstream."""
+        return self._lease
 
     @property
     def is_leaving(self) -> bool:
@@ -107,8 +108,11 @@
 
     async def run_ticks(self) -> None:
         """Feeds the passing of time to the core until cancelled."""
+        self._carry_out(self._core.start(self.now))
         while True:
-            self._expire_lease()
+            if self._lease.on_tick(self.now):
+                logger.warning("upstream lease expired")
+                self._follow_lease()
             self._carry_out(self._core.on_tick(self.now))
             await trio.sleep(TICK_INTERVAL_S)
 
@@ -126,28 +130,21 @@
         await trio.sleep(LEAVE_FLUSH_S)
 
     def announce_upstream(self, announcement: UpstreamAnnouncement) -> None:
-        """Takes or renews the lease of the local upstream."""
-        previous = self._announcement
-        self._announcement = announcement
-        self._lease_ends_at = self.now + announcement.ttl_s
-        if previous is not None and _same_upstream(previous, announcement):
-            return
-        status = UpstreamStatus.READY
-        if announcement.status == "draining":
-            status = UpstreamStatus.DRAINING
-        logger.info("upstream announced", service=announcement.service, status=announcement.status)
-        self._proxy.set_upstream(announcement.address, announcement.slots, announcement.connections)
-        self._report_upstream(announcement, status)
+        """Takes or renews the lease of the local upstream.
+
+        Args:
+            announcement: What the upstream says about itself.
+
+        Raises:
+            AnnouncementError: If the announcement is not valid.
+        """
+        if self._lease.on_announcement(announcement, self.now):
+            self._follow_lease()
 
     def withdraw_upstream(self) -> None:
         """Ends the lease of the local upstream."""
-        announcement = self._announcement
-        if announcement is None:
-            return
-        self._announcement = None
-        self._lease_ends_at = math.inf
-        logger.info("upstream gone", service=announcement.service)
-        self._report_upstream(announcement, UpstreamStatus.GONE)
+        if self._lease.on_withdrawal(self.now):
+            self._follow_lease()
 
     def dump_state(self) -> Any:
         """Returns the whole state, to be encoded as JSON."""
@@ -179,20 +176,41 @@
         """Feeds an append that succeeded to the core."""
         self._carry_out(self._core.on_append_done(stream, offset, self.now))
 
-    def on_append_failure(self, stream: str) -> None:
+    def on_append_failure(self, stream: str, verdict: Verdict) -> None:
         """Feeds an append that failed to the core."""
-        self._carry_out(self._core.on_append_failure(stream, self.now))
+        self._carry_out(self._core.on_append_failure(stream, verdict, self.now))
+
+    def _make_call_context(self) -> CoreCallContext:
+        return CoreCallContext(
+            self._settings.daemon.name,
+            self._settings.calls.default_customer,
+            self._core,
+            self._claims,
+            self._report_crash,
+        )
 
-    def _report_upstream(self, announcement: UpstreamAnnouncement, status: UpstreamStatus) -> None:
+    def _report_crash(self, fingerprints: tuple[bytes, ...]) -> None:
+        logger.warning("upstream crashed", suspected_requests=len(fingerprints))
+        self._carry_out(self._core.report_crash(fingerprints, self.now))
+        if self._lease.on_crash(self.now):
+            self._follow_lease()
+
+    def _follow_lease(self) -> None:
+        announcement = self._lease.announcement
+        assert announcement is not None
+        status = self._lease.status
+        logger.info("upstream changed", service=announcement.service, status=status.name.lower())
+        if status is not UpstreamStatus.GONE:
+            self._proxy.set_upstream(
+                announcement.address, announcement.slots, announcement.connections
+            )
         effects = self._core.announce_upstream(
             announcement.service, status, announcement.slots, self.now
         )
         self._carry_out(effects)
 
-    def _expire_lease(self) -> None:
-        if self.now >= self._lease_ends_at:
-            logger.warning("upstream lease expired")
-            self.withdraw_upstream()
+    def _carry_out_claims(self, effects: Iterable[Effect]) -> None:
+        self._carry_out(self._core.carry_out(effects, self.now))
 
     def _carry_out(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
@@ -204,6 +222,8 @@
                 self._log_worker.read(effect)
             elif isinstance(effect, AppendLog):
                 self._log_worker.append(effect)
+            elif isinstance(effect, ClaimEffect):
+                self._claims.on_result(effect)
         self._follow_endpoints()
 
     def _follow_endpoints(self) -> None:
@@ -213,11 +233,14 @@
         self._proxy.replace_endpoints(self._endpoints)
 
 
-def _same_upstream(left: UpstreamAnnouncement, right: UpstreamAnnouncement) -> bool:
-    return (left.service, left.address, left.slots, left.connections, left.status) == (
-        right.service,
-        right.address,
-        right.slots,
-        right.connections,
-        right.status,
+def _call_settings(settings: Settings) -> CallSettings:
+    return CallSettings(
+        address=settings.calls.address,
+        mesh_key=settings.mesh.key,
+        availability_zone=settings.daemon.availability_zone,
+        region=settings.daemon.region,
+        connection_limit=settings.calls.max_connections,
+        queue_limit=settings.calls.queue_limit,
+        head_timeout_s=settings.calls.head_timeout_s,
+        progress_timeout_s=settings.calls.progress_timeout_s,
     )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/log_worker.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/log_worker.py
@@ -12,6 +12,7 @@
 
     from fulmarstile_mesh import AppendLog, ReadLog
     from fulmarstile_platform.log import Log, LogPage
+    from fulmarstile_wire.verdict import Verdict
 
 
 class LogListener(Protocol):
@@ -29,7 +30,7 @@
         """An append succeeded."""
         ...
 
-    def on_append_failure(self, stream: str) -> None:
+    def on_append_failure(self, stream: str, verdict: Verdict) -> None:
         """An append failed or its outcome is unknown."""
         ...
 
@@ -86,8 +87,8 @@
     async def _append(self, effect: AppendLog) -> None:
         try:
             offset = await self._log.append(effect.stream, effect.payload)
-        except LogError:
+        except LogError as error:
             self._counters.failed_appends += 1
-            self._listener.on_append_failure(effect.stream)
+            self._listener.on_append_failure(effect.stream, error.verdict)
             return
         self._listener.on_append_done(effect.stream, offset)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/main.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/main.py
@@ -5,7 +5,7 @@
 import enum
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import trio
 from absl import app, flags
@@ -13,7 +13,7 @@
 
 from fulmarstile_daemon.logs import configure_logs
 from fulmarstile_daemon.peers.links import PeerListenError
-from fulmarstile_daemon.service import run_daemon
+from fulmarstile_daemon.service import CallListenError, run_daemon
 from fulmarstile_daemon.settings import SettingsError, load_settings
 from fulmarstile_platform.http_server import HttpListenError
 
@@ -23,6 +23,14 @@
 _SETTINGS = flags.DEFINE_string("settings", None, "INI file with the settings of the daemon.")
 
 
+_LISTENER_SECTIONS: Final[dict[type, str]] = {
+    PeerListenError: "peers",
+    CallListenError: "calls",
+    HttpListenError: "admin",
+}
+"""Section of the settings that each error of a listener concerns."""
+
+
 class ExitCode(enum.IntEnum):
     """Exit codes of `fulmarstiled`."""
 
@@ -46,17 +54,20 @@
     """
     if len(arguments) > 1 or not _SETTINGS.value:
         return _fail(ExitCode.USAGE, "usage: fulmarstiled --settings=FILE")
+    settings_file = Path(_SETTINGS.value)
     try:
-        settings = load_settings(Path(_SETTINGS.value))
+        settings = load_settings(settings_file)
     except SettingsError as error:
         return _fail(ExitCode.USAGE, str(error))
     configure_logs(settings.daemon.log_format, settings.daemon.log_level)
+    failure: BaseException | None = None
     try:
         trio.run(run_daemon, settings)
-    except* PeerListenError as group:
-        return _fail(ExitCode.LISTEN, f"[peers] address: {group.exceptions[0]}")
-    except* HttpListenError as group:
-        return _fail(ExitCode.LISTEN, str(group.exceptions[0]))
+    except* (PeerListenError, CallListenError, HttpListenError) as group:
+        failure = _find_leaf(group)
+    if failure is not None:
+        section = _LISTENER_SECTIONS[type(failure)]
+        return _fail(ExitCode.LISTEN, f"{settings_file.name}: [{section}] address: {failure}")
     logger.info("stopped")
     return ExitCode.OK
 
@@ -66,6 +77,12 @@
     app.run(main)
 
 
+def _find_leaf(error: BaseException) -> BaseException:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def _fail(code: ExitCode, reason: str) -> int:
     print(f"fulmarstiled: {reason}", file=sys.stderr)
     return code
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/service.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/service.py
@@ -11,21 +11,22 @@
 import trio
 from loguru import logger
 
+from fulmarstile_calls.claims import ClaimRequester, ClaimSettings, ShardBatchers
 from fulmarstile_config import CustomerFold
 from fulmarstile_daemon.admin import AdminApi
-from fulmarstile_daemon.call_context import CoreCallContext
-from fulmarstile_daemon.calls import CallProxy, CallSettings
 from fulmarstile_daemon.core import DaemonCore
 from fulmarstile_daemon.daemon import Daemon
 from fulmarstile_daemon.peers import open_peer_links
-from fulmarstile_mesh import Membership, MembershipSettings, Relay, RelaySettings
+from fulmarstile_mesh import Membership, MembershipSettings, Relay, RelaySettings, SpreadMode
 from fulmarstile_platform import HttpLogSettings, open_http_log
 from fulmarstile_platform.http_server import listen_http, serve_http
+from fulmarstile_wire.errors import FulmarstileError
 from fulmarstile_wire.records import MemberRecord, MemberStatus
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from fulmarstile_daemon.calls import CallProxy
     from fulmarstile_daemon.settings import Settings
     from fulmarstile_platform import HttpLog
 
@@ -33,6 +34,10 @@
 """Connections to the log besides one long poll for each customer."""
 
 
+class CallListenError(FulmarstileError):
+    """The listener for calls cannot be opened."""
+
+
 async def run_daemon(settings: Settings) -> None:
     """Runs a daemon until a planned stop has ended.
 
@@ -42,24 +47,29 @@
     Raises:
         PeerListenError: If the listener for peers cannot be opened.
         HttpListenError: If the admin listener cannot be opened.
+        CallListenError: If the listener for calls cannot be opened.
     """
     admin_listeners = await listen_http(settings.admin.address)
     with open_peer_links(settings.peers.address, settings.mesh.key) as links:
         async with _open_log(settings) as log, trio.open_nursery() as nursery:
-            context = CoreCallContext(settings.daemon.name, settings.calls.default_customer)
-            proxy = CallProxy(_call_settings(settings), context)
-            calls_address = await nursery.start(proxy.serve)
-            core = _assemble_core(settings, settings.calls.advertise or calls_address)
-            context.attach(core)
-            daemon = Daemon(settings, core, links, log, proxy, nursery)
+            core = _assemble_core(settings)
+            daemon = Daemon(settings, core, links, log, nursery)
+            await _start_proxy(daemon.proxy, nursery)
             nursery.start_soon(serve_http, admin_listeners, AdminApi(daemon).handle)
             nursery.start_soon(daemon.receive_messages)
             nursery.start_soon(daemon.run_ticks)
-            logger.info("started", daemon=settings.daemon.name, calls=calls_address)
+            logger.info("started", daemon=settings.daemon.name)
             await _wait_for_stop(daemon)
             nursery.cancel_scope.cancel()
 
 
+async def _start_proxy(proxy: CallProxy, nursery: trio.Nursery) -> None:
+    try:
+        await nursery.start(proxy.serve)
+    except OSError as error:
+        raise CallListenError(f"cannot listen at {proxy.address}: {error.strerror}") from error
+
+
 async def _wait_for_stop(daemon: Daemon) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         await anext(aiter(signals))
@@ -88,9 +98,9 @@
         yield log
 
 
-def _assemble_core(settings: Settings, calls_address: str) -> DaemonCore:
+def _assemble_core(settings: Settings) -> DaemonCore:
     seed = random.Random()
-    record = _describe_member(settings, calls_address)
+    record = _describe_member(settings)
     membership = Membership(_membership_settings(settings), record, random.Random(seed.random()))
     folds = {
         customer: CustomerFold(customer, owner_key, settings.mesh.key)
@@ -106,16 +116,19 @@
         membership,
         random.Random(seed.random()),
     )
-    return DaemonCore(membership, relay, folds)
+    claims = ClaimSettings()
+    requester = ClaimRequester(claims, record.daemon_id, record.peer_address, record.incarnation)
+    batchers = ShardBatchers(claims, record.daemon_id, record.peer_address)
+    return DaemonCore(membership, relay, folds, requester, batchers)
 
 
-def _describe_member(settings: Settings, calls_address: str) -> MemberRecord:
+def _describe_member(settings: Settings) -> MemberRecord:
     return MemberRecord(
         daemon_id=settings.daemon.name,
         incarnation=time.time_ns() // 1_000_000,
         status=MemberStatus.ALIVE,
         peer_address=settings.peers.advertise or settings.peers.address,
-        calls_address=calls_address,
+        calls_address=settings.calls.advertise or settings.calls.address,
         availability_zone=settings.daemon.availability_zone,
         region=settings.daemon.region,
         customers=tuple(sorted(settings.customers)),
@@ -124,24 +137,11 @@
 
 def _membership_settings(settings: Settings) -> MembershipSettings:
     return MembershipSettings(
-        probe_interval_s=settings.peers.probe_interval_s,
-        active_peers=settings.peers.active_peers,
-        seeds=settings.peers.seeds,
+        seeds=settings.peers.seeds, probe_interval_s=settings.peers.probe_interval_s
     )
 
 
 def _relay_settings(settings: Settings) -> RelaySettings:
-    return RelaySettings(mode=settings.peers.dissemination, retention_s=settings.log.retention_s)
-
-
-def _call_settings(settings: Settings) -> CallSettings:
-    return CallSettings(
-        address=settings.calls.address,
-        mesh_key=settings.mesh.key,
-        availability_zone=settings.daemon.availability_zone,
-        region=settings.daemon.region,
-        connection_limit=settings.calls.max_connections,
-        queue_limit=settings.calls.queue_limit,
-        head_timeout_s=settings.calls.head_timeout_s,
-        progress_timeout_s=settings.calls.progress_timeout_s,
+    return RelaySettings(
+        mode=SpreadMode(settings.peers.dissemination), retention_s=settings.log.retention_s
     )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/settings/model.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/settings/model.py
@@ -29,7 +29,6 @@
     advertise: str
     seeds: tuple[str, ...]
     dissemination: str
-    active_peers: int
     probe_interval_s: float
 
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/settings/reference.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/settings/reference.py
@@ -81,19 +81,12 @@
         "push sends new records with their announcement and converges faster; "
         "pull announces first and sends fewer bytes.",
     ),
-    SettingKey(
-        "peers",
-        "active_peers",
-        IntegerReader(2, 32, "links"),
-        "6",
-        "Links that the daemon keeps open to other daemons.",
-    ),
     SettingKey(
         "peers",
         "probe_interval_s",
         SecondsReader(0.1, 10.0),
-        "1",
-        "Time between probes of one peer after another.",
+        "0.5",
+        "Time between two probes; the peers are probed in turn.",
     ),
     SettingKey("calls", "address", AddressReader(), None, "Listener for calls."),
     SettingKey(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/settings/values.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/settings/values.py
@@ -61,7 +61,7 @@
 
     allow_empty: bool = False
     unit: str = "host:port"
-    bounds: str = f"IP number, port 0 to {MAX_PORT}"
+    bounds: str = f"IP number, port 1 to {MAX_PORT}"
 
     def read(self, text: str) -> str:
         """Returns the address."""
@@ -70,8 +70,8 @@
         host, separator, port = text.rpartition(":")
         if not separator or not host:
             raise ValueError(f"'{text}' is not an address of the form host:port")
-        if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
-            raise ValueError(f"'{port}' is not a port between 0 and {MAX_PORT}")
+        if not port.isascii() or not port.isdigit() or not 1 <= int(port) <= MAX_PORT:
+            raise ValueError(f"'{port}' is not a port between 1 and {MAX_PORT}")
         return text
 
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/state.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/state.py
@@ -9,6 +9,7 @@
 from fulmarstile_daemon.admin.views import describe_customer, describe_member
 
 if TYPE_CHECKING:
+    from fulmarstile_daemon.core import DaemonCore
     from fulmarstile_daemon.daemon import Daemon
 
 
@@ -27,12 +28,14 @@
     return {
         "daemon": _describe(membership.record),
         "leaving": daemon.is_leaving,
-        "upstream": daemon.announcement,
+        "upstream": _describe(daemon.lease.announcement),
+        "upstream_status": daemon.lease.status.name.lower(),
         "applied": dict(sorted(core.routing_table.versions.items())),
         "customers": [describe_customer(fold) for _, fold in sorted(core.folds.items())],
         "members": [describe_member(item, membership.upstreams) for _, item in members],
         "endpoints": [asdict(endpoint) for endpoint in core.endpoints],
         "links": daemon.links.addresses,
+        "claims": _describe_claims(core),
         "calls": daemon.proxy.dump(),
         "membership": membership.dump(),
         "counters": {
@@ -53,6 +56,17 @@
     return value
 
 
+def _describe_claims(core: DaemonCore) -> dict[str, Any]:
+    return {
+        "pending": core.requester.pending_count,
+        "held": core.requester.held_count,
+        "unconfirmed_outcomes": core.requester.unconfirmed_count,
+        "shards": core.batchers.shards,
+        "keys": core.batchers.key_count,
+        "appends": core.batchers.append_count,
+    }
+
+
 def _describe_process() -> dict[str, float]:
     usage = resource.getrusage(resource.RUSAGE_SELF)
     return {
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_joining.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_joining.py
@@ -114,13 +114,15 @@
         self._next_attempt_at = now + max(0.1, self._backoff.next_delay())
         if others:
             return [self._join(own, self._random.choice(others).peer_address)]
-        addresses = sorted(set(self._candidates) - {own.peer_address})
+        addresses = sorted({*self._candidates, *self._settings.seeds} - {own.peer_address})
         chosen = self._random.sample(addresses, min(_JOINS_PER_ATTEMPT, len(addresses)))
         for address in chosen:
             self._count_attempt(address)
         return [*(self._join(own, address) for address in chosen), *self._read_tail()]
 
     def _count_attempt(self, address: str) -> None:
+        if address not in self._candidates:
+            return
         self._candidates[address] += 1
         if self._candidates[address] >= _ATTEMPTS_PER_ADDRESS:
             del self._candidates[address]
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_view_digest.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_view_digest.py
@@ -22,7 +22,7 @@
 
 def find_bucket(daemon_id: str) -> int:
     """Returns the number of the bucket that a daemon's records belong to."""
-    return xxhash.xxh32_intdigest(daemon_id) % BUCKET_COUNT
+    return xxhash.xxh32_intdigest(daemon_id.encode()) % BUCKET_COUNT
 
 
 class ViewDigest:
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/overlay.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/overlay.py
@@ -23,13 +23,13 @@
 
 @lru_cache(maxsize=_HASH_CACHE_SIZE)
 def _ring_key(daemon_id: str, seed: int) -> tuple[int, str]:
-    return xxhash.xxh64_intdigest(daemon_id, seed=seed), daemon_id
+    return xxhash.xxh64_intdigest(daemon_id.encode(), seed=seed), daemon_id
 
 
 @lru_cache(maxsize=_HASH_CACHE_SIZE)
 def compute_weight(daemon_id: str, purpose: str) -> int:
     """Returns the rendezvous weight of a daemon for a purpose; the highest one is chosen."""
-    return xxhash.xxh64_intdigest(f"{purpose}\0{daemon_id}")
+    return xxhash.xxh64_intdigest(f"{purpose}\0{daemon_id}".encode())
 
 
 def rank_candidates(candidates: Iterable[MemberRecord], purpose: str) -> list[MemberRecord]:
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/settings.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/settings.py
@@ -10,6 +10,8 @@
 class MembershipSettings:
     """Settings of the membership core."""
 
+    seeds: tuple[str, ...] = ()
+    """`host:port` of daemons to join through, besides those found in the log."""
     probe_interval_s: float = 0.5
     """Time between two probes; active peers are probed in turn."""
     probe_timeout_s: float = 1.0
--- a/tests/daemon/test_settings.py
+++ b/tests/daemon/test_settings.py
@@ -19,7 +19,7 @@
     "an_unknown_section": ("cache__size", "1", "is not a section of the settings"),
     "a_missing_required_key": ("daemon__name", "", "is required but missing"),
     "a_wrong_type": ("calls__queue_limit", "many", "'many' is not a whole number"),
-    "a_value_out_of_range": ("peers__active_peers", "99", "99 is not between 2 and 32"),
+    "a_value_out_of_range": ("calls__max_connections", "0", "0 is not between 1 and 100000"),
     "a_bad_address": ("log__address", "log", "'log' is not an address of the form host:port"),
     "a_bad_port": ("log__address", "10.0.0.1:99999", "'99999' is not a port"),
     "a_short_key": ("mesh__key", "AAAA", "the key has 3 bytes instead of 32"),
