--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_stream.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_stream.py
@@ -51,7 +51,10 @@
     """Derives the duties and neighbours of a daemon from the membership view."""
     concerned = list_concerned(view, customer)
     others = [record for record in concerned if record.daemon_id != own.daemon_id]
-    neighbours = choose_peers(own, others, settings.zone_rings, settings.global_rings)
+    unsuspected = [record for record in others if record.status is not MemberStatus.SUSPECT]
+    neighbours = choose_peers(
+        own, unsuspected or others, settings.zone_rings, settings.global_rings
+    )
     is_near = [peer.availability_zone == own.availability_zone for peer in neighbours]
     candidates = [own, *(record for record in others if record.status is MemberStatus.ALIVE)]
     zones: dict[str, list[MemberRecord]] = {}
@@ -100,7 +103,9 @@
     replica: StreamReplica
     backoff: Backoff
     topology: Topology = Topology()
-    topology_expires_at: float = float("-inf")
+    topology_at: float = float("-inf")
+    topology_version: int = -1
+    """Version of the members that the topology was derived from."""
     peer_heads: dict[str, StreamHead] = field(default_factory=dict)
     held: dict[int, StreamRecord] = field(default_factory=dict)
     """Records received ahead of their turn."""
@@ -109,19 +114,19 @@
     lagging_since: float | None = None
     read: OutstandingRead | None = None
     next_read_at: float = float("-inf")
+    fallback_at: float | None = None
+    """When a daemon that is no reader reads the log; None unless peers have failed it."""
     is_synced: bool = False
     """Whether the end of the log, or the head of a synced peer, has been reached once."""
-    is_dirty: bool = False
-    """Whether the document changed since it was last applied."""
+    applied_version: int = 0
+    """Version that was last handed over to be put in force."""
     is_apply_held: bool = False
     announced: tuple[int, int] = (0, 0)
     """Generation and offset up to which peers have been told."""
     reset_sightings: int = 0
     """Consecutive pages that end before the offset asked for."""
-    scan_offset: int | None = None
-    """Where the search for a snapshot record goes on."""
-    gap_since: float | None = None
     reset_since: float | None = None
+    """When the log was found to have lost the stream; None unless it waits to be re-seeded."""
     append_expires_at: float = float("-inf")
     snapshot_at: float | None = None
     """Time of the newest snapshot in the log, by the local clock; None if unknown."""
@@ -141,6 +146,11 @@
         head = self.replica.head
         return head.generation, head.next_offset
 
+    @property
+    def is_reliable(self) -> bool:
+        """Whether peers may be given the replica's state."""
+        return self.is_synced and self.reset_since is None and not self.replica.needs_snapshot
+
     def list_ahead(self) -> list[str]:
         """Returns the peers that have folded more, by `daemon_id`."""
         return [
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/relay.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/relay.py
@@ -5,39 +5,38 @@
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_mesh._log_following import LogFollowing
-from fulmarstile_mesh._rate import Backoff, TokenBucket
+from fulmarstile_mesh._rate import Backoff
+from fulmarstile_mesh._relay_mailer import RelayMailer
 from fulmarstile_mesh._stream import (
     CONFIG_STREAM_PREFIX,
     OutstandingRequest,
     Stream,
     build_topology,
 )
-from fulmarstile_mesh.effects import Apply, Effect, Send
+from fulmarstile_mesh.effects import Apply, Effect
 from fulmarstile_mesh.relay_state import RelayCounters, RelayState, StreamState
 from fulmarstile_mesh.settings import SpreadMode
-from fulmarstile_wire.messages import (
-    Heads,
-    RecordBatch,
-    RecordRequest,
-    SnapshotOffer,
-    SnapshotRequest,
-)
 from fulmarstile_wire.records import StreamHead, StreamRecord
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping, Sequence
+    from collections.abc import Callable, Iterable, Mapping
     from random import Random
 
     from fulmarstile_mesh.replica import StreamReplica
     from fulmarstile_mesh.settings import RelaySettings
     from fulmarstile_mesh.view import MeshView
     from fulmarstile_platform.log import LogPage
-    from fulmarstile_wire.messages import Message
+    from fulmarstile_wire.messages import (
+        Heads,
+        Message,
+        RecordBatch,
+        RecordRequest,
+        SnapshotOffer,
+        SnapshotRequest,
+    )
     from fulmarstile_wire.records import MemberRecord
 
-_TOPOLOGY_LIFETIME_S: Final = 1.0
-_BURST_SNAPSHOT_OFFERS: Final = 8.0
-_MAX_BATCHES_PER_ANSWER: Final = 4
+_MIN_TOPOLOGY_INTERVAL_S: Final = 0.5
 
 
 class Relay:
@@ -69,16 +68,14 @@
     ) -> None:
         self._settings = settings
         self._daemon_id = daemon_id
-        self._reply_to = reply_to
         self._availability_zone = availability_zone
-        self._region = region
         self._replicas = replicas
         self._view = view
         self._random = random
         self._counters = RelayCounters()
         self._log = LogFollowing(settings, random, self._counters, is_snapshot)
         self._streams: dict[str, Stream] = {}
-        self._offer_budget = TokenBucket(settings.snapshot_offers_per_s, _BURST_SNAPSHOT_OFFERS)
+        self._mailer = RelayMailer(settings, daemon_id, reply_to, self._counters)
         self._next_anti_entropy_at: float | None = None
 
     @property
@@ -108,19 +105,19 @@
     def on_record_request(self, message: RecordRequest, now: float) -> list[Effect]:
         """Sends the records asked for, or a snapshot where they are not kept."""
         stream = self._get_stream(message.customer)
-        if stream is None or not stream.is_synced:
+        if stream is None or not stream.is_reliable:
             return []
         head = stream.replica.head
         if message.generation > head.generation:
             return []
         if message.generation < head.generation:
-            return self._offer_snapshot(stream, message.reply_to, now)
+            return self._mailer.offer_snapshot(message.reply_to, stream.replica, now)
         if message.from_offset >= head.next_offset:
-            return [self._send_heads(message.reply_to, [head])]
+            return [self._mailer.send_heads(message.reply_to, [head])]
         records = stream.replica.records_from(message.from_offset)
         if records is None:
-            return self._offer_snapshot(stream, message.reply_to, now)
-        return self._send_batches(message.reply_to, head, records)
+            return self._mailer.offer_snapshot(message.reply_to, stream.replica, now)
+        return self._mailer.send_batches(message.reply_to, head, records)
 
     def on_record_batch(self, message: RecordBatch, now: float) -> list[Effect]:
         """Folds records received from a peer, in the order of their offsets."""
@@ -129,9 +126,9 @@
             return []
         self._counters.batches_received += 1
         head = stream.replica.head
-        if message.generation != head.generation:
-            return self._pull(stream, now) if message.generation > head.generation else []
         self._note_head(stream, message.sender, message.generation, message.next_offset)
+        if message.generation != head.generation or stream.reset_since is not None:
+            return self._pull(stream, now)
         if message.next_offset <= head.next_offset:
             self._counters.duplicate_batches += 1
         is_answer = stream.request is not None and stream.request.peer == message.sender
@@ -144,9 +141,9 @@
     def on_snapshot_request(self, message: SnapshotRequest, now: float) -> list[Effect]:
         """Sends a snapshot."""
         stream = self._get_stream(message.customer)
-        if stream is None or not stream.is_synced:
+        if stream is None or not stream.is_reliable:
             return []
-        return self._offer_snapshot(stream, message.reply_to, now)
+        return self._mailer.offer_snapshot(message.reply_to, stream.replica, now)
 
     def on_snapshot_offer(self, message: SnapshotOffer, now: float) -> list[Effect]:
         """Adopts a snapshot if it is newer than the replica."""
@@ -154,13 +151,13 @@
         if stream is None:
             return []
         self._end_request(stream, message.sender)
+        generation = stream.replica.head.generation
         if not stream.replica.restore_snapshot(message.payload):
             return []
         self._counters.snapshots_restored += 1
-        stream.is_dirty = True
-        stream.gap_since = None
-        stream.scan_offset = None
-        stream.reset_since = None
+        if stream.replica.head.generation > generation:
+            stream.held.clear()
+            self._log.end_reset(stream, now)
         return self._fold_held(stream, message.sender, now)
 
     def on_log_page(self, stream: str, page: LogPage, now: float) -> list[Effect]:
@@ -168,8 +165,8 @@
         state = self._find_by_name(stream)
         if state is None:
             return []
-        effects = self._log.on_page(state, page, now)
-        return effects + self._follow_up(state, "", now)
+        self._log.on_page(state, page, now)
+        return self._follow_up(state, "", now)
 
     def on_log_failure(self, stream: str, now: float) -> list[Effect]:
         """Backs off after a failed read."""
@@ -203,12 +200,10 @@
         return effects
 
     def _tick_stream(self, stream: Stream, now: float) -> list[Effect]:
-        self._refresh_topology(stream, now)
-        if stream.started_at is None:
-            stream.started_at = now
+        effects = self._refresh_topology(stream, now)
         if not self._view.is_settled:
-            return []
-        effects = self._pull_if_due(stream, now)
+            return effects
+        effects += self._pull_if_due(stream, now)
         effects += self._log.on_tick(stream, now)
         effects += self._try_apply(stream)
         return effects
@@ -220,23 +215,32 @@
         stream.peer_heads[message.sender] = head
         own = stream.replica.head
         remote = (head.generation, head.next_offset)
+        if stream.reset_since is not None:
+            return self._pull(stream, now) if head.generation > own.generation else []
         if remote > stream.position:
             return self._schedule_pull(stream, message.sender, now)
         if remote == stream.position:
-            if head.digest != own.digest:
-                self._counters.divergences += 1
-            return self._note_synced(stream, now)
-        if not stream.is_synced:
+            return self._on_same_head(stream, head)
+        if not stream.is_reliable:
             return []
         return self._help_behind(stream, head, message.reply_to)
 
+    def _on_same_head(self, stream: Stream, head: StreamHead) -> list[Effect]:
+        if head.digest != stream.replica.head.digest:
+            self._counters.divergences += 1
+        if stream.replica.needs_snapshot:
+            return []
+        stream.lagging_since = None
+        stream.is_synced = True
+        return self._try_apply(stream)
+
     def _help_behind(self, stream: Stream, head: StreamHead, reply_to: str) -> list[Effect]:
         own = stream.replica.head
         if self._settings.mode is SpreadMode.PUSH and head.generation == own.generation:
             records = stream.replica.records_from(head.next_offset)
             if records is not None:
-                return self._send_batches(reply_to, own, records)
-        return [self._send_heads(reply_to, [own])]
+                return self._mailer.send_batches(reply_to, own, records)
+        return [self._mailer.send_heads(reply_to, [own])]
 
     def _schedule_pull(self, stream: Stream, sender: str, now: float) -> list[Effect]:
         if stream.lagging_since is None:
@@ -256,7 +260,9 @@
             self._counters.requests_timed_out += 1
             stream.request = None
             stream.pull_at = now
-        if not stream.is_synced and stream.request is None:
+        if stream.reset_since is not None:
+            return []
+        if not stream.is_reliable and stream.request is None:
             return self._ask_neighbour(stream, now)
         if now < stream.pull_at:
             return []
@@ -279,7 +285,10 @@
         neighbours = stream.topology.neighbours
         if not neighbours:
             return []
-        return self._request(stream, self._random.choice(neighbours).daemon_id, now)
+        peer = self._random.choice(neighbours).daemon_id
+        if stream.replica.needs_snapshot:
+            return self._request_snapshot(stream, peer, now)
+        return self._request(stream, peer, now)
 
     def _request(self, stream: Stream, peer: str, now: float) -> list[Effect]:
         record = self._view.members.get(peer)
@@ -289,23 +298,17 @@
         stream.request = OutstandingRequest(peer, now + timeout_s)
         stream.pull_at = float("inf")
         self._counters.requests_sent += 1
-        head = stream.replica.head
         remote = stream.peer_heads.get(peer)
-        if remote is not None and remote.generation > head.generation:
-            snapshot_request = SnapshotRequest(self._daemon_id, self._reply_to, stream.customer)
-            return [Send(record.peer_address, snapshot_request)]
-        request = RecordRequest(
-            self._daemon_id, self._reply_to, stream.customer, head.generation, head.next_offset
-        )
-        return [Send(record.peer_address, request)]
+        if remote is not None and remote.generation > stream.replica.head.generation:
+            return [self._mailer.request_snapshot(record.peer_address, stream.replica)]
+        return [self._mailer.request_records(record.peer_address, stream.replica)]
 
     def _request_snapshot(self, stream: Stream, peer: str, now: float) -> list[Effect]:
         record = self._view.members.get(peer)
         if record is None:
             return []
         stream.request = OutstandingRequest(peer, now + self._settings.request_timeout_s)
-        request = SnapshotRequest(self._daemon_id, self._reply_to, stream.customer)
-        return [Send(record.peer_address, request)]
+        return [self._mailer.request_snapshot(record.peer_address, stream.replica)]
 
     def _end_request(self, stream: Stream, sender: str) -> None:
         if stream.request is not None and stream.request.peer == sender:
@@ -343,22 +346,14 @@
         if not stream.list_ahead():
             stream.lagging_since = None
             stream.pull_at = float("inf")
-            if source:
-                stream.is_synced = True
+            stream.is_synced |= bool(source)
         elif source and stream.request is None:
             effects += self._pull(stream, now)
-        if stream.is_synced and stream.position > stream.announced:
+        if stream.is_reliable and stream.position > stream.announced:
             effects += self._announce(stream, source)
         effects += self._try_apply(stream)
         return effects
 
-    def _note_synced(self, stream: Stream, now: float) -> list[Effect]:
-        stream.lagging_since = None
-        if not stream.is_synced:
-            stream.is_synced = True
-            return self._try_apply(stream)
-        return []
-
     def _announce(self, stream: Stream, source: str) -> list[Effect]:
         head = stream.replica.head
         records = self._list_unannounced(stream)
@@ -368,12 +363,12 @@
             if not self._is_behind(stream, peer, source):
                 continue
             if records:
-                effects += self._send_batches(peer.peer_address, head, records)
+                effects += self._mailer.send_batches(peer.peer_address, head, records)
             else:
-                effects.append(self._send_heads(peer.peer_address, [head]))
+                effects.append(self._mailer.send_heads(peer.peer_address, [head]))
         for peer in stream.topology.far_neighbours:
             if self._is_behind(stream, peer, source):
-                effects.append(self._send_heads(peer.peer_address, [head]))
+                effects.append(self._mailer.send_heads(peer.peer_address, [head]))
         return effects
 
     def _list_unannounced(self, stream: Stream) -> tuple[StreamRecord, ...]:
@@ -393,43 +388,10 @@
         known = stream.peer_heads.get(peer.daemon_id)
         return known is None or (known.generation, known.next_offset) < stream.position
 
-    def _send_heads(self, address: str, heads: Iterable[StreamHead]) -> Send:
-        return Send(address, Heads(self._daemon_id, self._reply_to, tuple(heads)))
-
-    def _send_batches(
-        self, address: str, head: StreamHead, records: Sequence[StreamRecord]
-    ) -> list[Effect]:
-        parts = _split_records(records, self._settings.max_batch_bytes)
-        effects: list[Effect] = []
-        if len(parts) > 1:
-            effects.append(self._send_heads(address, [head]))
-        for index, part in enumerate(parts[:_MAX_BATCHES_PER_ANSWER]):
-            is_last = index == len(parts) - 1
-            batch = RecordBatch(
-                self._daemon_id,
-                self._reply_to,
-                head.customer,
-                head.generation,
-                part,
-                head.next_offset if is_last else part[-1].offset + 1,
-            )
-            self._counters.batches_sent += 1
-            effects.append(Send(address, batch))
-        return effects
-
-    def _offer_snapshot(self, stream: Stream, address: str, now: float) -> list[Effect]:
-        if not self._offer_budget.take(1.0, now):
-            self._counters.offers_withheld += 1
-            return []
-        self._counters.snapshots_offered += 1
-        payload = stream.replica.encode_snapshot()
-        offer = SnapshotOffer(self._daemon_id, self._reply_to, stream.customer, payload)
-        return [Send(address, offer), self._send_heads(address, [stream.replica.head])]
-
     def _try_apply(self, stream: Stream) -> list[Effect]:
-        if not stream.is_dirty:
-            return []
         version = stream.replica.head.version
+        if version <= stream.applied_version:
+            return []
         applied = self._view.applied.get((self._daemon_id, stream.customer))
         floor = applied.version if applied is not None else 0
         if not self._view.is_settled or not stream.is_synced or version < floor:
@@ -437,7 +399,7 @@
                 self._counters.applies_held += 1
             stream.is_apply_held = True
             return []
-        stream.is_dirty = False
+        stream.applied_version = version
         stream.is_apply_held = False
         return [Apply(stream.customer)]
 
@@ -459,17 +421,29 @@
         heads = [
             stream.replica.head
             for customer, stream in sorted(self._streams.items())
-            if customer in peer.customers and stream.is_synced
+            if customer in peer.customers and stream.is_reliable
         ]
-        return [self._send_heads(peer.peer_address, heads)] if heads else []
+        return [self._mailer.send_heads(peer.peer_address, heads)] if heads else []
 
-    def _refresh_topology(self, stream: Stream, now: float) -> None:
+    def _refresh_topology(self, stream: Stream, now: float) -> list[Effect]:
+        version = self._view.members_version
         own = self._view.members.get(self._daemon_id)
-        if now < stream.topology_expires_at or own is None:
-            return
-        stream.topology_expires_at = now + _TOPOLOGY_LIFETIME_S * self._random.uniform(0.5, 1.0)
+        if version == stream.topology_version or own is None:
+            return []
+        if now - stream.topology_at < _MIN_TOPOLOGY_INTERVAL_S:
+            return []
+        known = {peer.daemon_id for peer in stream.topology.neighbours}
+        stream.topology_at = now
+        stream.topology_version = version
         stream.topology = build_topology(own, self._view, stream.customer, self._settings)
         stream.prune_heads(self._view)
+        if not stream.is_reliable:
+            return []
+        return [
+            self._mailer.send_heads(peer.peer_address, [stream.replica.head])
+            for peer in stream.topology.neighbours
+            if peer.daemon_id not in known
+        ]
 
     def _get_stream(self, customer: str) -> Stream | None:
         replica = self._replicas.get(customer)
@@ -486,21 +460,3 @@
         if not name.startswith(CONFIG_STREAM_PREFIX):
             return None
         return self._get_stream(name.removeprefix(CONFIG_STREAM_PREFIX))
-
-
-def _split_records(
-    records: Sequence[StreamRecord], max_bytes: int
-) -> list[tuple[StreamRecord, ...]]:
-    parts: list[tuple[StreamRecord, ...]] = []
-    part: list[StreamRecord] = []
-    size = 0
-    for record in records:
-        if part and size + len(record.payload) > max_bytes:
-            parts.append(tuple(part))
-            part = []
-            size = 0
-        part.append(record)
-        size += len(record.payload)
-    if part:
-        parts.append(tuple(part))
-    return parts
