--- a/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
@@ -379,7 +379,7 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
             address = await nursery.start(upstream.serve)
-            logger.info("upstream {} serves {} at {}", settings.instance, settings.service, address)
+            print(f"ready {address}", flush=True)
             announcing = trio.CancelScope()
             if admin:
                 nursery.start_soon(_run_in_scope, announcing, upstream, admin, ttl_s)
