--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_call.py
@@ -138,8 +138,7 @@
     """Idempotency key; empty for none."""
     forwarded: bool = False
     """Whether another daemon sent the call."""
-    headers: list[_headers.Header] = field(default_factory=list)
-    """End-to-end headers."""
+    headers: _headers.MessageHeaders = field(default_factory=_headers.MessageHeaders)
     body: bytes = b""
     """First part of the body, or all of it."""
     body_complete: bool = True
@@ -168,25 +167,6 @@
             return self.earlier_verdict
         return self.verdict
 
-    @property
-    def has_body(self) -> bool:
-        """Whether the request announces a body."""
-        return any(
-            name in (b"content-length", b"transfer-encoding") for name, _ in self.request.headers
-        )
-
-    def has_large_body(self, limit: int) -> bool:
-        """Tells whether the request announces a body larger than a limit.
-
-        Args:
-            limit: Size in bytes.
-
-        Returns:
-            True if it does; False if the size is not known.
-        """
-        length = _headers.find_header(self.request.headers, b"content-length")
-        return length is not None and int(length) > limit
-
     def start_next_attempt(self) -> None:
         """Notes that the last attempt failed and another one follows."""
         self.earlier_verdict = self.combined_verdict
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import h11
@@ -15,11 +16,12 @@
     refusal_body,
     refusal_headers,
 )
+from fulmarstile_daemon.calls._headers import MessageHeaders, checked_headers, read_headers
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
     from fulmarstile_calls.request import CallRefusal
-    from fulmarstile_daemon.calls import _headers
+    from fulmarstile_daemon.calls._headers import Header
     from fulmarstile_daemon.calls._stream import ByteStream
     from fulmarstile_daemon.calls.settings import CallSettings
 
@@ -29,6 +31,14 @@
 _LINGER_BYTES: Final = 1024 * 1024
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """Head of a request with its headers sorted."""
+
+    head: h11.Request
+    headers: MessageHeaders
+
+
 class CallerConnection:
     """Reads requests and writes answers, one after the other.
 
@@ -43,6 +53,8 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=settings.head_limit)
         self.is_idle = True
         """Whether no byte of a next request has arrived."""
+        self.idle_since = 0.0
+        """Time from which the next request is awaited, in seconds."""
         self.hop = b""
         """Last `Fulmarstile-Hop` header of this connection that proved valid."""
         self.scope = trio.CancelScope()
@@ -67,11 +79,11 @@
         """Returns the file descriptor, negative if closed."""
         return self._stream.fileno()
 
-    async def receive_request(self) -> h11.Request | None:
+    async def receive_request(self) -> ReceivedRequest | None:
         """Receives the head of the next request.
 
         Returns:
-            The head, or None if the caller closed the connection or sent none in time.
+            The request, or None if the caller closed the connection.
 
         Raises:
             CallFailedError: If the head is malformed, oversize or late.
@@ -82,7 +94,8 @@
         if received:
             await trio.lowlevel.checkpoint()
         else:
-            received = await self._receive_first()
+            self.idle_since = trio.current_time()
+            received = await self._receive()
             if not received:
                 return None
             self._http.receive_data(received)
@@ -96,8 +109,9 @@
         event = self._parse()
         if type(event) is not h11.Request:
             raise _bad_request("no request")
-        _check_framing(event)
-        return event
+        headers = read_headers(event)
+        _check_framing(event, headers)
+        return ReceivedRequest(event, headers)
 
     async def receive_body(self) -> bytes | None:
         """Receives a part of the request body.
@@ -152,7 +166,7 @@
         await self._send(self._http.send(h11.InformationalResponse(status_code=100, headers=[])))
 
     async def send_head(
-        self, status: int, headers: list[_headers.Header], body: bytes, complete: bool
+        self, status: int, headers: list[Header], body: bytes, complete: bool
     ) -> None:
         """Sends the head of an answer with the first part of its body.
 
@@ -168,7 +182,7 @@
         http = self._http
         if http.their_state is h11.SEND_BODY:
             headers = [*headers, (b"connection", b"close")]
-        data = http.send(h11.Response(status_code=status, headers=headers))
+        data = http.send(h11.Response(status_code=status, headers=checked_headers(headers)))
         if body:
             data += http.send(h11.Data(data=body))
         if complete:
@@ -235,11 +249,6 @@
         except h11.RemoteProtocolError:
             return
 
-    async def _receive_first(self) -> bytes:
-        with trio.move_on_after(self._settings.idle_timeout_s):
-            return await self._receive()
-        return b""
-
     async def _receive_rest(self, received: bytes) -> bytes:
         with trio.move_on_after(self._settings.head_timeout_s):
             while received.find(_HEAD_END) < 0:
@@ -289,16 +298,11 @@
         raise _bad_request("a header is continued on the next line")
 
 
-def _check_framing(request: h11.Request) -> None:
+def _check_framing(request: h11.Request, headers: MessageHeaders) -> None:
     """Refuses requests whose body length is ambiguous."""
-    lengths = 0
-    chunked = False
-    for name, _ in request.headers:
-        if name == b"content-length":
-            lengths += 1
-        elif name == b"transfer-encoding":
-            chunked = True
-    if chunked and (lengths or request.http_version != b"1.1"):
+    if headers.is_chunked and (
+        headers.content_length is not None or request.http_version != b"1.1"
+    ):
         raise _bad_request("Transfer-Encoding conflicts with Content-Length or HTTP/1.0")
     if request.method in (b"CONNECT", b"TRACE"):
         raise _bad_request("the method is not supported", status=501)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_client.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_client.py
@@ -7,6 +7,7 @@
 import h11
 import trio
 
+from fulmarstile_daemon.calls._headers import checked_headers
 from fulmarstile_daemon.calls._stream import ByteStream, open_stream
 from fulmarstile_wire.errors import FulmarstileError
 
@@ -213,17 +214,16 @@
     return ClientConnection(stream, head_limit)
 
 
-def request_head(request: h11.Request, headers: list[Header], *, chunked: bool) -> h11.Request:
+def request_head(request: h11.Request, headers: list[Header]) -> h11.Request:
     """Makes the head of the request that is passed on.
 
     Args:
         request: Request of the caller.
         headers: Headers to send.
-        chunked: Whether the body is sent in chunks.
 
     Returns:
         The head.
     """
-    if chunked:
-        headers = [*headers, (b"transfer-encoding", b"chunked")]
-    return h11.Request(method=request.method, target=request.target, headers=headers)
+    return h11.Request(
+        method=request.method, target=request.target, headers=checked_headers(headers)
+    )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_entry.py
@@ -16,7 +16,8 @@
     import h11
 
     from fulmarstile_calls.retries import RetryBudgets
-    from fulmarstile_daemon.calls._caller import CallerConnection
+    from fulmarstile_daemon.calls._caller import CallerConnection, ReceivedRequest
+    from fulmarstile_daemon.calls._headers import MessageHeaders
     from fulmarstile_daemon.calls.context import CallContext
 
 _FORWARDED_TIMEOUT_MS: Final = 60_000
@@ -38,11 +39,11 @@
         self._hop = hop
         self._budgets = budgets
 
-    def read(self, request: h11.Request, caller: CallerConnection, now: float) -> Call:
+    def read(self, request: ReceivedRequest, caller: CallerConnection, now: float) -> Call:
         """Makes the call of a request.
 
         Args:
-            request: Head of the request.
+            request: The request.
             caller: Connection that it came from.
             now: Current time in seconds.
 
@@ -52,10 +53,10 @@
         Raises:
             CallFailedError: If the request names no customer, route or proper path.
         """
-        special = _own_headers(request)
-        if self._is_forwarded(special.get(_headers.HOP), caller):
-            return self._read_forwarded(request, special, now)
-        return self._read_entering(request, special, now)
+        headers = request.headers
+        if self._is_forwarded(headers.own.get(_headers.HOP), caller):
+            return _read_forwarded(request.head, headers, now)
+        return self._read_entering(request.head, headers, now)
 
     def _is_forwarded(self, hop: bytes | None, caller: CallerConnection) -> bool:
         if hop is None:
@@ -67,13 +68,13 @@
         caller.hop = hop
         return True
 
-    def _read_entering(self, request: h11.Request, special: dict[bytes, bytes], now: float) -> Call:
+    def _read_entering(self, request: h11.Request, headers: MessageHeaders, now: float) -> Call:
         path = _read_path(request.target)
-        customer = self._read_customer(special)
+        customer = self._read_customer(headers)
         route = self._context.routing_table.match(customer, request.method.decode(), path)
         if route is None:
             raise _refuse(RefusalReason.NO_ROUTE, f"customer {customer} has no route for it")
-        remaining_ms = _read_remaining(special)
+        remaining_ms = _read_remaining(headers)
         return Call(
             request=request,
             customer=customer,
@@ -84,62 +85,48 @@
             route=route,
             priority=route.priority,
             weight=route.limit.weight if route.limit else 1.0,
-            key=special.get(_headers.IDEMPOTENCY_KEY, b"").decode("latin-1"),
-            headers=_headers.end_to_end_headers(request.headers),
-            attempt=self._read_attempt(special),
+            key=headers.read_text(_headers.IDEMPOTENCY_KEY),
+            headers=headers,
+            attempt=self._read_attempt(headers),
         )
 
-    def _read_forwarded(
-        self, request: h11.Request, special: dict[bytes, bytes], now: float
-    ) -> Call:
-        return Call(
-            request=request,
-            customer=_read_text(special, _headers.CUSTOMER),
-            service=_read_text(special, _headers.SERVICE),
-            path="",
-            arrived_at=now,
-            deadline=compute_deadline(now, _FORWARDED_TIMEOUT_MS, _read_remaining(special)),
-            priority=read_priority(special.get(_headers.PRIORITY)),
-            weight=read_weight(special.get(_headers.WEIGHT)),
-            forwarded=True,
-            headers=_headers.end_to_end_headers(request.headers),
-            attempt=_read_forwarded_attempt(special),
-        )
-
-    def _read_customer(self, special: dict[bytes, bytes]) -> str:
-        customer = _read_text(special, _headers.CUSTOMER) or self._context.default_customer
+    def _read_customer(self, headers: MessageHeaders) -> str:
+        customer = headers.read_text(_headers.CUSTOMER) or self._context.default_customer
         if not customer:
             raise _refuse(RefusalReason.NO_CUSTOMER, "the request names no customer")
         if len(customer) > _MAX_CUSTOMER_LENGTH or not customer.isprintable():
             raise _refuse(RefusalReason.NO_CUSTOMER, "the customer's name is malformed")
         return customer
 
-    def _read_attempt(self, special: dict[bytes, bytes]) -> Attempt:
+    def _read_attempt(self, headers: MessageHeaders) -> Attempt:
         return self._budgets.open_call(
-            _read_text(special, _headers.ATTEMPT), _read_text(special, _headers.RETRY_BUDGET)
+            headers.read_text(_headers.ATTEMPT), headers.read_text(_headers.RETRY_BUDGET)
         )
 
 
-def _own_headers(request: h11.Request) -> dict[bytes, bytes]:
-    """Picks the headers that concern daemons; of repeated ones the first counts."""
-    special: dict[bytes, bytes] = {}
-    for name, value in request.headers:
-        if name == _headers.IDEMPOTENCY_KEY or name.startswith(_headers.PREFIX):
-            special.setdefault(name, value)
-    return special
-
-
-def _read_text(special: dict[bytes, bytes], name: bytes) -> str:
-    return special.get(name, b"").decode("latin-1")
+def _read_forwarded(request: h11.Request, headers: MessageHeaders, now: float) -> Call:
+    return Call(
+        request=request,
+        customer=headers.read_text(_headers.CUSTOMER),
+        service=headers.read_text(_headers.SERVICE),
+        path="",
+        arrived_at=now,
+        deadline=compute_deadline(now, _FORWARDED_TIMEOUT_MS, _read_remaining(headers)),
+        priority=read_priority(headers.own.get(_headers.PRIORITY)),
+        weight=read_weight(headers.own.get(_headers.WEIGHT)),
+        forwarded=True,
+        headers=headers,
+        attempt=_read_forwarded_attempt(headers),
+    )
 
 
-def _read_remaining(special: dict[bytes, bytes]) -> int | None:
-    return parse_remaining_ms(_read_text(special, _headers.DEADLINE))
+def _read_remaining(headers: MessageHeaders) -> int | None:
+    return parse_remaining_ms(headers.read_text(_headers.DEADLINE))
 
 
-def _read_forwarded_attempt(special: dict[bytes, bytes]) -> Attempt:
-    number = _read_text(special, _headers.ATTEMPT)
-    left = _read_text(special, _headers.RETRY_BUDGET)
+def _read_forwarded_attempt(headers: MessageHeaders) -> Attempt:
+    number = headers.read_text(_headers.ATTEMPT)
+    left = headers.read_text(_headers.RETRY_BUDGET)
     return Attempt(
         int(number) if number.isdecimal() else 1,
         int(left) if left.isdecimal() else 0,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_exchange.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_exchange.py
@@ -76,10 +76,11 @@
         call = self._call
         try:
             response = await self._send(headers, to_daemon)
-            refusal = await self._receive_refusal(response) if to_daemon else None
-            if refusal is None:
+            received = _headers.read_headers(response)
+            if not to_daemon or _headers.VERDICT not in received.own:
                 call.verdict = Verdict.RAN
-                return await self._receive_body(response)
+                return await self._receive_body(response, received)
+            refusal = await self._receive_refusal(response, received)
         except ExchangeError as error:
             self._note_sent()
             raise self._failure(error) from error
@@ -170,25 +171,25 @@
         """Allows the next part of a long body its time, within the call's deadline."""
         self._call.limit_wait(trio.current_time() + self._settings.progress_timeout_s)
 
-    async def _receive_refusal(self, response: h11.Response) -> CallRefusal | None:
-        """Takes the whole refusal that another daemon answered with, if it is one."""
-        verdict = _headers.find_header(response.headers, _headers.VERDICT)
-        if verdict is None:
-            return None
+    async def _receive_refusal(
+        self, response: h11.Response, headers: _headers.MessageHeaders
+    ) -> CallRefusal:
+        """Takes the whole refusal that another daemon answered with."""
         while await self._connection.receive_body() is not None:
             pass
-        return _read_refusal(response, verdict)
+        return _read_refusal(response.status_code, headers)
 
-    async def _receive_body(self, response: h11.Response) -> Answer:
-        length = _content_length(response)
-        if length is None and not self._is_delimited(response):
+    async def _receive_body(
+        self, response: h11.Response, headers: _headers.MessageHeaders
+    ) -> Answer:
+        length = headers.content_length
+        if length is None and not self._is_delimited(response, headers):
             raise ExchangeError("the answer has no length, so its end cannot be told")
-        headers = _headers.end_to_end_headers(response.headers)
         body, complete = self._connection.read_body_received()
         if not complete and length is not None and length <= self._settings.buffered_body_limit:
             body += await self._receive_rest()
             complete = True
-        return Answer(response.status_code, headers, body, complete)
+        return Answer(response.status_code, headers.passed_on, body, complete)
 
     async def _receive_rest(self) -> bytes:
         parts = []
@@ -196,10 +197,10 @@
             parts.append(part)
         return b"".join(parts)
 
-    def _is_delimited(self, response: h11.Response) -> bool:
+    def _is_delimited(self, response: h11.Response, headers: _headers.MessageHeaders) -> bool:
         if self._call.request.method == b"HEAD" or response.status_code in _NO_BODY_STATUSES:
             return True
-        return _headers.find_header(response.headers, b"transfer-encoding") is not None
+        return headers.is_chunked
 
 
 @dataclass(slots=True)
@@ -211,31 +212,27 @@
 
 
 def _request_head(call: Call, headers: list[_headers.Header]) -> h11.Request:
-    if _headers.find_header(headers, b"content-length") is not None:
-        return request_head(call.request, headers, chunked=False)
-    if not call.body_complete:
-        return request_head(call.request, headers, chunked=True)
-    if call.body:
-        headers.append((b"content-length", b"%d" % len(call.body)))
-    return request_head(call.request, headers, chunked=False)
+    if call.headers.is_chunked:
+        headers.append(_body_header(call))
+    return request_head(call.request, headers)
 
 
-def _content_length(response: h11.Response) -> int | None:
-    value = _headers.find_header(response.headers, b"content-length")
-    return None if value is None else int(value)
+def _body_header(call: Call) -> _headers.Header:
+    """Announces the body of a chunked request, with its length if it is known by now."""
+    if call.body_complete:
+        return (b"content-length", b"%d" % len(call.body))
+    return (b"transfer-encoding", b"chunked")
 
 
-def _read_refusal(response: h11.Response, verdict: bytes) -> CallRefusal:
+def _read_refusal(status: int, headers: _headers.MessageHeaders) -> CallRefusal:
     """Reads a refusal from the headers of a daemon's answer."""
-    reason = _headers.find_header(response.headers, _headers.REASON) or b""
-    retry_after = _headers.find_header(response.headers, _headers.RETRY_AFTER) or b"0"
     try:
         return make_refusal(
-            RefusalReason(reason.decode("ascii")),
-            Verdict(verdict.decode("ascii")),
+            RefusalReason(headers.read_text(_headers.REASON)),
+            Verdict(headers.read_text(_headers.VERDICT)),
             "refused by the daemon beside the upstream",
-            status=response.status_code,
-            retry_after_s=float(retry_after),
+            status=status,
+            retry_after_s=float(headers.own.get(_headers.RETRY_AFTER, 0)),
         )
     except ValueError as error:
         raise ExchangeError(f"unknown refusal: {error}") from error
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_headers.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_headers.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from dataclasses import dataclass, field
+from typing import Final
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
+import h11
 
 ATTEMPT: Final = b"fulmarstile-attempt"
 CUSTOMER: Final = b"fulmarstile-customer"
@@ -23,6 +23,8 @@
 PREFIX: Final = b"fulmarstile-"
 """Prefix of the headers that only daemons may set."""
 
+Header = tuple[bytes, bytes]
+
 _CONNECTION_HEADERS: Final = frozenset(
     {
         b"connection",
@@ -36,47 +38,81 @@
     }
 )
 """Headers that concern one connection only."""
+_PARSED_HEADERS: Final = type(h11.Response(status_code=200, headers=[]).headers)
+"""Headers as h11 represents them once they are checked."""
 
-Header = tuple[bytes, bytes]
 
+@dataclass(slots=True)
+class MessageHeaders:
+    """Headers of a received message, sorted by what is done with them."""
 
-def find_header(headers: Iterable[Header], name: bytes) -> bytes | None:
-    """Finds the first header of a name.
+    passed_on: list[Header] = field(default_factory=list)
+    """Headers that are passed on to the next connection, with names in lower case."""
+    own: dict[bytes, bytes] = field(default_factory=dict)
+    """Headers that daemons read; of repeated ones the first."""
+    content_length: int | None = None
+    is_chunked: bool = False
 
-    Args:
-        headers: Headers with lower-case names.
-        name: Name in lower case.
+    @property
+    def has_body(self) -> bool:
+        """Whether the headers of a request announce a body."""
+        return self.is_chunked or self.content_length is not None
 
-    Returns:
-        The value, or None.
-    """
-    for candidate, value in headers:
-        if candidate == name:
-            return value
-    return None
+    def read_text(self, name: bytes) -> str:
+        """Reads a header for daemons.
+
+        Args:
+            name: Name in lower case.
+
+        Returns:
+            The value, empty if the header is missing.
+        """
+        return self.own.get(name, b"").decode("utf-8", "replace")
 
 
-def end_to_end_headers(headers: Iterable[Header]) -> list[Header]:
-    """Selects the headers that are passed on to the next connection.
+def read_headers(message: h11.Request | h11.Response) -> MessageHeaders:
+    """Sorts the headers of a message.
 
     Args:
-        headers: Headers with lower-case names.
+        message: A message that h11 has parsed.
 
     Returns:
-        The headers without those of the connection and those that only daemons may set.
+        The headers; those that concern one connection only are left out.
     """
-    kept = []
+    headers = MessageHeaders()
+    passed_on = headers.passed_on
     named: tuple[bytes, ...] = ()
-    for header in headers:
-        name = header[0]
+    for raw_name, value in message.headers.raw_items():
+        name = raw_name.lower()
         if name in _CONNECTION_HEADERS:
             if name == b"connection":
-                named += _connection_options(header[1])
-        elif not name.startswith(PREFIX):
-            kept.append(header)
+                named += _connection_options(value)
+            elif name == b"transfer-encoding":
+                headers.is_chunked = True
+        elif name.startswith(PREFIX):
+            headers.own.setdefault(name, value)
+        else:
+            passed_on.append((name, value))
+            if name == b"content-length":
+                headers.content_length = int(value)
+            elif name in (IDEMPOTENCY_KEY, RETRY_AFTER):
+                headers.own.setdefault(name, value)
     if named:
-        return [header for header in kept if header[0] not in named]
-    return kept
+        headers.passed_on = [header for header in passed_on if header[0] not in named]
+    return headers
+
+
+def checked_headers(headers: list[Header]) -> h11.Headers:
+    """Makes headers for h11 that are not checked again.
+
+    Args:
+        headers: Headers that were parsed by h11 or are made of safe characters, with names in
+            lower case.
+
+    Returns:
+        The headers.
+    """
+    return _PARSED_HEADERS([(name, name, value) for name, value in headers])
 
 
 def _connection_options(value: bytes) -> tuple[bytes, ...]:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_pool.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 import trio
@@ -17,7 +18,7 @@
 
 
 class ConnectionPool:
-    """Connections to one address, the most recently used one first.
+    """Connections to one address, taken in turn so that all of them stay proven.
 
     Args:
         address: `host:port` of the other side.
@@ -27,7 +28,7 @@
 
     def __init__(self, address: str, limit: int, settings: CallSettings) -> None:
         self._settings = settings
-        self._idle: list[ClientConnection] = []
+        self._idle: deque[ClientConnection] = deque()
         self._open = 0
         self.address = address
         """`host:port` of the other side."""
@@ -55,7 +56,7 @@
         """
         oldest = trio.current_time() - self._settings.fresh_connection_s
         while self._idle:
-            connection = self._idle.pop()
+            connection = self._idle.popleft()
             if connection.last_answer_at >= oldest and connection.is_quiet:
                 return connection
             self._close(connection)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_runner.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_runner.py
@@ -126,15 +126,15 @@
             await self._run_claimed(call, caller)
 
     async def _receive_body(self, call: Call, caller: CallerConnection) -> None:
-        if not call.has_body:
+        if not call.headers.has_body:
             await caller.receive_body()
             return
-        if caller.wants_continue or call.has_large_body(self._settings.buffered_body_limit):
+        limit = self._settings.buffered_body_limit
+        if caller.wants_continue or (call.headers.content_length or 0) > limit:
             call.body_complete = False
             return
         with trio.CancelScope(deadline=call.deadline) as scope:
             call.scope = scope
-            limit = self._settings.buffered_body_limit
             call.body, call.body_complete = await caller.receive_small_body(limit)
         if scope.cancelled_caught:
             raise call.fail(RefusalReason.TIMEOUT, "the request body arrived too slowly")
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -24,12 +24,11 @@
 from fulmarstile_daemon.calls.dump import CallDump
 
 if TYPE_CHECKING:
-    import h11
-
     from fulmarstile_calls.balancing import Balancer
     from fulmarstile_calls.request import CallRefusal, UpstreamEndpoint
     from fulmarstile_calls.retries import RetryPolicy
     from fulmarstile_daemon.calls._call import Call
+    from fulmarstile_daemon.calls._caller import ReceivedRequest
     from fulmarstile_daemon.calls._listener import CallListener
     from fulmarstile_daemon.calls._stream import ByteStream
     from fulmarstile_daemon.calls.context import CallContext
@@ -37,6 +36,8 @@
 
 _TICK_S: Final = 0.05
 """Interval at which deadlines of waiting calls and leaving callers are checked, in seconds."""
+_SWEEP_INTERVAL_S: Final = 1.0
+"""Interval at which idle connections are looked for, in seconds."""
 _DRAIN_POLL_S: Final = 0.02
 _ACCEPT_PAUSE_S: Final = 0.05
 """Pause before accepting again when the process has too many files open, in seconds."""
@@ -170,11 +171,15 @@
         )
 
     async def _tick_forever(self) -> None:
+        next_sweep = 0.0
         while True:
             await trio.sleep(_TICK_S)
             now = trio.current_time()
             self._local.tick(now)
             self._watch.tick(now)
+            if now >= next_sweep:
+                next_sweep = now + _SWEEP_INTERVAL_S
+                self._close_idle(now - self._settings.idle_timeout_s)
 
     async def _accept_forever(self, listener: CallListener, nursery: trio.Nursery) -> None:
         while True:
@@ -189,6 +194,12 @@
                 self._evict_idle()
             nursery.start_soon(self._serve_connection, stream)
 
+    def _close_idle(self, oldest: float) -> None:
+        """Closes the connections that have waited for a request since before a time."""
+        for caller in self._connections:
+            if caller.is_idle and caller.idle_since < oldest:
+                caller.scope.cancel()
+
     def _evict_idle(self) -> None:
         """Closes the oldest connection that waits for a request."""
         for caller in self._connections:
@@ -227,7 +238,7 @@
             caller.is_idle = True
         await caller.close()
 
-    async def _serve_request(self, caller: CallerConnection, request: h11.Request) -> None:
+    async def _serve_request(self, caller: CallerConnection, request: ReceivedRequest) -> None:
         now = trio.current_time()
         self._counters.calls += 1
         call: Call | None = None
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_calls_daemon.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_calls_daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import random
 from dataclasses import dataclass, field
 
@@ -119,6 +120,8 @@
         address = await nursery.start(proxy.serve)
         if values.upstream:
             proxy.set_upstream(values.upstream, values.slots, values.connections)
+        gc.collect()
+        gc.freeze()
         print(f"ready {address}", flush=True)
 
 
