Stop folding a log that no longer continues the state, and void alike everywhere

Once a replica knows that the log belongs to another history it sets records aside until a later generation is adopted.

--- a/packages/fulmarstile_config/src/fulmarstile_config/fold.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/fold.py
@@ -136,6 +136,11 @@
         """Whether the log contradicts the fold, so that it must be seeded again from memory."""
         return self._is_contradicted or self._competing_generation > self._state.generation
 
+    @property
+    def _is_detached(self) -> bool:
+        """Whether the log no longer continues the stream that the state was folded from."""
+        return self._is_reset or self.needs_generation
+
     def verdict(self, publication_id: str) -> PublicationVerdict | None:
         """Returns the verdict on a recent publication, or None."""
         return self._state.verdicts.find(publication_id)
@@ -151,8 +156,8 @@
             Whether the document changed.
         """
         document = self._state.document
-        if record.offset < self._next_offset or self._is_reset:
-            self._check_earlier(record)
+        if record.offset < self._next_offset or self._is_detached:
+            self._set_aside(record)
         else:
             self._read(record)
         return self._state.document is not document
@@ -210,17 +215,23 @@
         """Returns the snapshot that seeds the stream again after the log has lost it.
 
         From now on no publication is folded, until a snapshot of a higher generation is adopted.
-        Calling it again before that gives the same snapshot.
+        Calling it again before that gives a snapshot of the same generation. Publications that
+        were read from the new log with `on_record` are refused by the snapshot.
 
         Args:
-            end_offset: End of the new log as far as it has been read.
+            end_offset: End of the new log, if it was read further than by `on_record`.
 
         Returns:
             The payload to append to the stream.
         """
         self._is_reset = True
-        generation = max(self._state.generation, self._competing_generation) + 1
-        seeded = dataclasses.replace(self._state, generation=generation)
+        state = self._state
+        verdicts = state.verdicts.copy()
+        generation = max(state.generation, self._competing_generation) + 1
+        seeded = dataclasses.replace(state, generation=generation, verdicts=verdicts)
+        for record in self._unfolded.since(0):
+            self._handler.handle_void(seeded, record)
+        end_offset = max(end_offset, self._unfolded.end_offset)
         snapshot = make_snapshot(self._customer, self._mesh_key, seeded, end_offset, is_seed=True)
         return encode_record(snapshot)
 
@@ -233,7 +244,9 @@
         self._fold(record)
         self._note_folded(record)
 
-    def _check_earlier(self, record: StreamRecord) -> None:
+    def _set_aside(self, record: StreamRecord) -> None:
+        """Looks for a later generation in a record that does not continue the state."""
+        self._next_offset = max(self._next_offset, record.offset + 1)
         is_other = self._is_other_record(record)
         if is_other is False:
             return
@@ -289,7 +302,7 @@
             self._digests.append((self._next_offset, self._state.digest))
 
     def _fold(self, record: StreamRecord) -> None:
-        is_foldable = self._is_complete and not self._is_contradicted
+        is_foldable = self._is_complete and not self._is_detached
         try:
             entry = self._decode(record.payload)
         except RecordError as error:
--- a/packages/fulmarstile_config/src/fulmarstile_config/recent_records.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/recent_records.py
@@ -24,6 +24,11 @@
         """Offset of the oldest record kept, or None."""
         return self._records[0].offset if self._records else None
 
+    @property
+    def end_offset(self) -> int:
+        """Offset after the newest record kept, or 0."""
+        return self._records[-1].offset + 1 if self._records else 0
+
     def append(self, record: StreamRecord) -> None:
         """Adds the newest record; drops all others if it does not follow them."""
         if self._records and record.offset != self._records[-1].offset + 1:
