Read the rendezvous stream again while a daemon is young

Cause: daemons that start together can meet in several groups; a group that has settled read the stream only with its next append, about once a minute.

--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_joining.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_joining.py
@@ -22,6 +22,11 @@
 """Appends per second of an isolated daemon at first; doubles every second."""
 _MAX_APPEND_RATE: Final = 1.0
 _ISOLATED_APPEND_INTERVAL_S: Final = 30.0
+_EARLY_READS_S: Final = (3.0, 6.0, 10.0, 20.0, 40.0)
+"""Ages at which a daemon reads the rendezvous stream again, whether it knows members or not.
+
+Daemons that start together may meet in several groups before the stream names them all.
+"""
 
 
 class Joining:
@@ -38,6 +43,7 @@
         self._next_append_at = 0.0
         self._end_offset = 0
         self._is_settled = False
+        self._early_reads_at: list[float] = []
         self._candidates: dict[str, int] = {}
 
     @property
@@ -82,6 +88,7 @@
             self._isolated_since = now
         self._settle_alone(now)
         effects = self._attempt(own, others, now)
+        effects += self._read_early(now)
         if self._must_append(len(others), elapsed_s, now):
             effects.append(AppendLog(RENDEZVOUS_STREAM, encode_rendezvous(own)))
             effects += self._read_tail()
@@ -102,6 +109,15 @@
         self._started_at = now
         self._last_tick_at = now
         self._next_attempt_at = now + self._backoff.next_delay()
+        self._early_reads_at = [
+            now + age_s * self._random.uniform(0.7, 1.0) for age_s in _EARLY_READS_S
+        ]
+
+    def _read_early(self, now: float) -> list[Effect]:
+        if not self._early_reads_at or now < self._early_reads_at[0]:
+            return []
+        del self._early_reads_at[0]
+        return self._read_tail()
 
     def _settle_alone(self, now: float) -> None:
         assert self._started_at is not None
