--- a/packages/fulmarstile_config/src/fulmarstile_config/fold.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/fold.py
@@ -255,10 +255,11 @@
             return
         self._unfolded.append(record)
         snapshot = self._open_snapshot(record.payload)
-        if snapshot is None:
-            self._is_contradicted = self._is_contradicted or bool(is_other)
-        elif snapshot.generation > self._state.generation and self._is_newer(snapshot):
+        is_later = snapshot is not None and snapshot.generation > self._state.generation
+        if is_later and self._is_newer(snapshot):
             self._switch_log(snapshot, record)
+        elif is_other:
+            self._is_contradicted = True
 
     def _is_other_record(self, record: StreamRecord) -> bool | None:
         """Returns whether another record was folded at the offset; None if it is forgotten."""
