Test the relay in virtual time: spreading, the log's failures and convergence

In force within 13 s when a reader dies, is paused or is cut from the log, with silent, lossy and crossing links, on the survivors of half of the fleet, and across separated regions; within 1 s on a healthy fleet of 60 virtual daemons.

--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/relay.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/relay.py
@@ -83,6 +83,14 @@
         """Counters since the start."""
         return self._counters
 
+    def reader_rank(self, customer: str) -> int:
+        """Returns the place of the local daemon among the candidates for reading the log."""
+        return self._streams[customer].topology.reader_rank
+
+    def writer_rank(self, customer: str) -> int:
+        """Returns the place of the local daemon among the candidates for writing snapshots."""
+        return self._streams[customer].topology.writer_rank
+
     def dump(self) -> RelayState:
         """Returns the whole state for inspection."""
         return RelayState(
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/mesh.py
@@ -51,16 +51,22 @@
 
 
 def build_record(
-    number: int, customers: Sequence[str] = (CUSTOMER,), started_at: float = 0.0
+    number: int,
+    customers: Sequence[str] = (CUSTOMER,),
+    started_at: float = 0.0,
+    zone: str = "",
 ) -> MemberRecord:
     """Returns the record of a daemon.
 
     Args:
-        number: Number of the daemon; chooses its availability zone.
+        number: Number of the daemon.
         customers: Customers that the daemon needs.
         started_at: Start of the daemon, in seconds.
+        zone: Availability zone; empty to choose it by the number.
     """
     availability_zone, region = ZONES[number % len(ZONES)]
+    if zone:
+        availability_zone, region = zone, dict(ZONES)[zone]
     host = f"10.0.{number // 200}.{number % 200}"
     return MemberRecord(
         daemon_id=f"daemon-{number:03}",
@@ -293,9 +299,11 @@
         self._start_count = 0
         self._records: dict[str, MemberRecord] = {}
 
-    def add(self, count: int, customers: Sequence[str] = (CUSTOMER,)) -> list[MeshDaemon]:
-        """Starts daemons, spread over the availability zones in turn."""
-        return [self._add_one(customers) for _ in range(count)]
+    def add(
+        self, count: int, customers: Sequence[str] = (CUSTOMER,), zone: str = ""
+    ) -> list[MeshDaemon]:
+        """Starts daemons in one availability zone, or in all of them in turn."""
+        return [self._add_one(customers, zone) for _ in range(count)]
 
     def restart(self, daemon_id: str) -> MeshDaemon:
         """Starts a daemon again, on the same address and with empty memory."""
@@ -360,8 +368,8 @@
             self.reverted.append((daemon_id, customer, before, version))
         self._in_force[key] = version
 
-    def _add_one(self, customers: Sequence[str]) -> MeshDaemon:
-        record = build_record(self._start_count, customers, self.clock.now)
+    def _add_one(self, customers: Sequence[str], zone: str) -> MeshDaemon:
+        record = build_record(self._start_count, customers, self.clock.now, zone)
         self._start_count += 1
         self._records[record.daemon_id] = record
         daemon = MeshDaemon(self, record, Random(self.random.getrandbits(64)))
--- /dev/null
+++ b/tests/mesh/test_spreading.py
@@ -0,0 +1,143 @@
+"""Records reach every daemon concerned, in order, despite failures on the way."""
+
+from __future__ import annotations
+
+import unittest
+
+from fulmarstile_mesh import RelaySettings, SpreadMode, convergence
+from fulmarstile_testing.builders.mesh import CUSTOMER, Traffic, VirtualMesh
+
+SINGLE_FAILURE_LIMIT_S = 13.0
+HEALTHY_LIMIT_S = 1.0
+BODY_BYTES = 2000
+
+
+def build_mesh(seed: int, count: int = 60, mode: SpreadMode = SpreadMode.PUSH) -> VirtualMesh:
+    mesh = VirtualMesh(seed, relay_settings=RelaySettings(mode=mode))
+    mesh.add(count)
+    mesh.run(15.0)
+    return mesh
+
+
+class SpreadingTest(unittest.TestCase):
+    def publish(self, mesh: VirtualMesh, limit_s: float = SINGLE_FAILURE_LIMIT_S) -> None:
+        version = max(daemon.applied.get(CUSTOMER, 0) for daemon in mesh.running) + 1
+        mesh.publish(mesh.random.randbytes(BODY_BYTES))
+        mesh.run_until(lambda: mesh.is_in_force(version), limit_s)
+        self.assertTrue(mesh.is_in_force(version))
+        self.assertEqual(mesh.reverted, [])
+
+    def test_a_publication_is_in_force_on_a_healthy_fleet_in_time(self) -> None:
+        for mode in SpreadMode:
+            with self.subTest(mode):
+                mesh = build_mesh(seed=1, mode=mode)
+                for _ in range(5):
+                    self.publish(mesh, HEALTHY_LIMIT_S)
+
+    def test_any_reader_may_die_while_a_publication_spreads(self) -> None:
+        mesh = build_mesh(seed=2)
+        readers = [d for d in mesh.running if d.relay.counters.log_reads > 0]
+        for reader in readers:
+            reader.kill()
+            self.publish(mesh)
+
+    def test_one_zone_whose_reader_is_paused_or_cut_from_the_log_is_served_by_others(self) -> None:
+        mesh = build_mesh(seed=3)
+        readers = [d for d in mesh.running if d.relay.counters.log_reads > 0]
+        mesh.cut_from_log.add(readers[0].daemon_id)
+        self.publish(mesh)
+        readers[1].pause()
+        mesh.publish(b"while one is paused")
+        mesh.run(SINGLE_FAILURE_LIMIT_S)
+        waiting = [d for d in mesh.running if d.applied[CUSTOMER] < 2]
+        self.assertEqual(waiting, [readers[1]])
+
+    def test_the_second_candidate_takes_over_where_there_is_only_one_reader(self) -> None:
+        mesh = VirtualMesh(seed=4)
+        mesh.add(24, zone="be-bru")
+        mesh.run(15.0)
+        (reader,) = [d for d in mesh.running if d.relay.reader_rank(CUSTOMER) == 0]
+        mesh.cut_from_log.add(reader.daemon_id)
+        mesh.run(1.0)
+        self.publish(mesh)
+
+    def test_silent_lossy_and_crossing_links_delay_but_do_not_stop_it(self) -> None:
+        mesh = build_mesh(seed=5)
+        victim = mesh.running[7]
+        for peer in victim.membership.active_peers:
+            mesh.links.silence(victim.address, peer.peer_address)
+        self.publish(mesh)
+        mesh.links.faults.loss = 0.1
+        self.publish(mesh)
+        mesh.links.faults.is_crossing = True
+        for _ in range(10):
+            mesh.publish(mesh.random.randbytes(BODY_BYTES))
+            mesh.run(0.05)
+        self.publish(mesh)
+        for daemon in mesh.running:
+            folded = daemon.replicas[CUSTOMER].folded
+            self.assertEqual(folded, sorted(set(folded)))
+
+    def test_it_is_in_force_on_the_survivors_when_half_of_the_fleet_dies(self) -> None:
+        for seed in range(6, 10):
+            with self.subTest(seed):
+                mesh = build_mesh(seed)
+                for daemon in mesh.running[::2]:
+                    daemon.kill()
+                self.publish(mesh)
+
+    def test_regions_that_lose_each_other_go_on_and_never_revert(self) -> None:
+        mesh = build_mesh(seed=11)
+        regions = [
+            frozenset(d.address for d in mesh.running if d.membership.record.region == region)
+            for region in ("be", "kz")
+        ]
+        mesh.links.block(*regions)
+        self.publish(mesh)
+        mesh.run(30.0)
+        self.publish(mesh)
+        mesh.links.unblock(*regions)
+        self.publish(mesh)
+
+    def test_bodies_travel_only_to_daemons_that_the_customer_concerns(self) -> None:
+        mesh = VirtualMesh(seed=12)
+        concerned = mesh.add(10, ["agency-a"])
+        others = mesh.add(50, ["agency-b"])
+        mesh.run(15.0)
+        for _ in range(3):
+            mesh.publish(mesh.random.randbytes(BODY_BYTES), "agency-a")
+            mesh.run(HEALTHY_LIMIT_S)
+        self.assertTrue(mesh.is_in_force(3, "agency-a"))
+        self.assertEqual({d.relay.counters.batches_received for d in others}, {0})
+        self.assertEqual({tuple(d.replicas["agency-a"].folded) for d in concerned}, {(0, 1, 2)})
+
+    def test_pull_sends_fewer_bytes_than_push(self) -> None:
+        sent = {}
+        for mode in SpreadMode:
+            mesh = build_mesh(seed=13, mode=mode)
+            for daemon in mesh.running:
+                daemon.traffic = Traffic()
+            for _ in range(5):
+                self.publish(mesh, HEALTHY_LIMIT_S)
+            sent[mode] = sum(daemon.traffic.bytes for daemon in mesh.running)
+        self.assertLess(sent[SpreadMode.PULL], sent[SpreadMode.PUSH])
+
+    def test_every_daemon_can_tell_who_has_a_version_in_force(self) -> None:
+        mesh = build_mesh(seed=14)
+        paused = mesh.running[3]
+        paused.pause()
+        mesh.publish()
+        mesh.run(4.0)
+        for daemon in mesh.running:
+            if daemon is paused:
+                continue
+            report = convergence(daemon.membership, CUSTOMER, 1, mesh.clock.now)
+            self.assertEqual((report.total, report.in_force), (60, 59))
+            self.assertEqual([m.daemon_id for m in report.missing], [paused.daemon_id])
+        paused.resume()
+        mesh.run(SINGLE_FAILURE_LIMIT_S)
+        report = convergence(mesh.running[0].membership, CUSTOMER, 1, mesh.clock.now)
+        self.assertTrue(report.is_complete)
+        self.assertFalse(
+            convergence(mesh.running[0].membership, CUSTOMER, 2, mesh.clock.now).is_complete
+        )
