--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/mesh.py
@@ -106,6 +106,8 @@
         self.is_paused = False
         self.delay_s = 0.0
         """Time by which everything on the VM is late."""
+        self.input_delay_s = 0.0
+        """Time by which the daemon's input alone is late."""
         self.membership = Membership(mesh.membership_settings, record, random)
         self.replicas = {customer: FakeReplica(customer) for customer in record.customers}
         self.relay = Relay(
@@ -201,8 +203,8 @@
             return
         if self.is_paused:
             self._waiting.append(callback)
-        elif self.delay_s:
-            delay_s = self._random.uniform(0.5, 1.0) * self.delay_s
+        elif self.delay_s or self.input_delay_s:
+            delay_s = self._random.uniform(0.5, 1.0) * self.delay_s + self.input_delay_s
             self._mesh.clock.call_later(delay_s, callback)
         else:
             callback()
