--- a/packages/fulmarstile_config/src/fulmarstile_config/verdict_book.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/verdict_history.py
@@ -12,7 +12,7 @@
     from fulmarstile_config.publication import PublicationVerdict
 
 
-class VerdictBook:
+class VerdictHistory:
     """Verdicts on verified publications, and apart from them on unverified records.
 
     Records without a valid signature cannot displace the verdicts on verified publications, nor
@@ -20,7 +20,7 @@
     """
 
     def __init__(self, limits: FoldLimits) -> None:
-        self._max_verified = limits.recent_publications
+        self._limits = limits
         self._verified: dict[tuple[str, str], PublicationVerdict] = {}
         self._unverified: deque[PublicationVerdict] = deque(maxlen=limits.recent_unverified)
 
@@ -35,11 +35,17 @@
         return tuple(self._unverified)
 
     @property
-    def history(self) -> tuple[PublicationVerdict, ...]:
+    def all(self) -> tuple[PublicationVerdict, ...]:
         """All verdicts kept, in the order of the log."""
         verdicts = (*self._verified.values(), *self._unverified)
         return tuple(sorted(verdicts, key=lambda verdict: (verdict.appended_at_ms, verdict.offset)))
 
+    def copy(self) -> VerdictHistory:
+        """Returns a copy that can be changed by itself."""
+        history = VerdictHistory(self._limits)
+        history.load(self._verified.values(), self._unverified)
+        return history
+
     def load(
         self, verified: Iterable[PublicationVerdict], unverified: Iterable[PublicationVerdict]
     ) -> None:
@@ -55,7 +61,7 @@
     def add_verified(self, verdict: PublicationVerdict) -> None:
         """Adds the verdict on a verified publication and drops the oldest beyond the bound."""
         self._verified[verdict.team, verdict.publication_id] = verdict
-        if len(self._verified) > self._max_verified:
+        if len(self._verified) > self._limits.recent_publications:
             del self._verified[next(iter(self._verified))]
 
     def add_unverified(self, verdict: PublicationVerdict) -> None:
