--- /dev/null
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/_pending.py
@@ -0,0 +1,40 @@
+"""A claim of a call, as the requester tracks it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from fulmarstile_wire.records import ClaimRecord
+
+
+class PendingClaim:
+    """A claim that waits for its reply, or holds its key."""
+
+    __slots__ = (
+        "asked",
+        "deadline",
+        "give_up_at",
+        "rank",
+        "record",
+        "refusals",
+        "resend_at",
+        "shard",
+    )
+
+    def __init__(self, record: ClaimRecord, shard: int, deadline: float, give_up_at: float) -> None:
+        self.record = record
+        self.shard = shard
+        self.deadline = deadline
+        self.give_up_at = give_up_at
+        self.asked = ""
+        """Daemon that was asked last."""
+        self.rank = 0
+        """How many daemons have been asked."""
+        self.resend_at = 0.0
+        self.refusals = 0
+
+    @property
+    def may_be_appended(self) -> bool:
+        """Whether a batcher that was asked has not refused the claim."""
+        return self.refusals < self.rank
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/requester.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/requester.py
@@ -5,7 +5,9 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
+from fulmarstile_calls.claims._directory import BatcherDirectory
 from fulmarstile_calls.claims._outcomes import OutcomeOutbox
+from fulmarstile_calls.claims._pending import PendingClaim
 from fulmarstile_calls.claims._refusals import (
     explain_loss,
     explain_refusal,
@@ -15,10 +17,10 @@
 from fulmarstile_calls.claims._replies import DEAD, EXPIRED
 from fulmarstile_calls.claims.keys import check_key
 from fulmarstile_calls.claims.results import ClaimFailed, ClaimStart, ClaimWon
-from fulmarstile_calls.claims.sharding import rank_batchers, shard_of
+from fulmarstile_calls.claims.sharding import shard_of
 from fulmarstile_mesh.effects import Send
 from fulmarstile_wire.messages import ClaimRequest, OutcomeReport
-from fulmarstile_wire.records import ClaimRecord, MemberStatus, OutcomeRecord
+from fulmarstile_wire.records import ClaimRecord, OutcomeRecord
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -32,26 +34,6 @@
 _CONFIRMING_REFUSALS: Final = frozenset({"", DEAD, EXPIRED})
 
 
-class _Claim:
-    """A claim that waits for its reply, or holds its key."""
-
-    __slots__ = ("deadline", "give_up_at", "rank", "record", "refusals", "resend_at", "shard")
-
-    def __init__(self, record: ClaimRecord, shard: int, deadline: float, give_up_at: float) -> None:
-        self.record = record
-        self.shard = shard
-        self.deadline = deadline
-        self.give_up_at = give_up_at
-        self.rank = 0
-        self.resend_at = 0.0
-        self.refusals = 0
-
-    @property
-    def may_be_appended(self) -> bool:
-        """Whether a batcher that was asked has not refused the claim."""
-        return self.refusals < self.rank
-
-
 class ClaimRequester:
     """Claims keys and reports the outcome of the requests that won.
 
@@ -73,11 +55,10 @@
         self._address = address
         self._id_prefix = f"{daemon_id}/{incarnation}/"
         self._next_id = 0
-        self._addresses: dict[str, str] = {daemon_id: address}
-        self._ranks: dict[int, list[str]] = {}
-        self._pending: dict[str, _Claim] = {}
-        self._held: dict[str, _Claim] = {}
-        self._abandoned: OrderedDict[str, _Claim] = OrderedDict()
+        self._directory = BatcherDirectory(daemon_id, address, settings.avoid_s)
+        self._pending: dict[str, PendingClaim] = {}
+        self._held: dict[str, PendingClaim] = {}
+        self._abandoned: OrderedDict[str, PendingClaim] = OrderedDict()
         self._outbox = OutcomeOutbox(settings)
 
     @property
@@ -97,14 +78,7 @@
 
     def replace_members(self, members: Iterable[MemberRecord], now: float) -> None:
         """Replaces the daemons that can batch claims; this daemon is always one of them."""
-        addresses = {
-            member.daemon_id: member.peer_address
-            for member in members
-            if member.status is MemberStatus.ALIVE
-        }
-        addresses[self._daemon_id] = self._address
-        self._addresses = addresses
-        self._ranks.clear()
+        self._directory.replace_members(members)
 
     def claim(
         self,
@@ -139,7 +113,7 @@
         record = ClaimRecord(route.customer, key, claim_id, fingerprint)
         shard = shard_of(route.customer, key, self._settings.shards)
         give_up_at = min(deadline_s, now + self._settings.give_up_after_s)
-        claim = self._pending[claim_id] = _Claim(record, shard, deadline_s, give_up_at)
+        claim = self._pending[claim_id] = PendingClaim(record, shard, deadline_s, give_up_at)
         return ClaimStart(claim_id, [self._send(claim, now)])
 
     def on_claim_reply(self, reply: ClaimReply, now: float) -> list[Effect]:
@@ -153,6 +127,7 @@
             Effects, among them the claim's result.
         """
         claim_id = reply.claim_id
+        self._directory.on_answer(reply.sender)
         claim = self._pending.get(claim_id)
         if claim is not None:
             return self._settle(claim, reply, now)
@@ -210,11 +185,12 @@
                 effects.extend(self._give_up(claim, now))
                 effects.append(ClaimFailed(claim.record.claim_id, refusal))
             elif now >= claim.resend_at:
+                self._directory.on_silence(claim.asked, now)
                 effects.append(self._send(claim, now))
         effects.extend(self._send_outcomes(now))
         return effects
 
-    def _settle(self, claim: _Claim, reply: ClaimReply, now: float) -> list[Effect]:
+    def _settle(self, claim: PendingClaim, reply: ClaimReply, now: float) -> list[Effect]:
         claim_id = claim.record.claim_id
         if reply.winner_id == claim_id:
             return self._win(claim, now)
@@ -226,7 +202,7 @@
         effects.append(ClaimFailed(claim_id, explain_refusal(reply.refusal)))
         return effects
 
-    def _win(self, claim: _Claim, now: float) -> list[Effect]:
+    def _win(self, claim: PendingClaim, now: float) -> list[Effect]:
         claim_id = claim.record.claim_id
         if now >= claim.deadline:
             effects = self._give_up(claim, now)
@@ -236,7 +212,7 @@
         self._held[claim_id] = claim
         return [ClaimWon(claim_id)]
 
-    def _give_up(self, claim: _Claim, now: float) -> list[Effect]:
+    def _give_up(self, claim: PendingClaim, now: float) -> list[Effect]:
         """Makes sure that a claim never runs, and frees its key if it may yet win."""
         claim_id = claim.record.claim_id
         del self._pending[claim_id]
@@ -254,7 +230,7 @@
             return []
         return self._send_release(claim, now)
 
-    def _send_release(self, claim: _Claim, now: float) -> list[Effect]:
+    def _send_release(self, claim: PendingClaim, now: float) -> list[Effect]:
         record = claim.record
         outcome = OutcomeRecord(record.customer, record.key, record.claim_id, released=True)
         self._outbox.add(claim.shard, outcome, now)
@@ -280,8 +256,8 @@
         self._outbox.add(claim.shard, outcome, now)
         return self._send_outcomes(now)
 
-    def _send(self, claim: _Claim, now: float) -> Send:
-        address = self._batcher_address(claim.shard, claim.rank)
+    def _send(self, claim: PendingClaim, now: float) -> Send:
+        claim.asked, address = self._directory.find(claim.shard, claim.rank, now)
         claim.rank += 1
         claim.resend_at = now + self._settings.resend_after_s
         request = ClaimRequest(self._daemon_id, self._address, claim.shard, claim.record)
@@ -291,11 +267,6 @@
         effects: list[Effect] = []
         for shard, rank, outcome in self._outbox.take_due(now):
             report = OutcomeReport(self._daemon_id, self._address, shard, outcome)
-            effects.append(Send(self._batcher_address(shard, rank), report))
+            _, address = self._directory.find(shard, rank, now)
+            effects.append(Send(address, report))
         return effects
-
-    def _batcher_address(self, shard: int, rank: int) -> str:
-        ranked = self._ranks.get(shard)
-        if ranked is None:
-            ranked = self._ranks[shard] = rank_batchers(shard, self._addresses)
-        return self._addresses[ranked[rank % len(ranked)]]
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/settings.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/settings.py
@@ -41,6 +41,8 @@
     """Duration of a long poll of the log, in seconds."""
     resend_after_s: float = 0.4
     """Time after which a claim is sent to the next batcher, in seconds."""
+    avoid_s: float = 3.0
+    """Time for which a batcher that did not answer is asked last, in seconds."""
     give_up_after_s: float = 2.0
     """Time after which a claim without an answer fails, in seconds."""
     outcome_resend_s: float = 1.0
