--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/requester.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/requester.py
@@ -143,7 +143,7 @@
         return claim is not None and now < claim.deadline
 
     def finish(
-        self, claim_id: str, status: int, content_type: str, body: bytes, now: float
+        self, claim_id: str, status: int, content_type: str, body: bytes | None, now: float
     ) -> list[Effect]:
         """Reports the whole answer that an upstream gave to the request of a claim.
 
@@ -151,15 +151,16 @@
             claim_id: The claim.
             status: HTTP status of the answer.
             content_type: Content type of the answer.
-            body: Body of the answer; one that is too large is not stored.
+            body: Body of the answer; one that is too large is not stored. None if the whole
+                answer was passed on without being kept.
             now: Monotonic time in seconds.
 
         Returns:
             Effects.
         """
-        omitted = len(body) > self._settings.max_body_bytes
-        stored = b"" if omitted else body
-        return self._report(claim_id, now, False, status, content_type, stored, omitted)
+        if body is None or len(body) > self._settings.max_body_bytes:
+            return self._report(claim_id, now, False, status, content_type, omitted=True)
+        return self._report(claim_id, now, False, status, content_type, body)
 
     def finish_unknown(self, claim_id: str, now: float) -> list[Effect]:
         """Reports that the request may have run but got no whole answer."""
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/settings.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/settings.py
@@ -3,6 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
+
+MAX_WINDOW_S: Final = 600.0
+"""Age of the oldest key accepted if the log keeps records long enough, in seconds."""
+
+RETENTION_PER_WINDOW: Final = 2.0
+"""How many windows the log must keep a claim for."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -11,7 +18,7 @@
 
     shards: int = 8
     """Number of claim streams."""
-    window_s: float = 600.0
+    window_s: float = MAX_WINDOW_S
     """Age of the oldest key accepted, in seconds; at most half the log's retention time."""
     max_ahead_s: float = 5.0
     """How far a key's creation time may lie in the future, in seconds."""
@@ -52,6 +59,11 @@
     max_tracked: int = 8192
     """Most abandoned claims and unconfirmed outcomes that one daemon remembers."""
 
+    @classmethod
+    def for_retention(cls, retention_s: float) -> ClaimSettings:
+        """Returns the settings for a log that keeps its records for a time in seconds."""
+        return cls(window_s=min(MAX_WINDOW_S, retention_s / RETENTION_PER_WINDOW))
+
     @property
     def window_ms(self) -> int:
         """Age of the oldest key accepted, in milliseconds."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_cores.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_cores.py
@@ -55,6 +55,8 @@
 BATCH_CLAIMS: Final = 18
 
 _SECONDS = flags.DEFINE_float("claim_seconds", 10.0, "Virtual time of each claim load.")
+_INTERVAL = flags.DEFINE_float("claim_interval", 0.1, "Shortest time between two appends.")
+_SHARDS = flags.DEFINE_integer("claim_shards", 8, "Number of claim streams.")
 _RATES = flags.DEFINE_list("claim_rates", ["100", "350", "700", "1400"], "Claims a second.")
 
 
@@ -179,7 +181,8 @@
 
 def bench_claims(claims_per_s: float, duration_s: float) -> None:
     """Measures appends and added latency of a claim load in virtual time."""
-    fleet = ClaimFleet(1, daemon_count=16)
+    settings = ClaimSettings(shards=_SHARDS.value, append_interval_s=_INTERVAL.value)
+    fleet = ClaimFleet(1, daemon_count=16, settings=settings)
     fleet.run(1.0)
     daemon_ids = sorted(fleet.daemons)
     before = fleet.log.appends
