--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/call_context.py
@@ -0,0 +1,72 @@
+"""What the call proxy reads from the decision core."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarstile_calls.request import UpstreamEndpoint
+    from fulmarstile_config import RoutingTable
+    from fulmarstile_daemon.calls import Claims
+    from fulmarstile_daemon.core import DaemonCore
+
+
+class CoreCallContext:
+    """Supplies the call proxy from the core.
+
+    Args:
+        daemon_id: Identifier of this daemon.
+        default_customer: Customer of requests that name none; empty to refuse them.
+        core: The decision core.
+        claims: Claims on at-most-once calls.
+        report_crash: Reports the requests in flight when the local upstream crashed.
+    """
+
+    def __init__(
+        self,
+        daemon_id: str,
+        default_customer: str,
+        core: DaemonCore,
+        claims: Claims,
+        report_crash: Callable[[tuple[bytes, ...]], None],
+    ) -> None:
+        self._daemon_id = daemon_id
+        self._default_customer = default_customer
+        self._core = core
+        self._claims = claims
+        self._report_crash = report_crash
+
+    @property
+    def routing_table(self) -> RoutingTable:
+        """Routing table in force."""
+        return self._core.routing_table
+
+    @property
+    def endpoints(self) -> tuple[UpstreamEndpoint, ...]:
+        """Upstreams that may get new calls."""
+        return self._core.endpoints
+
+    @property
+    def default_customer(self) -> str:
+        """Customer of requests that name none; empty to refuse them."""
+        return self._default_customer
+
+    @property
+    def daemon_id(self) -> str:
+        """Identifier of this daemon."""
+        return self._daemon_id
+
+    @property
+    def claims(self) -> Claims | None:
+        """Claims on at-most-once calls."""
+        return self._claims
+
+    def is_quarantined(self, fingerprint: bytes) -> bool:
+        """Tells whether a request is refused because it crashed upstreams."""
+        return fingerprint in self._core.quarantine
+
+    def on_upstream_crash(self, fingerprints: tuple[bytes, ...]) -> None:
+        """Reports the requests that were in flight when the local upstream crashed."""
+        self._report_crash(fingerprints)
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
@@ -0,0 +1,246 @@
+"""Shell of the daemon: sockets, timers and tasks around the decision cores."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+import trio
+from loguru import logger
+
+from fulmarstile_calls.upstream_lease import UpstreamLease
+from fulmarstile_daemon.call_context import CoreCallContext
+from fulmarstile_daemon.calls import CallProxy, CallSettings
+from fulmarstile_daemon.claim_service import ClaimEffect, ClaimService
+from fulmarstile_daemon.log_worker import LogWorker
+from fulmarstile_daemon.metrics import MetricsPage
+from fulmarstile_daemon.state import describe_state
+from fulmarstile_mesh import AppendLog, Disconnect, ReadLog, Send
+from fulmarstile_wire.records import UpstreamStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fulmarstile_calls.upstream_lease import UpstreamAnnouncement
+    from fulmarstile_daemon.core import DaemonCore
+    from fulmarstile_daemon.peers import PeerLinks
+    from fulmarstile_daemon.settings import Settings
+    from fulmarstile_mesh import Effect
+    from fulmarstile_platform.log import Log, LogPage
+    from fulmarstile_wire.verdict import Verdict
+
+TICK_INTERVAL_S: Final = 0.1
+"""Time between two ticks of the cores, in seconds."""
+
+LEAVE_FLUSH_S: Final = 0.3
+"""Time for which links stay open after the daemon has announced its stop, in seconds."""
+
+
+class Daemon:
+    """Carries out the effects of the decision cores and feeds events to them.
+
+    Args:
+        settings: The daemon's settings.
+        core: The decision core.
+        links: Links to the other daemons.
+        log: The platform's log.
+        nursery: Nursery of all tasks.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        core: DaemonCore,
+        links: PeerLinks,
+        log: Log,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._settings = settings
+        self._core = core
+        self._links = links
+        self._claims = ClaimService(core.requester, self._carry_out_claims)
+        self._proxy = CallProxy(_call_settings(settings), self._make_call_context())
+        self._log_worker = LogWorker(log, nursery, self)
+        self._metrics = MetricsPage()
+        self._lease = UpstreamLease()
+        self._leaving = False
+        self._endpoints = core.endpoints
+
+    @property
+    def core(self) -> DaemonCore:
+        """The decision core."""
+        return self._core
+
+    @property
+    def now(self) -> float:
+        """Time in seconds, as the cores count it."""
+        return trio.current_time()
+
+    @property
+    def log_worker(self) -> LogWorker:
+        """Requests to the platform's log."""
+        return self._log_worker
+
+    @property
+    def links(self) -> PeerLinks:
+        """Links to the other daemons."""
+        return self._links
+
+    @property
+    def proxy(self) -> CallProxy:
+        """The call proxy."""
+        return self._proxy
+
+    @property
+    def lease(self) -> UpstreamLease:
+        """Lease of the local upstream."""
+        return self._lease
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._leaving
+
+    async def receive_messages(self) -> None:
+        """Feeds messages from other daemons to the core until cancelled."""
+        while True:
+            message = await self._links.receive()
+            self._carry_out(self._core.on_message(message, self.now))
+
+    async def run_ticks(self) -> None:
+        """Feeds the passing of time to the core until cancelled."""
+        self._carry_out(self._core.start(self.now))
+        while True:
+            if self._lease.on_tick(self.now):
+                logger.warning("upstream lease expired")
+                self._follow_lease()
+            self._carry_out(self._core.on_tick(self.now))
+            await trio.sleep(TICK_INTERVAL_S)
+
+    async def drain(self) -> None:
+        """Stops in an orderly way: no new calls, calls in flight end, peers are told."""
+        self._leaving = True
+        logger.info("draining")
+        self._carry_out(self._core.begin_leaving(self.now))
+        self._proxy.begin_draining()
+        with trio.move_on_after(self._settings.daemon.drain_limit_s) as limit:
+            await self._proxy.wait_drained()
+        if limit.cancelled_caught:
+            logger.warning("drain limit reached with calls in flight")
+        self._carry_out(self._core.leave(self.now))
+        await trio.sleep(LEAVE_FLUSH_S)
+
+    def announce_upstream(self, announcement: UpstreamAnnouncement) -> None:
+        """Takes or renews the lease of the local upstream.
+
+        Args:
+            announcement: What the upstream says about itself.
+
+        Raises:
+            AnnouncementError: If the announcement is not valid.
+        """
+        if self._lease.on_announcement(announcement, self.now):
+            self._follow_lease()
+
+    def withdraw_upstream(self) -> None:
+        """Ends the lease of the local upstream."""
+        if self._lease.on_withdrawal(self.now):
+            self._follow_lease()
+
+    def dump_state(self) -> Any:
+        """Returns the whole state, to be encoded as JSON."""
+        return describe_state(self)
+
+    def render_metrics(self) -> bytes:
+        """Returns the metrics page."""
+        counters = {
+            "core": self._core.counters,
+            "membership": self._core.membership.counters,
+            "relay": self._core.relay.counters,
+            "links": self._links.counters,
+            "log": self._log_worker.counters,
+            "calls": self._proxy.counters,
+            "members": len(self._core.membership.members),
+            "endpoints": len(self._core.endpoints),
+        }
+        return self._metrics.render(counters, {"daemon": self._settings.daemon.name})
+
+    def on_log_page(self, stream: str, page: LogPage) -> None:
+        """Feeds a page of the log to the core."""
+        self._carry_out(self._core.on_log_page(stream, page, self.now))
+
+    def on_log_failure(self, stream: str) -> None:
+        """Feeds a failed read to the core."""
+        self._carry_out(self._core.on_log_failure(stream, self.now))
+
+    def on_append_done(self, stream: str, offset: int) -> None:
+        """Feeds an append that succeeded to the core."""
+        self._carry_out(self._core.on_append_done(stream, offset, self.now))
+
+    def on_append_failure(self, stream: str, verdict: Verdict) -> None:
+        """Feeds an append that failed to the core."""
+        self._carry_out(self._core.on_append_failure(stream, verdict, self.now))
+
+    def _make_call_context(self) -> CoreCallContext:
+        return CoreCallContext(
+            self._settings.daemon.name,
+            self._settings.calls.default_customer,
+            self._core,
+            self._claims,
+            self._report_crash,
+        )
+
+    def _report_crash(self, fingerprints: tuple[bytes, ...]) -> None:
+        logger.warning("upstream crashed", suspected_requests=len(fingerprints))
+        self._carry_out(self._core.report_crash(fingerprints, self.now))
+        if self._lease.on_crash(self.now):
+            self._follow_lease()
+
+    def _follow_lease(self) -> None:
+        announcement = self._lease.announcement
+        assert announcement is not None
+        status = self._lease.status
+        logger.info("upstream changed", service=announcement.service, status=status.name.lower())
+        if status is not UpstreamStatus.GONE:
+            self._proxy.set_upstream(
+                announcement.address, announcement.slots, announcement.connections
+            )
+        effects = self._core.announce_upstream(
+            announcement.service, status, announcement.slots, self.now
+        )
+        self._carry_out(effects)
+
+    def _carry_out_claims(self, effects: Iterable[Effect]) -> None:
+        self._carry_out(self._core.carry_out(effects, self.now))
+
+    def _carry_out(self, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self._links.send(effect.address, effect.message)
+            elif isinstance(effect, Disconnect):
+                self._links.disconnect(effect.address)
+            elif isinstance(effect, ReadLog):
+                self._log_worker.read(effect)
+            elif isinstance(effect, AppendLog):
+                self._log_worker.append(effect)
+            elif isinstance(effect, ClaimEffect):
+                self._claims.on_result(effect)
+        self._follow_endpoints()
+
+    def _follow_endpoints(self) -> None:
+        if self._core.endpoints is self._endpoints:
+            return
+        self._endpoints = self._core.endpoints
+        self._proxy.replace_endpoints(self._endpoints)
+
+
+def _call_settings(settings: Settings) -> CallSettings:
+    return CallSettings(
+        address=settings.calls.address,
+        mesh_key=settings.mesh.key,
+        availability_zone=settings.daemon.availability_zone,
+        region=settings.daemon.region,
+        connection_limit=settings.calls.max_connections,
+        queue_limit=settings.calls.queue_limit,
+        head_timeout_s=settings.calls.head_timeout_s,
+        progress_timeout_s=settings.calls.progress_timeout_s,
+    )
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/main.py
@@ -0,0 +1,92 @@
+"""Entry point of `fulmarstiled`."""
+
+from __future__ import annotations
+
+import enum
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+import trio
+from absl import app, flags
+from loguru import logger
+
+from fulmarstile_daemon.logs import configure_logs
+from fulmarstile_daemon.peers.links import PeerListenError
+from fulmarstile_daemon.service import CallListenError, run_daemon
+from fulmarstile_daemon.settings import SettingsError, load_settings
+from fulmarstile_platform.http_server import HttpListenError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+_SETTINGS = flags.DEFINE_string("settings", None, "INI file with the settings of the daemon.")
+
+
+_LISTENER_SECTIONS: Final[dict[type, str]] = {
+    PeerListenError: "peers",
+    CallListenError: "calls",
+    HttpListenError: "admin",
+}
+"""Section of the settings that each error of a listener concerns."""
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of `fulmarstiled`."""
+
+    OK = 0
+    FAILED = 1
+    """The daemon stopped because of an unexpected error."""
+    USAGE = 2
+    """The command line or the settings are not valid."""
+    LISTEN = 3
+    """An address cannot be listened at."""
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Runs the daemon until it is told to stop.
+
+    Args:
+        arguments: Command line; flags have been taken out of it.
+
+    Returns:
+        The exit code.
+    """
+    if len(arguments) > 1 or not _SETTINGS.value:
+        return _fail(ExitCode.USAGE, "usage: fulmarstiled --settings=FILE")
+    settings_file = Path(_SETTINGS.value)
+    try:
+        settings = load_settings(settings_file)
+    except SettingsError as error:
+        return _fail(ExitCode.USAGE, str(error))
+    configure_logs(settings.daemon.log_format, settings.daemon.log_level)
+    failure: BaseException | None = None
+    try:
+        trio.run(run_daemon, settings)
+    except* (PeerListenError, CallListenError, HttpListenError) as group:
+        failure = _find_leaf(group)
+    if failure is not None:
+        section = _LISTENER_SECTIONS[type(failure)]
+        return _fail(ExitCode.LISTEN, f"{settings_file.name}: [{section}] address: {failure}")
+    logger.info("stopped")
+    return ExitCode.OK
+
+
+def run() -> None:
+    """Runs the daemon as a command."""
+    app.run(main)
+
+
+def _find_leaf(error: BaseException) -> BaseException:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
+def _fail(code: ExitCode, reason: str) -> int:
+    print(f"fulmarstiled: {reason}", file=sys.stderr)
+    return code
+
+
+if __name__ == "__main__":
+    run()
