--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_claims.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_claims.py
@@ -17,7 +17,7 @@
     ShardBatchers,
 )
 from fulmarstile_mesh.effects import AppendLog, ReadLog, Send
-from fulmarstile_testing.builders.calls import EPOCH_MS, make_key, make_member, make_route
+from fulmarstile_testing.builders.calls import EPOCH_MS, make_key, make_member
 from fulmarstile_testing.virtual_log import LogFaults, VirtualLog
 from fulmarstile_testing.virtual_time import VirtualTime
 from fulmarstile_wire.messages import ClaimReply, ClaimRequest, OutcomeReport
@@ -202,7 +202,7 @@
         """Claims a call's key."""
         now = self._fleet.time.now
         started = self.requester.claim(
-            make_route(at_most_once=True),
+            "laundry",
             call.key,
             body.ljust(16)[:16],
             now,
