--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_exchange.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_exchange.py
@@ -74,6 +74,10 @@
             CallerGoneError: If the caller left while it sent its body.
         """
         call = self._call
+        if trio.current_time() >= call.deadline:
+            raise call.fail(
+                RefusalReason.DEADLINE, "the deadline passed before the request was sent"
+            )
         try:
             response = await self._send(headers, to_daemon)
             received = _headers.read_headers(response)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/call_proxies.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/call_proxies.py
@@ -298,13 +298,21 @@
 
 
 @asynccontextmanager
-async def serve_two_daemons() -> AsyncIterator[tuple[ServedDaemon, ServedDaemon]]:
+async def serve_two_daemons(
+    upstream: StandInSettings | None = None,
+) -> AsyncIterator[tuple[ServedDaemon, ServedDaemon]]:
     """Serves two proxies; the first one sends all its calls to the second one's upstream.
 
+    Args:
+        upstream: Settings of both upstreams.
+
     Yields:
         The daemon that callers use and the one beside the upstream.
     """
-    async with serve_daemon("daemon-1") as entry, serve_daemon("daemon-2") as serving:
+    async with (
+        serve_daemon("daemon-1", upstream=upstream) as entry,
+        serve_daemon("daemon-2", upstream=upstream) as serving,
+    ):
         remote = make_endpoint("daemon-2", serving.proxy.address, is_local=False)
         entry.proxy.replace_endpoints((remote,))
         yield entry, serving
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
@@ -10,6 +10,8 @@
 import os
 import random
 import signal
+import socket
+import struct
 from dataclasses import dataclass
 from typing import Final
 from urllib.parse import parse_qsl
@@ -26,6 +28,8 @@
 _ANNOUNCE_TIMEOUT_S: Final = 1.0
 _DRAIN_POLL_S: Final = 0.02
 _CRASH_EXIT_CODE: Final = 70
+_LINGER_NONE: Final = struct.pack("ii", 1, 0)
+"""`struct linger` that resets a connection on close."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +105,7 @@
         self._settings = settings
         self._random = random.Random(settings.seed)
         self._address = settings.address
+        self._accepting = trio.CancelScope()
         self.counts = Counts()
         """What was run so far."""
         self.open_connections: set[trio.SocketStream] = set()
@@ -123,8 +128,23 @@
         listeners = await trio.open_tcp_listeners(int(port), host=host)
         self._address = f"{host}:{listeners[0].socket.getsockname()[1]}"
         async with trio.open_nursery() as nursery:
-            await nursery.start(trio.serve_listeners, self._serve_stream, listeners)
+            nursery.start_soon(self._accept, listeners, nursery)
             task_status.started(self._address)
+            await trio.sleep_forever()
+
+    async def _accept(self, listeners: list[trio.SocketListener], nursery: trio.Nursery) -> None:
+        with self._accepting:
+            await trio.serve_listeners(self._serve_stream, listeners, handler_nursery=nursery)
+
+    def stop_listening(self) -> None:
+        """Refuses new connections from now on."""
+        self._accepting.cancel()
+
+    def break_connections(self) -> None:
+        """Breaks all open connections, as a crash of the process does."""
+        for stream in list(self.open_connections):
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+            stream.socket.close()
 
     async def wait_idle(self) -> None:
         """Waits until no request runs."""
@@ -138,7 +158,7 @@
         counts.max_connections = max(counts.max_connections, counts.connections)
         try:
             await _Session(self, stream).run()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError):
             pass
         finally:
             counts.connections -= 1
