--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_log_following.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_log_following.py
@@ -60,6 +60,7 @@
         if page.end_offset < read.offset:
             self._on_short_page(stream, page, now)
             return
+        stream.must_check = False
         stream.reset_sightings = 0
         self._fold_page(stream, page, now)
         if stream.replica.needs_generation:
@@ -69,6 +70,7 @@
         """Backs off after a failed read."""
         self._counters.log_failures += 1
         stream.read = None
+        stream.must_check = True
         stream.next_read_at = now + stream.backoff.next_delay()
 
     def on_append_done(self, stream: Stream, offset: int, now: float) -> None:
@@ -130,12 +132,14 @@
         return self._random.uniform(0.0, max(2.0 * fleet_s, self._settings.log_backoff_s))
 
     def _read(self, stream: Stream, wait_s: float, now: float) -> list[Effect]:
-        offset = stream.replica.head.next_offset
-        if stream.reset_sightings:
+        position = offset = stream.replica.head.next_offset
+        if stream.must_check:
+            # The last folded record shows whether the stream is still the same.
+            offset = max(0, position - 1)
             wait_s = 0.0
         if stream.reset_since is not None:
             wait_s = min(wait_s, _SEED_POLL_S)
-        stream.read = OutstandingRead(offset, now + wait_s + self._settings.poll_grace_s)
+        stream.read = OutstandingRead(position, now + wait_s + self._settings.poll_grace_s)
         self._counters.log_reads += 1
         return [ReadLog(name_stream(stream.customer), offset, wait_s)]
 
@@ -150,10 +154,13 @@
                 self.fold(stream, record, now)
             else:
                 replica.on_record(record)
+            if replica.needs_generation and stream.reset_since is None:
+                return
         if replica.head.next_offset >= page.end_offset and not replica.needs_snapshot:
             stream.is_synced = True
 
     def _on_short_page(self, stream: Stream, page: LogPage, now: float) -> None:
+        stream.must_check = True
         stream.reset_sightings += 1
         stream.next_read_at = now + _RESET_RECHECK_S
         if stream.reset_sightings >= _RESET_SIGHTINGS:
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_stream.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_stream.py
@@ -125,6 +125,8 @@
     """Generation and offset up to which peers have been told."""
     reset_sightings: int = 0
     """Consecutive pages that end before the offset asked for."""
+    must_check: bool = False
+    """Whether the next read checks that the log still holds the last folded record."""
     reset_since: float | None = None
     """When the log was found to have lost the stream; None unless it waits to be re-seeded."""
     append_expires_at: float = float("-inf")
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/calls/entry.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/calls/entry.py
@@ -128,14 +128,13 @@
     ) -> CallRefusal | None:
         if route is None:
             return CallRefusal(RefusalReason.NO_ROUTE, Verdict.NOT_RUN, 404)
-        if fingerprint in self._daemon.core.membership.quarantine:
+        if fingerprint in self._daemon.core.quarantine:
             return CallRefusal(RefusalReason.QUARANTINED, Verdict.NOT_RUN, 422)
         return self._drain.check_new_call(now) or self._rate_limiter.check(route, now)
 
     def _claim(self, call: _Call, now: float) -> None:
-        desk = self._daemon.claims
-        start = desk.requester.claim(
-            call.route,
+        start = self._daemon.core.requester.claim(
+            call.request.customer,
             call.request.key,
             call.fingerprint,
             now,
@@ -143,8 +142,8 @@
             deadline_s=call.deadline_s,
         )
         call.claim_id = start.claim_id
-        desk.listen(start.claim_id, lambda result: self._on_claim(call, result))
-        desk.carry_out(start.effects)
+        self._daemon.claims.listen(start.claim_id, lambda result: self._on_claim(call, result))
+        self._daemon.carry_out(start.effects)
 
     def _on_claim(self, call: _Call, result: ClaimResult) -> None:
         if call.is_settled:
@@ -163,7 +162,7 @@
         if call.is_settled:
             return
         now = self._daemon.now
-        if call.is_claimed and not self._daemon.claims.requester.may_run(call.claim_id, now):
+        if call.is_claimed and not self._daemon.core.requester.may_run(call.claim_id, now):
             refusal = CallRefusal(RefusalReason.DEADLINE, Verdict.NOT_RUN, 504)
             self._fail(call, refusal)
             return
@@ -269,17 +268,18 @@
     def _report_claim(self, call: _Call, reply: HopReply) -> None:
         if not call.claim_id:
             return
-        desk, now = self._daemon.claims, self._daemon.now
-        requester = desk.requester
+        now = self._daemon.now
+        requester = self._daemon.core.requester
         if not call.is_claimed:
-            desk.carry_out(requester.abandon(call.claim_id, now))
+            effects = requester.abandon(call.claim_id, now)
         elif reply.refusal is None:
             body = reply.token.encode()
-            desk.carry_out(requester.finish(call.claim_id, 200, "text/plain", body, now))
+            effects = requester.finish(call.claim_id, 200, "text/plain", body, now)
         elif reply.refusal.verdict is Verdict.NOT_RUN:
-            desk.carry_out(requester.release(call.claim_id, now))
+            effects = requester.release(call.claim_id, now)
         else:
-            desk.carry_out(requester.finish_unknown(call.claim_id, now))
+            effects = requester.finish_unknown(call.claim_id, now)
+        self._daemon.carry_out(effects)
 
     def _later(self, delay_s: float, callback: Callable[[], None]) -> None:
         self._world.clock.call_later(delay_s, lambda: self._daemon.run(callback))
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/calls/guard.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/calls/guard.py
@@ -117,7 +117,7 @@
         self._drain.begin(now)
 
     def _refuse(self, hop: HopRequest, now: float) -> CallRefusal | None:
-        if hop.fingerprint in self._daemon.core.membership.quarantine:
+        if hop.fingerprint in self._daemon.core.quarantine:
             return CallRefusal(RefusalReason.QUARANTINED, Verdict.NOT_RUN, 422)
         if self._lease.status is UpstreamStatus.GONE:
             return CallRefusal(RefusalReason.NO_UPSTREAM, Verdict.NOT_RUN, 503)
@@ -183,8 +183,7 @@
         """Suspects all running requests, once for each crash."""
         fingerprints = sorted({hop.fingerprint for hop in self._running.values()})
         self._running.clear()
-        for fingerprint in fingerprints:
-            self._daemon.carry_out(self._daemon.core.membership.report_crash(fingerprint, now))
+        self._daemon.carry_out(self._daemon.core.report_crash(fingerprints, now))
         if self._lease.on_crash(now):
             self._on_status_changed(now)
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/virtual_daemon.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/virtual_daemon.py
@@ -5,16 +5,12 @@
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_mesh import AppendLog, Disconnect, ReadLog, Send
-from fulmarstile_testing.scenarios.calls.claims import (
-    CLAIM_MESSAGES,
-    STREAM_PREFIX,
-    ClaimDesk,
-)
+from fulmarstile_testing.scenarios.calls.claims import CLAIM_RESULTS, ClaimResults
 from fulmarstile_testing.scenarios.calls.entry import EntryProxy
 from fulmarstile_testing.scenarios.calls.guard import UpstreamGuard
 from fulmarstile_testing.scenarios.reference import digest_document
 from fulmarstile_testing.scenarios.trace import RouteInForce, TableApplied, UpstreamLeaving
-from fulmarstile_wire import Verdict, WireError, decode_message, encode_message
+from fulmarstile_wire import Verdict, decode_message, encode_message
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -56,8 +52,8 @@
         self._waiting: list[Callable[[], None]] = []
         self._documents: dict[str, CompiledDocument] = {}
         self._on_stopped: Callable[[], None] | None = None
-        self.claims = ClaimDesk(self)
-        """Claim cores of the daemon."""
+        self.claims = ClaimResults()
+        """Calls that wait for the result of a claim."""
         self.entry = EntryProxy(world, self, random)
         """Role towards the callers."""
         self.guard = UpstreamGuard(world, self, world.setup_of(self.daemon_id))
@@ -102,6 +98,7 @@
         """Opens the listener and starts the ticks."""
         self._is_running = True
         self._world.links.attach(self.address, self._receive)
+        self.carry_out(self._core.start(self.now))
         self._world.clock.call_later(
             TICK_INTERVAL_S * self._world.random.random(), self._tick_regularly
         )
@@ -155,7 +152,7 @@
         Args:
             effects: The effects.
         """
-        for effect in effects:
+        for effect in self._core.carry_out(effects, self.now):
             match effect:
                 case Send(address, message):
                     self._send(address, message)
@@ -165,6 +162,8 @@
                     self._read_log(effect)
                 case AppendLog(stream, payload):
                     self._append_log(stream, payload)
+                case _ if isinstance(effect, CLAIM_RESULTS):
+                    self.claims.on_result(effect)
         self._record_tables()
         self.entry.follow_endpoints(self.now)
 
@@ -172,13 +171,7 @@
         self.run(lambda: self._handle_frame(frame))
 
     def _handle_frame(self, frame: bytes) -> None:
-        try:
-            message = decode_message(frame)
-        except WireError:
-            return
-        if isinstance(message, CLAIM_MESSAGES):
-            self.claims.on_message(message, self.now)
-            return
+        message = decode_message(frame)
         self.carry_out(self._core.on_message(message, self.now))
 
     def _tick_regularly(self) -> None:
@@ -190,7 +183,6 @@
 
     def _tick(self, now: float) -> None:
         self.carry_out(self._core.on_tick(now))
-        self.claims.on_tick(now)
         self.guard.on_tick(now)
         self._advance_stop(now)
 
@@ -228,10 +220,10 @@
             if self._world.is_cut_from_log(self.daemon_id):
                 on_failure()
                 return
-            self.run(lambda: self._handle_page(stream, page))
+            self.run(lambda: self.carry_out(self._core.on_log_page(stream, page, self.now)))
 
         def on_failure() -> None:
-            self.run(lambda: self._handle_log_failure(stream))
+            self.run(lambda: self.carry_out(self._core.on_log_failure(stream, self.now)))
 
         if self._world.is_cut_from_log(self.daemon_id):
             self._world.clock.call_later(self._world.connect_timeout_s, on_failure)
@@ -240,7 +232,7 @@
 
     def _append_log(self, stream: str, payload: bytes) -> None:
         def on_done(offset: int) -> None:
-            self.run(lambda: self._handle_append_done(stream, offset))
+            self.run(lambda: self.carry_out(self._core.on_append_done(stream, offset, self.now)))
 
         def on_failure(verdict: Verdict) -> None:
             self.run(lambda: self._handle_append_failure(stream, verdict))
@@ -252,29 +244,8 @@
             return
         self._world.log.append(stream, payload, on_done, on_failure)
 
-    def _handle_page(self, stream: str, page: LogPage) -> None:
-        if stream.startswith(STREAM_PREFIX):
-            self.claims.on_log_page(stream, page, self.now)
-        else:
-            self.carry_out(self._core.on_log_page(stream, page, self.now))
-
-    def _handle_log_failure(self, stream: str) -> None:
-        if stream.startswith(STREAM_PREFIX):
-            self.claims.on_log_failure(stream, self.now)
-        else:
-            self.carry_out(self._core.on_log_failure(stream, self.now))
-
-    def _handle_append_done(self, stream: str, offset: int) -> None:
-        if stream.startswith(STREAM_PREFIX):
-            self.claims.on_append_done(stream, offset, self.now)
-        else:
-            self.carry_out(self._core.on_append_done(stream, offset, self.now))
-
     def _handle_append_failure(self, stream: str, verdict: Verdict) -> None:
-        if stream.startswith(STREAM_PREFIX):
-            self.claims.on_append_failure(stream, verdict, self.now)
-        else:
-            self.carry_out(self._core.on_append_failure(stream, self.now))
+        self.carry_out(self._core.on_append_failure(stream, verdict, self.now))
 
     def _record_tables(self) -> None:
         for customer, compiled in self._core.routing_table.documents.items():
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/world.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/world.py
@@ -8,6 +8,7 @@
 
 import xxhash
 
+from fulmarstile_calls.claims import ClaimRequester, ClaimSettings, ShardBatchers
 from fulmarstile_config import CustomerFold
 from fulmarstile_daemon.core import DaemonCore
 from fulmarstile_mesh import Membership, MembershipSettings, Relay, RelaySettings
@@ -260,7 +261,12 @@
             membership,
             Random(random.random()),
         )
-        return DaemonCore(membership, relay, folds)
+        claims = ClaimSettings()
+        requester = ClaimRequester(
+            claims, record.daemon_id, record.peer_address, record.incarnation
+        )
+        batchers = ShardBatchers(claims, record.daemon_id, record.peer_address)
+        return DaemonCore(membership, relay, folds, requester, batchers)
 
     def _services_of(self, customer: str) -> tuple[ServiceSetup, ...]:
         return tuple(item for item in self.scenario.services if item.customer == customer)
