--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import h11
@@ -13,7 +13,7 @@
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Mapping
 
 RECEIVE_BYTES: Final = 65_536
 """Bytes read from a connection at a time."""
@@ -47,6 +47,18 @@
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = field(default_factory=dict)
+    """Headers by lower-case name; of repeated ones the last."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Request:
+    """A whole request."""
+
+    method: str
+    path: str
+    body: bytes
+    headers: Mapping[str, str]
 
 
 class HttpClient:
@@ -69,6 +81,7 @@
         path: str,
         body: bytes = b"",
         timeout_s: float = 5.0,
+        headers: Mapping[str, str] | None = None,
     ) -> HttpResponse:
         """Sends one request and waits for its whole response; never sends it twice.
 
@@ -77,6 +90,7 @@
             path: Path and query.
             body: JSON body.
             timeout_s: Longest time for the whole exchange, in seconds.
+            headers: Headers besides those of the framing.
 
         Returns:
             The response, of whatever status.
@@ -89,7 +103,8 @@
         try:
             with trio.fail_after(timeout_s):
                 async with self._limiter:
-                    return await self._exchange(method, path, body, progress)
+                    request = _Request(method, path, body, headers or {})
+                    return await self._exchange(request, progress)
         except trio.TooSlowError as error:
             # The path to the server may have lost its state: no open connection is trusted.
             await self.aclose()
@@ -103,13 +118,11 @@
         for connection in idle:
             await connection.aclose()
 
-    async def _exchange(
-        self, method: str, path: str, body: bytes, progress: _Progress
-    ) -> HttpResponse:
+    async def _exchange(self, request: _Request, progress: _Progress) -> HttpResponse:
         connection = await self._take()
         reusable = False
         try:
-            response = await connection.exchange(method, path, body, progress)
+            response = await connection.exchange(request, progress)
             reusable = connection.is_reusable
             return response
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -211,21 +224,17 @@
             return False
         return not self._stream.socket.is_readable()
 
-    async def exchange(
-        self, method: str, path: str, body: bytes, progress: _Progress
-    ) -> HttpResponse:
+    async def exchange(self, request: _Request, progress: _Progress) -> HttpResponse:
         """Sends a request and reads its response.
 
         Args:
-            method: HTTP method.
-            path: Path and query.
-            body: JSON body.
+            request: The request.
             progress: Notes that the request is being sent.
 
         Returns:
             The whole response.
         """
-        data = self._encode(method, path, body)
+        data = self._encode(request)
         progress.is_sent = True
         await self._stream.send_all(data)
         return await self._read_response()
@@ -234,30 +243,34 @@
         """Closes the connection at once."""
         await trio.aclose_forcefully(self._stream)
 
-    def _encode(self, method: str, path: str, body: bytes) -> bytes:
+    def _encode(self, request: _Request) -> bytes:
         headers = [
             ("Host", self._host),
             ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
+            ("Content-Length", str(len(request.body))),
+            *request.headers.items(),
         ]
-        data = self._http.send(h11.Request(method=method, target=path, headers=headers))
-        if body:
-            data += self._http.send(h11.Data(data=body))
+        head = h11.Request(method=request.method, target=request.path, headers=headers)
+        data = self._http.send(head)
+        if request.body:
+            data += self._http.send(h11.Data(data=request.body))
         return data + self._http.send(h11.EndOfMessage())
 
     async def _read_response(self) -> HttpResponse:
         status = 0
+        headers: dict[str, str] = {}
         body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 status = event.status_code
+                headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MAX_RESPONSE_BYTES:
                     raise h11.RemoteProtocolError("response body is too large")
             elif isinstance(event, h11.EndOfMessage):
-                return HttpResponse(status, bytes(body))
+                return HttpResponse(status, bytes(body), headers)
             elif isinstance(event, h11.ConnectionClosed):
                 raise h11.RemoteProtocolError("connection closed before the response")
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/demo.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/demo.py
@@ -11,6 +11,7 @@
 import sys
 from collections import Counter
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -19,13 +20,15 @@
 from fulmarstile_config import encode_key, generate_key_pair
 from fulmarstile_platform.http import HttpError
 from fulmarstile_testing.fleet import DaemonSpec, LocalFleet, open_fleet, upstream_name
-from fulmarstile_testing.probe import FleetProbe, open_probe, wait_until
+from fulmarstile_testing.probe import FleetProbe, build_key, open_probe, wait_until
 from fulmarstile_wire.errors import FulmarstileError
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
     from pathlib import Path
 
+    from fulmarstile_platform.http import HttpResponse
+
 CUSTOMER: Final = "laundry"
 """Customer of the demo."""
 
@@ -88,6 +91,11 @@
   - name: maintenance
     path: /maintenance
     pool: laundry-ops
+  - name: reserve
+    path: /reservations
+    pool: reservations
+    priority: critical
+    at_most_once: true
 """
 
 BAD_ROUTES: Final = """\
@@ -98,6 +106,10 @@
 """
 
 
+REQUEST_ID: Final = "X-Request-Id"
+"""Header by which the upstream stand-in counts requests."""
+
+
 class DemoError(FulmarstileError):
     """A step of the demo did not end as it should."""
 
@@ -136,6 +148,7 @@
         await self._publish_first()
         await self._call_all_daemons()
         await self._change_routing_under_load()
+        await self._reserve_twice()
         await self._publish_bad()
         await self._measure_rest()
         await self._stop()
@@ -192,6 +205,31 @@
             raise DemoError(f"calls were answered by {dict(tally.answered_by)}")
         print(f"  {tally.answered_by.total()} calls, none failed: {dict(tally.answered_by)}")
 
+    async def _reserve_twice(self) -> None:
+        _print_step("send one reservation through two daemons")
+        headers = {"Idempotency-Key": build_key(), REQUEST_ID: "reservation-1"}
+        first, second = list(self._fleet.calls_addresses.values())[:2]
+        answer = await self._reserve(first, headers)
+        repeated = await self._reserve(second, headers)
+        while repeated.status == HTTPStatus.CONFLICT:
+            await trio.sleep(float(repeated.headers["retry-after"]))
+            repeated = await self._reserve(second, headers)
+        if answer.status != HTTPStatus.OK or repeated.body != answer.body:
+            raise DemoError("the reservation did not get the same answer twice")
+        counts = await self._probe.get_json(
+            self._fleet.upstream_addresses["reservations-1"], "/__stand_in/counts"
+        )
+        runs = counts["executed"]["reservation-1"]
+        if runs != 1:
+            raise DemoError(f"the reservation ran {runs} times")
+        print("  the reservation ran once and both got its answer")
+
+    async def _reserve(self, address: str, headers: dict[str, str]) -> HttpResponse:
+        answer = await self._probe.request(address, "POST", "/reservations", b"{}", headers)
+        reason = answer.headers.get("fulmarstile-reason", "")
+        print(f"  {answer.status} {reason}".rstrip())
+        return answer
+
     async def _publish_bad(self) -> None:
         _print_step("publish a route to a pool that does not exist")
         await self._publish({"routes": BAD_ROUTES}, expected_code=3)
@@ -258,7 +296,7 @@
         except HttpError as error:
             tally.failures.append(str(error))
             return
-        if response.status != 200:
+        if response.status != HTTPStatus.OK:
             tally.failures.append(f"{response.status} {response.body.decode(errors='replace')}")
             return
         tally.answered_by[msgspec.json.decode(response.body)["service"]] += 1
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/probe.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/probe.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import random
+import time
+import uuid
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import TYPE_CHECKING, Any, Final
 
@@ -12,7 +15,7 @@
 from fulmarstile_wire.errors import FulmarstileError
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 
 POLL_INTERVAL_S: Final = 0.05
 """Time between two looks at a condition, in seconds."""
@@ -25,6 +28,24 @@
     """A condition did not come to hold in time."""
 
 
+def build_key(seed: int | None = None, age_ms: int = 0) -> str:
+    """Builds an idempotency key, a UUID of version 7.
+
+    Args:
+        seed: Seed of the random bits; None for any.
+        age_ms: Age of the key, in milliseconds.
+
+    Returns:
+        The key.
+    """
+    created_ms = time.time_ns() // 1_000_000 - age_ms
+    bits = random.Random(seed).getrandbits(80)
+    value = (created_ms << 80) | bits
+    value &= ~(0xF << 76 | 0x3 << 62)
+    value |= 0x7 << 76 | 0x2 << 62
+    return str(uuid.UUID(int=value))
+
+
 class FleetProbe:
     """Sends requests to any process of a fleet over kept connections.
 
@@ -37,7 +58,12 @@
         self._clients: dict[str, HttpClient] = {}
 
     async def request(
-        self, address: str, method: str, path: str, body: bytes = b""
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
     ) -> HttpResponse:
         """Sends one request.
 
@@ -46,6 +72,7 @@
             method: HTTP method.
             path: Path and query.
             body: JSON body.
+            headers: Headers besides those of the framing.
 
         Returns:
             The response, of whatever status.
@@ -57,7 +84,7 @@
         if client is None:
             client = await self._stack.enter_async_context(open_http_client(address))
             self._clients[address] = client
-        return await client.request(method, path, body)
+        return await client.request(method, path, body, headers=headers)
 
     async def get_json(self, address: str, path: str) -> Any:
         """Returns the decoded JSON body of a GET request, or None if it failed."""
