--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fleet.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fleet.py
@@ -75,7 +75,7 @@
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
     def allocate(self) -> None:
-        """Reserves an address for every listener and writes the settings files."""
+        """Reserves an address for every listener."""
         ports = find_free_ports(1 + 4 * len(self.specs))
         self.log_address = f"{_LOOPBACK}:{next(ports)}"
         for name in self.specs:
@@ -83,8 +83,6 @@
             self.calls_addresses[name] = f"{_LOOPBACK}:{next(ports)}"
             self.peer_addresses[name] = f"{_LOOPBACK}:{next(ports)}"
             self.upstream_addresses[name] = f"{_LOOPBACK}:{next(ports)}"
-        for spec in self.specs.values():
-            self.settings_file(spec.name).write_text(self._render_settings(spec))
 
     def settings_file(self, name: str) -> Path:
         """Returns the settings file of a daemon."""
@@ -95,8 +93,14 @@
         module = "fulmarstile_testing.log_stand_in"
         self._start(LOG_NAME, module, f"--address={self.log_address}", *options)
 
-    def start_daemon(self, name: str) -> None:
-        """Starts a daemon."""
+    def start_daemon(self, name: str, seeds: Sequence[str] = ()) -> None:
+        """Starts a daemon.
+
+        Args:
+            name: Name of the daemon.
+            seeds: Addresses of peers to join through, besides those found in the log.
+        """
+        self.settings_file(name).write_text(self._render_settings(self.specs[name], seeds))
         self._start(name, "fulmarstile_daemon.main", f"--settings={self.settings_file(name)}")
 
     def start_upstream(self, name: str, *options: str) -> None:
@@ -178,7 +182,7 @@
                 stderr=subprocess.STDOUT,
             )
 
-    def _render_settings(self, spec: DaemonSpec) -> str:
+    def _render_settings(self, spec: DaemonSpec, seeds: Sequence[str]) -> str:
         lines = [
             "[daemon]",
             f"name = {spec.name}",
@@ -186,6 +190,7 @@
             f"availability_zone = {spec.availability_zone}",
             "[peers]",
             f"address = {self.peer_addresses[spec.name]}",
+            f"seeds = {', '.join(seeds)}",
             f"dissemination = {spec.dissemination}",
             "[calls]",
             f"address = {self.calls_addresses[spec.name]}",
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of real processes on loopback."""
