--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -6,7 +6,6 @@
 import io
 import tempfile
 import unittest
-from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -14,103 +13,29 @@
 import trio
 
 from fulmarstile_cli.exit_codes import ExitCode
-from fulmarstile_cli.main import main, run_command
-from fulmarstile_config import encode_key, stream_name
-from fulmarstile_platform import open_http_client, open_http_log
+from fulmarstile_cli.main import main
 from fulmarstile_testing.builders.config import (
-    CUSTOMER,
     LIMITS,
     POOLS,
     RETRIES,
     ROUTES,
     SERVICES,
     TEAMS,
-    StreamBuilder,
-    make_key_pair,
 )
-from fulmarstile_testing.fakes.admin import FakeAdmin, serve_admin
-from fulmarstile_testing.log_stand_in import serve_log
+from fulmarstile_testing.builders.deployment import (
+    UNREACHABLE_ADDRESS,
+    Deployment,
+    Result,
+    run_with_deployment,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-UNREACHABLE_ADDRESS = "127.0.0.1:1"
-
-
-@dataclass
-class Result:
-    """Outcome of one run of the command."""
-
-    code: int
-    output: str
-    errors: str
-
-
-@dataclass
-class Deployment:
-    """Addresses and files of one test."""
-
-    stream: StreamBuilder
-    directory: Path
-    admin: FakeAdmin
-    admin_address: str
-    log_address: str
-
-    async def run(self, *arguments: str) -> Result:
-        output, errors = io.StringIO(), io.StringIO()
-        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(errors):
-            code = await run_command(arguments)
-        return Result(code, output.getvalue(), errors.getvalue())
-
-    async def ask(self, command: str, *arguments: str) -> Result:
-        flags = (f"--admin={self.admin_address}", f"--customer={CUSTOMER}")
-        return await self.run(command, *flags, *arguments)
-
-    async def publish(self, team: str, *arguments: str, log: str = "") -> Result:
-        key = self.write(f"{team}.key", encode_key(make_key_pair(team).private_key))
-        return await self.ask(
-            "publish",
-            f"--team={team}",
-            f"--key={key}",
-            f"--log={log or self.log_address}",
-            *arguments,
-        )
-
-    async def switch_log(self, **switches: object) -> None:
-        async with open_http_client(self.log_address) as client:
-            body = msgspec.json.encode(switches)
-            response = await client.request("PUT", "/__stand_in/switches", body)
-            assert response.status == 200
-
-    async def count_appends(self) -> int:
-        async with open_http_log(self.log_address) as log:
-            return (await log.read(stream_name(CUSTOMER), 0)).end_offset
-
-    def write(self, name: str, text: str) -> str:
-        path = self.directory / name
-        path.write_text(text)
-        return str(path)
-
 
 class CommandTest(unittest.TestCase):
     def run_deployment(self, scenario: Callable[[Deployment], Awaitable[None]]) -> None:
-        async def run() -> None:
-            async with trio.open_nursery() as nursery:
-                log_address = await nursery.start(serve_log, "127.0.0.1:0")
-                async with open_http_log(log_address) as log:
-                    stream = StreamBuilder().publish_document()
-                    for record in stream.records:
-                        await log.append(stream_name(CUSTOMER), record.payload)
-                    admin = FakeAdmin(stream.fold, log)
-                    address = await nursery.start(serve_admin, admin)
-                    with tempfile.TemporaryDirectory() as directory:
-                        deployment = Deployment(
-                            stream, Path(directory), admin, address, log_address
-                        )
-                        await scenario(deployment)
-                nursery.cancel_scope.cancel()
-
-        trio.run(run)
+        trio.run(run_with_deployment, scenario)
 
     def test_publish_reports_the_version_and_the_daemons(self) -> None:
         async def scenario(deployment: Deployment) -> None:
--- a/tests/config/test_hostile_records.py
+++ b/tests/config/test_hostile_records.py
@@ -4,39 +4,24 @@
 
 import unittest
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fulmarstile_config import CustomerFold, FoldLimits, encode_record
 from fulmarstile_testing.builders.config import (
-    LIMITS,
-    POOLS,
-    ROUTES,
     START_MS,
     TEAMS,
     StreamBuilder,
     make_fold,
 )
+from fulmarstile_testing.builders.histories import BODIES, NARROW, Fleet, take_step
 from fulmarstile_wire.records import StreamRecord
 
-PROPERTY = settings(derandomize=True, deadline=None, max_examples=60)
-
-NARROW = FoldLimits(
-    recent_publications=6,
-    recent_unverified=4,
-    recent_records=5,
-    verifications_per_min=12,
-    publications_per_min=6,
-)
+if TYPE_CHECKING:
+    from fulmarstile_config import CustomerFold
 
-BODIES = {
-    "limits": (LIMITS, LIMITS.replace("500", "900"), "limits: {}", ""),
-    "routes": (ROUTES, "routes: []\n", ROUTES.replace("/slots", "/free")),
-    "routes.more": ("routes: []\n", ROUTES, ""),
-    "pools": (POOLS, "pools: []\n", ""),
-    "teams": (TEAMS, TEAMS.replace("'routes.*'", "'routes.x'"), "teams: &a [*a]"),
-}
+PROPERTY = settings(derandomize=True, deadline=None, max_examples=60)
 
 publications = st.tuples(
     st.just("publish"),
@@ -57,33 +42,6 @@
 )
 
 
-def take_step(stream: StreamBuilder, step: tuple) -> None:
-    match step:
-        case ("publish", team, choices, publication_id, key, shift):
-            sections = {
-                name: BODIES[name][index % len(BODIES[name])] for name, index in choices.items()
-            }
-            versions = {
-                name: max(0, state.version + shift) for name, state in stream.fold.sections.items()
-            }
-            publication = stream.make_publication(
-                team, sections, publication_id=publication_id, key=key, base_versions=versions
-            )
-            payload = encode_record(publication)
-        case ("garbage", payload):
-            pass
-        case ("resend", index):
-            payload = stream.records[index % len(stream.records)].payload
-        case ("mutate", index, position, mask):
-            original = bytearray(stream.records[index % len(stream.records)].payload)
-            if original:
-                original[position % len(original)] ^= mask
-            payload = bytes(original)
-        case _:
-            payload = stream.fold.encode_snapshot()
-    stream.append(payload, after_ms=9_000)
-
-
 @dataclass(frozen=True)
 class Seen:
     """What a replica shows after a record."""
@@ -156,59 +114,6 @@
             self.assertFalse(fold.restore_snapshot(data))
 
 
-class Fleet:
-    """Replicas that read one log, in the way that a daemon's relay drives its fold."""
-
-    def __init__(self) -> None:
-        self.log: list[StreamRecord] = []
-        self.folds = [make_fold(NARROW) for _ in range(3)]
-        self.publisher = StreamBuilder(NARROW)
-        self.sent = 0
-
-    def append(self, payload: bytes) -> None:
-        self.sent += 1
-        self.log.append(StreamRecord(len(self.log), payload, START_MS + 20_000 * self.sent))
-
-    def publish(self, index: int, body: str) -> None:
-        self.publisher.fold = self.folds[index]
-        section = f"limits.l{body}"
-        text = f"limits:\n- name: l{body}\n  calls_per_s: 5\n  burst: 1\n"
-        publication = self.publisher.make_publication("owner", {section: text})
-        self.append(encode_record(publication))
-
-    def sync(self, index: int) -> None:
-        fold = self.folds[index]
-        position = max(0, fold.head.next_offset - 1)
-        if position < len(self.log):
-            fold.on_record(self.log[position])
-        generation = fold.head.generation
-        if fold.head.next_offset > len(self.log) or fold.needs_generation:
-            self.scan(fold)
-            if fold.head.generation == generation:
-                self.append(fold.begin_generation())
-                fold.on_record(self.log[-1])
-        for record in self.log[fold.head.next_offset :]:
-            fold.on_record(record)
-
-    def scan(self, fold: CustomerFold) -> None:
-        """Reads the new log from its start, to look for a seed."""
-        generation = fold.head.generation
-        for record in self.log:
-            if fold.head.generation == generation:
-                fold.on_record(record)
-
-    def exchange(self, source: int, target: int) -> None:
-        self.folds[target].restore_snapshot(self.folds[source].encode_snapshot())
-
-    def settle(self) -> None:
-        for _ in range(8):
-            for index in range(3):
-                self.sync(index)
-            for source in range(3):
-                for target in range(3):
-                    self.exchange(source, target)
-
-
 fleet_steps = st.lists(
     st.one_of(
         st.tuples(st.just("publish"), st.integers(0, 2), st.sampled_from("abc")),
--- a/tests/config/test_publishing.py
+++ b/tests/config/test_publishing.py
@@ -39,12 +39,7 @@
         "web", {"limits": "limits:\n- name: [\n"}, RefusalCode.SYNTAX, "", "limits", 2
     ),
     "unknown key": Case(
-        "web",
-        {"limits": LIMITS + "  brust: 5\n"},
-        RefusalCode.INVALID,
-        "brust",
-        "limits",
-        5,
+        "web", {"limits": LIMITS + "  brust: 5\n"}, RefusalCode.INVALID, "brust", "limits", 5
     ),
     "missing key": Case(
         "web",
@@ -151,11 +146,7 @@
         options={"customer": "dala-zher"},
     ),
     "oversize body": Case(
-        "web",
-        {"limits": LIMITS + "#" * (64 << 10)},
-        RefusalCode.OVERSIZE,
-        "65536 bytes",
-        "limits",
+        "web", {"limits": LIMITS + "#" * (64 << 10)}, RefusalCode.OVERSIZE, "65536 bytes", "limits"
     ),
     "no changes": Case("web", {}, RefusalCode.MALFORMED, "no section"),
     "removal of a missing section": Case(
