--- a/packages/fulmarstile_config/src/fulmarstile_config/fold.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/fold.py
@@ -321,7 +321,7 @@
             self._counters.skipped += 1
 
     def _decode(self, payload: bytes) -> AnyRecord:
-        if len(payload) > self._limits.max_snapshot_bytes:
+        if len(payload) > self._limits.max_snapshot_record_bytes:
             raise RecordError(f"record of {len(payload)} bytes is out of bounds")
         return decode_record(payload)
 
--- a/packages/fulmarstile_config/src/fulmarstile_config/limits.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/limits.py
@@ -51,5 +51,8 @@
     recent_record_bytes: int = 1 << 20
     """Largest sum of the raw records kept for peers that lag, in bytes."""
 
+    max_snapshot_record_bytes: int = 1 << 20
+    """Largest snapshot record, in bytes."""
+
     max_snapshot_bytes: int = 4 << 20
     """Largest snapshot after decompression, in bytes."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_fold.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_fold.py
@@ -39,6 +39,12 @@
 ROUTES_PER_SECTION: Final = 10
 """Routes of each section of the large document."""
 
+FLOOD_RECORDS_PER_S: Final = 250
+"""Records that one customer appends per second in the flood."""
+
+FLOOD_S: Final = 60
+"""Time of the flood by the log's clock, in seconds."""
+
 _UNLIMITED: Final = 1 << 30
 
 _RECORDS = flags.DEFINE_integer("records", 2000, "Records measured of each kind.", lower_bound=10)
@@ -50,6 +56,7 @@
     for name, stream in (("small", make_small()), ("large", make_large())):
         _measure_records(name, stream)
     _measure_over_quota()
+    _measure_floods()
     for name, stream in (("small", make_small()), ("large", make_large())):
         _measure_snapshots(name, stream)
     _measure_matches()
@@ -151,6 +158,36 @@
     _report("small: over quota", stream, durations, RefusalCode.QUOTA)
 
 
+def _measure_floods() -> None:
+    missing = "routes:\n- name: lost\n  path: /lost\n  pool: lost\n"
+    large = "services:\n" + "".join(f"- name: flood-{index}\n" for index in range(1024))
+    for name, team, key, section, body in (
+        ("forged, small", "owner", "web", "routes.lost", missing),
+        ("forged, 60 KB", "owner", "web", "services.flood", large + "#" * 40_000),
+        ("signed and refused, small", "owner", "owner", "routes.lost", missing),
+        ("signed and accepted, 60 KB", "owner", "owner", "services.flood", large + "#" * 40_000),
+        ("unknown team, 60 KB", "nobody", "nobody", "services.flood", large + "#" * 40_000),
+    ):
+        seconds = _time_flood(team, key, {section: body})
+        share = seconds / FLOOD_S
+        print(f"flood of {FLOOD_RECORDS_PER_S}/s, {name}: {share:.2%} of a core")
+
+
+def _time_flood(team: str, key: str, sections: dict[str, str]) -> float:
+    stream = StreamBuilder().publish_document()
+    interval_ms = 1000 // FLOOD_RECORDS_PER_S
+    used = 0.0
+    for _ in range(FLOOD_S * FLOOD_RECORDS_PER_S):
+        payload = encode_record(stream.make_publication(team, sections, key=key))
+        last = stream.records[-1]
+        record = StreamRecord(last.offset + 1, payload, last.appended_at_ms + interval_ms)
+        started = time.process_time()
+        stream.fold.on_record(record)
+        used += time.process_time() - started
+        stream.records[-1] = record
+    return used
+
+
 def _encode_each(make: Callable[[int], Publication]) -> Callable[[int], bytes]:
     return lambda number: encode_record(make(number))
 
