--- a/packages/fulmarstile_cli/src/fulmarstile_cli/publisher.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/publisher.py
@@ -99,11 +99,11 @@
         shown = -1
         while True:
             report = await self._ask_convergence(customer, version)
-            if report is not None and report.in_force != shown:
-                shown = report.in_force
-                self._report(f"in force on {report.in_force} of {report.total} daemons")
             if report is not None and report.total and report.in_force >= report.total:
                 return report
+            if report is not None and report.in_force != shown:
+                shown = report.in_force
+                self._report(f"in force on {report.in_force} of {report.total} daemons so far")
             await trio.sleep(interval_s)
             interval_s = min(MAX_POLL_INTERVAL_S, interval_s * POLL_GROWTH)
 
