--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/_refusals.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/_refusals.py
@@ -22,7 +22,6 @@
 _STATUS_UNPROCESSABLE: Final = 422
 _STATUS_UNAVAILABLE: Final = 503
 _STATUS_GATEWAY_TIMEOUT: Final = 504
-_STATUS_BAD_REQUEST: Final = 400
 
 
 def refuse_unavailable(detail: str) -> CallRefusal:
@@ -46,7 +45,7 @@
     """Returns the refusal of a call whose claim a batcher has refused."""
     if refusal == _replies.EXPIRED:
         detail = "the key has expired, or is older than the claim log"
-        return CallRefusal(RefusalReason.KEY_EXPIRED, Verdict.NOT_RUN, _STATUS_BAD_REQUEST, detail)
+        return CallRefusal(RefusalReason.KEY_EXPIRED, Verdict.NOT_RUN, _STATUS_CONFLICT, detail)
     return refuse_unavailable(f"the claim was refused: {refusal}")
 
 
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/keys.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/keys.py
@@ -18,6 +18,7 @@
 _UUID_VERSION: Final = 7
 _TIME_SHIFT_BITS: Final = 80
 _STATUS_BAD_REQUEST: Final = 400
+_STATUS_CONFLICT: Final = 409
 
 
 def parse_key_time(key: str) -> int | None:
@@ -60,11 +61,15 @@
     if created_ms is None:
         return _refuse(RefusalReason.KEY_INVALID, "the key is not a UUID of version 7")
     if created_ms + settings.window_ms < wall_clock_ms:
-        return _refuse(RefusalReason.KEY_EXPIRED, "the key is too old")
+        return _refuse_expired("the key is too old")
     if created_ms > wall_clock_ms + settings.max_ahead_ms:
-        return _refuse(RefusalReason.KEY_EXPIRED, "the key was made in the future")
+        return _refuse_expired("the key was made in the future")
     return None
 
 
 def _refuse(reason: RefusalReason, detail: str) -> CallRefusal:
     return CallRefusal(reason, Verdict.NOT_RUN, _STATUS_BAD_REQUEST, detail)
+
+
+def _refuse_expired(detail: str) -> CallRefusal:
+    return CallRefusal(RefusalReason.KEY_EXPIRED, Verdict.NOT_RUN, _STATUS_CONFLICT, detail)
