--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/_directory.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/_directory.py
@@ -38,6 +38,8 @@
             if member.status is MemberStatus.ALIVE
         }
         addresses[self._daemon_id] = self._address
+        if addresses == self._addresses:
+            return
         self._addresses = addresses
         self._ranks.clear()
         self._avoided = {each: at for each, at in self._avoided.items() if each in addresses}
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/shard_batchers.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/shard_batchers.py
@@ -38,6 +38,7 @@
         self._settings = settings
         self._daemon_id = daemon_id
         self._address = address
+        self._alive: set[str] = set()
         self._assigned: frozenset[int] = frozenset()
         self._batchers: dict[str, ClaimBatcher] = {}
 
@@ -74,9 +75,12 @@
         """
         alive = {m.daemon_id for m in members if m.status is MemberStatus.ALIVE}
         alive.add(self._daemon_id)
+        if alive == self._alive:
+            return []
+        self._alive = alive
         assigned: list[int] = []
         for shard in range(self._settings.shards):
-            if self._daemon_id in rank_batchers(shard, alive)[:BATCHERS_PER_SHARD]:
+            if self._daemon_id in rank_batchers(shard, alive, BATCHERS_PER_SHARD):
                 assigned.append(shard)
         self._assigned = frozenset(assigned)
         effects: list[Effect] = []
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/sharding.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/sharding.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import functools
+import heapq
+from typing import TYPE_CHECKING, Final
 
 import xxhash
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+RANKED_BATCHERS: Final = 8
+"""Members that are asked in turn about a shard."""
+
+_CACHED_SCORES: Final = 16_384
+
 
 def shard_of(customer: str, key: str, shards: int) -> int:
     """Returns the shard of a customer's key, from 0."""
@@ -20,15 +27,26 @@
     return f"claims.{shard}"
 
 
-def rank_batchers(shard: int, members: Iterable[str]) -> list[str]:
-    """Returns all members in the order in which they are asked to batch a shard."""
-    return sorted(members, key=lambda member: (_score(shard, member), member))
+def rank_batchers(shard: int, members: Iterable[str], count: int = RANKED_BATCHERS) -> list[str]:
+    """Returns the members that batch a shard, in the order in which they are asked.
+
+    Args:
+        shard: Number of the shard.
+        members: Names of all members.
+        count: Most members to return.
+    """
+    return [name for _, name in heapq.nsmallest(count, _scores(shard, members))]
 
 
 def batcher_for(shard: int, members: Iterable[str]) -> str | None:
     """Returns the member that batches the claims of a shard, or None without members."""
-    return min(members, key=lambda member: (_score(shard, member), member), default=None)
+    return min(_scores(shard, members), default=(0, None))[1]
+
+
+def _scores(shard: int, members: Iterable[str]) -> list[tuple[int, str]]:
+    return [(_score(shard, member), member) for member in members]
 
 
+@functools.lru_cache(maxsize=_CACHED_SCORES)
 def _score(shard: int, member: str) -> int:
     return xxhash.xxh64_intdigest(f"{shard}\n{member}".encode())
