Hedge slow idempotent reads, distrust pools after silence, close idle callers cleanly

Cause: the retry policy decides about hedges but no shell ran them; a reused connection that gave no answer in time left its pool trusted; a stop reset idle connections. Conclusion: a hedge runs beside the first attempt, one answer is sent, the other is cancelled.

--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
@@ -0,0 +1,227 @@
+"""Attempts: one try each to bring a call to an upstream and its answer to the caller."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+from fulmarstile_calls.balancing import CallSample
+from fulmarstile_calls.request import RefusalReason
+from fulmarstile_daemon.calls._call import CallerGoneError, CallFailedError, make_refusal
+from fulmarstile_daemon.calls._client import ExchangeError
+from fulmarstile_daemon.calls._exchange import Exchange
+from fulmarstile_daemon.calls._hop import for_upstream
+from fulmarstile_daemon.calls._pool import ConnectionPool, PoolExhaustedError
+from fulmarstile_daemon.calls.context import StoredAnswer
+from fulmarstile_wire.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarstile_calls.balancing import Balancer
+    from fulmarstile_calls.request import CallRefusal, UpstreamEndpoint
+    from fulmarstile_daemon.calls._call import Call
+    from fulmarstile_daemon.calls._caller import CallerConnection
+    from fulmarstile_daemon.calls._client import ClientConnection
+    from fulmarstile_daemon.calls._exchange import Answer
+    from fulmarstile_daemon.calls._hop import HopHeaders
+    from fulmarstile_daemon.calls._local import LocalUpstream
+    from fulmarstile_daemon.calls.settings import CallSettings
+
+_ROOM_REASONS: Final = frozenset({RefusalReason.QUEUE_FULL, RefusalReason.DEADLINE})
+"""Refusals that say that an upstream has no room."""
+_UPSTREAM_REASONS: Final = frozenset(
+    {
+        RefusalReason.CONNECT_FAILED,
+        RefusalReason.CONNECTION_LOST,
+        RefusalReason.TIMEOUT,
+        RefusalReason.TRUNCATED,
+    }
+)
+"""Failures that count against an upstream."""
+_LOST_REASONS: Final = frozenset({RefusalReason.CONNECTION_LOST, RefusalReason.TRUNCATED})
+"""Failures that an upstream's crash shows itself by."""
+
+
+class AttemptRunner:
+    """Runs attempts over the local upstream or another daemon.
+
+    Args:
+        settings: Settings of the call proxy.
+        local: Upstream beside this daemon.
+        balancer: Told how attempts end.
+        hop: Writes the headers of forwarded calls.
+        on_connection_lost: Called when the local upstream broke off an exchange, with the
+            fingerprints of the calls that are in flight.
+    """
+
+    def __init__(
+        self,
+        settings: CallSettings,
+        local: LocalUpstream,
+        balancer: Balancer,
+        hop: HopHeaders,
+        on_connection_lost: Callable[[tuple[bytes, ...]], None],
+    ) -> None:
+        self._settings = settings
+        self._local = local
+        self._balancer = balancer
+        self._hop = hop
+        self._on_connection_lost = on_connection_lost
+        self._daemons: dict[str, ConnectionPool] = {}
+
+    @property
+    def daemon_pools(self) -> tuple[ConnectionPool, ...]:
+        """Pools of connections to other daemons."""
+        return tuple(self._daemons.values())
+
+    def keep_daemons(self, addresses: frozenset[str]) -> None:
+        """Closes the connections to daemons that are no longer known.
+
+        Args:
+            addresses: `host:port` of the daemons that are.
+        """
+        for address in sorted(self._daemons.keys() - addresses):
+            self._daemons.pop(address).retire()
+
+    async def run(
+        self, call: Call, caller: CallerConnection, endpoint: UpstreamEndpoint | None
+    ) -> CallRefusal | None:
+        """Runs one attempt.
+
+        Args:
+            call: The call.
+            caller: Connection that it came from.
+            endpoint: Upstream to use; None for the local one on behalf of another daemon.
+
+        Returns:
+            Why the attempt failed, or None if the answer was sent.
+
+        Raises:
+            CallerGoneError: If the caller left.
+        """
+        started_at = trio.current_time()
+        if endpoint is not None:
+            self._balancer.on_started(endpoint.daemon_id, started_at)
+        refusal: CallRefusal | None = None
+        scope = call.scope = trio.CancelScope(deadline=call.deadline)
+        try:
+            with scope:
+                if endpoint is None or endpoint.is_local:
+                    await self._run_local(call, caller, started_at)
+                else:
+                    await self._run_remote(call, caller, endpoint.calls_address, started_at)
+        except CallFailedError as error:
+            refusal = _combine(call, error.refusal)
+        finally:
+            if scope.cancelled_caught:
+                refusal = _timeout_refusal(call)
+            if endpoint is not None:
+                now = trio.current_time()
+                sample = _make_sample(now - started_at, refusal)
+                self._balancer.on_finished(endpoint.daemon_id, sample, now)
+        if call.abandoned:
+            raise CallerGoneError
+        return refusal
+
+    async def _run_local(self, call: Call, caller: CallerConnection, now: float) -> None:
+        ticket_id = await self._local.enter(call, now)
+        try:
+            pool = self._local.pool
+            connection = await _acquire(call, pool)
+            try:
+                exchange = Exchange(call, caller, connection, self._settings)
+                answer = await exchange.run(for_upstream(call, now), to_daemon=False)
+                if not answer.complete:
+                    await _send_streamed(call, caller, answer, exchange)
+            except CallFailedError as error:
+                if error.refusal.reason in _LOST_REASONS:
+                    self._on_connection_lost(self._local.fingerprints())
+                raise
+            finally:
+                _release(call, pool, connection)
+        finally:
+            self._local.leave(ticket_id)
+        if answer.complete:
+            await _send_complete(call, caller, answer)
+
+    async def _run_remote(
+        self, call: Call, caller: CallerConnection, address: str, now: float
+    ) -> None:
+        pool = self._daemons.get(address)
+        if pool is None:
+            pool = ConnectionPool(address, self._settings.peer_connections, self._settings)
+            self._daemons[address] = pool
+        connection = await _acquire(call, pool)
+        try:
+            exchange = Exchange(call, caller, connection, self._settings)
+            answer = await exchange.run(self._hop.for_daemon(call, now), to_daemon=True)
+            if not answer.complete:
+                await _send_streamed(call, caller, answer, exchange)
+        finally:
+            _release(call, pool, connection)
+        if answer.complete:
+            await _send_complete(call, caller, answer)
+
+
+async def _acquire(call: Call, pool: ConnectionPool) -> ClientConnection:
+    try:
+        return await pool.acquire()
+    except PoolExhaustedError as error:
+        raise call.fail(RefusalReason.QUEUE_FULL, str(error), 1.0) from error
+    except ExchangeError as error:
+        raise call.fail(RefusalReason.CONNECT_FAILED, str(error), 1.0) from error
+
+
+def _release(call: Call, pool: ConnectionPool, connection: ClientConnection) -> None:
+    """Hands a connection back; if a reused one stayed silent, no other one is trusted."""
+    if call.scope is not None and call.scope.cancel_called and not call.abandoned:
+        pool.distrust(connection)
+    pool.release(connection)
+
+
+async def _send_complete(call: Call, caller: CallerConnection, answer: Answer) -> None:
+    if call.claim is not None:
+        call.stored_answer = StoredAnswer(answer.status, tuple(answer.headers), answer.body)
+    _begin_answer(call)
+    await caller.send_head(answer.status, answer.headers, answer.body, True)
+
+
+async def _send_streamed(
+    call: Call, caller: CallerConnection, answer: Answer, exchange: Exchange
+) -> None:
+    _begin_answer(call)
+    await caller.send_head(answer.status, answer.headers, answer.body, False)
+    await exchange.stream_body()
+    await caller.send_body(None)
+
+
+def _begin_answer(call: Call) -> None:
+    if call.try_to_win is not None:
+        call.try_to_win(call)
+    call.answer_started = True
+
+
+def _combine(call: Call, refusal: CallRefusal) -> CallRefusal:
+    """Takes earlier attempts into the verdict of a refusal."""
+    if refusal.verdict is Verdict.NOT_RUN and call.earlier_verdict is not Verdict.NOT_RUN:
+        return replace(refusal, verdict=call.earlier_verdict)
+    return refusal
+
+
+def _timeout_refusal(call: Call) -> CallRefusal:
+    verdict = call.combined_verdict
+    reason = RefusalReason.TIMEOUT
+    if verdict is Verdict.NOT_RUN:
+        reason = RefusalReason.DEADLINE
+    return make_refusal(reason, verdict, "no answer in time", status=504)
+
+
+def _make_sample(latency_s: float, refusal: CallRefusal | None) -> CallSample:
+    if refusal is None:
+        return CallSample(latency_s)
+    if refusal.verdict is Verdict.NOT_RUN and refusal.reason in _ROOM_REASONS:
+        return CallSample(latency_s, refused=True)
+    return CallSample(latency_s, failed=refusal.reason in _UPSTREAM_REASONS)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_call.py
@@ -16,6 +16,8 @@
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import h11
     import trio
 
@@ -59,6 +61,13 @@
         super().__init__("the caller left", Verdict.MAY_HAVE_RUN)
 
 
+class SupersededError(VerdictError):
+    """Another attempt of the same call has got an answer first."""
+
+    def __init__(self) -> None:
+        super().__init__("another attempt was faster", Verdict.MAY_HAVE_RUN)
+
+
 def make_refusal(
     reason: RefusalReason,
     verdict: Verdict,
@@ -152,13 +161,14 @@
     """Whether a byte of the answer was sent to the caller."""
     abandoned: bool = False
     """Whether the caller left."""
-    waits_on_reused_connection: bool = False
     attempt: Attempt = field(default_factory=Attempt)
     claim: ClaimGranted | None = None
     stored_answer: StoredAnswer | None = None
     """Answer to keep for callers that send the claimed request again."""
     scope: trio.CancelScope | None = None
     """Scope of the running attempt."""
+    try_to_win: Callable[[Call], None] | None = None
+    """Called before an answer is sent while attempts race; raises `SupersededError`."""
 
     @property
     def combined_verdict(self) -> Verdict:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -237,9 +237,12 @@
                 discarded += len(data)
         self._stream.close()
 
-    def abort(self) -> None:
-        """Breaks the connection, so that a cut answer cannot pass for a complete one."""
-        self._stream.abort()
+    def end(self) -> None:
+        """Closes the connection at once; an answer that was begun is seen to be cut off."""
+        if self.is_idle:
+            self._stream.close()
+        else:
+            self._stream.abort()
 
     def _skip_received_body(self) -> None:
         """Discards what has arrived of a request body; if it is all, the connection lives on."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_pool.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_pool.py
@@ -74,6 +74,16 @@
         connection.start_next_exchange(trio.current_time())
         self._idle.append(connection)
 
+    def distrust(self, connection: ClientConnection) -> None:
+        """Notes that an exchange got no answer in time.
+
+        Args:
+            connection: Its connection; if it had answered before, the others may have gone
+                silent with it and are replaced.
+        """
+        if connection.exchanges:
+            self.close_idle()
+
     def close_idle(self) -> None:
         """Closes the connections without an exchange, because they may have gone silent."""
         while self._idle:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/counters.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/counters.py
@@ -25,6 +25,7 @@
     callers_gone: int = 0
     """Calls whose caller left before the end."""
     retries: int = 0
+    hedges: int = 0
     upstream_crashes: int = 0
     connections: int = 0
     """Connections accepted."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -12,6 +12,7 @@
 from fulmarstile_calls.rate_limiter import RateLimiter
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_calls.retries import RetryBudgets, RetrySettings
+from fulmarstile_daemon.calls._attempts import AttemptRunner
 from fulmarstile_daemon.calls._call import CallerGoneError, CallFailedError
 from fulmarstile_daemon.calls._caller import CallerConnection
 from fulmarstile_daemon.calls._entry import CallReader
@@ -75,15 +76,11 @@
         self._limiter = RateLimiter()
         self._reader = CallReader(context, hop, budgets)
         self._counters = CallCounters()
+        self._attempts = AttemptRunner(
+            settings, self._local, self._balancer, hop, self._on_connection_lost
+        )
         self._runner = CallRunner(
-            settings,
-            context,
-            self._local,
-            self._balancer,
-            retries or budgets,
-            hop,
-            self._counters,
-            self._on_connection_lost,
+            settings, context, self._attempts, self._balancer, retries or budgets, self._counters
         )
         self._watch = CallWatch()
         self._connections: dict[CallerConnection, None] = {}
@@ -126,7 +123,7 @@
                     await self._accept_forever(listener, nursery)
                 finally:
                     self._local.close()
-                    self._runner.keep_daemons(frozenset())
+                    self._attempts.keep_daemons(frozenset())
 
     def replace_endpoints(self, endpoints: tuple[UpstreamEndpoint, ...]) -> None:
         """Replaces the upstreams that calls may be sent to.
@@ -135,7 +132,7 @@
             endpoints: All upstreams, of any service.
         """
         self._balancer.replace_endpoints(endpoints, trio.current_time())
-        self._runner.keep_daemons(frozenset(endpoint.calls_address for endpoint in endpoints))
+        self._attempts.keep_daemons(frozenset(endpoint.calls_address for endpoint in endpoints))
 
     def set_upstream(self, address: str, slots: int, connections: int) -> None:
         """Takes over what the upstream beside this daemon announced.
@@ -167,7 +164,7 @@
             upstream_running=self._local.running,
             upstream_queued=self._local.queued,
             upstream=self._local.dump(),
-            daemons=tuple(map(dump_pool, self._runner.daemon_pools)),
+            daemons=tuple(map(dump_pool, self._attempts.daemon_pools)),
         )
 
     async def _tick_forever(self) -> None:
@@ -221,7 +218,7 @@
             logger.exception("serving a connection failed")
         finally:
             del self._connections[caller]
-            caller.abort()
+            caller.end()
 
     async def _serve_requests(self, caller: CallerConnection) -> None:
         while True:
@@ -269,7 +266,10 @@
 
     async def _refuse(self, caller: CallerConnection, refusal: CallRefusal, *, close: bool) -> None:
         self._counters.count_refusal(refusal)
-        await caller.send_refusal(refusal, close=close)
+        with trio.move_on_after(self._settings.progress_timeout_s) as scope:
+            await caller.send_refusal(refusal, close=close)
+        if scope.cancelled_caught:
+            raise CallerGoneError
 
     def _on_connection_lost(self, suspects: tuple[bytes, ...]) -> None:
         if self._nursery is not None:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/call_proxies.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/call_proxies.py
@@ -30,6 +30,7 @@
 CHARGE_ROUTE: Final = Route("charge", "/charge", "planning", at_most_once=True)
 LIMITED_ROUTE: Final = Route("limited", "/limited", "planning", limit="one")
 SHORT_ROUTE: Final = Route("short", "/short", "planning", timeout_ms=300)
+HEDGED_ROUTE: Final = Route("hedged", "/", "planning", retry="hedge", idempotent=True)
 ROUTES: Final = (READ_ROUTE, WRITE_ROUTE, CHARGE_ROUTE, LIMITED_ROUTE, SHORT_ROUTE)
 
 
@@ -47,7 +48,10 @@
         services=(Service(SERVICE),),
         pools=(Pool("planning", SERVICE),),
         limits=(Limit("one", calls_per_s=0.001, burst=1),),
-        retries=(RetryRule("read", attempts=3, budget_percent=100.0),),
+        retries=(
+            RetryRule("read", attempts=3, budget_percent=100.0),
+            RetryRule("hedge", attempts=2, budget_percent=100.0, hedge_after_ms=50),
+        ),
         routes=tuple(routes),
     )
     return RoutingTable({customer: compile_document(customer, document, 1)})
