--- a/packages/fulmarstile_config/src/fulmarstile_config/fold.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/fold.py
@@ -202,9 +202,9 @@
         snapshot = self._open_snapshot(payload)
         if snapshot is None or not self._is_newer(snapshot):
             return False
-        if snapshot.generation > self._state.generation and not self._is_reset:
+        if snapshot.generation > self._state.generation:
             # The records kept are those of the log that was lost; none follows the snapshot.
-            self._recent.clear()
+            self._recent, self._unfolded = self._unfolded, RecentRecords(self._limits)
         if not snapshot.is_seed:
             return self._adopt(snapshot, snapshot.next_offset)
         if self._folded_offset == 0:
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_log_following.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_log_following.py
@@ -75,10 +75,11 @@
 
     def on_append_done(self, stream: Stream, offset: int, now: float) -> None:
         """Notes an appended snapshot."""
+        if stream.reset_since is not None:
+            return
         stream.append_expires_at = now
-        if stream.reset_since is None:
-            stream.snapshot_at = now
-            stream.records_since_snapshot = 0
+        stream.snapshot_at = now
+        stream.records_since_snapshot = 0
 
     def on_append_failure(self, stream: Stream, now: float) -> None:
         """Lets the snapshot be written again, after a while."""
@@ -138,6 +139,7 @@
             offset = max(0, position - 1)
             wait_s = 0.0
         if stream.reset_since is not None:
+            position = offset = stream.reset_offset
             wait_s = min(wait_s, _SEED_POLL_S)
         stream.read = OutstandingRead(position, now + wait_s + self._settings.poll_grace_s)
         self._counters.log_reads += 1
@@ -170,6 +172,7 @@
         self._counters.resets_seen += 1
         stream.reset_sightings = 0
         stream.reset_since = now
+        stream.reset_offset = 0
         stream.request = None
         stream.held.clear()
         stream.replica.begin_generation(page.end_offset)
@@ -177,6 +180,10 @@
     def _look_for_seed(self, stream: Stream, page: LogPage, now: float) -> None:
         generation = stream.replica.head.generation
         self._fold_page(stream, page, now)
+        if page.records:
+            stream.reset_offset = page.records[-1].offset + 1
+        elif page.end_offset < stream.reset_offset:
+            stream.reset_offset = 0
         if stream.replica.head.generation > generation:
             self.end_reset(stream, now)
 
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_stream.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_stream.py
@@ -125,10 +125,12 @@
     """Generation and offset up to which peers have been told."""
     reset_sightings: int = 0
     """Consecutive pages that end before the offset asked for."""
-    must_check: bool = False
+    must_check: bool = True
     """Whether the next read checks that the log still holds the last folded record."""
     reset_since: float | None = None
     """When the log was found to have lost the stream; None unless it waits to be re-seeded."""
+    reset_offset: int = 0
+    """Offset up to which the new log has been searched for the record that re-seeds it."""
     append_expires_at: float = float("-inf")
     snapshot_at: float | None = None
     """Time of the newest snapshot in the log, by the local clock; None if unknown."""
