--- a/packages/fulmarstile_config/src/fulmarstile_config/__init__.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/__init__.py
@@ -20,7 +20,7 @@
     RefusalCode,
     SectionChange,
 )
-from fulmarstile_config.records import encode_record, stream_name
+from fulmarstile_config.records import encode_record, is_snapshot, stream_name
 from fulmarstile_config.routing_table import (
     CompiledDocument,
     CompiledRoute,
@@ -53,6 +53,7 @@
     "encode_key",
     "encode_record",
     "generate_key_pair",
+    "is_snapshot",
     "sign_publication",
     "stream_name",
     "validate_sections",
--- a/packages/fulmarstile_config/src/fulmarstile_config/fold.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/fold.py
@@ -77,8 +77,6 @@
         """Whether the state covers every record before `_next_offset`."""
         self._is_reset = False
         """Whether the log has lost the stream and no seed was read from it yet."""
-        self._is_unplaced = False
-        """Whether a seed was adopted whose offset in the log is still to be told."""
         self._is_contradicted = False
         self._competing_generation = 0
         """Highest generation met whose version was lower than this replica's."""
@@ -129,7 +127,7 @@
     @property
     def needs_snapshot(self) -> bool:
         """Whether records are missing, so that only a snapshot can bring the fold on."""
-        return not self._is_complete
+        return not self._is_complete and not self._is_reset
 
     @property
     def needs_generation(self) -> bool:
@@ -163,19 +161,13 @@
         return self._state.document is not document
 
     def skip_to(self, offset: int) -> None:
-        """Notes that the stream holds no record before `offset` that is not folded yet.
-
-        After `restore_snapshot` has adopted a seed, `offset` is the one that follows it;
-        otherwise the records up to `offset` are missing.
-        """
+        """Notes that the log no longer keeps any record before `offset`."""
         if offset <= self._next_offset:
             return
-        if self._is_unplaced:
-            self._place(offset)
-            return
-        self._note_gap(offset)
+        if not self._is_detached:
+            self._note_gap(offset)
+            self._recent.clear()
         self._next_offset = offset
-        self._recent.clear()
 
     def records_from(self, offset: int) -> tuple[StreamRecord, ...] | None:
         """Returns the recent records from `offset` on, or None if they are not kept."""
@@ -200,25 +192,16 @@
             Whether the snapshot was adopted.
         """
         snapshot = self._open_snapshot(payload)
-        if snapshot is None or not self._is_newer(snapshot):
+        if snapshot is None or snapshot.is_seed or not self._is_newer(snapshot):
             return False
-        if snapshot.generation > self._state.generation and not self._is_reset:
-            # The records kept are those of the log that was lost; none follows the snapshot.
-            self._recent.clear()
-        if not snapshot.is_seed:
-            return self._adopt(snapshot, snapshot.next_offset)
-        if self._folded_offset == 0:
-            # Without memory it cannot be known whether the seed was the first of its generation.
-            return False
-        self._recent.clear()
-        self._is_unplaced = self._adopt(snapshot, 0)
-        return self._is_unplaced
+        return self._adopt(snapshot, snapshot.next_offset)
 
     def begin_generation(self, end_offset: int = 0) -> bytes:
         """Returns the snapshot that seeds the stream again after the log has lost it.
 
-        From now on no publication is folded, until a snapshot of a higher generation is adopted.
-        Calling it again before that gives a snapshot of the same generation. Publications that
+        From now on `head.next_offset` counts the records of the new log, from 0, and none is
+        folded, until a snapshot of a higher generation is adopted. Calling it again before that
+        gives a snapshot of the same generation and leaves the position. Publications that
         were read from the new log with `on_record` are refused by the snapshot.
 
         Args:
@@ -227,7 +210,10 @@
         Returns:
             The payload to append to the stream.
         """
-        self._is_reset = True
+        if not self._is_reset:
+            self._is_reset = True
+            self._next_offset = 0
+            self._unfolded.clear()
         state = self._state
         verdicts = state.verdicts.copy()
         generation = max(state.generation, self._competing_generation) + 1
@@ -284,14 +270,6 @@
             self._adopt(snapshot, snapshot.next_offset)
         self._note_folded(record)
 
-    def _place(self, offset: int) -> None:
-        self._is_unplaced = False
-        self._next_offset = offset
-        self._folded_offset = offset
-        self._seen_from = offset
-        self._state.last_record = b""
-        self._digests.append((offset, self._state.digest))
-
     def _note_gap(self, offset: int) -> None:
         self._seen_from = offset
         self._is_complete = False
@@ -397,6 +375,8 @@
             return False
         if snapshot.generation != state.generation:
             return snapshot.generation > state.generation
+        if self._is_reset:
+            return snapshot.version > state.version
         return snapshot.next_offset > self._folded_offset
 
     def _adopt(self, snapshot: SnapshotRecord, next_offset: int) -> bool:
@@ -410,7 +390,6 @@
         self._is_complete = True
         self._is_reset = False
         self._is_contradicted = False
-        self._is_unplaced = False
         self._unfolded.clear()
         self._next_offset = next_offset
         self._folded_offset = next_offset
--- a/packages/fulmarstile_config/src/fulmarstile_config/records.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/records.py
@@ -71,3 +71,11 @@
         return _decoder.decode(memoryview(payload)[1:])
     except (msgspec.DecodeError, RecursionError, ValueError, OverflowError) as error:
         raise RecordError(f"malformed record: {error}") from None
+
+
+def is_snapshot(payload: bytes) -> bool:
+    """Returns whether a record is a snapshot, genuine or not."""
+    try:
+        return isinstance(decode_record(payload), SnapshotRecord)
+    except RecordError:
+        return False
