Bound rendezvous appends of isolated daemons also when nobody answers

The rate doubled for every isolated daemon, so 720 that could not reach one another would have passed 100 appends a second.

--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_joining.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_joining.py
@@ -18,10 +18,14 @@
 
 _JOINS_PER_ATTEMPT: Final = 3
 _ATTEMPTS_PER_ADDRESS: Final = 3
-_FIRST_APPEND_RATE: Final = 0.1
-"""Appends per second of an isolated daemon at first; doubles every second."""
+_FIRST_APPEND_RATE: Final = 0.07
+"""Appends per second of an isolated daemon that found the stream empty; doubles every second."""
+_ISOLATED_APPEND_RATE: Final = 0.05
+"""Appends per second of an isolated daemon that could not read the stream or found records."""
 _MAX_APPEND_RATE: Final = 1.0
 _ISOLATED_APPEND_INTERVAL_S: Final = 30.0
+_MAX_TICK_S: Final = 0.5
+"""Longest time since the last tick that counts, so that a pause makes nothing due at once."""
 _EARLY_READS_S: Final = (3.0, 6.0, 10.0, 20.0, 40.0)
 """Ages at which a daemon reads the rendezvous stream again, whether it knows members or not.
 
@@ -42,6 +46,7 @@
         self._next_attempt_at = 0.0
         self._next_append_at = 0.0
         self._end_offset = 0
+        self._has_seen_empty = False
         self._is_settled = False
         self._early_reads_at: list[float] = []
         self._candidates: dict[str, int] = {}
@@ -64,7 +69,9 @@
             end_offset: Offset after the last record of the stream; 0 if unknown.
         """
         self._end_offset = max(end_offset, 0)
+        self._has_seen_empty = True
         for record in records:
+            self._has_seen_empty = False
             self._candidates[record.peer_address] = 0
 
     def on_tick(self, own: MemberRecord, others: list[MemberRecord], now: float) -> list[Effect]:
@@ -80,7 +87,7 @@
         """
         if self._started_at is None:
             self._start(now)
-        elapsed_s = max(0.0, now - self._last_tick_at)
+        elapsed_s = min(_MAX_TICK_S, now - self._last_tick_at)
         self._last_tick_at = now
         if others:
             self._isolated_since = None
@@ -157,6 +164,8 @@
             return 1.0 / max(fleet_interval_s, self._settings.rendezvous_min_interval_s)
         if self._isolated_since is None or now < self._next_append_at:
             return 0.0
+        if not self._has_seen_empty:
+            return _ISOLATED_APPEND_RATE
         isolated_s = min(now - self._isolated_since, _ISOLATED_APPEND_INTERVAL_S)
         return min(_MAX_APPEND_RATE, _FIRST_APPEND_RATE * 2.0**isolated_s)
 
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/membership.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/membership.py
@@ -202,10 +202,9 @@
             The effects.
         """
         self._joining.on_rendezvous(records, end_offset)
-        others = self._view.list_others()
-        if not others:
+        if not self._view.list_others():
             return []
-        known = [record.peer_address for record in others]
+        known = [record.peer_address for record in self.members.values()]
         return self._joining.join_known(self.record, known)
 
     def announce_upstream(
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config_daemon.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config_daemon.py
@@ -21,6 +21,9 @@
 
     from fulmarstile_mesh import Effect
 
+LOG_CONNECTIONS: Final = 32
+"""Connections to the log, so that no long poll of the tailing design keeps others waiting."""
+
 RELAYS: Final = {"push": Relay, "pull": Relay, "tail": TailingRelay, "flood": FloodingRelay}
 """Relay core of each design."""
 
@@ -42,6 +45,7 @@
     """Runs the daemon with the chosen relay."""
     service.Relay = RELAYS[_DESIGN.value]
     service.Membership = ReportingMembership
+    service.EXTRA_LOG_CONNECTIONS = LOG_CONNECTIONS
     return daemon_main.main(arguments)
 
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config_herd.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config_herd.py
@@ -96,7 +96,7 @@
 async def _sample_log(observer: FleetObserver, samples: list[tuple[float, int, int]]) -> None:
     while True:
         counts = await observer.read_log_counts()
-        samples.append((time.time(), counts["reads"], counts["appends"]))
+        samples.append((time.time(), counts.reads, counts.appends))
         await trio.sleep(SAMPLE_INTERVAL_S)
 
 
