--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import signal
 import statistics
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
@@ -215,9 +216,16 @@
         print(f"        herd: {row.herd.describe()}", flush=True)
 
 
+def _stop_on_sigterm() -> None:
+    """Ends the bench as if interrupted, so that no process is left behind."""
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, lambda number, frame: signal.raise_signal(signal.SIGINT))
+
+
 def _main(arguments: list[str]) -> None:
     if len(arguments) > 1:
         raise app.UsageError("the bench takes flags only")
+    _stop_on_sigterm()
     rows = []
     print_header()
     for size in _SIZES.value:
