--- a/packages/fulmarstile_calls/src/fulmarstile_calls/quarantine.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/quarantine.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING, Final, TypeAlias
 
 import xxhash
 
@@ -32,6 +32,9 @@
     return digest.digest()
 
 
+SWEEP_INTERVAL_S: Final = 5.0
+"""Shortest time between two sweeps of expired crashes, in seconds."""
+
 _Crashes: TypeAlias = dict[tuple[str, int], float]
 """Time of expiry of each crash, by daemon and crash number."""
 
@@ -68,6 +71,7 @@
         self._settings = settings
         self._daemon_id = daemon_id
         self._next_crash_id = first_crash_id
+        self._sweep_at = float("-inf")
         self._suspects: OrderedDict[bytes, _Crashes] = OrderedDict()
         self._quarantined: OrderedDict[bytes, _Crashes] = OrderedDict()
         self._completed: OrderedDict[bytes, float] = OrderedDict()
@@ -135,7 +139,10 @@
         return CallRefusal(RefusalReason.QUARANTINED, Verdict.NOT_RUN, 422, detail)
 
     def on_tick(self, now: float) -> None:
-        """Forgets expired crashes."""
+        """Forgets expired crashes, if that was not done in the last seconds."""
+        if now < self._sweep_at:
+            return
+        self._sweep_at = now + SWEEP_INTERVAL_S
         for table in (self._suspects, self._quarantined):
             for fingerprint in list(table):
                 crashes = table[fingerprint]
