--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -223,10 +223,10 @@
         await self.send_head(refusal.status, headers, body, True)
 
     async def close(self) -> None:
-        """Closes the connection after what was sent has reached the caller."""
-        if self._http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
-            self._stream.close()
-            return
+        """Closes the connection once the caller has closed its side or had time to.
+
+        Closing it while input is unread would destroy an answer that is on its way.
+        """
         self._stream.send_end()
         discarded = 0
         with trio.move_on_after(_LINGER_S):
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -228,7 +228,7 @@
                 await self._refuse(caller, error.refusal, close=True)
                 break
             if request is None:
-                break
+                return
             await self._serve_request(caller, request)
             if not caller.may_continue:
                 break
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_calls.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_calls.py
@@ -24,7 +24,14 @@
 CALLS_PER_S: Final = 389.0
 """Calls that one daemon carries at full scale."""
 ADDED_P99_TARGET_MS: Final = 1.2
-_PATHS: Final = ("direct", "bare relay", "local path", "two-daemon path")
+_PATHS: Final = (
+    "direct",
+    "bare relay",
+    "local path",
+    "two-daemon path",
+    "2 relays, HTTP",
+    "2 relays, pynng",
+)
 _WARM_UP_S: Final = 1.0
 _OUT: Final = Path("out/bench_calls.json")
 
@@ -99,8 +106,16 @@
     entry = stack.enter_context(
         start_module("bench_calls_daemon", "--name=daemon-2", f"--peers={local.address}")
     )
-    processes = ((), (relay,), (local,), (entry, local))
-    addresses = (upstream.address, relay.address, local.address, entry.address)
+    first = stack.enter_context(start_module("bench_calls_relay", f"--upstream={relay.address}"))
+    second = stack.enter_context(
+        start_module("bench_calls_pynng", f"--upstream={upstream.address}")
+    )
+    sender = stack.enter_context(
+        start_module("bench_calls_pynng", f"--peer=tcp://{second.address}")
+    )
+    processes = ((), (relay,), (local,), (entry, local), (first, relay), (sender, second))
+    entries = (upstream, relay, local, entry, first, sender)
+    addresses = tuple(process.address for process in entries)
     return [_PathRun(*path) for path in zip(_PATHS, addresses, processes, strict=True)]
 
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_calls_relay.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_calls_relay.py
@@ -41,10 +41,10 @@
     async def _serve_stream(self, stream: trio.SocketStream) -> None:
         http = h11.Connection(h11.SERVER)
         while True:
-            request, body = await _receive(stream, http)
+            request, body = await receive_message(stream, http)
             if request is None:
                 return
-            response, answer = await self._exchange(request, body)
+            response, answer = await self.exchange(request, body)
             data = http.send(
                 h11.Response(status_code=response.status_code, headers=response.headers)
             )
@@ -52,13 +52,22 @@
             await stream.send_all(data)
             http.start_next_cycle()
 
-    async def _exchange(self, request: h11.Request, body: bytes) -> tuple[h11.Response, bytes]:
+    async def exchange(self, request: h11.Request, body: bytes) -> tuple[h11.Response, bytes]:
+        """Brings a request to the upstream.
+
+        Args:
+            request: Head of the request.
+            body: Its body.
+
+        Returns:
+            Head and body of the answer.
+        """
         stream, http = await self._acquire()
         data = http.send(request)
         if body:
             data += http.send(h11.Data(data=body))
         await stream.send_all(data + http.send(h11.EndOfMessage()))
-        response, answer = await _receive(stream, http)
+        response, answer = await receive_message(stream, http)
         http.start_next_cycle()
         self._idle.append((stream, http))
         return response, answer
@@ -70,9 +79,18 @@
         return await trio.open_tcp_stream(host, int(port)), h11.Connection(h11.CLIENT)
 
 
-async def _receive(
+async def receive_message(
     stream: trio.SocketStream, http: h11.Connection
 ) -> tuple[h11.Request | h11.Response | None, bytes]:
+    """Receives a whole message.
+
+    Args:
+        stream: Stream to read.
+        http: State of the connection.
+
+    Returns:
+        Head and body; no head at the end of the stream.
+    """
     head = None
     body = b""
     while True:
