Serve on while a stop is made known, drain upstreams, probe crashes within the limit

Cause: at a stop, calls from daemons that had not heard of it yet were refused at once and used up retry budgets; the probe after a lost connection could exceed the upstream's connections. Before: new calls were refused from the first moment.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -57,6 +57,8 @@
         """Time from which the next request is awaited, in seconds."""
         self.hop = b""
         """Last `Fulmarstile-Hop` header of this connection that proved valid."""
+        self.must_close = False
+        """Whether the next answer is the last one on the connection."""
         self.scope = trio.CancelScope()
         """Scope of the task that serves the connection."""
 
@@ -180,7 +182,7 @@
             CallerGoneError: If the caller left.
         """
         http = self._http
-        if http.their_state is h11.SEND_BODY:
+        if self.must_close or http.their_state is h11.SEND_BODY:
             headers = [*headers, (b"connection", b"close")]
         data = http.send(h11.Response(status_code=status, headers=checked_headers(headers)))
         if body:
@@ -218,8 +220,7 @@
         headers = refusal_headers(refusal)
         headers.append((b"content-type", b"application/json"))
         headers.append((b"content-length", b"%d" % len(body)))
-        if close and self.is_body_received:
-            headers.append((b"connection", b"close"))
+        self.must_close |= close
         await self.send_head(refusal.status, headers, body, True)
 
     async def close(self) -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_client.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import h11
@@ -130,6 +131,12 @@
             return None
         raise ExchangeError("the response was cut off")
 
+    async def wait_end(self) -> None:
+        """Waits until the other side closes or breaks a connection without an exchange."""
+        with suppress(OSError):
+            while await self._stream.receive():
+                pass
+
     def read_body_received(self) -> tuple[bytes, bool]:
         """Takes the part of the response body that has arrived already.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -17,8 +18,8 @@
 from fulmarstile_calls.quarantine import request_fingerprint
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.calls._call import CallFailedError
-from fulmarstile_daemon.calls._pool import ConnectionPool
-from fulmarstile_daemon.calls._stream import open_stream
+from fulmarstile_daemon.calls._client import ExchangeError
+from fulmarstile_daemon.calls._pool import ConnectionPool, PoolExhaustedError
 from fulmarstile_daemon.calls.dump import PoolDump
 
 if TYPE_CHECKING:
@@ -29,8 +30,8 @@
     from fulmarstile_daemon.calls._call import Call
     from fulmarstile_daemon.calls.settings import CallSettings
 
-_PROBE_TIMEOUT_S: Final = 0.5
-"""Longest time to find out whether an upstream still accepts connections, in seconds."""
+_PROBE_QUIET_S: Final = 0.1
+"""Time for which a new connection must last, in seconds."""
 
 
 class _Waiter:
@@ -69,6 +70,7 @@
         self._running: dict[int, Call] = {}
         self._next_ticket = 0
         self._probing = False
+        self._refuses_from = math.inf
 
     @property
     def pool(self) -> ConnectionPool | None:
@@ -106,6 +108,18 @@
             self._pool = ConnectionPool(address, connections, self._settings)
         self._pool.limit = connections
 
+    def set_draining(self, draining: bool, now: float) -> None:
+        """Notes whether the upstream is being stopped.
+
+        Args:
+            draining: Whether it is; new calls are refused after a moment.
+            now: Current time in seconds.
+        """
+        if not draining:
+            self._refuses_from = math.inf
+        elif self._refuses_from == math.inf:
+            self._refuses_from = now + self._settings.drain_announce_s
+
     async def enter(self, call: Call, now: float) -> int:
         """Takes a slot, waiting for one if need be.
 
@@ -122,6 +136,8 @@
         admission = self._admission
         if admission is None:
             raise call.fail(RefusalReason.NO_UPSTREAM, "no upstream has announced itself", 1.0)
+        if now >= self._refuses_from:
+            raise call.fail(RefusalReason.DRAINING, "the upstream is draining", 1.0)
         ticket_id = self._next_ticket = self._next_ticket + 1
         ticket = AdmissionTicket(
             ticket_id, call.customer, call.priority, call.weight, call.deadline
@@ -184,7 +200,7 @@
             return False
         self._probing = True
         try:
-            crashed = await _refuses_connections(self._pool.address)
+            crashed = await _refuses_connections(self._pool)
         finally:
             self._probing = False
         if crashed:
@@ -241,11 +257,17 @@
     return PoolDump(pool.address, pool.open_count, pool.idle_count, pool.limit)
 
 
-async def _refuses_connections(address: str) -> bool:
-    with trio.move_on_after(_PROBE_TIMEOUT_S):
-        try:
-            stream = await open_stream(address)
-        except OSError:
-            return True
-        stream.close()
-    return False
+async def _refuses_connections(pool: ConnectionPool) -> bool:
+    """Tries a new connection; one that a dying process still accepts ends at once."""
+    try:
+        connection = await pool.open()
+    except PoolExhaustedError:
+        return False
+    except ExchangeError:
+        return True
+    try:
+        with trio.move_on_after(_PROBE_QUIET_S) as scope:
+            await connection.wait_end()
+    finally:
+        pool.release(connection)
+    return not scope.cancelled_caught
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_pool.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_pool.py
@@ -60,7 +60,7 @@
             if connection.last_answer_at >= oldest and connection.is_quiet:
                 return connection
             self._close(connection)
-        return await self._open_connection()
+        return await self.open()
 
     def release(self, connection: ClientConnection) -> None:
         """Takes a connection back; it is closed unless its exchange ended whole.
@@ -94,7 +94,16 @@
         self.limit = 0
         self.close_idle()
 
-    async def _open_connection(self) -> ClientConnection:
+    async def open(self) -> ClientConnection:
+        """Opens a connection.
+
+        Returns:
+            The connection; hand it back with `release`.
+
+        Raises:
+            PoolExhaustedError: If as many as allowed are open.
+            ExchangeError: If the connection cannot be opened.
+        """
         if self._open >= self.limit:
             raise PoolExhaustedError(f"{self._open} connections to {self.address} are in use")
         self._open += 1
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/settings.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/settings.py
@@ -33,5 +33,7 @@
     """Longest time without a byte received or sent in the middle of a message."""
     connect_timeout_s: float = 1.0
     """Longest time to open a connection to an upstream or daemon."""
+    drain_announce_s: float = 1.5
+    """Time for which calls are still served after a planned stop has begun."""
     fresh_connection_s: float = 1.0
     """Age of the last answer beyond which a pooled connection counts as unproven."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/call_proxies.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/call_proxies.py
@@ -286,7 +286,9 @@
     context = context or FakeContext(daemon_id)
     stand_in = UpstreamStandIn(upstream or StandInSettings(SERVICE, f"{SERVICE}-{daemon_id}"))
     async with trio.open_nursery() as nursery:
-        proxy = CallProxy(settings or CallSettings(MESH_KEY), context, local=local)
+        proxy = CallProxy(
+            settings or CallSettings(MESH_KEY, drain_announce_s=0.0), context, local=local
+        )
         address = await nursery.start(stand_in.serve)
         await nursery.start(proxy.serve)
         proxy.set_upstream(address, slots, connections)
