Correct the verdict of uploads that turn malformed after their head was sent

Cause: a malformed chunk in the middle of an upload was refused as NOT_RUN although the upstream had the head; found by a new test. Before: NOT_RUN. After: MAY_HAVE_RUN, on the local and the two-daemon path. Conclusion: the verdict of each refusal now takes in what this attempt has sent.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
@@ -205,9 +205,9 @@
 
 
 def _combine(call: Call, refusal: CallRefusal) -> CallRefusal:
-    """Takes earlier attempts into the verdict of a refusal."""
-    if refusal.verdict is Verdict.NOT_RUN and call.earlier_verdict is not Verdict.NOT_RUN:
-        return replace(refusal, verdict=call.earlier_verdict)
+    """Takes what has been sent in this and earlier attempts into the verdict of a refusal."""
+    if refusal.verdict is Verdict.NOT_RUN and call.combined_verdict is not Verdict.NOT_RUN:
+        return replace(refusal, verdict=call.combined_verdict)
     return refusal
 
 
--- a/tests/daemon/test_calls_bad_input.py
+++ b/tests/daemon/test_calls_bad_input.py
@@ -7,7 +7,12 @@
 import trio
 
 from fulmarstile_daemon.calls import CallSettings
-from fulmarstile_testing.builders.call_proxies import MESH_KEY, make_request, serve_daemon
+from fulmarstile_testing.builders.call_proxies import (
+    MESH_KEY,
+    make_request,
+    serve_daemon,
+    serve_two_daemons,
+)
 
 POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
@@ -60,6 +65,26 @@
 
         trio.run(run)
 
+    def test_a_body_that_turns_malformed_after_the_head_was_sent_is_not_called_not_run(
+        self,
+    ) -> None:
+        async def run() -> None:
+            async with serve_two_daemons() as (entry, serving):
+                for daemon in (serving, entry):
+                    caller = await daemon.connect()
+                    chunk = b"\r\n30000\r\n" + b"x" * 0x30000 + b"\r\n"
+                    await caller.send(POST + CHUNKED + chunk)
+                    while not serving.upstream.counts.running:
+                        await trio.sleep(0.002)
+                    await caller.send(b"no chunk\r\n")
+                    answer = await caller.receive("POST")
+                    self.assertEqual((answer.status, answer.reason), (400, "bad-request"))
+                    self.assertEqual(answer.verdict, "MAY_HAVE_RUN")
+                    await serving.upstream.wait_idle()
+                self.assertEqual(serving.upstream.counts.cancelled, 2)
+
+        trio.run(run)
+
     def test_an_oversize_head_is_refused(self) -> None:
         async def run() -> None:
             async with serve_daemon() as daemon:
