Close upstream connections that hold bytes nobody asked for

Cause: an upstream that sent a second answer after the first had it taken for the answer to the next caller's request, since the bytes were already in the parser's buffer. Before: the second caller got the first one's answer; shown by the new test. After: a connection with bytes beyond its answer is closed, and the test passes on both paths.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_client.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_client.py
@@ -45,7 +45,10 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the exchange ended whole on both sides and another one may follow."""
-        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        http = self._http
+        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+            return False
+        return not http.trailing_data[0]
 
     @property
     def head_may_have_arrived(self) -> bool:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
@@ -1,8 +1,8 @@
 """Stand-in for an upstream: answers HTTP requests, misbehaves on demand, counts what it ran.
 
 Besides the flags, a request's query can ask for a behaviour: `delay_ms`, `size` (bytes of
-the answer's body), `status`, `chunked=1`, `truncate=1`. `GET /__stand_in/counts` tells what
-was run.
+the answer's body), `status`, `chunked=1`, `truncate=1` and `twice=1` (a second answer follows
+the first). `GET /__stand_in/counts` tells what was run.
 """
 
 from __future__ import annotations
@@ -257,7 +257,8 @@
         failed = self._upstream.draw(settings.fail_rate)
         status = 500 if failed else int(wishes.get("status", 200))
         cut = "truncate" in wishes or self._upstream.draw(settings.truncate_rate)
-        await self._send(status, body, chunked="chunked" in wishes, cut=cut)
+        chunked, twice = "chunked" in wishes, "twice" in wishes
+        await self._send(status, body, chunked=chunked, cut=cut, twice=twice)
 
     async def _work(self, delay_s: float) -> bool:
         """Spends a request's time; returns whether the connection is still open after it."""
@@ -283,7 +284,13 @@
         return received
 
     async def _send(
-        self, status: int, body: bytes, *, chunked: bool = False, cut: bool = False
+        self,
+        status: int,
+        body: bytes,
+        *,
+        chunked: bool = False,
+        cut: bool = False,
+        twice: bool = False,
     ) -> None:
         headers = [(b"content-type", b"application/json")]
         if self._upstream.settings.until_close:
@@ -302,7 +309,7 @@
         for start in range(0, len(body), _CHUNK_SIZE):
             data += http.send(h11.Data(data=body[start : start + _CHUNK_SIZE]))
         data += http.send(h11.EndOfMessage())
-        await self._stream.send_all(data)
+        await self._stream.send_all(data * 2 if twice else data)
 
     def _has_no_body(self, status: int) -> bool:
         return status in (204, 304)
--- a/tests/daemon/test_calls_verdicts.py
+++ b/tests/daemon/test_calls_verdicts.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from loguru import logger
 
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.calls import (
@@ -31,6 +32,14 @@
 TARGETS = (("GET", "/slots"), ("POST", "/write"), ("GET", "/short"), ("POST", "/short"))
 
 
+def setUpModule() -> None:  # noqa: N802
+    logger.disable("fulmarstile_daemon.calls")
+
+
+def tearDownModule() -> None:  # noqa: N802
+    logger.enable("fulmarstile_daemon.calls")
+
+
 @dataclass
 class Outcomes:
     """Verdict of each call that got an answer, and the calls that may run once only."""
--- a/tests/daemon/test_calls_whole_answers.py
+++ b/tests/daemon/test_calls_whole_answers.py
@@ -75,6 +75,16 @@
 
         trio.run(run)
 
+    def test_an_answer_that_nobody_asked_for_reaches_no_other_caller(self) -> None:
+        async def run() -> None:
+            async with serve_two_daemons() as (entry, serving):
+                for daemon in (serving, entry):
+                    await daemon.call(make_request("/slots/first?twice=1"))
+                    answer = await daemon.call(make_request("/slots/second"))
+                    self.assertEqual(json.loads(answer.body)["target"], "/slots/second")
+
+        trio.run(run)
+
     def test_a_large_upload_is_streamed_whole_in_bounded_memory(self) -> None:
         async def run() -> None:
             async with serve_two_daemons() as (entry, serving):
