Pass on HTTP/1.0 requests without Host, test answers without a body

Cause: a request of HTTP/1.0 without Host made h11 refuse the request to the upstream, and its caller got no answer; found by a new test. Before: connection closed without an answer. After: an empty Host is added and the answer passed on. Conclusion: HEAD, 204 and 304 leave the connection usable on both paths.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -113,6 +113,8 @@
             raise _bad_request("no request")
         headers = read_headers(event)
         _check_framing(event, headers)
+        if event.http_version != b"1.1":
+            _add_host(headers)
         return ReceivedRequest(event, headers)
 
     async def receive_body(self) -> bytes | None:
@@ -310,3 +312,9 @@
         raise _bad_request("Transfer-Encoding conflicts with Content-Length or HTTP/1.0")
     if request.method in (b"CONNECT", b"TRACE"):
         raise _bad_request("the method is not supported", status=501)
+
+
+def _add_host(headers: MessageHeaders) -> None:
+    """Adds the header that HTTP/1.1 demands of the request that is passed on."""
+    if all(name != b"host" for name, _ in headers.passed_on):
+        headers.passed_on.append((b"host", b""))
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_listener.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_listener.py
@@ -36,7 +36,7 @@
     def address(self) -> str:
         """`host:port` that is listened at."""
         host, port = self._socket.getsockname()[:2]
-        return f"{host}:{port}"
+        return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
     async def accept(self) -> ByteStream:
         """Waits for the next connection.
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
@@ -27,6 +27,7 @@
 _CHUNK_SIZE: Final = 16 * 1024
 _ANNOUNCE_TIMEOUT_S: Final = 1.0
 _DRAIN_POLL_S: Final = 0.02
+_NO_BODY_STATUSES: Final = (204, 304)
 _CRASH_EXIT_CODE: Final = 70
 _LINGER_NONE: Final = struct.pack("ii", 1, 0)
 """`struct linger` that resets a connection on close."""
@@ -203,6 +204,7 @@
         self._stream = stream
         self._http = h11.Connection(h11.SERVER)
         self._answered = False
+        self._is_head = False
 
     async def run(self) -> None:
         while True:
@@ -223,6 +225,7 @@
         request_id = _request_id(request)
         upstream.note_executed(request_id)
         self._answered = False
+        self._is_head = request.method == b"HEAD"
         try:
             await self._run_request(request, request_id)
         finally:
@@ -296,7 +299,7 @@
         if self._upstream.settings.until_close:
             await self._stream.send_all(b"HTTP/1.1 200 OK\r\n\r\n" + body)
             return
-        if not chunked:
+        if not chunked and status != 204:
             headers.append((b"content-length", b"%d" % len(body)))
         http = self._http
         data = http.send(h11.Response(status_code=status, headers=headers))
@@ -304,16 +307,13 @@
             data += http.send(h11.Data(data=body[: len(body) // 2]))
             await self._stream.send_all(data)
             return
-        if self._has_no_body(status):
+        if status in _NO_BODY_STATUSES or self._is_head:
             body = b""
         for start in range(0, len(body), _CHUNK_SIZE):
             data += http.send(h11.Data(data=body[start : start + _CHUNK_SIZE]))
         data += http.send(h11.EndOfMessage())
         await self._stream.send_all(data * 2 if twice else data)
 
-    def _has_no_body(self, status: int) -> bool:
-        return status in (204, 304)
-
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
             event = self._http.next_event()
--- a/tests/daemon/test_calls_path.py
+++ b/tests/daemon/test_calls_path.py
@@ -49,6 +49,35 @@
 
         trio.run(run)
 
+    def test_answers_without_a_body_leave_the_connection_usable(self) -> None:
+        async def run() -> None:
+            async with serve_two_daemons() as daemons:
+                for daemon in daemons:
+                    caller = await daemon.connect()
+                    cases = (("HEAD", 200), ("HEAD", 404), ("GET", 204), ("GET", 304), ("PUT", 204))
+                    for method, status in cases:
+                        await caller.send(make_request(f"/slots?status={status}", method))
+                        answer = await caller.receive(method)
+                        self.assertEqual((answer.status, answer.body), (status, b""))
+                        self.assertTrue(answer.complete)
+                    await caller.send(make_request("/slots"))
+                    self.assertEqual((await caller.receive()).status, 200)
+
+        trio.run(run)
+
+    def test_a_caller_of_http_1_0_gets_its_answer_and_the_end(self) -> None:
+        async def run() -> None:
+            async with serve_daemon() as daemon:
+                for chunked in ("", "&chunked=1"):
+                    caller = await daemon.connect()
+                    target = f"/slots?size=100000{chunked}".encode()
+                    await caller.send(b"GET " + target + b" HTTP/1.0\r\n\r\n")
+                    answer = await caller.receive()
+                    self.assertEqual((answer.status, len(answer.body)), (200, 100_000))
+                    self.assertTrue(await caller.is_closed_by_proxy())
+
+        trio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
