--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_client.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import h11
@@ -44,7 +45,10 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the exchange ended whole on both sides and another one may follow."""
-        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        http = self._http
+        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+            return False
+        return not http.trailing_data[0]
 
     @property
     def head_may_have_arrived(self) -> bool:
@@ -130,6 +134,12 @@
             return None
         raise ExchangeError("the response was cut off")
 
+    async def wait_end(self) -> None:
+        """Waits until the other side closes or breaks a connection without an exchange."""
+        with suppress(OSError):
+            while await self._stream.receive():
+                pass
+
     def read_body_received(self) -> tuple[bytes, bool]:
         """Takes the part of the response body that has arrived already.
 
