--- a/packages/fulmarstile_calls/src/fulmarstile_calls/retries/budgets.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/retries/budgets.py
@@ -224,4 +224,6 @@
         return "the request may have run"
     if not attempt.starts_chain:
         return "only the first daemon of a chain repeats what may have run"
+    if attempt.number > 1:
+        return "what may have run twice may be what makes upstreams fail"
     return ""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/checkers/accepted_is_in_force.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/checkers/accepted_is_in_force.py
@@ -13,6 +13,7 @@
     DaemonStarted,
     IsolationChanged,
     LogForgot,
+    MemoryLost,
     PublicationDecided,
     StopBegan,
     TableApplied,
@@ -62,6 +63,8 @@
                 self._on_isolation(at, event)
             case LogForgot():
                 self._on_log_forgot()
+            case MemoryLost():
+                self._accepted.pop(event.customer, None)
             case PublicationDecided() if event.accepted:
                 self._accepted.setdefault(event.customer, []).append((at, event.version))
             case TableApplied() if event.daemon in self._daemons:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/checkers/version_never_falls.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/checkers/version_never_falls.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from fulmarstile_testing.scenarios.checkers.base import PromiseViolatedError
-from fulmarstile_testing.scenarios.trace import LogForgot, TableApplied
+from fulmarstile_testing.scenarios.trace import MemoryLost, TableApplied
 
 if TYPE_CHECKING:
     from fulmarstile_testing.scenarios.trace import TraceEvent
@@ -19,8 +19,8 @@
 
     def on_event(self, at: float, event: TraceEvent) -> None:
         """Handles an event."""
-        if isinstance(event, LogForgot) and not event.survivors:
-            self._highest.clear()
+        if isinstance(event, MemoryLost):
+            self._forget(event.customer)
         if not isinstance(event, TableApplied):
             return
         key = (event.daemon, event.customer)
@@ -35,3 +35,7 @@
 
     def on_end(self, at: float) -> None:
         """Handles the end of the run."""
+
+    def _forget(self, customer: str) -> None:
+        for key in [key for key in self._highest if key[1] == customer]:
+            del self._highest[key]
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/checkers/versions_are_whole.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/checkers/versions_are_whole.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from fulmarstile_testing.scenarios.checkers.base import PromiseViolatedError
-from fulmarstile_testing.scenarios.trace import LogForgot, PublicationDecided, TableApplied
+from fulmarstile_testing.scenarios.trace import MemoryLost, PublicationDecided, TableApplied
 
 if TYPE_CHECKING:
     from fulmarstile_testing.scenarios.trace import TraceEvent
@@ -23,12 +23,16 @@
             self._on_decided(event)
         elif isinstance(event, TableApplied):
             self._on_applied(event)
-        elif isinstance(event, LogForgot) and not event.survivors:
-            self._contents.clear()
+        elif isinstance(event, MemoryLost):
+            self._forget(event.customer)
 
     def on_end(self, at: float) -> None:
         """Handles the end of the run."""
 
+    def _forget(self, customer: str) -> None:
+        for key in [key for key in self._contents if key[0] == customer]:
+            del self._contents[key]
+
     def _on_decided(self, event: PublicationDecided) -> None:
         known = self._contents.setdefault((event.customer, event.version), event.content)
         if known != event.content:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/expectations.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/expectations.py
@@ -12,6 +12,7 @@
     StopEnded,
     TableApplied,
     TraceEvent,
+    UpstreamCrashed,
 )
 from fulmarstile_wire.errors import FulmarstileError
 
@@ -33,6 +34,7 @@
         self._applied: dict[str, dict[str, int]] = {}
         self._answered = 0
         self._settled = 0
+        self._crashes = 0
 
     def on_event(self, at: float, event: TraceEvent) -> None:
         """Handles an event."""
@@ -51,6 +53,8 @@
                 self._settled += 1
             case CallRefused() | CallCut():
                 self._settled += 1
+            case UpstreamCrashed():
+                self._crashes += 1
 
     def check_in_force(self, customer: str) -> None:
         """Checks that the newest accepted version is in force on every running daemon.
@@ -106,3 +110,15 @@
             raise ExpectationError(
                 f"{self._answered} of {self._settled} calls were answered, not {percent:g} %"
             )
+
+    def check_crashes(self, limit: int) -> None:
+        """Checks the number of times that upstreams crashed.
+
+        Args:
+            limit: Most crashes expected.
+
+        Raises:
+            ExpectationError: If there were more.
+        """
+        if self._crashes > limit:
+            raise ExpectationError(f"upstreams crashed {self._crashes} times, not {limit}")
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/model.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/model.py
@@ -246,6 +246,13 @@
     percent: float
 
 
+@dataclass(frozen=True, slots=True)
+class ExpectCrashes(Action):
+    """Check the number of times that upstreams crashed so far."""
+
+    limit: int
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """Something that happens at a time."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/parser.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/parser.py
@@ -159,6 +159,7 @@
     expect_in_force = model.ExpectInForce
     expect_publication = model.ExpectPublication
     expect_answered = model.ExpectAnswered
+    expect_crashes = model.ExpectCrashes
 
     def start(self, *statements: Any) -> list[Any]:
         return list(statements)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/trace.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/trace.py
@@ -62,8 +62,11 @@
 class LogForgot(TraceEvent, frozen=True):
     """The log lost all its records."""
 
-    survivors: tuple[str, ...]
-    """Running daemons; without any, no memory of the configuration is left."""
+
+class MemoryLost(TraceEvent, frozen=True):
+    """Neither the log nor a daemon holds the configuration of a customer any more."""
+
+    customer: str
 
 
 class TimePassed(TraceEvent, frozen=True):
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/world.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/world.py
@@ -173,11 +173,18 @@
         daemon.end()
         if self.daemons.get(daemon.daemon_id) is daemon:
             del self.daemons[daemon.daemon_id]
+        if not self.daemons:
+            self.reference.on_last_daemon_gone(self.log)
         self.callers.on_daemon_gone(daemon)
         for other in list(self.daemons.values()):
             other.run(partial(other.entry.on_daemon_gone, daemon.daemon_id))
         self.update_isolation()
 
+    def forget_log(self) -> None:
+        """Empties the log; its offsets start at 0 again."""
+        self.reference.on_forget(self.list_folds())
+        self.log.forget()
+
     def address_of(self, daemon_id: str) -> str:
         """Returns the address at which a daemon takes messages, running or not."""
         return f"{daemon_id}:1"
