Begin appends of claims when they are due

Cause: the claim batchers were woken by the 100 ms tick only, and kept a key window that could exceed the log's retention. Conclusion: a task sleeps until the next append is due; the key window follows [log] retention_s.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/core.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/core.py
@@ -127,6 +127,11 @@
         """Fingerprints of requests that have crashed upstreams, as of the last tick."""
         return self._quarantine
 
+    @property
+    def claims_due_at(self) -> float | None:
+        """Time at which `on_claims_due` has an append to begin, in seconds; None for never."""
+        return self._batchers.due_at
+
     @property
     def counters(self) -> CoreCounters:
         """Counters since the start."""
@@ -165,6 +170,10 @@
         self._quarantine = self._membership.quarantine
         return self._carry_out(effects, now)
 
+    def on_claims_due(self, now: float) -> list[Effect]:
+        """Begins the appends of claims that are due between two ticks."""
+        return self._carry_out(self._batchers.on_tick(now), now)
+
     def on_log_page(self, stream: str, page: LogPage, now: float) -> list[Effect]:
         """Handles a page that was read from the log."""
         if stream == RENDEZVOUS_STREAM:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any, Final
 
 import trio
@@ -63,6 +64,8 @@
         self._metrics = MetricsPage()
         self._lease = UpstreamLease()
         self._leaving = False
+        self._claims_changed = trio.Event()
+        self._claims_due_at = core.claims_due_at
         self._endpoints = core.endpoints
 
     @property
@@ -116,6 +119,17 @@
             self._carry_out(self._core.on_tick(self.now))
             await trio.sleep(TICK_INTERVAL_S)
 
+    async def run_claims(self) -> None:
+        """Begins appends of claims when they are due, until cancelled."""
+        while True:
+            due_at = self._core.claims_due_at
+            if due_at is not None and due_at <= self.now:
+                self._carry_out(self._core.on_claims_due(self.now))
+                due_at = self._core.claims_due_at
+            with trio.move_on_at(math.inf if due_at is None else due_at):
+                await self._claims_changed.wait()
+            self._claims_changed = trio.Event()
+
     async def drain(self) -> None:
         """Stops in an orderly way: no new calls, calls in flight end, peers are told."""
         self._leaving = True
@@ -225,6 +239,13 @@
             elif isinstance(effect, ClaimEffect):
                 self._claims.on_result(effect)
         self._follow_endpoints()
+        self._follow_claims()
+
+    def _follow_claims(self) -> None:
+        due_at = self._core.claims_due_at
+        if due_at != self._claims_due_at:
+            self._claims_due_at = due_at
+            self._claims_changed.set()
 
     def _follow_endpoints(self) -> None:
         if self._core.endpoints is self._endpoints:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/service.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/service.py
@@ -58,6 +58,7 @@
             nursery.start_soon(serve_http, admin_listeners, AdminApi(daemon).handle)
             nursery.start_soon(daemon.receive_messages)
             nursery.start_soon(daemon.run_ticks)
+            nursery.start_soon(daemon.run_claims)
             logger.info("started", daemon=settings.daemon.name)
             await _wait_for_stop(daemon)
             nursery.cancel_scope.cancel()
@@ -116,7 +117,7 @@
         membership,
         random.Random(seed.random()),
     )
-    claims = ClaimSettings()
+    claims = ClaimSettings.for_retention(settings.log.retention_s)
     requester = ClaimRequester(claims, record.daemon_id, record.peer_address, record.incarnation)
     batchers = ShardBatchers(claims, record.daemon_id, record.peer_address)
     return DaemonCore(membership, relay, folds, requester, batchers)
