--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/convergence.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/convergence.py
@@ -21,7 +21,7 @@
     """Version in force there; 0 if none is known."""
     status: MemberStatus
     since_s: float
-    """Time since the last known change on that daemon, in seconds."""
+    """Time since the local daemon put its version in force, in seconds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,12 +57,13 @@
     concerned = [
         record for record in list_concerned(view, customer) if counts_for_convergence(record)
     ]
+    since_s = max(0.0, now - view.observed_at(view.record.daemon_id, customer))
     missing = tuple(
         MissingMember(
             daemon_id=record.daemon_id,
             version=_get_version(view, record, customer),
             status=record.status,
-            since_s=max(0.0, now - view.observed_at(record.daemon_id, customer)),
+            since_s=since_s,
         )
         for record in concerned
         if _get_version(view, record, customer) < version
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/view.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/view.py
@@ -15,6 +15,11 @@
 class MeshView(Protocol):
     """View of the members; `Membership` satisfies it."""
 
+    @property
+    def record(self) -> MemberRecord:
+        """Record of the local daemon."""
+        ...
+
     @property
     def members(self) -> Mapping[str, MemberRecord]:
         """Known members by `daemon_id`, the local daemon included."""
--- a/tests/mesh/test_spreading.py
+++ b/tests/mesh/test_spreading.py
@@ -134,6 +134,7 @@
             report = convergence(daemon.membership, CUSTOMER, 1, mesh.clock.now)
             self.assertEqual((report.total, report.in_force), (60, 59))
             self.assertEqual([m.daemon_id for m in report.missing], [paused.daemon_id])
+            self.assertLessEqual(report.missing[0].since_s, 4.0)
         paused.resume()
         mesh.run(SINGLE_FAILURE_LIMIT_S)
         report = convergence(mesh.running[0].membership, CUSTOMER, 1, mesh.clock.now)
