--- a/packages/fulmarstile_config/src/fulmarstile_config/fold.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/fold.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
-from collections import deque
 from types import MappingProxyType
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
+from fulmarstile_config.digest_trail import DigestTrail
 from fulmarstile_config.errors import SnapshotError
 from fulmarstile_config.fold_counters import FoldCounters
 from fulmarstile_config.fold_state import FoldState, digest_record
@@ -16,7 +16,6 @@
 from fulmarstile_config.quota import QuotaMeter
 from fulmarstile_config.recent_records import RecentRecords
 from fulmarstile_config.records import (
-    AnyRecord,
     RecordError,
     SnapshotRecord,
     decode_record,
@@ -34,9 +33,6 @@
     from fulmarstile_config.publication import PublicationVerdict
     from fulmarstile_wire.records import StreamRecord
 
-RECENT_DIGESTS: Final = 64
-"""Changes of the state against which snapshots on the stream are checked."""
-
 
 class CustomerFold:
     """Replica of one customer's document, version and verdicts.
@@ -66,7 +62,7 @@
         self._recent = RecentRecords(self._limits)
         self._unfolded = RecentRecords(self._limits)
         """Records that the log holds now at offsets that were folded from a lost one."""
-        self._digests = deque([(0, self._state.digest)], maxlen=RECENT_DIGESTS)
+        self._trail = DigestTrail(0, self._state.digest)
 
         self._next_offset = 0
         self._folded_offset = 0
@@ -283,13 +279,12 @@
             return
         self._folded_offset = self._next_offset
         self._state.last_record = digest_record(record.payload)
-        if self._state.digest != self._digests[-1][1]:
-            self._digests.append((self._next_offset, self._state.digest))
+        self._trail.advance(self._next_offset, self._state.digest)
 
     def _fold(self, record: StreamRecord) -> None:
         is_foldable = self._is_complete and not self._is_detached
         try:
-            entry = self._decode(record.payload)
+            entry = decode_record(record.payload, self._limits.max_snapshot_record_bytes)
         except RecordError as error:
             if is_foldable:
                 self._handler.handle_malformed(self._state, record, str(error))
@@ -301,14 +296,9 @@
         else:
             self._counters.skipped += 1
 
-    def _decode(self, payload: bytes) -> AnyRecord:
-        if len(payload) > self._limits.max_snapshot_record_bytes:
-            raise RecordError(f"record of {len(payload)} bytes is out of bounds")
-        return decode_record(payload)
-
     def _open_snapshot(self, payload: bytes) -> SnapshotRecord | None:
         try:
-            entry = self._decode(payload)
+            entry = decode_record(payload, self._limits.max_snapshot_record_bytes)
         except RecordError:
             return None
         if isinstance(entry, SnapshotRecord) and self._is_authentic(entry):
@@ -353,22 +343,12 @@
             self._counters.snapshots_refused += 1
 
     def _compare(self, snapshot: SnapshotRecord) -> None:
-        expected = self._digest_at(snapshot.next_offset)
-        if expected is None:
-            return
-        if expected == snapshot.digest:
+        is_same = self._trail.matches(snapshot.next_offset, snapshot.digest)
+        if is_same:
             self._counters.snapshots_matched += 1
-        else:
+        elif is_same is False:
             self._counters.snapshot_mismatches += 1
 
-    def _digest_at(self, next_offset: int) -> bytes | None:
-        if next_offset > self._folded_offset:
-            return None
-        for offset, digest in reversed(self._digests):
-            if offset <= next_offset:
-                return digest
-        return None
-
     def _is_newer(self, snapshot: SnapshotRecord) -> bool:
         state = self._state
         if snapshot.version < state.version:
@@ -397,8 +377,7 @@
         self._next_offset = next_offset
         self._folded_offset = next_offset
         self._seen_from = next_offset
-        self._digests.clear()
-        self._digests.append((next_offset, state.digest))
+        self._trail = DigestTrail(next_offset, state.digest)
         self._fold_ahead()
         return True
 
--- a/packages/fulmarstile_config/src/fulmarstile_config/records.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/records.py
@@ -15,6 +15,9 @@
 RULES_VERSION: Final = 1
 """Version of the rules that the records are folded by."""
 
+MAX_RECORD_BYTES: Final = 1 << 20
+"""Largest record of any kind, in bytes."""
+
 STREAM_PREFIX: Final = "config."
 
 
@@ -59,12 +62,21 @@
     return bytes((RULES_VERSION,)) + _encoder.encode(record)
 
 
-def decode_record(payload: bytes) -> AnyRecord:
+def decode_record(payload: bytes, max_bytes: int = MAX_RECORD_BYTES) -> AnyRecord:
     """Decodes the payload of a record.
 
+    Args:
+        payload: The payload.
+        max_bytes: Largest payload accepted, in bytes.
+
+    Returns:
+        The record.
+
     Raises:
-        RecordError: If the payload is malformed or its rules are unknown.
+        RecordError: If the payload is oversize or malformed, or its rules are unknown.
     """
+    if len(payload) > max_bytes:
+        raise RecordError(f"record of {len(payload)} bytes is out of bounds")
     if not payload or payload[0] != RULES_VERSION:
         raise RecordError("record is empty or follows unknown rules")
     try:
