--- /dev/null
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_pulling.py
@@ -0,0 +1,114 @@
+"""Requests of records and snapshots that a replica lacks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fulmarstile_mesh._stream import OutstandingRequest, Stream
+from fulmarstile_mesh.settings import SpreadMode
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from fulmarstile_mesh._relay_mailer import RelayMailer
+    from fulmarstile_mesh.effects import Effect
+    from fulmarstile_mesh.relay_state import RelayCounters
+    from fulmarstile_mesh.settings import RelaySettings
+    from fulmarstile_mesh.view import MeshView
+
+
+class Pulling:
+    """Decides whom to ask and when; at most one request per stream is outstanding."""
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        availability_zone: str,
+        view: MeshView,
+        mailer: RelayMailer,
+        counters: RelayCounters,
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._availability_zone = availability_zone
+        self._view = view
+        self._mailer = mailer
+        self._counters = counters
+        self._random = random
+
+    def schedule(self, stream: Stream, sender: str, now: float) -> list[Effect]:
+        """Requests what a peer has announced, at once or after waiting for a push."""
+        if stream.lagging_since is None:
+            stream.lagging_since = now
+        if stream.request is not None:
+            return []
+        record = self._view.members.get(sender)
+        is_near = record is not None and record.availability_zone == self._availability_zone
+        if is_near and self._settings.mode is SpreadMode.PULL:
+            return self._request(stream, sender, now)
+        delay_s = self._random.uniform(0.5, 1.5) * self._settings.pull_delay_s
+        stream.pull_at = min(stream.pull_at, now + delay_s)
+        return []
+
+    def on_tick(self, stream: Stream, now: float) -> list[Effect]:
+        """Sends the requests that are due, and repeats unanswered ones to other peers."""
+        if stream.request is not None and now >= stream.request.expires_at:
+            self._counters.requests_timed_out += 1
+            stream.request = None
+            stream.pull_at = now
+        if stream.reset_since is not None:
+            return []
+        if not stream.is_reliable and stream.request is None:
+            return self._ask_neighbour(stream, now)
+        if now < stream.pull_at:
+            return []
+        return self.pull(stream, now)
+
+    def pull(self, stream: Stream, now: float) -> list[Effect]:
+        """Requests what is missing from a peer that is ahead, of the own zone if possible."""
+        stream.pull_at = float("inf")
+        ahead = stream.list_ahead()
+        if not ahead or stream.request is not None:
+            return []
+        near = [
+            daemon_id
+            for daemon_id in ahead
+            if daemon_id in self._view.members
+            and self._view.members[daemon_id].availability_zone == self._availability_zone
+        ]
+        return self._request(stream, self._random.choice(near or ahead), now)
+
+    def _ask_neighbour(self, stream: Stream, now: float) -> list[Effect]:
+        neighbours = stream.topology.neighbours
+        if not neighbours:
+            return []
+        peer = self._random.choice(neighbours).daemon_id
+        if stream.replica.needs_snapshot:
+            return self.request_snapshot(stream, peer, now)
+        return self._request(stream, peer, now)
+
+    def _request(self, stream: Stream, peer: str, now: float) -> list[Effect]:
+        record = self._view.members.get(peer)
+        if record is None:
+            return []
+        timeout_s = self._settings.request_timeout_s * self._random.uniform(1.0, 1.5)
+        stream.request = OutstandingRequest(peer, now + timeout_s)
+        stream.pull_at = float("inf")
+        self._counters.requests_sent += 1
+        remote = stream.peer_heads.get(peer)
+        if remote is not None and remote.generation > stream.replica.head.generation:
+            return [self._mailer.request_snapshot(record.peer_address, stream.replica)]
+        return [self._mailer.request_records(record.peer_address, stream.replica)]
+
+    def request_snapshot(self, stream: Stream, peer: str, now: float) -> list[Effect]:
+        """Requests a snapshot from a peer."""
+        record = self._view.members.get(peer)
+        if record is None:
+            return []
+        stream.request = OutstandingRequest(peer, now + self._settings.request_timeout_s)
+        return [self._mailer.request_snapshot(record.peer_address, stream.replica)]
+
+    def on_answer(self, stream: Stream, sender: str) -> None:
+        """Notes that a peer has sent something about a stream."""
+        if stream.request is not None and stream.request.peer == sender:
+            stream.request = None
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/relay.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/relay.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_mesh._log_following import LogFollowing
+from fulmarstile_mesh._pulling import Pulling
 from fulmarstile_mesh._rate import Backoff
 from fulmarstile_mesh._relay_mailer import RelayMailer
 from fulmarstile_mesh._stream import (
     CONFIG_STREAM_PREFIX,
-    OutstandingRequest,
     Stream,
     build_topology,
 )
@@ -68,7 +68,6 @@
     ) -> None:
         self._settings = settings
         self._daemon_id = daemon_id
-        self._availability_zone = availability_zone
         self._replicas = replicas
         self._view = view
         self._random = random
@@ -76,6 +75,9 @@
         self._log = LogFollowing(settings, random, self._counters, is_snapshot)
         self._streams: dict[str, Stream] = {}
         self._mailer = RelayMailer(settings, daemon_id, reply_to, self._counters)
+        self._pulling = Pulling(
+            settings, availability_zone, view, self._mailer, self._counters, random
+        )
         self._next_anti_entropy_at: float | None = None
 
     @property
@@ -136,14 +138,14 @@
         head = stream.replica.head
         self._note_head(stream, message.sender, message.generation, message.next_offset)
         if message.generation != head.generation or stream.reset_since is not None:
-            return self._pull(stream, now)
+            return self._pulling.pull(stream, now)
         if message.next_offset <= head.next_offset:
             self._counters.duplicate_batches += 1
         is_answer = stream.request is not None and stream.request.peer == message.sender
         self._hold(stream, message.records)
         effects = self._fold_held(stream, message.sender, now)
         if is_answer and message.records and stream.replica.head.next_offset == head.next_offset:
-            effects += self._request_snapshot(stream, message.sender, now)
+            effects += self._pulling.request_snapshot(stream, message.sender, now)
         return effects
 
     def on_snapshot_request(self, message: SnapshotRequest, now: float) -> list[Effect]:
@@ -158,7 +160,7 @@
         stream = self._get_stream(message.customer)
         if stream is None:
             return []
-        self._end_request(stream, message.sender)
+        self._pulling.on_answer(stream, message.sender)
         generation = stream.replica.head.generation
         if not stream.replica.restore_snapshot(message.payload):
             return []
@@ -211,7 +213,7 @@
         effects = self._refresh_topology(stream, now)
         if not self._view.is_settled:
             return effects
-        effects += self._pull_if_due(stream, now)
+        effects += self._pulling.on_tick(stream, now)
         effects += self._log.on_tick(stream, now)
         effects += self._try_apply(stream)
         return effects
@@ -219,14 +221,14 @@
     def _on_head(
         self, stream: Stream, head: StreamHead, message: Message, now: float
     ) -> list[Effect]:
-        self._end_request(stream, message.sender)
+        self._pulling.on_answer(stream, message.sender)
         stream.peer_heads[message.sender] = head
         own = stream.replica.head
         remote = (head.generation, head.next_offset)
         if stream.reset_since is not None:
-            return self._pull(stream, now) if head.generation > own.generation else []
+            return self._pulling.pull(stream, now) if head.generation > own.generation else []
         if remote > stream.position:
-            return self._schedule_pull(stream, message.sender, now)
+            return self._pulling.schedule(stream, message.sender, now)
         if remote == stream.position:
             return self._on_same_head(stream, head)
         if not stream.is_reliable:
@@ -250,78 +252,6 @@
                 return self._mailer.send_batches(reply_to, own, records)
         return [self._mailer.send_heads(reply_to, [own])]
 
-    def _schedule_pull(self, stream: Stream, sender: str, now: float) -> list[Effect]:
-        if stream.lagging_since is None:
-            stream.lagging_since = now
-        if stream.request is not None:
-            return []
-        record = self._view.members.get(sender)
-        is_near = record is not None and record.availability_zone == self._availability_zone
-        if is_near and self._settings.mode is SpreadMode.PULL:
-            return self._request(stream, sender, now)
-        delay_s = self._random.uniform(0.5, 1.5) * self._settings.pull_delay_s
-        stream.pull_at = min(stream.pull_at, now + delay_s)
-        return []
-
-    def _pull_if_due(self, stream: Stream, now: float) -> list[Effect]:
-        if stream.request is not None and now >= stream.request.expires_at:
-            self._counters.requests_timed_out += 1
-            stream.request = None
-            stream.pull_at = now
-        if stream.reset_since is not None:
-            return []
-        if not stream.is_reliable and stream.request is None:
-            return self._ask_neighbour(stream, now)
-        if now < stream.pull_at:
-            return []
-        return self._pull(stream, now)
-
-    def _pull(self, stream: Stream, now: float) -> list[Effect]:
-        stream.pull_at = float("inf")
-        ahead = stream.list_ahead()
-        if not ahead or stream.request is not None:
-            return []
-        near = [
-            daemon_id
-            for daemon_id in ahead
-            if daemon_id in self._view.members
-            and self._view.members[daemon_id].availability_zone == self._availability_zone
-        ]
-        return self._request(stream, self._random.choice(near or ahead), now)
-
-    def _ask_neighbour(self, stream: Stream, now: float) -> list[Effect]:
-        neighbours = stream.topology.neighbours
-        if not neighbours:
-            return []
-        peer = self._random.choice(neighbours).daemon_id
-        if stream.replica.needs_snapshot:
-            return self._request_snapshot(stream, peer, now)
-        return self._request(stream, peer, now)
-
-    def _request(self, stream: Stream, peer: str, now: float) -> list[Effect]:
-        record = self._view.members.get(peer)
-        if record is None:
-            return []
-        timeout_s = self._settings.request_timeout_s * self._random.uniform(1.0, 1.5)
-        stream.request = OutstandingRequest(peer, now + timeout_s)
-        stream.pull_at = float("inf")
-        self._counters.requests_sent += 1
-        remote = stream.peer_heads.get(peer)
-        if remote is not None and remote.generation > stream.replica.head.generation:
-            return [self._mailer.request_snapshot(record.peer_address, stream.replica)]
-        return [self._mailer.request_records(record.peer_address, stream.replica)]
-
-    def _request_snapshot(self, stream: Stream, peer: str, now: float) -> list[Effect]:
-        record = self._view.members.get(peer)
-        if record is None:
-            return []
-        stream.request = OutstandingRequest(peer, now + self._settings.request_timeout_s)
-        return [self._mailer.request_snapshot(record.peer_address, stream.replica)]
-
-    def _end_request(self, stream: Stream, sender: str) -> None:
-        if stream.request is not None and stream.request.peer == sender:
-            stream.request = None
-
     def _note_head(self, stream: Stream, sender: str, generation: int, next_offset: int) -> None:
         known = stream.peer_heads.get(sender)
         if known is None or (known.generation, known.next_offset) < (generation, next_offset):
@@ -346,7 +276,7 @@
         next_offset = replica.head.next_offset
         for offset in [offset for offset in stream.held if offset < next_offset]:
             del stream.held[offset]
-        self._end_request(stream, source)
+        self._pulling.on_answer(stream, source)
         return self._follow_up(stream, source, now)
 
     def _follow_up(self, stream: Stream, source: str, now: float) -> list[Effect]:
@@ -356,7 +286,7 @@
             stream.pull_at = float("inf")
             stream.is_synced |= bool(source)
         elif source and stream.request is None:
-            effects += self._pull(stream, now)
+            effects += self._pulling.pull(stream, now)
         if stream.is_reliable and stream.position > stream.announced:
             effects += self._announce(stream, source)
         effects += self._try_apply(stream)
