--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -57,6 +57,8 @@
         """Time from which the next request is awaited, in seconds."""
         self.hop = b""
         """Last `Fulmarstile-Hop` header of this connection that proved valid."""
+        self.must_close = False
+        """Whether the next answer is the last one on the connection."""
         self.scope = trio.CancelScope()
         """Scope of the task that serves the connection."""
 
@@ -111,6 +113,8 @@
             raise _bad_request("no request")
         headers = read_headers(event)
         _check_framing(event, headers)
+        if event.http_version != b"1.1":
+            _add_host(headers)
         return ReceivedRequest(event, headers)
 
     async def receive_body(self) -> bytes | None:
@@ -180,7 +184,7 @@
             CallerGoneError: If the caller left.
         """
         http = self._http
-        if http.their_state is h11.SEND_BODY:
+        if self.must_close or http.their_state is h11.SEND_BODY:
             headers = [*headers, (b"connection", b"close")]
         data = http.send(h11.Response(status_code=status, headers=checked_headers(headers)))
         if body:
@@ -218,15 +222,14 @@
         headers = refusal_headers(refusal)
         headers.append((b"content-type", b"application/json"))
         headers.append((b"content-length", b"%d" % len(body)))
-        if close and self.is_body_received:
-            headers.append((b"connection", b"close"))
+        self.must_close |= close
         await self.send_head(refusal.status, headers, body, True)
 
     async def close(self) -> None:
-        """Closes the connection after what was sent has reached the caller."""
-        if self._http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED):
-            self._stream.close()
-            return
+        """Closes the connection once the caller has closed its side or had time to.
+
+        Closing it while input is unread would destroy an answer that is on its way.
+        """
         self._stream.send_end()
         discarded = 0
         with trio.move_on_after(_LINGER_S):
@@ -237,9 +240,12 @@
                 discarded += len(data)
         self._stream.close()
 
-    def abort(self) -> None:
-        """Breaks the connection, so that a cut answer cannot pass for a complete one."""
-        self._stream.abort()
+    def end(self) -> None:
+        """Closes the connection at once; an answer that was begun is seen to be cut off."""
+        if self.is_idle:
+            self._stream.close()
+        else:
+            self._stream.abort()
 
     def _skip_received_body(self) -> None:
         """Discards what has arrived of a request body; if it is all, the connection lives on."""
@@ -306,3 +312,9 @@
         raise _bad_request("Transfer-Encoding conflicts with Content-Length or HTTP/1.0")
     if request.method in (b"CONNECT", b"TRACE"):
         raise _bad_request("the method is not supported", status=501)
+
+
+def _add_host(headers: MessageHeaders) -> None:
+    """Adds the header that HTTP/1.1 demands of the request that is passed on."""
+    if all(name != b"host" for name, _ in headers.passed_on):
+        headers.passed_on.append((b"host", b""))
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/membership.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/membership.py
@@ -203,7 +203,7 @@
         """
         self._joining.on_rendezvous(records, end_offset)
         if not self._view.list_others():
-            return []
+            return self._joining.join_candidates(self.record)
         known = [record.peer_address for record in self.members.values()]
         return self._joining.join_known(self.record, known)
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config.py
@@ -66,10 +66,12 @@
     """Processor time beyond the idle one, per daemon and change."""
     memory_mib: float
     """Largest resident memory of one daemon."""
-    log_reads_per_s: float
-    """Reads of the whole fleet without changes."""
+    config_reads_per_s: float
+    """Reads of the customer's stream by the whole fleet without changes."""
+    rendezvous_reads_per_s: float
+    """Reads of the rendezvous stream by the whole fleet, in the minute after the start."""
     log_appends_per_s: float
-    log_reads_per_change: float
+    config_reads_per_change: float
     herd: HerdFigures | None = None
 
 
@@ -167,11 +169,12 @@
     busy_s = after.at - idle.at
     idle_bytes = (idle.sent_bytes - before.sent_bytes) / idle_s
     idle_core = (idle.processor_s - before.processor_s) / idle_s
-    idle_reads = (idle.log_reads - before.log_reads) / idle_s
+    idle_reads = (idle.log.config_reads - before.log.config_reads) / idle_s
+    rendezvous_reads = idle.log.rendezvous_reads - before.log.rendezvous_reads
     changes = len(delays_s)
     busy_bytes = after.sent_bytes - idle.sent_bytes - idle_bytes * busy_s
     busy_core_s = after.processor_s - idle.processor_s - idle_core * busy_s
-    busy_reads = after.log_reads - idle.log_reads - idle_reads * busy_s
+    busy_reads = after.log.config_reads - idle.log.config_reads - idle_reads * busy_s
     return SpreadFigures(
         design=design,
         size=size,
@@ -186,9 +189,10 @@
         idle_core_percent=idle_core / size * 100,
         core_ms_per_change=busy_core_s / size / changes * 1000,
         memory_mib=after.memory_bytes / _MIB,
-        log_reads_per_s=idle_reads,
-        log_appends_per_s=(idle.log_appends - before.log_appends) / idle_s,
-        log_reads_per_change=busy_reads / changes,
+        config_reads_per_s=idle_reads,
+        rendezvous_reads_per_s=rendezvous_reads / idle_s,
+        log_appends_per_s=(idle.log.appends - before.log.appends) / idle_s,
+        config_reads_per_change=busy_reads / changes,
     )
 
 
@@ -197,7 +201,7 @@
     print(
         f"{'design':<7}{'size':>5}{'in force':>10}{'p50 ms':>8}{'p99 ms':>8}{'max ms':>8}"
         f"{'B/change':>10}{'idle B/s':>9}{'msg/s':>7}{'core %':>8}{'ms/chg':>8}{'MiB':>6}"
-        f"{'reads/s':>9}{'rd/chg':>8}{'app/s':>7}"
+        f"{'cfg rd/s':>9}{'rd/chg':>8}{'rdv rd/s':>9}{'app/s':>7}"
     )
 
 
@@ -208,8 +212,8 @@
         f"{row.p99_ms:>8.0f}{row.max_ms:>8.0f}{row.bytes_per_change:>10.0f}"
         f"{row.idle_bytes_per_s:>9.0f}{row.idle_messages_per_s:>7.1f}"
         f"{row.idle_core_percent:>8.2f}{row.core_ms_per_change:>8.1f}{row.memory_mib:>6.0f}"
-        f"{row.log_reads_per_s:>9.2f}{row.log_reads_per_change:>8.1f}"
-        f"{row.log_appends_per_s:>7.2f}",
+        f"{row.config_reads_per_s:>9.2f}{row.config_reads_per_change:>8.1f}"
+        f"{row.rendezvous_reads_per_s:>9.2f}{row.log_appends_per_s:>7.2f}",
         flush=True,
     )
     if row.herd is not None:
