--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/driver.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/driver.py
@@ -287,3 +287,7 @@
     @_act.register
     def _expect_crashes(self, action: model.ExpectCrashes) -> None:
         self._expectations.check_crashes(action.limit)
+
+    @_act.register
+    def _expect_no_call_cut(self, action: model.ExpectNoCallCut) -> None:
+        self._expectations.check_no_call_cut()
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/expectations.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/expectations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from fulmarstile_calls.request import RefusalReason
+from fulmarstile_config import RefusalCode
 from fulmarstile_testing.scenarios.trace import (
     CallAnswered,
     CallCut,
@@ -15,8 +17,10 @@
     UpstreamCrashed,
 )
 from fulmarstile_wire.errors import FulmarstileError
+from fulmarstile_wire.verdict import Verdict
 
-_CONFLICT_REASON = "conflict"
+_CONFLICT_REASON = RefusalCode.CONFLICT.value
+_IN_PROGRESS_REASON = RefusalReason.KEY_IN_PROGRESS.value
 
 
 class ExpectationError(FulmarstileError):
@@ -35,6 +39,7 @@
         self._answered = 0
         self._settled = 0
         self._crashes = 0
+        self._cut_calls: list[int] = []
 
     def on_event(self, at: float, event: TraceEvent) -> None:
         """Handles an event."""
@@ -44,15 +49,20 @@
             case DaemonKilled() | StopEnded():
                 self._applied.pop(event.daemon, None)
             case PublicationDecided():
-                self._verdicts.setdefault(event.publication_id, event)
+                self._verdicts[event.publication_id] = event
                 self._accepted[event.customer] = event.version
             case TableApplied() if event.daemon in self._applied:
                 self._applied[event.daemon][event.customer] = event.version
             case CallAnswered():
                 self._answered += 1
                 self._settled += 1
-            case CallRefused() | CallCut():
+            case CallRefused():
                 self._settled += 1
+                if event.verdict is not Verdict.NOT_RUN and event.reason != _IN_PROGRESS_REASON:
+                    self._cut_calls.append(event.call)
+            case CallCut():
+                self._settled += 1
+                self._cut_calls.append(event.call)
             case UpstreamCrashed():
                 self._crashes += 1
 
@@ -122,3 +132,12 @@
         """
         if self._crashes > limit:
             raise ExpectationError(f"upstreams crashed {self._crashes} times, not {limit}")
+
+    def check_no_call_cut(self) -> None:
+        """Checks that no call was lost on its way or may have run without an answer.
+
+        Raises:
+            ExpectationError: If one was.
+        """
+        if self._cut_calls:
+            raise ExpectationError(f"calls {self._cut_calls} were cut off")
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/model.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/model.py
@@ -253,6 +253,11 @@
     limit: int
 
 
+@dataclass(frozen=True, slots=True)
+class ExpectNoCallCut(Action):
+    """Check that each call so far was answered, or refused as not run."""
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """Something that happens at a time."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/parser.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/parser.py
@@ -160,6 +160,7 @@
     expect_publication = model.ExpectPublication
     expect_answered = model.ExpectAnswered
     expect_crashes = model.ExpectCrashes
+    expect_no_call_cut = model.ExpectNoCallCut
 
     def start(self, *statements: Any) -> list[Any]:
         return list(statements)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/reference.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/reference.py
@@ -46,7 +46,7 @@
         self._record = record
         self._folds = {customer: self._new_fold(customer) for customer in sorted(owner_keys)}
         self._unseeded: set[str] = set()
-        self._decided: set[tuple[str, str]] = set()
+        self._decided: set[tuple[str, str, bool]] = set()
         self._streams = {stream_name(customer): customer for customer in owner_keys}
 
     def fold(self, customer: str) -> CustomerFold:
@@ -108,8 +108,9 @@
 
     def _record_verdicts(self, customer: str) -> None:
         for verdict in self._folds[customer].history:
-            if (customer, verdict.publication_id) not in self._decided:
-                self._decided.add((customer, verdict.publication_id))
+            decision = (customer, verdict.publication_id, verdict.accepted)
+            if decision not in self._decided:
+                self._decided.add(decision)
                 self._record_verdict(customer, verdict)
 
     def _record_verdict(self, customer: str, verdict: PublicationVerdict) -> None:
