--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
@@ -76,8 +76,8 @@
     content_type: str = JSON_TYPE
 
 
-HttpHandler = Callable[[HttpRequest], Awaitable[HttpAnswer]]
-"""Answers a request or raises `HttpProblemError`."""
+HttpHandler = Callable[[HttpRequest], Awaitable[HttpAnswer | None]]
+"""Answers a request or raises `HttpProblemError`; None closes the connection unanswered."""
 
 
 def encode_answer(value: Any, status: int = HTTPStatus.OK) -> HttpAnswer:
@@ -104,14 +104,19 @@
         raise HttpListenError(f"cannot listen at {address}: {error.strerror}") from error
 
 
-async def serve_http(listeners: list[trio.SocketListener], handler: HttpHandler) -> None:
+async def serve_http(
+    listeners: list[trio.SocketListener],
+    handler: HttpHandler,
+    max_connections: int = MAX_CONNECTIONS,
+) -> None:
     """Serves requests until cancelled.
 
     Args:
         listeners: Listeners from `listen_http`; closed on exit.
         handler: Answers each request.
+        max_connections: Connections served at the same time.
     """
-    limiter = trio.CapacityLimiter(MAX_CONNECTIONS)
+    limiter = trio.CapacityLimiter(max_connections)
 
     async def serve_connection(stream: trio.SocketStream) -> None:
         async with limiter:
@@ -151,10 +156,13 @@
             reason = f"the body exceeds {MAX_BODY_BYTES} bytes"
             await self._send(_describe_problem(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, reason))
             return False
-        await self._send(await self._handle(_parse_request(head, body)))
+        answer = await self._handle(_parse_request(head, body))
+        if answer is None:
+            return False
+        await self._send(answer)
         return self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE
 
-    async def _handle(self, request: HttpRequest) -> HttpAnswer:
+    async def _handle(self, request: HttpRequest) -> HttpAnswer | None:
         try:
             return await self._handler(request)
         except HttpProblemError as problem:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/log_stand_in.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/log_stand_in.py
@@ -6,16 +6,20 @@
 from __future__ import annotations
 
 import time
-from typing import Final
-from urllib.parse import parse_qs, unquote, urlsplit
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 import trio
 from absl import app, flags
 
 from fulmarstile_platform.http_log import AppendRequest, AppendResponse, ReadResponse, RecordBody
+from fulmarstile_platform.http_server import (
+    HttpAnswer,
+    HttpRequest,
+    listen_http,
+    serve_http,
+)
 from fulmarstile_platform.log import DEFAULT_READ_LIMIT, LogPage
-from fulmarstile_testing.http_server import ServerRequest, ServerResponse, serve_http
 from fulmarstile_testing.log_store import (
     DEFAULT_APPENDS_PER_S,
     DEFAULT_RETENTION_S,
@@ -23,10 +27,14 @@
     LogSwitches,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 _STREAMS_PREFIX: Final = "/v1/streams/"
 _RECORDS_SUFFIX: Final = "/records"
 _MS_PER_S: Final = 1000
 _MAX_LIMIT: Final = 1000
+_MAX_CONNECTIONS: Final = 8192
 
 _ADDRESS = flags.DEFINE_string("address", "127.0.0.1:7300", "Address to listen on, host:port.")
 _RETENTION_S = flags.DEFINE_float(
@@ -48,7 +56,7 @@
         self._store = LogStore(switches)
         self._changed = trio.Event()
 
-    async def handle(self, request: ServerRequest) -> ServerResponse | None:
+    async def handle(self, request: HttpRequest) -> HttpAnswer | None:
         """Answers one request.
 
         Args:
@@ -57,44 +65,44 @@
         Returns:
             The response, or None to close the connection without one.
         """
-        url = urlsplit(request.target)
-        if url.path.startswith("/__stand_in/"):
-            return self._control(request, url.path)
-        if not (url.path.startswith(_STREAMS_PREFIX) and url.path.endswith(_RECORDS_SUFFIX)):
-            return ServerResponse(404, b"unknown path")
-        name = unquote(url.path[len(_STREAMS_PREFIX) : -len(_RECORDS_SUFFIX)])
+        path = request.path
+        if path.startswith("/__stand_in/"):
+            return self._control(request)
+        if not (path.startswith(_STREAMS_PREFIX) and path.endswith(_RECORDS_SUFFIX)):
+            return HttpAnswer(404, b"unknown path")
+        name = path[len(_STREAMS_PREFIX) : -len(_RECORDS_SUFFIX)]
         await trio.sleep(self._store.switches.delay_ms / _MS_PER_S)
         if self._store.switches.outage:
             return None
         if request.method == "POST":
             return self._append(name, request.body)
         if request.method == "GET":
-            return await self._read(name, parse_qs(url.query))
-        return ServerResponse(405, b"method not allowed")
+            return await self._read(name, request.query)
+        return HttpAnswer(405, b"method not allowed")
 
-    def _append(self, name: str, body: bytes) -> ServerResponse | None:
+    def _append(self, name: str, body: bytes) -> HttpAnswer | None:
         try:
             payload = msgspec.json.decode(body, type=AppendRequest).payload
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return ServerResponse(400, str(error).encode())
+            return HttpAnswer(400, str(error).encode())
         offset = self._store.append(name, payload, time.time())
         if offset is None:
-            return ServerResponse(429, b"too many appends")
+            return HttpAnswer(429, b"too many appends")
         self._wake_readers()
         if self._store.switches.lose_next_answers > 0:
             self._store.switches.lose_next_answers -= 1
             return None
-        return ServerResponse(200, msgspec.json.encode(AppendResponse(offset)))
+        return HttpAnswer(200, msgspec.json.encode(AppendResponse(offset)))
 
-    async def _read(self, name: str, query: dict[str, list[str]]) -> ServerResponse | None:
+    async def _read(self, name: str, query: Mapping[str, str]) -> HttpAnswer | None:
         try:
-            offset = int(query.get("offset", ["0"])[0])
-            limit = int(query.get("limit", [str(DEFAULT_READ_LIMIT)])[0])
-            wait_ms = int(query.get("wait_ms", ["0"])[0])
+            offset = int(query.get("offset", "0"))
+            limit = int(query.get("limit", DEFAULT_READ_LIMIT))
+            wait_ms = int(query.get("wait_ms", "0"))
         except ValueError as error:
-            return ServerResponse(400, str(error).encode())
+            return HttpAnswer(400, str(error).encode())
         if offset < 0 or not 1 <= limit <= _MAX_LIMIT or wait_ms < 0:
-            return ServerResponse(400, b"offset, limit or wait_ms is out of range")
+            return HttpAnswer(400, b"offset, limit or wait_ms is out of range")
         self._store.count_read(name)
         page = self._page(name, offset, limit)
         with trio.move_on_after(wait_ms / _MS_PER_S):
@@ -105,32 +113,32 @@
                 page = self._page(name, offset, limit)
         records = tuple(RecordBody(r.offset, r.payload, r.appended_at_ms) for r in page.records)
         response = ReadResponse(records, page.first_offset, page.end_offset)
-        return ServerResponse(200, msgspec.json.encode(response))
+        return HttpAnswer(200, msgspec.json.encode(response))
 
     def _page(self, name: str, offset: int, limit: int) -> LogPage:
         return self._store.read(name, offset, limit, time.time())
 
-    def _control(self, request: ServerRequest, path: str) -> ServerResponse:
-        match request.method, path:
+    def _control(self, request: HttpRequest) -> HttpAnswer:
+        match request.method, request.path:
             case "PUT", "/__stand_in/switches":
                 return self._set_switches(request.body)
             case "POST", "/__stand_in/forget":
                 self._store.forget()
                 self._wake_readers()
-                return ServerResponse(200, b"{}")
+                return HttpAnswer(200, b"{}")
             case "GET", "/__stand_in/counts":
-                return ServerResponse(200, msgspec.json.encode(self._store.counts))
-        return ServerResponse(404, b"unknown path")
+                return HttpAnswer(200, msgspec.json.encode(self._store.counts))
+        return HttpAnswer(404, b"unknown path")
 
-    def _set_switches(self, body: bytes) -> ServerResponse:
+    def _set_switches(self, body: bytes) -> HttpAnswer:
         current = msgspec.to_builtins(self._store.switches)
         try:
             changes = msgspec.json.decode(body, type=dict[str, object])
             self._store.switches = msgspec.convert(current | changes, LogSwitches)
         except (msgspec.ValidationError, msgspec.DecodeError, UnicodeDecodeError) as error:
-            return ServerResponse(400, str(error).encode())
+            return HttpAnswer(400, str(error).encode())
         self._wake_readers()
-        return ServerResponse(200, msgspec.json.encode(self._store.switches))
+        return HttpAnswer(200, msgspec.json.encode(self._store.switches))
 
     def _wake_readers(self) -> None:
         self._changed.set()
@@ -150,11 +158,10 @@
         switches: Initial switches.
         task_status: Is given the bound address.
     """
-    host, _, port = address.rpartition(":")
-    listeners = await trio.open_tcp_listeners(int(port), host=host)
+    listeners = await listen_http(address)
     bound = listeners[0].socket.getsockname()
     task_status.started(f"{bound[0]}:{bound[1]}")
-    await serve_http(LogStandIn(switches).handle, listeners)
+    await serve_http(listeners, LogStandIn(switches).handle, _MAX_CONNECTIONS)
 
 
 def main(argv: list[str]) -> None:
