Share the bodies of the admin interface between daemon and command

Cause: both had their own copies, and the daemon's lacked the sequence that publishers sign. A customer's publications would have been refused as replayed once its sequence had passed the window.

--- a/packages/fulmarstile_cli/src/fulmarstile_cli/admin_client.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/admin_client.py
@@ -10,14 +10,14 @@
 import msgspec
 
 from fulmarstile_cli.errors import UnreachableError
-from fulmarstile_cli.views import (
+from fulmarstile_platform import HttpClient, HttpError, open_http_client
+from fulmarstile_wire.admin import (
     ConvergenceView,
     CustomerView,
     ErrorView,
     MemberView,
     VerdictView,
 )
-from fulmarstile_platform import HttpClient, HttpError, open_http_client
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
--- a/packages/fulmarstile_cli/src/fulmarstile_cli/commands/history.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/commands/history.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from fulmarstile_cli.views import VerdictView
+    from fulmarstile_wire.admin import VerdictView
 
 _MS_PER_S = 1000
 
--- a/packages/fulmarstile_cli/src/fulmarstile_cli/commands/members.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/commands/members.py
@@ -14,7 +14,7 @@
 
     from absl import flags
 
-    from fulmarstile_cli.views import MemberView
+    from fulmarstile_wire.admin import MemberView
 
 
 class MembersCommand:
--- a/packages/fulmarstile_cli/src/fulmarstile_cli/commands/publish.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/commands/publish.py
@@ -22,10 +22,10 @@
     print_missing,
 )
 from fulmarstile_cli.publisher import PublicationRequest, Publisher
-from fulmarstile_cli.views import ConvergenceView, RefusalView, VerdictView
 from fulmarstile_config import RefusalCode, RefusedError
 from fulmarstile_config.section import parse_section
 from fulmarstile_platform import open_http_log
+from fulmarstile_wire.admin import ConvergenceView, RefusalView, VerdictView
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
--- a/packages/fulmarstile_cli/src/fulmarstile_cli/commands/status.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/commands/status.py
@@ -22,7 +22,7 @@
     print_missing,
     print_table,
 )
-from fulmarstile_cli.views import ConvergenceView, CustomerView
+from fulmarstile_wire.admin import ConvergenceView, CustomerView
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/packages/fulmarstile_cli/src/fulmarstile_cli/commands/validate.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/commands/validate.py
@@ -9,8 +9,8 @@
 from fulmarstile_cli.exit_codes import ExitCode
 from fulmarstile_cli.files import read_sections
 from fulmarstile_cli.output import describe_refusal, print_json, print_line
-from fulmarstile_cli.views import RefusalView
 from fulmarstile_config import validate_sections
+from fulmarstile_wire.admin import RefusalView
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/packages/fulmarstile_cli/src/fulmarstile_cli/output.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/output.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from fulmarstile_cli.views import ConvergenceView, RefusalView
+    from fulmarstile_wire.admin import ConvergenceView, RefusalView
 
 
 def print_json(value: Any) -> None:
--- a/packages/fulmarstile_cli/src/fulmarstile_cli/publisher.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/publisher.py
@@ -26,8 +26,8 @@
     from collections.abc import Callable, Mapping
 
     from fulmarstile_cli.admin_client import AdminClient
-    from fulmarstile_cli.views import ConvergenceView, CustomerView, VerdictView
     from fulmarstile_platform import Log
+    from fulmarstile_wire.admin import ConvergenceView, CustomerView, VerdictView
 
 POLL_INTERVAL_S: Final = 0.1
 """Time between two questions to a daemon, in seconds."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/views.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/views.py
@@ -1,4 +1,4 @@
-"""JSON bodies of the admin interface."""
+"""Describes the daemon's state as JSON bodies of the admin interface."""
 
 from __future__ import annotations
 
@@ -6,6 +6,17 @@
 
 import msgspec
 
+from fulmarstile_wire.admin import (
+    ConvergenceView,
+    CustomerView,
+    MemberView,
+    MissingView,
+    RefusalView,
+    SectionView,
+    UpstreamView,
+    VerdictView,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -14,87 +25,6 @@
     from fulmarstile_wire.records import MemberRecord, UpstreamRecord
 
 
-class SectionView(msgspec.Struct, frozen=True):
-    """A section in force."""
-
-    version: int
-    team: str
-    publication_id: str
-
-
-class CustomerView(msgspec.Struct, frozen=True):
-    """A customer's configuration as this daemon has folded it."""
-
-    customer: str
-    version: int
-    digest: str
-    generation: int
-    next_offset: int
-    sections: dict[str, SectionView]
-
-
-class RefusalView(msgspec.Struct, frozen=True):
-    """Why a publication was refused."""
-
-    code: str
-    reason: str
-    section: str
-    line: int
-
-
-class VerdictView(msgspec.Struct, frozen=True):
-    """What became of one publication."""
-
-    publication_id: str
-    team: str
-    offset: int
-    appended_at_ms: int
-    accepted: bool
-    version: int
-    sections: tuple[str, ...]
-    refusal: RefusalView | None
-
-
-class MissingView(msgspec.Struct, frozen=True):
-    """A daemon on which a version is not in force yet."""
-
-    daemon_id: str
-    version: int
-    """Version that the daemon has in force."""
-    status: str
-    since_s: float
-
-
-class ConvergenceView(msgspec.Struct, frozen=True):
-    """How far a version has come into force."""
-
-    version: int
-    total: int
-    in_force: int
-    missing: tuple[MissingView, ...]
-
-
-class UpstreamView(msgspec.Struct, frozen=True):
-    """The upstream beside a daemon."""
-
-    service: str
-    status: str
-    slots: int
-
-
-class MemberView(msgspec.Struct, frozen=True):
-    """A daemon as this one knows it."""
-
-    daemon_id: str
-    status: str
-    incarnation: int
-    peer_address: str
-    calls_address: str
-    availability_zone: str
-    region: str
-    upstreams: tuple[UpstreamView, ...]
-
-
 class AnnouncementBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Body with which an upstream announces itself or renews its lease."""
 
@@ -122,6 +52,7 @@
         digest=head.digest.hex(),
         generation=head.generation,
         next_offset=head.next_offset,
+        sequence=fold.sequence,
         sections=sections,
     )
 
--- a/packages/fulmarstile_cli/src/fulmarstile_cli/views.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/admin.py
@@ -1,4 +1,4 @@
-"""Answers of a daemon's admin interface, as far as the command uses them."""
+"""JSON bodies of the daemons' admin interface, shared with the operators' command."""
 
 from __future__ import annotations
 
@@ -21,8 +21,9 @@
     digest: str
     generation: int
     next_offset: int
+    sequence: int
+    """Verified publications folded; publishers sign it as `base_sequence`."""
     sections: dict[str, SectionView]
-    sequence: int = 0
 
 
 class RefusalView(msgspec.Struct, frozen=True):
@@ -30,8 +31,8 @@
 
     code: str
     reason: str
-    section: str = ""
-    line: int = 0
+    section: str
+    line: int
 
 
 class VerdictView(msgspec.Struct, frozen=True):
@@ -43,8 +44,8 @@
     appended_at_ms: int
     accepted: bool
     version: int
-    sections: tuple[str, ...] = ()
-    refusal: RefusalView | None = None
+    sections: tuple[str, ...]
+    refusal: RefusalView | None
 
 
 class MissingView(msgspec.Struct, frozen=True):
@@ -52,6 +53,7 @@
 
     daemon_id: str
     version: int
+    """Version that the daemon has in force."""
     status: str
     since_s: float
 
@@ -62,15 +64,15 @@
     version: int
     total: int
     in_force: int
-    missing: tuple[MissingView, ...] = ()
+    missing: tuple[MissingView, ...]
 
 
 class UpstreamView(msgspec.Struct, frozen=True):
     """The upstream beside a daemon."""
 
     service: str
-    status: str = ""
-    slots: int = 0
+    status: str
+    slots: int
 
 
 class MemberView(msgspec.Struct, frozen=True):
@@ -83,10 +85,10 @@
     calls_address: str
     availability_zone: str
     region: str
-    upstreams: tuple[UpstreamView, ...] = ()
+    upstreams: tuple[UpstreamView, ...]
 
 
 class ErrorView(msgspec.Struct, frozen=True):
-    """Body of an answer that is not 200."""
+    """Body of an answer that is not a success."""
 
     error: str = ""
