Keep the upstream stand-in alive when its daemon answers late

Cause: an announcement that took longer than 1 s ended the stand-in, so fleets on a busy machine never saw all upstreams (tests.processes.test_fleet_failures, "4 ready upstreams known"). Conclusion: the announcement is tried again after each kind of failure.

--- a/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
@@ -26,6 +26,12 @@
 _READ_SIZE: Final = 64 * 1024
 _CHUNK_SIZE: Final = 16 * 1024
 _ANNOUNCE_TIMEOUT_S: Final = 1.0
+_ANNOUNCE_ERRORS: Final = (
+    OSError,
+    trio.BrokenResourceError,
+    trio.TooSlowError,
+    h11.RemoteProtocolError,
+)
 _DRAIN_POLL_S: Final = 0.02
 _NO_BODY_STATUSES: Final = (204, 304)
 _CRASH_EXIT_CODE: Final = 70
@@ -365,13 +371,20 @@
         raise OSError(f"the daemon refused the announcement: {event}")
 
 
-async def _announce_forever(upstream: UpstreamStandIn, admin: str, ttl_s: float) -> None:
+async def announce_forever(upstream: UpstreamStandIn, admin: str, ttl_s: float) -> None:
+    """Announces a ready upstream until cancelled, three times in its lease's lifetime.
+
+    Args:
+        upstream: The upstream.
+        admin: `host:port` of its daemon's admin listener.
+        ttl_s: Lifetime of an announcement, in seconds.
+    """
     is_known = True
     while True:
         try:
             await _announce_status(upstream, admin, "ready", ttl_s)
             is_known = True
-        except (OSError, trio.BrokenResourceError, h11.RemoteProtocolError) as error:
+        except _ANNOUNCE_ERRORS as error:
             if is_known:
                 logger.warning("announcing to {} failed: {}", admin, error)
             is_known = False
@@ -422,14 +435,14 @@
     scope: trio.CancelScope, upstream: UpstreamStandIn, admin: str, ttl_s: float
 ) -> None:
     with scope:
-        await _announce_forever(upstream, admin, ttl_s)
+        await announce_forever(upstream, admin, ttl_s)
 
 
 async def _drain(upstream: UpstreamStandIn, admin: str, ttl_s: float) -> None:
     """Announces the end, and stops once no new work can be on its way."""
     try:
         await _announce_status(upstream, admin, "draining", ttl_s)
-    except (OSError, trio.TooSlowError, trio.BrokenResourceError) as error:
+    except _ANNOUNCE_ERRORS as error:
         logger.warning("announcing the end failed: {}", error)
     idle_since = trio.current_time()
     while trio.current_time() - idle_since < _DRAIN_QUIET_S:
