--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
@@ -13,7 +13,7 @@
 from fulmarstile_daemon.calls import CallProxy, CallSettings
 from fulmarstile_daemon.claim_service import ClaimEffect, ClaimService
 from fulmarstile_daemon.log_worker import LogWorker
-from fulmarstile_daemon.metrics import MetricsPage
+from fulmarstile_daemon.metrics import MetricsPage, sum_counters
 from fulmarstile_daemon.state import describe_state
 from fulmarstile_mesh import AppendLog, Disconnect, ReadLog, Send
 from fulmarstile_wire.records import UpstreamStatus
@@ -173,6 +173,7 @@
             "links": self._links.counters,
             "log": self._log_worker.counters,
             "calls": self._proxy.counters,
+            "folds": sum_counters(fold.counters for fold in self._core.folds.values()),
             "members": len(self._core.membership.members),
             "endpoints": len(self._core.endpoints),
         }
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/metrics.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/metrics.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import fields, is_dataclass
+from dataclasses import astuple, fields, is_dataclass
 from typing import TYPE_CHECKING, Any, Final
 
 from aioprometheus import Gauge, Registry, render
 from aioprometheus.formats import text
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
 METRIC_PREFIX: Final = "fulmarstile_"
 """Prefix of every metric name."""
@@ -46,6 +46,22 @@
         return gauge
 
 
+def sum_counters(counters: Iterable[Any]) -> Any:
+    """Adds up counters of the same kind.
+
+    Args:
+        counters: Dataclasses of numbers, all of one type.
+
+    Returns:
+        One of that type with the sums; 0 if there are none.
+    """
+    items = list(counters)
+    if not items:
+        return 0
+    columns = zip(*(astuple(item) for item in items), strict=True)
+    return type(items[0])(*(sum(column) for column in columns))
+
+
 def _list_numbers(part: str, value: Any) -> list[tuple[str, float]]:
     if isinstance(value, int | float):
         return [(part, float(value))]
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/service.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/service.py
@@ -11,13 +11,12 @@
 import trio
 from loguru import logger
 
-from fulmarstile_calls.claims import ClaimRequester, ClaimSettings, ShardBatchers
-from fulmarstile_config import CustomerFold
+from fulmarstile_calls.claims import ClaimSettings
 from fulmarstile_daemon.admin import AdminApi
-from fulmarstile_daemon.core import DaemonCore
+from fulmarstile_daemon.assembly import CoreSettings, TrustedKeys, assemble_core
 from fulmarstile_daemon.daemon import Daemon
 from fulmarstile_daemon.peers import open_peer_links
-from fulmarstile_mesh import Membership, MembershipSettings, Relay, RelaySettings, SpreadMode
+from fulmarstile_mesh import MembershipSettings, RelaySettings, SpreadMode
 from fulmarstile_platform import HttpLogSettings, open_http_log
 from fulmarstile_platform.http_server import listen_http, serve_http
 from fulmarstile_wire.errors import FulmarstileError
@@ -52,7 +51,10 @@
     admin_listeners = await listen_http(settings.admin.address)
     with open_peer_links(settings.peers.address, settings.mesh.key) as links:
         async with _open_log(settings) as log, trio.open_nursery() as nursery:
-            core = _assemble_core(settings)
+            keys = TrustedKeys(settings.customers, settings.mesh.key)
+            core = assemble_core(
+                _core_settings(settings), _describe_member(settings), keys, random.Random()
+            )
             daemon = Daemon(settings, core, links, log, nursery)
             await _start_proxy(daemon.proxy, nursery)
             nursery.start_soon(serve_http, admin_listeners, AdminApi(daemon).handle)
@@ -99,30 +101,6 @@
         yield log
 
 
-def _assemble_core(settings: Settings) -> DaemonCore:
-    seed = random.Random()
-    record = _describe_member(settings)
-    membership = Membership(_membership_settings(settings), record, random.Random(seed.random()))
-    folds = {
-        customer: CustomerFold(customer, owner_key, settings.mesh.key)
-        for customer, owner_key in settings.customers.items()
-    }
-    relay = Relay(
-        _relay_settings(settings),
-        record.daemon_id,
-        record.peer_address,
-        record.availability_zone,
-        record.region,
-        folds,
-        membership,
-        random.Random(seed.random()),
-    )
-    claims = ClaimSettings.for_retention(settings.log.retention_s)
-    requester = ClaimRequester(claims, record.daemon_id, record.peer_address, record.incarnation)
-    batchers = ShardBatchers(claims, record.daemon_id, record.peer_address)
-    return DaemonCore(membership, relay, folds, requester, batchers)
-
-
 def _describe_member(settings: Settings) -> MemberRecord:
     return MemberRecord(
         daemon_id=settings.daemon.name,
@@ -136,13 +114,13 @@
     )
 
 
-def _membership_settings(settings: Settings) -> MembershipSettings:
-    return MembershipSettings(
-        seeds=settings.peers.seeds, probe_interval_s=settings.peers.probe_interval_s
-    )
-
-
-def _relay_settings(settings: Settings) -> RelaySettings:
-    return RelaySettings(
-        mode=SpreadMode(settings.peers.dissemination), retention_s=settings.log.retention_s
+def _core_settings(settings: Settings) -> CoreSettings:
+    return CoreSettings(
+        membership=MembershipSettings(
+            seeds=settings.peers.seeds, probe_interval_s=settings.peers.probe_interval_s
+        ),
+        relay=RelaySettings(
+            mode=SpreadMode(settings.peers.dissemination), retention_s=settings.log.retention_s
+        ),
+        claims=ClaimSettings.for_retention(settings.log.retention_s),
     )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/state.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/state.py
@@ -45,6 +45,9 @@
             "links": _describe(daemon.links.counters),
             "log": _describe(daemon.log_worker.counters),
             "calls": _describe(daemon.proxy.counters),
+            "folds": {
+                customer: _describe(fold.counters) for customer, fold in sorted(core.folds.items())
+            },
         },
         "process": _describe_process(),
     }
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config_daemon.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config_daemon.py
@@ -11,8 +11,8 @@
 
 from absl import app, flags
 
+from fulmarstile_daemon import assembly, service
 from fulmarstile_daemon import main as daemon_main
-from fulmarstile_daemon import service
 from fulmarstile_mesh import Membership, Relay
 from fulmarstile_testing.bench_config_baselines import APPLIED_MARK, FloodingRelay, TailingRelay
 
@@ -43,8 +43,8 @@
 
 def run(arguments: Sequence[str]) -> int:
     """Runs the daemon with the chosen relay."""
-    service.Relay = RELAYS[_DESIGN.value]
-    service.Membership = ReportingMembership
+    assembly.Relay = RELAYS[_DESIGN.value]
+    assembly.Membership = ReportingMembership
     service.EXTRA_LOG_CONNECTIONS = LOG_CONNECTIONS
     return daemon_main.main(arguments)
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/daemon_core.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/daemon_core.py
@@ -5,15 +5,14 @@
 import random
 from typing import TYPE_CHECKING, Final
 
-from fulmarstile_calls.claims import ClaimRequester, ClaimSettings, ShardBatchers
-from fulmarstile_config import CustomerFold
-from fulmarstile_daemon.core import DaemonCore
-from fulmarstile_mesh import Membership, MembershipSettings, Relay, RelaySettings
+from fulmarstile_daemon.assembly import CoreSettings, TrustedKeys, assemble_core
 from fulmarstile_wire.records import MemberRecord, MemberStatus
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from fulmarstile_daemon.core import DaemonCore
+
 MESH_KEY: Final = bytes(32)
 """Mesh key of the cores built here."""
 
@@ -43,23 +42,5 @@
         The core, without any other member.
     """
     record = record or build_member()
-    settings = ClaimSettings()
-    membership = Membership(MembershipSettings(), record, random.Random(1))
-    folds = {name: CustomerFold(name, key, MESH_KEY) for name, key in owners.items()}
-    relay = Relay(
-        RelaySettings(),
-        record.daemon_id,
-        record.peer_address,
-        record.availability_zone,
-        record.region,
-        folds,
-        membership,
-        random.Random(2),
-    )
-    return DaemonCore(
-        membership,
-        relay,
-        folds,
-        ClaimRequester(settings, record.daemon_id, record.peer_address, record.incarnation),
-        ShardBatchers(settings, record.daemon_id, record.peer_address),
-    )
+    keys = TrustedKeys(owners, MESH_KEY)
+    return assemble_core(CoreSettings(), record, keys, random.Random(1))
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/world.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/world.py
@@ -8,10 +8,8 @@
 
 import xxhash
 
-from fulmarstile_calls.claims import ClaimRequester, ClaimSettings, ShardBatchers
-from fulmarstile_config import CustomerFold
-from fulmarstile_daemon.core import DaemonCore
-from fulmarstile_mesh import Membership, MembershipSettings, Relay, RelaySettings
+from fulmarstile_daemon.assembly import CoreSettings, TrustedKeys, assemble_core
+from fulmarstile_mesh import RelaySettings
 from fulmarstile_testing.fakes.clock import VirtualClock
 from fulmarstile_testing.fakes.links import FakeLinks
 from fulmarstile_testing.fakes.log import FakeLog
@@ -31,6 +29,8 @@
 from fulmarstile_wire.records import MemberRecord, MemberStatus
 
 if TYPE_CHECKING:
+    from fulmarstile_config import CustomerFold
+    from fulmarstile_daemon.core import DaemonCore
     from fulmarstile_testing.scenarios.model import AvailabilityZone, Scenario, ServiceSetup
     from fulmarstile_testing.scenarios.trace import TraceEvent
 
@@ -252,28 +252,10 @@
             region=zone.region,
             customers=tuple(sorted(self.scenario.customers)),
         )
-        membership = Membership(MembershipSettings(), record, Random(random.random()))
-        folds = {
-            customer: CustomerFold(customer, key, self._mesh_key)
-            for customer, key in sorted(self._owner_keys.items())
-        }
-        settings = RelaySettings(retention_s=self.log.switches.retention_s)
-        relay = Relay(
-            settings,
-            record.daemon_id,
-            record.peer_address,
-            record.availability_zone,
-            record.region,
-            folds,
-            membership,
-            Random(random.random()),
-        )
-        claims = ClaimSettings()
-        requester = ClaimRequester(
-            claims, record.daemon_id, record.peer_address, record.incarnation
+        settings = CoreSettings(relay=RelaySettings(retention_s=self.log.switches.retention_s))
+        return assemble_core(
+            settings, record, TrustedKeys(self._owner_keys, self._mesh_key), random
         )
-        batchers = ShardBatchers(claims, record.daemon_id, record.peer_address)
-        return DaemonCore(membership, relay, folds, requester, batchers)
 
     def _services_of(self, customer: str) -> tuple[ServiceSetup, ...]:
         return tuple(item for item in self.scenario.services if item.customer == customer)
