--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config_fleet.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config_fleet.py
@@ -28,7 +28,7 @@
 from fulmarstile_wire.records import StreamRecord
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Sequence
 
     from fulmarstile_config import KeyPair
     from fulmarstile_platform import HttpLog
@@ -45,8 +45,9 @@
 
     design = "push"
 
-    def start_daemon(self, name: str) -> None:
+    def start_daemon(self, name: str, seeds: Sequence[str] = ()) -> None:
         """Starts a daemon."""
+        self.settings_file(name).write_text(self._render_settings(self.specs[name], seeds))
         settings = f"--settings={self.settings_file(name)}"
         self._start(
             name, "fulmarstile_testing.bench_config_daemon", settings, f"--design={self.design}"
