Let isolated daemons wait for the first rendezvous record

Cause: an isolated daemon read the rendezvous stream with a back-off of up to 8 s, so daemons that started together could miss one another's records for as long. Also: a process test makes the links to one daemon silent; it found them replaced. Conclusion: an isolated daemon long-polls the stream, one read in flight each.

--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_joining.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_joining.py
@@ -26,6 +26,10 @@
 _ISOLATED_APPEND_INTERVAL_S: Final = 30.0
 _MAX_TICK_S: Final = 0.5
 """Longest time since the last tick that counts, so that a pause makes nothing due at once."""
+_WATCH_WAIT_S: Final = 5.0
+"""Longest wait of an isolated daemon for a new rendezvous record."""
+_WATCH_GRACE_S: Final = 3.0
+"""Time beyond the wait after which an unanswered read is given up."""
 _EARLY_READS_S: Final = (3.0, 6.0, 10.0, 20.0, 40.0)
 """Ages at which a daemon reads the rendezvous stream again, whether it knows members or not.
 
@@ -49,6 +53,8 @@
         self._has_seen_empty = False
         self._is_settled = False
         self._early_reads_at: list[float] = []
+        self._has_read = False
+        self._watch_ends_at: float | None = None
         self._candidates: dict[str, int] = {}
 
     @property
@@ -69,7 +75,10 @@
             end_offset: Offset after the last record of the stream; 0 if unknown.
         """
         self._end_offset = max(end_offset, 0)
-        self._has_seen_empty = True
+        if self._watch_ends_at is None:
+            self._has_seen_empty = True
+        self._has_read = True
+        self._watch_ends_at = None
         for record in records:
             self._has_seen_empty = False
             self._candidates[record.peer_address] = 0
@@ -96,6 +105,7 @@
         self._settle_alone(now)
         effects = self._attempt(own, others, now)
         effects += self._read_early(now)
+        effects += self._watch(others, now)
         if self._must_append(len(others), elapsed_s, now):
             effects.append(AppendLog(RENDEZVOUS_STREAM, encode_rendezvous(own)))
             effects += self._read_tail()
@@ -134,6 +144,15 @@
         del self._early_reads_at[0]
         return self._read_tail()
 
+    def _watch(self, others: list[MemberRecord], now: float) -> list[Effect]:
+        """Waits for new records, so that isolated daemons meet at the first append."""
+        if others or not self._has_read:
+            return []
+        if self._watch_ends_at is not None and now < self._watch_ends_at:
+            return []
+        self._watch_ends_at = now + _WATCH_WAIT_S + _WATCH_GRACE_S
+        return [ReadLog(RENDEZVOUS_STREAM, self._end_offset, _WATCH_WAIT_S)]
+
     def _settle_alone(self, now: float) -> None:
         assert self._started_at is not None
         if now - self._started_at >= self._settings.settle_s:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fleet.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fleet.py
@@ -60,6 +60,7 @@
         specs: Daemons by name.
         owners: Owner's public key of each customer, raw bytes.
         default_customer: Customer of calls that name none.
+        advertised_addresses: Address that peers dial instead of the listener's, by daemon.
     """
 
     directory: Path
@@ -72,6 +73,7 @@
     calls_addresses: dict[str, str] = field(default_factory=dict)
     peer_addresses: dict[str, str] = field(default_factory=dict)
     upstream_addresses: dict[str, str] = field(default_factory=dict)
+    advertised_addresses: dict[str, str] = field(default_factory=dict)
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
 
     def allocate(self) -> None:
@@ -190,6 +192,7 @@
             f"availability_zone = {spec.availability_zone}",
             "[peers]",
             f"address = {self.peer_addresses[spec.name]}",
+            f"advertise = {self.advertised_addresses.get(spec.name, '')}",
             f"seeds = {', '.join(seeds)}",
             f"dissemination = {spec.dissemination}",
             "[calls]",
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/live_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/live_mesh.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Final
 
 import msgspec
+import trio
 
 from fulmarstile_config import (
     Publication,
@@ -19,8 +20,9 @@
     stream_name,
 )
 from fulmarstile_platform import open_http_log
-from fulmarstile_testing.fleet import LOG_NAME, open_fleet
+from fulmarstile_testing.fleet import LOG_NAME, find_free_ports, open_fleet
 from fulmarstile_testing.probe import open_probe, wait_until
+from fulmarstile_testing.tcp_relay import TcpRelay
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
@@ -51,6 +53,8 @@
     probe: FleetProbe
     owner_key: bytes
     highest_versions: dict[str, int] = field(default_factory=dict)
+    relay: TcpRelay | None = None
+    """Relay in front of one daemon's listener for peers."""
 
     async def start(self) -> None:
         """Starts every process and waits until every daemon knows every upstream."""
@@ -142,18 +146,26 @@
 
 
 @asynccontextmanager
-async def open_live_mesh(specs: Sequence[DaemonSpec]) -> AsyncIterator[LiveMesh]:
+async def open_live_mesh(specs: Sequence[DaemonSpec], relayed: str = "") -> AsyncIterator[LiveMesh]:
     """Starts a fleet.
 
     Args:
         specs: The daemons.
+        relayed: Daemon that peers reach only through `LiveMesh.relay`; empty for none.
 
     Yields:
         The fleet, once every daemon knows every upstream; killed on exit.
     """
     pair = generate_key_pair()
     with open_fleet(specs, {CUSTOMER: pair.public_key}, default_customer=CUSTOMER) as fleet:
-        async with open_probe() as probe:
+        async with open_probe() as probe, trio.open_nursery() as nursery:
             mesh = LiveMesh(fleet, probe, pair.private_key)
+            if relayed:
+                (port,) = find_free_ports(1)
+                address = f"127.0.0.1:{port}"
+                fleet.advertised_addresses[relayed] = address
+                mesh.relay = TcpRelay(fleet.peer_addresses[relayed])
+                nursery.start_soon(mesh.relay.serve, address)
             await mesh.start()
             yield mesh
+            nursery.cancel_scope.cancel()
--- a/tests/processes/test_fleet_failures.py
+++ b/tests/processes/test_fleet_failures.py
@@ -25,6 +25,8 @@
     DaemonSpec("reservations-2", "be-bru", "reservations"),
 )
 
+SPEC_NAMES = tuple(spec.name for spec in SPECS)
+
 SECTIONS = {
     "services": "services:\n  - name: planning\n  - name: reservations\n",
     "pools": (
@@ -84,6 +86,22 @@
         mesh.fleet.send_signal("reservations-1", signal.SIGCONT)
         await mesh.wait_for_version(2)
 
+    def test_links_that_went_silent_are_replaced_and_versions_still_spread(self) -> None:
+        async def run() -> None:
+            async with open_live_mesh(SPECS, relayed="reservations-1") as mesh:
+                await mesh.publish(SECTIONS)
+                await mesh.wait_for_version(1)
+                assert mesh.relay is not None
+                accepted = mesh.relay.accepted
+                mesh.relay.silence()
+                await mesh.switch_log(delay_ms=3000)
+                await mesh.publish(CHANGED_ROUTES, base_version=1)
+                await mesh.wait_for_version(2)
+                self.assertGreater(mesh.relay.accepted, accepted)
+                await mesh.wait_for_members(SPEC_NAMES, len(SPECS))
+
+        trio.run(run)
+
     @run_with_fleet
     async def test_a_log_that_comes_back_empty_is_seeded_again_and_nothing_reverts(
         self, mesh: LiveMesh
