Spread a refutation to all peers, and split member health from membership

A daemon that refuted a suspicion announced its upstream again and dropped the effects of that, and with them the refutation for its peers; only the accuser heard it. The new test fails on the code before.

make test: 320 tests, 1 error: test_killed_daemons_recover_from_peers_while_the_log_is_down did not see 4 upstreams within 20 s; the file passes alone afterwards (5 tests).

--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/_joining.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/_joining.py
@@ -102,15 +102,14 @@
         return effects
 
     def join_known(self, own: MemberRecord, known: Iterable[str]) -> list[Effect]:
-        """Returns a join to one rendezvous address that is not known, if there is one.
+        """Returns joins to a few rendezvous addresses that are not known.
 
         Two groups that started apart find each other this way.
         """
         addresses = sorted(set(self._candidates) - set(known) - {own.peer_address})
         self._candidates.clear()
-        if not addresses:
-            return []
-        return [self._join(own, self._random.choice(addresses))]
+        chosen = self._random.sample(addresses, min(_JOINS_PER_ATTEMPT, len(addresses)))
+        return [self._join(own, address) for address in chosen]
 
     def join_candidates(self, own: MemberRecord) -> list[Effect]:
         """Returns joins to a few of the rendezvous addresses and seeds."""
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/membership.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/membership.py
@@ -7,19 +7,12 @@
 
 import msgspec
 
-from fulmarstile_mesh._failure_detector import (
-    AskHelper,
-    DeclareDead,
-    FailureDetector,
-    ProbePeer,
-    ReplaceLink,
-    SuspectPeer,
-)
 from fulmarstile_mesh._gossip import Gossip
 from fulmarstile_mesh._joining import Joining
+from fulmarstile_mesh._member_health import MemberHealth
 from fulmarstile_mesh._news_queue import NewsPriority
 from fulmarstile_mesh._shared_view import SharedView
-from fulmarstile_mesh.effects import Disconnect, Effect, MembersChanged, Send
+from fulmarstile_mesh.effects import AppendLog, Effect, MembersChanged, Send
 from fulmarstile_mesh.membership_state import MembershipCounters, MembershipState
 from fulmarstile_mesh.view import is_running
 from fulmarstile_wire.messages import (
@@ -44,13 +37,11 @@
     from collections.abc import Iterable, Mapping
     from random import Random
 
-    from fulmarstile_mesh._failure_detector import DetectorAction
     from fulmarstile_mesh.settings import MembershipSettings
     from fulmarstile_wire.messages import Message
 
 _EXPIRY_INTERVAL_S: Final = 1.0
 _CRASHES_PER_INCARNATION: Final = 1000
-_TICK_INTERVAL_S: Final = 0.1
 
 
 class Membership:
@@ -66,11 +57,10 @@
         self._settings = settings
         self._random = random
         self._view = SharedView(settings, record)
-        self._detector = FailureDetector(settings, random)
         self._joining = Joining(settings, random)
         self._counters = MembershipCounters()
         self._gossip = Gossip(settings, self._view, self._counters, random)
-        self._last_tick_at: float | None = None
+        self._health = MemberHealth(settings, self._view, self._gossip, self._counters, random)
         self._next_expiry_at = 0.0
         self._reported: dict[str, AppliedRecord] = {}
         self._crash_count = 0
@@ -130,12 +120,12 @@
         return MembershipState(
             record=self.record,
             is_settled=self.is_settled,
-            slowness=self._detector.slowness,
+            slowness=self._health.slowness,
             members=tuple(table.members[key] for key in sorted(table.members)),
             upstreams=tuple(table.upstreams[key] for key in sorted(table.upstreams)),
             applied=tuple(table.applied[key] for key in sorted(table.applied)),
             active_peers=tuple(peer.daemon_id for peer in self.active_peers),
-            suspected=self._detector.suspected,
+            suspected=self._health.suspected,
             pending_news=self._view.queue.count(),
             quarantined=tuple(sorted(key.hex() for key in self.quarantine)),
             counters=self._counters,
@@ -171,21 +161,13 @@
 
     def on_probe_reply(self, message: ProbeReply, now: float) -> list[Effect]:
         """Notes that a peer is alive, and passes the reply on if the probe was for another."""
-        relayed = self._detector.on_reply(message.sender, message.sequence, now)
-        effects = self._merge(message.news, message, now, answer_stale=False)
-        effects += self._greet(message, now)
-        if relayed is not None:
-            reply = ProbeReply(message.sender, message.reply_to, relayed.sequence)
-            effects.append(Send(relayed.reply_to, reply))
-        return effects
+        effects = self._health.on_probe_reply(message, now)
+        effects += self._merge(message.news, message, now, answer_stale=False)
+        return effects + self._greet(message, now)
 
     def on_indirect_probe(self, message: IndirectProbe, now: float) -> list[Effect]:
         """Probes the target on behalf of the sender."""
-        target = self.members.get(message.target)
-        if target is None:
-            return []
-        sequence = self._detector.relay_probe(message.reply_to, message.sequence, now)
-        return [self._send_probe(target, sequence, now)]
+        return self._health.on_indirect_probe(message, now)
 
     def on_rendezvous(
         self, records: Iterable[MemberRecord], now: float, end_offset: int = 0
@@ -264,73 +246,19 @@
         """Advances all timers; to be called about every 100 ms."""
         if not is_running(self.record):
             return []
-        self._check_lateness(now)
-        effects = self._detect(now)
+        effects = self._health.on_tick(now)
         effects += self._join(now)
         effects += self._gossip.on_tick(now)
         self._expire(now)
         return effects
 
-    def _check_lateness(self, now: float) -> None:
-        if self._last_tick_at is not None:
-            delay_s = now - self._last_tick_at - _TICK_INTERVAL_S
-            if delay_s >= self._settings.late_tick_s:
-                self._counters.late_ticks += 1
-                self._detector.on_late_tick(delay_s)
-        self._last_tick_at = now
-
-    def _detect(self, now: float) -> list[Effect]:
-        effects: list[Effect] = []
-        for action in self._detector.on_tick(self.active_peers, now):
-            effects += self._carry_out(action, now)
-        return effects
-
-    def _carry_out(self, action: DetectorAction, now: float) -> list[Effect]:
-        match action:
-            case ProbePeer(peer, sequence):
-                return [self._send_probe(peer, sequence, now)]
-            case ReplaceLink(peer):
-                self._counters.probes_missed += 1
-                self._counters.links_replaced += 1
-                return [Disconnect(peer.peer_address)]
-            case AskHelper(helper, target, sequence):
-                own = self.record
-                probe = IndirectProbe(own.daemon_id, own.peer_address, sequence, target.daemon_id)
-                return [Send(helper.peer_address, probe)]
-            case SuspectPeer(peer):
-                return self._suspect(peer.daemon_id, now)
-            case DeclareDead(daemon_id, incarnation):
-                return self._declare_dead(daemon_id, incarnation, now)
-
-    def _suspect(self, daemon_id: str, now: float) -> list[Effect]:
-        record = self.members[daemon_id]
-        if not is_running(record):
-            return []
-        self._counters.suspicions += 1
-        self._detector.suspect(daemon_id, record.incarnation, now)
-        suspected = msgspec.structs.replace(record, status=MemberStatus.SUSPECT)
-        if not self._view.put_member(suspected, NewsPriority.URGENT, now):
-            return []
-        effects: list[Effect] = [MembersChanged(), *self._gossip.flush_urgent(now, at_once=True)]
-        effects += self._gossip.send_view(record.peer_address, [suspected], now)
-        self._gossip.on_members_changed()
-        return effects
-
-    def _declare_dead(self, daemon_id: str, incarnation: int, now: float) -> list[Effect]:
-        record = self.members.get(daemon_id)
-        if record is None or record.incarnation != incarnation or not is_running(record):
-            return []
-        self._counters.deaths_declared += 1
-        self._gossip.on_members_changed()
-        dead = msgspec.structs.replace(record, status=MemberStatus.DEAD)
-        self._view.put_member(dead, NewsPriority.URGENT, now)
-        return [Disconnect(record.peer_address), MembersChanged(), *self._gossip.flush_urgent(now)]
-
     def _join(self, now: float) -> list[Effect]:
         effects = self._joining.on_tick(self.record, self._view.list_others(), now)
         for effect in effects:
             if isinstance(effect, Send):
                 self._counters.joins_sent += 1
+            elif isinstance(effect, AppendLog):
+                self._counters.rendezvous_appends += 1
         return effects
 
     def _merge(
@@ -339,7 +267,7 @@
         if message.sender == self.record.daemon_id:
             return []
         summary = self._view.merge(news, message.sender, now)
-        effects = self._follow_members(summary.members, now)
+        effects = self._health.on_members(summary.members, now)
         if summary.newer_count > 1 and answer_stale:
             self._gossip.on_views_differed()
         if summary.challenge is not None:
@@ -351,20 +279,6 @@
         effects += self._gossip.flush_urgent(now)
         return effects
 
-    def _follow_members(self, records: list[MemberRecord], now: float) -> list[Effect]:
-        if not records:
-            return []
-        effects: list[Effect] = []
-        self._gossip.on_members_changed()
-        for record in records:
-            if record.status is MemberStatus.SUSPECT:
-                self._detector.suspect(record.daemon_id, record.incarnation, now)
-                continue
-            self._detector.clear(record.daemon_id)
-            if not is_running(record) and self._gossip.is_linked(record.daemon_id):
-                effects.append(Disconnect(record.peer_address))
-        return effects
-
     def _refute(self, challenge: MemberRecord, reply_to: str, now: float) -> list[Effect]:
         if not is_running(self.record):
             return []
@@ -374,10 +288,13 @@
         for customer in sorted(self._reported):
             applied = self._reported[customer]
             self.report_applied(customer, applied.version, applied.digest, now)
+        effects = self._gossip.send_view(reply_to, [record], now)
         upstream = self.upstreams.get(record.daemon_id)
-        if upstream is not None:
-            self.announce_upstream(upstream.service, upstream.status, upstream.slots, now)
-        return self._gossip.send_view(reply_to, [record], now)
+        if upstream is None:
+            return effects
+        return effects + self.announce_upstream(
+            upstream.service, upstream.status, upstream.slots, now
+        )
 
     def _greet(self, message: Message, now: float) -> list[Effect]:
         known = self.members.get(message.sender)
@@ -393,15 +310,6 @@
             return []
         return [MembersChanged(), *self._gossip.flush_urgent(now, at_once=True)]
 
-    def _send_probe(self, peer: MemberRecord, sequence: int, now: float) -> Send:
-        self._counters.probes_sent += 1
-        news = self._gossip.take_news(peer.daemon_id, now)
-        known = self.members.get(peer.daemon_id, peer)
-        if known.status is MemberStatus.SUSPECT:
-            news = msgspec.structs.replace(news, members=(*news.members, known))
-        probe = Probe(self.record.daemon_id, self.record.peer_address, sequence, news)
-        return Send(peer.peer_address, probe)
-
     def _expire(self, now: float) -> None:
         if now < self._next_expiry_at:
             return
--- a/tests/mesh/test_news.py
+++ b/tests/mesh/test_news.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import unittest
+from random import Random
 
+import msgspec
+
+from fulmarstile_mesh import Membership, MembershipSettings, Send
 from fulmarstile_mesh._news_queue import NewsPriority, NewsQueue
 from fulmarstile_testing.builders.mesh import MeshDaemon, Traffic, VirtualMesh, build_record
-from fulmarstile_wire.records import AppliedRecord, MemberStatus, UpstreamStatus
+from fulmarstile_wire.messages import Members, Probe
+from fulmarstile_wire.records import AppliedRecord, MemberStatus, News, UpstreamStatus
 
 LEAVING_LIMIT_S = 3.0
 CONTROL_BYTES_PER_S = 11_000
@@ -107,3 +112,27 @@
         queue.add(newer, NewsPriority.LOW, source="source")
         self.assertFalse(queue.has_news("source", NewsPriority.LOW))
         self.assertEqual(queue.take("other", 1000, NewsPriority.LOW).news.applied, (newer,))
+
+
+class RefutationTest(unittest.TestCase):
+    def test_a_suspected_daemon_tells_all_its_peers_that_it_is_alive(self) -> None:
+        own, *peers = [build_record(number) for number in range(4)]
+        membership = Membership(MembershipSettings(), own, Random(1))
+        accuser = peers[0]
+        join = Members(accuser.daemon_id, accuser.peer_address, News(members=tuple(peers)))
+        membership.on_members(join, 1.0)
+        membership.announce_upstream("planning", UpstreamStatus.READY, 10, 1.0)
+        membership.on_tick(2.0)
+        suspicion = msgspec.structs.replace(own, status=MemberStatus.SUSPECT)
+        accusation = Members(accuser.daemon_id, accuser.peer_address, News(members=(suspicion,)))
+        effects = membership.on_members(accusation, 3.0) + membership.on_tick(3.1)
+        told = {
+            effect.address
+            for effect in effects
+            if isinstance(effect, Send)
+            and isinstance(effect.message, Members | Probe)
+            and membership.record in effect.message.news.members
+        }
+        self.assertGreater(membership.record.incarnation, own.incarnation)
+        linked = {peer.peer_address for peer in membership.active_peers}
+        self.assertEqual(told, linked | {accuser.peer_address})
