Give the rendezvous reads of a daemon a connection to the log

A daemon that is alone long-polls its customers' streams and all 8 claim shards, which took every one of its connections. Its reads of the rendezvous stream failed, so daemons that had not met within 3 s could miss each other for 20 s; a test of real processes failed so, once.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/service.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/service.py
@@ -29,7 +29,7 @@
     from fulmarstile_daemon.settings import Settings
     from fulmarstile_platform import HttpLog
 
-EXTRA_LOG_CONNECTIONS: Final = 8
+EXTRA_LOG_CONNECTIONS: Final = 32
 """Connections to the log besides one long poll for each customer."""
 
 
