Hold slow callers against no upstream, check service and body, refuse when full

Cause: a caller that reads or sends slowly let its call time out as the upstream's failure, so one customer could have upstreams set aside for all; a daemon whose upstream had changed its service ran calls meant for another; bodies beyond 64 KiB on at-most-once routes were not compared; half a head kept a connection from being evicted. Conclusion: at-most-once bodies beyond 64 KiB are refused with 413; a daemon without room for a connection answers overloaded.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
@@ -120,7 +120,7 @@
                 refusal = _timeout_refusal(call)
             if endpoint is not None:
                 now = trio.current_time()
-                sample = _make_sample(now - started_at, refusal)
+                sample = _make_sample(call, now - started_at, refusal)
                 self._balancer.on_finished(endpoint.daemon_id, sample, now)
         if call.abandoned:
             raise CallerGoneError
@@ -177,7 +177,8 @@
 
 def _release(call: Call, pool: ConnectionPool, connection: ClientConnection) -> None:
     """Hands a connection back; if a reused one stayed silent, no other one is trusted."""
-    if call.scope is not None and call.scope.cancel_called and not call.abandoned:
+    timed_out = call.scope is not None and call.scope.cancel_called and not call.abandoned
+    if timed_out and not call.is_held_up_by_caller:
         pool.distrust(connection)
     pool.release(connection)
 
@@ -219,9 +220,11 @@
     return make_refusal(reason, verdict, "no answer in time", status=504)
 
 
-def _make_sample(latency_s: float, refusal: CallRefusal | None) -> CallSample:
+def _make_sample(call: Call, latency_s: float, refusal: CallRefusal | None) -> CallSample:
     if refusal is None:
         return CallSample(latency_s)
     if refusal.verdict is Verdict.NOT_RUN and refusal.reason in _ROOM_REASONS:
         return CallSample(latency_s, refused=True)
+    if refusal.reason is RefusalReason.TIMEOUT and call.is_held_up_by_caller:
+        return CallSample(latency_s)
     return CallSample(latency_s, failed=refusal.reason in _UPSTREAM_REASONS)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_call.py
@@ -161,6 +161,8 @@
     """Whether a byte of the answer was sent to the caller."""
     abandoned: bool = False
     """Whether the caller left."""
+    awaits_caller: bool = False
+    """Whether the body is being received while it is passed on."""
     attempt: Attempt = field(default_factory=Attempt)
     claim: ClaimGranted | None = None
     stored_answer: StoredAnswer | None = None
@@ -170,6 +172,16 @@
     try_to_win: Callable[[Call], None] | None = None
     """Called before an answer is sent while attempts race; raises `SupersededError`."""
 
+    @property
+    def is_at_most_once(self) -> bool:
+        """Whether the call must be claimed before it is run."""
+        return self.route is not None and self.route.route.at_most_once
+
+    @property
+    def is_held_up_by_caller(self) -> bool:
+        """Whether a timeout now would be due to a slow caller rather than the upstream."""
+        return self.awaits_caller or self.answer_started
+
     @property
     def combined_verdict(self) -> Verdict:
         """Whether any attempt may have reached an upstream."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -52,7 +52,7 @@
         self._settings = settings
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=settings.head_limit)
         self.is_idle = True
-        """Whether no byte of a next request has arrived."""
+        """Whether the head of the next request has not arrived whole."""
         self.idle_since = 0.0
         """Time from which the next request is awaited, in seconds."""
         self.hop = b""
@@ -101,12 +101,12 @@
             if not received:
                 return None
             self._http.receive_data(received)
-        self.is_idle = False
         if received.find(_HEAD_END) < 0:
             received = await self._receive_rest(received)
         end = received.find(_HEAD_END)
         if end > self._settings.head_limit:
             raise _bad_request("the request head is too large", status=431)
+        self.is_idle = False
         _check_lines(received[: end + 2])
         event = self._parse()
         if type(event) is not h11.Request:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_exchange.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_exchange.py
@@ -139,6 +139,7 @@
         """Streams the rest of the body, while an early answer ends the upload."""
         call = self._call
         call.has_streamed = True
+        call.awaits_caller = True
         upload = _Upload()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._stream_request, upload, nursery.cancel_scope)
@@ -163,6 +164,7 @@
             while (part := await self._caller.receive_body()) is not None:
                 await self._connection.send_body(part)
                 self._extend_deadline()
+            call.awaits_caller = False
             await self._connection.send_body(None)
             call.restore_deadline()
         except ExchangeError:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
@@ -71,6 +71,8 @@
         self._next_ticket = 0
         self._probing = False
         self._refuses_from = math.inf
+        self.service = ""
+        """Service of the upstream; empty if it is not known yet."""
 
     @property
     def pool(self) -> ConnectionPool | None:
@@ -136,6 +138,9 @@
         admission = self._admission
         if admission is None:
             raise call.fail(RefusalReason.NO_UPSTREAM, "no upstream has announced itself", 1.0)
+        if self.service and call.service != self.service:
+            detail = f"the upstream here is of service {self.service}"
+            raise call.fail(RefusalReason.NO_UPSTREAM, detail)
         if now >= self._refuses_from:
             raise call.fail(RefusalReason.DRAINING, "the upstream is draining", 1.0)
         ticket_id = self._next_ticket = self._next_ticket + 1
@@ -237,10 +242,13 @@
         call: The call.
 
     Returns:
-        Hash of customer, method, target and body.
+        Hash of customer, method, target and body; of a streamed body only its length is known.
     """
     request = call.request
-    body_hash = xxhash.xxh3_128_digest(call.body) if call.body else b""
+    if call.body_complete:
+        body_hash = xxhash.xxh3_128_digest(call.body) if call.body else b""
+    else:
+        body_hash = b"streamed %d" % (call.headers.content_length or 0)
     target = request.target.decode("latin-1")
     return request_fingerprint(call.customer, request.method.decode(), target, body_hash)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_runner.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_runner.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from fulmarstile_calls.request import RefusalReason
-from fulmarstile_daemon.calls._call import CallerGoneError, CallFailedError
+from fulmarstile_daemon.calls._call import CallerGoneError, CallFailedError, make_refusal
 from fulmarstile_daemon.calls._hedging import HedgedRunner
 from fulmarstile_daemon.calls._local import fingerprint
 from fulmarstile_daemon.calls.context import (
@@ -73,7 +73,7 @@
         """
         await self._receive_body(call, caller)
         self._check_quarantine(call)
-        if call.route is None or not call.route.route.at_most_once:
+        if not call.is_at_most_once:
             await self._run_attempts(call, caller)
             return
         if await self._claim(call, caller):
@@ -84,9 +84,14 @@
             await caller.receive_body()
             return
         limit = self._settings.buffered_body_limit
-        if caller.wants_continue or (call.headers.content_length or 0) > limit:
+        if (call.headers.content_length or 0) > limit:
             call.body_complete = False
             return
+        if caller.wants_continue:
+            if not call.is_at_most_once:
+                call.body_complete = False
+                return
+            await caller.send_continue()
         with trio.CancelScope(deadline=call.deadline) as scope:
             call.scope = scope
             call.body, call.body_complete = await caller.receive_small_body(limit)
@@ -99,6 +104,11 @@
 
     async def _claim(self, call: Call, caller: CallerConnection) -> bool:
         """Claims a call; if it has run before, sends the answer it got then."""
+        if not call.body_complete:
+            detail = "the body is too large for an at-most-once route"
+            raise CallFailedError(
+                make_refusal(RefusalReason.BAD_REQUEST, Verdict.NOT_RUN, detail, status=413)
+            )
         if not call.key:
             raise call.fail(RefusalReason.KEY_MISSING, "the route needs an Idempotency-Key")
         claims = self._context.claims
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -15,7 +15,7 @@
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_calls.retries import RetryBudgets, RetrySettings
 from fulmarstile_daemon.calls._attempts import AttemptRunner
-from fulmarstile_daemon.calls._call import CallerGoneError, CallFailedError
+from fulmarstile_daemon.calls._call import CallerGoneError, CallFailedError, make_refusal
 from fulmarstile_daemon.calls._caller import CallerConnection
 from fulmarstile_daemon.calls._entry import CallReader
 from fulmarstile_daemon.calls._hop import HopHeaders
@@ -25,6 +25,7 @@
 from fulmarstile_daemon.calls._watch import CallWatch
 from fulmarstile_daemon.calls.counters import CallCounters
 from fulmarstile_daemon.calls.dump import CallDump
+from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
     from fulmarstile_calls.balancing import Balancer
@@ -134,6 +135,9 @@
             endpoints: All upstreams, of any service.
         """
         self._balancer.replace_endpoints(endpoints, trio.current_time())
+        for endpoint in endpoints:
+            if endpoint.is_local:
+                self._local.service = endpoint.service
         self._attempts.keep_daemons(frozenset(endpoint.calls_address for endpoint in endpoints))
 
     def set_upstream(
@@ -204,9 +208,11 @@
                 await trio.sleep(_ACCEPT_PAUSE_S)
                 continue
             self._counters.connections += 1
-            if len(self._connections) >= self._settings.connection_limit:
-                self._evict_idle()
-            nursery.start_soon(self._serve_connection, stream)
+            is_full = len(self._connections) >= self._settings.connection_limit
+            if is_full and not self._evict_idle():
+                nursery.start_soon(self._refuse_connection, stream)
+            else:
+                nursery.start_soon(self._serve_connection, stream)
 
     def _advance_drain(self, now: float) -> None:
         phase = self._drain.on_tick(len(self._watch), now)
@@ -219,13 +225,25 @@
             if caller.is_idle and caller.idle_since < oldest:
                 caller.scope.cancel()
 
-    def _evict_idle(self) -> None:
-        """Closes the oldest connection that waits for a request."""
+    def _evict_idle(self) -> bool:
+        """Closes the oldest connection that waits for a request; tells whether there was one."""
         for caller in self._connections:
             if caller.is_idle:
                 self._counters.connections_evicted += 1
                 caller.scope.cancel()
-                return
+                return True
+        return False
+
+    async def _refuse_connection(self, stream: ByteStream) -> None:
+        """Refuses the first request of a connection that there is no room for."""
+        caller = CallerConnection(stream, self._settings)
+        detail = "all connections are in use"
+        refusal = make_refusal(RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, retry_after_s=1.0)
+        try:
+            await self._refuse(caller, refusal, close=True)
+            await caller.close()
+        except CallerGoneError:
+            caller.end()
 
     async def _serve_connection(self, stream: ByteStream) -> None:
         caller = CallerConnection(stream, self._settings)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
@@ -315,9 +315,11 @@
             return
         if status in _NO_BODY_STATUSES or self._is_head:
             body = b""
+        parts = [data]
         for start in range(0, len(body), _CHUNK_SIZE):
-            data += http.send(h11.Data(data=body[start : start + _CHUNK_SIZE]))
-        data += http.send(h11.EndOfMessage())
+            parts.append(http.send(h11.Data(data=body[start : start + _CHUNK_SIZE])))
+        parts.append(http.send(h11.EndOfMessage()))
+        data = b"".join(parts)
         await self._stream.send_all(data * 2 if twice else data)
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
--- a/tests/daemon/test_calls_bad_input.py
+++ b/tests/daemon/test_calls_bad_input.py
@@ -134,6 +134,31 @@
 
         trio.run(run)
 
+    def test_connections_with_half_a_head_make_room_for_callers(self) -> None:
+        async def run() -> None:
+            settings = CallSettings(MESH_KEY, connection_limit=20)
+            async with serve_daemon(settings=settings) as daemon:
+                for _ in range(40):
+                    await (await daemon.connect()).send(b"GET / HTTP/1.1\r\nHo")
+                self.assertEqual((await daemon.call(make_request())).status, 200)
+
+        trio.run(run)
+
+    def test_a_caller_is_refused_while_all_connections_are_busy(self) -> None:
+        async def run() -> None:
+            settings = CallSettings(MESH_KEY, connection_limit=2)
+            async with serve_daemon(settings=settings) as daemon:
+                for _ in range(2):
+                    caller = await daemon.connect()
+                    await caller.send(make_request("/slots?delay_ms=100000"))
+                while daemon.upstream.counts.running < 2:
+                    await trio.sleep(0.002)
+                answer = await daemon.call(make_request())
+                self.assertEqual((answer.status, answer.verdict), (503, "NOT_RUN"))
+                self.assertEqual(answer.reason, "overloaded")
+
+        trio.run(run)
+
     def test_headers_of_daemons_are_not_taken_from_callers(self) -> None:
         async def run() -> None:
             headers = {
--- a/tests/daemon/test_calls_verdicts.py
+++ b/tests/daemon/test_calls_verdicts.py
@@ -5,7 +5,7 @@
 import random
 import unittest
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 from loguru import logger
@@ -203,6 +203,36 @@
 
         trio.run(run)
 
+    def test_a_forwarded_call_runs_on_no_upstream_of_another_service(self) -> None:
+        async def run() -> None:
+            async with serve_two_daemons() as (entry, serving):
+                other = replace(serving.endpoint, service="wallet")
+                serving.proxy.replace_endpoints((other,))
+                answer = await entry.call(make_request("/write", "POST", b"x"))
+                self.assertEqual((answer.reason, answer.verdict), ("no-upstream", "NOT_RUN"))
+                self.assertEqual(serving.upstream.counts.total, 0)
+
+        trio.run(run)
+
+    def test_callers_that_are_slow_are_not_held_against_the_upstream(self) -> None:
+        async def run() -> None:
+            samples: list = []
+            async with serve_two_daemons() as (entry, serving):
+                balancer = entry.proxy._balancer
+                balancer.on_finished = lambda _, sample, now: samples.append(sample)
+                headers = {"Content-Length": "200000"}
+                caller = await entry.connect()
+                await caller.send(make_request("/short", "POST", headers=headers) + b"x" * 100_000)
+                self.assertEqual((await caller.receive("POST")).reason, "timeout")
+                caller = await entry.connect()
+                await caller.send(make_request("/short?size=30000000"))
+                while len(samples) < 2:
+                    await trio.sleep(0.01)
+                self.assertEqual(serving.upstream.counts.total, 2)
+            self.assertEqual([sample.failed for sample in samples], [False, False])
+
+        trio.run(run)
+
     def test_a_quarantined_request_is_refused(self) -> None:
         async def run() -> None:
             async with serve_daemon() as daemon:
@@ -288,6 +318,19 @@
 
         trio.run(run)
 
+    def test_a_claimed_body_that_cannot_be_compared_is_refused(self) -> None:
+        async def run() -> None:
+            context = FakeContext(claims=FakeClaims())
+            async with serve_daemon(context=context) as daemon:
+                headers = {"Idempotency-Key": "k", "Expect": "100-continue"}
+                answer = await daemon.call(make_request("/charge", "POST", b"x" * 100_000, headers))
+                self.assertEqual((answer.status, answer.verdict), (413, "NOT_RUN"))
+                answer = await daemon.call(make_request("/charge", "POST", b"5", headers))
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(daemon.upstream.counts.total, 1)
+
+        trio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
