Take the upstream's service with its announcement

Cause: the service came from the endpoints only, which can change a moment after the address. Before: between the two a forwarded call could reach an upstream of another service. Conclusion: the daemon's shell has to pass it.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -141,7 +141,13 @@
         self._attempts.keep_daemons(frozenset(endpoint.calls_address for endpoint in endpoints))
 
     def set_upstream(
-        self, address: str, slots: int, connections: int, *, draining: bool = False
+        self,
+        address: str,
+        slots: int,
+        connections: int,
+        *,
+        draining: bool = False,
+        service: str = "",
     ) -> None:
         """Takes over what the upstream beside this daemon announced.
 
@@ -151,7 +157,11 @@
             connections: Connections that it accepts.
             draining: Whether the upstream is being stopped; it gets no new calls once other
                 daemons have had time to hear of it.
+            service: Service of the upstream; empty to take it from the endpoints. Forwarded calls
+                to another service are refused.
         """
+        if service:
+            self._local.service = service
         now = trio.current_time()
         self._local.configure(address, slots, connections, now)
         self._local.set_draining(draining, now)
--- a/tests/daemon/test_calls_verdicts.py
+++ b/tests/daemon/test_calls_verdicts.py
@@ -19,6 +19,7 @@
 )
 from fulmarstile_daemon.calls._call import make_refusal
 from fulmarstile_testing.builders.call_proxies import (
+    SERVICE,
     FakeContext,
     make_request,
     serve_daemon,
@@ -206,8 +207,11 @@
     def test_a_forwarded_call_runs_on_no_upstream_of_another_service(self) -> None:
         async def run() -> None:
             async with serve_two_daemons() as (entry, serving):
-                other = replace(serving.endpoint, service="wallet")
-                serving.proxy.replace_endpoints((other,))
+                serving.proxy.set_upstream(serving.upstream.address, 10, 12, service="wallet")
+                answer = await entry.call(make_request("/write", "POST", b"x"))
+                self.assertEqual((answer.reason, answer.verdict), ("no-upstream", "NOT_RUN"))
+                serving.proxy.set_upstream(serving.upstream.address, 10, 12, service=SERVICE)
+                serving.proxy.replace_endpoints((replace(serving.endpoint, service="wallet"),))
                 answer = await entry.call(make_request("/write", "POST", b"x"))
                 self.assertEqual((answer.reason, answer.verdict), ("no-upstream", "NOT_RUN"))
                 self.assertEqual(serving.upstream.counts.total, 0)
