--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/pairs.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/pairs.py
@@ -46,7 +46,7 @@
 PAIR_NAMES: Final = tuple(combinations_with_replacement(FAILURES, 2))
 """All pairs; a failure paired with itself happens twice."""
 
-_WORLD: Final = """\
+_ONE_REGION: Final = """\
 availability_zone be-bru in region belgium
 availability_zone be-ant in region belgium
 availability_zone be-lie in region belgium
@@ -60,6 +60,30 @@
 at 2 s publish laundry
 """
 
+_TWO_REGIONS: Final = """\
+availability_zone be-bru in region belgium
+availability_zone be-ant in region belgium
+availability_zone be-lie in region liege
+customer laundry
+customer agency
+service planning of laundry with 3 upstreams and 2 slots
+service reservations of laundry with 3 upstreams and 2 slots running 150 ms
+service leasing of agency with 3 upstreams and 4 slots
+
+from 6 s to 40 s call planning 4 times per s
+from 6 s to 40 s reserve reservations 3 times per s
+from 6 s to 40 s reserve leasing 2 times per s
+
+at 2 s publish laundry
+at 3 s publish agency
+at 20 s publish agency
+at 38 s publish agency
+at 57 s expect agency in force
+"""
+
+_WORLDS: Final = (_ONE_REGION, _TWO_REGIONS)
+"""Worlds that pairs of failures happen in."""
+
 
 def write_pair(first: str, second: str, seed: int) -> str:
     """Writes a scenario in which two failures happen at random times.
@@ -67,7 +91,7 @@
     Args:
         first: Name of the first failure.
         second: Name of the second failure, 0 to 6 s later.
-        seed: Seed of the times.
+        seed: Seed of the world and the times.
 
     Returns:
         Text of the scenario.
@@ -75,7 +99,7 @@
     random = Random(f"{first}/{second}/{seed}")
     first_at_ms = random.randrange(10_000, 14_000)
     second_at_ms = first_at_ms + random.choice((0, random.randrange(6000)))
-    lines = [f'scenario "{first} and {second}"', "", _WORLD.rstrip()]
+    lines = [f'scenario "{first} and {second}"', "", random.choice(_WORLDS).rstrip()]
     lines += _list_steps(first, first_at_ms)
     lines += _list_steps(second, second_at_ms)
     for _ in range(2):
