--- a/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/driver.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/scenarios/driver.py
@@ -87,9 +87,9 @@
             FulmarstileError: If a promise is broken or an expectation fails.
         """
         clock = self._world.clock
-        self._start(self._scenario.daemon_ids)
         for step in self._scenario.steps:
             clock.call_at(step.at_s, lambda action=step.action: self._act(action))
+        self._start(self._scenario.daemon_ids)
         for traffic in self._scenario.traffic:
             self._world.callers.schedule(traffic)
         clock.run_until(self._scenario.end_s)
