--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config_fleet.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_config_fleet.py
@@ -22,6 +22,7 @@
     stream_name,
 )
 from fulmarstile_config.ownership import OWNER_TEAM
+from fulmarstile_mesh import RENDEZVOUS_STREAM
 from fulmarstile_testing.bench_config_baselines import APPLIED_MARK
 from fulmarstile_testing.fleet import LOG_NAME, DaemonSpec, LocalFleet
 from fulmarstile_wire.records import StreamRecord
@@ -38,9 +39,6 @@
 BODY_ITEMS: Final = 40
 """Items in each changed section."""
 
-CLAIMS_PREFIX: Final = "claims."
-"""Streams that do not carry configuration."""
-
 
 class BenchFleet(LocalFleet):
     """Starts bench daemons of one design."""
@@ -98,6 +96,20 @@
             fleet.stop_all()
 
 
+@dataclass(frozen=True, slots=True)
+class LogRequests:
+    """Requests to the log since its start, those for claims left out."""
+
+    config_reads: int
+    rendezvous_reads: int
+    appends: int
+
+    @property
+    def reads(self) -> int:
+        """Reads of both kinds."""
+        return self.config_reads + self.rendezvous_reads
+
+
 @dataclass(frozen=True, slots=True)
 class FleetUsage:
     """What a fleet has used since its start, at one moment."""
@@ -108,16 +120,7 @@
     processor_s: float
     memory_bytes: int
     """Largest resident memory of one daemon."""
-    log_reads: int
-    log_appends: int
-
-
-@dataclass(frozen=True, slots=True)
-class LogRequests:
-    """Requests to the streams of configuration and rendezvous since the log's start."""
-
-    reads: int
-    appends: int
+    log: LogRequests
 
 
 class FleetObserver:
@@ -148,8 +151,7 @@
             sent_messages=sent_messages,
             processor_s=processor_s,
             memory_bytes=memory_bytes,
-            log_reads=counts.reads,
-            log_appends=counts.appends,
+            log=counts,
         )
 
     async def read_log_counts(self) -> LogRequests:
@@ -158,8 +160,12 @@
         while counts is None:
             counts = await self._probe.get_json(self._fleet.log_address, "/__stand_in/counts")
         return LogRequests(
-            reads=_count_config(counts["reads_per_stream"]),
-            appends=_count_config(counts["appends_per_stream"]),
+            config_reads=counts["reads_per_stream"].get(stream_name(CUSTOMER), 0),
+            rendezvous_reads=counts["reads_per_stream"].get(RENDEZVOUS_STREAM, 0),
+            appends=sum(
+                counts["appends_per_stream"].get(stream, 0)
+                for stream in (stream_name(CUSTOMER), RENDEZVOUS_STREAM)
+            ),
         )
 
     async def knows_everybody(self) -> bool:
@@ -237,12 +243,6 @@
         return "\n".join(lines) + "\n"
 
 
-def _count_config(per_stream: dict[str, int]) -> int:
-    return sum(
-        count for stream, count in per_stream.items() if not stream.startswith(CLAIMS_PREFIX)
-    )
-
-
 def create_keys() -> KeyPair:
     """Returns new keys of the customer's owner."""
     return generate_key_pair()
