--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/fulmarstile_$(name))
 SEEDS ?= 200
 
-.PHONY: setup test lint format demo scenarios bench-config bench-calls clean
+.PHONY: setup test lint format demo scenarios bench-config bench-calls plots clean
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -37,5 +37,8 @@
 bench-calls: setup
 	$(VENV)/bin/python -m fulmarstile_testing.bench_calls
 
+plots: setup
+	$(VENV)/bin/python -m fulmarstile_testing.plots --commit=$$(git rev-parse --short HEAD)
+
 clean:
 	rm -rf $(VENV)
