--- a/tests/scenarios/test_runs.py
+++ b/tests/scenarios/test_runs.py
@@ -32,7 +32,6 @@
     "ExpectCrashes",
     "ExpectNoCallCut",
     "ExpectPublication",
-    "LogKeeps",
 }
 
 ONCE_BROKEN = (
