--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_calls_policies.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_calls_policies.py
@@ -62,7 +62,7 @@
     """
     for row in figures:
         print(
-            f"{row.experiment:<28}{row.policy:<14}{row.measure:<34}{row.value:>9.3f}  {row.target}"
+            f"{row.experiment:<28}{row.policy:<20}{row.measure:<34}{row.value:>9.3f}  {row.target}"
         )
 
 
