Tell the call proxy the upstream's service and drain

Cause: a draining upstream's own guard did not know of the drain, and learnt the service only from the mesh. Conclusion: both are passed with the announcement.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
@@ -217,7 +217,11 @@
         logger.info("upstream changed", service=announcement.service, status=status.name.lower())
         if status is not UpstreamStatus.GONE:
             self._proxy.set_upstream(
-                announcement.address, announcement.slots, announcement.connections
+                announcement.address,
+                announcement.slots,
+                announcement.connections,
+                draining=announcement.draining,
+                service=announcement.service,
             )
         effects = self._core.announce_upstream(
             announcement.service, status, announcement.slots, self.now
