Keep the refusal counters in a plain dict so that the state can be encoded

dataclasses.asdict rebuilds a Counter from its pairs and so counts the pairs: after a first refusal GET /state failed with a TypeError, which ended the daemon. Found by the process test of quarantine, which failed with it (daemons gone after a refusal) and passes without it.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/counters.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/counters.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -33,7 +32,7 @@
     """Idle connections closed to make room for new ones."""
     errors: int = 0
     """Unexpected errors; each one is logged."""
-    refusals: Counter[str] = field(default_factory=Counter)
+    refusals: dict[str, int] = field(default_factory=dict)
     """Refusals by reason and verdict, as `reason/VERDICT`."""
 
     def count_refusal(self, refusal: CallRefusal) -> None:
@@ -42,4 +41,5 @@
         Args:
             refusal: The refusal.
         """
-        self.refusals[f"{refusal.reason.value}/{refusal.verdict.name}"] += 1
+        key = f"{refusal.reason.value}/{refusal.verdict.name}"
+        self.refusals[key] = self.refusals.get(key, 0) + 1
