Count crashes in the membership alone and report only suspects

The quarantine stood twice: the calls' Quarantine and the membership's crash book both counted crashes, and only the latter was wired, with all requests in flight as suspects. Two unrelated crashes refused a popular read everywhere. Now Quarantine only chooses the suspects; a request that completed since the last crash is spared. Connections lost in one crash count as one crash. The quarantine takes effect with the report, not with the next tick.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/call_context.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/call_context.py
@@ -21,7 +21,7 @@
         default_customer: Customer of requests that name none; empty to refuse them.
         core: The decision core.
         claims: Claims on at-most-once calls.
-        report_crash: Reports the requests in flight when the local upstream crashed.
+        report_crash: Reports the requests suspected of a crash of the local upstream.
     """
 
     def __init__(
@@ -68,5 +68,5 @@
         return fingerprint in self._core.quarantine
 
     def on_upstream_crash(self, fingerprints: tuple[bytes, ...]) -> None:
-        """Reports the requests that were in flight when the local upstream crashed."""
+        """Reports the requests that are suspected of a crash of the local upstream."""
         self._report_crash(fingerprints)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
@@ -54,7 +54,7 @@
         balancer: Told how attempts end.
         hop: Writes the headers of forwarded calls.
         on_connection_lost: Called when the local upstream broke off an exchange, with the
-            fingerprints of the calls that are in flight.
+            fingerprints of the calls that are in flight and the start of the exchange.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
         local: LocalUpstream,
         balancer: Balancer,
         hop: HopHeaders,
-        on_connection_lost: Callable[[tuple[bytes, ...]], None],
+        on_connection_lost: Callable[[tuple[bytes, ...], float], None],
     ) -> None:
         self._settings = settings
         self._local = local
@@ -128,6 +128,7 @@
 
     async def _run_local(self, call: Call, caller: CallerConnection, now: float) -> None:
         ticket_id = await self._local.enter(call, now)
+        started_at = trio.current_time()
         try:
             pool = self._local.pool
             connection = await _acquire(call, pool)
@@ -136,9 +137,10 @@
                 answer = await exchange.run(for_upstream(call, now), to_daemon=False)
                 if not answer.complete:
                     await _send_streamed(call, caller, answer, exchange)
+                self._local.note_answered(call, trio.current_time())
             except CallFailedError as error:
                 if error.refusal.reason in _LOST_REASONS:
-                    self._on_connection_lost(self._local.fingerprints())
+                    self._on_connection_lost(self._local.fingerprints(), started_at)
                 raise
             finally:
                 _release(call, pool, connection)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
@@ -15,7 +15,11 @@
     FairAdmission,
     Refused,
 )
-from fulmarstile_calls.quarantine import request_fingerprint
+from fulmarstile_calls.quarantine import (
+    Quarantine,
+    QuarantineSettings,
+    request_fingerprint,
+)
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.calls._call import CallFailedError
 from fulmarstile_daemon.calls._client import ExchangeError
@@ -69,7 +73,9 @@
         self._waiters: dict[int, _Waiter] = {}
         self._running: dict[int, Call] = {}
         self._next_ticket = 0
+        self._quarantine = Quarantine(QuarantineSettings())
         self._probing = False
+        self._crashed_at = -math.inf
         self._refuses_from = math.inf
 
     @property
@@ -190,22 +196,41 @@
         """Lists the fingerprints of the calls that hold a slot."""
         return tuple(dict.fromkeys(map(fingerprint, self._running.values())))
 
-    async def has_crashed(self) -> bool:
-        """Finds out whether a lost connection means that the upstream is gone.
+    def note_answered(self, call: Call, now: float) -> None:
+        """Notes that the upstream gave a call its whole answer.
+
+        Args:
+            call: The call.
+            now: Current time in seconds.
+        """
+        self._quarantine.on_completed(fingerprint(call), now)
+
+    async def find_suspects(
+        self, in_flight: tuple[bytes, ...], started_at: float
+    ) -> tuple[bytes, ...] | None:
+        """Finds out whether a lost connection means that the upstream has crashed.
+
+        Args:
+            in_flight: Fingerprints of the calls that held a slot when the connection was lost.
+            started_at: Time at which the exchange on it began, in seconds; one that began
+                before the last known crash was ended by that crash.
 
         Returns:
-            True if it refuses new connections; False also while another check runs.
+            Fingerprints of the calls suspected of the crash; None if the upstream still accepts
+            connections, its crash is already known, or another check runs.
         """
-        if self._probing or self._pool is None:
-            return False
+        if self._probing or self._pool is None or started_at <= self._crashed_at:
+            return None
         self._probing = True
         try:
             crashed = await _refuses_connections(self._pool)
         finally:
             self._probing = False
-        if crashed:
-            self._pool.close_idle()
-        return crashed
+        if not crashed:
+            return None
+        self._pool.close_idle()
+        self._crashed_at = trio.current_time()
+        return self._quarantine.on_upstream_crash(in_flight, self._crashed_at)
 
     def close(self) -> None:
         """Closes the connections to the upstream, those in use after their exchange."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/context.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/context.py
@@ -149,6 +149,6 @@
         """Reports that the local upstream crashed.
 
         Args:
-            fingerprints: Requests that were in flight at the crash.
+            fingerprints: Requests that are suspected of the crash.
         """
         ...
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -295,13 +295,14 @@
         if scope.cancelled_caught:
             raise CallerGoneError
 
-    def _on_connection_lost(self, suspects: tuple[bytes, ...]) -> None:
+    def _on_connection_lost(self, in_flight: tuple[bytes, ...], started_at: float) -> None:
         if self._nursery is not None:
-            self._nursery.start_soon(self._check_crash, suspects)
+            self._nursery.start_soon(self._check_crash, in_flight, started_at)
 
-    async def _check_crash(self, suspects: tuple[bytes, ...]) -> None:
-        if not await self._local.has_crashed():
+    async def _check_crash(self, in_flight: tuple[bytes, ...], started_at: float) -> None:
+        suspects = await self._local.find_suspects(in_flight, started_at)
+        if suspects is None:
             return
         self._counters.upstream_crashes += 1
-        logger.warning("the upstream crashed with {} calls in flight", len(suspects))
+        logger.warning("the upstream crashed with {} calls in flight", len(in_flight))
         self._context.on_upstream_crash(suspects)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/core.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/core.py
@@ -68,7 +68,6 @@
         self._batchers = batchers
         self._routing_table = RoutingTable()
         self._endpoints: tuple[UpstreamEndpoint, ...] = ()
-        self._quarantine: frozenset[bytes] = frozenset()
         self._counters = CoreCounters()
         self._handlers: dict[type, Callable[..., list[Effect]]] = {
             messages.Join: membership.on_join,
@@ -124,8 +123,8 @@
 
     @property
     def quarantine(self) -> frozenset[bytes]:
-        """Fingerprints of requests that have crashed upstreams, as of the last tick."""
-        return self._quarantine
+        """Fingerprints of requests that have crashed upstreams; replaced as a whole."""
+        return self._membership.quarantine
 
     @property
     def counters(self) -> CoreCounters:
@@ -162,7 +161,6 @@
         effects += self._relay.on_tick(now)
         effects += self._requester.on_tick(now)
         effects += self._batchers.on_tick(now)
-        self._quarantine = self._membership.quarantine
         return self._carry_out(effects, now)
 
     def on_log_page(self, stream: str, page: LogPage, now: float) -> list[Effect]:
@@ -229,7 +227,7 @@
         return self._carry_out(effects, now)
 
     def report_crash(self, fingerprints: Iterable[bytes], now: float) -> list[Effect]:
-        """Reports the requests that were in flight when the local upstream crashed."""
+        """Reports the requests that are suspected of a crash of the local upstream."""
         effects: list[Effect] = []
         for fingerprint in fingerprints:
             effects += self._membership.report_crash(fingerprint, now)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fleet.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fleet.py
@@ -117,12 +117,12 @@
             *options,
         )
 
-    def start_all(self) -> None:
-        """Starts the log, every daemon and every upstream."""
+    def start_all(self, *upstream_options: str) -> None:
+        """Starts the log, every daemon and every upstream, these with further options."""
         self.start_log()
         for name in self.specs:
             self.start_daemon(name)
-            self.start_upstream(name)
+            self.start_upstream(name, *upstream_options)
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to a process."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/live_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/live_mesh.py
@@ -52,9 +52,9 @@
     owner_key: bytes
     highest_versions: dict[str, int] = field(default_factory=dict)
 
-    async def start(self) -> None:
+    async def start(self, *upstream_options: str) -> None:
         """Starts every process and waits until every daemon knows every upstream."""
-        self.fleet.start_all()
+        self.fleet.start_all(*upstream_options)
         await self.wait_for_members(self.fleet.specs, len(self.fleet.specs))
 
     async def publish(self, sections: Mapping[str, str], base_version: int = 0) -> None:
@@ -142,11 +142,14 @@
 
 
 @asynccontextmanager
-async def open_live_mesh(specs: Sequence[DaemonSpec]) -> AsyncIterator[LiveMesh]:
+async def open_live_mesh(
+    specs: Sequence[DaemonSpec], *upstream_options: str
+) -> AsyncIterator[LiveMesh]:
     """Starts a fleet.
 
     Args:
         specs: The daemons.
+        upstream_options: Options of every upstream.
 
     Yields:
         The fleet, once every daemon knows every upstream; killed on exit.
@@ -155,5 +158,5 @@
     with open_fleet(specs, {CUSTOMER: pair.public_key}, default_customer=CUSTOMER) as fleet:
         async with open_probe() as probe:
             mesh = LiveMesh(fleet, probe, pair.private_key)
-            await mesh.start()
+            await mesh.start(*upstream_options)
             yield mesh
