--- a/tests/processes/test_crashing_request.py
+++ b/tests/processes/test_crashing_request.py
@@ -31,7 +31,7 @@
 class CrashingRequestTest(unittest.TestCase):
     def test_two_upstreams_crash_and_the_others_keep_serving(self) -> None:
         async def run() -> None:
-            async with open_live_mesh(SPECS, "--crash_on=poison") as mesh:
+            async with open_live_mesh(SPECS, upstream_options=("--crash_on=poison",)) as mesh:
                 await mesh.publish(SECTIONS)
                 await mesh.wait_for_version(1)
                 await self._check(mesh)
