Mark retries and inner calls in both headers of a chain

A retry carried its number, but as budget what the first daemon had left (1), so an application that passes on the budget alone lost the mark. A call with an attempt number and no budget counted as the start of a chain, with retries of its own. Now the budget on the wire is 1, or 0 for a retry, and either header alone makes a call an inner one.

--- a/packages/fulmarstile_calls/src/fulmarstile_calls/retries/budgets.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/retries/budgets.py
@@ -136,8 +136,10 @@
         limit = self._settings.retries_per_call
         if attempt_value not in ("", "1"):
             return Attempt(1, 0, starts_chain=False)
-        if not budget_value:
+        if not attempt_value and not budget_value:
             return Attempt(1, limit)
+        if not budget_value:
+            return Attempt(1, min(limit, 1), starts_chain=False)
         well_formed = budget_value.isascii() and budget_value.isdigit()
         if not well_formed or len(budget_value) > _MAX_BUDGET_DIGITS:
             return Attempt(1, 0, starts_chain=False)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_hop.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_hop.py
@@ -85,8 +85,8 @@
     remaining_ms = max(1, int((call.deadline - now) * 1000))
     return [
         (_headers.DEADLINE, b"%d" % remaining_ms),
-        (_headers.ATTEMPT, b"%d" % call.attempt.number),
-        (_headers.RETRY_BUDGET, b"%d" % call.attempt.retries_left),
+        (_headers.ATTEMPT, call.attempt.attempt_value.encode()),
+        (_headers.RETRY_BUDGET, call.attempt.budget_value.encode()),
     ]
 
 
--- a/tests/calls/test_retries.py
+++ b/tests/calls/test_retries.py
@@ -103,16 +103,20 @@
             self.assertFalse(decision.retry)
 
     def test_call_that_is_itself_a_retry_is_not_retried(self):
-        for attempt_value, budget_value in (("2", "1"), ("1", "0"), ("x", ""), ("", "-1")):
+        marks = (("2", "1"), ("1", "0"), ("x", ""), ("", "-1"), ("2", ""), ("", "0"))
+        for attempt_value, budget_value in marks:
             attempt = self.policy.open_call(attempt_value, budget_value)
             decision = decide(self.policy, self.read, Verdict.NOT_RUN, attempt)
             with self.subTest(attempt=attempt_value, budget=budget_value):
                 self.assertFalse(decision.retry)
 
     def test_inner_hop_repeats_only_what_was_not_run(self):
-        inner = self.policy.open_call("1", "1")
-        self.assertFalse(decide(self.policy, self.read, Verdict.MAY_HAVE_RUN, inner).retry)
-        self.assertTrue(decide(self.policy, self.read, Verdict.NOT_RUN, inner).retry)
+        for attempt_value, budget_value in (("1", "1"), ("1", ""), ("", "1")):
+            policy = RetryBudgets(RetrySettings(), random.Random(1))
+            inner = policy.open_call(attempt_value, budget_value)
+            with self.subTest(attempt=attempt_value, budget=budget_value):
+                self.assertFalse(decide(policy, self.read, Verdict.MAY_HAVE_RUN, inner).retry)
+                self.assertTrue(decide(policy, self.read, Verdict.NOT_RUN, inner).retry)
 
     def test_retry_that_would_pass_the_deadline_is_not_made(self):
         decision = self.policy.decide(
