Report a large answer that was passed on whole as completed

A claimed answer above the buffer limit was streamed through and then reported as unknown, so that a resend was told key-outcome-unknown, MAY_HAVE_RUN. Its outcome now has status and content type without a body, and the resend is told key-completed, RAN. An answer that is cut off stays unknown. Tested in process and with four daemon processes through another daemon (300 kB answer, one run upstream).

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
@@ -198,6 +198,8 @@
     _begin_answer(call)
     await caller.send_head(answer.status, answer.headers, answer.body, False)
     await exchange.stream_body()
+    if call.claim is not None:
+        call.stored_answer = StoredAnswer(answer.status, tuple(answer.headers), None)
     await caller.send_body(None)
 
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_call.py
@@ -34,6 +34,8 @@
     RefusalReason.KEY_EXPIRED: 409,
     RefusalReason.KEY_REUSED: 422,
     RefusalReason.KEY_IN_PROGRESS: 409,
+    RefusalReason.KEY_COMPLETED: 409,
+    RefusalReason.KEY_OUTCOME_UNKNOWN: 409,
     RefusalReason.CONNECTION_LOST: 502,
     RefusalReason.TIMEOUT: 504,
     RefusalReason.TRUNCATED: 502,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_runner.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_runner.py
@@ -26,7 +26,7 @@
     from fulmarstile_daemon.calls._attempts import AttemptRunner
     from fulmarstile_daemon.calls._call import Call
     from fulmarstile_daemon.calls._caller import CallerConnection
-    from fulmarstile_daemon.calls.context import CallContext
+    from fulmarstile_daemon.calls.context import CallContext, StoredAnswer
     from fulmarstile_daemon.calls.counters import CallCounters
     from fulmarstile_daemon.calls.settings import CallSettings
 
@@ -124,6 +124,8 @@
             raise CallFailedError(result.refusal)
         if isinstance(result, ClaimAnswered):
             answer = result.answer
+            if answer.body is None:
+                raise CallFailedError(_refuse_completed(answer))
             await caller.send_head(answer.status, list(answer.headers), answer.body, True)
             return False
         call.claim = result
@@ -195,6 +197,11 @@
         return await self._attempts.run(call, caller, endpoint)
 
 
+def _refuse_completed(answer: StoredAnswer) -> CallRefusal:
+    detail = f"the request ran with status {answer.status}; its answer is not stored"
+    return make_refusal(RefusalReason.KEY_COMPLETED, Verdict.RAN, detail)
+
+
 def _claim_request(call: Call) -> ClaimRequest:
     request = call.request
     digest = xxhash.xxh3_128(request.method + b" " + request.target + b"\0" + call.body)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/context.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/context.py
@@ -47,7 +47,8 @@
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
+    body: bytes | None
+    """Body; None if the whole answer was passed on without being kept."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +102,7 @@
 
         Args:
             granted: The claim.
-            answer: Answer, or None if it is unknown or too large to keep.
+            answer: Answer, or None if the call may have run but got no whole answer.
         """
         ...
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/claim_service.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/claim_service.py
@@ -89,7 +89,7 @@
         self._carry_out(self._requester.release(granted.claim_id, trio.current_time()))
 
     def on_answered(self, granted: ClaimGranted, answer: StoredAnswer | None) -> None:
-        """Keeps the answer of a claimed call; None if it is unknown."""
+        """Keeps the answer of a claimed call, or reports that it ran if the body is not there."""
         now = trio.current_time()
         if answer is None:
             self._carry_out(self._requester.finish_unknown(granted.claim_id, now))
--- a/tests/daemon/test_calls_verdicts.py
+++ b/tests/daemon/test_calls_verdicts.py
@@ -293,6 +293,33 @@
 
         trio.run(run)
 
+    def test_a_whole_answer_too_large_to_keep_counts_as_completed(self) -> None:
+        async def run() -> None:
+            context = FakeContext(claims=FakeClaims())
+            async with serve_daemon(context=context) as daemon:
+                for number, wishes in enumerate(("size=300000", "size=300000&chunked=1")):
+                    headers = {"Idempotency-Key": f"k{number}"}
+                    request = make_request(f"/charge?{wishes}", "POST", b"5", headers)
+                    answer = await daemon.call(request)
+                    self.assertEqual((answer.status, len(answer.body)), (200, 300_000))
+                    answer = await daemon.call(request)
+                    self.assertEqual((answer.status, answer.verdict), (409, "RAN"))
+                    self.assertEqual(answer.reason, "key-completed")
+                self.assertEqual(daemon.upstream.counts.total, 2)
+
+        trio.run(run)
+
+    def test_a_large_answer_that_is_cut_off_does_not_count_as_completed(self) -> None:
+        async def run() -> None:
+            context = FakeContext(claims=FakeClaims())
+            async with serve_daemon(context=context) as daemon:
+                target = "/charge?size=300000&truncate=1"
+                request = make_request(target, "POST", b"5", {"Idempotency-Key": "k"})
+                self.assertFalse((await daemon.call(request)).complete)
+                self.assertEqual(context.claims.answers, {"k": None})
+
+        trio.run(run)
+
     def test_a_claim_is_released_only_if_the_call_did_not_run(self) -> None:
         async def run() -> None:
             context = FakeContext(claims=FakeClaims())
--- a/tests/processes/test_fleet_failures.py
+++ b/tests/processes/test_fleet_failures.py
@@ -139,6 +139,26 @@
             self.assertLessEqual(runs, 1, request_id)
         self.assertGreater(sum(runs_after.values()), 0)
 
+    @run_with_fleet
+    async def test_a_resend_after_a_large_answer_is_told_that_the_request_ran(
+        self, mesh: LiveMesh
+    ) -> None:
+        headers = {"Idempotency-Key": build_key(1), REQUEST_ID: "large"}
+        path = "/reservations?size=300000"
+        answer = await mesh.call("planning-1", path, "POST", b"{}", headers)
+        self.assertEqual(len(answer.body), 300_000)
+
+        async def is_told() -> bool:
+            resent = await mesh.call("planning-2", path, "POST", b"{}", headers)
+            self.assertEqual(resent.status, HTTPStatus.CONFLICT)
+            reason = resent.headers["fulmarstile-reason"]
+            self.assertIn(reason, ("key-in-progress", "key-completed"))
+            return (reason, resent.headers["fulmarstile-verdict"]) == ("key-completed", "RAN")
+
+        await wait_until(is_told, "the resend told that the request ran")
+        runs = [await mesh.count_runs(name) for name in ("reservations-1", "reservations-2")]
+        self.assertEqual(sum(counts.get("large", 0) for counts in runs), 1)
+
     @run_with_fleet
     async def test_a_planned_stop_under_load_cuts_off_no_call(self, mesh: LiveMesh) -> None:
         failures: list[str] = []
