--- a/packages/fulmarstile_testing/src/fulmarstile_testing/live_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/live_mesh.py
@@ -56,9 +56,9 @@
     relay: TcpRelay | None = None
     """Relay in front of one daemon's listener for peers."""
 
-    async def start(self) -> None:
+    async def start(self, *upstream_options: str) -> None:
         """Starts every process and waits until every daemon knows every upstream."""
-        self.fleet.start_all()
+        self.fleet.start_all(*upstream_options)
         await self.wait_for_members(self.fleet.specs, len(self.fleet.specs))
 
     async def publish(self, sections: Mapping[str, str], base_version: int = 0) -> None:
@@ -146,12 +146,15 @@
 
 
 @asynccontextmanager
-async def open_live_mesh(specs: Sequence[DaemonSpec], relayed: str = "") -> AsyncIterator[LiveMesh]:
+async def open_live_mesh(
+    specs: Sequence[DaemonSpec], relayed: str = "", upstream_options: Sequence[str] = ()
+) -> AsyncIterator[LiveMesh]:
     """Starts a fleet.
 
     Args:
         specs: The daemons.
         relayed: Daemon that peers reach only through `LiveMesh.relay`; empty for none.
+        upstream_options: Options of every upstream.
 
     Yields:
         The fleet, once every daemon knows every upstream; killed on exit.
@@ -166,6 +169,6 @@
                 fleet.advertised_addresses[relayed] = address
                 mesh.relay = TcpRelay(fleet.peer_addresses[relayed])
                 nursery.start_soon(mesh.relay.serve, address)
-            await mesh.start()
+            await mesh.start(*upstream_options)
             yield mesh
             nursery.cancel_scope.cancel()
