Answer a fault of an admin handler with 500

Cause: any exception in a handler of the admin interface ended the daemon and the calls it carried; GET /state had done so after a refusal. Conclusion: the server answers 500 with the kind of error; a test shows service going on.

--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
@@ -167,6 +167,10 @@
             return await self._handler(request)
         except HttpProblemError as problem:
             return _describe_problem(problem.status, str(problem))
+        except Exception as error:
+            # A fault in one answer must not end the process that serves calls, too.
+            reason = f"internal error: {type(error).__name__}"
+            return _describe_problem(HTTPStatus.INTERNAL_SERVER_ERROR, reason)
 
     async def _read_body(self) -> bytes | None:
         chunks: list[bytes] = []
--- a/tests/platform/test_http_server.py
+++ b/tests/platform/test_http_server.py
@@ -28,6 +28,8 @@
 async def echo(request: HttpRequest) -> HttpAnswer:
     if request.path == "/problem":
         raise HttpProblemError(HTTPStatus.CONFLICT, "no")
+    if request.path == "/fault":
+        raise TypeError("a fault")
     return encode_answer({"path": request.path, "query": request.query, "size": len(request.body)})
 
 
@@ -65,6 +67,15 @@
 
         trio.run(run)
 
+    def test_a_fault_of_the_handler_is_answered_and_service_goes_on(self) -> None:
+        async def run() -> None:
+            async with open_server() as address, open_http_client(address) as client:
+                answer = await client.request("GET", "/fault")
+                self.assertEqual(answer.status, 500)
+                self.assertEqual((await client.request("GET", "/")).status, 200)
+
+        trio.run(run)
+
     def test_malformed_and_oversize_requests_are_refused_and_service_goes_on(self) -> None:
         async def run() -> None:
             async with open_server() as address, open_http_client(address) as client:
