--- a/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
@@ -14,6 +14,7 @@
     """Why a call was refused; the value is sent in the `Fulmarstile-Reason` header."""
 
     NO_ROUTE = "no-route"
+    NOT_READY = "not-ready"
     NO_CUSTOMER = "no-customer"
     NO_UPSTREAM = "no-upstream"
     RATE_LIMITED = "rate-limited"
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/call_context.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/call_context.py
@@ -63,6 +63,11 @@
         """Claims on at-most-once calls."""
         return self._claims
 
+    def is_starting(self, customer: str) -> bool:
+        """Tells whether a customer is served, but has no version in force yet."""
+        core = self._core
+        return customer in core.folds and customer not in core.routing_table.versions
+
     def is_quarantined(self, fingerprint: bytes) -> bool:
         """Tells whether a request is refused because it crashed upstreams."""
         return fingerprint in self._core.quarantine
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_entry.py
@@ -20,6 +20,8 @@
     from fulmarstile_daemon.calls._headers import MessageHeaders
     from fulmarstile_daemon.calls.context import CallContext
 
+_NOT_READY_RETRY_AFTER_S: Final = 1.0
+"""Delay after which a starting daemon is worth asking again, in seconds."""
 _FORWARDED_TIMEOUT_MS: Final = 60_000
 """Time allowed to a forwarded call that carries no deadline, in milliseconds."""
 _MAX_CUSTOMER_LENGTH: Final = 128
@@ -68,12 +70,24 @@
         caller.hop = hop
         return True
 
+    def _refuse_unrouted(self, customer: str) -> CallFailedError:
+        if not self._context.is_starting(customer):
+            return _refuse(RefusalReason.NO_ROUTE, f"customer {customer} has no route for it")
+        detail = f"no version of customer {customer} is in force here yet"
+        refusal = make_refusal(
+            RefusalReason.NOT_READY,
+            Verdict.NOT_RUN,
+            detail,
+            retry_after_s=_NOT_READY_RETRY_AFTER_S,
+        )
+        return CallFailedError(refusal)
+
     def _read_entering(self, request: h11.Request, headers: MessageHeaders, now: float) -> Call:
         path = _read_path(request.target)
         customer = self._read_customer(headers)
         route = self._context.routing_table.match(customer, request.method.decode(), path)
         if route is None:
-            raise _refuse(RefusalReason.NO_ROUTE, f"customer {customer} has no route for it")
+            raise self._refuse_unrouted(customer)
         remaining_ms = _read_remaining(headers)
         return Call(
             request=request,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/context.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/context.py
@@ -135,6 +135,17 @@
         """Claims on at-most-once calls; None refuses those calls."""
         ...
 
+    def is_starting(self, customer: str) -> bool:
+        """Tells whether a customer's configuration is awaited.
+
+        Args:
+            customer: Name of a customer.
+
+        Returns:
+            True if the daemon serves the customer, but has no version in force yet.
+        """
+        ...
+
     def is_quarantined(self, fingerprint: bytes) -> bool:
         """Tells whether a request is refused because it crashed upstreams.
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_calls_daemon.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_calls_daemon.py
@@ -38,6 +38,10 @@
     claims: None = None
     crashes: list[tuple[bytes, ...]] = field(default_factory=list)
 
+    def is_starting(self, customer: str) -> bool:
+        """See `CallContext.is_starting`."""
+        return False
+
     def is_quarantined(self, fingerprint: bytes) -> bool:
         """See `CallContext.is_quarantined`."""
         return False
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/call_proxies.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/call_proxies.py
@@ -68,6 +68,12 @@
     claims: Claims | None = None
     quarantined: set[bytes] = field(default_factory=set)
     crashes: list[tuple[bytes, ...]] = field(default_factory=list)
+    awaited: set[str] = field(default_factory=set)
+    """Customers whose configuration is awaited."""
+
+    def is_starting(self, customer: str) -> bool:
+        """See `CallContext.is_starting`."""
+        return customer in self.awaited
 
     def is_quarantined(self, fingerprint: bytes) -> bool:
         """See `CallContext.is_quarantined`."""
--- a/tests/daemon/test_calls_refusals.py
+++ b/tests/daemon/test_calls_refusals.py
@@ -81,6 +81,8 @@
             async with serve_daemon() as daemon:
                 stranger = make_request(headers={"Fulmarstile-Customer": "stranger"})
                 self._check(await daemon.call(stranger), "no-route", "NOT_RUN")
+                daemon.context.awaited.add("stranger")
+                self._check(await daemon.call(stranger), "not-ready", "NOT_RUN", retry=True)
                 self._check(await daemon.call(make_request("/a/../b")), "bad-request", "NOT_RUN")
                 large = make_request(headers={"X": "x" * 40_000})
                 self._check(await daemon.call(large), "bad-request", "NOT_RUN")
