Let a fault of a core cost one event instead of the daemon

Cause: an exception in a decision core, or a message over the frame limit, ended the daemon and the calls of every customer on it. Conclusion: faults are counted in core_faults and logged; oversize messages are dropped and counted.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/core.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/core.py
@@ -40,6 +40,8 @@
     """Times a newer version was put in force."""
     endpoint_changes: int = 0
     """Times the set of usable upstreams changed."""
+    faults: int = 0
+    """Events that a core failed on; expected to stay 0."""
 
 
 class DaemonCore:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
@@ -19,7 +19,7 @@
 from fulmarstile_wire.records import UpstreamStatus
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from fulmarstile_calls.upstream_lease import UpstreamAnnouncement
     from fulmarstile_daemon.core import DaemonCore
@@ -107,7 +107,7 @@
         """Feeds messages from other daemons to the core until cancelled."""
         while True:
             message = await self._links.receive()
-            self._carry_out(self._core.on_message(message, self.now))
+            self._feed(self._core.on_message, message)
 
     async def run_ticks(self) -> None:
         """Feeds the passing of time to the core until cancelled."""
@@ -116,7 +116,7 @@
             if self._lease.on_tick(self.now):
                 logger.warning("upstream lease expired")
                 self._follow_lease()
-            self._carry_out(self._core.on_tick(self.now))
+            self._feed(self._core.on_tick)
             await trio.sleep(TICK_INTERVAL_S)
 
     async def run_claims(self) -> None:
@@ -124,7 +124,7 @@
         while True:
             due_at = self._core.claims_due_at
             if due_at is not None and due_at <= self.now:
-                self._carry_out(self._core.on_claims_due(self.now))
+                self._feed(self._core.on_claims_due)
                 due_at = self._core.claims_due_at
             with trio.move_on_at(math.inf if due_at is None else due_at):
                 await self._claims_changed.wait()
@@ -181,19 +181,29 @@
 
     def on_log_page(self, stream: str, page: LogPage) -> None:
         """Feeds a page of the log to the core."""
-        self._carry_out(self._core.on_log_page(stream, page, self.now))
+        self._feed(self._core.on_log_page, stream, page)
 
     def on_log_failure(self, stream: str) -> None:
         """Feeds a failed read to the core."""
-        self._carry_out(self._core.on_log_failure(stream, self.now))
+        self._feed(self._core.on_log_failure, stream)
 
     def on_append_done(self, stream: str, offset: int) -> None:
         """Feeds an append that succeeded to the core."""
-        self._carry_out(self._core.on_append_done(stream, offset, self.now))
+        self._feed(self._core.on_append_done, stream, offset)
 
     def on_append_failure(self, stream: str, verdict: Verdict) -> None:
         """Feeds an append that failed to the core."""
-        self._carry_out(self._core.on_append_failure(stream, verdict, self.now))
+        self._feed(self._core.on_append_failure, stream, verdict)
+
+    def _feed(self, decide: Callable[..., list[Effect]], *event: object) -> None:
+        try:
+            effects = decide(*event, self.now)
+        except Exception:
+            # A fault that one customer's event brings out must not end the calls of the others.
+            self._core.counters.faults += 1
+            logger.exception("a decision core failed", handler=decide.__name__)
+            return
+        self._carry_out(effects)
 
     def _make_call_context(self) -> CoreCallContext:
         return CoreCallContext(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/peers/links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/peers/links.py
@@ -48,7 +48,7 @@
     received_messages: int = 0
     received_bytes: int = 0
     dropped_messages: int = 0
-    """Messages not sent because the link was full or could not be dialled."""
+    """Messages not sent because they were oversize, or the link was full or not dialled."""
     refused_frames: int = 0
     """Frames received that were malformed or not authenticated."""
     dialled: int = 0
@@ -81,10 +81,10 @@
             address: `host:port` of the peer's listener.
             message: Message to send.
         """
-        frame = seal_frame(encode_message(message), self._key)
         try:
+            frame = seal_frame(encode_message(message), self._key)
             self._get_link(address).send(frame, block=False)
-        except (pynng.NNGException, ValueError):
+        except (pynng.NNGException, WireError):
             self._counters.dropped_messages += 1
             return
         self._counters.sent_messages += 1
--- a/tests/daemon/test_peer_links.py
+++ b/tests/daemon/test_peer_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 import trio
@@ -10,8 +11,9 @@
 from fulmarstile_daemon.peers.links import SEND_BUFFER_MESSAGES, PeerListenError
 from fulmarstile_daemon.peers.seal import open_frame, seal_frame
 from fulmarstile_testing.fleet import find_free_ports
+from fulmarstile_wire.codec import MAX_FRAME_BYTES
 from fulmarstile_wire.errors import WireError
-from fulmarstile_wire.messages import Probe
+from fulmarstile_wire.messages import Probe, SnapshotOffer
 
 KEY = bytes(32)
 OTHER_KEY = bytes([1]) * 32
@@ -63,6 +65,16 @@
 
         trio.run(run)
 
+    def test_an_oversize_message_is_dropped_and_counted(self) -> None:
+        async def run() -> None:
+            first, second = build_addresses(2)
+            with open_peer_links(first, KEY) as sender:
+                payload = random.Random(1).randbytes(MAX_FRAME_BYTES)
+                sender.send(second, SnapshotOffer("a", first, "laundry", payload))
+                self.assertEqual(sender.counters.dropped_messages, 1)
+
+        trio.run(run)
+
     def test_an_address_in_use_is_a_clear_error(self) -> None:
         (address,) = build_addresses(1)
         with (
