--- a/packages/fulmarstile_testing/src/fulmarstile_testing/probe.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/probe.py
@@ -20,7 +20,7 @@
 POLL_INTERVAL_S: Final = 0.05
 """Time between two looks at a condition, in seconds."""
 
-CONDITION_TIMEOUT_S: Final = 20.0
+CONDITION_TIMEOUT_S: Final = 60.0
 """Time after which a condition that still does not hold is an error, in seconds."""
 
 
