--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/main.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/main.py
@@ -31,6 +31,27 @@
 """Section of the settings that each error of a listener concerns."""
 
 
+HELP: Final = """\
+usage: fulmarstiled --settings=FILE
+
+Carries calls, guards the slots of the upstream on this VM, and keeps the configuration of its
+customers up to date. SIGTERM stops it once the calls in flight have ended; a second one stops
+it at once.
+
+flags:
+  --settings: INI file; docs/SETTINGS.md describes every key.
+
+exit codes:
+  0  stopped in an orderly way
+  1  unexpected error
+  2  the command line or the settings are not valid
+  3  an address cannot be listened at
+"""
+"""What `--help` prints."""
+
+_HELP_FLAGS: Final = frozenset({"--help", "-help", "-h"})
+
+
 class ExitCode(enum.IntEnum):
     """Exit codes of `fulmarstiled`."""
 
@@ -74,6 +95,9 @@
 
 def run() -> None:
     """Runs the daemon as a command."""
+    if _HELP_FLAGS.intersection(sys.argv[1:]):
+        print(HELP, end="")
+        return
     app.run(main)
 
 
