--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/api.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/api.py
@@ -10,7 +10,6 @@
 
 from fulmarstile_calls.upstream_lease import AnnouncementError, UpstreamAnnouncement
 from fulmarstile_daemon.admin.views import (
-    AnnouncementBody,
     describe_convergence,
     describe_customer,
     describe_member,
@@ -18,6 +17,7 @@
 )
 from fulmarstile_mesh import convergence
 from fulmarstile_platform.http_server import HttpAnswer, HttpProblemError, encode_answer
+from fulmarstile_wire.admin import AnnouncementBody
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/views.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/views.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from fulmarstile_wire.admin import (
     ConvergenceView,
     CustomerView,
@@ -25,20 +23,6 @@
     from fulmarstile_wire.records import MemberRecord, UpstreamRecord
 
 
-class AnnouncementBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Body with which an upstream announces itself or renews its lease."""
-
-    service: str
-    address: str
-    """`host:port` of the upstream, on this VM."""
-    slots: int
-    connections: int
-    status: str = "ready"
-    """`ready` or `draining`."""
-    ttl_s: float = 10.0
-    """Time after which the upstream counts as gone unless it renews, in seconds."""
-
-
 def describe_customer(fold: CustomerFold) -> CustomerView:
     """Returns the view of a customer's fold."""
     head = fold.head
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
@@ -22,17 +22,15 @@
 from absl import app, flags
 from loguru import logger
 
+from fulmarstile_platform.http import HttpError
+from fulmarstile_testing.upstream_announcing import announce, announce_forever
+
 _COUNTS_PATH: Final = b"/__stand_in/counts"
 _READ_SIZE: Final = 64 * 1024
 _CHUNK_SIZE: Final = 16 * 1024
-_ANNOUNCE_TIMEOUT_S: Final = 1.0
-_ANNOUNCE_ERRORS: Final = (
-    OSError,
-    trio.BrokenResourceError,
-    trio.TooSlowError,
-    h11.RemoteProtocolError,
-)
 _DRAIN_POLL_S: Final = 0.02
+_DRAIN_QUIET_S: Final = 0.5
+"""Time without a request after which a draining stand-in exits, in seconds."""
 _NO_BODY_STATUSES: Final = (204, 304)
 _CRASH_EXIT_CODE: Final = 70
 _LINGER_NONE: Final = struct.pack("ii", 1, 0)
@@ -79,17 +77,6 @@
     """Requests whose connection was closed before their answer was sent."""
 
 
-class Announcement(msgspec.Struct, frozen=True):
-    """Body of `PUT /v1/upstream`."""
-
-    service: str
-    address: str
-    slots: int
-    connections: int
-    status: str
-    ttl_s: float
-
-
 class Answered(msgspec.Struct, frozen=True):
     """Body of an answer."""
 
@@ -340,75 +327,6 @@
     return ""
 
 
-async def announce(admin: str, announcement: Announcement) -> None:
-    """Announces an upstream to the daemon beside it.
-
-    Args:
-        admin: `host:port` of the daemon's admin listener.
-        announcement: What is announced.
-
-    Raises:
-        OSError: If the daemon cannot be reached.
-        h11.RemoteProtocolError: If its answer is malformed.
-    """
-    host, _, port = admin.rpartition(":")
-    body = msgspec.json.encode(announcement)
-    http = h11.Connection(h11.CLIENT)
-    head = h11.Request(
-        method="PUT",
-        target="/v1/upstream",
-        headers=[
-            ("Host", admin),
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-            ("Connection", "close"),
-        ],
-    )
-    async with await trio.open_tcp_stream(host, int(port)) as stream:
-        data = http.send(head) + http.send(h11.Data(data=body)) + http.send(h11.EndOfMessage())
-        await stream.send_all(data)
-        while (event := http.next_event()) is h11.NEED_DATA:
-            http.receive_data(await stream.receive_some(_READ_SIZE))
-    if not isinstance(event, h11.Response) or event.status_code >= 300:
-        raise OSError(f"the daemon refused the announcement: {event}")
-
-
-async def announce_forever(upstream: UpstreamStandIn, admin: str, ttl_s: float) -> None:
-    """Announces a ready upstream until cancelled, three times in its lease's lifetime.
-
-    Args:
-        upstream: The upstream.
-        admin: `host:port` of its daemon's admin listener.
-        ttl_s: Lifetime of an announcement, in seconds.
-    """
-    is_known = True
-    while True:
-        try:
-            await _announce_status(upstream, admin, "ready", ttl_s)
-            is_known = True
-        except _ANNOUNCE_ERRORS as error:
-            if is_known:
-                logger.warning("announcing to {} failed: {}", admin, error)
-            is_known = False
-        await trio.sleep(ttl_s / 3 if is_known else min(ttl_s / 3, 0.2))
-
-
-async def _announce_status(
-    upstream: UpstreamStandIn, admin: str, status: str, ttl_s: float
-) -> None:
-    settings = upstream.settings
-    announcement = Announcement(
-        settings.service,
-        upstream.address,
-        settings.slots,
-        settings.connections,
-        status,
-        ttl_s,
-    )
-    with trio.fail_after(_ANNOUNCE_TIMEOUT_S):
-        await announce(admin, announcement)
-
-
 async def run_process(settings: StandInSettings, admin: str, ttl_s: float) -> None:
     """Runs a stand-in until SIGTERM or SIGINT, then drains it.
 
@@ -443,8 +361,8 @@
 async def _drain(upstream: UpstreamStandIn, admin: str, ttl_s: float) -> None:
     """Announces the end, and stops once no new work can be on its way."""
     try:
-        await _announce_status(upstream, admin, "draining", ttl_s)
-    except _ANNOUNCE_ERRORS as error:
+        await announce(upstream, admin, "draining", ttl_s)
+    except HttpError as error:
         logger.warning("announcing the end failed: {}", error)
     idle_since = trio.current_time()
     while trio.current_time() - idle_since < _DRAIN_QUIET_S:
@@ -453,9 +371,6 @@
         await trio.sleep(_DRAIN_POLL_S)
 
 
-_DRAIN_QUIET_S: Final = 0.5
-"""Time without a request after which a draining stand-in exits, in seconds."""
-
 _FLAGS = flags.FLAGS
 
 
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/admin.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/admin.py
@@ -92,3 +92,17 @@
     """Body of an answer that is not a success."""
 
     error: str = ""
+
+
+class AnnouncementBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body with which an upstream announces itself or renews its lease."""
+
+    service: str
+    address: str
+    """`host:port` of the upstream, on this VM."""
+    slots: int
+    connections: int
+    status: str = "ready"
+    """`ready` or `draining`."""
+    ttl_s: float = 10.0
+    """Time after which the upstream counts as gone unless it renews, in seconds."""
--- a/tests/testing/test_upstream_stand_in.py
+++ b/tests/testing/test_upstream_stand_in.py
@@ -6,11 +6,8 @@
 
 import trio
 
-from fulmarstile_testing.upstream_stand_in import (
-    StandInSettings,
-    UpstreamStandIn,
-    announce_forever,
-)
+from fulmarstile_testing.upstream_announcing import announce_forever
+from fulmarstile_testing.upstream_stand_in import StandInSettings, UpstreamStandIn
 
 ACCEPTED = b"HTTP/1.1 204 No Content\r\n\r\n"
 
