--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/core.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/core.py
@@ -147,7 +147,7 @@
         Returns:
             Effects for the shell.
         """
-        return self._carry_out([MembersChanged()], now)
+        return self.carry_out([MembersChanged()], now)
 
     def on_message(self, message: AnyMessage, now: float) -> list[Effect]:
         """Handles a message from another daemon.
@@ -160,7 +160,7 @@
             Effects for the shell.
         """
         handler = self._handlers[type(message)]
-        return self._carry_out(handler(message, now), now)
+        return self.carry_out(handler(message, now), now)
 
     def on_tick(self, now: float) -> list[Effect]:
         """Handles the passing of time; called about every 100 ms."""
@@ -168,11 +168,11 @@
         effects += self._relay.on_tick(now)
         effects += self._requester.on_tick(now)
         effects += self._batchers.on_tick(now)
-        return self._carry_out(effects, now)
+        return self.carry_out(effects, now)
 
     def on_claims_due(self, now: float) -> list[Effect]:
         """Begins the appends of claims that are due between two ticks."""
-        return self._carry_out(self._batchers.on_tick(now), now)
+        return self.carry_out(self._batchers.on_tick(now), now)
 
     def on_log_page(self, stream: str, page: LogPage, now: float) -> list[Effect]:
         """Handles a page that was read from the log."""
@@ -183,23 +183,23 @@
             effects = self._batchers.on_log_page(stream, page, now)
         else:
             effects = self._relay.on_log_page(stream, page, now)
-        return self._carry_out(effects, now)
+        return self.carry_out(effects, now)
 
     def on_log_failure(self, stream: str, now: float) -> list[Effect]:
         """Handles a read of the log that failed."""
         if stream == RENDEZVOUS_STREAM:
             return []
         if stream.startswith(CLAIMS_PREFIX):
-            return self._carry_out(self._batchers.on_log_failure(stream, now), now)
-        return self._carry_out(self._relay.on_log_failure(stream, now), now)
+            return self.carry_out(self._batchers.on_log_failure(stream, now), now)
+        return self.carry_out(self._relay.on_log_failure(stream, now), now)
 
     def on_append_done(self, stream: str, offset: int, now: float) -> list[Effect]:
         """Handles an append that succeeded."""
         if stream == RENDEZVOUS_STREAM:
             return []
         if stream.startswith(CLAIMS_PREFIX):
-            return self._carry_out(self._batchers.on_append_done(stream, offset, now), now)
-        return self._carry_out(self._relay.on_append_done(stream, offset, now), now)
+            return self.carry_out(self._batchers.on_append_done(stream, offset, now), now)
+        return self.carry_out(self._relay.on_append_done(stream, offset, now), now)
 
     def on_append_failure(self, stream: str, verdict: Verdict, now: float) -> list[Effect]:
         """Handles an append that failed.
@@ -215,47 +215,45 @@
         if stream == RENDEZVOUS_STREAM:
             return []
         if stream.startswith(CLAIMS_PREFIX):
-            return self._carry_out(self._batchers.on_append_failure(stream, verdict, now), now)
-        return self._carry_out(self._relay.on_append_failure(stream, now), now)
-
-    def carry_out(self, effects: Iterable[Effect], now: float) -> list[Effect]:
-        """Carries out effects that one of the cores returned to the shell.
-
-        Args:
-            effects: Effects of any core of this daemon.
-            now: Time in seconds.
-
-        Returns:
-            The effects that are left for the shell.
-        """
-        return self._carry_out(effects, now)
+            return self.carry_out(self._batchers.on_append_failure(stream, verdict, now), now)
+        return self.carry_out(self._relay.on_append_failure(stream, now), now)
 
     def announce_upstream(
         self, service: str, status: UpstreamStatus, slots: int, now: float
     ) -> list[Effect]:
         """Makes the state of the local upstream known to the mesh."""
         effects = self._membership.announce_upstream(service, status, slots, now)
-        return self._carry_out(effects, now)
+        return self.carry_out(effects, now)
 
     def report_crash(self, fingerprints: Iterable[bytes], now: float) -> list[Effect]:
         """Reports the requests that are suspected of a crash of the local upstream."""
         effects: list[Effect] = []
         for fingerprint in fingerprints:
             effects += self._membership.report_crash(fingerprint, now)
-        return self._carry_out(effects, now)
+        return self.carry_out(effects, now)
 
     def begin_leaving(self, now: float) -> list[Effect]:
         """Announces that this daemon takes no new calls."""
-        return self._carry_out(self._membership.begin_leaving(now), now)
+        return self.carry_out(self._membership.begin_leaving(now), now)
 
     def leave(self, now: float) -> list[Effect]:
         """Announces that this daemon stops now."""
-        return self._carry_out(self._membership.leave(now), now)
+        return self.carry_out(self._membership.leave(now), now)
 
-    def _carry_out(self, effects: Iterable[Effect], now: float) -> list[Effect]:
+    def carry_out(self, effects: Iterable[Effect], now: float) -> list[Effect]:
+        """Puts the effects that concern this daemon itself in force.
+
+        Args:
+            effects: Effects of any core of this daemon.
+            now: Time in seconds.
+
+        Returns:
+            The effects that are left for the shell.
+        """
         remaining: list[Effect] = []
         members_changed = False
         pending = list(effects)
+        # Applying a version adds effects to the end of the list that is walked.
         for effect in pending:
             if isinstance(effect, Apply):
                 pending += self._apply(effect.customer, now)
