--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
-PACKAGES := wire platform config mesh calls daemon cli testing
-EDITABLE := $(foreach name,$(PACKAGES),-e packages/fulmarstile_$(name))
+PACKAGES := wire http platform config mesh calls services daemon cli testing
+EDITABLE := $(foreach name,$(PACKAGES),-e packages/fulmarstile_$(name)) -e platform/fulmarstile_adapter
 SEEDS ?= 200
 TEST_JOBS ?= 4
 
@@ -21,12 +21,12 @@
 		xargs -P $(TEST_JOBS) -I{} $(VENV)/bin/python -m unittest discover -s {} -t . -b
 
 lint: setup
-	$(VENV)/bin/black --check -q packages tests
-	$(VENV)/bin/ruff check -q packages tests
+	$(VENV)/bin/black --check -q packages platform tests
+	$(VENV)/bin/ruff check -q packages platform tests
 
 format: setup
-	$(VENV)/bin/black -q packages tests
-	$(VENV)/bin/ruff check -q --fix packages tests
+	$(VENV)/bin/black -q packages platform tests
+	$(VENV)/bin/ruff check -q --fix packages platform tests
 
 demo: setup
 	$(VENV)/bin/python -m fulmarstile_testing.demo
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
@@ -32,6 +32,8 @@
     CONNECTION_LOST = "connection-lost"
     TIMEOUT = "timeout"
     TRUNCATED = "truncated"
+    UPSTREAM_FAILED = "upstream-failed"
+    """The upstream answered with a failure that must not be passed on as it is."""
     BAD_REQUEST = "bad-request"
     KEY_COMPLETED = "key-completed"
     """The request ran under its key, but its answer is not stored."""
--- a/packages/fulmarstile_config/src/fulmarstile_config/document.py
+++ b/packages/fulmarstile_config/src/fulmarstile_config/document.py
@@ -11,6 +11,20 @@
 
 import msgspec
 
+from fulmarstile_wire.priority import Priority
+
+__all__ = [
+    "Document",
+    "Limit",
+    "Pool",
+    "Priority",
+    "RetryRule",
+    "Route",
+    "SectionKind",
+    "Service",
+    "Team",
+]
+
 
 class SectionKind(enum.Enum):
     """What a section configures."""
@@ -23,15 +37,6 @@
     ROUTES = "routes"
 
 
-class Priority(enum.IntEnum):
-    """Admission class of a route; a lower value is served first."""
-
-    CRITICAL = 0
-    HIGH = 1
-    NORMAL = 2
-    LOW = 3
-
-
 class Team(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A team, its public key and the sections it owns."""
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
@@ -10,11 +10,11 @@
 from fulmarstile_calls.balancing import CallSample
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.calls._call import CallerGoneError, CallFailedError, make_refusal
-from fulmarstile_daemon.calls._client import ExchangeError
 from fulmarstile_daemon.calls._exchange import Exchange
 from fulmarstile_daemon.calls._hop import for_upstream
-from fulmarstile_daemon.calls._pool import ConnectionPool, PoolExhaustedError
 from fulmarstile_daemon.calls.context import StoredAnswer
+from fulmarstile_http.client_connection import ExchangeError
+from fulmarstile_http.connection_pool import ConnectionPool, PoolExhaustedError
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -24,11 +24,11 @@
     from fulmarstile_calls.request import CallRefusal, UpstreamEndpoint
     from fulmarstile_daemon.calls._call import Call
     from fulmarstile_daemon.calls._caller import CallerConnection
-    from fulmarstile_daemon.calls._client import ClientConnection
     from fulmarstile_daemon.calls._exchange import Answer
     from fulmarstile_daemon.calls._hop import HopHeaders
     from fulmarstile_daemon.calls._local import LocalUpstream
     from fulmarstile_daemon.calls.settings import CallSettings
+    from fulmarstile_http.client_connection import ClientConnection
 
 _ROOM_REASONS: Final = frozenset({RefusalReason.QUEUE_FULL, RefusalReason.DEADLINE})
 """Refusals that say that an upstream has no room."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -17,13 +17,14 @@
     refusal_headers,
 )
 from fulmarstile_daemon.calls._headers import MessageHeaders, checked_headers, read_headers
+from fulmarstile_http.request_checks import MalformedRequestError, check_framing, check_lines
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
     from fulmarstile_calls.request import CallRefusal
     from fulmarstile_daemon.calls._headers import Header
-    from fulmarstile_daemon.calls._stream import ByteStream
     from fulmarstile_daemon.calls.settings import CallSettings
+    from fulmarstile_http.byte_stream import ByteStream
 
 _HEAD_END: Final = b"\r\n\r\n"
 _LINGER_S: Final = 1.0
@@ -107,12 +108,15 @@
         if end > self._settings.head_limit:
             raise _bad_request("the request head is too large", status=431)
         self.is_idle = False
-        _check_lines(received[: end + 2])
-        event = self._parse()
-        if type(event) is not h11.Request:
-            raise _bad_request("no request")
-        headers = read_headers(event)
-        _check_framing(event, headers)
+        try:
+            check_lines(received[: end + 2])
+            event = self._parse()
+            if type(event) is not h11.Request:
+                raise _bad_request("no request")
+            headers = read_headers(event)
+            check_framing(event, headers)
+        except MalformedRequestError as error:
+            raise _bad_request(str(error), status=error.status) from error
         if event.http_version != b"1.1":
             _add_host(headers)
         return ReceivedRequest(event, headers)
@@ -295,25 +299,6 @@
     )
 
 
-def _check_lines(head: bytes) -> None:
-    """Refuses line ends and continuation lines that other parsers read differently."""
-    lines = head.count(b"\r\n")
-    if head.count(b"\n") != lines or head.count(b"\r") != lines:
-        raise _bad_request("a line of the request head does not end in CR LF")
-    if b"\n " in head or b"\n\t" in head:
-        raise _bad_request("a header is continued on the next line")
-
-
-def _check_framing(request: h11.Request, headers: MessageHeaders) -> None:
-    """Refuses requests whose body length is ambiguous."""
-    if headers.is_chunked and (
-        headers.content_length is not None or request.http_version != b"1.1"
-    ):
-        raise _bad_request("Transfer-Encoding conflicts with Content-Length or HTTP/1.0")
-    if request.method in (b"CONNECT", b"TRACE"):
-        raise _bad_request("the method is not supported", status=501)
-
-
 def _add_host(headers: MessageHeaders) -> None:
     """Adds the header that HTTP/1.1 demands of the request that is passed on."""
     if all(name != b"host" for name, _ in headers.passed_on):
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_exchange.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_exchange.py
@@ -10,7 +10,7 @@
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.calls import _headers
 from fulmarstile_daemon.calls._call import CallFailedError, make_refusal
-from fulmarstile_daemon.calls._client import ClientConnection, ExchangeError, request_head
+from fulmarstile_http.client_connection import ClientConnection, ExchangeError, request_head
 from fulmarstile_wire.errors import VerdictError
 from fulmarstile_wire.verdict import Verdict
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
@@ -22,9 +22,9 @@
 )
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.calls._call import CallFailedError
-from fulmarstile_daemon.calls._client import ExchangeError
-from fulmarstile_daemon.calls._pool import ConnectionPool, PoolExhaustedError
 from fulmarstile_daemon.calls.dump import PoolDump
+from fulmarstile_http.client_connection import ExchangeError
+from fulmarstile_http.connection_pool import ConnectionPool, PoolExhaustedError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -19,12 +19,12 @@
 from fulmarstile_daemon.calls._caller import CallerConnection
 from fulmarstile_daemon.calls._entry import CallReader
 from fulmarstile_daemon.calls._hop import HopHeaders
-from fulmarstile_daemon.calls._listener import OutOfDescriptorsError, listen
 from fulmarstile_daemon.calls._local import LocalUpstream, dump_pool
 from fulmarstile_daemon.calls._runner import CallRunner
 from fulmarstile_daemon.calls._watch import CallWatch
 from fulmarstile_daemon.calls.counters import CallCounters
 from fulmarstile_daemon.calls.dump import CallDump
+from fulmarstile_http.listener import OutOfDescriptorsError, listen
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -33,10 +33,10 @@
     from fulmarstile_calls.retries import RetryPolicy
     from fulmarstile_daemon.calls._call import Call
     from fulmarstile_daemon.calls._caller import ReceivedRequest
-    from fulmarstile_daemon.calls._listener import CallListener
-    from fulmarstile_daemon.calls._stream import ByteStream
     from fulmarstile_daemon.calls.context import CallContext
     from fulmarstile_daemon.calls.settings import CallSettings
+    from fulmarstile_http.byte_stream import ByteStream
+    from fulmarstile_http.listener import CallListener
 
 _TICK_S: Final = 0.05
 """Interval at which deadlines of waiting calls and leaving callers are checked, in seconds."""
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -0,0 +1,97 @@
+"""A request on its way from its caller to an upstream."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from fulmarstile_services.retry_policy import AttemptRecord
+from fulmarstile_wire.services import HopOutcome, MemberPhase
+
+if TYPE_CHECKING:
+    from fulmarstile_calls.request import RefusalReason
+    from fulmarstile_daemon.services._exchange import Answer
+    from fulmarstile_daemon.services._server_connection import ReceivedRequest
+    from fulmarstile_services.document import ServiceRoute
+    from fulmarstile_wire.verdict import Verdict
+
+
+@dataclass(slots=True)
+class ServiceCall:
+    """A caller's request with its route."""
+
+    request: ReceivedRequest
+    request_id: str
+    route: ServiceRoute
+    service: str
+    caller_service: str
+    deadline: float
+    """Time by which the caller needs the answer, in seconds."""
+    useful_until: float
+    """Time until which waiting for a slot is of use, in seconds."""
+    document_version: int
+    fingerprint: bytes
+    record: AttemptRecord = field(default_factory=AttemptRecord)
+    last_daemon: str = ""
+    last_upstream: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """How one attempt ended."""
+
+    outcome: HopOutcome
+    answer: Answer | None = None
+    """Answer of the upstream, if a whole one arrived."""
+
+    @property
+    def is_good(self) -> bool:
+        """Whether the upstream answered and did not fail."""
+        return self.answer is not None and self.answer.status < 500
+
+
+def make_failure(
+    verdict: Verdict,
+    reason: RefusalReason,
+    *,
+    reached_upstream: bool = False,
+    retry_after_s: float = 0.0,
+    phase: MemberPhase = MemberPhase.SERVING,
+) -> HopOutcome:
+    """Makes the outcome of an attempt without an answer.
+
+    Args:
+        verdict: Whether the request may have run.
+        reason: Why there is no answer.
+        reached_upstream: Whether an upstream saw the request.
+        retry_after_s: Earliest useful time to try again, in seconds.
+        phase: Whether the upstream there takes requests.
+
+    Returns:
+        The outcome.
+    """
+    return HopOutcome(
+        verdict,
+        reason.value,
+        retry_after_ms=int(retry_after_s * 1000),
+        reached_upstream=reached_upstream,
+        phase=phase,
+    )
+
+
+def fingerprint(caller_service: str, request: ReceivedRequest) -> bytes:
+    """Computes what a request is recognized by when it comes again.
+
+    Args:
+        caller_service: Service on the VM where it began.
+        request: The request.
+
+    Returns:
+        Hash of caller, method, target and body.
+    """
+    digest = xxhash.xxh3_64(caller_service.encode())
+    digest.update(request.head.method + b" " + request.head.target)
+    digest.update(request.body)
+    return digest.digest()
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_following.py
@@ -0,0 +1,74 @@
+"""Follows one topic of the store."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+from fulmarstile_daemon.services.events import DependencyLost, DependencyRegained
+from fulmarstile_platform.keyed_log import RecordsExpiredError
+from fulmarstile_platform.log import LogError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from fulmarstile_daemon.services.event_log import EventLog
+    from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
+
+_WAIT_S: Final = 25.0
+"""Longest wait of one read, in seconds."""
+_PAUSE_S: Final = 0.25
+"""Pause after records arrived, so that changes in quick succession cost one read."""
+_FIRST_BACKOFF_S: Final = 0.15
+_MAX_BACKOFF_S: Final = 0.8
+
+
+async def follow_topic(
+    store: KeyedLog,
+    topic: str,
+    take: Callable[[Iterable[KeyedRecord]], None],
+    log: EventLog,
+    on_current: Callable[[], None] | None = None,
+) -> None:
+    """Hands over the newest records of a topic and then the later ones, until cancelled.
+
+    Args:
+        store: The platform's store.
+        topic: Name of the topic.
+        take: Takes records in order.
+        log: Log of the daemon.
+        on_current: Called whenever all records that were there have been taken.
+    """
+    offset: int | None = None
+    backoff_s = _FIRST_BACKOFF_S
+    lost_at: float | None = None
+    while True:
+        try:
+            if offset is None:
+                page = await store.newest(topic)
+            else:
+                page = await store.read_keyed(topic, offset, _WAIT_S)
+        except RecordsExpiredError:
+            offset = None
+            continue
+        except LogError as error:
+            if lost_at is None:
+                lost_at = trio.current_time()
+                log.write(DependencyLost(dependency=f"store {topic}", reason=str(error)))
+            await trio.sleep(backoff_s * random.uniform(0.5, 1.0))
+            backoff_s = min(_MAX_BACKOFF_S, backoff_s * 2)
+            continue
+        if lost_at is not None:
+            after_s = trio.current_time() - lost_at
+            log.write(DependencyRegained(dependency=f"store {topic}", after_s=round(after_s, 2)))
+            lost_at = None
+        backoff_s = _FIRST_BACKOFF_S
+        offset = page.next_offset
+        if page.records:
+            take(page.records)
+        if on_current is not None:
+            on_current()
+        if page.records:
+            await trio.sleep(_PAUSE_S)
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -0,0 +1,201 @@
+"""Serves requests of callers or of other daemons on one address."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+import trio
+from loguru import logger
+
+from fulmarstile_daemon.services._server_connection import (
+    CallerLeftError,
+    Reply,
+    ServerConnection,
+)
+from fulmarstile_daemon.services.events import CallerLeft
+from fulmarstile_http.listener import OutOfDescriptorsError, listen
+from fulmarstile_http.request_checks import MalformedRequestError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from fulmarstile_daemon.services._server_connection import ReceivedRequest
+    from fulmarstile_daemon.services.event_log import EventLog
+    from fulmarstile_http.byte_stream import ByteStream
+    from fulmarstile_http.listener import CallListener
+    from fulmarstile_services.document import RequestLimits
+
+_WATCH_S: Final = 0.1
+"""Interval at which callers that have left are looked for, in seconds."""
+_SWEEP_S: Final = 0.5
+"""Interval at which idle connections are looked for, in seconds."""
+_ACCEPT_PAUSE_S: Final = 0.05
+
+
+class RequestServer:
+    """Accepts connections and answers their requests one after the other.
+
+    A request whose sender closes the connection is cancelled.
+
+    Args:
+        answer: Answers a request.
+        limits: Returns the limits in force.
+        connection_limit: Most connections held open.
+        log: Log of the daemon.
+        id_header: Name of the header that identifies a request in the log.
+    """
+
+    def __init__(
+        self,
+        answer: Callable[[ReceivedRequest], Awaitable[Reply]],
+        limits: Callable[[], RequestLimits],
+        connection_limit: int,
+        log: EventLog,
+        id_header: bytes,
+    ) -> None:
+        self._answer = answer
+        self._limits = limits
+        self._connection_limit = connection_limit
+        self._log = log
+        self._id_header = id_header
+        self._connections: dict[ServerConnection, None] = {}
+        self._in_flight: dict[ServerConnection, trio.CancelScope] = {}
+        self._is_closing = False
+        self.callers_left = 0
+        """Requests whose sender left before the answer."""
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have no answer yet."""
+        return len(self._in_flight)
+
+    @property
+    def connections(self) -> int:
+        """Connections open."""
+        return len(self._connections)
+
+    async def serve(
+        self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Accepts and serves connections until cancelled.
+
+        Args:
+            address: `host:port` to listen at.
+            task_status: Told the address that is listened at.
+
+        Raises:
+            OSError: If the address cannot be listened at.
+        """
+        with listen(address) as listener:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_forever)
+                nursery.start_soon(self._sweep_forever)
+                task_status.started(listener.address)
+                await self._accept_forever(listener, nursery)
+
+    def begin_closing(self) -> None:
+        """Closes every connection after its next answer."""
+        self._is_closing = True
+        for connection in self._connections:
+            connection.must_close = True
+
+    async def _accept_forever(self, listener: CallListener, nursery: trio.Nursery) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OutOfDescriptorsError as error:
+                logger.warning("cannot accept a connection: {}", error)
+                self._evict_idle()
+                await trio.sleep(_ACCEPT_PAUSE_S)
+                continue
+            if len(self._connections) >= self._connection_limit:
+                self._evict_idle()
+            nursery.start_soon(self._serve_connection, stream)
+
+    async def _serve_connection(self, stream: ByteStream) -> None:
+        connection = ServerConnection(stream, self._limits)
+        connection.must_close = self._is_closing
+        self._connections[connection] = None
+        try:
+            await self._serve_requests(connection)
+        except CallerLeftError:
+            connection.end()
+        except Exception:
+            # A fault in one request must not end the daemon.
+            logger.exception("serving a connection failed")
+            connection.end()
+        except BaseException:
+            connection.end()
+            raise
+        finally:
+            del self._connections[connection]
+
+    async def _serve_requests(self, connection: ServerConnection) -> None:
+        while True:
+            try:
+                request = await connection.receive_request()
+            except MalformedRequestError as error:
+                connection.must_close = True
+                await connection.send(make_error_reply(error.status, str(error)))
+                break
+            if request is None:
+                connection.end()
+                return
+            reply = await self._run(connection, request)
+            await connection.send(reply)
+            if not connection.may_continue:
+                break
+        await connection.close()
+
+    async def _run(self, connection: ServerConnection, request: ReceivedRequest) -> Reply:
+        scope = self._in_flight[connection] = trio.CancelScope()
+        try:
+            with scope:
+                return await self._answer(request)
+        finally:
+            del self._in_flight[connection]
+        self.callers_left += 1
+        elapsed_ms = (trio.current_time() - request.arrived_at) * 1000
+        self._log.write(
+            CallerLeft(request_id=request.headers.find(self._id_header), elapsed_ms=elapsed_ms)
+        )
+        raise CallerLeftError
+
+    async def _watch_forever(self) -> None:
+        while True:
+            await trio.sleep(_WATCH_S)
+            for connection, scope in self._in_flight.items():
+                if connection.has_ended:
+                    scope.cancel()
+
+    async def _sweep_forever(self) -> None:
+        while True:
+            await trio.sleep(_SWEEP_S)
+            oldest = trio.current_time() - self._limits().idle_timeout_s
+            for connection in self._connections:
+                if connection.is_idle and connection.idle_since < oldest:
+                    connection.idle_scope.cancel()
+
+    def _evict_idle(self) -> None:
+        """Closes the connection that has waited longest for a request, if any waits."""
+        idle = [each for each in self._connections if each.is_idle]
+        if idle:
+            min(idle, key=lambda each: each.idle_since).idle_scope.cancel()
+
+
+def make_error_reply(status: int, detail: str, retry_after_s: float = 0.0) -> Reply:
+    """Makes an answer of the daemon's own.
+
+    Args:
+        status: HTTP status.
+        detail: What is wrong, in plain words.
+        retry_after_s: Earliest useful time to ask again, in seconds; 0 for none.
+
+    Returns:
+        The answer.
+    """
+    headers = [(b"content-type", b"application/json")]
+    if retry_after_s > 0.0:
+        headers.append((b"retry-after", b"%.3f" % retry_after_s))
+    return Reply(status, headers, msgspec.json.encode({"error": detail}))
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -0,0 +1,415 @@
+"""The upstream on this VM: its slots, its connections and what it answers."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+import trio
+
+from fulmarstile_calls.admission import (
+    AdmissionSettings,
+    AdmissionTicket,
+    Admitted,
+    FairAdmission,
+    Refused,
+)
+from fulmarstile_calls.quarantine import Quarantine, QuarantineSettings
+from fulmarstile_calls.request import CallRefusal, RefusalReason
+from fulmarstile_daemon.services._call import AttemptResult, make_failure
+from fulmarstile_daemon.services._exchange import Exchange
+from fulmarstile_daemon.services._links import LinkSettings
+from fulmarstile_daemon.services.events import UpstreamChanged
+from fulmarstile_http.client_connection import ExchangeError
+from fulmarstile_http.connection_pool import ConnectionPool
+from fulmarstile_services.upstream_registry import UpstreamPhase
+from fulmarstile_wire.priority import Priority
+from fulmarstile_wire.services import HopOutcome, MemberPhase
+from fulmarstile_wire.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from fulmarstile_calls.admission import AdmissionEffect
+    from fulmarstile_daemon.services._exchange import Answer
+    from fulmarstile_daemon.services._server_connection import ReceivedRequest
+    from fulmarstile_daemon.services.event_log import EventLog
+    from fulmarstile_daemon.services.ports import CallHeaderNames
+    from fulmarstile_http.client_connection import ClientConnection
+    from fulmarstile_services.upstream_registry import UpstreamAnnouncement
+    from fulmarstile_wire.services import HopRequest
+
+_QUEUE_PER_SLOT: Final = 4
+"""Requests that may wait for each slot."""
+_UNSAFE_IDLE_S: Final = 0.5
+"""Idle time after which a connection is not used for a request that may run only once."""
+_DOWN_S: Final = 0.5
+"""Time for which an upstream that refuses connections gets no request, in seconds."""
+_MISDIRECTED: Final = 421
+_TICK_S: Final = 0.02
+_LINKS: Final = LinkSettings(connect_timeout_s=0.5, fresh_connection_s=4.0)
+_SERVICE_GAIN: Final = 0.05
+_NOT_SENT_STATUSES: Final = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request has not run."""
+
+_REPLACED: Final = CallRefusal(
+    RefusalReason.NO_UPSTREAM, Verdict.NOT_RUN, 503, "the upstream was replaced", 0.1
+)
+"""Refusal of a request that waited for an incarnation which is gone."""
+
+
+class _Waiter:
+    """A request that asked for a slot."""
+
+    __slots__ = ("admitted", "event", "refusal")
+
+    def __init__(self) -> None:
+        self.admitted = False
+        self.refusal: CallRefusal | None = None
+        self.event: trio.Event | None = None
+
+
+class LocalUpstream:
+    """Guards the upstream on this VM; nobody else sends requests to it.
+
+    Args:
+        names: Names of headers.
+        connection_limit: Returns how many connections an upstream of a service accepts.
+        on_suspects: Called with the fingerprints of the requests that were running when the
+            upstream crashed.
+        log: Log of the daemon.
+    """
+
+    def __init__(
+        self,
+        names: CallHeaderNames,
+        connection_limit: Callable[[str], int],
+        on_suspects: Callable[[tuple[bytes, ...]], None],
+        log: EventLog,
+    ) -> None:
+        self._names = names
+        self._connection_limit = connection_limit
+        self._on_suspects = on_suspects
+        self._log = log
+        self._announcement: UpstreamAnnouncement | None = None
+        self._admission = FairAdmission(AdmissionSettings(0, 0, 0))
+        self._pool: ConnectionPool | None = None
+        self._waiters: dict[int, _Waiter] = {}
+        self._running: dict[int, bytes] = {}
+        self._next_ticket = 0
+        self._quarantine = Quarantine(QuarantineSettings())
+        self._down_until = -math.inf
+        self._service_s = 0.0
+        self._is_stopping = False
+
+    @property
+    def phase(self) -> MemberPhase:
+        """Whether the upstream takes requests."""
+        if self._is_stopping:
+            return MemberPhase.STOPPED
+        if self._announcement is None:
+            return MemberPhase.ABSENT
+        if self._announcement.phase is UpstreamPhase.LEAVING:
+            return MemberPhase.LEAVING
+        return MemberPhase.SERVING
+
+    @property
+    def running(self) -> int:
+        """Requests that hold a slot."""
+        return self._admission.running
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return self._admission.queued
+
+    @property
+    def slots(self) -> int:
+        """Slots of the upstream."""
+        return self._admission.slots
+
+    @property
+    def service_s(self) -> float:
+        """Mean time that the upstream takes for a request lately, in seconds."""
+        return self._service_s
+
+    def replace(self, announcement: UpstreamAnnouncement, address: str) -> None:
+        """Takes over another incarnation, or a change of the known one.
+
+        Args:
+            announcement: What the upstream said.
+            address: `host:port` of the upstream.
+        """
+        known = self._announcement
+        is_new = known is None or (known.upstream_id, known.born_ms) != (
+            announcement.upstream_id,
+            announcement.born_ms,
+        )
+        self._announcement = announcement
+        now = trio.current_time()
+        if is_new:
+            self._start(announcement, address)
+        if announcement.phase is UpstreamPhase.LEAVING:
+            self._apply(self._admission.begin_draining(now))
+        elif announcement.slots != self._admission.slots:
+            self._apply(self._admission.set_slots(announcement.slots, now))
+        self._down_until = -math.inf
+
+    def stop(self) -> None:
+        """Refuses waiting and later requests, because the daemon stops."""
+        self._is_stopping = True
+        self._apply(self._admission.begin_draining(trio.current_time()))
+
+    def trust_no_idle_connection(self) -> None:
+        """Closes idle connections, because the VM stood still."""
+        if self._pool is not None:
+            self._pool.close_idle()
+
+    async def tick_forever(self) -> None:
+        """Refuses waiting requests whose time has run out, until cancelled."""
+        while True:
+            await trio.sleep(_TICK_S)
+            if self._admission.queued:
+                self._apply(self._admission.on_tick(trio.current_time()))
+
+    async def run(
+        self, hop: HopRequest, request: ReceivedRequest, deadline: float, useful_until: float
+    ) -> AttemptResult:
+        """Runs one request, or refuses it.
+
+        Args:
+            hop: What the entry daemon says of the request.
+            request: The request.
+            deadline: Time by which the caller needs the answer, in seconds.
+            useful_until: Time until which waiting for a slot is of use, in seconds.
+
+        Returns:
+            How it ended.
+        """
+        refusal = self._check(hop)
+        if refusal is not None:
+            return AttemptResult(self._describe(refusal))
+        now = trio.current_time()
+        ticket_id = self._next_ticket = self._next_ticket + 1
+        ticket = AdmissionTicket(
+            ticket_id, "", Priority(min(hop.priority, Priority.LOW)), 1.0, useful_until
+        )
+        refused = await self._enter(ticket, now)
+        if refused is not None:
+            failure = make_failure(
+                Verdict.NOT_RUN, refused.reason, retry_after_s=refused.retry_after_s
+            )
+            return AttemptResult(self._describe(failure))
+        self._running[ticket_id] = hop.fingerprint
+        started_at = trio.current_time()
+        try:
+            result = await self._run_admitted(hop, request, deadline)
+        finally:
+            del self._running[ticket_id]
+            ended_at = trio.current_time()
+            self._apply(self._admission.on_finished(ticket_id, ended_at))
+        if result.answer is not None:
+            self._observe(ended_at - started_at)
+            self._quarantine.on_completed(hop.fingerprint, ended_at)
+        return AttemptResult(self._describe(result.outcome), result.answer)
+
+    def _start(self, announcement: UpstreamAnnouncement, address: str) -> None:
+        limit = self._connection_limit(announcement.service)
+        if self._pool is not None:
+            self._pool.retire()
+        self._pool = ConnectionPool(address, limit, _LINKS)
+        for waiter in self._waiters.values():
+            if waiter.event is not None and not waiter.admitted:
+                waiter.event.set()
+        self._admission = FairAdmission(
+            AdmissionSettings(announcement.slots, announcement.slots * _QUEUE_PER_SLOT, limit)
+        )
+        if self._is_stopping:
+            self._admission.begin_draining(trio.current_time())
+
+    def _check(self, hop: HopRequest) -> HopOutcome | None:
+        """Refuses what the upstream here must not get."""
+        announcement = self._announcement
+        phase = self.phase
+        if announcement is None or phase is not MemberPhase.SERVING:
+            reason = RefusalReason.DRAINING if announcement else RefusalReason.NO_UPSTREAM
+            return make_failure(Verdict.NOT_RUN, reason)
+        if hop.service != announcement.service:
+            return make_failure(Verdict.NOT_RUN, RefusalReason.NO_UPSTREAM)
+        if trio.current_time() < self._down_until:
+            return make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED)
+        return None
+
+    async def _enter(self, ticket: AdmissionTicket, now: float) -> CallRefusal | None:
+        """Waits for a slot; returns the refusal if there is none in time."""
+        admission = self._admission
+        waiter = self._waiters[ticket.ticket_id] = _Waiter()
+        try:
+            self._apply(admission.on_arrival(ticket, now))
+            if not waiter.admitted and waiter.refusal is None:
+                waiter.event = trio.Event()
+                await waiter.event.wait()
+        except BaseException:
+            self._apply(admission.on_cancelled(ticket.ticket_id, trio.current_time()))
+            raise
+        finally:
+            del self._waiters[ticket.ticket_id]
+        if waiter.admitted:
+            return None
+        if waiter.refusal is not None:
+            return waiter.refusal
+        return _REPLACED
+
+    async def _run_admitted(
+        self, hop: HopRequest, request: ReceivedRequest, deadline: float
+    ) -> AttemptResult:
+        pool = self._pool
+        if pool is None:
+            return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.NO_UPSTREAM))
+        try:
+            connection = await pool.acquire(math.inf if hop.idempotent else _UNSAFE_IDLE_S)
+        except ExchangeError as error:
+            self._note_down(str(error))
+            return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED))
+        exchange = Exchange(
+            connection,
+            request.head.method,
+            request.head.target,
+            self._make_headers(hop, request, deadline),
+            request.body,
+        )
+        is_whole = False
+        try:
+            with trio.CancelScope(deadline=deadline) as scope:
+                answer = await self._receive_own(exchange, request)
+                is_whole = not exchange.is_cut
+        except ExchangeError as error:
+            return await self._describe_break(exchange, connection, pool, error)
+        finally:
+            _release(pool, connection, is_whole)
+        if scope.cancelled_caught:
+            pool.distrust(connection)
+            return AttemptResult(
+                make_failure(Verdict.MAY_HAVE_RUN, RefusalReason.TIMEOUT, reached_upstream=True)
+            )
+        return self._judge(answer)
+
+    async def _receive_own(self, exchange: Exchange, request: ReceivedRequest) -> Answer:
+        """Receives the answer that bears the request's id; others belong to earlier ones."""
+        request_id = request.headers.find_bytes(self._names.request_id)
+        answer = await exchange.run()
+        while True:
+            answer_id = answer.headers.find_bytes(self._names.request_id)
+            if answer_id == request_id or (not answer_id and answer.status >= 400):
+                return answer
+            if not answer_id:
+                raise ExchangeError("the answer does not say which request it belongs to")
+            answer = await exchange.receive_next()
+
+    def _judge(self, answer: Answer) -> AttemptResult:
+        headers = answer.headers
+        not_run = headers.find_bytes(self._names.not_run)
+        if not_run or answer.status == _MISDIRECTED:
+            reason = RefusalReason.NO_UPSTREAM if not not_run else RefusalReason.OVERLOADED
+            return AttemptResult(make_failure(Verdict.NOT_RUN, reason, reached_upstream=True))
+        is_success = 200 <= answer.status < 300
+        if is_success and not headers.find_bytes(self._names.answer_proof):
+            return AttemptResult(
+                make_failure(Verdict.RAN, RefusalReason.TRUNCATED, reached_upstream=True)
+            )
+        if answer.status in _NOT_SENT_STATUSES:
+            return AttemptResult(
+                make_failure(Verdict.RAN, RefusalReason.UPSTREAM_FAILED, reached_upstream=True)
+            )
+        return AttemptResult(HopOutcome(Verdict.RAN, reached_upstream=True), answer)
+
+    async def _describe_break(
+        self,
+        exchange: Exchange,
+        connection: ClientConnection,
+        pool: ConnectionPool,
+        error: ExchangeError,
+    ) -> AttemptResult:
+        if not exchange.may_have_arrived:
+            return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECTION_LOST))
+        in_flight = tuple(self._running.values())
+        if await _refuses_connections(pool):
+            self._note_down(str(error))
+            suspects = self._quarantine.on_upstream_crash(in_flight, trio.current_time())
+            if suspects:
+                self._on_suspects(suspects)
+        return AttemptResult(
+            make_failure(Verdict.MAY_HAVE_RUN, RefusalReason.CONNECTION_LOST, reached_upstream=True)
+        )
+
+    def _make_headers(
+        self, hop: HopRequest, request: ReceivedRequest, deadline: float
+    ) -> list[tuple[bytes, bytes]]:
+        names = self._names
+        own = (names.caller_service, names.expected_upstream, names.time_left_ms)
+        headers = [each for each in request.headers.passed_on if each[0] not in own]
+        left_ms = max(1, int((deadline - trio.current_time()) * 1000))
+        headers.append((names.time_left_ms, b"%d" % left_ms))
+        headers.append((names.caller_service, hop.caller_service.encode()))
+        if self._announcement is not None:
+            upstream_id = self._announcement.upstream_id.encode()
+            headers.append((names.expected_upstream, upstream_id))
+        return headers
+
+    def _describe(self, outcome: HopOutcome) -> HopOutcome:
+        """Adds the load that other daemons choose by."""
+        return msgspec.structs.replace(
+            outcome,
+            running=self.running,
+            queued=self.queued,
+            slots=self.slots,
+            service_ms=round(self._service_s * 1000, 2),
+            phase=self.phase,
+        )
+
+    def _observe(self, elapsed_s: float) -> None:
+        if self._service_s == 0.0:
+            self._service_s = elapsed_s
+        self._service_s += _SERVICE_GAIN * (elapsed_s - self._service_s)
+
+    def _note_down(self, reason: str) -> None:
+        now = trio.current_time()
+        announcement = self._announcement
+        if now >= self._down_until and announcement is not None:
+            self._log.write(
+                UpstreamChanged(
+                    upstream=announcement.upstream_id,
+                    born_ms=announcement.born_ms,
+                    change=f"unreachable: {reason}",
+                )
+            )
+        self._down_until = now + _DOWN_S
+
+    def _apply(self, effects: Iterable[AdmissionEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Admitted):
+                waiter = self._waiters[effect.ticket_id]
+                waiter.admitted = True
+            elif isinstance(effect, Refused):
+                waiter = self._waiters[effect.ticket_id]
+                waiter.refusal = effect.refusal
+            if waiter.event is not None:
+                waiter.event.set()
+
+
+def _release(pool: ConnectionPool, connection: ClientConnection, is_whole: bool) -> None:
+    if is_whole:
+        pool.release(connection)
+    else:
+        pool.discard(connection)
+
+
+async def _refuses_connections(pool: ConnectionPool) -> bool:
+    """Tells whether the upstream accepts no new connection."""
+    try:
+        connection = await pool.open()
+    except ExchangeError:
+        return True
+    pool.release(connection)
+    return False
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -0,0 +1,320 @@
+"""The daemon that carries calls between services, put together on one platform."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import time
+from typing import TYPE_CHECKING, Final
+
+import trio
+from loguru import logger
+
+from fulmarstile_daemon.services._links import DaemonLinks
+from fulmarstile_daemon.services._request_server import RequestServer
+from fulmarstile_daemon.services._upstream import LocalUpstream
+from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
+from fulmarstile_daemon.services.documents import DocumentHolder
+from fulmarstile_daemon.services.entry import CallEntry, RoutesInForce
+from fulmarstile_daemon.services.event_log import EventLog
+from fulmarstile_daemon.services.events import (
+    SettingsReloaded,
+    Started,
+    Stopped,
+    Stopping,
+    Suspended,
+)
+from fulmarstile_daemon.services.gossip import Gossip
+from fulmarstile_daemon.services.hops import HopServer
+from fulmarstile_daemon.services.membership import Membership
+from fulmarstile_daemon.services.metrics import ServiceMetrics
+from fulmarstile_platform.http_server import (
+    HttpAnswer,
+    HttpProblemError,
+    listen_http,
+    serve_http,
+)
+from fulmarstile_services.balancing import BalancingSettings, LeastWaitBalancer
+from fulmarstile_services.directory import Directory
+from fulmarstile_services.document import RequestLimits
+from fulmarstile_services.retry_budget import RetryBudget
+from fulmarstile_services.settings import NodeSettingsError
+from fulmarstile_services.weighted_split import WeightedSplit
+from fulmarstile_wire.services import Member
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from fulmarstile_daemon.services.ports import Platform
+    from fulmarstile_platform.http_server import HttpRequest
+    from fulmarstile_services.settings import NodeSettings
+
+_SETTINGS_POLL_S: Final = 0.5
+_SUSPEND_POLL_S: Final = 0.1
+_MIN_SUSPEND_S: Final = 0.5
+"""Time that the VM must have stood still for idle connections to be closed, in seconds."""
+_DESCRIPTOR_SHARE: Final = 0.6
+"""Part of the descriptors that connections of callers and daemons may take."""
+_RESERVED_DESCRIPTORS: Final = 300
+_LEAVE_S: Final = 3.0
+"""Time after SIGTERM for which callers are still served, in seconds."""
+_REFUSE_HOPS_S: Final = 0.6
+"""Time after SIGTERM for which other daemons may still send requests, in seconds."""
+_GRACE_MARGIN_S: Final = 0.4
+_POLL_S: Final = 0.02
+_READY_WITHOUT_MEMBERS_S: Final = 1.5
+"""Time after the start from which the daemon is ready though the store was not read."""
+_DEFAULT_LIMITS: Final = RequestLimits()
+_HOP_LIMITS: Final = RequestLimits(
+    head_bytes=128 * 1024, body_bytes=64 * 1024 * 1024, idle_timeout_s=60.0
+)
+"""Limits of what other daemons send; theirs has been checked."""
+
+
+class ServiceDaemon:
+    """One daemon.
+
+    Args:
+        platform: Platform that it runs on.
+        settings: Settings as read at the start.
+        log: Log of the daemon.
+    """
+
+    def __init__(self, platform: Platform, settings: NodeSettings, log: EventLog) -> None:
+        self._platform = platform
+        self._settings = settings
+        self._log = log
+        rng = random.Random()
+        names = platform.header_names
+        own = Member(
+            settings.name,
+            settings.listeners.daemons,
+            settings.availability_zone,
+            int(time.time() * 1000),
+        )
+        self._routes = RoutesInForce()
+        self._metrics = ServiceMetrics()
+        self._directory = Directory(own)
+        self._membership = Membership(self._directory, log, self._on_members)
+        self._documents = DocumentHolder(platform, self._routes, log)
+        self._balancer = LeastWaitBalancer(BalancingSettings(), settings.availability_zone, rng)
+        bounds = settings.bounds
+        self._budget = RetryBudget(bounds.retry_ratio, bounds.retry_burst)
+        self._links = DaemonLinks()
+        self._upstream = LocalUpstream(
+            names, self._documents.connection_limit, self._membership.report_crash, log
+        )
+        self._announcements = UpstreamAnnouncements(
+            settings, self._directory, self._membership, self._upstream, log
+        )
+        self._entry = CallEntry(
+            names,
+            self._routes,
+            WeightedSplit(rng),
+            self._directory,
+            self._balancer,
+            self._budget,
+            self._upstream,
+            self._links,
+            self._metrics,
+            log,
+        )
+        self._entry.caller_service = settings.service
+        self._gossip = Gossip(
+            self._directory,
+            self._membership,
+            self._documents,
+            self._balancer,
+            self._links,
+            rng,
+            log,
+        )
+        hops = HopServer(names, self._directory, self._upstream, self._gossip, log)
+        connections = max(
+            64, int((settings.descriptor_limit - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE)
+        )
+        self._callers = RequestServer(
+            self._entry.answer, self._limits, connections, log, names.request_id
+        )
+        self._peers = RequestServer(
+            hops.answer, lambda: _HOP_LIMITS, connections, log, names.request_id
+        )
+        self._started_at = 0.0
+        self._is_stopping = False
+        self._add_gauges()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        if self._is_stopping or self._routes.table is None:
+            return False
+        age_s = trio.current_time() - self._started_at
+        return self._membership.is_current.is_set() or age_s > _READY_WITHOUT_MEMBERS_S
+
+    async def run(self) -> None:
+        """Serves until SIGTERM and then until all requests have ended.
+
+        Raises:
+            OSError: If an address cannot be listened at.
+        """
+        self._started_at = trio.current_time()
+        listeners = self._settings.listeners
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            async with (
+                self._platform.open_store(self._settings.store_address) as store,
+                trio.open_nursery() as nursery,
+            ):
+                nursery.start_soon(self._log.flush_forever)
+                await nursery.start(self._callers.serve, listeners.callers)
+                await nursery.start(self._peers.serve, listeners.daemons)
+                await self._serve_questions(nursery)
+                self._log.write(
+                    Started(
+                        name=self._settings.name,
+                        availability_zone=self._settings.availability_zone,
+                        service=self._settings.service,
+                        incarnation=self._directory.own.incarnation,
+                    )
+                )
+                nursery.start_soon(self._documents.follow, store)
+                nursery.start_soon(self._membership.follow, store)
+                nursery.start_soon(self._membership.write_forever, store)
+                nursery.start_soon(self._gossip.run)
+                nursery.start_soon(self._upstream.tick_forever)
+                nursery.start_soon(self._poll_settings)
+                nursery.start_soon(self._watch_suspension)
+                await self._obey(signals)
+                nursery.cancel_scope.cancel()
+        self._log.write(Stopped(in_flight=self._callers.in_flight + self._peers.in_flight))
+        self._log.flush()
+
+    async def _serve_questions(self, nursery: trio.Nursery) -> None:
+        """Serves the platform's questions, the upstream's announcements and the metrics."""
+        listeners = self._settings.listeners
+        for address, handler in (
+            (listeners.readiness, self._answer_readiness),
+            (listeners.announcements, self._answer_announcement),
+            (listeners.metrics, self._answer_metrics),
+        ):
+            nursery.start_soon(serve_http, await listen_http(address), handler)
+
+    async def _answer_readiness(self, request: HttpRequest) -> HttpAnswer:
+        return await self._platform.answer_readiness(request, self.is_ready)
+
+    async def _answer_announcement(self, request: HttpRequest) -> HttpAnswer:
+        return await self._platform.answer_announcement(request, self._announcements)
+
+    async def _answer_metrics(self, request: HttpRequest) -> HttpAnswer:
+        if request.path != "/metrics":
+            raise HttpProblemError(404, "only /metrics is served here")
+        return HttpAnswer(200, self._metrics.render(), "text/plain; version=0.0.4")
+
+    async def _obey(self, signals: AsyncIterator[int]) -> None:
+        """Reloads the settings on SIGHUP; returns once a stop on SIGTERM is complete."""
+        async for number in signals:
+            if number == signal.SIGHUP:
+                self._reload_settings()
+                continue
+            await self._stop()
+            return
+
+    async def _stop(self) -> None:
+        began_at = trio.current_time()
+        self._is_stopping = True
+        self._log.write(Stopping(in_flight=self._callers.in_flight + self._peers.in_flight))
+        self._callers.begin_closing()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._announcements.stop)
+            await trio.sleep(_REFUSE_HOPS_S)
+        self._upstream.stop()
+        self._peers.begin_closing()
+        latest = began_at + self._settings.bounds.grace_s - _GRACE_MARGIN_S
+        while trio.current_time() < latest:
+            left = trio.current_time() - began_at >= _LEAVE_S
+            if left and not self._callers.in_flight and not self._peers.in_flight:
+                return
+            await trio.sleep(_POLL_S)
+
+    async def _poll_settings(self) -> None:
+        stamp = self._platform.settings_stamp()
+        while True:
+            await trio.sleep(_SETTINGS_POLL_S)
+            current = self._platform.settings_stamp()
+            if current != stamp:
+                stamp = current
+                self._reload_settings()
+
+    def _reload_settings(self) -> None:
+        try:
+            settings = self._platform.read_settings()
+        except NodeSettingsError as error:
+            self._log.write(SettingsReloaded(service=self._settings.service, error=str(error)))
+            return
+        self._settings = settings
+        self._entry.caller_service = settings.service
+        self._log.write(SettingsReloaded(service=settings.service))
+
+    async def _watch_suspension(self) -> None:
+        """Trusts nothing that was idle before the VM stood still."""
+        while True:
+            offset_s = _suspended_s()
+            await trio.sleep(_SUSPEND_POLL_S)
+            for_s = _suspended_s() - offset_s
+            if for_s >= _MIN_SUSPEND_S:
+                self._log.write(Suspended(for_s=round(for_s, 2)))
+                self._links.close_idle()
+                self._upstream.trust_no_idle_connection()
+
+    def _limits(self) -> RequestLimits:
+        table = self._routes.table
+        return _DEFAULT_LIMITS if table is None else table.document.limits
+
+    def _on_members(self) -> None:
+        members = self._directory.members
+        self._links.keep(member.address for member in members)
+        self._budget.set_daemons(len(members))
+
+    def _add_gauges(self) -> None:
+        add = self._metrics.add_gauge
+        add("document_version", lambda: self._documents.version)
+        add("members", lambda: len(self._directory.members))
+        add("requests_in_flight", lambda: self._callers.in_flight)
+        add("hops_in_flight", lambda: self._peers.in_flight)
+        add("caller_connections", lambda: self._callers.connections)
+        add("callers_left", lambda: self._callers.callers_left)
+        add("upstream_running", lambda: self._upstream.running)
+        add("upstream_queued", lambda: self._upstream.queued)
+        add("upstream_slots", lambda: self._upstream.slots)
+        add("upstream_service_seconds", lambda: self._upstream.service_s)
+        add("log_lines_left_out", lambda: self._log.left_out)
+
+
+def _suspended_s() -> float:
+    """Returns the time that the VM has stood still since its start, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(time.CLOCK_MONOTONIC)
+
+
+def run_service_daemon(platform: Platform) -> int:
+    """Runs the daemon until it is told to stop.
+
+    Args:
+        platform: Platform that it runs on.
+
+    Returns:
+        The exit code of the process.
+    """
+    try:
+        settings = platform.read_settings()
+    except NodeSettingsError as error:
+        logger.error("{}", error)
+        return os.EX_CONFIG
+    log = EventLog(settings.name)
+    log.adopt_loguru()
+    try:
+        trio.run(ServiceDaemon(platform, settings, log).run)
+    except Exception:
+        logger.exception("the daemon ends because of an unexpected error")
+        log.flush()
+        return os.EX_SOFTWARE
+    return os.EX_OK
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -0,0 +1,106 @@
+"""The operator's document: puts versions in force and follows the store for newer ones."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from fulmarstile_daemon.services._following import follow_topic
+from fulmarstile_daemon.services.events import DocumentApplied, DocumentRejected
+from fulmarstile_services.document import DocumentError
+from fulmarstile_services.routing_table import RoutingTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from fulmarstile_daemon.services.entry import RoutesInForce
+    from fulmarstile_daemon.services.event_log import EventLog
+    from fulmarstile_daemon.services.ports import Platform
+    from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
+
+_SOURCE_STORE: Final = "store"
+_DEFAULT_CONNECTIONS: Final = 64
+"""Connections to an upstream while its service's document is not known."""
+
+
+class DocumentHolder:
+    """Puts whole versions in force, never an older one than before.
+
+    Args:
+        platform: Decodes documents.
+        routes: Table in force, replaced as a whole.
+        log: Log of the daemon.
+    """
+
+    def __init__(self, platform: Platform, routes: RoutesInForce, log: EventLog) -> None:
+        self._platform = platform
+        self._routes = routes
+        self._log = log
+        self._raw = b""
+        self.on_change: Callable[[], None] = lambda: None
+        """Called when another version is in force."""
+
+    @property
+    def version(self) -> int:
+        """Version in force; -1 before the first."""
+        table = self._routes.table
+        return -1 if table is None else table.version
+
+    @property
+    def raw(self) -> bytes:
+        """Document in force as the store holds it."""
+        return self._raw
+
+    def connection_limit(self, service: str) -> int:
+        """Returns how many connections an upstream of a service accepts."""
+        table = self._routes.table
+        definition = table.document.services.get(service) if table else None
+        return definition.connection_limit if definition else _DEFAULT_CONNECTIONS
+
+    def offer(self, raw: bytes, source: str) -> bool:
+        """Puts a document in force if it is newer than the one that is.
+
+        Args:
+            raw: Document as the store holds it.
+            source: Where it comes from.
+
+        Returns:
+            Whether it was put in force.
+        """
+        if not raw or raw == self._raw:
+            return False
+        try:
+            document = self._platform.decode_document(raw)
+            if document.version <= self.version:
+                return False
+            table = RoutingTable(document)
+        except DocumentError as error:
+            self._log.write(DocumentRejected(reason=str(error), source=source))
+            return False
+        replaced = self.version
+        self._routes.table = table
+        self._raw = raw
+        self._log.write(
+            DocumentApplied(
+                version=document.version,
+                replaced=replaced,
+                routes=len(document.routes),
+                source=source,
+            )
+        )
+        self.on_change()
+        return True
+
+    async def follow(self, store: KeyedLog) -> None:
+        """Follows the store until cancelled.
+
+        Args:
+            store: The platform's store.
+        """
+        await follow_topic(store, self._platform.document_topic, self._take, self._log)
+
+    def _take(self, records: Iterable[KeyedRecord]) -> None:
+        newest = b""
+        for record in records:
+            if record.key == self._platform.document_key:
+                newest = record.value
+        self.offer(newest, _SOURCE_STORE)
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -0,0 +1,279 @@
+"""Entry of callers' requests: route, upstream, attempts and the final answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+from fulmarstile_calls.request import RefusalReason
+from fulmarstile_daemon.services._call import (
+    AttemptResult,
+    ServiceCall,
+    fingerprint,
+    make_failure,
+)
+from fulmarstile_daemon.services._links import DaemonUnreachableError
+from fulmarstile_daemon.services._request_server import make_error_reply
+from fulmarstile_daemon.services._server_connection import Reply
+from fulmarstile_daemon.services.events import (
+    AttemptFailed,
+    CallEnded,
+    DependencyLost,
+)
+from fulmarstile_services.retry_policy import RetryRules
+from fulmarstile_wire.services import HopRequest, MemberPhase
+from fulmarstile_wire.verdict import Verdict
+
+if TYPE_CHECKING:
+    from fulmarstile_daemon.services._links import DaemonLinks
+    from fulmarstile_daemon.services._server_connection import ReceivedRequest
+    from fulmarstile_daemon.services._upstream import LocalUpstream
+    from fulmarstile_daemon.services.event_log import EventLog
+    from fulmarstile_daemon.services.metrics import ServiceMetrics
+    from fulmarstile_daemon.services.ports import CallHeaderNames
+    from fulmarstile_services.balancing import LeastWaitBalancer
+    from fulmarstile_services.directory import Directory
+    from fulmarstile_services.document import ServiceRoute
+    from fulmarstile_services.retry_budget import RetryBudget
+    from fulmarstile_services.routing_table import RoutingTable
+    from fulmarstile_services.weighted_split import WeightedSplit
+    from fulmarstile_wire.services import HopOutcome, Member
+
+_NOT_READY_RETRY_S: Final = 0.3
+"""Delay told to callers while no document is known, in seconds."""
+_NO_UPSTREAM_RETRY_S: Final = 0.25
+"""Delay told to callers while a service has no upstream, in seconds."""
+_MIN_RETRY_AFTER_S: Final = 0.05
+_MAX_RETRY_SHARE: Final = 0.3
+"""Largest part of the time left that a caller is told to wait."""
+_USEFUL_TARGETS: Final = 1.0
+"""Target latencies for which a request may wait for a slot."""
+
+
+class RoutesInForce:
+    """The routing table in force; None before the first document is known."""
+
+    def __init__(self) -> None:
+        self.table: RoutingTable | None = None
+        """Table in force."""
+
+
+class CallEntry:
+    """Answers the requests of the callers on this VM.
+
+    Args:
+        names: Names of headers.
+        routes: Routing table in force.
+        split: Spreads requests over the services of a route.
+        directory: All daemons known.
+        balancer: Chooses upstreams.
+        budget: Budget of repeats.
+        upstream: Upstream on this VM.
+        links: Connections to other daemons.
+        metrics: Counters.
+        log: Log of the daemon.
+    """
+
+    def __init__(
+        self,
+        names: CallHeaderNames,
+        routes: RoutesInForce,
+        split: WeightedSplit,
+        directory: Directory,
+        balancer: LeastWaitBalancer,
+        budget: RetryBudget,
+        upstream: LocalUpstream,
+        links: DaemonLinks,
+        metrics: ServiceMetrics,
+        log: EventLog,
+    ) -> None:
+        self._names = names
+        self._routes = routes
+        self._split = split
+        self._directory = directory
+        self._balancer = balancer
+        self._budget = budget
+        self._rules = RetryRules(budget)
+        self._upstream = upstream
+        self._links = links
+        self._metrics = metrics
+        self._log = log
+        self.caller_service = ""
+        """Service of the upstream on this VM, told to the upstreams that run requests."""
+
+    async def answer(self, request: ReceivedRequest) -> Reply:
+        """Answers a request.
+
+        Args:
+            request: The request.
+
+        Returns:
+            The answer of an upstream, or one of the daemon's own.
+        """
+        table = self._routes.table
+        if table is None:
+            self._metrics.count_refusal(RefusalReason.NOT_READY)
+            return make_error_reply(503, "no configuration is known yet", _NOT_READY_RETRY_S)
+        path = request.head.target.partition(b"?")[0].decode("latin-1")
+        route = table.find(request.headers.find(b"host"), path)
+        if route is None:
+            self._metrics.count_refusal(RefusalReason.NO_ROUTE)
+            return make_error_reply(404, "no route matches")
+        call = self._open_call(request, route, table.version)
+        if self._directory.is_suspect(call.fingerprint):
+            self._metrics.count_refusal(RefusalReason.QUARANTINED)
+            return self._finish(call, make_error_reply(503, "the request crashes upstreams"), "")
+        self._budget.on_request(call.service)
+        return await self._run(call)
+
+    def _open_call(
+        self, request: ReceivedRequest, route: ServiceRoute, version: int
+    ) -> ServiceCall:
+        wait_s = route.timeout_s
+        value = request.headers.find_bytes(self._names.time_left_ms)
+        if value.isdigit():
+            wait_s = min(wait_s, int(value) / 1000)
+        arrived_at = request.arrived_at
+        useful_s = min(wait_s, route.target_latency_s * _USEFUL_TARGETS)
+        return ServiceCall(
+            request,
+            request.headers.find(self._names.request_id),
+            route,
+            self._split.choose(route),
+            self.caller_service,
+            deadline=arrived_at + wait_s,
+            useful_until=arrived_at + useful_s,
+            document_version=version,
+            fingerprint=fingerprint(self.caller_service, request),
+        )
+
+    async def _run(self, call: ServiceCall) -> Reply:
+        tried: set[str] = set()
+        result = AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.NO_UPSTREAM))
+        with trio.CancelScope(deadline=call.deadline) as scope:
+            while True:
+                member = self._choose(call, frozenset(tried))
+                if member is None:
+                    break
+                tried.add(member.name)
+                result = await self._attempt(call, member)
+                if result.is_good:
+                    break
+                call.record.note(result.outcome)
+                if not self._try_again(call, member, result.outcome):
+                    break
+        if scope.cancelled_caught:
+            call.record.may_have_run = True
+            result = AttemptResult(make_failure(Verdict.MAY_HAVE_RUN, RefusalReason.TIMEOUT))
+        return self._conclude(call, result)
+
+    def _choose(self, call: ServiceCall, tried: frozenset[str]) -> Member | None:
+        members = self._directory.serving(call.service)
+        size = len(call.request.body)
+        return self._balancer.choose(members, size, trio.current_time(), tried)
+
+    async def _attempt(self, call: ServiceCall, member: Member) -> AttemptResult:
+        now = trio.current_time()
+        call.last_daemon = member.name
+        call.last_upstream = member.upstream_id
+        hop = HopRequest(
+            call.service,
+            member.upstream_id,
+            call.caller_service,
+            call.route.priority,
+            max(1, int((call.deadline - now) * 1000)),
+            max(0, int((call.useful_until - now) * 1000)),
+            call.route.is_idempotent,
+            call.fingerprint,
+        )
+        self._balancer.on_sent(member, now)
+        result: AttemptResult | None = None
+        try:
+            result = await self._send(call, member, hop)
+            return result
+        finally:
+            ended_at = trio.current_time()
+            outcome = result.outcome if result else None
+            failed = outcome is None or outcome.verdict is Verdict.MAY_HAVE_RUN
+            if result is not None and result.answer is not None and not result.is_good:
+                failed = True
+            if outcome is not None and outcome.reached_upstream and outcome.reason:
+                failed = True
+            self._balancer.on_ended(member, outcome, failed, ended_at)
+            self._metrics.observe_attempt(ended_at - now)
+
+    async def _send(self, call: ServiceCall, member: Member, hop: HopRequest) -> AttemptResult:
+        if member.name == self._directory.own.name:
+            return await self._upstream.run(hop, call.request, call.deadline, call.useful_until)
+        try:
+            return await self._links.forward(member, hop, call.request)
+        except DaemonUnreachableError as error:
+            if self._balancer.set_reachable(member, False, trio.current_time()):
+                self._log.write(DependencyLost(dependency=member.name, reason=str(error)))
+            return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED))
+
+    def _try_again(self, call: ServiceCall, member: Member, outcome: HopOutcome) -> bool:
+        if outcome.phase is not MemberPhase.SERVING:
+            self._balancer.set_reachable(member, True, trio.current_time())
+        left_s = call.deadline - trio.current_time()
+        choice = self._rules.decide(call.route, call.service, call.record, outcome, left_s)
+        self._metrics.count_attempt_failure(outcome.reason, choice.retry)
+        self._log.write(
+            AttemptFailed(
+                request_id=call.request_id,
+                daemon_tried=member.name,
+                verdict=outcome.verdict.value,
+                reason=outcome.reason or "upstream-error",
+                retried=choice.retry,
+                why=choice.why,
+                left_ms=round(left_s * 1000, 1),
+                running=outcome.running,
+                queued=outcome.queued,
+                slots=outcome.slots,
+            )
+        )
+        return choice.retry
+
+    def _conclude(self, call: ServiceCall, result: AttemptResult) -> Reply:
+        """Makes the final answer out of the last attempt."""
+        outcome = result.outcome
+        if result.answer is not None:
+            answer = result.answer
+            return self._finish(
+                call, Reply(answer.status, answer.headers.passed_on, answer.body), ""
+            )
+        if not call.record.may_have_run:
+            retry_after_s = self._retry_after(call, outcome)
+            reply = make_error_reply(503, f"not run: {outcome.reason}", retry_after_s)
+            return self._finish(call, reply, outcome.reason, retry_after_s)
+        status = 504 if outcome.reason == RefusalReason.TIMEOUT.value else 502
+        reply = make_error_reply(status, f"no answer: {outcome.reason}")
+        return self._finish(call, reply, outcome.reason)
+
+    def _retry_after(self, call: ServiceCall, outcome: HopOutcome) -> float:
+        left_s = max(0.0, call.deadline - trio.current_time())
+        wanted_s = outcome.retry_after_ms / 1000 or _NO_UPSTREAM_RETRY_S
+        return max(_MIN_RETRY_AFTER_S, min(wanted_s, left_s * _MAX_RETRY_SHARE))
+
+    def _finish(
+        self, call: ServiceCall, reply: Reply, reason: str, retry_after_s: float = 0.0
+    ) -> Reply:
+        elapsed_s = trio.current_time() - call.request.arrived_at
+        self._metrics.count_answer(reply.status, reason, elapsed_s)
+        self._log.write(
+            CallEnded(
+                request_id=call.request_id,
+                status=reply.status,
+                route=call.route.host + call.route.prefix,
+                service=call.service,
+                document_version=call.document_version,
+                elapsed_ms=round(elapsed_s * 1000, 1),
+                attempts=call.record.arrivals + call.record.refusals + 1,
+                upstream=call.last_upstream,
+                daemon_tried=call.last_daemon,
+                reason=reason,
+                retry_after_s=round(retry_after_s, 3),
+            )
+        )
+        return reply
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
@@ -0,0 +1,116 @@
+"""Structured log lines, bounded in volume, that never hold up a request."""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+from collections import deque
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+import trio
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+    from fulmarstile_daemon.services.events import LogEvent
+
+_MAX_WAITING_LINES: Final = 2_000
+"""Lines that wait to be written; further ones are left out and counted."""
+_MAX_LINES_PER_S: Final = 200
+"""Lines of one kind written in a second; further ones are left out and counted."""
+_FLUSH_S: Final = 0.1
+_MAX_WRITE_BYTES: Final = 32 * 1024
+
+
+class _LeftOut(msgspec.Struct, tag_field="event", tag="lines_left_out"):
+    kind: str
+    count: int
+
+
+class EventLog:
+    """Writes one JSON line for each event to standard output.
+
+    Args:
+        daemon: Name of this daemon, set on every line.
+    """
+
+    def __init__(self, daemon: str) -> None:
+        self._daemon = daemon
+        self._lines: deque[bytes] = deque()
+        self._encoder = msgspec.json.Encoder()
+        self._counts: dict[str, int] = {}
+        self._window_end = 0.0
+        self.left_out = 0
+        """Lines that were not written since the start."""
+
+    def write(self, event: LogEvent) -> None:
+        """Writes an event, unless too many of its kind were written in this second.
+
+        Args:
+            event: The event.
+        """
+        now = time.monotonic()
+        if now >= self._window_end:
+            self._start_window(now)
+        kind = type(event).__name__
+        count = self._counts[kind] = self._counts.get(kind, 0) + 1
+        if count > _MAX_LINES_PER_S and event.is_bounded:
+            return
+        self._add(self._encoder.encode(event))
+
+    def adopt_loguru(self) -> None:
+        """Writes the lines of loguru's logger the same way."""
+        logger.remove()
+        logger.add(self._write_message, level="INFO", format="{message}")
+
+    async def flush_forever(self) -> None:
+        """Writes the waiting lines from time to time, until cancelled."""
+        while True:
+            await trio.sleep(_FLUSH_S)
+            self.flush()
+
+    def flush(self) -> None:
+        """Writes the waiting lines as far as standard output takes them without waiting."""
+        while self._lines:
+            size = 0
+            batch = []
+            while self._lines and size < _MAX_WRITE_BYTES:
+                line = self._lines.popleft()
+                batch.append(line)
+                size += len(line)
+            try:
+                os.write(sys.stdout.fileno(), b"".join(batch))
+            except BlockingIOError:
+                self.left_out += len(batch)
+                return
+            except OSError:
+                # Nobody reads the lines any more, and there is nowhere else to say so.
+                self.left_out += len(batch)
+                return
+
+    def _start_window(self, now: float) -> None:
+        self._window_end = now + 1.0
+        counts, self._counts = self._counts, {}
+        for kind, count in counts.items():
+            if count > _MAX_LINES_PER_S:
+                self.left_out += count - _MAX_LINES_PER_S
+                self._add(self._encoder.encode(_LeftOut(kind, count - _MAX_LINES_PER_S)))
+
+    def _add(self, encoded: bytes) -> None:
+        if len(self._lines) >= _MAX_WAITING_LINES:
+            self.left_out += 1
+            return
+        stamp = f'{{"time":{time.time():.4f},"daemon":"{self._daemon}",'.encode()
+        self._lines.append(stamp + encoded[1:] + b"\n")
+
+    def _write_message(self, message: Message) -> None:
+        record = message.record
+        text = record["message"]
+        if record["exception"] is not None:
+            text = str(message)
+        self._add(
+            self._encoder.encode({"event": "message", "level": record["level"].name, "text": text})
+        )
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -0,0 +1,168 @@
+"""Events that the daemon writes to its log."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+import msgspec
+
+
+class LogEvent(msgspec.Struct, frozen=True, kw_only=True, tag_field="event", omit_defaults=True):
+    """Base class of the events."""
+
+    is_bounded: ClassVar[bool] = True
+    """Whether lines are left out when there are too many in a second."""
+
+
+class CallEnded(LogEvent, tag="call_ended"):
+    """A caller got the final answer to its request."""
+
+    request_id: str
+    status: int
+    route: str
+    service: str
+    document_version: int
+    elapsed_ms: float
+    attempts: int
+    upstream: str = ""
+    daemon_tried: str = ""
+    reason: str = ""
+    retry_after_s: float = 0.0
+
+
+class AttemptFailed(LogEvent, tag="attempt_failed"):
+    """An attempt brought no good answer; says whether another one follows."""
+
+    request_id: str
+    daemon_tried: str
+    verdict: str
+    reason: str
+    retried: bool
+    why: str
+    left_ms: float
+    running: int = 0
+    queued: int = 0
+    slots: int = 0
+
+
+class HopEnded(LogEvent, tag="hop_ended"):
+    """The daemon beside the upstream did not get a good answer for a request."""
+
+    request_id: str
+    verdict: str
+    reason: str
+    running: int
+    queued: int
+    slots: int
+    waited_ms: float
+    left_ms: float
+
+
+class CallerLeft(LogEvent, tag="caller_left"):
+    """A caller or a daemon closed its connection before its answer."""
+
+    request_id: str
+    elapsed_ms: float
+
+
+class Started(LogEvent, tag="started"):
+    """The daemon listens."""
+
+    is_bounded: ClassVar[bool] = False
+    name: str
+    availability_zone: str
+    service: str
+    incarnation: int
+
+
+class Stopping(LogEvent, tag="stopping"):
+    """The daemon was told to stop."""
+
+    is_bounded: ClassVar[bool] = False
+    in_flight: int
+
+
+class Stopped(LogEvent, tag="stopped"):
+    """The daemon ends."""
+
+    is_bounded: ClassVar[bool] = False
+    in_flight: int
+
+
+class SettingsReloaded(LogEvent, tag="settings_reloaded"):
+    """The settings file was read again."""
+
+    is_bounded: ClassVar[bool] = False
+    service: str
+    error: str = ""
+
+
+class DocumentApplied(LogEvent, tag="document_applied"):
+    """Another version of the operator's document is in force."""
+
+    is_bounded: ClassVar[bool] = False
+    version: int
+    replaced: int
+    routes: int
+    source: str
+
+
+class DocumentRejected(LogEvent, tag="document_rejected"):
+    """A document was not put in force."""
+
+    reason: str
+    source: str
+
+
+class DependencyLost(LogEvent, tag="dependency_lost"):
+    """The store or another daemon cannot be reached."""
+
+    dependency: str
+    reason: str
+
+
+class DependencyRegained(LogEvent, tag="dependency_regained"):
+    """The store or another daemon can be reached again."""
+
+    dependency: str
+    after_s: float = 0.0
+
+
+class MemberChanged(LogEvent, tag="member_changed"):
+    """Something new is known of a daemon."""
+
+    member: str
+    phase: str
+    service: str
+    upstream: str
+    incarnation: int
+    revision: int
+
+
+class UpstreamChanged(LogEvent, tag="upstream_changed"):
+    """The upstream on this VM came, left, or cannot be reached."""
+
+    upstream: str
+    born_ms: int
+    change: str
+    slots: int = 0
+
+
+class RecordIgnored(LogEvent, tag="record_ignored"):
+    """A record or an announcement of another writer cannot be used."""
+
+    source: str
+    reason: str
+
+
+class CrashReported(LogEvent, tag="crash_reported"):
+    """A request is suspected of having crashed an upstream."""
+
+    fingerprint: str
+    upstream: str
+
+
+class Suspended(LogEvent, tag="suspended"):
+    """The VM stood still; idle connections from before are not trusted."""
+
+    for_s: float
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
@@ -0,0 +1,195 @@
+"""Record of this daemon and of the others: written to the store and followed there."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+from fulmarstile_daemon.services._following import follow_topic
+from fulmarstile_daemon.services.events import (
+    CrashReported,
+    DependencyLost,
+    DependencyRegained,
+    MemberChanged,
+    RecordIgnored,
+)
+from fulmarstile_platform.log import LogError
+from fulmarstile_wire.errors import WireError
+from fulmarstile_wire.services import (
+    CrashReport,
+    decode_crash,
+    decode_member,
+    encode_crash,
+    encode_member,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from fulmarstile_daemon.services.event_log import EventLog
+    from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
+    from fulmarstile_services.directory import Directory
+    from fulmarstile_wire.services import Member
+
+MEMBERS_TOPIC: Final = "keyed.fulmarstile.members"
+"""Topic that holds a record of each daemon and the crash reports."""
+_CRASH_PREFIX: Final = "crash/"
+_RETRY_S: Final = 0.4
+_MAX_RETRY_S: Final = 1.0
+
+
+class Membership:
+    """Keeps the store's record of this daemon current, and the directory of the others.
+
+    Args:
+        directory: All daemons known.
+        log: Log of the daemon.
+        on_change: Called when something is known that was not.
+    """
+
+    def __init__(self, directory: Directory, log: EventLog, on_change: Callable[[], None]) -> None:
+        self._directory = directory
+        self._log = log
+        self._on_change = on_change
+        self._wake = trio.Event()
+        self._written: Member | None = None
+        self._written_event = trio.Event()
+        self._crashes: list[CrashReport] = []
+        self._is_announced = False
+        self.is_current = trio.Event()
+        """Set once the records that the store held at the start have been read."""
+
+    def publish(self) -> None:
+        """Has the record of this daemon written to the store."""
+        self._is_announced = True
+        self._wake.set()
+
+    async def publish_and_wait(self, timeout_s: float) -> bool:
+        """Has the record of this daemon written to the store and waits for it.
+
+        Args:
+            timeout_s: Longest wait in seconds.
+
+        Returns:
+            Whether the record of now, or a later one, is in the store.
+        """
+        wanted = self._directory.own.order
+        self.publish()
+        with trio.move_on_after(timeout_s):
+            while self._written is None or self._written.order < wanted:
+                await self._written_event.wait()
+            return True
+        return False
+
+    def report_crash(self, fingerprints: Iterable[bytes]) -> None:
+        """Tells all daemons what was running when the upstream here crashed.
+
+        Args:
+            fingerprints: Fingerprints of the requests.
+        """
+        own = self._directory.own
+        reports = [
+            CrashReport(each, own.upstream_id, own.upstream_born_ms) for each in fingerprints
+        ]
+        self._crashes += self.take_crashes(reports)
+        self._wake.set()
+
+    def take_members(self, members: Iterable[Member]) -> None:
+        """Takes in records of daemons from the store or from another daemon."""
+        own_order = self._directory.own.order
+        news = self._directory.merge_members(members)
+        for member in news:
+            self._log.write(
+                MemberChanged(
+                    member=member.name,
+                    phase=member.phase.value,
+                    service=member.service,
+                    upstream=member.upstream_id,
+                    incarnation=member.incarnation,
+                    revision=member.revision,
+                )
+            )
+        if self._directory.own.order != own_order and self._is_announced:
+            self._wake.set()
+        if news:
+            self._on_change()
+
+    def take_crashes(self, reports: Iterable[CrashReport]) -> tuple[CrashReport, ...]:
+        """Takes in crash reports from the store or from another daemon.
+
+        Returns:
+            Those that were news.
+        """
+        news = self._directory.merge_crashes(reports)
+        for report in news:
+            self._log.write(
+                CrashReported(fingerprint=report.fingerprint.hex(), upstream=report.upstream_id)
+            )
+        return news
+
+    async def follow(self, store: KeyedLog) -> None:
+        """Follows the store until cancelled.
+
+        Args:
+            store: The platform's store.
+        """
+        await follow_topic(store, MEMBERS_TOPIC, self._take_records, self._log, self.is_current.set)
+
+    async def write_forever(self, store: KeyedLog) -> None:
+        """Writes what is to be published, until cancelled.
+
+        Args:
+            store: The platform's store.
+        """
+        retry_s = _RETRY_S
+        is_lost = False
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            try:
+                await self._write(store)
+            except LogError as error:
+                if not is_lost:
+                    self._log.write(DependencyLost(dependency="store, writing", reason=str(error)))
+                is_lost = True
+                await trio.sleep(retry_s * random.uniform(0.5, 1.0))
+                retry_s = min(_MAX_RETRY_S, retry_s * 1.5)
+                self._wake.set()
+                continue
+            if is_lost:
+                self._log.write(DependencyRegained(dependency="store, writing"))
+            is_lost = False
+            retry_s = _RETRY_S
+
+    async def _write(self, store: KeyedLog) -> None:
+        own = self._directory.own
+        if self._is_announced and own != self._written:
+            await store.append_keyed(MEMBERS_TOPIC, own.name, encode_member(own))
+            self._written = own
+            event, self._written_event = self._written_event, trio.Event()
+            event.set()
+        while self._crashes:
+            report = self._crashes[0]
+            key = f"{_CRASH_PREFIX}{report.fingerprint.hex()}/{report.upstream_id}"
+            await store.append_keyed(MEMBERS_TOPIC, key, encode_crash(report))
+            del self._crashes[0]
+        if own != self._directory.own:
+            self._wake.set()
+
+    def _take_records(self, records: Iterable[KeyedRecord]) -> None:
+        members: list[Member] = []
+        crashes: list[CrashReport] = []
+        for record in records:
+            if not record.value:
+                continue
+            try:
+                if record.key.startswith(_CRASH_PREFIX):
+                    crashes.append(decode_crash(record.value))
+                else:
+                    members.append(decode_member(record.value))
+            except WireError as error:
+                self._log.write(RecordIgnored(source=record.key, reason=str(error)))
+        self.take_members(members)
+        self.take_crashes(crashes)
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/metrics.py
@@ -0,0 +1,83 @@
+"""Counters and latency histograms of the calls between services."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarstile_calls.request import RefusalReason
+
+LATENCY_BOUNDS_S: Final = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+"""Upper bounds of the latency histograms, in seconds."""
+
+
+class LatencyCounts:
+    """Counts of latencies by upper bound."""
+
+    def __init__(self) -> None:
+        self.buckets = [0] * (len(LATENCY_BOUNDS_S) + 1)
+        """Counts by bound; the last one is of what exceeds all."""
+        self.sum_s = 0.0
+        """Sum of all latencies, in seconds."""
+
+    def observe(self, elapsed_s: float) -> None:
+        """Takes in one latency in seconds."""
+        index = 0
+        while index < len(LATENCY_BOUNDS_S) and elapsed_s > LATENCY_BOUNDS_S[index]:
+            index += 1
+        self.buckets[index] += 1
+        self.sum_s += elapsed_s
+
+
+class ServiceMetrics:
+    """Counters of one daemon; rendered when they are asked for."""
+
+    def __init__(self) -> None:
+        self.answers: dict[tuple[int, str], int] = {}
+        """Final answers by status and reason."""
+        self.refusals: dict[str, int] = {}
+        """Requests refused before an upstream was chosen, by reason."""
+        self.attempt_failures: dict[tuple[str, bool], int] = {}
+        """Attempts without a good answer, by reason and whether another one followed."""
+        self.call_latency = LatencyCounts()
+        """From the head of a request to its final answer."""
+        self.attempt_latency = LatencyCounts()
+        """Of single attempts."""
+        self._gauges: dict[str, Callable[[], float]] = {}
+
+    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Adds a value that is read when the page is rendered.
+
+        Args:
+            name: Name of the metric, without the prefix.
+            read: Returns the value.
+        """
+        self._gauges[name] = read
+
+    def count_answer(self, status: int, reason: str, elapsed_s: float) -> None:
+        """Counts a final answer."""
+        key = (status, reason)
+        self.answers[key] = self.answers.get(key, 0) + 1
+        self.call_latency.observe(elapsed_s)
+
+    def count_refusal(self, reason: RefusalReason) -> None:
+        """Counts a request that was refused before an upstream was chosen."""
+        self.refusals[reason.value] = self.refusals.get(reason.value, 0) + 1
+
+    def count_attempt_failure(self, reason: str, retried: bool) -> None:
+        """Counts an attempt without a good answer."""
+        key = (reason or "upstream-error", retried)
+        self.attempt_failures[key] = self.attempt_failures.get(key, 0) + 1
+
+    def observe_attempt(self, elapsed_s: float) -> None:
+        """Takes in the latency of an attempt."""
+        self.attempt_latency.observe(elapsed_s)
+
+    def render(self) -> bytes:
+        """Renders the page in the Prometheus text format."""
+        # Imported here since few daemons are ever asked and each pays for the memory.
+        from fulmarstile_daemon.services._metrics_page import render_page
+
+        return render_page(self, {name: read() for name, read in self._gauges.items()})
--- /dev/null
+++ b/packages/fulmarstile_http/src/fulmarstile_http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 connections that calls are carried on."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -11,6 +11,12 @@
 
 READ_SIZE: Final = 64 * 1024
 """Most bytes read at once."""
+_SILENCE_PROBE_S: Final = 1
+"""Idle time after which the kernel probes the other side, and the time between probes."""
+_SILENCE_PROBES: Final = 2
+"""Unanswered probes after which a connection is broken."""
+_UNACKNOWLEDGED_MS: Final = 2_000
+"""Time for which sent data may stay unacknowledged, in milliseconds."""
 _LINGER_NONE: Final = struct.pack("ii", 1, 0)
 """`struct linger` that resets the connection on close."""
 
@@ -28,6 +34,7 @@
         sock.setblocking(False)
         with suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        detect_silence(sock)
         self._socket = sock
         self.sent_bytes = 0
         """Bytes handed to the kernel since the stream was opened."""
@@ -48,6 +55,16 @@
             return False
         return False
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the other side has closed or broken the stream and all input was read."""
+        try:
+            return not self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def fileno(self) -> int:
         """Returns the file descriptor, negative if closed."""
         return self._socket.fileno()
@@ -105,6 +122,20 @@
         self.close()
 
 
+def detect_silence(sock: socket.socket) -> None:
+    """Makes the kernel break a connection whose other side has fallen silent.
+
+    Args:
+        sock: TCP socket.
+    """
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _SILENCE_PROBE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _SILENCE_PROBE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _SILENCE_PROBES)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+
+
 async def open_stream(address: str) -> ByteStream:
     """Opens a TCP connection.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_client.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import h11
 import trio
 
-from fulmarstile_daemon.calls._headers import checked_headers
-from fulmarstile_daemon.calls._stream import ByteStream, open_stream
+from fulmarstile_http.byte_stream import ByteStream, open_stream
+from fulmarstile_http.headers import checked_headers
 from fulmarstile_wire.errors import FulmarstileError
 
 if TYPE_CHECKING:
-    from fulmarstile_daemon.calls._headers import Header
+    from fulmarstile_http.headers import Header
 
 
 class ExchangeError(FulmarstileError):
@@ -31,11 +32,14 @@
     def __init__(self, stream: ByteStream, head_limit: int) -> None:
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=head_limit)
+        self._head_limit = head_limit
         self._head_end = 0
         self.last_answer_at = trio.current_time()
         """Time of the last complete answer, or of the opening, in seconds."""
         self.exchanges = 0
         """Exchanges completed."""
+        self.idle_limit_s = math.inf
+        """Idle time that the other side allows, in seconds."""
 
     @property
     def is_quiet(self) -> bool:
@@ -134,6 +138,25 @@
             return None
         raise ExchangeError("the response was cut off")
 
+    def expect_another_response(self, request: h11.Request, body: bytes) -> None:
+        """Takes the response that was just read as one to an earlier request.
+
+        The request stays sent; the next response read is the one that follows on the connection.
+
+        Args:
+            request: Head of the request that still waits for its response.
+            body: Its whole body.
+        """
+        received = self._http.trailing_data[0]
+        http = h11.Connection(h11.CLIENT, max_incomplete_event_size=self._head_limit)
+        http.send(request)
+        if body:
+            http.send(h11.Data(data=body))
+        http.send(h11.EndOfMessage())
+        if received:
+            http.receive_data(received)
+        self._http = http
+
     async def wait_end(self) -> None:
         """Waits until the other side closes or breaks a connection without an exchange."""
         with suppress(OSError):
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_pool.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
@@ -2,15 +2,32 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import trio
 
-from fulmarstile_daemon.calls._client import ClientConnection, ExchangeError, open_connection
+from fulmarstile_http.client_connection import ClientConnection, ExchangeError, open_connection
 
-if TYPE_CHECKING:
-    from fulmarstile_daemon.calls.settings import CallSettings
+
+class ConnectionSettings(Protocol):
+    """Limits of the connections of a pool."""
+
+    @property
+    def head_limit(self) -> int:
+        """Largest response head, in bytes."""
+        ...
+
+    @property
+    def connect_timeout_s(self) -> float:
+        """Longest time to open a connection, in seconds."""
+        ...
+
+    @property
+    def fresh_connection_s(self) -> float:
+        """Age of the last answer beyond which a connection counts as unproven, in seconds."""
+        ...
 
 
 class PoolExhaustedError(ExchangeError):
@@ -23,10 +40,10 @@
     Args:
         address: `host:port` of the other side.
         limit: Most connections open at once.
-        settings: Settings of the call proxy.
+        settings: Limits of the connections.
     """
 
-    def __init__(self, address: str, limit: int, settings: CallSettings) -> None:
+    def __init__(self, address: str, limit: int, settings: ConnectionSettings) -> None:
         self._settings = settings
         self._idle: deque[ClientConnection] = deque()
         self._open = 0
@@ -45,19 +62,25 @@
         """Connections open without an exchange."""
         return len(self._idle)
 
-    async def acquire(self) -> ClientConnection:
+    async def acquire(self, fresh_s: float = math.inf) -> ClientConnection:
         """Takes a connection that has answered lately, or opens one.
 
+        Args:
+            fresh_s: Age of the last answer beyond which a connection is not taken, in seconds,
+                where this is shorter than the pool's own limit.
+
         Returns:
             A connection for one exchange; hand it back with `release`.
 
         Raises:
             ExchangeError: If no connection can be had.
         """
-        oldest = trio.current_time() - self._settings.fresh_connection_s
+        now = trio.current_time()
+        fresh_s = min(fresh_s, self._settings.fresh_connection_s)
         while self._idle:
             connection = self._idle.popleft()
-            if connection.last_answer_at >= oldest and connection.is_quiet:
+            age_s = now - connection.last_answer_at
+            if age_s <= min(fresh_s, connection.idle_limit_s) and connection.is_quiet:
                 return connection
             self._close(connection)
         return await self.open()
@@ -74,6 +97,14 @@
         connection.start_next_exchange(trio.current_time())
         self._idle.append(connection)
 
+    def discard(self, connection: ClientConnection) -> None:
+        """Takes a connection back and closes it.
+
+        Args:
+            connection: A connection from `acquire`.
+        """
+        self._close(connection)
+
     def distrust(self, connection: ClientConnection) -> None:
         """Notes that an exchange got no answer in time.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_listener.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/listener.py
@@ -1,4 +1,4 @@
-"""Listening socket of the call proxy."""
+"""Listening sockets."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 import trio
 
-from fulmarstile_daemon.calls._stream import ByteStream
+from fulmarstile_http.byte_stream import ByteStream
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- /dev/null
+++ b/packages/fulmarstile_http/src/fulmarstile_http/request_checks.py
@@ -0,0 +1,59 @@
+"""Checks of requests that parsers might read differently."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fulmarstile_wire.errors import FulmarstileError
+
+if TYPE_CHECKING:
+    import h11
+
+    from fulmarstile_http.headers import MessageHeaders
+
+
+class MalformedRequestError(FulmarstileError):
+    """A request that is not proper HTTP/1.1, or that two parsers might read differently.
+
+    Args:
+        detail: What is wrong, in plain words.
+        status: HTTP status of the answer.
+    """
+
+    def __init__(self, detail: str, status: int = 400) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
+def check_lines(head: bytes) -> None:
+    """Checks the line ends of a request head.
+
+    Args:
+        head: The head, up to the line end of its last line.
+
+    Raises:
+        MalformedRequestError: If a line does not end in CR LF or is continued on the next one.
+    """
+    lines = head.count(b"\r\n")
+    if head.count(b"\n") != lines or head.count(b"\r") != lines:
+        raise MalformedRequestError("a line of the request head does not end in CR LF")
+    if b"\n " in head or b"\n\t" in head:
+        raise MalformedRequestError("a header is continued on the next line")
+
+
+def check_framing(request: h11.Request, headers: MessageHeaders) -> None:
+    """Checks that the length of a request's body is unambiguous.
+
+    Args:
+        request: Head of the request.
+        headers: Its headers.
+
+    Raises:
+        MalformedRequestError: If it is not, or if the method cannot be passed on.
+    """
+    if headers.is_chunked and (
+        headers.content_length is not None or request.http_version != b"1.1"
+    ):
+        raise MalformedRequestError("Transfer-Encoding conflicts with Content-Length or HTTP/1.0")
+    if request.method in (b"CONNECT", b"TRACE"):
+        raise MalformedRequestError("the method is not supported", status=501)
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/__init__.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/__init__.py
@@ -9,6 +9,12 @@
     open_http_client,
 )
 from fulmarstile_platform.http_log import HttpLog, HttpLogSettings, open_http_log
+from fulmarstile_platform.keyed_log import (
+    KeyedLog,
+    KeyedPage,
+    KeyedRecord,
+    RecordsExpiredError,
+)
 from fulmarstile_platform.log import (
     Log,
     LogError,
@@ -26,12 +32,16 @@
     "HttpLogSettings",
     "HttpResponse",
     "HttpTimeoutError",
+    "KeyedLog",
+    "KeyedPage",
+    "KeyedRecord",
     "Log",
     "LogError",
     "LogPage",
     "LogRecord",
     "LogRefusedError",
     "LogUnavailableError",
+    "RecordsExpiredError",
     "open_http_client",
     "open_http_log",
 ]
--- /dev/null
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -0,0 +1,215 @@
+"""Choice of the upstream that a request is sent to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from fulmarstile_wire.services import HopOutcome, Member
+
+_MAX_COMPARED: Final = 12
+"""Most upstreams compared for one request."""
+_LOAD_MEMORY_S: Final = 1.0
+"""Age at which a reported load counts half."""
+_GAIN: Final = 0.2
+_ERROR_WEIGHT: Final = 6.0
+"""By how much an upstream that always fails looks slower than it is."""
+_DEFAULT_SERVICE_S: Final = 0.05
+_COLD_FACTOR: Final = 2.0
+_NEWCOMER_SHARE: Final = 0.1
+"""Share of requests that go to an upstream which this daemon has not tried lately."""
+_UNTRIED_AFTER_S: Final = 2.0
+_MIN_REFUSAL_HOLD_S: Final = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class BalancingSettings:
+    """Settings of `LeastWaitBalancer`."""
+
+    other_zone_s: float = 0.012
+    """Wait that a request to another availability zone must save, in seconds."""
+    other_zone_s_per_byte: float = 4e-7
+    """Wait that each byte to another availability zone must save besides, in seconds."""
+
+
+class _Observation:
+    __slots__ = (
+        "cold_until",
+        "error_rate",
+        "full_until",
+        "in_flight",
+        "reachable",
+        "reported",
+        "reported_at",
+        "service_s",
+        "tried_at",
+        "upstream_id",
+    )
+
+    def __init__(self, member: Member, now: float) -> None:
+        self.upstream_id = member.upstream_id
+        self.cold_until = now + member.cold_left_s
+        self.in_flight = 0
+        self.reported = 0.0
+        """Requests that the upstream had running and waiting, without those of this daemon."""
+        self.reported_at = now
+        self.service_s = 0.0
+        self.error_rate = 0.0
+        self.full_until = now
+        self.tried_at = now - _UNTRIED_AFTER_S
+        self.reachable = True
+
+
+class LeastWaitBalancer:
+    """Chooses the upstream with the shortest expected time to an answer.
+
+    The expectation follows from the load and speed that the daemon beside each upstream
+    reports with every answer and from the requests that this daemon has in flight there.
+    Another availability zone must be faster by a margin that grows with the request's size.
+
+    Args:
+        settings: Settings.
+        availability_zone: Availability zone of this daemon.
+        random: Source of randomness.
+    """
+
+    def __init__(
+        self, settings: BalancingSettings, availability_zone: str, random: random.Random
+    ) -> None:
+        self._settings = settings
+        self._availability_zone = availability_zone
+        self._random = random
+        self._observations: dict[str, _Observation] = {}
+
+    def is_reachable(self, name: str) -> bool:
+        """Tells whether a daemon answered the last attempt to reach it."""
+        observation = self._observations.get(name)
+        return observation is None or observation.reachable
+
+    def set_reachable(self, member: Member, reachable: bool, now: float) -> bool:
+        """Notes whether a daemon can be reached.
+
+        Args:
+            member: The daemon.
+            reachable: Whether it answers.
+            now: Current time in seconds.
+
+        Returns:
+            Whether that is a change.
+        """
+        observation = self._observe(member, now)
+        changed = observation.reachable is not reachable
+        observation.reachable = reachable
+        return changed
+
+    def forget(self, name: str) -> None:
+        """Forgets what was observed of a daemon."""
+        self._observations.pop(name, None)
+
+    def choose(
+        self, members: Iterable[Member], size: int, now: float, exclude: frozenset[str]
+    ) -> Member | None:
+        """Chooses where a request is sent.
+
+        Args:
+            members: Daemons whose upstreams could run it.
+            size: Bytes of the request's body.
+            now: Current time in seconds.
+            exclude: Names of daemons that it was sent to before.
+
+        Returns:
+            The daemon, or None if all are excluded.
+        """
+        candidates = [member for member in members if member.name not in exclude]
+        if not candidates:
+            return None
+        usable = [member for member in candidates if self.is_reachable(member.name)] or candidates
+        if len(usable) > _MAX_COMPARED:
+            usable = self._sample(usable)
+        untried = [member for member in usable if self._is_untried(member, now)]
+        if untried and self._random.random() < _NEWCOMER_SHARE:
+            return self._random.choice(untried)
+        usual_s = self._usual_service(usable)
+        return min(usable, key=lambda member: self._expect(member, size, usual_s, now))
+
+    def on_sent(self, member: Member, now: float) -> None:
+        """Notes that a request was sent to a daemon."""
+        observation = self._observe(member, now)
+        observation.in_flight += 1
+        observation.tried_at = now
+
+    def on_ended(
+        self, member: Member, outcome: HopOutcome | None, failed: bool, now: float
+    ) -> None:
+        """Notes how a request ended that `on_sent` reported.
+
+        Args:
+            member: The daemon.
+            outcome: What it said; None if it said nothing.
+            failed: Whether the upstream failed.
+            now: Current time in seconds.
+        """
+        observation = self._observations.get(member.name)
+        if observation is None:
+            return
+        observation.in_flight = max(0, observation.in_flight - 1)
+        observation.error_rate += _GAIN * ((1.0 if failed else 0.0) - observation.error_rate)
+        if outcome is None:
+            return
+        load = outcome.running + outcome.queued
+        observation.reported = max(0.0, load - observation.in_flight)
+        observation.reported_at = now
+        if outcome.service_ms > 0.0:
+            observation.service_s = outcome.service_ms / 1000
+        if outcome.reason:
+            hold_s = max(_MIN_REFUSAL_HOLD_S, outcome.retry_after_ms / 1000 / 4)
+            observation.full_until = now + hold_s
+
+    def _observe(self, member: Member, now: float) -> _Observation:
+        observation = self._observations.get(member.name)
+        if observation is None or observation.upstream_id != member.upstream_id:
+            observation = self._observations[member.name] = _Observation(member, now)
+        return observation
+
+    def _is_untried(self, member: Member, now: float) -> bool:
+        observation = self._observe(member, now)
+        return now - observation.tried_at >= _UNTRIED_AFTER_S and not observation.in_flight
+
+    def _usual_service(self, members: list[Member]) -> float:
+        known = [
+            observation.service_s
+            for member in members
+            if (observation := self._observations.get(member.name)) and observation.service_s
+        ]
+        return sum(known) / len(known) if known else _DEFAULT_SERVICE_S
+
+    def _expect(self, member: Member, size: int, usual_s: float, now: float) -> float:
+        """Returns the expected time to an answer, in seconds."""
+        observation = self._observe(member, now)
+        age_s = now - observation.reported_at
+        others = observation.reported * _LOAD_MEMORY_S / (_LOAD_MEMORY_S + age_s)
+        slots = max(1, member.slots)
+        load = (others + observation.in_flight + 1) / slots
+        service_s = observation.service_s or usual_s
+        if now < observation.cold_until:
+            service_s = max(service_s, usual_s * _COLD_FACTOR)
+        expected_s = service_s * (1.0 + 0.5 * load * load if load < 1.0 else 0.5 + load)
+        expected_s *= 1.0 + _ERROR_WEIGHT * observation.error_rate
+        if now < observation.full_until:
+            expected_s += service_s * 2.0
+        if member.availability_zone != self._availability_zone:
+            expected_s += self._settings.other_zone_s + size * self._settings.other_zone_s_per_byte
+        return expected_s
+
+    def _sample(self, members: list[Member]) -> list[Member]:
+        """Takes those of the own availability zone first, then random ones."""
+        near = [m for m in members if m.availability_zone == self._availability_zone]
+        far = [m for m in members if m.availability_zone != self._availability_zone]
+        if len(near) > _MAX_COMPARED:
+            return self._random.sample(near, _MAX_COMPARED)
+        rest = min(len(far), max(2, _MAX_COMPARED - len(near)))
+        return near + self._random.sample(far, rest)
--- /dev/null
+++ b/packages/fulmarstile_services/src/fulmarstile_services/retry_policy.py
@@ -0,0 +1,94 @@
+"""Whether a request that got no good answer is sent to another upstream."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from fulmarstile_wire.verdict import Verdict
+
+if TYPE_CHECKING:
+    from fulmarstile_services.document import ServiceRoute
+    from fulmarstile_services.retry_budget import RetryBudget
+    from fulmarstile_wire.services import HopOutcome
+
+MAX_REFUSALS: Final = 6
+"""Daemons that may refuse a request before it is given up."""
+MIN_LEFT_S: Final = 0.01
+"""Time that must be left for another attempt, in seconds."""
+
+
+@dataclass(slots=True)
+class AttemptRecord:
+    """What was tried for one request so far."""
+
+    refusals: int = 0
+    """Attempts that no upstream saw."""
+    arrivals: int = 0
+    """Attempts that an upstream saw."""
+    may_have_run: bool = False
+
+    def note(self, outcome: HopOutcome) -> None:
+        """Takes in how an attempt ended without a good answer."""
+        if outcome.reached_upstream:
+            self.arrivals += 1
+        else:
+            self.refusals += 1
+        if outcome.verdict is not Verdict.NOT_RUN:
+            self.may_have_run = True
+
+
+@dataclass(frozen=True, slots=True)
+class RetryChoice:
+    """Whether another attempt is made."""
+
+    retry: bool
+    why: str
+
+
+class RetryRules:
+    """Decides about further attempts.
+
+    A refusal that no upstream saw costs nothing. What an upstream saw is paid from the budget,
+    and what may have run is repeated for idempotent routes only.
+
+    Args:
+        budget: Budget of this daemon.
+    """
+
+    def __init__(self, budget: RetryBudget) -> None:
+        self._budget = budget
+
+    def decide(
+        self,
+        route: ServiceRoute,
+        service: str,
+        record: AttemptRecord,
+        last: HopOutcome,
+        left_s: float,
+    ) -> RetryChoice:
+        """Decides after an attempt that brought no good answer.
+
+        Args:
+            route: Route of the request.
+            service: Service that it goes to.
+            record: All attempts, the last one included.
+            last: How the last one ended.
+            left_s: Time until the caller needs the answer, in seconds.
+
+        Returns:
+            The choice.
+        """
+        if left_s < MIN_LEFT_S:
+            return RetryChoice(False, "no time is left")
+        if record.may_have_run and not route.is_idempotent:
+            return RetryChoice(False, "the request may have run")
+        if record.refusals >= MAX_REFUSALS:
+            return RetryChoice(False, "too many daemons refused it")
+        if not last.reached_upstream and last.verdict is Verdict.NOT_RUN:
+            return RetryChoice(True, "no upstream saw it")
+        if record.arrivals >= route.max_attempts:
+            return RetryChoice(False, "the route allows no further attempt")
+        if not self._budget.take(service):
+            return RetryChoice(False, "the retry budget is spent")
+        return RetryChoice(True, "within the budget")
--- /dev/null
+++ b/packages/fulmarstile_services/src/fulmarstile_services/settings.py
@@ -0,0 +1,62 @@
+"""Settings of a daemon that carries calls between services."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from fulmarstile_wire.errors import FulmarstileError
+
+
+class NodeSettingsError(FulmarstileError):
+    """The settings of the daemon cannot be read or are not valid."""
+
+
+@dataclass(frozen=True, slots=True)
+class Listeners:
+    """Addresses that the daemon listens at, each `host:port`."""
+
+    callers: str
+    """Requests of the callers on this VM."""
+    daemons: str
+    """Requests forwarded by other daemons."""
+    readiness: str
+    announcements: str
+    """Announcements of the upstream on this VM."""
+    metrics: str
+
+
+@dataclass(frozen=True, slots=True)
+class PromisedBounds:
+    """Bounds that the deployment demands."""
+
+    drain_s: float = 2.0
+    """Time from the acknowledgement of an upstream's leaving until it gets no new request."""
+    grace_s: float = 6.0
+    """Time from SIGTERM to SIGKILL, in seconds."""
+    retry_ratio: float = 0.2
+    """Repeats allowed for each request, over all daemons."""
+    retry_burst: float = 50.0
+    """Repeats allowed beyond the ratio in one window, over all daemons."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Settings of one daemon."""
+
+    name: str
+    availability_zone: str
+    region: str
+    service: str
+    """Service of the upstream on this VM."""
+    upstream_address: str
+    """`host:port` of the upstream on this VM."""
+    store_address: str
+    """`host:port` of the platform's store."""
+    listeners: Listeners
+    announce_interval_s: float
+    """Interval at which the upstream renews its announcement, in seconds."""
+    is_first_start: bool
+    """Whether the whole deployment starts for the first time."""
+    memory_bytes: int
+    descriptor_limit: int
+    bounds: PromisedBounds = field(default_factory=PromisedBounds)
--- /dev/null
+++ b/packages/fulmarstile_services/src/fulmarstile_services/weighted_split.py
@@ -0,0 +1,64 @@
+"""Spreads the requests of a route over its services by their weights."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    from fulmarstile_services.document import ServiceRoute, SplitPart
+
+
+class WeightedSplit:
+    """Smooth weighted round robin, one rotation for each route.
+
+    Over any span the parts get their shares as closely as whole requests allow. A part that
+    has no room keeps its share; its requests are refused, not moved.
+
+    Args:
+        random: Draws where a rotation starts, so that daemons don't start alike.
+    """
+
+    def __init__(self, random: random.Random) -> None:
+        self._random = random
+        self._rotations: dict[tuple[str, str], _Rotation] = {}
+
+    def choose(self, route: ServiceRoute) -> str:
+        """Chooses the service of a route's next request.
+
+        Args:
+            route: The route.
+
+        Returns:
+            Name of the service.
+        """
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        key = (route.host, route.prefix)
+        rotation = self._rotations.get(key)
+        if rotation is None or rotation.parts != route.parts:
+            rotation = self._rotations[key] = _Rotation(route.parts, self._random)
+        return rotation.next()
+
+
+class _Rotation:
+    __slots__ = ("_credits", "_total", "parts")
+
+    def __init__(self, parts: tuple[SplitPart, ...], random: random.Random) -> None:
+        self.parts = parts
+        self._total = sum(part.weight for part in parts)
+        draws = [part.weight * random.random() for part in parts]
+        mean = sum(draws) / len(draws)
+        self._credits = [draw - mean for draw in draws]
+
+    def next(self) -> str:
+        """Returns the service whose credit is highest after each earned its weight."""
+        credits = self._credits
+        best = 0
+        for index, part in enumerate(self.parts):
+            credits[index] += part.weight
+            if credits[index] > credits[best]:
+                best = index
+        credits[best] -= self._total
+        return self.parts[best].service
