--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -31,6 +31,8 @@
 _SWEEP_S: Final = 0.5
 """Interval at which idle connections are looked for, in seconds."""
 _ACCEPT_PAUSE_S: Final = 0.05
+_STOPPING_RETRY_S: Final = 0.1
+"""Delay told to callers that reach a daemon which stops, in seconds."""
 
 
 class RequestServer:
@@ -62,6 +64,7 @@
         self._connections: dict[ServerConnection, None] = {}
         self._in_flight: dict[ServerConnection, trio.CancelScope] = {}
         self._is_closing = False
+        self._refuses_new = False
         self.callers_left = 0
         """Requests whose sender left before the answer."""
 
@@ -100,6 +103,10 @@
         for connection in self._connections:
             connection.must_close = True
 
+    def refuse_new(self) -> None:
+        """Refuses later requests as not run; those in flight get their answers."""
+        self._refuses_new = True
+
     async def _accept_forever(self, listener: CallListener, nursery: trio.Nursery) -> None:
         while True:
             try:
@@ -142,6 +149,9 @@
             if request is None:
                 connection.end()
                 return
+            if self._refuses_new:
+                await connection.send(make_error_reply(503, "stopping", _STOPPING_RETRY_S))
+                break
             reply = await self._run(connection, request)
             await connection.send(reply)
             if not connection.may_continue:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
@@ -14,9 +14,10 @@
     UpstreamPhase,
     UpstreamRegistry,
 )
-from fulmarstile_wire.services import MemberPhase
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from fulmarstile_daemon.services._upstream import LocalUpstream
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.membership import Membership
@@ -25,6 +26,8 @@
 
 _STORE_WAIT_S: Final = 0.6
 """Time that an acknowledgement of leaving waits for the store, in seconds."""
+_TELL_S: Final = 0.2
+"""Time that the acknowledgement waits for other daemons instead, in seconds."""
 _RECALL_WAIT_S: Final = 0.8
 """Time that a first announcement waits for what the store knows of before, in seconds."""
 
@@ -52,16 +55,20 @@
         log: EventLog,
     ) -> None:
         self._address = settings.upstream_address
-        self._must_recall = not settings.is_first_start
+        self._is_recalled = settings.is_first_start
+        self._unproven: UpstreamAnnouncement | None = None
         self._directory = directory
         self._membership = membership
         self._upstream = upstream
         self._log = log
         self._registry = UpstreamRegistry(settings.announce_interval_s)
+        self.tell_daemons: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
+        """Tells other daemons what the store does not take."""
 
     async def announce(self, announcement: UpstreamAnnouncement) -> None:
         """See `UpstreamEvents.announce`."""
-        await self._recall()
+        if announcement.phase is UpstreamPhase.READY and not await self._await_recall(announcement):
+            return
         outcome = self._registry.on_announcement(announcement, trio.current_time())
         if outcome is AnnouncementOutcome.STALE:
             self._log.write(
@@ -72,49 +79,67 @@
                 )
             )
             return
-        if outcome is not AnnouncementOutcome.RENEWED:
-            await self._apply(outcome)
+        if outcome is AnnouncementOutcome.RENEWED:
+            return
+        self._apply(outcome.value)
+        if outcome is AnnouncementOutcome.LEFT or announcement.phase is UpstreamPhase.LEAVING:
+            await self._secure()
 
     async def leave(self, upstream_id: str, born_ms: int | None) -> None:
         """See `UpstreamEvents.leave`."""
-        await self._recall()
         outcome = self._registry.on_leave(upstream_id, born_ms, trio.current_time())
         if outcome is AnnouncementOutcome.LEFT:
-            await self._apply(outcome)
-
-    def rejoin(self) -> None:
-        """Writes the record of this daemon anew, with what is known of its upstream."""
-        self._change_record()
+            self._apply(outcome.value)
+            await self._secure()
 
     async def stop(self) -> None:
         """Tells all daemons that this one stops."""
         self._change_record()
         await self._membership.publish_and_wait(_STORE_WAIT_S)
 
-    async def _recall(self) -> None:
-        """Learns once from the store what an earlier incarnation of the daemon knew."""
-        if not self._must_recall:
+    def recall(self) -> None:
+        """Takes over what an earlier incarnation of this daemon knew of the upstream.
+
+        An upstream that was serving is taken to serve still: requests name the incarnation
+        that they are meant for, so another one at its address does not run them.
+        """
+        self._is_recalled = True
+        record = self._directory.recalled
+        if record is None or not record.upstream_id or self._registry.current is not None:
             return
+        phase = UpstreamPhase.LEAVING if record.upstream_leaves else UpstreamPhase.READY
+        announcement = UpstreamAnnouncement(
+            record.upstream_id,
+            record.upstream_born_ms,
+            0,
+            record.service,
+            record.slots,
+            phase,
+        )
+        self._registry.restore(announcement, trio.current_time())
+        self._apply("recalled")
+
+    async def _await_recall(self, announcement: UpstreamAnnouncement) -> bool:
+        """Waits once for what an earlier incarnation of this daemon knew.
+
+        If neither the store nor another daemon tells, a late announcement could bring back an
+        upstream that has left, so a second one of the same incarnation is waited for.
+
+        Returns:
+            Whether the announcement may be believed.
+        """
+        if self._is_recalled:
+            return True
         with trio.move_on_after(_RECALL_WAIT_S):
             await self._membership.is_current.wait()
-        own = self._directory.recalled
-        self._must_recall = False
-        if own is None or self._registry.current is not None:
-            return
-        if own.phase is MemberPhase.LEAVING:
-            self._registry.restore(
-                UpstreamAnnouncement(
-                    own.upstream_id,
-                    own.upstream_born_ms,
-                    0,
-                    own.service,
-                    own.slots,
-                    UpstreamPhase.LEAVING,
-                ),
-                trio.current_time(),
-            )
-
-    async def _apply(self, outcome: AnnouncementOutcome) -> None:
+            self._is_recalled = True
+            return True
+        earlier, self._unproven = self._unproven, announcement
+        if earlier is None or earlier.born_ms != announcement.born_ms:
+            return False
+        return announcement.sequence > earlier.sequence
+
+    def _apply(self, change: str) -> None:
         current = self._registry.current
         if current is None:
             return
@@ -123,15 +148,17 @@
             UpstreamChanged(
                 upstream=current.upstream_id,
                 born_ms=current.born_ms,
-                change=outcome.value,
+                change=change,
                 slots=current.slots,
             )
         )
         self._change_record()
-        if current.phase is UpstreamPhase.LEAVING:
-            await self._membership.publish_and_wait(_STORE_WAIT_S)
-        else:
-            self._membership.publish()
+
+    async def _secure(self) -> None:
+        """Has the record kept by the store, or else by other daemons."""
+        if not await self._membership.publish_and_wait(_STORE_WAIT_S):
+            with trio.move_on_after(_TELL_S):
+                await self.tell_daemons()
 
     def _change_record(self) -> None:
         current = self._registry.current
@@ -142,6 +169,7 @@
                 service=current.service,
                 upstream_id=current.upstream_id,
                 upstream_born_ms=current.born_ms,
+                upstream_leaves=current.phase is UpstreamPhase.LEAVING,
                 slots=current.slots,
                 cold_left_s=current.cold_left_s,
             )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -57,7 +57,7 @@
 _DESCRIPTOR_SHARE: Final = 0.6
 """Part of the descriptors that connections of callers and daemons may take."""
 _RESERVED_DESCRIPTORS: Final = 300
-_LEAVE_S: Final = 3.0
+_LEAVE_S: Final = 2.4
 """Time after SIGTERM for which callers are still served, in seconds."""
 _REFUSE_HOPS_S: Final = 0.6
 """Time after SIGTERM for which other daemons may still send requests, in seconds."""
@@ -108,6 +108,7 @@
         self._announcements = UpstreamAnnouncements(
             settings, self._directory, self._membership, self._upstream, log
         )
+        self._membership.on_recall = self._announcements.recall
         self._entry = CallEntry(
             names,
             self._routes,
@@ -130,6 +131,7 @@
             rng,
             log,
         )
+        self._announcements.tell_daemons = self._gossip.tell
         hops = HopServer(names, self._directory, self._upstream, self._gossip, log)
         connections = max(
             64, int((settings.descriptor_limit - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE)
@@ -229,10 +231,11 @@
             await trio.sleep(_REFUSE_HOPS_S)
         self._upstream.stop()
         self._peers.begin_closing()
+        await trio.sleep_until(began_at + _LEAVE_S)
+        self._callers.refuse_new()
         latest = began_at + self._settings.bounds.grace_s - _GRACE_MARGIN_S
         while trio.current_time() < latest:
-            left = trio.current_time() - began_at >= _LEAVE_S
-            if left and not self._callers.in_flight and not self._peers.in_flight:
+            if not self._callers.in_flight and not self._peers.in_flight:
                 return
             await trio.sleep(_POLL_S)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -47,8 +47,10 @@
 _MIN_RETRY_AFTER_S: Final = 0.05
 _MAX_RETRY_SHARE: Final = 0.3
 """Largest part of the time left that a caller is told to wait."""
-_USEFUL_TARGETS: Final = 1.0
-"""Target latencies for which a request may wait for a slot."""
+_USEFUL_SHARE: Final = 0.65
+"""Part of the target latency within which an answer must be expected for a request to wait."""
+_RETRY_TARGET_SHARE: Final = 0.25
+"""Largest part of the target latency that a caller is told to wait."""
 
 
 class RoutesInForce:
@@ -135,7 +137,7 @@
         if value.isdigit():
             wait_s = min(wait_s, int(value) / 1000)
         arrived_at = request.arrived_at
-        useful_s = min(wait_s, route.target_latency_s * _USEFUL_TARGETS)
+        useful_s = min(wait_s, route.target_latency_s * _USEFUL_SHARE)
         return ServiceCall(
             request,
             request.headers.find(self._names.request_id),
@@ -254,7 +256,8 @@
     def _retry_after(self, call: ServiceCall, outcome: HopOutcome) -> float:
         left_s = max(0.0, call.deadline - trio.current_time())
         wanted_s = outcome.retry_after_ms / 1000 or _NO_UPSTREAM_RETRY_S
-        return max(_MIN_RETRY_AFTER_S, min(wanted_s, left_s * _MAX_RETRY_SHARE))
+        target_s = call.route.target_latency_s * _RETRY_TARGET_SHARE
+        return max(_MIN_RETRY_AFTER_S, min(wanted_s, target_s, left_s * _MAX_RETRY_SHARE))
 
     def _finish(
         self, call: ServiceCall, reply: Reply, reason: str, retry_after_s: float = 0.0
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
@@ -24,6 +24,8 @@
 _INTERVAL_S: Final = 1.0
 _PROBE_INTERVAL_S: Final = 0.3
 _TIMEOUT_S: Final = 0.8
+_TOLD: Final = 3
+"""Daemons that are told of a change that the store does not take."""
 _SOURCE: Final = "daemon"
 
 
@@ -108,6 +110,13 @@
         self._note(member, True, "")
         return True
 
+    async def tell(self) -> None:
+        """Exchanges state with a few daemons at once, because the store does not answer."""
+        others = [each for each in self._others() if self._balancer.is_reachable(each.name)]
+        async with trio.open_nursery() as nursery:
+            for member in self._random.sample(others, min(_TOLD, len(others))):
+                nursery.start_soon(self.exchange, member)
+
     async def _exchange_forever(self) -> None:
         while True:
             await trio.sleep(_INTERVAL_S * self._random.uniform(0.8, 1.2))
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
@@ -58,8 +58,11 @@
         self._written_event = trio.Event()
         self._crashes: list[CrashReport] = []
         self._is_announced = False
+        self._is_recalled = False
         self.is_current = trio.Event()
         """Set once the records that the store held at the start have been read."""
+        self.on_recall: Callable[[], None] = lambda: None
+        """Called once it is known what an earlier incarnation of this daemon left."""
 
     def publish(self) -> None:
         """Has the record of this daemon written to the store."""
@@ -113,6 +116,9 @@
             )
         if self._directory.own.order != own_order and self._is_announced:
             self._wake.set()
+        if self._directory.recalled is not None and not self._is_recalled:
+            self._is_recalled = True
+            self.on_recall()
         if news:
             self._on_change()
 
--- a/packages/fulmarstile_services/src/fulmarstile_services/upstream_registry.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/upstream_registry.py
@@ -9,6 +9,9 @@
 _SILENT_INTERVALS: Final = 2.5
 """Announcement intervals after which a silent incarnation no longer holds back an older one."""
 
+_MAX_LEFT: Final = 16
+"""Incarnations remembered that left before they were known."""
+
 
 class UpstreamPhase(enum.Enum):
     """Whether an upstream takes requests."""
@@ -58,6 +61,7 @@
         self._interval_s = interval_s
         self._current: UpstreamAnnouncement | None = None
         self._heard_at = 0.0
+        self._left: dict[tuple[str, int], None] = {}
 
     @property
     def current(self) -> UpstreamAnnouncement | None:
@@ -96,6 +100,8 @@
             What it changed.
         """
         current = self._current
+        if (announcement.upstream_id, announcement.born_ms) in self._left:
+            return AnnouncementOutcome.STALE
         if current is None or announcement.born_ms > current.born_ms:
             return self._replace(announcement, now)
         if not _is_same(current, announcement):
@@ -125,6 +131,8 @@
         """
         current = self._current
         if current is None or current.upstream_id != upstream_id:
+            if born_ms is not None:
+                self._remember_left(upstream_id, born_ms)
             return AnnouncementOutcome.STALE
         if born_ms is not None and born_ms != current.born_ms:
             return AnnouncementOutcome.STALE
@@ -141,6 +149,11 @@
         )
         return AnnouncementOutcome.LEFT
 
+    def _remember_left(self, upstream_id: str, born_ms: int) -> None:
+        self._left[(upstream_id, born_ms)] = None
+        while len(self._left) > _MAX_LEFT:
+            del self._left[next(iter(self._left))]
+
     def _replace(self, announcement: UpstreamAnnouncement, now: float) -> AnnouncementOutcome:
         self._current = announcement
         self._heard_at = now
--- a/packages/fulmarstile_services/src/fulmarstile_services/weighted_split.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/weighted_split.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     import random
 
     from fulmarstile_services.document import ServiceRoute, SplitPart
 
+_MAX_FIRST_STEPS: Final = 64
+"""Requests by which the rotations of daemons are apart at most when they start."""
+
 
 class WeightedSplit:
     """Smooth weighted round robin, one rotation for each route.
@@ -48,9 +51,9 @@
     def __init__(self, parts: tuple[SplitPart, ...], random: random.Random) -> None:
         self.parts = parts
         self._total = sum(part.weight for part in parts)
-        draws = [part.weight * random.random() for part in parts]
-        mean = sum(draws) / len(draws)
-        self._credits = [draw - mean for draw in draws]
+        self._credits = [0.0] * len(parts)
+        for _ in range(random.randrange(_MAX_FIRST_STEPS)):
+            self.next()
 
     def next(self) -> str:
         """Returns the service whose credit is highest after each earned its weight."""
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -53,6 +53,8 @@
     service: str = ""
     upstream_id: str = ""
     upstream_born_ms: int = 0
+    upstream_leaves: bool = False
+    """Whether the upstream has said that it leaves; it never takes requests again."""
     slots: int = 0
     cold_left_s: float = 0.0
     """Time for which the upstream was still to be slow when this was written, in seconds."""
--- /dev/null
+++ b/tests/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/services/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the calls between services."""
--- /dev/null
+++ b/tests/services/test_balancing.py
@@ -0,0 +1,87 @@
+"""A request goes where its answer is expected first."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from collections import Counter
+
+from fulmarstile_services.balancing import BalancingSettings, LeastWaitBalancer
+from fulmarstile_testing.builders.services import make_member
+from fulmarstile_wire.services import HopOutcome, Member
+from fulmarstile_wire.verdict import Verdict
+
+NEAR = make_member("near")
+FAR = make_member("far", availability_zone="zone-b")
+LARGE = 300_000
+
+
+def make_outcome(**changes) -> HopOutcome:
+    return HopOutcome(Verdict.RAN, reached_upstream=True, service_ms=50.0, **changes)
+
+
+class LeastWaitBalancerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.balancer = LeastWaitBalancer(BalancingSettings(), "zone-a", random.Random(1))
+        self.now = 100.0
+
+    def report(self, member: Member, failed: bool = False, **changes) -> None:
+        self.balancer.on_sent(member, self.now)
+        self.balancer.on_ended(member, make_outcome(**changes), failed, self.now)
+
+    def choose(self, *members: Member, size: int = 0, exclude=frozenset()) -> str:
+        chosen = self.balancer.choose(members, size, self.now, exclude)
+        return chosen.name if chosen else ""
+
+    def test_the_own_zone_comes_first_while_it_has_room(self) -> None:
+        self.report(NEAR, running=1)
+        self.report(FAR)
+        self.assertEqual(self.choose(NEAR, FAR), "near")
+
+    def test_another_zone_is_used_when_the_own_one_is_full(self) -> None:
+        self.report(NEAR, running=4, queued=4)
+        self.report(FAR)
+        self.assertEqual(self.choose(NEAR, FAR), "far")
+
+    def test_large_requests_stay_in_their_zone_for_longer(self) -> None:
+        self.report(NEAR, running=4, queued=4)
+        self.report(FAR)
+        self.assertEqual(self.choose(NEAR, FAR, size=LARGE), "near")
+
+    def test_a_failing_upstream_gets_less(self) -> None:
+        for _ in range(10):
+            self.report(NEAR, failed=True)
+        self.report(FAR)
+        self.assertEqual(self.choose(NEAR, FAR), "far")
+
+    def test_a_daemon_out_of_reach_is_used_only_if_there_is_no_other(self) -> None:
+        self.balancer.set_reachable(NEAR, False, self.now)
+        self.assertEqual(self.choose(NEAR, FAR), "far")
+        self.assertEqual(self.choose(NEAR), "near")
+
+    def test_excluded_daemons_are_not_chosen(self) -> None:
+        self.assertEqual(self.choose(NEAR, FAR, exclude=frozenset({"near"})), "far")
+        self.assertEqual(self.choose(NEAR, exclude=frozenset({"near"})), "")
+
+    def test_a_newcomer_in_another_zone_soon_gets_work(self) -> None:
+        self.report(NEAR)
+        chosen = Counter(self.choose(NEAR, FAR) for _ in range(100))
+        self.assertGreater(chosen["far"], 0)
+
+    def test_a_new_incarnation_starts_without_the_old_ones_record(self) -> None:
+        for _ in range(10):
+            self.report(NEAR, failed=True)
+        self.report(FAR)
+        again = make_member("near", upstream_id="upstream-again")
+        self.assertTrue(self.balancer.is_reachable("near"))
+        self.assertEqual(self.choose(again, FAR), "near")
+
+    def test_a_large_service_is_sampled_and_its_own_zone_kept(self) -> None:
+        members = [
+            make_member(f"m{i}", availability_zone="zone-a" if i < 3 else "zone-b")
+            for i in range(100)
+        ]
+        for member in members:
+            self.report(member)
+        chosen = Counter(self.choose(*members) for _ in range(50))
+        self.assertLessEqual(set(chosen), {"m0", "m1", "m2"})
--- /dev/null
+++ b/tests/services/test_routing_table.py
@@ -0,0 +1,43 @@
+"""The route of a request is the one with the longest prefix of its path."""
+
+from __future__ import annotations
+
+import unittest
+
+from fulmarstile_services.document import DocumentError, SplitPart
+from fulmarstile_services.routing_table import RoutingTable
+from fulmarstile_testing.builders.services import make_document, make_route
+
+
+class RoutingTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = RoutingTable(
+            make_document(make_route(prefix="/a/"), make_route(prefix="/a/b/"))
+        )
+
+    def test_the_longest_prefix_wins(self) -> None:
+        route = self.table.find("shop.example", "/a/b/c")
+        self.assertEqual(route and route.prefix, "/a/b/")
+
+    def test_a_prefix_matches_whole_segments_only(self) -> None:
+        route = self.table.find("shop.example", "/a/bc")
+        self.assertEqual(route and route.prefix, "/a/")
+        self.assertIsNone(self.table.find("shop.example", "/a"))
+        self.assertIsNone(self.table.find("shop.example", "/ab/"))
+
+    def test_port_and_case_of_the_host_do_not_matter(self) -> None:
+        self.assertIsNotNone(self.table.find("SHOP.example:8080", "/a/"))
+
+    def test_another_host_has_no_route(self) -> None:
+        self.assertIsNone(self.table.find("other.example", "/a/"))
+
+    def test_a_path_without_a_slash_has_no_route(self) -> None:
+        self.assertIsNone(self.table.find("shop.example", "*"))
+
+    def test_two_routes_of_one_prefix_are_an_error(self) -> None:
+        with self.assertRaisesRegex(DocumentError, "two routes"):
+            RoutingTable(make_document(make_route(), make_route()))
+
+    def test_a_route_to_an_unknown_service_is_an_error(self) -> None:
+        with self.assertRaisesRegex(DocumentError, "no service lost"):
+            RoutingTable(make_document(make_route(parts=(SplitPart("lost", 1.0),))))
--- /dev/null
+++ b/tests/services/test_upstream_registry.py
@@ -0,0 +1,69 @@
+"""Announcements count in the order in which the upstream made them."""
+
+from __future__ import annotations
+
+import unittest
+
+from fulmarstile_services.upstream_registry import (
+    AnnouncementOutcome,
+    UpstreamPhase,
+    UpstreamRegistry,
+)
+from fulmarstile_testing.builders.services import make_announcement
+
+LEAVING = UpstreamPhase.LEAVING
+
+
+class UpstreamRegistryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.registry = UpstreamRegistry(interval_s=1.5)
+
+    def test_the_first_announcement_is_new(self) -> None:
+        outcome = self.registry.on_announcement(make_announcement(), 0.0)
+        self.assertIs(outcome, AnnouncementOutcome.NEW)
+
+    def test_a_late_announcement_changes_nothing(self) -> None:
+        self.registry.on_announcement(make_announcement(sequence=5, phase=LEAVING), 0.0)
+        outcome = self.registry.on_announcement(make_announcement(sequence=4), 0.1)
+        self.assertIs(outcome, AnnouncementOutcome.STALE)
+        self.assertIs(self.registry.current.phase, LEAVING)
+
+    def test_an_older_incarnation_does_not_replace_a_newer_one(self) -> None:
+        self.registry.on_announcement(make_announcement(born_ms=2_000), 0.0)
+        outcome = self.registry.on_announcement(make_announcement(sequence=90), 0.1)
+        self.assertIs(outcome, AnnouncementOutcome.STALE)
+        self.assertEqual(self.registry.current.born_ms, 2_000)
+
+    def test_a_new_incarnation_may_have_the_id_of_the_old_one(self) -> None:
+        self.registry.on_announcement(make_announcement(sequence=7, phase=LEAVING), 0.0)
+        outcome = self.registry.on_announcement(make_announcement(born_ms=2_000), 0.1)
+        self.assertIs(outcome, AnnouncementOutcome.NEW)
+        self.assertIs(self.registry.current.phase, UpstreamPhase.READY)
+
+    def test_an_upstream_that_leaves_never_comes_back(self) -> None:
+        self.registry.on_announcement(make_announcement(), 0.0)
+        self.registry.on_leave("upstream-1", 1_000, 0.1)
+        self.registry.on_announcement(make_announcement(sequence=9), 0.2)
+        self.assertIs(self.registry.current.phase, LEAVING)
+
+    def test_the_leave_of_another_incarnation_changes_nothing(self) -> None:
+        self.registry.on_announcement(make_announcement(born_ms=2_000), 0.0)
+        outcome = self.registry.on_leave("upstream-1", 1_000, 0.1)
+        self.assertIs(outcome, AnnouncementOutcome.STALE)
+
+    def test_a_leave_before_the_first_announcement_is_remembered(self) -> None:
+        self.registry.on_leave("upstream-1", 1_000, 0.0)
+        outcome = self.registry.on_announcement(make_announcement(sequence=3), 0.5)
+        self.assertIs(outcome, AnnouncementOutcome.STALE)
+        self.assertIsNone(self.registry.current)
+
+    def test_what_was_known_before_a_restart_keeps_an_upstream_from_coming_back(self) -> None:
+        self.registry.restore(make_announcement(sequence=0, phase=LEAVING), 0.0)
+        self.registry.on_announcement(make_announcement(sequence=9), 0.5)
+        self.assertIs(self.registry.current.phase, LEAVING)
+
+    def test_an_upstream_whose_clock_went_back_counts_once_the_other_is_silent(self) -> None:
+        self.registry.on_announcement(make_announcement(born_ms=2_000), 0.0)
+        earlier = make_announcement(upstream_id="upstream-2")
+        self.assertIs(self.registry.on_announcement(earlier, 1.0), AnnouncementOutcome.STALE)
+        self.assertIs(self.registry.on_announcement(earlier, 5.0), AnnouncementOutcome.NEW)
