--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -146,6 +146,21 @@
         self._is_stopping = False
         self._add_gauges()
 
+    @property
+    def announcements(self) -> UpstreamAnnouncements:
+        """Takes announcements of the upstream on this VM."""
+        return self._announcements
+
+    @property
+    def routes(self) -> RoutesInForce:
+        """Routing table in force."""
+        return self._routes
+
+    @property
+    def directory(self) -> Directory:
+        """All daemons known."""
+        return self._directory
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
@@ -0,0 +1,79 @@
+"""In-memory store of keyed topics with outages."""
+
+from __future__ import annotations
+
+import trio
+
+from fulmarstile_platform.keyed_log import KeyedPage, KeyedRecord, RecordsExpiredError
+from fulmarstile_platform.log import LogUnavailableError
+from fulmarstile_wire.verdict import Verdict
+
+
+class _Content:
+    def __init__(self) -> None:
+        self.topics: dict[str, list[KeyedRecord]] = {}
+        self.first: dict[str, int] = {}
+        self.changed = trio.Event()
+
+
+class FakeKeyedLog:
+    """Implements `KeyedLog`; the daemons of a test share its content.
+
+    Args:
+        shared: Store whose content this one shows; it is out of reach by itself.
+    """
+
+    def __init__(self, shared: FakeKeyedLog | None = None) -> None:
+        self._content = shared._content if shared else _Content()
+        self.is_down = False
+        """Whether every call fails."""
+        self.reads = 0
+        """Reads that were answered."""
+        self.appends = 0
+        """Appends that took effect."""
+
+    async def newest(self, topic: str) -> KeyedPage:
+        """See `KeyedLog.newest`."""
+        await self._check()
+        records = self._content.topics.get(topic, [])
+        newest = {record.key: record for record in records}
+        self.reads += 1
+        return KeyedPage(tuple(newest.values()), len(records))
+
+    async def read_keyed(self, topic: str, offset: int, wait_s: float) -> KeyedPage:
+        """See `KeyedLog.read_keyed`."""
+        await self._check()
+        with trio.move_on_after(wait_s):
+            while len(self._content.topics.get(topic, [])) <= offset:
+                await self._content.changed.wait()
+                await self._check()
+        if offset < self._content.first.get(topic, 0):
+            raise RecordsExpiredError(f"{topic}: the records from {offset} on are gone")
+        records = self._content.topics.get(topic, [])[offset:]
+        self.reads += 1
+        return KeyedPage(tuple(records), offset + len(records))
+
+    async def append_keyed(self, topic: str, key: str, value: bytes) -> None:
+        """See `KeyedLog.append_keyed`."""
+        await self._check()
+        self.put(topic, key, value)
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Appends a record even while the store is down for the daemons."""
+        self._content.topics.setdefault(topic, []).append(KeyedRecord(key, value))
+        self.appends += 1
+        self.wake()
+
+    def forget_history(self, topic: str) -> None:
+        """Lets all records expire but the newest of each key."""
+        self._content.first[topic] = len(self._content.topics.get(topic, []))
+
+    def wake(self) -> None:
+        """Makes waiting reads look again."""
+        event, self._content.changed = self._content.changed, trio.Event()
+        event.set()
+
+    async def _check(self) -> None:
+        await trio.lowlevel.checkpoint()
+        if self.is_down:
+            raise LogUnavailableError("the store is down", Verdict.NOT_RUN)
--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/service_platform.py
@@ -0,0 +1,84 @@
+"""Platform for daemons in tests: documents by version, no files, one in-memory store."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Final
+
+from fulmarstile_daemon.services.ports import CallHeaderNames
+from fulmarstile_platform.http_server import HttpAnswer
+from fulmarstile_services.document import DocumentError
+from fulmarstile_testing.fakes.keyed_log import FakeKeyedLog
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from fulmarstile_daemon.services.ports import UpstreamEvents
+    from fulmarstile_platform.http_server import HttpRequest
+    from fulmarstile_services.document import ServiceDocument
+    from fulmarstile_services.settings import NodeSettings
+
+HEADER_NAMES: Final = CallHeaderNames(
+    request_id=b"request-id",
+    time_left_ms=b"time-left-ms",
+    caller_service=b"caller-service",
+    expected_upstream=b"expected-upstream",
+    answer_proof=b"answer-proof",
+    not_run=b"not-run",
+)
+DOCUMENT_TOPIC: Final = "documents"
+DOCUMENT_KEY: Final = "current"
+
+
+class FakePlatform:
+    """Implements `Platform` for one daemon.
+
+    Args:
+        settings: Settings of the daemon.
+        store: Store shared by the daemons of a test.
+        documents: Documents by the text that stands for them in the store.
+    """
+
+    header_names = HEADER_NAMES
+    document_topic = DOCUMENT_TOPIC
+    document_key = DOCUMENT_KEY
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: FakeKeyedLog,
+        documents: dict[bytes, ServiceDocument],
+    ) -> None:
+        self.settings = settings
+        self.store = FakeKeyedLog(store)
+        """View of the store that this daemon has."""
+        self._documents = documents
+
+    def read_settings(self) -> NodeSettings:
+        """See `Platform.read_settings`."""
+        return self.settings
+
+    def settings_stamp(self) -> object:
+        """See `Platform.settings_stamp`."""
+        return self.settings
+
+    @asynccontextmanager
+    async def open_store(self, address: str) -> AsyncIterator[FakeKeyedLog]:
+        """See `Platform.open_store`."""
+        yield self.store
+
+    def decode_document(self, raw: bytes) -> ServiceDocument:
+        """See `Platform.decode_document`."""
+        document = self._documents.get(raw)
+        if document is None:
+            raise DocumentError("unknown document")
+        return document
+
+    async def answer_announcement(self, request: HttpRequest, events: UpstreamEvents) -> HttpAnswer:
+        """See `Platform.answer_announcement`; tests call the events themselves."""
+        return HttpAnswer(HTTPStatus.NOT_FOUND)
+
+    async def answer_readiness(self, request: HttpRequest, is_ready: bool) -> HttpAnswer:
+        """See `Platform.answer_readiness`."""
+        return HttpAnswer(HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE)
--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
@@ -0,0 +1,235 @@
+"""Upstream of a service for tests: counts what it runs and misbehaves on demand.
+
+The behaviour of a request is asked for by its query: `delay_ms`, `status`, `size`, `fault`.
+"""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+from urllib.parse import parse_qsl
+
+import h11
+import trio
+
+if TYPE_CHECKING:
+    from fulmarstile_daemon.services.ports import CallHeaderNames
+
+FAULT_CUT: Final = "cut"
+"""The answer breaks off in its body."""
+FAULT_RESET: Final = "reset"
+"""The request runs and its connection is reset without an answer."""
+FAULT_EXTRA: Final = "extra"
+"""A second answer follows at once."""
+FAULT_EXTRA_LATE: Final = "extra-late"
+"""A second answer follows when the next request has arrived."""
+FAULT_UNFRAMED: Final = "unframed"
+"""The answer has no length and ends with its connection."""
+FAULT_UNPROVEN: Final = "unproven"
+"""The answer has no proof that it is an upstream's."""
+FAULT_SHED: Final = "shed"
+"""The request is rejected as not run."""
+FAULT_EARLY: Final = "early"
+"""A rejection is sent before the body is read."""
+FAULT_CRASH: Final = "crash"
+"""The upstream crashes."""
+
+_READ_BYTES: Final = 64 * 1024
+
+
+@dataclass(slots=True)
+class ServedRequest:
+    """A request that the upstream saw."""
+
+    request_id: str
+    target: str
+    headers: dict[bytes, bytes]
+    body_bytes: int = 0
+    ran: bool = False
+    was_left: bool = False
+    """Whether its connection ended before its answer."""
+
+
+@dataclass(slots=True)
+class UpstreamRecord:
+    """What an upstream saw."""
+
+    requests: list[ServedRequest] = field(default_factory=list)
+    running: int = 0
+    max_running: int = 0
+    connections: int = 0
+
+    def count_runs(self, request_id: str) -> int:
+        """Returns how often a request ran."""
+        return sum(each.ran and each.request_id == request_id for each in self.requests)
+
+
+class ServiceUpstream:
+    """Serves one upstream on loopback.
+
+    Args:
+        names: Names of headers.
+        upstream_id: Id that requests may demand.
+    """
+
+    def __init__(self, names: CallHeaderNames, upstream_id: str) -> None:
+        self._names = names
+        self.upstream_id = upstream_id
+        """Id of the upstream."""
+        self.record = UpstreamRecord()
+        """What it saw."""
+        self._scope = trio.CancelScope()
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        """`host:port` that it listens at."""
+
+    async def serve(self) -> None:
+        """Serves until it crashes or is cancelled."""
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(self._socket))
+        with self._scope:
+            await trio.serve_listeners(self._serve_connection, [listener])
+
+    def crash(self) -> None:
+        """Ends at once; all connections break and no new one is accepted."""
+        self._scope.cancel()
+        self._socket.close()
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        self.record.connections += 1
+        late = b""
+        http = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                request = await self._next(http, stream)
+                if type(request) is not h11.Request:
+                    break
+                if late:
+                    await stream.send_all(late)
+                late = await self._serve_request(http, stream, request)
+                if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+                    break
+                http.start_next_cycle()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError):
+            pass
+        finally:
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
+
+    async def _serve_request(
+        self, http: h11.Connection, stream: trio.SocketStream, head: h11.Request
+    ) -> bytes:
+        """Serves one request; returns the bytes that disturb the next one."""
+        headers = dict(head.headers)
+        query = dict(parse_qsl(head.target.decode().partition("?")[2]))
+        fault = query.get("fault", "")
+        served = ServedRequest(
+            headers.get(self._names.request_id, b"").decode(), head.target.decode(), headers
+        )
+        self.record.requests.append(served)
+        if fault == FAULT_EARLY:
+            await self._answer(http, stream, served, 429, b"early", not_run=True)
+        while type(event := await self._next(http, stream)) is h11.Data:
+            served.body_bytes += len(event.data)
+        if fault == FAULT_EARLY:
+            return b""
+        expected = headers.get(self._names.expected_upstream, b"").decode()
+        if expected and expected != self.upstream_id:
+            await self._answer(http, stream, served, 421, b"")
+            return b""
+        if fault == FAULT_SHED:
+            await self._answer(http, stream, served, 503, b"", not_run=True)
+            return b""
+        return await self._run(http, stream, served, query)
+
+    async def _run(
+        self,
+        http: h11.Connection,
+        stream: trio.SocketStream,
+        served: ServedRequest,
+        query: dict[str, str],
+    ) -> bytes:
+        fault = query.get("fault", "")
+        served.ran = True
+        record = self.record
+        record.running += 1
+        record.max_running = max(record.max_running, record.running)
+        try:
+            await self._work(stream, served, float(query.get("delay_ms", 1)) / 1000)
+        finally:
+            record.running -= 1
+        if fault == FAULT_CRASH:
+            self.crash()
+            await trio.sleep_forever()
+        if fault == FAULT_RESET:
+            _reset(stream)
+        status = int(query.get("status", 200))
+        body = b"x" * int(query.get("size", 2))
+        whole = self._make_answer(served, status, body)
+        if fault == FAULT_CUT:
+            await stream.send_all(whole[:-1])
+            _reset(stream)
+        if fault == FAULT_UNFRAMED:
+            await stream.send_all(whole.replace(b"content-length", b"x-length"))
+            return b""
+        proven = fault != FAULT_UNPROVEN
+        await self._answer(http, stream, served, status, body, proven=proven)
+        if fault == FAULT_EXTRA:
+            await stream.send_all(whole)
+        return whole if fault == FAULT_EXTRA_LATE else b""
+
+    async def _work(self, stream: trio.SocketStream, served: ServedRequest, work_s: float) -> None:
+        """Works on a request and drops it when its connection ends."""
+        with trio.move_on_after(work_s):
+            await trio.lowlevel.wait_readable(stream.socket)
+            served.was_left = True
+            raise trio.BrokenResourceError("the connection ended")
+
+    async def _answer(
+        self,
+        http: h11.Connection,
+        stream: trio.SocketStream,
+        served: ServedRequest,
+        status: int,
+        body: bytes,
+        *,
+        not_run: bool = False,
+        proven: bool = True,
+    ) -> None:
+        headers = self._make_headers(served, body, not_run, proven)
+        data = http.send(h11.Response(status_code=status, headers=headers))
+        data += http.send(h11.Data(data=body)) + http.send(h11.EndOfMessage())
+        await stream.send_all(data)
+
+    def _make_answer(
+        self, served: ServedRequest, status: int, body: bytes, *, not_run: bool = False
+    ) -> bytes:
+        lines = [b"HTTP/1.1 %d X" % status]
+        headers = self._make_headers(served, body, not_run, True)
+        lines += [name + b": " + value for name, value in headers]
+        return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+    def _make_headers(
+        self, served: ServedRequest, body: bytes, not_run: bool, proven: bool
+    ) -> list[tuple[bytes, bytes]]:
+        headers = [
+            (self._names.request_id, served.request_id.encode()),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        if not_run:
+            headers.append((self._names.not_run, b"1"))
+        elif proven:
+            headers.append((self._names.answer_proof, b"seal-" + self.upstream_id.encode()))
+        return headers
+
+    async def _next(self, http: h11.Connection, stream: trio.SocketStream) -> object:
+        while (event := http.next_event()) is h11.NEED_DATA:
+            http.receive_data(await stream.receive_some(_READ_BYTES))
+        return event
+
+
+def _reset(stream: trio.SocketStream) -> None:
+    """Resets the connection and ends the request."""
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    stream.socket.close()
+    raise trio.BrokenResourceError("the connection was reset")
--- /dev/null
+++ b/tests/services/test_upstream_faults.py
@@ -0,0 +1,106 @@
+"""Faulty upstreams: no wrong answer, no second run of what may run once."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from fulmarstile_services.document import Repeatability
+from fulmarstile_testing.builders.service_mesh import serve_mesh
+from fulmarstile_testing.builders.services import make_document, make_route
+from fulmarstile_testing.service_upstream import (
+    FAULT_CRASH,
+    FAULT_CUT,
+    FAULT_EARLY,
+    FAULT_EXTRA,
+    FAULT_EXTRA_LATE,
+    FAULT_RESET,
+    FAULT_SHED,
+    FAULT_UNFRAMED,
+    FAULT_UNPROVEN,
+)
+
+ONCE = make_document(make_route(repeatability=Repeatability.AT_MOST_ONCE))
+IDEMPOTENT = make_document(make_route())
+
+
+class FaultyUpstreamTest(unittest.TestCase):
+    def check(self, fault: str, *, document=ONCE, status: int, runs: int, method="POST") -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", "shop", document=document) as mesh:
+                answer = await mesh.nodes[0].call(f"/a?fault={fault}", method, body=b"b")
+                self.assertTrue(answer.complete)
+                self.assertEqual(answer.status, status)
+                records = [node.upstream.record for node in mesh.nodes]
+                self.assertEqual(sum(each.count_runs("request-1") for each in records), runs)
+                following = await mesh.nodes[0].call("/a?size=7", request_id="request-2")
+                self.assertEqual((following.status, following.body), (200, b"x" * 7))
+
+        trio.run(run)
+
+    def test_a_cut_answer_is_not_passed_on_and_the_request_runs_once(self) -> None:
+        self.check(FAULT_CUT, status=502, runs=1)
+
+    def test_a_lost_answer_does_not_make_the_request_run_again(self) -> None:
+        self.check(FAULT_RESET, status=502, runs=1)
+
+    def test_a_lost_answer_of_an_idempotent_request_is_asked_for_again(self) -> None:
+        self.check(FAULT_RESET, document=IDEMPOTENT, status=502, runs=2, method="GET")
+
+    def test_an_answer_without_proof_is_not_passed_on(self) -> None:
+        self.check(FAULT_UNPROVEN, status=502, runs=1)
+
+    def test_an_answer_without_a_length_is_passed_on_whole(self) -> None:
+        self.check(FAULT_UNFRAMED, status=200, runs=1)
+
+    def test_a_second_answer_belongs_to_no_request(self) -> None:
+        self.check(FAULT_EXTRA, status=200, runs=1)
+
+    def test_a_late_second_answer_does_not_shift_the_connection(self) -> None:
+        self.check(FAULT_EXTRA_LATE, status=200, runs=1)
+
+    def test_what_the_upstreams_reject_is_refused_as_not_run(self) -> None:
+        self.check(FAULT_SHED, status=503, runs=0)
+
+    def test_a_rejection_before_the_body_is_read_ends_the_connection(self) -> None:
+        self.check(FAULT_EARLY, status=503, runs=0)
+
+    def test_a_failure_that_promises_not_run_is_not_passed_on_if_it_ran(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=ONCE) as mesh:
+                for status in (408, 421, 429, 503):
+                    answer = await mesh.nodes[0].call(f"/a?status={status}", "POST")
+                    self.assertIn(answer.status, (502, 503))
+                    if answer.status == 503:
+                        self.assertEqual(status, 421)
+
+        trio.run(run)
+
+    def test_an_upstreams_own_failure_is_passed_on_unchanged(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=ONCE) as mesh:
+                answer = await mesh.nodes[0].call("/a?status=500&size=9", "POST")
+                self.assertEqual((answer.status, len(answer.body)), (500, 9))
+                self.assertIn(b"answer-proof", answer.headers)
+
+        trio.run(run)
+
+    def test_a_request_that_crashes_upstreams_is_refused_everywhere(self) -> None:
+        async def run() -> None:
+            services = ("stock",) * 2 + ("shop",) * 4
+            async with serve_mesh(*services, document=IDEMPOTENT) as mesh:
+                target = f"/poison?fault={FAULT_CRASH}"
+                for number in range(4):
+                    await mesh.nodes[number % 2].call(target, request_id=f"r{number}")
+                    await trio.sleep(0.3)
+                ran = sum(
+                    each.upstream.record.count_runs(f"r{number}")
+                    for each in mesh.nodes
+                    for number in range(4)
+                )
+                self.assertEqual(ran, 2)
+                answer = await mesh.nodes[0].call("/harmless", request_id="r9")
+                self.assertEqual(answer.status, 200)
+
+        trio.run(run)
