Hedge late answers of idempotent requests, and let late requests take a free slot

Cause: an attempt after 0.65 of the target latency was refused even where a slot was free, and an upstream that loses answers or has turned slow costs the whole timeout.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_following.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_following.py
@@ -19,8 +19,11 @@
 
 _WAIT_S: Final = 25.0
 """Longest wait of one read, in seconds."""
-_PAUSE_S: Final = 0.25
-"""Pause after records arrived, so that changes in quick succession cost one read."""
+_FIRST_PAUSE_S: Final = 0.08
+"""Pause after records arrived; doubled while more arrive, so that a storm costs few reads."""
+_MAX_PAUSE_S: Final = 0.6
+_QUIET_S: Final = 1.0
+"""Wait of a read after which the next records are no longer part of a storm, in seconds."""
 _FIRST_BACKOFF_S: Final = 0.15
 _MAX_BACKOFF_S: Final = 0.8
 
@@ -43,8 +46,10 @@
     """
     offset: int | None = None
     backoff_s = _FIRST_BACKOFF_S
+    pause_s = _FIRST_PAUSE_S
     lost_at: float | None = None
     while True:
+        asked_at = trio.current_time()
         try:
             if offset is None:
                 page = await store.newest(topic)
@@ -70,5 +75,8 @@
             take(page.records)
         if on_current is not None:
             on_current()
+        if trio.current_time() - asked_at > _QUIET_S:
+            pause_s = _FIRST_PAUSE_S
         if page.records:
-            await trio.sleep(_PAUSE_S)
+            await trio.sleep(pause_s)
+            pause_s = min(_MAX_PAUSE_S, pause_s * 2)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_metrics_page.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_metrics_page.py
@@ -37,6 +37,9 @@
     failures = _make_counter(registry, "attempt_failures_total", "Attempts without an answer.")
     for (reason, retried), count in metrics.attempt_failures.items():
         failures.set({"reason": reason, "retried": str(retried).lower()}, count)
+    _make_counter(registry, "hedges_total", "Second attempts for late answers.").set(
+        {}, metrics.hedges
+    )
     _add_latency(registry, "call", metrics.call_latency)
     _add_latency(registry, "attempt", metrics.attempt_latency)
     for name, value in gauges.items():
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -192,8 +192,13 @@
             return AttemptResult(self._describe(refusal))
         now = trio.current_time()
         ticket_id = self._next_ticket = self._next_ticket + 1
+        has_room = self.running < self.slots and not self.queued
         ticket = AdmissionTicket(
-            ticket_id, "", Priority(min(hop.priority, Priority.LOW)), 1.0, useful_until
+            ticket_id,
+            "",
+            Priority(min(hop.priority, Priority.LOW)),
+            1.0,
+            deadline if has_room else useful_until,
         )
         refused = await self._enter(ticket, now)
         if refused is not None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -14,13 +15,16 @@
     make_failure,
 )
 from fulmarstile_daemon.services._links import DaemonUnreachableError
+from fulmarstile_daemon.services._race import Race
 from fulmarstile_daemon.services._request_server import make_error_reply
 from fulmarstile_daemon.services._server_connection import Reply
 from fulmarstile_daemon.services.events import (
     AttemptFailed,
     CallEnded,
     DependencyLost,
+    HedgeStarted,
 )
+from fulmarstile_services.hedging import HedgeTimer
 from fulmarstile_services.retry_policy import RetryRules
 from fulmarstile_wire.services import HopRequest, MemberPhase
 from fulmarstile_wire.verdict import Verdict
@@ -97,6 +101,7 @@
         self._balancer = balancer
         self._budget = budget
         self._rules = RetryRules(budget)
+        self._hedges = HedgeTimer()
         self._upstream = upstream
         self._links = links
         self._metrics = metrics
@@ -159,7 +164,7 @@
                 if member is None:
                     break
                 tried.add(member.name)
-                result = await self._attempt(call, member)
+                result = await self._attempt_hedged(call, member, tried)
                 if result.is_good:
                     break
                 call.record.note(result.outcome)
@@ -175,6 +180,36 @@
         size = len(call.request.body)
         return self._balancer.choose(members, size, trio.current_time(), tried)
 
+    async def _attempt_hedged(
+        self, call: ServiceCall, member: Member, tried: set[str]
+    ) -> AttemptResult:
+        """Runs an attempt, and a second one beside it if its answer is late."""
+        delay_s = self._hedges.delay_s(call.route)
+        if delay_s is None or call.record.arrivals + 2 > call.route.max_attempts:
+            return await self._attempt(call, member)
+        async with trio.open_nursery() as nursery:
+            race = Race(nursery)
+            race.start(partial(self._attempt, call, member))
+            with trio.move_on_after(delay_s):
+                await race.wait()
+            if not race.is_decided:
+                self._hedge(call, race, tried)
+            await race.wait()
+            nursery.cancel_scope.cancel()
+        if race.result is None:
+            raise AssertionError("a race ended without a result")
+        return race.result
+
+    def _hedge(self, call: ServiceCall, race: Race, tried: set[str]) -> None:
+        member = self._choose(call, frozenset(tried))
+        if member is None or not self._budget.take_spare(call.service):
+            return
+        tried.add(member.name)
+        call.record.arrivals += 1
+        self._metrics.hedges += 1
+        self._log.write(HedgeStarted(request_id=call.request_id, daemon_tried=member.name))
+        race.start(partial(self._attempt, call, member))
+
     async def _attempt(self, call: ServiceCall, member: Member) -> AttemptResult:
         now = trio.current_time()
         call.last_daemon = member.name
@@ -204,6 +239,8 @@
                 failed = True
             self._balancer.on_ended(member, outcome, failed, ended_at)
             self._metrics.observe_attempt(ended_at - now)
+            if result is not None and result.is_good:
+                self._hedges.observe(call.route, ended_at - now)
 
     async def _send(self, call: ServiceCall, member: Member, hop: HopRequest) -> AttemptResult:
         if member.name == self._directory.own.name:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -45,6 +45,13 @@
     slots: int = 0
 
 
+class HedgeStarted(LogEvent, tag="hedge_started"):
+    """An answer is late, so the request was sent to a second upstream, too."""
+
+    request_id: str
+    daemon_tried: str
+
+
 class HopEnded(LogEvent, tag="hop_ended"):
     """The daemon beside the upstream did not get a good answer for a request."""
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/metrics.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/metrics.py
@@ -45,6 +45,8 @@
         """From the head of a request to its final answer."""
         self.attempt_latency = LatencyCounts()
         """Of single attempts."""
+        self.hedges = 0
+        """Second attempts that were started because an answer was late."""
         self._gauges: dict[str, Callable[[], float]] = {}
 
     def add_gauge(self, name: str, read: Callable[[], float]) -> None:
--- a/packages/fulmarstile_services/src/fulmarstile_services/retry_budget.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/retry_budget.py
@@ -9,6 +9,9 @@
 _BURST_SHARE: Final = 0.4
 """Part of the allowed burst that all daemons together may save up."""
 
+_SPARE_SHARE: Final = 0.5
+"""Part of the tokens that is kept for requests that failed."""
+
 
 class RetryBudget:
     """Tokens of each service; a request earns a part of one, a repeat costs one.
@@ -58,6 +61,19 @@
         self._tokens[service] = tokens - 1.0
         return True
 
+    def take_spare(self, service: str) -> bool:
+        """Takes the token of a repeat that is not needed yet, unless few are left.
+
+        Args:
+            service: Service that the repeat goes to.
+
+        Returns:
+            Whether there were enough.
+        """
+        if self.tokens(service) < max(1.0, self._limit * _SPARE_SHARE):
+            return False
+        return self.take(service)
+
     @property
     def _limit(self) -> float:
         return max(1.0, self._burst / self._daemons)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
@@ -79,6 +80,8 @@
         """Id of the upstream."""
         self.record = UpstreamRecord()
         """What it saw."""
+        self.silent_for: set[str] = set()
+        """Ids of requests that never get an answer."""
         self._scope = trio.CancelScope()
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
@@ -155,7 +158,10 @@
         record.running += 1
         record.max_running = max(record.max_running, record.running)
         try:
-            await self._work(stream, served, float(query.get("delay_ms", 1)) / 1000)
+            work_s = float(query.get("delay_ms", 1)) / 1000
+            if served.request_id in self.silent_for:
+                work_s = math.inf
+            await self._work(stream, served, work_s)
         finally:
             record.running -= 1
         if fault == FAULT_CRASH:
--- a/tests/services/test_upstream_faults.py
+++ b/tests/services/test_upstream_faults.py
@@ -90,6 +90,7 @@
         async def run() -> None:
             services = ("stock",) * 2 + ("shop",) * 4
             async with serve_mesh(*services, document=IDEMPOTENT) as mesh:
+                await trio.sleep(1.5)  # until the news of the start no longer hold up others
                 target = f"/poison?fault={FAULT_CRASH}"
                 for number in range(4):
                     await mesh.nodes[number % 2].call(target, request_id=f"r{number}")
