--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -31,9 +31,15 @@
     """Time by which the caller needs the answer, in seconds."""
     useful_until: float
     """Time until which waiting for a slot is of use, in seconds."""
+    priority: int
+    """Rank among the requests of the service; 0 is the most urgent."""
     document_version: int
     fingerprint: bytes
+    is_inner: bool
+    """Whether the upstream on this VM sent it."""
     record: AttemptRecord = field(default_factory=AttemptRecord)
+    refused_by: list[str] = field(default_factory=list)
+    """Daemons that refused it before an upstream saw it, each with its reason."""
     last_daemon: str = ""
     last_upstream: str = ""
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -26,7 +26,7 @@
     from fulmarstile_http.listener import CallListener
     from fulmarstile_services.document import RequestLimits
 
-_WATCH_S: Final = 0.1
+_WATCH_S: Final = 0.15
 """Interval at which callers that have left are looked for, in seconds."""
 _SWEEP_S: Final = 0.5
 """Interval at which idle connections are looked for, in seconds."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -39,6 +39,8 @@
     body: bytes
     arrived_at: float
     """Time at which its head was complete, in seconds."""
+    sender: str
+    """IP number that it was sent from."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,8 +65,8 @@
         self._stream = stream
         self._limits = limits
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=_HEAD_SLACK_BYTES)
-        self._opened_at = trio.current_time()
-        self.idle_since = self._opened_at
+        self._sender = stream.peer_host
+        self.idle_since = trio.current_time()
         """Time from which the next request is awaited, in seconds."""
         self.is_idle = True
         """Whether nothing of the next request has arrived."""
@@ -114,7 +116,7 @@
         check_framing(event, headers)
         arrived_at = trio.current_time()
         body = await self._receive_body(headers)
-        return ReceivedRequest(event, headers, body, arrived_at)
+        return ReceivedRequest(event, headers, body, arrived_at, self._sender)
 
     async def send(self, reply: Reply) -> None:
         """Sends a whole answer.
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -102,6 +102,7 @@
         self._down_until = -math.inf
         self._service_s = 0.0
         self._is_stopping = False
+        self._has_waiting = trio.Event()
 
     @property
     def phase(self) -> MemberPhase:
@@ -169,9 +170,11 @@
     async def tick_forever(self) -> None:
         """Refuses waiting requests whose time has run out, until cancelled."""
         while True:
+            if not self._admission.queued:
+                self._has_waiting = trio.Event()
+                await self._has_waiting.wait()
             await trio.sleep(_TICK_S)
-            if self._admission.queued:
-                self._apply(self._admission.on_tick(trio.current_time()))
+            self._apply(self._admission.on_tick(trio.current_time()))
 
     async def run(
         self, hop: HopRequest, request: ReceivedRequest, deadline: float, useful_until: float
@@ -254,6 +257,7 @@
             self._apply(admission.on_arrival(ticket, now))
             if not waiter.admitted and waiter.refusal is None:
                 waiter.event = trio.Event()
+                self._has_waiting.set()
                 await waiter.event.wait()
         except BaseException:
             self._apply(admission.on_cancelled(ticket.ticket_id, trio.current_time()))
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import random
 import signal
@@ -51,20 +52,23 @@
     from fulmarstile_services.settings import NodeSettings
 
 _SETTINGS_POLL_S: Final = 0.5
-_SUSPEND_POLL_S: Final = 0.1
+_SUSPEND_POLL_S: Final = 0.25
 _MIN_SUSPEND_S: Final = 0.5
 """Time that the VM must have stood still for idle connections to be closed, in seconds."""
 _DESCRIPTOR_SHARE: Final = 0.6
 """Part of the descriptors that connections of callers and daemons may take."""
 _RESERVED_DESCRIPTORS: Final = 300
-_LEAVE_S: Final = 2.4
-"""Time after SIGTERM for which callers are still served, in seconds."""
+_MIN_LEAVE_S: Final = 2.4
+_MAX_LEAVE_S: Final = 4.4
+"""Bounds of the time after SIGTERM for which callers are still served, in seconds."""
 _REFUSE_HOPS_S: Final = 0.6
 """Time after SIGTERM for which other daemons may still send requests, in seconds."""
 _GRACE_MARGIN_S: Final = 0.4
 _POLL_S: Final = 0.02
 _READY_WITHOUT_MEMBERS_S: Final = 1.5
 """Time after the start from which the daemon is ready though the store was not read."""
+_COLLECTION_THRESHOLDS: Final = (20_000, 20, 50)
+"""Allocations and younger collections after which objects are collected."""
 _DEFAULT_LIMITS: Final = RequestLimits()
 _HOP_LIMITS: Final = RequestLimits(
     head_bytes=128 * 1024, body_bytes=64 * 1024 * 1024, idle_timeout_s=60.0
@@ -121,7 +125,7 @@
             self._metrics,
             log,
         )
-        self._entry.caller_service = settings.service
+        self._use(settings)
         self._gossip = Gossip(
             self._directory,
             self._membership,
@@ -201,6 +205,9 @@
                 nursery.start_soon(self._upstream.tick_forever)
                 nursery.start_soon(self._poll_settings)
                 nursery.start_soon(self._watch_suspension)
+                # What exists now stays: collections need not look at it again.
+                gc.freeze()
+                gc.set_threshold(*_COLLECTION_THRESHOLDS)
                 await self._obey(signals)
                 nursery.cancel_scope.cancel()
         self._log.write(Stopped(in_flight=self._callers.in_flight + self._peers.in_flight))
@@ -246,9 +253,10 @@
             await trio.sleep(_REFUSE_HOPS_S)
         self._upstream.stop()
         self._peers.begin_closing()
-        await trio.sleep_until(began_at + _LEAVE_S)
-        self._callers.refuse_new()
         latest = began_at + self._settings.bounds.grace_s - _GRACE_MARGIN_S
+        leave_s = latest - began_at - self._longest_timeout_s()
+        await trio.sleep_until(began_at + min(_MAX_LEAVE_S, max(_MIN_LEAVE_S, leave_s)))
+        self._callers.refuse_new()
         while trio.current_time() < latest:
             if not self._callers.in_flight and not self._peers.in_flight:
                 return
@@ -263,14 +271,18 @@
                 stamp = current
                 self._reload_settings()
 
+    def _use(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._entry.caller_service = settings.service
+        self._entry.upstream_host = settings.upstream_address.rpartition(":")[0]
+
     def _reload_settings(self) -> None:
         try:
             settings = self._platform.read_settings()
         except NodeSettingsError as error:
             self._log.write(SettingsReloaded(service=self._settings.service, error=str(error)))
             return
-        self._settings = settings
-        self._entry.caller_service = settings.service
+        self._use(settings)
         self._log.write(SettingsReloaded(service=settings.service))
 
     async def _watch_suspension(self) -> None:
@@ -288,6 +300,12 @@
         table = self._routes.table
         return _DEFAULT_LIMITS if table is None else table.document.limits
 
+    def _longest_timeout_s(self) -> float:
+        table = self._routes.table
+        return (
+            max((route.timeout_s for route in table.document.routes), default=0.0) if table else 0.0
+        )
+
     def _on_members(self) -> None:
         members = self._directory.members
         self._links.keep(member.address for member in members)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -53,6 +53,10 @@
 """Largest part of the time left that a caller is told to wait."""
 _USEFUL_SHARE: Final = 0.65
 """Part of the target latency within which an answer must be expected for a request to wait."""
+_URGENT_PRIORITY: Final = 1
+"""Lowest rank whose requests may wait beyond their target latency."""
+_URGENT_SHARE: Final = 0.5
+"""Part of the time left within which the answer to an urgent request must be expected."""
 _RETRY_TARGET_SHARE: Final = 0.25
 """Largest part of the target latency that a caller is told to wait."""
 
@@ -108,6 +112,8 @@
         self._log = log
         self.caller_service = ""
         """Service of the upstream on this VM, told to the upstreams that run requests."""
+        self.upstream_host = ""
+        """IP number of the upstream on this VM, which sends calls of its own."""
 
     async def answer(self, request: ReceivedRequest) -> Reply:
         """Answers a request.
@@ -142,7 +148,14 @@
         if value.isdigit():
             wait_s = min(wait_s, int(value) / 1000)
         arrived_at = request.arrived_at
-        useful_s = min(wait_s, route.target_latency_s * _USEFUL_SHARE)
+        is_inner = request.sender == self.upstream_host
+        # A call of an upstream keeps a slot there taken: it goes first and waits to the end.
+        priority = max(0, route.priority - 1) if is_inner else route.priority
+        useful_s = route.target_latency_s * _USEFUL_SHARE
+        if is_inner:
+            useful_s = wait_s
+        elif route.priority <= _URGENT_PRIORITY:
+            useful_s = max(useful_s, wait_s * _URGENT_SHARE)
         return ServiceCall(
             request,
             request.headers.find(self._names.request_id),
@@ -150,14 +163,19 @@
             self._split.choose(route),
             self.caller_service,
             deadline=arrived_at + wait_s,
-            useful_until=arrived_at + useful_s,
+            useful_until=arrived_at + min(wait_s, useful_s),
+            priority=priority,
+            is_inner=is_inner,
             document_version=version,
             fingerprint=fingerprint(self.caller_service, request),
         )
 
     async def _run(self, call: ServiceCall) -> Reply:
         tried: set[str] = set()
-        result = AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.NO_UPSTREAM))
+        reason = RefusalReason.NO_UPSTREAM
+        if self._directory.serving(call.service):
+            reason = RefusalReason.QUEUE_FULL
+        result = AttemptResult(make_failure(Verdict.NOT_RUN, reason))
         with trio.CancelScope(deadline=call.deadline) as scope:
             while True:
                 member = self._choose(call, frozenset(tried))
@@ -178,7 +196,7 @@
     def _choose(self, call: ServiceCall, tried: frozenset[str]) -> Member | None:
         members = self._directory.serving(call.service)
         size = len(call.request.body)
-        return self._balancer.choose(members, size, trio.current_time(), tried)
+        return self._balancer.choose(members, size, trio.current_time(), tried, call.priority)
 
     async def _attempt_hedged(
         self, call: ServiceCall, member: Member, tried: set[str]
@@ -218,7 +236,7 @@
             call.service,
             member.upstream_id,
             call.caller_service,
-            call.route.priority,
+            call.priority,
             max(1, int((call.deadline - now) * 1000)),
             max(0, int((call.useful_until - now) * 1000)),
             call.route.is_idempotent,
@@ -237,7 +255,7 @@
                 failed = True
             if outcome is not None and outcome.reached_upstream and outcome.reason:
                 failed = True
-            self._balancer.on_ended(member, outcome, failed, ended_at)
+            self._balancer.on_ended(member, outcome, failed, ended_at, call.priority)
             self._metrics.observe_attempt(ended_at - now)
             if result is not None and result.is_good:
                 self._hedges.observe(call.route, ended_at - now)
@@ -258,6 +276,9 @@
         left_s = call.deadline - trio.current_time()
         choice = self._rules.decide(call.route, call.service, call.record, outcome, left_s)
         self._metrics.count_attempt_failure(outcome.reason, choice.retry)
+        if not outcome.reached_upstream:
+            call.refused_by.append(f"{member.name}:{outcome.reason}")
+            return choice.retry
         self._log.write(
             AttemptFailed(
                 request_id=call.request_id,
@@ -314,6 +335,9 @@
                 daemon_tried=call.last_daemon,
                 reason=reason,
                 retry_after_s=round(retry_after_s, 3),
+                refused_by=tuple(call.refused_by),
+                caller=call.caller_service,
+                is_inner=call.is_inner,
             )
         )
         return reply
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
@@ -21,7 +21,7 @@
 """Lines that wait to be written; further ones are left out and counted."""
 _MAX_LINES_PER_S: Final = 200
 """Lines of one kind written in a second; further ones are left out and counted."""
-_FLUSH_S: Final = 0.1
+_FLUSH_S: Final = 0.25
 _MAX_WRITE_BYTES: Final = 32 * 1024
 
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -28,10 +28,16 @@
     daemon_tried: str = ""
     reason: str = ""
     retry_after_s: float = 0.0
+    refused_by: tuple[str, ...] = ()
+    """Daemons that refused it before an upstream saw it, each with its reason."""
+    caller: str = ""
+    """Service on the VM where the request began."""
+    is_inner: bool = False
+    """Whether the upstream on this VM sent it."""
 
 
 class AttemptFailed(LogEvent, tag="attempt_failed"):
-    """An attempt brought no good answer; says whether another one follows."""
+    """An upstream saw a request and gave no good answer; says whether it is sent again."""
 
     request_id: str
     daemon_tried: str
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import trio
 from loguru import logger
@@ -33,6 +33,9 @@
     from fulmarstile_services.directory import Directory
     from fulmarstile_wire.services import HopOutcome, HopRequest
 
+_QUICK_S: Final = 0.01
+"""Time within which a refusal is not logged here, in seconds."""
+
 
 class HopServer:
     """Answers other daemons.
@@ -94,6 +97,9 @@
 
     def _refuse(self, outcome: HopOutcome, hop: HopRequest, request: ReceivedRequest) -> Reply:
         waited_s = trio.current_time() - request.arrived_at
+        if not outcome.reached_upstream and waited_s < _QUICK_S:
+            # The entry daemon names this daemon and the reason in its own line.
+            return self._make_refusal(outcome)
         self._log.write(
             HopEnded(
                 request_id=request.headers.find(self._names.request_id),
@@ -106,5 +112,8 @@
                 left_ms=float(hop.left_ms),
             )
         )
+        return self._make_refusal(outcome)
+
+    def _make_refusal(self, outcome: HopOutcome) -> Reply:
         reply = make_error_reply(503, outcome.reason)
         return Reply(503, [*reply.headers, (OUTCOME_HEADER, encode_header(outcome))], reply.body)
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -23,7 +23,10 @@
 _NEWCOMER_SHARE: Final = 0.1
 """Share of requests that go to an upstream which this daemon has not tried lately."""
 _UNTRIED_AFTER_S: Final = 2.0
-_MIN_REFUSAL_HOLD_S: Final = 0.02
+_MIN_REFUSAL_HOLD_S: Final = 0.015
+_MAX_REFUSAL_HOLD_S: Final = 0.05
+_REFUSAL_HOLD_SHARE: Final = 0.25
+"""Part of the delay told with a refusal for which an upstream gets no such request."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,10 +62,15 @@
         self.reported_at = now
         self.service_s = 0.0
         self.error_rate = 0.0
-        self.full_until = now
+        self.full_until: dict[int, float] = {}
+        """Times until which requests of a priority are not sent, because one was refused."""
         self.tried_at = now - _UNTRIED_AFTER_S
         self.reachable = True
 
+    def is_full(self, priority: int, now: float) -> bool:
+        """Tells whether a request of the same or a higher rank was refused a moment ago."""
+        return any(rank <= priority and now < until for rank, until in self.full_until.items())
+
 
 class LeastWaitBalancer:
     """Chooses the upstream with the shortest expected time to an answer.
@@ -111,7 +119,12 @@
         self._observations.pop(name, None)
 
     def choose(
-        self, members: Iterable[Member], size: int, now: float, exclude: frozenset[str]
+        self,
+        members: Iterable[Member],
+        size: int,
+        now: float,
+        exclude: frozenset[str],
+        priority: int = 0,
     ) -> Member | None:
         """Chooses where a request is sent.
 
@@ -120,14 +133,18 @@
             size: Bytes of the request's body.
             now: Current time in seconds.
             exclude: Names of daemons that it was sent to before.
+            priority: Rank of the request; 0 is the most urgent.
 
         Returns:
-            The daemon, or None if all are excluded.
+            The daemon, or None if all are excluded or have refused such requests a moment ago.
         """
         candidates = [member for member in members if member.name not in exclude]
         if not candidates:
             return None
         usable = [member for member in candidates if self.is_reachable(member.name)] or candidates
+        usable = [each for each in usable if not self._observe(each, now).is_full(priority, now)]
+        if not usable:
+            return None
         if len(usable) > _MAX_COMPARED:
             usable = self._sample(usable)
         untried = [member for member in usable if self._is_untried(member, now)]
@@ -143,7 +160,12 @@
         observation.tried_at = now
 
     def on_ended(
-        self, member: Member, outcome: HopOutcome | None, failed: bool, now: float
+        self,
+        member: Member,
+        outcome: HopOutcome | None,
+        failed: bool,
+        now: float,
+        priority: int = 0,
     ) -> None:
         """Notes how a request ended that `on_sent` reported.
 
@@ -152,6 +174,7 @@
             outcome: What it said; None if it said nothing.
             failed: Whether the upstream failed.
             now: Current time in seconds.
+            priority: Rank of the request; 0 is the most urgent.
         """
         observation = self._observations.get(member.name)
         if observation is None:
@@ -165,9 +188,10 @@
         observation.reported_at = now
         if outcome.service_ms > 0.0:
             observation.service_s = outcome.service_ms / 1000
-        if outcome.reason:
-            hold_s = max(_MIN_REFUSAL_HOLD_S, outcome.retry_after_ms / 1000 / 4)
-            observation.full_until = now + hold_s
+        if outcome.reason and not outcome.reached_upstream:
+            hold_s = outcome.retry_after_ms / 1000 * _REFUSAL_HOLD_SHARE
+            hold_s = min(_MAX_REFUSAL_HOLD_S, max(_MIN_REFUSAL_HOLD_S, hold_s))
+            observation.full_until[priority] = now + hold_s
 
     def _observe(self, member: Member, now: float) -> _Observation:
         observation = self._observations.get(member.name)
@@ -199,8 +223,6 @@
             service_s = max(service_s, usual_s * _COLD_FACTOR)
         expected_s = service_s * (1.0 + 0.5 * load * load if load < 1.0 else 0.5 + load)
         expected_s *= 1.0 + _ERROR_WEIGHT * observation.error_rate
-        if now < observation.full_until:
-            expected_s += service_s * 2.0
         if member.availability_zone != self._availability_zone:
             expected_s += self._settings.other_zone_s + size * self._settings.other_zone_s_per_byte
         return expected_s
--- a/packages/fulmarstile_services/src/fulmarstile_services/retry_budget.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/retry_budget.py
@@ -9,6 +9,8 @@
 _BURST_SHARE: Final = 0.4
 """Part of the allowed burst that all daemons together may save up."""
 
+_RUN_COST: Final = 2.0
+"""Tokens that the repeat of a request costs which ran and failed."""
 _SPARE_SHARE: Final = 0.5
 """Part of the tokens that is kept for requests that failed."""
 
@@ -46,11 +48,13 @@
         """Takes in a request to a service."""
         self._tokens[service] = min(self._limit, self.tokens(service) + self._earned)
 
-    def take(self, service: str) -> bool:
+    def take(self, service: str, *, has_run: bool = False) -> bool:
         """Takes the token of one repeat.
 
         Args:
             service: Service that the repeat goes to.
+            has_run: Whether the request ran, so that a repeat makes its calls again, too; such
+                a repeat costs more.
 
         Returns:
             Whether there was one.
@@ -58,7 +62,7 @@
         tokens = self.tokens(service)
         if tokens < 1.0:
             return False
-        self._tokens[service] = tokens - 1.0
+        self._tokens[service] = tokens - (_RUN_COST if has_run else 1.0)
         return True
 
     def take_spare(self, service: str) -> bool:
--- a/packages/fulmarstile_services/src/fulmarstile_services/retry_policy.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/retry_policy.py
@@ -12,7 +12,7 @@
     from fulmarstile_services.retry_budget import RetryBudget
     from fulmarstile_wire.services import HopOutcome
 
-MAX_REFUSALS: Final = 6
+MAX_REFUSALS: Final = 3
 """Daemons that may refuse a request before it is given up."""
 MIN_LEFT_S: Final = 0.01
 """Time that must be left for another attempt, in seconds."""
@@ -89,6 +89,6 @@
             return RetryChoice(True, "no upstream saw it")
         if record.arrivals >= route.max_attempts:
             return RetryChoice(False, "the route allows no further attempt")
-        if not self._budget.take(service):
+        if not self._budget.take(service, has_run=last.verdict is Verdict.RAN):
             return RetryChoice(False, "the retry budget is spent")
         return RetryChoice(True, "within the budget")
