--- /dev/null
+++ b/tests/adapter/test_config_record.py
@@ -0,0 +1,80 @@
+"""The operator's configuration is decoded whole or not at all."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+from fulmarstile_adapter.config_record import decode_config
+from fulmarstile_services.document import DocumentError, Repeatability, SplitPart
+
+COLUMNS = [
+    "Name",
+    "Hostname",
+    "PathPrefix",
+    "RouteType",
+    "TimeoutS",
+    "TargetLatencyS",
+    "Priority",
+    "Service",
+    "MaxAttempts",
+    "WeightedSplit",
+]
+ROW = ["r-1", "shop.example", "/a/", "idempotent", 1.5, 0.4, 2, "shop", 3, None]
+
+
+def make_config(row: list[Any] | None = None, **changes: Any) -> bytes:
+    fields: dict[str, Any] = {
+        "Version": "0000001f",
+        "Routes": {"Columns": COLUMNS, "Rows": [row or ROW]},
+        "Services": {"Columns": ["Name", "MaxConnections"], "Rows": [["shop", 110]]},
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1000, "IdleTimeoutS": 15},
+    }
+    return json.dumps(fields | changes).encode()
+
+
+def change_row(**changes: Any) -> list[Any]:
+    return [changes.get(name, value) for name, value in zip(COLUMNS, ROW, strict=True)]
+
+
+class ConfigRecordTest(unittest.TestCase):
+    def test_every_field_has_its_meaning(self) -> None:
+        document = decode_config(make_config())
+        (route,) = document.routes
+        self.assertEqual(document.version, 0x1F)
+        self.assertEqual((route.host, route.prefix), ("shop.example", "/a/"))
+        self.assertEqual(route.parts, (SplitPart("shop", 1.0),))
+        self.assertIs(route.repeatability, Repeatability.IDEMPOTENT)
+        self.assertEqual((route.timeout_s, route.target_latency_s), (1.5, 0.4))
+        self.assertEqual((route.max_attempts, route.priority), (3, 2))
+        self.assertEqual(document.services["shop"].connection_limit, 110)
+        self.assertEqual(document.limits.head_bytes, 16384)
+        self.assertEqual(document.limits.idle_timeout_s, 15)
+
+    def test_a_split_takes_the_place_of_a_service(self) -> None:
+        split = [{"Service": "shop", "Weight": 90}, {"Service": "stock", "Weight": 10}]
+        row = change_row(Service=None, WeightedSplit=split)
+        (route,) = decode_config(make_config(row)).routes
+        self.assertEqual(route.parts, (SplitPart("shop", 90), SplitPart("stock", 10)))
+
+    def test_whatever_is_not_idempotent_runs_at_most_once(self) -> None:
+        for kind in ("non_idempotent", "upload", "keyed", "unheard-of"):
+            (route,) = decode_config(make_config(change_row(RouteType=kind))).routes
+            self.assertIs(route.repeatability, Repeatability.AT_MOST_ONCE)
+
+    def test_what_cannot_be_read_is_an_error(self) -> None:
+        for raw in (
+            b"",
+            b"\xff",
+            b"[]",
+            make_config(Version="latest"),
+            make_config(Version=None),
+            make_config(change_row(TimeoutS="soon")),
+            make_config(change_row(TimeoutS=None)),
+            make_config(change_row(Service=None)),
+            make_config(ROW[:-1]),
+            make_config()[:-20],
+        ):
+            with self.subTest(raw[:40]), self.assertRaises(DocumentError):
+                decode_config(raw)
--- /dev/null
+++ b/tests/adapter/test_heartbeats.py
@@ -0,0 +1,86 @@
+"""Heartbeats become announcements; what cannot be one harms nothing."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+import trio
+
+from fulmarstile_adapter.heartbeats import answer_heartbeat
+from fulmarstile_platform.http_server import HttpProblemError, HttpRequest
+from fulmarstile_services.upstream_registry import UpstreamAnnouncement, UpstreamPhase
+
+ADDRESS = "10.0.0.8:8080"
+
+
+class RecordedEvents:
+    def __init__(self) -> None:
+        self.announced: list[UpstreamAnnouncement] = []
+        self.left: list[tuple[str, int | None]] = []
+
+    async def announce(self, announcement: UpstreamAnnouncement) -> None:
+        self.announced.append(announcement)
+
+    async def leave(self, upstream_id: str, born_ms: int | None) -> None:
+        self.left.append((upstream_id, born_ms))
+
+
+def make_heartbeat(**changes: Any) -> bytes:
+    fields: dict[str, Any] = {
+        "Address": ADDRESS,
+        "Info": {"Service": "shop", "Version": "v1", "Zone": "zone-a", "Slots": 12},
+        "Status": {"State": "ready", "Sequence": 4, "ColdLeftS": 1.5},
+        "born": 1_700_000_000_000,
+    }
+    return json.dumps(fields | changes).encode()
+
+
+class HeartbeatTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.events = RecordedEvents()
+
+    def post(self, path: str, body: bytes = b"") -> int:
+        request = HttpRequest("POST", path, {}, body)
+        answer = trio.run(answer_heartbeat, request, self.events, ADDRESS)
+        return answer.status
+
+    def test_a_heartbeat_is_an_announcement(self) -> None:
+        self.assertEqual(self.post("/v1/Instances.Heartbeat/i-1", make_heartbeat()), 200)
+        expected = UpstreamAnnouncement(
+            "i-1", 1_700_000_000_000, 4, "shop", 12, UpstreamPhase.READY, 1.5
+        )
+        self.assertEqual(self.events.announced, [expected])
+
+    def test_draining_is_leaving(self) -> None:
+        body = make_heartbeat(Status={"State": "draining", "Sequence": 5, "ColdLeftS": 0})
+        self.post("/v1/Instances.Heartbeat/i-1", body)
+        self.assertIs(self.events.announced[0].phase, UpstreamPhase.LEAVING)
+
+    def test_deregistering_is_leaving_with_or_without_a_body(self) -> None:
+        self.post("/v1/Instances.Deregister/i-1")
+        self.post("/v1/Instances.Deregister/i-1", b'{"born": 7}')
+        self.assertEqual(self.events.left, [("i-1", None), ("i-1", 7)])
+
+    def test_what_is_malformed_announces_nothing(self) -> None:
+        for body in (
+            b"",
+            b"\xff\xfe",
+            b"[]",
+            make_heartbeat(Status={"State": "asleep", "Sequence": 4}),
+            make_heartbeat(Status={"State": "ready", "Sequence": "4"}),
+            make_heartbeat(Info={"Service": "shop"}),
+            make_heartbeat(Info={"Service": "shop", "Slots": 0}),
+            make_heartbeat(born=1.5),
+            make_heartbeat(born=None),
+            make_heartbeat(Address="10.0.0.9:8080"),
+        ):
+            with self.subTest(body[:60]), self.assertRaises(HttpProblemError):
+                self.post("/v1/Instances.Heartbeat/i-1", body)
+        self.assertEqual(self.events.announced, [])
+
+    def test_another_call_is_not_found(self) -> None:
+        with self.assertRaises(HttpProblemError) as raised:
+            self.post("/v1/Instances.List")
+        self.assertEqual(raised.exception.status, 404)
--- /dev/null
+++ b/tests/adapter/test_settings_file.py
@@ -0,0 +1,66 @@
+"""The settings file is read with file and reason on every error."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from fulmarstile_adapter.settings_file import read_settings_file
+from fulmarstile_services.settings import NodeSettingsError
+
+FILE: dict[str, Any] = {
+    "NodeName": "sidecar-a-1",
+    "Ip": "10.1.0.8",
+    "Zone": "a",
+    "Region": "r",
+    "Service": "shop",
+    "AppAddr": "10.1.0.8:8301",
+    "Listen": {
+        "Inbound": "10.1.0.8:8300",
+        "Outbound": "10.1.0.8:8304",
+        "Ready": "10.1.0.8:8302",
+        "Control": "10.1.0.8:8306",
+    },
+    "Limits": {"MemoryMb": 300, "MaxFds": 4100},
+    "Platform": {"Address": "10.200.1.7:8309", "form": "log"},
+    "Bounds": {"DrainS": 2, "GraceS": 6, "RetryBudgetRatio": 0.2, "BudgetExtraTries": 64},
+    "HeartbeatS": 1.5,
+    "Bootstrap": True,
+    "FieldOfTomorrow": {"a": 1},
+}
+
+
+class SettingsFileTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "settings.json"
+
+    def test_every_field_has_its_meaning(self) -> None:
+        self.path.write_text(json.dumps(FILE))
+        settings = read_settings_file(self.path)
+        self.assertEqual(settings.name, "sidecar-a-1")
+        self.assertEqual(settings.listeners.callers, "10.1.0.8:8304")
+        self.assertEqual(settings.listeners.daemons, "10.1.0.8:8300")
+        self.assertEqual(settings.listeners.readiness, "10.1.0.8:8302")
+        self.assertEqual(settings.listeners.announcements, "10.1.0.8:8306")
+        self.assertEqual(settings.upstream_address, "10.1.0.8:8301")
+        self.assertEqual(settings.store_address, "10.200.1.7:8309")
+        self.assertEqual(settings.bounds.retry_burst, 64)
+        self.assertTrue(settings.is_first_start)
+
+    def test_a_missing_or_wrong_field_is_named(self) -> None:
+        for changes, name in (({"NodeName": None}, "NodeName"), ({"Limits": {}}, "MemoryMb")):
+            self.path.write_text(json.dumps(FILE | changes))
+            with self.assertRaisesRegex(NodeSettingsError, name):
+                read_settings_file(self.path)
+
+    def test_a_file_that_is_not_there_or_cut_short_is_an_error(self) -> None:
+        with self.assertRaisesRegex(NodeSettingsError, "settings.json"):
+            read_settings_file(self.path)
+        self.path.write_text(json.dumps(FILE)[:-10])
+        with self.assertRaisesRegex(NodeSettingsError, "settings.json"):
+            read_settings_file(self.path)
--- /dev/null
+++ b/tests/adapter/test_store.py
@@ -0,0 +1,110 @@
+"""The store's client says what was read, what was done and what may have been done."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+import trio
+
+from fulmarstile_adapter.store import open_store_client
+from fulmarstile_platform.keyed_log import KeyedRecord, RecordsExpiredError
+from fulmarstile_platform.log import LogUnavailableError
+from fulmarstile_testing.users_platform.store import StoreStandIn, serve_store
+from fulmarstile_wire.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from fulmarstile_adapter.store import StoreClient
+
+TOPIC = "keyed.test"
+
+
+class StoreClientTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = StoreStandIn()
+
+    def run_with_client(self, check: Callable[[StoreClient], Awaitable[None]]) -> None:
+        async def run() -> None:
+            async with serve_store(self.store) as address, open_store_client(address) as client:
+                await check(client)
+
+        trio.run(run)
+
+    def test_the_newest_record_of_each_key_is_read_over_several_pages(self) -> None:
+        async def check(client: StoreClient) -> None:
+            self.store.page_size = 2
+            for number in range(5):
+                await client.append_keyed(TOPIC, f"k{number}", b"old")
+                await client.append_keyed(TOPIC, f"k{number}", b"new %d" % number)
+            page = await client.newest(TOPIC)
+            values = {record.key: record.value for record in page.records}
+            self.assertEqual(values, {f"k{n}": b"new %d" % n for n in range(5)})
+            self.assertEqual(page.next_offset, 10)
+
+        self.run_with_client(check)
+
+    def test_records_are_read_in_order_from_an_offset(self) -> None:
+        async def check(client: StoreClient) -> None:
+            for value in (b"a", b"b", b"c"):
+                await client.append_keyed(TOPIC, "key", value)
+            page = await client.read_keyed(TOPIC, 1, 0.0)
+            self.assertEqual(page.records, (KeyedRecord("key", b"b"), KeyedRecord("key", b"c")))
+            self.assertEqual(page.next_offset, 3)
+
+        self.run_with_client(check)
+
+    def test_a_read_waits_for_the_next_record(self) -> None:
+        async def check(client: StoreClient) -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(client.append_keyed, TOPIC, "key", b"value")
+                page = await client.read_keyed(TOPIC, 0, 10.0)
+            self.assertEqual(page.records, (KeyedRecord("key", b"value"),))
+
+        self.run_with_client(check)
+
+    def test_an_empty_topic_reads_as_empty(self) -> None:
+        async def check(client: StoreClient) -> None:
+            self.assertEqual((await client.newest(TOPIC)).records, ())
+            self.assertEqual((await client.read_keyed(TOPIC, 0, 0.0)).next_offset, 0)
+
+        self.run_with_client(check)
+
+    def test_expired_records_are_an_error_of_their_own(self) -> None:
+        async def check(client: StoreClient) -> None:
+            await client.append_keyed(TOPIC, "key", b"value")
+            self.store.forget_history(TOPIC)
+            with self.assertRaises(RecordsExpiredError):
+                await client.read_keyed(TOPIC, 0, 0.0)
+            self.assertEqual(len((await client.newest(TOPIC)).records), 1)
+
+        self.run_with_client(check)
+
+    def test_a_refused_append_was_not_done(self) -> None:
+        async def check(client: StoreClient) -> None:
+            for status in (429, 503, 507):
+                self.store.troubles.status = status
+                with self.assertRaises(LogUnavailableError) as raised:
+                    await client.append_keyed(TOPIC, "key", b"value")
+                self.assertIs(raised.exception.verdict, Verdict.NOT_RUN)
+
+        self.run_with_client(check)
+
+    def test_an_append_without_an_answer_may_have_been_done(self) -> None:
+        async def check(client: StoreClient) -> None:
+            self.store.troubles.loses_answers = True
+            with self.assertRaises(LogUnavailableError) as raised:
+                await client.append_keyed(TOPIC, "key", b"value")
+            self.assertIs(raised.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+        self.run_with_client(check)
+
+    def test_a_store_that_does_not_listen_is_unavailable(self) -> None:
+        async def run() -> None:
+            async with open_store_client("127.0.0.1:1") as client:
+                with self.assertRaises(LogUnavailableError) as raised:
+                    await client.newest(TOPIC)
+                self.assertIs(raised.exception.verdict, Verdict.NOT_RUN)
+
+        trio.run(run)
