--- a/packages/fulmarstile_cli/src/fulmarstile_cli/commands/__init__.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/commands/__init__.py
@@ -6,6 +6,7 @@
 
 from fulmarstile_cli.commands.diff import DiffCommand
 from fulmarstile_cli.commands.dump import DumpCommand
+from fulmarstile_cli.commands.explain import ExplainCommand
 from fulmarstile_cli.commands.history import HistoryCommand
 from fulmarstile_cli.commands.keygen import KeygenCommand
 from fulmarstile_cli.commands.members import MembersCommand
@@ -25,6 +26,7 @@
     DiffCommand(),
     MembersCommand(),
     DumpCommand(),
+    ExplainCommand(),
 )
 """Every subcommand, in the order of the help."""
 
--- /dev/null
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/request_trace.py
@@ -0,0 +1,101 @@
+"""Path of one request through the logs of the daemons that carried it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+_FINAL_EVENT: Final = "call_ended"
+_LEFT_OUT_EVENT: Final = "lines_left_out"
+_OBJECT_START: Final = '{"time":'
+_HIDDEN: Final = frozenset({"time", "daemon", "event", "request_id"})
+
+
+@dataclass(frozen=True, slots=True)
+class TraceLine:
+    """One line of a log that concerns the request."""
+
+    time_s: float
+    """Wall-clock time of the daemon, seconds since the epoch."""
+    daemon: str
+    event: str
+    fields: dict[str, Any]
+
+    def describe(self) -> str:
+        """Returns the line for people."""
+        pairs = (f"{name}={value}" for name, value in self.fields.items() if name not in _HIDDEN)
+        return f"{self.time_s:.4f} {self.daemon}: {self.event} {' '.join(pairs)}"
+
+
+@dataclass(slots=True)
+class RequestTrace:
+    """What the logs say of one request."""
+
+    request_id: str
+    lines: list[TraceLine] = field(default_factory=list)
+    broken_lines: int = 0
+    """Lines that could not be read."""
+    left_out: dict[str, int] = field(default_factory=dict)
+    """Lines that daemons left out, by kind; some may have concerned the request."""
+
+    def read(self, lines: Iterable[str]) -> None:
+        """Reads the lines of a log; what stands before the JSON of a line is ignored."""
+        for line in lines:
+            start = line.find(_OBJECT_START)
+            if start < 0:
+                continue
+            try:
+                record = msgspec.json.decode(line[start:])
+            except msgspec.DecodeError:
+                self.broken_lines += 1
+                continue
+            self._take(record)
+
+    def sort(self) -> None:
+        """Orders the lines by the daemons' clocks."""
+        self.lines.sort(key=lambda line: line.time_s)
+
+    def decisive_line(self) -> TraceLine | None:
+        """Returns the line that says why the request ended as it did."""
+        for event in ("attempt_failed", "hop_ended", _FINAL_EVENT):
+            matching = [line for line in self.lines if line.event == event]
+            if matching and (event == _FINAL_EVENT or self._has_failed()):
+                return matching[-1]
+        return self.lines[-1] if self.lines else None
+
+    def verdict(self) -> str:
+        """Returns in one sentence how the request ended."""
+        final = self._final_line()
+        if final is None:
+            return "no daemon logged a final answer; it may have been left out, or its caller left"
+        status = final.fields.get("status", 0)
+        reason = final.fields.get("reason", "")
+        if status < 400:
+            return f"answered with {status} by {final.fields.get('upstream', '?')}"
+        if not reason:
+            return f"failed with {status}, the answer of {final.fields.get('upstream', '?')} itself"
+        if status in (429, 503):
+            return f"refused with {status}, not run: {reason}"
+        return f"failed with {status}: {reason}; it may have run"
+
+    def _take(self, record: dict[str, Any]) -> None:
+        event = str(record.get("event", ""))
+        if event == _LEFT_OUT_EVENT:
+            kind = str(record.get("kind", "?"))
+            self.left_out[kind] = self.left_out.get(kind, 0) + int(record.get("count", 0))
+        if record.get("request_id") == self.request_id:
+            daemon = str(record.get("daemon", "?"))
+            self.lines.append(TraceLine(float(record["time"]), daemon, event, record))
+
+    def _final_line(self) -> TraceLine | None:
+        finals = [line for line in self.lines if line.event == _FINAL_EVENT]
+        return finals[-1] if finals else None
+
+    def _has_failed(self) -> bool:
+        final = self._final_line()
+        return final is None or final.fields.get("status", 0) >= 400
