Rank requests by their target latency instead of by where they were sent from

All clients of a VM share its address with the upstream there, so every request was taken for a call of an upstream and waited to its deadline (5,278 requests took over half of their target to reach an upstream). Calls of upstreams have short targets; such requests rank before others of their priority now. Urgent requests may be 0.15 s late at most.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -35,8 +35,6 @@
     """Rank among the requests of the service; 0 is the most urgent."""
     document_version: int
     fingerprint: bytes
-    is_inner: bool
-    """Whether the upstream on this VM sent it."""
     record: AttemptRecord = field(default_factory=AttemptRecord)
     refused_by: list[str] = field(default_factory=list)
     """Daemons that refused it before an upstream saw it, each with its reason."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -39,8 +39,6 @@
     body: bytes
     arrived_at: float
     """Time at which its head was complete, in seconds."""
-    sender: str
-    """IP number that it was sent from."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +63,6 @@
         self._stream = stream
         self._limits = limits
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=_HEAD_SLACK_BYTES)
-        self._sender = stream.peer_host
         self.idle_since = trio.current_time()
         """Time from which the next request is awaited, in seconds."""
         self.is_idle = True
@@ -116,7 +113,7 @@
         check_framing(event, headers)
         arrived_at = trio.current_time()
         body = await self._receive_body(headers)
-        return ReceivedRequest(event, headers, body, arrived_at, self._sender)
+        return ReceivedRequest(event, headers, body, arrived_at)
 
     async def send(self, reply: Reply) -> None:
         """Sends a whole answer.
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -274,7 +274,6 @@
     def _use(self, settings: NodeSettings) -> None:
         self._settings = settings
         self._entry.caller_service = settings.service
-        self._entry.upstream_host = settings.upstream_address.rpartition(":")[0]
 
     def _reload_settings(self) -> None:
         try:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -56,7 +56,9 @@
 _URGENT_PRIORITY: Final = 1
 """Lowest rank whose requests may wait beyond their target latency."""
 _URGENT_SHARE: Final = 0.5
-"""Part of the time left within which the answer to an urgent request must be expected."""
+_URGENT_WAIT_S: Final = 0.15
+"""Time within which the answer to an urgent request may be expected though it is late, and the
+part of the time left that this may be."""
 _RETRY_TARGET_SHARE: Final = 0.25
 """Largest part of the target latency that a caller is told to wait."""
 
@@ -112,8 +114,6 @@
         self._log = log
         self.caller_service = ""
         """Service of the upstream on this VM, told to the upstreams that run requests."""
-        self.upstream_host = ""
-        """IP number of the upstream on this VM, which sends calls of its own."""
 
     async def answer(self, request: ReceivedRequest) -> Reply:
         """Answers a request.
@@ -133,7 +133,7 @@
         if route is None:
             self._metrics.count_refusal(RefusalReason.NO_ROUTE)
             return make_error_reply(404, "no route matches")
-        call = self._open_call(request, route, table.version)
+        call = self._open_call(request, route, table)
         if self._directory.is_suspect(call.fingerprint):
             self._metrics.count_refusal(RefusalReason.QUARANTINED)
             return self._finish(call, make_error_reply(503, "the request crashes upstreams"), "")
@@ -141,21 +141,16 @@
         return await self._run(call)
 
     def _open_call(
-        self, request: ReceivedRequest, route: ServiceRoute, version: int
+        self, request: ReceivedRequest, route: ServiceRoute, table: RoutingTable
     ) -> ServiceCall:
         wait_s = route.timeout_s
         value = request.headers.find_bytes(self._names.time_left_ms)
         if value.isdigit():
             wait_s = min(wait_s, int(value) / 1000)
         arrived_at = request.arrived_at
-        is_inner = request.sender == self.upstream_host
-        # A call of an upstream keeps a slot there taken: it goes first and waits to the end.
-        priority = max(0, route.priority - 1) if is_inner else route.priority
         useful_s = route.target_latency_s * _USEFUL_SHARE
-        if is_inner:
-            useful_s = wait_s
-        elif route.priority <= _URGENT_PRIORITY:
-            useful_s = max(useful_s, wait_s * _URGENT_SHARE)
+        if route.priority <= _URGENT_PRIORITY:
+            useful_s = max(useful_s, min(wait_s * _URGENT_SHARE, _URGENT_WAIT_S))
         return ServiceCall(
             request,
             request.headers.find(self._names.request_id),
@@ -164,9 +159,8 @@
             self.caller_service,
             deadline=arrived_at + wait_s,
             useful_until=arrived_at + min(wait_s, useful_s),
-            priority=priority,
-            is_inner=is_inner,
-            document_version=version,
+            priority=table.rank(route),
+            document_version=table.version,
             fingerprint=fingerprint(self.caller_service, request),
         )
 
@@ -337,7 +331,6 @@
                 retry_after_s=round(retry_after_s, 3),
                 refused_by=tuple(call.refused_by),
                 caller=call.caller_service,
-                is_inner=call.is_inner,
             )
         )
         return reply
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -32,8 +32,6 @@
     """Daemons that refused it before an upstream saw it, each with its reason."""
     caller: str = ""
     """Service on the VM where the request began."""
-    is_inner: bool = False
-    """Whether the upstream on this VM sent it."""
 
 
 class AttemptFailed(LogEvent, tag="attempt_failed"):
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -55,14 +55,6 @@
             return False
         return False
 
-    @property
-    def peer_host(self) -> str:
-        """IP number of the other side; empty if the stream is broken."""
-        try:
-            return self._socket.getpeername()[0]
-        except OSError:
-            return ""
-
     @property
     def has_ended(self) -> bool:
         """Whether the other side has closed or broken the stream and all input was read."""
--- a/packages/fulmarstile_services/src/fulmarstile_services/routing_table.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/routing_table.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from fulmarstile_services.document import DocumentError
 
 if TYPE_CHECKING:
     from fulmarstile_services.document import ServiceDocument, ServiceRoute
 
+_SHORT_SHARE: Final = 0.5
+"""Part of the longest target latency of a service and priority up to which one is short."""
+
 
 class RoutingTable:
     """Finds the route of a request.
@@ -23,6 +26,7 @@
     def __init__(self, document: ServiceDocument) -> None:
         self._document = document
         self._hosts: dict[str, dict[str, ServiceRoute]] = {}
+        self._longest_targets: dict[tuple[str, int], float] = {}
         for route in document.routes:
             self._add(route)
 
@@ -57,6 +61,25 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def rank(self, route: ServiceRoute) -> int:
+        """Returns the rank of a route's requests among those of its service.
+
+        Requests whose target latency is much shorter than that of others with their priority
+        go first; the others can wait for them and still be on time.
+
+        Args:
+            route: A route of the table.
+
+        Returns:
+            The rank; 0 goes first.
+        """
+        longest_s = max(
+            self._longest_targets.get((part.service, route.priority), 0.0) for part in route.parts
+        )
+        if route.target_latency_s <= longest_s * _SHORT_SHARE:
+            return max(0, route.priority - 1)
+        return route.priority
+
     def _add(self, route: ServiceRoute) -> None:
         prefixes = self._hosts.setdefault(normalize_host(route.host), {})
         if route.prefix in prefixes:
@@ -64,6 +87,9 @@
         for part in route.parts:
             if part.service not in self._document.services:
                 raise DocumentError(f"route {route.host}{route.prefix}: no service {part.service}")
+            key = (part.service, route.priority)
+            longest_s = self._longest_targets.get(key, 0.0)
+            self._longest_targets[key] = max(longest_s, route.target_latency_s)
         prefixes[route.prefix] = route
 
 
--- a/tests/services/test_routing_table.py
+++ b/tests/services/test_routing_table.py
@@ -34,6 +34,12 @@
     def test_a_path_without_a_slash_has_no_route(self) -> None:
         self.assertIsNone(self.table.find("shop.example", "*"))
 
+    def test_requests_with_a_short_target_rank_before_others_of_their_priority(self) -> None:
+        long = make_route(prefix="/long/", target_latency_s=0.5)
+        short = make_route(prefix="/short/", target_latency_s=0.1)
+        table = RoutingTable(make_document(long, short))
+        self.assertEqual((table.rank(long), table.rank(short)), (1, 0))
+
     def test_two_routes_of_one_prefix_are_an_error(self) -> None:
         with self.assertRaisesRegex(DocumentError, "two routes"):
             RoutingTable(make_document(make_route(), make_route()))
