Serve while callers come after SIGTERM, and repair the own record in the store

The upstream beside a daemon that stops was refused to others after 0.6 s though it still ran. A write whose answer was lost may take effect seconds later, after a newer one.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_following.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_following.py
@@ -21,7 +21,7 @@
 """Longest wait of one read, in seconds."""
 _FIRST_PAUSE_S: Final = 0.08
 """Pause after records arrived; doubled while more arrive, so that a storm costs few reads."""
-_MAX_PAUSE_S: Final = 0.6
+_MAX_PAUSE_S: Final = 1.0
 _QUIET_S: Final = 1.0
 """Wait of a read after which the next records are no longer part of a storm, in seconds."""
 _FIRST_BACKOFF_S: Final = 0.15
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -31,8 +32,6 @@
 _SWEEP_S: Final = 0.5
 """Interval at which idle connections are looked for, in seconds."""
 _ACCEPT_PAUSE_S: Final = 0.05
-_STOPPING_RETRY_S: Final = 0.1
-"""Delay told to callers that reach a daemon which stops, in seconds."""
 
 
 class RequestServer:
@@ -64,7 +63,7 @@
         self._connections: dict[ServerConnection, None] = {}
         self._in_flight: dict[ServerConnection, trio.CancelScope] = {}
         self._is_closing = False
-        self._refuses_new = False
+        self._last_request_at = -math.inf
         self.callers_left = 0
         """Requests whose sender left before the answer."""
 
@@ -78,6 +77,17 @@
         """Connections open."""
         return len(self._connections)
 
+    def is_quiet(self, for_s: float) -> bool:
+        """Tells whether all requests are answered and none came for a time.
+
+        Args:
+            for_s: The time in seconds.
+
+        Returns:
+            Whether that is so.
+        """
+        return not self._in_flight and trio.current_time() - self._last_request_at >= for_s
+
     async def serve(
         self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -103,10 +113,6 @@
         for connection in self._connections:
             connection.must_close = True
 
-    def refuse_new(self) -> None:
-        """Refuses later requests as not run; those in flight get their answers."""
-        self._refuses_new = True
-
     async def _accept_forever(self, listener: CallListener, nursery: trio.Nursery) -> None:
         while True:
             try:
@@ -149,9 +155,7 @@
             if request is None:
                 connection.end()
                 return
-            if self._refuses_new:
-                await connection.send(make_error_reply(503, "stopping", _STOPPING_RETRY_S))
-                break
+            self._last_request_at = trio.current_time()
             reply = await self._run(connection, request)
             await connection.send(reply)
             if not connection.may_continue:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
@@ -14,6 +14,7 @@
     UpstreamPhase,
     UpstreamRegistry,
 )
+from fulmarstile_wire.services import MemberPhase
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -94,7 +95,8 @@
 
     async def stop(self) -> None:
         """Tells all daemons that this one stops."""
-        self._change_record()
+        own = msgspec.structs.replace(self._directory.own, phase=MemberPhase.STOPPED)
+        self._directory.change_own(own)
         await self._membership.publish_and_wait(_STORE_WAIT_S)
 
     def recall(self) -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -58,11 +58,14 @@
 _DESCRIPTOR_SHARE: Final = 0.6
 """Part of the descriptors that connections of callers and daemons may take."""
 _RESERVED_DESCRIPTORS: Final = 300
-_MIN_LEAVE_S: Final = 2.4
-_MAX_LEAVE_S: Final = 4.4
-"""Bounds of the time after SIGTERM for which callers are still served, in seconds."""
-_REFUSE_HOPS_S: Final = 0.6
-"""Time after SIGTERM for which other daemons may still send requests, in seconds."""
+_MIN_SERVING_S: Final = 1.0
+"""Time after SIGTERM for which callers are served at least, in seconds."""
+_QUIET_CALLERS_S: Final = 0.6
+"""Time without a request after which callers are taken to have left, in seconds."""
+_HAND_OVER_S: Final = 1.6
+"""Time before the end at which the other daemons are told at the latest, in seconds."""
+_REFUSE_HOPS_S: Final = 0.4
+"""Time for which other daemons that were told may still send requests, in seconds."""
 _GRACE_MARGIN_S: Final = 0.4
 _POLL_S: Final = 0.02
 _READY_WITHOUT_MEMBERS_S: Final = 1.5
@@ -136,7 +139,7 @@
             log,
         )
         self._announcements.tell_daemons = self._gossip.tell
-        hops = HopServer(names, self._directory, self._upstream, self._gossip, log)
+        self._hops = HopServer(names, self._directory, self._upstream, self._gossip, log)
         connections = max(
             64, int((settings.descriptor_limit - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE)
         )
@@ -144,10 +147,11 @@
             self._entry.answer, self._limits, connections, log, names.request_id
         )
         self._peers = RequestServer(
-            hops.answer, lambda: _HOP_LIMITS, connections, log, names.request_id
+            self._hops.answer, lambda: _HOP_LIMITS, connections, log, names.request_id
         )
         self._started_at = 0.0
         self._is_stopping = False
+        self._stop_wanted = trio.Event()
         self._add_gauges()
 
     @property
@@ -208,7 +212,9 @@
                 # What exists now stays: collections need not look at it again.
                 gc.freeze()
                 gc.set_threshold(*_COLLECTION_THRESHOLDS)
-                await self._obey(signals)
+                nursery.start_soon(self._obey, signals)
+                await self._stop_wanted.wait()
+                await self._stop()
                 nursery.cancel_scope.cancel()
         self._log.write(Stopped(in_flight=self._callers.in_flight + self._peers.in_flight))
         self._log.flush()
@@ -234,33 +240,36 @@
             raise HttpProblemError(404, "only /metrics is served here")
         return HttpAnswer(200, self._metrics.render(), "text/plain; version=0.0.4")
 
+    def begin_stopping(self) -> None:
+        """Begins to stop; a second call changes nothing."""
+        self._stop_wanted.set()
+
     async def _obey(self, signals: AsyncIterator[int]) -> None:
-        """Reloads the settings on SIGHUP; returns once a stop on SIGTERM is complete."""
+        """Reloads the settings on SIGHUP, and begins to stop on SIGTERM."""
         async for number in signals:
             if number == signal.SIGHUP:
                 self._reload_settings()
-                continue
-            await self._stop()
-            return
+            else:
+                self.begin_stopping()
 
     async def _stop(self) -> None:
-        began_at = trio.current_time()
+        """Serves while callers come, then ends; nothing that is in flight is cut."""
+        latest = trio.current_time() + self._settings.bounds.grace_s - _GRACE_MARGIN_S
         self._is_stopping = True
+        self._entry.stops_at = self._hops.stops_at = latest
         self._log.write(Stopping(in_flight=self._callers.in_flight + self._peers.in_flight))
         self._callers.begin_closing()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._announcements.stop)
+        with trio.move_on_at(latest - _HAND_OVER_S):
+            await trio.sleep(_MIN_SERVING_S)
+            while not self._callers.is_quiet(_QUIET_CALLERS_S):
+                await trio.sleep(_POLL_S)
+        with trio.move_on_at(latest):
+            await self._announcements.stop()
             await trio.sleep(_REFUSE_HOPS_S)
-        self._upstream.stop()
-        self._peers.begin_closing()
-        latest = began_at + self._settings.bounds.grace_s - _GRACE_MARGIN_S
-        leave_s = latest - began_at - self._longest_timeout_s()
-        await trio.sleep_until(began_at + min(_MAX_LEAVE_S, max(_MIN_LEAVE_S, leave_s)))
-        self._callers.refuse_new()
-        while trio.current_time() < latest:
-            if not self._callers.in_flight and not self._peers.in_flight:
-                return
-            await trio.sleep(_POLL_S)
+            self._upstream.stop()
+            self._peers.begin_closing()
+            while not (self._callers.is_quiet(_QUIET_CALLERS_S) and self._peers.is_quiet(0.0)):
+                await trio.sleep(_POLL_S)
 
     async def _poll_settings(self) -> None:
         stamp = self._platform.settings_stamp()
@@ -299,12 +308,6 @@
         table = self._routes.table
         return _DEFAULT_LIMITS if table is None else table.document.limits
 
-    def _longest_timeout_s(self) -> float:
-        table = self._routes.table
-        return (
-            max((route.timeout_s for route in table.document.routes), default=0.0) if table else 0.0
-        )
-
     def _on_members(self) -> None:
         members = self._directory.members
         self._links.keep(member.address for member in members)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -48,6 +49,8 @@
 """Delay told to callers while no document is known, in seconds."""
 _NO_UPSTREAM_RETRY_S: Final = 0.25
 """Delay told to callers while a service has no upstream, in seconds."""
+_STOPPING_RETRY_S: Final = 0.1
+"""Delay told to callers that reach a daemon which stops, in seconds."""
 _MIN_RETRY_AFTER_S: Final = 0.05
 _MAX_RETRY_SHARE: Final = 0.3
 """Largest part of the time left that a caller is told to wait."""
@@ -114,6 +117,8 @@
         self._log = log
         self.caller_service = ""
         """Service of the upstream on this VM, told to the upstreams that run requests."""
+        self.stops_at = math.inf
+        """Time at which the daemon ends, in seconds; what could last longer is refused."""
 
     async def answer(self, request: ReceivedRequest) -> Reply:
         """Answers a request.
@@ -137,6 +142,10 @@
         if self._directory.is_suspect(call.fingerprint):
             self._metrics.count_refusal(RefusalReason.QUARANTINED)
             return self._finish(call, make_error_reply(503, "the request crashes upstreams"), "")
+        if call.deadline > self.stops_at:
+            self._metrics.count_refusal(RefusalReason.DRAINING)
+            reply = make_error_reply(503, "the daemon stops", _STOPPING_RETRY_S)
+            return self._finish(call, reply, RefusalReason.DRAINING.value, _STOPPING_RETRY_S)
         self._budget.on_request(call.service)
         return await self._run(call)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -61,6 +62,8 @@
         self._upstream = upstream
         self._gossip = gossip
         self._log = log
+        self.stops_at = math.inf
+        """Time at which the daemon ends, in seconds; what could last longer is refused."""
 
     async def answer(self, request: ReceivedRequest) -> Reply:
         """Answers a forwarded request or a synchronization.
@@ -88,6 +91,9 @@
         if self._directory.is_suspect(hop.fingerprint):
             failure = make_failure(Verdict.NOT_RUN, RefusalReason.QUARANTINED)
             return self._refuse(failure, hop, request)
+        if deadline > self.stops_at:
+            failure = make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING)
+            return self._refuse(failure, hop, request)
         result = await self._upstream.run(hop, request, deadline, arrived_at + hop.useful_ms / 1000)
         if result.answer is None:
             return self._refuse(result.outcome, hop, request)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
@@ -197,5 +197,14 @@
                     members.append(decode_member(record.value))
             except WireError as error:
                 self._log.write(RecordIgnored(source=record.key, reason=str(error)))
+        self._repair_own(members)
         self.take_members(members)
         self.take_crashes(crashes)
+
+    def _repair_own(self, members: Iterable[Member]) -> None:
+        """Writes the own record again if an earlier write took effect after it."""
+        own = self._directory.own
+        stored = [member for member in members if member.name == own.name]
+        if self._is_announced and stored and stored[-1].order < own.order:
+            self._written = None
+            self._wake.set()
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
@@ -60,6 +60,10 @@
         """Address for callers."""
         return self.platform.settings.listeners.callers
 
+    def stop(self) -> None:
+        """Tells the daemon to stop, as SIGTERM does."""
+        self.daemon.begin_stopping()
+
     async def kill(self) -> None:
         """Ends the daemon at once."""
         self.scope.cancel()
--- a/tests/services/test_leaving.py
+++ b/tests/services/test_leaving.py
@@ -6,10 +6,11 @@
 
 import trio
 
+from fulmarstile_daemon.services.membership import MEMBERS_TOPIC
 from fulmarstile_services.upstream_registry import UpstreamPhase
 from fulmarstile_testing.builders.service_mesh import serve_mesh
 from fulmarstile_testing.builders.services import make_document, make_route
-from fulmarstile_wire.services import MemberPhase
+from fulmarstile_wire.services import MemberPhase, decode_member, encode_member
 
 LONG = make_document(make_route(timeout_s=20.0, target_latency_s=20.0))
 
@@ -64,6 +65,23 @@
 
         trio.run(run)
 
+    def test_an_earlier_write_that_takes_effect_late_is_repaired(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop") as mesh:
+                node = mesh.nodes[0]
+                earlier = encode_member(node.daemon.directory.own)
+                await node.announce(sequence=2, phase=UpstreamPhase.LEAVING)
+                mesh.store.put(MEMBERS_TOPIC, "daemon-1", earlier)
+                with trio.fail_after(5):
+                    while True:
+                        page = await mesh.store.newest(MEMBERS_TOPIC)
+                        (record,) = page.records
+                        if decode_member(record.value).phase is MemberPhase.LEAVING:
+                            break
+                        await trio.sleep(0.01)
+
+        trio.run(run)
+
     def test_the_store_need_not_answer_for_an_acknowledgement(self) -> None:
         async def run() -> None:
             async with serve_mesh("stock", "shop") as mesh:
--- /dev/null
+++ b/tests/services/test_stopping.py
@@ -0,0 +1,70 @@
+"""A daemon that is told to stop cuts nothing and serves while callers come."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from fulmarstile_testing.builders.service_mesh import ServiceClient, connect, serve_mesh
+from fulmarstile_testing.builders.services import make_document, make_route
+from fulmarstile_wire.services import MemberPhase
+
+DOCUMENT = make_document(
+    make_route(prefix="/quick/", timeout_s=0.5), make_route(prefix="/long/", timeout_s=60.0)
+)
+
+
+class StoppingTest(unittest.TestCase):
+    def test_what_is_in_flight_gets_its_answer(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                node = mesh.nodes[0]
+                async with ServiceClient(await connect(node.address)) as client:
+                    await client.send("/quick/a?delay_ms=300")
+                    while not node.upstream.record.running:
+                        await trio.sleep(0.01)
+                    node.stop()
+                    answer = await client.receive()
+                self.assertEqual((answer.status, answer.complete), (200, True))
+                self.assertEqual(answer.headers[b"connection"], b"close")
+
+        trio.run(run)
+
+    def test_callers_that_still_come_are_served_and_readiness_is_refused(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                node = mesh.nodes[0]
+                node.stop()
+                await trio.sleep(0.1)
+                self.assertFalse(node.daemon.is_ready)
+                self.assertEqual((await node.call("/quick/a")).status, 200)
+
+        trio.run(run)
+
+    def test_what_could_outlast_the_daemon_is_refused_as_not_run(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                node = mesh.nodes[0]
+                node.stop()
+                await trio.sleep(0.1)
+                answer = await node.call("/long/a", wait_ms=60_000)
+                self.assertEqual(answer.status, 503)
+                self.assertIn(b"retry-after", answer.headers)
+                self.assertEqual(node.upstream.record.requests, [])
+
+        trio.run(run)
+
+    def test_a_daemon_without_callers_ends_and_the_others_know(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", "stock") as mesh:
+                node, other = mesh.nodes
+                node.stop()
+                with trio.fail_after(10):
+                    await node.ended.wait()
+                    while other.daemon.directory.serving("shop"):
+                        await trio.sleep(0.01)
+                member = other.daemon.directory.find("daemon-1")
+                self.assertIs(member.phase, MemberPhase.STOPPED)
+
+        trio.run(run)
