--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEEDS ?= 200
 TEST_JOBS ?= 4
 
-.PHONY: setup test lint format demo scenarios bench-config bench-calls plots clean
+.PHONY: setup test lint format demo demo-platform scenarios bench-config bench-calls plots clean
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -31,6 +31,9 @@
 demo: setup
 	$(VENV)/bin/python -m fulmarstile_testing.demo
 
+demo-platform: setup
+	$(VENV)/bin/python -m fulmarstile_testing.users_platform.demo
+
 scenarios: setup
 	$(VENV)/bin/python -m fulmarstile_testing.scenarios --seeds=$(SEEDS)
 
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -12,12 +12,31 @@
 
 PACKAGES = Path(__file__).parent.parent / "packages"
 
-CORE_PACKAGES = ("wire", "config", "mesh", "calls")
+CORE_PACKAGES = ("wire", "config", "mesh", "calls", "services")
 
 FORBIDDEN_MODULES = frozenset(
     {"trio", "pynng", "h11", "socket", "time", "datetime", "threading", "asyncio", "subprocess"}
 )
 
+ADAPTER = Path(__file__).parent.parent / "platform"
+
+PLATFORM_NAMES = (
+    "x-attempt-id",
+    "x-deadline-ms",
+    "x-caller-service",
+    "x-expected-instance",
+    "x-response-seal",
+    "x-not-executed",
+    "/v1/ready",
+    "/v1/instances",
+    "log-append",
+    "log-newest",
+    "keyed.op",
+    "fulmarstile_node_file",
+    "fulmarstile_adapter",
+)
+"""Names of the users' platform, one of each kind at least."""
+
 TESTING_PACKAGE = "fulmarstile_testing"
 
 
@@ -47,8 +66,40 @@
         self.assertEqual(FORBIDDEN_MODULES & set(list_imports(source)), {"trio"})
 
     def test_product_packages_do_not_import_the_testing_package(self) -> None:
-        product = ("wire", "config", "mesh", "calls", "platform", "daemon", "cli")
+        product = (
+            "wire",
+            "http",
+            "config",
+            "mesh",
+            "calls",
+            "services",
+            "platform",
+            "daemon",
+            "cli",
+        )
         for package in product:
             for path in list_sources(package):
                 with self.subTest(path.name):
                     self.assertNotIn(TESTING_PACKAGE, set(list_imports(path.read_text())))
+
+
+class PlatformNamesTest(unittest.TestCase):
+    def test_only_the_adapter_knows_the_names_of_the_platform(self) -> None:
+        stand_in = PACKAGES / "fulmarstile_testing/src/fulmarstile_testing/users_platform"
+        for path in sorted(PACKAGES.rglob("*.py")):
+            if stand_in in path.parents:
+                continue
+            text = path.read_text().lower()
+            with self.subTest(path.name):
+                self.assertEqual([n for n in PLATFORM_NAMES if n.lower() in text], [])
+
+    def test_the_check_finds_the_names_in_the_adapter(self) -> None:
+        text = "".join(path.read_text() for path in ADAPTER.rglob("*.py")).lower()
+        self.assertEqual([n for n in PLATFORM_NAMES if n.lower() not in text], [])
+
+    def test_the_adapter_is_small(self) -> None:
+        def count(folder: Path) -> int:
+            return sum(len(path.read_text().splitlines()) for path in folder.rglob("*.py"))
+
+        product = count(PACKAGES) - count(PACKAGES / "fulmarstile_testing")
+        self.assertLess(count(ADAPTER) * 8, product)
