--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -59,9 +59,11 @@
 _URGENT_PRIORITY: Final = 1
 """Lowest rank whose requests may wait beyond their target latency."""
 _URGENT_SHARE: Final = 0.5
+"""Part of the time left for which an urgent or large request may wait at most."""
 _URGENT_WAIT_S: Final = 0.15
-"""Time within which the answer to an urgent request may be expected though it is late, and the
-part of the time left that this may be."""
+"""Time within which the answer to an urgent request may be expected though it is late."""
+_LARGE_BODY_BYTES: Final = 64 * 1024
+"""Size from which a request waits rather than goes to another availability zone, in bytes."""
 _RETRY_TARGET_SHARE: Final = 0.25
 """Largest part of the target latency that a caller is told to wait."""
 
@@ -160,6 +162,8 @@
         useful_s = route.target_latency_s * _USEFUL_SHARE
         if route.priority <= _URGENT_PRIORITY:
             useful_s = max(useful_s, min(wait_s * _URGENT_SHARE, _URGENT_WAIT_S))
+        if len(request.body) >= _LARGE_BODY_BYTES:
+            useful_s = max(useful_s, wait_s * _URGENT_SHARE)
         return ServiceCall(
             request,
             request.headers.find(self._names.request_id),
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -35,7 +35,7 @@
 
     other_zone_s: float = 0.012
     """Wait that a request to another availability zone must save, in seconds."""
-    other_zone_s_per_byte: float = 1.5e-6
+    other_zone_s_per_byte: float = 6e-6
     """Wait that each byte to another availability zone must save besides, in seconds."""
 
 
