--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_hedges.py
@@ -0,0 +1,104 @@
+"""Second attempts of requests whose answer is late."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from fulmarstile_daemon.services._call import AttemptResult
+
+_TICK_S: Final = 0.025
+"""Interval at which late answers are looked for, in seconds."""
+
+
+class Hedge:
+    """A first attempt that a second one may join.
+
+    Args:
+        due_at: Time from which the answer is late, in seconds.
+        begin: Chooses the second attempt; returns None if there is to be none.
+    """
+
+    def __init__(
+        self, due_at: float, begin: Callable[[], Callable[[], Awaitable[AttemptResult]] | None]
+    ) -> None:
+        self.due_at = due_at
+        self.begin = begin
+        self.first = trio.CancelScope()
+        """Scope of the first attempt; cancelled when the second one has a good answer."""
+        self.second: trio.CancelScope | None = None
+        """Scope of the second attempt while it runs."""
+        self.ended: trio.Event | None = None
+        """Set once the second attempt has ended; None if there is none."""
+        self.result: AttemptResult | None = None
+        """Result of the second attempt."""
+
+
+class Hedges:
+    """Starts second attempts when they are due."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[Hedge, None] = {}
+        self._has_waiting = trio.Event()
+
+    async def run(
+        self, hedge: Hedge, first: Callable[[], Awaitable[AttemptResult]]
+    ) -> AttemptResult:
+        """Runs a first attempt, and a second one beside it if the answer is late.
+
+        Args:
+            hedge: The second attempt.
+            first: The first one.
+
+        Returns:
+            The first good result, or else the one that came last.
+        """
+        self._waiting[hedge] = None
+        self._has_waiting.set()
+        result: AttemptResult | None = None
+        try:
+            with hedge.first:
+                result = await first()
+            self._waiting.pop(hedge, None)
+            if hedge.ended is not None and (result is None or not result.is_good):
+                await hedge.ended.wait()
+                if hedge.result is not None:
+                    return hedge.result
+        finally:
+            self._waiting.pop(hedge, None)
+            if hedge.second is not None:
+                hedge.second.cancel()
+        if result is None:
+            raise AssertionError("an attempt was cancelled in favour of none")
+        return result
+
+    async def start_forever(self) -> None:
+        """Starts the second attempts that are due, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                if not self._waiting:
+                    self._has_waiting = trio.Event()
+                    await self._has_waiting.wait()
+                await trio.sleep(_TICK_S)
+                now = trio.current_time()
+                for hedge in [each for each in self._waiting if each.due_at <= now]:
+                    del self._waiting[hedge]
+                    second = hedge.begin()
+                    if second is not None:
+                        hedge.ended = trio.Event()
+                        nursery.start_soon(self._run_second, hedge, second)
+
+    async def _run_second(
+        self, hedge: Hedge, second: Callable[[], Awaitable[AttemptResult]]
+    ) -> None:
+        hedge.second = trio.CancelScope()
+        with hedge.second:
+            hedge.result = await second()
+            if hedge.result.is_good:
+                hedge.first.cancel()
+        if hedge.ended is not None:
+            hedge.ended.set()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -187,15 +187,15 @@
         while True:
             await trio.sleep(_SWEEP_S)
             oldest = trio.current_time() - self._limits().idle_timeout_s
-            for connection in self._connections:
+            for connection in list(self._connections):
                 if connection.is_idle and connection.idle_since < oldest:
-                    connection.idle_scope.cancel()
+                    connection.end()
 
     def _evict_idle(self) -> None:
         """Closes the connection that has waited longest for a request, if any waits."""
         idle = [each for each in self._connections if each.is_idle]
         if idle:
-            min(idle, key=lambda each: each.idle_since).idle_scope.cancel()
+            min(idle, key=lambda each: each.idle_since).end()
 
 
 def make_error_reply(status: int, detail: str, retry_after_s: float = 0.0) -> Reply:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -67,8 +67,6 @@
         """Time from which the next request is awaited, in seconds."""
         self.is_idle = True
         """Whether nothing of the next request has arrived."""
-        self.idle_scope = trio.CancelScope()
-        """Scope of the wait for the next request."""
         self.must_close = False
         """Whether the next answer is the last one on the connection."""
 
@@ -86,8 +84,7 @@
         """Receives the next request.
 
         Returns:
-            The request, or None if the other side closed the connection between requests or
-            the wait was cancelled.
+            The request, or None if the connection was closed between requests.
 
         Raises:
             MalformedRequestError: If the request is malformed, oversize or late.
@@ -145,6 +142,9 @@
 
         Closing it while input is unread would destroy an answer that is on its way.
         """
+        if self._http.their_state in (h11.DONE, h11.MUST_CLOSE) and self._stream.is_quiet:
+            self._stream.close()
+            return
         self._stream.send_end()
         discarded = 0
         with trio.move_on_after(_LINGER_S):
@@ -163,16 +163,21 @@
             self._stream.abort()
 
     async def _await_first_bytes(self) -> bytes:
-        received = b""
-        self.idle_scope = trio.CancelScope()
-        with self.idle_scope:
-            received = await self._receive()
+        received = await self._receive()
         if received:
             self._http.receive_data(received)
         return received
 
     async def _receive_head(self, received: bytes) -> bytes:
         limits = self._limits()
+        if received.find(_HEAD_END) < 0:
+            received = await self._receive_rest_of_head(received, limits)
+        end = received.find(_HEAD_END)
+        if end > limits.head_bytes:
+            raise MalformedRequestError("the request head is too large", 431)
+        return received[: end + 2]
+
+    async def _receive_rest_of_head(self, received: bytes, limits: RequestLimits) -> bytes:
         with trio.move_on_after(limits.head_timeout_s):
             while received.find(_HEAD_END) < 0:
                 if len(received) > limits.head_bytes:
@@ -184,10 +189,7 @@
                     raise CallerLeftError
                 self._http.receive_data(data)
                 received += data
-            end = received.find(_HEAD_END)
-            if end > limits.head_bytes:
-                raise MalformedRequestError("the request head is too large", 431)
-            return received[: end + 2]
+            return received
         raise MalformedRequestError("the request head arrived too slowly", 408)
 
     async def _receive_body(self, headers: MessageHeaders) -> bytes:
@@ -229,7 +231,7 @@
     async def _receive(self) -> bytes:
         try:
             return await self._stream.receive()
-        except OSError:
+        except (OSError, trio.ClosedResourceError):
             return b""
 
     async def _send(self, data: bytes) -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -207,6 +207,7 @@
                 nursery.start_soon(self._membership.write_forever, store)
                 nursery.start_soon(self._gossip.run)
                 nursery.start_soon(self._upstream.tick_forever)
+                nursery.start_soon(self._entry.hedge_forever)
                 nursery.start_soon(self._poll_settings)
                 nursery.start_soon(self._watch_suspension)
                 # What exists now stays: collections need not look at it again.
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -15,8 +15,8 @@
     fingerprint,
     make_failure,
 )
+from fulmarstile_daemon.services._hedges import Hedge, Hedges
 from fulmarstile_daemon.services._links import DaemonUnreachableError
-from fulmarstile_daemon.services._race import Race
 from fulmarstile_daemon.services._request_server import make_error_reply
 from fulmarstile_daemon.services._server_connection import Reply
 from fulmarstile_daemon.services.events import (
@@ -31,6 +31,8 @@
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from fulmarstile_daemon.services._links import DaemonLinks
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_daemon.services._upstream import LocalUpstream
@@ -112,7 +114,8 @@
         self._balancer = balancer
         self._budget = budget
         self._rules = RetryRules(budget)
-        self._hedges = HedgeTimer()
+        self._hedge_timer = HedgeTimer()
+        self._hedges = Hedges()
         self._upstream = upstream
         self._links = links
         self._metrics = metrics
@@ -122,6 +125,10 @@
         self.stops_at = math.inf
         """Time at which the daemon ends, in seconds; what could last longer is refused."""
 
+    async def hedge_forever(self) -> None:
+        """Starts second attempts for late answers, until cancelled."""
+        await self._hedges.start_forever()
+
     async def answer(self, request: ReceivedRequest) -> Reply:
         """Answers a request.
 
@@ -209,31 +216,23 @@
         self, call: ServiceCall, member: Member, tried: set[str]
     ) -> AttemptResult:
         """Runs an attempt, and a second one beside it if its answer is late."""
-        delay_s = self._hedges.delay_s(call.route)
+        delay_s = self._hedge_timer.delay_s(call.route)
         if delay_s is None or call.record.arrivals + 2 > call.route.max_attempts:
             return await self._attempt(call, member)
-        async with trio.open_nursery() as nursery:
-            race = Race(nursery)
-            race.start(partial(self._attempt, call, member))
-            with trio.move_on_after(delay_s):
-                await race.wait()
-            if not race.is_decided:
-                self._hedge(call, race, tried)
-            await race.wait()
-            nursery.cancel_scope.cancel()
-        if race.result is None:
-            raise AssertionError("a race ended without a result")
-        return race.result
+        hedge = Hedge(trio.current_time() + delay_s, partial(self._begin_hedge, call, tried))
+        return await self._hedges.run(hedge, partial(self._attempt, call, member))
 
-    def _hedge(self, call: ServiceCall, race: Race, tried: set[str]) -> None:
+    def _begin_hedge(
+        self, call: ServiceCall, tried: set[str]
+    ) -> Callable[[], Awaitable[AttemptResult]] | None:
         member = self._choose(call, frozenset(tried))
         if member is None or not self._budget.take_spare(call.service):
-            return
+            return None
         tried.add(member.name)
         call.record.arrivals += 1
         self._metrics.hedges += 1
         self._log.write(HedgeStarted(request_id=call.request_id, daemon_tried=member.name))
-        race.start(partial(self._attempt, call, member))
+        return partial(self._attempt, call, member)
 
     async def _attempt(self, call: ServiceCall, member: Member) -> AttemptResult:
         now = trio.current_time()
@@ -265,7 +264,7 @@
             self._balancer.on_ended(member, outcome, failed, ended_at, call.priority)
             self._metrics.observe_attempt(ended_at - now)
             if result is not None and result.is_good:
-                self._hedges.observe(call.route, ended_at - now)
+                self._hedge_timer.observe(call.route, ended_at - now)
 
     async def _send(self, call: ServiceCall, member: Member, hop: HopRequest) -> AttemptResult:
         if member.name == self._directory.own.name:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
@@ -22,7 +22,7 @@
     from fulmarstile_wire.services import Member
 
 _INTERVAL_S: Final = 1.0
-_PROBE_INTERVAL_S: Final = 0.3
+_PROBE_INTERVAL_S: Final = 0.4
 _TIMEOUT_S: Final = 0.8
 _TOLD: Final = 3
 """Daemons that are told of a change that the store does not take."""
