--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -96,6 +96,6 @@
         Hash of caller, method, target and body.
     """
     digest = xxhash.xxh3_64(caller_service.encode())
-    digest.update(request.head.method + b" " + request.head.target)
+    digest.update(request.method + b" " + request.target)
     digest.update(request.body)
     return digest.digest()
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -0,0 +1,129 @@
+"""Takes the connections of other daemons."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import trio
+from loguru import logger
+
+from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
+from fulmarstile_http.listener import OutOfDescriptorsError, listen
+from fulmarstile_wire.services import (
+    PROTOCOL_VERSION,
+    Hello,
+    HopCall,
+    HopCancel,
+    SyncAnswer,
+    SyncCall,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from fulmarstile_http.byte_stream import ByteStream
+    from fulmarstile_wire.services import HopAnswer, LinkMessage, SyncReply, SyncRequest
+
+_ACCEPT_PAUSE_S: Final = 0.05
+
+
+class LinkServer:
+    """Answers forwarded requests and synchronizations.
+
+    What a connection has asked for is cancelled when it ends.
+
+    Args:
+        answer_call: Answers a forwarded request.
+        answer_sync: Answers a synchronization.
+    """
+
+    def __init__(
+        self,
+        answer_call: Callable[[HopCall], Awaitable[HopAnswer]],
+        answer_sync: Callable[[SyncRequest], SyncReply],
+    ) -> None:
+        self._answer_call = answer_call
+        self._answer_sync = answer_sync
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have no answer yet."""
+        return self._in_flight
+
+    async def serve(
+        self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Accepts and serves connections until cancelled.
+
+        Args:
+            address: `host:port` to listen at.
+            task_status: Told the address that is listened at.
+
+        Raises:
+            OSError: If the address cannot be listened at.
+        """
+        with listen(address) as listener:
+            async with trio.open_nursery() as nursery:
+                task_status.started(listener.address)
+                while True:
+                    try:
+                        stream = await listener.accept()
+                    except OutOfDescriptorsError as error:
+                        logger.warning("cannot accept a daemon's connection: {}", error)
+                        await trio.sleep(_ACCEPT_PAUSE_S)
+                        continue
+                    nursery.start_soon(self._serve_connection, stream)
+
+    async def _serve_connection(self, stream: ByteStream) -> None:
+        frames = FrameStream(stream)
+        calls: dict[int, trio.CancelScope] = {}
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(frames.send_forever)
+                await self._serve_messages(frames, calls, nursery)
+        except* LinkBrokenError as group:
+            logger.info("a connection from a daemon ended: {}", group.exceptions[0])
+        finally:
+            frames.close()
+
+    async def _serve_messages(
+        self, frames: FrameStream, calls: dict[int, trio.CancelScope], nursery: trio.Nursery
+    ) -> None:
+        is_known = False
+        while True:
+            for message in await frames.receive():
+                if not is_known:
+                    _check_hello(message)
+                    is_known = True
+                elif isinstance(message, HopCall):
+                    nursery.start_soon(self._serve_call, frames, calls, message)
+                elif isinstance(message, HopCancel):
+                    scope = calls.get(message.call_id)
+                    if scope is not None:
+                        scope.cancel()
+                elif isinstance(message, SyncCall):
+                    reply = self._answer_sync(message.request)
+                    frames.send(SyncAnswer(message.call_id, reply))
+
+    async def _serve_call(
+        self, frames: FrameStream, calls: dict[int, trio.CancelScope], call: HopCall
+    ) -> None:
+        scope = calls[call.call_id] = trio.CancelScope()
+        self._in_flight += 1
+        try:
+            with scope:
+                frames.send(await self._answer_call(call))
+        except LinkBrokenError as error:
+            logger.info("an answer could not be sent: {}", error)
+        except Exception:
+            # A fault in one request must not end the others of its connection.
+            logger.exception("answering a forwarded request failed")
+        finally:
+            self._in_flight -= 1
+            del calls[call.call_id]
+
+
+def _check_hello(message: LinkMessage) -> None:
+    if not isinstance(message, Hello) or message.version != PROTOCOL_VERSION:
+        raise LinkBrokenError("the other daemon speaks another protocol")
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -1,4 +1,4 @@
-"""Connections to other daemons."""
+"""Connections to other daemons, shared by all requests that are sent to them."""
 
 from __future__ import annotations
 
@@ -6,22 +6,23 @@
 from typing import TYPE_CHECKING, Final
 
 import trio
+from loguru import logger
 
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
-from fulmarstile_daemon.services._exchange import Answer, Exchange
-from fulmarstile_http.client_connection import ExchangeError
-from fulmarstile_http.connection_pool import ConnectionPool
-from fulmarstile_wire.errors import WireError
+from fulmarstile_daemon.services._exchange import Answer
+from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
+from fulmarstile_http.byte_stream import open_stream
+from fulmarstile_http.headers import MessageHeaders
+from fulmarstile_wire.errors import FulmarstileError
 from fulmarstile_wire.services import (
-    HOP_HEADER,
-    OUTCOME_HEADER,
-    SYNC_HEADER,
-    SYNC_TARGET,
-    decode_hop_outcome,
-    decode_sync_reply,
-    encode_header,
-    encode_sync,
+    PROTOCOL_VERSION,
+    Hello,
+    HopAnswer,
+    HopCall,
+    HopCancel,
+    SyncAnswer,
+    SyncCall,
 )
 from fulmarstile_wire.verdict import Verdict
 
@@ -31,8 +32,14 @@
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_wire.services import HopRequest, Member, SyncReply, SyncRequest
 
-_MAX_CONNECTIONS: Final = 256
-"""Most connections to one daemon."""
+_LARGE_BODY_BYTES: Final = 32 * 1024
+"""Size from which a body goes over the second connection, where small ones don't wait for it."""
+_SILENT_S: Final = 1.0
+"""Time without a byte after which a connection with calls that got no answer is replaced."""
+
+
+class DaemonUnreachableError(FulmarstileError):
+    """A daemon took no connection, or did not reply."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,20 +51,101 @@
     fresh_connection_s: float = 10.0
 
 
-class DaemonUnreachableError(Exception):
-    """A daemon took no connection, or did not answer."""
+class _Pending:
+    """A call that waits for its answer."""
+
+    __slots__ = ("answer", "event", "is_lost")
+
+    def __init__(self) -> None:
+        self.event = trio.Event()
+        self.answer: HopAnswer | SyncAnswer | None = None
+        self.is_lost = False
+        """Whether the connection broke before the answer."""
+
+
+class _Link:
+    """One connection and the calls on it."""
+
+    def __init__(self, frames: FrameStream, address: str) -> None:
+        self._address = address
+        self._frames = frames
+        self._pending: dict[int, _Pending] = {}
+        self._next_id = 0
+        self.received_at = trio.current_time()
+        """Time of the last message, in seconds."""
+
+    @property
+    def is_closed(self) -> bool:
+        return self._frames.is_closed
+
+    def begin(self) -> tuple[int, _Pending]:
+        self._next_id += 1
+        pending = self._pending[self._next_id] = _Pending()
+        return self._next_id, pending
+
+    def send(self, message: Hello | HopCall | HopCancel | SyncCall) -> None:
+        self._frames.send(message)
+
+    def end(self, call_id: int) -> None:
+        """Forgets a call; the other daemon is told if it may still work on it."""
+        pending = self._pending.pop(call_id, None)
+        if pending is None or pending.event.is_set() or self._frames.is_closed:
+            return
+        try:
+            self._frames.send(HopCancel(call_id))
+        except LinkBrokenError:
+            self.close()
+
+    def close(self) -> None:
+        self._frames.close()
+        for pending in self._pending.values():
+            pending.is_lost = True
+            pending.event.set()
+
+    async def run(self) -> None:
+        """Receives answers until the connection ends."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._frames.send_forever)
+                while True:
+                    for message in await self._frames.receive():
+                        self._take(message)
+        except* LinkBrokenError as group:
+            logger.info("a connection to {} ended: {}", self._address, group.exceptions[0])
+        finally:
+            self.close()
+
+    def _take(self, message: object) -> None:
+        self.received_at = trio.current_time()
+        if not isinstance(message, HopAnswer | SyncAnswer):
+            raise LinkBrokenError(f"unexpected message {type(message).__name__}")
+        pending = self._pending.get(message.call_id)
+        if pending is not None:
+            pending.answer = message
+            pending.event.set()
 
 
 class DaemonLinks:
     """Sends requests and synchronizations to other daemons.
 
     Args:
+        sender: Name of this daemon.
         settings: Limits of the connections.
     """
 
-    def __init__(self, settings: LinkSettings | None = None) -> None:
+    def __init__(self, sender: str, settings: LinkSettings | None = None) -> None:
+        self._sender = sender
         self._settings = settings or LinkSettings()
-        self._pools: dict[str, ConnectionPool] = {}
+        self._links: dict[tuple[str, bool], _Link] = {}
+        self._opening: dict[tuple[str, bool], trio.Lock] = {}
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Keeps the connections until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
 
     def keep(self, addresses: Iterable[str]) -> None:
         """Closes the connections to daemons that are no longer known.
@@ -65,13 +153,13 @@
         Args:
             addresses: `host:port` of the daemons that are.
         """
-        for address in sorted(self._pools.keys() - set(addresses)):
-            self._pools.pop(address).retire()
+        kept = set(addresses)
+        for key in [key for key in self._links if key[0] not in kept]:
+            self._links.pop(key).close()
 
-    def close_idle(self) -> None:
-        """Closes all connections without an exchange, because they may have gone silent."""
-        for pool in self._pools.values():
-            pool.close_idle()
+    def drop_all(self) -> None:
+        """Opens new connections for later calls, because the old ones may have gone silent."""
+        self._links.clear()
 
     async def forward(
         self, member: Member, hop: HopRequest, request: ReceivedRequest
@@ -89,34 +177,29 @@
         Raises:
             DaemonUnreachableError: If the daemon takes no connection.
         """
-        pool = self._find_pool(member.address)
-        try:
-            connection = await pool.acquire()
-        except ExchangeError as error:
-            raise DaemonUnreachableError(str(error)) from error
-        headers = [*request.headers.passed_on, (HOP_HEADER, encode_header(hop))]
-        exchange = Exchange(
-            connection, request.head.method, request.head.target, headers, request.body
+        link = await self._find(member.address, len(request.body) >= _LARGE_BODY_BYTES)
+        call_id, pending = link.begin()
+        call = HopCall(
+            call_id, hop, request.method, request.target, request.headers.passed_on, request.body
         )
-        is_whole = False
         try:
-            answer = await exchange.run()
-            is_whole = not exchange.is_cut
-            return _read_result(answer)
-        except (ExchangeError, WireError):
-            pool.distrust(connection)
-            if not exchange.may_have_arrived:
-                failure = make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED)
-            else:
-                failure = make_failure(
+            link.send(call)
+            await pending.event.wait()
+        except LinkBrokenError:
+            # The message was not sent whole, so the other daemon cannot have read it.
+            return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED))
+        except trio.Cancelled:
+            self._distrust(member.address, link)
+            raise
+        finally:
+            link.end(call_id)
+        if not isinstance(pending.answer, HopAnswer):
+            return AttemptResult(
+                make_failure(
                     Verdict.MAY_HAVE_RUN, RefusalReason.CONNECTION_LOST, reached_upstream=True
                 )
-            return AttemptResult(failure)
-        finally:
-            if is_whole:
-                pool.release(connection)
-            else:
-                pool.discard(connection)
+            )
+        return _read_result(pending.answer)
 
     async def synchronize(
         self, member: Member, message: SyncRequest, timeout_s: float
@@ -134,39 +217,60 @@
         Raises:
             DaemonUnreachableError: If it did not reply in time.
         """
-        pool = self._find_pool(member.address)
-        body = encode_sync(message)
-        headers = [(b"host", member.address.encode()), (SYNC_HEADER, b"1")]
-        is_whole = False
+        pending: _Pending | None = None
         with trio.move_on_after(timeout_s):
+            link = await self._find(member.address, large=False)
+            call_id, pending = link.begin()
             try:
-                connection = await pool.acquire()
-            except ExchangeError as error:
-                raise DaemonUnreachableError(str(error)) from error
-            try:
-                exchange = Exchange(connection, b"POST", SYNC_TARGET, headers, body)
-                answer = await exchange.run()
-                reply = decode_sync_reply(answer.body)
-                is_whole = not exchange.is_cut
-                return reply
-            except (ExchangeError, WireError) as error:
+                link.send(SyncCall(call_id, message))
+                await pending.event.wait()
+            except LinkBrokenError as error:
                 raise DaemonUnreachableError(str(error)) from error
+            except trio.Cancelled:
+                self._distrust(member.address, link)
+                raise
             finally:
-                if is_whole:
-                    pool.release(connection)
-                else:
-                    pool.discard(connection)
-        raise DaemonUnreachableError("no reply in time")
-
-    def _find_pool(self, address: str) -> ConnectionPool:
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = self._pools[address] = ConnectionPool(address, _MAX_CONNECTIONS, self._settings)
-        return pool
-
-
-def _read_result(answer: Answer) -> AttemptResult:
-    outcome = decode_hop_outcome(answer.headers.own.get(OUTCOME_HEADER, b""))
-    if outcome.reason:
-        return AttemptResult(outcome)
-    return AttemptResult(outcome, answer)
+                link.end(call_id)
+        if pending is None or not isinstance(pending.answer, SyncAnswer):
+            raise DaemonUnreachableError("no reply in time")
+        return pending.answer.reply
+
+    async def _find(self, address: str, large: bool) -> _Link:
+        key = (address, large)
+        link = self._links.get(key)
+        if link is not None and not link.is_closed:
+            return link
+        async with self._opening.setdefault(key, trio.Lock()):
+            link = self._links.get(key)
+            if link is None or link.is_closed:
+                link = self._links[key] = await self._open(address)
+            return link
+
+    async def _open(self, address: str) -> _Link:
+        if self._nursery is None:
+            raise DaemonUnreachableError("no connection is opened before the daemon runs")
+        with trio.move_on_after(self._settings.connect_timeout_s):
+            try:
+                stream = await open_stream(address)
+                link = _Link(FrameStream(stream), address)
+                link.send(Hello(PROTOCOL_VERSION, self._sender))
+            except (OSError, LinkBrokenError) as error:
+                raise DaemonUnreachableError(f"cannot connect to {address}: {error}") from error
+            self._nursery.start_soon(link.run)
+            return link
+        raise DaemonUnreachableError(f"connecting to {address} took too long")
+
+    def _distrust(self, address: str, link: _Link) -> None:
+        """Replaces a connection on which nothing has arrived for long."""
+        if trio.current_time() - link.received_at < _SILENT_S:
+            return
+        for key in ((address, False), (address, True)):
+            if self._links.get(key) is link:
+                del self._links[key]
+
+
+def _read_result(message: HopAnswer) -> AttemptResult:
+    if not message.status:
+        return AttemptResult(message.outcome)
+    headers = MessageHeaders(passed_on=message.headers)
+    return AttemptResult(message.outcome, Answer(message.status, headers, message.body))
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -34,7 +34,8 @@
 class ReceivedRequest:
     """A whole request."""
 
-    head: h11.Request
+    method: bytes
+    target: bytes
     headers: MessageHeaders
     body: bytes
     arrived_at: float
@@ -110,7 +111,7 @@
         check_framing(event, headers)
         arrived_at = trio.current_time()
         body = await self._receive_body(headers)
-        return ReceivedRequest(event, headers, body, arrived_at)
+        return ReceivedRequest(event.method, event.target, headers, body, arrived_at)
 
     async def send(self, reply: Reply) -> None:
         """Sends a whole answer.
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -283,8 +283,8 @@
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED))
         exchange = Exchange(
             connection,
-            request.head.method,
-            request.head.target,
+            request.method,
+            request.target,
             self._make_headers(hop, request, deadline),
             request.body,
         )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -12,6 +12,7 @@
 import trio
 from loguru import logger
 
+from fulmarstile_daemon.services._link_server import LinkServer
 from fulmarstile_daemon.services._links import DaemonLinks
 from fulmarstile_daemon.services._request_server import RequestServer
 from fulmarstile_daemon.services._upstream import LocalUpstream
@@ -73,10 +74,6 @@
 _COLLECTION_THRESHOLDS: Final = (20_000, 20, 50)
 """Allocations and younger collections after which objects are collected."""
 _DEFAULT_LIMITS: Final = RequestLimits()
-_HOP_LIMITS: Final = RequestLimits(
-    head_bytes=128 * 1024, body_bytes=64 * 1024 * 1024, idle_timeout_s=60.0
-)
-"""Limits of what other daemons send; theirs has been checked."""
 
 
 class ServiceDaemon:
@@ -108,7 +105,7 @@
         self._balancer = LeastWaitBalancer(BalancingSettings(), settings.availability_zone, rng)
         bounds = settings.bounds
         self._budget = RetryBudget(bounds.retry_ratio, bounds.retry_burst)
-        self._links = DaemonLinks()
+        self._links = DaemonLinks(settings.name)
         self._upstream = LocalUpstream(
             names, self._documents.connection_limit, self._membership.report_crash, log
         )
@@ -139,16 +136,14 @@
             log,
         )
         self._announcements.tell_daemons = self._gossip.tell
-        self._hops = HopServer(names, self._directory, self._upstream, self._gossip, log)
+        self._hops = HopServer(names, self._directory, self._upstream, log)
         connections = max(
             64, int((settings.descriptor_limit - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE)
         )
         self._callers = RequestServer(
             self._entry.answer, self._limits, connections, log, names.request_id
         )
-        self._peers = RequestServer(
-            self._hops.answer, lambda: _HOP_LIMITS, connections, log, names.request_id
-        )
+        self._peers = LinkServer(self._hops.answer, self._gossip.on_sync)
         self._started_at = 0.0
         self._is_stopping = False
         self._stop_wanted = trio.Event()
@@ -192,6 +187,7 @@
             ):
                 nursery.start_soon(self._log.flush_forever)
                 await nursery.start(self._callers.serve, listeners.callers)
+                await nursery.start(self._links.run)
                 await nursery.start(self._peers.serve, listeners.daemons)
                 await self._serve_questions(nursery)
                 self._log.write(
@@ -268,8 +264,7 @@
             await self._announcements.stop()
             await trio.sleep(_REFUSE_HOPS_S)
             self._upstream.stop()
-            self._peers.begin_closing()
-            while not (self._callers.is_quiet(_QUIET_CALLERS_S) and self._peers.is_quiet(0.0)):
+            while self._peers.in_flight or not self._callers.is_quiet(_QUIET_CALLERS_S):
                 await trio.sleep(_POLL_S)
 
     async def _poll_settings(self) -> None:
@@ -302,7 +297,7 @@
             for_s = _suspended_s() - offset_s
             if for_s >= _MIN_SUSPEND_S:
                 self._log.write(Suspended(for_s=round(for_s, 2)))
-                self._links.close_idle()
+                self._links.drop_all()
                 self._upstream.trust_no_idle_connection()
 
     def _limits(self) -> RequestLimits:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -142,7 +142,7 @@
         if table is None:
             self._metrics.count_refusal(RefusalReason.NOT_READY)
             return make_error_reply(503, "no configuration is known yet", _NOT_READY_RETRY_S)
-        path = request.head.target.partition(b"?")[0].decode("latin-1")
+        path = request.target.partition(b"?")[0].decode("latin-1")
         route = table.find(request.headers.find(b"host"), path)
         if route is None:
             self._metrics.count_refusal(RefusalReason.NO_ROUTE)
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -102,6 +102,29 @@
             self.sent_bytes += count
             unsent = unsent[count:]
 
+    def send_now(self, data: bytes | bytearray) -> int:
+        """Sends as much as the kernel takes without waiting.
+
+        Args:
+            data: Bytes to send.
+
+        Returns:
+            Number of bytes taken.
+
+        Raises:
+            OSError: If the connection broke.
+        """
+        try:
+            count = self._socket.send(data)
+        except BlockingIOError:
+            return 0
+        self.sent_bytes += count
+        return count
+
+    async def wait_writable(self) -> None:
+        """Waits until the kernel takes bytes again."""
+        await trio.lowlevel.wait_writable(self._socket)
+
     def send_end(self) -> None:
         """Tells the other side that nothing more will be sent."""
         with suppress(OSError):
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -1,7 +1,7 @@
 """Messages between daemons that carry calls between services.
 
-Requests and answers travel over HTTP; the messages here stand in one header of each, or in the
-body of a synchronization. Every message carries what it needs to be understood on its own.
+Messages are MessagePack, each behind its length in four bytes. Many requests share a
+connection; answers come in any order and name the call that they belong to.
 """
 
 from __future__ import annotations
@@ -14,16 +14,14 @@
 from fulmarstile_wire.errors import WireError
 from fulmarstile_wire.verdict import Verdict
 
-HOP_HEADER: Final = b"fulmarstile-hop"
-"""Header of a forwarded request; holds a `HopRequest`."""
-OUTCOME_HEADER: Final = b"fulmarstile-outcome"
-"""Header of the answer to a forwarded request; holds a `HopOutcome`."""
-SYNC_HEADER: Final = b"fulmarstile-sync"
-"""Header that marks a synchronization."""
-SYNC_TARGET: Final = b"/fulmarstile/sync"
-"""Target of a synchronization."""
-MAX_SYNC_BYTES: Final = 8 * 1024 * 1024
-"""Largest body of a synchronization, in bytes."""
+PROTOCOL_VERSION: Final = 1
+"""Version of the messages between daemons."""
+MAX_FRAME_BYTES: Final = 96 * 1024 * 1024
+"""Largest message, in bytes."""
+_LENGTH_BYTES: Final = 4
+
+HeaderPair = tuple[bytes, bytes]
+"""Name in lower case, and value."""
 
 
 class MemberPhase(enum.Enum):
@@ -128,14 +126,103 @@
     document: bytes = b""
 
 
-def encode_header(message: HopRequest | HopOutcome) -> bytes:
-    """Encodes a message as the value of a header."""
-    return msgspec.json.encode(message)
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=0):
+    """First message of the daemon that opened a connection."""
+
+    version: int
+    sender: str
+
+
+class HopCall(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """A forwarded request."""
+
+    call_id: int
+    """Unique on its connection."""
+    hop: HopRequest
+    method: bytes
+    target: bytes
+    headers: list[HeaderPair]
+    body: bytes
+
+
+class HopAnswer(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """How a forwarded request ended; status, headers and body are the upstream's."""
+
+    call_id: int
+    outcome: HopOutcome
+    status: int = 0
+    """HTTP status; 0 if there is no answer."""
+    headers: list[HeaderPair] = []
+    body: bytes = b""
+
+
+class HopCancel(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """The answer to a call is not wanted any more."""
+
+    call_id: int
+
+
+class SyncCall(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """An offer of state that wants a reply."""
+
+    call_id: int
+    request: SyncRequest
+
+
+class SyncAnswer(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """The reply to an offer of state."""
+
+    call_id: int
+    reply: SyncReply
+
+
+LinkMessage = Hello | HopCall | HopAnswer | HopCancel | SyncCall | SyncAnswer
+"""All that is sent between daemons."""
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[LinkMessage] = msgspec.msgpack.Decoder(LinkMessage)
+
+
+def encode_frame(message: LinkMessage) -> bytes:
+    """Encodes a message behind its length."""
+    body = _ENCODER.encode(message)
+    return len(body).to_bytes(_LENGTH_BYTES, "big") + body
+
+
+class FrameDecoder:
+    """Splits a stream of bytes into messages."""
+
+    def __init__(self) -> None:
+        self._received = bytearray()
 
+    def feed(self, data: bytes) -> list[LinkMessage]:
+        """Takes in bytes.
 
-def encode_sync(message: SyncRequest | SyncReply) -> bytes:
-    """Encodes a message as a body."""
-    return msgspec.msgpack.encode(message)
+        Args:
+            data: What was received.
+
+        Returns:
+            The messages that are complete.
+
+        Raises:
+            WireError: If a message is malformed or oversize; the stream must end.
+        """
+        received = self._received
+        received += data
+        messages: list[LinkMessage] = []
+        position = 0
+        while len(received) - position >= _LENGTH_BYTES:
+            start = position + _LENGTH_BYTES
+            length = int.from_bytes(received[position:start], "big")
+            if length > MAX_FRAME_BYTES:
+                raise WireError(f"a message of {length} bytes is too large")
+            if len(received) < start + length:
+                break
+            messages.append(_decode(_DECODER, bytes(received[start : start + length])))
+            position = start + length
+        if position:
+            del received[:position]
+        return messages
 
 
 def encode_member(member: Member) -> bytes:
@@ -148,30 +235,8 @@
     return msgspec.json.encode(report)
 
 
-_HOP_REQUEST = msgspec.json.Decoder(HopRequest)
-_HOP_OUTCOME = msgspec.json.Decoder(HopOutcome)
 _MEMBER = msgspec.json.Decoder(Member)
 _CRASH = msgspec.json.Decoder(CrashReport)
-_SYNC_REQUEST = msgspec.msgpack.Decoder(SyncRequest)
-_SYNC_REPLY = msgspec.msgpack.Decoder(SyncReply)
-
-
-def decode_hop_request(value: bytes) -> HopRequest:
-    """Decodes the header of a forwarded request.
-
-    Raises:
-        WireError: If it is malformed.
-    """
-    return _decode(_HOP_REQUEST, value)
-
-
-def decode_hop_outcome(value: bytes) -> HopOutcome:
-    """Decodes the header of an answer to a forwarded request.
-
-    Raises:
-        WireError: If it is malformed.
-    """
-    return _decode(_HOP_OUTCOME, value)
 
 
 def decode_member(value: bytes) -> Member:
@@ -192,24 +257,6 @@
     return _decode(_CRASH, value)
 
 
-def decode_sync_request(value: bytes) -> SyncRequest:
-    """Decodes the body of a synchronization.
-
-    Raises:
-        WireError: If it is malformed.
-    """
-    return _decode(_SYNC_REQUEST, value)
-
-
-def decode_sync_reply(value: bytes) -> SyncReply:
-    """Decodes the answer to a synchronization.
-
-    Raises:
-        WireError: If it is malformed.
-    """
-    return _decode(_SYNC_REPLY, value)
-
-
 def _decode(decoder: Any, value: bytes) -> Any:
     try:
         return decoder.decode(value)
--- /dev/null
+++ b/tests/services/test_links.py
@@ -0,0 +1,83 @@
+"""Connections between daemons: shared, replaced when silent, closed to strangers."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from fulmarstile_testing.builders.service_mesh import connect, serve_mesh
+from fulmarstile_testing.builders.services import make_document, make_route
+from fulmarstile_wire.services import Hello, HopCancel, encode_frame
+
+LONG = make_document(make_route(timeout_s=20.0, target_latency_s=20.0))
+
+
+class LinkTest(unittest.TestCase):
+    def test_answers_of_calls_side_by_side_do_not_cross(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=LONG) as mesh:
+
+                async def call(number: int) -> None:
+                    size = number * 1_000 + 1
+                    target = f"/a?size={size}&delay_ms={20 - number}"
+                    answer = await mesh.nodes[0].call(
+                        target, request_id=f"r{number}", wait_ms=20_000
+                    )
+                    self.assertEqual((answer.status, len(answer.body)), (200, size))
+
+                async with trio.open_nursery() as nursery:
+                    for number in range(20):
+                        nursery.start_soon(call, number)
+
+        trio.run(run)
+
+    def test_what_does_not_speak_the_protocol_is_closed(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop") as mesh:
+                address = mesh.nodes[0].platform.settings.listeners.daemons
+                for data in (
+                    b"GET / HTTP/1.1\r\n\r\n",
+                    encode_frame(HopCancel(1)),
+                    encode_frame(Hello(999, "tomorrow")),
+                ):
+                    stream = await connect(address)
+                    await stream.send_all(data)
+                    with trio.fail_after(5):
+                        self.assertEqual(await stream.receive_some(100), b"")
+                self.assertEqual((await mesh.nodes[0].call("/a")).status, 200)
+
+        trio.run(run)
+
+    def test_a_daemon_that_dies_does_not_hold_its_calls(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=LONG) as mesh:
+                entry, serving = mesh.nodes
+                statuses = []
+
+                async def call() -> None:
+                    answer = await entry.call("/a?delay_ms=60000", "POST", wait_ms=20_000)
+                    statuses.append(answer.status)
+
+                with trio.fail_after(10):
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(call)
+                        while not serving.upstream.record.running:
+                            await trio.sleep(0.01)
+                        await serving.kill()
+                self.assertEqual(statuses, [502])
+
+        trio.run(run)
+
+    def test_a_daemon_out_of_reach_is_found_again(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop") as mesh:
+                node = mesh.nodes[1]
+                await node.kill()
+                self.assertEqual((await mesh.nodes[0].call("/a")).status, 503)
+                await mesh.start_node("daemon-2", upstream=node.upstream, earlier=node)
+                with trio.fail_after(10):
+                    while (await mesh.nodes[0].call("/a")).status != 200:
+                        await trio.sleep(0.05)
+
+        trio.run(run)
--- /dev/null
+++ b/tests/wire/test_link_frames.py
@@ -0,0 +1,66 @@
+"""Messages between daemons survive any splitting; what is no message ends the stream."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fulmarstile_wire.errors import WireError
+from fulmarstile_wire.services import (
+    MAX_FRAME_BYTES,
+    FrameDecoder,
+    Hello,
+    HopAnswer,
+    HopCall,
+    HopCancel,
+    HopOutcome,
+    HopRequest,
+    SyncAnswer,
+    SyncCall,
+    SyncReply,
+    SyncRequest,
+    encode_frame,
+)
+from fulmarstile_wire.verdict import Verdict
+
+HOP = HopRequest("shop", "u-1", "stock", 1, 900, 200, True, b"12345678")
+MESSAGES = (
+    Hello(1, "daemon-1"),
+    HopCall(7, HOP, b"POST", b"/a?b=c", [(b"host", b"x")], b"body"),
+    HopAnswer(7, HopOutcome(Verdict.RAN, running=3), 200, [(b"a", b"\xff")], b"\x00\x01"),
+    HopAnswer(8, HopOutcome(Verdict.NOT_RUN, "queue-full", retry_after_ms=50)),
+    HopCancel(9),
+    SyncCall(10, SyncRequest("daemon-1", b"digest", 5)),
+    SyncAnswer(10, SyncReply(b"digest", 6, document=b"raw")),
+)
+
+
+class FrameTest(unittest.TestCase):
+    def test_messages_survive_any_splitting(self) -> None:
+        data = b"".join(map(encode_frame, MESSAGES))
+        for seed in range(50):
+            rng = random.Random(seed)
+            decoder = FrameDecoder()
+            received = []
+            position = 0
+            while position < len(data):
+                size = rng.randrange(1, 40)
+                received += decoder.feed(data[position : position + size])
+                position += size
+            self.assertEqual(tuple(received), MESSAGES)
+
+    def test_an_oversize_message_is_an_error_before_it_is_received(self) -> None:
+        with self.assertRaisesRegex(WireError, "too large"):
+            FrameDecoder().feed((MAX_FRAME_BYTES + 1).to_bytes(4, "big"))
+
+    @given(st.binary(max_size=200))
+    def test_bytes_that_are_no_message_are_a_wire_error(self, body: bytes) -> None:
+        decoder = FrameDecoder()
+        try:
+            messages = decoder.feed(len(body).to_bytes(4, "big") + body)
+        except WireError:
+            return
+        self.assertEqual(len(messages), 1)
