--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_hedges.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_hedges.py
@@ -11,7 +11,7 @@
 
     from fulmarstile_daemon.services._call import AttemptResult
 
-_TICK_S: Final = 0.025
+_TICK_S: Final = 0.05
 """Interval at which late answers are looked for, in seconds."""
 
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -27,9 +27,9 @@
     from fulmarstile_http.listener import CallListener
     from fulmarstile_services.document import RequestLimits
 
-_WATCH_S: Final = 0.15
+_WATCH_S: Final = 0.2
 """Interval at which callers that have left are looked for, in seconds."""
-_SWEEP_S: Final = 0.5
+_SWEEP_S: Final = 1.0
 """Interval at which idle connections are looked for, in seconds."""
 _ACCEPT_PAUSE_S: Final = 0.05
 
@@ -64,6 +64,7 @@
         self._in_flight: dict[ServerConnection, trio.CancelScope] = {}
         self._is_closing = False
         self._last_request_at = -math.inf
+        self._has_in_flight = trio.Event()
         self.callers_left = 0
         """Requests whose sender left before the answer."""
 
@@ -164,6 +165,7 @@
 
     async def _run(self, connection: ServerConnection, request: ReceivedRequest) -> Reply:
         scope = self._in_flight[connection] = trio.CancelScope()
+        self._has_in_flight.set()
         try:
             with scope:
                 return await self._answer(request)
@@ -178,6 +180,9 @@
 
     async def _watch_forever(self) -> None:
         while True:
+            if not self._in_flight:
+                self._has_in_flight = trio.Event()
+                await self._has_in_flight.wait()
             await trio.sleep(_WATCH_S)
             for connection, scope in self._in_flight.items():
                 if connection.has_ended:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -52,8 +52,8 @@
     from fulmarstile_platform.http_server import HttpRequest
     from fulmarstile_services.settings import NodeSettings
 
-_SETTINGS_POLL_S: Final = 0.5
-_SUSPEND_POLL_S: Final = 0.25
+_SETTINGS_POLL_S: Final = 1.0
+_SUSPEND_POLL_S: Final = 0.5
 _MIN_SUSPEND_S: Final = 0.5
 """Time that the VM must have stood still for idle connections to be closed, in seconds."""
 _DESCRIPTOR_SHARE: Final = 0.6
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
@@ -43,6 +43,7 @@
         self._encoder = msgspec.json.Encoder()
         self._counts: dict[str, int] = {}
         self._window_end = 0.0
+        self._has_lines: trio.Event | None = None
         self.left_out = 0
         """Lines that were not written since the start."""
 
@@ -69,6 +70,9 @@
     async def flush_forever(self) -> None:
         """Writes the waiting lines from time to time, until cancelled."""
         while True:
+            if not self._lines:
+                self._has_lines = trio.Event()
+                await self._has_lines.wait()
             await trio.sleep(_FLUSH_S)
             self.flush()
 
@@ -105,6 +109,8 @@
             return
         stamp = f'{{"time":{time.time():.4f},"daemon":"{self._daemon}",'.encode()
         self._lines.append(stamp + encoded[1:] + b"\n")
+        if self._has_lines is not None:
+            self._has_lines.set()
 
     def _write_message(self, message: Message) -> None:
         record = message.record
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
@@ -22,7 +22,9 @@
     from fulmarstile_wire.services import Member
 
 _INTERVAL_S: Final = 1.0
-_PROBE_INTERVAL_S: Final = 0.4
+_PROBE_INTERVAL_S: Final = 0.3
+_LOOK_INTERVAL_S: Final = 0.5
+"""Interval at which it is looked whether any daemon is out of reach, in seconds."""
 _TIMEOUT_S: Final = 0.8
 _TOLD: Final = 3
 """Daemons that are told of a change that the store does not take."""
@@ -131,6 +133,9 @@
 
     async def _probe_forever(self) -> None:
         while True:
+            if not self._balancer.has_unreachable:
+                await trio.sleep(_LOOK_INTERVAL_S)
+                continue
             await trio.sleep(_PROBE_INTERVAL_S * self._random.uniform(0.8, 1.2))
             lost = [
                 member
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -93,6 +93,11 @@
         self._random = random
         self._observations: dict[str, _Observation] = {}
 
+    @property
+    def has_unreachable(self) -> bool:
+        """Whether any daemon did not answer the last attempt to reach it."""
+        return any(not each.reachable for each in self._observations.values())
+
     def is_reachable(self, name: str) -> bool:
         """Tells whether a daemon answered the last attempt to reach it."""
         observation = self._observations.get(name)
