--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -38,6 +38,8 @@
     record: AttemptRecord = field(default_factory=AttemptRecord)
     refused_by: list[str] = field(default_factory=list)
     """Daemons that refused it before an upstream saw it, each with its reason."""
+    failure: Answer | None = None
+    """Last failure that an upstream answered with."""
     last_daemon: str = ""
     last_upstream: str = ""
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -67,7 +67,7 @@
 """Time before the end at which the other daemons are told at the latest, in seconds."""
 _REFUSE_HOPS_S: Final = 0.4
 """Time for which other daemons that were told may still send requests, in seconds."""
-_GRACE_MARGIN_S: Final = 0.4
+_GRACE_MARGIN_S: Final = 0.8
 _POLL_S: Final = 0.02
 _READY_WITHOUT_MEMBERS_S: Final = 1.5
 """Time after the start from which the daemon is ready though the store was not read."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -200,6 +200,7 @@
                 if result.is_good:
                     break
                 call.record.note(result.outcome)
+                call.failure = result.answer or call.failure
                 if not self._try_again(call, member, result.outcome):
                     break
         if scope.cancelled_caught:
@@ -304,8 +305,11 @@
     def _conclude(self, call: ServiceCall, result: AttemptResult) -> Reply:
         """Makes the final answer out of the last attempt."""
         outcome = result.outcome
-        if result.answer is not None:
-            answer = result.answer
+        answer = result.answer
+        if answer is None and outcome.verdict is Verdict.NOT_RUN:
+            # An upstream's own failure says more than that nobody tried again.
+            answer = call.failure
+        if answer is not None:
             return self._finish(
                 call, Reply(answer.status, answer.headers.passed_on, answer.body), ""
             )
--- a/packages/fulmarstile_services/src/fulmarstile_services/retry_budget.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/retry_budget.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-_RATIO_SHARE: Final = 0.6
+_RATIO_SHARE: Final = 0.75
 """Part of the allowed ratio that is spent; calls made by a repeat count as repeats, too."""
 _BURST_SHARE: Final = 0.4
 """Part of the allowed burst that all daemons together may save up."""
--- a/tests/services/test_upstream_faults.py
+++ b/tests/services/test_upstream_faults.py
@@ -86,6 +86,22 @@
 
         trio.run(run)
 
+    def test_a_failure_is_passed_on_when_nobody_else_has_room(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", "shop", document=IDEMPOTENT) as mesh:
+                async with trio.open_nursery() as nursery:
+                    for number in range(7):
+                        target = f"/a?delay_ms=700&n={number}"
+                        nursery.start_soon(mesh.nodes[0].call, target)
+                    await trio.sleep(0.2)
+                    answer = await mesh.nodes[0].call(
+                        "/a?status=500&size=9&delay_ms=10", request_id="failing"
+                    )
+                    nursery.cancel_scope.cancel()
+                self.assertEqual((answer.status, len(answer.body)), (500, 9))
+
+        trio.run(run)
+
     def test_a_request_that_crashes_upstreams_is_refused_everywhere(self) -> None:
         async def run() -> None:
             services = ("stock",) * 2 + ("shop",) * 4
