--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/_customer_queue.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/_customer_queue.py
@@ -15,9 +15,9 @@
 class CustomerQueue:
     """Waiting requests of one customer.
 
-    The classes share what the customer gets by start-time fair queueing. A class that is
-    served rarely is served first when it has a request, and each class has a share that the
-    others cannot take.
+    The classes share the slot time that the customer gets by start-time fair queueing. A class
+    that is served rarely is served first when it has a request, and each class has a share that
+    the others cannot take.
     """
 
     __slots__ = ("_class_times", "_classes", "_clock", "running", "size", "virtual_time", "weight")
@@ -55,10 +55,11 @@
         for index, waiting in enumerate(self._classes):
             if waiting and (best < 0 or times[index] < times[best]):
                 best = index
+        ticket = self._classes[best].popitem(last=False)[1]
         self._clock = times[best]
-        times[best] += _CLASS_COSTS[best]
+        times[best] += _CLASS_COSTS[best] * ticket.cost
         self.size -= 1
-        return self._classes[best].popitem(last=False)[1]
+        return ticket
 
     def pop_excess(self) -> AdmissionTicket:
         """Removes and returns the newest request of the longest class for its share."""
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/admission.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/admission.py
@@ -34,6 +34,8 @@
     """Share of the slots relative to other customers."""
     deadline_s: float
     """Monotonic time by which the caller needs the answer, in seconds."""
+    cost: float = 1.0
+    """Slot time that the request is expected to take, relative to others."""
 
 
 class AdmissionEffect:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -50,6 +50,7 @@
 _TICK_S: Final = 0.02
 _LINKS: Final = LinkSettings(connect_timeout_s=0.5, fresh_connection_s=4.0)
 _SERVICE_GAIN: Final = 0.05
+_TARGET_GAIN: Final = 0.01
 _NOT_SENT_STATUSES: Final = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that its request has not run."""
 
@@ -101,6 +102,7 @@
         self._quarantine = Quarantine(QuarantineSettings())
         self._down_until = -math.inf
         self._service_s = 0.0
+        self._target_ms = 0.0
         self._is_stopping = False
         self._has_waiting = trio.Event()
 
@@ -202,6 +204,7 @@
             Priority(min(hop.priority, Priority.LOW)),
             1.0,
             deadline if has_room else useful_until,
+            self._estimate_cost(hop),
         )
         refused = await self._enter(ticket, now)
         if refused is not None:
@@ -377,6 +380,13 @@
             phase=self.phase,
         )
 
+    def _estimate_cost(self, hop: HopRequest) -> float:
+        """Estimates from the target latency how much slot time a request takes."""
+        if not self._target_ms:
+            self._target_ms = float(hop.target_ms)
+        self._target_ms += _TARGET_GAIN * (hop.target_ms - self._target_ms)
+        return hop.target_ms / self._target_ms
+
     def _observe(self, elapsed_s: float) -> None:
         if self._service_s == 0.0:
             self._service_s = elapsed_s
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -247,6 +247,7 @@
             max(1, int((call.deadline - now) * 1000)),
             max(0, int((call.useful_until - now) * 1000)),
             call.route.is_idempotent,
+            max(1, int(call.route.target_latency_s * 1000)),
             call.fingerprint,
         )
         self._balancer.on_sent(member, now)
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -83,6 +83,8 @@
     useful_ms: int
     """Time until waiting for a slot is of no use, in milliseconds."""
     idempotent: bool
+    target_ms: int
+    """Time within which the answer has its full value, in milliseconds."""
     fingerprint: bytes = b""
 
 
--- a/tests/wire/test_link_frames.py
+++ b/tests/wire/test_link_frames.py
@@ -26,7 +26,7 @@
 )
 from fulmarstile_wire.verdict import Verdict
 
-HOP = HopRequest("shop", "u-1", "stock", 1, 900, 200, True, b"12345678")
+HOP = HopRequest("shop", "u-1", "stock", 1, 900, 200, True, 400, b"12345678")
 MESSAGES = (
     Hello(1, "daemon-1"),
     HopCall(7, HOP, b"POST", b"/a?b=c", [(b"host", b"x")], b"body"),
