--- a/packages/fulmarstile_cli/src/fulmarstile_cli/request_trace.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/request_trace.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-_FINAL_EVENT: Final = "call_ended"
+_FINAL_EVENTS: Final = ("call_ended", "call_rejected")
 _LEFT_OUT_EVENT: Final = "lines_left_out"
 _OBJECT_START: Final = '{"time":'
 _HIDDEN: Final = frozenset({"time", "daemon", "event", "request_id"})
@@ -62,9 +62,9 @@
 
     def decisive_line(self) -> TraceLine | None:
         """Returns the line that says why the request ended as it did."""
-        for event in ("attempt_failed", "hop_ended", _FINAL_EVENT):
+        for event in ("attempt_failed", "hop_ended", *_FINAL_EVENTS):
             matching = [line for line in self.lines if line.event == event]
-            if matching and (event == _FINAL_EVENT or self._has_failed()):
+            if matching and (event in _FINAL_EVENTS or self._has_failed()):
                 return matching[-1]
         return self.lines[-1] if self.lines else None
 
@@ -79,6 +79,9 @@
             return f"answered with {status} by {final.fields.get('upstream', '?')}"
         if not reason:
             return f"failed with {status}, the answer of {final.fields.get('upstream', '?')} itself"
+        if final.event == "call_rejected":
+            version = final.fields.get("document_version", "?")
+            return f"rejected with {status} under version {version}: {reason}"
         if status in (429, 503):
             return f"refused with {status}, not run: {reason}"
         return f"failed with {status}: {reason}; it may have run"
@@ -93,7 +96,7 @@
             self.lines.append(TraceLine(float(record["time"]), daemon, event, record))
 
     def _final_line(self) -> TraceLine | None:
-        finals = [line for line in self.lines if line.event == _FINAL_EVENT]
+        finals = [line for line in self.lines if line.event in _FINAL_EVENTS]
         return finals[-1] if finals else None
 
     def _has_failed(self) -> bool:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -22,6 +22,7 @@
 from fulmarstile_daemon.services.events import (
     AttemptFailed,
     CallEnded,
+    CallRejected,
     DependencyLost,
     HedgeStarted,
 )
@@ -140,13 +141,12 @@
         """
         table = self._routes.table
         if table is None:
-            self._metrics.count_refusal(RefusalReason.NOT_READY)
-            return make_error_reply(503, "no configuration is known yet", _NOT_READY_RETRY_S)
-        path = request.target.partition(b"?")[0].decode("latin-1")
-        route = table.find(request.headers.find(b"host"), path)
+            reply = make_error_reply(503, "no configuration is known yet", _NOT_READY_RETRY_S)
+            return self._reject(request, reply, RefusalReason.NOT_READY)
+        route = table.find(request.headers.find(b"host"), _read_path(request))
         if route is None:
-            self._metrics.count_refusal(RefusalReason.NO_ROUTE)
-            return make_error_reply(404, "no route matches")
+            reply = make_error_reply(404, "no route matches")
+            return self._reject(request, reply, RefusalReason.NO_ROUTE)
         call = self._open_call(request, route, table)
         if self._directory.is_suspect(call.fingerprint):
             self._metrics.count_refusal(RefusalReason.QUARANTINED)
@@ -158,6 +158,22 @@
         self._budget.on_request(call.service)
         return await self._run(call)
 
+    def _reject(self, request: ReceivedRequest, reply: Reply, reason: RefusalReason) -> Reply:
+        """Answers a request for which there is no route."""
+        table = self._routes.table
+        self._metrics.count_refusal(reason)
+        self._log.write(
+            CallRejected(
+                request_id=request.headers.find(self._names.request_id),
+                status=reply.status,
+                reason=reason.value,
+                host=request.headers.find(b"host"),
+                path=_read_path(request),
+                document_version=-1 if table is None else table.version,
+            )
+        )
+        return reply
+
     def _open_call(
         self, request: ReceivedRequest, route: ServiceRoute, table: RoutingTable
     ) -> ServiceCall:
@@ -351,3 +367,8 @@
             )
         )
         return reply
+
+
+def _read_path(request: ReceivedRequest) -> str:
+    """Returns the path of a request without its query."""
+    return request.target.partition(b"?")[0].decode("latin-1")
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -34,6 +34,17 @@
     """Service on the VM where the request began."""
 
 
+class CallRejected(LogEvent, tag="call_rejected"):
+    """A request was answered before a service was chosen for it."""
+
+    request_id: str
+    status: int
+    reason: str
+    host: str
+    path: str
+    document_version: int
+
+
 class AttemptFailed(LogEvent, tag="attempt_failed"):
     """An upstream saw a request and gave no good answer; says whether it is sent again."""
 
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -21,6 +21,8 @@
 {"time":100.0060,"daemon":"d-1","event":"lines_left_out","kind":"CallEnded","count":7}
 {"time":100.0070,"daemon":"d-1","event":"call_ended","request_id":"r3","status":503,\
 "reason":"queue-full","refused_by":["d-2:deadline"]}
+{"time":100.0080,"daemon":"d-1","event":"call_rejected","request_id":"r4","status":404,\
+"reason":"no-route","document_version":7}
 {"time":1
 """
 HOP = """\
@@ -59,6 +61,10 @@
         self.assertIn("refused with 503, not run: queue-full", self.explain("r3", *self.files)[1])
         self.assertIn("answered with 200 by i-1", self.explain("r2", *self.files)[1])
 
+    def test_a_request_without_a_route_names_the_version_in_force(self) -> None:
+        _, output = self.explain("r4", *self.files)
+        self.assertIn("verdict: rejected with 404 under version 7: no-route", output)
+
     def test_an_unknown_request_is_said_to_be_unknown(self) -> None:
         code, output = self.explain("r9", *self.files)
         self.assertEqual(code, ExitCode.DIFFERENT)
