Prepare accepted sockets once, at their listener, and ask two daemons at most for the least urgent

Seven calls of the kernel for each accepted connection, and refusals of up to three daemons for each attempt of the least urgent kind.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -27,7 +27,7 @@
     HedgeStarted,
 )
 from fulmarstile_services.hedging import HedgeTimer
-from fulmarstile_services.retry_policy import RetryRules
+from fulmarstile_services.retry_policy import URGENT_PRIORITY, RetryRules
 from fulmarstile_wire.services import HopRequest, MemberPhase
 from fulmarstile_wire.verdict import Verdict
 
@@ -59,8 +59,6 @@
 """Largest part of the time left that a caller is told to wait."""
 _USEFUL_SHARE: Final = 0.65
 """Part of the target latency within which an answer must be expected for a request to wait."""
-_URGENT_PRIORITY: Final = 1
-"""Lowest rank whose requests may wait beyond their target latency."""
 _URGENT_SHARE: Final = 0.5
 """Part of the time left for which an urgent or large request may wait at most."""
 _URGENT_WAIT_S: Final = 0.15
@@ -183,7 +181,7 @@
             wait_s = min(wait_s, int(value) / 1000)
         arrived_at = request.arrived_at
         useful_s = route.target_latency_s * _USEFUL_SHARE
-        if route.priority <= _URGENT_PRIORITY:
+        if route.priority <= URGENT_PRIORITY:
             useful_s = max(useful_s, min(wait_s * _URGENT_SHARE, _URGENT_WAIT_S))
         if len(request.body) >= _LARGE_BODY_BYTES:
             useful_s = max(useful_s, wait_s * _URGENT_SHARE)
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -27,14 +27,10 @@
     Reads and writes skip the scheduler if they need not wait.
 
     Args:
-        sock: Connected socket, owned by the stream from now on.
+        sock: Connected, non-blocking socket, owned by the stream from now on.
     """
 
     def __init__(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        with suppress(OSError):
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        detect_silence(sock)
         self._socket = sock
         self.sent_bytes = 0
         """Bytes handed to the kernel since the stream was opened."""
@@ -145,13 +141,14 @@
         self.close()
 
 
-def detect_silence(sock: socket.socket) -> None:
-    """Makes the kernel break a connection whose other side has fallen silent.
+def prepare_socket(sock: socket.socket) -> None:
+    """Makes a socket send at once and break when its other side has fallen silent.
 
     Args:
-        sock: TCP socket.
+        sock: TCP socket; what a listening one accepts inherits this.
     """
     with suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _SILENCE_PROBE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _SILENCE_PROBE_S)
@@ -175,6 +172,7 @@
     host = host.strip("[]")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
+    prepare_socket(sock)
     try:
         await _connect(sock, (host, int(port)))
     except BaseException:
--- a/packages/fulmarstile_http/src/fulmarstile_http/listener.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/listener.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from fulmarstile_http.byte_stream import ByteStream
+from fulmarstile_http.byte_stream import ByteStream, prepare_socket
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -50,10 +50,13 @@
         while True:
             await trio.lowlevel.wait_readable(self._socket)
             try:
-                return ByteStream(self._socket.accept()[0])
+                accepted, _ = self._socket.accept()
             except OSError as error:
                 if error.errno in _OUT_OF_DESCRIPTORS:
                     raise OutOfDescriptorsError(error.errno, "cannot accept") from error
+                continue
+            accepted.setblocking(False)
+            return ByteStream(accepted)
 
 
 @contextmanager
@@ -74,6 +77,7 @@
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.create_server((host, int(port)), family=family, backlog=_BACKLOG)
     sock.setblocking(False)
+    prepare_socket(sock)
     try:
         yield CallListener(sock)
     finally:
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
@@ -9,7 +9,7 @@
 import h11
 import trio
 
-from fulmarstile_http.byte_stream import detect_silence
+from fulmarstile_http.byte_stream import prepare_socket
 from fulmarstile_wire.errors import VerdictError
 from fulmarstile_wire.verdict import Verdict
 
@@ -157,7 +157,7 @@
         except trio.TooSlowError as error:
             message = f"no connection to {self._address} in time"
             raise HttpTimeoutError(message, Verdict.NOT_RUN) from error
-        detect_silence(stream.socket)
+        prepare_socket(stream.socket)
         return _Connection(stream, self._address)
 
 
--- a/packages/fulmarstile_services/src/fulmarstile_services/retry_policy.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/retry_policy.py
@@ -13,7 +13,11 @@
     from fulmarstile_wire.services import HopOutcome
 
 MAX_REFUSALS: Final = 3
-"""Daemons that may refuse a request before it is given up."""
+"""Daemons that may refuse an urgent request before it is given up."""
+MAX_REFUSALS_OF_OTHERS: Final = 2
+"""Daemons that may refuse any other request before it is given up."""
+URGENT_PRIORITY: Final = 1
+"""Lowest rank of an urgent request."""
 MIN_LEFT_S: Final = 0.01
 """Time that must be left for another attempt, in seconds."""
 
@@ -83,7 +87,8 @@
             return RetryChoice(False, "no time is left")
         if record.may_have_run and not route.is_idempotent:
             return RetryChoice(False, "the request may have run")
-        if record.refusals >= MAX_REFUSALS:
+        is_urgent = route.priority <= URGENT_PRIORITY
+        if record.refusals >= (MAX_REFUSALS if is_urgent else MAX_REFUSALS_OF_OTHERS):
             return RetryChoice(False, "too many daemons refused it")
         if not last.reached_upstream and last.verdict is Verdict.NOT_RUN:
             return RetryChoice(True, "no upstream saw it")
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/upstream_stand_in.py
@@ -137,6 +137,8 @@
     def break_connections(self) -> None:
         """Breaks all open connections, as a crash of the process does."""
         for stream in list(self.open_connections):
+            if stream.socket.fileno() < 0:
+                continue
             stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
             stream.socket.close()
 
