--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -18,6 +18,7 @@
 )
 from fulmarstile_daemon.calls._headers import MessageHeaders, checked_headers, read_headers
 from fulmarstile_http.request_checks import MalformedRequestError, check_framing, check_lines
+from fulmarstile_http.request_head import HEAD_END, receive_rest_of_head
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -26,7 +27,6 @@
     from fulmarstile_daemon.calls.settings import CallSettings
     from fulmarstile_http.byte_stream import ByteStream
 
-_HEAD_END: Final = b"\r\n\r\n"
 _LINGER_S: Final = 1.0
 """Time for which input is discarded after a final answer, in seconds."""
 _LINGER_BYTES: Final = 1024 * 1024
@@ -102,9 +102,9 @@
             if not received:
                 return None
             self._http.receive_data(received)
-        if received.find(_HEAD_END) < 0:
-            received = await self._receive_rest(received)
-        end = received.find(_HEAD_END)
+        if received.find(HEAD_END) < 0:
+            received = await self._receive_rest_of_head(received)
+        end = received.find(HEAD_END)
         if end > self._settings.head_limit:
             raise _bad_request("the request head is too large", status=431)
         self.is_idle = False
@@ -259,20 +259,23 @@
         except h11.RemoteProtocolError:
             return
 
-    async def _receive_rest(self, received: bytes) -> bytes:
-        with trio.move_on_after(self._settings.head_timeout_s):
-            while received.find(_HEAD_END) < 0:
-                if len(received) > self._settings.head_limit:
-                    raise _bad_request("the request head is too large", status=431)
-                if received[0] <= 0x20 or b"\n\n" in received:
-                    raise _bad_request("the request head is malformed")
-                data = await self._receive()
-                if not data:
-                    raise CallerGoneError
-                self._http.receive_data(data)
-                received += data
-            return received
-        raise _bad_request("the request head arrived too slowly", status=408)
+    async def _receive_rest_of_head(self, received: bytes) -> bytes:
+        settings = self._settings
+        try:
+            received = await receive_rest_of_head(
+                received, self._receive_and_feed, settings.head_limit, settings.head_timeout_s
+            )
+        except MalformedRequestError as error:
+            raise _bad_request(str(error), status=error.status) from error
+        if received.find(HEAD_END) < 0:
+            raise CallerGoneError
+        return received
+
+    async def _receive_and_feed(self) -> bytes:
+        data = await self._receive()
+        if data:
+            self._http.receive_data(data)
+        return data
 
     async def _receive(self) -> bytes:
         try:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import trio
 from loguru import logger
 
 from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
-from fulmarstile_http.listener import OutOfDescriptorsError, listen
+from fulmarstile_http.listener import accept_forever, listen
 from fulmarstile_wire.services import (
     PROTOCOL_VERSION,
     Hello,
@@ -22,10 +22,9 @@
     from collections.abc import Awaitable, Callable
 
     from fulmarstile_http.byte_stream import ByteStream
+    from fulmarstile_http.listener import OutOfDescriptorsError
     from fulmarstile_wire.services import HopAnswer, LinkMessage, SyncReply, SyncRequest
 
-_ACCEPT_PAUSE_S: Final = 0.05
-
 
 class LinkServer:
     """Answers forwarded requests and synchronizations.
@@ -66,14 +65,7 @@
         with listen(address) as listener:
             async with trio.open_nursery() as nursery:
                 task_status.started(listener.address)
-                while True:
-                    try:
-                        stream = await listener.accept()
-                    except OutOfDescriptorsError as error:
-                        logger.warning("cannot accept a daemon's connection: {}", error)
-                        await trio.sleep(_ACCEPT_PAUSE_S)
-                        continue
-                    nursery.start_soon(self._serve_connection, stream)
+                await accept_forever(listener, nursery, self._serve_connection, _log_exhausted)
 
     async def _serve_connection(self, stream: ByteStream) -> None:
         frames = FrameStream(stream)
@@ -127,3 +119,7 @@
 def _check_hello(message: LinkMessage) -> None:
     if not isinstance(message, Hello) or message.version != PROTOCOL_VERSION:
         raise LinkBrokenError("the other daemon speaks another protocol")
+
+
+def _log_exhausted(error: OutOfDescriptorsError) -> None:
+    logger.warning("cannot accept a daemon's connection: {}", error)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -15,7 +15,7 @@
     ServerConnection,
 )
 from fulmarstile_daemon.services.events import CallerLeft
-from fulmarstile_http.listener import OutOfDescriptorsError, listen
+from fulmarstile_http.listener import accept_forever, listen
 from fulmarstile_http.request_checks import MalformedRequestError
 
 if TYPE_CHECKING:
@@ -24,14 +24,13 @@
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_http.byte_stream import ByteStream
-    from fulmarstile_http.listener import CallListener
+    from fulmarstile_http.listener import OutOfDescriptorsError
     from fulmarstile_services.document import RequestLimits
 
 _WATCH_S: Final = 0.2
 """Interval at which callers that have left are looked for, in seconds."""
 _SWEEP_S: Final = 1.0
 """Interval at which idle connections are looked for, in seconds."""
-_ACCEPT_PAUSE_S: Final = 0.05
 
 
 class RequestServer:
@@ -106,7 +105,7 @@
                 nursery.start_soon(self._watch_forever)
                 nursery.start_soon(self._sweep_forever)
                 task_status.started(listener.address)
-                await self._accept_forever(listener, nursery)
+                await accept_forever(listener, nursery, self._serve_connection, self._on_exhausted)
 
     def begin_closing(self) -> None:
         """Closes every connection after its next answer."""
@@ -114,20 +113,13 @@
         for connection in self._connections:
             connection.must_close = True
 
-    async def _accept_forever(self, listener: CallListener, nursery: trio.Nursery) -> None:
-        while True:
-            try:
-                stream = await listener.accept()
-            except OutOfDescriptorsError as error:
-                logger.warning("cannot accept a connection: {}", error)
-                self._evict_idle()
-                await trio.sleep(_ACCEPT_PAUSE_S)
-                continue
-            if len(self._connections) >= self._connection_limit:
-                self._evict_idle()
-            nursery.start_soon(self._serve_connection, stream)
+    def _on_exhausted(self, error: OutOfDescriptorsError) -> None:
+        logger.warning("cannot accept a connection: {}", error)
+        self._evict_idle()
 
     async def _serve_connection(self, stream: ByteStream) -> None:
+        if len(self._connections) >= self._connection_limit:
+            self._evict_idle()
         connection = ServerConnection(stream, self._limits)
         connection.must_close = self._is_closing
         self._connections[connection] = None
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -10,6 +10,7 @@
 
 from fulmarstile_http.headers import MessageHeaders, checked_headers, read_headers
 from fulmarstile_http.request_checks import MalformedRequestError, check_framing, check_lines
+from fulmarstile_http.request_head import HEAD_END, receive_rest_of_head
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -18,7 +19,6 @@
     from fulmarstile_http.headers import Header
     from fulmarstile_services.document import RequestLimits
 
-_HEAD_END: Final = b"\r\n\r\n"
 _LINGER_S: Final = 1.0
 """Time for which input is discarded after a final answer, in seconds."""
 _LINGER_BYTES: Final = 1024 * 1024
@@ -95,7 +95,7 @@
             self._http.start_next_cycle()
         received = self._http.trailing_data[0]
         if not received:
-            received = await self._await_first_bytes()
+            received = await self._receive_and_feed()
             if not received:
                 return None
         self.is_idle = False
@@ -163,35 +163,24 @@
         else:
             self._stream.abort()
 
-    async def _await_first_bytes(self) -> bytes:
-        received = await self._receive()
-        if received:
-            self._http.receive_data(received)
-        return received
-
     async def _receive_head(self, received: bytes) -> bytes:
         limits = self._limits()
-        if received.find(_HEAD_END) < 0:
-            received = await self._receive_rest_of_head(received, limits)
-        end = received.find(_HEAD_END)
+        if received.find(HEAD_END) < 0:
+            received = await receive_rest_of_head(
+                received, self._receive_and_feed, limits.head_bytes, limits.head_timeout_s
+            )
+        end = received.find(HEAD_END)
+        if end < 0:
+            raise CallerLeftError
         if end > limits.head_bytes:
             raise MalformedRequestError("the request head is too large", 431)
         return received[: end + 2]
 
-    async def _receive_rest_of_head(self, received: bytes, limits: RequestLimits) -> bytes:
-        with trio.move_on_after(limits.head_timeout_s):
-            while received.find(_HEAD_END) < 0:
-                if len(received) > limits.head_bytes:
-                    raise MalformedRequestError("the request head is too large", 431)
-                if received[0] <= 0x20 or b"\n\n" in received:
-                    raise MalformedRequestError("the request head is malformed")
-                data = await self._receive()
-                if not data:
-                    raise CallerLeftError
-                self._http.receive_data(data)
-                received += data
-            return received
-        raise MalformedRequestError("the request head arrived too slowly", 408)
+    async def _receive_and_feed(self) -> bytes:
+        data = await self._receive()
+        if data:
+            self._http.receive_data(data)
+        return data
 
     async def _receive_body(self, headers: MessageHeaders) -> bytes:
         limits = self._limits()
@@ -222,12 +211,11 @@
 
     async def _receive_more(self, timeout_s: float) -> None:
         with trio.move_on_after(timeout_s) as scope:
-            data = await self._receive()
+            data = await self._receive_and_feed()
         if scope.cancelled_caught:
             raise MalformedRequestError("the request body arrived too slowly", 408)
         if not data:
             raise CallerLeftError
-        self._http.receive_data(data)
 
     async def _receive(self) -> bytes:
         try:
--- a/packages/fulmarstile_http/src/fulmarstile_http/listener.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/listener.py
@@ -12,9 +12,11 @@
 from fulmarstile_http.byte_stream import ByteStream, prepare_socket
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Awaitable, Callable, Iterator
 
 _BACKLOG: Final = 1024
+_ACCEPT_PAUSE_S: Final = 0.05
+"""Pause before accepting again when the process has too many files open, in seconds."""
 _OUT_OF_DESCRIPTORS: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -59,6 +61,30 @@
             return ByteStream(accepted)
 
 
+async def accept_forever(
+    listener: CallListener,
+    nursery: trio.Nursery,
+    serve: Callable[[ByteStream], Awaitable[None]],
+    on_exhausted: Callable[[OutOfDescriptorsError], None],
+) -> None:
+    """Serves each connection in a task of its own, until cancelled.
+
+    Args:
+        listener: Where connections arrive.
+        nursery: Runs the tasks.
+        serve: Serves one connection.
+        on_exhausted: Called when the process can open no further connection.
+    """
+    while True:
+        try:
+            stream = await listener.accept()
+        except OutOfDescriptorsError as error:
+            on_exhausted(error)
+            await trio.sleep(_ACCEPT_PAUSE_S)
+            continue
+        nursery.start_soon(serve, stream)
+
+
 @contextmanager
 def listen(address: str) -> Iterator[CallListener]:
     """Listens at an address until the context ends.
--- /dev/null
+++ b/packages/fulmarstile_http/src/fulmarstile_http/request_head.py
@@ -0,0 +1,46 @@
+"""Receives request heads that arrive in pieces."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+from fulmarstile_http.request_checks import MalformedRequestError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+HEAD_END: Final = b"\r\n\r\n"
+"""What ends a head."""
+
+
+async def receive_rest_of_head(
+    received: bytes, receive: Callable[[], Awaitable[bytes]], limit: int, timeout_s: float
+) -> bytes:
+    """Receives until a head is complete.
+
+    Args:
+        received: What has arrived of the head.
+        receive: Receives more; returns nothing at the end of the stream.
+        limit: Largest head, in bytes.
+        timeout_s: Longest time for the rest, in seconds.
+
+    Returns:
+        All that has arrived; without a whole head if the other side left.
+
+    Raises:
+        MalformedRequestError: If the head is too large, malformed or late.
+    """
+    with trio.move_on_after(timeout_s):
+        while received.find(HEAD_END) < 0:
+            if len(received) > limit:
+                raise MalformedRequestError("the request head is too large", 431)
+            if received[0] <= 0x20 or b"\n\n" in received:
+                raise MalformedRequestError("the request head is malformed")
+            data = await receive()
+            if not data:
+                break
+            received += data
+        return received
+    raise MalformedRequestError("the request head arrived too slowly", 408)
