--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -21,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from fulmarstile_daemon.services._body_budget import BodyBudget
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_http.byte_stream import ByteStream
@@ -29,6 +31,8 @@
 
 _WATCH_S: Final = 0.2
 """Interval at which callers that have left are looked for, in seconds."""
+_HELD_RETRY_S: Final = 0.3
+"""Delay told to callers while too many large bodies are held, in seconds."""
 _SWEEP_S: Final = 1.0
 """Interval at which idle connections are looked for, in seconds."""
 
@@ -42,6 +46,7 @@
         answer: Answers a request.
         limits: Returns the limits in force.
         connection_limit: Most connections held open.
+        bodies: Bound of the memory that bodies take.
         log: Log of the daemon.
         id_header: Name of the header that identifies a request in the log.
     """
@@ -51,12 +56,14 @@
         answer: Callable[[ReceivedRequest], Awaitable[Reply]],
         limits: Callable[[], RequestLimits],
         connection_limit: int,
+        bodies: BodyBudget,
         log: EventLog,
         id_header: bytes,
     ) -> None:
         self._answer = answer
         self._limits = limits
         self._connection_limit = connection_limit
+        self._bodies = bodies
         self._log = log
         self._id_header = id_header
         self._connections: dict[ServerConnection, None] = {}
@@ -120,7 +127,7 @@
     async def _serve_connection(self, stream: ByteStream) -> None:
         if len(self._connections) >= self._connection_limit:
             self._evict_idle()
-        connection = ServerConnection(stream, self._limits)
+        connection = ServerConnection(stream, self._limits, self._bodies)
         connection.must_close = self._is_closing
         self._connections[connection] = None
         try:
@@ -135,6 +142,7 @@
             connection.end()
             raise
         finally:
+            connection.release_body()
             del self._connections[connection]
 
     async def _serve_requests(self, connection: ServerConnection) -> None:
@@ -143,13 +151,17 @@
                 request = await connection.receive_request()
             except MalformedRequestError as error:
                 connection.must_close = True
-                await connection.send(make_error_reply(error.status, str(error)))
+                retry_after_s = (
+                    _HELD_RETRY_S if error.status == HTTPStatus.SERVICE_UNAVAILABLE else 0
+                )
+                await connection.send(make_error_reply(error.status, str(error), retry_after_s))
                 break
             if request is None:
                 connection.end()
                 return
             self._last_request_at = trio.current_time()
             reply = await self._run(connection, request)
+            connection.release_body()
             await connection.send(reply)
             if not connection.may_continue:
                 break
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from fulmarstile_daemon.services._body_budget import BodyBudget
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_http.headers import Header
     from fulmarstile_services.document import RequestLimits
@@ -58,9 +59,14 @@
     Args:
         stream: Accepted stream, owned by the connection from now on.
         limits: Returns the limits in force.
+        bodies: Bound of the memory that bodies take.
     """
 
-    def __init__(self, stream: ByteStream, limits: Callable[[], RequestLimits]) -> None:
+    def __init__(
+        self, stream: ByteStream, limits: Callable[[], RequestLimits], bodies: BodyBudget
+    ) -> None:
+        self._bodies = bodies
+        self._held = 0
         self._stream = stream
         self._limits = limits
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=_HEAD_SLACK_BYTES)
@@ -138,6 +144,11 @@
         self.idle_since = trio.current_time()
         self.is_idle = True
 
+    def release_body(self) -> None:
+        """Gives back the memory of the last request's body."""
+        self._bodies.give_back(self._held)
+        self._held = 0
+
     async def close(self) -> None:
         """Closes the connection once the other side has closed its own or had time to.
 
@@ -203,6 +214,9 @@
                 size += len(event.data)
                 if size > limits.body_bytes:
                     raise MalformedRequestError("the request body is too large", 413)
+                if not self._bodies.take(len(event.data)):
+                    raise MalformedRequestError("too many large requests are held", 503)
+                self._held += len(event.data)
                 parts.append(bytes(event.data))
             elif event is h11.NEED_DATA:
                 await self._receive_more(limits.head_timeout_s)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -12,6 +12,7 @@
 import trio
 from loguru import logger
 
+from fulmarstile_daemon.services._body_budget import BodyBudget
 from fulmarstile_daemon.services._link_server import LinkServer
 from fulmarstile_daemon.services._links import DaemonLinks
 from fulmarstile_daemon.services._request_server import RequestServer
@@ -56,6 +57,8 @@
 _SUSPEND_POLL_S: Final = 0.5
 _MIN_SUSPEND_S: Final = 0.5
 """Time that the VM must have stood still for idle connections to be closed, in seconds."""
+_BODY_SHARE: Final = 0.2
+"""Part of the memory that the bodies of callers' requests may take."""
 _DESCRIPTOR_SHARE: Final = 0.6
 """Part of the descriptors that connections of callers and daemons may take."""
 _RESERVED_DESCRIPTORS: Final = 300
@@ -137,11 +140,12 @@
         )
         self._announcements.tell_daemons = self._gossip.tell
         self._hops = HopServer(names, self._directory, self._upstream, log)
+        self._bodies = BodyBudget(int(settings.memory_bytes * _BODY_SHARE))
         connections = max(
             64, int((settings.descriptor_limit - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE)
         )
         self._callers = RequestServer(
-            self._entry.answer, self._limits, connections, log, names.request_id
+            self._entry.answer, self._limits, connections, self._bodies, log, names.request_id
         )
         self._peers = LinkServer(self._hops.answer, self._gossip.on_sync)
         self._started_at = 0.0
@@ -154,6 +158,11 @@
         """Takes announcements of the upstream on this VM."""
         return self._announcements
 
+    @property
+    def bodies(self) -> BodyBudget:
+        """Bound of the memory that bodies take."""
+        return self._bodies
+
     @property
     def routes(self) -> RoutesInForce:
         """Routing table in force."""
@@ -316,6 +325,7 @@
         add("requests_in_flight", lambda: self._callers.in_flight)
         add("hops_in_flight", lambda: self._peers.in_flight)
         add("caller_connections", lambda: self._callers.connections)
+        add("body_bytes_held", lambda: self._bodies.held)
         add("callers_left", lambda: self._callers.callers_left)
         add("upstream_running", lambda: self._upstream.running)
         add("upstream_queued", lambda: self._upstream.queued)
--- a/tests/services/test_calls_path.py
+++ b/tests/services/test_calls_path.py
@@ -121,6 +121,21 @@
 
         trio.run(run)
 
+    def test_bodies_beyond_the_memory_for_them_are_refused_as_not_run(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop") as mesh:
+                node = mesh.nodes[0]
+                node.daemon.bodies.take(100_000_000)
+                answer = await node.call("/a", "POST", body=b"y" * 100_000)
+                self.assertEqual(answer.status, 503)
+                self.assertIn(b"retry-after", answer.headers)
+                node.daemon.bodies.give_back(100_000_000)
+                answer = await node.call("/a", "POST", body=b"y" * 100_000)
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(node.daemon.bodies.held, 0)
+
+        trio.run(run)
+
     def test_a_malformed_request_is_refused_and_its_connection_closed(self) -> None:
         async def run() -> None:
             async with serve_mesh("shop") as mesh:
