Put the waiting policy into a core, the slots into a module, and keep early ends out of failures

A request that waited while its upstream was replaced is checked against the new one's service before it is sent.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -34,6 +33,8 @@
 
 _LARGE_BODY_BYTES: Final = 32 * 1024
 """Size from which a body goes over the second connection, where small ones don't wait for it."""
+_CONNECT_TIMEOUT_S: Final = 0.4
+"""Longest time to open a connection, in seconds."""
 _SILENT_S: Final = 1.0
 """Time without a byte after which a connection with calls that got no answer is replaced."""
 
@@ -42,15 +43,6 @@
     """A daemon took no connection, or did not reply."""
 
 
-@dataclass(frozen=True, slots=True)
-class LinkSettings:
-    """Limits of the connections to one address."""
-
-    head_limit: int = 64 * 1024
-    connect_timeout_s: float = 0.4
-    fresh_connection_s: float = 10.0
-
-
 class _Pending:
     """A call that waits for its answer."""
 
@@ -130,12 +122,10 @@
 
     Args:
         sender: Name of this daemon.
-        settings: Limits of the connections.
     """
 
-    def __init__(self, sender: str, settings: LinkSettings | None = None) -> None:
+    def __init__(self, sender: str) -> None:
         self._sender = sender
-        self._settings = settings or LinkSettings()
         self._links: dict[tuple[str, bool], _Link] = {}
         self._opening: dict[tuple[str, bool], trio.Lock] = {}
         self._nursery: trio.Nursery | None = None
@@ -249,7 +239,7 @@
     async def _open(self, address: str) -> _Link:
         if self._nursery is None:
             raise DaemonUnreachableError("no connection is opened before the daemon runs")
-        with trio.move_on_after(self._settings.connect_timeout_s):
+        with trio.move_on_after(_CONNECT_TIMEOUT_S):
             try:
                 stream = await open_stream(address)
                 link = _Link(FrameStream(stream), address)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -11,6 +11,7 @@
 from fulmarstile_http.headers import MessageHeaders, checked_headers, read_headers
 from fulmarstile_http.request_checks import MalformedRequestError, check_framing, check_lines
 from fulmarstile_http.request_head import HEAD_END, receive_rest_of_head
+from fulmarstile_wire.errors import FulmarstileError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,7 +28,7 @@
 """Bytes of a head that are received before its size is judged."""
 
 
-class CallerLeftError(Exception):
+class CallerLeftError(FulmarstileError):
     """The other side closed the connection or broke it."""
 
 
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
@@ -0,0 +1,191 @@
+"""Slots of the upstream on this VM, and the requests that wait for one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+from fulmarstile_calls.admission import (
+    AdmissionSettings,
+    AdmissionTicket,
+    Admitted,
+    FairAdmission,
+    Refused,
+)
+from fulmarstile_calls.request import CallRefusal, RefusalReason
+from fulmarstile_wire.errors import FulmarstileError
+from fulmarstile_wire.priority import Priority
+from fulmarstile_wire.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fulmarstile_calls.admission import AdmissionEffect
+    from fulmarstile_wire.services import HopRequest
+
+_QUEUE_PER_SLOT: Final = 4
+"""Requests that may wait for each slot."""
+_TICK_S: Final = 0.02
+_TARGET_GAIN: Final = 0.01
+_REPLACED: Final = CallRefusal(
+    RefusalReason.NO_UPSTREAM, Verdict.NOT_RUN, 503, "the upstream was replaced", 0.1
+)
+"""Refusal of a request that waited for an incarnation which is gone."""
+
+
+class SlotRefusedError(FulmarstileError):
+    """A request got no slot.
+
+    Args:
+        refusal: Why.
+    """
+
+    def __init__(self, refusal: CallRefusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class _Waiter:
+    """A request that asked for a slot."""
+
+    __slots__ = ("admitted", "event", "refusal")
+
+    def __init__(self) -> None:
+        self.admitted = False
+        self.refusal: CallRefusal | None = None
+        self.event: trio.Event | None = None
+
+
+class Slots:
+    """Gives the slots of one incarnation after the other to requests."""
+
+    def __init__(self) -> None:
+        self._admission = FairAdmission(AdmissionSettings(0, 0, 0))
+        self._waiters: dict[int, _Waiter] = {}
+        self._next_ticket = 0
+        self._target_ms = 0.0
+        self._is_draining = False
+        self._has_waiting = trio.Event()
+
+    @property
+    def running(self) -> int:
+        """Requests that hold a slot."""
+        return self._admission.running
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return self._admission.queued
+
+    @property
+    def count(self) -> int:
+        """Number of slots."""
+        return self._admission.slots
+
+    def restart(self, count: int, connections: int) -> None:
+        """Begins anew for another incarnation; who waited for the old one is refused.
+
+        Args:
+            count: Number of slots.
+            connections: Connections that the upstream accepts.
+        """
+        for waiter in self._waiters.values():
+            if waiter.event is not None and not waiter.admitted:
+                waiter.event.set()
+        self._admission = FairAdmission(
+            AdmissionSettings(count, count * _QUEUE_PER_SLOT, connections)
+        )
+        if self._is_draining:
+            self._admission.begin_draining(trio.current_time())
+
+    def resize(self, count: int) -> None:
+        """Changes the number of slots; requests that hold one keep it."""
+        if count != self._admission.slots:
+            self._apply(self._admission.set_slots(count, trio.current_time()))
+
+    def refuse_all(self) -> None:
+        """Refuses waiting and later requests of this incarnation."""
+        self._apply(self._admission.begin_draining(trio.current_time()))
+
+    def close(self) -> None:
+        """Refuses waiting and later requests of every incarnation."""
+        self._is_draining = True
+        self.refuse_all()
+
+    async def tick_forever(self) -> None:
+        """Refuses waiting requests whose time has run out, until cancelled."""
+        while True:
+            if not self._admission.queued:
+                self._has_waiting = trio.Event()
+                await self._has_waiting.wait()
+            await trio.sleep(_TICK_S)
+            self._apply(self._admission.on_tick(trio.current_time()))
+
+    async def enter(self, hop: HopRequest, deadline: float, useful_until: float) -> int:
+        """Takes a slot, waiting for one if need be.
+
+        Args:
+            hop: The request.
+            deadline: Time by which the caller needs the answer, in seconds; a free slot is
+                taken until then.
+            useful_until: Time until which waiting is of use, in seconds.
+
+        Returns:
+            Ticket to hand to `leave`.
+
+        Raises:
+            SlotRefusedError: If there is no slot in time.
+        """
+        admission = self._admission
+        has_room = admission.running < admission.slots and not admission.queued
+        ticket_id = self._next_ticket = self._next_ticket + 1
+        ticket = AdmissionTicket(
+            ticket_id,
+            "",
+            Priority(min(hop.priority, Priority.LOW)),
+            1.0,
+            deadline if has_room else useful_until,
+            self._estimate_cost(hop),
+        )
+        waiter = self._waiters[ticket_id] = _Waiter()
+        try:
+            self._apply(admission.on_arrival(ticket, trio.current_time()))
+            if not waiter.admitted and waiter.refusal is None:
+                waiter.event = trio.Event()
+                self._has_waiting.set()
+                await waiter.event.wait()
+        except BaseException:
+            self._apply(admission.on_cancelled(ticket_id, trio.current_time()))
+            raise
+        finally:
+            del self._waiters[ticket_id]
+        if not waiter.admitted:
+            raise SlotRefusedError(waiter.refusal or _REPLACED)
+        return ticket_id
+
+    def leave(self, ticket_id: int) -> None:
+        """Gives a slot back.
+
+        Args:
+            ticket_id: Ticket from `enter`.
+        """
+        self._apply(self._admission.on_finished(ticket_id, trio.current_time()))
+
+    def _estimate_cost(self, hop: HopRequest) -> float:
+        """Estimates from the target latency how much slot time a request takes."""
+        if not self._target_ms:
+            self._target_ms = float(hop.target_ms)
+        self._target_ms += _TARGET_GAIN * (hop.target_ms - self._target_ms)
+        return hop.target_ms / self._target_ms
+
+    def _apply(self, effects: Iterable[AdmissionEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Admitted):
+                waiter = self._waiters[effect.ticket_id]
+                waiter.admitted = True
+            elif isinstance(effect, Refused):
+                waiter = self._waiters[effect.ticket_id]
+                waiter.refusal = effect.refusal
+            if waiter.event is not None:
+                waiter.event.set()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -8,30 +8,21 @@
 import msgspec
 import trio
 
-from fulmarstile_calls.admission import (
-    AdmissionSettings,
-    AdmissionTicket,
-    Admitted,
-    FairAdmission,
-    Refused,
-)
 from fulmarstile_calls.quarantine import Quarantine, QuarantineSettings
-from fulmarstile_calls.request import CallRefusal, RefusalReason
+from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
 from fulmarstile_daemon.services._exchange import Exchange
-from fulmarstile_daemon.services._links import LinkSettings
+from fulmarstile_daemon.services._slots import SlotRefusedError, Slots
 from fulmarstile_daemon.services.events import UpstreamChanged
 from fulmarstile_http.client_connection import ExchangeError
-from fulmarstile_http.connection_pool import ConnectionPool
+from fulmarstile_http.connection_pool import ConnectionPool, PoolSettings
 from fulmarstile_services.upstream_registry import UpstreamPhase
-from fulmarstile_wire.priority import Priority
 from fulmarstile_wire.services import HopOutcome, MemberPhase
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
-    from fulmarstile_calls.admission import AdmissionEffect
     from fulmarstile_daemon.services._exchange import Answer
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_daemon.services.event_log import EventLog
@@ -40,36 +31,16 @@
     from fulmarstile_services.upstream_registry import UpstreamAnnouncement
     from fulmarstile_wire.services import HopRequest
 
-_QUEUE_PER_SLOT: Final = 4
-"""Requests that may wait for each slot."""
 _UNSAFE_IDLE_S: Final = 0.5
 """Idle time after which a connection is not used for a request that may run only once."""
 _DOWN_S: Final = 0.5
 """Time for which an upstream that refuses connections gets no request, in seconds."""
 _MISDIRECTED: Final = 421
-_TICK_S: Final = 0.02
-_LINKS: Final = LinkSettings(connect_timeout_s=0.5, fresh_connection_s=4.0)
+_POOL: Final = PoolSettings(connect_timeout_s=0.5, fresh_connection_s=4.0)
 _SERVICE_GAIN: Final = 0.05
-_TARGET_GAIN: Final = 0.01
 _NOT_SENT_STATUSES: Final = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that its request has not run."""
 
-_REPLACED: Final = CallRefusal(
-    RefusalReason.NO_UPSTREAM, Verdict.NOT_RUN, 503, "the upstream was replaced", 0.1
-)
-"""Refusal of a request that waited for an incarnation which is gone."""
-
-
-class _Waiter:
-    """A request that asked for a slot."""
-
-    __slots__ = ("admitted", "event", "refusal")
-
-    def __init__(self) -> None:
-        self.admitted = False
-        self.refusal: CallRefusal | None = None
-        self.event: trio.Event | None = None
-
 
 class LocalUpstream:
     """Guards the upstream on this VM; nobody else sends requests to it.
@@ -94,17 +65,13 @@
         self._on_suspects = on_suspects
         self._log = log
         self._announcement: UpstreamAnnouncement | None = None
-        self._admission = FairAdmission(AdmissionSettings(0, 0, 0))
+        self._slots = Slots()
         self._pool: ConnectionPool | None = None
-        self._waiters: dict[int, _Waiter] = {}
         self._running: dict[int, bytes] = {}
-        self._next_ticket = 0
         self._quarantine = Quarantine(QuarantineSettings())
         self._down_until = -math.inf
         self._service_s = 0.0
-        self._target_ms = 0.0
         self._is_stopping = False
-        self._has_waiting = trio.Event()
 
     @property
     def phase(self) -> MemberPhase:
@@ -120,17 +87,17 @@
     @property
     def running(self) -> int:
         """Requests that hold a slot."""
-        return self._admission.running
+        return self._slots.running
 
     @property
     def queued(self) -> int:
         """Requests that wait for a slot."""
-        return self._admission.queued
+        return self._slots.queued
 
     @property
     def slots(self) -> int:
         """Slots of the upstream."""
-        return self._admission.slots
+        return self._slots.count
 
     @property
     def service_s(self) -> float:
@@ -150,19 +117,18 @@
             announcement.born_ms,
         )
         self._announcement = announcement
-        now = trio.current_time()
         if is_new:
             self._start(announcement, address)
         if announcement.phase is UpstreamPhase.LEAVING:
-            self._apply(self._admission.begin_draining(now))
-        elif announcement.slots != self._admission.slots:
-            self._apply(self._admission.set_slots(announcement.slots, now))
+            self._slots.refuse_all()
+        else:
+            self._slots.resize(announcement.slots)
         self._down_until = -math.inf
 
     def stop(self) -> None:
         """Refuses waiting and later requests, because the daemon stops."""
         self._is_stopping = True
-        self._apply(self._admission.begin_draining(trio.current_time()))
+        self._slots.close()
 
     def trust_no_idle_connection(self) -> None:
         """Closes idle connections, because the VM stood still."""
@@ -171,12 +137,7 @@
 
     async def tick_forever(self) -> None:
         """Refuses waiting requests whose time has run out, until cancelled."""
-        while True:
-            if not self._admission.queued:
-                self._has_waiting = trio.Event()
-                await self._has_waiting.wait()
-            await trio.sleep(_TICK_S)
-            self._apply(self._admission.on_tick(trio.current_time()))
+        await self._slots.tick_forever()
 
     async def run(
         self, hop: HopRequest, request: ReceivedRequest, deadline: float, useful_until: float
@@ -195,21 +156,11 @@
         refusal = self._check(hop)
         if refusal is not None:
             return AttemptResult(self._describe(refusal))
-        now = trio.current_time()
-        ticket_id = self._next_ticket = self._next_ticket + 1
-        has_room = self.running < self.slots and not self.queued
-        ticket = AdmissionTicket(
-            ticket_id,
-            "",
-            Priority(min(hop.priority, Priority.LOW)),
-            1.0,
-            deadline if has_room else useful_until,
-            self._estimate_cost(hop),
-        )
-        refused = await self._enter(ticket, now)
-        if refused is not None:
+        try:
+            ticket_id = await self._slots.enter(hop, deadline, useful_until)
+        except SlotRefusedError as error:
             failure = make_failure(
-                Verdict.NOT_RUN, refused.reason, retry_after_s=refused.retry_after_s
+                Verdict.NOT_RUN, error.refusal.reason, retry_after_s=error.refusal.retry_after_s
             )
             return AttemptResult(self._describe(failure))
         self._running[ticket_id] = hop.fingerprint
@@ -218,9 +169,9 @@
             result = await self._run_admitted(hop, request, deadline)
         finally:
             del self._running[ticket_id]
-            ended_at = trio.current_time()
-            self._apply(self._admission.on_finished(ticket_id, ended_at))
+            self._slots.leave(ticket_id)
         if result.answer is not None:
+            ended_at = trio.current_time()
             self._observe(ended_at - started_at)
             self._quarantine.on_completed(hop.fingerprint, ended_at)
         return AttemptResult(self._describe(result.outcome), result.answer)
@@ -229,15 +180,8 @@
         limit = self._connection_limit(announcement.service)
         if self._pool is not None:
             self._pool.retire()
-        self._pool = ConnectionPool(address, limit, _LINKS)
-        for waiter in self._waiters.values():
-            if waiter.event is not None and not waiter.admitted:
-                waiter.event.set()
-        self._admission = FairAdmission(
-            AdmissionSettings(announcement.slots, announcement.slots * _QUEUE_PER_SLOT, limit)
-        )
-        if self._is_stopping:
-            self._admission.begin_draining(trio.current_time())
+        self._pool = ConnectionPool(address, limit, _POOL)
+        self._slots.restart(announcement.slots, limit)
 
     def _check(self, hop: HopRequest) -> HopOutcome | None:
         """Refuses what the upstream here must not get."""
@@ -252,33 +196,16 @@
             return make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED)
         return None
 
-    async def _enter(self, ticket: AdmissionTicket, now: float) -> CallRefusal | None:
-        """Waits for a slot; returns the refusal if there is none in time."""
-        admission = self._admission
-        waiter = self._waiters[ticket.ticket_id] = _Waiter()
-        try:
-            self._apply(admission.on_arrival(ticket, now))
-            if not waiter.admitted and waiter.refusal is None:
-                waiter.event = trio.Event()
-                self._has_waiting.set()
-                await waiter.event.wait()
-        except BaseException:
-            self._apply(admission.on_cancelled(ticket.ticket_id, trio.current_time()))
-            raise
-        finally:
-            del self._waiters[ticket.ticket_id]
-        if waiter.admitted:
-            return None
-        if waiter.refusal is not None:
-            return waiter.refusal
-        return _REPLACED
-
     async def _run_admitted(
         self, hop: HopRequest, request: ReceivedRequest, deadline: float
     ) -> AttemptResult:
         pool = self._pool
-        if pool is None:
-            return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.NO_UPSTREAM))
+        # The upstream may have been replaced by one of another service meanwhile.
+        refusal = self._check(hop)
+        if pool is None or refusal is not None:
+            return AttemptResult(
+                refusal or make_failure(Verdict.NOT_RUN, RefusalReason.NO_UPSTREAM)
+            )
         try:
             connection = await pool.acquire(math.inf if hop.idempotent else _UNSAFE_IDLE_S)
         except ExchangeError as error:
@@ -380,13 +307,6 @@
             phase=self.phase,
         )
 
-    def _estimate_cost(self, hop: HopRequest) -> float:
-        """Estimates from the target latency how much slot time a request takes."""
-        if not self._target_ms:
-            self._target_ms = float(hop.target_ms)
-        self._target_ms += _TARGET_GAIN * (hop.target_ms - self._target_ms)
-        return hop.target_ms / self._target_ms
-
     def _observe(self, elapsed_s: float) -> None:
         if self._service_s == 0.0:
             self._service_s = elapsed_s
@@ -405,17 +325,6 @@
             )
         self._down_until = now + _DOWN_S
 
-    def _apply(self, effects: Iterable[AdmissionEffect]) -> None:
-        for effect in effects:
-            if isinstance(effect, Admitted):
-                waiter = self._waiters[effect.ticket_id]
-                waiter.admitted = True
-            elif isinstance(effect, Refused):
-                waiter = self._waiters[effect.ticket_id]
-                waiter.refusal = effect.refusal
-            if waiter.event is not None:
-                waiter.event.set()
-
 
 def _release(pool: ConnectionPool, connection: ClientConnection, is_whole: bool) -> None:
     if is_whole:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -18,8 +18,8 @@
 from fulmarstile_daemon.services._request_server import RequestServer
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
-from fulmarstile_daemon.services.documents import DocumentHolder
-from fulmarstile_daemon.services.entry import CallEntry, RoutesInForce
+from fulmarstile_daemon.services.documents import DocumentHolder, RoutesInForce
+from fulmarstile_daemon.services.entry import CallEntry
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_daemon.services.events import (
     SettingsReloaded,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -12,7 +12,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from fulmarstile_daemon.services.entry import RoutesInForce
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.ports import Platform
     from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
@@ -22,6 +21,14 @@
 """Connections to an upstream while its service's document is not known."""
 
 
+class RoutesInForce:
+    """The routing table in force; None before the first document is known."""
+
+    def __init__(self) -> None:
+        self.table: RoutingTable | None = None
+        """Table in force."""
+
+
 class DocumentHolder:
     """Puts whole versions in force, never an older one than before.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -27,7 +27,8 @@
     HedgeStarted,
 )
 from fulmarstile_services.hedging import HedgeTimer
-from fulmarstile_services.retry_policy import URGENT_PRIORITY, RetryRules
+from fulmarstile_services.retry_policy import RetryRules
+from fulmarstile_services.wait_policy import retry_after_s, useful_wait_s
 from fulmarstile_wire.services import HopRequest, MemberPhase
 from fulmarstile_wire.verdict import Verdict
 
@@ -37,6 +38,7 @@
     from fulmarstile_daemon.services._links import DaemonLinks
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_daemon.services._upstream import LocalUpstream
+    from fulmarstile_daemon.services.documents import RoutesInForce
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.metrics import ServiceMetrics
     from fulmarstile_daemon.services.ports import CallHeaderNames
@@ -54,27 +56,6 @@
 """Delay told to callers while a service has no upstream, in seconds."""
 _STOPPING_RETRY_S: Final = 0.1
 """Delay told to callers that reach a daemon which stops, in seconds."""
-_MIN_RETRY_AFTER_S: Final = 0.05
-_MAX_RETRY_SHARE: Final = 0.3
-"""Largest part of the time left that a caller is told to wait."""
-_USEFUL_SHARE: Final = 0.65
-"""Part of the target latency within which an answer must be expected for a request to wait."""
-_URGENT_SHARE: Final = 0.5
-"""Part of the time left for which an urgent or large request may wait at most."""
-_URGENT_WAIT_S: Final = 0.15
-"""Time within which the answer to an urgent request may be expected though it is late."""
-_LARGE_BODY_BYTES: Final = 64 * 1024
-"""Size from which a request waits rather than goes to another availability zone, in bytes."""
-_RETRY_TARGET_SHARE: Final = 0.25
-"""Largest part of the target latency that a caller is told to wait."""
-
-
-class RoutesInForce:
-    """The routing table in force; None before the first document is known."""
-
-    def __init__(self) -> None:
-        self.table: RoutingTable | None = None
-        """Table in force."""
 
 
 class CallEntry:
@@ -180,11 +161,6 @@
         if value.isdigit():
             wait_s = min(wait_s, int(value) / 1000)
         arrived_at = request.arrived_at
-        useful_s = route.target_latency_s * _USEFUL_SHARE
-        if route.priority <= URGENT_PRIORITY:
-            useful_s = max(useful_s, min(wait_s * _URGENT_SHARE, _URGENT_WAIT_S))
-        if len(request.body) >= _LARGE_BODY_BYTES:
-            useful_s = max(useful_s, wait_s * _URGENT_SHARE)
         return ServiceCall(
             request,
             request.headers.find(self._names.request_id),
@@ -192,7 +168,7 @@
             self._split.choose(route),
             self.caller_service,
             deadline=arrived_at + wait_s,
-            useful_until=arrived_at + min(wait_s, useful_s),
+            useful_until=arrived_at + useful_wait_s(route, wait_s, len(request.body)),
             priority=table.rank(route),
             document_version=table.version,
             fingerprint=fingerprint(self.caller_service, request),
@@ -272,7 +248,10 @@
         finally:
             ended_at = trio.current_time()
             outcome = result.outcome if result else None
-            failed = outcome is None or outcome.verdict is Verdict.MAY_HAVE_RUN
+            # An attempt that was given up early says nothing about the upstream.
+            failed = ended_at - now > call.route.target_latency_s
+            if outcome is not None:
+                failed = outcome.verdict is Verdict.MAY_HAVE_RUN
             if result is not None and result.answer is not None and not result.is_good:
                 failed = True
             if outcome is not None and outcome.reached_upstream and outcome.reason:
@@ -329,9 +308,9 @@
                 call, Reply(answer.status, answer.headers.passed_on, answer.body), ""
             )
         if not call.record.may_have_run:
-            retry_after_s = self._retry_after(call, outcome)
-            reply = make_error_reply(503, f"not run: {outcome.reason}", retry_after_s)
-            return self._finish(call, reply, outcome.reason, retry_after_s)
+            delay_s = self._retry_after(call, outcome)
+            reply = make_error_reply(503, f"not run: {outcome.reason}", delay_s)
+            return self._finish(call, reply, outcome.reason, delay_s)
         status = 504 if outcome.reason == RefusalReason.TIMEOUT.value else 502
         reply = make_error_reply(status, f"no answer: {outcome.reason}")
         return self._finish(call, reply, outcome.reason)
@@ -339,12 +318,9 @@
     def _retry_after(self, call: ServiceCall, outcome: HopOutcome) -> float:
         left_s = max(0.0, call.deadline - trio.current_time())
         wanted_s = outcome.retry_after_ms / 1000 or _NO_UPSTREAM_RETRY_S
-        target_s = call.route.target_latency_s * _RETRY_TARGET_SHARE
-        return max(_MIN_RETRY_AFTER_S, min(wanted_s, target_s, left_s * _MAX_RETRY_SHARE))
+        return retry_after_s(call.route, wanted_s, left_s)
 
-    def _finish(
-        self, call: ServiceCall, reply: Reply, reason: str, retry_after_s: float = 0.0
-    ) -> Reply:
+    def _finish(self, call: ServiceCall, reply: Reply, reason: str, delay_s: float = 0.0) -> Reply:
         elapsed_s = trio.current_time() - call.request.arrived_at
         self._metrics.count_answer(reply.status, reason, elapsed_s)
         self._log.write(
@@ -359,7 +335,7 @@
                 upstream=call.last_upstream,
                 daemon_tried=call.last_daemon,
                 reason=reason,
-                retry_after_s=round(retry_after_s, 3),
+                retry_after_s=round(delay_s, 3),
                 refused_by=tuple(call.refused_by),
                 caller=call.caller_service,
             )
--- a/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from dataclasses import dataclass
 from typing import Protocol
 
 import trio
@@ -30,6 +31,15 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class PoolSettings:
+    """Limits of the connections of one pool."""
+
+    head_limit: int = 64 * 1024
+    connect_timeout_s: float = 0.5
+    fresh_connection_s: float = 4.0
+
+
 class PoolExhaustedError(ExchangeError):
     """All connections that may be open to an address are in use."""
 
--- a/packages/fulmarstile_services/src/fulmarstile_services/retry_policy.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/retry_policy.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from fulmarstile_services.wait_policy import URGENT_PRIORITY
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -16,8 +17,6 @@
 """Daemons that may refuse an urgent request before it is given up."""
 MAX_REFUSALS_OF_OTHERS: Final = 2
 """Daemons that may refuse any other request before it is given up."""
-URGENT_PRIORITY: Final = 1
-"""Lowest rank of an urgent request."""
 MIN_LEFT_S: Final = 0.01
 """Time that must be left for another attempt, in seconds."""
 
