--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -7,6 +7,7 @@
 import random
 import signal
 import time
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -32,9 +33,11 @@
 from fulmarstile_daemon.services.hops import HopServer
 from fulmarstile_daemon.services.membership import Membership
 from fulmarstile_daemon.services.metrics import ServiceMetrics
+from fulmarstile_daemon.services.state import MemberState, ServiceState
 from fulmarstile_platform.http_server import (
     HttpAnswer,
     HttpProblemError,
+    encode_answer,
     listen_http,
     serve_http,
 )
@@ -158,6 +161,11 @@
         """Takes announcements of the upstream on this VM."""
         return self._announcements
 
+    @property
+    def gossip(self) -> Gossip:
+        """Exchanges state with other daemons."""
+        return self._gossip
+
     @property
     def bodies(self) -> BodyBudget:
         """Bound of the memory that bodies take."""
@@ -242,10 +250,35 @@
         return await self._platform.answer_announcement(request, self._announcements)
 
     async def _answer_metrics(self, request: HttpRequest) -> HttpAnswer:
+        if request.path == "/state":
+            return encode_answer(self.dump())
         if request.path != "/metrics":
-            raise HttpProblemError(404, "only /metrics is served here")
+            raise HttpProblemError(HTTPStatus.NOT_FOUND, "only /metrics and /state are served here")
         return HttpAnswer(200, self._metrics.render(), "text/plain; version=0.0.4")
 
+    def dump(self) -> ServiceState:
+        """Describes what the daemon believes and does."""
+        members = self._directory.members
+        return ServiceState(
+            name=self._settings.name,
+            is_ready=self.is_ready,
+            is_stopping=self._is_stopping,
+            document_version=self._documents.version,
+            store_was_read=self._membership.is_current.is_set(),
+            upstream_phase=self._upstream.phase.value,
+            upstream_running=self._upstream.running,
+            upstream_queued=self._upstream.queued,
+            upstream_slots=self._upstream.slots,
+            upstream_service_s=self._upstream.service_s,
+            callers_in_flight=self._callers.in_flight,
+            hops_in_flight=self._peers.in_flight,
+            body_bytes_held=self._bodies.held,
+            crash_reports=len(self._directory.crashes),
+            members=tuple(
+                MemberState(member, self._balancer.is_reachable(member.name)) for member in members
+            ),
+        )
+
     def begin_stopping(self) -> None:
         """Begins to stop; a second call changes nothing."""
         self._stop_wanted.set()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
@@ -82,6 +82,7 @@
         is_equal = digest == request.digest
         version = self._documents.version
         return SyncReply(
+            self._directory.own.name,
             digest,
             version,
             () if is_equal else self._directory.members,
@@ -101,6 +102,8 @@
         try:
             reply = await self._links.synchronize(member, self._make_offer(), _TIMEOUT_S)
             self._take(reply)
+            if reply.sender != member.name:
+                raise DaemonUnreachableError(f"{reply.sender} has its address now")
             lacks_members = reply.digest != self._directory.digest
             lacks_document = reply.document_version < self._documents.version
             if lacks_members or lacks_document:
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -121,6 +121,7 @@
 class SyncReply(msgspec.Struct, frozen=True, omit_defaults=True):
     """What a daemon lacks compared with the one that replies."""
 
+    sender: str
     digest: bytes
     document_version: int = -1
     members: tuple[Member, ...] = ()
--- a/tests/services/test_links.py
+++ b/tests/services/test_links.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 import trio
 
 from fulmarstile_testing.builders.service_mesh import connect, serve_mesh
 from fulmarstile_testing.builders.services import make_document, make_route
+from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
+from fulmarstile_testing.service_upstream import ServiceUpstream
 from fulmarstile_wire.services import Hello, HopCancel, encode_frame
 
 LONG = make_document(make_route(timeout_s=20.0, target_latency_s=20.0))
@@ -81,3 +84,19 @@
                         await trio.sleep(0.05)
 
         trio.run(run)
+
+    def test_an_address_that_another_daemon_has_taken_over_is_not_used(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop") as mesh:
+                entry, gone = mesh.nodes
+                await gone.kill()
+                heir = ServiceUpstream(HEADER_NAMES, "upstream-of-heir")
+                settings = replace(gone.platform.settings, name="heir", service="stock")
+                gone.platform.settings = settings
+                await mesh.start_node("heir", service="stock", upstream=heir, earlier=gone)
+                await mesh.wait_serving("stock", 2)
+                member = entry.daemon.directory.find("daemon-2")
+                self.assertFalse(await entry.daemon.gossip.exchange(member))
+                self.assertEqual((await entry.call("/a")).status, 503)
+
+        trio.run(run)
--- a/tests/wire/test_link_frames.py
+++ b/tests/wire/test_link_frames.py
@@ -34,7 +34,7 @@
     HopAnswer(8, HopOutcome(Verdict.NOT_RUN, "queue-full", retry_after_ms=50)),
     HopCancel(9),
     SyncCall(10, SyncRequest("daemon-1", b"digest", 5)),
-    SyncAnswer(10, SyncReply(b"digest", 6, document=b"raw")),
+    SyncAnswer(10, SyncReply("daemon-2", b"digest", 6, document=b"raw")),
 )
 
 
