Parse HTTP with httptools on the path of calls

Ruled out: checks of h11 on sending were already skipped; fewer messages a call is not possible with callers and upstreams on HTTP.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -109,7 +109,7 @@
             event = self._parse()
             if type(event) is not h11.Request:
                 raise _bad_request("no request")
-            headers = read_headers(event)
+            headers = read_headers(event.headers.raw_items())
             check_framing(event, headers)
         except MalformedRequestError as error:
             raise _bad_request(str(error), status=error.status) from error
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_exchange.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_exchange.py
@@ -10,17 +10,17 @@
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.calls import _headers
 from fulmarstile_daemon.calls._call import CallFailedError, make_refusal
-from fulmarstile_http.client_connection import ClientConnection, ExchangeError, request_head
+from fulmarstile_http.client_connection import ClientConnection, ExchangeError
+from fulmarstile_http.messages import RequestHead
 from fulmarstile_wire.errors import VerdictError
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
-    import h11
-
     from fulmarstile_calls.request import CallRefusal
     from fulmarstile_daemon.calls._call import Call
     from fulmarstile_daemon.calls._caller import CallerConnection
     from fulmarstile_daemon.calls.settings import CallSettings
+    from fulmarstile_http.messages import ResponseHead
 
 _NO_BODY_STATUSES: Final = (204, 304)
 
@@ -80,7 +80,7 @@
             )
         try:
             response = await self._send(headers, to_daemon)
-            received = _headers.read_headers(response)
+            received = _headers.read_headers(response.headers)
             if not to_daemon or _headers.VERDICT not in received.own:
                 call.verdict = Verdict.RAN
                 return await self._receive_body(response, received)
@@ -119,7 +119,7 @@
             reason = RefusalReason.TRUNCATED
         return self._call.fail(reason, str(error))
 
-    async def _send(self, headers: list[_headers.Header], to_daemon: bool) -> h11.Response:
+    async def _send(self, headers: list[_headers.Header], to_daemon: bool) -> ResponseHead:
         call = self._call
         connection = self._connection
         if call.body_complete:
@@ -135,7 +135,7 @@
                 return response
         return await self._upload()
 
-    async def _upload(self) -> h11.Response:
+    async def _upload(self) -> ResponseHead:
         """Streams the rest of the body, while an early answer ends the upload."""
         call = self._call
         call.has_streamed = True
@@ -178,15 +178,15 @@
         self._call.limit_wait(trio.current_time() + self._settings.progress_timeout_s)
 
     async def _receive_refusal(
-        self, response: h11.Response, headers: _headers.MessageHeaders
+        self, response: ResponseHead, headers: _headers.MessageHeaders
     ) -> CallRefusal:
         """Takes the whole refusal that another daemon answered with."""
         while await self._connection.receive_body() is not None:
             pass
-        return _read_refusal(response.status_code, headers)
+        return _read_refusal(response.status, headers)
 
     async def _receive_body(
-        self, response: h11.Response, headers: _headers.MessageHeaders
+        self, response: ResponseHead, headers: _headers.MessageHeaders
     ) -> Answer:
         length = headers.content_length
         if length is None and not self._is_delimited(response, headers):
@@ -195,7 +195,7 @@
         if not complete and length is not None and length <= self._settings.buffered_body_limit:
             body += await self._receive_rest()
             complete = True
-        return Answer(response.status_code, headers.passed_on, body, complete)
+        return Answer(response.status, headers.passed_on, body, complete)
 
     async def _receive_rest(self) -> bytes:
         parts = []
@@ -203,8 +203,8 @@
             parts.append(part)
         return b"".join(parts)
 
-    def _is_delimited(self, response: h11.Response, headers: _headers.MessageHeaders) -> bool:
-        if self._call.request.method == b"HEAD" or response.status_code in _NO_BODY_STATUSES:
+    def _is_delimited(self, response: ResponseHead, headers: _headers.MessageHeaders) -> bool:
+        if self._call.request.method == b"HEAD" or response.status in _NO_BODY_STATUSES:
             return True
         return headers.is_chunked
 
@@ -213,14 +213,14 @@
 class _Upload:
     """How the two directions of an upload ended."""
 
-    response: h11.Response | None = None
+    response: ResponseHead | None = None
     error: VerdictError | ExchangeError | None = None
 
 
-def _request_head(call: Call, headers: list[_headers.Header]) -> h11.Request:
+def _request_head(call: Call, headers: list[_headers.Header]) -> RequestHead:
     if call.headers.is_chunked:
         headers.append(_body_header(call))
-    return request_head(call.request, headers)
+    return RequestHead(call.request.method, call.request.target, headers)
 
 
 def _body_header(call: Call) -> _headers.Header:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
@@ -5,15 +5,16 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-import h11
 import trio
 
 from fulmarstile_http.client_connection import ExchangeError
-from fulmarstile_http.headers import checked_headers, read_headers
+from fulmarstile_http.headers import read_headers
+from fulmarstile_http.messages import RequestHead
 
 if TYPE_CHECKING:
     from fulmarstile_http.client_connection import ClientConnection
     from fulmarstile_http.headers import Header, MessageHeaders
+    from fulmarstile_http.messages import ResponseHead
 
 _SMALL_BODY_BYTES: Final = 32 * 1024
 """Size up to which a body is sent without looking for an early answer."""
@@ -57,7 +58,7 @@
         framed = [each for each in headers if each[0] != b"content-length"]
         if body or method in (b"POST", b"PUT", b"PATCH"):
             framed.append((b"content-length", b"%d" % len(body)))
-        self._head = h11.Request(method=method, target=target, headers=checked_headers(framed))
+        self._head = RequestHead(method, target, framed)
         self._body = body
         self.is_cut = False
         """Whether the answer came before the body was sent, so that the connection must end."""
@@ -90,7 +91,7 @@
         Raises:
             ExchangeError: If there is no whole answer.
         """
-        self._connection.expect_another_response(self._head, self._body)
+        self._connection.expect_another_response()
         return await self._receive()
 
     async def _run_with_large_body(self) -> Answer:
@@ -131,12 +132,12 @@
                 raise AnswerTooLargeError("the answer is too large")
             parts.append(part)
         self._note_keep_alive(response)
-        return Answer(response.status_code, read_headers(response), b"".join(parts))
+        return Answer(response.status, read_headers(response.headers), b"".join(parts))
 
-    def _note_keep_alive(self, response: h11.Response) -> None:
+    def _note_keep_alive(self, response: ResponseHead) -> None:
         """Keeps the connection from being used when the other side is about to close it."""
         for name, value in response.headers:
-            if name != b"keep-alive":
+            if name.lower() != b"keep-alive":
                 continue
             for option in value.split(b","):
                 key, _, seconds = option.strip().partition(b"=")
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -5,12 +5,18 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-import h11
 import trio
 
-from fulmarstile_http.headers import MessageHeaders, checked_headers, read_headers
-from fulmarstile_http.request_checks import MalformedRequestError, check_framing, check_lines
+from fulmarstile_http.headers import MessageHeaders, read_headers
+from fulmarstile_http.messages import encode_response
+from fulmarstile_http.request_checks import (
+    MalformedRequestError,
+    check_framing,
+    check_head,
+    check_lines,
+)
 from fulmarstile_http.request_head import HEAD_END, receive_rest_of_head
+from fulmarstile_http.request_parser import RequestParser
 from fulmarstile_wire.errors import FulmarstileError
 
 if TYPE_CHECKING:
@@ -19,10 +25,11 @@
     from fulmarstile_daemon.services._body_budget import BodyBudget
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_http.headers import Header
+    from fulmarstile_http.messages import RequestHead
     from fulmarstile_services.document import RequestLimits
 
-_HEAD_SLACK_BYTES: Final = 64 * 1024
-"""Bytes of a head that are received before its size is judged."""
+_CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+_NO_BODY_STATUSES: Final = (204, 304)
 
 
 class CallerLeftError(FulmarstileError):
@@ -67,7 +74,11 @@
         self._held = 0
         self._stream = stream
         self._limits = limits
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=_HEAD_SLACK_BYTES)
+        self._received = b""
+        self._parser = RequestParser()
+        self._method = b""
+        self._awaits_answer = False
+        self._has_closed = False
         self.idle_since = trio.current_time()
         """Time from which the next request is awaited, in seconds."""
         self.is_idle = True
@@ -78,7 +89,7 @@
     @property
     def may_continue(self) -> bool:
         """Whether another request may follow on the connection."""
-        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        return not self._awaits_answer and not self._has_closed
 
     @property
     def has_ended(self) -> bool:
@@ -95,27 +106,26 @@
             MalformedRequestError: If the request is malformed, oversize or late.
             CallerLeftError: If the other side left within a request.
         """
-        if self._http.our_state is h11.DONE:
-            self._http.start_next_cycle()
-        received = self._http.trailing_data[0]
+        received, self._received = self._received, b""
         if not received:
-            received = await self._receive_and_feed()
+            received = await self._receive()
             if not received:
                 return None
         self.is_idle = False
-        head_bytes = await self._receive_head(received)
-        try:
-            check_lines(head_bytes)
-            event = self._http.next_event()
-        except h11.RemoteProtocolError as error:
-            raise MalformedRequestError(str(error), error.error_status_hint) from error
-        if type(event) is not h11.Request:
-            raise MalformedRequestError("no request")
-        headers = read_headers(event)
-        check_framing(event, headers)
+        self._awaits_answer = True
+        self._parser = RequestParser()
+        self._method = b""
+        received = await self._receive_head(received)
+        end = received.find(HEAD_END) + len(HEAD_END)
+        check_lines(received[: end - 2])
+        head = self._parser.feed_head(received[:end])
+        self._method = head.method
+        headers = read_headers(head.headers)
+        check_framing(head, headers)
+        check_head(head)
         arrived_at = trio.current_time()
-        body = await self._receive_body(headers)
-        return ReceivedRequest(event.method, event.target, headers, body, arrived_at)
+        body = await self._receive_body(head, headers, received[end:])
+        return ReceivedRequest(head.method, head.target, headers, body, arrived_at)
 
     async def send(self, reply: Reply) -> None:
         """Sends a whole answer.
@@ -126,18 +136,18 @@
         Raises:
             CallerLeftError: If the other side left.
         """
-        http = self._http
-        if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        if not self._awaits_answer:
             raise CallerLeftError
         headers = [each for each in reply.headers if each[0] != b"content-length"]
-        if reply.status not in (204, 304):
+        if reply.status not in _NO_BODY_STATUSES:
             headers.append((b"content-length", b"%d" % len(reply.body)))
-        if self.must_close or http.their_state is not h11.DONE:
+        self._has_closed = self.must_close or not self._is_followable
+        if self._has_closed:
             headers.append((b"connection", b"close"))
-        data = http.send(h11.Response(status_code=reply.status, headers=checked_headers(headers)))
-        if reply.body:
-            data += http.send(h11.Data(data=reply.body))
-        data += http.send(h11.EndOfMessage())
+        data = encode_response(reply.status, headers)
+        if reply.status not in _NO_BODY_STATUSES and self._method != b"HEAD":
+            data += reply.body
+        self._awaits_answer = False
         await self._send(data)
         self.idle_since = trio.current_time()
         self.is_idle = True
@@ -152,7 +162,7 @@
 
         Closing it while input is unread would destroy an answer that is on its way.
         """
-        if self._http.their_state in (h11.DONE, h11.MUST_CLOSE) and self._stream.is_quiet:
+        if self._parser.is_complete and self._stream.is_quiet:
             self._stream.close()
             return
         await self._stream.close_after_peer()
@@ -164,62 +174,64 @@
         else:
             self._stream.abort()
 
+    @property
+    def _is_followable(self) -> bool:
+        """Whether what follows the request can be told from it."""
+        parser = self._parser
+        return parser.is_complete and parser.keeps_alive and not parser.is_followed
+
     async def _receive_head(self, received: bytes) -> bytes:
         limits = self._limits()
         if received.find(HEAD_END) < 0:
             received = await receive_rest_of_head(
-                received, self._receive_and_feed, limits.head_bytes, limits.head_timeout_s
+                received, self._receive, limits.head_bytes, limits.head_timeout_s
             )
         end = received.find(HEAD_END)
         if end < 0:
             raise CallerLeftError
         if end > limits.head_bytes:
             raise MalformedRequestError("the request head is too large", 431)
-        return received[: end + 2]
+        return received
 
-    async def _receive_and_feed(self) -> bytes:
-        data = await self._receive()
-        if data:
-            self._http.receive_data(data)
-        return data
-
-    async def _receive_body(self, headers: MessageHeaders) -> bytes:
+    async def _receive_body(
+        self, head: RequestHead, headers: MessageHeaders, received: bytes
+    ) -> bytes:
         limits = self._limits()
-        if (headers.content_length or 0) > limits.body_bytes:
+        length = headers.content_length
+        if (length or 0) > limits.body_bytes:
             raise MalformedRequestError("the request body is too large", 413)
-        if self._http.they_are_waiting_for_100_continue:
-            await self._send(
-                self._http.send(h11.InformationalResponse(status_code=100, headers=[]))
-            )
+        if not received and not self._parser.is_complete and _wants_continue(head):
+            await self._send(_CONTINUE)
         parts: list[bytes] = []
         size = 0
-        while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise MalformedRequestError(str(error), error.error_status_hint) from error
-            if type(event) is h11.EndOfMessage:
-                return b"".join(parts)
-            if type(event) is h11.Data:
-                size += len(event.data)
+        while not self._parser.is_complete:
+            if not received:
+                received = await self._receive_more(limits.head_timeout_s)
+            if length is not None:
+                # What lies behind the body belongs to the next request.
+                received, self._received = received[: length - size], received[length - size :]
+            self._parser.feed_body(received)
+            received = b""
+            for part in self._parser.take_body():
+                size += len(part)
                 if size > limits.body_bytes:
                     raise MalformedRequestError("the request body is too large", 413)
-                if not self._bodies.take(len(event.data)):
+                if not self._bodies.take(len(part)):
                     raise MalformedRequestError("too many large requests are held", 503)
-                self._held += len(event.data)
-                parts.append(bytes(event.data))
-            elif event is h11.NEED_DATA:
-                await self._receive_more(limits.head_timeout_s)
-            else:
-                raise CallerLeftError
-
-    async def _receive_more(self, timeout_s: float) -> None:
+                self._held += len(part)
+                parts.append(part)
+        if received:
+            self._received = received
+        return b"".join(parts)
+
+    async def _receive_more(self, timeout_s: float) -> bytes:
         with trio.move_on_after(timeout_s) as scope:
-            data = await self._receive_and_feed()
+            data = await self._receive()
         if scope.cancelled_caught:
             raise MalformedRequestError("the request body arrived too slowly", 408)
         if not data:
             raise CallerLeftError
+        return data
 
     async def _receive(self) -> bytes:
         try:
@@ -232,3 +244,11 @@
             await self._stream.send_all(data)
         except OSError as error:
             raise CallerLeftError from error
+
+
+def _wants_continue(head: RequestHead) -> bool:
+    """Tells whether a caller waits before it sends the body."""
+    return any(
+        name.lower() == b"expect" and value.lower() == b"100-continue"
+        for name, value in head.headers
+    )
--- a/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
@@ -6,15 +6,16 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-import h11
 import trio
 
 from fulmarstile_http.byte_stream import ByteStream, open_stream
-from fulmarstile_http.headers import checked_headers
+from fulmarstile_http.messages import ResponseHead, encode_chunk, encode_request
+from fulmarstile_http.response_parser import MalformedResponseError, ResponseEnd, ResponseParser
 from fulmarstile_wire.errors import FulmarstileError
 
 if TYPE_CHECKING:
-    from fulmarstile_http.headers import Header
+    from fulmarstile_http.messages import RequestHead
+    from fulmarstile_http.response_parser import ResponseEvent
 
 
 class ExchangeError(FulmarstileError):
@@ -31,9 +32,11 @@
 
     def __init__(self, stream: ByteStream, head_limit: int) -> None:
         self._stream = stream
-        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=head_limit)
-        self._head_limit = head_limit
+        self._responses = ResponseParser(head_limit)
         self._head_end = 0
+        self._is_chunked = False
+        self._is_sent = False
+        self._is_answered = False
         self.last_answer_at = trio.current_time()
         """Time of the last complete answer, or of the opening, in seconds."""
         self.exchanges = 0
@@ -49,33 +52,34 @@
     @property
     def is_reusable(self) -> bool:
         """Whether the exchange ended whole on both sides and another one may follow."""
-        http = self._http
-        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
-            return False
-        return not http.trailing_data[0]
+        responses = self._responses
+        is_whole = self._is_sent and self._is_answered
+        return is_whole and responses.keeps_alive and responses.is_between
 
     @property
     def head_may_have_arrived(self) -> bool:
         """Whether the kernel took the whole request head of this exchange."""
         return self._head_end > 0 and self._stream.sent_bytes >= self._head_end
 
-    async def send_request(self, request: h11.Request, body: bytes, complete: bool) -> None:
+    async def send_request(self, request: RequestHead, body: bytes, complete: bool) -> None:
         """Sends a request head with the first part of its body.
 
         Args:
-            request: Head of the request.
+            request: Head of the request; its headers tell how the body ends.
             body: Body, or its first part.
             complete: Whether the body ends there.
 
         Raises:
             ExchangeError: If the connection broke.
         """
-        data = self._http.send(request)
+        data = encode_request(request)
         self._head_end = self._stream.sent_bytes + len(data)
+        self._is_chunked = (b"transfer-encoding", b"chunked") in request.headers
+        self._responses.has_body = request.method != b"HEAD"
         if body:
-            data += self._http.send(h11.Data(data=body))
+            data += self._encode_part(body)
         if complete:
-            data += self._http.send(h11.EndOfMessage())
+            data += self._encode_end()
         await self._send(data)
 
     async def send_body(self, data: bytes | None) -> None:
@@ -87,10 +91,9 @@
         Raises:
             ExchangeError: If the connection broke.
         """
-        event = h11.EndOfMessage() if data is None else h11.Data(data=data)
-        await self._send(self._http.send(event) or b"")
+        await self._send(self._encode_end() if data is None else self._encode_part(data))
 
-    async def receive_continue(self) -> h11.Response | None:
+    async def receive_continue(self) -> ResponseHead | None:
         """Waits until the other side wants the request body.
 
         Returns:
@@ -100,13 +103,11 @@
             ExchangeError: If the connection broke or the response is malformed.
         """
         event = await self._next_event()
-        if type(event) is h11.InformationalResponse:
-            return None
-        if type(event) is h11.Response:
-            return event
+        if isinstance(event, ResponseHead):
+            return None if event.status < 200 else event
         raise ExchangeError("no response")
 
-    async def receive_response(self) -> h11.Response:
+    async def receive_response(self) -> ResponseHead:
         """Receives the response head, skipping informational ones.
 
         Returns:
@@ -117,10 +118,10 @@
         """
         while True:
             event = await self._next_event()
-            if type(event) is h11.Response:
-                return event
-            if type(event) is not h11.InformationalResponse:
+            if not isinstance(event, ResponseHead):
                 raise ExchangeError("no response")
+            if event.status >= 200:
+                return event
 
     async def receive_body(self) -> bytes | None:
         """Receives a part of the response body.
@@ -132,30 +133,19 @@
             ExchangeError: If the body is truncated or malformed.
         """
         event = await self._next_event()
-        if type(event) is h11.Data:
-            return bytes(event.data)
-        if type(event) is h11.EndOfMessage:
+        if isinstance(event, bytes):
+            return event
+        if isinstance(event, ResponseEnd):
+            self._is_answered = True
             return None
         raise ExchangeError("the response was cut off")
 
-    def expect_another_response(self, request: h11.Request, body: bytes) -> None:
+    def expect_another_response(self) -> None:
         """Takes the response that was just read as one to an earlier request.
 
         The request stays sent; the next response read is the one that follows on the connection.
-
-        Args:
-            request: Head of the request that still waits for its response.
-            body: Its whole body.
         """
-        received = self._http.trailing_data[0]
-        http = h11.Connection(h11.CLIENT, max_incomplete_event_size=self._head_limit)
-        http.send(request)
-        if body:
-            http.send(h11.Data(data=body))
-        http.send(h11.EndOfMessage())
-        if received:
-            http.receive_data(received)
-        self._http = http
+        self._is_answered = False
 
     async def wait_end(self) -> None:
         """Waits until the other side closes or breaks a connection without an exchange."""
@@ -175,12 +165,12 @@
         parts = []
         while True:
             event = self._parse()
-            if type(event) is h11.Data:
-                parts.append(event.data)
-            elif type(event) is h11.EndOfMessage:
-                return b"".join(parts), True
-            else:
-                return b"".join(parts), False
+            if isinstance(event, bytes):
+                parts.append(event)
+                continue
+            if isinstance(event, ResponseEnd):
+                self._is_answered = True
+            return b"".join(parts), self._is_answered
 
     def start_next_exchange(self, now: float) -> None:
         """Prepares a reusable connection for its next request.
@@ -188,7 +178,7 @@
         Args:
             now: Current time in seconds.
         """
-        self._http.start_next_cycle()
+        self._is_sent = self._is_answered = False
         self._head_end = 0
         self.last_answer_at = now
         self.exchanges += 1
@@ -206,25 +196,29 @@
         except OSError as error:
             raise ExchangeError(f"sending failed: {error}") from error
 
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+    def _encode_part(self, data: bytes) -> bytes:
+        return encode_chunk(data) if self._is_chunked else data
+
+    def _encode_end(self) -> bytes:
+        self._is_sent = True
+        return encode_chunk(b"") if self._is_chunked else b""
+
+    async def _next_event(self) -> ResponseEvent:
         while True:
             event = self._parse()
-            if event is not h11.NEED_DATA:
+            if event is not None:
                 return event
             try:
                 data = await self._stream.receive()
             except OSError as error:
                 raise ExchangeError(f"receiving failed: {error}") from error
-            try:
-                self._http.receive_data(data)
-            except h11.RemoteProtocolError as error:
-                raise ExchangeError(f"malformed response: {error}") from error
+            self._responses.feed(data)
 
-    def _parse(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+    def _parse(self) -> ResponseEvent | None:
         try:
-            return self._http.next_event()
-        except h11.RemoteProtocolError as error:
-            raise ExchangeError(f"malformed or truncated response: {error}") from error
+            return self._responses.next_event()
+        except MalformedResponseError as error:
+            raise ExchangeError(str(error)) from error
 
 
 async def open_connection(address: str, head_limit: int) -> ClientConnection:
@@ -245,18 +239,3 @@
     except OSError as error:
         raise ExchangeError(f"cannot connect to {address}: {error}") from error
     return ClientConnection(stream, head_limit)
-
-
-def request_head(request: h11.Request, headers: list[Header]) -> h11.Request:
-    """Makes the head of the request that is passed on.
-
-    Args:
-        request: Request of the caller.
-        headers: Headers to send.
-
-    Returns:
-        The head.
-    """
-    return h11.Request(
-        method=request.method, target=request.target, headers=checked_headers(headers)
-    )
--- a/packages/fulmarstile_http/src/fulmarstile_http/headers.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/headers.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import h11
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 IDEMPOTENCY_KEY: Final = b"idempotency-key"
 RETRY_AFTER: Final = b"retry-after"
 
@@ -85,11 +88,11 @@
         return b""
 
 
-def read_headers(message: h11.Request | h11.Response) -> MessageHeaders:
+def read_headers(received: Iterable[Header]) -> MessageHeaders:
     """Sorts the headers of a message.
 
     Args:
-        message: A message that h11 has parsed.
+        received: Headers of the message, as a parser found them.
 
     Returns:
         The headers; those that concern one connection only are left out.
@@ -97,7 +100,7 @@
     headers = MessageHeaders()
     passed_on = headers.passed_on
     named: tuple[bytes, ...] = ()
-    for raw_name, value in message.headers.raw_items():
+    for raw_name, value in received:
         name = raw_name.lower()
         if name in _CONNECTION_HEADERS:
             if name == b"connection":
--- a/packages/fulmarstile_http/src/fulmarstile_http/request_checks.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/request_checks.py
@@ -10,6 +10,7 @@
     import h11
 
     from fulmarstile_http.headers import MessageHeaders
+    from fulmarstile_http.messages import RequestHead
 
 
 class MalformedRequestError(FulmarstileError):
@@ -41,7 +42,7 @@
         raise MalformedRequestError("a header is continued on the next line")
 
 
-def check_framing(request: h11.Request, headers: MessageHeaders) -> None:
+def check_framing(request: h11.Request | RequestHead, headers: MessageHeaders) -> None:
     """Checks that the length of a request's body is unambiguous.
 
     Args:
@@ -57,3 +58,24 @@
         raise MalformedRequestError("Transfer-Encoding conflicts with Content-Length or HTTP/1.0")
     if request.method in (b"CONNECT", b"TRACE"):
         raise MalformedRequestError("the method is not supported", status=501)
+
+
+def check_head(request: RequestHead) -> None:
+    """Checks what HTTP/1.1 demands of a head beyond its syntax.
+
+    Args:
+        request: Head of the request.
+
+    Raises:
+        MalformedRequestError: If it names no host or several, or if its body is encoded in a
+            way that cannot be passed on.
+    """
+    hosts = 0
+    for raw_name, value in request.headers:
+        name = raw_name.lower()
+        if name == b"host":
+            hosts += 1
+        elif name == b"transfer-encoding" and value.lower() != b"chunked":
+            raise MalformedRequestError("the transfer encoding is not supported", status=501)
+    if hosts > 1 or (not hosts and request.http_version == b"1.1"):
+        raise MalformedRequestError("the request does not name one host")
--- /dev/null
+++ b/packages/fulmarstile_http/src/fulmarstile_http/request_parser.py
@@ -0,0 +1,110 @@
+"""Parses one request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import httptools
+
+from fulmarstile_http.messages import RequestHead
+from fulmarstile_http.request_checks import MalformedRequestError
+
+if TYPE_CHECKING:
+    from fulmarstile_http.headers import Header
+
+
+class RequestParser:
+    """Turns the bytes of one request into its head and body."""
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b""
+        self._headers: list[Header] = []
+        self._parts: list[bytes] = []
+        self._head: RequestHead | None = None
+        self._is_upgrade = False
+        self.is_complete = False
+        """Whether the whole request has arrived."""
+        self.is_followed = False
+        """Whether bytes of another request arrived with the end of this one."""
+        self.keeps_alive = False
+        """Whether the other side may send another request afterwards."""
+
+    def feed_head(self, data: bytes) -> RequestHead:
+        """Takes in a whole head and nothing behind it.
+
+        Args:
+            data: The head with its last, empty line.
+
+        Returns:
+            The head.
+
+        Raises:
+            MalformedRequestError: If it is malformed.
+        """
+        self._feed(data)
+        if self._head is None:
+            raise MalformedRequestError("the request head is malformed")
+        return self._head
+
+    def feed_body(self, data: bytes) -> None:
+        """Takes in bytes of the body.
+
+        Args:
+            data: The bytes.
+
+        Raises:
+            MalformedRequestError: If they are malformed.
+        """
+        self._feed(data)
+
+    def take_body(self) -> list[bytes]:
+        """Takes the pieces of the body that have arrived since the last call."""
+        parts, self._parts = self._parts, []
+        return parts
+
+    def on_message_begin(self) -> None:
+        """Called by the parser at the first byte of a request."""
+        if self.is_complete:
+            self.is_followed = True
+
+    def on_url(self, target: bytes) -> None:
+        """Called by the parser for each piece of the target."""
+        if self._head is None:
+            self._target += target
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser for each header and trailer."""
+        if self._head is None:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser at the end of the head."""
+        if self._head is not None:
+            return
+        parser = self._parser
+        self.keeps_alive = parser.should_keep_alive()
+        self._head = RequestHead(
+            parser.get_method(), self._target, self._headers, parser.get_http_version().encode()
+        )
+
+    def on_body(self, data: bytes) -> None:
+        """Called by the parser for each piece of the body."""
+        if not self.is_followed:
+            self._parts.append(data)
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the end of the request."""
+        self.is_complete = True
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # Another protocol is never spoken here, so the request is one like any other.
+            self.is_complete = True
+        except httptools.HttpParserError as error:
+            if self.is_complete:
+                self.is_followed = True
+                return
+            raise MalformedRequestError(f"malformed request: {error}") from error
--- /dev/null
+++ b/tests/http/test_request_parsing.py
@@ -0,0 +1,82 @@
+"""Requests are read as every other parser would read them, or refused."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fulmarstile_http.headers import read_headers
+from fulmarstile_http.messages import RequestHead, encode_chunk, encode_request
+from fulmarstile_http.request_checks import MalformedRequestError, check_head, check_lines
+from fulmarstile_http.request_parser import RequestParser
+
+HOST = (b"Host", b"a.example")
+
+
+def parse_head(head: bytes) -> RequestHead:
+    check_lines(head[:-2])
+    parsed = RequestParser().feed_head(head)
+    check_head(parsed)
+    return parsed
+
+
+class RequestParsingTest(unittest.TestCase):
+    def test_a_head_is_read(self) -> None:
+        head = parse_head(b"GET /a/b?c=d HTTP/1.1\r\nHost: a.example\r\nX-Id: 7\r\n\r\n")
+        self.assertEqual((head.method, head.target), (b"GET", b"/a/b?c=d"))
+        self.assertEqual(read_headers(head.headers).find(b"x-id"), "7")
+
+    def test_a_chunked_body_is_taken_without_its_frames_and_trailers(self) -> None:
+        parser = RequestParser()
+        head = RequestHead(b"POST", b"/", [HOST, (b"Transfer-Encoding", b"chunked")])
+        parser.feed_head(encode_request(head))
+        parser.feed_body(encode_chunk(b"abc") + encode_chunk(b"de") + b"0\r\nx-id: 9\r\n\r\n")
+        self.assertTrue(parser.is_complete)
+        self.assertEqual(b"".join(parser.take_body()), b"abcde")
+
+    def test_another_request_behind_a_chunked_body_is_seen_and_left_out(self) -> None:
+        parser = RequestParser()
+        head = RequestHead(b"POST", b"/", [HOST, (b"Transfer-Encoding", b"chunked")])
+        parser.feed_head(encode_request(head))
+        parser.feed_body(encode_chunk(b"abc") + encode_chunk(b"") + b"POST / HTTP/1.1\r\n")
+        self.assertTrue(parser.is_followed)
+        self.assertEqual(b"".join(parser.take_body()), b"abc")
+
+    def test_a_request_for_another_protocol_is_an_ordinary_one(self) -> None:
+        parser = RequestParser()
+        headers = [HOST, (b"Connection", b"upgrade"), (b"Upgrade", b"h2c")]
+        parser.feed_head(encode_request(RequestHead(b"GET", b"/", headers)))
+        self.assertTrue(parser.is_complete)
+
+    def test_what_two_parsers_might_read_differently_is_refused(self) -> None:
+        for name, head in (
+            ("two lengths", b"Content-Length: 3\r\nContent-Length: 4\r\n"),
+            ("length and chunks", b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"),
+            ("unknown encoding", b"Transfer-Encoding: gzip, chunked\r\n"),
+            ("space before the colon", b"Content-Length : 3\r\n"),
+            ("continued line", b"X-Id: a\r\n b\r\n"),
+            ("bare line feed", b"X-Id: a\nX-Other: b\r\n"),
+            ("negative length", b"Content-Length: -1\r\n"),
+            ("control character", b"X-Id: a\x00b\r\n"),
+            ("two hosts", b"Host: b.example\r\n"),
+        ):
+            with self.subTest(name), self.assertRaises(MalformedRequestError):
+                parse_head(b"POST / HTTP/1.1\r\nHost: a.example\r\n" + head + b"\r\n")
+
+    def test_a_request_without_a_host_is_refused(self) -> None:
+        with self.assertRaises(MalformedRequestError):
+            parse_head(b"GET / HTTP/1.1\r\n\r\n")
+
+    def test_targets_with_other_than_visible_ascii_are_refused(self) -> None:
+        for target in (b"/a b", b"/a\x7f", b"/\xc3\xa4", b"/a\tb"):
+            with self.subTest(target), self.assertRaises(MalformedRequestError):
+                parse_head(b"GET " + target + b" HTTP/1.1\r\nHost: a.example\r\n\r\n")
+
+    @given(st.binary(max_size=200))
+    def test_arbitrary_bytes_raise_nothing_else(self, data: bytes) -> None:
+        try:
+            parse_head(data + b"\r\n\r\n")
+        except MalformedRequestError:
+            return
--- /dev/null
+++ b/tests/http/test_response_parsing.py
@@ -0,0 +1,127 @@
+"""Responses are taken whole and apart from one another, whatever pieces they arrive in."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fulmarstile_http.messages import ResponseHead, encode_chunk, encode_response
+from fulmarstile_http.response_parser import MalformedResponseError, ResponseEnd, ResponseParser
+
+PLAIN = encode_response(200, [(b"content-length", b"5"), (b"x-id", b"a")]) + b"hello"
+CHUNKED = (
+    encode_response(200, [(b"transfer-encoding", b"chunked")])
+    + encode_chunk(b"hel")
+    + encode_chunk(b"lo")
+    + encode_chunk(b"")
+)
+UNFRAMED = encode_response(200, [(b"x-id", b"a")]) + b"hello"
+
+
+def read_all(parser: ResponseParser) -> list[tuple[int, bytes]]:
+    """Takes the whole responses that have arrived, as status and body."""
+    responses: list[tuple[int, bytes]] = []
+    status, body = 0, b""
+    while (event := parser.next_event()) is not None:
+        if isinstance(event, ResponseHead):
+            status, body = event.status, b""
+        elif isinstance(event, ResponseEnd):
+            responses.append((status, body))
+        else:
+            body += event
+    return responses
+
+
+class ResponseParsingTest(unittest.TestCase):
+    @given(st.sampled_from((PLAIN, CHUNKED)), st.integers(1, 60))
+    def test_pieces_of_any_size_make_the_same_response(self, data: bytes, size: int) -> None:
+        parser = ResponseParser(64 * 1024)
+        for start in range(0, len(data), size):
+            parser.feed(data[start : start + size])
+        self.assertEqual(read_all(parser), [(200, b"hello")])
+        self.assertTrue(parser.is_between)
+        self.assertTrue(parser.keeps_alive)
+
+    def test_a_second_response_is_kept_apart(self) -> None:
+        parser = ResponseParser(64 * 1024)
+        parser.feed(PLAIN + CHUNKED)
+        self.assertEqual(read_all(parser), [(200, b"hello"), (200, b"hello")])
+
+    def test_the_beginning_of_a_second_response_is_seen(self) -> None:
+        parser = ResponseParser(64 * 1024)
+        parser.feed(PLAIN + b"HTTP/1.1 2")
+        self.assertEqual(read_all(parser), [(200, b"hello")])
+        self.assertFalse(parser.is_between)
+
+    def test_bytes_behind_a_response_do_not_harm_it(self) -> None:
+        parser = ResponseParser(64 * 1024)
+        parser.feed(PLAIN + b"\x00garbage")
+        event_count = sum(1 for _ in range(3) if parser.next_event() is not None)
+        self.assertEqual(event_count, 3)
+        self.assertFalse(parser.is_between)
+        with self.assertRaises(MalformedResponseError):
+            parser.next_event()
+
+    def test_a_response_that_asks_for_a_close_keeps_nothing_alive(self) -> None:
+        parser = ResponseParser(64 * 1024)
+        parser.feed(encode_response(200, [(b"content-length", b"0"), (b"connection", b"close")]))
+        self.assertEqual(read_all(parser), [(200, b"")])
+        self.assertFalse(parser.keeps_alive)
+
+    def test_interim_responses_come_before_the_final_one(self) -> None:
+        parser = ResponseParser(64 * 1024)
+        parser.feed(b"HTTP/1.1 100 Continue\r\n\r\n" + PLAIN)
+        first = parser.next_event()
+        self.assertIsInstance(first, ResponseHead)
+        self.assertEqual(read_all(parser), [(200, b"hello")])
+        self.assertTrue(parser.is_between)
+
+    def test_a_response_without_a_length_ends_with_its_connection(self) -> None:
+        parser = ResponseParser(64 * 1024)
+        parser.feed(UNFRAMED)
+        self.assertEqual(read_all(parser), [])
+        parser.feed(b"")
+        self.assertFalse(parser.keeps_alive)
+        self.assertIsInstance(parser.next_event(), ResponseEnd)
+
+    @given(st.sampled_from((PLAIN, CHUNKED)), st.data())
+    def test_a_response_that_is_cut_off_is_never_whole(self, whole: bytes, data: st.DataObject):
+        cut = data.draw(st.integers(0, len(whole) - 1))
+        parser = ResponseParser(64 * 1024)
+        if cut:
+            parser.feed(whole[:cut])
+        parser.feed(b"")
+        with self.assertRaises(MalformedResponseError):
+            read_all(parser)
+
+    @given(st.binary(min_size=1, max_size=200))
+    def test_arbitrary_bytes_raise_nothing_else(self, data: bytes) -> None:
+        parser = ResponseParser(64 * 1024)
+        parser.feed(data)
+        parser.feed(b"")
+        try:
+            read_all(parser)
+        except MalformedResponseError:
+            return
+
+    def test_a_response_to_head_has_no_body_though_it_tells_a_length(self) -> None:
+        parser = ResponseParser(64 * 1024)
+        parser.has_body = False
+        parser.feed(encode_response(200, [(b"content-length", b"5")]))
+        self.assertEqual(read_all(parser), [(200, b"")])
+        self.assertFalse(parser.keeps_alive)
+
+    def test_an_endless_head_is_refused(self) -> None:
+        parser = ResponseParser(1024)
+        parser.feed(b"HTTP/1.1 200 OK\r\nx-id: " + b"a" * 2048)
+        with self.assertRaises(MalformedResponseError):
+            parser.next_event()
+
+    def test_a_length_that_contradicts_chunks_is_refused(self) -> None:
+        parser = ResponseParser(64 * 1024)
+        head = [(b"content-length", b"5"), (b"transfer-encoding", b"chunked")]
+        parser.feed(encode_response(200, head))
+        with self.assertRaises(MalformedResponseError):
+            read_all(parser)
