Bound the lines of served calls apart from those of failed ones

Cause: served, refused and failed calls shared one bound of 200 lines a second, so under load a failed request could be left out for want of room that served ones took.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -22,6 +22,7 @@
 from fulmarstile_daemon.services.events import (
     AttemptFailed,
     CallEnded,
+    CallServed,
     CallRejected,
     DependencyLost,
     HedgeStarted,
@@ -341,15 +342,17 @@
     def _finish(self, call: ServiceCall, reply: Reply, reason: str, delay_s: float = 0.0) -> Reply:
         elapsed_s = trio.current_time() - call.request.arrived_at
         self._metrics.count_answer(reply.status, reason, elapsed_s)
+        attempts = call.record.arrivals + call.record.refusals + 1
+        kind = CallServed if reply.status < 400 and attempts == 1 else CallEnded
         self._log.write(
-            CallEnded(
+            kind(
                 request_id=call.request_id,
                 status=reply.status,
                 route=call.route.host + call.route.prefix,
                 service=call.service,
                 document_version=call.document_version,
                 elapsed_ms=round(elapsed_s * 1000, 1),
-                attempts=call.record.arrivals + call.record.refusals + 1,
+                attempts=attempts,
                 upstream=call.last_upstream,
                 daemon_tried=call.last_daemon,
                 reason=reason,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
@@ -19,8 +19,6 @@
 
 _MAX_WAITING_LINES: Final = 2_000
 """Lines that wait to be written; further ones are left out and counted."""
-_MAX_LINES_PER_S: Final = 200
-"""Lines of one kind written in a second; further ones are left out and counted."""
 _FLUSH_S: Final = 0.25
 _MAX_WRITE_BYTES: Final = 32 * 1024
 
@@ -41,7 +39,7 @@
         self._daemon = daemon
         self._lines: deque[bytes] = deque()
         self._encoder = msgspec.json.Encoder()
-        self._counts: dict[str, int] = {}
+        self._counts: dict[type[LogEvent], int] = {}
         self._window_end = 0.0
         self._has_lines: trio.Event | None = None
         self.left_out = 0
@@ -56,9 +54,9 @@
         now = time.monotonic()
         if now >= self._window_end:
             self._start_window(now)
-        kind = type(event).__name__
+        kind = type(event)
         count = self._counts[kind] = self._counts.get(kind, 0) + 1
-        if count > _MAX_LINES_PER_S and event.is_bounded:
+        if kind.lines_per_s is not None and count > kind.lines_per_s:
             return
         self._add(self._encoder.encode(event))
 
@@ -99,9 +97,10 @@
         self._window_end = now + 1.0
         counts, self._counts = self._counts, {}
         for kind, count in counts.items():
-            if count > _MAX_LINES_PER_S:
-                self.left_out += count - _MAX_LINES_PER_S
-                self._add(self._encoder.encode(_LeftOut(kind, count - _MAX_LINES_PER_S)))
+            if kind.lines_per_s is not None and count > kind.lines_per_s:
+                too_many = count - kind.lines_per_s
+                self.left_out += too_many
+                self._add(self._encoder.encode(_LeftOut(kind.__name__, too_many)))
 
     def _add(self, encoded: bytes) -> None:
         if len(self._lines) >= _MAX_WAITING_LINES:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -10,8 +10,8 @@
 class LogEvent(msgspec.Struct, frozen=True, kw_only=True, tag_field="event", omit_defaults=True):
     """Base class of the events."""
 
-    is_bounded: ClassVar[bool] = True
-    """Whether lines are left out when there are too many in a second."""
+    lines_per_s: ClassVar[int | None] = 200
+    """Lines of this kind written in a second, further ones are left out; None for all."""
 
 
 class CallEnded(LogEvent, tag="call_ended"):
@@ -34,6 +34,15 @@
     """Service on the VM where the request began."""
 
 
+class CallServed(CallEnded, tag="call_ended"):
+    """A caller got the answer of the first upstream that was asked.
+
+    Has a bound of its own, so that it takes no room from requests that were refused or failed.
+    """
+
+    lines_per_s: ClassVar[int | None] = 40
+
+
 class CallRejected(LogEvent, tag="call_rejected"):
     """A request was answered before a service was chosen for it."""
 
@@ -90,7 +99,7 @@
 class Started(LogEvent, tag="started"):
     """The daemon listens."""
 
-    is_bounded: ClassVar[bool] = False
+    lines_per_s: ClassVar[int | None] = None
     name: str
     availability_zone: str
     service: str
@@ -100,21 +109,21 @@
 class Stopping(LogEvent, tag="stopping"):
     """The daemon was told to stop."""
 
-    is_bounded: ClassVar[bool] = False
+    lines_per_s: ClassVar[int | None] = None
     in_flight: int
 
 
 class Stopped(LogEvent, tag="stopped"):
     """The daemon ends."""
 
-    is_bounded: ClassVar[bool] = False
+    lines_per_s: ClassVar[int | None] = None
     in_flight: int
 
 
 class SettingsReloaded(LogEvent, tag="settings_reloaded"):
     """The settings file was read again."""
 
-    is_bounded: ClassVar[bool] = False
+    lines_per_s: ClassVar[int | None] = None
     service: str
     error: str = ""
 
@@ -122,7 +131,7 @@
 class DocumentApplied(LogEvent, tag="document_applied"):
     """Another version of the operator's document is in force."""
 
-    is_bounded: ClassVar[bool] = False
+    lines_per_s: ClassVar[int | None] = None
     version: int
     replaced: int
     routes: int
--- /dev/null
+++ b/tests/services/test_event_log.py
@@ -0,0 +1,52 @@
+"""The log is bounded, and what failed is not crowded out by what was served."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from unittest import mock
+
+from fulmarstile_daemon.services import event_log
+from fulmarstile_daemon.services.event_log import EventLog
+from fulmarstile_daemon.services.events import CallEnded, CallServed
+
+
+def make_event(kind: type[CallEnded], number: int, status: int) -> CallEnded:
+    return kind(
+        request_id=f"{kind.__name__}-{number}",
+        status=status,
+        route="/",
+        service="shop",
+        document_version=1,
+        elapsed_ms=1.0,
+        attempts=1,
+    )
+
+
+class EventLogTest(unittest.TestCase):
+    def write(self, served: int, failed: int) -> list[dict[str, object]]:
+        """Writes calls within one second, and one in the next, and reads the lines."""
+        with tempfile.TemporaryFile("w+") as file, mock.patch("sys.stdout", file):
+            log = EventLog("d-1")
+            with mock.patch.object(event_log.time, "monotonic", return_value=10.0):
+                for number in range(served):
+                    log.write(make_event(CallServed, number, 200))
+                for number in range(failed):
+                    log.write(make_event(CallEnded, number, 503))
+            with mock.patch.object(event_log.time, "monotonic", return_value=11.5):
+                log.write(make_event(CallServed, served, 200))
+            log.flush()
+            file.seek(0)
+            return [json.loads(line) for line in file]
+
+    def test_failed_calls_are_written_though_many_were_served(self) -> None:
+        lines = self.write(served=1000, failed=150)
+        self.assertEqual(sum(line.get("status") == 503 for line in lines), 150)
+
+    def test_served_calls_are_bounded_and_those_left_out_are_counted(self) -> None:
+        lines = self.write(served=1000, failed=0)
+        served = sum(line.get("status") == 200 for line in lines)
+        left_out = sum(line.get("count", 0) for line in lines)
+        self.assertEqual(served - 1, CallServed.lines_per_s)
+        self.assertEqual(served + left_out, 1001)
