Cross availability zones less: no trials with large bodies, a margin by target latency

Uploads carry 280 kB and one in ten of them tried an upstream in another zone if none had been tried there for 2 s; small requests crossed for a faster upstream though their own zone was in time.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -206,7 +206,10 @@
     def _choose(self, call: ServiceCall, tried: frozenset[str]) -> Member | None:
         members = self._directory.serving(call.service)
         size = len(call.request.body)
-        return self._balancer.choose(members, size, trio.current_time(), tried, call.priority)
+        target_s = call.route.target_latency_s
+        return self._balancer.choose(
+            members, size, trio.current_time(), tried, call.priority, target_s
+        )
 
     async def _attempt_hedged(
         self, call: ServiceCall, member: Member, tried: set[str]
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -23,6 +23,8 @@
 _NEWCOMER_SHARE: Final = 0.1
 """Share of requests that go to an upstream which this daemon has not tried lately."""
 _UNTRIED_AFTER_S: Final = 2.0
+_MAX_TRIAL_BYTES: Final = 4096
+"""Largest body of a request that tries an upstream, in bytes."""
 _MIN_REFUSAL_HOLD_S: Final = 0.015
 _MAX_REFUSAL_HOLD_S: Final = 0.05
 _REFUSAL_HOLD_SHARE: Final = 0.25
@@ -37,6 +39,8 @@
     """Wait that a request to another availability zone must save, in seconds."""
     other_zone_s_per_byte: float = 6e-6
     """Wait that each byte to another availability zone must save besides, in seconds."""
+    other_zone_target_share: float = 0.2
+    """Part of the target latency that such a request must save besides."""
 
 
 class _Observation:
@@ -135,6 +139,7 @@
         now: float,
         exclude: frozenset[str],
         priority: int = 0,
+        target_s: float = 0.0,
     ) -> Member | None:
         """Chooses where a request is sent.
 
@@ -144,14 +149,14 @@
             now: Current time in seconds.
             exclude: Names of daemons that it was sent to before.
             priority: Rank of the request; 0 is the most urgent.
+            target_s: Its target latency in seconds; what is answered well within it gains nothing
+                from a faster upstream.
 
         Returns:
             The daemon, or None if all are excluded or have refused such requests a moment ago.
         """
         candidates = [
-            (member, self._observe(member, now))
-            for member in members
-            if member.name not in exclude
+            (member, self._observe(member, now)) for member in members if member.name not in exclude
         ]
         reachable = [each for each in candidates if each[1].reachable] or candidates
         usable = [member for member, known in reachable if not known.is_full(priority, now)]
@@ -159,11 +164,15 @@
             return None
         if len(usable) > _MAX_COMPARED:
             usable = self._sample(usable)
-        untried = [member for member in usable if self._is_untried(member, now)]
-        if untried and self._random.random() < _NEWCOMER_SHARE:
-            return self._random.choice(untried)
+        if size <= _MAX_TRIAL_BYTES and self._random.random() < _NEWCOMER_SHARE:
+            untried = [member for member in usable if self._is_untried(member, now)]
+            if untried:
+                return self._random.choice(untried)
         usual_s = self._usual_service(usable)
-        return min(usable, key=lambda member: self._expect(member, size, usual_s, now))
+        settings = self._settings
+        crossing_s = settings.other_zone_s + size * settings.other_zone_s_per_byte
+        crossing_s += settings.other_zone_target_share * target_s
+        return min(usable, key=lambda member: self._expect(member, crossing_s, usual_s, now))
 
     def on_sent(self, member: Member, now: float) -> None:
         """Notes that a request was sent to a daemon."""
@@ -223,8 +232,8 @@
         ]
         return sum(known) / len(known) if known else _DEFAULT_SERVICE_S
 
-    def _expect(self, member: Member, size: int, usual_s: float, now: float) -> float:
-        """Returns the expected time to an answer, in seconds."""
+    def _expect(self, member: Member, crossing_s: float, usual_s: float, now: float) -> float:
+        """Returns the expected time to an answer and what another zone costs, in seconds."""
         observation = self._observe(member, now)
         age_s = now - observation.reported_at
         others = observation.reported * _LOAD_MEMORY_S / (_LOAD_MEMORY_S + age_s)
@@ -236,7 +245,7 @@
         expected_s = service_s * (1.0 + 0.5 * load * load if load < 1.0 else 0.5 + load)
         expected_s *= 1.0 + _ERROR_WEIGHT * observation.error_rate
         if member.availability_zone != self._availability_zone:
-            expected_s += self._settings.other_zone_s + size * self._settings.other_zone_s_per_byte
+            expected_s += crossing_s
         return expected_s
 
     def _sample(self, members: list[Member]) -> list[Member]:
--- a/tests/services/test_balancing.py
+++ b/tests/services/test_balancing.py
@@ -17,7 +17,7 @@
 
 
 def make_outcome(**changes) -> HopOutcome:
-    return HopOutcome(Verdict.RAN, reached_upstream=True, service_ms=50.0, **changes)
+    return HopOutcome(Verdict.RAN, reached_upstream=True, **({"service_ms": 50.0} | changes))
 
 
 class LeastWaitBalancerTest(unittest.TestCase):
@@ -29,8 +29,10 @@
         self.balancer.on_sent(member, self.now)
         self.balancer.on_ended(member, make_outcome(**changes), failed, self.now)
 
-    def choose(self, *members: Member, size: int = 0, exclude=frozenset()) -> str:
-        chosen = self.balancer.choose(members, size, self.now, exclude)
+    def choose(
+        self, *members: Member, size: int = 0, exclude=frozenset(), target_s: float = 0.0
+    ) -> str:
+        chosen = self.balancer.choose(members, size, self.now, exclude, target_s=target_s)
         return chosen.name if chosen else ""
 
     def test_the_own_zone_comes_first_while_it_has_room(self) -> None:
@@ -48,6 +50,12 @@
         self.report(FAR)
         self.assertEqual(self.choose(NEAR, FAR, size=LARGE), "near")
 
+    def test_a_faster_upstream_elsewhere_gains_nothing_where_the_own_zone_is_in_time(self) -> None:
+        self.report(NEAR, service_ms=100.0)
+        self.report(FAR, service_ms=60.0)
+        self.assertEqual(self.choose(NEAR, FAR, target_s=0.1), "far")
+        self.assertEqual(self.choose(NEAR, FAR, target_s=0.4), "near")
+
     def test_a_failing_upstream_gets_less(self) -> None:
         for _ in range(10):
             self.report(NEAR, failed=True)
@@ -68,6 +76,11 @@
         chosen = Counter(self.choose(NEAR, FAR) for _ in range(100))
         self.assertGreater(chosen["far"], 0)
 
+    def test_a_newcomer_in_another_zone_is_not_tried_with_a_large_request(self) -> None:
+        self.report(NEAR)
+        chosen = Counter(self.choose(NEAR, FAR, size=LARGE) for _ in range(100))
+        self.assertEqual(chosen["far"], 0)
+
     def test_a_new_incarnation_starts_without_the_old_ones_record(self) -> None:
         for _ in range(10):
             self.report(NEAR, failed=True)
