Keep the verdict of a first attempt when the second one is refused

Only idempotent routes have second attempts, so no rule broke, but the refusal was not true. Conclusion: the result of an attempt that may have run is kept.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_hedges.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_hedges.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from fulmarstile_wire.verdict import Verdict
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -59,7 +61,7 @@
             first: The first one.
 
         Returns:
-            The first good result, or else the one that came last.
+            The first good result, or else that of an attempt which may have run.
         """
         self._waiting[hedge] = None
         self._has_waiting.set()
@@ -68,7 +70,7 @@
             self._waiting.pop(hedge, None)
             if hedge.ended is not None and not result.is_good:
                 await hedge.ended.wait()
-                return hedge.result or result
+                return _choose(result, hedge.result)
             return result
         finally:
             self._waiting.pop(hedge, None)
@@ -101,3 +103,12 @@
                 hedge.end_early(hedge.result)
         if hedge.ended is not None:
             hedge.ended.set()
+
+
+def _choose(first: AttemptResult, second: AttemptResult | None) -> AttemptResult:
+    """Chooses between the results of both attempts, of which the first one is not good."""
+    if second is None:
+        return first
+    if second.is_good or first.outcome.verdict is Verdict.NOT_RUN:
+        return second
+    return first
