--- a/packages/fulmarstile_services/src/fulmarstile_services/retry_budget.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/retry_budget.py
@@ -6,7 +6,7 @@
 
 _RATIO_SHARE: Final = 0.75
 """Part of the allowed ratio that is spent; calls made by a repeat count as repeats, too."""
-_BURST_SHARE: Final = 0.4
+_BURST_SHARE: Final = 0.6
 """Part of the allowed burst that all daemons together may save up."""
 
 _RUN_COST: Final = 2.0
