Let the least urgent wait for 0.55 of their target latency instead of 0.65

Cause: under overload the queue is as long as requests may wait, so a sixth of plot searches was answered late though every slot stays taken with a shorter queue, too.

--- a/packages/fulmarstile_services/src/fulmarstile_services/wait_policy.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/wait_policy.py
@@ -9,7 +9,7 @@
 
 URGENT_PRIORITY: Final = 1
 """Lowest rank of an urgent request."""
-_USEFUL_SHARE: Final = 0.65
+_USEFUL_SHARE: Final = 0.55
 """Part of the target latency within which an answer must be expected for a request to wait."""
 _URGENT_SHARE: Final = 0.5
 """Part of the time left for which an urgent or large request may wait at most."""
