--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/_customer_queue.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/_customer_queue.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from fulmarstile_calls.admission.admission import AdmissionTicket
 
-_CLASS_COSTS: Final = (1 / 27, 1 / 9, 1 / 3, 1.0)
-"""Virtual time that a request of each class costs; the inverse of the class's share."""
-
 
 class CustomerQueue:
     """Waiting requests of one customer.
@@ -18,11 +15,25 @@
     The classes share the slot time that the customer gets by start-time fair queueing. A class
     that is served rarely is served first when it has a request, and each class has a share that
     the others cannot take.
-    """
 
-    __slots__ = ("_class_times", "_classes", "_clock", "running", "size", "virtual_time", "weight")
+    Args:
+        virtual_time: Slot time that the customer is taken to have used.
+        class_weights: Shares of the classes relative to one another.
+    """
 
-    def __init__(self, virtual_time: float) -> None:
+    __slots__ = (
+        "_class_costs",
+        "_class_times",
+        "_classes",
+        "_clock",
+        "running",
+        "size",
+        "virtual_time",
+        "weight",
+    )
+
+    def __init__(self, virtual_time: float, class_weights: tuple[float, ...]) -> None:
+        self._class_costs = tuple(1.0 / weight for weight in class_weights)
         self.weight = 1.0
         self.virtual_time = virtual_time
         """Slot time used so far, divided by the weight."""
@@ -30,8 +41,8 @@
         """Number of waiting requests."""
         self.running = 0
         """Number of requests that hold a slot."""
-        self._classes = tuple(OrderedDict[int, "AdmissionTicket"]() for _ in _CLASS_COSTS)
-        self._class_times = [0.0] * len(_CLASS_COSTS)
+        self._classes = tuple(OrderedDict[int, "AdmissionTicket"]() for _ in class_weights)
+        self._class_times = [0.0] * len(class_weights)
         self._clock = 0.0
 
     def add(self, ticket: AdmissionTicket) -> None:
@@ -57,7 +68,7 @@
                 best = index
         ticket = self._classes[best].popitem(last=False)[1]
         self._clock = times[best]
-        times[best] += _CLASS_COSTS[best] * ticket.cost
+        times[best] += self._class_costs[best] * ticket.cost
         self.size -= 1
         return ticket
 
@@ -68,7 +79,7 @@
     def pop_for(self, priority: int) -> AdmissionTicket | None:
         """Removes and returns a request that gives way to a new one of a class, if any does."""
         longest = self._longest_class()
-        size_after = (len(self._classes[priority]) + 1) * _CLASS_COSTS[priority]
+        size_after = (len(self._classes[priority]) + 1) * self._class_costs[priority]
         if longest == priority or self._relative_size(longest) <= size_after:
             return None
         return self._pop_newest(longest)
@@ -81,7 +92,7 @@
         return max(range(len(self._classes)), key=self._relative_size)
 
     def _relative_size(self, index: int) -> float:
-        return len(self._classes[index]) * _CLASS_COSTS[index]
+        return len(self._classes[index]) * self._class_costs[index]
 
     def _pop_newest(self, index: int) -> AdmissionTicket:
         self.size -= 1
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/admission.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/admission.py
@@ -7,7 +7,6 @@
 
 if TYPE_CHECKING:
     from fulmarstile_calls.request import CallRefusal
-    from fulmarstile_config.document import Priority
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +19,8 @@
     """Requests that may wait for a slot."""
     connections: int
     """Connections that the upstream accepts; never more requests run than this."""
+    class_weights: tuple[float, ...] = (27.0, 9.0, 3.0, 1.0)
+    """Shares of the priority classes of a customer, the first one for priority 0."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +30,8 @@
     ticket_id: int
     """Unique among the requests of this daemon."""
     customer: str
-    priority: Priority
+    priority: int
+    """Class of the request; 0 goes first, as for `Priority`."""
     weight: float
     """Share of the slots relative to other customers."""
     deadline_s: float
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
@@ -140,7 +140,9 @@
     def _find_queue(self, ticket: AdmissionTicket) -> CustomerQueue:
         queue = self._customers.get(ticket.customer)
         if queue is None:
-            queue = self._customers[ticket.customer] = CustomerQueue(self._virtual_time)
+            queue = self._customers[ticket.customer] = CustomerQueue(
+                self._virtual_time, self._settings.class_weights
+            )
         queue.weight = max(MIN_WEIGHT, ticket.weight)
         return queue
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -16,6 +16,7 @@
     from fulmarstile_daemon.services._request_ending import RequestEnding
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_services.document import ServiceRoute
+    from fulmarstile_services.slot_class import SlotClass
     from fulmarstile_wire.verdict import Verdict
 
 
@@ -32,8 +33,7 @@
     """Time by which the caller needs the answer, in seconds."""
     useful_until: float
     """Time until which waiting for a slot is of use, in seconds."""
-    priority: int
-    """Rank among the requests of the service; 0 is the most urgent."""
+    priority: SlotClass
     document_version: int
     fingerprint: bytes
     ending: RequestEnding
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
@@ -14,8 +14,8 @@
     Refused,
 )
 from fulmarstile_calls.request import CallRefusal, RefusalReason
+from fulmarstile_services.slot_class import SLOT_WEIGHTS, SlotClass
 from fulmarstile_wire.errors import FulmarstileError
-from fulmarstile_wire.priority import Priority
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -94,7 +94,7 @@
             if waiter.event is not None and not waiter.admitted:
                 waiter.event.set()
         self._admission = FairAdmission(
-            AdmissionSettings(count, count * _QUEUE_PER_SLOT, connections)
+            AdmissionSettings(count, count * _QUEUE_PER_SLOT, connections, SLOT_WEIGHTS)
         )
         if self._is_draining:
             self._admission.begin_draining(trio.current_time())
@@ -143,7 +143,7 @@
         ticket = AdmissionTicket(
             ticket_id,
             "",
-            Priority(min(hop.priority, Priority.LOW)),
+            min(hop.priority, SlotClass.OTHER),
             1.0,
             deadline if has_room else useful_until,
             self._estimate_cost(hop),
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -16,6 +16,7 @@
 from fulmarstile_daemon.services.events import UpstreamChanged
 from fulmarstile_http.client_connection import ExchangeError
 from fulmarstile_http.connection_pool import ConnectionPool, PoolSettings
+from fulmarstile_services.slot_class import SlotClass
 from fulmarstile_services.upstream_registry import UpstreamPhase
 from fulmarstile_wire.services import HopOutcome, MemberPhase
 from fulmarstile_wire.verdict import Verdict
@@ -68,6 +69,7 @@
         self._slots = Slots()
         self._pool: ConnectionPool | None = None
         self._running: dict[int, bytes] = {}
+        self._classes: dict[bytes, SlotClass] = {}
         self._quarantine = Quarantine(QuarantineSettings())
         self._down_until = -math.inf
         self._service_s = 0.0
@@ -104,6 +106,20 @@
         """Mean time that the upstream takes for a request lately, in seconds."""
         return self._service_s
 
+    def find_parent(self, request_id: bytes) -> SlotClass | None:
+        """Tells the class of the running request during which the upstream makes a call.
+
+        Args:
+            request_id: Id of the call.
+
+        Returns:
+            The class; None if the id names no request that runs here.
+        """
+        separator = self._names.call_separator
+        if not separator or separator not in request_id:
+            return None
+        return self._classes.get(request_id.rpartition(separator)[0])
+
     def replace(self, announcement: UpstreamAnnouncement, address: str) -> None:
         """Takes over another incarnation, or a change of the known one.
 
@@ -165,11 +181,14 @@
             )
             return AttemptResult(self._describe(failure))
         self._running[ticket_id] = hop.fingerprint
+        request_id = request.headers.find_bytes(self._names.request_id)
+        self._classes[request_id] = SlotClass(min(hop.priority, SlotClass.OTHER))
         started_at = trio.current_time()
         try:
             result = await self._run_admitted(hop, request, deadline)
         finally:
             del self._running[ticket_id]
+            self._classes.pop(request_id, None)
             self._slots.leave(ticket_id)
         if result.answer is not None:
             ended_at = trio.current_time()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -22,13 +22,14 @@
 from fulmarstile_daemon.services.events import (
     AttemptFailed,
     CallEnded,
-    CallServed,
     CallRejected,
+    CallServed,
     DependencyLost,
     HedgeStarted,
 )
 from fulmarstile_services.hedging import HedgeTimer
 from fulmarstile_services.retry_policy import RetryRules
+from fulmarstile_services.slot_class import classify
 from fulmarstile_services.wait_policy import retry_after_s, useful_wait_s
 from fulmarstile_wire.services import HopRequest, MemberPhase
 from fulmarstile_wire.verdict import Verdict
@@ -168,15 +169,17 @@
         if value.isdigit():
             wait_s = min(wait_s, int(value) / 1000)
         arrived_at = request.arrived_at
+        request_id = request.headers.find_bytes(self._names.request_id)
+        parent = self._upstream.find_parent(request_id)
         return ServiceCall(
             request,
-            request.headers.find(self._names.request_id),
+            request_id.decode("utf-8", "replace"),
             route,
             self._split.choose(route),
             self.caller_service,
             deadline=arrived_at + wait_s,
             useful_until=arrived_at + useful_wait_s(route, wait_s, len(request.body)),
-            priority=table.rank(route),
+            priority=classify(table.rank(route), parent),
             document_version=table.version,
             fingerprint=fingerprint(self.caller_service, request),
             ending=ending,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/ports.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/ports.py
@@ -31,6 +31,9 @@
     """Proof that an answer is an upstream's."""
     not_run: bytes
     """Set on the answer of an upstream that has not run the request."""
+    call_separator: bytes = b""
+    """What follows, in the id of a call that an upstream makes, the id of the request that it runs;
+    empty if ids don't tell."""
 
 
 class UpstreamEvents(Protocol):
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/service_platform.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/service_platform.py
@@ -20,6 +20,7 @@
     from fulmarstile_services.settings import NodeSettings
 
 HEADER_NAMES: Final = CallHeaderNames(
+    call_separator=b".",
     request_id=b"request-id",
     time_left_ms=b"time-left-ms",
     caller_service=b"caller-service",
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -15,7 +15,18 @@
 CORE_PACKAGES = ("wire", "config", "mesh", "calls", "services")
 
 FORBIDDEN_MODULES = frozenset(
-    {"trio", "pynng", "h11", "socket", "time", "datetime", "threading", "asyncio", "subprocess"}
+    {
+        "trio",
+        "pynng",
+        "h11",
+        "httptools",
+        "socket",
+        "time",
+        "datetime",
+        "threading",
+        "asyncio",
+        "subprocess",
+    }
 )
 
 ADAPTER = Path(__file__).parent.parent / "platform"
