--- /dev/null
+++ b/tests/services/test_calls_of_upstreams.py
@@ -0,0 +1,47 @@
+"""A call that an upstream makes is known by the id of the request that it runs."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from fulmarstile_daemon.services._server_connection import ReceivedRequest
+from fulmarstile_daemon.services._upstream import LocalUpstream
+from fulmarstile_daemon.services.event_log import EventLog
+from fulmarstile_http.headers import MessageHeaders
+from fulmarstile_services.slot_class import SlotClass
+from fulmarstile_testing.builders.services import make_announcement
+from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
+from fulmarstile_testing.service_upstream import ServiceUpstream
+from fulmarstile_wire.services import HopRequest
+
+HOP = HopRequest("shop", "upstream-1", "web", SlotClass.URGENT, 5_000, 5_000, False, 1_000)
+
+
+def make_request(request_id: bytes, arrived_at: float) -> ReceivedRequest:
+    headers = MessageHeaders([(b"host", b"shop.example"), (HEADER_NAMES.request_id, request_id)])
+    return ReceivedRequest(b"GET", b"/a?delay_ms=200", headers, b"", arrived_at)
+
+
+class CallOfUpstreamTest(unittest.TestCase):
+    def test_a_call_has_its_parent_while_that_runs_and_none_afterwards(self) -> None:
+        async def run() -> None:
+            upstream = ServiceUpstream(HEADER_NAMES, "upstream-1")
+            local = LocalUpstream(HEADER_NAMES, lambda _: 10, lambda _: None, EventLog("d-1"))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(upstream.serve)
+                local.replace(make_announcement(), upstream.address)
+                deadline = trio.current_time() + 5.0
+                request = make_request(b"parent", trio.current_time())
+                async with trio.open_nursery() as calls:
+                    calls.start_soon(local.run, HOP, request, deadline, deadline)
+                    while not local.running:
+                        await trio.sleep(0.01)
+                    self.assertIs(local.find_parent(b"parent.call"), SlotClass.URGENT)
+                    self.assertIsNone(local.find_parent(b"other.call"))
+                    self.assertIsNone(local.find_parent(b"parent"))
+                self.assertIsNone(local.find_parent(b"parent.call"))
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
