Count one crash of an upstream once, whatever connection breaks first

The connections of a crashed upstream break in any order, and each started a check of its own. A second one found another check running and was dropped with the requests that it had noted, among them the crashing one; the crash was then reported with no suspect ("crashed with 1 calls in flight, suspected_requests 0" in the daemon's log).

Ruled out: late spreading of the reports (in all failed runs the report reached the other daemons in time, but named no suspect).

Now CrashWatch of fulmarstile_calls gathers what is in flight at all breaks, checks once and judges once; both daemons use it.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local.py
@@ -15,6 +15,7 @@
     FairAdmission,
     Refused,
 )
+from fulmarstile_calls.crash_watch import CrashWatch
 from fulmarstile_calls.quarantine import (
     Quarantine,
     QuarantineSettings,
@@ -74,8 +75,7 @@
         self._running: dict[int, Call] = {}
         self._next_ticket = 0
         self._quarantine = Quarantine(QuarantineSettings())
-        self._probing = False
-        self._crashed_at = -math.inf
+        self._crash_watch = CrashWatch(self._quarantine)
         self._refuses_from = math.inf
         self.service = ""
         """Service of the upstream; empty if it is not known yet."""
@@ -224,18 +224,17 @@
             Fingerprints of the calls suspected of the crash; None if the upstream still accepts
             connections, its crash is already known, or another check runs.
         """
-        if self._probing or self._pool is None or started_at <= self._crashed_at:
+        pool = self._pool
+        if pool is None or not self._crash_watch.begin_check(in_flight, started_at):
             return None
-        self._probing = True
+        crashed = False
         try:
-            crashed = await _refuses_connections(self._pool)
+            crashed = await _refuses_connections(pool)
         finally:
-            self._probing = False
-        if not crashed:
-            return None
-        self._pool.close_idle()
-        self._crashed_at = trio.current_time()
-        return self._quarantine.on_upstream_crash(in_flight, self._crashed_at)
+            suspects = self._crash_watch.end_check(crashed, trio.current_time())
+        if crashed:
+            pool.close_idle()
+        return suspects
 
     def close(self) -> None:
         """Closes the connections to the upstream, those in use after their exchange."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from fulmarstile_calls.crash_watch import CrashWatch
 from fulmarstile_calls.quarantine import Quarantine, QuarantineSettings
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
@@ -71,6 +72,7 @@
         self._running: dict[int, bytes] = {}
         self._classes: dict[bytes, SlotClass] = {}
         self._quarantine = Quarantine(QuarantineSettings())
+        self._crash_watch = CrashWatch(self._quarantine)
         self._down_until = -math.inf
         self._service_s = 0.0
         self._is_stopping = False
@@ -238,6 +240,7 @@
             self._make_headers(hop, request, deadline),
             request.body,
         )
+        started_at = trio.current_time()
         is_whole = False
         try:
             answer = await self._receive_own(exchange, request)
@@ -247,7 +250,7 @@
                 pool.distrust(connection)
             raise
         except ExchangeError as error:
-            return await self._describe_break(exchange, connection, pool, error)
+            return await self._describe_break(exchange, pool, started_at, error)
         finally:
             _release(pool, connection, is_whole)
         return self._judge(answer)
@@ -282,24 +285,27 @@
         return AttemptResult(HopOutcome(Verdict.RAN, reached_upstream=True), answer)
 
     async def _describe_break(
-        self,
-        exchange: Exchange,
-        connection: ClientConnection,
-        pool: ConnectionPool,
-        error: ExchangeError,
+        self, exchange: Exchange, pool: ConnectionPool, started_at: float, error: ExchangeError
     ) -> AttemptResult:
         if not exchange.may_have_arrived:
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECTION_LOST))
-        in_flight = tuple(self._running.values())
-        if await _refuses_connections(pool):
-            self._note_down(str(error))
-            suspects = self._quarantine.on_upstream_crash(in_flight, trio.current_time())
-            if suspects:
-                self._on_suspects(suspects)
+        if self._crash_watch.begin_check(self._running.values(), started_at):
+            await self._check_crash(pool, error)
         return AttemptResult(
             make_failure(Verdict.MAY_HAVE_RUN, RefusalReason.CONNECTION_LOST, reached_upstream=True)
         )
 
+    async def _check_crash(self, pool: ConnectionPool, error: ExchangeError) -> None:
+        crashed = False
+        try:
+            crashed = await _refuses_connections(pool)
+        finally:
+            suspects = self._crash_watch.end_check(crashed, trio.current_time())
+        if crashed:
+            self._note_down(str(error))
+        if suspects:
+            self._on_suspects(suspects)
+
     def _make_headers(
         self, hop: HopRequest, request: ReceivedRequest, deadline: float
     ) -> list[tuple[bytes, bytes]]:
