Hold the ports of fleets in blocks that other runs see

Cause: a run of nine fleets at the same time did not start once; ports were found free and bound seconds later by another process, and two runs could choose the same. That the run failed for this was not shown: its output names no port. The chance is there either way, with 17 consecutive ports of 12,000 a fleet.

Now each process claims blocks of 64 ports by a bound socket; tests of two kinds of fleet and the service mesh share one module.

--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_links.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_links.py
@@ -13,7 +13,7 @@
 
 from fulmarstile_daemon.peers import open_peer_links
 from fulmarstile_testing.builders.daemon_core import MESH_KEY, build_member
-from fulmarstile_testing.fleet import find_free_ports
+from fulmarstile_testing.free_ports import find_free_ports
 from fulmarstile_wire.codec import encode_message
 from fulmarstile_wire.messages import Members, Probe
 from fulmarstile_wire.records import AppliedRecord, News, UpstreamRecord, UpstreamStatus
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
@@ -21,6 +20,7 @@
     HEADER_NAMES,
     FakePlatform,
 )
+from fulmarstile_testing.free_ports import find_free_ports
 from fulmarstile_testing.service_upstream import ServiceUpstream
 
 if TYPE_CHECKING:
@@ -232,7 +232,7 @@
 
 def make_node_settings(name: str, service: str, zone: str, upstream_address: str) -> NodeSettings:
     """Makes the settings of a daemon that listens on free ports of loopback."""
-    ports = [f"127.0.0.1:{port}" for port in _find_free_ports(5)]
+    ports = [f"127.0.0.1:{port}" for port in find_free_ports(5)]
     return NodeSettings(
         name=name,
         availability_zone=zone,
@@ -278,11 +278,3 @@
             await mesh.wait_serving(service, services.count(service))
         yield mesh
         nursery.cancel_scope.cancel()
-
-
-def _find_free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fleet.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fleet.py
@@ -4,10 +4,8 @@
 
 import base64
 import os
-import random
 import secrets
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,6 +14,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
+from fulmarstile_testing.free_ports import LOOPBACK, find_free_ports
+
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping, Sequence
 
@@ -25,10 +25,6 @@
 STOP_TIMEOUT_S: Final = 10.0
 """Time that a process gets to end after SIGTERM, in seconds."""
 
-_FIRST_PORT: Final = 20_000
-_LAST_PORT: Final = 32_000
-_LOOPBACK: Final = "127.0.0.1"
-
 
 @dataclass(frozen=True, slots=True)
 class DaemonSpec:
@@ -79,12 +75,12 @@
     def allocate(self) -> None:
         """Reserves an address for every listener."""
         ports = find_free_ports(1 + 4 * len(self.specs))
-        self.log_address = f"{_LOOPBACK}:{next(ports)}"
+        self.log_address = f"{LOOPBACK}:{next(ports)}"
         for name in self.specs:
-            self.admin_addresses[name] = f"{_LOOPBACK}:{next(ports)}"
-            self.calls_addresses[name] = f"{_LOOPBACK}:{next(ports)}"
-            self.peer_addresses[name] = f"{_LOOPBACK}:{next(ports)}"
-            self.upstream_addresses[name] = f"{_LOOPBACK}:{next(ports)}"
+            self.admin_addresses[name] = f"{LOOPBACK}:{next(ports)}"
+            self.calls_addresses[name] = f"{LOOPBACK}:{next(ports)}"
+            self.peer_addresses[name] = f"{LOOPBACK}:{next(ports)}"
+            self.upstream_addresses[name] = f"{LOOPBACK}:{next(ports)}"
 
     def settings_file(self, name: str) -> Path:
         """Returns the settings file of a daemon."""
@@ -243,35 +239,5 @@
             fleet.stop_all()
 
 
-def find_free_ports(count: int) -> Iterator[int]:
-    """Finds ports of the loopback address that nothing listens at.
-
-    Args:
-        count: Number of ports.
-
-    Returns:
-        The ports.
-    """
-    candidates = range(_FIRST_PORT, _LAST_PORT)
-    start = random.Random().randrange(len(candidates) - count)
-    found: list[int] = []
-    for port in (*candidates[start:], *candidates[:start]):
-        if len(found) == count:
-            break
-        if _is_free(port):
-            found.append(port)
-    return iter(found)
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind((_LOOPBACK, port))
-        except OSError:
-            return False
-    return True
-
-
 def _encode_key(key: bytes) -> str:
     return base64.b64encode(key).decode("ascii")
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/live_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/live_mesh.py
@@ -20,7 +20,8 @@
     stream_name,
 )
 from fulmarstile_platform import open_http_log
-from fulmarstile_testing.fleet import LOG_NAME, find_free_ports, open_fleet
+from fulmarstile_testing.fleet import LOG_NAME, open_fleet
+from fulmarstile_testing.free_ports import find_free_ports
 from fulmarstile_testing.probe import open_probe, wait_until
 from fulmarstile_testing.tcp_relay import TcpRelay
 
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -16,7 +16,7 @@
 from fulmarstile_daemon.main import ExitCode
 from fulmarstile_daemon.peers import open_peer_links
 from fulmarstile_testing.builders.settings import build_settings_text
-from fulmarstile_testing.fleet import find_free_ports
+from fulmarstile_testing.free_ports import find_free_ports
 
 
 def run_main(settings: str | None) -> tuple[int, str]:
--- a/tests/daemon/test_peer_links.py
+++ b/tests/daemon/test_peer_links.py
@@ -10,7 +10,7 @@
 from fulmarstile_daemon.peers import open_peer_links
 from fulmarstile_daemon.peers.links import SEND_BUFFER_MESSAGES, PeerListenError
 from fulmarstile_daemon.peers.seal import open_frame, seal_frame
-from fulmarstile_testing.fleet import find_free_ports
+from fulmarstile_testing.free_ports import find_free_ports
 from fulmarstile_wire.codec import MAX_FRAME_BYTES
 from fulmarstile_wire.errors import WireError
 from fulmarstile_wire.messages import Probe, SnapshotOffer
