Read little of large documents in a storm, and let few daemons follow members in a large fleet

Every daemon read every version, and daemons sent it to one another in addition.

Changed: after several records at once the newest of each key is read instead; pauses grow with the bytes read; a daemon sends a document only to one that still lacks what has been in force here for a time that grows with its size (0.2 s at 30 kB). Above 30 members three daemons of a zone follow the members' topic, the others read it every 12 s and hear of changes from other daemons. Up to 30 members nothing changes for that topic.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_following.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_following.py
@@ -12,7 +12,7 @@
 from fulmarstile_platform.log import LogError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
@@ -22,6 +22,8 @@
 _FIRST_PAUSE_S: Final = 0.08
 """Pause after records arrived; doubled while more arrive, so that a storm costs few reads."""
 _MAX_PAUSE_S: Final = 1.0
+_READ_BYTES_PER_S: Final = 200_000
+"""Rate at which records that keep coming are read, in bytes a second, short of longest pauses."""
 _QUIET_S: Final = 1.0
 """Wait of a read after which the next records are no longer part of a storm, in seconds."""
 _FIRST_BACKOFF_S: Final = 0.15
@@ -34,6 +36,9 @@
     take: Callable[[Iterable[KeyedRecord]], None],
     log: EventLog,
     on_current: Callable[[], None] | None = None,
+    *,
+    wait_turn: Callable[[], Awaitable[None]] | None = None,
+    skips_old: bool = False,
 ) -> None:
     """Hands over the newest records of a topic and then the later ones, until cancelled.
 
@@ -43,20 +48,24 @@
         take: Takes records in order.
         log: Log of the daemon.
         on_current: Called whenever all records that were there have been taken.
+        wait_turn: Awaited before each read but the first.
+        skips_old: Whether earlier records of a key may be left out. After several records at
+            once, the newest of each key are read instead of all that follow.
     """
-    offset: int | None = None
+    offset = 0
+    reads_newest = True
     backoff_s = _FIRST_BACKOFF_S
     pause_s = _FIRST_PAUSE_S
     lost_at: float | None = None
     while True:
         asked_at = trio.current_time()
         try:
-            if offset is None:
+            if reads_newest:
                 page = await store.newest(topic)
             else:
                 page = await store.read_keyed(topic, offset, _WAIT_S)
         except RecordsExpiredError:
-            offset = None
+            reads_newest = True
             continue
         except LogError as error:
             if lost_at is None:
@@ -70,6 +79,7 @@
             log.write(DependencyRegained(dependency=f"store {topic}", after_s=round(after_s, 2)))
             lost_at = None
         backoff_s = _FIRST_BACKOFF_S
+        reads_newest = skips_old and offset > 0 and page.next_offset - offset > 1
         offset = page.next_offset
         if page.records:
             take(page.records)
@@ -78,5 +88,8 @@
         if trio.current_time() - asked_at > _QUIET_S:
             pause_s = _FIRST_PAUSE_S
         if page.records:
-            await trio.sleep(pause_s)
+            size = sum(len(record.value) for record in page.records)
+            await trio.sleep(min(_MAX_PAUSE_S, max(pause_s, size / _READ_BYTES_PER_S)))
             pause_s = min(_MAX_PAUSE_S, pause_s * 2)
+        if wait_turn is not None:
+            await wait_turn()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -47,6 +47,7 @@
 from fulmarstile_services.retry_budget import RetryBudget
 from fulmarstile_services.service_rotation import ServiceRotation
 from fulmarstile_services.settings import NodeSettingsError
+from fulmarstile_services.store_readers import is_reader
 from fulmarstile_wire.services import Member
 
 if TYPE_CHECKING:
@@ -110,6 +111,7 @@
         self._documents = DocumentHolder(platform, self._routes, log)
         self._balancer = LeastWaitBalancer(BalancingSettings(), settings.availability_zone, rng)
         bounds = settings.bounds
+        self._membership.is_reader = lambda: is_reader(self._directory, self._balancer.is_reachable)
         self._budget = RetryBudget(bounds.retry_ratio, bounds.retry_burst)
         self._links = DaemonLinks(settings.name)
         self._upstream = LocalUpstream(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING, Final
 
+import trio
+
 from fulmarstile_daemon.services._following import follow_topic
 from fulmarstile_daemon.services.events import DocumentApplied, DocumentRejected
 from fulmarstile_services.document import DocumentError
@@ -19,6 +22,9 @@
 _SOURCE_STORE: Final = "store"
 _DEFAULT_CONNECTIONS: Final = 64
 """Connections to an upstream while its service's document is not known."""
+_SETTLE_BYTES_PER_S: Final = 150_000
+"""Bytes for each of which a document is in force here before daemons that lack it get it."""
+_MAX_SETTLE_S: Final = 1.0
 
 
 class RoutesInForce:
@@ -43,6 +49,7 @@
         self._routes = routes
         self._log = log
         self._raw = b""
+        self._applied: deque[tuple[float, int]] = deque()
         self.on_change: Callable[[], None] = lambda: None
         """Called when another version is in force."""
 
@@ -57,6 +64,22 @@
         """Document in force as the store holds it."""
         return self._raw
 
+    def is_owed(self, version: int) -> bool:
+        """Tells whether a daemon is to be sent the document in force.
+
+        One that reads the store gets it there at about the same time. A large document goes
+        only to one that still lacks what has been in force here for a while.
+
+        Args:
+            version: Version that the daemon has in force.
+        """
+        settle_s = min(_MAX_SETTLE_S, len(self._raw) / _SETTLE_BYTES_PER_S)
+        settled_at = trio.current_time() - settle_s
+        applied = self._applied
+        while len(applied) > 1 and applied[1][0] <= settled_at:
+            applied.popleft()
+        return bool(applied) and applied[0][0] <= settled_at and applied[0][1] > version
+
     def connection_limit(self, service: str) -> int:
         """Returns how many connections an upstream of a service accepts."""
         table = self._routes.table
@@ -86,6 +109,7 @@
         replaced = self.version
         self._routes.table = table
         self._raw = raw
+        self._applied.append((trio.current_time(), document.version))
         self._log.write(
             DocumentApplied(
                 version=document.version,
@@ -103,7 +127,8 @@
         Args:
             store: The platform's store.
         """
-        await follow_topic(store, self._platform.document_topic, self._take, self._log)
+        topic = self._platform.document_topic
+        await follow_topic(store, topic, self._take, self._log, skips_old=True)
 
     def _take(self, records: Iterable[KeyedRecord]) -> None:
         newest = b""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
@@ -87,7 +87,7 @@
             version,
             () if is_equal else self._directory.members,
             () if is_equal else self._directory.crashes,
-            self._documents.raw if version > request.document_version else b"",
+            self._documents.raw if self._documents.is_owed(request.document_version) else b"",
         )
 
     async def exchange(self, member: Member) -> bool:
@@ -105,7 +105,7 @@
             if reply.sender != member.name:
                 raise DaemonUnreachableError(f"{reply.sender} has its address now")
             lacks_members = reply.digest != self._directory.digest
-            lacks_document = reply.document_version < self._documents.version
+            lacks_document = self._documents.is_owed(reply.document_version)
             if lacks_members or lacks_document:
                 offer = self._make_offer(with_state=lacks_members, with_document=lacks_document)
                 await self._links.synchronize(member, offer, _TIMEOUT_S)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
@@ -36,6 +36,10 @@
 MEMBERS_TOPIC: Final = "keyed.fulmarstile.members"
 """Topic that holds a record of each daemon and the crash reports."""
 _CRASH_PREFIX: Final = "crash/"
+_LOOK_S: Final = 0.5
+"""Interval at which a daemon looks whether it is to read, in seconds."""
+_SELDOM_S: Final = 12.0
+"""Mean interval of the reads of a daemon that others read for, in seconds."""
 _RETRY_S: Final = 0.4
 _MAX_RETRY_S: Final = 1.0
 
@@ -61,6 +65,8 @@
         self._is_recalled = False
         self.is_current = trio.Event()
         """Set once the records that the store held at the start have been read."""
+        self.is_reader: Callable[[], bool] = lambda: True
+        """Tells whether this daemon reads every change from the store."""
         self.on_recall: Callable[[], None] = lambda: None
         """Called once it is known what an earlier incarnation of this daemon left."""
 
@@ -141,7 +147,20 @@
         Args:
             store: The platform's store.
         """
-        await follow_topic(store, MEMBERS_TOPIC, self._take_records, self._log, self.is_current.set)
+        await follow_topic(
+            store,
+            MEMBERS_TOPIC,
+            self._take_records,
+            self._log,
+            self.is_current.set,
+            wait_turn=self._wait_turn,
+        )
+
+    async def _wait_turn(self) -> None:
+        """Waits while other daemons read for this one, but not for long."""
+        with trio.move_on_after(_SELDOM_S * random.uniform(0.8, 1.2)):
+            while not self.is_reader():
+                await trio.sleep(_LOOK_S)
 
     async def write_forever(self, store: KeyedLog) -> None:
         """Writes what is to be published, until cancelled.
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
@@ -29,6 +29,8 @@
         """Whether every call fails."""
         self.reads = 0
         """Reads that were answered."""
+        self.records_read = 0
+        """Records in the answers of these reads."""
         self.appends = 0
         """Appends that took effect."""
 
@@ -38,6 +40,7 @@
         records = self._content.topics.get(topic, [])
         newest = {record.key: record for record in records}
         self.reads += 1
+        self.records_read += len(newest)
         return KeyedPage(tuple(newest.values()), len(records))
 
     async def read_keyed(self, topic: str, offset: int, wait_s: float) -> KeyedPage:
@@ -51,6 +54,7 @@
             raise RecordsExpiredError(f"{topic}: the records from {offset} on are gone")
         records = self._content.topics.get(topic, [])[offset:]
         self.reads += 1
+        self.records_read += len(records)
         return KeyedPage(tuple(records), offset + len(records))
 
     async def append_keyed(self, topic: str, key: str, value: bytes) -> None:
