Count a request that still arrives as in flight when a daemon stops

The daemon counted only whole requests as in flight, saw none, ended, and the connections were reset without an answer.

Now a daemon that stops waits for the rest of such requests as long as it serves, and then refuses them with 503 and Retry-After before it ends. Two new tests fail on the code before (connection reset with no answer) and pass.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -86,15 +86,17 @@
         return len(self._connections)
 
     def is_quiet(self, for_s: float) -> bool:
-        """Tells whether all requests are answered and none came for a time.
+        """Tells whether all requests are answered, no part of one is there and none came lately.
 
         Args:
-            for_s: The time in seconds.
+            for_s: Time for which none came, in seconds.
 
         Returns:
             Whether that is so.
         """
-        return not self._in_flight and trio.current_time() - self._last_request_at >= for_s
+        if any(connection.awaits_answer for connection in self._connections):
+            return False
+        return trio.current_time() - self._last_request_at >= for_s
 
     async def serve(
         self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
@@ -121,6 +123,23 @@
         for connection in self._connections:
             connection.must_close = True
 
+    async def refuse_unreceived(self) -> None:
+        """Refuses the requests that have not arrived whole, and so have not run.
+
+        Their connections are read on, as closing them would destroy the refusals.
+        """
+        async with trio.open_nursery() as nursery:
+            for connection in self._connections:
+                if connection.awaits_answer and connection not in self._in_flight:
+                    nursery.start_soon(self._refuse_unreceived, connection)
+
+    async def _refuse_unreceived(self, connection: ServerConnection) -> None:
+        reply = make_error_reply(HTTPStatus.SERVICE_UNAVAILABLE, "the daemon stops", _HELD_RETRY_S)
+        try:
+            await connection.send(reply)
+        except CallerLeftError:
+            logger.info("a caller left before its request was refused")
+
     def _on_exhausted(self, error: OutOfDescriptorsError) -> None:
         logger.warning("cannot accept a connection: {}", error)
         self._evict_idle()
@@ -157,7 +176,7 @@
                 )
                 await connection.send(make_error_reply(error.status, str(error), retry_after_s))
                 break
-            if request is None:
+            if request is None or not connection.awaits_answer:
                 connection.end()
                 return
             self._last_request_at = trio.current_time()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -91,6 +91,11 @@
         """Whether another request may follow on the connection."""
         return not self._awaits_answer and not self._has_closed
 
+    @property
+    def awaits_answer(self) -> bool:
+        """Whether a part of a request has arrived and no answer was sent."""
+        return self._awaits_answer
+
     @property
     def has_ended(self) -> bool:
         """Whether the other side has closed or broken the connection."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -305,6 +305,7 @@
             while not self._callers.is_quiet(_QUIET_CALLERS_S):
                 await trio.sleep(_POLL_S)
         with trio.move_on_at(latest):
+            await self._callers.refuse_unreceived()
             await self._announcements.stop()
             await trio.sleep(_REFUSE_HOPS_S)
             self._upstream.stop()
--- a/tests/services/test_stopping.py
+++ b/tests/services/test_stopping.py
@@ -11,8 +11,28 @@
 from fulmarstile_wire.services import MemberPhase
 
 DOCUMENT = make_document(
-    make_route(prefix="/quick/", timeout_s=0.5), make_route(prefix="/long/", timeout_s=60.0)
+    make_route(prefix="/quick/", timeout_s=0.5),
+    make_route(prefix="/slow/", timeout_s=4.0),
+    make_route(prefix="/long/", timeout_s=60.0),
 )
+UPLOAD_BODY = b"x" * 1000
+UPLOAD_HEAD = (
+    b"POST /slow/a HTTP/1.1\r\nhost: shop.example\r\nrequest-id: upload-1\r\n"
+    b"time-left-ms: 4000\r\n"
+    b"content-length: 1000\r\n\r\n"
+)
+
+
+async def receive_until_end(stream: trio.SocketStream) -> bytes:
+    """Receives what comes until the other side closes the connection."""
+    received = b""
+    with trio.move_on_after(8.0):
+        try:
+            while data := await stream.receive_some():
+                received += data
+        except trio.BrokenResourceError:
+            return received
+    return received
 
 
 class StoppingTest(unittest.TestCase):
@@ -55,6 +75,36 @@
 
         trio.run(run)
 
+    def test_a_request_that_still_arrives_is_served(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                node = mesh.nodes[0]
+                stream = await connect(node.address)
+                await stream.send_all(UPLOAD_HEAD + UPLOAD_BODY[:10])
+                await trio.sleep(0.1)
+                node.stop()
+                await trio.sleep(2.5)
+                await stream.send_all(UPLOAD_BODY[10:])
+                answer = await receive_until_end(stream)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+
+        trio.run(run)
+
+    def test_a_request_that_does_not_arrive_whole_is_refused_before_the_daemon_ends(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                node = mesh.nodes[0]
+                stream = await connect(node.address)
+                await stream.send_all(UPLOAD_HEAD + UPLOAD_BODY[:10])
+                await trio.sleep(0.1)
+                node.stop()
+                answer = await receive_until_end(stream)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+                self.assertIn(b"retry-after", answer)
+                self.assertEqual(node.upstream.record.requests, [])
+
+        trio.run(run)
+
     def test_a_daemon_without_callers_ends_and_the_others_know(self) -> None:
         async def run() -> None:
             async with serve_mesh("shop", "stock") as mesh:
