Count the time that requests lose on the way to an upstream

A daemon now tells with each answer how long it had the request; the rest of the elapsed time is the way. What small requests lose there beyond 20 ms counts like a wait when an upstream is chosen.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -276,6 +276,9 @@
             if outcome is not None and outcome.reached_upstream and outcome.reason:
                 failed = True
             self._balancer.on_ended(member, outcome, failed, ended_at, call.priority)
+            if outcome is not None and outcome.spent_ms > 0.0:
+                way_s = ended_at - now - outcome.spent_ms / 1000
+                self._balancer.on_way_measured(member, len(call.request.body), way_s)
             self._metrics.observe_attempt(ended_at - now)
             if result is not None and result.is_good:
                 self._hedge_timer.observe(call.route, ended_at - now)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING, Final
 
+import msgspec
 import trio
 
 from fulmarstile_calls.request import RefusalReason
@@ -74,8 +75,9 @@
         answer = result.answer
         if answer is None:
             return self._refuse(result.outcome, call, request)
+        outcome = _add_spent(result.outcome, arrived_at)
         return HopAnswer(
-            call.call_id, result.outcome, answer.status, answer.headers.passed_on, answer.body
+            call.call_id, outcome, answer.status, answer.headers.passed_on, answer.body
         )
 
     def _refuse(self, outcome: HopOutcome, call: HopCall, request: ReceivedRequest) -> HopAnswer:
@@ -94,4 +96,9 @@
                     left_ms=float(call.hop.left_ms),
                 )
             )
-        return HopAnswer(call.call_id, outcome)
+        return HopAnswer(call.call_id, _add_spent(outcome, request.arrived_at))
+
+
+def _add_spent(outcome: HopOutcome, arrived_at: float) -> HopOutcome:
+    spent_ms = round((trio.current_time() - arrived_at) * 1000, 2)
+    return msgspec.structs.replace(outcome, spent_ms=spent_ms)
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -23,8 +23,10 @@
 _NEWCOMER_SHARE: Final = 0.1
 """Share of requests that go to an upstream which this daemon has not tried lately."""
 _UNTRIED_AFTER_S: Final = 2.0
-_MAX_TRIAL_BYTES: Final = 4096
-"""Largest body of a request that tries an upstream, in bytes."""
+_SMALL_BYTES: Final = 4096
+"""Largest body of a request that tries an upstream or measures the way to it, in bytes."""
+_USUAL_WAY_S: Final = 0.02
+"""Time on the way to an upstream and back that makes no difference, in seconds."""
 _MIN_REFUSAL_HOLD_S: Final = 0.015
 _MAX_REFUSAL_HOLD_S: Final = 0.05
 _REFUSAL_HOLD_SHARE: Final = 0.25
@@ -55,6 +57,7 @@
         "service_s",
         "tried_at",
         "upstream_id",
+        "way_s",
     )
 
     def __init__(self, member: Member, now: float) -> None:
@@ -65,6 +68,8 @@
         """Requests that the upstream had running and waiting, without those of this daemon."""
         self.reported_at = now
         self.service_s = 0.0
+        self.way_s = 0.0
+        """Time that small requests and their answers spend on the way lately, in seconds."""
         self.error_rate = 0.0
         self.full_until: dict[int, float] = {}
         """Times until which requests of a priority are not sent, because one was refused."""
@@ -85,7 +90,8 @@
     """Chooses the upstream with the shortest expected time to an answer.
 
     The expectation follows from the load and speed that the daemon beside each upstream
-    reports with every answer and from the requests that this daemon has in flight there.
+    reports with every answer, from the requests that this daemon has in flight there and from
+    the time that requests lose on the way, as on a link that bodies fill.
     Another availability zone must be faster by a margin that grows with the request's size.
 
     Args:
@@ -164,7 +170,7 @@
             return None
         if len(usable) > _MAX_COMPARED:
             usable = self._sample(usable)
-        if size <= _MAX_TRIAL_BYTES and self._random.random() < _NEWCOMER_SHARE:
+        if size <= _SMALL_BYTES and self._random.random() < _NEWCOMER_SHARE:
             untried = [member for member in usable if self._is_untried(member, now)]
             if untried:
                 return self._random.choice(untried)
@@ -214,6 +220,18 @@
             hold_s = min(_MAX_REFUSAL_HOLD_S, max(_MIN_REFUSAL_HOLD_S, hold_s))
             observation.full_until[priority] = now + hold_s
 
+    def on_way_measured(self, member: Member, size: int, way_s: float) -> None:
+        """Notes how long a request and its answer were on the way.
+
+        Args:
+            member: The daemon that it was sent to.
+            size: Bytes of the request's body.
+            way_s: Time outside that daemon, in seconds.
+        """
+        observation = self._observations.get(member.name)
+        if observation is not None and size <= _SMALL_BYTES:
+            observation.way_s += _GAIN * (max(0.0, way_s) - observation.way_s)
+
     def _observe(self, member: Member, now: float) -> _Observation:
         observation = self._observations.get(member.name)
         if observation is None or observation.upstream_id != member.upstream_id:
@@ -236,7 +254,8 @@
         """Returns the expected time to an answer and what another zone costs, in seconds."""
         observation = self._observe(member, now)
         age_s = now - observation.reported_at
-        others = observation.reported * _LOAD_MEMORY_S / (_LOAD_MEMORY_S + age_s)
+        memory = _LOAD_MEMORY_S / (_LOAD_MEMORY_S + age_s)
+        others = observation.reported * memory
         slots = max(1, member.slots)
         load = (others + observation.in_flight + 1) / slots
         service_s = observation.service_s or usual_s
@@ -244,6 +263,7 @@
             service_s = max(service_s, usual_s * _COLD_FACTOR)
         expected_s = service_s * (1.0 + 0.5 * load * load if load < 1.0 else 0.5 + load)
         expected_s *= 1.0 + _ERROR_WEIGHT * observation.error_rate
+        expected_s += max(0.0, observation.way_s * memory - _USUAL_WAY_S)
         if member.availability_zone != self._availability_zone:
             expected_s += crossing_s
         return expected_s
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -102,6 +102,8 @@
     service_ms: float = 0.0
     """Mean time that the upstream takes for a request lately, in milliseconds."""
     phase: MemberPhase = MemberPhase.SERVING
+    spent_ms: float = 0.0
+    """Time from the arrival of the whole request to its end, in milliseconds."""
 
 
 class SyncRequest(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/tests/services/test_balancing.py
+++ b/tests/services/test_balancing.py
@@ -56,6 +56,23 @@
         self.assertEqual(self.choose(NEAR, FAR, target_s=0.1), "far")
         self.assertEqual(self.choose(NEAR, FAR, target_s=0.4), "near")
 
+    def test_an_upstream_behind_a_link_that_is_full_gets_less(self) -> None:
+        self.report(NEAR)
+        self.report(FAR)
+        for _ in range(20):
+            self.balancer.on_way_measured(NEAR, 0, 0.5)
+            self.balancer.on_way_measured(FAR, 0, 0.005)
+        self.assertEqual(self.choose(NEAR, FAR, target_s=0.5), "far")
+        self.now += 30.0
+        self.assertEqual(self.choose(NEAR, FAR, target_s=0.5), "near")
+
+    def test_the_own_transfer_of_a_large_request_says_nothing_about_the_way(self) -> None:
+        self.report(NEAR)
+        self.report(FAR)
+        for _ in range(20):
+            self.balancer.on_way_measured(NEAR, LARGE, 0.5)
+        self.assertEqual(self.choose(NEAR, FAR), "near")
+
     def test_a_failing_upstream_gets_less(self) -> None:
         for _ in range(10):
             self.report(NEAR, failed=True)
