--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
@@ -83,6 +83,7 @@
         body: bytes = b"",
         timeout_s: float = 5.0,
         headers: Mapping[str, str] | None = None,
+        body_timeout_s: float = 0.0,
     ) -> HttpResponse:
         """Sends one request and waits for its whole response; never sends it twice.
 
@@ -92,6 +93,8 @@
             body: JSON body.
             timeout_s: Longest time for the whole exchange, in seconds.
             headers: Headers besides those of the framing.
+            body_timeout_s: Time that the response's body may take from its head on, in seconds,
+                if that ends later than `timeout_s`.
 
         Returns:
             The response, of whatever status.
@@ -100,9 +103,10 @@
             HttpError: If no whole response arrived; its verdict is NOT_RUN only if no byte of
                 the request was sent.
         """
-        progress = _Progress()
+        progress = _Progress(body_timeout_s)
+        started_at = trio.current_time()
         try:
-            with trio.fail_after(timeout_s):
+            with trio.fail_after(timeout_s) as progress.scope:
                 async with self._limiter:
                     request = _Request(method, path, body, headers or {})
                     return await self._exchange(request, progress)
@@ -110,7 +114,9 @@
             # The path to the server may have lost its state: no open connection is trusted.
             await self.aclose()
             raise HttpTimeoutError(
-                f"{self._address} did not answer within {timeout_s:g} s", progress.verdict
+                f"{self._address} did not answer within "
+                f"{trio.current_time() - started_at:.1f} s",
+                progress.verdict,
             ) from error
 
     async def aclose(self) -> None:
@@ -183,10 +189,19 @@
 
 
 class _Progress:
-    """Whether any byte of a request may have reached the server."""
+    """How far an exchange has come."""
 
-    def __init__(self) -> None:
+    def __init__(self, body_timeout_s: float) -> None:
+        self._body_timeout_s = body_timeout_s
         self.is_sent = False
+        """Whether any byte of the request may have reached the server."""
+        self.scope = trio.CancelScope()
+        """Scope whose deadline ends the exchange."""
+
+    def on_head(self) -> None:
+        """Gives the body its time, as the head of the response has arrived."""
+        latest = trio.current_time() + self._body_timeout_s
+        self.scope.deadline = max(self.scope.deadline, latest)
 
     @property
     def verdict(self) -> Verdict:
@@ -239,7 +254,7 @@
         data = self._encode(request)
         progress.is_sent = True
         await self._stream.send_all(data)
-        return await self._read_response()
+        return await self._read_response(progress)
 
     async def aclose(self) -> None:
         """Closes the connection at once."""
@@ -258,13 +273,14 @@
             data += self._http.send(h11.Data(data=request.body))
         return data + self._http.send(h11.EndOfMessage())
 
-    async def _read_response(self) -> HttpResponse:
+    async def _read_response(self, progress: _Progress) -> HttpResponse:
         status = 0
         headers: dict[str, str] = {}
         body = bytearray()
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                progress.on_head()
                 status = event.status_code
                 headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
             elif isinstance(event, h11.Data):
--- a/tests/platform/test_http_log.py
+++ b/tests/platform/test_http_log.py
@@ -152,6 +152,27 @@
 
         self.assertIs(trio.run(scenario), Verdict.MAY_HAVE_RUN)
 
+    def test_a_body_that_comes_slowly_has_a_time_of_its_own(self):
+        async def answer_slowly(stream):
+            await stream.receive_some(65536)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{")
+            await trio.sleep(0.3)
+            await stream.send_all(b"}")
+
+        async def scenario():
+            async with trio.open_nursery() as nursery:
+                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                port = listeners[0].socket.getsockname()[1]
+                nursery.start_soon(trio.serve_listeners, answer_slowly, listeners)
+                async with open_http_client(f"127.0.0.1:{port}") as client:
+                    with self.assertRaises(HttpError):
+                        await client.request("GET", "/", timeout_s=0.1)
+                    response = await client.request("GET", "/", timeout_s=0.1, body_timeout_s=5.0)
+                nursery.cancel_scope.cancel()
+                return response.body
+
+        self.assertEqual(trio.run(scenario), b"{}")
+
     def test_connection_closed_by_the_server_is_replaced_before_it_is_used(self):
         closed = trio.Event()
 
