--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_following.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_following.py
@@ -12,7 +12,7 @@
 from fulmarstile_platform.log import LogError
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterable
+    from collections.abc import Awaitable, Callable, Iterable, Sequence
 
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
@@ -54,9 +54,8 @@
     """
     offset = 0
     reads_newest = True
-    backoff_s = _FIRST_BACKOFF_S
-    pause_s = _FIRST_PAUSE_S
-    lost_at: float | None = None
+    outage = _Outage(topic, log)
+    pace = _Pace()
     while True:
         asked_at = trio.current_time()
         try:
@@ -68,28 +67,64 @@
             reads_newest = True
             continue
         except LogError as error:
-            if lost_at is None:
-                lost_at = trio.current_time()
-                log.write(DependencyLost(dependency=f"store {topic}", reason=str(error)))
-            await trio.sleep(backoff_s * random.uniform(0.5, 1.0))
-            backoff_s = min(_MAX_BACKOFF_S, backoff_s * 2)
+            await outage.wait(error)
             continue
-        if lost_at is not None:
-            after_s = trio.current_time() - lost_at
-            log.write(DependencyRegained(dependency=f"store {topic}", after_s=round(after_s, 2)))
-            lost_at = None
-        backoff_s = _FIRST_BACKOFF_S
+        outage.end()
         reads_newest = skips_old and offset > 0 and page.next_offset - offset > 1
         offset = page.next_offset
         if page.records:
             take(page.records)
         if on_current is not None:
             on_current()
-        if trio.current_time() - asked_at > _QUIET_S:
-            pause_s = _FIRST_PAUSE_S
-        if page.records:
-            size = sum(len(record.value) for record in page.records)
-            await trio.sleep(min(_MAX_PAUSE_S, max(pause_s, size / _READ_BYTES_PER_S)))
-            pause_s = min(_MAX_PAUSE_S, pause_s * 2)
+        await pace.wait(page.records, trio.current_time() - asked_at)
         if wait_turn is not None:
             await wait_turn()
+
+
+class _Outage:
+    """Time in which a topic cannot be read: its two log lines and the pauses between trials."""
+
+    def __init__(self, topic: str, log: EventLog) -> None:
+        self._dependency = f"store {topic}"
+        self._log = log
+        self._began_at: float | None = None
+        self._backoff_s = _FIRST_BACKOFF_S
+
+    async def wait(self, error: LogError) -> None:
+        """Waits after a failed read."""
+        if self._began_at is None:
+            self._began_at = trio.current_time()
+            self._log.write(DependencyLost(dependency=self._dependency, reason=str(error)))
+        await trio.sleep(self._backoff_s * random.uniform(0.5, 1.0))
+        self._backoff_s = min(_MAX_BACKOFF_S, self._backoff_s * 2)
+
+    def end(self) -> None:
+        """Notes that a read succeeded."""
+        self._backoff_s = _FIRST_BACKOFF_S
+        if self._began_at is None:
+            return
+        after_s = round(trio.current_time() - self._began_at, 2)
+        self._log.write(DependencyRegained(dependency=self._dependency, after_s=after_s))
+        self._began_at = None
+
+
+class _Pace:
+    """Pauses after records, which grow while more arrive."""
+
+    def __init__(self) -> None:
+        self._pause_s = _FIRST_PAUSE_S
+
+    async def wait(self, records: Sequence[KeyedRecord], read_s: float) -> None:
+        """Waits after a read.
+
+        Args:
+            records: What it returned.
+            read_s: Time that it took, in seconds.
+        """
+        if read_s > _QUIET_S:
+            self._pause_s = _FIRST_PAUSE_S
+        if not records:
+            return
+        size = sum(len(record.value) for record in records)
+        await trio.sleep(min(_MAX_PAUSE_S, max(self._pause_s, size / _READ_BYTES_PER_S)))
+        self._pause_s = min(_MAX_PAUSE_S, self._pause_s * 2)
