Add a fault soak of real daemons on the stand-in of the users' platform

Six daemons reach store and upstreams through relays; kills, freezes, stops, silent connections, a store in trouble and new configurations come by a seed, upstreams lie now and then. Rules: no unsafe request runs twice, 503 has not run, every answer is proven and of its own request, all is served again after the last fault.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 PACKAGES := wire http platform config mesh calls services daemon cli testing
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/fulmarstile_$(name)) -e platform/fulmarstile_adapter
 SEEDS ?= 200
+SEED ?= 1
 TEST_JOBS ?= 4
 
-.PHONY: setup test lint format demo demo-platform scenarios bench-config bench-calls plots clean
+.PHONY: setup test lint format demo demo-platform soak scenarios bench-config bench-calls plots clean
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -34,6 +35,9 @@
 demo-platform: setup
 	$(VENV)/bin/python -m fulmarstile_testing.users_platform.demo
 
+soak: setup
+	$(VENV)/bin/python -m fulmarstile_testing.users_platform.soak --seed=$(SEED)
+
 scenarios: setup
 	$(VENV)/bin/python -m fulmarstile_testing.scenarios --seeds=$(SEEDS)
 
--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/users_platform/configuration.py
@@ -0,0 +1,60 @@
+"""Operator's configurations for the stand-in of the users' platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+SERVICES: Final = ("shop", "stock")
+"""Services that the routes lead to."""
+
+_COLUMNS: Final = (
+    "Name",
+    "Hostname",
+    "PathPrefix",
+    "RouteType",
+    "TimeoutS",
+    "TargetLatencyS",
+    "Priority",
+    "MaxAttempts",
+    "Service",
+    "WeightedSplit",
+)
+
+
+def make_configuration(version: int, hosts: Iterable[str], split: tuple[int, int]) -> bytes:
+    """Makes a configuration with every kind of route.
+
+    Args:
+        version: Version of the configuration.
+        hosts: Hosts that requests name.
+        split: Weights of the two services on the route that both serve.
+
+    Returns:
+        The record as the operator writes it.
+    """
+    weighted = [
+        {"Service": name, "Weight": weight} for name, weight in zip(SERVICES, split, strict=True)
+    ]
+    rows = []
+    for host in hosts:
+        rows += [
+            [f"read {host}", host, "/read/", "idempotent", 1.0, 0.4, 1, 2, "shop", None],
+            [f"order {host}", host, "/order/", "non_idempotent", 1.0, 0.4, 0, 2, "stock", None],
+            [f"photo {host}", host, "/photo/", "upload", 2.0, 1.0, 1, 2, "shop", None],
+            [f"both {host}", host, "/both/", "idempotent", 1.0, 0.4, 2, 2, None, weighted],
+        ]
+    return msgspec.json.encode(
+        {
+            "Version": f"{version:08x}",
+            "Routes": {"Columns": _COLUMNS, "Rows": rows},
+            "Services": {
+                "Columns": ["Name", "MaxConnections"],
+                "Rows": [[name, 100] for name in SERVICES],
+            },
+        }
+    )
--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/users_platform/vm.py
@@ -0,0 +1,174 @@
+"""A VM of the stand-in: its addresses, its upstream and its daemon's process."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+import trio
+
+from fulmarstile_adapter.names import HEADER_NAMES, SETTINGS_VARIABLE
+from fulmarstile_platform.http import HttpError, open_http_client
+from fulmarstile_testing.service_upstream import ServiceUpstream
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from fulmarstile_platform.http import HttpResponse
+
+_INBOUND_PORT: Final = 7401
+_OUTBOUND_PORT: Final = 7402
+_READY_PORT: Final = 7403
+_CONTROL_PORT: Final = 7404
+_BORN_MS: Final = 1_700_000_000_000
+_SLOTS: Final = 4
+_TIMEOUT_S: Final = 20.0
+_POLL_S: Final = 0.05
+_DEADLINE_MS: Final = 2_000
+
+
+class PlatformVm:
+    """Runs a daemon beside an upstream.
+
+    Args:
+        number: Number of the VM, from 1 on; its addresses follow from it.
+        service: Service of the upstream.
+        store_address: `host:port` at which the daemon reaches the store.
+        folder: Folder of the settings file and the log.
+        upstream_address: `host:port` at which the daemon reaches the upstream; by default the
+            upstream's own.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        service: str,
+        store_address: str,
+        folder: Path,
+        upstream_address: str = "",
+    ) -> None:
+        self.name = f"vm-{number}"
+        """Name of the VM."""
+        self.upstream = ServiceUpstream(HEADER_NAMES, f"i-{number}")
+        """Upstream on the VM."""
+        self._ip = f"127.0.0.{number + 1}"
+        self._service = service
+        self._store_address = store_address
+        self._upstream_address = upstream_address or self.upstream.address
+        self._file = folder / f"{self.name}.json"
+        self._sequence = 0
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def host(self) -> str:
+        """`host:port` that clients of the VM send requests to."""
+        return self.address(_OUTBOUND_PORT)
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the daemon's process is there."""
+        return self._process is not None and self._process.poll() is None
+
+    def address(self, port: int) -> str:
+        """Returns an address of the VM."""
+        return f"{self._ip}:{port}"
+
+    def start(self, *, is_first_start: bool = True) -> None:
+        """Starts the daemon's process."""
+        self._file.write_bytes(msgspec.json.encode(self._make_settings(is_first_start)))
+        environment = {**os.environ, SETTINGS_VARIABLE: str(self._file)}
+        with self._file.with_suffix(".log").open("ab") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "fulmarstile_adapter"], env=environment, stdout=output
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the daemon, if it is running."""
+        if self._process is not None and self.is_running:
+            self._process.send_signal(number)
+
+    async def wait_end(self) -> None:
+        """Waits until the daemon's process has ended; kills it if that takes too long."""
+        with trio.move_on_after(_TIMEOUT_S):
+            while self.is_running:
+                await trio.sleep(_POLL_S)
+        self.kill()
+
+    def kill(self) -> None:
+        """Ends the daemon's process at once."""
+        self.send_signal(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    async def wait_ready(self) -> None:
+        """Waits until the daemon says that it is ready.
+
+        Raises:
+            trio.TooSlowError: If it does not in 20 s.
+        """
+        async with open_http_client(self.address(_READY_PORT)) as client:
+            with trio.fail_after(_TIMEOUT_S):
+                while True:
+                    try:
+                        answer = await client.request("GET", "/v1/ready")
+                    except HttpError:
+                        await trio.sleep(_POLL_S)
+                        continue
+                    if answer.status == 200:
+                        return
+                    await trio.sleep(_POLL_S)
+
+    async def beat(self, state: str = "ready") -> None:
+        """Has the upstream send a heartbeat.
+
+        Raises:
+            HttpError: If the daemon does not answer.
+            RuntimeError: If it refuses the heartbeat.
+        """
+        self._sequence += 1
+        body = {
+            "Address": self._upstream_address,
+            "Info": {"Service": self._service, "Version": "v1", "Zone": "a", "Slots": _SLOTS},
+            "Status": {"State": state, "Sequence": self._sequence, "ColdLeftS": 0},
+            "born": _BORN_MS,
+        }
+        path = f"/v1/Instances.Heartbeat/{self.upstream.upstream_id}"
+        async with open_http_client(self.address(_CONTROL_PORT)) as client:
+            answer = await client.request("POST", path, msgspec.json.encode(body))
+        if answer.status != 200:
+            raise RuntimeError(f"heartbeat answered with {answer.status}: {answer.body!r}")
+
+    async def call(
+        self, request_id: str, method: str, path: str, body: bytes = b""
+    ) -> HttpResponse:
+        """Sends a request as a client of the VM.
+
+        Raises:
+            HttpError: If there is no whole answer.
+        """
+        headers = {"X-Attempt-Id": request_id, "X-Deadline-Ms": str(_DEADLINE_MS)}
+        async with open_http_client(self.host) as client:
+            return await client.request(method, path, body, headers=headers)
+
+    def _make_settings(self, is_first_start: bool) -> dict[str, Any]:
+        return {
+            "NodeName": self.name,
+            "Ip": self._ip,
+            "Zone": "a",
+            "Region": "r",
+            "Service": self._service,
+            "AppAddr": self._upstream_address,
+            "Listen": {
+                "Inbound": self.address(_INBOUND_PORT),
+                "Outbound": self.address(_OUTBOUND_PORT),
+                "Ready": self.address(_READY_PORT),
+                "Control": self.address(_CONTROL_PORT),
+            },
+            "Limits": {"MemoryMb": 150, "MaxFds": 1_024},
+            "Platform": {"Address": self._store_address},
+            "Bootstrap": is_first_start,
+        }
--- /dev/null
+++ b/tests/processes/test_soak.py
@@ -0,0 +1,61 @@
+"""A short fault soak of real daemons on the stand-in of the users' platform."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from fulmarstile_platform.http import HttpResponse
+from fulmarstile_testing.service_upstream import ServedRequest, UpstreamRecord
+from fulmarstile_testing.users_platform.soak import SoakSettings, run_soak
+from fulmarstile_testing.users_platform.soak_rules import CallRecord, find_violations
+
+SETTINGS = SoakSettings(seed=1, duration_s=8.0)
+
+
+def make_call(status: int, answered_id: str = "call-1", upstream: str = "i-1") -> CallRecord:
+    headers = {"x-attempt-id": answered_id, "x-response-seal": f"seal-{upstream}"}
+    return CallRecord("call-1", "POST", "/order/1", HttpResponse(status, b"", headers))
+
+
+def make_records(**runs: int) -> dict[str, UpstreamRecord]:
+    """Makes what upstreams saw: for each the number of runs of the call."""
+    return {
+        name.replace("_", "-"): UpstreamRecord(
+            [ServedRequest("call-1", "/order/1", {}, ran=True) for _ in range(count)]
+        )
+        for name, count in runs.items()
+    }
+
+
+class SoakTest(unittest.TestCase):
+    def test_no_rule_is_broken_while_faults_come_and_all_is_served_afterwards(self) -> None:
+        report = trio.run(run_soak, SETTINGS)
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.statuses["200"], 0)
+
+
+class SoakRulesTest(unittest.TestCase):
+    def test_a_call_that_ran_once_and_was_answered_breaks_nothing(self) -> None:
+        self.assertEqual(find_violations([make_call(200)], make_records(i_1=1)), [])
+
+    def test_a_request_that_ran_twice_is_found(self) -> None:
+        (found,) = find_violations([make_call(502)], make_records(i_1=1, i_2=1))
+        self.assertIn("ran 2 times", found)
+
+    def test_a_false_refusal_is_found(self) -> None:
+        (found,) = find_violations([make_call(503)], make_records(i_1=1))
+        self.assertIn("refused as not run", found)
+
+    def test_an_answer_of_another_request_is_found(self) -> None:
+        (found,) = find_violations([make_call(200, answered_id="call-2")], make_records(i_1=1))
+        self.assertIn("got the answer of call-2", found)
+
+    def test_an_answer_of_an_upstream_that_did_not_run_the_request_is_found(self) -> None:
+        (found,) = find_violations([make_call(200, upstream="i-2")], make_records(i_1=1, i_2=0))
+        self.assertIn("did not run it", found)
+
+
+if __name__ == "__main__":
+    unittest.main()
