Let the faults of a soak follow from its seed alone

Two runs of seed 1 had different faults: calls and faults drew from one source, in the order of their timing. Now each fault has a source of its own; two runs of seed 1 have the same faults.

--- a/packages/fulmarstile_testing/src/fulmarstile_testing/users_platform/soak.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/users_platform/soak.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import signal
 import sys
@@ -39,6 +40,8 @@
 
 _STORE_PORT: Final = 7405
 _UPSTREAM_PORT: Final = 7406
+_FIRST_WEIGHT: Final = 7
+"""Weight of the first of two services, of 10."""
 _HEARTBEAT_S: Final = 1.0
 _SETTLE_S: Final = 2.0
 """Time for daemons to learn of one another, in seconds."""
@@ -148,7 +151,7 @@
         self.report.statuses.update(call.status_text for call in self._calls)
 
     async def _start(self) -> None:
-        self._configure()
+        self._configure(_FIRST_WEIGHT)
         for vm in self._vms:
             vm.start()
         for vm in self._vms:
@@ -184,43 +187,48 @@
             self._trouble_store,
             self._change_configuration,
         )
-        ends_at = trio.current_time() + self._settings.duration_s
+        settings = self._settings
+        ends_at = trio.current_time() + settings.duration_s
         async with trio.open_nursery() as nursery:
-            while trio.current_time() < ends_at:
-                fault = self._random.choice(faults)
+            for number in itertools.count():
+                # Each fault draws from a source of its own: the sequence does not depend on timing.
+                draw = random.Random(f"fault {settings.seed} {number}")
+                await trio.sleep(draw.expovariate(1 / settings.fault_interval_s))
+                if trio.current_time() >= ends_at:
+                    return
+                fault = draw.choice(faults)
                 self.report.faults[fault.__name__.strip("_")] += 1
-                nursery.start_soon(fault, self._random.choice(self._vms))
-                await trio.sleep(self._random.expovariate(1 / self._settings.fault_interval_s))
+                nursery.start_soon(fault, draw.choice(self._vms), draw)
 
-    async def _kill(self, vm: _SoakVm) -> None:
+    async def _kill(self, vm: _SoakVm, draw: random.Random) -> None:
         vm.kill()
-        await self._restart(vm)
+        await self._restart(vm, draw)
 
-    async def _stop(self, vm: _SoakVm) -> None:
+    async def _stop(self, vm: _SoakVm, draw: random.Random) -> None:
         vm.send_signal(signal.SIGTERM)
         await vm.wait_end()
-        await self._restart(vm)
+        await self._restart(vm, draw)
 
-    async def _restart(self, vm: _SoakVm) -> None:
-        await trio.sleep(self._random.uniform(0.1, 1.0))
+    async def _restart(self, vm: _SoakVm, draw: random.Random) -> None:
+        await trio.sleep(draw.uniform(0.1, 1.0))
         if not vm.is_running:
             vm.start(is_first_start=False)
 
-    async def _freeze(self, vm: _SoakVm) -> None:
+    async def _freeze(self, vm: _SoakVm, draw: random.Random) -> None:
         vm.send_signal(signal.SIGSTOP)
-        await trio.sleep(self._random.uniform(0.2, 1.5))
+        await trio.sleep(draw.uniform(0.2, 1.5))
         vm.send_signal(signal.SIGCONT)
 
-    async def _silence_store(self, vm: _SoakVm) -> None:
+    async def _silence_store(self, vm: _SoakVm, _: random.Random) -> None:
         vm.store_relay.silence()
         await trio.lowlevel.checkpoint()
 
-    async def _silence_upstream(self, vm: _SoakVm) -> None:
+    async def _silence_upstream(self, vm: _SoakVm, _: random.Random) -> None:
         vm.upstream_relay.silence()
         await trio.lowlevel.checkpoint()
 
-    async def _trouble_store(self, _: _SoakVm) -> None:
-        self._store.troubles = self._random.choice(
+    async def _trouble_store(self, _: _SoakVm, draw: random.Random) -> None:
+        self._store.troubles = draw.choice(
             (
                 StoreTroubles(status=503),
                 StoreTroubles(status=429),
@@ -228,16 +236,15 @@
                 StoreTroubles(delay_s=0.3),
             )
         )
-        await trio.sleep(self._random.uniform(0.3, 2.0))
+        await trio.sleep(draw.uniform(0.3, 2.0))
         self._store.troubles = StoreTroubles()
 
-    async def _change_configuration(self, _: _SoakVm) -> None:
-        self._configure()
+    async def _change_configuration(self, _: _SoakVm, draw: random.Random) -> None:
+        self._configure(draw.randrange(11))
         await trio.lowlevel.checkpoint()
 
-    def _configure(self) -> None:
+    def _configure(self, weight: int) -> None:
         self._version += 1
-        weight = self._random.randrange(11)
         hosts = [vm.host for vm in self._vms]
         raw = make_configuration(self._version, hosts, (weight, 10 - weight))
         self._store.put(CONFIG_TOPIC, CONFIG_KEY, raw)
