Say in the log who has a request that is cut when its daemon ends

Before: nothing was written for such a request, and 'stopped' counted what was in flight after it had been cancelled, so it always said 0. 'request_cut' and 'hop_cut' name the stage (waiting, body-offered, sending, sent, begun); 'stopped' counts before the cancellation, and what has arrived in part. 'explain' says that a request was cut. To tell 'sending' from 'sent', a connection between daemons keeps its messages apart until the kernel has taken them.

--- a/packages/fulmarstile_cli/src/fulmarstile_cli/request_trace.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/request_trace.py
@@ -10,7 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-_FINAL_EVENTS: Final = ("call_ended", "call_rejected")
+_CUT_EVENT: Final = "request_cut"
+_FINAL_EVENTS: Final = ("call_ended", "call_rejected", _CUT_EVENT)
 _LEFT_OUT_EVENT: Final = "lines_left_out"
 _OBJECT_START: Final = '{"time":'
 _HIDDEN: Final = frozenset({"time", "daemon", "event", "request_id"})
@@ -73,6 +74,8 @@
         final = self._final_line()
         if final is None:
             return "no daemon logged a final answer; it may have been left out, or its caller left"
+        if final.event == _CUT_EVENT:
+            return f"cut off without an answer when its daemon ended: {final.fields['stage']}"
         status = final.fields.get("status", 0)
         reason = final.fields.get("reason", "")
         if status < 400:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -7,6 +7,7 @@
 
 import xxhash
 
+from fulmarstile_daemon.services._handover import Handover
 from fulmarstile_services.retry_policy import AttemptRecord
 from fulmarstile_wire.services import HopOutcome, MemberPhase
 
@@ -45,6 +46,10 @@
     """Last failure that an upstream answered with."""
     last_daemon: str = ""
     last_upstream: str = ""
+    handover: Handover = field(default_factory=Handover)
+    """How far the last attempt has come."""
+    attempted_at: float = 0.0
+    """Time at which the last attempt began, in seconds."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -21,6 +22,25 @@
     """The connection to another daemon ended or broke."""
 
 
+class OutgoingFrame:
+    """A message on its way out.
+
+    Args:
+        data: The whole message as it is sent.
+    """
+
+    __slots__ = ("unsent",)
+
+    def __init__(self, data: bytes) -> None:
+        self.unsent = memoryview(data)
+        """What the kernel has not taken yet."""
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether the kernel has taken all of it, so that the other side may read it."""
+        return not self.unsent
+
+
 class FrameStream:
     """Sends and receives messages.
 
@@ -33,7 +53,8 @@
     def __init__(self, stream: ByteStream) -> None:
         self._stream = stream
         self._decoder = FrameDecoder()
-        self._unsent = bytearray()
+        self._unsent: deque[OutgoingFrame] = deque()
+        self._unsent_bytes = 0
         self._has_unsent = trio.Event()
 
     @property
@@ -41,31 +62,31 @@
         """Whether the connection is closed on this side."""
         return self._stream.is_closed
 
-    def send(self, message: LinkMessage) -> None:
+    def send(self, message: LinkMessage) -> OutgoingFrame:
         """Sends a message.
 
         Args:
             message: The message.
 
+        Returns:
+            The message on its way.
+
         Raises:
             LinkBrokenError: If the connection is broken or takes too little.
         """
-        data = encode_frame(message)
+        frame = OutgoingFrame(encode_frame(message))
         if self._stream.is_closed:
             raise LinkBrokenError("the connection is closed")
-        if self._unsent:
-            self._unsent += data
-        else:
-            try:
-                sent = self._stream.send_now(data)
-            except OSError as error:
-                raise LinkBrokenError(f"sending failed: {error}") from error
-            self._unsent += data[sent:]
-        if len(self._unsent) > _MAX_UNSENT_BYTES:
+        if not self._unsent:
+            self._push(frame)
+        if frame.unsent:
+            self._unsent.append(frame)
+            self._unsent_bytes += len(frame.unsent)
+            self._has_unsent.set()
+        if self._unsent_bytes > _MAX_UNSENT_BYTES:
             self.close()
             raise LinkBrokenError("the other daemon takes too little")
-        if self._unsent:
-            self._has_unsent.set()
+        return frame
 
     async def send_forever(self) -> None:
         """Sends what could not be sent at once, until the connection ends.
@@ -77,13 +98,26 @@
             await self._has_unsent.wait()
             try:
                 await self._stream.wait_writable()
-                sent = self._stream.send_now(self._unsent)
             except (OSError, trio.ClosedResourceError) as error:
                 raise LinkBrokenError(f"sending failed: {error}") from error
-            del self._unsent[:sent]
-            if not self._unsent:
+            while self._unsent:
+                frame = self._unsent[0]
+                self._unsent_bytes -= self._push(frame)
+                if frame.unsent:
+                    break
+                self._unsent.popleft()
+            else:
                 self._has_unsent = trio.Event()
 
+    def _push(self, frame: OutgoingFrame) -> int:
+        """Hands the kernel as much of a message as it takes, and returns how much that was."""
+        try:
+            sent = self._stream.send_now(frame.unsent)
+        except OSError as error:
+            raise LinkBrokenError(f"sending failed: {error}") from error
+        frame.unsent = frame.unsent[sent:]
+        return sent
+
     async def receive(self) -> list[LinkMessage]:
         """Receives messages.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -31,6 +31,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from fulmarstile_daemon.services._frame_stream import OutgoingFrame
+    from fulmarstile_daemon.services._handover import Handover
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_wire.services import HopRequest, Member, SyncReply, SyncRequest
 
@@ -84,8 +86,8 @@
         pending = self._pending[self._next_id] = _Pending()
         return self._next_id, pending
 
-    def send(self, message: Hello | HopCall | HopCancel | SyncCall | BodyOffer) -> None:
-        self._frames.send(message)
+    def send(self, message: Hello | HopCall | HopCancel | SyncCall | BodyOffer) -> OutgoingFrame:
+        return self._frames.send(message)
 
     def end(self, call_id: int) -> None:
         """Forgets a call; the other daemon is told if it may still work on it."""
@@ -166,7 +168,7 @@
         self._links.clear()
 
     async def forward(
-        self, member: Member, hop: HopRequest, request: ReceivedRequest
+        self, member: Member, hop: HopRequest, request: ReceivedRequest, handover: Handover
     ) -> AttemptResult:
         """Forwards a request to the daemon beside its upstream.
 
@@ -174,6 +176,7 @@
             member: The daemon.
             hop: What it must know.
             request: The request.
+            handover: Told how far the request has come.
 
         Returns:
             How the attempt ended.
@@ -186,9 +189,11 @@
         try:
             if _is_offered(member, len(request.body)):
                 link.send(BodyOffer(call_id, len(request.body)))
+                handover.offer()
                 hop = await _await_grant(pending, hop)
             headers = request.headers.passed_on
-            link.send(HopCall(call_id, hop, request.method, request.target, headers, request.body))
+            call = HopCall(call_id, hop, request.method, request.target, headers, request.body)
+            handover.send(link.send(call))
             await pending.event.wait()
         except LinkBrokenError:
             # The message was not sent whole, so the other daemon cannot have read it.
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -80,6 +80,14 @@
         """Requests that have no answer yet."""
         return len(self._in_flight)
 
+    @property
+    def arriving(self) -> int:
+        """Requests that have arrived in part."""
+        return sum(
+            connection.awaits_answer and connection not in self._in_flight
+            for connection in self._connections
+        )
+
     @property
     def connections(self) -> int:
         """Connections open."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -26,6 +26,7 @@
     from collections.abc import Callable
 
     from fulmarstile_daemon.services._exchange import Answer
+    from fulmarstile_daemon.services._handover import Handover
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.ports import CallHeaderNames
@@ -158,7 +159,12 @@
         await self._slots.tick_forever()
 
     async def run(
-        self, hop: HopRequest, request: ReceivedRequest, deadline: float, useful_until: float
+        self,
+        hop: HopRequest,
+        request: ReceivedRequest,
+        deadline: float,
+        useful_until: float,
+        handover: Handover,
     ) -> AttemptResult:
         """Runs one request, or refuses it.
 
@@ -168,6 +174,7 @@
             deadline: Time by which the caller needs the answer, in seconds; the caller of this
                 cancels it then.
             useful_until: Time until which waiting for a slot is of use, in seconds.
+            handover: Told when the upstream gets the request.
 
         Returns:
             How it ended.
@@ -187,7 +194,7 @@
         self._classes[request_id] = SlotClass(min(hop.priority, SlotClass.OTHER))
         started_at = trio.current_time()
         try:
-            result = await self._run_admitted(hop, request, deadline)
+            result = await self._run_admitted(hop, request, deadline, handover)
         finally:
             del self._running[ticket_id]
             self._classes.pop(request_id, None)
@@ -219,7 +226,7 @@
         return None
 
     async def _run_admitted(
-        self, hop: HopRequest, request: ReceivedRequest, deadline: float
+        self, hop: HopRequest, request: ReceivedRequest, deadline: float, handover: Handover
     ) -> AttemptResult:
         pool = self._pool
         # The upstream may have been replaced by one of another service meanwhile.
@@ -240,6 +247,7 @@
             self._make_headers(hop, request, deadline),
             request.body,
         )
+        handover.begin()
         started_at = trio.current_time()
         is_whole = False
         try:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -240,8 +240,14 @@
                 nursery.start_soon(self._obey, signals)
                 await self._stop_wanted.wait()
                 await self._stop()
+                # What is in flight now is cut off by the cancellation.
+                self._log.write(
+                    Stopped(
+                        in_flight=self._callers.in_flight + self._peers.in_flight,
+                        arriving=self._callers.arriving,
+                    )
+                )
                 nursery.cancel_scope.cancel()
-        self._log.write(Stopped(in_flight=self._callers.in_flight + self._peers.in_flight))
         self._log.flush()
 
     async def _serve_questions(self, nursery: trio.Nursery) -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -15,6 +15,7 @@
     fingerprint,
     make_failure,
 )
+from fulmarstile_daemon.services._handover import Handover
 from fulmarstile_daemon.services._hedges import Hedge, Hedges
 from fulmarstile_daemon.services._links import DaemonUnreachableError
 from fulmarstile_daemon.services._request_server import make_error_reply
@@ -26,6 +27,7 @@
     CallServed,
     DependencyLost,
     HedgeStarted,
+    RequestCut,
 )
 from fulmarstile_services.hedging import HedgeTimer
 from fulmarstile_services.retry_policy import RetryRules
@@ -139,7 +141,26 @@
             reply = make_error_reply(503, "the daemon stops", _STOPPING_RETRY_S)
             return self._finish(call, reply, RefusalReason.DRAINING.value, _STOPPING_RETRY_S)
         self._budget.on_request(call.service)
-        return await self._run(call)
+        try:
+            return await self._run(call)
+        except trio.Cancelled:
+            if not ending.scope.cancel_called:
+                self._log_cut(call)
+            raise
+
+    def _log_cut(self, call: ServiceCall) -> None:
+        now = trio.current_time()
+        self._log.write(
+            RequestCut(
+                request_id=call.request_id,
+                stage=call.handover.stage.value,
+                daemon_tried=call.last_daemon,
+                body_bytes=len(call.request.body),
+                elapsed_ms=round((now - call.request.arrived_at) * 1000, 1),
+                attempt_ms=round((now - call.attempted_at) * 1000, 1),
+                left_ms=round((call.deadline - now) * 1000, 1),
+            )
+        )
 
     def _reject(self, request: ReceivedRequest, reply: Reply, reason: RefusalReason) -> Reply:
         """Answers a request for which there is no route."""
@@ -245,7 +266,8 @@
         call.ending.end_with(partial(self._conclude, call, result))
 
     async def _attempt(self, call: ServiceCall, member: Member) -> AttemptResult:
-        now = trio.current_time()
+        now = call.attempted_at = trio.current_time()
+        handover = call.handover = Handover()
         call.last_daemon = member.name
         call.last_upstream = member.upstream_id
         hop = HopRequest(
@@ -262,7 +284,7 @@
         self._balancer.on_sent(member, now)
         result: AttemptResult | None = None
         try:
-            result = await self._send(call, member, hop)
+            result = await self._send(call, member, hop, handover)
             return result
         finally:
             ended_at = trio.current_time()
@@ -283,11 +305,15 @@
             if result is not None and result.is_good:
                 self._hedge_timer.observe(call.route, ended_at - now)
 
-    async def _send(self, call: ServiceCall, member: Member, hop: HopRequest) -> AttemptResult:
+    async def _send(
+        self, call: ServiceCall, member: Member, hop: HopRequest, handover: Handover
+    ) -> AttemptResult:
         if member.name == self._directory.own.name:
-            return await self._upstream.run(hop, call.request, call.deadline, call.useful_until)
+            return await self._upstream.run(
+                hop, call.request, call.deadline, call.useful_until, handover
+            )
         try:
-            return await self._links.forward(member, hop, call.request)
+            return await self._links.forward(member, hop, call.request, handover)
         except DaemonUnreachableError as error:
             if self._balancer.set_reachable(member, False, trio.current_time()):
                 self._log.write(DependencyLost(dependency=member.name, reason=str(error)))
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -96,6 +96,32 @@
     elapsed_ms: float
 
 
+class RequestCut(LogEvent, tag="request_cut"):
+    """The daemon ends before a caller got an answer to its request."""
+
+    lines_per_s: ClassVar[int | None] = None
+    request_id: str
+    stage: str
+    """Who had the request then, see `HandoverStage`."""
+    daemon_tried: str
+    body_bytes: int
+    elapsed_ms: float
+    attempt_ms: float
+    """Time since the last attempt began."""
+    left_ms: float
+    """Time until its caller would have needed the answer."""
+
+
+class HopCut(LogEvent, tag="hop_cut"):
+    """The daemon beside the upstream ends before it answered another daemon."""
+
+    lines_per_s: ClassVar[int | None] = None
+    request_id: str
+    stage: str
+    waited_ms: float
+    left_ms: float
+
+
 class Started(LogEvent, tag="started"):
     """The daemon listens."""
 
@@ -118,6 +144,9 @@
 
     lines_per_s: ClassVar[int | None] = None
     in_flight: int
+    """Requests of callers and of other daemons that got no answer."""
+    arriving: int = 0
+    """Requests of callers that had arrived in part."""
 
 
 class SettingsReloaded(LogEvent, tag="settings_reloaded"):
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
@@ -10,8 +10,9 @@
 
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._call import make_failure
+from fulmarstile_daemon.services._handover import Handover
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
-from fulmarstile_daemon.services.events import HopEnded
+from fulmarstile_daemon.services.events import HopCut, HopEnded
 from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_wire.services import HopAnswer
 from fulmarstile_wire.verdict import Verdict
@@ -75,7 +76,14 @@
         if deadline > self.stops_at:
             failure = make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING)
             return self._refuse(failure, call, request)
-        result = await self._upstream.run(hop, request, deadline, arrived_at + hop.useful_ms / 1000)
+        handover = Handover()
+        useful_until = arrived_at + hop.useful_ms / 1000
+        try:
+            result = await self._upstream.run(hop, request, deadline, useful_until, handover)
+        except trio.Cancelled:
+            if math.isfinite(self.stops_at):
+                self._log_cut(request, handover, deadline)
+            raise
         answer = result.answer
         if answer is None:
             return self._refuse(result.outcome, call, request)
@@ -84,6 +92,17 @@
             call.call_id, outcome, answer.status, answer.headers.passed_on, answer.body
         )
 
+    def _log_cut(self, request: ReceivedRequest, handover: Handover, deadline: float) -> None:
+        now = trio.current_time()
+        self._log.write(
+            HopCut(
+                request_id=request.headers.find(self._names.request_id),
+                stage=handover.stage.value,
+                waited_ms=round((now - request.arrived_at) * 1000, 1),
+                left_ms=round((deadline - now) * 1000, 1),
+            )
+        )
+
     def _refuse(self, outcome: HopOutcome, call: HopCall, request: ReceivedRequest) -> HopAnswer:
         waited_s = trio.current_time() - request.arrived_at
         if outcome.reached_upstream or waited_s >= _QUICK_S:
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -103,7 +103,7 @@
             self.sent_bytes += count
             unsent = unsent[count:]
 
-    def send_now(self, data: bytes | bytearray) -> int:
+    def send_now(self, data: bytes | memoryview) -> int:
         """Sends as much as the kernel takes without waiting.
 
         Args:
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -23,6 +23,7 @@
 "reason":"queue-full","refused_by":["d-2:deadline"]}
 {"time":100.0080,"daemon":"d-1","event":"call_rejected","request_id":"r4","status":404,\
 "reason":"no-route","document_version":7}
+{"time":100.0090,"daemon":"d-1","event":"request_cut","request_id":"r5","stage":"body-offered"}
 {"time":1
 """
 HOP = """\
@@ -57,6 +58,10 @@
         self.assertIn("7 of CallEnded", output)
         self.assertIn("could not be read: 1", output)
 
+    def test_a_request_that_ended_without_an_answer_is_said_to_be_cut(self) -> None:
+        _, output = self.explain("r5", *self.files)
+        self.assertIn("cut off without an answer when its daemon ended: body-offered", output)
+
     def test_refusals_and_answers_have_verdicts_of_their_own(self) -> None:
         self.assertIn("refused with 503, not run: queue-full", self.explain("r3", *self.files)[1])
         self.assertIn("answered with 200 by i-1", self.explain("r2", *self.files)[1])
--- a/tests/services/test_calls_of_upstreams.py
+++ b/tests/services/test_calls_of_upstreams.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from fulmarstile_daemon.services._handover import Handover
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services.event_log import EventLog
@@ -35,7 +36,7 @@
                 deadline = trio.current_time() + 5.0
                 request = make_request(b"parent", trio.current_time())
                 async with trio.open_nursery() as calls:
-                    calls.start_soon(local.run, HOP, request, deadline, deadline)
+                    calls.start_soon(local.run, HOP, request, deadline, deadline, Handover())
                     while not local.running:
                         await trio.sleep(0.01)
                     self.assertIs(local.find_parent(b"parent.call"), SlotClass.URGENT)
--- a/tests/services/test_upstream_crashes.py
+++ b/tests/services/test_upstream_crashes.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from fulmarstile_daemon.services._handover import Handover
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services.event_log import EventLog
@@ -53,7 +54,7 @@
         async def run_hop(local: LocalUpstream, number: int, fingerprint: bytes) -> None:
             hop = msgspec.structs.replace(HOP, fingerprint=fingerprint)
             deadline = trio.current_time() + 5.0
-            result = await local.run(hop, make_request(number), deadline, deadline)
+            result = await local.run(hop, make_request(number), deadline, deadline, Handover())
             verdicts.append(result.outcome.verdict)
 
         async def run() -> None:
--- a/tests/services/test_way_of_requests.py
+++ b/tests/services/test_way_of_requests.py
@@ -25,7 +25,7 @@
 class _SlowUpstream:
     """Answers after a while that the request has not run."""
 
-    async def run(self, hop, request, deadline, useful_until):
+    async def run(self, hop, request, deadline, useful_until, handover):
         await trio.sleep(SPENT_S)
         return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.OVERLOADED))
 
