Count answers that are being sent as in flight when a daemon stops

What callers saw: a reset in the middle of a large answer that they read slowly, if their daemon was told to stop meanwhile. Cause: a request counted as answered once its answer was handed over for sending, on connections of callers as on those of daemons; a body granted to another daemon did not count at all. The stop found nothing in flight and ended the process. Evidence: the new test of tests.services.test_stopping fails before with 'ConnectionResetError: [Errno 104]', passes after; a wait for what has not left ends at the latest with the grace time, as before.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_body_gate.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_body_gate.py
@@ -37,6 +37,11 @@
         self._granted: dict[OfferKey, int] = {}
         self._waiting: dict[OfferKey, _Offer] = {}
 
+    @property
+    def granted(self) -> int:
+        """Bodies that are on their way."""
+        return len(self._granted)
+
     @property
     def wait_s(self) -> float:
         """Time until a body that is offered now would be granted, in seconds."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -62,6 +62,11 @@
         """Whether the connection is closed on this side."""
         return self._stream.is_closed
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether messages wait for the kernel to take them."""
+        return bool(self._unsent)
+
     def send(self, message: LinkMessage) -> OutgoingFrame:
         """Sends a message.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -51,11 +51,19 @@
         self._answer_sync = answer_sync
         self._gate = gate
         self._in_flight = 0
+        self._connections: dict[FrameStream, None] = {}
 
     @property
     def in_flight(self) -> int:
-        """Requests that have no answer yet."""
-        return self._in_flight
+        """Requests that have no answer yet, and bodies that are on their way."""
+        return self._in_flight + self._gate.granted
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether nothing is in flight and all answers have left."""
+        if self.in_flight:
+            return False
+        return not any(frames.has_unsent for frames in self._connections)
 
     async def serve(
         self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
@@ -77,6 +85,7 @@
     async def _serve_connection(self, stream: ByteStream) -> None:
         frames = FrameStream(stream)
         calls: dict[int, trio.CancelScope] = {}
+        self._connections[frames] = None
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(frames.send_forever)
@@ -85,6 +94,7 @@
             logger.info("a connection from a daemon ended: {}", group.exceptions[0])
         finally:
             self._gate.release_all(frames)
+            del self._connections[frames]
             frames.close()
 
     async def _serve_messages(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -94,7 +94,7 @@
         return len(self._connections)
 
     def is_quiet(self, for_s: float) -> bool:
-        """Tells whether all requests are answered, no part of one is there and none came lately.
+        """Tells whether all answers have left, no part of a request is there and none came lately.
 
         Args:
             for_s: Time for which none came, in seconds.
@@ -102,7 +102,7 @@
         Returns:
             Whether that is so.
         """
-        if any(connection.awaits_answer for connection in self._connections):
+        if any(connection.is_busy for connection in self._connections):
             return False
         return trio.current_time() - self._last_request_at >= for_s
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -78,6 +78,7 @@
         self._parser = RequestParser()
         self._method = b""
         self._awaits_answer = False
+        self._is_sending = False
         self._has_closed = False
         self.idle_since = trio.current_time()
         """Time from which the next request is awaited, in seconds."""
@@ -96,6 +97,11 @@
         """Whether a part of a request has arrived and no answer was sent."""
         return self._awaits_answer
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a part of a request has arrived and its answer has not left whole."""
+        return self._awaits_answer or self._is_sending
+
     @property
     def has_ended(self) -> bool:
         """Whether the other side has closed or broken the connection."""
@@ -153,7 +159,11 @@
         if reply.status not in _NO_BODY_STATUSES and self._method != b"HEAD":
             data += reply.body
         self._awaits_answer = False
-        await self._send(data)
+        self._is_sending = True
+        try:
+            await self._send(data)
+        finally:
+            self._is_sending = False
         self.idle_since = trio.current_time()
         self.is_idle = True
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -324,7 +324,7 @@
             await self._announcements.stop()
             await trio.sleep(_REFUSE_HOPS_S)
             self._upstream.stop()
-            while self._peers.in_flight or not self._callers.is_quiet(_QUIET_CALLERS_S):
+            while not (self._peers.is_quiet and self._callers.is_quiet(_QUIET_CALLERS_S)):
                 await trio.sleep(_POLL_S)
 
     async def _poll_settings(self) -> None:
--- a/tests/services/test_stopping.py
+++ b/tests/services/test_stopping.py
@@ -15,6 +15,8 @@
     make_route(prefix="/slow/", timeout_s=4.0),
     make_route(prefix="/long/", timeout_s=60.0),
 )
+ANSWER_BYTES = 30_000_000
+READ_BYTES_PER_S = 10_000_000
 UPLOAD_BODY = b"x" * 1000
 UPLOAD_HEAD = (
     b"POST /slow/a HTTP/1.1\r\nhost: shop.example\r\nrequest-id: upload-1\r\n"
@@ -105,6 +107,22 @@
 
         trio.run(run)
 
+    def test_an_answer_that_its_caller_reads_slowly_is_sent_to_its_end(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                entry = mesh.nodes[0]
+                async with ServiceClient(await connect(entry.address)) as client:
+                    await client.send(f"/slow/a?size={ANSWER_BYTES}", wait_ms=4_000)
+                    await client.stream.receive_some(1)
+                    entry.stop()
+                    received = 1
+                    while data := await client.stream.receive_some(1 << 20):
+                        received += len(data)
+                        await trio.sleep(len(data) / READ_BYTES_PER_S)
+                self.assertGreaterEqual(received, ANSWER_BYTES)
+
+        trio.run(run)
+
     def test_a_daemon_without_callers_ends_and_the_others_know(self) -> None:
         async def run() -> None:
             async with serve_mesh("shop", "stock") as mesh:
