Withdraw at a stop what no upstream has, and answer what is left at its end

Cause: the waits of a request (grant of its body, turn on a connection, slot of an upstream) are bounded by its caller's deadline alone, 12 s there, and nothing shortened them when the daemon had 6 s left; its end cancelled the tasks above the request, and nobody owned its final answer. Class: a scope that is cancelled from above ends a request that nobody concludes, and what is said of a request is not derived from who has it.

Now each attempt has a 'Handover' that says who has the request. At the hand-over, 1.6 s before the end, all in flight is withdrawn: an offered or unsent body is taken back, another daemon is told to refuse what has no slot yet (HopWithdraw; protocol version 2) and refuses the bodies that wait for it. At the end whatever is left is concluded: 503 with Retry-After where no upstream can have it, 502 where one may. The same knowledge decides when time runs out (504 was said of requests that had never left) or when a connection breaks within a request, which then goes to another daemon. A call whose cancellation arrives with it is not started.

Evidence: of tests.services.test_stopping_in_flight and test_handover, six fail before: '(0, False) != (503, True)' three times, '(0, False) != (502, True)', '504 != 503', '502 != 200'. All pass after.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_body_gate.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_body_gate.py
@@ -7,6 +7,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from fulmarstile_daemon.services._frame_stream import FrameStream
+
 _GRANTED_S: Final = 0.25
 """Time for which the bodies on their way fill the link, in seconds."""
 
@@ -14,7 +16,7 @@
 class OfferKey(NamedTuple):
     """Names an offer."""
 
-    connection: object
+    connection: FrameStream
     call_id: int
 
 
@@ -36,6 +38,8 @@
         self._bytes_per_s = bytes_per_s
         self._granted: dict[OfferKey, int] = {}
         self._waiting: dict[OfferKey, _Offer] = {}
+        self.is_closed = False
+        """Whether nothing more is granted."""
 
     @property
     def granted(self) -> int:
@@ -61,6 +65,17 @@
         self._waiting[key] = _Offer(size, grant)
         self._grant_next()
 
+    def close(self) -> tuple[OfferKey, ...]:
+        """Grants nothing more.
+
+        Returns:
+            The offers that waited.
+        """
+        self.is_closed = True
+        waiting = tuple(self._waiting)
+        self._waiting.clear()
+        return waiting
+
     def release(self, key: OfferKey) -> None:
         """Notes that a body has arrived, or that it won't be sent."""
         if not self._granted:
@@ -69,7 +84,7 @@
         self._waiting.pop(key, None)
         self._grant_next()
 
-    def release_all(self, connection: object) -> None:
+    def release_all(self, connection: FrameStream) -> None:
         """Notes that a connection has ended."""
         for key in [
             key for key in (*self._granted, *self._waiting) if key.connection is connection
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -48,9 +48,24 @@
     last_upstream: str = ""
     handover: Handover = field(default_factory=Handover)
     """How far the last attempt has come."""
+    unknown: list[Handover] = field(default_factory=list)
+    """Attempts of which it is not known how they end."""
+    is_withdrawn: bool = False
+    """Whether no upstream is to get the request any more."""
     attempted_at: float = 0.0
     """Time at which the last attempt began, in seconds."""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request, or may still do so."""
+        return self.record.may_have_run or any(each.may_have_begun for each in self.unknown)
+
+    def withdraw(self) -> None:
+        """Keeps the request from all upstreams that do not have it yet."""
+        self.is_withdrawn = True
+        for handover in self.unknown:
+            handover.withdraw()
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -29,12 +29,18 @@
         data: The whole message as it is sent.
     """
 
-    __slots__ = ("unsent",)
+    __slots__ = ("_size", "unsent")
 
     def __init__(self, data: bytes) -> None:
+        self._size = len(data)
         self.unsent = memoryview(data)
         """What the kernel has not taken yet."""
 
+    @property
+    def is_untouched(self) -> bool:
+        """Whether the kernel has taken nothing of it."""
+        return len(self.unsent) == self._size
+
     @property
     def is_sent(self) -> bool:
         """Whether the kernel has taken all of it, so that the other side may read it."""
@@ -93,6 +99,21 @@
             raise LinkBrokenError("the other daemon takes too little")
         return frame
 
+    def take_back(self, frame: OutgoingFrame) -> bool:
+        """Drops a message of which nothing was sent.
+
+        Args:
+            frame: The message.
+
+        Returns:
+            Whether it was dropped; False if the other side may get it.
+        """
+        if not frame.is_untouched or frame not in self._unsent:
+            return False
+        self._unsent.remove(frame)
+        self._unsent_bytes -= len(frame.unsent)
+        return True
+
     async def send_forever(self) -> None:
         """Sends what could not be sent at once, until the connection ends.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -7,26 +7,33 @@
 import trio
 from loguru import logger
 
+from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._body_gate import BodyGate, OfferKey
+from fulmarstile_daemon.services._call import make_failure
 from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
+from fulmarstile_daemon.services._handover import Handover
 from fulmarstile_http.listener import accept_forever, listen
 from fulmarstile_wire.services import (
     PROTOCOL_VERSION,
     BodyGrant,
     BodyOffer,
     Hello,
+    HopAnswer,
     HopCall,
     HopCancel,
+    HopWithdraw,
+    MemberPhase,
     SyncAnswer,
     SyncCall,
 )
+from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_http.listener import OutOfDescriptorsError
-    from fulmarstile_wire.services import HopAnswer, LinkMessage, SyncReply, SyncRequest
+    from fulmarstile_wire.services import LinkMessage, SyncReply, SyncRequest
 
 
 class LinkServer:
@@ -43,7 +50,7 @@
 
     def __init__(
         self,
-        answer_call: Callable[[HopCall, float], Awaitable[HopAnswer]],
+        answer_call: Callable[[HopCall, float, Handover], Awaitable[HopAnswer]],
         answer_sync: Callable[[SyncRequest], SyncReply],
         gate: BodyGate,
     ) -> None:
@@ -65,6 +72,11 @@
             return False
         return not any(frames.has_unsent for frames in self._connections)
 
+    def refuse_bodies(self) -> None:
+        """Refuses the large bodies that wait for their turn, and all later ones."""
+        for key in self._gate.close():
+            self._refuse_body(key)
+
     async def serve(
         self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -84,7 +96,7 @@
 
     async def _serve_connection(self, stream: ByteStream) -> None:
         frames = FrameStream(stream)
-        calls: dict[int, trio.CancelScope] = {}
+        calls: dict[int, _ServedCall] = {}
         self._connections[frames] = None
         try:
             async with trio.open_nursery() as nursery:
@@ -98,7 +110,7 @@
             frames.close()
 
     async def _serve_messages(
-        self, frames: FrameStream, calls: dict[int, trio.CancelScope], nursery: trio.Nursery
+        self, frames: FrameStream, calls: dict[int, _ServedCall], nursery: trio.Nursery
     ) -> None:
         is_known = False
         while True:
@@ -108,14 +120,17 @@
                     is_known = True
                 elif isinstance(message, HopCall):
                     self._gate.release(OfferKey(frames, message.call_id))
-                    nursery.start_soon(self._serve_call, frames, calls, message)
+                    served = calls[message.call_id] = _ServedCall(message)
+                    nursery.start_soon(self._serve_call, frames, calls, served)
                 elif isinstance(message, BodyOffer):
                     self._take_offer(frames, message)
                 elif isinstance(message, HopCancel):
                     self._gate.release(OfferKey(frames, message.call_id))
-                    scope = calls.get(message.call_id)
-                    if scope is not None:
-                        scope.cancel()
+                    if message.call_id in calls:
+                        calls[message.call_id].scope.cancel()
+                elif isinstance(message, HopWithdraw):
+                    if message.call_id in calls:
+                        calls[message.call_id].handover.withdraw()
                 elif isinstance(message, SyncCall):
                     reply = self._answer_sync(message.request)
                     frames.send(SyncAnswer(message.call_id, reply))
@@ -127,17 +142,28 @@
             except LinkBrokenError as error:
                 logger.info("a body could not be granted: {}", error)
 
-        self._gate.offer(OfferKey(frames, offer.call_id), offer.size, grant)
+        key = OfferKey(frames, offer.call_id)
+        if self._gate.is_closed:
+            self._refuse_body(key)
+        else:
+            self._gate.offer(key, offer.size, grant)
+
+    def _refuse_body(self, key: OfferKey) -> None:
+        outcome = make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING, phase=MemberPhase.STOPPED)
+        try:
+            key.connection.send(HopAnswer(key.call_id, outcome))
+        except LinkBrokenError as error:
+            logger.info("a body could not be refused: {}", error)
 
     async def _serve_call(
-        self, frames: FrameStream, calls: dict[int, trio.CancelScope], call: HopCall
+        self, frames: FrameStream, calls: dict[int, _ServedCall], served: _ServedCall
     ) -> None:
-        deadline = trio.current_time() + call.hop.left_ms / 1000
-        scope = calls[call.call_id] = trio.CancelScope(deadline=deadline)
+        call = served.call
         self._in_flight += 1
         try:
-            with scope:
-                frames.send(await self._answer_call(call, deadline))
+            with served.scope:
+                await trio.lowlevel.checkpoint_if_cancelled()
+                frames.send(await self._answer_call(call, served.deadline, served.handover))
         except LinkBrokenError as error:
             logger.info("an answer could not be sent: {}", error)
         except Exception:
@@ -148,6 +174,19 @@
             del calls[call.call_id]
 
 
+class _ServedCall:
+    """A forwarded request that is being answered."""
+
+    __slots__ = ("call", "deadline", "handover", "scope")
+
+    def __init__(self, call: HopCall) -> None:
+        self.call = call
+        self.deadline = trio.current_time() + call.hop.left_ms / 1000
+        """Time at which the other daemon waits no longer, in seconds."""
+        self.scope = trio.CancelScope(deadline=self.deadline)
+        self.handover = Handover()
+
+
 def _check_hello(message: LinkMessage) -> None:
     if not isinstance(message, Hello) or message.version != PROTOCOL_VERSION:
         raise LinkBrokenError("the other daemon speaks another protocol")
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -12,6 +13,7 @@
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
 from fulmarstile_daemon.services._exchange import Answer
 from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
+from fulmarstile_daemon.services._handover import HandoverStage
 from fulmarstile_http.byte_stream import open_stream
 from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_wire.errors import FulmarstileError
@@ -23,6 +25,7 @@
     HopAnswer,
     HopCall,
     HopCancel,
+    HopWithdraw,
     SyncAnswer,
     SyncCall,
 )
@@ -34,7 +37,7 @@
     from fulmarstile_daemon.services._frame_stream import OutgoingFrame
     from fulmarstile_daemon.services._handover import Handover
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
-    from fulmarstile_wire.services import HopRequest, Member, SyncReply, SyncRequest
+    from fulmarstile_wire.services import HopOutcome, HopRequest, Member, SyncReply, SyncRequest
 
 _LARGE_BODY_BYTES: Final = 32 * 1024
 """Size from which a body goes over the second connection, where small ones don't wait for it."""
@@ -61,7 +64,7 @@
         self.event = trio.Event()
         self.answer: HopAnswer | SyncAnswer | None = None
         self.granted = trio.Event()
-        """Set once the body is to be sent, or the connection broke."""
+        """Set once it is known whether the body is to be sent."""
         self.is_lost = False
         """Whether the connection broke before the answer."""
 
@@ -86,18 +89,49 @@
         pending = self._pending[self._next_id] = _Pending()
         return self._next_id, pending
 
-    def send(self, message: Hello | HopCall | HopCancel | SyncCall | BodyOffer) -> OutgoingFrame:
+    def send(self, message: Hello | HopCall | SyncCall | BodyOffer) -> OutgoingFrame:
         return self._frames.send(message)
 
+    def withdraw(self, call_id: int, handover: Handover) -> None:
+        """Has a call refused unless its upstream has it."""
+        pending = self._pending[call_id]
+        if handover.frame is None:
+            pending.granted.set()
+        elif self._take_back(handover):
+            pending.event.set()
+        else:
+            self._tell(HopWithdraw(call_id))
+
+    def abandon(self, handover: Handover) -> None:
+        """Keeps the rest of a call from the other daemon, whose answer comes too late.
+
+        Of a call that was withdrawn, because this daemon ends, the connection is given up, too.
+        """
+        if handover.stage is not HandoverStage.SENDING or self._take_back(handover):
+            return
+        if handover.is_withdrawn:
+            self.close()
+            handover.take_back()
+
+    def _take_back(self, handover: Handover) -> bool:
+        frame = handover.frame
+        if frame is None or not self._frames.take_back(frame):
+            return False
+        handover.take_back()
+        return True
+
+    def _tell(self, message: HopCancel | HopWithdraw) -> None:
+        try:
+            self._frames.send(message)
+        except LinkBrokenError:
+            self.close()
+
     def end(self, call_id: int) -> None:
         """Forgets a call; the other daemon is told if it may still work on it."""
         pending = self._pending.pop(call_id, None)
         if pending is None or pending.event.is_set() or self._frames.is_closed:
             return
-        try:
-            self._frames.send(HopCancel(call_id))
-        except LinkBrokenError:
-            self.close()
+        self._tell(HopCancel(call_id))
 
     def close(self) -> None:
         self._frames.close()
@@ -130,6 +164,7 @@
             pending.granted.set()
             return
         pending.answer = message
+        pending.granted.set()
         pending.event.set()
 
 
@@ -186,30 +221,30 @@
         """
         link = await self._find(member.address, len(request.body) >= _LARGE_BODY_BYTES)
         call_id, pending = link.begin()
+        handover.on_withdrawn = partial(link.withdraw, call_id, handover)
         try:
             if _is_offered(member, len(request.body)):
                 link.send(BodyOffer(call_id, len(request.body)))
                 handover.offer()
                 hop = await _await_grant(pending, hop)
-            headers = request.headers.passed_on
-            call = HopCall(call_id, hop, request.method, request.target, headers, request.body)
-            handover.send(link.send(call))
-            await pending.event.wait()
+            if pending.answer is None and not handover.is_withdrawn:
+                headers = request.headers.passed_on
+                call = HopCall(call_id, hop, request.method, request.target, headers, request.body)
+                handover.send(link.send(call))
+                await pending.event.wait()
         except LinkBrokenError:
             # The message was not sent whole, so the other daemon cannot have read it.
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED))
         except trio.Cancelled:
+            link.abandon(handover)
             self._distrust(member.address, link)
             raise
         finally:
+            handover.on_withdrawn = None
             link.end(call_id)
-        if not isinstance(pending.answer, HopAnswer):
-            return AttemptResult(
-                make_failure(
-                    Verdict.MAY_HAVE_RUN, RefusalReason.CONNECTION_LOST, reached_upstream=True
-                )
-            )
-        return _read_result(pending.answer)
+        if isinstance(pending.answer, HopAnswer):
+            return _read_result(pending.answer)
+        return AttemptResult(_describe_loss(handover))
 
     async def synchronize(
         self, member: Member, message: SyncRequest, timeout_s: float
@@ -306,6 +341,17 @@
     )
 
 
+def _describe_loss(handover: Handover) -> HopOutcome:
+    """Says what is known of a call that was withdrawn, or whose connection broke."""
+    if handover.stage is HandoverStage.SENT:
+        return make_failure(
+            Verdict.MAY_HAVE_RUN, RefusalReason.CONNECTION_LOST, reached_upstream=True
+        )
+    if handover.is_withdrawn:
+        return make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING)
+    return make_failure(Verdict.NOT_RUN, RefusalReason.CONNECTION_LOST)
+
+
 def _read_result(message: HopAnswer) -> AttemptResult:
     if not message.status:
         return AttemptResult(message.outcome)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_ending.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_ending.py
@@ -13,7 +13,10 @@
 
 
 class RequestEnding:
-    """The one cancel scope of a request: its deadline, its caller and a second attempt end it."""
+    """The one cancel scope of a request.
+
+    Its deadline, its caller, a second attempt and the end of the daemon end it.
+    """
 
     def __init__(self) -> None:
         self.scope = trio.CancelScope()
@@ -22,17 +25,32 @@
         """Whether the caller has left."""
         self.conclude: Callable[[], Reply] | None = None
         """Makes the answer after the scope was cancelled; None if nobody waits for one."""
+        self._withdraw: Callable[[], None] | None = None
 
-    def limit(self, deadline: float, conclude: Callable[[], Reply]) -> None:
+    def limit(
+        self, deadline: float, conclude: Callable[[], Reply], withdraw: Callable[[], None]
+    ) -> None:
         """Sets how long the request may take.
 
         Args:
             deadline: Time of the end, in seconds.
             conclude: Makes the answer at that time.
+            withdraw: Keeps the request from an upstream that does not have it yet.
         """
         self.conclude = conclude
+        self._withdraw = withdraw
         self.scope.deadline = deadline
 
+    def withdraw(self) -> None:
+        """Keeps the request from an upstream that does not have it yet."""
+        if self._withdraw is not None:
+            self._withdraw()
+
+    def expire(self) -> None:
+        """Ends the request as if its time had run out."""
+        if self.conclude is not None:
+            self.scope.cancel()
+
     def end_with(self, conclude: Callable[[], Reply]) -> None:
         """Ends the request early, because it has an answer.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -34,6 +34,8 @@
 """Interval at which callers that have left are looked for, in seconds."""
 _HELD_RETRY_S: Final = 0.3
 """Delay told to callers while too many large bodies are held, in seconds."""
+_POLL_S: Final = 0.01
+"""Interval at which answers that are being sent are looked at, in seconds."""
 _SWEEP_S: Final = 1.0
 """Interval at which idle connections are looked for, in seconds."""
 
@@ -131,6 +133,19 @@
         for connection in self._connections:
             connection.must_close = True
 
+    def withdraw_all(self) -> None:
+        """Keeps the requests in flight from upstreams that do not have them yet."""
+        for ending in tuple(self._in_flight.values()):
+            ending.withdraw()
+
+    async def conclude_all(self) -> None:
+        """Answers what is in flight by what is known of it, and waits until the answers left."""
+        for ending in tuple(self._in_flight.values()):
+            ending.expire()
+        await self.refuse_unreceived()
+        while any(connection.is_busy for connection in self._connections):
+            await trio.sleep(_POLL_S)
+
     async def refuse_unreceived(self) -> None:
         """Refuses the requests that have not arrived whole, and so have not run.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -22,12 +23,17 @@
     from collections.abc import Iterable
 
     from fulmarstile_calls.admission import AdmissionEffect
+    from fulmarstile_daemon.services._handover import Handover
     from fulmarstile_wire.services import HopRequest
 
 _QUEUE_PER_SLOT: Final = 4
 """Requests that may wait for each slot."""
 _TICK_S: Final = 0.02
 _TARGET_GAIN: Final = 0.01
+_WITHDRAWN: Final = CallRefusal(
+    RefusalReason.DRAINING, Verdict.NOT_RUN, 503, "the daemon that sent it stops", 0.1
+)
+"""Refusal of a request that was withdrawn while it waited."""
 _REPLACED: Final = CallRefusal(
     RefusalReason.NO_UPSTREAM, Verdict.NOT_RUN, 503, "the upstream was replaced", 0.1
 )
@@ -122,7 +128,9 @@
             await trio.sleep(_TICK_S)
             self._apply(self._admission.on_tick(trio.current_time()))
 
-    async def enter(self, hop: HopRequest, deadline: float, useful_until: float) -> int:
+    async def enter(
+        self, hop: HopRequest, deadline: float, useful_until: float, handover: Handover
+    ) -> int:
         """Takes a slot, waiting for one if need be.
 
         Args:
@@ -130,6 +138,7 @@
             deadline: Time by which the caller needs the answer, in seconds; a free slot is
                 taken until then.
             useful_until: Time until which waiting is of use, in seconds.
+            handover: May withdraw the request while it waits.
 
         Returns:
             Ticket to hand to `leave`.
@@ -149,6 +158,7 @@
             self._estimate_cost(hop),
         )
         waiter = self._waiters[ticket_id] = _Waiter()
+        handover.on_withdrawn = partial(self._withdraw, ticket_id)
         try:
             self._apply(admission.on_arrival(ticket, trio.current_time()))
             if not waiter.admitted and waiter.refusal is None:
@@ -159,6 +169,7 @@
             self._apply(admission.on_cancelled(ticket_id, trio.current_time()))
             raise
         finally:
+            handover.on_withdrawn = None
             del self._waiters[ticket_id]
         if not waiter.admitted:
             raise SlotRefusedError(waiter.refusal or _REPLACED)
@@ -172,6 +183,15 @@
         """
         self._apply(self._admission.on_finished(ticket_id, trio.current_time()))
 
+    def _withdraw(self, ticket_id: int) -> None:
+        waiter = self._waiters[ticket_id]
+        if waiter.admitted or waiter.refusal is not None:
+            return
+        waiter.refusal = _WITHDRAWN
+        self._apply(self._admission.on_cancelled(ticket_id, trio.current_time()))
+        if waiter.event is not None:
+            waiter.event.set()
+
     def _estimate_cost(self, hop: HopRequest) -> float:
         """Estimates from the target latency how much slot time a request takes."""
         if not self._target_ms:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -174,7 +174,7 @@
             deadline: Time by which the caller needs the answer, in seconds; the caller of this
                 cancels it then.
             useful_until: Time until which waiting for a slot is of use, in seconds.
-            handover: Told when the upstream gets the request.
+            handover: Told when the upstream gets the request; may withdraw it until then.
 
         Returns:
             How it ended.
@@ -183,7 +183,7 @@
         if refusal is not None:
             return AttemptResult(self._describe(refusal))
         try:
-            ticket_id = await self._slots.enter(hop, deadline, useful_until)
+            ticket_id = await self._slots.enter(hop, deadline, useful_until, handover)
         except SlotRefusedError as error:
             failure = make_failure(
                 Verdict.NOT_RUN, error.refusal.reason, retry_after_s=error.refusal.retry_after_s
@@ -240,6 +240,9 @@
         except ExchangeError as error:
             self._note_down(str(error))
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED))
+        if not handover.begin():
+            pool.release(connection)
+            return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING))
         exchange = Exchange(
             connection,
             request.method,
@@ -247,7 +250,6 @@
             self._make_headers(hop, request, deadline),
             request.body,
         )
-        handover.begin()
         started_at = trio.current_time()
         is_whole = False
         try:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -76,6 +76,8 @@
 _REFUSE_HOPS_S: Final = 0.4
 """Time for which other daemons that were told may still send requests, in seconds."""
 _GRACE_MARGIN_S: Final = 0.8
+_CONCLUDE_S: Final = 0.3
+"""Longest time for the last answers to leave, in seconds."""
 _POLL_S: Final = 0.02
 _BYTES_PER_KBIT: Final = 125
 _READY_WITHOUT_MEMBERS_S: Final = 1.5
@@ -309,7 +311,11 @@
                 self.begin_stopping()
 
     async def _stop(self) -> None:
-        """Serves while callers come, then ends; nothing that is in flight is cut."""
+        """Serves while callers come, then ends once everything in flight has its answer.
+
+        What no upstream has by the hand-over is withdrawn and refused as not run. What upstreams
+        still run at the end is answered as such.
+        """
         latest = trio.current_time() + self._settings.bounds.grace_s - _GRACE_MARGIN_S
         self._is_stopping = True
         self._entry.stops_at = self._hops.stops_at = latest
@@ -320,12 +326,16 @@
             while not self._callers.is_quiet(_QUIET_CALLERS_S):
                 await trio.sleep(_POLL_S)
         with trio.move_on_at(latest):
+            self._callers.withdraw_all()
+            self._peers.refuse_bodies()
             await self._callers.refuse_unreceived()
             await self._announcements.stop()
             await trio.sleep(_REFUSE_HOPS_S)
             self._upstream.stop()
             while not (self._peers.is_quiet and self._callers.is_quiet(_QUIET_CALLERS_S)):
                 await trio.sleep(_POLL_S)
+        with trio.move_on_after(_CONCLUDE_S):
+            await self._callers.conclude_all()
 
     async def _poll_settings(self) -> None:
         stamp = self._platform.settings_stamp()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -30,7 +30,7 @@
     RequestCut,
 )
 from fulmarstile_services.hedging import HedgeTimer
-from fulmarstile_services.retry_policy import RetryRules
+from fulmarstile_services.retry_policy import RetryChoice, RetryRules
 from fulmarstile_services.slot_class import classify
 from fulmarstile_services.wait_policy import retry_after_s, useful_wait_s
 from fulmarstile_wire.services import HopRequest, MemberPhase
@@ -212,8 +212,8 @@
         if self._directory.serving(call.service):
             reason = RefusalReason.QUEUE_FULL
         result = AttemptResult(make_failure(Verdict.NOT_RUN, reason))
-        call.ending.limit(call.deadline, partial(self._conclude_late, call))
-        while True:
+        call.ending.limit(call.deadline, partial(self._conclude_late, call), call.withdraw)
+        while not call.is_withdrawn:
             member = self._choose(call, frozenset(tried))
             if member is None:
                 break
@@ -252,6 +252,8 @@
     def _begin_hedge(
         self, call: ServiceCall, tried: set[str]
     ) -> Callable[[], Awaitable[AttemptResult]] | None:
+        if call.is_withdrawn:
+            return None
         member = self._choose(call, frozenset(tried))
         if member is None or not self._budget.take_spare(call.service):
             return None
@@ -268,6 +270,7 @@
     async def _attempt(self, call: ServiceCall, member: Member) -> AttemptResult:
         now = call.attempted_at = trio.current_time()
         handover = call.handover = Handover()
+        call.unknown.append(handover)
         call.last_daemon = member.name
         call.last_upstream = member.upstream_id
         hop = HopRequest(
@@ -285,6 +288,8 @@
         result: AttemptResult | None = None
         try:
             result = await self._send(call, member, hop, handover)
+            if result.outcome.verdict is Verdict.NOT_RUN:
+                call.unknown.remove(handover)
             return result
         finally:
             ended_at = trio.current_time()
@@ -323,7 +328,10 @@
         if outcome.phase is not MemberPhase.SERVING:
             self._balancer.set_reachable(member, True, trio.current_time())
         left_s = call.deadline - trio.current_time()
-        choice = self._rules.decide(call.route, call.service, call.record, outcome, left_s)
+        if call.is_withdrawn:
+            choice = RetryChoice(False, "the daemon stops")
+        else:
+            choice = self._rules.decide(call.route, call.service, call.record, outcome, left_s)
         self._metrics.count_attempt_failure(outcome.reason, choice.retry)
         if not outcome.reached_upstream:
             call.refused_by.append(f"{member.name}:{outcome.reason}")
@@ -345,9 +353,10 @@
         return choice.retry
 
     def _conclude_late(self, call: ServiceCall) -> Reply:
-        """Makes the final answer once the time of a request has run out."""
-        call.record.may_have_run = True
-        failure = make_failure(Verdict.MAY_HAVE_RUN, RefusalReason.TIMEOUT)
+        """Makes the final answer once the time of a request, or of the daemon, has run out."""
+        verdict = Verdict.MAY_HAVE_RUN if call.may_have_run else Verdict.NOT_RUN
+        reason = RefusalReason.DRAINING if call.is_withdrawn else RefusalReason.TIMEOUT
+        failure = make_failure(verdict, reason)
         return self._conclude(call, AttemptResult(failure))
 
     def _conclude(self, call: ServiceCall, result: AttemptResult) -> Reply:
@@ -361,7 +370,7 @@
             return self._finish(
                 call, Reply(answer.status, answer.headers.passed_on, answer.body), ""
             )
-        if not call.record.may_have_run:
+        if not call.may_have_run:
             delay_s = self._retry_after(call, outcome)
             reply = make_error_reply(503, f"not run: {outcome.reason}", delay_s)
             return self._finish(call, reply, outcome.reason, delay_s)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
@@ -10,7 +10,6 @@
 
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._call import make_failure
-from fulmarstile_daemon.services._handover import Handover
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
 from fulmarstile_daemon.services.events import HopCut, HopEnded
 from fulmarstile_http.headers import MessageHeaders
@@ -19,6 +18,7 @@
 
 if TYPE_CHECKING:
     from fulmarstile_daemon.services._body_gate import BodyGate
+    from fulmarstile_daemon.services._handover import Handover
     from fulmarstile_daemon.services._upstream import LocalUpstream
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.ports import CallHeaderNames
@@ -56,12 +56,13 @@
         self.stops_at = math.inf
         """Time at which the daemon ends, in seconds; what could last longer is refused."""
 
-    async def answer(self, call: HopCall, deadline: float) -> HopAnswer:
+    async def answer(self, call: HopCall, deadline: float, handover: Handover) -> HopAnswer:
         """Answers a forwarded request.
 
         Args:
             call: The request.
             deadline: Time at which the caller waits no longer, in seconds.
+            handover: Told when the upstream gets the request; may withdraw it until then.
 
         Returns:
             The answer of the upstream, or why there is none.
@@ -76,7 +77,6 @@
         if deadline > self.stops_at:
             failure = make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING)
             return self._refuse(failure, call, request)
-        handover = Handover()
         useful_until = arrived_at + hop.useful_ms / 1000
         try:
             result = await self._upstream.run(hop, request, deadline, useful_until, handover)
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -14,7 +14,7 @@
 from fulmarstile_wire.errors import WireError
 from fulmarstile_wire.verdict import Verdict
 
-PROTOCOL_VERSION: Final = 1
+PROTOCOL_VERSION: Final = 2
 """Version of the messages between daemons."""
 MAX_FRAME_BYTES: Final = 96 * 1024 * 1024
 """Largest message, in bytes."""
@@ -199,8 +199,22 @@
     call_id: int
 
 
+class HopWithdraw(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """A call is to be refused unless its upstream has it; the answer is wanted in any case."""
+
+    call_id: int
+
+
 LinkMessage = (
-    Hello | HopCall | HopAnswer | HopCancel | SyncCall | SyncAnswer | BodyOffer | BodyGrant
+    Hello
+    | HopCall
+    | HopAnswer
+    | HopCancel
+    | HopWithdraw
+    | SyncCall
+    | SyncAnswer
+    | BodyOffer
+    | BodyGrant
 )
 """All that is sent between daemons."""
 
--- /dev/null
+++ b/tests/services/test_handover.py
@@ -0,0 +1,182 @@
+"""What is said of a request that got no answer follows from who may have it."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import trio
+
+from fulmarstile_services.document import Repeatability
+from fulmarstile_testing.builders.service_mesh import ServiceClient, connect, serve_mesh
+from fulmarstile_testing.builders.services import make_document, make_member, make_route
+from fulmarstile_wire.services import (
+    PROTOCOL_VERSION,
+    Hello,
+    HopCall,
+    HopCancel,
+    HopRequest,
+    encode_frame,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from fulmarstile_testing.builders.service_mesh import ServiceMesh, ServiceNode
+
+DOCUMENT = make_document(
+    make_route(
+        prefix="/short/",
+        repeatability=Repeatability.AT_MOST_ONCE,
+        timeout_s=0.5,
+        target_latency_s=0.4,
+    ),
+    make_route(
+        prefix="/long/",
+        repeatability=Repeatability.AT_MOST_ONCE,
+        timeout_s=60.0,
+        target_latency_s=30.0,
+    ),
+)
+BODY = b"x" * 200_000
+LARGE_BODY = b"x" * 14_000_000
+"""More than the buffers of a connection hold."""
+WAIT_MS = 40_000
+BUFFER_BYTES = 4_096
+
+
+@asynccontextmanager
+async def serve_beside_deaf_daemon() -> AsyncIterator[tuple[ServiceMesh, trio.SocketListener]]:
+    """Runs a daemon that knows one other, which accepts connections and reads nothing."""
+    sock = trio.socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+    await sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    async with serve_mesh("stock", document=DOCUMENT) as mesh:
+        port = sock.getsockname()[1]
+        deaf = make_member("deaf", address=f"127.0.0.1:{port}")
+        mesh.nodes[0].daemon.directory.merge_members([deaf])
+        with sock:
+            yield mesh, trio.SocketListener(sock)
+
+
+async def send_large(client: ServiceClient, target: str) -> None:
+    """Sends a request whose body no connection to a deaf daemon takes whole."""
+    await client.send(target, "POST", wait_ms=WAIT_MS, body=LARGE_BODY)
+
+
+class HandoverTest(unittest.TestCase):
+    def test_a_request_of_which_nothing_was_sent_in_its_time_is_said_not_to_have_run(self) -> None:
+        async def run() -> None:
+            async with (
+                serve_beside_deaf_daemon() as (mesh, _),
+                ServiceClient(await connect(mesh.nodes[0].address)) as first,
+                ServiceClient(await connect(mesh.nodes[0].address)) as second,
+            ):
+                await send_large(first, "/long/a")
+                await trio.sleep(0.3)
+                await second.send("/short/b", "POST", wait_ms=WAIT_MS, body=BODY)
+                answer = await second.receive()
+                self.assertEqual(answer.status, 503)
+                self.assertIn(b"retry-after", answer.headers)
+
+        trio.run(run)
+
+    def test_a_request_of_which_a_part_was_sent_may_run_after_the_end_of_its_time(self) -> None:
+        async def run() -> None:
+            async with (
+                serve_beside_deaf_daemon() as (mesh, _),
+                ServiceClient(await connect(mesh.nodes[0].address)) as client,
+            ):
+                await send_large(client, "/short/a")
+                self.assertEqual((await client.receive()).status, 504)
+
+        trio.run(run)
+
+    def test_a_request_that_another_daemon_cannot_have_whole_is_refused_at_a_stop(self) -> None:
+        async def run() -> None:
+            async with serve_beside_deaf_daemon() as (mesh, listener):
+                entry = mesh.nodes[0]
+                async with ServiceClient(await connect(entry.address)) as client:
+                    await send_large(client, "/long/a")
+                    stream = await self.receive_a_part(listener)
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(self.receive_slowly, stream)
+                        entry.stop()
+                        with trio.fail_after(10.0):
+                            answer = await client.receive()
+                        nursery.cancel_scope.cancel()
+                self.assertEqual((answer.status, answer.complete), (503, True))
+
+        trio.run(run)
+
+    def test_a_request_that_a_broken_connection_carried_in_part_goes_to_another_daemon(
+        self,
+    ) -> None:
+        async def run() -> None:
+            async with serve_beside_deaf_daemon() as (mesh, listener):
+                entry = mesh.nodes[0]
+                async with ServiceClient(await connect(entry.address)) as client:
+                    await send_large(client, "/long/a")
+                    stream = await self.receive_a_part(listener)
+                    shop = await self.start_shop(mesh)
+                    await trio.aclose_forcefully(stream)
+                    answer = await client.receive()
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(shop.upstream.record.count_runs("request-1"), 1)
+
+        trio.run(run)
+
+    def test_a_call_that_is_cancelled_at_once_does_not_run(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                node = mesh.nodes[0]
+                # Leaves a connection to the upstream behind, so that the call need not wait.
+                self.assertEqual((await node.call("/long/a")).status, 200)
+                hop = HopRequest("shop", node.upstream.upstream_id, "web", 0, 9_000, 9_000, True, 9)
+                headers = [(b"request-id", b"cancelled")]
+                async with await connect(node.platform.settings.listeners.daemons) as stream:
+                    await stream.send_all(
+                        encode_frame(Hello(PROTOCOL_VERSION, "other"))
+                        + encode_frame(HopCall(1, hop, b"GET", b"/long/b", headers, b""))
+                        + encode_frame(HopCancel(1))
+                    )
+                    await trio.sleep(0.3)
+                seen = [each.request_id for each in node.upstream.record.requests]
+                self.assertEqual(seen, ["request-1"])
+
+        trio.run(run)
+
+    async def receive_a_part(self, listener: trio.SocketListener) -> trio.SocketStream:
+        """Waits until some bytes of a large body have arrived."""
+        with trio.fail_after(5.0):
+            while True:
+                stream = await listener.accept()
+                received = 0
+                with trio.move_on_after(0.3):
+                    while received <= BUFFER_BYTES:
+                        received += len(await stream.receive_some(1_000))
+                    return stream
+
+    async def receive_slowly(self, stream: trio.SocketStream) -> None:
+        """Takes so little that the connection lives and the body does not come to its end."""
+        async with stream:
+            while await stream.receive_some(BUFFER_BYTES):
+                await trio.sleep(0.1)
+
+    async def start_shop(self, mesh: ServiceMesh) -> ServiceNode:
+        """Starts a daemon that takes the service over."""
+        node = await mesh.start_node("daemon-2")
+        entry = mesh.nodes[0]
+        with trio.fail_after(5.0):
+            while entry.daemon.directory.find("daemon-2") not in entry.daemon.directory.serving(
+                "shop"
+            ):
+                await trio.sleep(0.01)
+        return node
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/services/test_stopping_in_flight.py
@@ -0,0 +1,128 @@
+"""A daemon that ends leaves no request without an answer, and what has not run is refused."""
+
+from __future__ import annotations
+
+import unittest
+from functools import partial
+from typing import TYPE_CHECKING
+
+import trio
+
+from fulmarstile_daemon.services._body_gate import OfferKey
+from fulmarstile_services.document import Repeatability
+from fulmarstile_testing.builders.service_mesh import ServiceClient, connect, serve_mesh
+from fulmarstile_testing.builders.services import make_document, make_route
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarstile_testing.builders.service_mesh import ClientAnswer, ServiceNode
+
+UPLOADS = make_document(
+    make_route(
+        repeatability=Repeatability.AT_MOST_ONCE,
+        timeout_s=60.0,
+        target_latency_s=30.0,
+        priority=1,
+    )
+)
+BODY = b"x" * 200_000
+SLOW_LINK_KBPS = 8_000
+LONG_MS = 40_000
+
+
+async def wait_until(holds: Callable[[], object]) -> None:
+    """Waits until a condition holds."""
+    with trio.fail_after(5.0):
+        while not holds():
+            await trio.sleep(0.01)
+
+
+def fill_link(node: ServiceNode) -> None:
+    """Has a body that never comes hold the turn of all others on the link to a VM."""
+    node.daemon.body_gate.offer(OfferKey("fill", 1), 10_000_000, lambda: None)
+
+
+async def call_and_stop(
+    entry: ServiceNode, is_under_way: Callable[[], object], target: str = "/a", body: bytes = BODY
+) -> ClientAnswer:
+    """Sends an upload, stops its daemon once it is under way, and returns its answer."""
+    async with ServiceClient(await connect(entry.address)) as client:
+        await client.send(target, "POST", wait_ms=LONG_MS, body=body)
+        await wait_until(is_under_way)
+        entry.stop()
+        with trio.fail_after(10.0):
+            return await client.receive()
+
+
+class StoppingInFlightTest(unittest.TestCase):
+    def assert_refused(self, answer: ClientAnswer) -> None:
+        self.assertEqual((answer.status, answer.complete), (503, True))
+        self.assertIn(b"retry-after", answer.headers)
+
+    def test_an_upload_whose_body_awaits_its_turn_is_refused_as_not_run(self) -> None:
+        async def run() -> None:
+            async with serve_mesh(
+                "stock", "shop", document=UPLOADS, link_kbps=SLOW_LINK_KBPS
+            ) as mesh:
+                entry, serving = mesh.nodes
+                fill_link(serving)
+                answer = await call_and_stop(entry, lambda: entry.daemon.dump().callers_in_flight)
+                self.assert_refused(answer)
+                self.assertEqual(serving.upstream.record.requests, [])
+
+        trio.run(run)
+
+    def test_an_upload_that_waits_for_a_slot_elsewhere_is_refused_as_not_run(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=UPLOADS) as mesh:
+                entry, serving = mesh.nodes
+                async with trio.open_nursery() as nursery:
+                    for number in range(4):
+                        call = partial(
+                            serving.call, method="POST", request_id=f"r{number}", wait_ms=LONG_MS
+                        )
+                        nursery.start_soon(call, f"/a?delay_ms={LONG_MS}")
+                    await wait_until(lambda: serving.upstream.record.running == 4)
+                    answer = await call_and_stop(
+                        entry, lambda: serving.daemon.dump().upstream_queued
+                    )
+                    nursery.cancel_scope.cancel()
+                self.assert_refused(answer)
+                self.assertEqual(serving.upstream.record.count_runs("request-1"), 0)
+
+        trio.run(run)
+
+    def test_a_request_that_its_upstream_does_not_finish_gets_an_answer_at_the_end(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=UPLOADS) as mesh:
+                entry, serving = mesh.nodes
+                answer = await call_and_stop(
+                    entry, lambda: serving.upstream.record.running, f"/a?delay_ms={LONG_MS}"
+                )
+                self.assertEqual((answer.status, answer.complete), (502, True))
+
+        trio.run(run)
+
+    def test_a_daemon_that_stops_takes_no_more_bodies(self) -> None:
+        async def run() -> None:
+            async with serve_mesh(
+                "stock", "shop", document=UPLOADS, link_kbps=SLOW_LINK_KBPS
+            ) as mesh:
+                entry, serving = mesh.nodes
+                fill_link(serving)
+                async with ServiceClient(await connect(entry.address)) as client:
+                    await client.send("/a", "POST", wait_ms=LONG_MS, body=BODY)
+                    await wait_until(lambda: entry.daemon.dump().callers_in_flight)
+                    await trio.sleep(0.1)
+                    serving.stop()
+                    with trio.fail_after(4.0):
+                        answer = await client.receive()
+                self.assert_refused(answer)
+                self.assertEqual(serving.upstream.record.requests, [])
+
+        trio.run(run)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/services/test_way_of_requests.py
+++ b/tests/services/test_way_of_requests.py
@@ -10,6 +10,7 @@
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._body_gate import BodyGate
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
+from fulmarstile_daemon.services._handover import Handover
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_daemon.services.hops import HopServer
 from fulmarstile_services.directory import Directory
@@ -41,7 +42,7 @@
                 EventLog("d-1"),
             )
             call = HopCall(1, HOP, b"GET", b"/a", [], b"")
-            answer = await server.answer(call, trio.current_time() + 5.0)
+            answer = await server.answer(call, trio.current_time() + 5.0, Handover())
             self.assertGreaterEqual(answer.outcome.spent_ms, SPENT_S * 1000)
 
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
