Refuse a large body at once whose turn on a slow link would come too late

Now an offer says how long waiting is of use, half of the target latency; the other daemon refuses at once what would wait longer, with its load, and the request goes elsewhere or is refused as not run. Nothing is sent without its turn. Such a refusal keeps no small requests away, and a refusal made without a look at the upstream no longer makes it seem idle.

--- a/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
@@ -39,6 +39,8 @@
     """The request ran under its key, but its answer is not stored."""
     KEY_OUTCOME_UNKNOWN = "key-outcome-unknown"
     """The request was sent under its key and got no whole answer."""
+    LINK_BUSY = "link-busy"
+    """The large body would wait too long for its turn on the link of the other VM."""
     OVERLOADED = "overloaded"
     """The daemon itself has too much work."""
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -22,7 +22,6 @@
     HopCall,
     HopCancel,
     HopWithdraw,
-    MemberPhase,
     SyncAnswer,
     SyncCall,
 )
@@ -33,7 +32,7 @@
 
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_http.listener import OutOfDescriptorsError
-    from fulmarstile_wire.services import LinkMessage, SyncReply, SyncRequest
+    from fulmarstile_wire.services import HopOutcome, LinkMessage, SyncReply, SyncRequest
 
 
 class LinkServer:
@@ -45,6 +44,7 @@
         answer_call: Answers a forwarded request; is cancelled at its deadline, in seconds, when
             the daemon that forwarded it waits no longer.
         answer_sync: Answers a synchronization.
+        describe: Adds to an outcome what other daemons choose by.
         gate: Orders the large bodies that other daemons send.
     """
 
@@ -52,10 +52,12 @@
         self,
         answer_call: Callable[[HopCall, float, Handover], Awaitable[HopAnswer]],
         answer_sync: Callable[[SyncRequest], SyncReply],
+        describe: Callable[[HopOutcome], HopOutcome],
         gate: BodyGate,
     ) -> None:
         self._answer_call = answer_call
         self._answer_sync = answer_sync
+        self._describe = describe
         self._gate = gate
         self._in_flight = 0
         self._connections: dict[FrameStream, None] = {}
@@ -75,7 +77,7 @@
     def refuse_bodies(self) -> None:
         """Refuses the large bodies that wait for their turn, and all later ones."""
         for key in self._gate.close():
-            self._refuse_body(key)
+            self._refuse_body(key, RefusalReason.DRAINING)
 
     async def serve(
         self, address: str, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
@@ -143,15 +145,20 @@
                 logger.info("a body could not be granted: {}", error)
 
         key = OfferKey(frames, offer.call_id)
+        wait_s = self._gate.wait_s
         if self._gate.is_closed:
-            self._refuse_body(key)
+            self._refuse_body(key, RefusalReason.DRAINING)
+        elif wait_s * 1000 > offer.wait_ms:
+            self._refuse_body(key, RefusalReason.LINK_BUSY, wait_s - offer.wait_ms / 1000)
         else:
             self._gate.offer(key, offer.size, grant)
 
-    def _refuse_body(self, key: OfferKey) -> None:
-        outcome = make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING, phase=MemberPhase.STOPPED)
+    def _refuse_body(
+        self, key: OfferKey, reason: RefusalReason, retry_after_s: float = 0.0
+    ) -> None:
+        failure = make_failure(Verdict.NOT_RUN, reason, retry_after_s=retry_after_s)
         try:
-            key.connection.send(HopAnswer(key.call_id, outcome))
+            key.connection.send(HopAnswer(key.call_id, self._describe(failure)))
         except LinkBrokenError as error:
             logger.info("a body could not be refused: {}", error)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -16,6 +16,7 @@
 from fulmarstile_daemon.services._handover import HandoverStage
 from fulmarstile_http.byte_stream import open_stream
 from fulmarstile_http.headers import MessageHeaders
+from fulmarstile_services.wait_policy import turn_wait_s
 from fulmarstile_wire.errors import FulmarstileError
 from fulmarstile_wire.services import (
     PROTOCOL_VERSION,
@@ -43,8 +44,6 @@
 """Size from which a body goes over the second connection, where small ones don't wait for it."""
 _OFFERED_FROM_S: Final = 0.05
 """Time on the link of the other VM from which a body is offered before it is sent, in seconds."""
-_GRANT_SHARE: Final = 0.25
-"""Part of the time left for which a grant is awaited; then the body is sent without one."""
 _CONNECT_TIMEOUT_S: Final = 0.4
 """Longest time to open a connection, in seconds."""
 _SILENT_S: Final = 1.0
@@ -224,9 +223,12 @@
         handover.on_withdrawn = partial(link.withdraw, call_id, handover)
         try:
             if _is_offered(member, len(request.body)):
-                link.send(BodyOffer(call_id, len(request.body)))
+                wait_s = turn_wait_s(hop.target_ms / 1000, hop.left_ms / 1000)
+                link.send(BodyOffer(call_id, len(request.body), int(wait_s * 1000)))
                 handover.offer()
-                hop = await _await_grant(pending, hop)
+                hop = await _await_grant(pending, hop, wait_s)
+                if hop is None:
+                    return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.LINK_BUSY))
             if pending.answer is None and not handover.is_withdrawn:
                 headers = request.headers.passed_on
                 call = HopCall(call_id, hop, request.method, request.target, headers, request.body)
@@ -319,18 +321,20 @@
     return member.link_kbps > 0 and size * 8 / 1000 >= member.link_kbps * _OFFERED_FROM_S
 
 
-async def _await_grant(pending: _Pending, hop: HopRequest) -> HopRequest:
+async def _await_grant(pending: _Pending, hop: HopRequest, wait_s: float) -> HopRequest | None:
     """Waits for the grant of a body.
 
     Returns:
-        The request with the time that is left then.
+        The request with the time that is left then; None if the grant did not come in time.
 
     Raises:
         LinkBrokenError: If the connection broke.
     """
     asked_at = trio.current_time()
-    with trio.move_on_after(hop.left_ms / 1000 * _GRANT_SHARE):
+    with trio.move_on_after(wait_s) as scope:
         await pending.granted.wait()
+    if scope.cancelled_caught:
+        return None
     if pending.is_lost:
         raise LinkBrokenError("the connection broke before a body was granted")
     waited_ms = int((trio.current_time() - asked_at) * 1000)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -181,14 +181,14 @@
         """
         refusal = self._check(hop)
         if refusal is not None:
-            return AttemptResult(self._describe(refusal))
+            return AttemptResult(self.describe(refusal))
         try:
             ticket_id = await self._slots.enter(hop, deadline, useful_until, handover)
         except SlotRefusedError as error:
             failure = make_failure(
                 Verdict.NOT_RUN, error.refusal.reason, retry_after_s=error.refusal.retry_after_s
             )
-            return AttemptResult(self._describe(failure))
+            return AttemptResult(self.describe(failure))
         self._running[ticket_id] = hop.fingerprint
         request_id = request.headers.find_bytes(self._names.request_id)
         self._classes[request_id] = SlotClass(min(hop.priority, SlotClass.OTHER))
@@ -203,7 +203,25 @@
             ended_at = trio.current_time()
             self._observe(ended_at - started_at)
             self._quarantine.on_completed(hop.fingerprint, ended_at)
-        return AttemptResult(self._describe(result.outcome), result.answer)
+        return AttemptResult(self.describe(result.outcome), result.answer)
+
+    def describe(self, outcome: HopOutcome) -> HopOutcome:
+        """Adds the load that other daemons choose by.
+
+        Args:
+            outcome: How a request ended.
+
+        Returns:
+            The outcome with the load.
+        """
+        return msgspec.structs.replace(
+            outcome,
+            running=self.running,
+            queued=self.queued,
+            slots=self.slots,
+            service_ms=round(self._service_s * 1000, 2),
+            phase=self.phase,
+        )
 
     def _start(self, announcement: UpstreamAnnouncement, address: str) -> None:
         limit = self._connection_limit(announcement.service)
@@ -330,17 +348,6 @@
             headers.append((names.expected_upstream, upstream_id))
         return headers
 
-    def _describe(self, outcome: HopOutcome) -> HopOutcome:
-        """Adds the load that other daemons choose by."""
-        return msgspec.structs.replace(
-            outcome,
-            running=self.running,
-            queued=self.queued,
-            slots=self.slots,
-            service_ms=round(self._service_s * 1000, 2),
-            phase=self.phase,
-        )
-
     def _observe(self, elapsed_s: float) -> None:
         if self._service_s == 0.0:
             self._service_s = elapsed_s
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -158,7 +158,9 @@
         self._callers = RequestServer(
             self._entry.answer, self._limits, connections, self._bodies, log, names.request_id
         )
-        self._peers = LinkServer(self._hops.answer, self._gossip.on_sync, self._gate)
+        self._peers = LinkServer(
+            self._hops.answer, self._gossip.on_sync, self._hops.describe, self._gate
+        )
         self._started_at = 0.0
         self._is_stopping = False
         self._stop_wanted = trio.Event()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
@@ -72,11 +72,9 @@
         headers = MessageHeaders(passed_on=call.headers)
         request = ReceivedRequest(call.method, call.target, headers, call.body, arrived_at)
         if self._directory.is_suspect(hop.fingerprint):
-            failure = make_failure(Verdict.NOT_RUN, RefusalReason.QUARANTINED)
-            return self._refuse(failure, call, request)
+            return self._refuse_early(RefusalReason.QUARANTINED, call, request)
         if deadline > self.stops_at:
-            failure = make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING)
-            return self._refuse(failure, call, request)
+            return self._refuse_early(RefusalReason.DRAINING, call, request)
         useful_until = arrived_at + hop.useful_ms / 1000
         try:
             result = await self._upstream.run(hop, request, deadline, useful_until, handover)
@@ -103,6 +101,12 @@
             )
         )
 
+    def _refuse_early(
+        self, reason: RefusalReason, call: HopCall, request: ReceivedRequest
+    ) -> HopAnswer:
+        failure = make_failure(Verdict.NOT_RUN, reason)
+        return self._refuse(self._upstream.describe(failure), call, request)
+
     def _refuse(self, outcome: HopOutcome, call: HopCall, request: ReceivedRequest) -> HopAnswer:
         waited_s = trio.current_time() - request.arrived_at
         if outcome.reached_upstream or waited_s >= _QUICK_S:
@@ -121,6 +125,19 @@
             )
         return HopAnswer(call.call_id, self._complete(outcome, request.arrived_at))
 
+    def describe(self, outcome: HopOutcome) -> HopOutcome:
+        """Adds the load that other daemons choose by.
+
+        Args:
+            outcome: How a request ended.
+
+        Returns:
+            The outcome with the load of the upstream and of the link.
+        """
+        return msgspec.structs.replace(
+            self._upstream.describe(outcome), body_wait_ms=round(self._gate.wait_s * 1000, 1)
+        )
+
     def _complete(self, outcome: HopOutcome, arrived_at: float) -> HopOutcome:
         """Adds what the entry daemon chooses by besides the load."""
         return msgspec.structs.replace(
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from fulmarstile_calls.request import RefusalReason
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable
@@ -220,13 +222,16 @@
         observation.error_rate += _GAIN * ((1.0 if failed else 0.0) - observation.error_rate)
         if outcome is None:
             return
-        load = outcome.running + outcome.queued
-        observation.reported = max(0.0, load - observation.in_flight)
-        observation.reported_at = now
-        observation.body_wait_s = outcome.body_wait_ms / 1000
+        if outcome.slots:
+            load = outcome.running + outcome.queued
+            observation.reported = max(0.0, load - observation.in_flight)
+            observation.reported_at = now
+            observation.body_wait_s = outcome.body_wait_ms / 1000
         if outcome.service_ms > 0.0:
             observation.service_s = outcome.service_ms / 1000
-        if outcome.reason and not outcome.reached_upstream:
+        # A link without room for a large body takes small requests.
+        is_full = outcome.reason and outcome.reason != RefusalReason.LINK_BUSY.value
+        if is_full and not outcome.reached_upstream:
             hold_s = outcome.retry_after_ms / 1000 * _REFUSAL_HOLD_SHARE
             hold_s = min(_MAX_REFUSAL_HOLD_S, max(_MIN_REFUSAL_HOLD_S, hold_s))
             observation.full_until[priority] = now + hold_s
--- a/packages/fulmarstile_services/src/fulmarstile_services/wait_policy.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/wait_policy.py
@@ -17,6 +17,8 @@
 """Time within which the answer to an urgent request may be expected though it is late."""
 _LARGE_BODY_BYTES: Final = 64 * 1024
 """Size from which a request waits rather than goes to another availability zone, in bytes."""
+_TURN_SHARE: Final = 0.5
+"""Part of the target latency for which a large body waits for its turn on a link."""
 _MIN_RETRY_AFTER_S: Final = 0.05
 _MAX_RETRY_SHARE: Final = 0.3
 """Largest part of the time left that a caller is told to wait."""
@@ -47,6 +49,22 @@
     return min(left_s, useful_s)
 
 
+def turn_wait_s(target_latency_s: float, left_s: float) -> float:
+    """Returns how long a large body waits at most for its turn on the link of another VM.
+
+    A link that is offered more than it carries has a queue as long as bodies wait for it, so
+    those that it carries are on time only if none waits for long.
+
+    Args:
+        target_latency_s: Target latency of the route, in seconds.
+        left_s: Time until the caller needs the answer, in seconds.
+
+    Returns:
+        The time in seconds.
+    """
+    return min(target_latency_s, left_s) * _TURN_SHARE
+
+
 def retry_after_s(route: ServiceRoute, wanted_s: float, left_s: float) -> float:
     """Returns the delay that a refused caller is told.
 
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -191,6 +191,8 @@
     call_id: int
     size: int
     """Bytes of the body."""
+    wait_ms: int
+    """Longest time for which it is of use to wait for the grant, in milliseconds."""
 
 
 class BodyGrant(msgspec.Struct, frozen=True, array_like=True, tag=7):
--- a/tests/services/test_body_gate.py
+++ b/tests/services/test_body_gate.py
@@ -14,6 +14,7 @@
 BODY = 200_000
 SLOW_KBPS = 8_000
 DOCUMENT = make_document(make_route(timeout_s=10.0, target_latency_s=5.0))
+QUICK = make_document(make_route(timeout_s=10.0, target_latency_s=1.2))
 
 
 class BodyGateTest(unittest.TestCase):
@@ -81,6 +82,43 @@
 
         trio.run(run)
 
+    def test_a_body_whose_turn_would_come_too_late_is_refused_at_once(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=DOCUMENT, link_kbps=SLOW_KBPS) as mesh:
+                entry, serving = mesh.nodes
+                # Six seconds on the link, of a target of five.
+                serving.daemon.body_gate.offer(OfferKey("other", 1), 6_000_000, lambda: None)
+                with trio.fail_after(0.5):
+                    answer = await entry.call("/a", "POST", wait_ms=10_000, body=b"x" * BODY)
+                self.assertEqual(answer.status, 503)
+                self.assertIn(b"retry-after", answer.headers)
+                self.assertEqual(serving.upstream.record.requests, [])
+
+        trio.run(run)
+
+    def test_a_body_that_is_not_granted_in_time_is_refused_and_not_sent(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=QUICK, link_kbps=SLOW_KBPS) as mesh:
+                entry, serving = mesh.nodes
+                # Half a second on the link that becomes an hour.
+                serving.daemon.body_gate.offer(OfferKey("other", 1), 500_000, lambda: None)
+                answer = await entry.call("/a", "POST", wait_ms=10_000, body=b"x" * BODY)
+                self.assertEqual(answer.status, 503)
+                self.assertEqual(serving.upstream.record.requests, [])
+
+        trio.run(run)
+
+    def test_a_link_without_room_for_a_body_takes_small_requests(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=DOCUMENT, link_kbps=SLOW_KBPS) as mesh:
+                entry, serving = mesh.nodes
+                serving.daemon.body_gate.offer(OfferKey("other", 1), 6_000_000, lambda: None)
+                refused = await entry.call("/a", "POST", wait_ms=10_000, body=b"x" * BODY)
+                small = await entry.call("/a", "POST", request_id="small", wait_ms=10_000)
+                self.assertEqual((refused.status, small.status), (503, 200))
+
+        trio.run(run)
+
     def test_the_grant_of_a_caller_that_left_goes_to_the_next_one(self) -> None:
         async def run() -> None:
             async with serve_mesh("stock", "shop", document=DOCUMENT, link_kbps=SLOW_KBPS) as mesh:
