Move the stand-in of the users' platform under platform/

The stand-in spoke the users' wire names from within fulmarstile_testing, and the architecture test passed over its folder. It is now the package fulmarstile_adapter_testing beside the adapter; only import paths change in it. The deployed daemon does not import it: with the build's copy of all packages, fulmarstile_adapter.__main__ loads no testing package.

Architecture test: - The exempt folder is gone: nothing under packages/ may name the users' platform, and instances.heartbeat and path_prefix are looked for too. - The names must be found in the adapter itself; the stand-in doesn't count. - The adapter, too, may not import a testing package, and each package of platform/ must be found by the check of names. - The bound on the adapter's size counts all of platform/ but the stand-in, as before the move.

Tried by hand: a copy of store.py in fulmarstile_testing, an import of the new package there and in the adapter, and a further package in platform/ each fail the test.

The Makefile's setup now also follows the project files of platform/, so that existing environments install the new package.

--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,16 @@
 PYTHON ?= python3
 VENV := .venv
 PACKAGES := wire http platform config mesh calls services daemon cli testing
-EDITABLE := $(foreach name,$(PACKAGES),-e packages/fulmarstile_$(name)) -e platform/fulmarstile_adapter
+ADAPTER_PACKAGES := adapter adapter_testing
+EDITABLE := $(foreach name,$(PACKAGES),-e packages/fulmarstile_$(name)) \
+	$(foreach name,$(ADAPTER_PACKAGES),-e platform/fulmarstile_$(name))
 SEEDS ?= 200
 SEED ?= 1
 TEST_JOBS ?= 4
 
 .PHONY: setup test lint format demo demo-platform soak scenarios bench-config bench-calls plots clean
 
-$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml platform/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install -q -c constraints.txt -r requirements-dev.txt
 	$(VENV)/bin/pip install -q -c constraints.txt --no-build-isolation $(EDITABLE)
@@ -33,10 +35,10 @@
 	$(VENV)/bin/python -m fulmarstile_testing.demo
 
 demo-platform: setup
-	$(VENV)/bin/python -m fulmarstile_testing.users_platform.demo
+	$(VENV)/bin/python -m fulmarstile_adapter_testing.demo
 
 soak: setup
-	$(VENV)/bin/python -m fulmarstile_testing.users_platform.soak --seed=$(SEED)
+	$(VENV)/bin/python -m fulmarstile_adapter_testing.soak --seed=$(SEED)
 
 scenarios: setup
 	$(VENV)/bin/python -m fulmarstile_testing.scenarios --seeds=$(SEEDS)
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -8,9 +8,9 @@
 import trio
 
 from fulmarstile_adapter.store import open_store_client
+from fulmarstile_adapter_testing.store import StoreStandIn, serve_store
 from fulmarstile_platform.keyed_log import KeyedRecord, RecordsExpiredError
 from fulmarstile_platform.log import LogUnavailableError
-from fulmarstile_testing.users_platform.store import StoreStandIn, serve_store
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -6,10 +6,10 @@
 
 import trio
 
+from fulmarstile_adapter_testing.soak import SoakSettings, run_soak
+from fulmarstile_adapter_testing.soak_rules import CallRecord, find_violations
 from fulmarstile_platform.http import HttpResponse
 from fulmarstile_testing.service_upstream import ServedRequest, UpstreamRecord
-from fulmarstile_testing.users_platform.soak import SoakSettings, run_soak
-from fulmarstile_testing.users_platform.soak_rules import CallRecord, find_violations
 
 SETTINGS = SoakSettings(seed=1, duration_s=8.0)
 
--- a/tests/processes/test_users_platform.py
+++ b/tests/processes/test_users_platform.py
@@ -12,7 +12,7 @@
 
 class UsersPlatformTest(unittest.TestCase):
     def test_every_route_is_served_before_and_after_changes(self) -> None:
-        command = [sys.executable, "-m", "fulmarstile_testing.users_platform.demo"]
+        command = [sys.executable, "-m", "fulmarstile_adapter_testing.demo"]
         result = subprocess.run(command, capture_output=True, text=True, timeout=TIMEOUT_S)
         self.assertEqual(result.returncode, 0, result.stderr)
         calls = [line.split()[-1] for line in result.stdout.splitlines() if "/" in line]
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -29,7 +29,11 @@
     }
 )
 
-ADAPTER = Path(__file__).parent.parent / "platform"
+PLATFORM = Path(__file__).parent.parent / "platform"
+
+ADAPTER = PLATFORM / "fulmarstile_adapter"
+
+ADAPTER_TESTING = PLATFORM / "fulmarstile_adapter_testing"
 
 PLATFORM_NAMES = (
     "x-attempt-id",
@@ -40,16 +44,21 @@
     "x-not-executed",
     "/v1/ready",
     "/v1/instances",
+    "instances.heartbeat",
     "log-append",
     "log-newest",
     "keyed.op",
+    "path_prefix",
     "weighted_split",
     "fulmarstile_node_file",
     "fulmarstile_adapter",
 )
-"""Names of the users' platform, one of each kind at least."""
+"""Names of the users' platform, one of each kind at least.
 
-TESTING_PACKAGE = "fulmarstile_testing"
+`fulmarstile_adapter` is found in the names of all packages of the platform's folder.
+"""
+
+TESTING_PACKAGES = frozenset({"fulmarstile_testing", "fulmarstile_adapter_testing"})
 
 
 def list_sources(package: str) -> list[Path]:
@@ -83,7 +92,7 @@
         source = "import os\nfrom trio import sleep\n"
         self.assertEqual(FORBIDDEN_MODULES & set(list_imports(source)), {"trio"})
 
-    def test_product_packages_do_not_import_the_testing_package(self) -> None:
+    def test_product_packages_do_not_import_a_testing_package(self) -> None:
         product = (
             "wire",
             "http",
@@ -95,18 +104,17 @@
             "daemon",
             "cli",
         )
-        for package in product:
-            for path in list_sources(package):
-                with self.subTest(path.name):
-                    self.assertNotIn(TESTING_PACKAGE, set(list_imports(path.read_text())))
+        sources = [path for package in product for path in list_sources(package)]
+        sources += sorted(ADAPTER.rglob("*.py"))
+        for path in sources:
+            with self.subTest(path.name):
+                found = TESTING_PACKAGES & set(list_imports(path.read_text()))
+                self.assertEqual(found, set())
 
 
 class PlatformNamesTest(unittest.TestCase):
-    def test_only_the_adapter_knows_the_names_of_the_platform(self) -> None:
-        stand_in = PACKAGES / "fulmarstile_testing/src/fulmarstile_testing/users_platform"
+    def test_only_the_platform_folder_knows_the_names_of_the_platform(self) -> None:
         for path in sorted(PACKAGES.rglob("*.py")):
-            if stand_in in path.parents:
-                continue
             with self.subTest(path.name):
                 self.assertEqual(list_platform_names(path.read_text()), [])
 
@@ -114,6 +122,13 @@
         text = "".join(path.read_text() for path in ADAPTER.rglob("*.py"))
         self.assertEqual(list_platform_names(text), list(PLATFORM_NAMES))
 
+    def test_the_check_finds_an_import_of_each_package_of_the_platform_folder(self) -> None:
+        packages = sorted(path.parent.name for path in PLATFORM.glob("*/pyproject.toml"))
+        self.assertEqual(packages, [ADAPTER.name, ADAPTER_TESTING.name])
+        for package in packages:
+            with self.subTest(package):
+                self.assertEqual(list_platform_names(f"import {package}"), ["fulmarstile_adapter"])
+
     def test_the_check_finds_a_name_in_another_case(self) -> None:
         self.assertEqual(list_platform_names("class WeightedSplit:"), ["weighted_split"])
 
@@ -122,4 +137,5 @@
             return sum(len(path.read_text().splitlines()) for path in folder.rglob("*.py"))
 
         product = count(PACKAGES) - count(PACKAGES / "fulmarstile_testing")
-        self.assertLess(count(ADAPTER) * 8, product)
+        adapter = count(PLATFORM) - count(ADAPTER_TESTING)
+        self.assertLess(adapter * 8, product)
