Take requests with long deadlines for a while after SIGTERM

What callers saw: with deadlines of 7.5 and 12 s and a grace time of 6 s every request of a stopping daemon was refused from SIGTERM on, those of other daemons for its upstream too, though callers stay for two or three seconds and most answers take a fraction of one. Cause: a request was taken only if its whole deadline fitted into the grace time, as nothing withdrew it later. Now that what has not begun is withdrawn, requests are taken for 0.4 of the grace time; after that as before.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -18,6 +18,7 @@
 from fulmarstile_daemon.services._link_server import LinkServer
 from fulmarstile_daemon.services._links import DaemonLinks
 from fulmarstile_daemon.services._request_server import RequestServer
+from fulmarstile_daemon.services._stop_times import StopTimes
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
 from fulmarstile_daemon.services.documents import DocumentHolder, RoutesInForce
@@ -69,6 +70,8 @@
 _RESERVED_DESCRIPTORS: Final = 300
 _MIN_SERVING_S: Final = 1.0
 """Time after SIGTERM for which callers are served at least, in seconds."""
+_ACCEPTING_SHARE: Final = 0.4
+"""Part of the grace time for which requests are taken that may last longer than the daemon."""
 _QUIET_CALLERS_S: Final = 0.6
 """Time without a request after which callers are taken to have left, in seconds."""
 _HAND_OVER_S: Final = 1.6
@@ -318,9 +321,12 @@
         What no upstream has by the hand-over is withdrawn and refused as not run. What upstreams
         still run at the end is answered as such.
         """
-        latest = trio.current_time() + self._settings.bounds.grace_s - _GRACE_MARGIN_S
+        now = trio.current_time()
+        grace_s = self._settings.bounds.grace_s
+        latest = now + grace_s - _GRACE_MARGIN_S
         self._is_stopping = True
-        self._entry.stops_at = self._hops.stops_at = latest
+        stop_times = StopTimes(now + grace_s * _ACCEPTING_SHARE, latest)
+        self._entry.stop_times = self._hops.stop_times = stop_times
         self._log.write(Stopping(in_flight=self._callers.in_flight + self._peers.in_flight))
         self._callers.begin_closing()
         with trio.move_on_at(latest - _HAND_OVER_S):
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -20,6 +19,7 @@
 from fulmarstile_daemon.services._links import DaemonUnreachableError
 from fulmarstile_daemon.services._request_server import make_error_reply
 from fulmarstile_daemon.services._server_connection import Reply
+from fulmarstile_daemon.services._stop_times import StopTimes
 from fulmarstile_daemon.services.events import (
     AttemptFailed,
     CallEnded,
@@ -107,8 +107,8 @@
         self._log = log
         self.caller_service = ""
         """Service of the upstream on this VM, told to the upstreams that run requests."""
-        self.stops_at = math.inf
-        """Time at which the daemon ends, in seconds; what could last longer is refused."""
+        self.stop_times = StopTimes()
+        """Decides what is taken after the daemon was told to stop."""
 
     async def hedge_forever(self) -> None:
         """Starts second attempts for late answers, until cancelled."""
@@ -136,7 +136,7 @@
         if self._directory.is_suspect(call.fingerprint):
             self._metrics.count_refusal(RefusalReason.QUARANTINED)
             return self._finish(call, make_error_reply(503, "the request crashes upstreams"), "")
-        if call.deadline > self.stops_at:
+        if not self.stop_times.accepts(call.deadline, trio.current_time()):
             self._metrics.count_refusal(RefusalReason.DRAINING)
             reply = make_error_reply(503, "the daemon stops", _STOPPING_RETRY_S)
             return self._finish(call, reply, RefusalReason.DRAINING.value, _STOPPING_RETRY_S)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
@@ -11,6 +11,7 @@
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._call import make_failure
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
+from fulmarstile_daemon.services._stop_times import StopTimes
 from fulmarstile_daemon.services.events import HopCut, HopEnded
 from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_wire.services import HopAnswer
@@ -53,8 +54,8 @@
         self._upstream = upstream
         self._gate = gate
         self._log = log
-        self.stops_at = math.inf
-        """Time at which the daemon ends, in seconds; what could last longer is refused."""
+        self.stop_times = StopTimes()
+        """Decides what is taken after the daemon was told to stop."""
 
     async def answer(self, call: HopCall, deadline: float, handover: Handover) -> HopAnswer:
         """Answers a forwarded request.
@@ -73,13 +74,13 @@
         request = ReceivedRequest(call.method, call.target, headers, call.body, arrived_at)
         if self._directory.is_suspect(hop.fingerprint):
             return self._refuse_early(RefusalReason.QUARANTINED, call, request)
-        if deadline > self.stops_at:
+        if not self.stop_times.accepts(deadline, arrived_at):
             return self._refuse_early(RefusalReason.DRAINING, call, request)
         useful_until = arrived_at + hop.useful_ms / 1000
         try:
             result = await self._upstream.run(hop, request, deadline, useful_until, handover)
         except trio.Cancelled:
-            if math.isfinite(self.stops_at):
+            if math.isfinite(self.stop_times.ends_at):
                 self._log_cut(request, handover, deadline)
             raise
         answer = result.answer
