Give calls in flight at the drain limit a final answer

Callers of the daemon's own call path saw their connections reset when drain_limit_s ran out: a call that waited for a slot or whose body was half received as well as one that ran. A daemon that had forwarded a call told its caller 502 MAY_HAVE_RUN although the call had only waited.

Cause: run_daemon cancelled its nursery, and with it every connection, and no code owned the answer of a call cancelled from above. With a limit shorter than the announcement (1.5 s) the queue was not refused either.

Daemon.drain now concludes the calls before it leaves: each connection's own scope is cancelled inside the still running nursery, so the call's verdict is settled while it unwinds, and the connection's task then sends 503 NOT_RUN with Retry-After, or 504 with the verdict. Claims are reported while the log can still be reached. A begun answer is left to end, for at most 1.5 s.

--- a/packages/fulmarstile_calls/src/fulmarstile_calls/drain.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/drain.py
@@ -65,6 +65,11 @@
         self._phase = DrainPhase.ANNOUNCED
         self._began_at = now
 
+    def time_out(self) -> None:
+        """Ends the wait for calls in flight before the limit; new ones are refused."""
+        if not self.is_finished:
+            self._phase = DrainPhase.TIMED_OUT
+
     def check_new_call(self, now: float) -> CallRefusal | None:
         """Returns the refusal of a call that arrives now, or None if it is served."""
         if self._phase is DrainPhase.ANNOUNCED and self._is_announced_long_enough(now):
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from fulmarstile_calls.request import CallRefusal
+    from fulmarstile_daemon.calls._call import Call
     from fulmarstile_daemon.calls._headers import Header
     from fulmarstile_daemon.calls.settings import CallSettings
     from fulmarstile_http.byte_stream import ByteStream
@@ -58,6 +59,10 @@
         """Whether the next answer is the last one on the connection."""
         self.scope = trio.CancelScope()
         """Scope of the task that serves the connection."""
+        self.call: Call | None = None
+        """Call of the last request; None while the next one is received."""
+        self.is_concluded = False
+        """Whether the request was ended and is yet to be refused."""
 
     @property
     def wants_continue(self) -> bool:
@@ -69,6 +74,11 @@
         """Whether another request may follow on the connection."""
         return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the answer to the last request was written as a whole."""
+        return self._http.our_state in (h11.DONE, h11.MUST_CLOSE)
+
     @property
     def is_body_received(self) -> bool:
         """Whether the whole request has arrived."""
@@ -87,6 +97,7 @@
         Raises:
             CallFailedError: If the head is malformed, oversize or late.
         """
+        self.call = None
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
         received = self._http.trailing_data[0]
@@ -225,6 +236,13 @@
         self.must_close |= close
         await self.send_head(refusal.status, headers, body, True)
 
+    def conclude(self) -> None:
+        """Ends the request that is being served, unless its answer has begun."""
+        self.must_close = True
+        if self._http.our_state is h11.SEND_RESPONSE:
+            self.is_concluded = True
+            self.scope.cancel()
+
     async def close(self) -> None:
         """Closes the connection once the caller has closed its side or had time to.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_hedging.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_hedging.py
@@ -78,15 +78,18 @@
             CallerGoneError: If the caller left.
         """
         race = _Race(self._attempts, call, caller)
-        async with trio.open_nursery() as nursery:
-            call.scope = nursery.cancel_scope
-            race.start(endpoint, nursery)
-            with trio.move_on_after(delay_s):
+        try:
+            async with trio.open_nursery() as nursery:
+                call.scope = nursery.cancel_scope
+                race.start(endpoint, nursery)
+                with trio.move_on_after(delay_s):
+                    await race.settled.wait()
+                if race.is_open:
+                    self._start_hedge(race, call, endpoint, nursery)
                 await race.settled.wait()
-            if race.is_open:
-                self._start_hedge(race, call, endpoint, nursery)
-            await race.settled.wait()
-            nursery.cancel_scope.cancel()
+                nursery.cancel_scope.cancel()
+        finally:
+            race.note_verdict()
         return race.finish()
 
     def _start_hedge(
@@ -124,10 +127,12 @@
         self._calls.append(call)
         nursery.start_soon(self._run, call, endpoint)
 
+    def note_verdict(self) -> None:
+        if any(each.verdict is not Verdict.NOT_RUN for each in self._calls):
+            self._call.verdict = Verdict.MAY_HAVE_RUN
+
     def finish(self) -> CallRefusal | None:
         call = self._call
-        if any(each.verdict is not Verdict.NOT_RUN for each in self._calls):
-            call.verdict = Verdict.MAY_HAVE_RUN
         if self._answered:
             return None
         if call.abandoned or not self._refusals:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -43,6 +43,10 @@
 _SWEEP_INTERVAL_S: Final = 1.0
 """Interval at which idle connections are looked for, in seconds."""
 _DRAIN_POLL_S: Final = 0.02
+_CONCLUDE_S: Final = 1.5
+"""Longest time to send final answers and to wait for callers to close, in seconds."""
+_STOP_RETRY_AFTER_S: Final = 1.0
+"""Delay after which another daemon is worth asking instead of a stopped one, in seconds."""
 _ACCEPT_PAUSE_S: Final = 0.05
 """Pause before accepting again when the process has too many files open, in seconds."""
 
@@ -184,6 +188,19 @@
             await trio.sleep(_DRAIN_POLL_S)
             self._advance_drain(trio.current_time())
 
+    async def conclude(self) -> None:
+        """Refuses new calls, and ends each call in flight with a final answer.
+
+        An answer that has begun cannot be replaced; it gets a last moment to end.
+        """
+        self._drain.time_out()
+        self._advance_drain(trio.current_time())
+        for caller in self._connections:
+            caller.conclude()
+        with trio.move_on_after(_CONCLUDE_S):
+            while any(not caller.is_idle for caller in self._connections):
+                await trio.sleep(_DRAIN_POLL_S)
+
     def dump(self) -> CallDump:
         """Describes what the proxy is doing."""
         return CallDump(
@@ -262,6 +279,8 @@
         try:
             with caller.scope:
                 await self._serve_requests(caller)
+            if caller.is_concluded:
+                await self._answer_concluded(caller)
         except CallerGoneError:
             pass
         except Exception:
@@ -286,6 +305,11 @@
             caller.is_idle = True
         await caller.close()
 
+    async def _answer_concluded(self, caller: CallerConnection) -> None:
+        if not caller.is_answered:
+            await self._refuse(caller, _refuse_concluded(caller.call), close=True)
+        await caller.close()
+
     async def _serve_request(self, caller: CallerConnection, request: ReceivedRequest) -> None:
         now = trio.current_time()
         self._counters.calls += 1
@@ -293,6 +317,7 @@
         try:
             call = self._reader.read(request, caller, now)
             self._check(call, now)
+            caller.call = call
             self._watch.add(call, caller)
             await self._runner.run(call, caller)
             self._counters.answers += 1
@@ -334,3 +359,13 @@
         self._counters.upstream_crashes += 1
         logger.warning("the upstream crashed with {} calls in flight", len(in_flight))
         self._context.on_upstream_crash(suspects)
+
+
+def _refuse_concluded(call: Call | None) -> CallRefusal:
+    """Makes the final answer to a request that was ended because the daemon stops."""
+    if call is None or call.combined_verdict is Verdict.NOT_RUN:
+        detail = "the daemon stopped before the request was sent"
+        return make_refusal(
+            RefusalReason.DRAINING, Verdict.NOT_RUN, detail, retry_after_s=_STOP_RETRY_AFTER_S
+        )
+    return call.fail(RefusalReason.TIMEOUT, "the daemon stopped before the answer came").refusal
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
@@ -140,6 +140,7 @@
             await self._proxy.wait_drained()
         if limit.cancelled_caught:
             logger.warning("drain limit reached with calls in flight")
+        await self._proxy.conclude()
         self._carry_out(self._core.leave(self.now))
         await trio.sleep(LEAVE_FLUSH_S)
 
--- a/tests/calls/test_drain.py
+++ b/tests/calls/test_drain.py
@@ -54,6 +54,12 @@
         self.assertIs(self.drain.on_tick(1, 30.0), DrainPhase.TIMED_OUT)
         self.assertTrue(self.drain.is_finished)
 
+    def test_a_stop_ended_during_its_announcement_takes_no_new_call(self):
+        self.drain.begin(0.0)
+        self.drain.time_out()
+        self.assertIs(self.drain.check_new_call(0.1).verdict, Verdict.NOT_RUN)
+        self.assertIs(self.drain.on_tick(1, 0.1), DrainPhase.TIMED_OUT)
+
 
 class UpstreamLeaseTest(unittest.TestCase):
     """An upstream counts as long as it renews its announcement."""
--- a/tests/daemon/test_calls_verdicts.py
+++ b/tests/daemon/test_calls_verdicts.py
@@ -337,6 +337,22 @@
 
         trio.run(run)
 
+    def test_a_claim_is_not_released_when_a_stop_ends_its_running_call(self) -> None:
+        async def run() -> None:
+            context = FakeContext(claims=FakeClaims())
+            async with serve_daemon(context=context) as daemon:
+                target = "/charge?delay_ms=60000"
+                caller = await daemon.connect()
+                await caller.send(make_request(target, "POST", b"5", {"Idempotency-Key": "k"}))
+                while not daemon.upstream.counts.running:
+                    await trio.sleep(0.01)
+                daemon.proxy.begin_draining()
+                await daemon.proxy.conclude()
+                self.assertEqual((await caller.receive("POST")).verdict, "MAY_HAVE_RUN")
+                self.assertEqual(context.claims.answers, {"k": None})
+
+        trio.run(run)
+
     def test_a_call_without_key_or_claims_is_refused(self) -> None:
         async def run() -> None:
             async with serve_daemon() as daemon:
--- /dev/null
+++ b/tests/daemon/test_stop_answers.py
@@ -0,0 +1,229 @@
+"""A daemon that stops gives every call in flight a final answer: no caller is left without."""
+
+from __future__ import annotations
+
+import signal
+import tempfile
+import unittest
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import trio
+
+from fulmarstile_daemon.calls import CallSettings
+from fulmarstile_daemon.calls._hop import HopHeaders
+from fulmarstile_daemon.service import run_daemon
+from fulmarstile_daemon.settings import load_settings
+from fulmarstile_platform.http import HttpError
+from fulmarstile_testing.builders.call_proxies import (
+    CUSTOMER,
+    HEDGED_ROUTE,
+    SERVICE,
+    FakeContext,
+    RawAnswer,
+    RawCaller,
+    make_endpoint,
+    make_request,
+    make_table,
+    serve_daemon,
+    serve_two_daemons,
+)
+from fulmarstile_testing.builders.settings import build_settings_text
+from fulmarstile_testing.free_ports import find_free_ports
+from fulmarstile_testing.upstream_announcing import announce
+from fulmarstile_testing.upstream_stand_in import StandInSettings, UpstreamStandIn
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+MESH_KEY = bytes(32)
+LASTING = "/write?delay_ms=60000"
+
+
+@dataclass
+class RunningDaemon:
+    """A whole daemon with an upstream of one slot."""
+
+    calls_address: str
+    upstream: UpstreamStandIn
+    stopped: trio.Event
+    callers: list[RawCaller] = field(default_factory=list)
+
+    async def send(self, request: bytes) -> RawCaller:
+        host, _, port = self.calls_address.rpartition(":")
+        caller = RawCaller(await trio.open_tcp_stream(host, int(port)))
+        self.callers.append(caller)
+        await caller.send(request)
+        return caller
+
+    async def occupy_slot(self) -> RawCaller:
+        caller = await self.send(make_forwarded(LASTING))
+        while not self.upstream.counts.running:
+            await trio.sleep(0.01)
+        return caller
+
+
+@asynccontextmanager
+async def run_whole_daemon(drain_limit_s: int) -> AsyncIterator[RunningDaemon]:
+    peers, calls, admin = (f"127.0.0.1:{port}" for port in find_free_ports(3))
+    text = build_settings_text(
+        daemon__drain_limit_s=str(drain_limit_s),
+        peers__address=peers,
+        calls__address=calls,
+        admin__address=admin,
+    )
+    upstream = UpstreamStandIn(StandInSettings(SERVICE, slots=1))
+    daemon = RunningDaemon(calls, upstream, trio.Event())
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory) / "a.ini"
+        path.write_text(text)
+        settings = load_settings(path)
+
+    async def run() -> None:
+        await run_daemon(settings)
+        daemon.stopped.set()
+
+    async with trio.open_nursery() as nursery:
+        await nursery.start(upstream.serve)
+        nursery.start_soon(run)
+        await announce_when_ready(upstream, admin)
+        try:
+            yield daemon
+        finally:
+            for caller in daemon.callers:
+                caller.stream.socket.close()
+            nursery.cancel_scope.cancel()
+
+
+async def announce_when_ready(upstream: UpstreamStandIn, admin: str) -> None:
+    while True:
+        try:
+            return await announce(upstream, admin, "ready", 60.0)
+        except HttpError:
+            await trio.sleep(0.05)
+
+
+def make_forwarded(target: str, method: str = "GET", body: bytes = b"") -> bytes:
+    hop = HopHeaders("daemon-9", MESH_KEY)
+    headers = {
+        "Fulmarstile-Hop": hop._own.decode(),
+        "Fulmarstile-Customer": CUSTOMER,
+        "Fulmarstile-Service": SERVICE,
+    }
+    return make_request(target, method, body, headers)
+
+
+class StopAnswersTest(unittest.TestCase):
+    def check_not_run(self, answer: RawAnswer) -> None:
+        told = (answer.status, answer.verdict, answer.reason)
+        self.assertEqual(told, (503, "NOT_RUN", "draining"))
+        self.assertEqual(answer.headers["retry-after"], "1")
+        self.assertTrue(answer.complete)
+
+    def check_may_have_run(self, answer: RawAnswer) -> None:
+        told = (answer.status, answer.verdict, answer.reason)
+        self.assertEqual(told, (504, "MAY_HAVE_RUN", "timeout"))
+        self.assertTrue(answer.complete)
+
+    def test_a_running_call_is_not_reset_at_the_drain_limit(self) -> None:
+        async def run() -> None:
+            async with run_whole_daemon(drain_limit_s=1) as daemon:
+                running = await daemon.occupy_slot()
+                signal.raise_signal(signal.SIGTERM)
+                self.check_may_have_run(await running.receive())
+                await daemon.stopped.wait()
+
+        trio.run(run)
+
+    def test_a_waiting_call_is_not_reset_when_the_drain_limit_ends_the_announcement(self) -> None:
+        async def run() -> None:
+            async with run_whole_daemon(drain_limit_s=0) as daemon:
+                await daemon.occupy_slot()
+                waiting = await daemon.send(make_forwarded("/write"))
+                await trio.sleep(0.1)
+                signal.raise_signal(signal.SIGTERM)
+                self.check_not_run(await waiting.receive())
+                await daemon.stopped.wait()
+
+        trio.run(run)
+
+    def test_a_call_whose_body_is_half_received_is_not_reset_at_the_drain_limit(self) -> None:
+        async def run() -> None:
+            async with run_whole_daemon(drain_limit_s=1) as daemon:
+                whole = make_forwarded("/write", "POST", b"0123456789")
+                caller = await daemon.send(whole[:-5])
+                await trio.sleep(0.1)
+                signal.raise_signal(signal.SIGTERM)
+                self.check_not_run(await caller.receive("POST"))
+                await daemon.stopped.wait()
+                self.assertEqual(daemon.upstream.counts.total, 0)
+
+        trio.run(run)
+
+    def test_a_call_forwarded_by_a_peer_is_not_told_may_have_run_if_it_only_waited(self) -> None:
+        async def run() -> None:
+            settings = CallSettings(MESH_KEY)
+            async with (
+                run_whole_daemon(drain_limit_s=0) as daemon,
+                serve_daemon(settings=settings) as entry,
+            ):
+                remote = make_endpoint("planning-1", daemon.calls_address, is_local=False)
+                entry.proxy.replace_endpoints((remote,))
+                await daemon.occupy_slot()
+                caller = await entry.connect()
+                await caller.send(make_request("/write"))
+                await trio.sleep(0.1)
+                signal.raise_signal(signal.SIGTERM)
+                self.check_not_run(await caller.receive())
+
+        trio.run(run)
+
+    def test_a_forwarded_call_is_not_reset_when_its_entry_daemon_stops(self) -> None:
+        async def run() -> None:
+            async with serve_two_daemons() as (entry, serving):
+                caller = await entry.connect()
+                await caller.send(make_request(LASTING))
+                while not serving.upstream.counts.running:
+                    await trio.sleep(0.01)
+                entry.proxy.begin_draining()
+                await entry.proxy.conclude()
+                self.check_may_have_run(await caller.receive())
+
+        trio.run(run)
+
+    def test_a_hedged_call_is_not_told_not_run_after_it_was_sent(self) -> None:
+        async def run() -> None:
+            context = FakeContext(routing_table=make_table((HEDGED_ROUTE,)))
+            async with serve_daemon(context=context) as daemon:
+                caller = await daemon.connect()
+                await caller.send(make_request(LASTING))
+                while not daemon.upstream.counts.running:
+                    await trio.sleep(0.01)
+                daemon.proxy.begin_draining()
+                await daemon.proxy.conclude()
+                self.check_may_have_run(await caller.receive())
+
+        trio.run(run)
+
+    def test_an_answer_that_has_begun_is_not_followed_by_a_refusal(self) -> None:
+        async def run() -> None:
+            async with serve_daemon() as daemon:
+                caller = await daemon.connect()
+                await caller.send(make_request("/slots?size=8000000"))
+                while not daemon.upstream.counts.running:
+                    await trio.sleep(0.01)
+                await trio.sleep(0.2)
+                daemon.proxy.begin_draining()
+                await daemon.proxy.conclude()
+                self.assertEqual(daemon.proxy.dump().calls_in_flight, 1)
+                answer = await caller.receive()
+                self.assertEqual((answer.status, len(answer.body)), (200, 8_000_000))
+                self.assertTrue(answer.complete)
+
+        trio.run(run)
+
+
+if __name__ == "__main__":
+    unittest.main()
