Conclude the calls in flight on a second signal too

Callers saw their connections reset, without an answer, when a daemon that drains got a second SIGTERM or SIGINT, and its peers were not told that it left.

Cause: the signal cancelled the scope around the whole of Daemon.drain, so nothing after the wait for calls in flight was done.

The signal now cancels only that wait, as the drain limit does; the calls are concluded and the daemon leaves as always. The constants _CONCLUDE_S and LEAVE_FLUSH_S bound what that takes; a daemon no longer stops at once on a second signal.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
@@ -64,6 +64,7 @@
         self._metrics = MetricsPage()
         self._lease = UpstreamLease()
         self._leaving = False
+        self._drain_wait = trio.CancelScope()
         self._claims_changed = trio.Event()
         self._claims_due_at = core.claims_due_at
         self._endpoints = core.endpoints
@@ -136,14 +137,19 @@
         logger.info("draining")
         self._carry_out(self._core.begin_leaving(self.now))
         self._proxy.begin_draining()
-        with trio.move_on_after(self._settings.daemon.drain_limit_s) as limit:
+        self._drain_wait.deadline = self.now + self._settings.daemon.drain_limit_s
+        with self._drain_wait:
             await self._proxy.wait_drained()
-        if limit.cancelled_caught:
-            logger.warning("drain limit reached with calls in flight")
+        if self._drain_wait.cancelled_caught:
+            logger.warning("drain ended with calls in flight")
         await self._proxy.conclude()
         self._carry_out(self._core.leave(self.now))
         await trio.sleep(LEAVE_FLUSH_S)
 
+    def stop_waiting(self) -> None:
+        """Ends the wait for calls in flight of a planned stop as its time limit does."""
+        self._drain_wait.cancel()
+
     def announce_upstream(self, announcement: UpstreamAnnouncement) -> None:
         """Takes or renews the lease of the local upstream.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/service.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/service.py
@@ -77,17 +77,15 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         await anext(aiter(signals))
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_cancel_on_second_signal, signals, nursery.cancel_scope)
+            nursery.start_soon(_hurry_on_second_signal, signals, daemon)
             await daemon.drain()
             nursery.cancel_scope.cancel()
 
 
-async def _cancel_on_second_signal(
-    signals: AsyncIterator[int], cancel_scope: trio.CancelScope
-) -> None:
+async def _hurry_on_second_signal(signals: AsyncIterator[int], daemon: Daemon) -> None:
     await anext(aiter(signals))
-    logger.warning("second signal: stopping at once")
-    cancel_scope.cancel()
+    logger.warning("second signal: waiting no longer")
+    daemon.stop_waiting()
 
 
 @asynccontextmanager
--- a/tests/daemon/test_stop_answers.py
+++ b/tests/daemon/test_stop_answers.py
@@ -224,6 +224,22 @@
 
         trio.run(run)
 
+    def test_calls_are_not_reset_by_a_second_signal(self) -> None:
+        async def run() -> None:
+            async with run_whole_daemon(drain_limit_s=60) as daemon:
+                running = await daemon.occupy_slot()
+                waiting = await daemon.send(make_forwarded("/write"))
+                await trio.sleep(0.1)
+                signal.raise_signal(signal.SIGTERM)
+                await trio.sleep(0.1)
+                signal.raise_signal(signal.SIGTERM)
+                with trio.fail_after(5.0):
+                    self.check_may_have_run(await running.receive())
+                    self.check_not_run(await waiting.receive())
+                    await daemon.stopped.wait()
+
+        trio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
