Let a planned stop count half-received heads and answers on their way

A caller whose request head was half received when a stop found no call in flight got nothing but the end of its connection; so did one at the drain limit. A caller on a slow link lost the rest of an answer that the daemon had handed to the kernel.

Cause: 'in flight' was the calls being run, from the end of the head to the last write. A stop that looked finished cancelled connections that still received, or waited for the caller to take all.

Before, tests/daemon/test_stop_answers.py failed with Tuples differ: (0, '', '') != (503, 'NOT_RUN', 'draining') half_received_head, both tests Tuples differ: (200, 4005) != (200, 60000) slow caller

A connection is now in use from the first byte of a head until it is closed or awaits the next request, and a stop waits for those in use and concludes them. Calls refused during the stop do not count: with them, a trial of this change was held up by steady callers (TooSlowError in test_a_stop_is_not_held_up_by_callers_that_are_refused_in_the_meantime).

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -51,6 +51,8 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=settings.head_limit)
         self.is_idle = True
         """Whether the head of the next request has not arrived whole."""
+        self.has_partial_head = False
+        """Whether the head of the next request has begun to arrive."""
         self.idle_since = 0.0
         """Time from which the next request is awaited, in seconds."""
         self.hop = b""
@@ -60,7 +62,7 @@
         self.scope = trio.CancelScope()
         """Scope of the task that serves the connection."""
         self.call: Call | None = None
-        """Call of the last request; None while the next one is received."""
+        """Call of the last request, if it was accepted; None while the next one is received."""
         self.is_concluded = False
         """Whether the request was ended and is yet to be refused."""
 
@@ -74,6 +76,11 @@
         """Whether another request may follow on the connection."""
         return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
+    @property
+    def is_in_use(self) -> bool:
+        """Whether a request is half received, or an accepted call's answer is on its way."""
+        return self.has_partial_head or self.call is not None
+
     @property
     def is_answered(self) -> bool:
         """Whether the answer to the last request was written as a whole."""
@@ -110,11 +117,12 @@
                 return None
             self._http.receive_data(received)
         if received.find(HEAD_END) < 0:
+            self.has_partial_head = True
             received = await self._receive_rest_of_head(received)
         end = received.find(HEAD_END)
         if end > self._settings.head_limit:
             raise _bad_request("the request head is too large", status=431)
-        self.is_idle = False
+        self.is_idle = self.has_partial_head = False
         try:
             check_lines(received[: end + 2])
             event = self._parse()
@@ -237,9 +245,9 @@
         await self.send_head(refusal.status, headers, body, True)
 
     def conclude(self) -> None:
-        """Ends the request that is being served, unless its answer has begun."""
+        """Ends the request that is being received or served, unless its answer has begun."""
         self.must_close = True
-        if self._http.our_state is h11.SEND_RESPONSE:
+        if self.is_in_use and self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.is_concluded = True
             self.scope.cancel()
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -198,7 +198,7 @@
         for caller in self._connections:
             caller.conclude()
         with trio.move_on_after(_CONCLUDE_S):
-            while any(not caller.is_idle for caller in self._connections):
+            while any(caller.is_in_use for caller in self._connections):
                 await trio.sleep(_DRAIN_POLL_S)
 
     def dump(self) -> CallDump:
@@ -242,8 +242,10 @@
                 nursery.start_soon(self._serve_connection, stream)
 
     def _advance_drain(self, now: float) -> None:
-        phase = self._drain.on_tick(len(self._watch), now)
-        if phase not in (DrainPhase.SERVING, DrainPhase.ANNOUNCED):
+        if not self.is_draining:
+            return
+        in_use = sum(caller.is_in_use for caller in self._connections)
+        if self._drain.on_tick(in_use, now) is not DrainPhase.ANNOUNCED:
             self._local.begin_draining(now)
 
     def _close_idle(self, oldest: float) -> None:
--- a/tests/daemon/test_stop_answers.py
+++ b/tests/daemon/test_stop_answers.py
@@ -24,6 +24,7 @@
     FakeContext,
     RawAnswer,
     RawCaller,
+    ServedDaemon,
     make_endpoint,
     make_request,
     make_table,
@@ -240,6 +241,74 @@
 
         trio.run(run)
 
+    def test_a_half_received_head_is_not_cut_off_by_a_stop(self) -> None:
+        async def run() -> None:
+            async with run_whole_daemon(drain_limit_s=60) as daemon:
+                request = make_forwarded("/write")
+                caller = await daemon.send(request[:30])
+                await trio.sleep(0.1)
+                signal.raise_signal(signal.SIGTERM)
+                await trio.sleep(2.5)
+                await caller.send(request[30:])
+                self.check_not_run(await caller.receive())
+                await daemon.stopped.wait()
+
+        trio.run(run)
+
+    def test_a_half_received_head_is_not_left_unanswered_at_the_drain_limit(self) -> None:
+        async def run() -> None:
+            async with run_whole_daemon(drain_limit_s=1) as daemon:
+                caller = await daemon.send(make_forwarded("/write")[:30])
+                await trio.sleep(0.1)
+                signal.raise_signal(signal.SIGTERM)
+                self.check_not_run(await caller.receive())
+                await daemon.stopped.wait()
+
+        trio.run(run)
+
+    def test_an_answer_on_its_way_to_a_slow_caller_is_not_destroyed_by_a_stop(self) -> None:
+        async def run() -> None:
+            settings = CallSettings(MESH_KEY, drain_announce_s=0.0)
+            async with serve_daemon(settings=settings) as daemon:
+                host, _, port = daemon.proxy.address.rpartition(":")
+                sock = trio.socket.socket()
+                sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 4096)
+                await sock.connect((host, int(port)))
+                caller = RawCaller(trio.SocketStream(sock))
+                await caller.send(make_request("/slots?size=60000&delay_ms=100"))
+                while not daemon.upstream.counts.running:
+                    await trio.sleep(0.01)
+                daemon.proxy.begin_draining()
+                with trio.fail_after(5.0):
+                    await daemon.proxy.wait_drained()
+            async with caller.stream:
+                answer = await caller.receive()
+            self.assertEqual((answer.status, len(answer.body)), (200, 60_000))
+            self.assertTrue(answer.complete)
+
+        trio.run(run)
+
+    def test_a_stop_is_not_held_up_by_callers_that_are_refused_in_the_meantime(self) -> None:
+        async def run() -> None:
+            settings = CallSettings(MESH_KEY, drain_announce_s=0.0)
+            async with serve_daemon(settings=settings) as daemon, trio.open_nursery() as nursery:
+                nursery.start_soon(daemon.call, make_request("/write?delay_ms=300"))
+                while not daemon.upstream.counts.running:
+                    await trio.sleep(0.01)
+                daemon.proxy.begin_draining()
+                nursery.start_soon(self.call_steadily, daemon)
+                with trio.fail_after(1.5):
+                    await daemon.proxy.wait_drained()
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    async def call_steadily(self, daemon: ServedDaemon) -> None:
+        while True:
+            caller = await daemon.connect()
+            await caller.send(make_request("/write"))
+            self.check_not_run(await caller.receive())
+
 
 if __name__ == "__main__":
     unittest.main()
