Close, not reset, a connection whose answer was written whole

A caller whose answer, or refusal, was on its way when its connection's task was cancelled lost what it had not taken yet: of 60000 bytes a slow caller got 4005.

Cause: CallerConnection.end reset every connection whose last head had arrived, even if nothing of the answer was left to write; a reset discards what the kernel still has to send.

Before, test_a_whole_answer_is_not_destroyed_when_its_connection_is_ended failed with Tuples differ: (200, 4005) != (200, 60000)

A connection is now reset only while its answer is not whole. Whole means also written: by the state of the protocol alone, test_an_answer_of_which_a_part_was_not_written_does_not_end_as_if_whole failed with 'BrokenResourceError not raised'.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -49,6 +49,7 @@
         self._stream = stream
         self._settings = settings
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=settings.head_limit)
+        self._has_unsent = False
         self.is_idle = True
         """Whether the head of the next request has not arrived whole."""
         self.has_partial_head = False
@@ -84,7 +85,7 @@
     @property
     def is_answered(self) -> bool:
         """Whether the answer to the last request was written as a whole."""
-        return self._http.our_state in (h11.DONE, h11.MUST_CLOSE)
+        return not self._has_unsent and self._http.our_state in (h11.DONE, h11.MUST_CLOSE)
 
     @property
     def is_body_received(self) -> bool:
@@ -259,8 +260,8 @@
         await self._stream.close_after_peer()
 
     def end(self) -> None:
-        """Closes the connection at once; an answer that was begun is seen to be cut off."""
-        if self.is_idle:
+        """Closes the connection at once; an answer that is not whole is seen to be cut off."""
+        if self.is_idle or self.is_answered:
             self._stream.close()
         else:
             self._stream.abort()
@@ -298,10 +299,12 @@
             return b""
 
     async def _send(self, data: bytes) -> None:
+        self._has_unsent = True
         try:
             await self._stream.send_all(data)
         except OSError as error:
             raise CallerGoneError from error
+        self._has_unsent = False
 
     def _parse(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
--- a/tests/daemon/test_stop_answers.py
+++ b/tests/daemon/test_stop_answers.py
@@ -116,6 +116,15 @@
     return make_request(target, method, body, headers)
 
 
+async def connect_slowly(daemon: ServedDaemon) -> RawCaller:
+    """Opens a connection, kept beyond the daemon's end, whose caller takes little at a time."""
+    host, _, port = daemon.proxy.address.rpartition(":")
+    sock = trio.socket.socket()
+    sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 4096)
+    await sock.connect((host, int(port)))
+    return RawCaller(trio.SocketStream(sock))
+
+
 class StopAnswersTest(unittest.TestCase):
     def check_not_run(self, answer: RawAnswer) -> None:
         told = (answer.status, answer.verdict, answer.reason)
@@ -270,11 +279,7 @@
         async def run() -> None:
             settings = CallSettings(MESH_KEY, drain_announce_s=0.0)
             async with serve_daemon(settings=settings) as daemon:
-                host, _, port = daemon.proxy.address.rpartition(":")
-                sock = trio.socket.socket()
-                sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, 4096)
-                await sock.connect((host, int(port)))
-                caller = RawCaller(trio.SocketStream(sock))
+                caller = await connect_slowly(daemon)
                 await caller.send(make_request("/slots?size=60000&delay_ms=100"))
                 while not daemon.upstream.counts.running:
                     await trio.sleep(0.01)
@@ -288,6 +293,41 @@
 
         trio.run(run)
 
+    def test_a_whole_answer_is_not_destroyed_when_its_connection_is_ended(self) -> None:
+        async def run() -> None:
+            settings = CallSettings(MESH_KEY, drain_announce_s=0.0)
+            async with serve_daemon(settings=settings) as daemon:
+                caller = await connect_slowly(daemon)
+                await caller.send(make_request("/slots?size=60000&delay_ms=100"))
+                while not daemon.upstream.counts.running:
+                    await trio.sleep(0.01)
+                daemon.proxy.begin_draining()
+                while daemon.proxy.dump().calls_in_flight:
+                    await trio.sleep(0.01)
+            async with caller.stream:
+                answer = await caller.receive()
+            self.assertEqual((answer.status, len(answer.body)), (200, 60_000))
+            self.assertTrue(answer.complete)
+
+        trio.run(run)
+
+    def test_an_answer_of_which_a_part_was_not_written_does_not_end_as_if_whole(self) -> None:
+        async def run() -> None:
+            async with serve_daemon() as daemon:
+                caller = await connect_slowly(daemon)
+                await caller.send(make_request("/slots?size=60000") * 200)
+                answers = -1
+                while daemon.proxy.counters.answers > answers:
+                    answers = daemon.proxy.counters.answers
+                    await trio.sleep(0.3)
+                self.assertLess(answers, 200)
+            async with caller.stream:
+                with self.assertRaises(trio.BrokenResourceError):
+                    while await caller.stream.receive_some():
+                        pass
+
+        trio.run(run)
+
     def test_a_stop_is_not_held_up_by_callers_that_are_refused_in_the_meantime(self) -> None:
         async def run() -> None:
             settings = CallSettings(MESH_KEY, drain_announce_s=0.0)
