--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from fulmarstile_calls.request import CallRefusal
+    from fulmarstile_daemon.calls._call import Call
     from fulmarstile_daemon.calls._headers import Header
     from fulmarstile_daemon.calls.settings import CallSettings
     from fulmarstile_http.byte_stream import ByteStream
@@ -48,8 +49,11 @@
         self._stream = stream
         self._settings = settings
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=settings.head_limit)
+        self._has_unsent = False
         self.is_idle = True
         """Whether the head of the next request has not arrived whole."""
+        self.has_partial_head = False
+        """Whether the head of the next request has begun to arrive."""
         self.idle_since = 0.0
         """Time from which the next request is awaited, in seconds."""
         self.hop = b""
@@ -58,6 +62,10 @@
         """Whether the next answer is the last one on the connection."""
         self.scope = trio.CancelScope()
         """Scope of the task that serves the connection."""
+        self.call: Call | None = None
+        """Call of the last request, if it was accepted; None while the next one is received."""
+        self.is_concluded = False
+        """Whether the request was ended and is yet to be refused."""
 
     @property
     def wants_continue(self) -> bool:
@@ -69,6 +77,16 @@
         """Whether another request may follow on the connection."""
         return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
+    @property
+    def is_in_use(self) -> bool:
+        """Whether a request is half received, or an accepted call's answer is on its way."""
+        return self.has_partial_head or self.call is not None
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the answer to the last request was written as a whole."""
+        return not self._has_unsent and self._http.our_state in (h11.DONE, h11.MUST_CLOSE)
+
     @property
     def is_body_received(self) -> bool:
         """Whether the whole request has arrived."""
@@ -87,6 +105,7 @@
         Raises:
             CallFailedError: If the head is malformed, oversize or late.
         """
+        self.call = None
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
         received = self._http.trailing_data[0]
@@ -99,11 +118,12 @@
                 return None
             self._http.receive_data(received)
         if received.find(HEAD_END) < 0:
+            self.has_partial_head = True
             received = await self._receive_rest_of_head(received)
         end = received.find(HEAD_END)
         if end > self._settings.head_limit:
             raise _bad_request("the request head is too large", status=431)
-        self.is_idle = False
+        self.is_idle = self.has_partial_head = False
         try:
             check_lines(received[: end + 2])
             event = self._parse()
@@ -225,6 +245,13 @@
         self.must_close |= close
         await self.send_head(refusal.status, headers, body, True)
 
+    def conclude(self) -> None:
+        """Ends the request that is being received or served, unless its answer has begun."""
+        self.must_close = True
+        if self.is_in_use and self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self.is_concluded = True
+            self.scope.cancel()
+
     async def close(self) -> None:
         """Closes the connection once the caller has closed its side or had time to.
 
@@ -233,8 +260,8 @@
         await self._stream.close_after_peer()
 
     def end(self) -> None:
-        """Closes the connection at once; an answer that was begun is seen to be cut off."""
-        if self.is_idle:
+        """Closes the connection at once; an answer that is not whole is seen to be cut off."""
+        if self.is_idle or self.is_answered:
             self._stream.close()
         else:
             self._stream.abort()
@@ -272,10 +299,12 @@
             return b""
 
     async def _send(self, data: bytes) -> None:
+        self._has_unsent = True
         try:
             await self._stream.send_all(data)
         except OSError as error:
             raise CallerGoneError from error
+        self._has_unsent = False
 
     def _parse(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
