Say of a closed stream that it is closed, instead of ending the daemon

What callers would see: all requests of a daemon cut at once. Cause: trio raises ClosedResourceError to who waits for a socket while it is closed, but ValueError (and, with two waiting, BusyResourceError) to who begins to wait after that; a connection between daemons that breaks as it is opened, or within the pass of the loop in which something was sent over it, so ended the task group of all connections and the daemon. Now every wait of ByteStream raises OSError on a closed stream, which all its users expect; three of them had not caught ClosedResourceError either. Evidence: both tests of test_frame_stream fail before with ValueError from epoll, pass after.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -124,7 +124,7 @@
             await self._has_unsent.wait()
             try:
                 await self._stream.wait_writable()
-            except (OSError, trio.ClosedResourceError) as error:
+            except OSError as error:
                 raise LinkBrokenError(f"sending failed: {error}") from error
             while self._unsent:
                 frame = self._unsent[0]
@@ -157,7 +157,7 @@
             try:
                 data = await self._stream.receive()
                 messages = self._decoder.feed(data)
-            except (OSError, trio.ClosedResourceError, WireError) as error:
+            except (OSError, WireError) as error:
                 raise LinkBrokenError(f"receiving failed: {error}") from error
             if not data:
                 raise LinkBrokenError("the other daemon closed the connection")
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -251,7 +251,7 @@
     async def _receive(self) -> bytes:
         try:
             return await self._stream.receive()
-        except (OSError, trio.ClosedResourceError):
+        except OSError:
             return b""
 
     async def _send(self, data: bytes) -> None:
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 import struct
 from contextlib import suppress
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import trio
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
 READ_SIZE: Final = 64 * 1024
 """Most bytes read at once."""
 _SILENCE_PROBE_S: Final = 1
@@ -78,7 +82,7 @@
             OSError: If the connection broke.
         """
         while True:
-            await trio.lowlevel.wait_readable(self._socket)
+            await self._wait(trio.lowlevel.wait_readable)
             try:
                 return self._socket.recv(READ_SIZE)
             except BlockingIOError:
@@ -98,7 +102,7 @@
             try:
                 count = self._socket.send(unsent)
             except BlockingIOError:
-                await trio.lowlevel.wait_writable(self._socket)
+                await self._wait(trio.lowlevel.wait_writable)
                 continue
             self.sent_bytes += count
             unsent = unsent[count:]
@@ -123,8 +127,12 @@
         return count
 
     async def wait_writable(self) -> None:
-        """Waits until the kernel takes bytes again."""
-        await trio.lowlevel.wait_writable(self._socket)
+        """Waits until the kernel takes bytes again.
+
+        Raises:
+            OSError: If the stream is closed.
+        """
+        await self._wait(trio.lowlevel.wait_writable)
 
     def send_end(self) -> None:
         """Tells the other side that nothing more will be sent."""
@@ -144,7 +152,7 @@
         """
         self.send_end()
         discarded = 0
-        with trio.move_on_after(_LINGER_S), suppress(OSError, trio.ClosedResourceError):
+        with trio.move_on_after(_LINGER_S), suppress(OSError):
             while discarded < _LINGER_BYTES:
                 data = await self.receive()
                 if not data:
@@ -152,6 +160,15 @@
                 discarded += len(data)
         self.close()
 
+    async def _wait(self, wait: Callable[[socket.socket], Awaitable[None]]) -> None:
+        """Waits for the socket; also if the stream was closed before, which trio does not check."""
+        if self.is_closed:
+            raise OSError(errno.EBADF, "the stream is closed")
+        try:
+            await wait(self._socket)
+        except trio.ClosedResourceError as error:
+            raise OSError(errno.EBADF, "the stream was closed meanwhile") from error
+
     def abort(self) -> None:
         """Closes the connection so that the other side sees it broken, not ended."""
         if self._socket.fileno() < 0:
--- /dev/null
+++ b/tests/services/test_frame_stream.py
@@ -0,0 +1,57 @@
+"""A connection between daemons that was closed says so, and harms nothing else."""
+
+from __future__ import annotations
+
+import unittest
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import trio
+import trio.testing
+
+from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
+from fulmarstile_http.byte_stream import open_stream
+from fulmarstile_wire.services import HopCancel
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+@asynccontextmanager
+async def open_frames() -> AsyncIterator[FrameStream]:
+    """Opens a connection whose other side reads nothing."""
+    listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+    async with listener:
+        yield FrameStream(await open_stream(f"127.0.0.1:{listener.socket.getsockname()[1]}"))
+
+
+class ClosedConnectionTest(unittest.TestCase):
+    def test_receiving_over_a_connection_that_was_closed_says_that_it_is_broken(self) -> None:
+        async def run() -> None:
+            async with open_frames() as frames:
+                frames.close()
+                with self.assertRaises(LinkBrokenError):
+                    await frames.receive()
+
+        trio.run(run)
+
+    def test_sending_over_a_connection_closed_in_the_same_moment_says_that_it_is_broken(
+        self,
+    ) -> None:
+        async def run() -> None:
+            async def send(frames: FrameStream) -> None:
+                with self.assertRaises(LinkBrokenError):
+                    await frames.send_forever()
+
+            async with open_frames() as frames, trio.open_nursery() as nursery:
+                nursery.start_soon(send, frames)
+                await trio.testing.wait_all_tasks_blocked()
+                while not frames.has_unsent:
+                    frames.send(HopCancel(1))
+                frames.close()
+
+        trio.run(run)
+
+
+if __name__ == "__main__":
+    unittest.main()
