Refuse an unreceived request before any more of it can arrive

What callers would see: 503, which promises that a request has not run, for one that ran (REFUSED), if the last bytes of a body arrive in the moment of the hand-over of a stop. Cause: what had not arrived whole was chosen first and refused by a task each, one pass of the loop later; in between the request could arrive whole and begin. Now the refusal is written in the same step. Evidence: the new test fails before at one of its 40 requests (of which either order is as likely), passes after.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -142,26 +142,22 @@
         """Answers what is in flight by what is known of it, and waits until the answers left."""
         for ending in tuple(self._in_flight.values()):
             ending.expire()
-        await self.refuse_unreceived()
+        self.refuse_unreceived()
         while any(connection.is_busy for connection in self._connections):
             await trio.sleep(_POLL_S)
 
-    async def refuse_unreceived(self) -> None:
+    def refuse_unreceived(self) -> None:
         """Refuses the requests that have not arrived whole, and so have not run.
 
         Their connections are read on, as closing them would destroy the refusals.
         """
-        async with trio.open_nursery() as nursery:
-            for connection in self._connections:
-                if connection.awaits_answer and connection not in self._in_flight:
-                    nursery.start_soon(self._refuse_unreceived, connection)
-
-    async def _refuse_unreceived(self, connection: ServerConnection) -> None:
         reply = make_error_reply(HTTPStatus.SERVICE_UNAVAILABLE, "the daemon stops", _HELD_RETRY_S)
-        try:
-            await connection.send(reply)
-        except CallerLeftError:
-            logger.info("a caller left before its request was refused")
+        for connection in self._connections:
+            if connection.awaits_answer and connection not in self._in_flight:
+                try:
+                    connection.refuse(reply)
+                except CallerLeftError:
+                    logger.info("a caller left before its request was refused")
 
     def _on_exhausted(self, error: OutOfDescriptorsError) -> None:
         logger.warning("cannot accept a connection: {}", error)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -147,25 +147,31 @@
         Raises:
             CallerLeftError: If the other side left.
         """
-        if not self._awaits_answer:
-            raise CallerLeftError
-        headers = [each for each in reply.headers if each[0] != b"content-length"]
-        if reply.status not in _NO_BODY_STATUSES:
-            headers.append((b"content-length", b"%d" % len(reply.body)))
-        self._has_closed = self.must_close or not self._is_followable
-        if self._has_closed:
-            headers.append((b"connection", b"close"))
-        data = encode_response(reply.status, headers)
-        if reply.status not in _NO_BODY_STATUSES and self._method != b"HEAD":
-            data += reply.body
-        self._awaits_answer = False
+        data = self._begin_answer(reply)
         self._is_sending = True
         try:
             await self._send(data)
         finally:
             self._is_sending = False
-        self.idle_since = trio.current_time()
-        self.is_idle = True
+        self._end_answer()
+
+    def refuse(self, reply: Reply) -> None:
+        """Answers a request that has not arrived whole, before any more of it can arrive.
+
+        Args:
+            reply: The answer, small enough to be taken at once.
+
+        Raises:
+            CallerLeftError: If the other side left, or takes nothing.
+        """
+        data = self._begin_answer(reply)
+        try:
+            sent = self._stream.send_now(data)
+        except OSError as error:
+            raise CallerLeftError from error
+        if sent < len(data):
+            raise CallerLeftError
+        self._end_answer()
 
     def release_body(self) -> None:
         """Gives back the memory of the last request's body."""
@@ -195,6 +201,26 @@
         parser = self._parser
         return parser.is_complete and parser.keeps_alive and not parser.is_followed
 
+    def _begin_answer(self, reply: Reply) -> bytes:
+        """Encodes an answer; from here on the request has one."""
+        if not self._awaits_answer:
+            raise CallerLeftError
+        headers = [each for each in reply.headers if each[0] != b"content-length"]
+        if reply.status not in _NO_BODY_STATUSES:
+            headers.append((b"content-length", b"%d" % len(reply.body)))
+        self._has_closed = self.must_close or not self._is_followable
+        if self._has_closed:
+            headers.append((b"connection", b"close"))
+        data = encode_response(reply.status, headers)
+        if reply.status not in _NO_BODY_STATUSES and self._method != b"HEAD":
+            data += reply.body
+        self._awaits_answer = False
+        return data
+
+    def _end_answer(self) -> None:
+        self.idle_since = trio.current_time()
+        self.is_idle = True
+
     async def _receive_head(self, received: bytes) -> bytes:
         limits = self._limits()
         if received.find(HEAD_END) < 0:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -336,7 +336,7 @@
         with trio.move_on_at(latest):
             self._callers.withdraw_all()
             self._peers.refuse_bodies()
-            await self._callers.refuse_unreceived()
+            self._callers.refuse_unreceived()
             await self._announcements.stop()
             await trio.sleep(_REFUSE_HOPS_S)
             self._upstream.stop()
