Close connections to daemons at the end of a stop only, not when one withdrawn request ends

What callers would see: 502 for a request that its upstream works on, up to 1.4 s before the daemon ends. Cause: from the hand-over on, a withdrawn request that ended by its deadline or its caller closed the connection to keep the rest of its message back, and broke off all others on it. Now all connections are closed in one step once everything has been ended. Evidence: the new test of test_handover fails before ('unexpectedly None'), passes after.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -102,15 +102,14 @@
             self._tell(HopWithdraw(call_id))
 
     def abandon(self, handover: Handover) -> None:
-        """Keeps the rest of a call from the other daemon, whose answer comes too late.
-
-        Of a call that was withdrawn, because this daemon ends, the connection is given up, too.
-        """
-        if handover.stage is not HandoverStage.SENDING or self._take_back(handover):
+        """Keeps what was not sent of a call from the other daemon, whose answer comes too late."""
+        if handover.stage is not HandoverStage.SENDING:
             return
-        if handover.is_withdrawn:
-            self.close()
+        if self.is_closed:
+            # The other daemon can't have the end of the message.
             handover.take_back()
+        else:
+            self._take_back(handover)
 
     def _take_back(self, handover: Handover) -> bool:
         frame = handover.frame
@@ -201,6 +200,11 @@
         """Opens new connections for later calls, because the old ones may have gone silent."""
         self._links.clear()
 
+    def close_all(self) -> None:
+        """Closes all connections, so that nothing more of any message arrives."""
+        for link in self._links.values():
+            link.close()
+
     async def forward(
         self, member: Member, hop: HopRequest, request: ReceivedRequest, handover: Handover
     ) -> AttemptResult:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -138,11 +138,14 @@
         for ending in tuple(self._in_flight.values()):
             ending.withdraw()
 
-    async def conclude_all(self) -> None:
-        """Answers what is in flight by what is known of it, and waits until the answers left."""
+    def expire_all(self) -> None:
+        """Has everything in flight answered by what is known of it."""
         for ending in tuple(self._in_flight.values()):
             ending.expire()
         self.refuse_unreceived()
+
+    async def wait_answered(self) -> None:
+        """Waits until all answers have left."""
         while any(connection.is_busy for connection in self._connections):
             await trio.sleep(_POLL_S)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -342,8 +342,10 @@
             self._upstream.stop()
             while not (self._peers.is_quiet and self._callers.is_quiet(_QUIET_CALLERS_S)):
                 await trio.sleep(_POLL_S)
+        self._callers.expire_all()
+        self._links.close_all()
         with trio.move_on_after(_CONCLUDE_S):
-            await self._callers.conclude_all()
+            await self._callers.wait_answered()
 
     async def _poll_settings(self) -> None:
         stamp = self._platform.settings_stamp()
--- a/tests/services/test_handover.py
+++ b/tests/services/test_handover.py
@@ -9,22 +9,32 @@
 
 import trio
 
+from fulmarstile_daemon.services._handover import Handover, HandoverStage
+from fulmarstile_daemon.services._links import DaemonLinks
+from fulmarstile_daemon.services._server_connection import ReceivedRequest
+from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_services.document import Repeatability
 from fulmarstile_testing.builders.service_mesh import ServiceClient, connect, serve_mesh
 from fulmarstile_testing.builders.services import make_document, make_member, make_route
 from fulmarstile_wire.services import (
     PROTOCOL_VERSION,
+    FrameDecoder,
     Hello,
+    HopAnswer,
     HopCall,
     HopCancel,
+    HopOutcome,
     HopRequest,
     encode_frame,
 )
+from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from fulmarstile_daemon.services._call import AttemptResult
     from fulmarstile_testing.builders.service_mesh import ServiceMesh, ServiceNode
+    from fulmarstile_wire.services import Member
 
 DOCUMENT = make_document(
     make_route(
@@ -45,21 +55,27 @@
 """More than the buffers of a connection hold."""
 WAIT_MS = 40_000
 BUFFER_BYTES = 4_096
+HOP = HopRequest("shop", "upstream-1", "web", 0, 20_000, 20_000, False, 20_000)
 
 
 @asynccontextmanager
-async def serve_beside_deaf_daemon() -> AsyncIterator[tuple[ServiceMesh, trio.SocketListener]]:
-    """Runs a daemon that knows one other, which accepts connections and reads nothing."""
+async def listen_deaf() -> AsyncIterator[tuple[trio.SocketListener, Member]]:
+    """Listens in the place of a daemon that takes little of what is sent to it."""
     sock = trio.socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
     await sock.bind(("127.0.0.1", 0))
     sock.listen()
-    async with serve_mesh("stock", document=DOCUMENT) as mesh:
-        port = sock.getsockname()[1]
-        deaf = make_member("deaf", address=f"127.0.0.1:{port}")
+    with sock:
+        deaf = make_member("deaf", address=f"127.0.0.1:{sock.getsockname()[1]}")
+        yield trio.SocketListener(sock), deaf
+
+
+@asynccontextmanager
+async def serve_beside_deaf_daemon() -> AsyncIterator[tuple[ServiceMesh, trio.SocketListener]]:
+    """Runs a daemon that knows one other, which accepts connections and reads nothing."""
+    async with listen_deaf() as (listener, deaf), serve_mesh("stock", document=DOCUMENT) as mesh:
         mesh.nodes[0].daemon.directory.merge_members([deaf])
-        with sock:
-            yield mesh, trio.SocketListener(sock)
+        yield mesh, listener
 
 
 async def send_large(client: ServiceClient, target: str) -> None:
@@ -129,6 +145,48 @@
 
         trio.run(run)
 
+    def test_a_withdrawn_request_that_ends_cuts_no_other_one_on_its_connection(self) -> None:
+        results: dict[str, AttemptResult] = {}
+
+        async def forward(links: DaemonLinks, deaf: Member, body: bytes, handover: Handover):
+            request = ReceivedRequest(b"POST", b"/a", MessageHeaders(), body, 0.0)
+            results[f"{len(body)}"] = await links.forward(deaf, HOP, request, handover)
+
+        async def receive_call(stream: trio.SocketStream) -> HopCall:
+            decoder = FrameDecoder()
+            while True:
+                for message in decoder.feed(await stream.receive_some()):
+                    if isinstance(message, HopCall):
+                        return message
+
+        async def run() -> None:
+            running, leaving, left = Handover(), Handover(), trio.CancelScope()
+            links = DaemonLinks("entry")
+
+            async def forward_and_leave(deaf: Member) -> None:
+                with left:
+                    await forward(links, deaf, LARGE_BODY, leaving)
+
+            async with listen_deaf() as (listener, deaf), trio.open_nursery() as nursery:
+                await nursery.start(links.run)
+                nursery.start_soon(forward, links, deaf, BODY, running)
+                stream = await listener.accept()
+                call = await receive_call(stream)
+                nursery.start_soon(forward_and_leave, deaf)
+                while leaving.stage is not HandoverStage.SENDING:
+                    await trio.sleep(0.01)
+                running.withdraw()
+                leaving.withdraw()
+                left.cancel()
+                await trio.sleep(0.05)
+                answer = HopAnswer(call.call_id, HopOutcome(Verdict.RAN), 200, [], b"done")
+                await stream.send_all(encode_frame(answer))
+                await trio.sleep(0.2)
+                nursery.cancel_scope.cancel()
+            self.assertIsNotNone(results[f"{len(BODY)}"].answer)
+
+        trio.run(run)
+
     def test_a_call_that_is_cancelled_at_once_does_not_run(self) -> None:
         async def run() -> None:
             async with serve_mesh("shop", document=DOCUMENT) as mesh:
