Take nothing at a stop that nobody would withdraw

What callers would see: 504 at the end of the daemon for a request that no upstream ever had, and that came after an early hand-over (no callers for 0.6 s, then one). Cause: requests with long deadlines were taken for 0.4 of the grace time, also after the one withdrawal. Now the hand-over ends it. Evidence: the new test of test_stopping_in_flight fails before with TooSlowError, passes after. The steps of the stop stand in functions of their own.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -75,7 +75,8 @@
 _QUIET_CALLERS_S: Final = 0.6
 """Time without a request after which callers are taken to have left, in seconds."""
 _HAND_OVER_S: Final = 1.6
-"""Time before the end at which the other daemons are told at the latest, in seconds."""
+"""Time before the end at which what has not begun is withdrawn, and the other daemons are told, at
+the latest, in seconds."""
 _REFUSE_HOPS_S: Final = 0.4
 """Time for which other daemons that were told may still send requests, in seconds."""
 _GRACE_MARGIN_S: Final = 0.8
@@ -323,30 +324,37 @@
         """
         now = trio.current_time()
         grace_s = self._settings.bounds.grace_s
-        latest = now + grace_s - _GRACE_MARGIN_S
+        ends_at = now + grace_s - _GRACE_MARGIN_S
         self._is_stopping = True
-        stop_times = StopTimes(now + grace_s * _ACCEPTING_SHARE, latest)
-        self._entry.stop_times = self._hops.stop_times = stop_times
+        self._accept(StopTimes(now + grace_s * _ACCEPTING_SHARE, ends_at))
         self._log.write(Stopping(in_flight=self._callers.in_flight + self._peers.in_flight))
         self._callers.begin_closing()
-        with trio.move_on_at(latest - _HAND_OVER_S):
+        with trio.move_on_at(ends_at - _HAND_OVER_S):
             await trio.sleep(_MIN_SERVING_S)
             while not self._callers.is_quiet(_QUIET_CALLERS_S):
                 await trio.sleep(_POLL_S)
-        with trio.move_on_at(latest):
-            self._callers.withdraw_all()
-            self._peers.refuse_bodies()
-            self._callers.refuse_unreceived()
-            await self._announcements.stop()
-            await trio.sleep(_REFUSE_HOPS_S)
-            self._upstream.stop()
-            while not (self._peers.is_quiet and self._callers.is_quiet(_QUIET_CALLERS_S)):
-                await trio.sleep(_POLL_S)
+        self._accept(StopTimes(trio.current_time(), ends_at))
+        with trio.move_on_at(ends_at):
+            await self._hand_over()
         self._callers.expire_all()
         self._links.close_all()
         with trio.move_on_after(_CONCLUDE_S):
             await self._callers.wait_answered()
 
+    def _accept(self, stop_times: StopTimes) -> None:
+        self._entry.stop_times = self._hops.stop_times = stop_times
+
+    async def _hand_over(self) -> None:
+        """Withdraws and refuses what has not begun, and waits for the rest."""
+        self._callers.withdraw_all()
+        self._peers.refuse_bodies()
+        self._callers.refuse_unreceived()
+        await self._announcements.stop()
+        await trio.sleep(_REFUSE_HOPS_S)
+        self._upstream.stop()
+        while not (self._peers.is_quiet and self._callers.is_quiet(_QUIET_CALLERS_S)):
+            await trio.sleep(_POLL_S)
+
     async def _poll_settings(self) -> None:
         stamp = self._platform.settings_stamp()
         while True:
--- a/tests/services/test_stopping_in_flight.py
+++ b/tests/services/test_stopping_in_flight.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from contextlib import asynccontextmanager
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -14,7 +15,7 @@
 from fulmarstile_testing.builders.services import make_document, make_route
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import AsyncIterator, Callable
 
     from fulmarstile_testing.builders.service_mesh import ClientAnswer, ServiceNode
 
@@ -29,6 +30,12 @@
 BODY = b"x" * 200_000
 SLOW_LINK_KBPS = 8_000
 LONG_MS = 40_000
+SLOTS = 4
+AFTER_HAND_OVER_S = 1.2
+LATE_S = 2.6
+"""Time into the stop from which nothing is taken that may last longer than the daemon."""
+INNER_ID = "request-1.1"
+"""Id of a call that the upstream makes while it runs `request-1`."""
 
 
 async def wait_until(holds: Callable[[], object]) -> None:
@@ -43,6 +50,18 @@
     node.daemon.body_gate.offer(OfferKey("fill", 1), 10_000_000, lambda: None)
 
 
+@asynccontextmanager
+async def occupy_slots(node: ServiceNode) -> AsyncIterator[None]:
+    """Has all slots of an upstream taken."""
+    async with trio.open_nursery() as nursery:
+        for number in range(SLOTS):
+            call = partial(node.call, method="POST", request_id=f"r{number}", wait_ms=LONG_MS)
+            nursery.start_soon(call, f"/a?delay_ms={LONG_MS}")
+        await wait_until(lambda: node.upstream.record.running == SLOTS)
+        yield
+        nursery.cancel_scope.cancel()
+
+
 async def call_and_stop(
     entry: ServiceNode, is_under_way: Callable[[], object], target: str = "/a", body: bytes = BODY
 ) -> ClientAnswer:
@@ -77,17 +96,10 @@
         async def run() -> None:
             async with serve_mesh("stock", "shop", document=UPLOADS) as mesh:
                 entry, serving = mesh.nodes
-                async with trio.open_nursery() as nursery:
-                    for number in range(4):
-                        call = partial(
-                            serving.call, method="POST", request_id=f"r{number}", wait_ms=LONG_MS
-                        )
-                        nursery.start_soon(call, f"/a?delay_ms={LONG_MS}")
-                    await wait_until(lambda: serving.upstream.record.running == 4)
+                async with occupy_slots(serving):
                     answer = await call_and_stop(
                         entry, lambda: serving.daemon.dump().upstream_queued
                     )
-                    nursery.cancel_scope.cancel()
                 self.assert_refused(answer)
                 self.assertEqual(serving.upstream.record.count_runs("request-1"), 0)
 
@@ -104,6 +116,19 @@
 
         trio.run(run)
 
+    def test_a_request_that_comes_after_an_early_hand_over_does_not_wait_for_nothing(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=UPLOADS) as mesh:
+                entry, serving = mesh.nodes
+                async with occupy_slots(serving):
+                    entry.stop()
+                    await trio.sleep(AFTER_HAND_OVER_S)
+                    with trio.fail_after(0.5):
+                        answer = await entry.call("/a", "POST", wait_ms=LONG_MS)
+                self.assert_refused(answer)
+
+        trio.run(run)
+
     def test_a_daemon_that_stops_takes_no_more_bodies(self) -> None:
         async def run() -> None:
             async with serve_mesh(
