Take the calls of a running request to the end of a stop

What callers would see: a request that runs beside a stopping daemon fails, because a call that its upstream makes for it is refused as it might outlast the daemon. Cause: the calls of an upstream were treated like those of clients, though their parent was taken already and ends with the daemon at the latest. Evidence: the new test of test_stopping_in_flight fails before with '(503, 503) != (200, 503)', passes after.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -35,6 +35,8 @@
     useful_until: float
     """Time until which waiting for a slot is of use, in seconds."""
     priority: SlotClass
+    has_parent: bool
+    """Whether the upstream on this VM makes it for a request that it runs."""
     document_version: int
     fingerprint: bytes
     ending: RequestEnding
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -136,7 +136,9 @@
         if self._directory.is_suspect(call.fingerprint):
             self._metrics.count_refusal(RefusalReason.QUARANTINED)
             return self._finish(call, make_error_reply(503, "the request crashes upstreams"), "")
-        if not self.stop_times.accepts(call.deadline, trio.current_time()):
+        # A request that runs here would fail without the calls that its upstream makes for it.
+        is_taken = call.has_parent or self.stop_times.accepts(call.deadline, trio.current_time())
+        if not is_taken:
             self._metrics.count_refusal(RefusalReason.DRAINING)
             reply = make_error_reply(503, "the daemon stops", _STOPPING_RETRY_S)
             return self._finish(call, reply, RefusalReason.DRAINING.value, _STOPPING_RETRY_S)
@@ -201,6 +203,7 @@
             deadline=arrived_at + wait_s,
             useful_until=arrived_at + useful_wait_s(route, wait_s, len(request.body)),
             priority=classify(table.rank(route), parent),
+            has_parent=parent is not None,
             document_version=table.version,
             fingerprint=fingerprint(self.caller_service, request),
             ending=ending,
--- a/tests/services/test_stopping_in_flight.py
+++ b/tests/services/test_stopping_in_flight.py
@@ -129,6 +129,21 @@
 
         trio.run(run)
 
+    def test_calls_of_a_request_that_runs_are_taken_to_the_end(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", "stock", document=UPLOADS) as mesh:
+                node = mesh.nodes[0]
+                async with ServiceClient(await connect(node.address)) as client:
+                    await client.send(f"/a?delay_ms={LONG_MS}", "POST", wait_ms=LONG_MS)
+                    await wait_until(lambda: node.upstream.record.running)
+                    node.stop()
+                    await trio.sleep(LATE_S)
+                    inner = await node.call("/b", request_id=INNER_ID, wait_ms=LONG_MS)
+                    other = await node.call("/b", request_id="request-2", wait_ms=LONG_MS)
+                self.assertEqual((inner.status, other.status), (200, 503))
+
+        trio.run(run)
+
     def test_a_daemon_that_stops_takes_no_more_bodies(self) -> None:
         async def run() -> None:
             async with serve_mesh(
