Refuse at once a call that arrives together with its withdrawal

What callers would see: 502 where 503 is true, at a stop over a slow link. Cause: the withdrawal took effect on a request that waited for a slot, not on one that was about to; over a slow link both messages come in one read. Evidence: the new test of test_handover fails before with TooSlowError, passes after.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
@@ -146,6 +146,8 @@
         Raises:
             SlotRefusedError: If there is no slot in time.
         """
+        if handover.is_withdrawn:
+            raise SlotRefusedError(_WITHDRAWN)
         admission = self._admission
         has_room = admission.running < admission.slots and not admission.queued
         ticket_id = self._next_ticket = self._next_ticket + 1
--- a/tests/services/test_handover.py
+++ b/tests/services/test_handover.py
@@ -5,10 +5,12 @@
 import socket
 import unittest
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
 
+from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._handover import Handover, HandoverStage
 from fulmarstile_daemon.services._links import DaemonLinks
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
@@ -25,6 +27,7 @@
     HopCancel,
     HopOutcome,
     HopRequest,
+    HopWithdraw,
     encode_frame,
 )
 from fulmarstile_wire.verdict import Verdict
@@ -54,6 +57,7 @@
 LARGE_BODY = b"x" * 14_000_000
 """More than the buffers of a connection hold."""
 WAIT_MS = 40_000
+SLOTS = 4
 BUFFER_BYTES = 4_096
 HOP = HopRequest("shop", "upstream-1", "web", 0, 20_000, 20_000, False, 20_000)
 
@@ -187,6 +191,34 @@
 
         trio.run(run)
 
+    def test_a_call_that_arrives_with_its_withdrawal_is_refused_at_once(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                node = mesh.nodes[0]
+                hop = HopRequest(
+                    "shop", node.upstream.upstream_id, "web", 0, 9_000, 9_000, False, 9_000
+                )
+                async with trio.open_nursery() as nursery:
+                    for number in range(SLOTS):
+                        busy = partial(node.call, request_id=f"r{number}", wait_ms=WAIT_MS)
+                        nursery.start_soon(busy, f"/long/a?delay_ms={WAIT_MS}")
+                    while node.upstream.record.running < SLOTS:
+                        await trio.sleep(0.01)
+                    async with await connect(node.platform.settings.listeners.daemons) as stream:
+                        await stream.send_all(
+                            encode_frame(Hello(PROTOCOL_VERSION, "other"))
+                            + encode_frame(HopCall(1, hop, b"POST", b"/long/b", [], b""))
+                            + encode_frame(HopWithdraw(1))
+                        )
+                        decoder = FrameDecoder()
+                        with trio.fail_after(2.0):
+                            (answer,) = decoder.feed(await stream.receive_some())
+                    nursery.cancel_scope.cancel()
+                self.assertEqual(answer.outcome.verdict, Verdict.NOT_RUN)
+                self.assertEqual(answer.outcome.reason, RefusalReason.DRAINING.value)
+
+        trio.run(run)
+
     def test_a_call_that_is_cancelled_at_once_does_not_run(self) -> None:
         async def run() -> None:
             async with serve_mesh("shop", document=DOCUMENT) as mesh:
