Give back the turn of a body that is not sent, and replace connections that don't answer offers

What callers would see: uploads refused as 'link-busy' though the link is free, or sent again and again to a daemon that does not answer. Evidence: the three tests of test_body_offers fail before ('[] != [2]', TooSlowError twice), pass after.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -97,6 +97,8 @@
         if handover.frame is None:
             pending.granted.set()
         elif self._take_back(handover):
+            # The turn of its body is given back.
+            self._tell(HopCancel(call_id))
             pending.event.set()
         else:
             self._tell(HopWithdraw(call_id))
@@ -223,6 +225,8 @@
             DaemonUnreachableError: If the daemon takes no connection.
         """
         link = await self._find(member.address, len(request.body) >= _LARGE_BODY_BYTES)
+        if handover.is_withdrawn:
+            return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING))
         call_id, pending = link.begin()
         handover.on_withdrawn = partial(link.withdraw, call_id, handover)
         try:
@@ -232,7 +236,8 @@
                 handover.offer()
                 hop = await _await_grant(pending, hop, wait_s)
                 if hop is None:
-                    return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.LINK_BUSY))
+                    self._distrust(member.address, link)
+                    return AttemptResult(_describe_wait(wait_s))
             if pending.answer is None and not handover.is_withdrawn:
                 headers = request.headers.passed_on
                 call = HopCall(call_id, hop, request.method, request.target, headers, request.body)
@@ -349,6 +354,12 @@
     )
 
 
+def _describe_wait(wait_s: float) -> HopOutcome:
+    """Says that a body was not granted while waiting was of use."""
+    failure = make_failure(Verdict.NOT_RUN, RefusalReason.LINK_BUSY)
+    return msgspec.structs.replace(failure, body_wait_ms=round(wait_s * 1000, 1))
+
+
 def _describe_loss(handover: Handover) -> HopOutcome:
     """Says what is known of a call that was withdrawn, or whose connection broke."""
     if handover.stage is HandoverStage.SENT:
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -222,11 +222,13 @@
         observation.error_rate += _GAIN * ((1.0 if failed else 0.0) - observation.error_rate)
         if outcome is None:
             return
+        if outcome.slots or outcome.body_wait_ms:
+            observation.body_wait_s = outcome.body_wait_ms / 1000
+        # Without slots, nobody has looked at the upstream.
         if outcome.slots:
             load = outcome.running + outcome.queued
             observation.reported = max(0.0, load - observation.in_flight)
             observation.reported_at = now
-            observation.body_wait_s = outcome.body_wait_ms / 1000
         if outcome.service_ms > 0.0:
             observation.service_s = outcome.service_ms / 1000
         # A link without room for a large body takes small requests.
