--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -222,11 +222,12 @@
         observation.error_rate += _GAIN * ((1.0 if failed else 0.0) - observation.error_rate)
         if outcome is None:
             return
-        if outcome.slots or outcome.body_wait_ms:
+        load = outcome.running + outcome.queued
+        # Without slots and load, nobody has looked at the upstream.
+        has_load = bool(outcome.slots or load)
+        if has_load or outcome.body_wait_ms:
             observation.body_wait_s = outcome.body_wait_ms / 1000
-        # Without slots, nobody has looked at the upstream.
-        if outcome.slots:
-            load = outcome.running + outcome.queued
+        if has_load:
             observation.reported = max(0.0, load - observation.in_flight)
             observation.reported_at = now
         if outcome.service_ms > 0.0:
--- a/tests/services/test_balancing.py
+++ b/tests/services/test_balancing.py
@@ -6,6 +6,10 @@
 import unittest
 from collections import Counter
 
+import msgspec
+
+from fulmarstile_calls.request import RefusalReason
+from fulmarstile_daemon.services._call import make_failure
 from fulmarstile_services.balancing import BalancingSettings, LeastWaitBalancer
 from fulmarstile_testing.builders.services import make_member
 from fulmarstile_wire.services import HopOutcome, Member
@@ -35,6 +39,24 @@
         chosen = self.balancer.choose(members, size, self.now, exclude, target_s=target_s)
         return chosen.name if chosen else ""
 
+    def refuse(self, member: Member, reason: RefusalReason, **changes) -> None:
+        refusal = make_failure(Verdict.NOT_RUN, reason)
+        self.balancer.on_sent(member, self.now)
+        self.balancer.on_ended(member, msgspec.structs.replace(refusal, **changes), False, self.now)
+
+    def test_a_link_without_room_for_a_body_does_not_keep_small_requests_away(self) -> None:
+        self.refuse(NEAR, RefusalReason.LINK_BUSY, body_wait_ms=3_000.0, slots=4)
+        self.assertEqual(self.choose(NEAR, FAR), "near")
+        self.assertEqual(self.choose(NEAR, FAR, size=LARGE), "far")
+        self.refuse(NEAR, RefusalReason.QUEUE_FULL, slots=4)
+        self.assertEqual(self.choose(NEAR, FAR), "far")
+
+    def test_a_failure_without_a_look_at_the_upstream_does_not_make_it_seem_idle(self) -> None:
+        self.report(NEAR, running=4, queued=8, slots=4)
+        self.refuse(NEAR, RefusalReason.LINK_BUSY)
+        self.report(FAR)
+        self.assertEqual(self.choose(NEAR, FAR), "far")
+
     def test_the_own_zone_comes_first_while_it_has_room(self) -> None:
         self.report(NEAR, running=1)
         self.report(FAR)
--- a/tests/services/test_frame_stream.py
+++ b/tests/services/test_frame_stream.py
@@ -11,11 +11,15 @@
 
 from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
 from fulmarstile_http.byte_stream import open_stream
-from fulmarstile_wire.services import HopCancel
+from fulmarstile_wire.services import HopAnswer, HopOutcome
+from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+LARGE = HopAnswer(1, HopOutcome(Verdict.RAN), 200, [], b"x" * 30_000_000)
+"""More than the buffers of a connection hold."""
+
 
 @asynccontextmanager
 async def open_frames() -> AsyncIterator[FrameStream]:
@@ -46,8 +50,8 @@
             async with open_frames() as frames, trio.open_nursery() as nursery:
                 nursery.start_soon(send, frames)
                 await trio.testing.wait_all_tasks_blocked()
-                while not frames.has_unsent:
-                    frames.send(HopCancel(1))
+                frames.send(LARGE)
+                self.assertTrue(frames.has_unsent)
                 frames.close()
 
         trio.run(run)
