--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -48,6 +48,11 @@
         (found,) = find_violations([make_call(503)], make_records(i_1=1))
         self.assertIn("refused as not run", found)
 
+    def test_a_request_that_a_planned_stop_left_without_an_answer_is_found(self) -> None:
+        call = CallRecord("call-1", "POST", "/order/1", error="reset", was_cut=True)
+        (found,) = find_violations([call], make_records(i_1=0))
+        self.assertIn("got no answer from a daemon that was stopped: reset", found)
+
     def test_an_answer_of_another_request_is_found(self) -> None:
         (found,) = find_violations([make_call(200, answered_id="call-2")], make_records(i_1=1))
         self.assertIn("got the answer of call-2", found)
