--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -99,7 +99,7 @@
             raise LinkBrokenError("the other daemon takes too little")
         return frame
 
-    def take_back(self, frame: OutgoingFrame) -> bool:
+    def drop(self, frame: OutgoingFrame) -> bool:
         """Drops a message of which nothing was sent.
 
         Args:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -115,7 +115,7 @@
 
     def _take_back(self, handover: Handover) -> bool:
         frame = handover.frame
-        if frame is None or not self._frames.take_back(frame):
+        if frame is None or not self._frames.drop(frame):
             return False
         handover.take_back()
         return True
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_ending.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_ending.py
@@ -47,7 +47,7 @@
             self._withdraw()
 
     def expire(self) -> None:
-        """Ends the request as if its time had run out."""
+        """Ends the request with the answer that follows from what is known of it."""
         if self.conclude is not None:
             self.scope.cancel()
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -405,6 +405,7 @@
         add("hops_in_flight", lambda: self._peers.in_flight)
         add("caller_connections", lambda: self._callers.connections)
         add("body_bytes_held", lambda: self._bodies.held)
+        add("body_wait_seconds", lambda: self._gate.wait_s)
         add("callers_left", lambda: self._callers.callers_left)
         add("upstream_running", lambda: self._upstream.running)
         add("upstream_queued", lambda: self._upstream.queued)
