--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -17,8 +17,8 @@
 from fulmarstile_daemon.services._body_gate import BodyGate
 from fulmarstile_daemon.services._link_server import LinkServer
 from fulmarstile_daemon.services._links import DaemonLinks
+from fulmarstile_daemon.services._planned_stop import PlannedStop
 from fulmarstile_daemon.services._request_server import RequestServer
-from fulmarstile_daemon.services._stop_times import StopTimes
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
 from fulmarstile_daemon.services.documents import DocumentHolder, RoutesInForce
@@ -68,21 +68,6 @@
 _DESCRIPTOR_SHARE: Final = 0.6
 """Part of the descriptors that connections of callers and daemons may take."""
 _RESERVED_DESCRIPTORS: Final = 300
-_MIN_SERVING_S: Final = 1.0
-"""Time after SIGTERM for which callers are served at least, in seconds."""
-_ACCEPTING_SHARE: Final = 0.4
-"""Part of the grace time for which requests are taken that may last longer than the daemon."""
-_QUIET_CALLERS_S: Final = 0.6
-"""Time without a request after which callers are taken to have left, in seconds."""
-_HAND_OVER_S: Final = 1.6
-"""Time before the end at which what has not begun is withdrawn, and the other daemons are told, at
-the latest, in seconds."""
-_REFUSE_HOPS_S: Final = 0.4
-"""Time for which other daemons that were told may still send requests, in seconds."""
-_GRACE_MARGIN_S: Final = 0.8
-_CONCLUDE_S: Final = 0.3
-"""Longest time for the last answers to leave, in seconds."""
-_POLL_S: Final = 0.02
 _BYTES_PER_KBIT: Final = 125
 _READY_WITHOUT_MEMBERS_S: Final = 1.5
 """Time after the start from which the daemon is ready though the store was not read."""
@@ -165,6 +150,15 @@
         self._peers = LinkServer(
             self._hops.answer, self._gossip.on_sync, self._hops.describe, self._gate
         )
+        self._stop = PlannedStop(
+            self._callers,
+            self._peers,
+            self._entry,
+            self._hops,
+            self._links,
+            self._upstream,
+            self._announcements,
+        )
         self._started_at = 0.0
         self._is_stopping = False
         self._stop_wanted = trio.Event()
@@ -247,7 +241,9 @@
                 gc.set_threshold(*_COLLECTION_THRESHOLDS)
                 nursery.start_soon(self._obey, signals)
                 await self._stop_wanted.wait()
-                await self._stop()
+                self._is_stopping = True
+                self._log.write(Stopping(in_flight=self._callers.in_flight + self._peers.in_flight))
+                await self._stop.run(self._settings.bounds.grace_s)
                 # What is in flight now is cut off by the cancellation.
                 self._log.write(
                     Stopped(
@@ -316,45 +312,6 @@
             else:
                 self.begin_stopping()
 
-    async def _stop(self) -> None:
-        """Serves while callers come, then ends once everything in flight has its answer.
-
-        What no upstream has by the hand-over is withdrawn and refused as not run. What upstreams
-        still run at the end is answered as such.
-        """
-        now = trio.current_time()
-        grace_s = self._settings.bounds.grace_s
-        ends_at = now + grace_s - _GRACE_MARGIN_S
-        self._is_stopping = True
-        self._accept(StopTimes(now + grace_s * _ACCEPTING_SHARE, ends_at))
-        self._log.write(Stopping(in_flight=self._callers.in_flight + self._peers.in_flight))
-        self._callers.begin_closing()
-        with trio.move_on_at(ends_at - _HAND_OVER_S):
-            await trio.sleep(_MIN_SERVING_S)
-            while not self._callers.is_quiet(_QUIET_CALLERS_S):
-                await trio.sleep(_POLL_S)
-        self._accept(StopTimes(trio.current_time(), ends_at))
-        with trio.move_on_at(ends_at):
-            await self._hand_over()
-        self._callers.expire_all()
-        self._links.close_all()
-        with trio.move_on_after(_CONCLUDE_S):
-            await self._callers.wait_answered()
-
-    def _accept(self, stop_times: StopTimes) -> None:
-        self._entry.stop_times = self._hops.stop_times = stop_times
-
-    async def _hand_over(self) -> None:
-        """Withdraws and refuses what has not begun, and waits for the rest."""
-        self._callers.withdraw_all()
-        self._peers.refuse_bodies()
-        self._callers.refuse_unreceived()
-        await self._announcements.stop()
-        await trio.sleep(_REFUSE_HOPS_S)
-        self._upstream.stop()
-        while not (self._peers.is_quiet and self._callers.is_quiet(_QUIET_CALLERS_S)):
-            await trio.sleep(_POLL_S)
-
     async def _poll_settings(self) -> None:
         stamp = self._platform.settings_stamp()
         while True:
