Recall an upstream from other daemons only as far as they can know

What callers would see: requests reach an upstream seconds after its leaving was acknowledged (DRAIN), beside a daemon that was started again. Cause: the first record of an earlier incarnation that came was recalled, and no later one; another daemon's record may be older than the one in the store, above all in a large fleet, where few daemons follow the records of members, and the recalled one was written over the store's. Now a record that says the upstream leaves is recalled from anybody and at any time; one that says it serves only once the store was read, or, if the store does not answer, when the upstream announces itself. Evidence: two of the three tests of test_recall fail before (SERVING where ABSENT and LEAVING are expected), pass after.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
@@ -103,13 +103,17 @@
         """Takes over what an earlier incarnation of this daemon knew of the upstream.
 
         An upstream that was serving is taken to serve still: requests name the incarnation
-        that they are meant for, so another one at its address does not run them.
+        that they are meant for, so another one at its address does not run them. Other daemons
+        may not know yet that it leaves, so for that the store must have been read.
         """
-        self._is_recalled = True
         record = self._directory.recalled
-        if record is None or not record.upstream_id or self._registry.current is not None:
+        if record is None or not record.upstream_id:
             return
         phase = UpstreamPhase.LEAVING if record.upstream_leaves else UpstreamPhase.READY
+        if phase is UpstreamPhase.READY and (
+            self._registry.current is not None or not self._membership.is_current.is_set()
+        ):
+            return
         announcement = UpstreamAnnouncement(
             record.upstream_id,
             record.upstream_born_ms,
@@ -119,7 +123,8 @@
             phase,
         )
         self._registry.restore(announcement, trio.current_time())
-        self._apply("recalled")
+        if self._registry.current is announcement:
+            self._apply("recalled")
 
     async def _await_recall(self, announcement: UpstreamAnnouncement) -> bool:
         """Waits once for what an earlier incarnation of this daemon knew.
@@ -136,6 +141,9 @@
             await self._membership.is_current.wait()
             self._is_recalled = True
             return True
+        if self._directory.recalled is not None:
+            self._is_recalled = True
+            return True
         earlier, self._unproven = self._unproven, announcement
         if earlier is None or earlier.born_ms != announcement.born_ms:
             return False
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
@@ -62,13 +62,13 @@
         self._written_event = trio.Event()
         self._crashes: list[CrashReport] = []
         self._is_announced = False
-        self._is_recalled = False
+        self._recalled: Member | None = None
         self.is_current = trio.Event()
         """Set once the records that the store held at the start have been read."""
         self.is_reader: Callable[[], bool] = lambda: True
         """Tells whether this daemon reads every change from the store."""
         self.on_recall: Callable[[], None] = lambda: None
-        """Called once it is known what an earlier incarnation of this daemon left."""
+        """Called when more is known of what an earlier incarnation of this daemon left."""
 
     def publish(self) -> None:
         """Has the record of this daemon written to the store."""
@@ -122,8 +122,9 @@
             )
         if self._directory.own.order != own_order and self._is_announced:
             self._wake.set()
-        if self._directory.recalled is not None and not self._is_recalled:
-            self._is_recalled = True
+        recalled = self._directory.recalled
+        if recalled is not self._recalled:
+            self._recalled = recalled
             self.on_recall()
         if news:
             self._on_change()
@@ -152,10 +153,15 @@
             MEMBERS_TOPIC,
             self._take_records,
             self._log,
-            self.is_current.set,
+            self._on_current,
             wait_turn=self._wait_turn,
         )
 
+    def _on_current(self) -> None:
+        if not self.is_current.is_set():
+            self.is_current.set()
+            self.on_recall()
+
     async def _wait_turn(self) -> None:
         """Waits while other daemons read for this one, but not for long."""
         with trio.move_on_after(_SELDOM_S * random.uniform(0.8, 1.2)):
--- /dev/null
+++ b/tests/services/test_recall.py
@@ -0,0 +1,93 @@
+"""A daemon that is started again does not bring back an upstream that has left."""
+
+from __future__ import annotations
+
+import unittest
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import trio
+import trio.testing
+
+from fulmarstile_daemon.services._upstream import LocalUpstream
+from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
+from fulmarstile_daemon.services.event_log import EventLog
+from fulmarstile_daemon.services.membership import MEMBERS_TOPIC, Membership
+from fulmarstile_services.directory import Directory
+from fulmarstile_testing.builders.service_mesh import make_node_settings
+from fulmarstile_testing.builders.services import make_announcement, make_member
+from fulmarstile_testing.fakes.keyed_log import FakeKeyedLog
+from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
+from fulmarstile_wire.services import MemberPhase, encode_member
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+SERVING = make_member("daemon-1", revision=1)
+LEAVING = make_member("daemon-1", revision=2, phase=MemberPhase.LEAVING, upstream_leaves=True)
+OWN = make_member("daemon-1", incarnation=2_000, phase=MemberPhase.ABSENT, upstream_id="")
+
+
+class StartedAgain:
+    """What a daemon knows that was started again."""
+
+    def __init__(self) -> None:
+        log = EventLog("daemon-1")
+        settings = make_node_settings("daemon-1", "shop", "zone-a", "127.0.0.1:1")
+        self.store = FakeKeyedLog()
+        self.directory = Directory(OWN)
+        self.membership = Membership(self.directory, log, lambda: None)
+        self.upstream = LocalUpstream(HEADER_NAMES, lambda _: 10, lambda _: None, log)
+        self.announcements = UpstreamAnnouncements(
+            settings, self.directory, self.membership, self.upstream, log
+        )
+        self.membership.on_recall = self.announcements.recall
+
+    @asynccontextmanager
+    async def follow_store(self) -> AsyncIterator[None]:
+        """Reads the store meanwhile."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.membership.follow, self.store)
+            await trio.testing.wait_all_tasks_blocked()
+            yield
+            nursery.cancel_scope.cancel()
+
+
+class RecallTest(unittest.TestCase):
+    def test_an_older_record_of_another_daemon_does_not_hide_that_the_upstream_leaves(self) -> None:
+        async def run() -> None:
+            daemon = StartedAgain()
+            daemon.store.put(MEMBERS_TOPIC, "daemon-1", encode_member(LEAVING))
+            daemon.membership.take_members([SERVING])
+            self.assertIs(daemon.upstream.phase, MemberPhase.ABSENT)
+            async with daemon.follow_store():
+                self.assertIs(daemon.upstream.phase, MemberPhase.LEAVING)
+
+        trio.run(run)
+
+    def test_a_later_record_of_another_daemon_tells_that_the_upstream_leaves(self) -> None:
+        async def run() -> None:
+            daemon = StartedAgain()
+            daemon.store.put(MEMBERS_TOPIC, "daemon-1", encode_member(SERVING))
+            async with daemon.follow_store():
+                self.assertIs(daemon.upstream.phase, MemberPhase.SERVING)
+                daemon.membership.take_members([LEAVING])
+                self.assertIs(daemon.upstream.phase, MemberPhase.LEAVING)
+
+        trio.run(run)
+
+    def test_an_upstream_that_announces_itself_is_believed_without_the_store(self) -> None:
+        async def run() -> None:
+            daemon = StartedAgain()
+            daemon.membership.take_members([SERVING])
+            announcement = make_announcement(
+                upstream_id=SERVING.upstream_id, born_ms=SERVING.upstream_born_ms, sequence=9
+            )
+            await daemon.announcements.announce(announcement)
+            self.assertIs(daemon.upstream.phase, MemberPhase.SERVING)
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+if __name__ == "__main__":
+    unittest.main()
