--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+import msgspec
 import trio
 
 from fulmarstile_daemon.services._links import DaemonUnreachableError
@@ -78,43 +79,50 @@
             What it lacks.
         """
         self._take(request)
-        digest = self._directory.digest
-        is_equal = digest == request.digest
-        version = self._documents.version
-        return SyncReply(
-            self._directory.own.name,
-            digest,
-            version,
-            () if is_equal else self._directory.members,
-            () if is_equal else self._directory.crashes,
-            self._documents.raw if self._documents.is_owed(request.document_version) else b"",
+        reply = SyncReply(self._directory.own.name, self._directory.digest, self._documents.version)
+        if request.is_probe:
+            return reply
+        is_equal = reply.digest == request.digest
+        is_owed = self._documents.is_owed(request.document_version)
+        return msgspec.structs.replace(
+            reply,
+            members=() if is_equal else self._directory.members,
+            crashes=() if is_equal else self._directory.crashes,
+            document=self._documents.raw if is_owed else b"",
         )
 
-    async def exchange(self, member: Member) -> bool:
+    async def exchange(self, member: Member, *, is_probe: bool = False) -> bool:
         """Exchanges state with one daemon.
 
         Args:
             member: The daemon.
+            is_probe: Whether it is only to find out if the daemon can be reached. Many probe one
+                that returns, and what all of them would send it is more than its link carries.
 
         Returns:
             Whether it replied.
         """
         try:
-            reply = await self._links.synchronize(member, self._make_offer(), _TIMEOUT_S)
+            offer = self._make_offer(is_probe=is_probe)
+            reply = await self._links.synchronize(member, offer, _TIMEOUT_S)
             self._take(reply)
             if reply.sender != member.name:
                 raise DaemonUnreachableError(f"{reply.sender} has its address now")
-            lacks_members = reply.digest != self._directory.digest
-            lacks_document = self._documents.is_owed(reply.document_version)
-            if lacks_members or lacks_document:
-                offer = self._make_offer(with_state=lacks_members, with_document=lacks_document)
-                await self._links.synchronize(member, offer, _TIMEOUT_S)
+            if not is_probe:
+                await self._tell_lacking(member, reply)
         except DaemonUnreachableError as error:
             self._note(member, False, str(error))
             return False
         self._note(member, True, "")
         return True
 
+    async def _tell_lacking(self, member: Member, reply: SyncReply) -> None:
+        lacks_members = reply.digest != self._directory.digest
+        lacks_document = self._documents.is_owed(reply.document_version)
+        if lacks_members or lacks_document:
+            offer = self._make_offer(with_state=lacks_members, with_document=lacks_document)
+            await self._links.synchronize(member, offer, _TIMEOUT_S)
+
     async def tell(self) -> None:
         """Exchanges state with a few daemons at once, because the store does not answer."""
         others = [each for each in self._others() if self._balancer.is_reachable(each.name)]
@@ -147,13 +155,15 @@
                 and member.phase is not MemberPhase.STOPPED
             ]
             if lost:
-                await self.exchange(self._random.choice(lost))
+                await self.exchange(self._random.choice(lost), is_probe=True)
 
     def _others(self) -> list[Member]:
         own_name = self._directory.own.name
         return [member for member in self._directory.members if member.name != own_name]
 
-    def _make_offer(self, *, with_state: bool = False, with_document: bool = False) -> SyncRequest:
+    def _make_offer(
+        self, *, with_state: bool = False, with_document: bool = False, is_probe: bool = False
+    ) -> SyncRequest:
         directory = self._directory
         return SyncRequest(
             directory.own.name,
@@ -162,6 +172,7 @@
             directory.members if with_state else (),
             directory.crashes if with_state else (),
             self._documents.raw if with_document else b"",
+            is_probe,
         )
 
     def _take(self, message: SyncRequest | SyncReply) -> None:
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -122,6 +122,8 @@
     crashes: tuple[CrashReport, ...] = ()
     document: bytes = b""
     """The document as the store holds it; empty if it is not sent."""
+    is_probe: bool = False
+    """Whether it only asks if the other daemon can be reached, which replies without state."""
 
 
 class SyncReply(msgspec.Struct, frozen=True, omit_defaults=True):
