Read one document at a time over a slow link, and then the newest

Cause of this part: after a pause the read from the last offset on returned all versions of the meantime, oldest first. On a full link sidecar-almaty-e-16 received 445,874 bytes in 5.36 s (begun at 17.80 s, applied version 30 at 23.18 s; the probe of version 30, acknowledged at 17.935 s, got 404 at 20.68 s). A read now has room for about one record where earlier ones may be left out; where the answer's head says that more follow, the newest is read at once.

The test of test_store_reads that versions of a pause are not all read failed before (7 records read).

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_following.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_following.py
@@ -8,7 +8,7 @@
 import trio
 
 from fulmarstile_daemon.services.events import DependencyLost, DependencyRegained
-from fulmarstile_platform.keyed_log import RecordsExpiredError
+from fulmarstile_platform.keyed_log import MAX_READ_BYTES, RecordsExpiredError
 from fulmarstile_platform.log import LogError
 
 if TYPE_CHECKING:
@@ -26,6 +26,9 @@
 """Rate at which records that keep coming are read, in bytes a second, short of longest pauses."""
 _QUIET_S: Final = 1.0
 """Wait of a read after which the next records are no longer part of a storm, in seconds."""
+_ROOM: Final = 1.5
+"""Size of a read, in records like the last one, where earlier records may be left out."""
+_MIN_READ_BYTES: Final = 16 * 1024
 _FIRST_BACKOFF_S: Final = 0.15
 _MAX_BACKOFF_S: Final = 0.8
 
@@ -49,10 +52,11 @@
         log: Log of the daemon.
         on_current: Called whenever all records that were there have been taken.
         wait_turn: Awaited before each read but the first.
-        skips_old: Whether earlier records of a key may be left out. After several records at
-            once, the newest of each key are read instead of all that follow.
+        skips_old: Whether earlier records of a key may be left out. Then about one record is read
+            at a time, and where more follow, the newest of each key are read instead of them.
     """
     offset = 0
+    max_bytes = MAX_READ_BYTES
     reads_newest = True
     outage = _Outage(topic, log)
     pace = _Pace()
@@ -62,7 +66,7 @@
             if reads_newest:
                 page = await store.newest(topic)
             else:
-                page = await store.read_keyed(topic, offset, _WAIT_S)
+                page = await store.read_keyed(topic, offset, _WAIT_S, max_bytes)
         except RecordsExpiredError:
             reads_newest = True
             continue
@@ -70,10 +74,15 @@
             await outage.wait(error)
             continue
         outage.end()
-        reads_newest = skips_old and offset > 0 and page.next_offset - offset > 1
+        came_several = offset > 0 and page.next_offset - offset > 1
+        reads_newest = skips_old and (came_several or page.has_more)
         offset = page.next_offset
         if page.records:
             take(page.records)
+            if skips_old:
+                max_bytes = _room_for_one(page.records)
+        if skips_old and page.has_more:
+            continue
         if on_current is not None:
             on_current()
         await pace.wait(page.records, trio.current_time() - asked_at)
@@ -81,6 +90,12 @@
             await wait_turn()
 
 
+def _room_for_one(records: Sequence[KeyedRecord]) -> int:
+    """Returns the size of a read of one record like these."""
+    largest = max(len(record.value) for record in records)
+    return min(MAX_READ_BYTES, max(_MIN_READ_BYTES, int(largest * _ROOM)))
+
+
 class _Outage:
     """Time in which a topic cannot be read: its two log lines and the pauses between trials."""
 
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Final, Protocol
 
 from fulmarstile_platform.log import LogError
 from fulmarstile_wire.verdict import Verdict
 
+MAX_READ_BYTES: Final = 1024 * 1024
+"""Most bytes of records that one read returns."""
+
 
 class RecordsExpiredError(LogError):
     """The records from an offset on are no longer kept; read the newest of each key instead."""
@@ -31,6 +34,8 @@
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    has_more: bool = False
+    """Whether later records were there already."""
 
 
 class KeyedLog(Protocol):
@@ -50,13 +55,16 @@
         """
         ...
 
-    async def read_keyed(self, topic: str, offset: int, wait_s: float) -> KeyedPage:
+    async def read_keyed(
+        self, topic: str, offset: int, wait_s: float, max_bytes: int = MAX_READ_BYTES
+    ) -> KeyedPage:
         """Reads records from an offset on.
 
         Args:
             topic: Name of the topic.
             offset: First offset wanted.
             wait_s: Longest time to wait for a first record, in seconds.
+            max_bytes: Bytes of records wanted at most, but for a first larger one.
 
         Returns:
             The records in order, possibly none.
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
@@ -4,7 +4,12 @@
 
 import trio
 
-from fulmarstile_platform.keyed_log import KeyedPage, KeyedRecord, RecordsExpiredError
+from fulmarstile_platform.keyed_log import (
+    MAX_READ_BYTES,
+    KeyedPage,
+    KeyedRecord,
+    RecordsExpiredError,
+)
 from fulmarstile_platform.log import LogUnavailableError
 from fulmarstile_wire.verdict import Verdict
 
@@ -43,7 +48,9 @@
         self.records_read += len(newest)
         return KeyedPage(tuple(newest.values()), len(records))
 
-    async def read_keyed(self, topic: str, offset: int, wait_s: float) -> KeyedPage:
+    async def read_keyed(
+        self, topic: str, offset: int, wait_s: float, max_bytes: int = MAX_READ_BYTES
+    ) -> KeyedPage:
         """See `KeyedLog.read_keyed`."""
         await self._check()
         with trio.move_on_after(wait_s):
@@ -52,10 +59,11 @@
                 await self._check()
         if offset < self._content.first.get(topic, 0):
             raise RecordsExpiredError(f"{topic}: the records from {offset} on are gone")
-        records = self._content.topics.get(topic, [])[offset:]
+        later = self._content.topics.get(topic, [])[offset:]
+        records = _take(later, max_bytes)
         self.reads += 1
         self.records_read += len(records)
-        return KeyedPage(tuple(records), offset + len(records))
+        return KeyedPage(tuple(records), offset + len(records), len(records) < len(later))
 
     async def append_keyed(self, topic: str, key: str, value: bytes) -> None:
         """See `KeyedLog.append_keyed`."""
@@ -81,3 +89,13 @@
         await trio.lowlevel.checkpoint()
         if self.is_down:
             raise LogUnavailableError("the store is down", Verdict.NOT_RUN)
+
+
+def _take(records: list[KeyedRecord], max_bytes: int) -> list[KeyedRecord]:
+    """Returns the first records, as many as there is room for but one at least."""
+    size = 0
+    for count, record in enumerate(records):
+        size += len(record.value)
+        if size > max_bytes:
+            return records[: max(1, count)]
+    return records
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -55,6 +55,18 @@
 
         self.run_with_client(check)
 
+    def test_a_read_with_room_for_one_record_says_that_more_follow(self) -> None:
+        async def check(client: StoreClient) -> None:
+            for value in (b"a", b"b"):
+                await client.append_keyed(TOPIC, "key", value * 2000)
+            page = await client.read_keyed(TOPIC, 0, 0.0, 1000)
+            self.assertEqual(page.records, (KeyedRecord("key", b"a" * 2000),))
+            self.assertEqual((page.next_offset, page.has_more), (1, True))
+            page = await client.read_keyed(TOPIC, 1, 0.0, 1000)
+            self.assertEqual((page.next_offset, page.has_more), (2, False))
+
+        self.run_with_client(check)
+
     def test_a_read_waits_for_the_next_record(self) -> None:
         async def check(client: StoreClient) -> None:
             async with trio.open_nursery() as nursery:
--- a/tests/services/test_store_reads.py
+++ b/tests/services/test_store_reads.py
@@ -28,11 +28,18 @@
 STORM_GAP_S = 0.1
 LATE_S = 2.0
 """Time in which the newest record must be known, in seconds."""
+DOCUMENT_BYTES = 90_000
+WITHIN_PAUSE_S = 0.1
+"""Time within the pause after a document of this size, in seconds."""
 SELDOM_AT_MOST_S = 40.0
 """Time after which a daemon that others read for has read by itself, in seconds."""
 ZONES = ("zone-a", "zone-b")
 
 
+def make_document(number: int) -> bytes:
+    return b"%09d" % number * (DOCUMENT_BYTES // 9)
+
+
 def make_fleet(count: int) -> list[Directory]:
     members = [
         make_member(f"daemon-{number}", availability_zone=ZONES[number % len(ZONES)])
@@ -78,6 +85,32 @@
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
         self.assertLess(store.records_read, STORM / 2)
 
+    def test_versions_that_came_during_a_pause_are_not_all_read_before_the_newest(self) -> None:
+        store = FakeKeyedLog()
+        seen: list[bytes] = []
+
+        def take(records: Iterable[KeyedRecord]) -> None:
+            seen.extend(record.value for record in records)
+
+        async def run() -> None:
+            store.put(TOPIC, KEY, make_document(0))
+            async with trio.open_nursery() as nursery:
+                log = EventLog("d-1")
+                nursery.start_soon(lambda: follow_topic(store, TOPIC, take, log, skips_old=True))
+                await trio.sleep(5.0)
+                store.put(TOPIC, KEY, make_document(1))
+                await trio.sleep(WITHIN_PAUSE_S)
+                self.assertEqual(seen[-1], make_document(1))
+                store.records_read = 0
+                for number in range(2, 8):
+                    store.put(TOPIC, KEY, make_document(number))
+                await trio.sleep(LATE_S)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(seen[-1], make_document(7))
+        self.assertLessEqual(store.records_read, 3)
+
 
 class ReadersTest(unittest.TestCase):
     def test_all_daemons_of_a_small_fleet_read(self) -> None:
