Remember that an upstream leaves which is not known yet after a restart

Cause: a leave that came before anything was known of the upstream was acknowledged, and remembered only if it named the start; what was recalled after it from other daemons did not look there at all. Nothing was logged of it either. Now it is, and what is recalled then leaves. Evidence: the new tests of test_upstream_registry and test_recall fail before (READY and SERVING instead of LEAVING), pass after.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
@@ -92,6 +92,13 @@
         if outcome is AnnouncementOutcome.LEFT:
             self._apply(outcome.value)
             await self._secure()
+        elif outcome is AnnouncementOutcome.STALE:
+            self._log.write(
+                RecordIgnored(
+                    source=upstream_id,
+                    reason=f"it leaves, born at {born_ms}, and is not the upstream known here",
+                )
+            )
 
     async def stop(self) -> None:
         """Tells all daemons that this one stops."""
@@ -122,8 +129,7 @@
             record.slots,
             phase,
         )
-        self._registry.restore(announcement, trio.current_time())
-        if self._registry.current is announcement:
+        if self._registry.restore(announcement, trio.current_time()):
             self._apply("recalled")
 
     async def _await_recall(self, announcement: UpstreamAnnouncement) -> bool:
--- a/packages/fulmarstile_services/src/fulmarstile_services/upstream_registry.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/upstream_registry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 _SILENT_INTERVALS: Final = 2.5
@@ -61,7 +61,7 @@
         self._interval_s = interval_s
         self._current: UpstreamAnnouncement | None = None
         self._heard_at = 0.0
-        self._left: dict[tuple[str, int], None] = {}
+        self._left: dict[tuple[str, int | None], None] = {}
 
     @property
     def current(self) -> UpstreamAnnouncement | None:
@@ -73,19 +73,28 @@
         """Time of the last announcement that was not stale, in seconds."""
         return self._heard_at
 
-    def restore(self, announcement: UpstreamAnnouncement, now: float) -> None:
+    def restore(self, announcement: UpstreamAnnouncement, now: float) -> bool:
         """Takes over what was known before the daemon was started again.
 
         Args:
             announcement: Last known announcement; ignored if a newer incarnation was heard.
             now: Current time in seconds.
+
+        Returns:
+            Whether that changed anything.
         """
+        upstream_id = announcement.upstream_id
+        if (upstream_id, announcement.born_ms) in self._left or (upstream_id, None) in self._left:
+            announcement = replace(announcement, phase=UpstreamPhase.LEAVING)
         current = self._current
         if current is None:
             self._current = announcement
             self._heard_at = now
-        elif _is_same(current, announcement) and announcement.phase is UpstreamPhase.LEAVING:
-            self._current = announcement
+            return True
+        if not _is_same(current, announcement) or announcement.phase is not UpstreamPhase.LEAVING:
+            return False
+        self._current = announcement
+        return current.phase is not UpstreamPhase.LEAVING
 
     def on_announcement(
         self, announcement: UpstreamAnnouncement, now: float
@@ -131,8 +140,7 @@
         """
         current = self._current
         if current is None or current.upstream_id != upstream_id:
-            if born_ms is not None:
-                self._remember_left(upstream_id, born_ms)
+            self._remember_left(upstream_id, born_ms)
             return AnnouncementOutcome.STALE
         if born_ms is not None and born_ms != current.born_ms:
             return AnnouncementOutcome.STALE
@@ -149,7 +157,7 @@
         )
         return AnnouncementOutcome.LEFT
 
-    def _remember_left(self, upstream_id: str, born_ms: int) -> None:
+    def _remember_left(self, upstream_id: str, born_ms: int | None) -> None:
         self._left[(upstream_id, born_ms)] = None
         while len(self._left) > _MAX_LEFT:
             del self._left[next(iter(self._left))]
--- a/tests/services/test_recall.py
+++ b/tests/services/test_recall.py
@@ -76,6 +76,16 @@
 
         trio.run(run)
 
+    def test_an_upstream_that_says_at_once_that_it_leaves_is_not_brought_back(self) -> None:
+        async def run() -> None:
+            daemon = StartedAgain()
+            daemon.store.put(MEMBERS_TOPIC, "daemon-1", encode_member(SERVING))
+            await daemon.announcements.leave(SERVING.upstream_id, SERVING.upstream_born_ms)
+            async with daemon.follow_store():
+                self.assertIs(daemon.upstream.phase, MemberPhase.LEAVING)
+
+        trio.run(run)
+
     def test_an_upstream_that_announces_itself_is_believed_without_the_store(self) -> None:
         async def run() -> None:
             daemon = StartedAgain()
--- a/tests/services/test_upstream_registry.py
+++ b/tests/services/test_upstream_registry.py
@@ -57,6 +57,14 @@
         self.assertIs(outcome, AnnouncementOutcome.STALE)
         self.assertIsNone(self.registry.current)
 
+    def test_a_leave_before_what_is_recalled_keeps_the_upstream_from_coming_back(self) -> None:
+        for born_ms in (1_000, None):
+            with self.subTest(born_ms=born_ms):
+                registry = UpstreamRegistry(interval_s=1.5)
+                registry.on_leave("upstream-1", born_ms, 0.0)
+                registry.restore(make_announcement(sequence=0), 0.1)
+                self.assertIs(registry.current.phase, LEAVING)
+
     def test_what_was_known_before_a_restart_keeps_an_upstream_from_coming_back(self) -> None:
         self.registry.restore(make_announcement(sequence=0, phase=LEAVING), 0.0)
         self.registry.on_announcement(make_announcement(sequence=9), 0.5)
