Believe no late announcement of an upstream whose leave named no start

What callers would see: requests reach an upstream after its leaving was acknowledged, beside a daemon that was started again. Cause: a leave names no start on the users' platform; one that came before anything was known of the upstream kept what is recalled from coming back, but not a late announcement of the same start. Now all starts up to the time of the leave have left. Evidence: on the code before, an announcement after such a leave is taken as 'NEW'; the new test of test_upstream_registry asks that it is stale, and that a later start of the same id is taken.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -88,7 +89,8 @@
 
     async def leave(self, upstream_id: str, born_ms: int | None) -> None:
         """See `UpstreamEvents.leave`."""
-        outcome = self._registry.on_leave(upstream_id, born_ms, trio.current_time())
+        now_ms = int(time.time() * 1000)
+        outcome = self._registry.on_leave(upstream_id, born_ms, trio.current_time(), now_ms)
         if outcome is AnnouncementOutcome.LEFT:
             self._apply(outcome.value)
             await self._secure()
--- a/packages/fulmarstile_services/src/fulmarstile_services/upstream_registry.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/upstream_registry.py
@@ -10,7 +10,7 @@
 """Announcement intervals after which a silent incarnation no longer holds back an older one."""
 
 _MAX_LEFT: Final = 16
-"""Incarnations remembered that left before they were known."""
+"""Upstreams remembered that left before they were known."""
 
 
 class UpstreamPhase(enum.Enum):
@@ -61,7 +61,8 @@
         self._interval_s = interval_s
         self._current: UpstreamAnnouncement | None = None
         self._heard_at = 0.0
-        self._left: dict[tuple[str, int | None], None] = {}
+        self._left: dict[str, int] = {}
+        """Latest start of incarnations that have left by id, milliseconds since the epoch."""
 
     @property
     def current(self) -> UpstreamAnnouncement | None:
@@ -83,8 +84,7 @@
         Returns:
             Whether that changed anything.
         """
-        upstream_id = announcement.upstream_id
-        if (upstream_id, announcement.born_ms) in self._left or (upstream_id, None) in self._left:
+        if self._has_left(announcement):
             announcement = replace(announcement, phase=UpstreamPhase.LEAVING)
         current = self._current
         if current is None:
@@ -109,7 +109,7 @@
             What it changed.
         """
         current = self._current
-        if (announcement.upstream_id, announcement.born_ms) in self._left:
+        if self._has_left(announcement):
             return AnnouncementOutcome.STALE
         if current is None or announcement.born_ms > current.born_ms:
             return self._replace(announcement, now)
@@ -127,20 +127,23 @@
             return AnnouncementOutcome.LEFT
         return AnnouncementOutcome.RENEWED
 
-    def on_leave(self, upstream_id: str, born_ms: int | None, now: float) -> AnnouncementOutcome:
+    def on_leave(
+        self, upstream_id: str, born_ms: int | None, now: float, now_ms: int
+    ) -> AnnouncementOutcome:
         """Takes in that an upstream leaves.
 
         Args:
             upstream_id: Its id.
             born_ms: Its start if it said so, milliseconds since the epoch.
             now: Current time in seconds.
+            now_ms: Current time, milliseconds since the epoch.
 
         Returns:
             What it changed.
         """
         current = self._current
         if current is None or current.upstream_id != upstream_id:
-            self._remember_left(upstream_id, born_ms)
+            self._remember_left(upstream_id, now_ms if born_ms is None else born_ms)
             return AnnouncementOutcome.STALE
         if born_ms is not None and born_ms != current.born_ms:
             return AnnouncementOutcome.STALE
@@ -157,8 +160,11 @@
         )
         return AnnouncementOutcome.LEFT
 
-    def _remember_left(self, upstream_id: str, born_ms: int | None) -> None:
-        self._left[(upstream_id, born_ms)] = None
+    def _has_left(self, announcement: UpstreamAnnouncement) -> bool:
+        return announcement.born_ms <= self._left.get(announcement.upstream_id, -1)
+
+    def _remember_left(self, upstream_id: str, born_ms: int) -> None:
+        self._left[upstream_id] = max(born_ms, self._left.pop(upstream_id, -1))
         while len(self._left) > _MAX_LEFT:
             del self._left[next(iter(self._left))]
 
--- a/tests/services/test_upstream_registry.py
+++ b/tests/services/test_upstream_registry.py
@@ -12,6 +12,7 @@
 from fulmarstile_testing.builders.services import make_announcement
 
 LEAVING = UpstreamPhase.LEAVING
+LEFT_AT_MS = 5_000
 
 
 class UpstreamRegistryTest(unittest.TestCase):
@@ -42,17 +43,17 @@
 
     def test_an_upstream_that_leaves_never_comes_back(self) -> None:
         self.registry.on_announcement(make_announcement(), 0.0)
-        self.registry.on_leave("upstream-1", 1_000, 0.1)
+        self.registry.on_leave("upstream-1", 1_000, 0.1, LEFT_AT_MS)
         self.registry.on_announcement(make_announcement(sequence=9), 0.2)
         self.assertIs(self.registry.current.phase, LEAVING)
 
     def test_the_leave_of_another_incarnation_changes_nothing(self) -> None:
         self.registry.on_announcement(make_announcement(born_ms=2_000), 0.0)
-        outcome = self.registry.on_leave("upstream-1", 1_000, 0.1)
+        outcome = self.registry.on_leave("upstream-1", 1_000, 0.1, LEFT_AT_MS)
         self.assertIs(outcome, AnnouncementOutcome.STALE)
 
     def test_a_leave_before_the_first_announcement_is_remembered(self) -> None:
-        self.registry.on_leave("upstream-1", 1_000, 0.0)
+        self.registry.on_leave("upstream-1", 1_000, 0.0, LEFT_AT_MS)
         outcome = self.registry.on_announcement(make_announcement(sequence=3), 0.5)
         self.assertIs(outcome, AnnouncementOutcome.STALE)
         self.assertIsNone(self.registry.current)
@@ -61,10 +62,17 @@
         for born_ms in (1_000, None):
             with self.subTest(born_ms=born_ms):
                 registry = UpstreamRegistry(interval_s=1.5)
-                registry.on_leave("upstream-1", born_ms, 0.0)
+                registry.on_leave("upstream-1", born_ms, 0.0, LEFT_AT_MS)
                 registry.restore(make_announcement(sequence=0), 0.1)
                 self.assertIs(registry.current.phase, LEAVING)
 
+    def test_a_late_announcement_after_a_leave_that_named_no_start_changes_nothing(self) -> None:
+        self.registry.on_leave("upstream-1", None, 0.0, LEFT_AT_MS)
+        outcome = self.registry.on_announcement(make_announcement(sequence=3), 0.5)
+        self.assertIs(outcome, AnnouncementOutcome.STALE)
+        again = make_announcement(born_ms=LEFT_AT_MS + 2_500)
+        self.assertIs(self.registry.on_announcement(again, 3.0), AnnouncementOutcome.NEW)
+
     def test_what_was_known_before_a_restart_keeps_an_upstream_from_coming_back(self) -> None:
         self.registry.restore(make_announcement(sequence=0, phase=LEAVING), 0.0)
         self.registry.on_announcement(make_announcement(sequence=9), 0.5)
