Choose an upstream among a sample, whatever the size of the service

Cause: every member was looked at before 12 were sampled, and the sample took other zones only if the own one had fewer than 12. Now candidates of a service are kept until a member or its reach changes, 6 are drawn, 2 of them in other zones, and the expectation is computed for those alone.

The test of a full zone fails on the code before. Small sites have 4 upstreams a service at the most, there it changes nothing but the cost.

--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -2,19 +2,22 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_calls.request import RefusalReason
+from fulmarstile_services.candidates import Candidates
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
 
     from fulmarstile_wire.services import HopOutcome, Member
 
-_MAX_COMPARED: Final = 12
-"""Most upstreams compared for one request."""
+_LEAST_FAR: Final = 2
+"""Upstreams of other availability zones among those that are compared."""
+_DRAWS: Final = 3
+"""How often others are drawn if none of those drawn can be used."""
 _LOAD_MEMORY_S: Final = 1.0
 """Age at which a reported load counts half."""
 _GAIN: Final = 0.2
@@ -45,6 +48,8 @@
     """Wait that each byte to another availability zone must save besides, in seconds."""
     other_zone_target_share: float = 0.2
     """Part of the target latency that such a request must save besides."""
+    compared: int = 6
+    """Upstreams compared for one request."""
 
 
 class _Observation:
@@ -54,7 +59,6 @@
         "error_rate",
         "full_until",
         "in_flight",
-        "reachable",
         "reported",
         "reported_at",
         "service_s",
@@ -79,7 +83,6 @@
         self.full_until: dict[int, float] = {}
         """Times until which requests of a priority are not sent, because one was refused."""
         self.tried_at = now - _UNTRIED_AFTER_S
-        self.reachable = True
 
     def is_full(self, priority: int, now: float) -> bool:
         """Tells whether a request of the same or a higher rank was refused a moment ago."""
@@ -90,6 +93,51 @@
             return False
         return any(rank <= priority and now < until for rank, until in self.full_until.items())
 
+    def is_untried(self, now: float) -> bool:
+        """Tells whether this daemon has sent nothing there for a while."""
+        return now - self.tried_at >= _UNTRIED_AFTER_S and not self.in_flight
+
+    def expect(self, slots: int, usual_s: float, now: float) -> float:
+        """Returns the expected time to an answer.
+
+        Args:
+            slots: Slots of the upstream.
+            usual_s: Time that an upstream of its service usually takes, in seconds.
+            now: Current time in seconds.
+
+        Returns:
+            The time in seconds, longer for an upstream that fails.
+        """
+        memory = self._remember(now)
+        load = (self.reported * memory + self.in_flight + 1) / slots
+        service_s = self.service_s or usual_s
+        if now < self.cold_until:
+            service_s = max(service_s, usual_s * _COLD_FACTOR)
+        expected_s = service_s * (1.0 + 0.5 * load * load if load < 1.0 else 0.5 + load)
+        expected_s *= 1.0 + _ERROR_WEIGHT * self.error_rate
+        return expected_s + max(0.0, self.way_s * memory - _USUAL_WAY_S)
+
+    def expect_body(self, size: int, link_kbps: int, now: float) -> float:
+        """Returns the expected time until a large body has arrived.
+
+        Args:
+            size: Its size in bytes.
+            link_kbps: Capacity of the link that it comes over; 0 if it is not known.
+            now: Current time in seconds.
+
+        Returns:
+            The time in seconds.
+        """
+        wait_s = self.body_wait_s * self._remember(now)
+        return wait_s + size * 8 / 1000 / link_kbps if link_kbps else wait_s
+
+    def _remember(self, now: float) -> float:
+        """Returns the part of what was reported that still counts."""
+        return _LOAD_MEMORY_S / (_LOAD_MEMORY_S + now - self.reported_at)
+
+
+_Candidate = tuple["Member", _Observation]
+
 
 class LeastWaitBalancer:
     """Chooses the upstream with the shortest expected time to an answer.
@@ -112,16 +160,17 @@
         self._availability_zone = availability_zone
         self._random = random
         self._observations: dict[str, _Observation] = {}
+        self._unreachable: set[str] = set()
+        self._candidates: dict[str, Candidates] = {}
 
     @property
     def has_unreachable(self) -> bool:
         """Whether any daemon did not answer the last attempt to reach it."""
-        return any(not each.reachable for each in self._observations.values())
+        return bool(self._unreachable)
 
     def is_reachable(self, name: str) -> bool:
         """Tells whether a daemon answered the last attempt to reach it."""
-        observation = self._observations.get(name)
-        return observation is None or observation.reachable
+        return name not in self._unreachable
 
     def set_reachable(self, member: Member, reachable: bool, now: float) -> bool:
         """Notes whether a daemon can be reached.
@@ -134,18 +183,19 @@
         Returns:
             Whether that is a change.
         """
-        observation = self._observe(member, now)
-        changed = observation.reachable is not reachable
-        observation.reachable = reachable
-        return changed
-
-    def forget(self, name: str) -> None:
-        """Forgets what was observed of a daemon."""
-        self._observations.pop(name, None)
+        self._observe(member, now)
+        if reachable is (member.name not in self._unreachable):
+            return False
+        if reachable:
+            self._note_reachable(member.name)
+        else:
+            self._unreachable.add(member.name)
+            self._candidates.clear()
+        return True
 
     def choose(
         self,
-        members: Iterable[Member],
+        members: tuple[Member, ...],
         size: int,
         now: float,
         exclude: frozenset[str],
@@ -155,7 +205,8 @@
         """Chooses where a request is sent.
 
         Args:
-            members: Daemons whose upstreams could run it.
+            members: Daemons beside the upstreams of the service that it goes to; the same tuple
+                until any of them changes.
             size: Bytes of the request's body.
             now: Current time in seconds.
             exclude: Names of daemons that it was sent to before.
@@ -166,31 +217,29 @@
         Returns:
             The daemon, or None if all are excluded or have refused such requests a moment ago.
         """
-        candidates = [
-            (member, self._observe(member, now)) for member in members if member.name not in exclude
-        ]
-        reachable = [each for each in candidates if each[1].reachable] or candidates
-        usable = [member for member, known in reachable if not known.is_full(priority, now)]
+        usable = self._draw(members, exclude, priority, now)
         if not usable:
             return None
-        if len(usable) > _MAX_COMPARED:
-            usable = self._sample(usable)
-        if size <= _SMALL_BYTES and self._random.random() < _NEWCOMER_SHARE:
-            untried = [member for member in usable if self._is_untried(member, now)]
+        is_small = size <= _SMALL_BYTES
+        if is_small and self._random.random() < _NEWCOMER_SHARE:
+            untried = [member for member, known in usable if known.is_untried(now)]
             if untried:
                 return self._random.choice(untried)
-        usual_s = self._usual_service(usable)
+        usual_s = _usual_service(usable)
         settings = self._settings
         crossing_s = settings.other_zone_s + size * settings.other_zone_s_per_byte
         crossing_s += settings.other_zone_target_share * target_s
-        if size <= _SMALL_BYTES:
-            return min(usable, key=lambda each: self._expect(each, crossing_s, usual_s, now))
-        return min(
-            usable,
-            key=lambda each: (
-                self._expect(each, crossing_s, usual_s, now) + self._expect_body(each, size, now)
-            ),
-        )
+        best: Member | None = None
+        best_s = math.inf
+        for member, known in usable:
+            expected_s = known.expect(max(1, member.slots), usual_s, now)
+            if member.availability_zone != self._availability_zone:
+                expected_s += crossing_s
+            if not is_small:
+                expected_s += known.expect_body(size, member.link_kbps, now)
+            if expected_s < best_s:
+                best, best_s = member, expected_s
+        return best
 
     def on_sent(self, member: Member, now: float) -> None:
         """Notes that a request was sent to a daemon."""
@@ -255,52 +304,43 @@
         observation = self._observations.get(member.name)
         if observation is None or observation.upstream_id != member.upstream_id:
             observation = self._observations[member.name] = _Observation(member, now)
+            self._note_reachable(member.name)
         return observation
 
-    def _is_untried(self, member: Member, now: float) -> bool:
-        observation = self._observe(member, now)
-        return now - observation.tried_at >= _UNTRIED_AFTER_S and not observation.in_flight
-
-    def _usual_service(self, members: list[Member]) -> float:
-        known = [
-            observation.service_s
-            for member in members
-            if (observation := self._observations.get(member.name)) and observation.service_s
-        ]
-        return sum(known) / len(known) if known else _DEFAULT_SERVICE_S
-
-    def _expect(self, member: Member, crossing_s: float, usual_s: float, now: float) -> float:
-        """Returns the expected time to an answer and what another zone costs, in seconds."""
-        observation = self._observe(member, now)
-        age_s = now - observation.reported_at
-        memory = _LOAD_MEMORY_S / (_LOAD_MEMORY_S + age_s)
-        others = observation.reported * memory
-        slots = max(1, member.slots)
-        load = (others + observation.in_flight + 1) / slots
-        service_s = observation.service_s or usual_s
-        if now < observation.cold_until:
-            service_s = max(service_s, usual_s * _COLD_FACTOR)
-        expected_s = service_s * (1.0 + 0.5 * load * load if load < 1.0 else 0.5 + load)
-        expected_s *= 1.0 + _ERROR_WEIGHT * observation.error_rate
-        expected_s += max(0.0, observation.way_s * memory - _USUAL_WAY_S)
-        if member.availability_zone != self._availability_zone:
-            expected_s += crossing_s
-        return expected_s
-
-    def _expect_body(self, member: Member, size: int, now: float) -> float:
-        """Returns the expected time until a large body has arrived, in seconds."""
-        observation = self._observe(member, now)
-        age_s = now - observation.reported_at
-        wait_s = observation.body_wait_s * _LOAD_MEMORY_S / (_LOAD_MEMORY_S + age_s)
-        if not member.link_kbps:
-            return wait_s
-        return wait_s + size * 8 / 1000 / member.link_kbps
-
-    def _sample(self, members: list[Member]) -> list[Member]:
-        """Takes those of the own availability zone first, then random ones."""
-        near = [m for m in members if m.availability_zone == self._availability_zone]
-        far = [m for m in members if m.availability_zone != self._availability_zone]
-        if len(near) > _MAX_COMPARED:
-            return self._random.sample(near, _MAX_COMPARED)
-        rest = min(len(far), max(2, _MAX_COMPARED - len(near)))
-        return near + self._random.sample(far, rest)
+    def _note_reachable(self, name: str) -> None:
+        if name in self._unreachable:
+            self._unreachable.remove(name)
+            self._candidates.clear()
+
+    def _draw(
+        self, members: tuple[Member, ...], exclude: frozenset[str], priority: int, now: float
+    ) -> list[_Candidate]:
+        """Draws upstreams that a request may be sent to."""
+        if not members:
+            return []
+        candidates = self._find_candidates(members)
+        compared = self._settings.compared
+        for _ in range(_DRAWS):
+            drawn = candidates.draw(compared, _LEAST_FAR, self._random)
+            left = [member for member in drawn if member.name not in exclude]
+            if not left and len(drawn) <= len(exclude):
+                left = [each for each in candidates.unreachable if each.name not in exclude]
+            observed = [(each, self._observe(each, now)) for each in left]
+            usable = [each for each in observed if not each[1].is_full(priority, now)]
+            if usable or len(members) <= compared:
+                return usable
+        return []
+
+    def _find_candidates(self, members: tuple[Member, ...]) -> Candidates:
+        service = members[0].service
+        known = self._candidates.get(service)
+        if known is None or known.members is not members:
+            known = Candidates(members, self._availability_zone, self.is_reachable)
+            self._candidates[service] = known
+        return known
+
+
+def _usual_service(usable: list[_Candidate]) -> float:
+    """Returns the time that upstreams usually take, in seconds."""
+    known = [observation.service_s for _, observation in usable if observation.service_s]
+    return sum(known) / len(known) if known else _DEFAULT_SERVICE_S
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_cores.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_cores.py
@@ -30,6 +30,7 @@
 from fulmarstile_calls.retries import RetryBudgets, RetrySettings
 from fulmarstile_config.document import Limit, RetryRule
 from fulmarstile_platform.log import LogRecord
+from fulmarstile_services.balancing import BalancingSettings, LeastWaitBalancer
 from fulmarstile_testing.builders.calls import (
     EPOCH_MS,
     make_endpoint,
@@ -38,8 +39,10 @@
     make_route,
     make_ticket,
 )
+from fulmarstile_testing.builders.services import make_member
 from fulmarstile_testing.virtual_claims import ClaimFleet
 from fulmarstile_wire.records import ClaimRecord, OutcomeRecord
+from fulmarstile_wire.services import HopOutcome
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -95,6 +98,25 @@
     time_decision(f"{name}, {endpoint_count} upstreams", decide)
 
 
+def bench_choice(upstreams: int) -> None:
+    """Times the choice of an upstream for a call between services."""
+    zones = [f"zone-{number}" for number in range(5)]
+    members = tuple(
+        make_member(f"daemon-{number}", availability_zone=zones[number % len(zones)])
+        for number in range(upstreams)
+    )
+    balancer = LeastWaitBalancer(BalancingSettings(), zones[0], random.Random(1))
+    outcome = HopOutcome(Verdict.RAN, reached_upstream=True, service_ms=50.0, slots=4, running=2)
+    for member in members:
+        balancer.on_sent(member, 0.0)
+        balancer.on_ended(member, outcome, False, 0.0)
+
+    def decide(number: int) -> None:
+        balancer.choose(members, 0, number / 389, frozenset(), 2, 0.4)
+
+    time_decision(f"least wait of a sample, {upstreams} upstreams", decide)
+
+
 def bench_admission(name: str, admission: Admission, overload: bool) -> None:
     """Times one request through admission, with free slots or with a full queue."""
     running: list[int] = []
@@ -221,6 +243,8 @@
         bench_balancer("two choices", TwoChoicesBalancer(settings, "be-bru", draw), count)
         bench_balancer("random choice", RandomBalancer(draw), count)
         bench_balancer("round robin", RoundRobinBalancer(), count)
+    for count in (4, 36, 108, 720):
+        bench_choice(count)
     limits = AdmissionSettings(slots=10, queue_limit=50, connections=130)
     for overload in (False, True):
         bench_admission("fair admission", FairAdmission(limits), overload)
--- a/tests/services/test_balancing.py
+++ b/tests/services/test_balancing.py
@@ -128,6 +128,34 @@
         self.assertTrue(self.balancer.is_reachable("near"))
         self.assertEqual(self.choose(again, FAR), "near")
 
+    def test_all_upstreams_of_a_zone_get_work_though_few_are_compared(self) -> None:
+        members = tuple(make_member(f"m{i}") for i in range(50))
+        chosen = Counter(self.choose(*members) for _ in range(1000))
+        self.assertEqual(len(chosen), 50)
+
+    def test_a_full_zone_of_a_large_service_lets_other_zones_help(self) -> None:
+        near = [make_member(f"near{i}") for i in range(30)]
+        far = [make_member(f"far{i}", availability_zone="zone-b") for i in range(30)]
+        for member in near:
+            self.report(member, running=4, queued=12, slots=4)
+        for member in far:
+            self.report(member)
+        chosen = Counter(self.choose(*near, *far)[:3] for _ in range(50))
+        self.assertGreater(chosen["far"], 40)
+
+    def test_a_daemon_out_of_reach_is_tried_once_all_others_have_refused(self) -> None:
+        self.balancer.set_reachable(FAR, False, self.now)
+        self.assertEqual(self.choose(NEAR, FAR, exclude=frozenset({"near"})), "far")
+
+    def test_a_change_of_reach_or_members_is_seen_by_the_next_choice(self) -> None:
+        members = (NEAR, FAR)
+        self.assertEqual(self.choose(*members), "near")
+        self.balancer.set_reachable(NEAR, False, self.now)
+        self.assertEqual(self.choose(*members), "far")
+        self.balancer.set_reachable(NEAR, True, self.now)
+        self.assertEqual(self.choose(FAR), "far")
+        self.assertEqual(self.choose(*members), "near")
+
     def test_a_large_service_is_sampled_and_its_own_zone_kept(self) -> None:
         members = [
             make_member(f"m{i}", availability_zone="zone-a" if i < 3 else "zone-b")
