Exchange between daemons only what differs, and keep the directory up to date by single records

What operators would see: each change of one record rebuilt all services, sorted all names and hashed all records at each daemon; where two daemons differed in one record, each sent all of its records, 180 KB each way at 720 daemons, over links of 3.5 to 7 Mbit/s. Now members are in 64 buckets by name, each with the XOR of the hashes of its records, changed by the one record that changes. A reply to a differing digest bears the buckets' hashes, the next message the records of the buckets that differ, and its reply those that the sender lacks.

The test of probes asked for all members in the reply to an exchange; it now asks for the buckets' hashes there and for all members where all buckets are wanted.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
@@ -79,16 +79,18 @@
             What it lacks.
         """
         self._take(request)
-        reply = SyncReply(self._directory.own.name, self._directory.digest, self._documents.version)
+        directory = self._directory
+        reply = SyncReply(directory.own.name, directory.digest, self._documents.version)
         if request.is_probe:
             return reply
         is_equal = reply.digest == request.digest
         is_owed = self._documents.is_owed(request.document_version)
         return msgspec.structs.replace(
             reply,
-            members=() if is_equal else self._directory.members,
-            crashes=() if is_equal else self._directory.crashes,
+            members=_leave_out(directory.list_members(request.wanted), request.members),
+            crashes=directory.list_crashes(request.wanted),
             document=self._documents.raw if is_owed else b"",
+            bucket_digests=b"" if is_equal or request.wanted else directory.bucket_digests,
         )
 
     async def exchange(self, member: Member, *, is_probe: bool = False) -> bool:
@@ -117,11 +119,14 @@
         return True
 
     async def _tell_lacking(self, member: Member, reply: SyncReply) -> None:
-        lacks_members = reply.digest != self._directory.digest
+        """Sends what the other daemon lacks, and asks for what it has in the same buckets."""
+        differing = frozenset[int]()
+        if reply.digest != self._directory.digest:
+            differing = self._directory.find_differing(reply.bucket_digests)
         lacks_document = self._documents.is_owed(reply.document_version)
-        if lacks_members or lacks_document:
-            offer = self._make_offer(with_state=lacks_members, with_document=lacks_document)
-            await self._links.synchronize(member, offer, _TIMEOUT_S)
+        if differing or lacks_document:
+            offer = self._make_offer(differing, with_document=lacks_document)
+            self._take(await self._links.synchronize(member, offer, _TIMEOUT_S))
 
     async def tell(self) -> None:
         """Exchanges state with a few daemons at once, because the store does not answer."""
@@ -162,17 +167,23 @@
         return [member for member in self._directory.members if member.name != own_name]
 
     def _make_offer(
-        self, *, with_state: bool = False, with_document: bool = False, is_probe: bool = False
+        self,
+        buckets: frozenset[int] = frozenset(),
+        *,
+        with_document: bool = False,
+        is_probe: bool = False,
     ) -> SyncRequest:
+        """Makes an offer with what is known in some buckets, which asks for the same of them."""
         directory = self._directory
         return SyncRequest(
             directory.own.name,
             directory.digest,
             self._documents.version,
-            directory.members if with_state else (),
-            directory.crashes if with_state else (),
+            directory.list_members(buckets),
+            directory.list_crashes(buckets),
             self._documents.raw if with_document else b"",
             is_probe,
+            buckets,
         )
 
     def _take(self, message: SyncRequest | SyncReply) -> None:
@@ -190,3 +201,9 @@
             self._log.write(DependencyRegained(dependency=member.name))
         else:
             self._log.write(DependencyLost(dependency=member.name, reason=reason))
+
+
+def _leave_out(members: tuple[Member, ...], known: tuple[Member, ...]) -> tuple[Member, ...]:
+    """Leaves out the records that the other daemon has just sent in the same order."""
+    orders = {member.name: member.order for member in known}
+    return tuple(member for member in members if orders.get(member.name) != member.order)
--- a/packages/fulmarstile_services/src/fulmarstile_services/directory.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/directory.py
@@ -18,6 +18,11 @@
 """Most crash reports kept; the oldest is dropped first."""
 SUSPECTED_CRASHES: Final = 2
 """Upstreams that a request crashed before it is refused."""
+_MEMBER_BUCKETS: Final = 64
+"""Groups of members, by their names, that are compared between daemons."""
+_CRASH_BUCKET: Final = _MEMBER_BUCKETS
+"""Number of the bucket of the crash reports."""
+_BUCKET_BYTES: Final = 8
 
 
 class Directory:
@@ -29,14 +34,17 @@
 
     def __init__(self, own: Member) -> None:
         self._own_name = own.name
-        self._members: dict[str, Member] = {own.name: own}
+        self._members: dict[str, Member] = {}
         self._crashes: dict[CrashReport, None] = {}
         self._suspects: dict[bytes, int] = {}
+        self._serving: dict[str, dict[str, Member]] = {}
         self._services: dict[str, tuple[Member, ...]] = {}
+        self._bucket_names: tuple[set[str], ...] = tuple(set() for _ in range(_MEMBER_BUCKETS))
+        self._buckets = [0] * (_MEMBER_BUCKETS + 1)
         self._digest = b""
         self.recalled: Member | None = None
         """Newest record that an earlier incarnation of this daemon left, if any is known."""
-        self._refresh()
+        self._put(own)
 
     @property
     def own(self) -> Member:
@@ -56,11 +64,74 @@
     @property
     def digest(self) -> bytes:
         """Hash that is equal at daemons that know the same."""
+        if not self._digest:
+            self._digest = xxhash.xxh3_64_digest(self.bucket_digests)
         return self._digest
 
+    @property
+    def bucket_digests(self) -> bytes:
+        """A hash of each bucket of members, and one of the crash reports."""
+        return b"".join(each.to_bytes(_BUCKET_BYTES, "big") for each in self._buckets)
+
+    def find_differing(self, bucket_digests: bytes) -> frozenset[int]:
+        """Finds the buckets in which another daemon knows something else.
+
+        Args:
+            bucket_digests: Its hashes.
+
+        Returns:
+            Numbers of the buckets; all if the other one has another number of them.
+        """
+        if len(bucket_digests) != len(self._buckets) * _BUCKET_BYTES:
+            return frozenset(range(len(self._buckets)))
+        own = self.bucket_digests
+        return frozenset(
+            number
+            for number in range(len(self._buckets))
+            if own[number * _BUCKET_BYTES : (number + 1) * _BUCKET_BYTES]
+            != bucket_digests[number * _BUCKET_BYTES : (number + 1) * _BUCKET_BYTES]
+        )
+
+    def list_members(self, buckets: frozenset[int]) -> tuple[Member, ...]:
+        """Lists the members of some buckets.
+
+        Args:
+            buckets: Numbers of the buckets; those that don't exist are empty.
+
+        Returns:
+            The members.
+        """
+        numbers = sorted(number for number in buckets if 0 <= number < _MEMBER_BUCKETS)
+        names = (name for number in numbers for name in self._bucket_names[number])
+        return tuple(self._members[name] for name in names)
+
+    def list_crashes(self, buckets: frozenset[int]) -> tuple[CrashReport, ...]:
+        """Lists the crash reports if their bucket is among some.
+
+        Args:
+            buckets: Numbers of the buckets.
+
+        Returns:
+            The crash reports, oldest first.
+        """
+        return self.crashes if _CRASH_BUCKET in buckets else ()
+
     def serving(self, service: str) -> tuple[Member, ...]:
-        """Lists the daemons whose upstream takes requests of a service."""
-        return self._services.get(service, ())
+        """Lists the daemons whose upstream takes requests of a service.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            Their records, the same tuple until one of them changes.
+        """
+        known = self._services.get(service)
+        if known is None:
+            group = self._serving.get(service)
+            if not group:
+                return ()
+            known = self._services[service] = tuple(group[name] for name in sorted(group))
+        return known
 
     def find(self, name: str) -> Member | None:
         """Finds a daemon by its name."""
@@ -90,10 +161,8 @@
             if member.name == self._own_name:
                 self._raise_own(member)
             else:
-                self._members[member.name] = member
+                self._put(member)
             news.append(member)
-        if news:
-            self._refresh()
         return tuple(news)
 
     def change_own(self, own: Member) -> Member:
@@ -107,8 +176,7 @@
         """
         incarnation, revision = self.own.order
         changed = replace_order(own, incarnation, revision + 1)
-        self._members[self._own_name] = changed
-        self._refresh()
+        self._put(changed)
         return changed
 
     def merge_crashes(self, reports: Iterable[CrashReport]) -> tuple[CrashReport, ...]:
@@ -123,11 +191,13 @@
         news = [report for report in reports if report not in self._crashes]
         for report in news:
             self._crashes[report] = None
+            self._toggle(_CRASH_BUCKET, _hash_crash(report))
         while len(self._crashes) > MAX_CRASH_REPORTS:
-            del self._crashes[next(iter(self._crashes))]
+            oldest = next(iter(self._crashes))
+            del self._crashes[oldest]
+            self._toggle(_CRASH_BUCKET, _hash_crash(oldest))
         if news:
             self._count_suspects()
-            self._refresh()
         return tuple(news)
 
     def _recall(self, earlier: Member) -> None:
@@ -135,25 +205,42 @@
             self.recalled = earlier
 
     def _raise_own(self, earlier: Member) -> None:
-        self._members[self._own_name] = replace_order(self.own, earlier.incarnation + 1, 0)
+        self._put(replace_order(self.own, earlier.incarnation + 1, 0))
 
     def _count_suspects(self) -> None:
         self._suspects = {}
         for report in self._crashes:
             self._suspects[report.fingerprint] = self._suspects.get(report.fingerprint, 0) + 1
 
-    def _refresh(self) -> None:
-        services: dict[str, list[Member]] = {}
-        digest = xxhash.xxh3_64()
-        for name in sorted(self._members):
-            member = self._members[name]
-            digest.update(f"{name} {member.incarnation} {member.revision};".encode())
-            if member.phase is MemberPhase.SERVING:
-                services.setdefault(member.service, []).append(member)
-        for key in sorted((each.fingerprint, each.upstream_id) for each in self._crashes):
-            digest.update(key[0] + key[1].encode())
-        self._services = {service: tuple(group) for service, group in services.items()}
-        self._digest = digest.digest()
+    def _put(self, member: Member) -> None:
+        """Takes in a record in the place of the one known; costs the same for any fleet."""
+        known = self._members.get(member.name)
+        bucket = xxhash.xxh3_64_intdigest(member.name.encode()) % _MEMBER_BUCKETS
+        if known is not None:
+            self._toggle(bucket, _hash_member(known))
+            if known.phase is MemberPhase.SERVING:
+                del self._serving[known.service][known.name]
+                self._services.pop(known.service, None)
+        self._members[member.name] = member
+        self._bucket_names[bucket].add(member.name)
+        self._toggle(bucket, _hash_member(member))
+        if member.phase is MemberPhase.SERVING:
+            self._serving.setdefault(member.service, {})[member.name] = member
+            self._services.pop(member.service, None)
+
+    def _toggle(self, bucket: int, value: int) -> None:
+        """Adds the hash of a record to that of its bucket, or takes it away again."""
+        self._buckets[bucket] ^= value
+        self._digest = b""
+
+
+def _hash_member(member: Member) -> int:
+    key = f"{member.name} {member.incarnation} {member.revision}"
+    return xxhash.xxh3_64_intdigest(key.encode())
+
+
+def _hash_crash(report: CrashReport) -> int:
+    return xxhash.xxh3_64_intdigest(report.fingerprint + report.upstream_id.encode())
 
 
 def replace_order(member: Member, incarnation: int, revision: int) -> Member:
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -124,6 +124,8 @@
     """The document as the store holds it; empty if it is not sent."""
     is_probe: bool = False
     """Whether it only asks if the other daemon can be reached, which replies without state."""
+    wanted: frozenset[int] = frozenset()
+    """Numbers of the buckets whose members and crash reports are to be replied with."""
 
 
 class SyncReply(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -135,6 +137,8 @@
     members: tuple[Member, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
     document: bytes = b""
+    bucket_digests: bytes = b""
+    """A hash of each bucket of members and of the crash reports; empty if the digests are equal."""
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=0):
--- a/tests/services/test_probes.py
+++ b/tests/services/test_probes.py
@@ -60,9 +60,13 @@
         async def run() -> None:
             gossip = make_gossip(RecordingLinks())
             probe = SyncRequest("other", OTHER_DIGEST, is_probe=True)
-            self.assertEqual(gossip.on_sync(probe).members, ())
+            reply = gossip.on_sync(probe)
+            self.assertEqual((reply.members, reply.bucket_digests), ((), b""))
             exchange = SyncRequest("other", OTHER_DIGEST)
-            self.assertEqual(len(gossip.on_sync(exchange).members), 2)
+            reply = gossip.on_sync(exchange)
+            self.assertNotEqual(reply.bucket_digests, b"")
+            wanted = gossip.on_sync(SyncRequest("other", OTHER_DIGEST, wanted=frozenset(range(65))))
+            self.assertEqual(len(wanted.members), 2)
 
         trio.run(run)
 
