Choose an upstream by the time that it takes for requests of the same class

What callers would see: short calls went to other availability zones although the upstream in their own was fast enough, and were refused at the fast one while the other stood idle. Cause: the expectation used the mean time of all requests of an upstream; beside filings of 160 to 270 ms a call of 30 to 50 ms looked as if it gained 70 ms by leaving its zone. Now an answer also tells the mean time of its own class: the request itself is expected to take that, what waits before it the mean of all.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -76,6 +76,7 @@
         self._crash_watch = CrashWatch(self._quarantine)
         self._down_until = -math.inf
         self._service_s = 0.0
+        self._class_service_s: dict[int, float] = {}
         self._is_stopping = False
 
     @property
@@ -181,14 +182,14 @@
         """
         refusal = self._check(hop)
         if refusal is not None:
-            return AttemptResult(self.describe(refusal))
+            return AttemptResult(self.describe(refusal, hop.priority))
         try:
             ticket_id = await self._slots.enter(hop, deadline, useful_until, handover)
         except SlotRefusedError as error:
             failure = make_failure(
                 Verdict.NOT_RUN, error.refusal.reason, retry_after_s=error.refusal.retry_after_s
             )
-            return AttemptResult(self.describe(failure))
+            return AttemptResult(self.describe(failure, hop.priority))
         self._running[ticket_id] = hop.fingerprint
         request_id = request.headers.find_bytes(self._names.request_id)
         self._classes[request_id] = SlotClass(min(hop.priority, SlotClass.OTHER))
@@ -201,15 +202,16 @@
             self._slots.leave(ticket_id)
         if result.answer is not None:
             ended_at = trio.current_time()
-            self._observe(ended_at - started_at)
+            self._observe(hop.priority, ended_at - started_at)
             self._quarantine.on_completed(hop.fingerprint, ended_at)
-        return AttemptResult(self.describe(result.outcome), result.answer)
+        return AttemptResult(self.describe(result.outcome, hop.priority), result.answer)
 
-    def describe(self, outcome: HopOutcome) -> HopOutcome:
+    def describe(self, outcome: HopOutcome, priority: int = -1) -> HopOutcome:
         """Adds the load that other daemons choose by.
 
         Args:
             outcome: How a request ended.
+            priority: Its priority, if it is known.
 
         Returns:
             The outcome with the load.
@@ -220,6 +222,7 @@
             queued=self.queued,
             slots=self.slots,
             service_ms=round(self._service_s * 1000, 2),
+            class_ms=round(self._class_service_s.get(priority, 0.0) * 1000, 2),
             phase=self.phase,
         )
 
@@ -348,10 +351,10 @@
             headers.append((names.expected_upstream, upstream_id))
         return headers
 
-    def _observe(self, elapsed_s: float) -> None:
-        if self._service_s == 0.0:
-            self._service_s = elapsed_s
-        self._service_s += _SERVICE_GAIN * (elapsed_s - self._service_s)
+    def _observe(self, priority: int, elapsed_s: float) -> None:
+        self._service_s = _follow(self._service_s, elapsed_s)
+        known_s = self._class_service_s.get(priority, 0.0)
+        self._class_service_s[priority] = _follow(known_s, elapsed_s)
 
     def _note_down(self, reason: str) -> None:
         now = trio.current_time()
@@ -367,6 +370,11 @@
         self._down_until = now + _DOWN_S
 
 
+def _follow(mean_s: float, elapsed_s: float) -> float:
+    """Takes a time into a moving mean, in seconds; 0 is no mean yet."""
+    return mean_s + _SERVICE_GAIN * (elapsed_s - mean_s) if mean_s else elapsed_s
+
+
 def _release(pool: ConnectionPool, connection: ClientConnection, is_whole: bool) -> None:
     if is_whole:
         pool.release(connection)
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -52,9 +52,20 @@
     """Upstreams compared for one request."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Usual:
+    """Times that upstreams of a service usually take, in seconds."""
+
+    service_s: float
+    """For a request of any priority."""
+    own_s: float
+    """For a request of the priority that one is chosen for."""
+
+
 class _Observation:
     __slots__ = (
         "body_wait_s",
+        "class_s",
         "cold_until",
         "error_rate",
         "full_until",
@@ -75,6 +86,9 @@
         """Requests that the upstream had running and waiting, without those of this daemon."""
         self.reported_at = now
         self.service_s = 0.0
+        """Mean time of requests of any priority, in seconds; 0 if it is not known."""
+        self.class_s: dict[int, float] = {}
+        """Mean time of requests of each priority, in seconds."""
         self.body_wait_s = 0.0
         """Time that large bodies wait before they are sent there, in seconds."""
         self.way_s = 0.0
@@ -97,12 +111,15 @@
         """Tells whether this daemon has sent nothing there for a while."""
         return now - self.tried_at >= _UNTRIED_AFTER_S and not self.in_flight
 
-    def expect(self, slots: int, usual_s: float, now: float) -> float:
+    def expect(self, slots: int, priority: int, usual: _Usual, now: float) -> float:
         """Returns the expected time to an answer.
 
+        What waits for a slot is of any priority; the request itself takes the time of its own.
+
         Args:
             slots: Slots of the upstream.
-            usual_s: Time that an upstream of its service usually takes, in seconds.
+            priority: Rank of the request.
+            usual: Times that upstreams of its service usually take.
             now: Current time in seconds.
 
         Returns:
@@ -110,10 +127,12 @@
         """
         memory = self._remember(now)
         load = (self.reported * memory + self.in_flight + 1) / slots
-        service_s = self.service_s or usual_s
+        service_s = self.service_s or usual.service_s
+        own_s = self.class_s.get(priority) or usual.own_s * service_s / usual.service_s
         if now < self.cold_until:
-            service_s = max(service_s, usual_s * _COLD_FACTOR)
-        expected_s = service_s * (1.0 + 0.5 * load * load if load < 1.0 else 0.5 + load)
+            service_s = max(service_s, usual.service_s * _COLD_FACTOR)
+            own_s = max(own_s, usual.own_s * _COLD_FACTOR)
+        expected_s = own_s + service_s * (0.5 * load * load if load < 1.0 else load - 0.5)
         expected_s *= 1.0 + _ERROR_WEIGHT * self.error_rate
         return expected_s + max(0.0, self.way_s * memory - _USUAL_WAY_S)
 
@@ -225,14 +244,14 @@
             untried = [member for member, known in usable if known.is_untried(now)]
             if untried:
                 return self._random.choice(untried)
-        usual_s = _usual_service(usable)
+        usual = _find_usual(usable, priority)
         settings = self._settings
         crossing_s = settings.other_zone_s + size * settings.other_zone_s_per_byte
         crossing_s += settings.other_zone_target_share * target_s
         best: Member | None = None
         best_s = math.inf
         for member, known in usable:
-            expected_s = known.expect(max(1, member.slots), usual_s, now)
+            expected_s = known.expect(max(1, member.slots), priority, usual, now)
             if member.availability_zone != self._availability_zone:
                 expected_s += crossing_s
             if not is_small:
@@ -281,6 +300,8 @@
             observation.reported_at = now
         if outcome.service_ms > 0.0:
             observation.service_s = outcome.service_ms / 1000
+        if outcome.class_ms > 0.0:
+            observation.class_s[priority] = outcome.class_ms / 1000
         # A link without room for a large body takes small requests.
         is_full = outcome.reason and outcome.reason != RefusalReason.LINK_BUSY.value
         if is_full and not outcome.reached_upstream:
@@ -340,7 +361,8 @@
         return known
 
 
-def _usual_service(usable: list[_Candidate]) -> float:
-    """Returns the time that upstreams usually take, in seconds."""
-    known = [observation.service_s for _, observation in usable if observation.service_s]
-    return sum(known) / len(known) if known else _DEFAULT_SERVICE_S
+def _find_usual(usable: list[_Candidate], priority: int) -> _Usual:
+    known = [each.service_s for _, each in usable if each.service_s]
+    service_s = sum(known) / len(known) if known else _DEFAULT_SERVICE_S
+    known = [own_s for _, each in usable if (own_s := each.class_s.get(priority))]
+    return _Usual(service_s, sum(known) / len(known) if known else service_s)
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -102,12 +102,14 @@
     queued: int = 0
     slots: int = 0
     service_ms: float = 0.0
-    """Mean time that the upstream takes for a request lately, in milliseconds."""
+    """Mean time that the upstream takes for a request lately, in milliseconds, of any priority."""
     phase: MemberPhase = MemberPhase.SERVING
     spent_ms: float = 0.0
     """Time from the arrival of the whole request to its end, in milliseconds."""
     body_wait_ms: float = 0.0
     """Time until a large body that is offered now would be granted, in milliseconds."""
+    class_ms: float = 0.0
+    """Like `service_ms`, for requests of the same priority as this one."""
 
 
 class SyncRequest(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/tests/services/test_balancing.py
+++ b/tests/services/test_balancing.py
@@ -78,6 +78,15 @@
         self.assertEqual(self.choose(NEAR, FAR, target_s=0.1), "far")
         self.assertEqual(self.choose(NEAR, FAR, target_s=0.4), "near")
 
+    def test_a_short_request_is_not_sent_to_another_zone_because_others_take_long_here(
+        self,
+    ) -> None:
+        self.report(NEAR, service_ms=240.0, class_ms=50.0, slots=4)
+        self.report(FAR, service_ms=120.0, class_ms=30.0, slots=4)
+        self.assertEqual(self.choose(NEAR, FAR, target_s=0.12), "near")
+        self.report(NEAR, service_ms=240.0, class_ms=50.0, running=4, queued=2, slots=4)
+        self.assertEqual(self.choose(NEAR, FAR, target_s=0.12), "far")
+
     def test_an_upstream_behind_a_link_that_is_full_gets_less(self) -> None:
         self.report(NEAR)
         self.report(FAR)
