Bound what a daemon holds for others by one budget, and cut what has no end

Cause: each answer was held whole up to 32 MiB with no bound over all; trailers, interim responses and extensions of chunks were not counted at all, so that they lasted until the deadline.

Now one budget (a quarter of the VM's memory above 64 MiB) counts callers' requests, answers as they arrive, answers and messages that wait to be sent, partial messages between daemons, and forwarded bodies. One message takes half of it at most, callers' requests half together. Without room the largest answer or partial message is cut, not the one that asks; ready answers are always taken. A response's bytes that are neither a body nor the head of a final response are bounded like a head, 16 bytes of framing being borne for each byte of a body. Eight answers to other requests end a connection.

A body larger than half of the budget is refused even when it is the only one; it was taken before, which a small VM did not survive. The builders' nodes have 1 GB now, as their tests send bodies of 30 MB.

--- a/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
@@ -41,6 +41,8 @@
     """The request was sent under its key and got no whole answer."""
     LINK_BUSY = "link-busy"
     """The large body would wait too long for its turn on the link of the other VM."""
+    ANSWER_TOO_LARGE = "answer-too-large"
+    """The answer took more memory than the daemon may hold, or the most when that was full."""
     OVERLOADED = "overloaded"
     """The daemon itself has too much work."""
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
@@ -12,18 +12,18 @@
 from fulmarstile_http.messages import RequestHead
 
 if TYPE_CHECKING:
+    from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_http.client_connection import ClientConnection
     from fulmarstile_http.headers import Header, MessageHeaders
     from fulmarstile_http.messages import ResponseHead
 
 _SMALL_BODY_BYTES: Final = 32 * 1024
 """Size up to which a body is sent without looking for an early answer."""
-_MAX_ANSWER_BYTES: Final = 32 * 1024 * 1024
 _KEEP_ALIVE_MARGIN_S: Final = 1.0
 
 
 class AnswerTooLargeError(ExchangeError):
-    """An answer exceeds what is held in memory."""
+    """An answer exceeds what may be held in memory, or is the largest one when that is full."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +44,7 @@
         target: Target of the request.
         headers: Headers without those of the body's length, with names in lower case.
         body: Whole body.
+        budget: Bound of the memory that answers take while they arrive.
     """
 
     def __init__(
@@ -53,8 +54,10 @@
         target: bytes,
         headers: list[Header],
         body: bytes,
+        budget: ByteBudget,
     ) -> None:
         self._connection = connection
+        self._budget = budget
         framed = [each for each in headers if each[0] != b"content-length"]
         if body or method in (b"POST", b"PUT", b"PATCH"):
             framed.append((b"content-length", b"%d" % len(body)))
@@ -124,15 +127,23 @@
 
     async def _receive(self) -> Answer:
         response = await self._connection.receive_response()
-        parts: list[bytes] = []
-        size = 0
-        while (part := await self._connection.receive_body()) is not None:
-            size += len(part)
-            if size > _MAX_ANSWER_BYTES:
-                raise AnswerTooLargeError("the answer is too large")
-            parts.append(part)
+        body = await self._receive_body()
         self._note_keep_alive(response)
-        return Answer(response.status, read_headers(response.headers), b"".join(parts))
+        return Answer(response.status, read_headers(response.headers), body)
+
+    async def _receive_body(self) -> bytes:
+        parts: list[bytes] = []
+        with self._budget.hold(self._connection.abort) as held:
+            try:
+                while (part := await self._connection.receive_body()) is not None:
+                    if not held.take(len(part)):
+                        raise AnswerTooLargeError(f"the answer has over {held.size} bytes")
+                    parts.append(part)
+            except ExchangeError as error:
+                if held.is_cut:
+                    raise AnswerTooLargeError("the answer was the largest one held") from error
+                raise
+        return b"".join(parts)
 
     def _note_keep_alive(self, response: ResponseHead) -> None:
         """Keeps the connection from being used when the other side is about to close it."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -11,12 +11,10 @@
 from fulmarstile_wire.services import FrameDecoder, encode_frame
 
 if TYPE_CHECKING:
+    from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_wire.services import LinkMessage
 
-_MAX_UNSENT_BYTES: Final = 48 * 1024 * 1024
-"""Bytes that wait to be sent before a connection is given up."""
-
 
 class LinkBrokenError(FulmarstileError):
     """The connection to another daemon ended or broke."""
@@ -54,13 +52,16 @@
 
     Args:
         stream: Connected stream, owned by this object from now on.
+        budget: Bound of the memory that messages take which arrive or wait to be sent.
     """
 
-    def __init__(self, stream: ByteStream) -> None:
+    def __init__(self, stream: ByteStream, budget: ByteBudget) -> None:
         self._stream = stream
-        self._decoder = FrameDecoder()
+        self._budget = budget
+        self._decoder = FrameDecoder(budget.message_limit)
+        self._incoming = budget.open(self.close)
+        self._outgoing = budget.open()
         self._unsent: deque[OutgoingFrame] = deque()
-        self._unsent_bytes = 0
         self._has_unsent = trio.Event()
 
     @property
@@ -92,9 +93,9 @@
             self._push(frame)
         if frame.unsent:
             self._unsent.append(frame)
-            self._unsent_bytes += len(frame.unsent)
+            self._outgoing.take_ready(len(frame.unsent))
             self._has_unsent.set()
-        if self._unsent_bytes > _MAX_UNSENT_BYTES:
+        if self._outgoing.size > self._budget.message_limit:
             self.close()
             raise LinkBrokenError("the other daemon takes too little")
         return frame
@@ -111,7 +112,7 @@
         if not frame.is_untouched or frame not in self._unsent:
             return False
         self._unsent.remove(frame)
-        self._unsent_bytes -= len(frame.unsent)
+        self._outgoing.give_back(len(frame.unsent))
         return True
 
     async def send_forever(self) -> None:
@@ -128,7 +129,7 @@
                 raise LinkBrokenError(f"sending failed: {error}") from error
             while self._unsent:
                 frame = self._unsent[0]
-                self._unsent_bytes -= self._push(frame)
+                self._outgoing.give_back(self._push(frame))
                 if frame.unsent:
                     break
                 self._unsent.popleft()
@@ -161,9 +162,20 @@
                 raise LinkBrokenError(f"receiving failed: {error}") from error
             if not data:
                 raise LinkBrokenError("the other daemon closed the connection")
+            self._count_incoming()
             if messages:
                 return messages
 
     def close(self) -> None:
         """Closes the connection."""
         self._stream.close()
+        self._budget.release(self._incoming)
+        self._budget.release(self._outgoing)
+
+    def _count_incoming(self) -> None:
+        """Counts what has arrived of a message that is not whole."""
+        grown = self._decoder.pending_bytes - self._incoming.size
+        if grown <= 0:
+            self._incoming.give_back(-grown)
+        elif not self._incoming.take(grown):
+            raise LinkBrokenError("receiving failed: there is no memory for a message")
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -30,6 +30,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_http.listener import OutOfDescriptorsError
     from fulmarstile_wire.services import HopOutcome, LinkMessage, SyncReply, SyncRequest
@@ -46,6 +47,7 @@
         answer_sync: Answers a synchronization.
         describe: Adds to an outcome what other daemons choose by.
         gate: Orders the large bodies that other daemons send.
+        budget: Bound of the memory that messages take.
     """
 
     def __init__(
@@ -54,11 +56,13 @@
         answer_sync: Callable[[SyncRequest], SyncReply],
         describe: Callable[[HopOutcome], HopOutcome],
         gate: BodyGate,
+        budget: ByteBudget,
     ) -> None:
         self._answer_call = answer_call
         self._answer_sync = answer_sync
         self._describe = describe
         self._gate = gate
+        self._budget = budget
         self._in_flight = 0
         self._connections: dict[FrameStream, None] = {}
 
@@ -97,7 +101,7 @@
                 await accept_forever(listener, nursery, self._serve_connection, _log_exhausted)
 
     async def _serve_connection(self, stream: ByteStream) -> None:
-        frames = FrameStream(stream)
+        frames = FrameStream(stream, self._budget)
         calls: dict[int, _ServedCall] = {}
         self._connections[frames] = None
         try:
@@ -168,9 +172,14 @@
         call = served.call
         self._in_flight += 1
         try:
-            with served.scope:
+            with served.scope, self._budget.hold() as held:
                 await trio.lowlevel.checkpoint_if_cancelled()
-                frames.send(await self._answer_call(call, served.deadline, served.handover))
+                if held.take(len(call.body)):
+                    answer = await self._answer_call(call, served.deadline, served.handover)
+                else:
+                    failure = make_failure(Verdict.NOT_RUN, RefusalReason.OVERLOADED)
+                    answer = HopAnswer(call.call_id, self._describe(failure))
+                frames.send(answer)
         except LinkBrokenError as error:
             logger.info("an answer could not be sent: {}", error)
         except Exception:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_daemon.services._frame_stream import OutgoingFrame
     from fulmarstile_daemon.services._handover import Handover
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
@@ -173,10 +174,12 @@
 
     Args:
         sender: Name of this daemon.
+        budget: Bound of the memory that messages take.
     """
 
-    def __init__(self, sender: str) -> None:
+    def __init__(self, sender: str, budget: ByteBudget) -> None:
         self._sender = sender
+        self._budget = budget
         self._links: dict[tuple[str, bool], _Link] = {}
         self._opening: dict[tuple[str, bool], trio.Lock] = {}
         self._nursery: trio.Nursery | None = None
@@ -308,7 +311,7 @@
         with trio.move_on_after(_CONNECT_TIMEOUT_S):
             try:
                 stream = await open_stream(address)
-                link = _Link(FrameStream(stream), address)
+                link = _Link(FrameStream(stream, self._budget), address)
                 link.send(Hello(PROTOCOL_VERSION, self._sender))
             except (OSError, LinkBrokenError) as error:
                 raise DaemonUnreachableError(f"cannot connect to {address}: {error}") from error
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from fulmarstile_daemon.services._body_budget import BodyBudget
+    from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_http.byte_stream import ByteStream
@@ -49,7 +49,7 @@
         answer: Answers a request; may set what ends it early.
         limits: Returns the limits in force.
         connection_limit: Most connections held open.
-        bodies: Bound of the memory that bodies take.
+        budget: Bound of the memory that messages take.
         log: Log of the daemon.
         id_header: Name of the header that identifies a request in the log.
     """
@@ -59,14 +59,14 @@
         answer: Callable[[ReceivedRequest, RequestEnding], Awaitable[Reply]],
         limits: Callable[[], RequestLimits],
         connection_limit: int,
-        bodies: BodyBudget,
+        budget: ByteBudget,
         log: EventLog,
         id_header: bytes,
     ) -> None:
         self._answer = answer
         self._limits = limits
         self._connection_limit = connection_limit
-        self._bodies = bodies
+        self._budget = budget
         self._log = log
         self._id_header = id_header
         self._connections: dict[ServerConnection, None] = {}
@@ -169,7 +169,7 @@
     async def _serve_connection(self, stream: ByteStream) -> None:
         if len(self._connections) >= self._connection_limit:
             self._evict_idle()
-        connection = ServerConnection(stream, self._limits, self._bodies)
+        connection = ServerConnection(stream, self._limits, self._budget)
         connection.must_close = self._is_closing
         self._connections[connection] = None
         try:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from fulmarstile_daemon.services._body_budget import BodyBudget
+    from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_http.headers import Header
     from fulmarstile_http.messages import RequestHead
@@ -64,13 +64,13 @@
     Args:
         stream: Accepted stream, owned by the connection from now on.
         limits: Returns the limits in force.
-        bodies: Bound of the memory that bodies take.
+        budget: Bound of the memory that messages take.
     """
 
     def __init__(
-        self, stream: ByteStream, limits: Callable[[], RequestLimits], bodies: BodyBudget
+        self, stream: ByteStream, limits: Callable[[], RequestLimits], budget: ByteBudget
     ) -> None:
-        self._bodies = bodies
+        self._budget = budget
         self._held = 0
         self._stream = stream
         self._limits = limits
@@ -150,7 +150,9 @@
         data = self._begin_answer(reply)
         self._is_sending = True
         try:
-            await self._send(data)
+            with self._budget.hold() as held:
+                held.take_ready(len(data))
+                await self._send(data)
         finally:
             self._is_sending = False
         self._end_answer()
@@ -175,7 +177,7 @@
 
     def release_body(self) -> None:
         """Gives back the memory of the last request's body."""
-        self._bodies.give_back(self._held)
+        self._budget.give_back_for_caller(self._held)
         self._held = 0
 
     async def close(self) -> None:
@@ -257,7 +259,7 @@
                 size += len(part)
                 if size > limits.body_bytes:
                     raise MalformedRequestError("the request body is too large", 413)
-                if not self._bodies.take(len(part)):
+                if not self._budget.take_for_caller(len(part)):
                     raise MalformedRequestError("too many large requests are held", 503)
                 self._held += len(part)
                 parts.append(part)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -12,7 +12,7 @@
 from fulmarstile_calls.quarantine import Quarantine, QuarantineSettings
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
-from fulmarstile_daemon.services._exchange import Exchange
+from fulmarstile_daemon.services._exchange import AnswerTooLargeError, Exchange
 from fulmarstile_daemon.services._slots import SlotRefusedError, Slots
 from fulmarstile_daemon.services.events import UpstreamChanged
 from fulmarstile_http.client_connection import ExchangeError
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_daemon.services._exchange import Answer
     from fulmarstile_daemon.services._handover import Handover
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
@@ -40,6 +41,8 @@
 """Time for which an upstream that refuses connections gets no request, in seconds."""
 _MISDIRECTED: Final = 421
 _POOL: Final = PoolSettings(connect_timeout_s=0.5, fresh_connection_s=4.0)
+_MAX_STRAY_ANSWERS: Final = 8
+"""Answers to other requests that are skipped on a connection before it is given up."""
 _SERVICE_GAIN: Final = 0.05
 _NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 """Statuses that promise a caller that its request has not run."""
@@ -53,6 +56,7 @@
         connection_limit: Returns how many connections an upstream of a service accepts.
         on_suspects: Called with the fingerprints of the requests that were running when the
             upstream crashed.
+        budget: Bound of the memory that answers take.
         log: Log of the daemon.
     """
 
@@ -61,11 +65,13 @@
         names: CallHeaderNames,
         connection_limit: Callable[[str], int],
         on_suspects: Callable[[tuple[bytes, ...]], None],
+        budget: ByteBudget,
         log: EventLog,
     ) -> None:
         self._names = names
         self._connection_limit = connection_limit
         self._on_suspects = on_suspects
+        self._budget = budget
         self._log = log
         self._announcement: UpstreamAnnouncement | None = None
         self._slots = Slots()
@@ -270,6 +276,7 @@
             request.target,
             self._make_headers(hop, request, deadline),
             request.body,
+            self._budget,
         )
         started_at = trio.current_time()
         is_whole = False
@@ -290,13 +297,14 @@
         """Receives the answer that bears the request's id; others belong to earlier ones."""
         request_id = request.headers.find_bytes(self._names.request_id)
         answer = await exchange.run()
-        while True:
+        for _ in range(_MAX_STRAY_ANSWERS):
             answer_id = answer.headers.find_bytes(self._names.request_id)
             if answer_id == request_id or (not answer_id and answer.status >= 400):
                 return answer
             if not answer_id:
                 raise ExchangeError("the answer does not say which request it belongs to")
             answer = await exchange.receive_next()
+        raise ExchangeError("too many answers belong to other requests")
 
     def _judge(self, answer: Answer) -> AttemptResult:
         headers = answer.headers
@@ -320,6 +328,12 @@
     ) -> AttemptResult:
         if not exchange.may_have_arrived:
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECTION_LOST))
+        if isinstance(error, AnswerTooLargeError):
+            return AttemptResult(
+                make_failure(
+                    Verdict.MAY_HAVE_RUN, RefusalReason.ANSWER_TOO_LARGE, reached_upstream=True
+                )
+            )
         if self._crash_watch.begin_check(self._running.values(), started_at):
             await self._check_crash(pool, error)
         return AttemptResult(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -13,8 +13,8 @@
 import trio
 from loguru import logger
 
-from fulmarstile_daemon.services._body_budget import BodyBudget
 from fulmarstile_daemon.services._body_gate import BodyGate
+from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._link_server import LinkServer
 from fulmarstile_daemon.services._links import DaemonLinks
 from fulmarstile_daemon.services._planned_stop import PlannedStop
@@ -63,8 +63,6 @@
 _SUSPEND_POLL_S: Final = 0.5
 _MIN_SUSPEND_S: Final = 0.5
 """Time that the VM must have stood still for idle connections to be closed, in seconds."""
-_BODY_SHARE: Final = 0.2
-"""Part of the memory that the bodies of callers' requests may take."""
 _DESCRIPTOR_SHARE: Final = 0.6
 """Part of the descriptors that connections of callers and daemons may take."""
 _RESERVED_DESCRIPTORS: Final = 300
@@ -107,9 +105,14 @@
         bounds = settings.bounds
         self._membership.is_reader = lambda: is_reader(self._directory, self._balancer.is_reachable)
         self._budget = RetryBudget(bounds.retry_ratio, bounds.retry_burst)
-        self._links = DaemonLinks(settings.name)
+        self._bytes = ByteBudget(settings.held_bytes)
+        self._links = DaemonLinks(settings.name, self._bytes)
         self._upstream = LocalUpstream(
-            names, self._documents.connection_limit, self._membership.report_crash, log
+            names,
+            self._documents.connection_limit,
+            self._membership.report_crash,
+            self._bytes,
+            log,
         )
         self._announcements = UpstreamAnnouncements(
             settings, self._directory, self._membership, self._upstream, log
@@ -140,15 +143,14 @@
         self._announcements.tell_daemons = self._gossip.tell
         self._gate = BodyGate(settings.link_kbps * _BYTES_PER_KBIT)
         self._hops = HopServer(names, self._directory, self._upstream, self._gate, log)
-        self._bodies = BodyBudget(int(settings.memory_bytes * _BODY_SHARE))
         connections = max(
             64, int((settings.descriptor_limit - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE)
         )
         self._callers = RequestServer(
-            self._entry.answer, self._limits, connections, self._bodies, log, names.request_id
+            self._entry.answer, self._limits, connections, self._bytes, log, names.request_id
         )
         self._peers = LinkServer(
-            self._hops.answer, self._gossip.on_sync, self._hops.describe, self._gate
+            self._hops.answer, self._gossip.on_sync, self._hops.describe, self._gate, self._bytes
         )
         self._stop = PlannedStop(
             self._callers,
@@ -175,9 +177,9 @@
         return self._gossip
 
     @property
-    def bodies(self) -> BodyBudget:
-        """Bound of the memory that bodies take."""
-        return self._bodies
+    def bytes_held(self) -> ByteBudget:
+        """Bound of the memory that messages take."""
+        return self._bytes
 
     @property
     def body_gate(self) -> BodyGate:
@@ -293,7 +295,7 @@
             upstream_service_s=self._upstream.service_s,
             callers_in_flight=self._callers.in_flight,
             hops_in_flight=self._peers.in_flight,
-            body_bytes_held=self._bodies.held,
+            message_bytes_held=self._bytes.held,
             crash_reports=len(self._directory.crashes),
             members=tuple(
                 MemberState(member, self._balancer.is_reachable(member.name)) for member in members
@@ -361,7 +363,8 @@
         add("requests_in_flight", lambda: self._callers.in_flight)
         add("hops_in_flight", lambda: self._peers.in_flight)
         add("caller_connections", lambda: self._callers.connections)
-        add("body_bytes_held", lambda: self._bodies.held)
+        add("message_bytes_held", lambda: self._bytes.held)
+        add("messages_cut", lambda: self._bytes.cut_messages)
         add("body_wait_seconds", lambda: self._gate.wait_s)
         add("callers_left", lambda: self._callers.callers_left)
         add("upstream_running", lambda: self._upstream.running)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/state.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/state.py
@@ -31,6 +31,6 @@
     upstream_service_s: float
     callers_in_flight: int
     hops_in_flight: int
-    body_bytes_held: int
+    message_bytes_held: int
     crash_reports: int
     members: tuple[MemberState, ...]
--- a/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
@@ -190,6 +190,10 @@
         else:
             self._stream.abort()
 
+    def abort(self) -> None:
+        """Breaks the connection at once; an exchange that waits on it fails."""
+        self._stream.abort()
+
     async def _send(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
--- a/packages/fulmarstile_http/src/fulmarstile_http/response_parser.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/response_parser.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import httptools
 
@@ -14,6 +14,10 @@
     from fulmarstile_http.headers import Header
 
 
+_FRAMING_SHARE: Final = 16
+"""Bytes of framing that are borne for each byte of a body, as in chunks of one byte."""
+
+
 class MalformedResponseError(FulmarstileError):
     """What arrived is no response, or not a whole one."""
 
@@ -29,8 +33,11 @@
 class ResponseParser:
     """Turns bytes into the heads and bodies of responses, one response after the other.
 
+    What is neither a body nor the head of a final response, such as interim responses, trailers
+    and extensions of chunks, is bounded like a head, so that nobody can send it without end.
+
     Args:
-        head_limit: Largest head, in bytes.
+        head_limit: Largest head, and most bytes without progress, in bytes.
     """
 
     def __init__(self, head_limit: int) -> None:
@@ -38,7 +45,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._events: deque[ResponseEvent] = deque()
         self._headers: list[Header] = []
-        self._head_bytes = 0
+        self._stalled_bytes = 0
+        self._body_bytes = 0
         self._in_head = True
         self._is_interim = False
         self._error: MalformedResponseError | None = None
@@ -65,14 +73,17 @@
         if not data:
             self._end_stream()
             return
-        if self._in_head:
-            self._head_bytes += len(data)
+        self._stalled_bytes += len(data)
+        self._body_bytes = 0
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._error = MalformedResponseError(f"malformed response: {error}")
-        if self._in_head and self._head_bytes > self._head_limit:
-            self._error = MalformedResponseError("the response head is too large")
+        self._stalled_bytes = max(0, self._stalled_bytes - self._body_bytes * _FRAMING_SHARE)
+        if self._error is None and self._stalled_bytes > self._head_limit:
+            self._error = MalformedResponseError(
+                f"{self._stalled_bytes} bytes arrived without a whole head or a body"
+            )
 
     def next_event(self) -> ResponseEvent | None:
         """Takes the next event.
@@ -104,8 +115,9 @@
         """Called by the parser at the end of a head."""
         status = self._parser.get_status_code()
         self._in_head = False
-        self._head_bytes = 0
         self._is_interim = status < 200
+        if not self._is_interim:
+            self._stalled_bytes = 0
         self._events.append(ResponseHead(status, self._headers))
         self.keeps_alive = self._parser.should_keep_alive()
         if not self.has_body and not self._is_interim:
@@ -114,6 +126,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Called by the parser for each piece of a body."""
+        self._body_bytes += len(data)
         if self.has_body:
             self._events.append(data)
 
--- a/packages/fulmarstile_services/src/fulmarstile_services/settings.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/settings.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Final
 
 from fulmarstile_wire.errors import FulmarstileError
 
+_OWN_BYTES: Final = 64 * 1024 * 1024
+"""Memory of a daemon that holds no message."""
+_HELD_SHARE: Final = 0.25
+_MIN_HELD_BYTES: Final = 4 * 1024 * 1024
+
 
 class NodeSettingsError(FulmarstileError):
     """The settings of the daemon cannot be read or are not valid."""
@@ -62,3 +68,12 @@
     link_kbps: int = 0
     """Capacity of the VM's link, in kilobits a second; 0 if it is not known."""
     bounds: PromisedBounds = field(default_factory=PromisedBounds)
+
+    @property
+    def held_bytes(self) -> int:
+        """Most bytes of messages that the daemon may hold for others.
+
+        Each of them exists up to three times for a moment, as it is joined and encoded.
+        """
+        spare_bytes = self.memory_bytes - _OWN_BYTES
+        return max(_MIN_HELD_BYTES, int(spare_bytes * _HELD_SHARE))
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
@@ -246,7 +246,7 @@
         listeners=Listeners(*ports),
         announce_interval_s=1.5,
         is_first_start=False,
-        memory_bytes=100_000_000,
+        memory_bytes=1_000_000_000,
         descriptor_limit=4_000,
         link_kbps=link_kbps,
     )
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -239,11 +239,21 @@
 
 
 class FrameDecoder:
-    """Splits a stream of bytes into messages."""
+    """Splits a stream of bytes into messages.
 
-    def __init__(self) -> None:
+    Args:
+        max_bytes: Largest message, in bytes.
+    """
+
+    def __init__(self, max_bytes: int = MAX_FRAME_BYTES) -> None:
+        self._max_bytes = max_bytes
         self._received = bytearray()
 
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes of a message that has not arrived whole."""
+        return len(self._received)
+
     def feed(self, data: bytes) -> list[LinkMessage]:
         """Takes in bytes.
 
@@ -263,7 +273,7 @@
         while len(received) - position >= _LENGTH_BYTES:
             start = position + _LENGTH_BYTES
             length = int.from_bytes(received[position:start], "big")
-            if length > MAX_FRAME_BYTES:
+            if length > self._max_bytes:
                 raise WireError(f"a message of {length} bytes is too large")
             if len(received) < start + length:
                 break
--- a/tests/services/test_body_offers.py
+++ b/tests/services/test_body_offers.py
@@ -10,6 +10,7 @@
 import trio
 
 from fulmarstile_calls.request import RefusalReason
+from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._handover import Handover
 from fulmarstile_daemon.services._links import DaemonLinks
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
@@ -100,7 +101,7 @@
 class BodyOfferTest(unittest.TestCase):
     def test_a_granted_body_that_is_taken_back_gives_its_turn_back(self) -> None:
         async def run() -> None:
-            links = DaemonLinks("entry")
+            links = DaemonLinks("entry", ByteBudget(1 << 30))
             handovers = [Handover(), Handover()]
             async with listen_as_daemon() as (listener, member), trio.open_nursery() as nursery:
                 await nursery.start(links.run)
@@ -128,7 +129,7 @@
 
     def test_a_connection_on_which_an_offer_gets_no_reply_is_replaced(self) -> None:
         async def run() -> None:
-            links = DaemonLinks("entry")
+            links = DaemonLinks("entry", ByteBudget(1 << 30))
             async with listen_as_daemon() as (listener, member), trio.open_nursery() as nursery:
                 await nursery.start(links.run)
                 async with AsyncExitStack() as silent:
@@ -143,7 +144,7 @@
 
     def test_a_body_withdrawn_while_its_connection_is_opened_is_not_offered(self) -> None:
         async def run() -> None:
-            links = DaemonLinks("entry")
+            links = DaemonLinks("entry", ByteBudget(1 << 30))
             handover = Handover()
             async with listen_as_daemon() as (_, member), trio.open_nursery() as nursery:
                 await nursery.start(links.run)
--- a/tests/services/test_calls_of_upstreams.py
+++ b/tests/services/test_calls_of_upstreams.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._handover import Handover
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
 from fulmarstile_daemon.services._upstream import LocalUpstream
@@ -29,7 +30,9 @@
     def test_a_call_has_its_parent_while_that_runs_and_none_afterwards(self) -> None:
         async def run() -> None:
             upstream = ServiceUpstream(HEADER_NAMES, "upstream-1")
-            local = LocalUpstream(HEADER_NAMES, lambda _: 10, lambda _: None, EventLog("d-1"))
+            local = LocalUpstream(
+                HEADER_NAMES, lambda _: 10, lambda _: None, ByteBudget(1 << 30), EventLog("d-1")
+            )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(upstream.serve)
                 local.replace(make_announcement(), upstream.address)
--- /dev/null
+++ b/tests/services/test_endless_bytes.py
@@ -0,0 +1,202 @@
+"""Bytes without end from an upstream, a caller or a daemon cost a bounded memory and time."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+from typing import TYPE_CHECKING
+
+import trio
+
+from fulmarstile_daemon.services._byte_budget import ByteBudget
+from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
+from fulmarstile_daemon.services._handover import Handover
+from fulmarstile_daemon.services._server_connection import ReceivedRequest
+from fulmarstile_daemon.services._upstream import LocalUpstream
+from fulmarstile_daemon.services.event_log import EventLog
+from fulmarstile_http.byte_stream import ByteStream
+from fulmarstile_http.headers import MessageHeaders
+from fulmarstile_services.slot_class import SlotClass
+from fulmarstile_testing.builders.service_mesh import connect, serve_mesh
+from fulmarstile_testing.builders.services import make_announcement
+from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
+from fulmarstile_wire.services import HopRequest
+from fulmarstile_wire.verdict import Verdict
+
+if TYPE_CHECKING:
+    from fulmarstile_daemon.services._call import AttemptResult
+
+HELD_BYTES = 8 * 1024 * 1024
+REQUESTS = 9
+DEADLINE_S = 60.0
+BOUND_S = 20.0
+"""Time within which endless bytes must have been cut, far below the deadline."""
+PIECE = 16 * 1024
+HOP = HopRequest("shop", "upstream-1", "web", SlotClass.URGENT, 60_000, 60_000, False, 1_000)
+ENDLESS = {
+    "a head": (b"HTTP/1.1 200 OK\r\n", b"x-more: " + b"a" * 1_000 + b"\r\n"),
+    "no HTTP": (b"", b"\x00\xffnot an answer" * 100),
+    "one header": (b"HTTP/1.1 200 OK\r\nx-more: ", b"a" * PIECE),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+    "a chunked body": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"%x\r\n%b\r\n" % (PIECE, b"a" * PIECE),
+    ),
+    "a huge length": (b"HTTP/1.1 200 OK\r\ncontent-length: 900000000000\r\n\r\n", b"a" * PIECE),
+    "no length": (b"HTTP/1.1 200 OK\r\n\r\n", b"a" * PIECE),
+    "a chunk extension": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;",
+        b"a" * PIECE,
+    ),
+    "extensions of small chunks": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"1;" + b"a" * 1_000 + b"\r\nx\r\n",
+    ),
+    "trailers": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n",
+        b"x-more: " + b"a" * 1_000 + b"\r\n",
+    ),
+    "one trailer": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\nx-more: ",
+        b"a" * PIECE,
+    ),
+    "answers to others": (
+        b"",
+        b"HTTP/1.1 200 OK\r\nrequest-id: other\r\ncontent-length: 1\r\n\r\nx" * 50,
+    ),
+}
+
+
+async def send_endlessly(stream: trio.SocketStream, first: bytes, more: bytes) -> None:
+    """Reads a request and answers without end, until the other side closes."""
+    try:
+        await stream.receive_some()
+        await stream.send_all(first)
+        while True:
+            await stream.send_all(more)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        await stream.aclose()
+
+
+def make_request(number: int, arrived_at: float) -> ReceivedRequest:
+    request_id = b"r%d" % number
+    headers = MessageHeaders([(b"host", b"shop.example"), (HEADER_NAMES.request_id, request_id)])
+    return ReceivedRequest(b"GET", b"/a", headers, b"", arrived_at)
+
+
+class EndlessAnswerTest(unittest.TestCase):
+    def check(self, first: bytes, more: bytes) -> list[AttemptResult]:
+        """Sends requests at once to an upstream that answers without end."""
+        results: list[AttemptResult] = []
+        budget = ByteBudget(HELD_BYTES)
+        most_held = 0
+
+        async def watch() -> None:
+            nonlocal most_held
+            while True:
+                most_held = max(most_held, budget.held)
+                await trio.sleep(0.001)
+
+        async def run_hop(local: LocalUpstream, number: int) -> None:
+            now = trio.current_time()
+            deadline = now + DEADLINE_S
+            request = make_request(number, now)
+            results.append(await local.run(HOP, request, deadline, deadline, Handover()))
+
+        async def run() -> None:
+            listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+            local = LocalUpstream(
+                HEADER_NAMES, lambda _: 20, lambda _: None, budget, EventLog("d-1")
+            )
+            port = listener.socket.getsockname()[1]
+            local.replace(make_announcement(slots=REQUESTS), f"127.0.0.1:{port}")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch)
+                nursery.start_soon(
+                    trio.serve_listeners, lambda s: send_endlessly(s, first, more), [listener]
+                )
+                with trio.fail_after(BOUND_S):
+                    async with trio.open_nursery() as calls:
+                        for number in range(REQUESTS):
+                            calls.start_soon(run_hop, local, number)
+                self.assertEqual(local._pool.open_count, 0)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+        self.assertLessEqual(most_held, HELD_BYTES)
+        self.assertEqual(budget.held, 0)
+        return results
+
+    def test_no_kind_of_endless_answer_is_held_or_taken_as_whole(self) -> None:
+        for name, (first, more) in ENDLESS.items():
+            with self.subTest(name):
+                results = self.check(first, more)
+                self.assertEqual([each.answer for each in results], [None] * REQUESTS)
+                verdicts = {each.outcome.verdict for each in results}
+                self.assertEqual(verdicts, {Verdict.MAY_HAVE_RUN})
+
+
+class EndlessRequestTest(unittest.TestCase):
+    def test_callers_that_send_bodies_without_end_leave_room_for_others(self) -> None:
+        async def flood(address: str) -> bytes:
+            stream = await connect(address)
+            head = b"POST /a HTTP/1.1\r\nhost: shop.example\r\ntransfer-encoding: chunked\r\n\r\n"
+            try:
+                await stream.send_all(head)
+                for _ in range(100_000):
+                    await stream.send_all(b"%x\r\n%b\r\n" % (PIECE, b"a" * PIECE))
+            except trio.BrokenResourceError:
+                pass
+            return b""
+
+        async def run() -> None:
+            async with serve_mesh("shop") as mesh:
+                node = mesh.nodes[0]
+                async with trio.open_nursery() as nursery:
+                    for _ in range(REQUESTS):
+                        nursery.start_soon(flood, node.address)
+                    await trio.sleep(0.3)
+                    for number in range(5):
+                        answer = await node.call("/a?size=100000", request_id=f"good-{number}")
+                        self.assertEqual((answer.status, len(answer.body)), (200, 100_000))
+                    limit = node.daemon.bytes_held.message_limit
+                    self.assertLessEqual(node.daemon.bytes_held.held, 2 * limit)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+
+class EndlessFrameTest(unittest.TestCase):
+    def check(self, first: bytes, more: bytes) -> None:
+        budget = ByteBudget(HELD_BYTES)
+
+        async def run() -> None:
+            receiving, sending = socket.socketpair()
+            receiving.setblocking(False)
+            frames = FrameStream(ByteStream(receiving), budget)
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(sending))
+
+            async def send() -> None:
+                try:
+                    await stream.send_all(first)
+                    while True:
+                        await stream.send_all(more)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    pass
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send)
+                with trio.fail_after(BOUND_S), self.assertRaises(LinkBrokenError):
+                    while True:
+                        await frames.receive()
+                        self.assertLessEqual(budget.held, HELD_BYTES)
+                frames.close()
+                nursery.cancel_scope.cancel()
+            self.assertEqual(budget.held, 0)
+            await stream.aclose()
+
+        trio.run(run)
+
+    def test_a_frame_with_a_length_that_lies_ends_the_connection(self) -> None:
+        self.check(b"\xff\xff\xff\xff", b"a" * PIECE)
+        self.check((HELD_BYTES // 2).to_bytes(4, "big"), b"\xc1" * PIECE)
--- a/tests/services/test_frame_stream.py
+++ b/tests/services/test_frame_stream.py
@@ -9,6 +9,7 @@
 import trio
 import trio.testing
 
+from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
 from fulmarstile_http.byte_stream import open_stream
 from fulmarstile_wire.services import HopAnswer, HopOutcome
@@ -26,7 +27,9 @@
     """Opens a connection whose other side reads nothing."""
     listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
     async with listener:
-        yield FrameStream(await open_stream(f"127.0.0.1:{listener.socket.getsockname()[1]}"))
+        yield FrameStream(
+            await open_stream(f"127.0.0.1:{listener.socket.getsockname()[1]}"), ByteBudget(1 << 30)
+        )
 
 
 class ClosedConnectionTest(unittest.TestCase):
--- a/tests/services/test_handover.py
+++ b/tests/services/test_handover.py
@@ -11,6 +11,7 @@
 import trio
 
 from fulmarstile_calls.request import RefusalReason
+from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._handover import Handover, HandoverStage
 from fulmarstile_daemon.services._links import DaemonLinks
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
@@ -165,7 +166,7 @@
 
         async def run() -> None:
             running, leaving, left = Handover(), Handover(), trio.CancelScope()
-            links = DaemonLinks("entry")
+            links = DaemonLinks("entry", ByteBudget(1 << 30))
 
             async def forward_and_leave(deaf: Member) -> None:
                 with left:
--- a/tests/services/test_recall.py
+++ b/tests/services/test_recall.py
@@ -9,6 +9,7 @@
 import trio
 import trio.testing
 
+from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
 from fulmarstile_daemon.services.event_log import EventLog
@@ -37,7 +38,9 @@
         self.store = FakeKeyedLog()
         self.directory = Directory(OWN)
         self.membership = Membership(self.directory, log, lambda: None)
-        self.upstream = LocalUpstream(HEADER_NAMES, lambda _: 10, lambda _: None, log)
+        self.upstream = LocalUpstream(
+            HEADER_NAMES, lambda _: 10, lambda _: None, ByteBudget(1 << 30), log
+        )
         self.announcements = UpstreamAnnouncements(
             settings, self.directory, self.membership, self.upstream, log
         )
--- a/tests/services/test_refusing_unreceived.py
+++ b/tests/services/test_refusing_unreceived.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from fulmarstile_daemon.services._body_budget import BodyBudget
+from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._request_server import RequestServer
 from fulmarstile_daemon.services._server_connection import Reply
 from fulmarstile_daemon.services.event_log import EventLog
@@ -44,7 +44,7 @@
 
         async def run() -> None:
             server = RequestServer(
-                answer, RequestLimits, 100, BodyBudget(1_000_000), EventLog("d"), b"request-id"
+                answer, RequestLimits, 100, ByteBudget(2_000_000), EventLog("d"), b"request-id"
             )
             async with trio.open_nursery() as nursery:
                 address = await nursery.start(server.serve, "127.0.0.1:0")
--- a/tests/services/test_upstream_crashes.py
+++ b/tests/services/test_upstream_crashes.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._handover import Handover
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
 from fulmarstile_daemon.services._upstream import LocalUpstream
@@ -60,7 +61,9 @@
         async def run() -> None:
             listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
             port = listener.socket.getsockname()[1]
-            local = LocalUpstream(HEADER_NAMES, lambda _: 10, suspects.extend, EventLog("d-1"))
+            local = LocalUpstream(
+                HEADER_NAMES, lambda _: 10, suspects.extend, ByteBudget(1 << 30), EventLog("d-1")
+            )
             local.replace(make_announcement(slots=10), f"127.0.0.1:{port}")
             local._quarantine.on_completed(POPULAR, trio.current_time())
             async with trio.open_nursery() as nursery:
