Blame no upstream for the time that the daemon itself did not run

What callers would see: a daemon that gets no processor time for a while finds deadlines passed that its upstreams have kept, counts them as failed and ejects the good ones. Cause: an attempt whose time ran out counted against the upstream unless its caller had held it up; how late the daemon itself was played no part.

The test runs in virtual time now, so that its verdict does not depend on the machine; its assertion is the same. Two new tests: a silent upstream is blamed; one is not when the daemon did not run meanwhile, which fails without the rule.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
@@ -21,6 +21,7 @@
     from collections.abc import Callable
 
     from fulmarstile_calls.balancing import Balancer
+    from fulmarstile_calls.own_lateness import OwnLateness
     from fulmarstile_calls.request import CallRefusal, UpstreamEndpoint
     from fulmarstile_daemon.calls._call import Call
     from fulmarstile_daemon.calls._caller import CallerConnection
@@ -53,6 +54,7 @@
         local: Upstream beside this daemon.
         balancer: Told how attempts end.
         hop: Writes the headers of forwarded calls.
+        lateness: How late this daemon itself is.
         on_connection_lost: Called when the local upstream broke off an exchange, with the
             fingerprints of the calls that are in flight and the start of the exchange.
     """
@@ -63,12 +65,14 @@
         local: LocalUpstream,
         balancer: Balancer,
         hop: HopHeaders,
+        lateness: OwnLateness,
         on_connection_lost: Callable[[tuple[bytes, ...], float], None],
     ) -> None:
         self._settings = settings
         self._local = local
         self._balancer = balancer
         self._hop = hop
+        self._lateness = lateness
         self._on_connection_lost = on_connection_lost
         self._daemons: dict[str, ConnectionPool] = {}
 
@@ -103,6 +107,7 @@
             CallerGoneError: If the caller left.
         """
         started_at = trio.current_time()
+        late_before_s = self._lateness.measure(started_at)
         if endpoint is not None:
             self._balancer.on_started(endpoint.daemon_id, started_at)
         refusal: CallRefusal | None = None
@@ -120,7 +125,9 @@
                 refusal = _timeout_refusal(call)
             if endpoint is not None:
                 now = trio.current_time()
-                sample = _make_sample(call, now - started_at, refusal)
+                elapsed_s = now - started_at
+                is_late = self._lateness.explains(late_before_s, elapsed_s, now)
+                sample = _make_sample(call, elapsed_s, refusal, is_late)
                 self._balancer.on_finished(endpoint.daemon_id, sample, now)
         if call.abandoned:
             raise CallerGoneError
@@ -224,11 +231,14 @@
     return make_refusal(reason, verdict, "no answer in time", status=504)
 
 
-def _make_sample(call: Call, latency_s: float, refusal: CallRefusal | None) -> CallSample:
+def _make_sample(
+    call: Call, latency_s: float, refusal: CallRefusal | None, is_late: bool
+) -> CallSample:
+    """Says how an attempt ended; its time says nothing if this daemon or the caller was late."""
     if refusal is None:
         return CallSample(latency_s)
     if refusal.verdict is Verdict.NOT_RUN and refusal.reason in _ROOM_REASONS:
         return CallSample(latency_s, refused=True)
-    if refusal.reason is RefusalReason.TIMEOUT and call.is_held_up_by_caller:
+    if refusal.reason is RefusalReason.TIMEOUT and (is_late or call.is_held_up_by_caller):
         return CallSample(latency_s)
     return CallSample(latency_s, failed=refusal.reason in _UPSTREAM_REASONS)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -11,6 +11,7 @@
 
 from fulmarstile_calls.balancing import BalancerSettings, TwoChoicesBalancer
 from fulmarstile_calls.drain import Drain, DrainPhase, DrainSettings
+from fulmarstile_calls.own_lateness import OwnLateness
 from fulmarstile_calls.rate_limiter import RateLimiter
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_calls.retries import RetryBudgets, RetrySettings
@@ -83,8 +84,9 @@
         self._limiter = RateLimiter()
         self._reader = CallReader(context, hop, budgets)
         self._counters = CallCounters()
+        self._lateness = OwnLateness()
         self._attempts = AttemptRunner(
-            settings, self._local, self._balancer, hop, self._on_connection_lost
+            settings, self._local, self._balancer, hop, self._lateness, self._on_connection_lost
         )
         self._runner = CallRunner(
             settings, context, self._attempts, self._balancer, retries or budgets, self._counters
@@ -227,8 +229,10 @@
     async def _tick_forever(self) -> None:
         next_sweep = 0.0
         while True:
+            self._lateness.plan(trio.current_time() + _TICK_S)
             await trio.sleep(_TICK_S)
             now = trio.current_time()
+            self._lateness.on_wake(now)
             self._local.tick(now)
             self._watch.tick(now)
             self._advance_drain(now)
--- a/tests/daemon/test_calls_verdicts.py
+++ b/tests/daemon/test_calls_verdicts.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field, replace
 
 import trio
+import trio.testing
 from loguru import logger
 
 from fulmarstile_calls.request import RefusalReason
@@ -30,6 +31,8 @@
 
 SEEDS = 12
 CALLS = 60
+IDLE_S = 0.05
+"""Real time without anything to do after which virtual time goes on, in seconds."""
 TARGETS = (("GET", "/slots"), ("POST", "/write"), ("GET", "/short"), ("POST", "/short"))
 
 
@@ -235,7 +238,37 @@
                 self.assertEqual(serving.upstream.counts.total, 2)
             self.assertEqual([sample.failed for sample in samples], [False, False])
 
-        trio.run(run)
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=IDLE_S))
+
+    def run_silent_call(self, blocked_s: float) -> bool:
+        """Tells whether an upstream is blamed that does not answer in time.
+
+        Args:
+            blocked_s: Time for which the daemon itself does not run meanwhile.
+        """
+        clock = trio.testing.MockClock(autojump_threshold=IDLE_S)
+
+        async def run() -> bool:
+            samples: list = []
+            async with serve_daemon() as daemon:
+                balancer = daemon.proxy._balancer
+                balancer.on_finished = lambda _, sample, now: samples.append(sample)
+                caller = await daemon.connect()
+                await caller.send(make_request("/short?delay_ms=5000"))
+                while not daemon.upstream.counts.running:
+                    await trio.sleep(0.001)
+                clock.jump(blocked_s)
+                while not samples:
+                    await trio.sleep(0.01)
+            return samples[0].failed
+
+        return trio.run(run, clock=clock)
+
+    def test_an_upstream_that_is_silent_is_blamed(self) -> None:
+        self.assertTrue(self.run_silent_call(0.0))
+
+    def test_an_upstream_is_not_blamed_for_the_time_that_the_daemon_did_not_run(self) -> None:
+        self.assertFalse(self.run_silent_call(1.0))
 
     def test_a_quarantined_request_is_refused(self) -> None:
         async def run() -> None:
