--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import logging
+from typing import TYPE_CHECKING, Final
 
 import trio
-from loguru import logger
 
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._body_gate import BodyGate, OfferKey
@@ -35,6 +35,8 @@
     from fulmarstile_http.listener import OutOfDescriptorsError
     from fulmarstile_wire.services import HopOutcome, LinkMessage, SyncReply, SyncRequest
 
+_LOGGER: Final = logging.getLogger(__name__)
+
 
 class LinkServer:
     """Answers forwarded requests and synchronizations.
@@ -109,7 +111,7 @@
                 nursery.start_soon(frames.send_forever)
                 await self._serve_messages(frames, calls, nursery)
         except* LinkBrokenError as group:
-            logger.info("a connection from a daemon ended: {}", group.exceptions[0])
+            _LOGGER.info("a connection from a daemon ended: %s", group.exceptions[0])
         finally:
             self._gate.release_all(frames)
             del self._connections[frames]
@@ -146,7 +148,7 @@
             try:
                 frames.send(BodyGrant(offer.call_id))
             except LinkBrokenError as error:
-                logger.info("a body could not be granted: {}", error)
+                _LOGGER.info("a body could not be granted: %s", error)
 
         key = OfferKey(frames, offer.call_id)
         wait_s = self._gate.wait_s
@@ -164,7 +166,7 @@
         try:
             key.connection.send(HopAnswer(key.call_id, self._describe(failure)))
         except LinkBrokenError as error:
-            logger.info("a body could not be refused: {}", error)
+            _LOGGER.info("a body could not be refused: %s", error)
 
     async def _serve_call(
         self, frames: FrameStream, calls: dict[int, _ServedCall], served: _ServedCall
@@ -181,10 +183,10 @@
                     answer = HopAnswer(call.call_id, self._describe(failure))
                 frames.send(answer)
         except LinkBrokenError as error:
-            logger.info("an answer could not be sent: {}", error)
+            _LOGGER.info("an answer could not be sent: %s", error)
         except Exception:
             # A fault in one request must not end the others of its connection.
-            logger.exception("answering a forwarded request failed")
+            _LOGGER.exception("answering a forwarded request failed")
         finally:
             self._in_flight -= 1
             del calls[call.call_id]
@@ -209,4 +211,4 @@
 
 
 def _log_exhausted(error: OutOfDescriptorsError) -> None:
-    logger.warning("cannot accept a daemon's connection: {}", error)
+    _LOGGER.warning("cannot accept a daemon's connection: %s", error)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import logging
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 import trio
-from loguru import logger
 
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
@@ -41,6 +41,8 @@
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_wire.services import HopOutcome, HopRequest, Member, SyncReply, SyncRequest
 
+_LOGGER: Final = logging.getLogger(__name__)
+
 _LARGE_BODY_BYTES: Final = 32 * 1024
 """Size from which a body goes over the second connection, where small ones don't wait for it."""
 _OFFERED_FROM_S: Final = 0.05
@@ -150,7 +152,7 @@
                     for message in await self._frames.receive():
                         self._take(message)
         except* LinkBrokenError as group:
-            logger.info("a connection to {} ended: {}", self._address, group.exceptions[0])
+            _LOGGER.info("a connection to %s ended: %s", self._address, group.exceptions[0])
         finally:
             self.close()
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 import trio
-from loguru import logger
 
 from fulmarstile_daemon.services._request_ending import RequestEnding
 from fulmarstile_daemon.services._server_connection import (
@@ -30,6 +30,8 @@
     from fulmarstile_http.listener import OutOfDescriptorsError
     from fulmarstile_services.document import RequestLimits
 
+_LOGGER: Final = logging.getLogger(__name__)
+
 _WATCH_S: Final = 0.2
 """Interval at which callers that have left are looked for, in seconds."""
 _HELD_RETRY_S: Final = 0.3
@@ -160,10 +162,10 @@
                 try:
                     connection.refuse(reply)
                 except CallerLeftError:
-                    logger.info("a caller left before its request was refused")
+                    _LOGGER.info("a caller left before its request was refused")
 
     def _on_exhausted(self, error: OutOfDescriptorsError) -> None:
-        logger.warning("cannot accept a connection: {}", error)
+        _LOGGER.warning("cannot accept a connection: %s", error)
         self._evict_idle()
 
     async def _serve_connection(self, stream: ByteStream) -> None:
@@ -178,7 +180,7 @@
             connection.end()
         except Exception:
             # A fault in one request must not end the daemon.
-            logger.exception("serving a connection failed")
+            _LOGGER.exception("serving a connection failed")
             connection.end()
         except BaseException:
             connection.end()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import logging
 import os
 import random
 import signal
@@ -11,7 +12,6 @@
 from typing import TYPE_CHECKING, Final
 
 import trio
-from loguru import logger
 
 from fulmarstile_daemon.services._body_gate import BodyGate
 from fulmarstile_daemon.services._byte_budget import ByteBudget
@@ -59,6 +59,8 @@
     from fulmarstile_platform.http_server import HttpRequest
     from fulmarstile_services.settings import NodeSettings
 
+_LOGGER: Final = logging.getLogger(__name__)
+
 _SETTINGS_POLL_S: Final = 1.0
 _SUSPEND_POLL_S: Final = 0.5
 _MIN_SUSPEND_S: Final = 0.5
@@ -391,14 +393,14 @@
     try:
         settings = platform.read_settings()
     except NodeSettingsError as error:
-        logger.error("{}", error)
+        _LOGGER.error("%s", error)
         return os.EX_CONFIG
     log = EventLog(settings.name)
-    log.adopt_loguru()
+    log.adopt_logging()
     try:
         trio.run(ServiceDaemon(platform, settings, log).run)
     except Exception:
-        logger.exception("the daemon ends because of an unexpected error")
+        _LOGGER.exception("the daemon ends because of an unexpected error")
         log.flush()
         return os.EX_SOFTWARE
     return os.EX_OK
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import sys
 import time
@@ -10,11 +11,10 @@
 
 import msgspec
 import trio
-from loguru import logger
 
-if TYPE_CHECKING:
-    from loguru import Message
+from fulmarstile_daemon.services.events import LibraryMessage
 
+if TYPE_CHECKING:
     from fulmarstile_daemon.services.events import LogEvent
 
 _MAX_WAITING_LINES: Final = 2_000
@@ -60,10 +60,9 @@
             return
         self._add(self._encoder.encode(event))
 
-    def adopt_loguru(self) -> None:
-        """Writes the lines of loguru's logger the same way."""
-        logger.remove()
-        logger.add(self._write_message, level="INFO", format="{message}")
+    def adopt_logging(self) -> None:
+        """Writes the records of the standard loggers the same way."""
+        logging.basicConfig(handlers=[_LogHandler(self)], level=logging.INFO, force=True)
 
     async def flush_forever(self) -> None:
         """Writes the waiting lines from time to time, until cancelled."""
@@ -111,11 +110,13 @@
         if self._has_lines is not None:
             self._has_lines.set()
 
-    def _write_message(self, message: Message) -> None:
-        record = message.record
-        text = record["message"]
-        if record["exception"] is not None:
-            text = str(message)
-        self._add(
-            self._encoder.encode({"event": "message", "level": record["level"].name, "text": text})
-        )
+
+class _LogHandler(logging.Handler):
+    """Passes the records of the standard loggers to the log of the daemon."""
+
+    def __init__(self, log: EventLog) -> None:
+        super().__init__()
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self._log.write(LibraryMessage(level=record.levelname, text=self.format(record)))
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -226,3 +226,10 @@
     """The VM stood still; idle connections from before are not trusted."""
 
     for_s: float
+
+
+class LibraryMessage(LogEvent, tag="message"):
+    """A record of one of the standard loggers."""
+
+    level: str
+    text: str
