--- a/tests/http/test_response_parsing.py
+++ b/tests/http/test_response_parsing.py
@@ -125,3 +125,53 @@
         parser.feed(encode_response(200, head))
         with self.assertRaises(MalformedResponseError):
             read_all(parser)
+
+    def test_what_makes_no_progress_is_bounded_like_a_head(self) -> None:
+        chunked = encode_response(200, [(b"transfer-encoding", b"chunked")])
+        endless = {
+            "trailers": (chunked + b"0\r\n", b"x-id: a\r\n"),
+            "one trailer": (chunked + b"0\r\nx-id: ", b"a" * 50),
+            "a chunk extension": (chunked + b"5;", b"a" * 50),
+            "extensions of chunks": (chunked, b"1;%b\r\nx\r\n" % (b"a" * 50)),
+            "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        }
+        for name, (first, more) in endless.items():
+            with self.subTest(name):
+                parser = ResponseParser(1024)
+                parser.feed(first + more)
+                fed = 0
+                with self.assertRaises(MalformedResponseError):
+                    while fed < 10_000:
+                        read_all(parser)
+                        parser.feed(more)
+                        fed += len(more)
+
+    def test_a_long_body_in_small_chunks_arrives_whole(self) -> None:
+        parser = ResponseParser(1024)
+        parser.feed(encode_response(200, [(b"transfer-encoding", b"chunked")]))
+        for _ in range(5_000):
+            parser.feed(encode_chunk(b"x"))
+        parser.feed(encode_chunk(b""))
+        self.assertEqual(read_all(parser), [(200, b"x" * 5_000)])
+
+    @given(st.sampled_from((PLAIN, CHUNKED, UNFRAMED)), st.data())
+    def test_mutated_responses_raise_nothing_else_and_hold_no_more_than_they_had(
+        self, whole: bytes, data: st.DataObject
+    ) -> None:
+        mutated = bytearray(whole + PLAIN)
+        for _ in range(data.draw(st.integers(1, 4))):
+            mutated[data.draw(st.integers(0, len(mutated) - 1))] = data.draw(st.integers(0, 255))
+        parser = ResponseParser(64 * 1024)
+        position = 0
+        size = 0
+        try:
+            while position < len(mutated):
+                cut = position + data.draw(st.integers(1, len(mutated)))
+                parser.feed(bytes(mutated[position:cut]))
+                position = cut
+                size += sum(len(body) for _, body in read_all(parser))
+            parser.feed(b"")
+            read_all(parser)
+        except MalformedResponseError:
+            pass
+        self.assertLessEqual(size, len(mutated))
--- a/tests/wire/test_link_frames.py
+++ b/tests/wire/test_link_frames.py
@@ -64,3 +64,23 @@
         except WireError:
             return
         self.assertEqual(len(messages), 1)
+
+    @given(st.data())
+    def test_mutated_messages_are_a_wire_error_or_messages(self, data: st.DataObject) -> None:
+        mutated = bytearray(b"".join(map(encode_frame, MESSAGES)))
+        for _ in range(data.draw(st.integers(1, 4))):
+            mutated[data.draw(st.integers(0, len(mutated) - 1))] = data.draw(st.integers(0, 255))
+        decoder = FrameDecoder(max_bytes=1_000)
+        position = 0
+        try:
+            while position < len(mutated):
+                cut = position + data.draw(st.integers(1, len(mutated)))
+                decoder.feed(bytes(mutated[position:cut]))
+                position = cut
+        except WireError:
+            pass
+        self.assertLessEqual(decoder.pending_bytes, len(mutated))
+
+    def test_a_smaller_bound_holds_before_a_message_is_received(self) -> None:
+        with self.assertRaisesRegex(WireError, "too large"):
+            FrameDecoder(max_bytes=100).feed((101).to_bytes(4, "big"))
