Give no room back twice when a link between daemons has ended

Found by reading: a frame that is dropped after its connection was closed gave its bytes back a second time, so that the budget would have counted less than is held, more so with each such link. A message that was released has nothing more to give back. The new test fails on the code before.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
@@ -46,8 +46,8 @@
         self._budget.add(self, size)
 
     def give_back(self, size: int) -> None:
-        """Gives back room of what has left."""
-        self._budget.add(self, -size)
+        """Gives back room of what has left; none is left once the message was released."""
+        self._budget.add(self, -min(size, self.size))
 
 
 class ByteBudget:
--- a/tests/services/test_byte_budget.py
+++ b/tests/services/test_byte_budget.py
@@ -47,6 +47,12 @@
             self.assertEqual(self.budget.held, 2 * LIMIT)
         self.assertEqual(self.budget.held, 0)
 
+    def test_what_is_given_back_after_the_release_makes_no_room(self) -> None:
+        holding = self.open("ended", 300)
+        self.budget.release(holding)
+        holding.give_back(300)
+        self.assertEqual(self.budget.held, 0)
+
     def test_requests_of_callers_leave_room_for_answers(self) -> None:
         self.assertTrue(self.budget.take_for_caller(LIMIT // 2))
         self.assertFalse(self.budget.take_for_caller(1))
