Read and log what upstreams say of themselves in their responses

The headers are translated in platform/ into typed, dated notices; the daemon beside the upstream logs each change as notice_learned with the number of requests sent so far; gauges upstream_rate_limit and upstream_requests_sent, and the limit in /state.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
@@ -34,6 +34,8 @@
     status: int
     headers: MessageHeaders
     body: bytes
+    head_at: float = 0.0
+    """Time at which its head arrived, in seconds; 0 if another daemon received it."""
 
 
 class Exchange:
@@ -128,9 +130,10 @@
 
     async def _receive(self) -> UpstreamResponse:
         response = await self._connection.receive_response()
+        head_at = trio.current_time()
         body = await self._receive_body()
         self._note_keep_alive(response)
-        return UpstreamResponse(response.status, read_headers(response.headers), body)
+        return UpstreamResponse(response.status, read_headers(response.headers), body, head_at)
 
     async def _receive_body(self) -> bytes:
         parts: list[bytes] = []
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import time
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -14,10 +15,11 @@
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
 from fulmarstile_daemon.services._exchange import Exchange, ResponseTooLargeError
 from fulmarstile_daemon.services._slots import SlotRefusedError, Slots
-from fulmarstile_daemon.services.events import UpstreamChanged
+from fulmarstile_daemon.services.events import RecordIgnored, UpstreamChanged
 from fulmarstile_http.client_connection import ExchangeError
 from fulmarstile_http.connection_pool import ConnectionPool, PoolSettings
 from fulmarstile_services.slot_class import SlotClass
+from fulmarstile_services.upstream_notices import NoticeReader, parse_rate_limit
 from fulmarstile_services.upstream_registry import UpstreamPhase
 from fulmarstile_wire.services import HopOutcome, MemberPhase
 from fulmarstile_wire.verdict import Verdict
@@ -32,8 +34,9 @@
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.ports import CallHeaderNames
     from fulmarstile_http.client_connection import ClientConnection
+    from fulmarstile_services.upstream_notices import UpstreamNotices
     from fulmarstile_services.upstream_registry import UpstreamAnnouncement
-    from fulmarstile_wire.services import HopRequest
+    from fulmarstile_wire.services import HopRequest, UpstreamNotice
 
 _MAX_NON_IDEMPOTENT_IDLE_S: Final = 0.5
 """Idle time after which a connection is not used for a non-idempotent request, in seconds."""
@@ -57,6 +60,7 @@
         connection_limit: Returns the maximum number of connections of a service's upstream.
         on_suspects: Called with the fingerprints of the requests that were running when the
             upstream crashed.
+        notices: What upstreams have said about themselves.
         budget: Memory limit for responses.
         log: Log of the daemon.
     """
@@ -66,12 +70,14 @@
         names: CallHeaderNames,
         connection_limit: Callable[[str], int],
         on_suspects: Callable[[tuple[bytes, ...]], None],
+        notices: UpstreamNotices,
         budget: ByteBudget,
         log: EventLog,
     ) -> None:
         self._names = names
         self._connection_limit = connection_limit
         self._on_suspects = on_suspects
+        self._notices = notices
         self._budget = budget
         self._log = log
         self._announcement: UpstreamAnnouncement | None = None
@@ -84,7 +90,12 @@
         self._unreachable_until = -math.inf
         self._service_s = 0.0
         self._class_service_s: dict[int, float] = {}
+        self._notice_reader: NoticeReader | None = None
         self._is_stopping = False
+        self.requests_sent = 0
+        """Requests sent to any incarnation of the upstream."""
+        self.on_notice: Callable[[UpstreamNotice], None] = lambda _: None
+        """Called when a response of the upstream says something new about it."""
 
     @property
     def phase(self) -> MemberPhase:
@@ -117,6 +128,18 @@
         """Moving average of the upstream's service time, in seconds."""
         return self._service_s
 
+    @property
+    def notice(self) -> UpstreamNotice | None:
+        """What the current incarnation has said about itself, if anything."""
+        current = self._announcement
+        return None if current is None else self._notices.find(current.upstream_id, current.born_ms)
+
+    @property
+    def rate_limit(self) -> float:
+        """Requests per second that the upstream accepts, as it says; 0 for no limit."""
+        notice = self.notice
+        return 0.0 if notice is None else notice.rate_limit
+
     def find_parent_class(self, request_id: bytes) -> SlotClass | None:
         """Finds the class of the running request for which the upstream makes a call.
 
@@ -236,6 +259,7 @@
 
     def _start(self, announcement: UpstreamAnnouncement, address: str) -> None:
         limit = self._connection_limit(announcement.service)
+        self._notice_reader = NoticeReader(announcement.upstream_id, announcement.born_ms)
         if self._pool is not None:
             self._pool.retire()
         self._pool = ConnectionPool(address, limit, _POOL_SETTINGS)
@@ -274,6 +298,8 @@
         if not progress.try_begin():
             pool.release(connection)
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING))
+        notice_reader = self._notice_reader
+        self.requests_sent += 1
         exchange = Exchange(
             connection,
             request.method,
@@ -295,8 +321,26 @@
             return await self._handle_broken_exchange(exchange, pool, started_at, error)
         finally:
             _return_connection(pool, connection, is_reusable)
+        if notice_reader is self._notice_reader and response.status != _MISDIRECTED_STATUS:
+            self._read_notice(notice_reader, response)
         return self._classify_response(response)
 
+    def _read_notice(self, reader: NoticeReader | None, response: UpstreamResponse) -> None:
+        """Reads what a response of the current incarnation says about the upstream."""
+        if reader is None:
+            return
+        value = response.headers.get_bytes(self._names.rate_limit)
+        rate_limit = parse_rate_limit(value) if value else None
+        if value and rate_limit is None:
+            reason = f"its rate limit is not a decimal number: {value[:40]!r}"
+            self._log.write(RecordIgnored(source="response", reason=reason))
+            return
+        leaves = bool(response.headers.get_bytes(self._names.leaving))
+        now_ms = int(time.time() * 1000)
+        notice = reader.read(self.notice, rate_limit, leaves, response.head_at, now_ms)
+        if notice is not None:
+            self.on_notice(notice)
+
     async def _receive_matching(
         self, exchange: Exchange, request: ReceivedRequest
     ) -> UpstreamResponse:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from fulmarstile_daemon.services.events import RecordIgnored, UpstreamChanged
+from fulmarstile_daemon.services.events import NoticeLearned, RecordIgnored, UpstreamChanged
 from fulmarstile_services.upstream_registry import (
     AnnouncementOutcome,
     UpstreamAnnouncement,
@@ -25,11 +25,13 @@
     from fulmarstile_daemon.services.membership import Membership
     from fulmarstile_services.directory import Directory
     from fulmarstile_services.settings import NodeSettings
+    from fulmarstile_wire.services import UpstreamNotice
 
 _STORE_TIMEOUT_S: Final = 0.6
 """Maximum time that the acknowledgement of a departure waits for the store, in seconds."""
 _SYNC_TIMEOUT_S: Final = 0.2
 """Maximum time that it then waits for other daemons instead, in seconds."""
+_RESPONSE_SOURCE: Final = "response"
 _RECOVERY_TIMEOUT_S: Final = 0.8
 """Maximum time that the first announcement waits for the records of the store, in seconds."""
 
@@ -66,6 +68,7 @@
         self._registry = UpstreamRegistry(settings.announce_interval_s)
         self.sync_daemons: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
         """Sends the record to other daemons when the store is unavailable."""
+        upstream.on_notice = self.on_notice
 
     async def announce(self, announcement: UpstreamAnnouncement) -> None:
         """See `UpstreamEvents.announce`."""
@@ -104,6 +107,26 @@
                 )
             )
 
+    def on_notice(self, notice: UpstreamNotice, source: str = _RESPONSE_SOURCE) -> None:
+        """Processes what an upstream says about itself in its responses.
+
+        Args:
+            notice: The notice.
+            source: Where it comes from, for the log.
+        """
+        if self._directory.notices.merge(notice):
+            self._log.write(
+                NoticeLearned(
+                    upstream=notice.upstream_id,
+                    born_ms=notice.upstream_born_ms,
+                    rate_limit=notice.rate_limit,
+                    leaves=notice.leaves,
+                    dated_ms=notice.dated_ms,
+                    source=source,
+                    requests_sent=self._upstream.requests_sent,
+                )
+            )
+
     async def stop(self) -> None:
         """Publishes to all daemons that this one is stopping."""
         local_member = msgspec.structs.replace(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -113,6 +113,7 @@
             names,
             self._documents.connection_limit,
             self._membership.report_crash,
+            self._directory.notices,
             self._byte_budget,
             log,
         )
@@ -299,6 +300,7 @@
             upstream_queued=self._upstream.queued,
             upstream_slots=self._upstream.slots,
             upstream_service_s=self._upstream.service_s,
+            upstream_rate_limit=self._upstream.rate_limit,
             callers_in_flight=self._callers.in_flight,
             hops_in_flight=self._peers.in_flight,
             message_bytes_held=self._byte_budget.used_bytes,
@@ -376,6 +378,8 @@
         add("upstream_running", lambda: self._upstream.running)
         add("upstream_queued", lambda: self._upstream.queued)
         add("upstream_slots", lambda: self._upstream.slots)
+        add("upstream_rate_limit", lambda: self._upstream.rate_limit)
+        add("upstream_requests_sent", lambda: self._upstream.requests_sent)
         add("upstream_service_seconds", lambda: self._upstream.service_s)
         add("log_lines_left_out", lambda: self._log.dropped_lines)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -208,6 +208,22 @@
     slots: int = 0
 
 
+class NoticeLearned(LogEvent, tag="notice_learned"):
+    """More is known about what an upstream says of itself in its responses."""
+
+    upstream: str
+    born_ms: int
+    rate_limit: float
+    """Requests per second that it accepts from all daemons together; 0 for no limit."""
+    leaves: bool
+    dated_ms: int
+    """Time at which the daemon beside it read this, in milliseconds since the epoch."""
+    source: str
+    """`response` of the upstream on this VM, or name of the daemon that passed it on."""
+    requests_sent: int = 0
+    """Requests sent to the upstream on this VM since this daemon started."""
+
+
 class RecordIgnored(LogEvent, tag="record_ignored"):
     """A record or an announcement is outdated or invalid."""
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/ports.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/ports.py
@@ -31,6 +31,13 @@
     """Proof that a response is the upstream's; without it, a successful one counts as truncated."""
     not_run: bytes
     """Set on the response of an upstream that has not run the request."""
+    rate_limit: bytes
+    """Requests per second that the upstream accepts from all daemons together, as a decimal.
+
+    It holds for as long as the upstream's responses carry it.
+    """
+    leaving: bytes
+    """Set on every response of an upstream that leaves."""
     call_separator: bytes = b""
     """Follows the id of a running request in the ids of calls that its upstream makes for it.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/state.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/state.py
@@ -29,6 +29,8 @@
     upstream_queued: int
     upstream_slots: int
     upstream_service_s: float
+    upstream_rate_limit: float
+    """Requests per second that the upstream says it accepts; 0 for no limit."""
     callers_in_flight: int
     hops_in_flight: int
     message_bytes_held: int
--- a/packages/fulmarstile_services/src/fulmarstile_services/directory.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/directory.py
@@ -7,6 +7,7 @@
 import msgspec
 import xxhash
 
+from fulmarstile_services.upstream_notices import UpstreamNotices
 from fulmarstile_wire.services import MemberPhase
 
 if TYPE_CHECKING:
@@ -42,6 +43,8 @@
         self._names_by_bucket: tuple[set[str], ...] = tuple(set() for _ in range(_MEMBER_BUCKETS))
         self._bucket_hashes = [0] * (_MEMBER_BUCKETS + 1)
         self._digest = b""
+        self.notices = UpstreamNotices()
+        """What upstreams have said about themselves in their responses."""
         self.previous_record: Member | None = None
         """Newest known record of an earlier incarnation of this daemon, if any."""
         self._put(local_member)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
@@ -9,9 +9,12 @@
 import h11
 import trio
 
+from fulmarstile_daemon.services._byte_budget import ByteBudget
+from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services.daemon import ServiceDaemon
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_services.settings import Listeners, NodeSettings
+from fulmarstile_services.upstream_notices import UpstreamNotices
 from fulmarstile_testing.builders.services import make_announcement, make_document, make_route
 from fulmarstile_testing.fakes.keyed_log import FakeKeyedLog
 from fulmarstile_testing.fakes.service_platform import (
@@ -24,7 +27,7 @@
 from fulmarstile_testing.service_upstream import ServiceUpstream
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from fulmarstile_services.document import ServiceDocument
 
@@ -252,6 +255,24 @@
     )
 
 
+def make_local_upstream(
+    *,
+    connections: int = 10,
+    budget: ByteBudget | None = None,
+    notices: UpstreamNotices | None = None,
+    on_suspects: Callable[[tuple[bytes, ...]], None] = lambda _: None,
+) -> LocalUpstream:
+    """Makes the part of a daemon that sends requests to the upstream on its VM."""
+    return LocalUpstream(
+        HEADER_NAMES,
+        lambda _: connections,
+        on_suspects,
+        notices or UpstreamNotices(),
+        budget or ByteBudget(1 << 30),
+        EventLog("daemon-1"),
+    )
+
+
 async def connect(address: str) -> trio.SocketStream:
     """Connects to a daemon."""
     host, _, port = address.rpartition(":")
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/services.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/services.py
@@ -12,7 +12,7 @@
     WeightedDestination,
 )
 from fulmarstile_services.upstream_registry import UpstreamAnnouncement, UpstreamPhase
-from fulmarstile_wire.services import Member, MemberPhase
+from fulmarstile_wire.services import Member, MemberPhase, UpstreamNotice
 
 
 def make_route(host: str = "shop.example", prefix: str = "/", **changes: Any) -> ServiceRoute:
@@ -62,3 +62,13 @@
         "phase": UpstreamPhase.READY,
     }
     return UpstreamAnnouncement(**(fields | changes))
+
+
+def make_notice(**changes: Any) -> UpstreamNotice:
+    """Makes what `make_announcement`'s upstream says of itself, with some fields changed."""
+    fields: dict[str, Any] = {
+        "upstream_id": "upstream-1",
+        "upstream_born_ms": 1_000,
+        "dated_ms": 10,
+    }
+    return UpstreamNotice(**(fields | changes))
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/service_platform.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/service_platform.py
@@ -27,6 +27,8 @@
     expected_upstream=b"expected-upstream",
     response_signature=b"answer-proof",
     not_run=b"not-run",
+    rate_limit=b"rate-limit",
+    leaving=b"leaving",
 )
 DOCUMENT_TOPIC: Final = "documents"
 DOCUMENT_KEY: Final = "current"
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
@@ -47,6 +47,8 @@
     target: str
     headers: dict[bytes, bytes]
     body_bytes: int = 0
+    arrived_at: float = field(default_factory=trio.current_time)
+    """Time at which its head arrived, in seconds."""
     ran: bool = False
     was_left: bool = False
     """Whether its connection ended before its answer."""
@@ -82,6 +84,10 @@
         """What it saw."""
         self.silent_for: set[str] = set()
         """Ids of requests that never get an answer."""
+        self.rate_limit: float | None = None
+        """Requests per second that its answers name as its limit; None for no limit."""
+        self.is_leaving = False
+        """Whether its answers say that it leaves."""
         self._scope = trio.CancelScope()
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
@@ -222,6 +228,10 @@
             (self._names.request_id, served.request_id.encode()),
             (b"content-length", b"%d" % len(body)),
         ]
+        if self.rate_limit is not None:
+            headers.append((self._names.rate_limit, f"{self.rate_limit:g}".encode()))
+        if self.is_leaving:
+            headers.append((self._names.leaving, b"1"))
         if not_run:
             headers.append((self._names.not_run, b"1"))
         elif proven:
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -36,6 +36,22 @@
     """The daemon itself is stopping."""
 
 
+class UpstreamNotice(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
+    """What an upstream has said about itself in its responses."""
+
+    upstream_id: str
+    upstream_born_ms: int
+    dated_ms: int
+    """Time at which the daemon beside the upstream read it, in milliseconds since the epoch.
+
+    It increases from notice to notice of an upstream, even if the clock is set back.
+    """
+    rate_limit: float = 0.0
+    """Requests per second that it accepts from all daemons together; 0 for no limit."""
+    leaves: bool = False
+    """Whether it leaves; it never accepts requests again."""
+
+
 class Member(msgspec.Struct, frozen=True, omit_defaults=True):
     """A daemon and the upstream beside it; a higher (incarnation, revision) replaces a lower."""
 
--- a/tests/services/test_endless_bytes.py
+++ b/tests/services/test_endless_bytes.py
@@ -12,12 +12,10 @@
 from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
-from fulmarstile_daemon.services._upstream import LocalUpstream
-from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_http.byte_stream import ByteStream
 from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_services.slot_class import SlotClass
-from fulmarstile_testing.builders.service_mesh import connect, serve_mesh
+from fulmarstile_testing.builders.service_mesh import connect, make_local_upstream, serve_mesh
 from fulmarstile_testing.builders.services import make_announcement
 from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
 from fulmarstile_wire.services import HopRequest
@@ -25,6 +23,7 @@
 
 if TYPE_CHECKING:
     from fulmarstile_daemon.services._call import AttemptResult
+    from fulmarstile_daemon.services._upstream import LocalUpstream
 
 HELD_BYTES = 8 * 1024 * 1024
 REQUESTS = 9
@@ -105,9 +104,7 @@
 
         async def run() -> None:
             listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
-            local = LocalUpstream(
-                HEADER_NAMES, lambda _: 20, lambda _: None, budget, EventLog("d-1")
-            )
+            local = make_local_upstream(connections=20, budget=budget)
             port = listener.socket.getsockname()[1]
             local.apply_announcement(make_announcement(slots=REQUESTS), f"127.0.0.1:{port}")
             async with trio.open_nursery() as nursery:
--- a/tests/services/test_restart_recovery.py
+++ b/tests/services/test_restart_recovery.py
@@ -9,16 +9,13 @@
 import trio
 import trio.testing
 
-from fulmarstile_daemon.services._byte_budget import ByteBudget
-from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_daemon.services.membership import MEMBERS_TOPIC, Membership
 from fulmarstile_services.directory import Directory
-from fulmarstile_testing.builders.service_mesh import make_node_settings
+from fulmarstile_testing.builders.service_mesh import make_local_upstream, make_node_settings
 from fulmarstile_testing.builders.services import make_announcement, make_member
 from fulmarstile_testing.fakes.keyed_log import FakeKeyedLog
-from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
 from fulmarstile_wire.services import MemberPhase, encode_member
 
 if TYPE_CHECKING:
@@ -38,9 +35,7 @@
         self.store = FakeKeyedLog()
         self.directory = Directory(RESTARTED)
         self.membership = Membership(self.directory, log, lambda: None)
-        self.upstream = LocalUpstream(
-            HEADER_NAMES, lambda _: 10, lambda _: None, ByteBudget(1 << 30), log
-        )
+        self.upstream = make_local_upstream(notices=self.directory.notices)
         self.announcements = UpstreamAnnouncements(
             settings, self.directory, self.membership, self.upstream, log
         )
--- a/tests/services/test_silent_upstreams.py
+++ b/tests/services/test_silent_upstreams.py
@@ -5,6 +5,7 @@
 import unittest
 from contextlib import suppress
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import trio
 import trio.testing
@@ -12,16 +13,17 @@
 from fulmarstile_daemon.services._attempt_progress import AttemptProgress
 from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
-from fulmarstile_daemon.services._upstream import LocalUpstream
-from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_services.slot_class import SlotClass
-from fulmarstile_testing.builders.service_mesh import serve_mesh
+from fulmarstile_testing.builders.service_mesh import make_local_upstream, serve_mesh
 from fulmarstile_testing.builders.services import make_announcement
 from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
 from fulmarstile_testing.service_upstream import ServiceUpstream
 from fulmarstile_wire.services import HopRequest
 
+if TYPE_CHECKING:
+    from fulmarstile_daemon.services._upstream import LocalUpstream
+
 HOP = HopRequest("shop", "upstream-1", "web", SlotClass.URGENT, 5_000, 5_000, False, 1_000)
 SLOTS = 4
 TIME_LEFT_S = 0.3
@@ -85,9 +87,7 @@
         async def run() -> None:
             upstream = SilentUpstream()
             listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
-            local = LocalUpstream(
-                HEADER_NAMES, lambda _: 20, lambda _: None, ByteBudget(1 << 20), EventLog("d-1")
-            )
+            local = make_local_upstream(connections=20, budget=ByteBudget(1 << 20))
             port = listener.socket.getsockname()[1]
             local.apply_announcement(make_announcement(slots=SLOTS), f"127.0.0.1:{port}")
             async with trio.open_nursery() as nursery:
@@ -106,9 +106,7 @@
     def test_an_upstream_never_runs_more_requests_than_it_has_slots(self) -> None:
         async def run() -> None:
             upstream = ServiceUpstream(HEADER_NAMES, "upstream-1")
-            local = LocalUpstream(
-                HEADER_NAMES, lambda _: 20, lambda _: None, ByteBudget(1 << 20), EventLog("d-1")
-            )
+            local = make_local_upstream(connections=20, budget=ByteBudget(1 << 20))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(upstream.serve)
                 local.apply_announcement(make_announcement(slots=SLOTS), upstream.address)
--- a/tests/services/test_upstream_calls.py
+++ b/tests/services/test_upstream_calls.py
@@ -7,12 +7,10 @@
 import trio
 
 from fulmarstile_daemon.services._attempt_progress import AttemptProgress
-from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
-from fulmarstile_daemon.services._upstream import LocalUpstream
-from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_services.slot_class import SlotClass
+from fulmarstile_testing.builders.service_mesh import make_local_upstream
 from fulmarstile_testing.builders.services import make_announcement
 from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
 from fulmarstile_testing.service_upstream import ServiceUpstream
@@ -30,9 +28,7 @@
     def test_a_call_has_a_parent_only_while_the_parent_request_runs(self) -> None:
         async def run() -> None:
             upstream = ServiceUpstream(HEADER_NAMES, "upstream-1")
-            local = LocalUpstream(
-                HEADER_NAMES, lambda _: 10, lambda _: None, ByteBudget(1 << 30), EventLog("d-1")
-            )
+            local = make_local_upstream()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(upstream.serve)
                 local.apply_announcement(make_announcement(), upstream.address)
--- a/tests/services/test_upstream_crashes.py
+++ b/tests/services/test_upstream_crashes.py
@@ -9,17 +9,16 @@
 import trio
 
 from fulmarstile_daemon.services._attempt_progress import AttemptProgress
-from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
-from fulmarstile_daemon.services._upstream import LocalUpstream
-from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_services.slot_class import SlotClass
+from fulmarstile_testing.builders.service_mesh import make_local_upstream
 from fulmarstile_testing.builders.services import make_announcement
 from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
 from fulmarstile_wire.services import HopRequest
 
 if TYPE_CHECKING:
+    from fulmarstile_daemon.services._upstream import LocalUpstream
     from fulmarstile_wire.verdict import Verdict
 
 HOP = HopRequest("shop", "upstream-1", "web", SlotClass.URGENT, 5_000, 5_000, False, 1_000)
@@ -63,9 +62,7 @@
         async def run() -> None:
             listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
             port = listener.socket.getsockname()[1]
-            local = LocalUpstream(
-                HEADER_NAMES, lambda _: 10, suspects.extend, ByteBudget(1 << 30), EventLog("d-1")
-            )
+            local = make_local_upstream(on_suspects=suspects.extend)
             local.apply_announcement(make_announcement(slots=10), f"127.0.0.1:{port}")
             local._quarantine.on_completed(POPULAR, trio.current_time())
             async with trio.open_nursery() as nursery:
