Keep to the rate limit that an upstream names in its responses, summed over all daemons

Cause: no daemon read the header. Every request to an upstream passes through the daemon beside it, so the limit is kept there, by a token bucket in admission: a request waits for its turn while that is of use, and is refused at once as not run, with Retry-After, if it isn't. Ruled out: a share of the limit for each entry daemon, since they see unequal parts of the calls, and such shares break whenever one starts, freezes or is cut off. The knowledge outlives restarts: dated notices travel with each outcome, with each forwarded request, and in the member record, so that a daemon that restarts knows the limit before it admits a request of a daemon that was told. The balancer takes an upstream with a limit for one with as many slots as the rate keeps busy.

--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_calls.admission._customer_queue import CustomerQueue
+from fulmarstile_calls.admission._rate_bucket import RateBucket
 from fulmarstile_calls.admission._refusals import refuse, refuse_draining
 from fulmarstile_calls.admission._service_time import ServiceTimes
 from fulmarstile_calls.admission.admission import Admitted, Refused
@@ -41,7 +42,7 @@
     Each customer has its own queue; a free slot goes to the customer that has used the least
     slot time for its weight. When all queues together are full, a request is evicted from the
     longest one relative to its weight. Requests whose deadline cannot be met are refused at
-    once.
+    once. If the upstream has announced a rate limit, no more requests start than that.
 
     Args:
         settings: Limits of the upstream.
@@ -54,6 +55,7 @@
         self._waiting: dict[int, AdmissionTicket] = {}
         self._running: dict[int, _Running] = {}
         self._service_times = ServiceTimes(len(settings.class_weights))
+        self._rate_bucket = RateBucket()
         self._virtual_time = 0.0
         self._draining = False
 
@@ -77,6 +79,10 @@
         """Number of customers with a queue."""
         return len(self._customers)
 
+    def has_room(self, now: float) -> bool:
+        """Returns whether a request that arrives now is admitted without waiting."""
+        return not self._waiting and self._can_start(now)
+
     def on_arrival(self, ticket: AdmissionTicket, now: float) -> list[AdmissionEffect]:
         """See `Admission.on_arrival`."""
         if self._draining:
@@ -84,10 +90,10 @@
         if now >= ticket.deadline_s:
             return [self._refuse_deadline(ticket, 0.0)]
         queue = self._get_queue(ticket)
-        if not self._waiting and len(self._running) < self._slots:
+        if self.has_room(now):
             self._start(ticket, queue, now)
             return [Admitted(ticket.ticket_id)]
-        wait_s = self._estimate_wait(ticket, queue)
+        wait_s = self._estimate_wait(ticket, queue, now)
         service_s = self._service_times.for_class(ticket.priority).mean_s
         if now + wait_s + service_s > ticket.deadline_s:
             self._remove_if_idle(ticket.customer, queue)
@@ -126,6 +132,7 @@
         for ticket in [t for t in self._waiting.values() if self._will_miss_deadline(t, now)]:
             self._remove(ticket)
             effects.append(self._refuse_deadline(ticket, self._service_times.all.mean_s))
+        effects.extend(self._admit(now))
         self._remove_idle()
         return effects
 
@@ -134,6 +141,19 @@
         self._slots = max(0, min(slots, self._settings.connections))
         return self._admit(now)
 
+    def set_rate_limit(self, rate_limit: float, now: float) -> list[AdmissionEffect]:
+        """Changes the rate limit that the upstream has announced.
+
+        Args:
+            rate_limit: Requests per second; 0 for no limit.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Effects of a limit that was raised or lifted.
+        """
+        self._rate_bucket.set_rate_limit(rate_limit, now)
+        return self._admit(now)
+
     def begin_draining(self, now: float) -> list[AdmissionEffect]:
         """See `Admission.begin_draining`."""
         self._draining = True
@@ -151,7 +171,11 @@
         queue.weight = max(MIN_WEIGHT, ticket.weight)
         return queue
 
+    def _can_start(self, now: float) -> bool:
+        return len(self._running) < self._slots and self._rate_bucket.has_token(now)
+
     def _start(self, ticket: AdmissionTicket, queue: CustomerQueue, now: float) -> None:
+        self._rate_bucket.take()
         start = max(queue.virtual_time, self._virtual_time)
         self._virtual_time = start
         charged_s = self._service_times.for_class(ticket.priority).mean_s
@@ -192,7 +216,7 @@
 
     def _admit(self, now: float) -> list[AdmissionEffect]:
         effects: list[AdmissionEffect] = []
-        while self._waiting and len(self._running) < self._slots:
+        while self._waiting and self._can_start(now):
             queue = self._choose_queue()
             ticket = queue.pop_next()
             del self._waiting[ticket.ticket_id]
@@ -224,8 +248,8 @@
             return False
         return now + self._service_times.for_class(ticket.priority).slow_s > ticket.deadline_s
 
-    def _estimate_wait(self, ticket: AdmissionTicket, queue: CustomerQueue) -> float:
-        """Returns the estimated time until a request would get a slot, in seconds."""
+    def _estimate_wait(self, ticket: AdmissionTicket, queue: CustomerQueue, now: float) -> float:
+        """Returns the estimated time until a request would start, in seconds."""
         if self._slots == 0:
             return self._service_times.all.mean_s
         slot_s = self._service_times.all.mean_s / self._slots
@@ -233,8 +257,9 @@
         if not queue.size:
             total_weight += queue.weight
         ahead = queue.count_ahead(ticket.priority) + 1
-        fair_s = ahead * slot_s * total_weight / queue.weight
-        return min(fair_s, (len(self._waiting) + 1) * slot_s)
+        position = min(ahead * total_weight / queue.weight, len(self._waiting) + 1)
+        slot_wait_s = position * slot_s if len(self._running) >= self._slots else 0.0
+        return max(slot_wait_s, self._rate_bucket.wait_s(position, now))
 
     def _refuse_full(self, ticket: AdmissionTicket, wait_s: float) -> Refused:
         delay_s = self._spread_retry(ticket, wait_s)
@@ -244,6 +269,9 @@
 
     def _refuse_deadline(self, ticket: AdmissionTicket, wait_s: float) -> Refused:
         delay_s = self._spread_retry(ticket, wait_s)
+        if self._rate_bucket.is_limited and len(self._running) < self._slots:
+            detail = "the upstream's rate limit leaves no time before the deadline"
+            return Refused(ticket.ticket_id, refuse(RefusalReason.RATE_LIMITED, detail, delay_s))
         detail = "the deadline cannot be met"
         return Refused(ticket.ticket_id, refuse(RefusalReason.DEADLINE, detail, delay_s))
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
@@ -111,6 +111,10 @@
         if count != self._admission.slots:
             self._apply(self._admission.set_slots(count, trio.current_time()))
 
+    def set_rate_limit(self, rate_limit: float) -> None:
+        """Limits how many requests start per second; 0 for no limit."""
+        self._apply(self._admission.set_rate_limit(rate_limit, trio.current_time()))
+
     def refuse_all(self) -> None:
         """Refuses queued and later requests of this incarnation."""
         self._apply(self._admission.begin_draining(trio.current_time()))
@@ -150,7 +154,7 @@
         if progress.is_withdrawn:
             raise SlotRefusedError(_WITHDRAWN)
         admission = self._admission
-        has_room = admission.running < admission.slots and not admission.queued
+        has_room = admission.has_room(trio.current_time())
         ticket_id = self._next_ticket = self._next_ticket + 1
         ticket = AdmissionTicket(
             ticket_id,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -30,11 +30,11 @@
     from fulmarstile_daemon.services._attempt_progress import AttemptProgress
     from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_daemon.services._exchange import UpstreamResponse
+    from fulmarstile_daemon.services._notice_merger import NoticeMerger
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.ports import CallHeaderNames
     from fulmarstile_http.client_connection import ClientConnection
-    from fulmarstile_services.upstream_notices import UpstreamNotices
     from fulmarstile_services.upstream_registry import UpstreamAnnouncement
     from fulmarstile_wire.services import HopRequest, UpstreamNotice
 
@@ -46,6 +46,8 @@
 _POOL_SETTINGS: Final = PoolSettings(connect_timeout_s=0.5, fresh_connection_s=4.0)
 _MAX_STRAY_RESPONSES: Final = 8
 """Maximum number of responses to other requests that are skipped before a connection is dropped."""
+_RESPONSE_SOURCE: Final = "response"
+"""Source of notices that are read here, in the log."""
 _SERVICE_TIME_GAIN: Final = 0.05
 """Weight of a new value in the EWMA of service times."""
 _NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
@@ -60,7 +62,7 @@
         connection_limit: Returns the maximum number of connections of a service's upstream.
         on_suspects: Called with the fingerprints of the requests that were running when the
             upstream crashed.
-        notices: What upstreams have said about themselves.
+        notices: Merges what upstreams say about themselves.
         budget: Memory limit for responses.
         log: Log of the daemon.
     """
@@ -70,14 +72,14 @@
         names: CallHeaderNames,
         connection_limit: Callable[[str], int],
         on_suspects: Callable[[tuple[bytes, ...]], None],
-        notices: UpstreamNotices,
+        notices: NoticeMerger,
         budget: ByteBudget,
         log: EventLog,
     ) -> None:
         self._names = names
         self._connection_limit = connection_limit
         self._on_suspects = on_suspects
-        self._notices = notices
+        self._notice_merger = notices
         self._budget = budget
         self._log = log
         self._announcement: UpstreamAnnouncement | None = None
@@ -94,8 +96,6 @@
         self._is_stopping = False
         self.requests_sent = 0
         """Requests sent to any incarnation of the upstream."""
-        self.on_notice: Callable[[UpstreamNotice], None] = lambda _: None
-        """Called when a response of the upstream says something new about it."""
 
     @property
     def phase(self) -> MemberPhase:
@@ -132,7 +132,9 @@
     def notice(self) -> UpstreamNotice | None:
         """What the current incarnation has said about itself, if anything."""
         current = self._announcement
-        return None if current is None else self._notices.find(current.upstream_id, current.born_ms)
+        if current is None:
+            return None
+        return self._notice_merger.notices.find(current.upstream_id, current.born_ms)
 
     @property
     def rate_limit(self) -> float:
@@ -173,8 +175,13 @@
             self._slots.refuse_all()
         else:
             self._slots.resize(announcement.slots)
+        self.apply_notice()
         self._unreachable_until = -math.inf
 
+    def apply_notice(self) -> None:
+        """Applies what the upstream has said about itself."""
+        self._slots.set_rate_limit(self.rate_limit)
+
     def stop(self) -> None:
         """Refuses queued and later requests, because the daemon shuts down."""
         self._is_stopping = True
@@ -255,6 +262,7 @@
             service_ms=round(self._service_s * 1000, 2),
             class_service_ms=round(self._class_service_s.get(priority, 0.0) * 1000, 2),
             phase=self.phase,
+            notice=self.notice,
         )
 
     def _start(self, announcement: UpstreamAnnouncement, address: str) -> None:
@@ -339,7 +347,7 @@
         now_ms = int(time.time() * 1000)
         notice = reader.read(self.notice, rate_limit, leaves, response.head_at, now_ms)
         if notice is not None:
-            self.on_notice(notice)
+            self._notice_merger.merge(notice, _RESPONSE_SOURCE)
 
     async def _receive_matching(
         self, exchange: Exchange, request: ReceivedRequest
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from fulmarstile_daemon.services.events import NoticeLearned, RecordIgnored, UpstreamChanged
+from fulmarstile_daemon.services.events import RecordIgnored, UpstreamChanged
 from fulmarstile_services.upstream_registry import (
     AnnouncementOutcome,
     UpstreamAnnouncement,
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from fulmarstile_daemon.services._notice_merger import NoticeMerger
     from fulmarstile_daemon.services._upstream import LocalUpstream
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.membership import Membership
@@ -31,7 +32,11 @@
 """Maximum time that the acknowledgement of a departure waits for the store, in seconds."""
 _SYNC_TIMEOUT_S: Final = 0.2
 """Maximum time that it then waits for other daemons instead, in seconds."""
-_RESPONSE_SOURCE: Final = "response"
+_MIN_LIMIT_CHANGE: Final = 0.1
+"""Relative change of a rate limit that is published to all daemons.
+
+Those that send requests to the upstream learn of smaller ones, too.
+"""
 _RECOVERY_TIMEOUT_S: Final = 0.8
 """Maximum time that the first announcement waits for the records of the store, in seconds."""
 
@@ -47,6 +52,7 @@
         directory: Directory of the known daemons, with the record of this one.
         membership: Writes the record to the store.
         upstream: Upstream on this VM.
+        notices: Merges what upstreams say about themselves.
         log: Log of the daemon.
     """
 
@@ -56,6 +62,7 @@
         directory: Directory,
         membership: Membership,
         upstream: LocalUpstream,
+        notices: NoticeMerger,
         log: EventLog,
     ) -> None:
         self._address = settings.upstream_address
@@ -64,11 +71,12 @@
         self._directory = directory
         self._membership = membership
         self._upstream = upstream
+        self._notices = notices
         self._log = log
         self._registry = UpstreamRegistry(settings.announce_interval_s)
         self.sync_daemons: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
         """Sends the record to other daemons when the store is unavailable."""
-        upstream.on_notice = self.on_notice
+        notices.on_change = self.on_notice
 
     async def announce(self, announcement: UpstreamAnnouncement) -> None:
         """See `UpstreamEvents.announce`."""
@@ -107,25 +115,19 @@
                 )
             )
 
-    def on_notice(self, notice: UpstreamNotice, source: str = _RESPONSE_SOURCE) -> None:
-        """Processes what an upstream says about itself in its responses.
+    def on_notice(self, notice: UpstreamNotice) -> None:
+        """Applies what an upstream says about itself, if it is the one on this VM.
 
         Args:
-            notice: The notice.
-            source: Where it comes from, for the log.
+            notice: Notice by which more is known than before.
         """
-        if self._directory.notices.merge(notice):
-            self._log.write(
-                NoticeLearned(
-                    upstream=notice.upstream_id,
-                    born_ms=notice.upstream_born_ms,
-                    rate_limit=notice.rate_limit,
-                    leaves=notice.leaves,
-                    dated_ms=notice.dated_ms,
-                    source=source,
-                    requests_sent=self._upstream.requests_sent,
-                )
-            )
+        if self._upstream.notice is None or notice.upstream_id != self._upstream.notice.upstream_id:
+            return
+        self._upstream.apply_notice()
+        published = self._directory.local_member.notice
+        limit = 0.0 if published is None else published.rate_limit
+        if abs(self._upstream.rate_limit - limit) > limit * _MIN_LIMIT_CHANGE:
+            self._publish_record()
 
     async def stop(self) -> None:
         """Publishes to all daemons that this one is stopping."""
@@ -146,6 +148,7 @@
         record = self._directory.previous_record
         if record is None or not record.upstream_id:
             return
+        self._notices.merge(record.notice, record.name)
         phase = UpstreamPhase.LEAVING if record.upstream_leaves else UpstreamPhase.READY
         if phase is UpstreamPhase.READY and (
             self._registry.current is not None or not self._membership.is_caught_up.is_set()
@@ -220,6 +223,7 @@
                 upstream_leaves=current.phase is UpstreamPhase.LEAVING,
                 slots=current.slots,
                 cold_left_s=current.cold_left_s,
+                notice=self._upstream.notice,
             )
         self._directory.update_local_member(local_member)
         self._membership.publish()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -18,6 +18,7 @@
 from fulmarstile_daemon.services._graceful_shutdown import GracefulShutdown
 from fulmarstile_daemon.services._link_server import LinkServer
 from fulmarstile_daemon.services._links import DaemonLinks
+from fulmarstile_daemon.services._notice_merger import NoticeMerger
 from fulmarstile_daemon.services._request_server import RequestServer
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
@@ -101,9 +102,12 @@
         self._routes = ActiveRoutes()
         self._metrics = ServiceMetrics()
         self._directory = Directory(local_member)
-        self._membership = Membership(self._directory, log, self._on_members)
+        notices = NoticeMerger(self._directory, log)
+        self._membership = Membership(self._directory, notices, log, self._on_members)
         self._documents = ActiveDocument(platform, self._routes, log)
-        self._balancer = LeastWaitBalancer(BalancingSettings(), settings.availability_zone, rng)
+        self._balancer = LeastWaitBalancer(
+            BalancingSettings(), settings.availability_zone, rng, self._directory.notices
+        )
         bounds = settings.bounds
         self._membership.is_reader = lambda: is_reader(self._directory, self._balancer.is_reachable)
         self._retry_budget = RetryBudget(bounds.retry_ratio, bounds.retry_burst)
@@ -113,12 +117,12 @@
             names,
             self._documents.connection_limit,
             self._membership.report_crash,
-            self._directory.notices,
+            notices,
             self._byte_budget,
             log,
         )
         self._announcements = UpstreamAnnouncements(
-            settings, self._directory, self._membership, self._upstream, log
+            settings, self._directory, self._membership, self._upstream, notices, log
         )
         self._membership.on_recovered = self._announcements.restore_upstream
         self._entry = CallEntry(
@@ -128,6 +132,7 @@
             self._directory,
             self._balancer,
             self._retry_budget,
+            notices,
             self._upstream,
             self._links,
             self._metrics,
@@ -145,7 +150,9 @@
         )
         self._announcements.sync_daemons = self._gossip.sync_now
         self._body_admission = BodyAdmission(settings.link_kbps * _BYTES_PER_KBIT)
-        self._hops = HopServer(names, self._directory, self._upstream, self._body_admission, log)
+        self._hops = HopServer(
+            names, self._directory, notices, self._upstream, self._body_admission, log
+        )
         connections = max(
             64, int((settings.descriptor_limit - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE)
         )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -40,6 +40,7 @@
     from collections.abc import Awaitable, Callable
 
     from fulmarstile_daemon.services._links import DaemonLinks
+    from fulmarstile_daemon.services._notice_merger import NoticeMerger
     from fulmarstile_daemon.services._request_scope import RequestScope
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_daemon.services._upstream import LocalUpstream
@@ -73,6 +74,7 @@
         directory: Directory of the known daemons.
         balancer: Selects upstreams.
         budget: Retry budget.
+        notices: Merges what upstreams say about themselves.
         upstream: Upstream on this VM.
         links: Connections to other daemons.
         metrics: Counters.
@@ -87,6 +89,7 @@
         directory: Directory,
         balancer: LeastWaitBalancer,
         budget: RetryBudget,
+        notices: NoticeMerger,
         upstream: LocalUpstream,
         links: DaemonLinks,
         metrics: ServiceMetrics,
@@ -101,6 +104,7 @@
         self._retry_policy = RetryPolicy(budget)
         self._hedge_timer = HedgeTimer()
         self._hedges = HedgeScheduler()
+        self._notices = notices
         self._upstream = upstream
         self._links = links
         self._metrics = metrics
@@ -290,11 +294,13 @@
             call.route.is_idempotent,
             max(1, int(call.route.target_latency_s * 1000)),
             call.fingerprint,
+            self._directory.notices.find_for(member),
         )
         self._balancer.on_sent(member, now)
         result: AttemptResult | None = None
         try:
             result = await self._send(call, member, hop, progress)
+            self._notices.merge(result.outcome.notice, member.name)
             if result.outcome.verdict is Verdict.NOT_RUN:
                 call.unresolved.remove(progress)
             return result
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -219,9 +219,7 @@
     dated_ms: int
     """Time at which the daemon beside it read this, in milliseconds since the epoch."""
     source: str
-    """`response` of the upstream on this VM, or name of the daemon that passed it on."""
-    requests_sent: int = 0
-    """Requests sent to the upstream on this VM since this daemon started."""
+    """`response` of the upstream on this VM, `request` of another daemon, or the daemon asked."""
 
 
 class RecordIgnored(LogEvent, tag="record_ignored"):
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
@@ -20,12 +20,15 @@
 if TYPE_CHECKING:
     from fulmarstile_daemon.services._attempt_progress import AttemptProgress
     from fulmarstile_daemon.services._body_admission import BodyAdmission
+    from fulmarstile_daemon.services._notice_merger import NoticeMerger
     from fulmarstile_daemon.services._upstream import LocalUpstream
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.ports import CallHeaderNames
     from fulmarstile_services.directory import Directory
     from fulmarstile_wire.services import HopCall, HopOutcome
 
+_REQUEST_SOURCE: Final = "request"
+"""Source of notices that come with forwarded requests, in the log."""
 _MIN_LOGGED_WAIT_S: Final = 0.01
 """Waiting time from which a refusal is logged here, in seconds."""
 
@@ -36,6 +39,7 @@
     Args:
         names: Names of headers.
         directory: Directory of the known daemons.
+        notices: Merges what upstreams say about themselves.
         upstream: Upstream on this VM.
         body_admission: Admits large request bodies to the link of this VM.
         log: Log of the daemon.
@@ -45,12 +49,14 @@
         self,
         names: CallHeaderNames,
         directory: Directory,
+        notices: NoticeMerger,
         upstream: LocalUpstream,
         body_admission: BodyAdmission,
         log: EventLog,
     ) -> None:
         self._names = names
         self._directory = directory
+        self._notices = notices
         self._upstream = upstream
         self._body_admission = body_admission
         self._log = log
@@ -71,6 +77,7 @@
         """
         arrived_at = trio.current_time()
         hop = call.hop
+        self._notices.merge(hop.notice, _REQUEST_SOURCE)
         headers = MessageHeaders(end_to_end=call.headers)
         request = ReceivedRequest(call.method, call.target, headers, call.body, arrived_at)
         if self._directory.is_suspect(hop.fingerprint):
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from fulmarstile_daemon.services._notice_merger import NoticeMerger
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
     from fulmarstile_services.directory import Directory
@@ -49,12 +50,20 @@
 
     Args:
         directory: Directory of the known daemons.
+        notices: Merges what upstreams say about themselves.
         log: Log of the daemon.
         on_change: Called when a record has changed.
     """
 
-    def __init__(self, directory: Directory, log: EventLog, on_change: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        notices: NoticeMerger,
+        log: EventLog,
+        on_change: Callable[[], None],
+    ) -> None:
         self._directory = directory
+        self._notices = notices
         self._log = log
         self._on_change = on_change
         self._write_requested = trio.Event()
@@ -111,6 +120,7 @@
         local_order = self._directory.local_member.order
         changed = self._directory.merge_members(members)
         for member in changed:
+            self._notices.merge(member.notice, member.name)
             self._log.write(
                 MemberChanged(
                     member=member.name,
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     import random
 
+    from fulmarstile_services.upstream_notices import UpstreamNotices
     from fulmarstile_wire.services import HopOutcome, Member
 
 _MIN_REMOTE_CANDIDATES: Final = 2
@@ -28,12 +29,21 @@
 _EXPLORATION_RATIO: Final = 0.1
 """Fraction of small requests that go to an upstream which this daemon hasn't used lately."""
 _UNTRIED_AFTER_S: Final = 2.0
+_LIMITED_UNTRIED_AFTER_S: Final = 10.0
+"""Like `_UNTRIED_AFTER_S`, for an upstream that has announced a rate limit, in seconds.
+
+Every daemon explores it, and its limit holds for all of them together.
+"""
+_MIN_LIMITED_SLOTS: Final = 0.05
+"""Lower bound of the slots that a rate limit can keep busy."""
 _SMALL_BODY_BYTES: Final = 4096
 """Largest body of a request that explores an upstream or measures its network delay, in bytes."""
 _IGNORED_NETWORK_DELAY_S: Final = 0.02
 """Part of the round-trip network delay that is ignored in the expected latency, in seconds."""
 _MIN_REFUSAL_HOLD_S: Final = 0.015
 _MAX_REFUSAL_HOLD_S: Final = 0.05
+_MAX_LIMIT_HOLD_S: Final = 0.2
+"""Like `_MAX_REFUSAL_HOLD_S`, for a refusal because of an announced rate limit, in seconds."""
 _REFUSAL_HOLD_RATIO: Final = 0.25
 """Fraction of a refusal's retry delay for which the upstream gets no such requests."""
 
@@ -96,7 +106,7 @@
         self.error_rate = 0.0
         self.held_until: dict[int, float] = {}
         """Times until which a refusal holds back requests of its priority and less urgent ones."""
-        self.tried_at = now - _UNTRIED_AFTER_S
+        self.tried_at = now - _LIMITED_UNTRIED_AFTER_S
 
     def is_held(self, priority: int, now: float) -> bool:
         """Returns whether an equally or more urgent request was refused a moment ago."""
@@ -109,12 +119,13 @@
             refused <= priority and now < until for refused, until in self.held_until.items()
         )
 
-    def is_untried(self, now: float) -> bool:
+    def is_untried(self, rate_limit: float, now: float) -> bool:
         """Returns whether this daemon has sent nothing to the upstream for a while."""
-        return now - self.tried_at >= _UNTRIED_AFTER_S and not self.in_flight
+        untried_after_s = _LIMITED_UNTRIED_AFTER_S if rate_limit else _UNTRIED_AFTER_S
+        return now - self.tried_at >= untried_after_s and not self.in_flight
 
     def expect_latency_s(
-        self, slots: int, priority: int, typical: _TypicalTimes, now: float
+        self, slots: int, rate_limit: float, priority: int, typical: _TypicalTimes, now: float
     ) -> float:
         """Returns the expected time to an answer.
 
@@ -123,6 +134,8 @@
 
         Args:
             slots: Slots of the upstream.
+            rate_limit: Requests per second that it accepts; 0 for no limit. Such an upstream is
+                treated as if it had only the slots that this rate keeps busy.
             priority: Priority of the request.
             typical: Mean service times over the compared upstreams.
             now: Current time in seconds.
@@ -131,8 +144,11 @@
             The time in seconds, increased for an upstream that fails.
         """
         freshness = self._freshness(now)
-        load = (self.reported_load * freshness + self.in_flight + 1) / slots
         service_s = self.service_s or typical.service_s
+        usable_slots: float = slots
+        if rate_limit:
+            usable_slots = min(slots, max(_MIN_LIMITED_SLOTS, rate_limit * service_s))
+        load = (self.reported_load * freshness + self.in_flight + 1) / usable_slots
         priority_service_s = (
             self.service_s_by_priority.get(priority)
             or typical.priority_service_s * service_s / typical.service_s
@@ -180,14 +196,20 @@
         settings: Settings.
         availability_zone: Availability zone of this daemon.
         random: Source of randomness.
+        notices: What upstreams have said about themselves.
     """
 
     def __init__(
-        self, settings: BalancingSettings, availability_zone: str, random: random.Random
+        self,
+        settings: BalancingSettings,
+        availability_zone: str,
+        random: random.Random,
+        notices: UpstreamNotices,
     ) -> None:
         self._settings = settings
         self._availability_zone = availability_zone
         self._random = random
+        self._notices = notices
         self._observations: dict[str, _Observation] = {}
         self._unreachable: set[str] = set()
         self._candidates: dict[str, Candidates] = {}
@@ -251,7 +273,11 @@
             return None
         is_small = size <= _SMALL_BODY_BYTES
         if is_small and self._random.random() < _EXPLORATION_RATIO:
-            untried = [member for member, observation in usable if observation.is_untried(now)]
+            untried = [
+                member
+                for member, observation in usable
+                if observation.is_untried(self._find_rate_limit(member), now)
+            ]
             if untried:
                 return self._random.choice(untried)
         typical = _average_times(usable, priority)
@@ -261,7 +287,10 @@
         best: Member | None = None
         best_s = math.inf
         for member, observation in usable:
-            expected_s = observation.expect_latency_s(max(1, member.slots), priority, typical, now)
+            rate_limit = self._find_rate_limit(member)
+            expected_s = observation.expect_latency_s(
+                max(1, member.slots), rate_limit, priority, typical, now
+            )
             if member.availability_zone != self._availability_zone:
                 expected_s += penalty_s
             if not is_small:
@@ -316,7 +345,9 @@
         is_refused = outcome.reason and outcome.reason != RefusalReason.LINK_BUSY.value
         if is_refused and not outcome.reached_upstream:
             hold_s = outcome.retry_after_ms / 1000 * _REFUSAL_HOLD_RATIO
-            hold_s = min(_MAX_REFUSAL_HOLD_S, max(_MIN_REFUSAL_HOLD_S, hold_s))
+            is_limited = outcome.reason == RefusalReason.RATE_LIMITED.value
+            max_hold_s = _MAX_LIMIT_HOLD_S if is_limited else _MAX_REFUSAL_HOLD_S
+            hold_s = min(max_hold_s, max(_MIN_REFUSAL_HOLD_S, hold_s))
             observation.held_until[priority] = now + hold_s
 
     def on_network_delay(self, member: Member, size: int, network_delay_s: float) -> None:
@@ -334,6 +365,10 @@
                 max(0.0, network_delay_s) - observation.network_delay_s
             )
 
+    def _find_rate_limit(self, member: Member) -> float:
+        notice = self._notices.find_for(member)
+        return 0.0 if notice is None else notice.rate_limit
+
     def _observe(self, member: Member, now: float) -> _Observation:
         observation = self._observations.get(member.name)
         if observation is None or observation.upstream_id != member.upstream_id:
--- a/packages/fulmarstile_services/src/fulmarstile_services/directory.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/directory.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from fulmarstile_wire.services import CrashReport, Member
+    from fulmarstile_wire.services import CrashReport, Member, UpstreamNotice
 
 MAX_CRASH_REPORTS: Final = 512
 """Maximum number of crash reports kept; the oldest are dropped first."""
@@ -175,6 +175,17 @@
             news.append(member)
         return tuple(news)
 
+    def merge_notice(self, notice: UpstreamNotice) -> bool:
+        """Merges what an upstream has said about itself.
+
+        Args:
+            notice: Notice from any source, old or new.
+
+        Returns:
+            Whether more is known than before.
+        """
+        return self.notices.merge(notice)
+
     def update_local_member(self, local_member: Member) -> Member:
         """Replaces the record of this daemon, with the next revision.
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_cores.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_cores.py
@@ -31,6 +31,7 @@
 from fulmarstile_config.document import Limit, RetryRule
 from fulmarstile_platform.log import LogRecord
 from fulmarstile_services.balancing import BalancingSettings, LeastWaitBalancer
+from fulmarstile_services.upstream_notices import UpstreamNotices
 from fulmarstile_testing.builders.calls import (
     EPOCH_MS,
     make_endpoint,
@@ -105,7 +106,7 @@
         make_member(f"daemon-{number}", availability_zone=zones[number % len(zones)])
         for number in range(upstreams)
     )
-    balancer = LeastWaitBalancer(BalancingSettings(), zones[0], random.Random(1))
+    balancer = LeastWaitBalancer(BalancingSettings(), zones[0], random.Random(1), UpstreamNotices())
     outcome = HopOutcome(Verdict.RAN, reached_upstream=True, service_ms=50.0, slots=4, running=2)
     for member in members:
         balancer.on_sent(member, 0.0)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
@@ -10,12 +10,18 @@
 import trio
 
 from fulmarstile_daemon.services._byte_budget import ByteBudget
+from fulmarstile_daemon.services._notice_merger import NoticeMerger
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services.daemon import ServiceDaemon
 from fulmarstile_daemon.services.event_log import EventLog
+from fulmarstile_services.directory import Directory
 from fulmarstile_services.settings import Listeners, NodeSettings
-from fulmarstile_services.upstream_notices import UpstreamNotices
-from fulmarstile_testing.builders.services import make_announcement, make_document, make_route
+from fulmarstile_testing.builders.services import (
+    make_announcement,
+    make_document,
+    make_member,
+    make_route,
+)
 from fulmarstile_testing.fakes.keyed_log import FakeKeyedLog
 from fulmarstile_testing.fakes.service_platform import (
     DOCUMENT_KEY,
@@ -259,17 +265,18 @@
     *,
     connections: int = 10,
     budget: ByteBudget | None = None,
-    notices: UpstreamNotices | None = None,
+    notices: NoticeMerger | None = None,
     on_suspects: Callable[[tuple[bytes, ...]], None] = lambda _: None,
 ) -> LocalUpstream:
     """Makes the part of a daemon that sends requests to the upstream on its VM."""
+    log = EventLog("daemon-1")
     return LocalUpstream(
         HEADER_NAMES,
         lambda _: connections,
         on_suspects,
-        notices or UpstreamNotices(),
+        notices or NoticeMerger(Directory(make_member()), log),
         budget or ByteBudget(1 << 30),
-        EventLog("daemon-1"),
+        log,
     )
 
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_service.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_service.py
@@ -15,6 +15,7 @@
 
 from fulmarstile_calls.admission import AdmissionSettings, Admitted, FairAdmission, Refused
 from fulmarstile_services.balancing import BalancingSettings, LeastWaitBalancer
+from fulmarstile_services.upstream_notices import UpstreamNotices
 from fulmarstile_testing.builders.calls import make_ticket
 from fulmarstile_testing.builders.services import make_member
 from fulmarstile_testing.virtual_time import VirtualTime
@@ -111,7 +112,9 @@
         self._services_s = dict.fromkeys(self._admissions, 0.0)
         self._zones = [zones[number % len(zones)] for number in range(entries)]
         self._balancers = [
-            LeastWaitBalancer(settings, zone, random.Random(seed * 1000 + number))
+            LeastWaitBalancer(
+                settings, zone, random.Random(seed * 1000 + number), UpstreamNotices()
+            )
             for number, zone in enumerate(self._zones)
         ]
         self._requests: dict[int, _Request] = {}
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -74,6 +74,8 @@
     """Remaining warm-up time of the upstream when this record was written, in seconds."""
     link_kbps: int = 0
     """Capacity of the VM's network link, in kilobits per second; 0 if unknown."""
+    notice: UpstreamNotice | None = None
+    """What the upstream has said about itself, when this record was written."""
 
     @property
     def order(self) -> tuple[int, int]:
@@ -104,6 +106,8 @@
     target_ms: int
     """Target latency of the route, within which an answer has its full value, in milliseconds."""
     fingerprint: bytes = b""
+    notice: UpstreamNotice | None = None
+    """What the sender knows the upstream to have said about itself."""
 
 
 class HopOutcome(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
@@ -126,6 +130,8 @@
     """Expected wait of a large body offered now until it may be sent, in milliseconds."""
     class_service_ms: float = 0.0
     """Like `service_ms`, but only for requests of the same priority as this one."""
+    notice: UpstreamNotice | None = None
+    """What the upstream has said about itself."""
 
 
 class SyncRequest(msgspec.Struct, frozen=True, omit_defaults=True):
