--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
@@ -149,10 +149,12 @@
             now: Monotonic time in seconds.
 
         Returns:
-            Effects of a limit that was raised or lifted.
+            Effects on waiting requests: those that can start now are admitted, those that the limit
+            leaves no time are refused.
         """
         self._rate_bucket.set_rate_limit(rate_limit, now)
-        return self._admit(now)
+        effects = self._admit(now)
+        return effects + self._refuse_over_limit(now)
 
     def begin_draining(self, now: float) -> list[AdmissionEffect]:
         """See `Admission.begin_draining`."""
@@ -171,6 +173,22 @@
         queue.weight = max(MIN_WEIGHT, ticket.weight)
         return queue
 
+    def _refuse_over_limit(self, now: float) -> list[AdmissionEffect]:
+        """Refuses the waiting requests that the rate limit won't let start before their deadline.
+
+        The more urgent classes are assumed to start first.
+        """
+        effects: list[AdmissionEffect] = []
+        position = 0
+        for ticket in sorted(self._waiting.values(), key=_by_urgency):
+            wait_s = self._rate_bucket.wait_s(position + 1, now)
+            if now + wait_s > ticket.deadline_s:
+                self._remove(ticket)
+                effects.append(self._refuse_deadline(ticket, wait_s))
+            else:
+                position += 1
+        return effects
+
     def _can_start(self, now: float) -> bool:
         return len(self._running) < self._slots and self._rate_bucket.has_token(now)
 
@@ -293,5 +311,9 @@
             self._remove_if_idle(customer, queue)
 
 
+def _by_urgency(ticket: AdmissionTicket) -> tuple[int, int]:
+    return ticket.priority, ticket.ticket_id
+
+
 def _weighted_size(queue: CustomerQueue) -> float:
     return queue.size / queue.weight
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -19,7 +19,7 @@
 from fulmarstile_http.client_connection import ExchangeError
 from fulmarstile_http.connection_pool import ConnectionPool, PoolSettings
 from fulmarstile_services.slot_class import SlotClass
-from fulmarstile_services.upstream_notices import NoticeReader, parse_rate_limit
+from fulmarstile_services.upstream_notices import AnnouncingResponse, NoticeReader, parse_rate_limit
 from fulmarstile_services.upstream_registry import UpstreamPhase
 from fulmarstile_wire.services import HopOutcome, MemberPhase
 from fulmarstile_wire.verdict import Verdict
@@ -343,9 +343,15 @@
             reason = f"its rate limit is not a decimal number: {value[:40]!r}"
             self._log.write(RecordIgnored(source="response", reason=reason))
             return
-        leaves = bool(response.headers.get_bytes(self._names.leaving))
-        now_ms = int(time.time() * 1000)
-        notice = reader.read(self.notice, rate_limit, leaves, response.head_at, now_ms)
+        headers = response.headers
+        is_run = not headers.get_bytes(self._names.not_run)
+        said = AnnouncingResponse(
+            rate_limit,
+            leaves=bool(headers.get_bytes(self._names.leaving)),
+            is_proven=is_run and bool(headers.get_bytes(self._names.response_signature)),
+            head_at=response.head_at,
+        )
+        notice = reader.read(self.notice, said, int(time.time() * 1000))
         if notice is not None:
             self._notice_merger.merge(notice, _RESPONSE_SOURCE)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
@@ -37,6 +37,8 @@
 
 Those that send requests to the upstream learn of smaller ones, too.
 """
+_LIMIT_PUBLISH_INTERVAL_S: Final = 1.0
+"""Minimum time between publications of a rate limit that keeps changing, in seconds."""
 _RECOVERY_TIMEOUT_S: Final = 0.8
 """Maximum time that the first announcement waits for the records of the store, in seconds."""
 
@@ -68,6 +70,7 @@
         self._address = settings.upstream_address
         self._is_recovered = settings.is_first_start
         self._unconfirmed: UpstreamAnnouncement | None = None
+        self._published_at = 0.0
         self._directory = directory
         self._membership = membership
         self._upstream = upstream
@@ -127,9 +130,7 @@
             self._apply_current("left")
             return
         self._upstream.apply_notice()
-        published = self._directory.local_member.notice
-        limit = 0.0 if published is None else published.rate_limit
-        if abs(self._upstream.rate_limit - limit) > limit * _MIN_LIMIT_CHANGE:
+        if self._should_publish_limit(self._upstream.rate_limit):
             self._publish_record()
 
     async def stop(self) -> None:
@@ -191,6 +192,15 @@
             return False
         return announcement.sequence > earlier.sequence
 
+    def _should_publish_limit(self, limit: float) -> bool:
+        published = self._directory.local_member.notice
+        published_limit = 0.0 if published is None else published.rate_limit
+        if not limit or not published_limit:
+            return limit != published_limit
+        age_s = trio.current_time() - self._published_at
+        change = abs(limit - published_limit)
+        return age_s >= _LIMIT_PUBLISH_INTERVAL_S and change > published_limit * _MIN_LIMIT_CHANGE
+
     def _record_announced_drain(self) -> bool:
         """Records that the upstream is leaving if it has said so in a response.
 
@@ -247,4 +257,5 @@
                 notice=self._upstream.notice,
             )
         self._directory.update_local_member(local_member)
+        self._published_at = trio.current_time()
         self._membership.publish()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -294,7 +294,7 @@
             call.route.is_idempotent,
             max(1, int(call.route.target_latency_s * 1000)),
             call.fingerprint,
-            self._directory.notices.find_for(member),
+            self._directory.notices.find_restriction(member),
         )
         self._balancer.on_sent(member, now)
         result: AttemptResult | None = None
--- a/packages/fulmarstile_services/src/fulmarstile_services/upstream_notices.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/upstream_notices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -47,6 +48,11 @@
         """Returns the notice of the upstream beside a daemon, or None."""
         return self.find(member.upstream_id, member.upstream_born_ms)
 
+    def find_restriction(self, member: Member) -> UpstreamNotice | None:
+        """Returns the notice of the upstream beside a daemon if it is restrictive, or None."""
+        notice = self.find_for(member)
+        return notice if notice is not None and notice.is_restrictive else None
+
     def has_left(self, member: Member) -> bool:
         """Returns whether the upstream beside a daemon has said that it leaves."""
         notice = self.find_for(member)
@@ -79,6 +85,20 @@
         return True
 
 
+@dataclass(frozen=True, slots=True)
+class AnnouncingResponse:
+    """What one response says about the upstream that sent it."""
+
+    rate_limit: float | None
+    """Rate limit in requests per second; None if the response names none."""
+    leaves: bool
+    """Whether it says that the upstream leaves."""
+    is_proven: bool
+    """Whether it is certainly a response of the upstream to a request that it ran."""
+    head_at: float
+    """Time at which its head arrived, in seconds."""
+
+
 class NoticeReader:
     """Derives the notices of one incarnation of an upstream from its responses.
 
@@ -96,39 +116,36 @@
     def read(
         self,
         known: UpstreamNotice | None,
-        rate_limit: float | None,
-        leaves: bool,
-        head_at: float,
+        response: AnnouncingResponse,
         now_ms: int,
     ) -> UpstreamNotice | None:
         """Reads what a response says.
 
         Args:
             known: Notice known so far, from whatever source.
-            rate_limit: Rate limit in the response, in requests per second; None without one.
-            leaves: Whether the response says that the upstream leaves.
-            head_at: Time at which the head of the response arrived, in seconds.
+            response: The response.
             now_ms: Current time in milliseconds since the epoch.
 
         Returns:
             A new notice; None if the response says nothing new, or is older than the last one.
         """
         limit = known.rate_limit if known is not None else 0.0
-        if head_at >= self._last_head_at:
-            self._last_head_at = head_at
-            limit = self._read_limit(limit, rate_limit)
+        leaves = response.leaves
+        if response.head_at >= self._last_head_at:
+            self._last_head_at = response.head_at
+            limit = self._read_limit(limit, response)
         has_left = known is not None and known.leaves
         if limit == (known.rate_limit if known is not None else 0.0) and (has_left or not leaves):
             return None
         dated_ms = now_ms if known is None else max(now_ms, known.dated_ms + 1)
         return UpstreamNotice(self._upstream_id, self._born_ms, dated_ms, limit, leaves or has_left)
 
-    def _read_limit(self, known_limit: float, rate_limit: float | None) -> float:
+    def _read_limit(self, known_limit: float, response: AnnouncingResponse) -> float:
         """Returns the rate limit that holds after a response."""
-        if rate_limit is not None:
+        if response.rate_limit is not None:
             self._unlimited_responses = 0
-            return rate_limit
-        self._unlimited_responses += 1
+            return response.rate_limit
+        self._unlimited_responses += response.is_proven
         return 0.0 if self._unlimited_responses >= _RESPONSES_TO_LIFT else known_limit
 
 
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -51,6 +51,11 @@
     leaves: bool = False
     """Whether it leaves; it never accepts requests again."""
 
+    @property
+    def is_restrictive(self) -> bool:
+        """Whether the upstream accepts fewer requests than without this notice."""
+        return self.leaves or self.rate_limit > 0.0
+
 
 class Member(msgspec.Struct, frozen=True, omit_defaults=True):
     """A daemon and the upstream beside it; a higher (incarnation, revision) replaces a lower."""
--- a/tests/calls/test_admission_rates.py
+++ b/tests/calls/test_admission_rates.py
@@ -80,6 +80,17 @@
         self.perform(self.admission.set_rate_limit(0.0, self.now))
         self.assertEqual(len(self.starts), 4)
 
+    def test_what_waits_for_a_slot_is_refused_when_a_limit_leaves_it_no_time(self) -> None:
+        for number in range(SLOTS):
+            ticket = make_ticket(1_000 + number)
+            self.admission.on_arrival(ticket, self.now)
+        for priority in (1, 1, 1, 0):
+            self.arrive(1.2, priority)
+        self.assertEqual(self.admission.queued, 4)
+        self.perform(self.admission.set_rate_limit(1.0, self.now))
+        self.assertEqual(self.admission.queued, 2)
+        self.assertEqual([refused.ticket_id for refused in self.refusals], [2, 3])
+
     def test_a_limit_that_changes_all_the_time_gives_no_extra_starts(self) -> None:
         for number in range(600):
             self.admission.set_rate_limit(RATE_LIMIT - number % 2, self.now)
--- a/tests/services/test_upstream_notices.py
+++ b/tests/services/test_upstream_notices.py
@@ -6,6 +6,7 @@
 
 from fulmarstile_services.upstream_notices import (
     MIN_RATE_LIMIT,
+    AnnouncingResponse,
     NoticeReader,
     UpstreamNotices,
     parse_rate_limit,
@@ -59,10 +60,18 @@
         self.reader = NoticeReader("upstream-1", 1_000)
         self.notices = UpstreamNotices()
 
-    def read(self, limit: float | None, head_at: float, *, leaves: bool = False) -> float:
+    def read(
+        self,
+        limit: float | None,
+        head_at: float,
+        *,
+        leaves: bool = False,
+        proven: bool = True,
+    ) -> float:
         """Reads a response and returns the rate limit that holds then."""
         known = self.notices.find("upstream-1", 1_000)
-        notice = self.reader.read(known, limit, leaves, head_at, now_ms=5_000)
+        response = AnnouncingResponse(limit, leaves, proven, head_at)
+        notice = self.reader.read(known, response, now_ms=5_000)
         if notice is not None:
             self.notices.merge(notice)
         known = self.notices.find("upstream-1", 1_000)
@@ -75,6 +84,11 @@
         self.assertEqual(self.read(None, 4.0), 6.0)
         self.assertEqual(self.read(None, 5.0), 0.0)
 
+    def test_responses_of_requests_that_did_not_run_do_not_end_a_limit(self) -> None:
+        self.assertEqual(self.read(8.1, 1.0), 8.1)
+        for head_at in (2.0, 3.0, 4.0):
+            self.assertEqual(self.read(None, head_at, proven=False), 8.1)
+
     def test_a_response_that_began_before_another_one_changes_nothing(self) -> None:
         self.assertEqual(self.read(8.1, 2.0), 8.1)
         self.assertEqual(self.read(20.0, 1.0), 8.1)
@@ -93,5 +107,6 @@
     def test_a_response_that_says_nothing_new_makes_no_notice(self) -> None:
         self.read(8.0, 1.0, leaves=True)
         known = self.notices.find("upstream-1", 1_000)
-        self.assertIsNone(self.reader.read(known, 8.0, True, 2.0, now_ms=9_000))
-        self.assertIsNone(self.reader.read(known, 8.0, False, 3.0, now_ms=9_000))
+        for leaves in (True, False):
+            response = AnnouncingResponse(8.0, leaves, True, 2.0)
+            self.assertIsNone(self.reader.read(known, response, now_ms=9_000))
