--- a/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
@@ -47,7 +47,7 @@
     target: str
     headers: dict[bytes, bytes]
     body_bytes: int = 0
-    arrived_at: float = field(default_factory=trio.current_time)
+    arrived_at: float = 0.0
     """Time at which its head arrived, in seconds."""
     ran: bool = False
     was_left: bool = False
@@ -133,7 +133,10 @@
         query = dict(parse_qsl(head.target.decode().partition("?")[2]))
         fault = query.get("fault", "")
         served = ServedRequest(
-            headers.get(self._names.request_id, b"").decode(), head.target.decode(), headers
+            headers.get(self._names.request_id, b"").decode(),
+            head.target.decode(),
+            headers,
+            arrived_at=trio.current_time(),
         )
         self.record.requests.append(served)
         if fault == FAULT_EARLY:
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -7,6 +7,11 @@
 import trio
 
 from fulmarstile_adapter_testing.soak import SoakSettings, run_soak
+from fulmarstile_adapter_testing.soak_notices import (
+    AnnouncedPeriod,
+    NoticeHistory,
+    find_notice_violations,
+)
 from fulmarstile_adapter_testing.soak_rules import CallRecord, find_violations
 from fulmarstile_platform.http import HttpResponse
 from fulmarstile_testing.service_upstream import ServedRequest, UpstreamRecord
@@ -61,6 +66,48 @@
         (violation,) = find_violations([make_call(200, upstream="i-2")], make_records(i_1=1, i_2=0))
         self.assertIn("did not run it", violation)
 
+    def test_more_requests_than_an_announced_limit_are_detected(self) -> None:
+        period = AnnouncedPeriod("i-1", began_at=10.0, rate_limit=0.5, ended_at=20.0)
+        (violation,) = self.find(period, [10.2 + 0.2 * number for number in range(40)])
+        self.assertIn("at a limit of 0.50 a second", violation)
+        self.assertEqual(self.find(period, [10.2 + number for number in range(10)]), [])
+
+    def test_requests_after_an_announced_drain_are_detected(self) -> None:
+        period = AnnouncedPeriod("i-1", began_at=10.0, ended_at=20.0)
+        (violation,) = self.find(period, [10.2, 11.0, 12.5])
+        self.assertIn("got 1 requests from daemons that knew it leaves", violation)
+        self.assertEqual(self.find(period, [10.2, 11.0, 12.1]), [])
+        self.assertEqual(self.find(period, [10.2, 20.5]), [])
+
+    def test_a_daemon_that_was_disturbed_since_it_was_told_is_excused(self) -> None:
+        period = AnnouncedPeriod("i-1", began_at=10.0, ended_at=20.0)
+        self.assertEqual(self.find(period, [10.2, 12.5], disturbed_at=11.0), [])
+
+    def find(
+        self, period: AnnouncedPeriod, times: list[float], disturbed_at: float = 0.0
+    ) -> list[str]:
+        """Finds what one daemon violates that sends requests, each answered at once."""
+        headers = {
+            "x-response-seal": "seal-i-1",
+            "server-limit": "0.5",
+            "server-leaving": "1",
+        }
+        calls = [
+            CallRecord(
+                f"call-{time}",
+                "GET",
+                "/read/",
+                HttpResponse(200, b"", headers),
+                vm="vm-1",
+                sent_at=time,
+                answered_at=time,
+            )
+            for time in times
+        ]
+        served = [ServedRequest(call.request_id, "/read/", {}, 0, call.sent_at) for call in calls]
+        history = NoticeHistory([period], {"vm-1": [disturbed_at]})
+        return find_notice_violations(calls, {"i-1": UpstreamRecord(served)}, history)
+
 
 if __name__ == "__main__":
     unittest.main()
