Read rate limits with any number of digits, and refuse impossible ones from other daemons

Tests in test_upstream_notices, test_announced_drain, test_link_frames (also that builds without notices and with more fields understand each other).

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -341,14 +341,14 @@
         rate_limit = parse_rate_limit(value) if value else None
         if value and rate_limit is None:
             reason = f"its rate limit is not a decimal number: {value[:40]!r}"
-            self._log.write(RecordIgnored(source="response", reason=reason))
-            return
+            self._log.write(RecordIgnored(source=_RESPONSE_SOURCE, reason=reason))
         headers = response.headers
-        is_run = not headers.get_bytes(self._names.not_run)
+        has_run = bool(headers.get_bytes(self._names.response_signature))
+        has_run = has_run and not headers.get_bytes(self._names.not_run)
         said = AnnouncingResponse(
             rate_limit,
             leaves=bool(headers.get_bytes(self._names.leaving)),
-            is_proven=is_run and bool(headers.get_bytes(self._names.response_signature)),
+            can_end_limit=has_run and not value,
             head_at=response.head_at,
         )
         notice = reader.read(self.notice, said, int(time.time() * 1000))
--- a/packages/fulmarstile_services/src/fulmarstile_services/upstream_notices.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/upstream_notices.py
@@ -22,7 +22,7 @@
 """
 MIN_RATE_LIMIT: Final = 0.25
 """Smallest rate limit, in requests per second; without a response, its end would go unnoticed."""
-_DECIMAL: Final = re.compile(rb"\d{1,12}(\.\d{1,12})?")
+_DECIMAL: Final = re.compile(rb"\d{1,12}(\.\d{0,40})?|\.\d{1,40}")
 
 
 class UpstreamNotices:
@@ -93,8 +93,11 @@
     """Rate limit in requests per second; None if the response names none."""
     leaves: bool
     """Whether it says that the upstream leaves."""
-    is_proven: bool
-    """Whether it is certainly a response of the upstream to a request that it ran."""
+    can_end_limit: bool
+    """Whether the lack of a rate limit means that there is none any more.
+
+    Only the upstream's response to a request that it ran says so.
+    """
     head_at: float
     """Time at which its head arrived, in seconds."""
 
@@ -145,7 +148,7 @@
         if response.rate_limit is not None:
             self._unlimited_responses = 0
             return response.rate_limit
-        self._unlimited_responses += response.is_proven
+        self._unlimited_responses += response.can_end_limit
         return 0.0 if self._unlimited_responses >= _RESPONSES_TO_LIFT else known_limit
 
 
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import enum
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 
@@ -18,6 +18,8 @@
 """Version of this protocol, announced in `Hello`."""
 MAX_FRAME_BYTES: Final = 96 * 1024 * 1024
 """Largest message, in bytes."""
+MAX_RATE_LIMIT: Final = 1e12
+"""Highest rate limit that an upstream may announce, in requests per second."""
 _LENGTH_BYTES: Final = 4
 
 HeaderPair = tuple[bytes, bytes]
@@ -46,7 +48,7 @@
 
     It increases from notice to notice of an upstream, even if the clock is set back.
     """
-    rate_limit: float = 0.0
+    rate_limit: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATE_LIMIT)] = 0.0
     """Requests per second that it accepts from all daemons together; 0 for no limit."""
     leaves: bool = False
     """Whether it leaves; it never accepts requests again."""
--- a/tests/services/test_announced_drain.py
+++ b/tests/services/test_announced_drain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 import trio
@@ -95,3 +96,15 @@
                 self.assertEqual(answer.status, 200)
 
         trio.run(run)
+
+    def test_a_drain_counts_though_the_limit_beside_it_is_no_number(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("web", "shop") as mesh:
+                upstream = mesh.nodes[1].upstream
+                upstream.is_leaving, upstream.rate_limit = True, math.nan
+                await mesh.nodes[0].call("/a", request_id="first")
+                answer = await mesh.nodes[0].call("/a", request_id="second")
+                self.assertEqual(answer.status, 503)
+                self.assertEqual(len(upstream.record.requests), 1)
+
+        trio.run(run)
--- a/tests/services/test_upstream_notices.py
+++ b/tests/services/test_upstream_notices.py
@@ -18,12 +18,14 @@
     def test_a_decimal_number_is_a_rate_limit(self) -> None:
         self.assertEqual(parse_rate_limit(b" 8.1 "), 8.1)
         self.assertEqual(parse_rate_limit(b"14"), 14.0)
+        self.assertEqual(parse_rate_limit(b".5"), 0.5)
+        self.assertEqual(parse_rate_limit(b"14.700000000000001"), 14.700000000000001)
 
     def test_a_limit_of_nothing_leaves_a_request_now_and_then_to_notice_its_end(self) -> None:
         self.assertEqual(parse_rate_limit(b"0"), MIN_RATE_LIMIT)
 
     def test_other_values_are_no_rate_limit(self) -> None:
-        for value in (b"", b"-1", b"nan", b"inf", b"1e9", b"1_0", b"8.1/s", b"9" * 400):
+        for value in (b"", b".", b"-1", b"nan", b"inf", b"1e9", b"1_0", b"8.1/s", b"9" * 400):
             self.assertIsNone(parse_rate_limit(value), value)
 
 
@@ -66,11 +68,11 @@
         head_at: float,
         *,
         leaves: bool = False,
-        proven: bool = True,
+        can_end_limit: bool = True,
     ) -> float:
         """Reads a response and returns the rate limit that holds then."""
         known = self.notices.find("upstream-1", 1_000)
-        response = AnnouncingResponse(limit, leaves, proven, head_at)
+        response = AnnouncingResponse(limit, leaves, can_end_limit, head_at)
         notice = self.reader.read(known, response, now_ms=5_000)
         if notice is not None:
             self.notices.merge(notice)
@@ -87,7 +89,7 @@
     def test_responses_of_requests_that_did_not_run_do_not_end_a_limit(self) -> None:
         self.assertEqual(self.read(8.1, 1.0), 8.1)
         for head_at in (2.0, 3.0, 4.0):
-            self.assertEqual(self.read(None, head_at, proven=False), 8.1)
+            self.assertEqual(self.read(None, head_at, can_end_limit=False), 8.1)
 
     def test_a_response_that_began_before_another_one_changes_nothing(self) -> None:
         self.assertEqual(self.read(8.1, 2.0), 8.1)
--- a/tests/wire/test_link_frames.py
+++ b/tests/wire/test_link_frames.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import random
 import unittest
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -22,16 +24,20 @@
     SyncCall,
     SyncReply,
     SyncRequest,
+    UpstreamNotice,
     encode_frame,
 )
 from fulmarstile_wire.verdict import Verdict
 
+NOTICE = UpstreamNotice("u-1", 5, 6, 8.1, leaves=True)
 HOP = HopRequest("shop", "u-1", "stock", 1, 900, 200, True, 400, b"12345678")
 MESSAGES = (
     Hello(1, "daemon-1"),
     HopCall(7, HOP, b"POST", b"/a?b=c", [(b"host", b"x")], b"body"),
     HopAnswer(7, HopOutcome(Verdict.RAN, running=3), 200, [(b"a", b"\xff")], b"\x00\x01"),
     HopAnswer(8, HopOutcome(Verdict.NOT_RUN, "queue-full", retry_after_ms=50)),
+    HopCall(11, msgspec.structs.replace(HOP, notice=NOTICE), b"GET", b"/", [], b""),
+    HopAnswer(11, HopOutcome(Verdict.RAN, notice=NOTICE), 200, [], b""),
     HopCancel(9),
     SyncCall(10, SyncRequest("daemon-1", b"digest", 5)),
     SyncAnswer(10, SyncReply("daemon-2", b"digest", 6, document=b"raw")),
@@ -52,6 +58,20 @@
                 position += size
             self.assertEqual(tuple(received), MESSAGES)
 
+    def test_a_daemon_without_notices_and_one_with_more_fields_are_understood(self) -> None:
+        for message, kind in ((HOP, HopRequest), (HopOutcome(Verdict.RAN), HopOutcome)):
+            noticed = msgspec.structs.replace(message, notice=NOTICE)
+            fields = msgspec.msgpack.decode(msgspec.msgpack.encode(noticed))
+            older, newer = msgspec.msgpack.encode(fields[:-1]), msgspec.msgpack.encode([*fields, 7])
+            self.assertEqual(msgspec.msgpack.decode(older, type=kind), message)
+            self.assertEqual(msgspec.msgpack.decode(newer, type=kind), noticed)
+
+    def test_a_notice_with_an_impossible_limit_is_a_wire_error(self) -> None:
+        for limit in (-1.0, math.nan, math.inf):
+            hop = msgspec.structs.replace(HOP, notice=UpstreamNotice("u-1", 5, 6, limit))
+            with self.assertRaises(WireError):
+                FrameDecoder().feed(encode_frame(HopCall(1, hop, b"GET", b"/", [], b"")))
+
     def test_an_oversize_message_is_refused_before_it_is_received(self) -> None:
         with self.assertRaisesRegex(WireError, "too large"):
             FrameDecoder().feed((MAX_FRAME_BYTES + 1).to_bytes(4, "big"))
