Refuse a large body before it is sent if the upstream's rate limit leaves it no time

Found by reading: the offer of a body was granted without a look at the announced rate limit, so that hundreds of kilobytes crossed a slow link only to be refused. Test in test_announced_limits: one offer granted before, none now.

--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
@@ -79,6 +79,10 @@
         """Number of customers with a queue."""
         return len(self._customers)
 
+    def rate_wait_s(self, now: float) -> float:
+        """Returns the time for which the rate limit alone holds back a new request, in seconds."""
+        return self._rate_bucket.wait_s(len(self._waiting) + 1, now)
+
     def has_room(self, now: float) -> bool:
         """Returns whether a request that arrives now is admitted without waiting."""
         return not self._waiting and self._can_start(now)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -48,6 +48,8 @@
             daemon that forwarded it stops waiting.
         handle_sync: Handles a synchronization.
         add_load: Adds the load to an outcome, which other daemons use for balancing.
+        rate_wait_s: Returns the time for which the upstream's rate limit holds back a new request,
+            in seconds.
         body_admission: Admits large request bodies that other daemons send.
         budget: Memory limit for messages.
     """
@@ -57,12 +59,14 @@
         handle_call: Callable[[HopCall, float, AttemptProgress], Awaitable[HopAnswer]],
         handle_sync: Callable[[SyncRequest], SyncReply],
         add_load: Callable[[HopOutcome], HopOutcome],
+        rate_wait_s: Callable[[], float],
         body_admission: BodyAdmission,
         budget: ByteBudget,
     ) -> None:
         self._handle_call = handle_call
         self._handle_sync = handle_sync
         self._add_load = add_load
+        self._rate_wait_s = rate_wait_s
         self._body_admission = body_admission
         self._budget = budget
         self._in_flight = 0
@@ -153,11 +157,13 @@
                 _LOGGER.info("cannot send the grant of a body: %s", error)
 
         key = OfferKey(frames, offer.call_id)
-        wait_s = self._body_admission.wait_s
+        wait_s, rate_wait_s = self._body_admission.wait_s, self._rate_wait_s()
         if self._body_admission.is_closed:
             self._refuse_body(key, RefusalReason.DRAINING)
         elif wait_s * 1000 > offer.wait_ms:
             self._refuse_body(key, RefusalReason.LINK_BUSY, wait_s - offer.wait_ms / 1000)
+        elif rate_wait_s * 1000 > offer.wait_ms:
+            self._refuse_body(key, RefusalReason.RATE_LIMITED, rate_wait_s)
         else:
             self._body_admission.offer(key, offer.size, grant)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
@@ -90,6 +90,11 @@
         """Number of slots."""
         return self._admission.slots
 
+    @property
+    def rate_wait_s(self) -> float:
+        """Time for which the rate limit alone holds back a new request, in seconds."""
+        return self._admission.rate_wait_s(trio.current_time())
+
     def restart(self, count: int, connections: int) -> None:
         """Resets the slots for another incarnation; requests queued for the old one are refused.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -142,6 +142,10 @@
         notice = self.notice
         return 0.0 if notice is None else notice.rate_limit
 
+    def rate_wait_s(self) -> float:
+        """Returns the time for which the rate limit alone holds back a new request, in seconds."""
+        return self._slots.rate_wait_s
+
     def find_parent_class(self, request_id: bytes) -> SlotClass | None:
         """Finds the class of the running request for which the upstream makes a call.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -163,6 +163,7 @@
             self._hops.handle,
             self._gossip.on_sync,
             self._hops.add_load,
+            self._upstream.rate_wait_s,
             self._body_admission,
             self._byte_budget,
         )
--- a/tests/services/test_announced_limits.py
+++ b/tests/services/test_announced_limits.py
@@ -105,6 +105,22 @@
 
         trio.run(run)
 
+    def test_a_large_body_is_refused_before_it_is_sent(self) -> None:
+        async def run() -> None:
+            document = make_document(make_route(timeout_s=10.0, target_latency_s=1.2))
+            async with serve_mesh("web", "shop", document=document, link_kbps=8_000) as mesh:
+                limited = mesh.nodes[1]
+                limited.upstream.rate_limit = 0.25
+                for number in range(2):
+                    await mesh.nodes[0].call("/a", request_id=f"first-{number}")
+                offers = []
+                limited.daemon.body_admission.offer = lambda *offer: offers.append(offer)
+                answer = await mesh.nodes[0].call("/a", "POST", body=b"x" * 200_000)
+                self.assertEqual((answer.status, offers), (503, []))
+                self.assertIn(b"rate-limited", answer.body)
+
+        trio.run(run)
+
     def test_a_limit_ends_when_responses_no_longer_name_it(self) -> None:
         async def run() -> None:
             async with serve_mesh("web", "shop") as mesh:
