--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_service.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_service.py
@@ -19,7 +19,7 @@
 from fulmarstile_testing.builders.calls import make_ticket
 from fulmarstile_testing.builders.services import make_member
 from fulmarstile_testing.virtual_time import VirtualTime
-from fulmarstile_wire.services import HopOutcome
+from fulmarstile_wire.services import HopOutcome, UpstreamNotice
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -32,6 +32,7 @@
 _QUEUE_PER_SLOT: Final = 4
 _SERVICE_GAIN: Final = 0.05
 _MAX_ATTEMPTS: Final = 3
+_TICK_S: Final = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,16 +112,41 @@
         }
         self._services_s = dict.fromkeys(self._admissions, 0.0)
         self._zones = [zones[number % len(zones)] for number in range(entries)]
+        self._notices = [UpstreamNotices() for _ in self._zones]
         self._balancers = [
             LeastWaitBalancer(
-                settings, zone, random.Random(seed * 1000 + number), UpstreamNotices()
+                settings, zone, random.Random(seed * 1000 + number), self._notices[number]
             )
             for number, zone in enumerate(self._zones)
         ]
+        self._rate_limits: dict[str, float] = {}
+        self.starts: dict[str, list[float]] = {name: [] for name in self._admissions}
+        """Times at which requests started at each upstream, by name of its daemon, in seconds."""
         self._requests: dict[int, _Request] = {}
         self._next_id = 0
         self._latency = HdrHistogram(1, _MAX_LATENCY_US, 3)
 
+    def limit_upstreams(self, count: int, rate_limit: float) -> tuple[str, ...]:
+        """Lets some upstreams name a rate limit in their responses from now on.
+
+        Args:
+            count: Number of upstreams.
+            rate_limit: Requests per second of each.
+
+        Returns:
+            Names of the daemons beside them.
+        """
+        names = tuple(member.name for member in self._members[:count])
+        for name in names:
+            self._rate_limits[name] = rate_limit
+            self._apply(name, self._admissions[name].set_rate_limit(rate_limit, self.time.now))
+            self._tick(name)
+        return names
+
+    def _tick(self, name: str) -> None:
+        self._apply(name, self._admissions[name].on_tick(self.time.now))
+        self.time.call_later(_TICK_S, lambda: self._tick(name))
+
     def run(self, load: float, duration_s: float) -> PlacingResult:
         """Plays requests that arrive at random.
 
@@ -172,6 +198,7 @@
             request = self._requests[effect.ticket_id]
             if isinstance(effect, Admitted):
                 request.started_at = self.time.now
+                self.starts[name].append(self.time.now)
                 mean_s = self._shape.service_s / self._speeds[name]
                 service_s = self._random.gammavariate(4.0, mean_s / 4.0)
                 self.time.call_later(service_s, lambda n=effect.ticket_id: self._finish(n))
@@ -194,10 +221,21 @@
             queued=admission.queued,
             slots=self._shape.slots,
             service_ms=self._services_s[name] * 1000,
+            notice=self._make_notice(name),
+        )
+
+    def _make_notice(self, name: str) -> UpstreamNotice | None:
+        if name not in self._rate_limits:
+            return None
+        member = next(member for member in self._members if member.name == name)
+        return UpstreamNotice(
+            member.upstream_id, member.upstream_born_ms, 1, self._rate_limits[name]
         )
 
     def _tell(self, request: _Request, outcome: HopOutcome) -> None:
         if request.member is not None:
+            if outcome.notice is not None:
+                self._notices[request.entry].merge(outcome.notice)
             self._balancers[request.entry].on_ended(
                 request.member, outcome, False, self.time.now, 2
             )
