--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/_rate_bucket.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/_rate_bucket.py
@@ -1,9 +1,11 @@
-"""Token bucket for the rate limit that an upstream has announced."""
+"""Bound of the rate at which requests start, for the rate limit that an upstream has announced."""
 
 from __future__ import annotations
 
 from typing import Final
 
+from fulmarstile_calls.token_bucket import TokenBucket
+
 _BURST_S: Final = 0.25
 """Time for which unused tokens accumulate, in seconds."""
 _ONE_TOKEN: Final = 1.0 - 1e-9
@@ -11,14 +13,13 @@
 
 
 class RateBucket:
-    """Token bucket; without a rate limit it always has a token."""
+    """Tokens for the requests that may start; without a rate limit there always is one."""
 
-    __slots__ = ("_rate_limit", "_tokens", "_updated_at")
+    __slots__ = ("_bucket", "_rate_limit")
 
     def __init__(self) -> None:
         self._rate_limit = 0.0
-        self._tokens = 1.0
-        self._updated_at = 0.0
+        self._bucket = TokenBucket(1.0, 0.0)
 
     @property
     def is_limited(self) -> bool:
@@ -35,22 +36,20 @@
         if self.is_limited:
             self._refill(now)
         else:
-            self._tokens = 1.0
+            self._bucket = TokenBucket(1.0, now)
         self._rate_limit = rate_limit
-        self._tokens = min(self._tokens, self._max_tokens)
-        self._updated_at = now
 
     def has_token(self, now: float) -> bool:
         """Returns whether a request may start now."""
         if not self.is_limited:
             return True
         self._refill(now)
-        return self._tokens >= _ONE_TOKEN
+        return self._bucket.tokens >= _ONE_TOKEN
 
     def take(self) -> None:
         """Takes the token of a request that starts; `has_token` must have been true."""
         if self.is_limited:
-            self._tokens = max(0.0, self._tokens - 1.0)
+            self._bucket.tokens = max(0.0, self._bucket.tokens - 1.0)
 
     def wait_s(self, count: float, now: float) -> float:
         """Returns the time until a number of requests have started, in seconds.
@@ -62,13 +61,7 @@
         if not self.is_limited:
             return 0.0
         self._refill(now)
-        return max(0.0, (count - self._tokens) / self._rate_limit)
-
-    @property
-    def _max_tokens(self) -> float:
-        return max(1.0, self._rate_limit * _BURST_S)
+        return max(0.0, (count - self._bucket.tokens) / self._rate_limit)
 
     def _refill(self, now: float) -> None:
-        elapsed_s = max(0.0, now - self._updated_at)
-        self._tokens = min(self._max_tokens, self._tokens + elapsed_s * self._rate_limit)
-        self._updated_at = max(now, self._updated_at)
+        self._bucket.refill(self._rate_limit, max(1.0, self._rate_limit * _BURST_S), now)
--- a/packages/fulmarstile_calls/src/fulmarstile_calls/rate_limiter.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/rate_limiter.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_calls.request import CallRefusal, RefusalReason
+from fulmarstile_calls.token_bucket import TokenBucket
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -18,14 +19,6 @@
 _STATUS_TOO_MANY_REQUESTS: Final = 429
 
 
-class _Bucket:
-    __slots__ = ("tokens", "updated_at")
-
-    def __init__(self, tokens: float, updated_at: float) -> None:
-        self.tokens = tokens
-        self.updated_at = updated_at
-
-
 class RateLimiter:
     """Token buckets, one for each customer and limit.
 
@@ -38,7 +31,7 @@
 
     def __init__(self, max_buckets: int = MAX_BUCKETS) -> None:
         self._max_buckets = max_buckets
-        self._buckets: OrderedDict[tuple[str, str], _Bucket] = OrderedDict()
+        self._buckets: OrderedDict[tuple[str, str], TokenBucket] = OrderedDict()
 
     @property
     def bucket_count(self) -> int:
@@ -64,23 +57,21 @@
             return None
         return _refuse(limit, bucket)
 
-    def _refill(self, customer: str, limit: Limit, now: float) -> _Bucket:
+    def _refill(self, customer: str, limit: Limit, now: float) -> TokenBucket:
         key = (customer, limit.name)
         burst = max(1.0, float(limit.burst))
         bucket = self._buckets.get(key)
         if bucket is None:
-            bucket = self._buckets[key] = _Bucket(burst, now)
+            bucket = self._buckets[key] = TokenBucket(burst, now)
             if len(self._buckets) > self._max_buckets:
                 self._buckets.popitem(last=False)
             return bucket
         self._buckets.move_to_end(key)
-        elapsed_s = max(0.0, now - bucket.updated_at)
-        bucket.tokens = min(burst, bucket.tokens + elapsed_s * limit.calls_per_s)
-        bucket.updated_at = max(now, bucket.updated_at)
+        bucket.refill(limit.calls_per_s, burst, now)
         return bucket
 
 
-def _refuse(limit: Limit, bucket: _Bucket) -> CallRefusal:
+def _refuse(limit: Limit, bucket: TokenBucket) -> CallRefusal:
     retry_after_s = 60.0
     if limit.calls_per_s > 0:
         retry_after_s = (1.0 - bucket.tokens) / limit.calls_per_s
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -14,12 +13,12 @@
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
 from fulmarstile_daemon.services._exchange import Exchange, ResponseTooLargeError
+from fulmarstile_daemon.services._response_notices import ResponseNotices
 from fulmarstile_daemon.services._slots import SlotRefusedError, Slots
-from fulmarstile_daemon.services.events import RecordIgnored, UpstreamChanged
+from fulmarstile_daemon.services.events import UpstreamChanged
 from fulmarstile_http.client_connection import ExchangeError
 from fulmarstile_http.connection_pool import ConnectionPool, PoolSettings
 from fulmarstile_services.slot_class import SlotClass
-from fulmarstile_services.upstream_notices import AnnouncingResponse, NoticeReader, parse_rate_limit
 from fulmarstile_services.upstream_registry import UpstreamPhase
 from fulmarstile_wire.services import HopOutcome, MemberPhase
 from fulmarstile_wire.verdict import Verdict
@@ -46,8 +45,6 @@
 _POOL_SETTINGS: Final = PoolSettings(connect_timeout_s=0.5, fresh_connection_s=4.0)
 _MAX_STRAY_RESPONSES: Final = 8
 """Maximum number of responses to other requests that are skipped before a connection is dropped."""
-_RESPONSE_SOURCE: Final = "response"
-"""Source of notices that are read here, in the log."""
 _SERVICE_TIME_GAIN: Final = 0.05
 """Weight of a new value in the EWMA of service times."""
 _NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
@@ -92,7 +89,7 @@
         self._unreachable_until = -math.inf
         self._service_s = 0.0
         self._class_service_s: dict[int, float] = {}
-        self._notice_reader: NoticeReader | None = None
+        self._response_notices: ResponseNotices | None = None
         self._is_stopping = False
         self.requests_sent = 0
         """Requests sent to any incarnation of the upstream."""
@@ -131,10 +128,7 @@
     @property
     def notice(self) -> UpstreamNotice | None:
         """What the current incarnation has said about itself, if anything."""
-        current = self._announcement
-        if current is None:
-            return None
-        return self._notice_merger.notices.find(current.upstream_id, current.born_ms)
+        return None if self._response_notices is None else self._response_notices.notice
 
     @property
     def rate_limit(self) -> float:
@@ -271,7 +265,9 @@
 
     def _start(self, announcement: UpstreamAnnouncement, address: str) -> None:
         limit = self._connection_limit(announcement.service)
-        self._notice_reader = NoticeReader(announcement.upstream_id, announcement.born_ms)
+        self._response_notices = ResponseNotices(
+            announcement, self._names, self._notice_merger, self._log
+        )
         if self._pool is not None:
             self._pool.retire()
         self._pool = ConnectionPool(address, limit, _POOL_SETTINGS)
@@ -310,7 +306,7 @@
         if not progress.try_begin():
             pool.release(connection)
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING))
-        notice_reader = self._notice_reader
+        response_notices = self._response_notices
         self.requests_sent += 1
         exchange = Exchange(
             connection,
@@ -333,32 +329,10 @@
             return await self._handle_broken_exchange(exchange, pool, started_at, error)
         finally:
             _return_connection(pool, connection, is_reusable)
-        if notice_reader is self._notice_reader and response.status != _MISDIRECTED_STATUS:
-            self._read_notice(notice_reader, response)
+        if response_notices is not None and response.status != _MISDIRECTED_STATUS:
+            response_notices.read(response)
         return self._classify_response(response)
 
-    def _read_notice(self, reader: NoticeReader | None, response: UpstreamResponse) -> None:
-        """Reads what a response of the current incarnation says about the upstream."""
-        if reader is None:
-            return
-        value = response.headers.get_bytes(self._names.rate_limit)
-        rate_limit = parse_rate_limit(value) if value else None
-        if value and rate_limit is None:
-            reason = f"its rate limit is not a decimal number: {value[:40]!r}"
-            self._log.write(RecordIgnored(source=_RESPONSE_SOURCE, reason=reason))
-        headers = response.headers
-        has_run = bool(headers.get_bytes(self._names.response_signature))
-        has_run = has_run and not headers.get_bytes(self._names.not_run)
-        said = AnnouncingResponse(
-            rate_limit,
-            leaves=bool(headers.get_bytes(self._names.leaving)),
-            can_end_limit=has_run and not value,
-            head_at=response.head_at,
-        )
-        notice = reader.read(self.notice, said, int(time.time() * 1000))
-        if notice is not None:
-            self._notice_merger.merge(notice, _RESPONSE_SOURCE)
-
     async def _receive_matching(
         self, exchange: Exchange, request: ReceivedRequest
     ) -> UpstreamResponse:
