Let equal crash reports count once in the digest, and different ones differ

While builds before and after this one run together their digests of crash reports differ, and each exchange compares them.

--- a/packages/fulmarstile_services/src/fulmarstile_services/directory.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/directory.py
@@ -215,10 +215,13 @@
         Returns:
             Those that were not known before.
         """
-        news = [report for report in reports if report not in self._crashes]
-        for report in news:
+        news = []
+        for report in reports:
+            if report in self._crashes:
+                continue
             self._crashes[report] = None
             self._toggle_hash(_CRASH_BUCKET, _hash_crash(report))
+            news.append(report)
         while len(self._crashes) > MAX_CRASH_REPORTS:
             oldest = next(iter(self._crashes))
             del self._crashes[oldest]
@@ -269,7 +272,8 @@
 
 
 def _hash_crash(report: CrashReport) -> int:
-    return xxhash.xxh3_64_intdigest(report.fingerprint + report.upstream_id.encode())
+    key = f"{report.upstream_born_ms} {report.upstream_id}"
+    return xxhash.xxh3_64_intdigest(report.fingerprint + key.encode())
 
 
 def replace_order(member: Member, incarnation: int, revision: int) -> Member:
--- a/tests/services/test_directory.py
+++ b/tests/services/test_directory.py
@@ -56,6 +56,25 @@
         self.assertEqual(self.directory.previous_record, earlier)
         self.assertEqual(self.directory.local_member.incarnation, 1_000)
 
+    def test_different_crash_reports_have_different_digests_and_equal_ones_the_same(self) -> None:
+        report = CrashReport(b"12345678", "upstream-1", 1)
+        later = CrashReport(b"12345678", "upstream-1", 2)
+        digests = []
+        for batches in (
+            [],
+            [[report]],
+            [[report, report]],
+            [[report], [report]],
+            [[report, later]],
+        ):
+            directory = Directory(make_member("own"))
+            for batch in batches:
+                directory.merge_crashes(batch)
+            digests.append(directory.digest)
+        none, once, twice, again, both = digests
+        self.assertEqual((once, once), (twice, again))
+        self.assertEqual(len({none, once, both}), 3)
+
     def test_a_request_is_suspect_once_it_has_crashed_two_upstreams(self) -> None:
         fingerprint = b"f" * 8
         self.directory.merge_crashes([CrashReport(fingerprint, "upstream-1", 1)])
