--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
@@ -92,7 +92,7 @@
         if self._draining:
             return [Refused(ticket.ticket_id, refuse_draining())]
         if now >= ticket.deadline_s:
-            return [self._refuse_deadline(ticket, 0.0)]
+            return [self._refuse_late(ticket, RefusalReason.DEADLINE, 0.0)]
         queue = self._get_queue(ticket)
         if self.has_room(now):
             self._start(ticket, queue, now)
@@ -290,12 +290,15 @@
         )
 
     def _refuse_deadline(self, ticket: AdmissionTicket, wait_s: float) -> Refused:
+        is_limited = self._rate_bucket.is_limited and len(self._running) < self._slots
+        reason = RefusalReason.RATE_LIMITED if is_limited else RefusalReason.DEADLINE
+        return self._refuse_late(ticket, reason, wait_s)
+
+    def _refuse_late(
+        self, ticket: AdmissionTicket, reason: RefusalReason, wait_s: float
+    ) -> Refused:
         delay_s = self._spread_retry(ticket, wait_s)
-        if self._rate_bucket.is_limited and len(self._running) < self._slots:
-            detail = "the upstream's rate limit leaves no time before the deadline"
-            return Refused(ticket.ticket_id, refuse(RefusalReason.RATE_LIMITED, detail, delay_s))
-        detail = "the deadline cannot be met"
-        return Refused(ticket.ticket_id, refuse(RefusalReason.DEADLINE, detail, delay_s))
+        return Refused(ticket.ticket_id, refuse(reason, "the deadline cannot be met", delay_s))
 
     def _spread_retry(self, ticket: AdmissionTicket, wait_s: float) -> float:
         """Returns the retry delay, which spreads callers over one to two times the wait."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_response_notices.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_response_notices.py
@@ -18,6 +18,7 @@
 
 _SOURCE: Final = "response"
 """Source of these notices in the log."""
+_FALSE_VALUES: Final = (b"", b"0")
 
 
 class ResponseNotices:
@@ -65,7 +66,7 @@
         has_run = has_run and not headers.get_bytes(self._names.not_run)
         said = AnnouncingResponse(
             rate_limit,
-            leaves=bool(headers.get_bytes(self._names.leaving)),
+            leaves=headers.get_bytes(self._names.leaving).strip() not in _FALSE_VALUES,
             can_end_limit=has_run and not value,
             head_at=response.head_at,
         )
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -190,7 +190,8 @@
     The expected time is computed from the load and service times that the daemon beside each
     upstream reports with every answer, from the requests that this daemon has in flight there,
     and from the network delay, which rises for example when large bodies fill a link. An upstream
-    in another availability zone must be faster by a margin that grows with the request's size.
+    in another availability zone must be faster by a margin that grows with the request's size. One
+    that has announced a rate limit counts as having only the slots that this rate keeps busy.
 
     Args:
         settings: Settings.
--- a/tests/calls/test_admission_rates.py
+++ b/tests/calls/test_admission_rates.py
@@ -63,6 +63,12 @@
         self.assertIs(refused.refusal.reason, RefusalReason.RATE_LIMITED)
         self.assertGreaterEqual(refused.refusal.retry_after_s, 0.5)
 
+    def test_what_arrives_after_its_deadline_is_not_refused_because_of_the_limit(self) -> None:
+        self.admission.set_rate_limit(2.0, self.now)
+        self.arrive(0.0)
+        (refused,) = self.refusals
+        self.assertIs(refused.refusal.reason, RefusalReason.DEADLINE)
+
     def test_what_can_start_in_time_waits_for_its_turn(self) -> None:
         self.admission.set_rate_limit(2.0, self.now)
         for _ in range(3):
