--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_notice_merger.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_notice_merger.py
@@ -39,14 +39,15 @@
         """
         if notice is None or not self._directory.merge_notice(notice):
             return
+        known = self.notices.find(notice.upstream_id, notice.upstream_born_ms) or notice
         self._log.write(
             NoticeLearned(
-                upstream=notice.upstream_id,
-                born_ms=notice.upstream_born_ms,
-                rate_limit=notice.rate_limit,
-                leaves=notice.leaves,
-                dated_ms=notice.dated_ms,
+                upstream=known.upstream_id,
+                born_ms=known.upstream_born_ms,
+                rate_limit=known.rate_limit,
+                leaves=known.leaves,
+                dated_ms=known.dated_ms,
                 source=source,
             )
         )
-        self.on_change(notice)
+        self.on_change(known)
--- a/tests/services/test_upstream_notices.py
+++ b/tests/services/test_upstream_notices.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import unittest
+from typing import TYPE_CHECKING
 
+from fulmarstile_daemon.services._notice_merger import NoticeMerger
+from fulmarstile_services.directory import Directory
 from fulmarstile_services.upstream_notices import (
     MIN_RATE_LIMIT,
     AnnouncingResponse,
@@ -11,7 +14,10 @@
     UpstreamNotices,
     parse_rate_limit,
 )
-from fulmarstile_testing.builders.services import make_notice
+from fulmarstile_testing.builders.services import make_member, make_notice
+
+if TYPE_CHECKING:
+    from fulmarstile_daemon.services.events import NoticeLearned
 
 
 class RateLimitValueTest(unittest.TestCase):
@@ -57,6 +63,26 @@
         self.assertEqual(notices.find("upstream-1", 2_000), make_notice(upstream_born_ms=2_000))
 
 
+class NoticeMergerTest(unittest.TestCase):
+    def test_the_log_says_what_is_known_after_an_older_notice_was_merged(self) -> None:
+        log = RecordingLog()
+        merger = NoticeMerger(Directory(make_member()), log)
+        merger.merge(make_notice(dated_ms=20, rate_limit=5.0), "response")
+        merger.merge(make_notice(dated_ms=10, rate_limit=9.0, leaves=True), "request")
+        last = log.events[-1]
+        self.assertEqual((last.rate_limit, last.leaves, last.dated_ms), (5.0, True, 20))
+
+
+class RecordingLog:
+    """Keeps the events that are written."""
+
+    def __init__(self) -> None:
+        self.events: list[NoticeLearned] = []
+
+    def write(self, event: NoticeLearned) -> None:
+        self.events.append(event)
+
+
 class NoticeReaderTest(unittest.TestCase):
     def setUp(self) -> None:
         self.reader = NoticeReader("upstream-1", 1_000)
