--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -16,7 +16,7 @@
     from fulmarstile_daemon.services._exchange import UpstreamResponse
     from fulmarstile_daemon.services._request_scope import RequestScope
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
-    from fulmarstile_services.document import ServiceRoute
+    from fulmarstile_services.document import Customer, ServiceRoute
     from fulmarstile_services.slot_class import SlotClass
     from fulmarstile_wire.verdict import Verdict
 
@@ -41,6 +41,8 @@
     fingerprint: bytes
     scope: RequestScope
     """Deadline and cancellation of the request."""
+    customer: Customer | None = None
+    """Customer whose key the caller presented; None if none was needed."""
     history: AttemptHistory = field(default_factory=AttemptHistory)
     refused_by: list[str] = field(default_factory=list)
     """Daemons that refused it before it reached an upstream, as `daemon:reason`."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import trio
 
@@ -22,18 +22,27 @@
     HopCall,
     HopCancel,
     HopWithdraw,
+    PeerAnswer,
+    PeerCall,
     SyncAnswer,
     SyncCall,
 )
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Mapping
 
     from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_http.listener import OutOfDescriptorsError
-    from fulmarstile_wire.services import HopOutcome, LinkMessage, SyncReply, SyncRequest
+    from fulmarstile_wire.services import (
+        HopOutcome,
+        LinkMessage,
+        PeerReply,
+        PeerRequest,
+        SyncReply,
+        SyncRequest,
+    )
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -52,6 +61,7 @@
             in seconds.
         body_admission: Admits large request bodies that other daemons send.
         budget: Memory limit for messages.
+        handlers: Handlers of other daemons' requests, by the type of the request.
     """
 
     def __init__(
@@ -62,7 +72,9 @@
         rate_wait_s: Callable[[], float],
         body_admission: BodyAdmission,
         budget: ByteBudget,
+        handlers: Mapping[type[PeerRequest], Callable[[Any], PeerReply]],
     ) -> None:
+        self._handlers = handlers
         self._handle_call = handle_call
         self._handle_sync = handle_sync
         self._add_load = add_load
@@ -148,6 +160,15 @@
                 elif isinstance(message, SyncCall):
                     reply = self._handle_sync(message.request)
                     frames.send(SyncAnswer(message.call_id, reply))
+                elif isinstance(message, PeerCall):
+                    self._answer_query(frames, message)
+
+    def _answer_query(self, frames: FrameStream, call: PeerCall) -> None:
+        handle = self._handlers.get(type(call.request))
+        if handle is None:
+            # The part is switched off here; the other daemon treats this one as unavailable.
+            return
+        frames.send(PeerAnswer(call.call_id, handle(call.request)))
 
     def _handle_offer(self, frames: FrameStream, offer: BodyOffer) -> None:
         def grant() -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -27,19 +27,29 @@
     HopCall,
     HopCancel,
     HopWithdraw,
+    PeerAnswer,
+    PeerCall,
     SyncAnswer,
     SyncCall,
 )
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from fulmarstile_daemon.services._attempt_progress import AttemptProgress
     from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_daemon.services._frame_stream import OutgoingFrame
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
-    from fulmarstile_wire.services import HopOutcome, HopRequest, Member, SyncReply, SyncRequest
+    from fulmarstile_wire.services import (
+        HopOutcome,
+        HopRequest,
+        Member,
+        PeerReply,
+        PeerRequest,
+        SyncReply,
+        SyncRequest,
+    )
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -64,7 +74,7 @@
 
     def __init__(self) -> None:
         self.done = trio.Event()
-        self.answer: HopAnswer | SyncAnswer | None = None
+        self.answer: HopAnswer | SyncAnswer | PeerAnswer | None = None
         self.granted = trio.Event()
         """Set when the body was granted, or when the call has ended without a grant."""
         self.is_lost = False
@@ -91,7 +101,7 @@
         pending = self._pending[self._next_id] = _PendingCall()
         return self._next_id, pending
 
-    def send(self, message: Hello | HopCall | SyncCall | BodyOffer) -> OutgoingFrame:
+    def send(self, message: Hello | HopCall | SyncCall | PeerCall | BodyOffer) -> OutgoingFrame:
         return self._frames.send(message)
 
     def withdraw(self, call_id: int, progress: AttemptProgress) -> None:
@@ -158,7 +168,7 @@
 
     def _on_message(self, message: object) -> None:
         self.received_at = trio.current_time()
-        if not isinstance(message, HopAnswer | SyncAnswer | BodyGrant):
+        if not isinstance(message, HopAnswer | SyncAnswer | PeerAnswer | BodyGrant):
             raise LinkBrokenError(f"unexpected message {type(message).__name__}")
         pending = self._pending.get(message.call_id)
         if pending is None:
@@ -278,12 +288,40 @@
         Raises:
             DaemonUnreachableError: If it did not reply in time.
         """
+        answer = await self._ask(member, partial(SyncCall, request=message), timeout_s)
+        if not isinstance(answer, SyncAnswer):
+            raise DaemonUnreachableError("no reply in time")
+        return answer.reply
+
+    async def query(self, member: Member, request: PeerRequest, timeout_s: float) -> PeerReply:
+        """Sends a request to a daemon.
+
+        Args:
+            member: The daemon.
+            request: The request.
+            timeout_s: Timeout in seconds.
+
+        Returns:
+            The daemon's reply.
+
+        Raises:
+            DaemonUnreachableError: If it did not reply in time.
+        """
+        answer = await self._ask(member, partial(PeerCall, request=request), timeout_s)
+        if not isinstance(answer, PeerAnswer):
+            raise DaemonUnreachableError("no reply in time")
+        return answer.reply
+
+    async def _ask(
+        self, member: Member, make_call: Callable[[int], SyncCall | PeerCall], timeout_s: float
+    ) -> HopAnswer | SyncAnswer | PeerAnswer | None:
+        """Sends a call and waits for its answer; None if there is none in time."""
         pending: _PendingCall | None = None
         with trio.move_on_after(timeout_s):
             link = await self._get_link(member.address, large=False)
             call_id, pending = link.begin_call()
             try:
-                link.send(SyncCall(call_id, message))
+                link.send(make_call(call_id))
                 await pending.done.wait()
             except LinkBrokenError as error:
                 raise DaemonUnreachableError(str(error)) from error
@@ -292,9 +330,7 @@
                 raise
             finally:
                 link.end_call(call_id)
-        if pending is None or not isinstance(pending.answer, SyncAnswer):
-            raise DaemonUnreachableError("no reply in time")
-        return pending.answer.reply
+        return None if pending is None else pending.answer
 
     async def _get_link(self, address: str, large: bool) -> _Link:
         key = (address, large)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
@@ -165,6 +165,7 @@
             record.service,
             record.slots,
             phase,
+            version=record.upstream_version,
         )
         if self._registry.restore(announcement, trio.current_time()):
             self._apply_current("recalled")
@@ -251,6 +252,7 @@
                 service=current.service,
                 upstream_id=current.upstream_id,
                 upstream_born_ms=current.born_ms,
+                upstream_version=current.version,
                 upstream_leaves=current.phase is UpstreamPhase.LEAVING,
                 slots=current.slots,
                 cold_left_s=current.cold_left_s,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -166,6 +166,7 @@
             self._upstream.rate_wait_s,
             self._body_admission,
             self._byte_budget,
+            {},
         )
         self._shutdown = GracefulShutdown(
             self._callers,
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final, Protocol
 
 from fulmarstile_platform.log import LogError
@@ -19,6 +19,19 @@
         super().__init__(message, Verdict.NOT_RUN)
 
 
+class LogConflictError(LogError):
+    """A conditional append was refused, because the topic ends at another offset.
+
+    Args:
+        end_offset: Offset at which the topic ends.
+    """
+
+    def __init__(self, end_offset: int) -> None:
+        super().__init__(f"the topic ends at offset {end_offset}", Verdict.NOT_RUN)
+        self.end_offset = end_offset
+        """Offset at which the topic ends."""
+
+
 @dataclass(frozen=True, slots=True)
 class KeyedRecord:
     """One record of a keyed topic."""
@@ -26,6 +39,8 @@
     key: str
     value: bytes
     """Content; empty if the key was removed."""
+    offset: int = field(default=0, compare=False)
+    """Position of the record in its topic."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,15 +91,17 @@
         """
         ...
 
-    async def append_keyed(self, topic: str, key: str, value: bytes) -> None:
+    async def append_keyed(self, topic: str, key: str, value: bytes, at: int | None = None) -> None:
         """Appends the newest record of a key.
 
         Args:
             topic: Name of the topic.
             key: The key.
             value: Its content.
+            at: Offset at which the topic must end for the append to take effect; None for any.
 
         Raises:
+            LogConflictError: If the topic ends at another offset.
             LogError: If the append failed; its verdict says whether it may have taken effect.
         """
         ...
--- a/packages/fulmarstile_services/src/fulmarstile_services/document.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/document.py
@@ -48,6 +48,8 @@
     """Maximum number of upstreams that one request is sent to."""
     priority: int
     """Priority among the requests of a service; 0 is the most urgent."""
+    needs_key: bool = True
+    """Whether callers must present a customer's key, if the document names customers."""
 
     @property
     def is_idempotent(self) -> bool:
@@ -65,6 +67,21 @@
     """Maximum number of connections that each upstream accepts."""
 
 
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer whose callers present one of its keys."""
+
+    name: str
+    key_digests: frozenset[bytes]
+    """Digests of its keys; the keys themselves are not kept."""
+    priority: int | None = None
+    """Priority that replaces that of the route; None to keep the route's."""
+    rate_per_s: float = 0.0
+    """Requests per second that it may send to all daemons together; 0 for no limit."""
+    burst: float = 0.0
+    """Requests that it may send at once beyond this rate."""
+
+
 @dataclass(frozen=True, slots=True)
 class RequestLimits:
     """Limits on the size of callers' requests and on how long they may take to arrive."""
@@ -84,3 +101,5 @@
     routes: tuple[ServiceRoute, ...]
     services: Mapping[str, ServiceDefinition] = field(default_factory=dict)
     limits: RequestLimits = RequestLimits()
+    customers: tuple[Customer, ...] | None = None
+    """Customers; None if callers present no keys."""
--- a/packages/fulmarstile_services/src/fulmarstile_services/settings.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/settings.py
@@ -32,6 +32,38 @@
     metrics: str
 
 
+@dataclass(frozen=True, slots=True)
+class RolloutBounds:
+    """Limits on what an unproven version of a service's upstreams may receive."""
+
+    exposure_ratio: float
+    """Fraction of the requests between order and deadline that a bad version may receive."""
+    exposure_slack: float
+    """Requests that it may receive beyond this ratio."""
+    rollback_s: float
+    """Time from the 50th bad response to the last request that it may receive, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class RevocationBounds:
+    """Limit on how long a key that was taken away may still be accepted."""
+
+    revoke_s: float
+    """Time from the acknowledgement of the document, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaBounds:
+    """Limits on how far the requests of a customer may exceed its quota."""
+
+    window_s: float
+    """Length of the sliding window, in seconds."""
+    overage_ratio: float
+    """Fraction of the quota of a window by which it may be exceeded."""
+    slack: float
+    """Requests beyond this in one window."""
+
+
 @dataclass(frozen=True, slots=True)
 class RequiredBounds:
     """Limits that the deployment requires the daemons to keep."""
@@ -44,6 +76,12 @@
     """Retries allowed for each request, over all daemons."""
     retry_burst: float = 50.0
     """Retries allowed beyond the ratio in one window, over all daemons."""
+    rollout: RolloutBounds | None = None
+    """Limits of roll-outs; None if the deployment has none."""
+    revocation: RevocationBounds | None = None
+    """Limit of the use of revoked keys; None if it is not strict."""
+    quota: QuotaBounds | None = None
+    """Limits of quotas; None if the deployment has none."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fulmarstile_services/src/fulmarstile_services/upstream_registry.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/upstream_registry.py
@@ -33,6 +33,8 @@
     phase: UpstreamPhase
     cold_left_s: float = 0.0
     """Remaining time for which the upstream is slow after its start, in seconds."""
+    version: str = ""
+    """Version of the upstream's software; empty if it announces none."""
 
 
 class AnnouncementOutcome(enum.Enum):
@@ -151,14 +153,7 @@
         if current.phase is UpstreamPhase.LEAVING:
             return AnnouncementOutcome.RENEWED
         self._last_heard_at = now
-        self._current = UpstreamAnnouncement(
-            upstream_id,
-            current.born_ms,
-            current.sequence,
-            current.service,
-            current.slots,
-            UpstreamPhase.LEAVING,
-        )
+        self._current = replace(current, phase=UpstreamPhase.LEAVING, cold_left_s=0.0)
         return AnnouncementOutcome.LEFT
 
     def _has_departed(self, announcement: UpstreamAnnouncement) -> bool:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
@@ -8,6 +8,7 @@
     MAX_READ_BYTES,
     KeyedPage,
     KeyedRecord,
+    LogConflictError,
     RecordsExpiredError,
 )
 from fulmarstile_platform.log import LogUnavailableError
@@ -65,14 +66,18 @@
         self.records_read += len(records)
         return KeyedPage(tuple(records), offset + len(records), len(records) < len(later))
 
-    async def append_keyed(self, topic: str, key: str, value: bytes) -> None:
+    async def append_keyed(self, topic: str, key: str, value: bytes, at: int | None = None) -> None:
         """See `KeyedLog.append_keyed`."""
         await self._check_available()
+        end = len(self._content.topics.get(topic, []))
+        if at is not None and at != end:
+            raise LogConflictError(end)
         self.put(topic, key, value)
 
     def put(self, topic: str, key: str, value: bytes) -> None:
         """Appends a record, even while the store is down."""
-        self._content.topics.setdefault(topic, []).append(KeyedRecord(key, value))
+        records = self._content.topics.setdefault(topic, [])
+        records.append(KeyedRecord(key, value, len(records)))
         self.appends += 1
         self.wake()
 
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -12,6 +12,8 @@
 import msgspec
 
 from fulmarstile_wire.errors import WireError
+from fulmarstile_wire.quotas import QuotaReply, QuotaRequest
+from fulmarstile_wire.rollouts import RolloutReply, RolloutReport
 from fulmarstile_wire.verdict import Verdict
 
 PROTOCOL_VERSION: Final = 2
@@ -74,6 +76,8 @@
     service: str = ""
     upstream_id: str = ""
     upstream_born_ms: int = 0
+    upstream_version: str = ""
+    """Version of the upstream's software; empty if it announces none."""
     upstream_leaves: bool = False
     """Whether the upstream has announced that it leaves; it never accepts requests again."""
     slots: int = 0
@@ -244,6 +248,26 @@
     call_id: int
 
 
+PeerRequest = RolloutReport | QuotaRequest
+"""Every request that a daemon makes to another one with a `PeerCall`."""
+PeerReply = RolloutReply | QuotaReply
+"""Every reply to a `PeerRequest`."""
+
+
+class PeerCall(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """A request of a daemon on its own behalf, answered with `PeerAnswer`."""
+
+    call_id: int
+    request: PeerRequest
+
+
+class PeerAnswer(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Answers a `PeerCall`."""
+
+    call_id: int
+    reply: PeerReply
+
+
 LinkMessage = (
     Hello
     | HopCall
@@ -254,6 +278,8 @@
     | SyncAnswer
     | BodyOffer
     | BodyGrant
+    | PeerCall
+    | PeerAnswer
 )
 """Every message that daemons send to each other."""
 
--- a/tests/adapter/test_heartbeats.py
+++ b/tests/adapter/test_heartbeats.py
@@ -49,7 +49,7 @@
     def test_a_heartbeat_is_decoded_as_an_announcement(self) -> None:
         self.assertEqual(self.post("/v1/Instances.Heartbeat/i-1", make_heartbeat()), 200)
         expected = UpstreamAnnouncement(
-            "i-1", 1_700_000_000_000, 4, "shop", 12, UpstreamPhase.READY, 1.5
+            "i-1", 1_700_000_000_000, 4, "shop", 12, UpstreamPhase.READY, 1.5, "v1"
         )
         self.assertEqual(self.events.announced, [expected])
 
--- a/tests/adapter/test_settings_file.py
+++ b/tests/adapter/test_settings_file.py
@@ -9,7 +9,12 @@
 from typing import Any
 
 from fulmarstile_adapter.settings_file import read_settings_file
-from fulmarstile_services.settings import NodeSettingsError
+from fulmarstile_services.settings import (
+    NodeSettingsError,
+    QuotaBounds,
+    RevocationBounds,
+    RolloutBounds,
+)
 
 SETTINGS: dict[str, Any] = {
     "NodeName": "sidecar-a-1",
@@ -52,6 +57,20 @@
         self.assertEqual(settings.bounds.retry_burst, 64)
         self.assertTrue(settings.is_first_start)
 
+    def test_limits_that_the_file_does_not_name_are_absent(self) -> None:
+        self.path.write_text(json.dumps(SETTINGS))
+        bounds = read_settings_file(self.path).bounds
+        self.assertEqual((bounds.rollout, bounds.revocation, bounds.quota), (None, None, None))
+
+    def test_limits_of_rollouts_keys_and_quotas_are_decoded(self) -> None:
+        changes = {"ExposeShare": 0.1, "BadVersionSlack": 50, "RollbackS": 5}
+        changes |= {"StrictRevoke": True, "RevokeS": 4, "QuotaWindowS": 5, "QuotaSlack": 20}
+        self.path.write_text(json.dumps(SETTINGS | {"Bounds": changes}))
+        bounds = read_settings_file(self.path).bounds
+        self.assertEqual(bounds.rollout, RolloutBounds(0.1, 50, 5))
+        self.assertEqual(bounds.revocation, RevocationBounds(4))
+        self.assertEqual(bounds.quota, QuotaBounds(5, 0.1, 20))
+
     def test_the_error_names_a_missing_or_invalid_field(self) -> None:
         for changes, name in (({"NodeName": None}, "NodeName"), ({"Limits": {}}, "MemoryMb")):
             self.path.write_text(json.dumps(SETTINGS | changes))
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -9,7 +9,7 @@
 
 from fulmarstile_adapter.store import open_store_client
 from fulmarstile_adapter_testing.store import StoreStandIn, serve_store
-from fulmarstile_platform.keyed_log import KeyedRecord, RecordsExpiredError
+from fulmarstile_platform.keyed_log import KeyedRecord, LogConflictError, RecordsExpiredError
 from fulmarstile_platform.log import LogUnavailableError
 from fulmarstile_wire.verdict import Verdict
 
@@ -55,6 +55,29 @@
 
         self.run_with_client(check)
 
+    def test_a_conditional_append_is_refused_if_another_one_came_first(self) -> None:
+        async def check(client: StoreClient) -> None:
+            await client.append_keyed(TOPIC, "key", b"first", at=0)
+            with self.assertRaises(LogConflictError) as context:
+                await client.append_keyed(TOPIC, "key", b"second", at=0)
+            self.assertEqual(context.exception.end_offset, 1)
+            self.assertIs(context.exception.verdict, Verdict.NOT_RUN)
+            page = await client.read_newest(TOPIC)
+            self.assertEqual(page.records, (KeyedRecord("key", b"first"),))
+
+        self.run_with_client(check)
+
+    def test_records_carry_their_offsets_however_they_are_read(self) -> None:
+        async def check(client: StoreClient) -> None:
+            for value in (b"a", b"b", b"c"):
+                await client.append_keyed(TOPIC, "key", value)
+            newest = await client.read_newest(TOPIC)
+            later = await client.read_keyed(TOPIC, 1, 0.0)
+            self.assertEqual([record.offset for record in newest.records], [2])
+            self.assertEqual([record.offset for record in later.records], [1, 2])
+
+        self.run_with_client(check)
+
     def test_a_read_limited_to_one_record_reports_that_more_follow(self) -> None:
         async def check(client: StoreClient) -> None:
             for value in (b"a", b"b"):
--- a/tests/wire/test_link_frames.py
+++ b/tests/wire/test_link_frames.py
@@ -11,6 +11,15 @@
 from hypothesis import strategies as st
 
 from fulmarstile_wire.errors import WireError
+from fulmarstile_wire.quotas import QuotaDemand, QuotaGrant, QuotaReply, QuotaRequest
+from fulmarstile_wire.rollouts import (
+    RolloutPhase,
+    RolloutReply,
+    RolloutReport,
+    RolloutState,
+    RouteEvidence,
+    UpstreamEvidence,
+)
 from fulmarstile_wire.services import (
     MAX_FRAME_BYTES,
     FrameDecoder,
@@ -20,6 +29,8 @@
     HopCancel,
     HopOutcome,
     HopRequest,
+    PeerAnswer,
+    PeerCall,
     SyncAnswer,
     SyncCall,
     SyncReply,
@@ -31,6 +42,10 @@
 
 NOTICE = UpstreamNotice("u-1", 5, 6, 8.1, leaves=True)
 HOP = HopRequest("shop", "u-1", "stock", 1, 900, 200, True, 400, b"12345678")
+UPSTREAM_EVIDENCE = UpstreamEvidence(
+    "daemon-1", 5, "u-1", 6, "v2", routes=(RouteEvidence("shop.example/", 9, 1, (0, 8, 2)),)
+)
+ROLLOUT = RolloutState("shop", 7, "v2", 12_000, 400, RolloutPhase.CANARY, 0.04, ("daemon-1",))
 MESSAGES = (
     Hello(1, "daemon-1"),
     HopCall(7, HOP, b"POST", b"/a?b=c", [(b"host", b"x")], b"body"),
@@ -41,6 +56,10 @@
     HopCancel(9),
     SyncCall(10, SyncRequest("daemon-1", b"digest", 5)),
     SyncAnswer(10, SyncReply("daemon-2", b"digest", 6, document=b"raw")),
+    PeerCall(11, RolloutReport("daemon-1", "shop", 7, UPSTREAM_EVIDENCE)),
+    PeerAnswer(11, RolloutReply(ROLLOUT)),
+    PeerCall(12, QuotaRequest("daemon-1", 2, (QuotaDemand("baker", 3.0),))),
+    PeerAnswer(12, QuotaReply(True, (QuotaGrant("baker", 2.0, 40),))),
 )
 
 
