--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
@@ -25,6 +25,7 @@
     from fulmarstile_daemon.services._notice_merger import NoticeMerger
     from fulmarstile_daemon.services._replies import CallReplies
     from fulmarstile_daemon.services._upstream import LocalUpstream
+    from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.metrics import ServiceMetrics
     from fulmarstile_services.balancing import LeastWaitBalancer
@@ -38,7 +39,8 @@
 
     Args:
         directory: Directory of the known daemons.
-        balancer: Selects upstreams.
+        balancer: Records what is seen of upstreams.
+        chooser: Selects upstreams.
         budget: Retry budget.
         notices: Merges what upstreams say about themselves.
         upstream: Upstream on this VM.
@@ -52,6 +54,7 @@
         self,
         directory: Directory,
         balancer: LeastWaitBalancer,
+        chooser: UpstreamChooser,
         budget: RetryBudget,
         notices: NoticeMerger,
         upstream: LocalUpstream,
@@ -62,6 +65,7 @@
     ) -> None:
         self._directory = directory
         self._balancer = balancer
+        self._chooser = chooser
         self._retry_budget = budget
         self._retry_policy = RetryPolicy(budget)
         self._hedge_timer = HedgeTimer()
@@ -95,8 +99,8 @@
             call.deadline, partial(self._replies.make_cancelled, call), call.withdraw
         )
         while not call.is_withdrawn:
-            member = self._select_member(call, frozenset(tried))
-            if member is None:
+            member = await self._select_member(call, frozenset(tried))
+            if member is None or call.is_withdrawn:
                 break
             tried.add(member.name)
             result = await self._attempt_hedged(call, member, tried)
@@ -108,7 +112,14 @@
                 break
         return result
 
-    def _select_member(self, call: ServiceCall, tried: frozenset[str]) -> Member | None:
+    async def _select_member(self, call: ServiceCall, tried: frozenset[str]) -> Member | None:
+        members = self._directory.serving(call.service)
+        size = len(call.request.body)
+        return await self._chooser.choose(
+            members, size, tried, call.priority, call.route.target_latency_s
+        )
+
+    def _select_for_hedge(self, call: ServiceCall, tried: frozenset[str]) -> Member | None:
         members = self._directory.serving(call.service)
         size = len(call.request.body)
         target_s = call.route.target_latency_s
@@ -135,7 +146,7 @@
     ) -> Callable[[], Awaitable[AttemptResult]] | None:
         if call.is_withdrawn:
             return None
-        member = self._select_member(call, frozenset(tried))
+        member = self._select_for_hedge(call, frozenset(tried))
         if member is None or not self._retry_budget.try_spend_for_hedge(call.service):
             return None
         tried.add(member.name)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -293,13 +293,22 @@
             raise DaemonUnreachableError("no reply in time")
         return answer.reply
 
-    async def query(self, member: Member, request: PeerRequest, timeout_s: float) -> PeerReply:
+    async def query(
+        self,
+        member: Member,
+        request: PeerRequest,
+        timeout_s: float,
+        *,
+        replace_silent: bool = True,
+    ) -> PeerReply:
         """Sends a request to a daemon.
 
         Args:
             member: The daemon.
             request: The request.
             timeout_s: Timeout in seconds.
+            replace_silent: Whether no reply in time shows that a connection may be dead; not if
+                the timeout is shorter than a slow reply.
 
         Returns:
             The daemon's reply.
@@ -307,13 +316,19 @@
         Raises:
             DaemonUnreachableError: If it did not reply in time.
         """
-        answer = await self._ask(member, partial(PeerCall, request=request), timeout_s)
+        make_call = partial(PeerCall, request=request)
+        answer = await self._ask(member, make_call, timeout_s, replace_silent=replace_silent)
         if not isinstance(answer, PeerAnswer):
             raise DaemonUnreachableError("no reply in time")
         return answer.reply
 
     async def _ask(
-        self, member: Member, make_call: Callable[[int], SyncCall | PeerCall], timeout_s: float
+        self,
+        member: Member,
+        make_call: Callable[[int], SyncCall | PeerCall],
+        timeout_s: float,
+        *,
+        replace_silent: bool = True,
     ) -> HopAnswer | SyncAnswer | PeerAnswer | None:
         """Sends a call and waits for its answer; None if there is none in time."""
         pending: _PendingCall | None = None
@@ -326,7 +341,8 @@
             except LinkBrokenError as error:
                 raise DaemonUnreachableError(str(error)) from error
             except trio.Cancelled:
-                self._replace_if_silent(member.address, link)
+                if replace_silent:
+                    self._replace_if_silent(member.address, link)
                 raise
             finally:
                 link.end_call(call_id)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -15,11 +15,14 @@
 from fulmarstile_daemon.services._exchange import Exchange, ResponseTooLargeError
 from fulmarstile_daemon.services._response_notices import ResponseNotices
 from fulmarstile_daemon.services._slots import SlotRefusedError, Slots
-from fulmarstile_daemon.services.events import UpstreamChanged
+from fulmarstile_daemon.services.events import RecordIgnored, UpstreamChanged
 from fulmarstile_http.client_connection import ExchangeError
 from fulmarstile_http.connection_pool import ConnectionPool, PoolSettings
+from fulmarstile_services.service_times import ServiceTimes
 from fulmarstile_services.slot_class import SlotClass
+from fulmarstile_services.upstream_load import parse_load
 from fulmarstile_services.upstream_registry import UpstreamPhase
+from fulmarstile_wire.loads import LoadReply
 from fulmarstile_wire.services import HopOutcome, MemberPhase
 from fulmarstile_wire.verdict import Verdict
 
@@ -35,6 +38,7 @@
     from fulmarstile_daemon.services.ports import CallHeaderNames
     from fulmarstile_http.client_connection import ClientConnection
     from fulmarstile_services.upstream_registry import UpstreamAnnouncement
+    from fulmarstile_wire.loads import LoadRequest
     from fulmarstile_wire.services import HopRequest, UpstreamNotice
 
 _MAX_NON_IDEMPOTENT_IDLE_S: Final = 0.5
@@ -45,8 +49,6 @@
 _POOL_SETTINGS: Final = PoolSettings(connect_timeout_s=0.5, fresh_connection_s=4.0)
 _MAX_STRAY_RESPONSES: Final = 8
 """Maximum number of responses to other requests that are skipped before a connection is dropped."""
-_SERVICE_TIME_GAIN: Final = 0.05
-"""Weight of a new value in the EWMA of service times."""
 _NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run, so they are not passed on."""
 
@@ -87,8 +89,7 @@
         self._quarantine = Quarantine(QuarantineSettings())
         self._crash_watch = CrashWatch(self._quarantine)
         self._unreachable_until = -math.inf
-        self._service_s = 0.0
-        self._class_service_s: dict[int, float] = {}
+        self._service_times = ServiceTimes()
         self._response_notices: ResponseNotices | None = None
         self._is_stopping = False
         self.requests_sent = 0
@@ -123,7 +124,7 @@
     @property
     def service_s(self) -> float:
         """Moving average of the upstream's service time, in seconds."""
-        return self._service_s
+        return self._service_times.mean_s
 
     @property
     def notice(self) -> UpstreamNotice | None:
@@ -238,7 +239,7 @@
             self._slots.release(ticket_id)
         if result.response is not None:
             ended_at = trio.current_time()
-            self._observe(hop.priority, ended_at - started_at)
+            self._service_times.observe(hop.priority, ended_at - started_at, ended_at)
             self._quarantine.on_completed(hop.fingerprint, ended_at)
         return AttemptResult(self.add_load(result.outcome, hop.priority), result.response)
 
@@ -252,17 +253,62 @@
         Returns:
             The outcome with the load.
         """
+        times = self._service_times
         return msgspec.structs.replace(
             outcome,
             running=self.running,
             queued=self.queued,
             slots=self.slots,
-            service_ms=round(self._service_s * 1000, 2),
-            class_service_ms=round(self._class_service_s.get(priority, 0.0) * 1000, 2),
+            service_ms=round(times.mean_s * 1000, 2),
+            class_service_ms=round(times.class_mean_s(priority) * 1000, 2),
             phase=self.phase,
             notice=self.notice,
+            slowdown=times.slowdown(trio.current_time()),
         )
 
+    def on_load_request(self, request: LoadRequest) -> LoadReply:
+        """Tells another daemon the present load.
+
+        Args:
+            request: Request of the other daemon.
+
+        Returns:
+            The load, or that the upstream doesn't serve this service.
+        """
+        announcement = self._announcement
+        if self.phase is not MemberPhase.SERVING or announcement is None:
+            return LoadReply(is_serving=False)
+        if announcement.service != request.service:
+            return LoadReply(is_serving=False)
+        times = self._service_times
+        return LoadReply(
+            True,
+            self.running,
+            self.queued,
+            self.slots,
+            round(times.mean_s * 1000, 2),
+            times.slowdown(trio.current_time()),
+        )
+
+    def _read_load(self, response: UpstreamResponse) -> None:
+        value = response.headers.get_bytes(self._names.load)
+        if not value:
+            return
+        load = parse_load(value)
+        if load is None:
+            self._log.write(
+                RecordIgnored(source="response", reason=f"its load is malformed: {value[:40]!r}")
+            )
+        elif self._service_times.on_load(load, response.head_at):
+            self._log.write(
+                UpstreamChanged(
+                    upstream=self._announcement.upstream_id if self._announcement else "",
+                    born_ms=self._announcement.born_ms if self._announcement else 0,
+                    change="reports the speed of its VM",
+                    slots=load.slots,
+                )
+            )
+
     def _start(self, announcement: UpstreamAnnouncement, address: str) -> None:
         limit = self._connection_limit(announcement.service)
         self._response_notices = ResponseNotices(
@@ -331,6 +377,7 @@
             _return_connection(pool, connection, is_reusable)
         if response_notices is not None and response.status != _MISDIRECTED_STATUS:
             response_notices.read(response)
+            self._read_load(response)
         return self._classify_response(response)
 
     async def _receive_matching(
@@ -407,11 +454,6 @@
             headers.append((names.expected_upstream, upstream_id))
         return headers
 
-    def _observe(self, priority: int, elapsed_s: float) -> None:
-        self._service_s = _update_mean(self._service_s, elapsed_s)
-        known_s = self._class_service_s.get(priority, 0.0)
-        self._class_service_s[priority] = _update_mean(known_s, elapsed_s)
-
     def _mark_unreachable(self, reason: str) -> None:
         now = trio.current_time()
         announcement = self._announcement
@@ -426,11 +468,6 @@
         self._unreachable_until = now + _UNREACHABLE_S
 
 
-def _update_mean(mean_s: float, elapsed_s: float) -> float:
-    """Updates an EWMA of times in seconds; 0 means that there is no value yet."""
-    return mean_s + _SERVICE_TIME_GAIN * (elapsed_s - mean_s) if mean_s else elapsed_s
-
-
 def _return_connection(
     pool: ConnectionPool, connection: ClientConnection, is_reusable: bool
 ) -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -21,6 +21,7 @@
 from fulmarstile_daemon.services._notice_merger import NoticeMerger
 from fulmarstile_daemon.services._request_server import RequestServer
 from fulmarstile_daemon.services._upstream import LocalUpstream
+from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
 from fulmarstile_daemon.services.documents import ActiveDocument, ActiveRoutes
 from fulmarstile_daemon.services.entry import CallEntry
@@ -51,6 +52,7 @@
 from fulmarstile_services.settings import NodeSettingsError
 from fulmarstile_services.store_readers import is_reader
 from fulmarstile_services.weighted_round_robin import WeightedRoundRobin
+from fulmarstile_wire.loads import LoadRequest
 from fulmarstile_wire.services import Member
 
 if TYPE_CHECKING:
@@ -125,12 +127,16 @@
             settings, self._directory, self._membership, self._upstream, notices, log
         )
         self._membership.on_recovered = self._announcements.restore_upstream
+        self._chooser = UpstreamChooser(
+            self._balancer, self._upstream, self._links, local_member, rng, log
+        )
         self._entry = CallEntry(
             names,
             self._routes,
             WeightedRoundRobin(rng),
             self._directory,
             self._balancer,
+            self._chooser,
             self._retry_budget,
             notices,
             self._upstream,
@@ -166,7 +172,7 @@
             self._upstream.rate_wait_s,
             self._body_admission,
             self._byte_budget,
-            {},
+            {LoadRequest: self._upstream.on_load_request},
         )
         self._shutdown = GracefulShutdown(
             self._callers,
@@ -252,6 +258,7 @@
                 nursery.start_soon(self._gossip.run)
                 nursery.start_soon(self._upstream.tick_forever)
                 nursery.start_soon(self._entry.run_hedges)
+                nursery.start_soon(self._chooser.run)
                 nursery.start_soon(self._watch_settings)
                 nursery.start_soon(self._watch_suspension)
                 # All objects that exist now live until the end, so collections need not scan them.
@@ -390,6 +397,7 @@
         add("upstream_rate_limit", lambda: self._upstream.rate_limit)
         add("upstream_requests_sent", lambda: self._upstream.requests_sent)
         add("upstream_service_seconds", lambda: self._upstream.service_s)
+        add("load_requests", lambda: self._chooser.load_requests)
         add("log_lines_left_out", lambda: self._log.dropped_lines)
 
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -21,6 +21,7 @@
     from fulmarstile_daemon.services._request_scope import RequestScope
     from fulmarstile_daemon.services._server_connection import CallerResponse, ReceivedRequest
     from fulmarstile_daemon.services._upstream import LocalUpstream
+    from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
     from fulmarstile_daemon.services.documents import ActiveRoutes
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.metrics import ServiceMetrics
@@ -46,7 +47,8 @@
         routes: Active routing table.
         round_robin: Distributes requests over the services of a route.
         directory: Directory of the known daemons.
-        balancer: Selects upstreams.
+        balancer: Records what is seen of upstreams.
+        chooser: Selects upstreams.
         budget: Retry budget.
         notices: Merges what upstreams say about themselves.
         upstream: Upstream on this VM.
@@ -62,6 +64,7 @@
         round_robin: WeightedRoundRobin,
         directory: Directory,
         balancer: LeastWaitBalancer,
+        chooser: UpstreamChooser,
         budget: RetryBudget,
         notices: NoticeMerger,
         upstream: LocalUpstream,
@@ -78,7 +81,16 @@
         self._metrics = metrics
         self._replies = CallReplies(names, routes, metrics, log)
         self._attempts = AttemptRunner(
-            directory, balancer, budget, notices, upstream, links, self._replies, metrics, log
+            directory,
+            balancer,
+            chooser,
+            budget,
+            notices,
+            upstream,
+            links,
+            self._replies,
+            metrics,
+            log,
         )
         self.caller_service = ""
         """Service of the upstream on this VM, passed to upstreams as the caller."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -222,6 +222,18 @@
     """`response` of the upstream on this VM, `request` of another daemon, or the daemon asked."""
 
 
+class ZoneShareChanged(LogEvent, tag="zone_share_changed"):
+    """Another part of a service's requests goes to another availability zone."""
+
+    service: str
+    availability_zone: str
+    share: float
+    local_load: float
+    """Requests running and queued per slot in the daemon's own zone."""
+    load: float
+    """The same in the other zone."""
+
+
 class RecordIgnored(LogEvent, tag="record_ignored"):
     """A record or an announcement is outdated or invalid."""
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/ports.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/ports.py
@@ -38,6 +38,11 @@
     """
     leaving: bytes
     """Set on every response of an upstream that leaves."""
+    load: bytes
+    """Load of the upstream: requests running and waiting, and slots, separated by commas.
+
+    A fourth figure is the present duration of requests in percent of the usual one.
+    """
     call_separator: bytes = b""
     """Follows the id of a running request in the ids of calls that its upstream makes for it.
 
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -7,39 +7,27 @@
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_calls.request import RefusalReason
+from fulmarstile_services._observation import Observation, TypicalTimes
 from fulmarstile_services.candidates import Candidates
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Sequence
 
     from fulmarstile_services.upstream_notices import UpstreamNotices
+    from fulmarstile_wire.loads import LoadReply
     from fulmarstile_wire.services import HopOutcome, Member
 
 _MIN_REMOTE_CANDIDATES: Final = 2
 """Minimum number of upstreams in other availability zones among those that are compared."""
 _MAX_SAMPLES: Final = 3
 """Maximum number of samples taken until one contains a usable upstream."""
-_HALF_WEIGHT_AGE_S: Final = 1.0
-"""Age at which a report counts half, in seconds."""
 _EWMA_GAIN: Final = 0.2
-_ERROR_WEIGHT: Final = 6.0
-"""Relative increase of the expected latency of an upstream that always fails."""
 _DEFAULT_SERVICE_S: Final = 0.05
-_COLD_FACTOR: Final = 2.0
 _EXPLORATION_RATIO: Final = 0.1
 """Fraction of small requests that go to an upstream which this daemon hasn't used lately."""
-_UNTRIED_AFTER_S: Final = 2.0
-_LIMITED_UNTRIED_AFTER_S: Final = 10.0
-"""Like `_UNTRIED_AFTER_S`, for an upstream that has announced a rate limit, in seconds.
-
-Every daemon explores it, and its limit holds for all of them together.
-"""
-_MIN_LIMITED_SLOTS: Final = 0.05
-"""Lower bound of the slots that a rate limit can keep busy."""
 _SMALL_BODY_BYTES: Final = 4096
 """Largest body of a request that explores an upstream or measures its network delay, in bytes."""
-_IGNORED_NETWORK_DELAY_S: Final = 0.02
-"""Part of the round-trip network delay that is ignored in the expected latency, in seconds."""
 _MIN_REFUSAL_HOLD_S: Final = 0.015
 _MAX_REFUSAL_HOLD_S: Final = 0.05
 _MAX_LIMIT_HOLD_S: Final = 0.2
@@ -62,126 +50,7 @@
     """Number of upstreams compared for one request."""
 
 
-@dataclass(frozen=True, slots=True)
-class _TypicalTimes:
-    """Mean service times over the compared upstreams, in seconds."""
-
-    service_s: float
-    """For requests of any priority."""
-    priority_service_s: float
-    """For requests with the priority of the one to be sent."""
-
-
-class _Observation:
-    __slots__ = (
-        "body_wait_s",
-        "cold_until",
-        "error_rate",
-        "held_until",
-        "in_flight",
-        "network_delay_s",
-        "reported_at",
-        "reported_load",
-        "service_s",
-        "service_s_by_priority",
-        "tried_at",
-        "upstream_id",
-    )
-
-    def __init__(self, member: Member, now: float) -> None:
-        self.upstream_id = member.upstream_id
-        self.cold_until = now + member.cold_left_s
-        self.in_flight = 0
-        self.reported_load = 0.0
-        """Requests running and queued at the upstream, except those of this daemon."""
-        self.reported_at = now
-        self.service_s = 0.0
-        """Mean service time of requests of any priority, in seconds; 0 if unknown."""
-        self.service_s_by_priority: dict[int, float] = {}
-        """Mean service time of requests by priority, in seconds."""
-        self.body_wait_s = 0.0
-        """Time that large bodies wait before they may be sent to the upstream, in seconds."""
-        self.network_delay_s = 0.0
-        """EWMA of the time that small requests and answers spend in transit, in seconds."""
-        self.error_rate = 0.0
-        self.held_until: dict[int, float] = {}
-        """Times until which a refusal holds back requests of its priority and less urgent ones."""
-        self.tried_at = now - _LIMITED_UNTRIED_AFTER_S
-
-    def is_held(self, priority: int, now: float) -> bool:
-        """Returns whether an equally or more urgent request was refused a moment ago."""
-        if not self.held_until:
-            return False
-        if all(until <= now for until in self.held_until.values()):
-            self.held_until.clear()
-            return False
-        return any(
-            refused <= priority and now < until for refused, until in self.held_until.items()
-        )
-
-    def is_untried(self, rate_limit: float, now: float) -> bool:
-        """Returns whether this daemon has sent nothing to the upstream for a while."""
-        untried_after_s = _LIMITED_UNTRIED_AFTER_S if rate_limit else _UNTRIED_AFTER_S
-        return now - self.tried_at >= untried_after_s and not self.in_flight
-
-    def expect_latency_s(
-        self, slots: int, rate_limit: float, priority: int, typical: _TypicalTimes, now: float
-    ) -> float:
-        """Returns the expected time to an answer.
-
-        The queue wait is estimated from the mean service time of all priorities, the service
-        time of the request itself from that of its own priority.
-
-        Args:
-            slots: Slots of the upstream.
-            rate_limit: Requests per second that it accepts; 0 for no limit. Such an upstream is
-                treated as if it had only the slots that this rate keeps busy.
-            priority: Priority of the request.
-            typical: Mean service times over the compared upstreams.
-            now: Current time in seconds.
-
-        Returns:
-            The time in seconds, increased for an upstream that fails.
-        """
-        freshness = self._freshness(now)
-        service_s = self.service_s or typical.service_s
-        usable_slots: float = slots
-        if rate_limit:
-            usable_slots = min(slots, max(_MIN_LIMITED_SLOTS, rate_limit * service_s))
-        load = (self.reported_load * freshness + self.in_flight + 1) / usable_slots
-        priority_service_s = (
-            self.service_s_by_priority.get(priority)
-            or typical.priority_service_s * service_s / typical.service_s
-        )
-        if now < self.cold_until:
-            service_s = max(service_s, typical.service_s * _COLD_FACTOR)
-            priority_service_s = max(priority_service_s, typical.priority_service_s * _COLD_FACTOR)
-        expected_s = priority_service_s + service_s * (
-            0.5 * load * load if load < 1.0 else load - 0.5
-        )
-        expected_s *= 1.0 + _ERROR_WEIGHT * self.error_rate
-        return expected_s + max(0.0, self.network_delay_s * freshness - _IGNORED_NETWORK_DELAY_S)
-
-    def expect_transfer_s(self, size: int, link_kbps: int, now: float) -> float:
-        """Returns the expected time until a large body has arrived at the upstream.
-
-        Args:
-            size: Size of the body in bytes.
-            link_kbps: Capacity of the receiving link in kilobits per second; 0 if unknown.
-            now: Current time in seconds.
-
-        Returns:
-            The time in seconds.
-        """
-        wait_s = self.body_wait_s * self._freshness(now)
-        return wait_s + size * 8 / 1000 / link_kbps if link_kbps else wait_s
-
-    def _freshness(self, now: float) -> float:
-        """Returns the weight of the last report, which decreases with its age."""
-        return _HALF_WEIGHT_AGE_S / (_HALF_WEIGHT_AGE_S + now - self.reported_at)
-
-
-_Candidate = tuple["Member", _Observation]
+_Candidate = tuple["Member", Observation]
 
 
 class LeastWaitBalancer:
@@ -211,9 +80,10 @@
         self._availability_zone = availability_zone
         self._random = random
         self._notices = notices
-        self._observations: dict[str, _Observation] = {}
+        self._observations: dict[str, Observation] = {}
         self._unreachable: set[str] = set()
         self._candidates: dict[str, Candidates] = {}
+        self._load_reporting: set[str] = set()
 
     @property
     def has_unreachable(self) -> bool:
@@ -281,10 +151,59 @@
             ]
             if untried:
                 return self._random.choice(untried)
-        typical = _average_times(usable, priority)
+        return self._choose_fastest(usable, size, now, priority, target_s)
+
+    def choose_among(
+        self,
+        drawn: Sequence[Member],
+        size: int,
+        now: float,
+        priority: int,
+    ) -> Member | None:
+        """Chooses among upstreams of one availability zone whose load was just reported.
+
+        Args:
+            drawn: Daemons beside the upstreams.
+            size: Bytes of the request's body.
+            now: Current time in seconds.
+            priority: Priority of the request; 0 is the most urgent.
+
+        Returns:
+            The daemon, or None if all refused such a request a moment ago.
+        """
+        observed = [(member, self._observe(member, now)) for member in drawn]
+        usable = [candidate for candidate in observed if not candidate[1].is_held(priority, now)]
+        return self._choose_fastest(usable, size, now, priority, None) if usable else None
+
+    def cross_zone_penalty_s(self, size: int, target_s: float) -> float:
+        """Returns the latency that a request must save to go to another availability zone.
+
+        Args:
+            size: Bytes of the request's body.
+            target_s: Target latency of the request in seconds.
+
+        Returns:
+            The latency in seconds.
+        """
         settings = self._settings
         penalty_s = settings.cross_zone_penalty_s + size * settings.cross_zone_penalty_s_per_byte
-        penalty_s += settings.cross_zone_target_ratio * target_s
+        return penalty_s + settings.cross_zone_target_ratio * target_s
+
+    def _choose_fastest(
+        self,
+        usable: list[_Candidate],
+        size: int,
+        now: float,
+        priority: int,
+        target_s: float | None,
+    ) -> Member | None:
+        """Chooses the upstream with the least expected latency.
+
+        Other availability zones are charged a penalty unless `target_s` is None.
+        """
+        typical = _average_times(usable, priority)
+        penalty_s = 0.0 if target_s is None else self.cross_zone_penalty_s(size, target_s)
+        is_small = size <= _SMALL_BODY_BYTES
         best: Member | None = None
         best_s = math.inf
         for member, observation in usable:
@@ -300,6 +219,33 @@
                 best, best_s = member, expected_s
         return best
 
+    def on_load(self, member: Member, load: LoadReply, now: float) -> None:
+        """Records the load that a daemon reported on request.
+
+        Args:
+            member: The daemon.
+            load: Its reply.
+            now: Current time in seconds.
+        """
+        observation = self._observe(member, now)
+        observation.reported_load = max(0.0, load.running + load.queued - observation.in_flight)
+        observation.reported_at = now
+        observation.slowdown = load.slowdown
+        if load.service_ms > 0.0:
+            observation.service_s = load.service_ms / 1000
+
+    def reports_load(self, service: str) -> bool:
+        """Returns whether upstreams of a service report how fast their VMs are at the moment."""
+        return service in self._load_reporting
+
+    def find_candidates(self, members: tuple[Member, ...]) -> Candidates:
+        """Returns the reachable members, grouped by availability zone.
+
+        Args:
+            members: See `choose`; not empty.
+        """
+        return self._find_candidates(members)
+
     def on_sent(self, member: Member, now: float) -> None:
         """Records that a request was sent to a daemon."""
         observation = self._observe(member, now)
@@ -338,6 +284,9 @@
         if has_load:
             observation.reported_load = max(0.0, load - observation.in_flight)
             observation.reported_at = now
+            observation.slowdown = outcome.slowdown
+            if outcome.slowdown:
+                self._load_reporting.add(member.service)
         if outcome.service_ms > 0.0:
             observation.service_s = outcome.service_ms / 1000
         if outcome.class_service_ms > 0.0:
@@ -370,10 +319,10 @@
         notice = self._notices.find_for(member)
         return 0.0 if notice is None else notice.rate_limit
 
-    def _observe(self, member: Member, now: float) -> _Observation:
+    def _observe(self, member: Member, now: float) -> Observation:
         observation = self._observations.get(member.name)
         if observation is None or observation.upstream_id != member.upstream_id:
-            observation = self._observations[member.name] = _Observation(member, now)
+            observation = self._observations[member.name] = Observation(member, now)
             self._mark_reachable(member.name)
         return observation
 
@@ -416,7 +365,7 @@
         return known
 
 
-def _average_times(usable: list[_Candidate], priority: int) -> _TypicalTimes:
+def _average_times(usable: list[_Candidate], priority: int) -> TypicalTimes:
     known = [observation.service_s for _, observation in usable if observation.service_s]
     service_s = sum(known) / len(known) if known else _DEFAULT_SERVICE_S
     known = [
@@ -424,4 +373,4 @@
         for _, observation in usable
         if (priority_service_s := observation.service_s_by_priority.get(priority))
     ]
-    return _TypicalTimes(service_s, sum(known) / len(known) if known else service_s)
+    return TypicalTimes(service_s, sum(known) / len(known) if known else service_s)
--- a/packages/fulmarstile_services/src/fulmarstile_services/candidates.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/candidates.py
@@ -24,7 +24,7 @@
             none of them does.
     """
 
-    __slots__ = ("local", "members", "remote", "unreachable")
+    __slots__ = ("by_zone", "local", "members", "remote", "unreachable")
 
     def __init__(
         self,
@@ -43,6 +43,10 @@
             candidate for candidate in reachable if candidate.availability_zone != availability_zone
         ]
         """Members in other availability zones."""
+        self.by_zone: dict[str, list[Member]] = {}
+        """Reachable members by availability zone."""
+        for candidate in reachable:
+            self.by_zone.setdefault(candidate.availability_zone, []).append(candidate)
         self.unreachable = [member for member in members if not is_reachable(member.name)]
         """Members that don't answer."""
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/service_platform.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/service_platform.py
@@ -29,6 +29,7 @@
     not_run=b"not-run",
     rate_limit=b"rate-limit",
     leaving=b"leaving",
+    load=b"load",
 )
 DOCUMENT_TOPIC: Final = "documents"
 DOCUMENT_KEY: Final = "current"
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from fulmarstile_wire.errors import WireError
+from fulmarstile_wire.loads import LoadReply, LoadRequest
 from fulmarstile_wire.quotas import QuotaReply, QuotaRequest
 from fulmarstile_wire.rollouts import RolloutReply, RolloutReport
 from fulmarstile_wire.verdict import Verdict
@@ -143,6 +144,8 @@
     """Like `service_ms`, but only for requests of the same priority as this one."""
     notice: UpstreamNotice | None = None
     """What the upstream has said about itself."""
+    slowdown: float = 0.0
+    """Factor by which the upstream's VM slows requests at the moment; 0 if it isn't reported."""
 
 
 class SyncRequest(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -248,9 +251,9 @@
     call_id: int
 
 
-PeerRequest = RolloutReport | QuotaRequest
+PeerRequest = RolloutReport | QuotaRequest | LoadRequest
 """Every request that a daemon makes to another one with a `PeerCall`."""
-PeerReply = RolloutReply | QuotaReply
+PeerReply = RolloutReply | QuotaReply | LoadReply
 """Every reply to a `PeerRequest`."""
 
 
