Choose upstreams by their present load, and decide which part of the requests leaves a zone

Cause: a report of an upstream's load comes with answers, so a daemon with a few requests a second knows loads that are seconds old; a zone was left by a fixed margin, all or nothing, also while every zone was short.

Change: where upstreams report the speed of their VMs, UpstreamChooser asks three of them for their load before an attempt, and ZoneSpillover moves the share of other zones by marginal waits.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -321,6 +321,8 @@
             hops_in_flight=self._peers.in_flight,
             message_bytes_held=self._byte_budget.used_bytes,
             crash_reports=len(self._directory.crashes),
+            load_requests=self._chooser.load_requests,
+            zone_shares=self._chooser.zone_shares(),
             members=tuple(
                 MemberState(member, self._balancer.is_reachable(member.name)) for member in members
             ),
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/state.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/state.py
@@ -35,4 +35,8 @@
     hops_in_flight: int
     message_bytes_held: int
     crash_reports: int
+    load_requests: int
+    """Loads of upstreams that were asked for."""
+    zone_shares: dict[str, dict[str, float]]
+    """Part of each service's requests that goes to each other availability zone."""
     members: tuple[MemberState, ...]
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
@@ -86,6 +86,8 @@
         """Ids of requests that never get an answer."""
         self.rate_limit: float | None = None
         """Requests per second that its answers name as its limit; None for no limit."""
+        self.load = b""
+        """Load that its responses report; empty for none."""
         self.is_leaving = False
         """Whether its answers say that it leaves."""
         self._scope = trio.CancelScope()
@@ -235,6 +237,8 @@
             headers.append((self._names.rate_limit, f"{self.rate_limit:g}".encode()))
         if self.is_leaving:
             headers.append((self._names.leaving, b"1"))
+        if self.load:
+            headers.append((self._names.load, self.load))
         if not_run:
             headers.append((self._names.not_run, b"1"))
         elif proven:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_service.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_service.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from hdrh.histogram import HdrHistogram
@@ -32,6 +32,7 @@
 _QUEUE_PER_SLOT: Final = 4
 _SERVICE_GAIN: Final = 0.05
 _MAX_ATTEMPTS: Final = 3
+_PRIORITY: Final = 2
 _TICK_S: Final = 0.02
 
 
@@ -66,6 +67,9 @@
     crossings: int = 0
     """Attempts that were sent to another availability zone."""
     p99_s: float = 0.0
+    in_target_by_zone: dict[str, int] = field(default_factory=dict)
+    """Requests answered in time, by the zone of the caller."""
+    asked_by_zone: dict[str, int] = field(default_factory=dict)
 
 
 class _Request:
@@ -169,18 +173,27 @@
     def _arrive(self) -> None:
         self.result.asked += 1
         self._next_id += 1
-        request = _Request(self._random.randrange(len(self._balancers)), self.time.now)
+        request = _Request(self._choose_entry(), self.time.now)
+        zone = self._zones[request.entry]
+        self.result.asked_by_zone[zone] = self.result.asked_by_zone.get(zone, 0) + 1
         self._requests[self._next_id] = request
         self._send(self._next_id, request)
 
+    def _choose_entry(self) -> int:
+        """Returns the number of the entry daemon that gets the next request."""
+        return self._random.randrange(len(self._balancers))
+
+    def _choose_member(self, entry: int, tried: frozenset[str]) -> Member | None:
+        return self._balancers[entry].choose(
+            self._members, 0, self.time.now, tried, _PRIORITY, self._shape.target_s
+        )
+
     def _send(self, number: int, request: _Request) -> None:
         now = self.time.now
         balancer = self._balancers[request.entry]
         member = None
         if len(request.tried) < _MAX_ATTEMPTS:
-            member = balancer.choose(
-                self._members, 0, now, frozenset(request.tried), 2, self._shape.target_s
-            )
+            member = self._choose_member(request.entry, frozenset(request.tried))
         if member is None:
             del self._requests[number]
             self.result.refused += 1
@@ -237,7 +250,7 @@
             if outcome.notice is not None:
                 self._notices[request.entry].merge(outcome.notice)
             self._balancers[request.entry].on_ended(
-                request.member, outcome, False, self.time.now, 2
+                request.member, outcome, False, self.time.now, _PRIORITY
             )
 
     def _finish(self, number: int) -> None:
@@ -255,6 +268,8 @@
         self._latency.record_value(max(1, int(latency_s * 1e6)))
         if latency_s <= self._shape.target_s:
             self.result.in_target += 1
+            zone = self._zones[request.entry]
+            self.result.in_target_by_zone[zone] = self.result.in_target_by_zone.get(zone, 0) + 1
         else:
             self.result.late += 1
         self._apply(name, effects)
