Authenticate callers by customers' keys, and refuse them when the document may be outdated

Cause: the operator's document may name customers, whose callers present a key; a key that was removed must not be used later than the bound in the settings. Change: the stage _authentication.py looks up the digest of the key (identity.py) and checks the age of the document's knowledge (freshness.py), which reads of the store and replies of other daemons confirm. The key and the caller's own customer header are dropped, the customer's name is set at the upstream, and documents leave the daemon with digests in place of keys.

--- a/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
@@ -43,6 +43,12 @@
     """The large body would have to wait too long for the link of the other VM."""
     ANSWER_TOO_LARGE = "answer-too-large"
     """The answer exceeded the memory limit, or was the largest one held when memory was full."""
+    API_KEY_MISSING = "api-key-missing"
+    """The request presents no key, or several."""
+    API_KEY_UNKNOWN = "api-key-unknown"
+    """No customer has the key that the request presents."""
+    STALE_CONFIGURATION = "stale-configuration"
+    """The daemon cannot tell whether the key is still valid."""
     OVERLOADED = "overloaded"
     """The daemon itself is overloaded."""
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
@@ -165,6 +165,7 @@
             max(1, int(call.route.target_latency_s * 1000)),
             call.fingerprint,
             self._directory.notices.find_restriction(member),
+            "" if call.customer is None else call.customer.name,
         )
         self._balancer.on_sent(member, now)
         result: AttemptResult | None = None
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_metrics_page.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_metrics_page.py
@@ -34,6 +34,11 @@
     refusals = _make_counter(registry, "refusals_total", "Requests refused at once.")
     for reason, count in metrics.refusals.items():
         refusals.set({"reason": reason}, count)
+    unauthorized = _make_counter(
+        registry, "requests_unauthorized", "Requests without the key of a customer."
+    )
+    for reason, count in metrics.unauthorized.items():
+        unauthorized.set({"reason": reason}, count)
     failures = _make_counter(registry, "attempt_failures_total", "Attempts without an answer.")
     for (reason, retried), count in metrics.attempt_failures.items():
         failures.set({"reason": reason, "retried": str(retried).lower()}, count)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_replies.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_replies.py
@@ -49,7 +49,11 @@
         self._log = log
 
     def reject(
-        self, request: ReceivedRequest, reply: CallerResponse, reason: RefusalReason
+        self,
+        request: ReceivedRequest,
+        reply: CallerResponse,
+        reason: RefusalReason,
+        document_age_s: float | None = None,
     ) -> CallerResponse:
         """Counts and logs the rejection of a request before its route is known.
 
@@ -57,6 +61,8 @@
             request: The request.
             reply: The rejection.
             reason: Why it is rejected.
+            document_age_s: Age of the knowledge of the document, in seconds; None if it plays no
+                part or there is none.
 
         Returns:
             The rejection.
@@ -71,6 +77,7 @@
                 host=request.headers.get(b"host"),
                 path=read_path(request),
                 document_version=-1 if table is None else table.version,
+                document_age_s=document_age_s,
             )
         )
         return reply
@@ -163,6 +170,7 @@
                 retry_after_s=round(delay_s, 3),
                 refused_by=tuple(call.refused_by),
                 caller=call.caller_service,
+                customer="" if call.customer is None else call.customer.name,
             )
         )
         return reply
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_topic_follower.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_topic_follower.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import random
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import trio
 
+from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services.events import DependencyLost, DependencyRegained
 from fulmarstile_platform.keyed_log import MAX_READ_BYTES, RecordsExpiredError
 from fulmarstile_platform.log import LogError
@@ -34,6 +36,17 @@
 _MAX_BACKOFF_S: Final = 0.8
 
 
+@dataclass(frozen=True, slots=True)
+class TopicRead:
+    """A successful read whose records have been delivered."""
+
+    sent_at: float
+    """Time at which it was sent, in seconds."""
+    next_offset: int
+    is_complete: bool
+    """Whether the topic had no later records when the store answered."""
+
+
 async def follow_topic(
     store: KeyedLog,
     topic: str,
@@ -41,8 +54,10 @@
     log: EventLog,
     on_caught_up: Callable[[], None] | None = None,
     *,
+    on_read: Callable[[TopicRead], None] | None = None,
     before_read: Callable[[], Awaitable[None]] | None = None,
     latest_only: bool = False,
+    clock: Callable[[], float] = read_boot_clock,
 ) -> None:
     """Delivers the newest record of each key, then all later records, until cancelled.
 
@@ -52,9 +67,11 @@
         on_records: Called with the records in order.
         log: Log of the daemon.
         on_caught_up: Called whenever all existing records have been delivered.
+        on_read: Called after each successful read.
         before_read: Awaited before each read except the first.
         latest_only: Whether superseded records of a key may be skipped. If so, about one record is
             read at a time, and if more follow, only the newest of each key are read.
+        clock: Returns the time that `TopicRead` is measured by, in seconds.
     """
     offset = 0
     max_bytes = MAX_READ_BYTES
@@ -63,6 +80,7 @@
     pacer = _ReadPacer()
     while True:
         started_at = trio.current_time()
+        sent_at = clock()
         try:
             if reads_newest:
                 page = await store.read_newest(topic)
@@ -82,6 +100,8 @@
             on_records(page.records)
             if latest_only:
                 max_bytes = _room_for_one(page.records)
+        if on_read is not None:
+            on_read(TopicRead(sent_at, page.next_offset, not page.has_more))
         if latest_only and page.has_more:
             continue
         if on_caught_up is not None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -91,6 +91,8 @@
         self._class_service_s: dict[int, float] = {}
         self._response_notices: ResponseNotices | None = None
         self._is_stopping = False
+        self.names_customers: Callable[[], bool] = lambda: False
+        """Returns whether the active document names customers."""
         self.requests_sent = 0
         """Requests sent to any incarnation of the upstream."""
 
@@ -398,10 +400,15 @@
     ) -> list[tuple[bytes, bytes]]:
         names = self._names
         replaced = (names.caller_service, names.expected_upstream, names.time_left_ms)
+        if hop.customer or self.names_customers():
+            # The entry daemon may still have a document without customers.
+            replaced += (names.api_key, names.customer)
         headers = [header for header in request.headers.end_to_end if header[0] not in replaced]
         left_ms = max(1, int((deadline - trio.current_time()) * 1000))
         headers.append((names.time_left_ms, b"%d" % left_ms))
         headers.append((names.caller_service, hop.caller_service.encode()))
+        if hop.customer:
+            headers.append((names.customer, hop.customer.encode()))
         if self._announcement is not None:
             upstream_id = self._announcement.upstream_id.encode()
             headers.append((names.expected_upstream, upstream_id))
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -14,7 +14,9 @@
 import trio
 
 from fulmarstile_daemon.services._body_admission import BodyAdmission
+from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._byte_budget import ByteBudget
+from fulmarstile_daemon.services._freshness_keeper import FreshnessKeeper
 from fulmarstile_daemon.services._graceful_shutdown import GracefulShutdown
 from fulmarstile_daemon.services._link_server import LinkServer
 from fulmarstile_daemon.services._links import DaemonLinks
@@ -47,6 +49,7 @@
 from fulmarstile_services.balancing import BalancingSettings, LeastWaitBalancer
 from fulmarstile_services.directory import Directory
 from fulmarstile_services.document import RequestLimits
+from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.retry_budget import RetryBudget
 from fulmarstile_services.settings import NodeSettingsError
 from fulmarstile_services.store_readers import is_reader
@@ -104,7 +107,8 @@
         self._directory = Directory(local_member)
         notices = NoticeMerger(self._directory, log)
         self._membership = Membership(self._directory, notices, log, self._on_members)
-        self._documents = ActiveDocument(platform, self._routes, log)
+        self._freshness = Freshness()
+        self._documents = ActiveDocument(platform, self._routes, log, self._freshness)
         self._balancer = LeastWaitBalancer(
             BalancingSettings(), settings.availability_zone, rng, self._directory.notices
         )
@@ -121,6 +125,7 @@
             self._byte_budget,
             log,
         )
+        self._upstream.names_customers = lambda: self._routes.names_customers
         self._announcements = UpstreamAnnouncements(
             settings, self._directory, self._membership, self._upstream, notices, log
         )
@@ -137,6 +142,7 @@
             self._links,
             self._metrics,
             log,
+            self._freshness,
         )
         self._apply_settings(settings)
         self._gossip = Gossip(
@@ -148,6 +154,7 @@
             rng,
             log,
         )
+        self._freshness_keeper = FreshnessKeeper(self._documents, self._gossip, log)
         self._announcements.sync_daemons = self._gossip.sync_now
         self._body_admission = BodyAdmission(settings.link_kbps * _BYTES_PER_KBIT)
         self._hops = HopServer(
@@ -247,6 +254,7 @@
                     )
                 )
                 nursery.start_soon(self._documents.follow, store)
+                nursery.start_soon(self._freshness_keeper.run, store)
                 nursery.start_soon(self._membership.follow, store)
                 nursery.start_soon(self._membership.write_forever, store)
                 nursery.start_soon(self._gossip.run)
@@ -343,6 +351,7 @@
     def _apply_settings(self, settings: NodeSettings) -> None:
         self._settings = settings
         self._entry.caller_service = settings.service
+        self._freshness.bounds = settings.bounds.revocation
 
     def _reload_settings(self) -> None:
         try:
@@ -376,6 +385,7 @@
     def _add_gauges(self) -> None:
         add = self._metrics.add_gauge
         add("document_version", lambda: self._documents.version)
+        add("document_age_seconds", lambda: self._freshness.age_s(read_boot_clock()))
         add("members", lambda: len(self._directory.members))
         add("requests_in_flight", lambda: self._callers.in_flight)
         add("hops_in_flight", lambda: self._peers.in_flight)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -7,9 +7,11 @@
 
 import trio
 
-from fulmarstile_daemon.services._topic_follower import follow_topic
+from fulmarstile_daemon.services._boot_clock import read_boot_clock
+from fulmarstile_daemon.services._topic_follower import TopicRead, follow_topic
 from fulmarstile_daemon.services.events import DocumentApplied, DocumentRejected
 from fulmarstile_services.document import DocumentError
+from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.routing_table import RoutingTable
 
 if TYPE_CHECKING:
@@ -34,6 +36,11 @@
         self.table: RoutingTable | None = None
         """The active table."""
 
+    @property
+    def names_customers(self) -> bool:
+        """Whether the active document names customers."""
+        return self.table is not None and self.table.customers is not None
+
 
 class ActiveDocument:
     """Applies complete versions of the document, and never an older one.
@@ -42,13 +49,28 @@
         platform: Decodes documents.
         routes: Active routing table, replaced as a whole.
         log: Log of the daemon.
+        freshness: Updated with what reads of the store prove.
+        clock: Returns the time that freshness is measured by, in seconds.
     """
 
-    def __init__(self, platform: Platform, routes: ActiveRoutes, log: EventLog) -> None:
+    def __init__(
+        self,
+        platform: Platform,
+        routes: ActiveRoutes,
+        log: EventLog,
+        freshness: Freshness | None = None,
+        clock: Callable[[], float] = read_boot_clock,
+    ) -> None:
         self._platform = platform
         self._routes = routes
         self._log = log
         self._raw = b""
+        self._redacted = b""
+        self._next_offset: int | None = None
+        self.freshness = freshness or Freshness()
+        """Age of the knowledge that the active version is the newest."""
+        self.clock = clock
+        """Returns the time that freshness is measured by, in seconds."""
         self._applied: deque[tuple[float, int]] = deque()
         self.on_change: Callable[[], None] = lambda: None
         """Called when another version becomes active."""
@@ -60,9 +82,14 @@
         return -1 if table is None else table.version
 
     @property
-    def raw(self) -> bytes:
-        """Active document as encoded in the store."""
-        return self._raw
+    def redacted(self) -> bytes:
+        """Active document without customers' keys, as other daemons receive it."""
+        return self._redacted
+
+    @property
+    def next_offset(self) -> int | None:
+        """Offset up to which its topic has been read; None before the first read."""
+        return self._next_offset
 
     def should_send(self, version: int) -> bool:
         """Decides whether to send the active document to another daemon.
@@ -74,7 +101,7 @@
         Args:
             version: Active version of the other daemon.
         """
-        settle_s = min(_MAX_SETTLE_S, len(self._raw) / _SETTLE_BYTES_PER_S)
+        settle_s = min(_MAX_SETTLE_S, len(self._redacted) / _SETTLE_BYTES_PER_S)
         settled_at = trio.current_time() - settle_s
         applied = self._applied
         while len(applied) > 1 and applied[1][0] <= settled_at:
@@ -91,7 +118,7 @@
         """Applies a document if it is newer than the active one.
 
         Args:
-            raw: Document as encoded in the store.
+            raw: Document as encoded in the store, or as another daemon sent it.
             source: Source of the document, for the log.
 
         Returns:
@@ -104,12 +131,14 @@
             if document.version <= self.version:
                 return False
             table = RoutingTable(document)
+            redacted = self._platform.redact_document(raw)
         except DocumentError as error:
             self._log.write(DocumentRejected(reason=str(error), source=source))
             return False
         replaced = self.version
         self._routes.table = table
         self._raw = raw
+        self._redacted = redacted
         self._applied.append((trio.current_time(), document.version))
         self._log.write(
             DocumentApplied(
@@ -129,7 +158,38 @@
             store: The platform's store.
         """
         topic = self._platform.document_topic
-        await follow_topic(store, topic, self._on_records, self._log, latest_only=True)
+        await follow_topic(
+            store,
+            topic,
+            self._on_records,
+            self._log,
+            on_read=self._on_read,
+            latest_only=True,
+            clock=self.clock,
+        )
+
+    async def confirm(self, store: KeyedLog) -> None:
+        """Asks the store for newer versions, without waiting for one.
+
+        Args:
+            store: The platform's store.
+
+        Raises:
+            LogError: If the store cannot be read.
+        """
+        offset = self._next_offset
+        if offset is None:
+            return
+        sent_at = self.clock()
+        page = await store.read_keyed(self._platform.document_topic, offset, 0.0)
+        self._on_records(page.records)
+        self._on_read(TopicRead(sent_at, page.next_offset, not page.has_more))
+
+    def _on_read(self, read: TopicRead) -> None:
+        """Notes what a read of the topic proves, after its records were applied."""
+        self._next_offset = max(self._next_offset or 0, read.next_offset)
+        if read.is_complete:
+            self.freshness.confirm(read.sent_at)
 
     def _on_records(self, records: Iterable[KeyedRecord]) -> None:
         newest = b""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -8,6 +8,7 @@
 
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._attempts import AttemptRunner
+from fulmarstile_daemon.services._authentication import Authentication, Authenticator
 from fulmarstile_daemon.services._call import ServiceCall, compute_fingerprint
 from fulmarstile_daemon.services._replies import CallReplies, read_path
 from fulmarstile_daemon.services._request_server import make_error_response
@@ -27,9 +28,10 @@
     from fulmarstile_daemon.services.ports import CallHeaderNames
     from fulmarstile_services.balancing import LeastWaitBalancer
     from fulmarstile_services.directory import Directory
-    from fulmarstile_services.document import ServiceRoute
+    from fulmarstile_services.freshness import Freshness
     from fulmarstile_services.retry_budget import RetryBudget
     from fulmarstile_services.routing_table import RoutingTable
+    from fulmarstile_services.slot_class import SlotClass
     from fulmarstile_services.weighted_round_robin import WeightedRoundRobin
 
 _NOT_READY_RETRY_S: Final = 0.3
@@ -53,6 +55,7 @@
         links: Connections to other daemons.
         metrics: Counters.
         log: Log of the daemon.
+        freshness: Age of the knowledge of the document.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         links: DaemonLinks,
         metrics: ServiceMetrics,
         log: EventLog,
+        freshness: Freshness,
     ) -> None:
         self._names = names
         self._routes = routes
@@ -77,6 +81,7 @@
         self._upstream = upstream
         self._metrics = metrics
         self._replies = CallReplies(names, routes, metrics, log)
+        self._authenticator = Authenticator(names, freshness, self._replies, metrics)
         self._attempts = AttemptRunner(
             directory, balancer, budget, notices, upstream, links, self._replies, metrics, log
         )
@@ -107,7 +112,13 @@
         if route is None:
             reply = make_error_response(404, "no route matches")
             return self._replies.reject(request, reply, RefusalReason.NO_ROUTE)
-        call = self._open_call(request, route, table, scope)
+        parent = self._find_parent(request)
+        identity = self._authenticator.authenticate(
+            request, route, table, is_nested=parent is not None
+        )
+        if not isinstance(identity, Authentication):
+            return identity
+        call = self._open_call(identity, self._round_robin.choose(route), parent, table, scope)
         if self._directory.is_suspect(call.fingerprint):
             return self._replies.refuse(
                 call, RefusalReason.QUARANTINED, "the request crashes upstreams"
@@ -129,23 +140,26 @@
 
     def _open_call(
         self,
-        request: ReceivedRequest,
-        route: ServiceRoute,
+        identity: Authentication,
+        service: str,
+        parent: SlotClass | None,
         table: RoutingTable,
         scope: RequestScope,
     ) -> ServiceCall:
+        request, route = identity.request, identity.route
+        if identity.customer is not None:
+            # It is a caller's own request, whatever its id looks like.
+            parent = None
         wait_s = route.timeout_s
         value = request.headers.get_bytes(self._names.time_left_ms)
         if value.isdigit():
             wait_s = min(wait_s, int(value) / 1000)
         arrived_at = request.arrived_at
-        request_id = request.headers.get_bytes(self._names.request_id)
-        parent = self._upstream.find_parent_class(request_id)
         return ServiceCall(
             request,
-            request_id.decode("utf-8", "replace"),
+            request.headers.get(self._names.request_id),
             route,
-            self._round_robin.choose(route),
+            service,
             self.caller_service,
             deadline=arrived_at + wait_s,
             useful_until=arrived_at + useful_wait_s(route, wait_s, len(request.body)),
@@ -154,4 +168,10 @@
             document_version=table.version,
             fingerprint=compute_fingerprint(self.caller_service, request),
             scope=scope,
+            customer=identity.customer,
         )
+
+    def _find_parent(self, request: ReceivedRequest) -> SlotClass | None:
+        """Finds the class of the request for which the upstream on this VM makes this one."""
+        request_id = request.headers.get_bytes(self._names.request_id)
+        return self._upstream.find_parent_class(request_id)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -32,6 +32,8 @@
     """Daemons that refused it before it reached an upstream, as `daemon:reason`."""
     caller: str = ""
     """Service that made the request."""
+    customer: str = ""
+    """Customer whose key the request presented."""
 
 
 class CallServed(CallEnded, tag="call_ended"):
@@ -52,6 +54,8 @@
     host: str
     path: str
     document_version: int
+    document_age_s: float | None = None
+    """Time since the version was known to be the newest, if the document names customers."""
 
 
 class AttemptFailed(LogEvent, tag="attempt_failed"):
@@ -174,6 +178,24 @@
     source: str
 
 
+class DocumentStale(LogEvent, tag="document_stale"):
+    """The document may be outdated, so requests that need a key are refused."""
+
+    lines_per_s: ClassVar[int | None] = None
+    version: int
+    age_s: float | None = None
+    """Time since the version was known to be the newest; absent if it never was."""
+
+
+class DocumentConfirmed(LogEvent, tag="document_confirmed"):
+    """The document is known to be the newest one again."""
+
+    lines_per_s: ClassVar[int | None] = None
+    version: int
+    after_s: float
+    """Time for which requests that need a key were refused."""
+
+
 class DependencyLost(LogEvent, tag="dependency_lost"):
     """The store or another daemon cannot be reached."""
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -28,7 +29,7 @@
 """Interval of the check for unreachable daemons, in seconds."""
 _SYNC_TIMEOUT_S: Final = 0.8
 _SYNC_FANOUT: Final = 3
-"""Number of daemons that receive a change when the store is unavailable."""
+"""Number of daemons that are sent a change or asked when the store is unavailable."""
 _SOURCE: Final = "daemon"
 
 
@@ -55,6 +56,8 @@
         random: random.Random,
         log: EventLog,
     ) -> None:
+        self._newest_heard = -1
+        self._informant = ""
         self._directory = directory
         self._membership = membership
         self._documents = documents
@@ -80,7 +83,12 @@
         """
         self._apply(request)
         directory = self._directory
-        reply = SyncReply(directory.local_member.name, directory.digest, self._documents.version)
+        reply = SyncReply(
+            directory.local_member.name,
+            directory.digest,
+            self._documents.version,
+            document_age_ms=self._measure_age_ms(),
+        )
         if request.is_probe:
             return reply
         is_equal = reply.digest == request.digest
@@ -89,7 +97,7 @@
             reply,
             members=_exclude_known(directory.list_members(request.wanted), request.members),
             crashes=directory.list_crashes(request.wanted),
-            document=self._documents.raw if should_send else b"",
+            document=self._documents.redacted if should_send else b"",
             bucket_digests=b"" if is_equal or request.wanted else directory.bucket_digests,
         )
 
@@ -106,8 +114,7 @@
         """
         try:
             request = self._make_request(is_probe=is_probe)
-            reply = await self._links.synchronize(member, request, _SYNC_TIMEOUT_S)
-            self._apply(reply)
+            reply = await self._synchronize(member, request)
             if reply.sender != member.name:
                 raise DaemonUnreachableError(f"its address now belongs to {reply.sender}")
             if not is_probe:
@@ -126,15 +133,52 @@
         lacks_document = self._documents.should_send(reply.document_version)
         if differing or lacks_document:
             request = self._make_request(differing, with_document=lacks_document)
-            self._apply(await self._links.synchronize(member, request, _SYNC_TIMEOUT_S))
+            await self._synchronize(member, request)
+
+    async def ask_for_document(self) -> None:
+        """Asks a few daemons whether the active document is the newest, and for a newer one."""
+        async with trio.open_nursery() as nursery:
+            for member in self._choose_reachable(self._informant):
+                nursery.start_soon(self._ask_for_document, member)
+
+    async def _ask_for_document(self, member: Member) -> None:
+        version = self._documents.version
+        # Without the members, an answer is small.
+        if await self.exchange(member, is_probe=True) and self._newest_heard > version:
+            await self.exchange(member)
+
+    async def _synchronize(self, member: Member, request: SyncRequest) -> SyncReply:
+        """Sends a request and applies the reply."""
+        asked_at = self._documents.clock()
+        reply = await self._links.synchronize(member, request, _SYNC_TIMEOUT_S)
+        self._apply(reply)
+        documents = self._documents
+        self._newest_heard = max(self._newest_heard, reply.document_version)
+        if reply.document_age_ms < 0 or reply.document_version != documents.version:
+            return reply
+        if documents.freshness.confirm_by_peer(asked_at, reply.document_age_ms / 1000):
+            self._informant = reply.sender
+        return reply
+
+    def _measure_age_ms(self) -> int:
+        """Returns the age of the knowledge of the document, rounded up; -1 if there is none."""
+        freshness = self._documents.freshness
+        age_s = freshness.age_s(self._documents.clock())
+        return math.ceil(age_s * 1000) if freshness.is_strict and math.isfinite(age_s) else -1
 
     async def sync_now(self) -> None:
         """Synchronizes with a few daemons immediately, because the store is unavailable."""
-        others = [peer for peer in self._others() if self._balancer.is_reachable(peer.name)]
         async with trio.open_nursery() as nursery:
-            for member in self._random.sample(others, min(_SYNC_FANOUT, len(others))):
+            for member in self._choose_reachable():
                 nursery.start_soon(self.exchange, member)
 
+    def _choose_reachable(self, preferred: str = "") -> list[Member]:
+        """Chooses a few reachable daemons at random, and a preferred one in addition."""
+        others = [peer for peer in self._others() if self._balancer.is_reachable(peer.name)]
+        chosen = [peer for peer in others if peer.name == preferred]
+        others = [peer for peer in others if peer.name != preferred]
+        return chosen + self._random.sample(others, min(_SYNC_FANOUT, len(others)))
+
     async def _exchange_forever(self) -> None:
         while True:
             await trio.sleep(_SYNC_INTERVAL_S * self._random.uniform(0.8, 1.2))
@@ -181,7 +225,7 @@
             self._documents.version,
             directory.list_members(buckets),
             directory.list_crashes(buckets),
-            self._documents.raw if with_document else b"",
+            self._documents.redacted if with_document else b"",
             is_probe,
             buckets,
         )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/metrics.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/metrics.py
@@ -39,6 +39,8 @@
         """Replies to callers by status and reason."""
         self.refusals: dict[str, int] = {}
         """Requests refused before an upstream was selected, by reason."""
+        self.unauthorized: dict[str, int] = {}
+        """Requests refused because of their key, by reason."""
         self.attempt_failures: dict[tuple[str, bool], int] = {}
         """Failed attempts by reason and whether they were retried."""
         self.call_latency = LatencyHistogram()
@@ -68,6 +70,10 @@
         """Counts a request that was refused before an upstream was selected."""
         self.refusals[reason.value] = self.refusals.get(reason.value, 0) + 1
 
+    def count_unauthorized(self, reason: RefusalReason) -> None:
+        """Counts a request that was refused because of its key."""
+        self.unauthorized[reason.value] = self.unauthorized.get(reason.value, 0) + 1
+
     def count_attempt_failure(self, reason: str, retried: bool) -> None:
         """Counts a failed attempt."""
         key = (reason or "upstream-error", retried)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/ports.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/ports.py
@@ -38,6 +38,10 @@
     """
     leaving: bytes
     """Set on every response of an upstream that leaves."""
+    api_key: bytes
+    """Key by which a caller shows whose customer it is; it is never forwarded."""
+    customer: bytes
+    """Name of the customer that sent the request, set for the upstream."""
     call_separator: bytes = b""
     """Follows the id of a running request in the ids of calls that its upstream makes for it.
 
@@ -92,7 +96,21 @@
         ...
 
     def decode_document(self, raw: bytes) -> ServiceDocument:
-        """Decodes the operator's document.
+        """Decodes the operator's document, redacted or not.
+
+        Raises:
+            DocumentError: If it is malformed.
+        """
+        ...
+
+    def redact_document(self, raw: bytes) -> bytes:
+        """Replaces the keys in the operator's document by their digests.
+
+        Args:
+            raw: A document that `decode_document` accepts.
+
+        Returns:
+            A document of the same meaning that may leave the daemon; a redacted one unchanged.
 
         Raises:
             DocumentError: If it is malformed.
--- a/packages/fulmarstile_services/src/fulmarstile_services/routing_table.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/routing_table.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_services.document import DocumentError
+from fulmarstile_services.identity import CustomerIndex
 
 if TYPE_CHECKING:
     from fulmarstile_services.document import ServiceDocument, ServiceRoute
@@ -20,7 +21,8 @@
         document: Document to build the table from.
 
     Raises:
-        DocumentError: If two routes share a host and a prefix, or a route names an unknown service.
+        DocumentError: If two routes share a host and a prefix, a route names an unknown service, or
+            the customers are inconsistent.
     """
 
     def __init__(self, document: ServiceDocument) -> None:
@@ -29,6 +31,9 @@
         self._longest_targets: dict[tuple[str, int], float] = {}
         for route in document.routes:
             self._add(route)
+        customers = document.customers
+        self.customers = None if customers is None else CustomerIndex(customers)
+        """Customers by their keys; None if callers present no keys."""
 
     @property
     def document(self) -> ServiceDocument:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/services.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/services.py
@@ -5,12 +5,14 @@
 from typing import Any
 
 from fulmarstile_services.document import (
+    Customer,
     Repeatability,
     ServiceDefinition,
     ServiceDocument,
     ServiceRoute,
     WeightedDestination,
 )
+from fulmarstile_services.identity import digest_key
 from fulmarstile_services.upstream_registry import UpstreamAnnouncement, UpstreamPhase
 from fulmarstile_wire.services import Member, MemberPhase, UpstreamNotice
 
@@ -29,11 +31,19 @@
 
 
 def make_document(
-    *routes: ServiceRoute, version: int = 1, services: tuple[str, ...] = ("shop", "stock")
+    *routes: ServiceRoute,
+    version: int = 1,
+    services: tuple[str, ...] = ("shop", "stock"),
+    customers: tuple[Customer, ...] | None = None,
 ) -> ServiceDocument:
     """Makes a document with routes and services."""
     definitions = {name: ServiceDefinition(name, "/health", 100) for name in services}
-    return ServiceDocument(version, routes, definitions)
+    return ServiceDocument(version, routes, definitions, customers=customers)
+
+
+def make_customer(name: str = "baker", *keys: str, **changes: Any) -> Customer:
+    """Makes a customer with keys, and with some fields changed."""
+    return Customer(name, frozenset(digest_key(key.encode()) for key in keys), **changes)
 
 
 def make_member(name: str = "daemon-1", **changes: Any) -> Member:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/service_platform.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/service_platform.py
@@ -29,9 +29,13 @@
     not_run=b"not-run",
     rate_limit=b"rate-limit",
     leaving=b"leaving",
+    api_key=b"api-key",
+    customer=b"customer",
 )
 DOCUMENT_TOPIC: Final = "documents"
 DOCUMENT_KEY: Final = "current"
+_REDACTED: Final = b"redacted "
+"""Prefix of a document without keys."""
 
 
 class FakePlatform:
@@ -73,11 +77,17 @@
 
     def decode_document(self, raw: bytes) -> ServiceDocument:
         """See `Platform.decode_document`."""
-        document = self._documents.get(raw)
+        document = self._documents.get(raw.removeprefix(_REDACTED))
         if document is None:
             raise DocumentError("unknown document")
         return document
 
+    def redact_document(self, raw: bytes) -> bytes:
+        """See `Platform.redact_document`."""
+        if self.decode_document(raw).customers is None or raw.startswith(_REDACTED):
+            return raw
+        return _REDACTED + raw
+
     async def handle_announcement(self, request: HttpRequest, events: UpstreamEvents) -> HttpAnswer:
         """See `Platform.handle_announcement`; not found, as tests call the events directly."""
         return HttpAnswer(HTTPStatus.NOT_FOUND)
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -119,6 +119,8 @@
     fingerprint: bytes = b""
     notice: UpstreamNotice | None = None
     """What the sender knows the upstream to have said about itself."""
+    customer: str = ""
+    """Name of the customer that sent the request; empty if it needs none."""
 
 
 class HopOutcome(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
@@ -156,7 +158,7 @@
     members: tuple[Member, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
     document: bytes = b""
-    """The document as the store holds it; empty if it is not sent."""
+    """The document, without customers' keys; empty if it is not sent."""
     is_probe: bool = False
     """Whether this only checks that the other daemon is reachable; the reply has no state."""
     wanted: frozenset[int] = frozenset()
@@ -174,6 +176,12 @@
     document: bytes = b""
     bucket_digests: bytes = b""
     """Hashes of the buckets of members and crash reports; empty if the digests are equal."""
+    document_age_ms: int = -1
+    """Time since the sender's version was known to be the newest, in milliseconds; -1 if unknown.
+
+    Only a reply has it: its receiver knows that it was made after the request was sent, while
+    nothing tells how long a request was under way.
+    """
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=0):
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -42,6 +42,8 @@
     "x-expected-instance",
     "x-response-seal",
     "x-not-executed",
+    "x-credential",
+    "x-tenant-name",
     "/v1/ready",
     "/v1/instances",
     "instances.heartbeat",
