--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_authentication.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_authentication.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
@@ -10,12 +9,14 @@
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._request_server import make_error_response
+from fulmarstile_daemon.services._server_connection import ReceivedRequest
+from fulmarstile_http.headers import MessageHeaders
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from fulmarstile_daemon.services._replies import CallReplies
-    from fulmarstile_daemon.services._server_connection import CallerResponse, ReceivedRequest
+    from fulmarstile_daemon.services._server_connection import CallerResponse
     from fulmarstile_daemon.services.metrics import ServiceMetrics
     from fulmarstile_daemon.services.ports import CallHeaderNames
     from fulmarstile_services.document import Customer, ServiceRoute
@@ -59,6 +60,7 @@
         clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._names = names
+        self._withheld = (names.api_key, names.customer)
         self._freshness = freshness
         self._replies = replies
         self._metrics = metrics
@@ -78,13 +80,12 @@
         Returns:
             The result, or the refusal.
         """
-        keys = self._list_keys(request)
+        keys, stripped = self._split(request)
         if table.customers is None:
             # A document that names no customers may itself be the outdated one.
             if keys and not self._is_fresh():
                 return self._refuse_stale(request)
             return Authentication(request, route)
-        stripped = self._strip(request)
         if not route.needs_key or (is_nested and not keys):
             return Authentication(stripped, route)
         if not self._is_fresh():
@@ -96,24 +97,31 @@
         if customer is None:
             return self._refuse_key(request, RefusalReason.API_KEY_UNKNOWN)
         if customer.priority is not None and customer.priority != route.priority:
-            route = dataclasses.replace(route, priority=customer.priority)
+            route = table.prioritize(route, customer.priority)
         return Authentication(stripped, route, customer)
 
     def _is_fresh(self) -> bool:
         return self._freshness.is_usable(self._clock())
 
-    def _list_keys(self, request: ReceivedRequest) -> list[bytes]:
-        name = self._names.api_key
-        return [value for key, value in request.headers.end_to_end if key == name and value]
+    def _split(self, request: ReceivedRequest) -> tuple[list[bytes], ReceivedRequest]:
+        """Returns the keys, and the request without them and the customer that it claims to have.
 
-    def _strip(self, request: ReceivedRequest) -> ReceivedRequest:
-        """Removes the key and any customer's name that the caller has set."""
-        withheld = (self._names.api_key, self._names.customer)
+        It is called for every request, so it copies the request without `dataclasses.replace`.
+        """
         headers = request.headers
+        withheld = self._withheld
         kept = [header for header in headers.end_to_end if header[0] not in withheld]
         if len(kept) == len(headers.end_to_end):
-            return request
-        return dataclasses.replace(request, headers=dataclasses.replace(headers, end_to_end=kept))
+            return [], request
+        name = self._names.api_key
+        keys = [value for key, value in headers.end_to_end if key == name and value]
+        rest = MessageHeaders(
+            kept, headers.daemon_headers, headers.content_length, headers.is_chunked
+        )
+        stripped = ReceivedRequest(
+            request.method, request.target, rest, request.body, request.arrived_at
+        )
+        return keys, stripped
 
     def _refuse_stale(self, request: ReceivedRequest) -> CallerResponse:
         reply = make_error_response(503, "the configuration may be outdated", _STALE_RETRY_S)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_freshness_keeper.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_freshness_keeper.py
@@ -118,6 +118,8 @@
     def _log_changes(self, now: float) -> None:
         """Logs when the knowledge becomes too old, and when it is recent again."""
         version = self._documents.version
+        if version < 0:
+            return
         is_usable = self._freshness.is_usable(now)
         if self._stale_since is None and not is_usable:
             self._stale_since = now
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -22,6 +22,7 @@
     from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
 
 _SOURCE_STORE: Final = "store"
+_SOURCE_ACTIVE: Final = "active document"
 _DEFAULT_CONNECTIONS: Final = 64
 """Connection limit of an upstream whose service is not in the active document."""
 _SETTLE_BYTES_PER_S: Final = 150_000
@@ -65,7 +66,7 @@
         self._routes = routes
         self._log = log
         self._raw = b""
-        self._redacted = b""
+        self._redacted: bytes | None = None
         self._next_offset: int | None = None
         self.freshness = freshness or Freshness()
         """Age of the knowledge that the active version is the newest."""
@@ -83,7 +84,9 @@
 
     @property
     def redacted(self) -> bytes:
-        """Active document without customers' keys, as other daemons receive it."""
+        """Active document without customers' keys, as other daemons receive it; empty if none."""
+        if self._redacted is None:
+            self._redacted = self._redact()
         return self._redacted
 
     @property
@@ -101,13 +104,23 @@
         Args:
             version: Active version of the other daemon.
         """
-        settle_s = min(_MAX_SETTLE_S, len(self._redacted) / _SETTLE_BYTES_PER_S)
+        settle_s = min(_MAX_SETTLE_S, len(self._raw) / _SETTLE_BYTES_PER_S)
         settled_at = trio.current_time() - settle_s
         applied = self._applied
         while len(applied) > 1 and applied[1][0] <= settled_at:
             applied.popleft()
         return bool(applied) and applied[0][0] <= settled_at and applied[0][1] > version
 
+    def _redact(self) -> bytes:
+        if not self._raw:
+            return b""
+        try:
+            return self._platform.redact_document(self._raw)
+        except DocumentError as error:
+            # Other daemons read it from the store; it must not leave this one with keys.
+            self._log.write(DocumentRejected(reason=str(error), source=_SOURCE_ACTIVE))
+            return b""
+
     def connection_limit(self, service: str) -> int:
         """Returns the maximum number of connections of a service's upstream."""
         table = self._routes.table
@@ -131,14 +144,13 @@
             if document.version <= self.version:
                 return False
             table = RoutingTable(document)
-            redacted = self._platform.redact_document(raw)
         except DocumentError as error:
             self._log.write(DocumentRejected(reason=str(error), source=source))
             return False
         replaced = self.version
         self._routes.table = table
         self._raw = raw
-        self._redacted = redacted
+        self._redacted = None
         self._applied.append((trio.current_time(), document.version))
         self._log.write(
             DocumentApplied(
--- a/packages/fulmarstile_services/src/fulmarstile_services/routing_table.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/routing_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_services.document import DocumentError
@@ -29,6 +30,7 @@
         self._document = document
         self._hosts: dict[str, dict[str, ServiceRoute]] = {}
         self._longest_targets: dict[tuple[str, int], float] = {}
+        self._prioritized: dict[tuple[str, str, int], ServiceRoute] = {}
         for route in document.routes:
             self._add(route)
         customers = document.customers
@@ -86,6 +88,22 @@
             return max(0, route.priority - 1)
         return route.priority
 
+    def prioritize(self, route: ServiceRoute, priority: int) -> ServiceRoute:
+        """Returns a route of the table with another priority.
+
+        Args:
+            route: A route of the table.
+            priority: The priority; 0 is the most urgent.
+
+        Returns:
+            The changed route.
+        """
+        key = (route.host, route.prefix, priority)
+        changed = self._prioritized.get(key)
+        if changed is None:
+            changed = self._prioritized[key] = dataclasses.replace(route, priority=priority)
+        return changed
+
     def _add(self, route: ServiceRoute) -> None:
         prefixes = self._hosts.setdefault(normalize_host(route.host), {})
         if route.prefix in prefixes:
