--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/settings/page.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/settings/page.py
@@ -32,6 +32,18 @@
 owner has named are accepted.
 """
 
+_SERVICES: Final = """\
+
+## Calls between services
+
+A daemon that carries calls between services reads the settings file of its platform instead,
+which may set these bounds. A part is switched off where its bounds are absent.
+
+| bounds | field | unit | purpose |
+|---|---|---|---|
+| revocation | revoke_s | s | Time after which a removed key is refused (design/keys.md). |
+"""
+
 
 def render_page() -> str:
     """Returns the reference page in Markdown."""
@@ -45,6 +57,7 @@
             row = (item.key, item.reader.unit, item.reader.allowed_values, default, item.purpose)
             parts.append("| " + " | ".join(row) + " |\n")
     parts.append(_CUSTOMERS)
+    parts.append(_SERVICES)
     return "".join(parts)
 
 
