Make the tests of accepted requests independent of the machine's load

Cause: on a loaded machine callers connected after the publication, or were served before it. Change: the publication waits until all requests are in flight, and the upstreams take longer.

--- a/tests/services/test_keys_path.py
+++ b/tests/services/test_keys_path.py
@@ -130,26 +130,30 @@
 
     def test_a_request_that_was_accepted_runs_after_a_queue_a_retry_or_a_hedge(self) -> None:
         async def run() -> None:
-            async with serve_mesh("shop", "shop", document=DOCUMENT) as mesh:
+            patient = make_route(timeout_s=9.0, target_latency_s=9.0)
+            document = make_document(patient, customers=(BAKER, MILLER))
+            async with serve_mesh("shop", "shop", document=document) as mesh:
                 answers = []
 
                 async def call(target: str, number: int) -> None:
-                    answers.append(
-                        await mesh.nodes[0].call(target, request_id=f"r-{number}", **with_key())
-                    )
+                    options = {"request_id": f"r-{number}", "wait_ms": 9_000, **with_key()}
+                    answers.append(await mesh.nodes[0].call(target, **options))
 
                 async with trio.open_nursery() as nursery:
                     # They wait for the 8 slots of both upstreams; some are shed and retried.
                     for number in range(24):
                         fault = "&fault=shed" if number % 8 == 7 else ""
-                        nursery.start_soon(call, f"/a?delay_ms=150{fault}", number)
-                    await trio.sleep(0.05)
+                        nursery.start_soon(call, f"/a?delay_ms=500{fault}", number)
+                    entry = mesh.nodes[0].daemon
+                    while entry.dump().callers_in_flight + len(answers) < 24:
+                        await trio.sleep(0.01)
                     await publish(mesh, MILLER)
+                    published_at = trio.current_time()
                 self.assertNotIn(401, {answer.status for answer in answers})
                 self.assertEqual((await mesh.nodes[0].call("/a", **with_key())).status, 401)
-                for node in mesh.nodes:
-                    for served in node.upstream.record.requests:
-                        self.assertEqual(served.headers[b"customer"], b"baker")
+                served = [each for node in mesh.nodes for each in node.upstream.record.requests]
+                self.assertEqual({each.headers[b"customer"] for each in served}, {b"baker"})
+                self.assertGreater(max(each.arrived_at for each in served), published_at)
 
         trio.run(run)
 
@@ -184,6 +188,9 @@
                 self.assertEqual((await node.call("/open/a")).status, 200)
                 mesh.set_store_down(False)
                 await wait_for_status(node, 200)
+                with trio.fail_after(READY_TIMEOUT_S):
+                    while b"document_confirmed" not in b"".join(lines):
+                        await trio.sleep(0.01)
 
         lines: list[bytes] = []
         with mock.patch.object(EventLog, "_add", lambda _, line: lines.append(line)):
