--- a/tests/services/test_keys_path.py
+++ b/tests/services/test_keys_path.py
@@ -10,6 +10,7 @@
 
 from fulmarstile_daemon.services._frame_stream import FrameStream
 from fulmarstile_daemon.services.event_log import EventLog
+from fulmarstile_services.routing_table import RoutingTable
 from fulmarstile_services.settings import RequiredBounds, RevocationBounds
 from fulmarstile_services.slot_class import SlotClass
 from fulmarstile_testing.builders.service_mesh import (
@@ -106,6 +107,37 @@
 
         trio.run(run)
 
+    def test_the_daemon_beside_the_upstream_removes_a_key_that_an_older_document_let_pass(
+        self,
+    ) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=DOCUMENT) as mesh:
+                mesh.nodes[0].daemon.routes.table = RoutingTable(make_document(*ROUTES, version=0))
+                self.assertEqual(
+                    (await mesh.nodes[0].call("/a", **with_key(KEY, CLAIM))).status, 200
+                )
+                (served,) = mesh.nodes[1].upstream.record.requests
+                self.assertFalse({b"api-key", b"customer"} & set(served.headers))
+
+        trio.run(run)
+
+    def test_a_contradictory_document_is_refused_and_the_old_one_stays_in_force(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                both = (make_customer("baker", "new"), make_customer("miller", "new"))
+                mesh.put_document(make_document(*ROUTES, version=2, customers=both))
+                with trio.fail_after(READY_TIMEOUT_S):
+                    while b"document_rejected" not in b"".join(lines):
+                        await trio.sleep(0.01)
+                await publish(mesh, BAKER, version=3)
+                self.assertEqual((await mesh.nodes[0].call("/a", **with_key("new"))).status, 401)
+                self.assertEqual((await mesh.nodes[0].call("/a", **with_key())).status, 200)
+
+        lines: list[bytes] = []
+        with mock.patch.object(EventLog, "_add", lambda _, line: lines.append(line)):
+            trio.run(run)
+        self.assertIn(b"baker and miller have a key in common", b"".join(lines))
+
     def test_a_removed_key_is_refused_on_a_connection_kept_open(self) -> None:
         async def run() -> None:
             async with (
