--- a/packages/fulmarstile_services/src/fulmarstile_services/routing_table.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/routing_table.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_services.document import DocumentError
+from fulmarstile_services.identity import CustomerIndex
 
 if TYPE_CHECKING:
     from fulmarstile_services.document import ServiceDocument, ServiceRoute
@@ -20,15 +22,20 @@
         document: Document to build the table from.
 
     Raises:
-        DocumentError: If two routes share a host and a prefix, or a route names an unknown service.
+        DocumentError: If two routes share a host and a prefix, a route names an unknown service, or
+            the customers are inconsistent.
     """
 
     def __init__(self, document: ServiceDocument) -> None:
         self._document = document
         self._hosts: dict[str, dict[str, ServiceRoute]] = {}
         self._longest_targets: dict[tuple[str, int], float] = {}
+        self._prioritized: dict[tuple[str, str, int], ServiceRoute] = {}
         for route in document.routes:
             self._add(route)
+        customers = document.customers
+        self.customers = None if customers is None else CustomerIndex(customers)
+        """Customers by their keys; None if callers present no keys."""
 
     @property
     def document(self) -> ServiceDocument:
@@ -81,6 +88,22 @@
             return max(0, route.priority - 1)
         return route.priority
 
+    def prioritize(self, route: ServiceRoute, priority: int) -> ServiceRoute:
+        """Returns a route of the table with another priority.
+
+        Args:
+            route: A route of the table.
+            priority: The priority; 0 is the most urgent.
+
+        Returns:
+            The changed route.
+        """
+        key = (route.host, route.prefix, priority)
+        changed = self._prioritized.get(key)
+        if changed is None:
+            changed = self._prioritized[key] = dataclasses.replace(route, priority=priority)
+        return changed
+
     def _add(self, route: ServiceRoute) -> None:
         prefixes = self._hosts.setdefault(normalize_host(route.host), {})
         if route.prefix in prefixes:
