Read requests ahead and run those with safe methods concurrently

Requests sent before the first one was answered waited for it, and a chunked body with bytes behind it closed the connection. A second task now reads ahead while there is input; responses keep the order of the requests.

--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -0,0 +1,254 @@
+"""Reads the requests of a caller's connection."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+from fulmarstile_daemon.services._caller_messages import (
+    CallerDisconnectedError,
+    CallerExchange,
+    ReceivedRequest,
+)
+from fulmarstile_http.headers import read_headers
+from fulmarstile_http.request_checks import (
+    MalformedRequestError,
+    check_framing,
+    check_head,
+    check_line_ends,
+)
+from fulmarstile_http.request_head import HEAD_END, receive_rest_of_head
+from fulmarstile_http.request_parser import RequestParser
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarstile_daemon.services._byte_budget import ByteBudget
+    from fulmarstile_daemon.services._read_ahead import ReadAhead
+    from fulmarstile_http.byte_stream import ByteStream
+    from fulmarstile_http.headers import MessageHeaders
+    from fulmarstile_http.messages import RequestHead
+    from fulmarstile_services.document import RequestLimits
+
+_CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class RequestReader:
+    """Reads requests, one after the other.
+
+    Args:
+        stream: Stream of the connection.
+        limits: Returns the current limits.
+        budget: Memory limit for messages.
+    """
+
+    def __init__(
+        self, stream: ByteStream, limits: Callable[[], RequestLimits], budget: ByteBudget
+    ) -> None:
+        self._stream = stream
+        self._limits = limits
+        self._budget = budget
+        self._parser = RequestParser()
+        self._read_ahead: ReadAhead | None = None
+        self._waited_s = 0.0
+        self._body_bytes = 0
+        self._wire_bytes = 0
+        self.unparsed = b""
+        """Bytes received behind the last request."""
+        self.method = b""
+        """Method of the request being read, once it is known."""
+        self.is_receiving = False
+        """Whether a request has been received in part."""
+
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether the last request was not received whole."""
+        return not self._parser.is_complete
+
+    async def receive(self, read_ahead: ReadAhead | None = None) -> CallerExchange | None:
+        """Receives the next request.
+
+        Args:
+            read_ahead: Limit that applies because the responses to earlier requests are not sent;
+                None if all are.
+
+        Returns:
+            The request, or None if the connection was closed between requests.
+
+        Raises:
+            MalformedRequestError: If the request is malformed, too large or arrives too slowly.
+            CallerDisconnectedError: If the caller disconnected within a request.
+        """
+        self._read_ahead = read_ahead
+        self._waited_s = 0.0
+        self.method = b""
+        received, self.unparsed = self.unparsed, b""
+        if not received:
+            received = await self._receive()
+            if not received:
+                return None
+        self._wire_bytes = len(received)
+        self.is_receiving = True
+        parser = self._parser = RequestParser()
+        received = await self._receive_head(received)
+        end = received.find(HEAD_END) + len(HEAD_END)
+        check_line_ends(received[: end - 2])
+        head = parser.parse_complete_head(received[:end])
+        self.method = head.method
+        headers = read_headers(head.headers)
+        check_framing(head, headers)
+        check_head(head)
+        arrived_at = trio.current_time()
+        body = await self._receive_body(head, headers, received[end:])
+        request = ReceivedRequest(head.method, head.target, headers, body, arrived_at)
+        keeps_alive = parser.keeps_alive and not parser.has_pipelined_bytes
+        self.is_receiving = False
+        return CallerExchange(head.method, request, keeps_alive, self.take_held_bytes())
+
+    def take_held_bytes(self) -> int:
+        """Returns the bytes reserved for the last request, for the caller to release."""
+        if self._read_ahead is not None:
+            return self._wire_bytes - len(self.unparsed)
+        held, self._body_bytes = self._body_bytes, 0
+        return held
+
+    def release_partial(self) -> None:
+        """Returns the memory of a body that was received in part to the budget."""
+        self._budget.release_for_caller(self._body_bytes)
+        self._body_bytes = 0
+
+    async def _receive_head(self, received: bytes) -> bytes:
+        limits = self._limits()
+        if received.find(HEAD_END) < 0:
+            receive, timeout_s = self._receive_more_of_head, limits.head_timeout_s
+            if self._read_ahead is not None:
+                receive, timeout_s = self._receive_ahead_of_head, math.inf
+            received = await receive_rest_of_head(received, receive, limits.head_bytes, timeout_s)
+        end = received.find(HEAD_END)
+        if end < 0:
+            raise CallerDisconnectedError
+        if end > limits.head_bytes:
+            raise MalformedRequestError("the request head is too large", 431)
+        return received
+
+    async def _receive_body(
+        self, head: RequestHead, headers: MessageHeaders, received: bytes
+    ) -> bytes:
+        limits = self._limits()
+        length = headers.content_length
+        if (length or 0) > limits.body_bytes:
+            raise MalformedRequestError("the request body is too large", 413)
+        parser = self._parser
+        if not received and not parser.is_complete and _wants_continue(head):
+            await self._send_continue()
+        parts: list[bytes] = []
+        size = 0
+        tail = b""
+        while not parser.is_complete:
+            if not received:
+                received = await self._receive_more(limits.head_timeout_s)
+            if length is None:
+                end = _find_possible_end(tail, received)
+                tail = (tail + received[:end])[-len(HEAD_END) + 1 :]
+            else:
+                end = length - size
+            part, received = received[:end], received[end:]
+            parser.feed_body(part)
+            for part in parser.pop_body_parts():
+                size += len(part)
+                if size > limits.body_bytes:
+                    raise MalformedRequestError("the request body is too large", 413)
+                self._reserve(len(part))
+                parts.append(part)
+        # Data after the body belongs to the next request.
+        self.unparsed = received
+        return b"".join(parts)
+
+    def _reserve(self, size: int) -> None:
+        """Reserves memory for a part of a body, unless it was reserved when it was read."""
+        if self._read_ahead is not None:
+            return
+        if not self._budget.try_reserve_for_caller(size):
+            raise MalformedRequestError("too many large requests are held", 503)
+        self._body_bytes += size
+
+    async def _send_continue(self) -> None:
+        """Asks for the body, after the responses to all earlier requests."""
+        if self._read_ahead is not None:
+            await self._read_ahead.wait_next()
+        try:
+            await self._stream.send_all(_CONTINUE)
+        except OSError as error:
+            raise CallerDisconnectedError from error
+
+    async def _receive_more_of_head(self) -> bytes:
+        data = await self._receive()
+        self._wire_bytes += len(data)
+        return data
+
+    async def _receive_ahead_of_head(self) -> bytes:
+        """Receives more of a head; pauses of reading don't count towards its time limit."""
+        started_at = trio.current_time()
+        paused_s = await self._wait_for_room()
+        with trio.move_on_after(self._limits().head_timeout_s - self._waited_s) as scope:
+            data = await self._receive_more_of_head()
+        if scope.cancelled_caught:
+            raise MalformedRequestError("the request head arrived too slowly", 408)
+        self._waited_s += trio.current_time() - started_at - paused_s
+        return data
+
+    async def _receive_more(self, timeout_s: float) -> bytes:
+        await self._wait_for_room()
+        with trio.move_on_after(timeout_s) as scope:
+            data = await self._receive()
+        if scope.cancelled_caught:
+            raise MalformedRequestError("the request body arrived too slowly", 408)
+        if not data:
+            raise CallerDisconnectedError
+        self._wire_bytes += len(data)
+        return data
+
+    async def _wait_for_room(self) -> float:
+        """Waits until reading may go on, and returns for how long in seconds."""
+        if self._read_ahead is None:
+            return 0.0
+        started_at = trio.current_time()
+        await self._read_ahead.wait_for_room()
+        return trio.current_time() - started_at
+
+    async def _receive(self) -> bytes:
+        try:
+            if self._read_ahead is None:
+                return await self._stream.receive()
+            data = await self._stream.receive(await self._read_ahead.wait_for_room())
+        except OSError:
+            return b""
+        self._read_ahead.hold(len(data))
+        return data
+
+
+def _find_possible_end(tail: bytes, received: bytes) -> int:
+    """Finds where a chunked body may end, which is behind an empty line.
+
+    Args:
+        tail: Last bytes before `received`.
+        received: Bytes of the body, perhaps followed by another request.
+
+    Returns:
+        Number of bytes up to the first possible end, or all of them.
+    """
+    at = (tail + received[: len(HEAD_END)]).find(HEAD_END)
+    if 0 <= at < len(tail):
+        return at + len(HEAD_END) - len(tail)
+    at = received.find(HEAD_END)
+    return len(received) if at < 0 else at + len(HEAD_END)
+
+
+def _wants_continue(head: RequestHead) -> bool:
+    """Checks whether the caller waits for `100 Continue` before it sends the body."""
+    return any(
+        name.lower() == b"expect" and value.lower() == b"100-continue"
+        for name, value in head.headers
+    )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -4,30 +4,31 @@
 
 import logging
 import math
+from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 import trio
 
-from fulmarstile_daemon.services._request_scope import RequestScope
-from fulmarstile_daemon.services._server_connection import (
-    CallerDisconnectedError,
-    CallerResponse,
-    ServerConnection,
-)
+from fulmarstile_daemon.services._caller_messages import CallerDisconnectedError, CallerResponse
+from fulmarstile_daemon.services._request_pipeline import RequestPipeline
+from fulmarstile_daemon.services._server_connection import ServerConnection
 from fulmarstile_daemon.services.events import CallerLeft
+from fulmarstile_http.input_watch import open_input_watch
 from fulmarstile_http.listener import accept_forever, listen
-from fulmarstile_http.request_checks import MalformedRequestError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from fulmarstile_daemon.services._byte_budget import ByteBudget
-    from fulmarstile_daemon.services._server_connection import ReceivedRequest
+    from fulmarstile_daemon.services._caller_messages import ReceivedRequest
+    from fulmarstile_daemon.services._request_scope import RequestScope
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_http.byte_stream import ByteStream
+    from fulmarstile_http.input_watch import InputWatch
     from fulmarstile_http.listener import OutOfDescriptorsError
+    from fulmarstile_http.request_checks import MalformedRequestError
     from fulmarstile_services.document import RequestLimits
 
 _LOGGER: Final = logging.getLogger(__name__)
@@ -43,7 +44,7 @@
 
 
 class RequestServer:
-    """Accepts connections and serves their requests one after the other.
+    """Accepts connections and serves their requests, answered in order.
 
     A request whose caller closes the connection is cancelled.
 
@@ -71,9 +72,10 @@
         self._budget = budget
         self._log = log
         self._id_header = id_header
-        self._connections: dict[ServerConnection, None] = {}
-        self._in_flight: dict[ServerConnection, RequestScope] = {}
+        self._connections: dict[ServerConnection, RequestPipeline] = {}
+        self._in_flight: dict[RequestScope, ServerConnection] = {}
         self._is_closing = False
+        self._is_expired = False
         self._last_request_at = -math.inf
         self._has_in_flight = trio.Event()
         self.abandoned_requests = 0
@@ -82,15 +84,12 @@
     @property
     def in_flight(self) -> int:
         """Requests without a response so far."""
-        return len(self._in_flight)
+        return sum(pipeline.in_flight for pipeline in self._connections.values())
 
     @property
     def arriving(self) -> int:
         """Requests that have been received in part."""
-        return sum(
-            connection.awaits_response and connection not in self._in_flight
-            for connection in self._connections
-        )
+        return sum(connection.is_receiving for connection in self._connections)
 
     @property
     def connections(self) -> int:
@@ -122,27 +121,30 @@
         Raises:
             OSError: If it cannot listen on the address.
         """
-        with listen(address) as listener:
+        with listen(address) as listener, open_input_watch() as watch:
             async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch.run)
                 nursery.start_soon(self._watch_callers)
                 nursery.start_soon(self._close_idle_forever)
                 task_status.started(listener.address)
-                await accept_forever(listener, nursery, self._serve_connection, self._on_exhausted)
+                serve = partial(self._serve_connection, nursery, watch)
+                await accept_forever(listener, nursery, serve, self._on_exhausted)
 
     def begin_closing(self) -> None:
-        """Closes every connection after its next response."""
+        """Closes every connection after the response to the last request read from it."""
         self._is_closing = True
         for connection in self._connections:
             connection.must_close = True
 
     def withdraw_all(self) -> None:
         """Cancels the requests in flight at upstreams that have not received them yet."""
-        for scope in tuple(self._in_flight.values()):
+        for scope in tuple(self._in_flight):
             scope.withdraw()
 
     def expire_all(self) -> None:
         """Ends all requests in flight; their responses are derived from their state so far."""
-        for scope in tuple(self._in_flight.values()):
+        self._is_expired = True
+        for scope in tuple(self._in_flight):
             scope.expire()
         self.refuse_unreceived()
 
@@ -156,28 +158,27 @@
 
         Their connections are still read, because closing them could discard the refusals.
         """
-        response = make_error_response(
-            HTTPStatus.SERVICE_UNAVAILABLE, "the daemon stops", _MEMORY_RETRY_S
-        )
-        for connection in self._connections:
-            if connection.awaits_response and connection not in self._in_flight:
-                try:
-                    connection.refuse(response)
-                except CallerDisconnectedError:
-                    _LOGGER.info("caller disconnected before its request was refused")
+        for pipeline in self._connections.values():
+            try:
+                pipeline.refuse_partial(_make_stopping_response())
+            except CallerDisconnectedError:
+                _LOGGER.info("caller disconnected before its request was refused")
 
     def _on_exhausted(self, error: OutOfDescriptorsError) -> None:
         _LOGGER.warning("cannot accept a connection: %s", error)
         self._evict_idle()
 
-    async def _serve_connection(self, stream: ByteStream) -> None:
+    async def _serve_connection(
+        self, nursery: trio.Nursery, watch: InputWatch, stream: ByteStream
+    ) -> None:
         if len(self._connections) >= self._connection_limit:
             self._evict_idle()
-        connection = ServerConnection(stream, self._limits, self._budget)
+        connection = ServerConnection(stream, self._limits, self._budget, _make_malformed_response)
         connection.must_close = self._is_closing
-        self._connections[connection] = None
+        pipeline = RequestPipeline(connection, self._run, nursery, watch)
+        self._connections[connection] = pipeline
         try:
-            await self._serve_requests(connection)
+            await pipeline.serve()
         except CallerDisconnectedError:
             connection.close_now()
         except Exception:
@@ -188,39 +189,21 @@
             connection.close_now()
             raise
         finally:
-            connection.release_body()
             del self._connections[connection]
 
-    async def _serve_requests(self, connection: ServerConnection) -> None:
-        while True:
-            try:
-                request = await connection.receive_request()
-            except MalformedRequestError as error:
-                connection.must_close = True
-                retry_after_s = (
-                    _MEMORY_RETRY_S if error.status == HTTPStatus.SERVICE_UNAVAILABLE else 0
-                )
-                await connection.send(make_error_response(error.status, str(error), retry_after_s))
-                break
-            if request is None or not connection.awaits_response:
-                connection.close_now()
-                return
-            self._last_request_at = trio.current_time()
-            response = await self._run(connection, request)
-            connection.release_body()
-            await connection.send(response)
-            if not connection.is_reusable:
-                break
-        await connection.close()
-
-    async def _run(self, connection: ServerConnection, request: ReceivedRequest) -> CallerResponse:
-        scope = self._in_flight[connection] = RequestScope()
+    async def _run(
+        self, connection: ServerConnection, request: ReceivedRequest, scope: RequestScope
+    ) -> CallerResponse:
+        if self._is_expired:
+            return _make_stopping_response()
+        self._last_request_at = trio.current_time()
+        self._in_flight[scope] = connection
         self._has_in_flight.set()
         try:
             with scope.cancel_scope:
                 return await self._handle(request, scope)
         finally:
-            del self._in_flight[connection]
+            del self._in_flight[scope]
         if scope.make_response is not None:
             return scope.make_response()
         self.abandoned_requests += 1
@@ -236,7 +219,7 @@
                 self._has_in_flight = trio.Event()
                 await self._has_in_flight.wait()
             await trio.sleep(_WATCH_INTERVAL_S)
-            for connection, scope in self._in_flight.items():
+            for scope, connection in self._in_flight.items():
                 if connection.has_ended:
                     scope.abandon()
 
@@ -270,3 +253,12 @@
     if retry_after_s > 0.0:
         headers.append((b"retry-after", b"%.3f" % retry_after_s))
     return CallerResponse(status, headers, msgspec.json.encode({"error": detail}))
+
+
+def _make_malformed_response(error: MalformedRequestError) -> CallerResponse:
+    is_overloaded = error.status == HTTPStatus.SERVICE_UNAVAILABLE
+    return make_error_response(error.status, str(error), _MEMORY_RETRY_S if is_overloaded else 0.0)
+
+
+def _make_stopping_response() -> CallerResponse:
+    return make_error_response(HTTPStatus.SERVICE_UNAVAILABLE, "the daemon stops", _MEMORY_RETRY_S)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -2,152 +2,170 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 import trio
 
-from fulmarstile_http.headers import MessageHeaders, read_headers
-from fulmarstile_http.messages import encode_response
-from fulmarstile_http.request_checks import (
-    MalformedRequestError,
-    check_framing,
-    check_head,
-    check_line_ends,
+from fulmarstile_daemon.services._caller_messages import (
+    CallerDisconnectedError,
+    CallerExchange,
+    CallerResponse,
+    ReceivedRequest,
 )
-from fulmarstile_http.request_head import HEAD_END, receive_rest_of_head
-from fulmarstile_http.request_parser import RequestParser
-from fulmarstile_wire.errors import FulmarstileError
+from fulmarstile_daemon.services._read_ahead import ReadAhead
+from fulmarstile_daemon.services._request_reader import RequestReader
+from fulmarstile_http.messages import encode_response
+from fulmarstile_http.request_checks import MalformedRequestError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_http.byte_stream import ByteStream
-    from fulmarstile_http.headers import Header
-    from fulmarstile_http.messages import RequestHead
     from fulmarstile_services.document import RequestLimits
 
-_CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
-_NO_BODY_STATUSES: Final = (204, 304)
-
-
-class CallerDisconnectedError(FulmarstileError):
-    """The caller closed or reset the connection."""
-
-
-@dataclass(frozen=True, slots=True)
-class ReceivedRequest:
-    """A complete HTTP request."""
+__all__ = ["CallerDisconnectedError", "CallerResponse", "ReceivedRequest", "ServerConnection"]
 
-    method: bytes
-    target: bytes
-    headers: MessageHeaders
-    body: bytes
-    arrived_at: float
-    """Time at which its head was received, in seconds."""
-
-
-@dataclass(frozen=True, slots=True)
-class CallerResponse:
-    """A complete HTTP response to a caller."""
-
-    status: int
-    headers: list[Header] = field(default_factory=list)
-    """Headers with names in lower case, without those that apply to the connection."""
-    body: bytes = b""
+_NO_BODY_STATUSES: Final = (204, 304)
 
 
 class ServerConnection:
-    """Reads requests and writes responses, one after the other.
+    """Reads requests and writes their responses in the same order.
 
     Args:
         stream: Accepted stream, owned by the connection from now on.
         limits: Returns the current limits.
         budget: Memory limit for messages.
+        make_error: Creates the response to a malformed request.
     """
 
     def __init__(
-        self, stream: ByteStream, limits: Callable[[], RequestLimits], budget: ByteBudget
+        self,
+        stream: ByteStream,
+        limits: Callable[[], RequestLimits],
+        budget: ByteBudget,
+        make_error: Callable[[MalformedRequestError], CallerResponse],
     ) -> None:
         self._budget = budget
-        self._body_bytes = 0
         self._stream = stream
-        self._limits = limits
-        self._received = b""
-        self._parser = RequestParser()
-        self._method = b""
-        self._awaits_response = False
+        self._make_error = make_error
+        self._reader = RequestReader(stream, limits, budget)
+        self._unanswered = 0
         self._is_sending = False
         self._is_closing = False
+        self._is_refused = False
+        self.read_ahead = ReadAhead(budget)
+        """Limit of what is read behind requests without a response."""
+        self.has_read_ahead = False
+        """Whether a request was read before the response to an earlier one."""
         self.idle_since = trio.current_time()
         """Time since which the next request is awaited, in seconds."""
-        self.is_idle = True
-        """Whether no part of the next request has arrived."""
         self.must_close = False
-        """Whether the next response is the last one on the connection."""
+        """Whether the response to the last request that was read is the last one."""
 
     @property
     def is_reusable(self) -> bool:
         """Whether the connection may receive another request."""
-        return not self._awaits_response and not self._is_closing
+        return not self._is_closing
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has been received in part."""
+        return self._reader.is_receiving
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether a request was refused before it was received completely."""
+        return self._is_refused
+
+    @property
+    def unanswered(self) -> int:
+        """Requests that were received and have no response yet."""
+        return self._unanswered
+
+    @property
+    def is_busy_before_partial(self) -> bool:
+        """Whether a response to a request that was received completely is not fully sent."""
+        return self._unanswered > 0 or self._is_sending
 
     @property
     def awaits_response(self) -> bool:
         """Whether a request has arrived, at least in part, and has no response yet."""
-        return self._awaits_response
+        return self._reader.is_receiving or self._unanswered > 0
 
     @property
     def is_busy(self) -> bool:
         """Whether a request has arrived, at least in part, and its response is not fully sent."""
-        return self._awaits_response or self._is_sending
+        return self.awaits_response or self._is_sending
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no part of the next request has arrived and all responses are sent."""
+        return not self.is_busy
+
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether bytes behind the last request have been received."""
+        return bool(self._reader.unparsed)
 
     @property
     def has_ended(self) -> bool:
         """Whether the caller has closed or reset the connection."""
-        return self._stream.has_ended
+        return self._stream.has_hung_up
+
+    def fileno(self) -> int:
+        """Returns the file descriptor, negative if closed."""
+        return self._stream.fileno()
+
+    def try_hold_unparsed(self) -> bool:
+        """Reserves memory for the bytes behind the last request.
 
-    async def receive_request(self) -> ReceivedRequest | None:
+        Returns:
+            Whether the memory was reserved.
+        """
+        return self.read_ahead.try_hold(len(self._reader.unparsed))
+
+    async def receive_request(self, is_ahead: bool = False) -> CallerExchange | None:
         """Receives the next request.
 
+        Args:
+            is_ahead: Whether earlier requests have no response yet.
+
         Returns:
-            The request, or None if the connection was closed between requests.
+            The request, with its response if it is malformed, too large or arrived too slowly, or
+            None if the connection was closed between requests.
 
         Raises:
-            MalformedRequestError: If the request is malformed, too large or arrives too slowly.
             CallerDisconnectedError: If the caller disconnected within a request.
         """
-        received, self._received = self._received, b""
-        if not received:
-            received = await self._receive()
-            if not received:
-                return None
-        self.is_idle = False
-        self._awaits_response = True
-        self._parser = RequestParser()
-        self._method = b""
-        received = await self._receive_head(received)
-        end = received.find(HEAD_END) + len(HEAD_END)
-        check_line_ends(received[: end - 2])
-        head = self._parser.parse_complete_head(received[:end])
-        self._method = head.method
-        headers = read_headers(head.headers)
-        check_framing(head, headers)
-        check_head(head)
-        arrived_at = trio.current_time()
-        body = await self._receive_body(head, headers, received[end:])
-        return ReceivedRequest(head.method, head.target, headers, body, arrived_at)
-
-    async def send(self, response: CallerResponse) -> None:
+        reader = self._reader
+        try:
+            exchange = await reader.receive(self.read_ahead if is_ahead else None)
+        except MalformedRequestError as error:
+            reader.is_receiving = False
+            exchange = CallerExchange(
+                reader.method, None, False, reader.take_held_bytes(), self._make_error(error)
+            )
+        if exchange is not None:
+            self._unanswered += 1
+        return exchange
+
+    async def send(
+        self, exchange: CallerExchange, response: CallerResponse, has_next: bool
+    ) -> None:
         """Sends a complete response.
 
         Args:
+            exchange: Request that is answered, the first one without a response.
             response: The response.
+            has_next: Whether another request behind it was read.
 
         Raises:
             CallerDisconnectedError: If the caller disconnected.
         """
-        data = self._begin_response(response)
+        self._is_closing = not exchange.keeps_alive or (self.must_close and not has_next)
+        data = self._encode(exchange.method, response)
+        self._unanswered -= 1
         self._is_sending = True
         try:
             with self._budget.allocate() as allocation:
@@ -155,7 +173,7 @@
                 await self._send(data)
         finally:
             self._is_sending = False
-        self._end_response()
+        self.idle_since = trio.current_time()
 
     def refuse(self, response: CallerResponse) -> None:
         """Responds to an incomplete request at once, before any more of it can arrive.
@@ -166,26 +184,53 @@
         Raises:
             CallerDisconnectedError: If the caller disconnected or does not read.
         """
-        data = self._begin_response(response)
+        self._is_closing = self._is_refused = True
+        data = self._encode(self._reader.method, response)
+        self._reader.is_receiving = False
         try:
             sent = self._stream.send_nowait(data)
         except OSError as error:
             raise CallerDisconnectedError from error
         if sent < len(data):
             raise CallerDisconnectedError
-        self._end_response()
+        self.idle_since = trio.current_time()
 
-    def release_body(self) -> None:
-        """Returns the memory of the last request's body to the budget."""
-        self._budget.release_for_caller(self._body_bytes)
-        self._body_bytes = 0
+    def drop(self, exchange: CallerExchange) -> None:
+        """Forgets a request that is not answered, because its connection closes."""
+        self._unanswered -= 1
+        self.release(exchange)
+
+    def forget_partial(self) -> None:
+        """Forgets a request that was received in part, because its connection closes."""
+        self._reader.is_receiving = False
+
+    def release(self, exchange: CallerExchange) -> None:
+        """Returns the memory of a request, and of its response that waited, to the budget."""
+        self._budget.release_for_caller(exchange.held_bytes)
+        exchange.held_bytes = 0
+        if exchange.allocation is not None:
+            self._budget.release(exchange.allocation)
+            exchange.allocation = None
+
+    def hold_response(self, exchange: CallerExchange, response: CallerResponse) -> None:
+        """Keeps a response until the turn of its request, accounted to the memory limit."""
+        exchange.response = response
+        exchange.allocation = self._budget.open()
+        exchange.allocation.grow(len(response.body))
+
+    def release_unread(self) -> None:
+        """Returns the memory of what was read but isn't part of a complete request."""
+        self._reader.release_partial()
+        self.read_ahead.release_all()
 
     async def close(self) -> None:
         """Closes the connection after the caller has closed it or had time to.
 
-        Closing it with unread input would reset it, which could discard a response in transit.
+        Closing it with unread input would reset it, which could discard a response in transit. A
+        caller that sends requests before the responses to earlier ones may have more on the way.
         """
-        if self._parser.is_complete and self._stream.is_open_without_input:
+        has_more = self.has_read_ahead or self.has_unparsed or self._reader.is_incomplete
+        if not has_more and self._stream.is_open_without_input:
             self._stream.close()
             return
         await self._stream.close_after_peer()
@@ -200,101 +245,19 @@
         else:
             self._stream.abort()
 
-    @property
-    def _has_known_end(self) -> bool:
-        """Whether the end of the request is known, so that another one may follow."""
-        parser = self._parser
-        return parser.is_complete and parser.keeps_alive and not parser.has_pipelined_bytes
-
-    def _begin_response(self, response: CallerResponse) -> bytes:
-        """Encodes a response and marks the request as answered."""
-        if not self._awaits_response:
-            raise CallerDisconnectedError
+    def _encode(self, method: bytes, response: CallerResponse) -> bytes:
         headers = [header for header in response.headers if header[0] != b"content-length"]
         if response.status not in _NO_BODY_STATUSES:
             headers.append((b"content-length", b"%d" % len(response.body)))
-        self._is_closing = self.must_close or not self._has_known_end
         if self._is_closing:
             headers.append((b"connection", b"close"))
         data = encode_response(response.status, headers)
-        if response.status not in _NO_BODY_STATUSES and self._method != b"HEAD":
+        if response.status not in _NO_BODY_STATUSES and method != b"HEAD":
             data += response.body
-        self._awaits_response = False
-        return data
-
-    def _end_response(self) -> None:
-        self.idle_since = trio.current_time()
-        self.is_idle = True
-
-    async def _receive_head(self, received: bytes) -> bytes:
-        limits = self._limits()
-        if received.find(HEAD_END) < 0:
-            received = await receive_rest_of_head(
-                received, self._receive, limits.head_bytes, limits.head_timeout_s
-            )
-        end = received.find(HEAD_END)
-        if end < 0:
-            raise CallerDisconnectedError
-        if end > limits.head_bytes:
-            raise MalformedRequestError("the request head is too large", 431)
-        return received
-
-    async def _receive_body(
-        self, head: RequestHead, headers: MessageHeaders, received: bytes
-    ) -> bytes:
-        limits = self._limits()
-        length = headers.content_length
-        if (length or 0) > limits.body_bytes:
-            raise MalformedRequestError("the request body is too large", 413)
-        if not received and not self._parser.is_complete and _wants_continue(head):
-            await self._send(_CONTINUE)
-        parts: list[bytes] = []
-        size = 0
-        while not self._parser.is_complete:
-            if not received:
-                received = await self._receive_more(limits.head_timeout_s)
-            if length is not None:
-                # Data after the body belongs to the next request.
-                received, self._received = received[: length - size], received[length - size :]
-            self._parser.feed_body(received)
-            received = b""
-            for part in self._parser.pop_body_parts():
-                size += len(part)
-                if size > limits.body_bytes:
-                    raise MalformedRequestError("the request body is too large", 413)
-                if not self._budget.try_reserve_for_caller(len(part)):
-                    raise MalformedRequestError("too many large requests are held", 503)
-                self._body_bytes += len(part)
-                parts.append(part)
-        if received:
-            self._received = received
-        return b"".join(parts)
-
-    async def _receive_more(self, timeout_s: float) -> bytes:
-        with trio.move_on_after(timeout_s) as scope:
-            data = await self._receive()
-        if scope.cancelled_caught:
-            raise MalformedRequestError("the request body arrived too slowly", 408)
-        if not data:
-            raise CallerDisconnectedError
         return data
 
-    async def _receive(self) -> bytes:
-        try:
-            return await self._stream.receive()
-        except OSError:
-            return b""
-
     async def _send(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
         except OSError as error:
             raise CallerDisconnectedError from error
-
-
-def _wants_continue(head: RequestHead) -> bool:
-    """Checks whether the caller waits for `100 Continue` before it sends the body."""
-    return any(
-        name.lower() == b"expect" and value.lower() == b"100-continue"
-        for name, value in head.headers
-    )
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import select
 import socket
 import struct
 from contextlib import suppress
@@ -25,6 +26,8 @@
 """Longest time for which input is discarded before a close, in seconds."""
 _LINGER_BYTES: Final = 1024 * 1024
 """Number of input bytes after which discarding stops before a close."""
+_HANG_UP: Final = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+"""Events of a stream that the other side has closed or broken."""
 _RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 """`struct linger` that resets the connection on close."""
 
@@ -69,13 +72,25 @@
         except OSError:
             return True
 
+    @property
+    def has_hung_up(self) -> bool:
+        """Whether the other side has closed or broken the stream, with or without unread input."""
+        if self.is_closed:
+            return True
+        poll = select.poll()
+        poll.register(self._socket, _HANG_UP)
+        return bool(poll.poll(0))
+
     def fileno(self) -> int:
         """Returns the file descriptor, negative if closed."""
         return self._socket.fileno()
 
-    async def receive(self) -> bytes:
+    async def receive(self, max_bytes: int = READ_SIZE) -> bytes:
         """Waits for input and reads what has arrived.
 
+        Args:
+            max_bytes: Maximum number of bytes to read.
+
         Returns:
             Bytes read; empty at the end of the stream.
 
@@ -85,7 +100,7 @@
         while True:
             await self._wait(trio.lowlevel.wait_readable)
             try:
-                return self._socket.recv(READ_SIZE)
+                return self._socket.recv(max_bytes)
             except BlockingIOError:
                 continue
 
