Refuse requests whose time ran out behind others of their connection

A request that isn't safe waits for those ahead of it, so its time limit may have passed when its turn comes. It is answered as not run. 15 tests of tests.services.test_pipelining pass.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -118,6 +118,9 @@
             return self._replies.refuse(
                 call, RefusalReason.DRAINING, "the daemon stops", _STOPPING_RETRY_S
             )
+        if call.deadline <= trio.current_time():
+            # It waited behind other requests of its connection for all of its time.
+            return self._replies.make_cancelled(call)
         self._retry_budget.on_request(call.service)
         try:
             result = await self._attempts.run(call)
--- a/tests/services/test_pipelining.py
+++ b/tests/services/test_pipelining.py
@@ -15,7 +15,7 @@
 from fulmarstile_daemon.services._server_connection import CallerResponse
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_services.document import RequestLimits
-from fulmarstile_testing.builders.service_mesh import connect, serve_mesh
+from fulmarstile_testing.builders.service_mesh import ServiceClient, connect, serve_mesh
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -350,6 +350,26 @@
 
         trio.run(run)
 
+    def test_a_request_whose_time_runs_out_behind_others_of_its_connection_is_not_run(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop") as mesh:
+                node = mesh.nodes[0]
+                async with ServiceClient(await connect(node.address)) as client:
+                    slow = "request-id: r0\r\ntime-left-ms: 20000\r\n"
+                    late = "request-id: r1\r\ntime-left-ms: 200\r\n"
+                    await client.stream.send_all(
+                        make_request("/a?delay_ms=500", headers=slow)
+                        + make_request("/a", "POST", late)
+                    )
+                    received = b""
+                    with trio.fail_after(5.0):
+                        while received.count(b"HTTP/1.1 ") < 2:
+                            received += await client.stream.receive_some(65_536)
+                self.assertRegex(received, rb"^HTTP/1\.1 200[\s\S]*HTTP/1\.1 50[34]")
+                self.assertEqual(node.upstream.record.count_runs("r1"), 0)
+
+        trio.run(run)
+
     def test_upstream_work_of_pipelined_requests_is_cancelled_when_their_caller_leaves(
         self,
     ) -> None:
