--- a/tests/services/test_pipelining.py
+++ b/tests/services/test_pipelining.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import re
 import unittest
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from functools import wraps
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -18,7 +18,7 @@
 from fulmarstile_testing.builders.service_mesh import ServiceClient, connect, serve_mesh
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from fulmarstile_daemon.services._request_scope import RequestScope
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
@@ -46,6 +46,10 @@
     return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n%s\r\n%s" % (len(body), connection, body)
 
 
+def in_trio(test: Callable[[Any], Awaitable[None]]) -> Callable[[Any], None]:
+    return wraps(test)(lambda case: trio.run(test, case))
+
+
 async def wait_until(holds: Callable[[], object]) -> None:
     with trio.fail_after(5.0):
         while not holds():
@@ -94,12 +98,14 @@
                 parts.append(data)
         return b"".join(parts)
 
-    async def receive_exactly(self, expected: bytes) -> bytes:
-        data = b""
+    async def expect(self, *targets: str, suffix: bytes = b"") -> None:
+        """Receives the responses to these targets and then the suffix, byte for byte."""
+        expected = b"".join(map(make_response, targets)) + suffix
+        received = b""
         with trio.fail_after(5.0):
-            while len(data) < len(expected):
-                data += await self.caller.receive_some(len(expected) - len(data))
-        return data
+            while len(received) < len(expected):
+                received += await self.caller.receive_some(len(expected) - len(received))
+        assert received == expected, received[-1_000:]
 
 
 @asynccontextmanager
@@ -116,277 +122,244 @@
 
 
 class PipeliningTest(unittest.TestCase):
-    def test_responses_keep_the_order_of_requests_that_finish_in_reverse_order(self) -> None:
-        async def run() -> None:
-            targets = [f"/{number}" for number in range(6)]
-            async with serve() as site:
-                for target in targets:
-                    await site.caller.send_all(make_request(target))
-                await wait_until(lambda: len(site.handler.started) == len(targets))
-                for target in reversed(targets):
-                    site.handler.released.add(target)
-                    await trio.sleep(0.01)
-                expected = b"".join(map(make_response, targets))
-                self.assertEqual(await site.receive_exactly(expected), expected)
-                site.handler.is_open = True
-                await site.caller.send_all(make_request("/later"))
-                expected = make_response("/later")
-                self.assertEqual(await site.receive_exactly(expected), expected)
-                self.assertEqual(site.server.in_flight, 0)
-
-        trio.run(run)
-
-    def test_a_request_that_arrives_behind_a_slow_one_starts_without_waiting_for_it(self) -> None:
-        async def run() -> None:
-            async with serve() as site:
-                await site.caller.send_all(make_request("/slow"))
-                await wait_until(lambda: site.handler.started == ["/slow"])
-                await site.caller.send_all(make_request("/fast")[:20])
+    @in_trio
+    async def test_responses_keep_the_order_of_requests_that_finish_in_reverse_order(self) -> None:
+        targets = [f"/{number}" for number in range(6)]
+        async with serve() as site:
+            for target in targets:
+                await site.caller.send_all(make_request(target))
+            await wait_until(lambda: len(site.handler.started) == len(targets))
+            for target in reversed(targets):
+                site.handler.released.add(target)
                 await trio.sleep(0.01)
-                await site.caller.send_all(make_request("/fast")[20:])
-                await wait_until(lambda: site.handler.started == ["/slow", "/fast"])
-                self.assertEqual(site.server.in_flight, 2)
-                site.handler.is_open = True
-                expected = make_response("/slow") + make_response("/fast")
-                self.assertEqual(await site.receive_exactly(expected), expected)
-
-        trio.run(run)
-
-    def test_no_more_than_eight_requests_are_read_ahead(self) -> None:
-        async def run() -> None:
-            targets = [f"/{number}" for number in range(40)]
-            async with serve() as site:
-                await site.caller.send_all(b"".join(map(make_request, targets)))
-                await wait_until(lambda: len(site.handler.started) > READ_AHEAD_REQUESTS)
-                await trio.sleep(SETTLE_S)
-                self.assertCountEqual(site.handler.started, targets[: READ_AHEAD_REQUESTS + 1])
-                site.handler.is_open = True
-                expected = b"".join(map(make_response, targets))
-                self.assertEqual(await site.receive_exactly(expected), expected)
-
-        trio.run(run)
-
-    def test_no_more_than_64_kib_are_read_ahead_and_they_are_in_the_memory_limit(self) -> None:
-        async def run() -> None:
-            body = b"b" * 200_000
-            requests = [
-                make_request(f"/{number}", headers="x-pad: " + "p" * 20_000 + "\r\n")
-                for number in range(3)
-            ] + [make_request("/body", "POST", body=body)]
-            async with serve() as site, trio.open_nursery() as nursery:
-                await site.caller.send_all(make_request("/first"))
-                await wait_until(lambda: site.handler.started)
-                nursery.start_soon(site.caller.send_all, b"".join(requests))
-                await wait_until(lambda: site.budget.used_bytes >= READ_AHEAD_BYTES)
-                await trio.sleep(SETTLE_S)
-                self.assertEqual(site.budget.used_bytes, READ_AHEAD_BYTES)
-                self.assertCountEqual(site.handler.started, ["/first", "/0", "/1", "/2"])
-                site.handler.is_open = True
-                targets = ["/first", "/0", "/1", "/2", "/body"]
-                expected = b"".join(map(make_response, targets))
-                self.assertEqual(await site.receive_exactly(expected), expected)
-                self.assertEqual(site.handler.bodies["/body"], body)
-
-        trio.run(run)
-
-    def test_without_memory_to_read_ahead_requests_are_served_one_after_the_other(self) -> None:
-        async def run() -> None:
-            async with serve(100) as site:
-                targets = ["/0", "/1", "/2"]
-                await site.caller.send_all(b"".join(map(make_request, targets)))
+            await site.expect(*targets)
+            site.handler.is_open = True
+            await site.caller.send_all(make_request("/later"))
+            await site.expect("/later")
+            self.assertEqual(site.server.in_flight, 0)
+
+    @in_trio
+    async def test_a_request_that_arrives_behind_a_slow_one_starts_without_waiting_for_it(
+        self,
+    ) -> None:
+        async with serve() as site:
+            await site.caller.send_all(make_request("/slow"))
+            await wait_until(lambda: site.handler.started == ["/slow"])
+            await site.caller.send_all(make_request("/fast")[:20])
+            await trio.sleep(0.01)
+            await site.caller.send_all(make_request("/fast")[20:])
+            await wait_until(lambda: site.handler.started == ["/slow", "/fast"])
+            self.assertEqual(site.server.in_flight, 2)
+            site.handler.is_open = True
+            await site.expect("/slow", "/fast")
+
+    @in_trio
+    async def test_no_more_than_eight_requests_are_read_ahead(self) -> None:
+        targets = [f"/{number}" for number in range(40)]
+        async with serve() as site:
+            await site.caller.send_all(b"".join(map(make_request, targets)))
+            await wait_until(lambda: len(site.handler.started) > READ_AHEAD_REQUESTS)
+            await trio.sleep(SETTLE_S)
+            self.assertCountEqual(site.handler.started, targets[: READ_AHEAD_REQUESTS + 1])
+            site.handler.is_open = True
+            await site.expect(*targets)
+
+    @in_trio
+    async def test_no_more_than_64_kib_are_read_ahead_and_they_are_in_the_memory_limit(
+        self,
+    ) -> None:
+        body = b"b" * 200_000
+        requests = [
+            make_request(f"/{number}", headers="x-pad: " + "p" * 20_000 + "\r\n")
+            for number in range(3)
+        ] + [make_request("/body", "POST", body=body)]
+        async with serve() as site, trio.open_nursery() as nursery:
+            await site.caller.send_all(make_request("/first"))
+            await wait_until(lambda: site.handler.started)
+            nursery.start_soon(site.caller.send_all, b"".join(requests))
+            await wait_until(lambda: site.budget.used_bytes >= READ_AHEAD_BYTES)
+            await trio.sleep(SETTLE_S)
+            self.assertEqual(site.budget.used_bytes, READ_AHEAD_BYTES)
+            self.assertCountEqual(site.handler.started, ["/first", "/0", "/1", "/2"])
+            site.handler.is_open = True
+            await site.expect("/first", "/0", "/1", "/2", "/body")
+            self.assertEqual(site.handler.bodies["/body"], body)
+
+    @in_trio
+    async def test_without_memory_to_read_ahead_requests_are_served_one_after_the_other(
+        self,
+    ) -> None:
+        async with serve(100) as site:
+            targets = ["/0", "/1", "/2"]
+            await site.caller.send_all(b"".join(map(make_request, targets)))
+            await trio.sleep(SETTLE_S)
+            self.assertEqual(site.handler.started, ["/0"])
+            site.handler.is_open = True
+            await site.expect(*targets)
+
+    @in_trio
+    async def test_an_unsafe_request_neither_overtakes_nor_is_overtaken(self) -> None:
+        async with serve() as site:
+            chunked = "transfer-encoding: chunked\r\n"
+            await site.caller.send_all(
+                make_request("/get")
+                + make_request("/post", "POST", chunked)
+                + b"6\r\na\r\n\r\nb\r\n0\r\n\r\n"
+                + make_request("/head", "HEAD")
+                + make_request("/options", "OPTIONS")
+                + make_request("/delete", "DELETE")
+            )
+            steps = (["/get"], ["/post"], ["/head", "/options"], ["/delete"])
+            started: list[str] = []
+            for step in steps:
+                started += step
+                await wait_until(lambda step=step: set(step) <= set(site.handler.started))
                 await trio.sleep(SETTLE_S)
-                self.assertEqual(site.handler.started, ["/0"])
-                site.handler.is_open = True
-                expected = b"".join(map(make_response, targets))
-                self.assertEqual(await site.receive_exactly(expected), expected)
-
-        trio.run(run)
-
-    def test_an_unsafe_request_neither_overtakes_nor_is_overtaken(self) -> None:
-        async def run() -> None:
-            async with serve() as site:
-                chunked = "transfer-encoding: chunked\r\n"
-                await site.caller.send_all(
-                    make_request("/get")
-                    + make_request("/post", "POST", chunked)
-                    + b"6\r\na\r\n\r\nb\r\n0\r\n\r\n"
-                    + make_request("/head", "HEAD")
-                    + make_request("/options", "OPTIONS")
-                    + make_request("/delete", "DELETE")
-                )
-                steps = (["/get"], ["/post"], ["/head", "/options"], ["/delete"])
-                started: list[str] = []
-                for step in steps:
-                    started += step
-                    await wait_until(lambda step=step: set(step) <= set(site.handler.started))
-                    await trio.sleep(SETTLE_S)
-                    self.assertCountEqual(site.handler.started, started)
-                    site.handler.released.update(step)
-                expected = b"".join(
-                    re.sub(b"(?<=\r\n\r\n).*", b"" if target == "/head" else rb"\g<0>", response)
-                    for target in started
-                    for response in [make_response(target)]
-                )
-                self.assertEqual(await site.receive_exactly(expected), expected)
-                self.assertEqual(site.handler.bodies["/post"], b"a\r\n\r\nb")
-
-        trio.run(run)
-
-    def test_a_malformed_request_is_answered_in_turn_and_closes_the_connection(self) -> None:
-        async def run() -> None:
+                self.assertCountEqual(site.handler.started, started)
+                site.handler.released.update(step)
+            head = make_response("/head").partition(b"answer")[0]
+            rest = make_response("/options") + make_response("/delete")
+            await site.expect("/get", "/post", suffix=head + rest)
+            self.assertEqual(site.handler.bodies["/post"], b"a\r\n\r\nb")
+
+    @in_trio
+    async def test_a_malformed_request_is_answered_in_turn_and_closes_the_connection(self) -> None:
+        async with serve() as site:
+            await site.caller.send_all(
+                make_request("/0") + make_request("/1") + b"GET /bad HTTP/1.1\r\n\r\n" * 2
+            )
+            await wait_until(lambda: len(site.handler.started) == 2)
+            site.handler.is_open = True
+            received = await site.receive_all()
+            valid = make_response("/0") + make_response("/1")
+            self.assertEqual(received[: len(valid)], valid)
+            self.assertRegex(received[len(valid) :], rb"^HTTP/1\.1 400 [^$]*connection: close")
+            self.assertEqual(received.count(b"HTTP/1.1"), 3)
+
+    @in_trio
+    async def test_nothing_is_read_behind_a_request_that_closes_the_connection(self) -> None:
+        for last in (
+            make_request("/last", headers="connection: close\r\n"),
+            b"GET /last HTTP/1.0\r\n\r\n",
+        ):
             async with serve() as site:
-                await site.caller.send_all(
-                    make_request("/0") + make_request("/1") + b"GET /bad HTTP/1.1\r\n\r\n" * 2
-                )
-                await wait_until(lambda: len(site.handler.started) == 2)
-                site.handler.is_open = True
-                received = await site.receive_all()
-                valid = make_response("/0") + make_response("/1")
-                self.assertEqual(received[: len(valid)], valid)
-                self.assertRegex(received[len(valid) :], rb"^HTTP/1\.1 400 [^$]*connection: close")
-                self.assertEqual(received.count(b"HTTP/1.1"), 3)
-
-        trio.run(run)
-
-    def test_nothing_is_read_behind_a_request_that_closes_the_connection(self) -> None:
-        async def run() -> None:
-            for last in (
-                make_request("/last", headers="connection: close\r\n"),
-                b"GET /last HTTP/1.0\r\n\r\n",
-            ):
-                async with serve() as site:
-                    await site.caller.send_all(make_request("/0") + last + make_request("/no"))
-                    await wait_until(lambda site=site: len(site.handler.started) == 2)
-                    await trio.sleep(SETTLE_S)
-                    site.handler.is_open = True
-                    expected = make_response("/0") + make_response("/last", closes=True)
-                    self.assertEqual(await site.receive_all(), expected)
-                    self.assertEqual(site.handler.started, ["/0", "/last"])
-
-        trio.run(run)
-
-    def test_a_caller_that_leaves_cancels_all_its_requests_though_reading_has_paused(self) -> None:
-        async def run() -> None:
-            async with serve() as site:
-                await site.caller.send_all(
-                    b"".join(make_request(f"/{number}") for number in range(20))
-                )
-                await wait_until(lambda: len(site.handler.started) > READ_AHEAD_REQUESTS)
-                await site.caller.aclose()
-                with trio.fail_after(ABANDONED_WITHIN_S):
-                    while len(site.handler.cancelled) < len(site.handler.started):
-                        await trio.sleep(0.002)
-
-        trio.run(run)
-
-    def test_a_slow_reader_delays_only_its_own_connection(self) -> None:
-        async def run() -> None:
-            async with serve(100_000_000) as site:
-                site.handler.is_open = True
-                await site.caller.send_all(make_request("/large") + make_request("/behind"))
-                await wait_until(lambda: "/behind" in site.handler.started)
-                async with await connect(site.address) as other:
-                    await other.send_all(make_request("/other"))
-                    with trio.fail_after(1.0):
-                        self.assertTrue(await other.receive_some(1_000))
-                head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(LARGE)
-                expected = head + LARGE + make_response("/behind")
-                self.assertTrue(await site.receive_exactly(expected) == expected)
-
-        trio.run(run)
-
-    def test_continue_is_sent_only_after_the_responses_to_earlier_requests(self) -> None:
-        async def run() -> None:
-            async with serve() as site:
-                expects = "expect: 100-continue\r\ncontent-length: 1\r\n"
-                await site.caller.send_all(make_request("/0") + make_request("/1", "PUT", expects))
-                await wait_until(lambda: site.handler.started)
+                unread = make_request("/no") * 5_000
+                await site.caller.send_all(make_request("/0") + last + unread)
+                await wait_until(lambda site=site: len(site.handler.started) == 2)
                 await trio.sleep(SETTLE_S)
                 site.handler.is_open = True
-                expected = make_response("/0") + b"HTTP/1.1 100 Continue\r\n\r\n"
-                self.assertEqual(await site.receive_exactly(expected), expected)
-                await site.caller.send_all(b"x")
-                expected = make_response("/1")
-                self.assertEqual(await site.receive_exactly(expected), expected)
+                expected = make_response("/0") + make_response("/last", closes=True)
+                self.assertEqual(await site.receive_all(), expected)
+                self.assertEqual(site.handler.started, ["/0", "/last"])
 
-        trio.run(run)
+    @in_trio
+    async def test_a_caller_that_leaves_cancels_all_its_requests_though_reading_has_paused(
+        self,
+    ) -> None:
+        async with serve() as site:
+            await site.caller.send_all(b"".join(make_request(f"/{number}") for number in range(20)))
+            await wait_until(lambda: len(site.handler.started) > READ_AHEAD_REQUESTS)
+            await site.caller.aclose()
+            with trio.fail_after(ABANDONED_WITHIN_S):
+                while len(site.handler.cancelled) < len(site.handler.started):
+                    await trio.sleep(0.002)
+
+    @in_trio
+    async def test_a_slow_reader_delays_only_its_own_connection(self) -> None:
+        async with serve(100_000_000) as site:
+            site.handler.is_open = True
+            await site.caller.send_all(make_request("/large") + make_request("/behind"))
+            await wait_until(lambda: "/behind" in site.handler.started)
+            async with await connect(site.address) as other:
+                await other.send_all(make_request("/other"))
+                with trio.fail_after(1.0):
+                    self.assertTrue(await other.receive_some(1_000))
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(LARGE)
+            await site.expect(suffix=head + LARGE + make_response("/behind"))
+
+    @in_trio
+    async def test_continue_is_sent_only_after_the_responses_to_earlier_requests(self) -> None:
+        async with serve() as site:
+            expects = "expect: 100-continue\r\ncontent-length: 1\r\n"
+            await site.caller.send_all(make_request("/0") + make_request("/1", "PUT", expects))
+            await wait_until(lambda: site.handler.started)
+            await trio.sleep(SETTLE_S)
+            site.handler.is_open = True
+            await site.expect("/0", suffix=b"HTTP/1.1 100 Continue\r\n\r\n")
+            await site.caller.send_all(b"x")
+            await site.expect("/1")
 
 
 class PipeliningShutdownTest(unittest.TestCase):
-    def test_requests_that_were_read_are_answered_and_only_the_last_response_closes(self) -> None:
-        async def run() -> None:
-            async with serve() as site:
-                partial = make_request("/partial", "PUT", "content-length: 9\r\n")
-                await site.caller.send_all(
-                    make_request("/0") + make_request("/1") + make_request("/2", "PUT") + partial
+    @in_trio
+    async def test_requests_that_were_read_are_answered_and_only_the_last_response_closes(
+        self,
+    ) -> None:
+        async with serve() as site:
+            partial = make_request("/partial", "PUT", "content-length: 9\r\n")
+            await site.caller.send_all(
+                make_request("/0") + make_request("/1") + make_request("/2", "PUT") + partial
+            )
+            await wait_until(lambda: site.server.in_flight == 3 and site.server.arriving)
+            site.server.begin_closing()
+            site.server.refuse_unreceived()
+            await site.caller.send_all(b"x" * 9 + make_request("/late"))
+            await trio.sleep(SETTLE_S)
+            self.assertFalse(site.server.is_quiet(0.0))
+            site.handler.is_open = True
+            with trio.fail_after(ABANDONED_WITHIN_S):
+                await site.server.wait_answered()
+            expected = make_response("/0") + make_response("/1")
+            expected += make_response("/2", closes=True)
+            self.assertEqual(await site.receive_all(), expected)
+            self.assertEqual(site.handler.started, ["/0", "/1", "/2"])
+
+    @in_trio
+    async def test_a_request_not_started_when_all_expire_is_refused_and_not_run(self) -> None:
+        async with serve() as site:
+            await site.caller.send_all(make_request("/0") + make_request("/1", "PUT"))
+            await wait_until(lambda: site.server.in_flight == 2)
+            site.server.begin_closing()
+            site.server.expire_all()
+            site.handler.is_open = True
+            received = await site.receive_all()
+            self.assertTrue(received.startswith(make_response("/0") + b"HTTP/1.1 503"))
+            self.assertEqual(site.handler.started, ["/0"])
+
+    @in_trio
+    async def test_a_request_whose_time_runs_out_behind_others_of_its_connection_is_not_run(
+        self,
+    ) -> None:
+        async with serve_mesh("shop") as mesh:
+            node = mesh.nodes[0]
+            async with ServiceClient(await connect(node.address)) as client:
+                slow = "request-id: r0\r\ntime-left-ms: 20000\r\n"
+                late = "request-id: r1\r\ntime-left-ms: 200\r\n"
+                await client.stream.send_all(
+                    make_request("/a?delay_ms=500", headers=slow) + make_request("/a", "POST", late)
                 )
-                await wait_until(lambda: site.server.in_flight == 3 and site.server.arriving)
-                site.server.begin_closing()
-                site.server.refuse_unreceived()
-                await site.caller.send_all(b"x" * 9 + make_request("/late"))
-                await trio.sleep(SETTLE_S)
-                self.assertFalse(site.server.is_quiet(0.0))
-                site.handler.is_open = True
-                with trio.fail_after(ABANDONED_WITHIN_S):
-                    await site.server.wait_answered()
-                expected = make_response("/0") + make_response("/1")
-                expected += make_response("/2", closes=True)
-                self.assertEqual(await site.receive_all(), expected)
-                self.assertEqual(site.handler.started, ["/0", "/1", "/2"])
-
-        trio.run(run)
-
-    def test_a_request_not_started_when_all_expire_is_refused_and_not_run(self) -> None:
-        async def run() -> None:
-            async with serve() as site:
-                await site.caller.send_all(make_request("/0") + make_request("/1", "PUT"))
-                await wait_until(lambda: site.server.in_flight == 2)
-                site.server.begin_closing()
-                site.server.expire_all()
-                site.handler.is_open = True
-                received = await site.receive_all()
-                self.assertTrue(received.startswith(make_response("/0") + b"HTTP/1.1 503"))
-                self.assertEqual(site.handler.started, ["/0"])
-
-        trio.run(run)
-
-    def test_a_request_whose_time_runs_out_behind_others_of_its_connection_is_not_run(self) -> None:
-        async def run() -> None:
-            async with serve_mesh("shop") as mesh:
-                node = mesh.nodes[0]
-                async with ServiceClient(await connect(node.address)) as client:
-                    slow = "request-id: r0\r\ntime-left-ms: 20000\r\n"
-                    late = "request-id: r1\r\ntime-left-ms: 200\r\n"
-                    await client.stream.send_all(
-                        make_request("/a?delay_ms=500", headers=slow)
-                        + make_request("/a", "POST", late)
-                    )
-                    received = b""
-                    with trio.fail_after(5.0):
-                        while received.count(b"HTTP/1.1 ") < 2:
-                            received += await client.stream.receive_some(65_536)
-                self.assertRegex(received, rb"^HTTP/1\.1 200[\s\S]*HTTP/1\.1 50[34]")
-                self.assertEqual(node.upstream.record.count_runs("r1"), 0)
-
-        trio.run(run)
-
-    def test_upstream_work_of_pipelined_requests_is_cancelled_when_their_caller_leaves(
+                received = b""
+                with trio.fail_after(5.0):
+                    while received.count(b"HTTP/1.1 ") < 2:
+                        received += await client.stream.receive_some(65_536)
+            self.assertRegex(received, rb"^HTTP/1\.1 200[\s\S]*HTTP/1\.1 50[34]")
+            self.assertEqual(node.upstream.record.count_runs("r1"), 0)
+
+    @in_trio
+    async def test_upstream_work_of_pipelined_requests_is_cancelled_when_their_caller_leaves(
         self,
     ) -> None:
-        async def run() -> None:
-            async with serve_mesh("stock", "shop") as mesh:
-                entry, serving = mesh.nodes
-                caller = await connect(entry.address)
-                for number in range(3):
-                    headers = f"request-id: r{number}\r\ntime-left-ms: 20000\r\n"
-                    await caller.send_all(make_request("/a?delay_ms=20000", headers=headers))
-                await wait_until(lambda: serving.upstream.record.running == 3)
-                await caller.aclose()
-                with trio.fail_after(ABANDONED_WITHIN_S):
-                    while serving.upstream.record.running:
-                        await trio.sleep(0.002)
-
-        trio.run(run)
+        async with serve_mesh("stock", "shop") as mesh:
+            entry, serving = mesh.nodes
+            caller = await connect(entry.address)
+            for number in range(3):
+                headers = f"request-id: r{number}\r\ntime-left-ms: 20000\r\n"
+                await caller.send_all(make_request("/a?delay_ms=20000", headers=headers))
+            await wait_until(lambda: serving.upstream.record.running == 3)
+            await caller.aclose()
+            with trio.fail_after(ABANDONED_WITHIN_S):
+                while serving.upstream.record.running:
+                    await trio.sleep(0.002)
 
 
 if __name__ == "__main__":
