--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
@@ -121,12 +121,18 @@
         Returns:
             Whether the memory was reserved; callers' requests share a part of the budget.
         """
-        if self._caller_bytes + size > self.message_limit or self._used_bytes + size > self._limit:
+        if not self.has_room_for_caller(size):
             return False
         self._used_bytes += size
         self._caller_bytes += size
         return True
 
+    def has_room_for_caller(self, size: int) -> bool:
+        """Checks whether `try_reserve_for_caller` would reserve this number of bytes."""
+        if self._caller_bytes + size > self.message_limit:
+            return False
+        return self._used_bytes + size <= self._limit
+
     def release_for_caller(self, size: int) -> None:
         """Returns memory that `try_reserve_for_caller` reserved."""
         self._used_bytes -= size
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_read_ahead.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_read_ahead.py
@@ -33,6 +33,11 @@
         self.is_next = False
         """Whether the response to the request being read is the next one."""
 
+    @property
+    def has_memory(self) -> bool:
+        """Whether the memory limit has room for all that may be read ahead."""
+        return self._budget.has_room_for_caller(READ_AHEAD_BYTES - self.held_bytes)
+
     def try_hold(self, size: int) -> bool:
         """Reserves memory for bytes read ahead.
 
@@ -83,7 +88,7 @@
         Returns:
             Maximum number of bytes to read.
         """
-        while not self.is_next and self.held_bytes >= READ_AHEAD_BYTES:
+        while not self.is_next and (self.held_bytes >= READ_AHEAD_BYTES or not self.has_memory):
             await self._changed.wait()
         return READ_SIZE if self.is_next else READ_AHEAD_BYTES - self.held_bytes
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_pipeline.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_pipeline.py
@@ -97,7 +97,7 @@
             CallerDisconnectedError: If the caller disconnected or does not read.
         """
         connection = self._connection
-        if not connection.is_receiving:
+        if not connection.is_receiving or not connection.is_reusable:
             return
         if not connection.is_busy_before_partial:
             connection.refuse(response)
@@ -205,7 +205,9 @@
         return last is None or last.keeps_alive
 
     def _on_input(self) -> None:
-        if self._next is not None and self._reading is None and self._may_read:
+        # Without memory, reading goes on when this response is sent.
+        can_start = self._next is not None and self._reading is None and self._may_read
+        if can_start and self._connection.read_ahead.has_memory:
             self._start_reading()
 
     def _resume_reading(self) -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -83,6 +83,7 @@
         """
         self._read_ahead = read_ahead
         self._waited_s = 0.0
+        self._wire_bytes = 0
         self.method = b""
         received, self.unparsed = self.unparsed, b""
         if not received:
