--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_pipeline.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_pipeline.py
@@ -60,6 +60,7 @@
         self._reading: trio.CancelScope | None = None
         self._is_input_ended = False
         self._is_lost = False
+        self._is_armed = False
         self._refusal: CallerResponse | None = None
 
     @property
@@ -151,7 +152,8 @@
         """Handles a request, or waits for the task that does, while input is read ahead."""
         if exchange.request is None:
             return self._get_response(exchange)
-        self._start_safe()
+        if self._waiting:
+            self._start_safe()
         self._resume_reading()
         try:
             if exchange.answered is None:
@@ -159,7 +161,9 @@
             await exchange.answered.wait()
             return self._get_response(exchange)
         finally:
-            self._disarm()
+            if self._is_armed:
+                self._is_armed = False
+                self._watch.disarm(self._descriptor)
 
     def _get_response(self, exchange: CallerExchange) -> CallerResponse:
         if exchange.response is None:
@@ -205,6 +209,7 @@
         return last is None or last.keeps_alive
 
     def _on_input(self) -> None:
+        self._is_armed = False
         # Without memory, reading goes on when this response is sent.
         can_start = self._next is not None and self._reading is None and self._may_read
         if can_start and self._connection.read_ahead.has_memory:
@@ -215,18 +220,12 @@
         if self._reading is not None or not self._may_read:
             return
         if not self._connection.has_unparsed:
-            self._arm()
+            # The connection is open, because only an idle one is closed by another task.
+            self._watch.arm(self._descriptor)
+            self._is_armed = True
         elif self._connection.try_hold_unparsed():
             self._start_reading()
 
-    def _arm(self) -> None:
-        if self._connection.fileno() >= 0:
-            self._watch.arm(self._descriptor)
-
-    def _disarm(self) -> None:
-        if self._connection.fileno() >= 0:
-            self._watch.disarm(self._descriptor)
-
     def _start_reading(self) -> None:
         self._connection.has_read_ahead = True
         self._connection.read_ahead.is_next = False
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -52,7 +52,6 @@
         self._reader = RequestReader(stream, limits, budget)
         self._unanswered = 0
         self._is_sending = False
-        self._is_closing = False
         self._is_refused = False
         self.read_ahead = ReadAhead(budget)
         """Limit of what is read behind requests without a response."""
@@ -60,14 +59,11 @@
         """Whether a request was read before the response to an earlier one."""
         self.idle_since = trio.current_time()
         """Time since which the next request is awaited, in seconds."""
+        self.is_reusable = True
+        """Whether the connection may receive another request."""
         self.must_close = False
         """Whether the response to the last request that was read is the last one."""
 
-    @property
-    def is_reusable(self) -> bool:
-        """Whether the connection may receive another request."""
-        return not self._is_closing
-
     @property
     def is_receiving(self) -> bool:
         """Whether a request has been received in part."""
@@ -163,7 +159,7 @@
         Raises:
             CallerDisconnectedError: If the caller disconnected.
         """
-        self._is_closing = not exchange.keeps_alive or (self.must_close and not has_next)
+        self.is_reusable = exchange.keeps_alive and (has_next or not self.must_close)
         data = self._encode(exchange.method, response)
         self._unanswered -= 1
         self._is_sending = True
@@ -184,7 +180,8 @@
         Raises:
             CallerDisconnectedError: If the caller disconnected or does not read.
         """
-        self._is_closing = self._is_refused = True
+        self.is_reusable = False
+        self._is_refused = True
         data = self._encode(self._reader.method, response)
         self._reader.is_receiving = False
         try:
@@ -249,7 +246,7 @@
         headers = [header for header in response.headers if header[0] != b"content-length"]
         if response.status not in _NO_BODY_STATUSES:
             headers.append((b"content-length", b"%d" % len(response.body)))
-        if self._is_closing:
+        if not self.is_reusable:
             headers.append((b"connection", b"close"))
         data = encode_response(response.status, headers)
         if response.status not in _NO_BODY_STATUSES and method != b"HEAD":
--- a/tests/services/test_pipelining.py
+++ b/tests/services/test_pipelining.py
@@ -252,12 +252,29 @@
                 self.assertEqual(await site.receive_all(), expected)
                 self.assertEqual(site.handler.started, ["/0", "/last"])
 
+    @in_trio
+    async def test_a_request_sent_after_the_last_response_does_not_reset_the_connection(
+        self,
+    ) -> None:
+        async with serve() as site:
+            last = make_request("/last", headers="connection: close\r\n")
+            await site.caller.send_all(make_request("/0") + last)
+            await wait_until(lambda: len(site.handler.started) == 2)
+            site.handler.is_open = True
+            await wait_until(lambda: not site.server.in_flight)
+            await trio.sleep(SETTLE_S)
+            await site.caller.send_all(make_request("/no"))
+            await trio.sleep(SETTLE_S)
+            expected = make_response("/0") + make_response("/last", closes=True)
+            self.assertEqual(await site.receive_all(), expected)
+
     @in_trio
     async def test_a_caller_that_leaves_cancels_all_its_requests_though_reading_has_paused(
         self,
     ) -> None:
         async with serve() as site:
-            await site.caller.send_all(b"".join(make_request(f"/{number}") for number in range(20)))
+            requests = (make_request(f"/{number}") for number in range(2_500))
+            await site.caller.send_all(b"".join(requests))
             await wait_until(lambda: len(site.handler.started) > READ_AHEAD_REQUESTS)
             await site.caller.aclose()
             with trio.fail_after(ABANDONED_WITHIN_S):
