--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -75,7 +75,7 @@
         self._connections: dict[ServerConnection, RequestPipeline] = {}
         self._in_flight: dict[RequestScope, ServerConnection] = {}
         self._is_closing = False
-        self._is_expired = False
+        self._expired_at = -math.inf
         self._last_request_at = -math.inf
         self._has_in_flight = trio.Event()
         self.abandoned_requests = 0
@@ -143,7 +143,7 @@
 
     def expire_all(self) -> None:
         """Ends all requests in flight; their responses are derived from their state so far."""
-        self._is_expired = True
+        self._expired_at = trio.current_time()
         for scope in tuple(self._in_flight):
             scope.expire()
         self.refuse_unreceived()
@@ -194,7 +194,8 @@
     async def _run(
         self, connection: ServerConnection, request: ReceivedRequest, scope: RequestScope
     ) -> CallerResponse:
-        if self._is_expired:
+        if request.arrived_at <= self._expired_at:
+            # It waited behind others of its connection, and there is no time left to run it.
             return _make_stopping_response()
         self._last_request_at = trio.current_time()
         self._in_flight[scope] = connection
