--- a/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
@@ -88,6 +88,8 @@
         """Requests per second that its answers name as its limit; None for no limit."""
         self.load = b""
         """Load that its responses report; empty for none."""
+        self.slowdown = 1.0
+        """Factor by which its VM slows requests down."""
         self.is_leaving = False
         """Whether its answers say that it leaves."""
         self._scope = trio.CancelScope()
@@ -169,7 +171,7 @@
         record.running += 1
         record.max_running = max(record.max_running, record.running)
         try:
-            work_s = float(query.get("delay_ms", 1)) / 1000
+            work_s = float(query.get("delay_ms", 1)) / 1000 * self.slowdown
             if served.request_id in self.silent_for:
                 work_s = math.inf
             await self._work(stream, served, work_s)
--- a/tests/services/test_upstream_load.py
+++ b/tests/services/test_upstream_load.py
@@ -108,9 +108,10 @@
                 for node in mesh.nodes[:3]:
                     node.upstream.load = b"0,0,4,100"
                 mesh.nodes[0].upstream.load = b"0,0,4,800"
+                mesh.nodes[0].upstream.slowdown = 8.0
                 started_at = trio.current_time()
                 for number in range(CALLS):
-                    await mesh.nodes[-1].call("/a", request_id=f"r-{number}")
+                    await mesh.nodes[-1].call("/a?delay_ms=10", request_id=f"r-{number}")
                 counts = [len(node.upstream.record.requests) for node in mesh.nodes[:3]]
                 # Each response shows that it is slow, for as long as that is believed.
                 elapsed_s = trio.current_time() - started_at
