Keep knowledge of the document recent through a few readers of each zone

Cause: with a strict bound of revocations every daemon asked the store at least every 0.75 s, 1.28 calls a second each, whatever the size of the fleet.

Change: above 30 members only three daemons of a zone ask the store that often. The others ask one of them, and the store only if their knowledge grows older than 0.4 of the bound, or if the reader knows a newer version.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -160,7 +160,9 @@
             rng,
             log,
         )
-        self._freshness_keeper = FreshnessKeeper(self._documents, self._gossip, log)
+        self._freshness_keeper = FreshnessKeeper(
+            self._documents, self._gossip, log, lambda: self._membership.is_reader()
+        )
         self._announcements.sync_daemons = self._gossip.sync_now
         self._body_admission = BodyAdmission(settings.link_kbps * _BYTES_PER_KBIT)
         self._hops = HopServer(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/gossip.py
@@ -10,6 +10,7 @@
 
 from fulmarstile_daemon.services._links import DaemonUnreachableError
 from fulmarstile_daemon.services.events import DependencyLost, DependencyRegained
+from fulmarstile_services.store_readers import list_readers
 from fulmarstile_wire.services import MemberPhase, SyncReply, SyncRequest
 
 if TYPE_CHECKING:
@@ -135,6 +136,20 @@
             request = self._make_request(differing, with_document=lacks_document)
             await self._synchronize(member, request)
 
+    async def ask_reader(self) -> bool:
+        """Asks a daemon that reads the store for this zone for its knowledge of the document.
+
+        Returns:
+            Whether it knows a newer version, which is then best read from the store.
+        """
+        local_name = self._directory.local_member.name
+        readers = list_readers(self._directory, self._balancer.is_reachable)
+        others = [member for member in readers if member.name != local_name]
+        if not others:
+            return False
+        await self.exchange(self._random.choice(others), is_probe=True)
+        return self._newest_heard > self._documents.version
+
     async def ask_for_document(self) -> None:
         """Asks a few daemons whether the active document is the newest, and for a newer one."""
         async with trio.open_nursery() as nursery:
--- a/packages/fulmarstile_services/src/fulmarstile_services/freshness.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/freshness.py
@@ -15,7 +15,12 @@
 """Fraction of the bound from which the store is asked again. With it, an outage of the store of 0.6
 times the bound ends before the knowledge is too old, with 0.15 left to reach the store again."""
 _ASK_RATIO: Final = 0.5
-"""Fraction of the bound from which other daemons are asked."""
+"""Fraction of the bound from which a reader of the store asks other daemons."""
+_FOLLOWER_CONFIRM_RATIO: Final = 0.4
+"""Like `_CONFIRM_RATIO`, for a daemon that asks readers of the store first."""
+_FOLLOWER_ASK_RATIO: Final = 0.2
+"""Fraction of the bound from which such a daemon asks a reader. The knowledge of a reader is up to
+`_CONFIRM_RATIO` old by then, which leaves time for a second question before the store is asked."""
 
 
 class Freshness:
@@ -75,10 +80,22 @@
         """Whether keys may be accepted; always if the bound is not strict."""
         return self.bounds is None or self.age_s(now) < _USABLE_RATIO * self.bounds.revoke_s
 
-    def should_confirm(self, now: float) -> bool:
-        """Whether the store should be asked for newer versions."""
-        return self.bounds is not None and self.age_s(now) >= _CONFIRM_RATIO * self.bounds.revoke_s
+    def should_confirm(self, now: float, *, is_reader: bool = True) -> bool:
+        """Returns whether the store should be asked for newer versions.
 
-    def should_ask_peers(self, now: float) -> bool:
-        """Whether the store leaves the knowledge so old that other daemons should be asked."""
-        return self.bounds is not None and self.age_s(now) >= _ASK_RATIO * self.bounds.revoke_s
+        Args:
+            now: Current time in seconds.
+            is_reader: Whether this daemon reads the store for others of its zone.
+        """
+        ratio = _CONFIRM_RATIO if is_reader else _FOLLOWER_CONFIRM_RATIO
+        return self.bounds is not None and self.age_s(now) >= ratio * self.bounds.revoke_s
+
+    def should_ask_peers(self, now: float, *, is_reader: bool = True) -> bool:
+        """Returns whether the knowledge is so old that other daemons should be asked.
+
+        Args:
+            now: Current time in seconds.
+            is_reader: Whether this daemon reads the store for others of its zone.
+        """
+        ratio = _ASK_RATIO if is_reader else _FOLLOWER_ASK_RATIO
+        return self.bounds is not None and self.age_s(now) >= ratio * self.bounds.revoke_s
--- a/packages/fulmarstile_services/src/fulmarstile_services/store_readers.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/store_readers.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable
 
     from fulmarstile_services.directory import Directory
+    from fulmarstile_wire.services import Member
 
 READERS_PER_ZONE: Final = 3
 """Number of daemons of an availability zone that read the store, if it has that many."""
@@ -32,19 +33,32 @@
         directory: All known daemons.
         is_reachable: Returns whether a daemon answered the last attempt to reach it.
     """
+    readers = list_readers(directory, is_reachable)
+    return not readers or directory.local_member.name in {member.name for member in readers}
+
+
+def list_readers(directory: Directory, is_reachable: Callable[[str], bool]) -> tuple[Member, ...]:
+    """Lists the daemons that read the store for the availability zone of this one.
+
+    Args:
+        directory: All known daemons.
+        is_reachable: Returns whether a daemon answered the last attempt to reach it.
+
+    Returns:
+        The daemons; none if all daemons read the store.
+    """
     local_member = directory.local_member
     live = [member for member in directory.members if member.phase is not MemberPhase.STOPPED]
     if len(live) <= SMALL_FLEET_SIZE:
-        return True
-    local_hash = _hash_name(local_member.name)
-    preferred = [
+        return ()
+    usable = [
         member
         for member in live
         if member.availability_zone == local_member.availability_zone
-        and _hash_name(member.name) < local_hash
-        and is_reachable(member.name)
+        and (member.name == local_member.name or is_reachable(member.name))
     ]
-    return len(preferred) < READERS_PER_ZONE
+    usable.sort(key=lambda member: _hash_name(member.name))
+    return tuple(usable[:READERS_PER_ZONE])
 
 
 def _hash_name(name: str) -> int:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_documents.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_documents.py
@@ -20,6 +20,7 @@
 from fulmarstile_services.directory import Directory
 from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.settings import RevocationBounds
+from fulmarstile_services.store_readers import is_reader
 from fulmarstile_testing.builders.service_mesh import make_node_settings
 from fulmarstile_testing.builders.services import (
     make_customer,
@@ -116,7 +117,12 @@
             generator,
             log,
         )
-        self._keeper = FreshnessKeeper(self.document, self.gossip, log)
+        self._keeper = FreshnessKeeper(
+            self.document,
+            self.gossip,
+            log,
+            lambda: is_reader(self.directory, lambda _: True),
+        )
 
     @property
     def accepts(self) -> bool:
