Add the cores of customers' quotas over the whole fleet

Cause: a customer's rate is to hold over all daemons together, through freezes, partitions and store outages.

The messages report what a daemon holds, so that lost replies don't lose or double tokens.

--- /dev/null
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of customers over all daemons together; see docs/design/quotas.md."""
--- /dev/null
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/ledger.py
@@ -0,0 +1,260 @@
+"""Tokens of the customers of one shard, as granted by its owner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from fulmarstile_services.quotas._account import Account, Holding
+from fulmarstile_services.quotas.plan import LEASE_S, QUERY_TIMEOUT_S, SHARE_LIFETIME_S
+from fulmarstile_wire.quotas import QuotaGrant, QuotaShare
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from fulmarstile_services.quotas.plan import QuotaPlan
+    from fulmarstile_wire.quotas import QuotaDemand, QuotaRequest
+
+_SWEEP_S: Final = 0.05
+"""Shortest time between two searches for daemons that have fallen silent, in seconds."""
+_SILENT_S: Final = LEASE_S - QUERY_TIMEOUT_S - 2 * _SWEEP_S
+"""Age of the last request known to be answered from which shares count as in use, in seconds.
+
+A request takes up to `QUERY_TIMEOUT_S` to arrive, so the daemon's lease may end earlier by this
+time than `LEASE_S` after the arrival.
+"""
+_SHARE_CHANGE_RATIO: Final = 0.25
+"""Relative difference from which a share is replaced by another one."""
+
+
+class _Daemon:
+    """A daemon that holds tokens or shares of this shard."""
+
+    __slots__ = ("answered_at", "heard_at", "holdings", "incarnation", "is_silent", "number")
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.number = 0
+        """Number of its last request."""
+        self.heard_at = float("-inf")
+        """Time at which that request arrived, in seconds."""
+        self.answered_at = float("-inf")
+        """Time at which the last request arrived whose reply is known to have been received."""
+        self.is_silent = True
+        """Whether it may use its shares."""
+        self.holdings: dict[str, Holding] = {}
+
+
+class QuotaLedger:
+    """Grants tokens and shares to daemons, in one epoch of the ownership of a shard.
+
+    Args:
+        epoch: Epoch of the ownership.
+        follows_earlier_owner: Whether shares of an earlier owner may be in use.
+        now: Current time, in seconds.
+    """
+
+    def __init__(self, epoch: int, follows_earlier_owner: bool, now: float) -> None:
+        self._epoch = epoch
+        self._starts_full = not follows_earlier_owner
+        self._unknown_until = now + SHARE_LIFETIME_S if follows_earlier_owner else now
+        self._accounts: dict[str, Account] = {}
+        self._daemons: dict[str, _Daemon] = {}
+        self._swept_at = now
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the ownership."""
+        return self._epoch
+
+    @property
+    def daemon_count(self) -> int:
+        """Number of daemons that hold tokens or shares."""
+        return len(self._daemons)
+
+    def set_plans(self, plans: Mapping[str, QuotaPlan], now: float) -> None:
+        """Applies the limits of the shard's customers.
+
+        Accounts of customers that have no limit any more are kept, so that the same limit, if it
+        is set again, doesn't start with a full bucket.
+
+        Args:
+            plans: Limits by customer.
+            now: Current time, in seconds.
+        """
+        for customer, plan in plans.items():
+            account = self._accounts.get(customer)
+            if account is None:
+                level = plan.capacity if self._starts_full else 0.0
+                self._accounts[customer] = Account(plan, level, now, self._unknown_until)
+            elif account.plan != plan:
+                account.replace_plan(plan, now)
+        self._starts_full = False
+
+    def on_request(self, request: QuotaRequest, now: float) -> tuple[QuotaGrant, ...]:
+        """Processes a daemon's request.
+
+        Args:
+            request: The request.
+            now: Current time, in seconds.
+
+        Returns:
+            A grant for each customer that the request mentions and this daemon knows.
+        """
+        if now >= self._swept_at + _SWEEP_S:
+            self._sweep(now)
+        daemon = self._find_daemon(request, now)
+        if request.number <= daemon.number:
+            # The daemon doesn't wait for the reply any more.
+            return ()
+        is_same_epoch = request.epoch == self._epoch
+        if is_same_epoch and request.answered and request.answered == daemon.number:
+            daemon.answered_at = daemon.heard_at
+            if daemon.is_silent and now < daemon.answered_at + _SILENT_S:
+                self._mark_connected(daemon, now)
+        daemon.number = request.number
+        daemon.heard_at = now
+        grants = []
+        for demand in request.demands:
+            account = self._accounts.get(demand.customer)
+            if account is not None:
+                grants.append(self._serve(daemon, account, demand, is_same_epoch, now))
+        return tuple(grants)
+
+    def _find_daemon(self, request: QuotaRequest, now: float) -> _Daemon:
+        daemon = self._daemons.get(request.sender)
+        if daemon is not None and daemon.incarnation < request.incarnation:
+            # The earlier process has ended, so its tokens and shares cannot be used any more.
+            self._remove(request.sender, daemon, now)
+            daemon = None
+        if daemon is None:
+            daemon = self._daemons[request.sender] = _Daemon(request.incarnation)
+        elif daemon.incarnation > request.incarnation:
+            return _STALE
+        return daemon
+
+    def _serve(
+        self,
+        daemon: _Daemon,
+        account: Account,
+        demand: QuotaDemand,
+        is_same_epoch: bool,
+        now: float,
+    ) -> QuotaGrant:
+        account.fill(now)
+        holding = daemon.holdings.get(demand.customer)
+        if holding is None:
+            holding = daemon.holdings[demand.customer] = Holding()
+        if is_same_epoch:
+            _settle_tokens(account, holding, demand)
+        self._settle_share(daemon, account, holding, demand.share, is_same_epoch, now)
+        account.pace += demand.pace - holding.pace
+        holding.pace = demand.pace
+        tokens, missing = account.grant(demand.wanted, demand.urgent, demand.pace)
+        holding.held += tokens
+        account.unmet += missing - holding.unmet
+        holding.unmet = missing
+        share = self._assign_share(daemon, account, holding, now)
+        delay_s = account.retry_after_s() if holding.unmet else 0.0
+        if not (holding.held or holding.pace or holding.unmet or holding.share.rate):
+            del daemon.holdings[demand.customer]
+        return QuotaGrant(demand.customer, tokens, int(delay_s * 1000), share)
+
+    def _settle_share(
+        self,
+        daemon: _Daemon,
+        account: Account,
+        holding: Holding,
+        reported: QuotaShare,
+        is_same_epoch: bool,
+        now: float,
+    ) -> None:
+        """Books the share that the daemon holds in place of those that it may have held."""
+        if is_same_epoch:
+            booked = holding.share
+            share = QuotaShare(min(reported.rate, booked.rate), min(reported.burst, booked.burst))
+            if share != booked:
+                self._replace_share(daemon, account, holding, share, now)
+        elif reported.rate and not holding.share.rate:
+            holding.share = account.adopt_share(reported)
+            if daemon.is_silent:
+                account.reserve(holding.share)
+
+    def _assign_share(
+        self, daemon: _Daemon, account: Account, holding: Holding, now: float
+    ) -> QuotaShare:
+        """Returns the share that the daemon should use from now on.
+
+        The larger of both shares stays booked until the daemon reports which one it holds.
+        """
+        held = holding.share
+        proposed = account.propose_share(holding)
+        is_similar = abs(proposed.rate - held.rate) <= held.rate * _SHARE_CHANGE_RATIO
+        if held.rate and proposed.rate and is_similar:
+            return held
+        larger = QuotaShare(max(held.rate, proposed.rate), max(held.burst, proposed.burst))
+        if larger != held:
+            self._replace_share(daemon, account, holding, larger, now)
+        return proposed
+
+    def _replace_share(
+        self, daemon: _Daemon, account: Account, holding: Holding, share: QuotaShare, now: float
+    ) -> None:
+        if daemon.is_silent:
+            account.unreserve(holding.share, now)
+            account.reserve(share)
+        account.book(holding.share, -1)
+        account.book(share, 1)
+        holding.share = share
+
+    def _mark_connected(self, daemon: _Daemon, now: float) -> None:
+        daemon.is_silent = False
+        for customer, holding in daemon.holdings.items():
+            self._accounts[customer].unreserve(holding.share, now)
+
+    def _sweep(self, now: float) -> None:
+        """Reserves the shares of daemons that fell silent, and drops what has expired."""
+        self._swept_at = now
+        for name, daemon in list(self._daemons.items()):
+            if not daemon.is_silent and now >= daemon.answered_at + _SILENT_S:
+                daemon.is_silent = True
+                for customer, holding in daemon.holdings.items():
+                    self._accounts[customer].reserve(holding.share)
+            if now >= daemon.heard_at + SHARE_LIFETIME_S:
+                self._remove(name, daemon, now)
+            elif now >= daemon.heard_at + LEASE_S:
+                self._expire_tokens(daemon, now)
+
+    def _expire_tokens(self, daemon: _Daemon, now: float) -> None:
+        for customer, holding in daemon.holdings.items():
+            if not (holding.held or holding.pace or holding.unmet):
+                continue
+            account = self._accounts[customer]
+            account.fill(now)
+            account.outstanding -= holding.held
+            account.pace -= holding.pace
+            account.unmet -= holding.unmet
+            holding.held = holding.pace = holding.unmet = 0
+
+    def _remove(self, name: str, daemon: _Daemon, now: float) -> None:
+        self._expire_tokens(daemon, now)
+        for customer, holding in daemon.holdings.items():
+            account = self._accounts[customer]
+            if daemon.is_silent:
+                account.unreserve(holding.share, now)
+            account.book(holding.share, -1)
+        del self._daemons[name]
+
+
+def _settle_tokens(account: Account, holding: Holding, demand: QuotaDemand) -> None:
+    """Credits returned tokens, and counts those that the daemon no longer has as used."""
+    held = min(demand.held, holding.held)
+    returned = min(demand.returned, holding.held - held)
+    account.outstanding -= holding.held - held
+    holding.held = held
+    if returned:
+        account.credit(returned)
+
+
+_STALE: Final = _Daemon(0)
+"""Stands for an earlier process of a daemon, whose requests are ignored."""
+_STALE.number = 1 << 62
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/quotas.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/quotas.py
@@ -2,24 +2,66 @@
 
 from __future__ import annotations
 
+from typing import Annotated, Any, Final
+
 import msgspec
 
+from fulmarstile_wire.errors import WireError
+
+MAX_COUNT: Final = 1_000_000_000
+"""Largest number of tokens in one field of a message."""
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
+
+class QuotaShare(msgspec.Struct, frozen=True, array_like=True):
+    """Part of a customer's quota that a daemon may use while it hears from no owner."""
+
+    rate: Count = 0
+    """Thousandths of a request per second."""
+    burst: Count = 0
+    """Requests that it may accept at once."""
+
+
+NO_SHARE: Final = QuotaShare()
+"""Share of a daemon to which none was assigned."""
+
 
 class QuotaDemand(msgspec.Struct, frozen=True, array_like=True):
-    """Tokens of one customer's quota that a daemon needs."""
+    """Tokens of one customer's quota that a daemon holds and needs."""
 
     customer: str
-    wanted: float
-    """Number of tokens that it can use before the grant expires."""
-    returned: float = 0.0
-    """Tokens of earlier grants that it no longer needs and has not used."""
+    wanted: Count = 0
+    """Tokens that it can use before its next request."""
+    urgent: Count = 0
+    """Those among them for which requests are waiting."""
+    held: Count = 0
+    """Tokens that it keeps, including those of requests that may still be refused."""
+    returned: Count = 0
+    """Tokens that it gives back."""
+    pace: Count = 0
+    """Recent demand, in tenths of a request per second."""
+    share: QuotaShare = NO_SHARE
+    """Share that it holds."""
 
 
 class QuotaRequest(msgspec.Struct, frozen=True, array_like=True, tag="quota"):
-    """Asks the owner of a shard for tokens; also shows the owner that the daemon is alive."""
+    """Asks the owner of a shard for tokens and renews the lease of those held.
+
+    A daemon sends one request at a time for each shard. What a request doesn't mention hasn't
+    changed since the last one that was answered.
+    """
 
     sender: str
+    incarnation: int
+    """Start of the sending daemon, see `Member.incarnation`."""
     shard: int
+    epoch: int
+    """Epoch of the ownership under which the tokens were granted; 0 for none."""
+    number: int
+    """Increases with each request of an incarnation for a shard."""
+    answered: int
+    """Number of the last request whose reply arrived in time; 0 for none."""
     demands: tuple[QuotaDemand, ...] = ()
 
 
@@ -27,9 +69,11 @@
     """Tokens of one customer's quota."""
 
     customer: str
-    tokens: float
-    retry_after_ms: int = 0
+    tokens: Count = 0
+    retry_after_ms: Count = 0
     """Time until more tokens are expected, in milliseconds; 0 if all wanted ones are granted."""
+    share: QuotaShare = NO_SHARE
+    """Replaces the share that the daemon holds."""
 
 
 class QuotaReply(msgspec.Struct, frozen=True, array_like=True, tag="quota"):
@@ -37,4 +81,38 @@
 
     is_owner: bool
     """Whether the replying daemon owns the shard; otherwise it grants nothing."""
+    owner: str = ""
+    """Owner as far as the replying daemon knows; empty if it doesn't."""
+    epoch: int = 0
+    """Epoch of the ownership."""
     grants: tuple[QuotaGrant, ...] = ()
+
+
+class OwnerRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Record of the store by which a daemon owns a shard."""
+
+    owner: str
+    epoch: int
+    """Increases with each acquisition; renewals keep it."""
+    is_released: bool = False
+    """Whether the owner has given up the shard and grants nothing any more."""
+
+
+_DECODER: Any = msgspec.json.Decoder(OwnerRecord)
+
+
+def encode_owner(record: OwnerRecord) -> bytes:
+    """Encodes an ownership as a record of the store."""
+    return msgspec.json.encode(record)
+
+
+def decode_owner(value: bytes) -> OwnerRecord:
+    """Decodes the record of an ownership.
+
+    Raises:
+        WireError: If it is malformed.
+    """
+    try:
+        return _DECODER.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise WireError(f"malformed ownership: {error}") from error
