Serve customers' quotas in the daemon

Cause: the cores of quotas had no network, store or stage of a request.

Change: Quotas asks owners and answers daemons, ShardOwner keeps ownerships in the store, QuotaStage refuses requests beyond the quota.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -43,6 +43,8 @@
     """Deadline and cancellation of the request."""
     customer: Customer | None = None
     """Customer whose key the caller presented; None if none was needed."""
+    quota_taken_at: float | None = None
+    """Time at which a token of the customer's quota was taken that may be given back."""
     history: AttemptHistory = field(default_factory=AttemptHistory)
     refused_by: list[str] = field(default_factory=list)
     """Daemons that refused it before it reached an upstream, as `daemon:reason`."""
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_quota_owner.py
@@ -0,0 +1,144 @@
+"""Ownership of one quota shard: reads and writes its topic in the store."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+from fulmarstile_daemon.services.events import QuotaOwnership, RecordIgnored
+from fulmarstile_platform.keyed_log import LogConflictError, RecordsExpiredError
+from fulmarstile_platform.log import LogError
+from fulmarstile_wire.errors import WireError
+from fulmarstile_wire.quotas import decode_owner, encode_owner
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fulmarstile_daemon.services.event_log import EventLog
+    from fulmarstile_platform.keyed_log import KeyedLog
+    from fulmarstile_services.quotas.shard import QuotaShard
+    from fulmarstile_wire.quotas import OwnerRecord
+
+TOPIC_PREFIX: Final = "keyed.fulmarstile.quotas."
+"""Start of the topics, one for each shard, that hold its owner."""
+OWNER_KEY: Final = "owner"
+_READ_WAIT_S: Final = 10.0
+"""Long-poll timeout of one read, in seconds."""
+_READ_GAP_S: Final = 0.5
+"""Pause after a read, in seconds."""
+_TICK_S: Final = 0.2
+"""Interval at which an append is considered, in seconds."""
+_APPEND_TIMEOUT_S: Final = 1.0
+
+
+class ShardOwner:
+    """Keeps the ownership of one shard while this daemon is a candidate.
+
+    Args:
+        number: Number of the shard.
+        shard: The shard.
+        list_candidates: Returns the daemons that may own a shard.
+        read_clock: Returns the time by which leases are measured, in seconds.
+        log: Log of the daemon.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        shard: QuotaShard,
+        list_candidates: Callable[[int], list[str]],
+        read_clock: Callable[[], float],
+        log: EventLog,
+    ) -> None:
+        self._number = number
+        self._topic = TOPIC_PREFIX + str(number)
+        self._shard = shard
+        self._list_candidates = list_candidates
+        self._read_clock = read_clock
+        self._log = log
+        self._store: KeyedLog | None = None
+        self._is_released = False
+        self._was_owner = False
+
+    @property
+    def _is_candidate(self) -> bool:
+        if self._is_released:
+            return False
+        return self._shard.ownership.name in self._list_candidates(self._number)
+
+    async def follow(self, store: KeyedLog) -> None:
+        """Reads who owns the shard, while this daemon may own it and doesn't, until cancelled."""
+        self._store = store
+        ownership = self._shard.ownership
+        while True:
+            # The owner learns from its appends that another daemon owns the shard.
+            if self._is_candidate and not ownership.may_grant(self._read_clock()):
+                await self._read(store)
+            await trio.sleep(_READ_GAP_S * random.uniform(0.8, 1.2))
+
+    async def _read(self, store: KeyedLog) -> None:
+        offset = self._shard.ownership.end_offset
+        try:
+            if offset is None:
+                page = await store.read_newest(self._topic)
+            else:
+                page = await store.read_keyed(self._topic, offset, _READ_WAIT_S)
+        except RecordsExpiredError:
+            self._shard.ownership.forget_offset()
+            return
+        except LogError:
+            # The outage of the store is logged by the topics that every daemon follows.
+            return
+        records: list[OwnerRecord] = []
+        for record in page.records:
+            try:
+                records.append(decode_owner(record.value))
+            except WireError as error:
+                self._log.write(RecordIgnored(source=self._topic, reason=str(error)))
+        self._shard.ownership.on_read(records, page.next_offset, self._read_clock())
+
+    async def append_forever(self, store: KeyedLog) -> None:
+        """Acquires and renews the ownership, until cancelled."""
+        while True:
+            ownership = self._shard.ownership
+            record = ownership.next_record(self._read_clock(), is_candidate=self._is_candidate)
+            if record is not None and not self._is_released:
+                await self._append(store, record)
+            self._log_change()
+            await trio.sleep(_TICK_S * random.uniform(0.8, 1.2))
+
+    async def release(self) -> None:
+        """Stops granting, and lets another daemon own the shard soon."""
+        self._is_released = True
+        record = self._shard.ownership.release()
+        if record is not None and self._store is not None:
+            await self._append(self._store, record)
+            self._log_change()
+
+    async def _append(self, store: KeyedLog, record: OwnerRecord) -> None:
+        at = self._shard.ownership.end_offset
+        if at is None:
+            return
+        sent_at = self._read_clock()
+        try:
+            with trio.move_on_after(_APPEND_TIMEOUT_S) as scope:
+                await store.append_keyed(self._topic, OWNER_KEY, encode_owner(record), at)
+        except LogConflictError:
+            await self._read(store)
+            return
+        except LogError:
+            # The ownership isn't extended; an append that took effect all the same is read.
+            return
+        if not scope.cancelled_caught:
+            self._shard.on_appended(record, at, sent_at, self._read_clock())
+
+    def _log_change(self) -> None:
+        ownership = self._shard.ownership
+        is_owner = ownership.may_grant(self._read_clock())
+        if is_owner != self._was_owner:
+            self._was_owner = is_owner
+            self._log.write(
+                QuotaOwnership(shard=self._number, epoch=ownership.epoch, owned=is_owner)
+            )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_replies.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_replies.py
@@ -76,7 +76,13 @@
         return reply
 
     def refuse(
-        self, call: ServiceCall, reason: RefusalReason, detail: str, delay_s: float = 0.0
+        self,
+        call: ServiceCall,
+        reason: RefusalReason,
+        detail: str,
+        delay_s: float = 0.0,
+        *,
+        status: int = 503,
     ) -> CallerResponse:
         """Refuses a request that has not been sent to any upstream.
 
@@ -85,12 +91,13 @@
             reason: Why it is refused.
             detail: Description for the caller.
             delay_s: Delay before a retry is worthwhile, in seconds; 0 for none.
+            status: HTTP status.
 
         Returns:
             The reply.
         """
         self._metrics.count_refusal(reason)
-        reply = make_error_response(503, detail, delay_s)
+        reply = make_error_response(status, detail, delay_s)
         return self._finish(call, reply, reason.value, delay_s)
 
     def make_cancelled(self, call: ServiceCall) -> CallerResponse:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -36,6 +36,7 @@
 from fulmarstile_daemon.services.hops import HopServer
 from fulmarstile_daemon.services.membership import Membership
 from fulmarstile_daemon.services.metrics import ServiceMetrics
+from fulmarstile_daemon.services.quotas import Quotas
 from fulmarstile_daemon.services.state import MemberState, ServiceState
 from fulmarstile_platform.http_server import (
     HttpAnswer,
@@ -51,6 +52,7 @@
 from fulmarstile_services.settings import NodeSettingsError
 from fulmarstile_services.store_readers import is_reader
 from fulmarstile_services.weighted_round_robin import WeightedRoundRobin
+from fulmarstile_wire.quotas import QuotaRequest
 from fulmarstile_wire.services import Member
 
 if TYPE_CHECKING:
@@ -138,6 +140,18 @@
             self._metrics,
             log,
         )
+        self._quotas: Quotas | None = None
+        if bounds.quota is not None:
+            self._quotas = Quotas(
+                bounds.quota,
+                self._routes,
+                self._directory,
+                self._balancer.is_reachable,
+                self._links,
+                log,
+            )
+            self._entry.quota.quotas = self._quotas
+            self._documents.on_change = self._quotas.apply_document
         self._apply_settings(settings)
         self._gossip = Gossip(
             self._directory,
@@ -166,7 +180,7 @@
             self._upstream.rate_wait_s,
             self._body_admission,
             self._byte_budget,
-            {},
+            {} if self._quotas is None else {QuotaRequest: self._quotas.on_request},
         )
         self._shutdown = GracefulShutdown(
             self._callers,
@@ -252,6 +266,8 @@
                 nursery.start_soon(self._gossip.run)
                 nursery.start_soon(self._upstream.tick_forever)
                 nursery.start_soon(self._entry.run_hedges)
+                if self._quotas is not None:
+                    nursery.start_soon(self._quotas.run, store)
                 nursery.start_soon(self._watch_settings)
                 nursery.start_soon(self._watch_suspension)
                 # All objects that exist now live until the end, so collections need not scan them.
@@ -261,6 +277,8 @@
                 await self._stop_requested.wait()
                 self._is_stopping = True
                 self._log.write(Stopping(in_flight=self._callers.in_flight + self._peers.in_flight))
+                if self._quotas is not None:
+                    nursery.start_soon(self._quotas.release)
                 await self._shutdown.run(self._settings.bounds.grace_s)
                 # The cancellation aborts whatever is still in flight.
                 self._log.write(
@@ -390,6 +408,11 @@
         add("upstream_rate_limit", lambda: self._upstream.rate_limit)
         add("upstream_requests_sent", lambda: self._upstream.requests_sent)
         add("upstream_service_seconds", lambda: self._upstream.service_s)
+        if self._quotas is not None:
+            quotas = self._quotas
+            add("quota_shards_owned", lambda: quotas.owned_shards)
+            add("quota_customers", lambda: quotas.active_customers)
+            add("quota_exchanges", lambda: quotas.exchanges)
         add("log_lines_left_out", lambda: self._log.dropped_lines)
 
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -9,6 +9,7 @@
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._attempts import AttemptRunner
 from fulmarstile_daemon.services._call import ServiceCall, compute_fingerprint
+from fulmarstile_daemon.services._quota import QuotaStage
 from fulmarstile_daemon.services._replies import CallReplies, read_path
 from fulmarstile_daemon.services._request_server import make_error_response
 from fulmarstile_daemon.services._stop_times import StopTimes
@@ -77,6 +78,8 @@
         self._upstream = upstream
         self._metrics = metrics
         self._replies = CallReplies(names, routes, metrics, log)
+        self.quota = QuotaStage(self._replies)
+        """Refuses requests beyond their customer's quota."""
         self._attempts = AttemptRunner(
             directory, balancer, budget, notices, upstream, links, self._replies, metrics, log
         )
@@ -118,6 +121,9 @@
             return self._replies.refuse(
                 call, RefusalReason.DRAINING, "the daemon stops", _STOPPING_RETRY_S
             )
+        refusal = await self.quota.admit(call)
+        if refusal is not None:
+            return refusal
         self._retry_budget.on_request(call.service)
         try:
             result = await self._attempts.run(call)
@@ -125,6 +131,7 @@
             if not scope.cancel_scope.cancel_called:
                 self._replies.log_cut(call)
             raise
+        self.quota.settle(call, result)
         return self._replies.make_final(call, result)
 
     def _open_call(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -236,6 +236,15 @@
     upstream: str
 
 
+class QuotaOwnership(LogEvent, tag="quota_ownership"):
+    """This daemon owns a shard of the customers' quotas, or no longer does."""
+
+    lines_per_s: ClassVar[int | None] = None
+    shard: int
+    epoch: int
+    owned: bool
+
+
 class Suspended(LogEvent, tag="suspended"):
     """The VM was suspended; idle connections are closed because they may be dead."""
 
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/lease.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/lease.py
@@ -144,7 +144,10 @@
             now: Current time, in seconds.
             is_first: Whether the request takes a token for the first time, not after a wait.
         """
-        tokens = self._customers[customer]
+        tokens = self._customers.get(customer)
+        if tokens is None:
+            # A newer document than that of the request gives the customer no quota.
+            return _BY_SHARE
         if is_first:
             tokens.count_demand(now)
             self._active[customer] = tokens
@@ -164,6 +167,25 @@
         tokens = self._customers.get(customer)
         return tokens is not None and tokens.unspent > 0 and now < self._heard_at + LEASE_S
 
+    def should_wait(self, customer: str, now: float) -> bool:
+        """Returns whether a request that has no token should wait for a grant."""
+        tokens = self._customers.get(customer)
+        if tokens is None or (tokens.is_exhausted and now < self._heard_at + LEASE_S):
+            return False
+        return not self.has_token(customer, now)
+
+    def restart(self, incarnation: int) -> None:
+        """Drops all tokens and shares, because owners take the daemon for a new one.
+
+        Args:
+            incarnation: Start of this daemon as written to its record now.
+        """
+        self._incarnation = incarnation
+        self._asked = None
+        for tokens in self._active.values():
+            tokens.drop_tokens()
+            tokens.share = NO_SHARE
+
     def give_back(self, customer: str, taken_at: float, now: float) -> None:
         """Gives a token back, because its request was not run.
 
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/ownership.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/ownership.py
@@ -30,6 +30,11 @@
         self._epoch = 0
         self._is_owner = False
 
+    @property
+    def name(self) -> str:
+        """Name of this daemon."""
+        return self._name
+
     @property
     def epoch(self) -> int:
         """Epoch in which this daemon owns the shard, or owned it last; 0 for none."""
@@ -73,6 +78,10 @@
             if (record.owner, record.epoch) != (self._name, self._epoch):
                 self._is_owner = False
 
+    def forget_offset(self) -> None:
+        """Lets the topic be read from its newest record, because its records have expired."""
+        self._end_offset = None
+
     def next_record(self, now: float, *, is_candidate: bool) -> OwnerRecord | None:
         """Returns the record to append at the known end of the topic; None for none.
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -15,7 +15,7 @@
 from fulmarstile_daemon.services.daemon import ServiceDaemon
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_services.directory import Directory
-from fulmarstile_services.settings import Listeners, NodeSettings
+from fulmarstile_services.settings import Listeners, NodeSettings, RequiredBounds
 from fulmarstile_testing.builders.services import (
     make_announcement,
     make_document,
@@ -179,6 +179,7 @@
     def __init__(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
         self.link_kbps = 0
+        self.bounds = RequiredBounds()
         self._documents: dict[bytes, ServiceDocument] = {}
         self.store = FakeKeyedLog()
         """The store."""
@@ -212,6 +213,7 @@
             upstream = ServiceUpstream(HEADER_NAMES, f"upstream-of-{name}")
             self._nursery.start_soon(upstream.serve)
         settings = make_node_settings(name, service, zone, upstream.address, self.link_kbps)
+        settings = replace(settings, bounds=self.bounds)
         if earlier is not None:
             settings = earlier.platform.settings
         platform = FakePlatform(settings, self.store, self._documents)
@@ -292,6 +294,7 @@
     zones: tuple[str, ...] = (),
     document: ServiceDocument | None = None,
     link_kbps: int = 0,
+    bounds: RequiredBounds | None = None,
 ) -> AsyncIterator[ServiceMesh]:
     """Runs a daemon for each service named.
 
@@ -300,6 +303,7 @@
         zones: Availability zone of each daemon; by default all in one.
         document: Document in force; by default all of `shop.example` goes to `shop`.
         link_kbps: Link capacity in the daemons' settings, in kilobits per second.
+        bounds: Bounds in the daemons' settings; the default ones if None.
 
     Yields:
         The mesh, in which every daemon knows all upstreams.
@@ -307,6 +311,7 @@
     async with trio.open_nursery() as nursery:
         mesh = ServiceMesh(nursery)
         mesh.link_kbps = link_kbps
+        mesh.bounds = bounds or mesh.bounds
         mesh.put_document(document or make_document(make_route()))
         for index, service in enumerate(services):
             zone = zones[index] if zones else "zone-a"
--- /dev/null
+++ b/tests/services/test_quota_mesh.py
@@ -0,0 +1,142 @@
+"""A customer's quota holds over daemons on loopback, and is used again after failures."""
+
+from __future__ import annotations
+
+import unittest
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import trio
+
+from fulmarstile_services.document import Customer
+from fulmarstile_services.quotas.plan import shard_of
+from fulmarstile_services.settings import QuotaBounds, RequiredBounds
+from fulmarstile_testing.builders.service_mesh import READY_TIMEOUT_S, serve_mesh
+from fulmarstile_testing.builders.services import make_document, make_route
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from fulmarstile_daemon.services._call import ServiceCall
+    from fulmarstile_daemon.services._server_connection import CallerResponse
+    from fulmarstile_testing.builders.service_mesh import ClientAnswer, ServiceMesh, ServiceNode
+
+BAKER = Customer("baker", frozenset(), rate_per_s=20.0, burst=10.0)
+BOUNDS = RequiredBounds(quota=QuotaBounds(5.0, 0.1, 20.0))
+LIMIT = (20.0 * 5.0 + 10.0) * 1.1 + 20.0
+"""Requests that the customer may send in one window."""
+
+
+def authenticate(node: ServiceNode) -> None:
+    """Lets all requests at a daemon be the customer's."""
+    stage = node.daemon._entry.quota
+    admit = stage.admit
+
+    async def admit_customer(call: ServiceCall) -> CallerResponse | None:
+        call.customer = BAKER
+        return await admit(call)
+
+    stage.admit = admit_customer
+
+
+@asynccontextmanager
+async def serve_customer() -> AsyncIterator[ServiceMesh]:
+    """Runs three daemons in whose document the customer has a quota."""
+    document = replace(make_document(make_route()), customers=(BAKER,))
+    async with serve_mesh("shop", "shop", "shop", document=document, bounds=BOUNDS) as mesh:
+        for node in mesh.nodes:
+            authenticate(node)
+        await wait_owned(mesh)
+        yield mesh
+
+
+def find_owner(mesh: ServiceMesh) -> ServiceNode | None:
+    """Returns the daemon that owns the customer's shard."""
+    for node in mesh.nodes:
+        owner = node.daemon._quotas._owners[shard_of(BAKER.name)]
+        if owner._shard.ownership.may_grant(owner._read_clock()):
+            return node
+    return None
+
+
+async def wait_owned(mesh: ServiceMesh) -> None:
+    """Waits until a daemon owns the customer's shard."""
+    with trio.fail_after(READY_TIMEOUT_S):
+        while find_owner(mesh) is None:
+            await trio.sleep(0.05)
+
+
+async def call_evenly(
+    nodes: list[ServiceNode], count: int, gap_s: float, target: str = "/a"
+) -> list[ClientAnswer]:
+    """Sends requests to daemons in turn."""
+    answers = []
+    for number in range(count):
+        answers.append(await nodes[number % len(nodes)].call(target))
+        await trio.sleep(gap_s)
+    return answers
+
+
+class QuotaMeshTest(unittest.TestCase):
+    def test_requests_below_the_quota_are_not_refused(self) -> None:
+        async def run() -> None:
+            async with serve_customer() as mesh:
+                answers = await call_evenly(mesh.nodes, 40, 0.05)
+                self.assertEqual({answer.status for answer in answers}, {200})
+
+        trio.run(run)
+
+    def test_requests_beyond_the_quota_get_429_with_a_retry_delay(self) -> None:
+        async def run() -> None:
+            async with serve_customer() as mesh:
+                answers = await call_evenly(mesh.nodes, 300, 0.0)
+                refused = [answer for answer in answers if answer.status == 429]
+                self.assertLessEqual(len(answers) - len(refused), LIMIT)
+                self.assertTrue(refused)
+                for answer in refused:
+                    self.assertGreater(float(answer.headers[b"retry-after"]), 0.0)
+
+        trio.run(run)
+
+    def test_requests_that_no_upstream_ran_do_not_use_the_quota(self) -> None:
+        async def run() -> None:
+            async with serve_customer() as mesh:
+                for node in mesh.nodes:
+                    # Directories without serving upstreams refuse requests as not run.
+                    node.daemon.directory.serving = lambda _: ()
+                answers = await call_evenly(mesh.nodes, 200, 0.0)
+                statuses = [answer.status for answer in answers]
+                self.assertEqual(statuses.count(429), 0)
+
+        trio.run(run)
+
+    def test_another_daemon_owns_the_shard_after_its_owner_was_killed(self) -> None:
+        async def run() -> None:
+            async with serve_customer() as mesh:
+                await call_evenly(mesh.nodes, 30, 0.05)
+                owner = find_owner(mesh)
+                assert owner is not None
+                await owner.kill()
+                await wait_owned(mesh)
+                await trio.sleep(1.0)
+                answers = await call_evenly(mesh.nodes, 20, 0.1)
+                statuses = [answer.status for answer in answers]
+                self.assertGreaterEqual(statuses.count(200), 19)
+
+        trio.run(run)
+
+    def test_shares_serve_while_the_store_is_down(self) -> None:
+        async def run() -> None:
+            async with serve_customer() as mesh:
+                await call_evenly(mesh.nodes, 60, 0.05)
+                mesh.set_store_down(True)
+                with trio.fail_after(READY_TIMEOUT_S):
+                    while find_owner(mesh) is not None:
+                        await call_evenly(mesh.nodes, 3, 0.05)
+                await trio.sleep(1.5)
+                answers = await call_evenly(mesh.nodes, 40, 0.1)
+                statuses = [answer.status for answer in answers]
+                self.assertGreater(statuses.count(200), 20)
+
+        trio.run(run)
--- a/tests/wire/test_link_frames.py
+++ b/tests/wire/test_link_frames.py
@@ -58,8 +58,8 @@
     SyncAnswer(10, SyncReply("daemon-2", b"digest", 6, document=b"raw")),
     PeerCall(11, RolloutReport("daemon-1", "shop", 7, UPSTREAM_EVIDENCE)),
     PeerAnswer(11, RolloutReply(ROLLOUT)),
-    PeerCall(12, QuotaRequest("daemon-1", 2, (QuotaDemand("baker", 3.0),))),
-    PeerAnswer(12, QuotaReply(True, (QuotaGrant("baker", 2.0, 40),))),
+    PeerCall(12, QuotaRequest("daemon-1", 7, 2, 3, 5, 4, (QuotaDemand("baker", 3, 1, 2),))),
+    PeerAnswer(12, QuotaReply(True, "daemon-2", 3, (QuotaGrant("baker", 2, 40),))),
 )
 
 
