--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/_tokens.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/_tokens.py
@@ -15,11 +15,18 @@
 Until then it counts as outstanding at the owner, so a longer time would lower the rate at which
 requests that are not refused can take tokens.
 """
-_PACE_TIME_S: Final = 0.5
+_PACE_TIME_S: Final = 0.25
 """Time constant of the measured demand, in seconds."""
-_IDLE_S: Final = 1.0
-"""Time without a request after which all tokens are returned, in seconds."""
-_SHORT_BACKLOG_S: Final = 0.25
+_MIN_IDLE_S: Final = 0.1
+"""Time without a request after which all tokens are returned at the earliest, in seconds."""
+_MAX_IDLE_S: Final = 1.0
+"""The same at the latest, in seconds."""
+_IDLE_REQUESTS: Final = 5.0
+"""Number of requests that would have arrived in this time at the measured demand.
+
+At random arrivals, a customer that is not idle is taken for it once in 150 times.
+"""
+_SHORT_BACKLOG_S: Final = 0.4
 """Retry delay up to which tokens that are missing may arrive within one interval, in seconds."""
 
 
@@ -164,6 +171,7 @@
 
     def make_demand(self, now: float) -> QuotaDemand:
         """Measures the demand and describes what is held, wanted and returned."""
+        idle_s = min(_MAX_IDLE_S, max(_MIN_IDLE_S, _IDLE_REQUESTS / max(self._pace, 1.0)))
         elapsed_s = max(1e-3, now - self._measured_at)
         part = 1.0 - math.exp(-elapsed_s / _PACE_TIME_S)
         self._pace += (self._demand / elapsed_s - self._pace) * part
@@ -173,7 +181,7 @@
         while self._young and self._young[0] <= now - GIVE_BACK_S:
             self._young.popleft()
         returned = 0
-        if now >= self._requested_at + _IDLE_S:
+        if now >= self._requested_at + idle_s:
             self._pace = 0.0
             target, returned = self.waiting, self.unspent
         else:
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/lease.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/lease.py
@@ -29,6 +29,9 @@
 """Shortest time between two requests while requests wait for tokens, in seconds."""
 _LOW_GAP_S: Final = 0.05
 """Shortest time between two requests while few tokens are left, in seconds."""
+_RECHECK_S: Final = 0.05
+"""Interval after the first request that found no tokens, doubled with each one that follows."""
+_MAX_RECHECKS: Final = 10
 _HOT_INTERVAL_S: Final = 0.1
 """Interval between requests while a customer with much demand has used its quota, in seconds.
 
@@ -102,6 +105,7 @@
         self._is_silent = False
         self._is_low = False
         self._is_hot = False
+        self._rechecks = -1
         self._waiting = 0
         self._customers: dict[str, CustomerTokens] = {}
         self._active: dict[str, CustomerTokens] = {}
@@ -216,6 +220,8 @@
         if self._is_low and not self._is_silent:
             return self._sent_at + _LOW_GAP_S
         if self._active:
+            if self._rechecks >= 0:
+                interval_s = min(interval_s, _RECHECK_S * 2**self._rechecks)
             return self._sent_at + (
                 min(interval_s, _HOT_INTERVAL_S) if self._is_hot else interval_s
             )
@@ -242,7 +248,7 @@
         return self._asked
 
     def on_reply(self, reply: QuotaReply, now: float) -> None:
-        """Processes an owner's reply to the last request, which arrived in time.
+        """Processes an owner's reply to the last request.
 
         Args:
             reply: The reply.
@@ -252,13 +258,9 @@
         if request is None:
             return
         self._asked = None
-        if now > self._sent_at + QUERY_TIMEOUT_S or not (reply.is_owner or reply.owner):
-            self.on_failure()
-            return
-        if not reply.is_owner:
-            # The request to the owner follows at once.
-            self._sent_at = -math.inf
-            self._mark_changed()
+        if now > self._sent_at + QUERY_TIMEOUT_S:
+            # The owner may count on it that a reply that is used took less time.
+            self.on_failure(is_final=True)
             return
         self._expire(now)
         if reply.epoch != self._epoch:
@@ -274,15 +276,26 @@
             if tokens is not None and demand is not None:
                 tokens.on_grant(demand, grant, now)
                 self._is_hot = self._is_hot or (tokens.is_exhausted and demand.pace >= _HOT_PACE)
+        is_exhausted = any(tokens.is_exhausted for tokens in self._active.values())
+        self._rechecks = min(self._rechecks + 1, _MAX_RECHECKS) if is_exhausted else -1
         for name, tokens in list(self._active.items()):
             if tokens.is_idle:
                 del self._active[name]
 
-    def on_failure(self) -> None:
-        """Processes that the last request was not answered in time, or not by an owner."""
+    def on_failure(self, *, is_final: bool) -> None:
+        """Processes that the last request was not answered in time, or not by an owner.
+
+        Args:
+            is_final: Whether no other daemon should be asked at once.
+        """
         self._asked = None
-        self._is_silent = True
-        self._mark_changed()
+        if is_final:
+            self._is_silent = True
+        else:
+            self._sent_at = -math.inf
+        for tokens in self._active.values():
+            # Another owner has to be told of everything that is held.
+            tokens.is_changed = True
 
     def _take_share(self, tokens: CustomerTokens, now: float, is_first: bool) -> Decision:
         delay_s = tokens.try_share(self._heard_at + LEASE_S, self._heard_at, now)
@@ -294,11 +307,6 @@
             delay_s = _UNKNOWN_RETRY_S
         return Decision(Source.SILENT, max(_MIN_RETRY_S, delay_s))
 
-    def _mark_changed(self) -> None:
-        """Lets the next request, which may go to another owner, mention all that is held."""
-        for tokens in self._active.values():
-            tokens.is_changed = True
-
     def _expire(self, now: float) -> None:
         if now >= self._heard_at + LEASE_S:
             for tokens in self._active.values():
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/shard.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/shard.py
@@ -7,6 +7,7 @@
 from fulmarstile_services.quotas.lease import ShardLease
 from fulmarstile_services.quotas.ledger import QuotaLedger
 from fulmarstile_services.quotas.ownership import ShardOwnership
+from fulmarstile_services.quotas.plan import CANDIDATE_COUNT
 from fulmarstile_wire.quotas import QuotaReply
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
         self._ledger: QuotaLedger | None = None
         self._owner = ""
         self._attempts = 0
+        self._misses = 0
         self.lease = ShardLease(name, incarnation, number, window_s)
         """This daemon's tokens."""
         self.ownership = ShardOwnership(name)
@@ -108,16 +110,18 @@
             reply: The reply.
             now: Current time, in seconds.
         """
-        self.lease.on_reply(reply, now)
         if reply.is_owner:
+            self.lease.on_reply(reply, now)
             self._owner = target
+            self._misses = 0
             return
-        self._attempts += 1
-        # A daemon that isn't the owner may name one that no longer is, but not itself.
-        self._owner = reply.owner if reply.owner not in ("", target, self._owner) else ""
+        named = reply.owner if reply.owner not in ("", target) else ""
+        self.on_failure()
+        self._owner = named
 
     def on_failure(self) -> None:
-        """Processes that this daemon's request was not answered in time."""
-        self.lease.on_failure()
+        """Processes that this daemon's request was not answered in time, or not by the owner."""
+        self._misses += 1
+        self.lease.on_failure(is_final=self._misses % CANDIDATE_COUNT == 0)
         self._owner = ""
         self._attempts += 1
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_quotas.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_quotas.py
@@ -178,6 +178,7 @@
                 daemon.in_flight = 0
                 shard.on_reply(target, reply, self.now)
                 self._retry_waiting(daemon)
+                self._exchange(daemon)
 
         def on_timeout() -> None:
             if daemon.in_flight == number:
--- a/tests/services/test_quota_mesh.py
+++ b/tests/services/test_quota_mesh.py
@@ -61,10 +61,14 @@
 
 
 async def wait_owned(mesh: ServiceMesh) -> None:
-    """Waits until a daemon owns the customer's shard."""
+    """Waits until a daemon owns the customer's shard and all others know it."""
     with trio.fail_after(READY_TIMEOUT_S):
-        while find_owner(mesh) is None:
+        while (owner := find_owner(mesh)) is None:
             await trio.sleep(0.05)
+        for node in mesh.nodes:
+            ownership = node.daemon._quotas._owners[shard_of(BAKER.name)]._shard.ownership
+            while ownership.owner != owner.platform.settings.name:
+                await trio.sleep(0.05)
 
 
 async def call_evenly(
