--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/_tokens.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/_tokens.py
@@ -104,6 +104,11 @@
             or self.share.rate
         )
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether tokens are needed before the next regular request."""
+        return self.waiting > 0 or self.unspent < self.low_mark or self.is_exhausted
+
     def count_demand(self, now: float) -> None:
         """Counts a request of the customer."""
         self._demand += 1
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/lease.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/lease.py
@@ -102,6 +102,7 @@
         self._answered = 0
         self._heard_at = -math.inf
         self._sent_at = -math.inf
+        self._full_at = -math.inf
         self._is_silent = False
         self._is_low = False
         self._is_hot = False
@@ -228,13 +229,21 @@
         return math.inf
 
     def make_request(self, now: float) -> QuotaRequest:
-        """Makes the next request to the owner."""
+        """Makes the next request to the owner.
+
+        Between the regular requests it only mentions customers that need tokens soon.
+        """
         self._expire(now)
         self._sent_at = now
         self._is_low = False
         self._number += 1
+        is_full = now >= self._full_at + MIN_INTERVAL_S
+        if is_full:
+            self._full_at = now
         demands = tuple(
-            tokens.make_demand(now) for tokens in self._active.values() if not tokens.is_idle
+            tokens.make_demand(now)
+            for tokens in self._active.values()
+            if (tokens.is_urgent or is_full) and not tokens.is_idle
         )
         self._asked = QuotaRequest(
             self._sender,
@@ -289,6 +298,7 @@
             is_final: Whether no other daemon should be asked at once.
         """
         self._asked = None
+        self._full_at = -math.inf
         if is_final:
             self._is_silent = True
         else:
