--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/_tokens.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/_tokens.py
@@ -17,6 +17,8 @@
 """
 _PACE_TIME_S: Final = 0.25
 """Time constant of the measured demand, in seconds."""
+_AMPLE_REPORT_S: Final = 0.5
+"""Interval of reports about a customer for which the owner grants all wanted tokens, in seconds."""
 _MIN_IDLE_S: Final = 0.1
 """Time without a request after which all tokens are returned at the earliest, in seconds."""
 _MAX_IDLE_S: Final = 1.0
@@ -109,12 +111,23 @@
         """Whether tokens are needed before the next regular request."""
         return self.waiting > 0 or self.unspent < self.low_mark or self.is_exhausted
 
+    def is_due(self, now: float) -> bool:
+        """Returns whether the owner should be told of what is held, in a regular request."""
+        if self.is_idle:
+            return False
+        return self._is_scarce or now >= self._measured_at + _AMPLE_REPORT_S
+
     def count_demand(self, now: float) -> None:
         """Counts a request of the customer."""
         self._demand += 1
         self._requested_at = now
         self.is_changed = True
 
+    def report_soon(self) -> None:
+        """Lets the next regular request mention this customer."""
+        self.is_changed = True
+        self._is_scarce = True
+
     def spend(self, now: float) -> None:
         """Uses a token; there must be one."""
         self.unspent -= 1
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/lease.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/lease.py
@@ -25,7 +25,7 @@
 """
 _REQUESTS_PER_S: Final = 2400
 """Requests per second that an owner should receive, if all daemons use its shard."""
-_URGENT_GAP_S: Final = 0.005
+_URGENT_GAP_S: Final = 0.02
 """Shortest time between two requests while requests wait for tokens, in seconds."""
 _LOW_GAP_S: Final = 0.05
 """Shortest time between two requests while few tokens are left, in seconds."""
@@ -243,7 +243,7 @@
         demands = tuple(
             tokens.make_demand(now)
             for tokens in self._active.values()
-            if (tokens.is_urgent or is_full) and not tokens.is_idle
+            if tokens.is_urgent or (is_full and tokens.is_due(now))
         )
         self._asked = QuotaRequest(
             self._sender,
@@ -299,13 +299,13 @@
         """
         self._asked = None
         self._full_at = -math.inf
+        for tokens in self._active.values():
+            # Another owner has to be told of everything that is held.
+            tokens.report_soon()
         if is_final:
             self._is_silent = True
         else:
             self._sent_at = -math.inf
-        for tokens in self._active.values():
-            # Another owner has to be told of everything that is held.
-            tokens.is_changed = True
 
     def _take_share(self, tokens: CustomerTokens, now: float, is_first: bool) -> Decision:
         delay_s = tokens.try_share(self._heard_at + LEASE_S, self._heard_at, now)
