--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/quotas.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/quotas.py
@@ -36,6 +36,11 @@
 
 _FIRST_GRANT_S: Final = 0.05
 """Longest time that a request waits for tokens, in seconds."""
+_SHARE_WAIT_S: Final = 0.3
+"""Longest time that a request waits for the daemon's share, in seconds.
+
+The bursts of shares are small, so without a wait many requests at random times would be refused.
+"""
 _RANKING_S: Final = 1.0
 """Time for which the ranking of the daemons is kept, in seconds."""
 
@@ -136,6 +141,8 @@
         lease = tasks.shard.lease
         now = read_lease_clock()
         decision = lease.take(customer, now)
+        if decision.source is Source.SILENT and decision.is_worth_waiting:
+            return await self._take_after_wait(tasks, customer)
         if decision.source is not Source.WAIT:
             return decision, now
         lease.add_waiting(customer, 1)
@@ -146,8 +153,26 @@
                     await tasks.replied.wait()
         finally:
             lease.add_waiting(customer, -1)
+        return await self._take_after_wait(tasks, customer)
+
+    async def _take_after_wait(self, tasks: _ShardTasks, customer: str) -> tuple[Decision, float]:
+        """Takes a token; waits for the daemon's share while no owner is heard from."""
+        lease = tasks.shard.lease
         now = read_lease_clock()
-        return lease.take(customer, now, is_first=False), now
+        give_up_at = now + _SHARE_WAIT_S
+        while True:
+            decision = lease.take(customer, now, is_first=False)
+            if decision.source is not Source.SILENT or not decision.is_worth_waiting:
+                return decision, now
+            if now + decision.retry_after_s > give_up_at:
+                return decision, now
+            lease.add_queued(customer, 1)
+            try:
+                with trio.move_on_after(decision.retry_after_s):
+                    await tasks.replied.wait()
+            finally:
+                lease.add_queued(customer, -1)
+            now = read_lease_clock()
 
     def give_back(self, customer: str, taken_at: float) -> None:
         """Gives a token back, because its request was not run.
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/_tokens.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/_tokens.py
@@ -58,6 +58,7 @@
         "is_exhausted",
         "low_mark",
         "name",
+        "queued",
         "rate",
         "retry_at",
         "share",
@@ -74,6 +75,8 @@
         """Number of tokens below which more are wanted soon."""
         self.waiting = 0
         """Requests that wait for a token."""
+        self.queued = 0
+        """Requests that wait for the share."""
         self.is_changed = False
         """Whether the owner has to be told of something."""
         self.is_exhausted = False
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/lease.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/lease.py
@@ -73,10 +73,13 @@
     source: Source
     retry_after_s: float = 0.0
     """Time until a request may be accepted, in seconds; 0 if it is accepted or waits."""
+    is_worth_waiting: bool = True
+    """Whether the share will allow a request after this time, if no owner answers before."""
 
 
 _BY_TOKEN: Final = Decision(Source.TOKEN)
 _BY_SHARE: Final = Decision(Source.SHARE)
+_UNKNOWN: Final = Decision(Source.SILENT, _UNKNOWN_RETRY_S, is_worth_waiting=False)
 _WAIT: Final = Decision(Source.WAIT)
 
 
@@ -163,9 +166,12 @@
             if tokens.unspent < tokens.low_mark and not tokens.is_exhausted:
                 self._is_low = True
             return _BY_TOKEN
-        if tokens.is_exhausted or not is_first:
+        if tokens.is_exhausted:
             return Decision(Source.EXHAUSTED, max(_MIN_RETRY_S, tokens.retry_at - now))
-        return _WAIT
+        if is_first and not self._is_silent:
+            return _WAIT
+        # The owner doesn't answer, and the share may not be used before the lease ends.
+        return Decision(Source.SILENT, max(_MIN_RETRY_S, self._heard_at + LEASE_S - now))
 
     def has_token(self, customer: str, now: float) -> bool:
         """Returns whether a request that waits for a token can take one."""
@@ -210,6 +216,12 @@
         if tokens is not None:
             tokens.waiting = max(0, tokens.waiting + count)
 
+    def add_queued(self, customer: str, count: int) -> None:
+        """Counts requests that begin, or with a negative number end, to wait for the share."""
+        tokens = self._customers.get(customer)
+        if tokens is not None:
+            tokens.queued = max(0, tokens.queued + count)
+
     def next_request_at(self, interval_s: float) -> float:
         """Returns the time at which the owner should be asked next; infinity for never.
 
@@ -314,7 +326,8 @@
         if is_first and not self._is_silent:
             return _WAIT
         if math.isinf(delay_s):
-            delay_s = _UNKNOWN_RETRY_S
+            return _UNKNOWN
+        delay_s += tokens.queued * 1000 / tokens.share.rate
         return Decision(Source.SILENT, max(_MIN_RETRY_S, delay_s))
 
     def _expire(self, now: float) -> None:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_quotas.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_quotas.py
@@ -26,6 +26,7 @@
 
 BOUNDS: Final = QuotaBounds(window_s=5.0, overage_ratio=0.1, slack=20.0)
 FIRST_WAIT_S: Final = 0.05
+SHARE_WAIT_S: Final = 0.3
 _STEP_S: Final = 0.02
 
 
@@ -207,6 +208,19 @@
             lease.add_waiting(name, 1)
             daemon.waiting.append(sent_at)
             self._exchange(daemon)
+        elif (
+            decision.source is Source.SILENT
+            and decision.is_worth_waiting
+            and self.now + decision.retry_after_s <= sent_at + SHARE_WAIT_S
+        ):
+            lease.add_queued(name, 1)
+
+            def retry() -> None:
+                lease.add_queued(name, -1)
+                self._decide(daemon, sent_at, is_first=False)
+
+            at = self.now + decision.retry_after_s
+            self.call_at(at, lambda: self._deliver(daemon, retry))
         else:
             self.refused.append(self.now)
 
