--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/_account.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/_account.py
@@ -18,7 +18,7 @@
 class Holding:
     """What one daemon holds of a customer's quota, as far as the owner knows."""
 
-    __slots__ = ("held", "pace", "share", "unmet")
+    __slots__ = ("held", "mean_pace", "pace", "share", "unmet")
 
     def __init__(self) -> None:
         self.held = 0
@@ -27,6 +27,8 @@
         """Share that it may use while it hears from no owner."""
         self.pace = 0
         """Demand, in tenths of a request per second."""
+        self.mean_pace = 0
+        """Mean demand over some seconds, in tenths of a request per second."""
         self.unmet = 0
         """Tokens that it needed and did not get."""
 
@@ -54,6 +56,7 @@
         "booked_burst",
         "booked_rate",
         "level",
+        "mean_pace",
         "outstanding",
         "pace",
         "plan",
@@ -72,6 +75,8 @@
         """Sum of the bursts of all known shares."""
         self.pace = 0
         """Demand at all daemons, in tenths of a request per second."""
+        self.mean_pace = 0
+        """Mean demand at all daemons, in tenths of a request per second."""
         self.unmet = 0
         """Tokens that daemons needed and did not get."""
         self._filled_at = now
@@ -168,7 +173,7 @@
     def propose_share(self, holding: Holding) -> QuotaShare:
         """Returns the share that a daemon should hold, in proportion to its demand."""
         plan, held = self.plan, holding.share
-        part = holding.pace / self.pace if self.pace else 0.0
+        part = holding.mean_pace / self.mean_pace if self.mean_pace else 0.0
         free_rate = plan.share_rate - self.booked_rate - self._unknown_rate + held.rate
         free_burst = plan.share_burst - self.booked_burst - self._unknown_burst + held.burst
         rate = min(int(plan.share_rate * part), free_rate)
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/_tokens.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/_tokens.py
@@ -17,6 +17,8 @@
 """
 _PACE_TIME_S: Final = 0.25
 """Time constant of the measured demand, in seconds."""
+_MEAN_PACE_TIME_S: Final = 3.0
+"""Time constant of the demand by which shares are assigned, in seconds."""
 _AMPLE_REPORT_S: Final = 0.5
 """Interval of reports about a customer for which the owner grants all wanted tokens, in seconds."""
 _MIN_IDLE_S: Final = 0.1
@@ -47,6 +49,7 @@
         "_demand",
         "_is_scarce",
         "_measured_at",
+        "_mean_pace",
         "_pace",
         "_requested_at",
         "_share_level",
@@ -89,6 +92,7 @@
         self._young: deque[float] = deque()
         self._demand = 0
         self._pace = 0.0
+        self._mean_pace = 0.0
         self._measured_at = now
         self._requested_at = now
         self._share_level = 0.0
@@ -195,7 +199,10 @@
         idle_s = min(_MAX_IDLE_S, max(_MIN_IDLE_S, _IDLE_REQUESTS / max(self._pace, 1.0)))
         elapsed_s = max(1e-3, now - self._measured_at)
         part = 1.0 - math.exp(-elapsed_s / _PACE_TIME_S)
-        self._pace += (self._demand / elapsed_s - self._pace) * part
+        measured = self._demand / elapsed_s
+        self._pace += (measured - self._pace) * part
+        part = 1.0 - math.exp(-elapsed_s / _MEAN_PACE_TIME_S)
+        self._mean_pace += (measured - self._mean_pace) * part
         self._measured_at = now
         had_demand = self._demand > 0
         self._demand = 0
@@ -222,6 +229,7 @@
             returned,
             round(self._pace * 10),
             self.share,
+            round(self._mean_pace * 10),
         )
 
     def on_grant(self, demand: QuotaDemand, grant: QuotaGrant, now: float) -> None:
@@ -232,7 +240,7 @@
         self.is_exhausted = delay_s > 0.0 and (is_refused or delay_s > _SHORT_BACKLOG_S)
         self.retry_at = now + delay_s
         self._is_scarce = grant.tokens < demand.wanted
-        self._asked = demand.pace > 0 or grant.tokens < demand.wanted
+        self._asked = max(demand.pace, demand.mean_pace) > 0 or grant.tokens < demand.wanted
         self.is_changed = self._asked or grant.share != demand.share
         if grant.share.burst > self.share.burst:
             self._share_rests_since = now
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/ledger.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/ledger.py
@@ -149,13 +149,16 @@
         self._settle_share(daemon, account, holding, demand.share, is_same_epoch, now)
         account.pace += demand.pace - holding.pace
         holding.pace = demand.pace
+        account.mean_pace += demand.mean_pace - holding.mean_pace
+        holding.mean_pace = demand.mean_pace
         tokens, missing = account.grant(demand.wanted, demand.urgent, demand.pace)
         holding.held += tokens
         account.unmet += missing - holding.unmet
         holding.unmet = missing
         share = self._assign_share(daemon, account, holding, now)
         delay_s = account.retry_after_s() if holding.unmet else 0.0
-        if not (holding.held or holding.pace or holding.unmet or holding.share.rate):
+        if not (holding.held or holding.mean_pace or holding.unmet or holding.share.rate):
+            account.pace -= holding.pace
             del daemon.holdings[demand.customer]
         return QuotaGrant(demand.customer, tokens, int(delay_s * 1000), share)
 
@@ -226,14 +229,15 @@
 
     def _expire_tokens(self, daemon: _Daemon, now: float) -> None:
         for customer, holding in daemon.holdings.items():
-            if not (holding.held or holding.pace or holding.unmet):
+            if not (holding.held or holding.mean_pace or holding.pace or holding.unmet):
                 continue
             account = self._accounts[customer]
             account.fill(now)
             account.outstanding -= holding.held
             account.pace -= holding.pace
+            account.mean_pace -= holding.mean_pace
             account.unmet -= holding.unmet
-            holding.held = holding.pace = holding.unmet = 0
+            holding.held = holding.pace = holding.mean_pace = holding.unmet = 0
 
     def _remove(self, name: str, daemon: _Daemon, now: float) -> None:
         self._expire_tokens(daemon, now)
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/quotas.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/quotas.py
@@ -43,6 +43,8 @@
     """Recent demand, in tenths of a request per second."""
     share: QuotaShare = NO_SHARE
     """Share that it holds."""
+    mean_pace: Count = 0
+    """Mean demand over some seconds, in tenths of a request per second."""
 
 
 class QuotaRequest(msgspec.Struct, frozen=True, array_like=True, tag="quota"):
