--- a/tests/services/test_quota_bound.py
+++ b/tests/services/test_quota_bound.py
@@ -152,3 +152,15 @@
         ):
             with self.subTest(size=size, quota=quota, callers=callers):
                 self.assertGreaterEqual(self._use(size, quota, 7.0, callers), 0.95 * quota[0])
+
+    @unittest.expectedFailure  # Listed in KNOWN-RED.txt.
+    def test_a_customer_below_its_quota_is_not_refused_after_the_owner_was_killed(self) -> None:
+        fleet = make_fleet(3, 84, 100.0, 20.0)
+        fleet.run(2.0)
+        fleet.offer(50.0, 20.0, list(range(14)))
+        fleet.run(8.0)
+        for daemon in list(fleet.daemons):
+            if daemon.shard.ownership.may_grant(fleet.now):
+                fleet.restart(daemon, 30.0)
+        fleet.run(12.0)
+        self.assertEqual(fleet.refused, [])
