--- a/tests/services/test_quota_bound.py
+++ b/tests/services/test_quota_bound.py
@@ -111,6 +111,22 @@
         self.assertGreater(len(fleet.accepted), 0)
         self.assertLessEqual(fleet.worst_excess(), 0.0)
 
+    def test_two_halves_that_both_ask_for_7_times_the_quota_keep_the_bound(self) -> None:
+        for owner_has_store in (False, True):
+            with self.subTest(owner_has_store=owner_has_store):
+                fleet = make_fleet(5, 14, 500.0, 0.0)
+                fleet.run(1.0)
+                fleet.offer(3500.0, 32.0, list(range(14)))
+                fleet.run(6.0)
+                (owner,) = (d for d in fleet.daemons if d.shard.ownership.may_grant(fleet.now))
+                others = [daemon for daemon in fleet.daemons if daemon is not owner]
+                for daemon in (owner, *others[:6]):
+                    daemon.half = 1
+                for daemon in fleet.daemons:
+                    daemon.has_store = (daemon.half == 1) == owner_has_store
+                fleet.run(26.0)
+                self.assertLessEqual(fleet.worst_excess(), 0.0)
+
     def test_a_share_is_not_used_by_a_daemon_that_no_owner_knows(self) -> None:
         fleet = make_fleet(1, 14, 100.0, 20.0)
         for daemon in fleet.daemons:
