--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -9,7 +9,7 @@
 import signal
 import time
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import trio
 
@@ -39,6 +39,7 @@
 from fulmarstile_daemon.services.hops import HopServer
 from fulmarstile_daemon.services.membership import Membership
 from fulmarstile_daemon.services.metrics import ServiceMetrics
+from fulmarstile_daemon.services.quotas import Quotas
 from fulmarstile_daemon.services.state import MemberState, ServiceState
 from fulmarstile_platform.http_server import (
     HttpAnswer,
@@ -56,14 +57,16 @@
 from fulmarstile_services.store_readers import is_reader
 from fulmarstile_services.weighted_round_robin import WeightedRoundRobin
 from fulmarstile_wire.loads import LoadRequest
+from fulmarstile_wire.quotas import QuotaRequest
 from fulmarstile_wire.services import Member
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from fulmarstile_daemon.services.ports import Platform
     from fulmarstile_platform.http_server import HttpRequest
     from fulmarstile_services.settings import NodeSettings
+    from fulmarstile_wire.services import PeerReply, PeerRequest
 
 _LOGGER: Final = logging.getLogger(__name__)
 
@@ -150,6 +153,18 @@
             log,
             self._freshness,
         )
+        self._quotas: Quotas | None = None
+        if bounds.quota is not None:
+            self._quotas = Quotas(
+                bounds.quota,
+                self._routes,
+                self._directory,
+                self._balancer.is_reachable,
+                self._links,
+                log,
+            )
+            self._entry.quota.quotas = self._quotas
+            self._documents.on_change = self._quotas.apply_document
         self._apply_settings(settings)
         self._gossip = Gossip(
             self._directory,
@@ -181,7 +196,7 @@
             self._upstream.rate_wait_s,
             self._body_admission,
             self._byte_budget,
-            {LoadRequest: self._upstream.on_load_request},
+            self._list_peer_handlers(),
         )
         self._shutdown = GracefulShutdown(
             self._callers,
@@ -269,6 +284,8 @@
                 nursery.start_soon(self._upstream.tick_forever)
                 nursery.start_soon(self._entry.run_hedges)
                 nursery.start_soon(self._chooser.run)
+                if self._quotas is not None:
+                    nursery.start_soon(self._quotas.run, store)
                 nursery.start_soon(self._watch_settings)
                 nursery.start_soon(self._watch_suspension)
                 # All objects that exist now live until the end, so collections need not scan them.
@@ -278,6 +295,8 @@
                 await self._stop_requested.wait()
                 self._is_stopping = True
                 self._log.write(Stopping(in_flight=self._callers.in_flight + self._peers.in_flight))
+                if self._quotas is not None:
+                    nursery.start_soon(self._quotas.release)
                 await self._shutdown.run(self._settings.bounds.grace_s)
                 # The cancellation aborts whatever is still in flight.
                 self._log.write(
@@ -393,6 +412,15 @@
         self._links.close_unknown(member.address for member in members)
         self._retry_budget.set_daemon_count(len(members))
 
+    def _list_peer_handlers(self) -> dict[type[PeerRequest], Callable[[Any], PeerReply]]:
+        """Returns the handlers of other daemons' requests, by the type of the request."""
+        handlers: dict[type[PeerRequest], Callable[[Any], PeerReply]] = {
+            LoadRequest: self._upstream.on_load_request
+        }
+        if self._quotas is not None:
+            handlers[QuotaRequest] = self._quotas.on_request
+        return handlers
+
     def _add_gauges(self) -> None:
         add = self._metrics.add_gauge
         add("document_version", lambda: self._documents.version)
@@ -412,6 +440,11 @@
         add("upstream_requests_sent", lambda: self._upstream.requests_sent)
         add("upstream_service_seconds", lambda: self._upstream.service_s)
         add("load_requests", lambda: self._chooser.load_requests)
+        if self._quotas is not None:
+            quotas = self._quotas
+            add("quota_shards_owned", lambda: quotas.owned_shards)
+            add("quota_customers", lambda: quotas.active_customers)
+            add("quota_exchanges", lambda: quotas.exchanges)
         add("log_lines_left_out", lambda: self._log.dropped_lines)
 
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -10,6 +10,7 @@
 from fulmarstile_daemon.services._attempts import AttemptRunner
 from fulmarstile_daemon.services._authentication import Authentication, Authenticator
 from fulmarstile_daemon.services._call import ServiceCall, compute_fingerprint
+from fulmarstile_daemon.services._quota import QuotaStage
 from fulmarstile_daemon.services._replies import CallReplies, read_path
 from fulmarstile_daemon.services._request_server import make_error_response
 from fulmarstile_daemon.services._stop_times import StopTimes
@@ -85,6 +86,8 @@
         self._metrics = metrics
         self._replies = CallReplies(names, routes, metrics, log)
         self._authenticator = Authenticator(names, freshness, self._replies, metrics)
+        self.quota = QuotaStage(self._replies)
+        """Refuses requests beyond their customer's quota."""
         self._attempts = AttemptRunner(
             directory,
             balancer,
@@ -144,6 +147,9 @@
         if call.deadline <= trio.current_time():
             # It waited behind other requests of its connection for all of its time.
             return self._replies.make_cancelled(call)
+        refusal = await self.quota.admit(call)
+        if refusal is not None:
+            return refusal
         self._retry_budget.on_request(call.service)
         try:
             result = await self._attempts.run(call)
@@ -151,6 +157,7 @@
             if not scope.cancel_scope.cancel_called:
                 self._replies.log_cut(call)
             raise
+        self.quota.settle(call, result)
         return self._replies.make_final(call, result)
 
     def _open_call(
