Decode orders for roll-outs, and carry the route of a hop to the daemon beside the upstream

The operator's topic also holds orders; the adapter decodes them with their offset and encodes the status. The daemon beside an upstream has hooks that count evidence and refuse a version, both idle unless a roll-out runs. The balancer keeps the candidates of two versions at once.

--- a/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
@@ -45,6 +45,8 @@
     """The answer exceeded the memory limit, or was the largest one held when memory was full."""
     OVERLOADED = "overloaded"
     """The daemon itself is overloaded."""
+    VERSION_WITHDRAWN = "version-withdrawn"
+    """A roll-out keeps requests away from the version of the upstream."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
@@ -124,6 +124,11 @@
         """Refuses queued and later requests of this incarnation."""
         self._apply(self._admission.begin_draining(trio.current_time()))
 
+    def refuse_queued(self) -> None:
+        """Refuses the requests that wait now; later ones may wait again."""
+        for ticket_id in list(self._waiters):
+            self._withdraw(ticket_id)
+
     def close(self) -> None:
         """Refuses queued and later requests of every incarnation."""
         self._is_draining = True
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -34,6 +34,7 @@
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.ports import CallHeaderNames
     from fulmarstile_http.client_connection import ClientConnection
+    from fulmarstile_services.rollouts.evidence import EvidenceCounter
     from fulmarstile_services.upstream_registry import UpstreamAnnouncement
     from fulmarstile_wire.services import HopRequest, UpstreamNotice
 
@@ -42,6 +43,8 @@
 _UNREACHABLE_S: Final = 0.5
 """Time for which an upstream that refuses connections receives no requests, in seconds."""
 _MISDIRECTED_STATUS: Final = 421
+_FIRST_FAILURE_STATUS: Final = 500
+"""Lowest status that counts against the version of the upstream."""
 _POOL_SETTINGS: Final = PoolSettings(connect_timeout_s=0.5, fresh_connection_s=4.0)
 _MAX_STRAY_RESPONSES: Final = 8
 """Maximum number of responses to other requests that are skipped before a connection is dropped."""
@@ -91,6 +94,10 @@
         self._class_service_s: dict[int, float] = {}
         self._response_notices: ResponseNotices | None = None
         self._is_stopping = False
+        self.evidence: EvidenceCounter | None = None
+        """Counts the requests that the upstream runs; None unless its service has a roll-out."""
+        self.refuses_version: Callable[[UpstreamAnnouncement], bool] = lambda _: False
+        """Returns whether a roll-out keeps requests away from an upstream of this version."""
         self.requests_sent = 0
         """Requests sent to any incarnation of the upstream."""
 
@@ -125,6 +132,11 @@
         """Moving average of the upstream's service time, in seconds."""
         return self._service_s
 
+    @property
+    def announcement(self) -> UpstreamAnnouncement | None:
+        """Last announcement of the upstream; None if there was none."""
+        return self._announcement
+
     @property
     def notice(self) -> UpstreamNotice | None:
         """What the current incarnation has said about itself, if anything."""
@@ -180,6 +192,10 @@
         """Applies what the upstream has said about itself."""
         self._slots.set_rate_limit(self.rate_limit)
 
+    def refuse_queued(self) -> None:
+        """Refuses the requests that wait for a slot, because its version lost a roll-out."""
+        self._slots.refuse_queued()
+
     def stop(self) -> None:
         """Refuses queued and later requests, because the daemon shuts down."""
         self._is_stopping = True
@@ -282,6 +298,8 @@
             return make_failure(Verdict.NOT_RUN, reason)
         if hop.service != announcement.service:
             return make_failure(Verdict.NOT_RUN, RefusalReason.NO_UPSTREAM)
+        if self.refuses_version(announcement):
+            return make_failure(Verdict.NOT_RUN, RefusalReason.VERSION_WITHDRAWN)
         if trio.current_time() < self._unreachable_until:
             return make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED)
         return None
@@ -317,21 +335,30 @@
             self._budget,
         )
         started_at = trio.current_time()
+        evidence = self.evidence
         is_reusable = False
         try:
             response = await self._receive_matching(exchange, request)
             is_reusable = not exchange.is_body_unfinished
         except trio.Cancelled:
+            if evidence is not None:
+                evidence.on_cancelled(hop.route, trio.current_time() - started_at)
             if trio.current_time() >= deadline:
                 pool.report_timeout(connection)
             raise
         except ExchangeError as error:
+            if evidence is not None and exchange.may_have_arrived:
+                evidence.on_failed(hop.route, trio.current_time() - started_at)
             return await self._handle_broken_exchange(exchange, pool, started_at, error)
         finally:
             _return_connection(pool, connection, is_reusable)
+        elapsed_s = trio.current_time() - started_at
         if response_notices is not None and response.status != _MISDIRECTED_STATUS:
             response_notices.read(response)
-        return self._classify_response(response)
+        result = self._classify_response(response)
+        if evidence is not None:
+            _count_evidence(evidence, hop.route, elapsed_s, result, response.status)
+        return result
 
     async def _receive_matching(
         self, exchange: Exchange, request: ReceivedRequest
@@ -431,6 +458,19 @@
     return mean_s + _SERVICE_TIME_GAIN * (elapsed_s - mean_s) if mean_s else elapsed_s
 
 
+def _count_evidence(
+    evidence: EvidenceCounter, route: str, elapsed_s: float, result: AttemptResult, status: int
+) -> None:
+    """Counts a response as evidence for or against its upstream's version."""
+    if result.outcome.verdict is Verdict.NOT_RUN:
+        return
+    is_invalid = result.outcome.reason == RefusalReason.TRUNCATED.value
+    if status >= _FIRST_FAILURE_STATUS or is_invalid:
+        evidence.on_failed(route, elapsed_s)
+    else:
+        evidence.on_completed(route, elapsed_s)
+
+
 def _return_connection(
     pool: ConnectionPool, connection: ClientConnection, is_reusable: bool
 ) -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -52,6 +52,10 @@
         self._applied: deque[tuple[float, int]] = deque()
         self.on_change: Callable[[], None] = lambda: None
         """Called when another version becomes active."""
+        self.on_other_records: Callable[[list[KeyedRecord]], None] = lambda _: None
+        """Called with the records of the operator's topic that hold no document."""
+        self.was_read = False
+        """Whether the operator's topic was read since the start."""
 
     @property
     def version(self) -> int:
@@ -129,11 +133,21 @@
             store: The platform's store.
         """
         topic = self._platform.document_topic
-        await follow_topic(store, topic, self._on_records, self._log, latest_only=True)
+        await follow_topic(
+            store, topic, self._on_records, self._log, self._on_caught_up, latest_only=True
+        )
+
+    def _on_caught_up(self) -> None:
+        self.was_read = True
 
     def _on_records(self, records: Iterable[KeyedRecord]) -> None:
         newest = b""
+        others: list[KeyedRecord] = []
         for record in records:
             if record.key == self._platform.document_key:
                 newest = record.value
+            else:
+                others.append(record)
         self.apply_if_newer(newest, _SOURCE_STORE)
+        if others:
+            self.on_other_records(others)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/ports.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/ports.py
@@ -9,10 +9,22 @@
     from contextlib import AbstractAsyncContextManager
 
     from fulmarstile_platform.http_server import HttpAnswer, HttpRequest
-    from fulmarstile_platform.keyed_log import KeyedLog
+    from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
     from fulmarstile_services.document import ServiceDocument
+    from fulmarstile_services.rollouts.model import RolloutOrder
     from fulmarstile_services.settings import NodeSettings
     from fulmarstile_services.upstream_registry import UpstreamAnnouncement
+    from fulmarstile_wire.rollouts import RolloutPhase
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedOrder:
+    """An order for a roll-out as the operator wrote it."""
+
+    order: RolloutOrder
+    """The order; fields that cannot be decoded have their default."""
+    problem: str = ""
+    """Why it cannot be carried out; empty if it was decoded."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +111,37 @@
         """
         ...
 
+    @property
+    def rollout_status_topic(self) -> str:
+        """Topic that holds the status of each service's roll-out, for the operator."""
+        ...
+
+    def decode_order(self, record: KeyedRecord) -> ReceivedOrder | None:
+        """Decodes a record of the operator's topic as an order for a roll-out.
+
+        Args:
+            record: The record.
+
+        Returns:
+            The order, with the reason if it is malformed; None if the record is no order.
+        """
+        ...
+
+    def encode_rollout_status(
+        self, service: str, target_version: str, phase: RolloutPhase
+    ) -> KeyedRecord:
+        """Encodes the status of a service's roll-out.
+
+        Args:
+            service: Name of the service.
+            target_version: Version that the order names.
+            phase: Phase of the roll-out.
+
+        Returns:
+            The record, whose offset has no meaning.
+        """
+        ...
+
     async def handle_announcement(self, request: HttpRequest, events: UpstreamEvents) -> HttpAnswer:
         """Handles an announcement request from the upstream on this VM."""
         ...
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -213,7 +213,7 @@
         self._notices = notices
         self._observations: dict[str, _Observation] = {}
         self._unreachable: set[str] = set()
-        self._candidates: dict[str, Candidates] = {}
+        self._candidates: dict[tuple[str, str], Candidates] = {}
 
     @property
     def has_unreachable(self) -> bool:
@@ -408,11 +408,12 @@
         return []
 
     def _find_candidates(self, members: tuple[Member, ...]) -> Candidates:
-        service = members[0].service
-        known = self._candidates.get(service)
+        # During a roll-out the members of the two sides come by turns.
+        key = (members[0].service, members[0].upstream_version)
+        known = self._candidates.get(key)
         if known is None or known.members is not members:
             known = Candidates(members, self._availability_zone, self.is_reachable)
-            self._candidates[service] = known
+            self._candidates[key] = known
         return known
 
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/service_platform.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/service_platform.py
@@ -6,9 +6,11 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
-from fulmarstile_daemon.services.ports import CallHeaderNames
+from fulmarstile_daemon.services.ports import CallHeaderNames, ReceivedOrder
 from fulmarstile_platform.http_server import HttpAnswer
+from fulmarstile_platform.keyed_log import KeyedRecord
 from fulmarstile_services.document import DocumentError
+from fulmarstile_services.rollouts.model import RolloutOrder
 from fulmarstile_testing.fakes.keyed_log import FakeKeyedLog
 
 if TYPE_CHECKING:
@@ -18,6 +20,7 @@
     from fulmarstile_platform.http_server import HttpRequest
     from fulmarstile_services.document import ServiceDocument
     from fulmarstile_services.settings import NodeSettings
+    from fulmarstile_wire.rollouts import RolloutPhase
 
 HEADER_NAMES: Final = CallHeaderNames(
     call_separator=b".",
@@ -32,6 +35,8 @@
 )
 DOCUMENT_TOPIC: Final = "documents"
 DOCUMENT_KEY: Final = "current"
+ORDER_KEY: Final = "order/"
+STATUS_TOPIC: Final = "statuses"
 
 
 class FakePlatform:
@@ -46,6 +51,7 @@
     header_names = HEADER_NAMES
     document_topic = DOCUMENT_TOPIC
     document_key = DOCUMENT_KEY
+    rollout_status_topic = STATUS_TOPIC
 
     def __init__(
         self,
@@ -78,6 +84,23 @@
             raise DocumentError("unknown document")
         return document
 
+    def decode_order(self, record: KeyedRecord) -> ReceivedOrder | None:
+        """See `Platform.decode_order`; the value is `VERSION DURATION_S`."""
+        if not record.key.startswith(ORDER_KEY):
+            return None
+        service = record.key[len(ORDER_KEY) :]
+        version, _, duration = record.value.decode().partition(" ")
+        try:
+            return ReceivedOrder(RolloutOrder(service, version, float(duration), record.offset))
+        except ValueError as error:
+            return ReceivedOrder(RolloutOrder(service, version, 0.0, record.offset), str(error))
+
+    def encode_rollout_status(
+        self, service: str, target_version: str, phase: RolloutPhase
+    ) -> KeyedRecord:
+        """See `Platform.encode_rollout_status`; the value is `PHASE VERSION`."""
+        return KeyedRecord(service, f"{phase.value} {target_version}".encode())
+
     async def handle_announcement(self, request: HttpRequest, events: UpstreamEvents) -> HttpAnswer:
         """See `Platform.handle_announcement`; not found, as tests call the events directly."""
         return HttpAnswer(HTTPStatus.NOT_FOUND)
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -119,6 +119,8 @@
     fingerprint: bytes = b""
     notice: UpstreamNotice | None = None
     """What the sender knows the upstream to have said about itself."""
+    route: str = ""
+    """Host and path prefix of the route; empty unless the service has a roll-out."""
 
 
 class HopOutcome(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
