Lay down the interface of the core of roll-outs

The shell is built at the same time, so the classes, methods and messages are fixed first; the evaluator keeps the baseline until its decisions follow.

--- a/packages/fulmarstile_wire/src/fulmarstile_wire/rollouts.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/rollouts.py
@@ -28,14 +28,18 @@
 
     route: str
     completed: int
+    """Requests that ended, including those that failed and those cancelled while running."""
     failed: int
     """Failure responses, and responses that broke off or were invalid."""
     service_times: tuple[int, ...]
-    """Histogram of the times from sending a request to its response, without the slot wait."""
+    """Histogram of the times from sending a request to its response, without the slot wait.
+
+    The buckets are those of `fulmarstile_services.rollouts.histogram`; trailing zeros are left out.
+    """
 
 
 class UpstreamEvidence(msgspec.Struct, frozen=True, array_like=True):
-    """What the daemon beside an upstream has counted since its own start."""
+    """What the daemon beside an upstream has counted since it saw the order."""
 
     daemon: str
     incarnation: int
@@ -69,6 +73,11 @@
     """Age of the order at which all requests move to the target version; 0 if undecided."""
     reason: str = ""
     """Why the roll-out is in this phase."""
+    is_recorded: bool = False
+    """Whether the store has accepted the decision.
+
+    A roll-back takes effect before; a completion does not.
+    """
 
 
 class RolloutReport(msgspec.Struct, frozen=True, array_like=True, tag="rollout"):
