Date evidence by the age of the order, and merge it into time series

A report that arrives late or out of order is thereby attributed to the seconds in which its requests ended, so that versions are compared over the same time.

--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evaluator.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evaluator.py
@@ -47,7 +47,7 @@
         self._order = order
         self._bounds = bounds
         self._ordered_at = order_seen_at
-        self._table = EvidenceTable()
+        self._table = EvidenceTable(order.target_version, order.duration_s)
         self._state = self._build_state(order_seen_at)
 
     @property
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evidence.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evidence.py
@@ -1,119 +1,233 @@
-"""Evidence of a roll-out: counted beside each upstream, and merged into time series."""
+"""Merges the evidence of all daemons about an order into time series."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
-from fulmarstile_services.rollouts.histogram import BUCKET_COUNT, find_bucket
-from fulmarstile_wire.rollouts import RouteEvidence, UpstreamEvidence
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from fulmarstile_services.rollouts.counter import EvidenceCounter
+from fulmarstile_services.rollouts.histogram import (
+    BUCKET_COUNT,
+    BUCKETS_PER_OCTAVE,
+    find_quantile,
+    upper_bound_s,
+)
+from fulmarstile_services.rollouts.series import Counts, RouteSeries
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from fulmarstile_services.rollouts.series import UpstreamKey
+    from fulmarstile_wire.rollouts import RouteEvidence, UpstreamEvidence
+
+__all__ = ["ALL_ROUTES", "EvidenceCounter", "EvidenceTable"]
+
+ALL_ROUTES: Final = ""
+"""Key of the series of all routes together."""
+_MAX_BINS: Final = 120
+"""Number of time bins between order and deadline, which bounds the cost of an evaluation."""
+_MIN_BIN_S: Final = 0.25
+"""Shortest time bin, in seconds: the interval between reports."""
+_MAX_SPREAD_S: Final = 3.0
+"""Longest time over which the requests of one report are spread, in seconds."""
+_SLOW_RATIO: Final = 3.0
+"""A response is slow if it takes longer than this multiple of the baseline's median."""
+_SMALL_SLOW_RATIO: Final = 4.5
+"""The same with a baseline of fewer than `_SMALL_BASELINE` upstreams.
+
+Upstreams of one version differ in speed by a factor of 3, and the median of so few may happen to
+be that of fast ones.
+"""
+_SMALL_BASELINE: Final = 6
+_LIMIT_INTERVAL_S: Final = 1.0
+"""Interval at which the limits of slow responses are computed, in seconds."""
 
 
 @dataclass(slots=True)
-class _RouteCounter:
-    """Counts of one route."""
-
+class _Latest:
+    """What an upstream last reported."""
+
+    age_ms: int = -1
+    seen_at: float = -math.inf
+    is_target: bool = False
+    routes: tuple[RouteEvidence, ...] = ()
+    unfinished: int = 0
     completed: int = 0
-    failed: int = 0
-    service_times: list[int] = field(default_factory=lambda: [0] * BUCKET_COUNT)
-
-    def add(self, service_s: float) -> None:
-        self.completed += 1
-        self.service_times[find_bucket(service_s)] += 1
-
-    def export(self, route: str) -> RouteEvidence:
-        length = BUCKET_COUNT
-        while length and not self.service_times[length - 1]:
-            length -= 1
-        times = tuple(self.service_times[:length])
-        return RouteEvidence(route, self.completed, self.failed, times)
 
 
-class EvidenceCounter:
-    """Counts what one upstream has run since the daemon beside it saw the order.
-
-    A daemon makes a new counter for each order and for each start of the upstream. It counts
-    neither refusals nor hops that never reached the upstream.
+class EvidenceTable:
+    """Merges reports by maximum, and keeps a time series for each version and route.
 
     Args:
-        daemon: Name of the daemon.
-        incarnation: Incarnation of the daemon.
-        upstream_id: The upstream.
-        upstream_born_ms: Start of the upstream.
-        version: Version of the upstream.
+        target_version: Version that the order names; all others are the baseline.
+        duration_s: Time from the order to its deadline, in seconds.
     """
 
-    def __init__(
-        self, daemon: str, incarnation: int, upstream_id: str, upstream_born_ms: int, version: str
-    ) -> None:
-        self._daemon = daemon
-        self._incarnation = incarnation
-        self._upstream_id = upstream_id
-        self._upstream_born_ms = upstream_born_ms
-        self._version = version
-        self._routes: dict[str, _RouteCounter] = {}
+    def __init__(self, target_version: str, duration_s: float) -> None:
+        self._target_version = target_version
+        self._bin_s = max(_MIN_BIN_S, duration_s / _MAX_BINS)
+        self._latest: dict[UpstreamKey, _Latest] = {}
+        self._by_daemon: dict[str, _Latest] = {}
+        self._reports: dict[tuple[UpstreamKey, str], tuple[int, int, list[int]]] = {}
+        self._slow_buckets: dict[str, int] = {}
+        self._limits_at = -math.inf
+        self.target: dict[str, RouteSeries] = {}
+        self.baseline: dict[str, RouteSeries] = {}
+        self.cold_daemons: Collection[str] = frozenset()
+
+    @property
+    def bin_s(self) -> float:
+        """Length of a time bin, in seconds."""
+        return self._bin_s
 
-    def on_completed(self, route: str, service_s: float) -> None:
-        """Records a response that is no failure.
+    def merge(self, evidence: UpstreamEvidence, now: float) -> None:
+        """Merges evidence, which may be old, repeated or out of order.
 
         Args:
-            route: Route of the request.
-            service_s: Time from sending the request to the response, in seconds.
+            evidence: What a daemon has counted.
+            now: Current time, in seconds.
         """
-        self._counter(route).add(service_s)
-
-    def on_failed(self, route: str, service_s: float) -> None:
-        """Records a failure response, or one that broke off or was invalid.
+        key = (
+            evidence.daemon,
+            evidence.incarnation,
+            evidence.upstream_id,
+            evidence.upstream_born_ms,
+        )
+        latest = self._latest.get(key)
+        if latest is None:
+            latest = self._latest[key] = _Latest()
+            latest.is_target = evidence.version == self._target_version
+        if evidence.age_ms <= latest.age_ms:
+            return
+        if evidence.routes != latest.routes:
+            self._merge_routes(key, evidence, latest)
+        latest.age_ms = evidence.age_ms
+        latest.seen_at = now
+        latest.routes = evidence.routes
+        latest.unfinished = evidence.running + evidence.queued
+        known = self._by_daemon.get(evidence.daemon)
+        if known is None or known.age_ms <= latest.age_ms:
+            self._by_daemon[evidence.daemon] = latest
+
+    def update_limits(self, now: float) -> None:
+        """Computes from which service time on responses are slow, once a second.
 
         Args:
-            route: Route of the request.
-            service_s: Time from sending the request to the failure, in seconds.
+            now: Current time, in seconds.
         """
-        counter = self._counter(route)
-        counter.add(service_s)
-        counter.failed += 1
-
-    def on_cancelled(self, route: str, service_s: float) -> None:
-        """Records a request that was cancelled while it ran.
+        if now - self._limits_at < _LIMIT_INTERVAL_S:
+            return
+        self._limits_at = now
+        for route, series in self.baseline.items():
+            median = series.find_median_bucket() if route != ALL_ROUTES else None
+            if median is not None:
+                is_small = len(series.upstreams) < _SMALL_BASELINE
+                ratio = _SMALL_SLOW_RATIO if is_small else _SLOW_RATIO
+                offset = math.ceil(math.log2(ratio) * BUCKETS_PER_OCTAVE)
+                self._slow_buckets[route] = median + offset
+
+    def count_requests(self, *, is_target: bool | None = None) -> int:
+        """Returns the requests that upstreams have received since the order.
 
         Args:
-            route: Route of the request.
-            service_s: Time that it had run, in seconds, which its service time exceeds.
+            is_target: Whether those of the target version or of the others; None for all.
         """
-        self._counter(route).add(service_s)
+        return sum(
+            latest.completed + latest.unfinished
+            for latest in self._latest.values()
+            if is_target is None or latest.is_target is is_target
+        )
 
-    def export(self, running: int, queued: int) -> UpstreamEvidence:
-        """Returns all counts.
+    def read_coverage(self, daemons: Collection[str], max_age_s: float, now: float) -> float:
+        """Returns the fraction of these daemons that has reported recently.
 
         Args:
-            running: Requests that the upstream runs now.
-            queued: Requests that wait for one of its slots.
+            daemons: Names of the daemons.
+            max_age_s: Greatest time since the last report, in seconds.
+            now: Current time, in seconds.
         """
-        routes = tuple(counter.export(route) for route, counter in sorted(self._routes.items()))
-        return UpstreamEvidence(
-            daemon=self._daemon,
-            incarnation=self._incarnation,
-            upstream_id=self._upstream_id,
-            upstream_born_ms=self._upstream_born_ms,
-            version=self._version,
-            running=running,
-            queued=queued,
-            routes=routes,
-        )
-
-    def _counter(self, route: str) -> _RouteCounter:
-        counter = self._routes.get(route)
-        if counter is None:
-            counter = self._routes[route] = _RouteCounter()
-        return counter
+        if not daemons:
+            return 0.0
+        seen = sum(now - self._seen_at(daemon) <= max_age_s for daemon in daemons)
+        return seen / len(daemons)
 
+    def list_unfinished(
+        self, daemons: Collection[str], since_ms: int, silent_since: float
+    ) -> list[str]:
+        """Returns the daemons whose upstreams may still run requests.
 
-class EvidenceTable:
-    """Merges the evidence of all daemons by maximum."""
-
-    def merge(self, evidence: UpstreamEvidence, now: float) -> None:
-        """Merges evidence, which may be old, repeated or out of order.
+        Args:
+            daemons: Names of the daemons.
+            since_ms: Age of the order from which on a report of no requests counts.
+            silent_since: Daemons that have not reported since this time are left out.
+        """
+        found = []
+        for daemon in daemons:
+            latest = self._by_daemon.get(daemon)
+            if latest is None or latest.seen_at < silent_since:
+                continue
+            if latest.unfinished or latest.age_ms < since_ms:
+                found.append(daemon)
+        return found
+
+    def read_baseline_quantile_s(self, quantile: float) -> float:
+        """Returns a quantile of the baseline's service times over all routes, in seconds.
 
         Args:
-            evidence: What a daemon has counted.
-            now: Current time, in seconds.
+            quantile: Quantile, from 0 to 1.
         """
+        times = [0] * BUCKET_COUNT
+        for route, series in self.baseline.items():
+            if route != ALL_ROUTES:
+                for upstream in series.upstreams.values():
+                    times = [a + b for a, b in zip(times, upstream.service_times, strict=True)]
+        return upper_bound_s(find_quantile(times, quantile)) if any(times) else 0.0
+
+    def _seen_at(self, daemon: str) -> float:
+        latest = self._by_daemon.get(daemon)
+        return -math.inf if latest is None else latest.seen_at
+
+    def _merge_routes(self, key: UpstreamKey, evidence: UpstreamEvidence, latest: _Latest) -> None:
+        group = self.target if latest.is_target else self.baseline
+        bins = self._list_bins(latest.age_ms / 1000, evidence.age_ms / 1000)
+        is_cold = evidence.daemon in self.cold_daemons
+        for route in evidence.routes:
+            counts = self._merge_route(key, route, group, is_cold)
+            if counts is None:
+                continue
+            latest.completed += round(counts.completed)
+            for name in (route.route, ALL_ROUTES):
+                group.setdefault(name, RouteSeries()).add(key, counts, bins)
+
+    def _merge_route(
+        self,
+        key: UpstreamKey,
+        route: RouteEvidence,
+        group: dict[str, RouteSeries],
+        is_cold: bool,
+    ) -> Counts | None:
+        completed, failed, times = self._reports.get((key, route.route), (0, 0, [0] * BUCKET_COUNT))
+        counts = Counts(max(0, route.completed - completed), max(0, route.failed - failed))
+        if not counts.completed and not counts.failed:
+            return None
+        merged = times.copy()
+        for bucket, count in enumerate(route.service_times[:BUCKET_COUNT]):
+            merged[bucket] = max(count, merged[bucket])
+        slow_from = self._slow_buckets.get(route.route)
+        if slow_from is not None and not is_cold:
+            counts.judged = sum(merged) - sum(times)
+            counts.slow = sum(merged[slow_from + 1 :]) - sum(times[slow_from + 1 :])
+        self._reports[key, route.route] = (
+            max(completed, route.completed),
+            max(failed, route.failed),
+            merged,
+        )
+        if not is_cold:
+            group.setdefault(route.route, RouteSeries()).find(key).service_times = merged
+        return counts
+
+    def _list_bins(self, start_s: float, end_s: float) -> range:
+        start_s = max(0.0, start_s, end_s - _MAX_SPREAD_S)
+        last = int(end_s / self._bin_s)
+        return range(min(int(start_s / self._bin_s) + 1, last), last + 1)
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/rollouts.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/rollouts.py
@@ -48,6 +48,8 @@
     upstream_born_ms: int
     version: str
     """Version of the upstream's software."""
+    age_ms: int = 0
+    """Age of the order when this was counted, in milliseconds."""
     running: int = 0
     queued: int = 0
     routes: tuple[RouteEvidence, ...] = ()
