Follow roll-outs on every daemon: orders, versions of attempts, reports and recorded decisions

Each daemon reads the orders with the operator's topic, polls the evaluators of a running roll-out, chooses the version of each attempt before its upstream and refuses a version that was rolled back. Evaluators record decisions by conditional appends and write the status.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
@@ -25,6 +25,7 @@
     from fulmarstile_daemon.services._notice_merger import NoticeMerger
     from fulmarstile_daemon.services._replies import CallReplies
     from fulmarstile_daemon.services._upstream import LocalUpstream
+    from fulmarstile_daemon.services._version_choice import VersionChoice
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.metrics import ServiceMetrics
     from fulmarstile_services.balancing import LeastWaitBalancer
@@ -46,6 +47,7 @@
         replies: Creates the replies of requests that end early.
         metrics: Counters.
         log: Log of the daemon.
+        versions: Chooses the version of each attempt.
     """
 
     def __init__(
@@ -59,7 +61,9 @@
         replies: CallReplies,
         metrics: ServiceMetrics,
         log: EventLog,
+        versions: VersionChoice,
     ) -> None:
+        self._versions = versions
         self._directory = directory
         self._balancer = balancer
         self._retry_budget = budget
@@ -109,7 +113,15 @@
         return result
 
     def _select_member(self, call: ServiceCall, tried: frozenset[str]) -> Member | None:
-        members = self._directory.serving(call.service)
+        members = self._versions.choose(call)
+        member = self._select_among(members, call, tried)
+        if member is None and (others := self._versions.find_alternative(call, members)):
+            member = self._select_among(others, call, tried)
+        return member
+
+    def _select_among(
+        self, members: tuple[Member, ...], call: ServiceCall, tried: frozenset[str]
+    ) -> Member | None:
         size = len(call.request.body)
         target_s = call.route.target_latency_s
         return self._balancer.choose(
@@ -165,6 +177,7 @@
             max(1, int(call.route.target_latency_s * 1000)),
             call.fingerprint,
             self._directory.notices.find_restriction(member),
+            self._versions.find_route(call),
         )
         self._balancer.on_sent(member, now)
         result: AttemptResult | None = None
@@ -190,6 +203,8 @@
                 network_delay_s = ended_at - now - outcome.spent_ms / 1000
                 self._balancer.on_network_delay(member, len(call.request.body), network_delay_s)
             self._metrics.observe_attempt(ended_at - now)
+            if hop.route:
+                self._metrics.count_version(call.service, member.upstream_version, failed)
             if result is not None and result.is_success:
                 self._hedge_timer.observe(call.route, ended_at - now)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -56,6 +56,8 @@
     """Attempts that may still run or may have run."""
     is_withdrawn: bool = False
     """Whether the request must not be sent to another upstream."""
+    is_version_drawn: bool = False
+    """Whether an attempt was sent during a roll-out; later ones go to the baseline version."""
     attempted_at: float = 0.0
     """Start time of the last attempt, in seconds."""
 
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_known_rollout.py
@@ -0,0 +1,184 @@
+"""What this daemon knows about the roll-out of one order."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from fulmarstile_services.rollouts.evaluator import RolloutEvaluator
+from fulmarstile_services.rollouts.model import merge_states
+from fulmarstile_wire.rollouts import RolloutPhase, RolloutState
+
+if TYPE_CHECKING:
+    from fulmarstile_daemon.services.ports import ReceivedOrder
+    from fulmarstile_services.rollouts.evidence import EvidenceCounter
+    from fulmarstile_services.settings import RolloutBounds
+
+LEASE_S: Final = 1.0
+"""Age from which the state of a roll-out is not acted upon, in seconds."""
+_EVALUATED_S: Final = 0.5
+"""Age of an evaluation up to which other daemons are given its state, in seconds."""
+_HEARD_S: Final = 1.0
+"""Time for which a daemon that reported counts as present, in seconds."""
+
+
+class KnownRollout:
+    """An order and the state of its roll-out; all times are those of the boot clock, in seconds.
+
+    Args:
+        received: The order.
+        now: Current time in seconds.
+    """
+
+    def __init__(self, received: ReceivedOrder, now: float) -> None:
+        self.order = received.order
+        """The order."""
+        self.problem = received.problem
+        """Why the order cannot be carried out; empty if it can."""
+        self.is_validated = bool(received.problem)
+        """Whether the order was checked against the operator's document."""
+        self.state: RolloutState | None = None
+        """Latest state; None until one is known."""
+        self.proposal: RolloutState | None = None
+        """Final state that this daemon wants to record; None if there is none."""
+        self.is_recording = False
+        """Whether a task records the proposal."""
+        self.is_reporting_start = False
+        """Whether a task has been started that tells the operator that the roll-out runs."""
+        self.counter: EvidenceCounter | None = None
+        """Counts what the upstream on this VM runs; None if that is not of the service."""
+        self.counted_upstream: tuple[str, int] = ("", 0)
+        """Id and start of the upstream that is counted."""
+        self.is_sealed = False
+        """Whether the baseline upstream on this VM has finished and gets no further request."""
+        self.was_fresh = False
+        """Whether the state was fresh when this was last logged."""
+        self._ordered_at = now
+        self._confirmed_at = -math.inf
+        self._reported_at = -math.inf
+        self._evaluated_at = -math.inf
+        self._evaluator: RolloutEvaluator | None = None
+
+    @property
+    def phase(self) -> RolloutPhase | None:
+        """Phase of the state; None if it is unknown."""
+        return None if self.state is None else self.state.phase
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the roll-out has ended."""
+        return self.state is not None and self.state.phase.is_final
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the roll-out has ended and the store has accepted that."""
+        return self.state is not None and self.state.phase.is_final and self.state.is_recorded
+
+    @property
+    def evaluator(self) -> RolloutEvaluator | None:
+        """Evaluator on this daemon, if it is one of those of the order."""
+        return self._evaluator
+
+    def names(self, version: str) -> bool:
+        """Returns whether the order allows a version; one that was rejected allows none."""
+        return not self.problem and version == self.order.target_version
+
+    def age_s(self, now: float) -> float:
+        """Returns the time since the order, in seconds."""
+        return now - self._ordered_at
+
+    def is_fresh(self, now: float) -> bool:
+        """Returns whether the state may be acted upon."""
+        return now - self._confirmed_at < LEASE_S
+
+    def share(self, now: float) -> float:
+        """Returns the fraction of the requests that goes to the canaries."""
+        if self.state is None or self.is_final or not self.is_fresh(now):
+            return 0.0
+        return self.state.share
+
+    def is_moved(self, now: float) -> bool:
+        """Returns whether all requests go to the target version."""
+        state = self.state
+        if state is None or state.phase is not RolloutPhase.PROMOTED or not self.is_fresh(now):
+            return False
+        return self.age_s(now) * 1000 >= state.promote_at_ms
+
+    def on_report(self, now: float) -> None:
+        """Records that another daemon takes this one for an evaluator."""
+        self._reported_at = now
+
+    def was_reported_to(self, now: float) -> bool:
+        """Returns whether another daemon has just taken this one for an evaluator."""
+        return now - self._reported_at < _HEARD_S
+
+    def on_evaluated(self, at: float) -> None:
+        """Records that this daemon has evaluated the roll-out.
+
+        Args:
+            at: Time at which it began to ask the other evaluators, in seconds.
+        """
+        self._evaluated_at = at
+        self.confirm(at)
+
+    def was_evaluated(self, now: float) -> bool:
+        """Returns whether this daemon has evaluated the roll-out a moment ago."""
+        return now - self._evaluated_at < _EVALUATED_S
+
+    def confirm(self, at: float) -> None:
+        """Records that the state was the latest at a time."""
+        self._confirmed_at = max(self._confirmed_at, at)
+
+    def merge(self, state: RolloutState, now: float) -> bool:
+        """Merges a state of this order.
+
+        Args:
+            state: State from any daemon or the store.
+            now: Current time in seconds.
+
+        Returns:
+            Whether anything but the age has changed.
+        """
+        known = self.state
+        self._ordered_at = min(self._ordered_at, now - state.age_ms / 1000)
+        self.state = merge_states(known, state)
+        if self._evaluator is not None:
+            self._evaluator.merge_state(state, now)
+        return known is None or _without_age(known) != _without_age(self.state or state)
+
+    def open_evaluator(self, bounds: RolloutBounds) -> RolloutEvaluator:
+        """Returns the evaluator, which is created on first use.
+
+        Args:
+            bounds: Limits of the roll-out.
+        """
+        if self._evaluator is None:
+            self._evaluator = RolloutEvaluator(self.order, bounds, self._ordered_at)
+            if self.state is not None:
+                self._evaluator.merge_state(self.state, self._ordered_at + self.state.age_ms / 1000)
+        return self._evaluator
+
+    def make_state(self, phase: RolloutPhase, reason: str, now: float) -> RolloutState:
+        """Creates a state of this order.
+
+        Args:
+            phase: Its phase.
+            reason: Why the roll-out is in this phase.
+            now: Current time in seconds.
+        """
+        duration_s = self.order.duration_s
+        return RolloutState(
+            self.order.service,
+            self.order.offset,
+            self.order.target_version,
+            int(duration_s * 1000) if math.isfinite(duration_s) else 0,
+            max(0, int(self.age_s(now) * 1000)),
+            phase,
+            reason=reason,
+        )
+
+
+def _without_age(state: RolloutState) -> RolloutState:
+    return msgspec.structs.replace(state, age_ms=0)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_metrics_page.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_metrics_page.py
@@ -37,6 +37,10 @@
     failures = _make_counter(registry, "attempt_failures_total", "Attempts without an answer.")
     for (reason, retried), count in metrics.attempt_failures.items():
         failures.set({"reason": reason, "retried": str(retried).lower()}, count)
+    versions = _make_counter(registry, "version_attempts_total", "Attempts during roll-outs.")
+    for (service, version, failed), count in metrics.version_attempts.items():
+        labels = {"service": service, "version": version, "failed": str(failed).lower()}
+        versions.set(labels, count)
     _make_counter(registry, "hedges_total", "Second attempts for late answers.").set(
         {}, metrics.hedges
     )
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
@@ -0,0 +1,235 @@
+"""Records decisions about roll-outs in the store, and their status for the operator."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+import trio
+
+from fulmarstile_daemon.services._boot_clock import read_boot_time_s
+from fulmarstile_daemon.services._rollout_records import (
+    ROLLOUTS_TOPIC,
+    RolloutDecision,
+    decode_decision,
+    encode_decision,
+)
+from fulmarstile_daemon.services.events import DependencyLost, DependencyRegained, RecordIgnored
+from fulmarstile_platform.keyed_log import LogConflictError
+from fulmarstile_platform.log import LogError
+from fulmarstile_wire.errors import WireError
+from fulmarstile_wire.rollouts import RolloutPhase
+
+if TYPE_CHECKING:
+    import random
+
+    from fulmarstile_daemon.services._known_rollout import KnownRollout
+    from fulmarstile_daemon.services.event_log import EventLog
+    from fulmarstile_daemon.services.ports import Platform
+    from fulmarstile_daemon.services.rollouts import Rollouts
+    from fulmarstile_platform.keyed_log import KeyedLog, KeyedPage
+    from fulmarstile_wire.rollouts import RolloutState
+
+_RETRY_S: Final = 0.3
+"""Mean pause before a failed call of the store is repeated, in seconds."""
+_STATUS_CHECK_S: Final = 1.0
+"""Time that the daemon before this one has to write a status, in seconds."""
+
+
+class RolloutRecorder:
+    """Appends decisions, so that exactly one is made about each order.
+
+    Args:
+        name: Name of this daemon.
+        rollouts: What this daemon knows about roll-outs.
+        platform: Encodes the status.
+        random: Source of randomness.
+        log: Log of the daemon.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        rollouts: Rollouts,
+        platform: Platform,
+        random: random.Random,
+        log: EventLog,
+    ) -> None:
+        self._name = name
+        self._rollouts = rollouts
+        self._platform = platform
+        self._random = random
+        self._log = log
+        self._store: KeyedLog | None = None
+        self._nursery: trio.Nursery | None = None
+        self._lost_at: float | None = None
+
+    async def run(
+        self, store: KeyedLog, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Reads the decisions that the store holds, then records new ones until cancelled.
+
+        Args:
+            store: The platform's store.
+            task_status: Told as soon as decisions can be recorded.
+        """
+        self._store = store
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            while not self._rollouts.has_decisions:
+                try:
+                    page = await store.read_newest(ROLLOUTS_TOPIC)
+                except LogError as error:
+                    await self._wait_for_store(error)
+                    continue
+                self._on_store_call()
+                self._rollouts.on_decisions(self._decode_all(page).values())
+            await trio.sleep_forever()
+
+    def record(self, rollout: KnownRollout) -> None:
+        """Records the proposal of a roll-out, unless that is under way."""
+        if not rollout.is_recording and self._nursery is not None:
+            rollout.is_recording = True
+            self._nursery.start_soon(self._record, rollout)
+
+    def report_start(self, rollout: KnownRollout, rank: int) -> None:
+        """Tells the operator that a roll-out runs, unless another evaluator has done so.
+
+        Args:
+            rollout: The roll-out.
+            rank: Rank of this daemon among the evaluators; 0 for the first.
+        """
+        if not rollout.is_reporting_start and self._nursery is not None:
+            rollout.is_reporting_start = True
+            delay_s = rank * _STATUS_CHECK_S
+            self._nursery.start_soon(self._write_status, rollout, RolloutPhase.CANARY, delay_s)
+
+    def ensure_status(self, rollout: KnownRollout) -> None:
+        """Writes the status of a roll-out that has ended, if it is still missing in a while."""
+        if rollout.phase is not None and self._nursery is not None:
+            self._nursery.start_soon(
+                self._write_status, rollout, rollout.phase, 2 * _STATUS_CHECK_S
+            )
+
+    async def _record(self, rollout: KnownRollout) -> None:
+        try:
+            while rollout.proposal is not None and self._rollouts.is_current(rollout):
+                proposal = rollout.proposal
+                try:
+                    is_own = await self._append(rollout, proposal)
+                except LogConflictError:
+                    # Another record came first; it is read before the next try.
+                    continue
+                except LogError as error:
+                    await self._wait_for_store(error)
+                    continue
+                self._on_store_call()
+                rollout.proposal = None
+                if is_own:
+                    await self._write_status(rollout, proposal.phase, 0.0)
+        finally:
+            rollout.is_recording = False
+
+    async def _append(self, rollout: KnownRollout, proposal: RolloutState) -> bool:
+        """Appends a decision, or adopts the one that the store holds.
+
+        Returns:
+            Whether this daemon's decision is the one that holds.
+
+        Raises:
+            LogError: If the store cannot be read or written.
+        """
+        store = self._store
+        if store is None:
+            return False
+        page = await store.read_newest(ROLLOUTS_TOPIC)
+        stored = self._decode_all(page).get(rollout.order.service)
+        if stored is None or stored.order_offset < rollout.order.offset:
+            decision = self._make_decision(rollout, proposal)
+            await store.append_keyed(
+                ROLLOUTS_TOPIC, decision.service, encode_decision(decision), at=page.next_offset
+            )
+            stored = decision
+        if stored.order_offset == rollout.order.offset:
+            self._adopt(rollout, stored)
+        return stored.order_offset == rollout.order.offset and stored.decided_by == self._name
+
+    def _adopt(self, rollout: KnownRollout, decision: RolloutDecision) -> None:
+        now = read_boot_time_s()
+        self._rollouts.log.write_decided(decision)
+        if rollout.evaluator is not None:
+            rollout.evaluator.record(decision.phase, decision.reason, now)
+        state = rollout.make_state(decision.phase, decision.reason, now)
+        self._rollouts.adopt(rollout, msgspec.structs.replace(state, is_recorded=True))
+
+    def _make_decision(self, rollout: KnownRollout, proposal: RolloutState) -> RolloutDecision:
+        order, evaluator = rollout.order, rollout.evaluator
+        rules = self._rollouts.make_rules(rollout, proposal.phase)
+        return RolloutDecision(
+            service=order.service,
+            order_offset=order.offset,
+            target_version=order.target_version,
+            phase=proposal.phase,
+            reason=proposal.reason,
+            decided_by=self._name,
+            age_ms=proposal.age_ms,
+            excluded=tuple(sorted(rules.excluded)),
+            only=rules.only,
+            figures=None if evaluator is None else evaluator.figures,
+        )
+
+    async def _write_status(
+        self, rollout: KnownRollout, phase: RolloutPhase, delay_s: float
+    ) -> None:
+        """Writes a status; with a delay, only if no other daemon has done so by then."""
+        order, store = rollout.order, self._store
+        record = self._platform.encode_rollout_status(order.service, order.target_version, phase)
+        topic = self._platform.rollout_status_topic
+        await trio.sleep(delay_s)
+        while store is not None and self._is_due(rollout, phase):
+            try:
+                end_offset: int | None = None
+                if delay_s:
+                    page = await store.read_newest(topic)
+                    if record in page.records:
+                        return
+                    end_offset = page.next_offset
+                await store.append_keyed(topic, record.key, record.value, at=end_offset)
+            except LogConflictError:
+                # Another status came first; it may be this one.
+                continue
+            except LogError as error:
+                await self._wait_for_store(error)
+                continue
+            self._on_store_call()
+            self._rollouts.log.write_status(order, phase)
+            return
+
+    def _is_due(self, rollout: KnownRollout, phase: RolloutPhase) -> bool:
+        """Returns whether a status is still that of the service's newest roll-out."""
+        return self._rollouts.is_current(rollout) and phase.is_final is rollout.is_final
+
+    def _decode_all(self, page: KeyedPage) -> dict[str, RolloutDecision]:
+        decisions = {}
+        for record in page.records:
+            if not record.value:
+                continue
+            try:
+                decisions[record.key] = decode_decision(record)
+            except WireError as error:
+                self._log.write(RecordIgnored(source=record.key, reason=str(error)))
+        return decisions
+
+    async def _wait_for_store(self, error: LogError) -> None:
+        if self._lost_at is None:
+            self._lost_at = trio.current_time()
+            self._log.write(DependencyLost(dependency=f"store {ROLLOUTS_TOPIC}", reason=str(error)))
+        await trio.sleep(_RETRY_S * self._random.uniform(0.5, 1.5))
+
+    def _on_store_call(self) -> None:
+        if self._lost_at is None:
+            return
+        after_s = round(trio.current_time() - self._lost_at, 2)
+        self._lost_at = None
+        self._log.write(DependencyRegained(dependency=f"store {ROLLOUTS_TOPIC}", after_s=after_s))
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -20,6 +20,7 @@
 from fulmarstile_daemon.services._links import DaemonLinks
 from fulmarstile_daemon.services._notice_merger import NoticeMerger
 from fulmarstile_daemon.services._request_server import RequestServer
+from fulmarstile_daemon.services._rollout_part import RolloutPart
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
 from fulmarstile_daemon.services.documents import ActiveDocument, ActiveRoutes
@@ -125,6 +126,18 @@
             settings, self._directory, self._membership, self._upstream, notices, log
         )
         self._membership.on_recovered = self._announcements.restore_upstream
+        self._rollouts = RolloutPart(
+            settings,
+            platform,
+            self._directory,
+            self._documents,
+            self._routes,
+            self._upstream,
+            self._balancer,
+            self._links,
+            rng,
+            log,
+        )
         self._entry = CallEntry(
             names,
             self._routes,
@@ -137,6 +150,7 @@
             self._links,
             self._metrics,
             log,
+            self._rollouts.versions,
         )
         self._apply_settings(settings)
         self._gossip = Gossip(
@@ -166,7 +180,7 @@
             self._upstream.rate_wait_s,
             self._body_admission,
             self._byte_budget,
-            {},
+            self._rollouts.handlers,
         )
         self._shutdown = GracefulShutdown(
             self._callers,
@@ -246,6 +260,7 @@
                         incarnation=self._directory.local_member.incarnation,
                     )
                 )
+                await nursery.start(self._rollouts.run, store)
                 nursery.start_soon(self._documents.follow, store)
                 nursery.start_soon(self._membership.follow, store)
                 nursery.start_soon(self._membership.write_forever, store)
@@ -314,6 +329,7 @@
             hops_in_flight=self._peers.in_flight,
             message_bytes_held=self._byte_budget.used_bytes,
             crash_reports=len(self._directory.crashes),
+            rollouts=self._rollouts.dump(),
             members=tuple(
                 MemberState(member, self._balancer.is_reachable(member.name)) for member in members
             ),
@@ -372,6 +388,8 @@
         members = self._directory.members
         self._links.close_unknown(member.address for member in members)
         self._retry_budget.set_daemon_count(len(members))
+        if self._membership.is_caught_up.is_set():
+            self._rollouts.versions.observe_all()
 
     def _add_gauges(self) -> None:
         add = self._metrics.add_gauge
@@ -390,6 +408,7 @@
         add("upstream_rate_limit", lambda: self._upstream.rate_limit)
         add("upstream_requests_sent", lambda: self._upstream.requests_sent)
         add("upstream_service_seconds", lambda: self._upstream.service_s)
+        add("rollouts_running", lambda: self._rollouts.running)
         add("log_lines_left_out", lambda: self._log.dropped_lines)
 
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -21,6 +21,7 @@
     from fulmarstile_daemon.services._request_scope import RequestScope
     from fulmarstile_daemon.services._server_connection import CallerResponse, ReceivedRequest
     from fulmarstile_daemon.services._upstream import LocalUpstream
+    from fulmarstile_daemon.services._version_choice import VersionChoice
     from fulmarstile_daemon.services.documents import ActiveRoutes
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.metrics import ServiceMetrics
@@ -53,6 +54,7 @@
         links: Connections to other daemons.
         metrics: Counters.
         log: Log of the daemon.
+        versions: Chooses the version of each attempt.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         links: DaemonLinks,
         metrics: ServiceMetrics,
         log: EventLog,
+        versions: VersionChoice,
     ) -> None:
         self._names = names
         self._routes = routes
@@ -78,7 +81,16 @@
         self._metrics = metrics
         self._replies = CallReplies(names, routes, metrics, log)
         self._attempts = AttemptRunner(
-            directory, balancer, budget, notices, upstream, links, self._replies, metrics, log
+            directory,
+            balancer,
+            budget,
+            notices,
+            upstream,
+            links,
+            self._replies,
+            metrics,
+            log,
+            versions,
         )
         self.caller_service = ""
         """Service of the upstream on this VM, passed to upstreams as the caller."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -222,6 +222,86 @@
     """`response` of the upstream on this VM, `request` of another daemon, or the daemon asked."""
 
 
+class RolloutOrdered(LogEvent, tag="rollout_ordered"):
+    """The operator's order for a roll-out was read."""
+
+    lines_per_s: ClassVar[int | None] = None
+    service: str
+    order_offset: int
+    target_version: str
+    duration_s: float
+    replaced_offset: int | None = None
+    """Offset of the order that this one replaces."""
+    source: str = "store"
+
+
+class RolloutRejected(LogEvent, tag="rollout_rejected"):
+    """The operator's order cannot be carried out."""
+
+    lines_per_s: ClassVar[int | None] = None
+    service: str
+    order_offset: int
+    reason: str
+
+
+class RolloutChanged(LogEvent, tag="rollout_changed"):
+    """The state of a roll-out has changed as this daemon knows it."""
+
+    service: str
+    order_offset: int
+    target_version: str
+    age_s: float
+    phase: str
+    share: float = 0.0
+    canaries: tuple[str, ...] = ()
+    promote_at_s: float = 0.0
+    reason: str = ""
+    recorded: bool = False
+
+
+class RolloutLease(LogEvent, tag="rollout_lease"):
+    """The state of a roll-out has become too old to act upon, or is fresh again."""
+
+    service: str
+    order_offset: int
+    fresh: bool
+
+
+class RolloutDecided(LogEvent, tag="rollout_decided"):
+    """This daemon has decided about a roll-out, or found the decision of another one."""
+
+    lines_per_s: ClassVar[int | None] = None
+    service: str
+    order_offset: int
+    target_version: str
+    phase: str
+    reason: str
+    decided_by: str
+    requests: float = 0.0
+    exposed: float = 0.0
+    bad: float = 0.0
+    baseline_requests: float = 0.0
+    baseline_bad: float = 0.0
+    evidence: float = 0.0
+
+
+class RolloutStatusWritten(LogEvent, tag="rollout_status_written"):
+    """The status of a roll-out was written for the operator."""
+
+    lines_per_s: ClassVar[int | None] = None
+    service: str
+    order_offset: int
+    phase: str
+
+
+class VersionHeld(LogEvent, tag="version_held"):
+    """A version that no order names receives no requests for a while."""
+
+    service: str
+    version: str
+    for_s: float
+
+
 class RecordIgnored(LogEvent, tag="record_ignored"):
     """A record or an announcement is outdated or invalid."""
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/metrics.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/metrics.py
@@ -41,6 +41,8 @@
         """Requests refused before an upstream was selected, by reason."""
         self.attempt_failures: dict[tuple[str, bool], int] = {}
         """Failed attempts by reason and whether they were retried."""
+        self.version_attempts: dict[tuple[str, str, bool], int] = {}
+        """Attempts during roll-outs by service, version and whether they failed."""
         self.call_latency = LatencyHistogram()
         """Latency from the head of a request to the reply."""
         self.attempt_latency = LatencyHistogram()
@@ -73,6 +75,11 @@
         key = (reason or "upstream-error", retried)
         self.attempt_failures[key] = self.attempt_failures.get(key, 0) + 1
 
+    def count_version(self, service: str, version: str, failed: bool) -> None:
+        """Counts an attempt during a roll-out."""
+        key = (service, version, failed)
+        self.version_attempts[key] = self.version_attempts.get(key, 0) + 1
+
     def observe_attempt(self, elapsed_s: float) -> None:
         """Adds the latency of an attempt."""
         self.attempt_latency.observe(elapsed_s)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -15,7 +15,7 @@
 from fulmarstile_daemon.services.daemon import ServiceDaemon
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_services.directory import Directory
-from fulmarstile_services.settings import Listeners, NodeSettings
+from fulmarstile_services.settings import Listeners, NodeSettings, RequiredBounds
 from fulmarstile_testing.builders.services import (
     make_announcement,
     make_document,
@@ -27,6 +27,8 @@
     DOCUMENT_KEY,
     DOCUMENT_TOPIC,
     HEADER_NAMES,
+    ORDER_KEY,
+    STATUS_TOPIC,
     FakePlatform,
 )
 from fulmarstile_testing.free_ports import find_free_ports
@@ -59,6 +61,8 @@
     daemon: ServiceDaemon
     platform: FakePlatform
     upstream: ServiceUpstream
+    version: str = ""
+    """Version that the upstream announces."""
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     """Scope of the daemon."""
     ended: trio.Event = field(default_factory=trio.Event)
@@ -96,7 +100,11 @@
 
     async def announce(self, **changes: Any) -> None:
         """Announces the upstream to the daemon, with some fields changed."""
-        fields = {"upstream_id": self.upstream.upstream_id, "slots": 4}
+        fields = {
+            "upstream_id": self.upstream.upstream_id,
+            "slots": 4,
+            "version": self.version,
+        }
         await self.daemon.announcements.announce(make_announcement(**(fields | changes)))
 
 
@@ -179,6 +187,8 @@
     def __init__(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
         self.link_kbps = 0
+        self.bounds = RequiredBounds()
+        """Bounds in the settings of the daemons that start."""
         self._documents: dict[bytes, ServiceDocument] = {}
         self.store = FakeKeyedLog()
         """The store."""
@@ -191,6 +201,16 @@
         self._documents[raw] = document
         self.store.put(DOCUMENT_TOPIC, DOCUMENT_KEY, raw)
 
+    def put_order(self, service: str, version: str, duration_s: float) -> None:
+        """Writes an order for a roll-out to the store."""
+        value = f"{version} {duration_s}".encode()
+        self.store.put(DOCUMENT_TOPIC, ORDER_KEY + service, value)
+
+    async def read_statuses(self, service: str) -> list[str]:
+        """Returns all statuses of a service's roll-outs, as `PHASE VERSION`."""
+        page = await self.store.read_keyed(STATUS_TOPIC, 0, 0.0)
+        return [record.value.decode() for record in page.records if record.key == service]
+
     def set_store_down(self, is_down: bool) -> None:
         """Makes the store unavailable to all daemons, or available again."""
         for node in self.nodes:
@@ -206,17 +226,19 @@
         upstream: ServiceUpstream | None = None,
         earlier: ServiceNode | None = None,
         announced: bool = True,
+        version: str = "",
     ) -> ServiceNode:
         """Starts a daemon with its upstream; it takes the settings of an earlier node if given."""
         if upstream is None:
             upstream = ServiceUpstream(HEADER_NAMES, f"upstream-of-{name}")
             self._nursery.start_soon(upstream.serve)
         settings = make_node_settings(name, service, zone, upstream.address, self.link_kbps)
+        settings = replace(settings, bounds=self.bounds)
         if earlier is not None:
             settings = earlier.platform.settings
         platform = FakePlatform(settings, self.store, self._documents)
         log = EventLog(name)
-        node = ServiceNode(ServiceDaemon(platform, settings, log), platform, upstream)
+        node = ServiceNode(ServiceDaemon(platform, settings, log), platform, upstream, version)
         self.nodes.append(node)
         self._nursery.start_soon(self._run, node)
         with trio.fail_after(READY_TIMEOUT_S):
@@ -292,6 +314,8 @@
     zones: tuple[str, ...] = (),
     document: ServiceDocument | None = None,
     link_kbps: int = 0,
+    bounds: RequiredBounds | None = None,
+    version: str = "",
 ) -> AsyncIterator[ServiceMesh]:
     """Runs a daemon for each service named.
 
@@ -300,6 +324,8 @@
         zones: Availability zone of each daemon; by default all in one.
         document: Document in force; by default all of `shop.example` goes to `shop`.
         link_kbps: Link capacity in the daemons' settings, in kilobits per second.
+        bounds: Bounds in the daemons' settings.
+        version: Version that all upstreams announce.
 
     Yields:
         The mesh, in which every daemon knows all upstreams.
@@ -307,10 +333,13 @@
     async with trio.open_nursery() as nursery:
         mesh = ServiceMesh(nursery)
         mesh.link_kbps = link_kbps
+        mesh.bounds = bounds or mesh.bounds
         mesh.put_document(document or make_document(make_route()))
         for index, service in enumerate(services):
             zone = zones[index] if zones else "zone-a"
-            await mesh.start_node(f"daemon-{index + 1}", service=service, zone=zone)
+            await mesh.start_node(
+                f"daemon-{index + 1}", service=service, zone=zone, version=version
+            )
         for service in set(services):
             await mesh.wait_serving(service, services.count(service))
         yield mesh
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
@@ -88,6 +88,11 @@
         """Requests per second that its answers name as its limit; None for no limit."""
         self.is_leaving = False
         """Whether its answers say that it leaves."""
+        self.failing_ratio = 0.0
+        """Fraction of the requests that fail with status 500, spread evenly."""
+        self._failure_debt = 0.0
+        self.slow_by_s = 0.0
+        """Time that each request takes longer, in seconds."""
         self._scope = trio.CancelScope()
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
@@ -168,6 +173,7 @@
         record.max_running = max(record.max_running, record.running)
         try:
             work_s = float(query.get("delay_ms", 1)) / 1000
+            work_s += self.slow_by_s
             if served.request_id in self.silent_for:
                 work_s = math.inf
             await self._work(stream, served, work_s)
@@ -179,6 +185,8 @@
         if fault == FAULT_RESET:
             _reset(stream)
         status = int(query.get("status", 200))
+        if self._fails_next():
+            status = 500
         body = b"x" * int(query.get("size", 2))
         whole = self._make_answer(served, status, body)
         if fault == FAULT_CUT:
@@ -193,6 +201,14 @@
             await stream.send_all(whole)
         return whole if fault == FAULT_EXTRA_LATE else b""
 
+    def _fails_next(self) -> bool:
+        """Returns whether the request fails; the failures are spread evenly."""
+        self._failure_debt += self.failing_ratio
+        if self._failure_debt < 1.0:
+            return False
+        self._failure_debt -= 1.0
+        return True
+
     async def _work(self, stream: trio.SocketStream, served: ServedRequest, work_s: float) -> None:
         """Works on a request and drops it when its connection ends."""
         with trio.move_on_after(work_s):
