--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evidence.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evidence.py
@@ -139,37 +139,24 @@
             if is_target is None or latest.is_target is is_target
         )
 
-    def read_coverage(self, daemons: Collection[str], max_age_s: float, now: float) -> float:
-        """Returns the fraction of these daemons that has reported recently.
+    def list_reporting(self, since: float) -> set[str]:
+        """Returns the daemons that have reported since a time, in seconds."""
+        return {name for name, latest in self._by_daemon.items() if latest.seen_at >= since}
 
-        Args:
-            daemons: Names of the daemons.
-            max_age_s: Greatest time since the last report, in seconds.
-            now: Current time, in seconds.
-        """
-        if not daemons:
-            return 0.0
-        seen = sum(now - self._seen_at(daemon) <= max_age_s for daemon in daemons)
-        return seen / len(daemons)
-
-    def list_unfinished(
-        self, daemons: Collection[str], since_ms: int, silent_since: float
-    ) -> list[str]:
-        """Returns the daemons whose upstreams may still run requests.
+    def list_unfinished(self, since_ms: int, silent_since: float) -> list[str]:
+        """Returns the daemons beside baseline upstreams that may still run requests.
 
         Args:
-            daemons: Names of the daemons.
             since_ms: Age of the order from which on a report of no requests counts.
             silent_since: Daemons that have not reported since this time are left out.
         """
-        found = []
-        for daemon in daemons:
-            latest = self._by_daemon.get(daemon)
-            if latest is None or latest.seen_at < silent_since:
-                continue
-            if latest.unfinished or latest.age_ms < since_ms:
-                found.append(daemon)
-        return found
+        return [
+            daemon
+            for daemon, latest in self._by_daemon.items()
+            if not latest.is_target
+            and latest.seen_at >= silent_since
+            and (latest.unfinished or latest.age_ms < since_ms)
+        ]
 
     def read_baseline_quantile_s(self, quantile: float) -> float:
         """Returns a quantile of the baseline's service times over all routes, in seconds.
@@ -184,10 +171,6 @@
                     times = [a + b for a, b in zip(times, upstream.service_times, strict=True)]
         return upper_bound_s(find_quantile(times, quantile)) if any(times) else 0.0
 
-    def _seen_at(self, daemon: str) -> float:
-        latest = self._by_daemon.get(daemon)
-        return -math.inf if latest is None else latest.seen_at
-
     def _merge_routes(self, key: UpstreamKey, evidence: UpstreamEvidence, latest: _Latest) -> None:
         group = self.target if latest.is_target else self.baseline
         bins = self._list_bins(latest.age_ms / 1000, evidence.age_ms / 1000)
--- /dev/null
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/sequential_test.py
@@ -0,0 +1,152 @@
+"""Sequential test of a target version against the baseline over the same seconds.
+
+Each time bin contributes the log likelihood ratio of the target's bad responses under "the version
+is bad" against "the version is as bad as the baseline in these seconds". The sums are floored at
+zero, so that a version that turns bad late is found as fast as one that is bad from the start.
+Because the ratio is compared with a fixed threshold after every report, looking often does not
+raise the false-alarm rate, as it would with a test for a fixed number of samples.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from fulmarstile_services.rollouts.series import (
+        Counts,
+        RouteSeries,
+        UpstreamCounts,
+        UpstreamKey,
+    )
+
+BAD_EVIDENCE: Final = 10.0
+"""Log likelihood ratio that proves a version bad.
+
+It is ln(1000) for one false alarm in 1,000 roll-outs, and the rest for the tests of several
+routes and of starts in several time bins.
+"""
+_WINDOW_BINS: Final = 2
+"""Bins before and after a bin whose baseline responses count as simultaneous."""
+_PRIOR_WEIGHT: Final = 4.0
+"""Requests that the baseline's overall rate counts for within a window."""
+_MIN_JUDGED: Final = 8.0
+"""Requests of a baseline upstream from which its own rate of bad responses is used."""
+
+
+@dataclass(frozen=True, slots=True)
+class BadKind:
+    """A way in which a response can be bad."""
+
+    name: str
+    field: str
+    """Name of the count of bad responses."""
+    trials_field: str
+    """Name of the count of responses that were looked at."""
+    min_rate: float
+    """Fraction of bad responses that is never held against a version."""
+    bad_rates: tuple[float, ...]
+    """Fractions of bad responses that bad versions are expected to have."""
+    compares_upstreams: bool = False
+    """Whether good upstreams differ in this, so that the second worst one is the measure."""
+
+
+FAILED: Final = BadKind("failures", "failed", "completed", 0.01, (0.15, 0.4, 0.9))
+SLOW: Final = BadKind("slow responses", "slow", "judged", 0.1, (0.35, 0.6, 0.95), True)
+KINDS: Final = (FAILED, SLOW)
+
+
+@dataclass(frozen=True, slots=True)
+class _Rates:
+    """Rates of bad responses that a good version would have."""
+
+    overall: float
+    window: dict[int, Counts]
+    kind: BadKind
+    worst: UpstreamCounts | None
+
+    def find(self, number: int) -> float:
+        """Returns the greatest rate expected in a bin."""
+        bad, trials = self.overall * _PRIOR_WEIGHT, _PRIOR_WEIGHT
+        excluded = self.worst.bad_bins if self.worst else {}
+        for near in range(number - _WINDOW_BINS, number + _WINDOW_BINS + 1):
+            counts = self.window.get(near)
+            if counts is None:
+                continue
+            bad += getattr(counts, self.kind.field)
+            trials += getattr(counts, self.kind.trials_field)
+            if near in excluded:
+                bad -= getattr(excluded[near], self.kind.field)
+        local = max(0.0, bad) / trials
+        local += math.sqrt(local * (1.0 - min(1.0, local)) / trials)
+        return min(0.9, max(self.kind.min_rate, self.overall, local))
+
+
+def measure_evidence(target: RouteSeries, baseline: RouteSeries | None, kind: BadKind) -> float:
+    """Returns the evidence that a version is bad, as a log likelihood ratio of at least 0.
+
+    The upstream with the most bad responses is left out on both sides: one that differs from the
+    others of its version is unhealthy, and says nothing about the version.
+
+    Args:
+        target: Responses of the target version.
+        baseline: Responses of the other versions; None if there are none.
+        kind: What counts as bad.
+    """
+    total = getattr(target.total, kind.field)
+    worst = _find_worst(target, kind)
+    if worst is None or getattr(target.upstreams[worst].total, kind.field) >= total:
+        return 0.0
+    excluded = target.upstreams[worst]
+    all_trials = getattr(target.total, kind.trials_field)
+    kept = 1.0 - getattr(excluded.total, kind.trials_field) / all_trials
+    rates = _find_rates(baseline, kind)
+    sums = [0.0] * len(kind.bad_rates)
+    for number in sorted(target.bins):
+        counts = target.bins[number]
+        bad = getattr(counts, kind.field)
+        if number in excluded.bad_bins:
+            bad -= getattr(excluded.bad_bins[number], kind.field)
+        trials = max(bad, getattr(counts, kind.trials_field) * kept)
+        if trials > 0.0:
+            _add_bin(sums, bad, trials, rates.find(number), kind)
+    return max(sums)
+
+
+def _add_bin(sums: list[float], bad: float, trials: float, rate: float, kind: BadKind) -> None:
+    for index, bad_rate in enumerate(kind.bad_rates):
+        # The odds are at least three times those of a good version.
+        alternative = max(bad_rate, 3.0 * rate / (1.0 + 2.0 * rate))
+        ratio = bad * math.log(alternative / rate)
+        ratio += (trials - bad) * math.log((1.0 - alternative) / (1.0 - rate))
+        sums[index] = max(0.0, sums[index] + ratio)
+
+
+def _find_worst(series: RouteSeries, kind: BadKind) -> UpstreamKey | None:
+    if not series.upstreams:
+        return None
+    return max(series.upstreams, key=lambda key: getattr(series.upstreams[key].total, kind.field))
+
+
+def _find_rates(baseline: RouteSeries | None, kind: BadKind) -> _Rates:
+    if baseline is None:
+        return _Rates(0.0, {}, kind, None)
+    key = _find_worst(baseline, kind)
+    worst = baseline.upstreams[key] if key is not None and len(baseline.upstreams) > 1 else None
+    bad = getattr(baseline.total, kind.field)
+    if worst is not None:
+        bad -= getattr(worst.total, kind.field)
+    overall = bad / max(1.0, getattr(baseline.total, kind.trials_field))
+    if kind.compares_upstreams:
+        overall = max(overall, _find_second_worst_rate(baseline, kind))
+    return _Rates(overall, baseline.bins, kind, worst)
+
+
+def _find_second_worst_rate(baseline: RouteSeries, kind: BadKind) -> float:
+    rates = sorted(
+        getattr(upstream.total, kind.field) / getattr(upstream.total, kind.trials_field)
+        for upstream in baseline.upstreams.values()
+        if getattr(upstream.total, kind.trials_field) >= _MIN_JUDGED
+    )
+    return rates[-2] if len(rates) > 1 else 0.0
--- /dev/null
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/verdict.py
@@ -0,0 +1,46 @@
+"""Combines the tests of all routes and of all kinds of bad responses."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from fulmarstile_services.rollouts.evidence import ALL_ROUTES
+from fulmarstile_services.rollouts.sequential_test import BAD_EVIDENCE, KINDS, measure_evidence
+
+if TYPE_CHECKING:
+    from fulmarstile_services.rollouts.evidence import EvidenceTable
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What the evidence says about the target version."""
+
+    evidence: float = 0.0
+    """Largest log likelihood ratio of a bad version against a good one."""
+    reason: str = ""
+    """Kind and route of that evidence."""
+
+    @property
+    def is_bad(self) -> bool:
+        """Whether the version is proven bad."""
+        return self.evidence >= BAD_EVIDENCE
+
+
+def judge(table: EvidenceTable) -> Verdict:
+    """Tests each route and all routes together.
+
+    Args:
+        table: The evidence.
+
+    Returns:
+        The verdict with the most evidence against the version.
+    """
+    worst = Verdict()
+    for route, target in table.target.items():
+        for kind in KINDS:
+            evidence = measure_evidence(target, table.baseline.get(route), kind)
+            if evidence > worst.evidence:
+                where = "all routes" if route == ALL_ROUTES else f"route {route}"
+                worst = Verdict(evidence, f"{kind.name} on {where}")
+    return worst
