--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_known_rollout.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_known_rollout.py
@@ -100,11 +100,18 @@
         return self.state.share
 
     def is_moved(self, now: float) -> bool:
-        """Returns whether all requests go to the target version."""
+        """Returns whether all requests go to the target version.
+
+        They do so at the announced age, whether or not the phase is known to have changed.
+        """
+        return self.is_fresh(now) and self.was_moved_for_s(now) >= 0.0
+
+    def was_moved_for_s(self, now: float) -> float:
+        """Returns the time since all requests move to the target; negative until then."""
         state = self.state
-        if state is None or state.phase is not RolloutPhase.PROMOTED or not self.is_fresh(now):
-            return False
-        return self.age_s(now) * 1000 >= state.promote_at_ms
+        if state is None or state.phase.is_final or not state.promote_at_ms:
+            return -math.inf
+        return self.age_s(now) - state.promote_at_ms / 1000
 
     def on_report(self, now: float) -> None:
         """Records that another daemon takes this one for an evaluator."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_log.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_log.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from fulmarstile_daemon.services.events import (
     RolloutChanged,
@@ -22,6 +22,9 @@
     from fulmarstile_services.rollouts.model import RolloutOrder
     from fulmarstile_wire.rollouts import RolloutPhase, RolloutState
 
+_MIN_SHARE_CHANGE: Final = 0.5
+"""Relative change of a share that is logged; it varies a little with each evaluation."""
+
 
 class RolloutLog:
     """Writes the events of roll-outs.
@@ -32,6 +35,7 @@
 
     def __init__(self, log: EventLog) -> None:
         self._log = log
+        self._written: dict[str, RolloutState] = {}
 
     def write_ordered(
         self, order: RolloutOrder, replaced: KnownRollout | None, source: str
@@ -55,7 +59,11 @@
         )
 
     def write_changed(self, state: RolloutState) -> None:
-        """Logs a state that differs from the last one."""
+        """Logs a state, unless only its share or canaries differ a little from the last one."""
+        written = self._written.get(state.service)
+        if written is not None and _is_alike(written, state):
+            return
+        self._written[state.service] = state
         self._log.write(
             RolloutChanged(
                 service=state.service,
@@ -113,3 +121,16 @@
     def write_held(self, service: str, version: str) -> None:
         """Logs that a version receives no requests for a while."""
         self._log.write(VersionHeld(service=service, version=version, for_s=HOLD_S))
+
+
+def _is_alike(written: RolloutState, state: RolloutState) -> bool:
+    if (
+        written.order_offset != state.order_offset
+        or written.phase is not state.phase
+        or written.promote_at_ms != state.promote_at_ms
+        or written.is_recorded is not state.is_recorded
+    ):
+        return False
+    if not written.share or not state.share:
+        return written.share == state.share
+    return abs(state.share - written.share) <= _MIN_SHARE_CHANGE * written.share
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_part.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_part.py
@@ -7,7 +7,6 @@
 
 import trio
 
-from fulmarstile_daemon.services._boot_clock import read_boot_time_s
 from fulmarstile_daemon.services._rollout_polls import RolloutPolls
 from fulmarstile_daemon.services._rollout_recorder import RolloutRecorder
 from fulmarstile_daemon.services._service_pools import ServicePools
@@ -102,7 +101,7 @@
 
     def dump(self) -> tuple[RolloutView, ...]:
         """Returns the newest roll-out of each service for inspection."""
-        now = read_boot_time_s()
+        now = self.rollouts.now()
         return tuple(self._describe(rollout, now) for rollout in self.rollouts.known)
 
     def _describe(self, rollout: KnownRollout, now: float) -> RolloutView:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
@@ -7,7 +7,6 @@
 
 import trio
 
-from fulmarstile_daemon.services._boot_clock import read_boot_time_s
 from fulmarstile_daemon.services._evaluator_ranking import rank_evaluators
 from fulmarstile_daemon.services._links import DaemonUnreachableError
 from fulmarstile_wire.rollouts import RolloutPhase, RolloutReply, RolloutReport
@@ -27,6 +26,10 @@
     from fulmarstile_wire.services import Member
 
 _POLL_INTERVAL_S: Final = 0.25
+_HANDOVER_INTERVAL_S: Final = 0.1
+"""Poll interval of the evaluators and of the service's daemons at the hand-over, in seconds."""
+_HANDOVER_S: Final = 1.0
+"""Time around the deadline in which a promoted roll-out is polled at this interval, in seconds."""
 _QUERY_TIMEOUT_S: Final = 0.3
 _DISTRUST_S: Final = 2.0
 """Time for which an evaluator that didn't reply is passed over, in seconds."""
@@ -78,9 +81,11 @@
     async def _follow(self, rollout: KnownRollout) -> None:
         while self._rollouts.is_current(rollout) and not rollout.is_settled:
             started_at = trio.current_time()
-            await self._poll_once(rollout)
-            interval_s = _POLL_INTERVAL_S * self._random.uniform(0.9, 1.1)
-            await trio.sleep_until(started_at + interval_s)
+            takes_part = await self._poll_once(rollout)
+            interval_s = _POLL_INTERVAL_S
+            if takes_part and _is_handing_over(rollout, self._rollouts.now()):
+                interval_s = _HANDOVER_INTERVAL_S
+            await trio.sleep_until(started_at + interval_s * self._random.uniform(0.9, 1.1))
         evaluators = self.list_evaluators(rollout)
         if self._rollouts.is_current(rollout) and self._is_evaluator(rollout, evaluators):
             self._recorder.ensure_status(rollout)
@@ -88,20 +93,23 @@
     def _is_evaluator(self, rollout: KnownRollout, evaluators: list[Member]) -> bool:
         local_name = self._directory.local_member.name
         is_ranked = any(each.name == local_name for each in evaluators)
-        return is_ranked or rollout.was_reported_to(read_boot_time_s())
+        return is_ranked or rollout.was_reported_to(self._rollouts.now())
 
-    async def _poll_once(self, rollout: KnownRollout) -> None:
-        now = read_boot_time_s()
+    async def _poll_once(self, rollout: KnownRollout) -> bool:
+        """Polls; returns whether this daemon evaluates the roll-out or has evidence."""
+        now = self._rollouts.now()
         self._rollouts.validate(rollout)
         evidence = self._rollouts.export_evidence(rollout, now)
         evaluators = self.list_evaluators(rollout)
         local_name = self._directory.local_member.name
         others = [member for member in evaluators if member.name != local_name]
-        if self._is_evaluator(rollout, evaluators):
+        is_evaluator = self._is_evaluator(rollout, evaluators)
+        if is_evaluator:
             await self._evaluate(rollout, others, evidence)
         else:
             await self._ask(rollout, others, evidence)
-        self._rollouts.log.write_lease(rollout, read_boot_time_s())
+        self._rollouts.log.write_lease(rollout, self._rollouts.now())
+        return is_evaluator or evidence is not None
 
     async def _ask(
         self, rollout: KnownRollout, evaluators: list[Member], evidence: UpstreamEvidence | None
@@ -119,11 +127,11 @@
         self, rollout: KnownRollout, others: list[Member], evidence: UpstreamEvidence | None
     ) -> None:
         """Exchanges states with the other evaluators, then evaluates."""
-        bounds, started_at = self._rollouts.bounds, read_boot_time_s()
+        bounds, started_at = self._rollouts.bounds, self._rollouts.now()
         if bounds is None:
             return
         has_replies = await self._query_all(rollout, others, evidence)
-        now = read_boot_time_s()
+        now = self._rollouts.now()
         if not (has_replies or rollout.was_reported_to(now) or self._is_alone()):
             # Cut off from all others, this daemon sees too little to decide.
             return
@@ -187,7 +195,7 @@
         report = RolloutReport(
             self._directory.local_member.name, order.service, order.offset, evidence, rollout.state
         )
-        sent_at = read_boot_time_s()
+        sent_at = self._rollouts.now()
         try:
             reply = await self._links.query(member, report, _QUERY_TIMEOUT_S)
         except DaemonUnreachableError:
@@ -204,6 +212,13 @@
         if name == self._directory.local_member.name:
             return True
         until = self._distrusted_until.get(name)
-        if until is not None and until > read_boot_time_s():
+        if until is not None and until > self._rollouts.now():
             return False
         return self._balancer.is_reachable(name)
+
+
+def _is_handing_over(rollout: KnownRollout, now: float) -> bool:
+    """Returns whether the requests have moved, or will move soon, and the deadline is near."""
+    if rollout.was_moved_for_s(now) < -_HANDOVER_S:
+        return False
+    return abs(rollout.order.duration_s - rollout.age_s(now)) < _HANDOVER_S
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
@@ -7,7 +7,6 @@
 import msgspec
 import trio
 
-from fulmarstile_daemon.services._boot_clock import read_boot_time_s
 from fulmarstile_daemon.services._rollout_records import (
     ROLLOUTS_TOPIC,
     RolloutDecision,
@@ -63,6 +62,10 @@
         self._store: KeyedLog | None = None
         self._nursery: trio.Nursery | None = None
         self._lost_at: float | None = None
+        self._end_offset: int | None = None
+        """Where the topic ended when it was last read; None if it must be read again."""
+        self._stored: dict[str, RolloutDecision] = {}
+        """Decisions that it held then."""
 
     async def run(
         self, store: KeyedLog, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -79,12 +82,12 @@
             task_status.started()
             while not self._rollouts.has_decisions:
                 try:
-                    page = await store.read_newest(ROLLOUTS_TOPIC)
+                    await self._read(store)
                 except LogError as error:
                     await self._wait_for_store(error)
                     continue
                 self._on_store_call()
-                self._rollouts.on_decisions(self._decode_all(page).values())
+                self._rollouts.on_decisions(self._stored.values())
             await trio.sleep_forever()
 
     def record(self, rollout: KnownRollout) -> None:
@@ -120,8 +123,11 @@
                     is_own = await self._append(rollout, proposal)
                 except LogConflictError:
                     # Another record came first; it is read before the next try.
+                    self._end_offset = None
                     continue
                 except LogError as error:
+                    # The append may have taken effect.
+                    self._end_offset = None
                     await self._wait_for_store(error)
                     continue
                 self._on_store_call()
@@ -143,20 +149,28 @@
         store = self._store
         if store is None:
             return False
-        page = await store.read_newest(ROLLOUTS_TOPIC)
-        stored = self._decode_all(page).get(rollout.order.service)
+        if self._end_offset is None:
+            await self._read(store)
+        end_offset = self._end_offset
+        stored = self._stored.get(rollout.order.service)
         if stored is None or stored.order_offset < rollout.order.offset:
             decision = self._make_decision(rollout, proposal)
             await store.append_keyed(
-                ROLLOUTS_TOPIC, decision.service, encode_decision(decision), at=page.next_offset
+                ROLLOUTS_TOPIC, decision.service, encode_decision(decision), at=end_offset
             )
-            stored = decision
+            self._stored[decision.service] = stored = decision
+            self._end_offset = None
         if stored.order_offset == rollout.order.offset:
             self._adopt(rollout, stored)
         return stored.order_offset == rollout.order.offset and stored.decided_by == self._name
 
+    async def _read(self, store: KeyedLog) -> None:
+        page = await store.read_newest(ROLLOUTS_TOPIC)
+        self._stored = self._decode_all(page)
+        self._end_offset = page.next_offset
+
     def _adopt(self, rollout: KnownRollout, decision: RolloutDecision) -> None:
-        now = read_boot_time_s()
+        now = self._rollouts.now()
         self._rollouts.log.write_decided(decision)
         if rollout.evaluator is not None:
             rollout.evaluator.record(decision.phase, decision.reason, now)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_version_choice.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_version_choice.py
@@ -6,8 +6,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from fulmarstile_daemon.services._boot_clock import read_boot_time_s
-
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable
@@ -77,7 +75,7 @@
         if rollout is None:
             return sides.baseline
         is_first, call.is_version_drawn = not call.is_version_drawn, True
-        now = read_boot_time_s()
+        now = self._rollouts.now()
         if not sides.baseline or (sides.target and rollout.is_moved(now)):
             return sides.target
         if is_first and sides.canaries and self._random.random() < rollout.share(now):
@@ -118,14 +116,14 @@
             sides is not None
             and sides.members is members
             and sides.revision == self._rollouts.revision
-            and (sides.valid_until == math.inf or read_boot_time_s() < sides.valid_until)
+            and (sides.valid_until == math.inf or self._rollouts.now() < sides.valid_until)
         ):
             return sides
         sides = self._sides[service] = self._make_sides(service, members, sides)
         return sides
 
     def _make_sides(self, service: str, members: _Members, last: _Sides | None) -> _Sides:
-        rollouts, now = self._rollouts, read_boot_time_s()
+        rollouts, now = self._rollouts, self._rollouts.now()
         # Read first: what is observed and divided is at least as new.
         revision = rollouts.revision
         valid_until = rollouts.observe_versions(service, members, now) if members else math.inf
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -58,6 +58,7 @@
     from collections.abc import AsyncIterator
 
     from fulmarstile_daemon.services.ports import Platform
+    from fulmarstile_daemon.services.rollouts import Rollouts
     from fulmarstile_platform.http_server import HttpRequest
     from fulmarstile_services.settings import NodeSettings
 
@@ -221,6 +222,11 @@
         """Active routing table."""
         return self._routes
 
+    @property
+    def rollouts(self) -> Rollouts:
+        """What this daemon knows about roll-outs."""
+        return self._rollouts.rollouts
+
     @property
     def directory(self) -> Directory:
         """Directory of the known daemons."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/rollouts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/rollouts.py
@@ -30,8 +30,11 @@
     from fulmarstile_wire.rollouts import RolloutReport, RolloutState, UpstreamEvidence
     from fulmarstile_wire.services import Member
 
-_MOVED_S: Final = 0.5
-"""Time after the promotion at which every daemon sends its requests to the target, in seconds."""
+_MOVED_S: Final = 0.2
+"""Time after the promotion from which no daemon sends requests to the baseline, in seconds.
+
+Those of daemons that know the promotion arrive within milliseconds.
+"""
 _NO_RULES: Final = VersionRules()
 
 
@@ -46,6 +49,7 @@
         routes: Active routing table.
         upstream: Upstream on this VM.
         log: Log of the daemon.
+        clock: Returns the time in seconds, including suspensions of the VM.
     """
 
     def __init__(
@@ -57,7 +61,10 @@
         routes: ActiveRoutes,
         upstream: LocalUpstream,
         log: EventLog,
+        clock: Callable[[], float] = read_boot_time_s,
     ) -> None:
+        self.now = clock
+        """Returns the time in seconds, including suspensions of the VM."""
         self.bounds = bounds
         """Limits of roll-outs; None if the deployment has none."""
         self.log = RolloutLog(log)
@@ -112,7 +119,9 @@
         if rollout is not None and rollout.names(version):
             return True
         seen = self._seen.get(service)
-        return seen is None or not seen.is_held(version, now)
+        if seen is None:
+            return True
+        return not seen.is_held(version, now, orders_known=self._documents.was_read)
 
     def observe_versions(self, service: str, members: Iterable[Member], now: float) -> float:
         """Records which versions of a service serve.
@@ -128,10 +137,11 @@
         seen = self._seen.get(service)
         if seen is None:
             seen = self._seen[service] = SeenVersions(self._directory.local_member.incarnation)
-        held = seen.observe(members, now, orders_known=self._documents.was_read)
+        orders_known = self._documents.was_read
+        held = seen.observe(members, now, orders_known=orders_known)
         for version in held:
             self.log.write_held(service, version)
-        return seen.next_release(now)
+        return seen.next_release(now, orders_known=orders_known)
 
     def refuses(self, announcement: UpstreamAnnouncement) -> bool:
         """Returns whether the upstream on this VM must not run requests.
@@ -170,7 +180,7 @@
         replaced = self._known.get(order.service)
         if replaced is not None and replaced.order.offset >= order.offset:
             return None
-        now = read_boot_time_s()
+        now = self.now()
         rollout = KnownRollout(received, now)
         self.log.write_ordered(order, replaced, source)
         if replaced is not None and replaced.phase in (None, RolloutPhase.CANARY):
@@ -247,12 +257,13 @@
             rollout: The roll-out.
             state: State from this daemon's evaluator, another daemon or the store.
         """
-        was_final, now = rollout.is_final, read_boot_time_s()
-        phase = rollout.phase
+        was_final, now = rollout.is_final, self.now()
+        phase, known = rollout.phase, rollout.state
         if not rollout.merge(state, now) or rollout.state is None:
             return
         self.log.write_changed(rollout.state)
-        self.revision += 1
+        if known is None or _moves_requests(known, rollout.state):
+            self.revision += 1
         if rollout.phase is not phase and self.is_current(rollout) and rollout.is_final:
             if was_final:
                 # The store has accepted another decision than the one that took effect here.
@@ -275,7 +286,7 @@
         Returns:
             The state known here, if it may be acted upon.
         """
-        now = read_boot_time_s()
+        now = self.now()
         rollout = self._known.get(report.service)
         if rollout is None or rollout.order.offset < report.order_offset:
             if report.state is None:
@@ -344,25 +355,23 @@
 
         It stops as soon as the roll-out is completed, so a late request would be cut off.
         """
-        state = rollout.state
-        if state is None or state.phase is not RolloutPhase.PROMOTED:
-            return False
-        if rollout.age_s(now) < state.promote_at_ms / 1000 + _MOVED_S:
-            return False
-        if not self.has_target(rollout):
+        if rollout.was_moved_for_s(now) < _MOVED_S or not self.has_target(rollout):
             return False
         return rollout.is_sealed or not (self._upstream.running or self._upstream.queued)
 
     def _was_in_force(self, order: RolloutOrder) -> bool:
         """Returns whether the version of a rejected order served before."""
         seen = self._seen.get(order.service)
-        return seen is not None and not seen.is_held(order.target_version, read_boot_time_s())
+        if seen is None:
+            return False
+        now, orders_known = self.now(), self._documents.was_read
+        return not seen.is_held(order.target_version, now, orders_known=orders_known)
 
     def _apply_decision(self, rollout: KnownRollout) -> None:
         decision = self._decisions.get(rollout.order.service)
         if decision is None or decision.order_offset != rollout.order.offset:
             return
-        state = rollout.make_state(decision.phase, decision.reason, read_boot_time_s())
+        state = rollout.make_state(decision.phase, decision.reason, self.now())
         self.adopt(rollout, msgspec.structs.replace(state, is_recorded=True))
         self._set_rules(rollout.order.service, decision.rules)
 
@@ -378,6 +387,11 @@
         self.revision += 1
 
 
+def _moves_requests(known: RolloutState, state: RolloutState) -> bool:
+    """Returns whether requests go to other upstreams in a state than in the one before."""
+    return (known.phase, known.canaries) != (state.phase, state.canaries)
+
+
 def _read_order(state: RolloutState) -> ReceivedOrder:
     """Returns the order that a state belongs to."""
     duration_s = state.duration_ms / 1000
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/version_rules.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/version_rules.py
@@ -18,6 +18,8 @@
 
 Its order may still be in transit.
 """
+_RECHECK_S: Final = 0.25
+"""Interval at which a daemon that waits for the operator's orders checks again, in seconds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,10 +94,28 @@
                 held.append(version)
         return held
 
-    def is_held(self, version: str, now: float) -> bool:
-        """Returns whether a version receives nothing unless an order names it."""
-        return now < self._serves_from.get(version, math.inf)
+    def is_held(self, version: str, now: float, *, orders_known: bool) -> bool:
+        """Returns whether a version receives nothing unless an order names it.
 
-    def next_release(self, now: float) -> float:
-        """Returns when the next version is released, in seconds; infinity if none is held."""
+        Args:
+            version: The version.
+            now: Current time in seconds.
+            orders_known: Whether the operator's orders were read since the start; nothing is
+                released before.
+        """
+        serves_from = self._serves_from.get(version, math.inf)
+        return now < serves_from or (serves_from > -math.inf and not orders_known)
+
+    def next_release(self, now: float, *, orders_known: bool) -> float:
+        """Returns when to check again which versions are held.
+
+        Args:
+            now: Current time in seconds.
+            orders_known: Whether the operator's orders were read since the start.
+
+        Returns:
+            The time in seconds; infinity if none is held.
+        """
+        if not orders_known and any(time > -math.inf for time in self._serves_from.values()):
+            return now + _RECHECK_S
         return min((time for time in self._serves_from.values() if time > now), default=math.inf)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
@@ -206,10 +206,15 @@
         value = f"{version} {duration_s}".encode()
         self.store.put(DOCUMENT_TOPIC, ORDER_KEY + service, value)
 
-    async def read_statuses(self, service: str) -> list[str]:
+    def list_statuses(self, service: str) -> list[str]:
         """Returns all statuses of a service's roll-outs, as `PHASE VERSION`."""
-        page = await self.store.read_keyed(STATUS_TOPIC, 0, 0.0)
-        return [record.value.decode() for record in page.records if record.key == service]
+        records = self.store.list_records(STATUS_TOPIC)
+        return [record.value.decode() for record in records if record.key == service]
+
+    def count_runs(self, version: str) -> int:
+        """Returns how many requests the upstreams of a version have run."""
+        upstreams = [node.upstream for node in self.nodes if node.version == version]
+        return sum(each.ran for upstream in upstreams for each in upstream.record.requests)
 
     def set_store_down(self, is_down: bool) -> None:
         """Makes the store unavailable to all daemons, or available again."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
@@ -81,6 +81,10 @@
         self.appends += 1
         self.wake()
 
+    def list_records(self, topic: str) -> list[KeyedRecord]:
+        """Returns all records of a topic, also while the store is down."""
+        return list(self._content.topics.get(topic, []))
+
     def forget_history(self, topic: str) -> None:
         """Expires all records except the newest of each key."""
         self._content.first_offsets[topic] = len(self._content.topics.get(topic, []))
--- a/tests/wire/test_link_frames.py
+++ b/tests/wire/test_link_frames.py
@@ -81,7 +81,8 @@
         for message, kind in ((HOP, HopRequest), (HopOutcome(Verdict.RAN), HopOutcome)):
             noticed = msgspec.structs.replace(message, notice=NOTICE)
             fields = msgspec.msgpack.decode(msgspec.msgpack.encode(noticed))
-            older, newer = msgspec.msgpack.encode(fields[:-1]), msgspec.msgpack.encode([*fields, 7])
+            without = fields[: kind.__struct_fields__.index("notice")]
+            older, newer = msgspec.msgpack.encode(without), msgspec.msgpack.encode([*fields, 7])
             self.assertEqual(msgspec.msgpack.decode(older, type=kind), message)
             self.assertEqual(msgspec.msgpack.decode(newer, type=kind), noticed)
 
