--- a/packages/fulmarstile_cli/src/fulmarstile_cli/commands/__init__.py
+++ b/packages/fulmarstile_cli/src/fulmarstile_cli/commands/__init__.py
@@ -11,6 +11,7 @@
 from fulmarstile_cli.commands.keygen import KeygenCommand
 from fulmarstile_cli.commands.members import MembersCommand
 from fulmarstile_cli.commands.publish import PublishCommand
+from fulmarstile_cli.commands.rollouts import RolloutsCommand
 from fulmarstile_cli.commands.status import StatusCommand
 from fulmarstile_cli.commands.validate import ValidateCommand
 
@@ -25,6 +26,7 @@
     HistoryCommand(),
     DiffCommand(),
     MembersCommand(),
+    RolloutsCommand(),
     DumpCommand(),
     ExplainCommand(),
 )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
@@ -152,6 +152,7 @@
 
     def _apply(self, rollout: KnownRollout, proposal: RolloutState) -> None:
         """Applies the result of an evaluation; a completion waits for the store."""
+        is_new = rollout.state is None
         is_decision = proposal.phase.is_final and not proposal.is_recorded
         rollout.proposal = proposal if is_decision else None
         if proposal.phase is not RolloutPhase.COMPLETED or proposal.is_recorded:
@@ -162,7 +163,7 @@
             evaluators = [member.name for member in self.list_evaluators(rollout)]
             local_name = self._directory.local_member.name
             rank = evaluators.index(local_name) if local_name in evaluators else len(evaluators)
-            self._recorder.report_start(rollout, rank)
+            self._recorder.report_start(rollout, rank, is_new=is_new)
 
     def _is_alone(self) -> bool:
         """Returns whether no other daemon runs, as far as this one knows."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
@@ -96,23 +96,25 @@
             rollout.is_recording = True
             self._nursery.start_soon(self._record, rollout)
 
-    def report_start(self, rollout: KnownRollout, rank: int) -> None:
+    def report_start(self, rollout: KnownRollout, rank: int, *, is_new: bool) -> None:
         """Tells the operator that a roll-out runs, unless another evaluator has done so.
 
         Args:
             rollout: The roll-out.
             rank: Rank of this daemon among the evaluators; 0 for the first.
+            is_new: Whether no other daemon had evaluated the roll-out before.
         """
         if not rollout.is_reporting_start and self._nursery is not None:
             rollout.is_reporting_start = True
-            delay_s = rank * _STATUS_CHECK_S
-            self._nursery.start_soon(self._write_status, rollout, RolloutPhase.CANARY, delay_s)
+            phase, delay_s = RolloutPhase.CANARY, rank * _STATUS_CHECK_S
+            is_first = is_new and not rank
+            self._nursery.start_soon(self._write_status, rollout, phase, delay_s, not is_first)
 
     def ensure_status(self, rollout: KnownRollout) -> None:
         """Writes the status of a roll-out that has ended, if it is still missing in a while."""
         if rollout.phase is not None and self._nursery is not None:
             self._nursery.start_soon(
-                self._write_status, rollout, rollout.phase, 2 * _STATUS_CHECK_S
+                self._write_status, rollout, rollout.phase, 2 * _STATUS_CHECK_S, True
             )
 
     async def _record(self, rollout: KnownRollout) -> None:
@@ -133,7 +135,7 @@
                 self._on_store_call()
                 rollout.proposal = None
                 if is_own:
-                    await self._write_status(rollout, proposal.phase, 0.0)
+                    await self._write_status(rollout, proposal.phase, 0.0, False)
         finally:
             rollout.is_recording = False
 
@@ -194,9 +196,9 @@
         )
 
     async def _write_status(
-        self, rollout: KnownRollout, phase: RolloutPhase, delay_s: float
+        self, rollout: KnownRollout, phase: RolloutPhase, delay_s: float, is_checked: bool
     ) -> None:
-        """Writes a status; with a delay, only if no other daemon has done so by then."""
+        """Writes a status after a delay; if it is checked, only if it is not there already."""
         order, store = rollout.order, self._store
         record = self._platform.encode_rollout_status(order.service, order.target_version, phase)
         topic = self._platform.rollout_status_topic
@@ -204,7 +206,7 @@
         while store is not None and self._is_due(rollout, phase):
             try:
                 end_offset: int | None = None
-                if delay_s:
+                if is_checked:
                     page = await store.read_newest(topic)
                     if record in page.records:
                         return
--- a/tests/services/test_rollouts.py
+++ b/tests/services/test_rollouts.py
@@ -105,12 +105,12 @@
             async with run_load(mesh) as load:
                 ordered_at = trio.current_time()
                 await self.order(mesh)
-                await wait_until(lambda: len(mesh.list_statuses("shop")) > 1)
+                await wait_until(lambda: is_ended(mesh))
                 self.assertLessEqual(trio.current_time() - ordered_at, DURATION_S)
                 self.check_exposure(mesh)
                 old = mesh.count_runs("v1")
                 await trio.sleep(SETTLE_S)
-                self.assertLessEqual(mesh.count_runs("v1") - old, 0)
+                self.assertEqual(mesh.count_runs("v1"), old)
             self.assertEqual(mesh.list_statuses("shop"), ["canary v2", "completed v2"])
             self.assertEqual(list_decisions(mesh), [(1, RolloutPhase.COMPLETED)])
             self.assertEqual(set(load.statuses), {200})
@@ -125,7 +125,7 @@
                     node = await mesh.start_node(f"target-{number}", version="v2", announced=False)
                     node.upstream.failing_ratio = 0.5
                     await node.announce(service="shop")
-                await wait_until(lambda: len(mesh.list_statuses("shop")) > 1)
+                await wait_until(lambda: is_ended(mesh))
                 self.check_exposure(mesh)
                 await trio.sleep(SETTLE_S)
                 exposed = mesh.count_runs("v2")
@@ -188,8 +188,9 @@
         async def body(mesh: ServiceMesh) -> None:
             async with run_load(mesh) as load:
                 await self.order(mesh)
-                await wait_until(lambda: RolloutPhase.PROMOTED in find_phases(mesh))
+                await wait_until(lambda: is_promotion_announced(mesh))
                 mesh.set_store_down(True)
+                await wait_until(lambda: RolloutPhase.PROMOTED in find_phases(mesh))
                 await trio.sleep(2.0)
                 self.assertEqual(find_phases(mesh), {RolloutPhase.PROMOTED})
                 old = mesh.count_runs("v1")
@@ -217,6 +218,20 @@
 
         self.run_mesh(body, daemons=5)
 
+    def test_a_daemon_that_hears_no_other_neither_decides_nor_uses_the_target(self) -> None:
+        async def body(mesh: ServiceMesh) -> None:
+            await self.order(mesh, 2.5)
+            await wait_until(lambda: find_phases(mesh) == {RolloutPhase.CANARY})
+            for node in mesh.nodes[1:]:
+                await node.kill()
+            await wait_until(lambda: not mesh.nodes[0].daemon.dump().rollouts[0].is_fresh)
+            await trio.sleep(2.5)
+            self.assertEqual(find_phases(mesh), {RolloutPhase.CANARY})
+            self.assertEqual(list_decisions(mesh), [])
+            self.assertEqual(await count_served(mesh, "v1"), 10)
+
+        self.run_mesh(body, targets=1)
+
     def test_a_second_order_replaces_the_first_one(self) -> None:
         async def body(mesh: ServiceMesh) -> None:
             await self.order(mesh, 60.0)
@@ -224,7 +239,7 @@
             mesh.put_order("shop", "v3", 1.0)
             await wait_until(lambda: "rolled-back v3" in mesh.list_statuses("shop"))
             self.assertEqual(list_decisions(mesh), [(2, RolloutPhase.ROLLED_BACK)])
-            self.assertEqual([await count_served(mesh, "v2")], [0])
+            self.assertEqual(await count_served(mesh, "v2"), 0)
 
         self.run_mesh(body, targets=1)
 
@@ -232,6 +247,7 @@
         async def body(mesh: ServiceMesh) -> None:
             mesh.put_order("shop", "v2", 1.0)
             await wait_until(lambda: "rolled-back v2" in mesh.list_statuses("shop"))
+            await wait_until(lambda: find_phases(mesh) == {RolloutPhase.ROLLED_BACK})
             rollout = mesh.nodes[0].daemon.dump().rollouts[0]
             self.assertEqual((rollout.phase, rollout.reason), ("rolled-back", "no-upstreams"))
 
@@ -246,7 +262,7 @@
                 await mesh.nodes[3].daemon.announcements.leave(
                     mesh.nodes[3].upstream.upstream_id, None
                 )
-                await wait_until(lambda: len(mesh.list_statuses("shop")) > 1)
+                await wait_until(lambda: is_ended(mesh))
             self.assertEqual(mesh.list_statuses("shop")[-1], "completed v2")
             self.assertEqual(set(load.statuses), {200})
 
@@ -264,6 +280,16 @@
         self.run_mesh(body, targets=1)
 
 
+def is_promotion_announced(mesh: ServiceMesh) -> bool:
+    """Returns whether a daemon knows when all requests move to the target."""
+    return any(node.daemon.dump().rollouts[0].promote_at_s for node in mesh.nodes)
+
+
+def is_ended(mesh: ServiceMesh) -> bool:
+    """Returns whether the operator reads that the roll-out has ended."""
+    return any(not status.startswith("canary") for status in mesh.list_statuses("shop"))
+
+
 async def count_served(mesh: ServiceMesh, version: str) -> int:
     """Returns how many of some calls through all daemons a version runs."""
     before = mesh.count_runs(version)
