--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evaluator.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evaluator.py
@@ -18,6 +18,7 @@
     MIN_COVERAGE,
     RECORDING_S,
     REPORTING_S,
+    SUSPICION,
     choose_handover_s,
     find_obstacle,
     is_complete,
@@ -180,7 +181,8 @@
         wanted_s = choose_handover_s(self._table, self._order.duration_s)
         reporting = self._table.list_reporting(now - REPORTING_S)
         if not promote_at_ms:
-            handover_s = budget.limit_handover_s(wanted_s)
+            canary_requests = budget.count_canary_requests(1.0, wanted_s)
+            handover_s = budget.limit_handover_s(wanted_s, canary_requests)
             lead_s = handover_s + ANNOUNCEMENT_S + ANNOUNCEMENT_MARGIN_S
             if remaining_s <= lead_s:
                 self._announce(pool, reporting, handover_s, age_s)
@@ -231,7 +233,11 @@
         daemons = [upstream.daemon for upstream in baseline]
         remaining_s = self._order.duration_s - age_s
         promoted_ms = self._state.promote_at_ms
-        if is_complete(self._table, daemons, promoted_ms, remaining_s, now):
+        if not is_complete(self._table, daemons, promoted_ms, remaining_s, now):
+            return
+        if self._verdict.evidence >= SUSPICION:
+            self._change(RolloutPhase.ROLLED_BACK, f"suspicious: {self._verdict.reason}")
+        else:
             self._change(RolloutPhase.COMPLETED, "good", share=1.0)
 
     def _build_budget(self, age_s: float, remaining_s: float) -> ExposureBudget:
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evidence.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evidence.py
@@ -13,7 +13,7 @@
     find_quantile,
     upper_bound_s,
 )
-from fulmarstile_services.rollouts.series import Counts, RouteSeries
+from fulmarstile_services.rollouts.series import SMALL_BASELINE, Counts, RouteSeries
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -33,14 +33,13 @@
 """Longest time over which the requests of one report are spread, in seconds."""
 _SLOW_RATIO: Final = 3.0
 """A response is slow if it takes longer than this multiple of the baseline's median."""
-_SMALL_SLOW_RATIO: Final = 4.5
-"""The same with a baseline of fewer than `_SMALL_BASELINE` upstreams.
+_SMALL_SLOW_RATIO: Final = 3.6
+"""The same with a baseline of fewer than `SMALL_BASELINE` upstreams.
 
 Upstreams of one version differ in speed by a factor of 3, and the median of so few may happen to
 be that of fast ones.
 """
-_SMALL_BASELINE: Final = 6
-_LIMIT_INTERVAL_S: Final = 1.0
+_LIMIT_INTERVAL_S: Final = 0.75
 """Interval at which the limits of slow responses are computed, in seconds."""
 
 
@@ -72,6 +71,7 @@
         self._reports: dict[tuple[UpstreamKey, str], tuple[int, int, list[int]]] = {}
         self._slow_buckets: dict[str, int] = {}
         self._limits_at = -math.inf
+        self._last_bin = 0
         self.target: dict[str, RouteSeries] = {}
         self.baseline: dict[str, RouteSeries] = {}
         self.cold_daemons: Collection[str] = frozenset()
@@ -111,7 +111,7 @@
             self._by_daemon[evidence.daemon] = latest
 
     def update_limits(self, now: float) -> None:
-        """Computes from which service time on responses are slow, once a second.
+        """Computes from which service time on responses are slow, if it is time to.
 
         Args:
             now: Current time, in seconds.
@@ -122,10 +122,13 @@
         for route, series in self.baseline.items():
             median = series.find_median_bucket() if route != ALL_ROUTES else None
             if median is not None:
-                is_small = len(series.upstreams) < _SMALL_BASELINE
+                is_small = len(series.upstreams) < SMALL_BASELINE
                 ratio = _SMALL_SLOW_RATIO if is_small else _SLOW_RATIO
                 offset = math.ceil(math.log2(ratio) * BUCKETS_PER_OCTAVE)
+                is_first = route not in self._slow_buckets
                 self._slow_buckets[route] = median + offset
+                if is_first:
+                    self._judge_earlier(route, median + offset)
 
     def count_requests(self, *, is_target: bool | None = None) -> int:
         """Returns the requests that upstreams have received since the order.
@@ -171,9 +174,20 @@
                     times = [a + b for a, b in zip(times, upstream.service_times, strict=True)]
         return upper_bound_s(find_quantile(times, quantile)) if any(times) else 0.0
 
+    def _judge_earlier(self, route: str, slow_from: int) -> None:
+        for group in (self.target, self.baseline):
+            if route not in group:
+                continue
+            for key, upstream in group[route].upstreams.items():
+                times = upstream.service_times
+                counts = Counts(judged=sum(times), slow=sum(times[slow_from + 1 :]))
+                for name in (route, ALL_ROUTES):
+                    group[name].add(key, counts, [self._last_bin])
+
     def _merge_routes(self, key: UpstreamKey, evidence: UpstreamEvidence, latest: _Latest) -> None:
         group = self.target if latest.is_target else self.baseline
         bins = self._list_bins(latest.age_ms / 1000, evidence.age_ms / 1000)
+        self._last_bin = max(self._last_bin, bins[-1])
         is_cold = evidence.daemon in self.cold_daemons
         for route in evidence.routes:
             counts = self._merge_route(key, route, group, is_cold)
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/promotion.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/promotion.py
@@ -22,6 +22,8 @@
 """
 _REPORT_S: Final = 0.35
 """Time from the end of the baseline's last request until all reports of it, in seconds."""
+_FINISH_QUANTILE: Final = 0.999
+"""Quantile of the service times that the hand-over leaves to the baseline's last requests."""
 _MAX_HANDOVER_S: Final = 1.5
 _MAX_HANDOVER_RATIO: Final = 0.25
 """Longest hand-over as a fraction of the roll-out."""
@@ -35,8 +37,8 @@
 """Responses of the target version that are sufficient evidence."""
 _MIN_TARGET_RATIO: Final = 0.1
 """The same as a fraction of all requests, for a service with hardly any."""
-_SUSPICION: Final = 5.0
-"""Log likelihood ratio of a bad version above which none is promoted."""
+SUSPICION: Final = 7.5
+"""Log likelihood ratio of a bad version above which none is promoted or completed."""
 _UNFINISHED_LIMIT_S: Final = 2.0
 """Time after the deadline at which a promoted version is completed in any case, in seconds."""
 
@@ -48,7 +50,7 @@
         table: The evidence, for the service times of the baseline.
         duration_s: Time from the order to its deadline, in seconds.
     """
-    wanted_s = RECORDING_S + _REPORT_S + table.read_baseline_quantile_s(0.99)
+    wanted_s = RECORDING_S + _REPORT_S + table.read_baseline_quantile_s(_FINISH_QUANTILE)
     return min(wanted_s, _MAX_HANDOVER_S, _MAX_HANDOVER_RATIO * duration_s)
 
 
@@ -80,7 +82,7 @@
     for upstreams in (target, baseline):
         if read_coverage([upstream.daemon for upstream in upstreams], reporting) < MIN_COVERAGE:
             return "no-evidence"
-    if verdict.evidence >= _SUSPICION:
+    if verdict.evidence >= SUSPICION:
         return f"suspicious: {verdict.reason}"
     if not _is_sufficient(table, len(target)):
         return "thin-evidence"
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/sequential_test.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/sequential_test.py
@@ -13,24 +13,29 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from fulmarstile_services.rollouts.series import SMALL_BASELINE
+
 if TYPE_CHECKING:
     from fulmarstile_services.rollouts.series import (
         Counts,
         RouteSeries,
         UpstreamCounts,
-        UpstreamKey,
     )
 
-BAD_EVIDENCE: Final = 10.0
+BAD_EVIDENCE: Final = 10.5
 """Log likelihood ratio that proves a version bad.
 
 It is ln(1000) for one false alarm in 1,000 roll-outs, and the rest for the tests of several
 routes and of starts in several time bins.
 """
-_WINDOW_BINS: Final = 2
+_WINDOW_BINS: Final = 3
 """Bins before and after a bin whose baseline responses count as simultaneous."""
 _PRIOR_WEIGHT: Final = 4.0
 """Requests that the baseline's overall rate counts for within a window."""
+_OTHER_TRIALS: Final = 1.0
+"""Requests added to those of the other upstreams, lest a single one of them proves a rate."""
+_DEVIATIONS: Final = 1.5
+"""Standard deviations by which the true rate of a window may exceed the measured one."""
 _MIN_JUDGED: Final = 8.0
 """Requests of a baseline upstream from which its own rate of bad responses is used."""
 
@@ -46,14 +51,16 @@
     """Name of the count of responses that were looked at."""
     min_rate: float
     """Fraction of bad responses that is never held against a version."""
+    min_rate_of_few: float
+    """The same if the baseline has only a few upstreams."""
     bad_rates: tuple[float, ...]
     """Fractions of bad responses that bad versions are expected to have."""
     compares_upstreams: bool = False
     """Whether good upstreams differ in this, so that the second worst one is the measure."""
 
 
-FAILED: Final = BadKind("failures", "failed", "completed", 0.01, (0.15, 0.4, 0.9))
-SLOW: Final = BadKind("slow responses", "slow", "judged", 0.1, (0.35, 0.6, 0.95), True)
+FAILED: Final = BadKind("failures", "failed", "completed", 0.02, 0.02, (0.15, 0.4, 0.9))
+SLOW: Final = BadKind("slow responses", "slow", "judged", 0.1, 0.2, (0.35, 0.6, 0.9), True)
 KINDS: Final = (FAILED, SLOW)
 
 
@@ -65,6 +72,9 @@
     window: dict[int, Counts]
     kind: BadKind
     worst: UpstreamCounts | None
+    kept: float
+    """Fraction of the bad responses of the worst upstream that counts."""
+    min_rate: float
 
     def find(self, number: int) -> float:
         """Returns the greatest rate expected in a bin."""
@@ -77,43 +87,60 @@
             bad += getattr(counts, self.kind.field)
             trials += getattr(counts, self.kind.trials_field)
             if near in excluded:
-                bad -= getattr(excluded[near], self.kind.field)
+                bad -= getattr(excluded[near], self.kind.field) * (1.0 - self.kept)
         local = max(0.0, bad) / trials
-        local += math.sqrt(local * (1.0 - min(1.0, local)) / trials)
-        return min(0.9, max(self.kind.min_rate, self.overall, local))
+        local += _DEVIATIONS * math.sqrt(local * (1.0 - min(1.0, local)) / trials)
+        return min(0.9, max(self.min_rate, self.overall, local))
 
 
-def measure_evidence(target: RouteSeries, baseline: RouteSeries | None, kind: BadKind) -> float:
+def measure_evidence(
+    target: RouteSeries, baseline: RouteSeries | None, service: RouteSeries | None, kind: BadKind
+) -> float:
     """Returns the evidence that a version is bad, as a log likelihood ratio of at least 0.
 
-    The upstream with the most bad responses is left out on both sides: one that differs from the
-    others of its version is unhealthy, and says nothing about the version.
+    On both sides, the upstream with the most bad responses counts with no more of them than the
+    others of its version had on average: one that differs from them is unhealthy, and says nothing
+    about the version.
 
     Args:
         target: Responses of the target version.
         baseline: Responses of the other versions; None if there are none.
+        service: Responses of the other versions on all routes, which show a burst that a rarely
+            used route alone does not.
         kind: What counts as bad.
     """
-    total = getattr(target.total, kind.field)
-    worst = _find_worst(target, kind)
-    if worst is None or getattr(target.upstreams[worst].total, kind.field) >= total:
+    worst, kept = _cap_worst(target, kind)
+    if worst is None or kept <= 0.0:
         return 0.0
-    excluded = target.upstreams[worst]
-    all_trials = getattr(target.total, kind.trials_field)
-    kept = 1.0 - getattr(excluded.total, kind.trials_field) / all_trials
     rates = _find_rates(baseline, kind)
+    service_rates = _find_rates(service, kind)
     sums = [0.0] * len(kind.bad_rates)
     for number in sorted(target.bins):
         counts = target.bins[number]
         bad = getattr(counts, kind.field)
-        if number in excluded.bad_bins:
-            bad -= getattr(excluded.bad_bins[number], kind.field)
-        trials = max(bad, getattr(counts, kind.trials_field) * kept)
+        if number in worst.bad_bins:
+            bad -= getattr(worst.bad_bins[number], kind.field) * (1.0 - kept)
+        trials = getattr(counts, kind.trials_field)
         if trials > 0.0:
-            _add_bin(sums, bad, trials, rates.find(number), kind)
+            rate = max(rates.find(number), service_rates.find(number))
+            _add_bin(sums, max(0.0, bad), trials, rate, kind)
     return max(sums)
 
 
+def _cap_worst(series: RouteSeries, kind: BadKind) -> tuple[UpstreamCounts | None, float]:
+    """Returns the worst upstream, and the fraction of its bad responses that counts."""
+    if len(series.upstreams) < 2:
+        return None, 0.0
+    key = max(series.upstreams, key=lambda key: getattr(series.upstreams[key].total, kind.field))
+    worst = series.upstreams[key]
+    bad = getattr(worst.total, kind.field)
+    trials = getattr(worst.total, kind.trials_field)
+    other_bad = getattr(series.total, kind.field) - bad
+    other_trials = getattr(series.total, kind.trials_field) - trials
+    expected = trials * other_bad / (other_trials + _OTHER_TRIALS)
+    return worst, min(1.0, expected / bad) if bad > 0.0 else 1.0
+
+
 def _add_bin(sums: list[float], bad: float, trials: float, rate: float, kind: BadKind) -> None:
     for index, bad_rate in enumerate(kind.bad_rates):
         # The odds are at least three times those of a good version.
@@ -123,24 +150,21 @@
         sums[index] = max(0.0, sums[index] + ratio)
 
 
-def _find_worst(series: RouteSeries, kind: BadKind) -> UpstreamKey | None:
-    if not series.upstreams:
-        return None
-    return max(series.upstreams, key=lambda key: getattr(series.upstreams[key].total, kind.field))
-
-
 def _find_rates(baseline: RouteSeries | None, kind: BadKind) -> _Rates:
     if baseline is None:
-        return _Rates(0.0, {}, kind, None)
-    key = _find_worst(baseline, kind)
-    worst = baseline.upstreams[key] if key is not None and len(baseline.upstreams) > 1 else None
+        return _Rates(0.0, {}, kind, None, 0.0, kind.min_rate_of_few)
+    worst, kept = _cap_worst(baseline, kind)
+    trials = max(1.0, getattr(baseline.total, kind.trials_field))
     bad = getattr(baseline.total, kind.field)
     if worst is not None:
-        bad -= getattr(worst.total, kind.field)
-    overall = bad / max(1.0, getattr(baseline.total, kind.trials_field))
+        bad -= getattr(worst.total, kind.field) * (1.0 - kept)
+    overall = min(1.0, bad / trials)
+    overall += math.sqrt(overall * (1.0 - overall) / trials)
     if kind.compares_upstreams:
         overall = max(overall, _find_second_worst_rate(baseline, kind))
-    return _Rates(overall, baseline.bins, kind, worst)
+    is_small = len(baseline.upstreams) < SMALL_BASELINE
+    min_rate = kind.min_rate_of_few if is_small else kind.min_rate
+    return _Rates(overall, baseline.bins, kind, worst, kept, min_rate)
 
 
 def _find_second_worst_rate(baseline: RouteSeries, kind: BadKind) -> float:
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/series.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/series.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from fulmarstile_services.rollouts.histogram import BUCKET_COUNT, find_quantile
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+SMALL_BASELINE: Final = 6
+"""Number of upstreams below which their speeds may happen to be much alike."""
+_MIN_MEDIAN_REQUESTS: Final = 10
+"""Requests of a route from which its median is known."""
+
 UpstreamKey = tuple[str, int, str, int]
 """Daemon, its incarnation, the upstream and the upstream's start."""
 
@@ -94,7 +99,3 @@
         overall = find_quantile([sum(column) for column in zip(*times, strict=True)], 0.5)
         medians = sorted(find_quantile(counts, 0.5) for counts in times if any(counts))
         return max(overall, medians[len(medians) // 2]) if medians else None
-
-
-_MIN_MEDIAN_REQUESTS = 20
-"""Requests of a route from which its median is known."""
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/verdict.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/verdict.py
@@ -37,9 +37,11 @@
         The verdict with the most evidence against the version.
     """
     worst = Verdict()
+    service = table.baseline.get(ALL_ROUTES)
     for route, target in table.target.items():
         for kind in KINDS:
-            evidence = measure_evidence(target, table.baseline.get(route), kind)
+            baseline = table.baseline.get(route)
+            evidence = measure_evidence(target, baseline, service, kind)
             if evidence > worst.evidence:
                 where = "all routes" if route == ALL_ROUTES else f"route {route}"
                 worst = Verdict(evidence, f"{kind.name} on {where}")
