--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/exposure.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/exposure.py
@@ -26,7 +26,7 @@
 """Fraction of the average rate since the order that the present rate is taken for at least."""
 _EARLY_RATIO: Final = 0.4
 """Fraction of the canary phase's requests that may be used at its start."""
-_DEVIATIONS: Final = 2.0
+_DEVIATIONS: Final = 1.0
 """Standard deviations by which the requests of the hand-over may exceed the expected number."""
 MIN_HANDOVER_S: Final = 0.05
 """Shortest hand-over, in seconds."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_rollout.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_rollout.py
@@ -70,7 +70,7 @@
     rate_factor: float = 1.0
     """Factor by which the rate changes."""
     rate_changes_at_s: float = 1.0
-    service_s: float = 0.03
+    service_s: float = 0.01
     """Typical service time of the fastest upstream, in seconds."""
     evaluators: int = 1
     split_evidence: bool = False
