--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
@@ -124,10 +124,15 @@
         """Refuses queued and later requests of this incarnation."""
         self._apply(self._admission.begin_draining(trio.current_time()))
 
-    def refuse_queued(self) -> None:
-        """Refuses the requests that wait now; later ones may wait again."""
+    def refuse_queued(self, reason: RefusalReason) -> None:
+        """Refuses the requests that wait now; later ones may wait again.
+
+        Args:
+            reason: Why they are refused.
+        """
+        refusal = CallRefusal(reason, Verdict.NOT_RUN, 503, "a roll-out has ended", 0.0)
         for ticket_id in list(self._waiters):
-            self._withdraw(ticket_id)
+            self._withdraw(ticket_id, refusal)
 
     def close(self) -> None:
         """Refuses queued and later requests of every incarnation."""
@@ -200,11 +205,11 @@
         """
         self._apply(self._admission.on_finished(ticket_id, trio.current_time()))
 
-    def _withdraw(self, ticket_id: int) -> None:
+    def _withdraw(self, ticket_id: int, refusal: CallRefusal = _WITHDRAWN) -> None:
         waiter = self._waiters[ticket_id]
         if waiter.admitted or waiter.refusal is not None:
             return
-        waiter.refusal = _WITHDRAWN
+        waiter.refusal = refusal
         self._apply(self._admission.on_cancelled(ticket_id, trio.current_time()))
         if waiter.event is not None:
             waiter.event.set()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -193,9 +193,9 @@
         """Applies what the upstream has said about itself."""
         self._slots.set_rate_limit(self.rate_limit)
 
-    def refuse_queued(self) -> None:
-        """Refuses the requests that wait for a slot, because its version lost a roll-out."""
-        self._slots.refuse_queued()
+    def refuse_queued(self, reason: RefusalReason) -> None:
+        """Refuses the requests that wait for a slot, because of a roll-out."""
+        self._slots.refuse_queued(reason)
 
     def stop(self) -> None:
         """Refuses queued and later requests, because the daemon shuts down."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/rollouts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/rollouts.py
@@ -140,8 +140,10 @@
             seen = self._seen[service] = SeenVersions(self._directory.local_member.incarnation)
         orders_known = self._documents.was_read
         held = seen.observe(members, now, orders_known=orders_known)
+        rollout = self._known.get(service)
         for version in held:
-            self.log.write_held(service, version)
+            if rollout is None or not rollout.names(version):
+                self.log.write_held(service, version)
         return seen.next_release(now, orders_known=orders_known)
 
     def find_refusal(self, announcement: UpstreamAnnouncement) -> RefusalReason | None:
@@ -280,8 +282,9 @@
             self._end_rules(rollout, rollout.state.phase)
             self._stop_counting(rollout)
             announcement = self._upstream.announcement
-            if announcement is not None and self.find_refusal(announcement) is not None:
-                self._upstream.refuse_queued()
+            refusal = self.find_refusal(announcement) if announcement else None
+            if refusal is not None:
+                self._upstream.refuse_queued(refusal)
 
     def on_report(self, report: RolloutReport) -> RolloutReply:
         """Handles the report of another daemon.
