--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evaluator.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evaluator.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -173,13 +173,13 @@
 
     def _advance_canary(self, pool: ServicePool, age_s: float, now: float) -> None:
         remaining_s = self._order.duration_s - age_s
-        budget = self._build_budget(age_s, remaining_s)
+        reporting = self._table.list_reporting(now - REPORTING_S)
+        budget = self._build_budget(pool, reporting, age_s)
         promote_at_ms = self._state.promote_at_ms
         if promote_at_ms and age_s * 1000 >= promote_at_ms:
             self._change(RolloutPhase.PROMOTED, "good", share=1.0)
             return
         wanted_s = choose_handover_s(self._table, self._order.duration_s)
-        reporting = self._table.list_reporting(now - REPORTING_S)
         if not promote_at_ms:
             canary_requests = budget.count_canary_requests(1.0, wanted_s)
             handover_s = budget.limit_handover_s(wanted_s, canary_requests)
@@ -229,22 +229,38 @@
         return self._planner.plan(target, planned, allowance, budget.rate, end_s - age_s, age_s)
 
     def _advance_promoted(self, pool: ServicePool, age_s: float, now: float) -> None:
-        baseline = pool.list_baseline(self._order.target_version)
-        daemons = [upstream.daemon for upstream in baseline]
-        remaining_s = self._order.duration_s - age_s
-        promoted_ms = self._state.promote_at_ms
-        if not is_complete(self._table, daemons, promoted_ms, remaining_s, now):
+        reporting = self._table.list_reporting(now - REPORTING_S)
+        names = [upstream.daemon for upstream in pool.list_baseline(self._order.target_version)]
+        promoted_s = self._state.promote_at_ms / 1000
+        duration_s = self._order.duration_s
+        heard = [name for name in names if name in reporting]
+        if age_s < duration_s and read_coverage(names, reporting) < MIN_COVERAGE:
+            return
+        if not is_complete(self._table, heard, promoted_s, age_s, duration_s):
             return
         if self._verdict.evidence >= SUSPICION:
             self._change(RolloutPhase.ROLLED_BACK, f"suspicious: {self._verdict.reason}")
         else:
             self._change(RolloutPhase.COMPLETED, "good", share=1.0)
 
-    def _build_budget(self, age_s: float, remaining_s: float) -> ExposureBudget:
+    def _build_budget(self, pool: ServicePool, reporting: set[str], age_s: float) -> ExposureBudget:
         requests = self._table.count_requests()
         self._rate.observe(age_s, requests)
-        exposed = self._table.count_requests(is_target=True)
-        return ExposureBudget(self._bounds, requests, exposed, self._rate.read(), remaining_s)
+        version = self._order.target_version
+        # An evaluator that hears only some daemons may use only their part of the slack, because
+        # another evaluator may use the rest.
+        coverage = min(
+            read_coverage([upstream.daemon for upstream in upstreams], reporting)
+            for upstreams in (pool.list_target(version), pool.list_baseline(version))
+        )
+        bounds = self._bounds
+        return ExposureBudget(
+            replace(bounds, exposure_slack=bounds.exposure_slack * coverage),
+            requests,
+            self._table.count_requests(is_target=True),
+            self._rate.read(),
+            self._order.duration_s - age_s,
+        )
 
     def _count_unreported(self, age_s: float) -> float:
         while self._shares and self._shares[0][0] < age_s - _UNREPORTED_S:
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evidence.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evidence.py
@@ -14,12 +14,13 @@
     upper_bound_s,
 )
 from fulmarstile_services.rollouts.series import SMALL_BASELINE, Counts, RouteSeries
+from fulmarstile_wire.rollouts import RouteEvidence
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
     from fulmarstile_services.rollouts.series import UpstreamKey
-    from fulmarstile_wire.rollouts import RouteEvidence, UpstreamEvidence
+    from fulmarstile_wire.rollouts import UpstreamEvidence
 
 __all__ = ["ALL_ROUTES", "EvidenceCounter", "EvidenceTable"]
 
@@ -68,9 +69,10 @@
         self._bin_s = max(_MIN_BIN_S, duration_s / _MAX_BINS)
         self._latest: dict[UpstreamKey, _Latest] = {}
         self._by_daemon: dict[str, _Latest] = {}
-        self._reports: dict[tuple[UpstreamKey, str], tuple[int, int, list[int]]] = {}
+        self._reports: dict[tuple[UpstreamKey, str], RouteEvidence] = {}
         self._slow_buckets: dict[str, int] = {}
         self._limits_at = -math.inf
+        self._baseline_times = [0] * BUCKET_COUNT
         self._last_bin = 0
         self.target: dict[str, RouteSeries] = {}
         self.baseline: dict[str, RouteSeries] = {}
@@ -119,8 +121,12 @@
         if now - self._limits_at < _LIMIT_INTERVAL_S:
             return
         self._limits_at = now
+        self._baseline_times = [0] * BUCKET_COUNT
         for route, series in self.baseline.items():
-            median = series.find_median_bucket() if route != ALL_ROUTES else None
+            times = series.sum_service_times()
+            for bucket, count in enumerate(times):
+                self._baseline_times[bucket] += count
+            median = series.find_median_bucket(times)
             if median is not None:
                 is_small = len(series.upstreams) < SMALL_BASELINE
                 ratio = _SMALL_SLOW_RATIO if is_small else _SLOW_RATIO
@@ -146,19 +152,30 @@
         """Returns the daemons that have reported since a time, in seconds."""
         return {name for name, latest in self._by_daemon.items() if latest.seen_at >= since}
 
-    def list_unfinished(self, since_ms: int, silent_since: float) -> list[str]:
-        """Returns the daemons beside baseline upstreams that may still run requests.
+    def list_unfinished(self, daemons: Collection[str], since_s: float) -> list[str]:
+        """Returns the daemons that have not reported yet that no request is left.
 
         Args:
-            since_ms: Age of the order from which on a report of no requests counts.
-            silent_since: Daemons that have not reported since this time are left out.
+            daemons: Names of the daemons.
+            since_s: Age of the order from which on such a report counts, in seconds.
+        """
+        found = []
+        for daemon in daemons:
+            latest = self._by_daemon.get(daemon)
+            if latest is None or latest.unfinished or latest.age_ms < since_s * 1000:
+                found.append(daemon)
+        return found
+
+    def list_running(self, since_s: float) -> list[str]:
+        """Returns the daemons beside the baseline that have reported requests recently.
+
+        Args:
+            since_s: Age of the order from which on such a report counts, in seconds.
         """
         return [
             daemon
             for daemon, latest in self._by_daemon.items()
-            if not latest.is_target
-            and latest.seen_at >= silent_since
-            and (latest.unfinished or latest.age_ms < since_ms)
+            if not latest.is_target and latest.unfinished and latest.age_ms >= since_s * 1000
         ]
 
     def read_baseline_quantile_s(self, quantile: float) -> float:
@@ -167,11 +184,7 @@
         Args:
             quantile: Quantile, from 0 to 1.
         """
-        times = [0] * BUCKET_COUNT
-        for route, series in self.baseline.items():
-            if route != ALL_ROUTES:
-                for upstream in series.upstreams.values():
-                    times = [a + b for a, b in zip(times, upstream.service_times, strict=True)]
+        times = self._baseline_times
         return upper_bound_s(find_quantile(times, quantile)) if any(times) else 0.0
 
     def _judge_earlier(self, route: str, slow_from: int) -> None:
@@ -179,8 +192,11 @@
             if route not in group:
                 continue
             for key, upstream in group[route].upstreams.items():
-                times = upstream.service_times
-                counts = Counts(judged=sum(times), slow=sum(times[slow_from + 1 :]))
+                times, cold = upstream.service_times, upstream.cold_service_times
+                if not times:
+                    continue
+                slow = sum(times[slow_from + 1 :]) - sum(cold[slow_from + 1 :])
+                counts = Counts(judged=sum(times) - sum(cold), slow=slow)
                 for name in (route, ALL_ROUTES):
                     group[name].add(key, counts, [self._last_bin])
 
@@ -204,24 +220,24 @@
         group: dict[str, RouteSeries],
         is_cold: bool,
     ) -> Counts | None:
-        completed, failed, times = self._reports.get((key, route.route), (0, 0, [0] * BUCKET_COUNT))
-        counts = Counts(max(0, route.completed - completed), max(0, route.failed - failed))
-        if not counts.completed and not counts.failed:
+        known = self._reports.get((key, route.route)) or RouteEvidence(route.route, 0, 0, ())
+        if route == known:
             return None
-        merged = times.copy()
-        for bucket, count in enumerate(route.service_times[:BUCKET_COUNT]):
-            merged[bucket] = max(count, merged[bucket])
+        # Reports older than the last one were dropped, so that a count is lower only by mistake.
+        counts = Counts(
+            max(0, route.completed - known.completed), max(0, route.failed - known.failed)
+        )
         slow_from = self._slow_buckets.get(route.route)
         if slow_from is not None and not is_cold:
-            counts.judged = sum(merged) - sum(times)
-            counts.slow = sum(merged[slow_from + 1 :]) - sum(times[slow_from + 1 :])
-        self._reports[key, route.route] = (
-            max(completed, route.completed),
-            max(failed, route.failed),
-            merged,
-        )
-        if not is_cold:
-            group.setdefault(route.route, RouteSeries()).find(key).service_times = merged
+            counts.judged = counts.completed
+            slow = sum(route.service_times[slow_from + 1 :])
+            counts.slow = max(0, slow - sum(known.service_times[slow_from + 1 :]))
+        self._reports[key, route.route] = route
+        upstream = group.setdefault(route.route, RouteSeries()).find(key)
+        if is_cold:
+            upstream.cold_service_times = route.service_times[:BUCKET_COUNT]
+        else:
+            upstream.service_times = route.service_times[:BUCKET_COUNT]
         return counts
 
     def _list_bins(self, start_s: float, end_s: float) -> range:
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/promotion.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/promotion.py
@@ -29,7 +29,7 @@
 """Longest hand-over as a fraction of the roll-out."""
 REPORTING_S: Final = 1.0
 """Time after its last report for which a daemon counts as reporting, in seconds."""
-MIN_COVERAGE: Final = 0.6
+MIN_COVERAGE: Final = 0.4
 """Fraction of the upstreams whose daemons must report."""
 _MIN_SLOT_RATIO: Final = 0.7
 """Slots of the target version, as a fraction of the baseline's, that can take all traffic."""
@@ -37,8 +37,16 @@
 """Responses of the target version that are sufficient evidence."""
 _MIN_TARGET_RATIO: Final = 0.1
 """The same as a fraction of all requests, for a service with hardly any."""
-SUSPICION: Final = 7.5
+SUSPICION: Final = 6.5
 """Log likelihood ratio of a bad version above which none is promoted or completed."""
+_UNCONFIRMED_S: Final = 0.25
+"""Time before the deadline from which reports that are missing are no longer waited for.
+
+It leaves the store 0.25 s. By then the baseline's last requests have had the time that all but one
+in 1,000 take; a request that a recent report says is running is still waited for.
+"""
+_RECENT_REPORT_S: Final = 0.5
+"""Age up to which a report is recent, in seconds: two intervals between reports."""
 _UNFINISHED_LIMIT_S: Final = 2.0
 """Time after the deadline at which a promoted version is completed in any case, in seconds."""
 
@@ -99,22 +107,26 @@
 
 
 def is_complete(
-    table: EvidenceTable, baseline: list[str], promoted_ms: int, remaining_s: float, now: float
+    table: EvidenceTable, baseline: list[str], promoted_s: float, age_s: float, duration_s: float
 ) -> bool:
     """Returns whether the baseline has finished, so that its upstreams may be stopped.
 
     Args:
         table: The evidence.
-        baseline: Daemons beside serving upstreams of the other versions.
-        promoted_ms: Age of the order at the promotion, in milliseconds.
-        remaining_s: Time until the deadline, in seconds.
-        now: Current time, in seconds.
+        baseline: Daemons beside reachable upstreams of the other versions that report.
+        promoted_s: Age of the order at the promotion, in seconds.
+        age_s: Age of the order, in seconds.
+        duration_s: Time from the order to its deadline, in seconds.
     """
+    remaining_s = duration_s - age_s
     if remaining_s > RECORDING_S:
         return False
     if remaining_s < -_UNFINISHED_LIMIT_S:
         return True
-    reporting = table.list_reporting(now - REPORTING_S)
-    if read_coverage(baseline, reporting) < MIN_COVERAGE:
+    recent_s = age_s - _RECENT_REPORT_S
+    finish_s = promoted_s + table.read_baseline_quantile_s(_FINISH_QUANTILE)
+    if table.list_running(max(recent_s, promoted_s)):
         return False
-    return not table.list_unfinished(promoted_ms, now - REPORTING_S)
+    if remaining_s <= _UNCONFIRMED_S and age_s >= finish_s:
+        return True
+    return not table.list_unfinished(baseline, promoted_s)
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/series.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/series.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from itertools import zip_longest
 from typing import TYPE_CHECKING, Final
 
-from fulmarstile_services.rollouts.histogram import BUCKET_COUNT, find_quantile
+from fulmarstile_services.rollouts.histogram import find_quantile
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
 SMALL_BASELINE: Final = 6
 """Number of upstreams below which their speeds may happen to be much alike."""
@@ -50,7 +51,10 @@
     total: Counts = field(default_factory=Counts)
     bad_bins: dict[int, Counts] = field(default_factory=dict)
     """Counts of the bins in which it had bad responses."""
-    service_times: list[int] = field(default_factory=lambda: [0] * BUCKET_COUNT)
+    service_times: tuple[int, ...] = ()
+    """Histogram since the order; empty while it is cold."""
+    cold_service_times: tuple[int, ...] = ()
+    """The part of it from the time when the upstream was cold."""
 
 
 class RouteSeries:
@@ -87,15 +91,25 @@
             upstream = self.upstreams[key] = UpstreamCounts()
         return upstream
 
-    def find_median_bucket(self) -> int | None:
+    def sum_service_times(self) -> list[int]:
+        """Returns the histogram of all upstreams together."""
+        times = [upstream.service_times for upstream in self.upstreams.values()]
+        return [sum(column) for column in zip_longest(*times, fillvalue=0)]
+
+    def find_median_bucket(self, service_times: Sequence[int]) -> int | None:
         """Returns the bucket of the typical service time; None if there are too few requests.
 
         It is the larger one of the median of all responses and the median of the upstreams'
         medians, because a balancer that prefers fast upstreams lowers the former.
+
+        Args:
+            service_times: The histogram of all upstreams together.
         """
-        if self.total.completed < _MIN_MEDIAN_REQUESTS:
+        if sum(service_times) < _MIN_MEDIAN_REQUESTS:
             return None
-        times = [upstream.service_times for upstream in self.upstreams.values()]
-        overall = find_quantile([sum(column) for column in zip(*times, strict=True)], 0.5)
-        medians = sorted(find_quantile(counts, 0.5) for counts in times if any(counts))
-        return max(overall, medians[len(medians) // 2]) if medians else None
+        medians = sorted(
+            find_quantile(upstream.service_times, 0.5)
+            for upstream in self.upstreams.values()
+            if upstream.service_times
+        )
+        return max(find_quantile(service_times, 0.5), medians[len(medians) // 2])
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/verdict.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/verdict.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from fulmarstile_services.rollouts.baseline_rates import KINDS, find_rates
 from fulmarstile_services.rollouts.evidence import ALL_ROUTES
-from fulmarstile_services.rollouts.sequential_test import BAD_EVIDENCE, KINDS, measure_evidence
+from fulmarstile_services.rollouts.sequential_test import BAD_EVIDENCE, measure_evidence
 
 if TYPE_CHECKING:
     from fulmarstile_services.rollouts.evidence import EvidenceTable
@@ -37,11 +38,11 @@
         The verdict with the most evidence against the version.
     """
     worst = Verdict()
-    service = table.baseline.get(ALL_ROUTES)
+    service = {kind.name: find_rates(table.baseline.get(ALL_ROUTES), kind) for kind in KINDS}
     for route, target in table.target.items():
         for kind in KINDS:
-            baseline = table.baseline.get(route)
-            evidence = measure_evidence(target, baseline, service, kind)
+            baseline = find_rates(table.baseline.get(route), kind)
+            evidence = measure_evidence(target, baseline, service[kind.name], kind)
             if evidence > worst.evidence:
                 where = "all routes" if route == ALL_ROUTES else f"route {route}"
                 worst = Verdict(evidence, f"{kind.name} on {where}")
