--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_part.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_part.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import asdict
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 import trio
 
@@ -13,7 +14,7 @@
 from fulmarstile_daemon.services._version_choice import VersionChoice
 from fulmarstile_daemon.services.rollouts import Rollouts
 from fulmarstile_daemon.services.state import RolloutView
-from fulmarstile_wire.rollouts import RolloutReport
+from fulmarstile_wire.rollouts import RolloutReply, RolloutReport
 
 if TYPE_CHECKING:
     import random
@@ -30,6 +31,8 @@
     from fulmarstile_services.directory import Directory
     from fulmarstile_services.settings import NodeSettings
 
+_LOGGER: Final = logging.getLogger(__name__)
+
 
 class RolloutPart:
     """Follows and evaluates roll-outs; does nothing if the deployment has no bounds for them.
@@ -75,7 +78,7 @@
     @property
     def handlers(self) -> dict[type[Any], Callable[[Any], Any]]:
         """Handlers of other daemons' requests, by the type of the request."""
-        return {} if self.rollouts.bounds is None else {RolloutReport: self.rollouts.on_report}
+        return {} if self.rollouts.bounds is None else {RolloutReport: self._handle_report}
 
     @property
     def running(self) -> int:
@@ -104,6 +107,14 @@
         now = self.rollouts.now()
         return tuple(self._describe(rollout, now) for rollout in self.rollouts.known)
 
+    def _handle_report(self, report: RolloutReport) -> RolloutReply:
+        try:
+            return self.rollouts.on_report(report)
+        except Exception:
+            # An error in one roll-out must not end the requests on the other daemon's connection.
+            _LOGGER.exception("handling a report about %s failed", report.service)
+            return RolloutReply()
+
     def _describe(self, rollout: KnownRollout, now: float) -> RolloutView:
         order, state, evaluator = rollout.order, rollout.state, rollout.evaluator
         rules = self.rollouts.rules(order.service)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -27,6 +28,8 @@
     from fulmarstile_wire.rollouts import RolloutState, UpstreamEvidence
     from fulmarstile_wire.services import Member
 
+_LOGGER: Final = logging.getLogger(__name__)
+
 _POLL_INTERVAL_S: Final = 0.25
 _HANDOVER_INTERVAL_S: Final = 0.1
 """Poll interval of the evaluators and of the service's daemons at the hand-over, in seconds."""
@@ -84,7 +87,12 @@
     async def _follow(self, rollout: KnownRollout) -> None:
         while self._rollouts.is_current(rollout) and not rollout.is_settled:
             started_at = trio.current_time()
-            takes_part = await self._poll_once(rollout)
+            takes_part = False
+            try:
+                takes_part = await self._poll_once(rollout)
+            except Exception:
+                # Without polls the lease ends, so this daemon falls back to the baseline.
+                _LOGGER.exception("following the roll-out of %s failed", rollout.order.service)
             interval_s = _POLL_INTERVAL_S
             if takes_part and _is_handing_over(rollout, self._rollouts.now()):
                 interval_s = _HANDOVER_INTERVAL_S
