Leave a roll-back for lack of reports to evaluators that have them, until after the deadline

An evaluator behind a partition sees too few reports and proposes a roll-back at the deadline; if it reached the store first, its record would stand against the completion of the others.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
@@ -35,6 +35,10 @@
 """Poll interval of the evaluators and of the service's daemons at the hand-over, in seconds."""
 _HANDOVER_S: Final = 1.0
 """Time around the deadline in which a promoted roll-out is polled at this interval, in seconds."""
+_NO_REPORTS_REASON: Final = "no-evidence"
+"""Reason of an evaluator's roll-back if too few daemons report to it."""
+_HESITATION_S: Final = 0.5
+"""Time after the deadline from which such a roll-back is recorded, in seconds."""
 _QUERY_TIMEOUT_S: Final = 0.3
 _DISTRUST_S: Final = 2.0
 """Time for which an evaluator that didn't reply is passed over, in seconds."""
@@ -173,13 +177,23 @@
             state = msgspec.structs.replace(rollout.state, age_ms=proposal.age_ms)
             self._rollouts.adopt(rollout, state)
         if rollout.proposal is not None:
-            self._recorder.record(rollout)
+            if not self._should_leave_to_others(rollout, proposal):
+                self._recorder.record(rollout)
         elif not rollout.is_final:
             evaluators = [member.name for member in self.list_evaluators(rollout)]
             local_name = self._directory.local_member.name
             rank = evaluators.index(local_name) if local_name in evaluators else len(evaluators)
             self._recorder.report_start(rollout, rank, is_new=is_new)
 
+    def _should_leave_to_others(self, rollout: KnownRollout, proposal: RolloutState) -> bool:
+        """Returns whether a roll-back for lack of reports should not be recorded yet.
+
+        Beyond a partition, other evaluators may have the reports, and the first record stands.
+        """
+        if proposal.reason != _NO_REPORTS_REASON:
+            return False
+        return rollout.age_s(self._rollouts.now()) < rollout.order.duration_s + _HESITATION_S
+
     def _is_alone(self) -> bool:
         """Returns whether no other daemon runs, as far as this one knows."""
         local_name = self._directory.local_member.name
