--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/baseline_rates.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/baseline_rates.py
@@ -19,7 +19,7 @@
 """Requests added to those of the other upstreams, lest a single one of them proves a rate."""
 _DEVIATIONS: Final = 1.5
 """Standard deviations by which a true rate of a window may exceed the measured one."""
-_OVERALL_DEVIATIONS: Final = 1.2
+_OVERALL_DEVIATIONS: Final = 1.0
 """The same for the rate since the order."""
 _MIN_OUTLIER_BAD: Final = 4.0
 """Bad responses from which a baseline upstream may count as unhealthy."""
@@ -47,7 +47,7 @@
 
 
 FAILED: Final = BadKind("failures", "failed", "completed", 0.01, 0.01, (0.15, 0.4, 0.9))
-SLOW: Final = BadKind("slow responses", "slow", "judged", 0.1, 0.2, (0.35, 0.6, 0.9), True)
+SLOW: Final = BadKind("slow responses", "slow", "judged", 0.1, 0.15, (0.35, 0.6, 0.9), True)
 KINDS: Final = (FAILED, SLOW)
 
 
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evidence.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evidence.py
@@ -34,7 +34,7 @@
 """Longest time over which the requests of one report are spread, in seconds."""
 _SLOW_RATIO: Final = 3.0
 """A response is slow if it takes longer than this multiple of the baseline's median."""
-_SMALL_SLOW_RATIO: Final = 3.6
+_SMALL_SLOW_RATIO: Final = 3.1
 """The same with a baseline of fewer than `SMALL_BASELINE` upstreams.
 
 Upstreams of one version differ in speed by a factor of 3, and the median of so few may happen to
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/exposure.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/exposure.py
@@ -12,7 +12,7 @@
 
 USABLE_RATIO: Final = 0.8
 """Fraction of the allowed exposure that is used; the rest covers reports that are under way."""
-_MAX_CANARY_RATIO: Final = 0.45
+_MAX_CANARY_RATIO: Final = 0.5
 """Fraction of the exposure allowed by the requests so far that the canary phase may use."""
 _MIN_CANARY_RATIO: Final = 0.15
 """Fraction that it may use even if the hand-over is shortened thereby."""
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/sequential_test.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/sequential_test.py
@@ -18,7 +18,7 @@
     from fulmarstile_services.rollouts.baseline_rates import BadKind, BaselineRates
     from fulmarstile_services.rollouts.series import RouteSeries
 
-BAD_EVIDENCE: Final = 10.0
+BAD_EVIDENCE: Final = 9.2
 """Log likelihood ratio that proves a version bad.
 
 It is ln(1000) for one false alarm in 1,000 roll-outs, and the rest for the tests of several
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_rollouts.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_rollouts.py
@@ -47,6 +47,11 @@
 GOOD_KINDS: Final[dict[str, dict[str, object]]] = {
     "good": {},
     "good, one fails": {"one_target": Badness(fail_ratio=0.8)},
+    "good, one fails, 1%": {
+        "one_target": Badness(fail_ratio=0.8),
+        "target": Badness(fail_ratio=0.01),
+        "baseline": Badness(fail_ratio=0.01),
+    },
     "good, one slow": {"one_target": Badness(slow_ratio=6.0)},
     "good, old one fails": {"one_baseline": Badness(fail_ratio=0.8)},
     "good, both fail 5%": {"target": _SHARED, "baseline": _SHARED},
@@ -55,7 +60,7 @@
     "good, rate halves": {"rate_factor": 0.5},
 }
 """Good versions in a bad environment, as changes of a play."""
-SIZES: Final = ("3:10", "7:60", "14:200", "70:600")
+SIZES: Final = ["3:10", "7:60", "14:200", "70:600"]
 """Upstreams of each version, and requests per second."""
 _OUT: Final = Path("out/bench_rollouts.json")
 
