--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/promotion.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/promotion.py
@@ -37,7 +37,7 @@
 """Responses of the target version that are sufficient evidence."""
 _MIN_TARGET_RATIO: Final = 0.1
 """The same as a fraction of all requests, for a service with hardly any."""
-SUSPICION: Final = 6.0
+SUSPICION: Final = 7.0
 """Log likelihood ratio of a bad version above which none is promoted or completed."""
 _UNCONFIRMED_S: Final = 0.25
 """Time before the deadline from which reports that are missing are no longer waited for.
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_rollouts.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_rollouts.py
@@ -164,8 +164,8 @@
     for turn in range(1, rounds + 1):
         now = turn / 4
         for number, counter in enumerate(counters):
-            counter.on_completed(f"route-{(turn + number) % routes}", 0.01 + number % 7 / 300)
-            if turn % 8 == 0 and number % 50 < 2:
+            counter.on_completed(f"route-{(turn + number // 2) % routes}", 0.01 + number % 7 / 300)
+            if (turn + number // 2) % 100 == 0:
                 counter.on_failed(f"route-{turn % routes}", 0.01)
         reports = [counter.export(now, 1, 0) for counter in counters]
         started_at = time.process_time()
