--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/promotion.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/promotion.py
@@ -33,7 +33,7 @@
 """Fraction of the upstreams whose daemons must report."""
 _MIN_SLOT_RATIO: Final = 0.7
 """Slots of the target version, as a fraction of the baseline's, that can take all traffic."""
-_MIN_TARGET_REQUESTS: Final = 20.0
+_MIN_TARGET_REQUESTS: Final = 10.0
 """Responses of the target version that are sufficient evidence."""
 _MIN_TARGET_RATIO: Final = 0.1
 """The same as a fraction of all requests, for a service with hardly any."""
