--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/baseline_rates.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/baseline_rates.py
@@ -22,7 +22,9 @@
 _OVERALL_DEVIATIONS: Final = 1.0
 """The same for the rate since the order."""
 _MIN_OUTLIER_BAD: Final = 4.0
-"""Bad responses from which a baseline upstream may count as unhealthy."""
+"""Bad responses from which an upstream may count as unhealthy."""
+_OUTLIER_RATIO: Final = 5.0
+"""Multiple of the others' rate of bad responses from which an upstream counts as unhealthy."""
 _MIN_JUDGED: Final = 8.0
 """Requests of a baseline upstream from which its own rate of bad responses is used."""
 
@@ -130,7 +132,14 @@
 
 
 def cap_worst(series: RouteSeries, kind: BadKind) -> tuple[UpstreamCounts | None, float]:
-    """Returns the worst upstream, and the fraction of its bad responses that counts."""
+    """Returns the worst upstream, and the fraction of its bad responses that counts.
+
+    None of them count if it is clearly unhealthy; otherwise as many as the others had on average.
+
+    Args:
+        series: Responses of a version.
+        kind: What counts as bad.
+    """
     if len(series.upstreams) < 2:
         return None, 0.0
     key = max(series.upstreams, key=lambda key: getattr(series.upstreams[key].total, kind.field))
@@ -139,5 +148,8 @@
     trials = getattr(worst.total, kind.trials_field)
     other_bad = getattr(series.total, kind.field) - bad
     other_trials = getattr(series.total, kind.trials_field) - trials
+    other_rate = (other_bad + 1.0) / (other_trials + 1.0)
+    if bad >= _MIN_OUTLIER_BAD and bad > _OUTLIER_RATIO * other_rate * trials:
+        return worst, 0.0
     expected = min(other_bad, trials * other_bad / (other_trials + _OTHER_TRIALS))
     return worst, min(1.0, expected / bad) if bad > 0.0 else 1.0
--- a/tests/services/test_rollout_plays.py
+++ b/tests/services/test_rollout_plays.py
@@ -5,6 +5,7 @@
 import unittest
 
 from fulmarstile_testing.bench_rollouts import BAD_KINDS, GOOD_KINDS, play
+from fulmarstile_testing.known_red import pass_over_known_red
 from fulmarstile_testing.virtual_rollout import BOUNDS, Badness, RolloutPlay, RolloutResult
 from fulmarstile_wire.rollouts import RolloutPhase
 
@@ -45,6 +46,13 @@
                         plan = RolloutPlay(upstreams, rate, seed=seed, **changes)
                         self.check_rolled_back(play(plan))
 
+    @pass_over_known_red
+    def test_a_bad_version_of_a_small_service_is_rolled_back(self) -> None:
+        for upstreams, rate in ((3, 10.0), (7, 60.0)):
+            for changes in BAD_KINDS.values():
+                for seed in range(2):
+                    self.check_rolled_back(play(RolloutPlay(upstreams, rate, seed=seed, **changes)))
+
     def test_evidence_of_14_70_and_720_daemons_leads_to_a_roll_back(self) -> None:
         for daemons in (14, 70, 720):
             with self.subTest(daemons=daemons):
@@ -73,6 +81,13 @@
             with self.subTest(name):
                 self.check_completed(play(RolloutPlay(rate=200.0, seed=3, **changes)))
 
+    @pass_over_known_red
+    def test_a_good_version_is_completed_by_the_deadline_of_a_short_roll_out(self) -> None:
+        for duration_s in (3.0, 6.0):
+            for seed in range(2):
+                plan = RolloutPlay(20, 400.0, duration_s, seed=seed)
+                self.check_completed(play(plan), duration_s)
+
     def test_a_service_with_hardly_any_requests_is_completed(self) -> None:
         for rate in (0.0, 0.3, 2.0):
             with self.subTest(rate=rate):
