--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evaluator.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evaluator.py
@@ -133,8 +133,9 @@
         Returns:
             The final state.
         """
-        self._state = self._build_state(now, phase=phase, reason=reason, is_recorded=True)
-        return self._state
+        self._change(phase, reason, share=1.0 if phase is RolloutPhase.COMPLETED else 0.0)
+        self._state = msgspec.structs.replace(self._state, is_recorded=True)
+        return self.state(now)
 
     def evaluate(self, pool: ServicePool, now: float) -> RolloutState:
         """Decides what is to be done now; to be called about four times a second.
@@ -278,12 +279,12 @@
             self._state, phase=phase, reason=reason, share=share, canaries=()
         )
 
-    def _build_state(self, now: float, **changes: object) -> RolloutState:
+    def _build_state(self, now: float) -> RolloutState:
         return RolloutState(
             service=self._order.service,
             order_offset=self._order.offset,
             target_version=self._order.target_version,
             duration_ms=round(self._order.duration_s * 1000),
             age_ms=round((now - self._ordered_at) * 1000),
-            **({"phase": RolloutPhase.CANARY} | changes),
+            phase=RolloutPhase.CANARY,
         )
