--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_known_rollout.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_known_rollout.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
+from fulmarstile_daemon.services.ports import ReceivedOrder
 from fulmarstile_services.rollouts.evaluator import RolloutEvaluator
-from fulmarstile_services.rollouts.model import merge_states
+from fulmarstile_services.rollouts.model import RolloutOrder, merge_states
 from fulmarstile_wire.rollouts import RolloutPhase, RolloutState
 
 if TYPE_CHECKING:
-    from fulmarstile_daemon.services.ports import ReceivedOrder
     from fulmarstile_services.rollouts.evidence import EvidenceCounter
     from fulmarstile_services.settings import RolloutBounds
 
@@ -185,5 +185,17 @@
         )
 
 
+def moves_requests(known: RolloutState, state: RolloutState) -> bool:
+    """Returns whether requests go to other upstreams in a state than in the one before."""
+    return (known.phase, known.canaries) != (state.phase, state.canaries)
+
+
+def read_order(state: RolloutState) -> ReceivedOrder:
+    """Returns the order that a state belongs to."""
+    duration_s = state.duration_ms / 1000
+    order = RolloutOrder(state.service, state.target_version, duration_s, state.order_offset)
+    return ReceivedOrder(order)
+
+
 def _without_age(state: RolloutState) -> RolloutState:
     return msgspec.structs.replace(state, age_ms=0)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/rollouts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/rollouts.py
@@ -8,11 +8,10 @@
 
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._boot_clock import read_boot_time_s
-from fulmarstile_daemon.services._known_rollout import KnownRollout
+from fulmarstile_daemon.services._known_rollout import KnownRollout, moves_requests, read_order
 from fulmarstile_daemon.services._rollout_log import RolloutLog
-from fulmarstile_daemon.services.ports import ReceivedOrder
 from fulmarstile_services.rollouts.evidence import EvidenceCounter
-from fulmarstile_services.rollouts.model import RolloutOrder, RolloutOrderError
+from fulmarstile_services.rollouts.model import RolloutOrderError
 from fulmarstile_services.rollouts.version_rules import SeenVersions, VersionRules
 from fulmarstile_wire.rollouts import RolloutPhase, RolloutReply
 
@@ -23,9 +22,10 @@
     from fulmarstile_daemon.services._upstream import LocalUpstream
     from fulmarstile_daemon.services.documents import ActiveDocument, ActiveRoutes
     from fulmarstile_daemon.services.event_log import EventLog
-    from fulmarstile_daemon.services.ports import Platform
+    from fulmarstile_daemon.services.ports import Platform, ReceivedOrder
     from fulmarstile_platform.keyed_log import KeyedRecord
     from fulmarstile_services.directory import Directory
+    from fulmarstile_services.rollouts.model import RolloutOrder
     from fulmarstile_services.settings import RolloutBounds
     from fulmarstile_services.upstream_registry import UpstreamAnnouncement
     from fulmarstile_wire.rollouts import RolloutReport, RolloutState, UpstreamEvidence
@@ -252,7 +252,7 @@
         if state.service != order.service or state.order_offset < order.offset:
             return
         if state.order_offset > order.offset:
-            later = self.on_order(_read_order(state), "daemon")
+            later = self.on_order(read_order(state), "daemon")
             if later is not None:
                 self.merge(later, state)
             return
@@ -270,7 +270,7 @@
         if not rollout.merge(state, now) or rollout.state is None:
             return
         self.log.write_changed(rollout.state)
-        if known is None or _moves_requests(known, rollout.state):
+        if known is None or moves_requests(known, rollout.state):
             self.revision += 1
         if rollout.phase is not phase and self.is_current(rollout) and rollout.is_final:
             if was_final:
@@ -300,7 +300,7 @@
         if rollout is None or rollout.order.offset < report.order_offset:
             if report.state is None:
                 return RolloutReply()
-            rollout = self.on_order(_read_order(report.state), "daemon")
+            rollout = self.on_order(read_order(report.state), "daemon")
         if rollout is None:
             return RolloutReply()
         if rollout.order.offset == report.order_offset:
@@ -394,15 +394,3 @@
     def _set_rules(self, service: str, rules: VersionRules) -> None:
         self._rules[service] = rules
         self.revision += 1
-
-
-def _moves_requests(known: RolloutState, state: RolloutState) -> bool:
-    """Returns whether requests go to other upstreams in a state than in the one before."""
-    return (known.phase, known.canaries) != (state.phase, state.canaries)
-
-
-def _read_order(state: RolloutState) -> ReceivedOrder:
-    """Returns the order that a state belongs to."""
-    duration_s = state.duration_ms / 1000
-    order = RolloutOrder(state.service, state.target_version, duration_s, state.order_offset)
-    return ReceivedOrder(order)
