--- a/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/request.py
@@ -55,6 +55,10 @@
     """The daemon cannot tell whether the key is still valid."""
     OVERLOADED = "overloaded"
     """The daemon itself is overloaded."""
+    VERSION_WITHDRAWN = "version-withdrawn"
+    """The version of the upstream was rolled back."""
+    VERSION_MOVED = "version-moved"
+    """A roll-out has moved the requests to another version than that of the upstream."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
@@ -26,6 +26,7 @@
     from fulmarstile_daemon.services._replies import CallReplies
     from fulmarstile_daemon.services._upstream import LocalUpstream
     from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
+    from fulmarstile_daemon.services._version_choice import VersionChoice
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.metrics import ServiceMetrics
     from fulmarstile_services.balancing import LeastWaitBalancer
@@ -48,6 +49,7 @@
         replies: Creates the replies of requests that end early.
         metrics: Counters.
         log: Log of the daemon.
+        versions: Chooses the version of each attempt.
     """
 
     def __init__(
@@ -62,7 +64,9 @@
         replies: CallReplies,
         metrics: ServiceMetrics,
         log: EventLog,
+        versions: VersionChoice,
     ) -> None:
+        self._versions = versions
         self._directory = directory
         self._balancer = balancer
         self._chooser = chooser
@@ -108,19 +112,22 @@
                 break
             call.history.add_outcome(result.outcome)
             call.last_failure = result.response or call.last_failure
+            call.is_version_moved |= result.outcome.reason == RefusalReason.VERSION_MOVED.value
             if not self._should_retry(call, member, result.outcome):
                 break
         return result
 
     async def _select_member(self, call: ServiceCall, tried: frozenset[str]) -> Member | None:
-        members = self._directory.serving(call.service)
         size = len(call.request.body)
-        return await self._chooser.choose(
-            members, size, tried, call.priority, call.route.target_latency_s
-        )
+        target_s = call.route.target_latency_s
+        members = self._versions.choose(call)
+        member = await self._chooser.choose(members, size, tried, call.priority, target_s)
+        if member is None and (others := self._versions.find_alternative(call, members)):
+            member = await self._chooser.choose(others, size, tried, call.priority, target_s)
+        return member
 
     def _select_for_hedge(self, call: ServiceCall, tried: frozenset[str]) -> Member | None:
-        members = self._directory.serving(call.service)
+        members = self._versions.choose(call)
         size = len(call.request.body)
         target_s = call.route.target_latency_s
         return self._balancer.choose(
@@ -177,6 +184,7 @@
             call.fingerprint,
             self._directory.notices.find_restriction(member),
             "" if call.customer is None else call.customer.name,
+            self._versions.find_route(call),
         )
         self._balancer.on_sent(member, now)
         result: AttemptResult | None = None
@@ -202,6 +210,8 @@
                 network_delay_s = ended_at - now - outcome.spent_ms / 1000
                 self._balancer.on_network_delay(member, len(call.request.body), network_delay_s)
             self._metrics.observe_attempt(ended_at - now)
+            if hop.route:
+                self._metrics.count_version(call.service, member.upstream_version, failed)
             if result is not None and result.is_success:
                 self._hedge_timer.observe(call.route, ended_at - now)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -37,6 +37,7 @@
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.ports import CallHeaderNames
     from fulmarstile_http.client_connection import ClientConnection
+    from fulmarstile_services.rollouts.evidence import EvidenceCounter
     from fulmarstile_services.upstream_registry import UpstreamAnnouncement
     from fulmarstile_wire.loads import LoadRequest
     from fulmarstile_wire.services import HopRequest, UpstreamNotice
@@ -46,6 +47,8 @@
 _UNREACHABLE_S: Final = 0.5
 """Time for which an upstream that refuses connections receives no requests, in seconds."""
 _MISDIRECTED_STATUS: Final = 421
+_FIRST_FAILURE_STATUS: Final = 500
+"""Lowest status that counts against the version of the upstream."""
 _POOL_SETTINGS: Final = PoolSettings(connect_timeout_s=0.5, fresh_connection_s=4.0)
 _MAX_STRAY_RESPONSES: Final = 8
 """Maximum number of responses to other requests that are skipped before a connection is dropped."""
@@ -94,6 +97,11 @@
         self._is_stopping = False
         self.names_customers: Callable[[], bool] = lambda: False
         """Returns whether the active document names customers."""
+        self.evidence: EvidenceCounter | None = None
+        """Counts the requests that the upstream runs; None unless its service has a roll-out."""
+        self.find_version_refusal: Callable[[UpstreamAnnouncement], RefusalReason | None]
+        self.find_version_refusal = lambda _: None
+        """Returns why a roll-out keeps requests away from an upstream's version, if it does."""
         self.requests_sent = 0
         """Requests sent to any incarnation of the upstream."""
 
@@ -128,6 +136,11 @@
         """Moving average of the upstream's service time, in seconds."""
         return self._service_times.mean_s
 
+    @property
+    def announcement(self) -> UpstreamAnnouncement | None:
+        """Last announcement of the upstream; None if there was none."""
+        return self._announcement
+
     @property
     def notice(self) -> UpstreamNotice | None:
         """What the current incarnation has said about itself, if anything."""
@@ -183,6 +196,10 @@
         """Applies what the upstream has said about itself."""
         self._slots.set_rate_limit(self.rate_limit)
 
+    def refuse_queued(self, reason: RefusalReason) -> None:
+        """Refuses the requests that wait for a slot, because of a roll-out."""
+        self._slots.refuse_queued(reason)
+
     def stop(self) -> None:
         """Refuses queued and later requests, because the daemon shuts down."""
         self._is_stopping = True
@@ -330,6 +347,9 @@
             return make_failure(Verdict.NOT_RUN, reason)
         if hop.service != announcement.service:
             return make_failure(Verdict.NOT_RUN, RefusalReason.NO_UPSTREAM)
+        version_refusal = self.find_version_refusal(announcement)
+        if version_refusal is not None:
+            return make_failure(Verdict.NOT_RUN, version_refusal)
         if trio.current_time() < self._unreachable_until:
             return make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED)
         return None
@@ -365,22 +385,31 @@
             self._budget,
         )
         started_at = trio.current_time()
+        evidence = self.evidence
         is_reusable = False
         try:
             response = await self._receive_matching(exchange, request)
             is_reusable = not exchange.is_body_unfinished
         except trio.Cancelled:
+            if evidence is not None:
+                evidence.on_cancelled(hop.route, trio.current_time() - started_at)
             if trio.current_time() >= deadline:
                 pool.report_timeout(connection)
             raise
         except ExchangeError as error:
+            if evidence is not None and exchange.may_have_arrived:
+                evidence.on_failed(hop.route, trio.current_time() - started_at)
             return await self._handle_broken_exchange(exchange, pool, started_at, error)
         finally:
             _return_connection(pool, connection, is_reusable)
+        elapsed_s = trio.current_time() - started_at
         if response_notices is not None and response.status != _MISDIRECTED_STATUS:
             response_notices.read(response)
             self._read_load(response)
-        return self._classify_response(response)
+        result = self._classify_response(response)
+        if evidence is not None:
+            _count_evidence(evidence, hop.route, elapsed_s, result, response.status)
+        return result
 
     async def _receive_matching(
         self, exchange: Exchange, request: ReceivedRequest
@@ -475,6 +504,19 @@
         self._unreachable_until = now + _UNREACHABLE_S
 
 
+def _count_evidence(
+    evidence: EvidenceCounter, route: str, elapsed_s: float, result: AttemptResult, status: int
+) -> None:
+    """Counts a response as evidence for or against its upstream's version."""
+    if result.outcome.verdict is Verdict.NOT_RUN:
+        return
+    is_invalid = result.outcome.reason == RefusalReason.TRUNCATED.value
+    if status >= _FIRST_FAILURE_STATUS or is_invalid:
+        evidence.on_failed(route, elapsed_s)
+    else:
+        evidence.on_completed(route, elapsed_s)
+
+
 def _return_connection(
     pool: ConnectionPool, connection: ClientConnection, is_reusable: bool
 ) -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -22,6 +22,7 @@
 from fulmarstile_daemon.services._links import DaemonLinks
 from fulmarstile_daemon.services._notice_merger import NoticeMerger
 from fulmarstile_daemon.services._request_server import RequestServer
+from fulmarstile_daemon.services._rollout_part import RolloutPart
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
@@ -64,6 +65,7 @@
     from collections.abc import AsyncIterator, Callable
 
     from fulmarstile_daemon.services.ports import Platform
+    from fulmarstile_daemon.services.rollouts import Rollouts
     from fulmarstile_platform.http_server import HttpRequest
     from fulmarstile_services.settings import NodeSettings
     from fulmarstile_wire.services import PeerReply, PeerRequest
@@ -138,6 +140,18 @@
         self._chooser = UpstreamChooser(
             self._balancer, self._upstream, self._links, local_member, rng, log
         )
+        self._rollouts = RolloutPart(
+            settings,
+            platform,
+            self._directory,
+            self._documents,
+            self._routes,
+            self._upstream,
+            self._balancer,
+            self._links,
+            rng,
+            log,
+        )
         self._entry = CallEntry(
             names,
             self._routes,
@@ -152,6 +166,7 @@
             self._metrics,
             log,
             self._freshness,
+            self._rollouts.versions,
         )
         self._quotas: Quotas | None = None
         if bounds.quota is not None:
@@ -237,6 +252,11 @@
         """Active routing table."""
         return self._routes
 
+    @property
+    def rollouts(self) -> Rollouts:
+        """What this daemon knows about roll-outs."""
+        return self._rollouts.rollouts
+
     @property
     def directory(self) -> Directory:
         """Directory of the known daemons."""
@@ -276,6 +296,7 @@
                         incarnation=self._directory.local_member.incarnation,
                     )
                 )
+                await nursery.start(self._rollouts.run, store)
                 nursery.start_soon(self._documents.follow, store)
                 nursery.start_soon(self._freshness_keeper.run, store)
                 nursery.start_soon(self._membership.follow, store)
@@ -352,6 +373,7 @@
             crash_reports=len(self._directory.crashes),
             load_requests=self._chooser.load_requests,
             zone_shares=self._chooser.zone_shares(),
+            rollouts=self._rollouts.dump(),
             members=tuple(
                 MemberState(member, self._balancer.is_reachable(member.name)) for member in members
             ),
@@ -411,6 +433,8 @@
         members = self._directory.members
         self._links.close_unknown(member.address for member in members)
         self._retry_budget.set_daemon_count(len(members))
+        if self._membership.is_caught_up.is_set():
+            self._rollouts.versions.observe_all()
 
     def _list_peer_handlers(self) -> dict[type[PeerRequest], Callable[[Any], PeerReply]]:
         """Returns the handlers of other daemons' requests, by the type of the request."""
@@ -419,7 +443,7 @@
         }
         if self._quotas is not None:
             handlers[QuotaRequest] = self._quotas.on_request
-        return handlers
+        return handlers | self._rollouts.handlers
 
     def _add_gauges(self) -> None:
         add = self._metrics.add_gauge
@@ -445,6 +469,7 @@
             add("quota_shards_owned", lambda: quotas.owned_shards)
             add("quota_customers", lambda: quotas.active_customers)
             add("quota_exchanges", lambda: quotas.exchanges)
+        add("rollouts_running", lambda: self._rollouts.running)
         add("log_lines_left_out", lambda: self._log.dropped_lines)
 
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -75,6 +75,10 @@
         self._applied: deque[tuple[float, int]] = deque()
         self.on_change: Callable[[], None] = lambda: None
         """Called when another version becomes active."""
+        self.on_other_records: Callable[[list[KeyedRecord]], None] = lambda _: None
+        """Called with the records of the operator's topic that hold no document."""
+        self.was_read = False
+        """Whether the operator's topic was read since the start."""
 
     @property
     def version(self) -> int:
@@ -175,6 +179,7 @@
             topic,
             self._on_records,
             self._log,
+            self._on_caught_up,
             on_read=self._on_read,
             latest_only=True,
             clock=self.clock,
@@ -203,9 +208,17 @@
         if read.is_complete:
             self.freshness.confirm(read.sent_at)
 
+    def _on_caught_up(self) -> None:
+        self.was_read = True
+
     def _on_records(self, records: Iterable[KeyedRecord]) -> None:
         newest = b""
+        others: list[KeyedRecord] = []
         for record in records:
             if record.key == self._platform.document_key:
                 newest = record.value
+            else:
+                others.append(record)
         self.apply_if_newer(newest, _SOURCE_STORE)
+        if others:
+            self.on_other_records(others)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -24,6 +24,7 @@
     from fulmarstile_daemon.services._server_connection import CallerResponse, ReceivedRequest
     from fulmarstile_daemon.services._upstream import LocalUpstream
     from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
+    from fulmarstile_daemon.services._version_choice import VersionChoice
     from fulmarstile_daemon.services.documents import ActiveRoutes
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.metrics import ServiceMetrics
@@ -59,6 +60,7 @@
         metrics: Counters.
         log: Log of the daemon.
         freshness: Age of the knowledge of the document.
+        versions: Chooses the version of each attempt.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         metrics: ServiceMetrics,
         log: EventLog,
         freshness: Freshness,
+        versions: VersionChoice,
     ) -> None:
         self._names = names
         self._routes = routes
@@ -99,6 +102,7 @@
             self._replies,
             metrics,
             log,
+            versions,
         )
         self.caller_service = ""
         """Service of the upstream on this VM, passed to upstreams as the caller."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
@@ -28,6 +28,8 @@
     DOCUMENT_KEY,
     DOCUMENT_TOPIC,
     HEADER_NAMES,
+    ORDER_KEY,
+    STATUS_TOPIC,
     FakePlatform,
 )
 from fulmarstile_testing.free_ports import find_free_ports
@@ -60,6 +62,8 @@
     daemon: ServiceDaemon
     platform: FakePlatform
     upstream: ServiceUpstream
+    version: str = ""
+    """Version that the upstream announces."""
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     """Scope of the daemon."""
     ended: trio.Event = field(default_factory=trio.Event)
@@ -97,7 +101,11 @@
 
     async def announce(self, **changes: Any) -> None:
         """Announces the upstream to the daemon, with some fields changed."""
-        fields = {"upstream_id": self.upstream.upstream_id, "slots": 4}
+        fields = {
+            "upstream_id": self.upstream.upstream_id,
+            "slots": 4,
+            "version": self.version,
+        }
         await self.daemon.announcements.announce(make_announcement(**(fields | changes)))
 
 
@@ -181,6 +189,7 @@
         self._nursery = nursery
         self.link_kbps = 0
         self.bounds = RequiredBounds()
+        """Bounds in the settings of the daemons that start."""
         self._documents: dict[bytes, ServiceDocument] = {}
         self.store = FakeKeyedLog()
         """The store."""
@@ -193,6 +202,21 @@
         self._documents[raw] = document
         self.store.put(DOCUMENT_TOPIC, DOCUMENT_KEY, raw)
 
+    def put_order(self, service: str, version: str, duration_s: float) -> None:
+        """Writes an order for a roll-out to the store."""
+        value = f"{version} {duration_s}".encode()
+        self.store.put(DOCUMENT_TOPIC, ORDER_KEY + service, value)
+
+    def list_statuses(self, service: str) -> list[str]:
+        """Returns all statuses of a service's roll-outs, as `PHASE VERSION`."""
+        records = self.store.list_records(STATUS_TOPIC)
+        return [record.value.decode() for record in records if record.key == service]
+
+    def count_runs(self, version: str) -> int:
+        """Returns how many requests the upstreams of a version have run."""
+        upstreams = [node.upstream for node in self.nodes if node.version == version]
+        return sum(each.ran for upstream in upstreams for each in upstream.record.requests)
+
     def set_store_down(self, is_down: bool) -> None:
         """Makes the store unavailable to all daemons, or available again."""
         for node in self.nodes:
@@ -208,6 +232,7 @@
         upstream: ServiceUpstream | None = None,
         earlier: ServiceNode | None = None,
         announced: bool = True,
+        version: str = "",
     ) -> ServiceNode:
         """Starts a daemon with its upstream; it takes the settings of an earlier node if given."""
         if upstream is None:
@@ -219,7 +244,7 @@
             settings = earlier.platform.settings
         platform = FakePlatform(settings, self.store, self._documents)
         log = EventLog(name)
-        node = ServiceNode(ServiceDaemon(platform, settings, log), platform, upstream)
+        node = ServiceNode(ServiceDaemon(platform, settings, log), platform, upstream, version)
         self.nodes.append(node)
         self._nursery.start_soon(self._run, node)
         with trio.fail_after(READY_TIMEOUT_S):
@@ -296,6 +321,7 @@
     document: ServiceDocument | None = None,
     link_kbps: int = 0,
     bounds: RequiredBounds | None = None,
+    version: str = "",
 ) -> AsyncIterator[ServiceMesh]:
     """Runs a daemon for each service named.
 
@@ -304,7 +330,8 @@
         zones: Availability zone of each daemon; by default all in one.
         document: Document in force; by default all of `shop.example` goes to `shop`.
         link_kbps: Link capacity in the daemons' settings, in kilobits per second.
-        bounds: Limits in the daemons' settings.
+        bounds: Bounds in the daemons' settings.
+        version: Version that all upstreams announce.
 
     Yields:
         The mesh, in which every daemon knows all upstreams.
@@ -316,7 +343,9 @@
         mesh.put_document(document or make_document(make_route()))
         for index, service in enumerate(services):
             zone = zones[index] if zones else "zone-a"
-            await mesh.start_node(f"daemon-{index + 1}", service=service, zone=zone)
+            await mesh.start_node(
+                f"daemon-{index + 1}", service=service, zone=zone, version=version
+            )
         for service in set(services):
             await mesh.wait_serving(service, services.count(service))
         yield mesh
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -122,6 +122,8 @@
     """What the sender knows the upstream to have said about itself."""
     customer: str = ""
     """Name of the customer that sent the request; empty if it needs none."""
+    route: str = ""
+    """Host and path prefix of the route; empty unless the service has a roll-out."""
 
 
 class HopOutcome(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
