Move the reading of upstreams' responses out of the local upstream

Change: no behaviour; what a response means is a module of its own.

Result: 41 tests of upstream faults, calls, roll-outs and keys pass.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -15,6 +15,12 @@
 from fulmarstile_daemon.services._exchange import Exchange, ResponseTooLargeError
 from fulmarstile_daemon.services._response_notices import ResponseNotices
 from fulmarstile_daemon.services._slots import SlotRefusedError, Slots
+from fulmarstile_daemon.services._upstream_responses import (
+    MISDIRECTED_STATUS,
+    classify_response,
+    count_evidence,
+    receive_matching,
+)
 from fulmarstile_daemon.services.events import RecordIgnored, UpstreamChanged
 from fulmarstile_http.client_connection import ExchangeError
 from fulmarstile_http.connection_pool import ConnectionPool, PoolSettings
@@ -46,14 +52,7 @@
 """Idle time after which a connection is not used for a non-idempotent request, in seconds."""
 _UNREACHABLE_S: Final = 0.5
 """Time for which an upstream that refuses connections receives no requests, in seconds."""
-_MISDIRECTED_STATUS: Final = 421
-_FIRST_FAILURE_STATUS: Final = 500
-"""Lowest status that counts against the version of the upstream."""
 _POOL_SETTINGS: Final = PoolSettings(connect_timeout_s=0.5, fresh_connection_s=4.0)
-_MAX_STRAY_RESPONSES: Final = 8
-"""Maximum number of responses to other requests that are skipped before a connection is dropped."""
-_NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
-"""Statuses that tell a caller that its request has not run, so they are not passed on."""
 
 
 class LocalUpstream:
@@ -388,7 +387,7 @@
         evidence = self.evidence
         is_reusable = False
         try:
-            response = await self._receive_matching(exchange, request)
+            response = await receive_matching(self._names, exchange, request)
             is_reusable = not exchange.is_body_unfinished
         except trio.Cancelled:
             if evidence is not None:
@@ -403,46 +402,14 @@
         finally:
             _return_connection(pool, connection, is_reusable)
         elapsed_s = trio.current_time() - started_at
-        if response_notices is not None and response.status != _MISDIRECTED_STATUS:
+        if response_notices is not None and response.status != MISDIRECTED_STATUS:
             response_notices.read(response)
             self._read_load(response)
-        result = self._classify_response(response)
+        result = classify_response(self._names, response)
         if evidence is not None:
-            _count_evidence(evidence, hop.route, elapsed_s, result, response.status)
+            count_evidence(evidence, hop.route, elapsed_s, result, response.status)
         return result
 
-    async def _receive_matching(
-        self, exchange: Exchange, request: ReceivedRequest
-    ) -> UpstreamResponse:
-        """Receives the response with the request's id; others belong to earlier requests."""
-        request_id = request.headers.get_bytes(self._names.request_id)
-        response = await exchange.run()
-        for _ in range(_MAX_STRAY_RESPONSES):
-            response_id = response.headers.get_bytes(self._names.request_id)
-            if response_id == request_id or (not response_id and response.status >= 400):
-                return response
-            if not response_id:
-                raise ExchangeError("the response has no request id")
-            response = await exchange.receive_next()
-        raise ExchangeError("too many responses belong to other requests")
-
-    def _classify_response(self, response: UpstreamResponse) -> AttemptResult:
-        headers = response.headers
-        not_run = headers.get_bytes(self._names.not_run)
-        if not_run or response.status == _MISDIRECTED_STATUS:
-            reason = RefusalReason.OVERLOADED if not_run else RefusalReason.NO_UPSTREAM
-            return AttemptResult(make_failure(Verdict.NOT_RUN, reason, reached_upstream=True))
-        is_success = 200 <= response.status < 300
-        if is_success and not headers.get_bytes(self._names.response_signature):
-            return AttemptResult(
-                make_failure(Verdict.RAN, RefusalReason.TRUNCATED, reached_upstream=True)
-            )
-        if response.status in _NOT_RUN_STATUSES:
-            return AttemptResult(
-                make_failure(Verdict.RAN, RefusalReason.UPSTREAM_FAILED, reached_upstream=True)
-            )
-        return AttemptResult(HopOutcome(Verdict.RAN, reached_upstream=True), response)
-
     async def _handle_broken_exchange(
         self, exchange: Exchange, pool: ConnectionPool, started_at: float, error: ExchangeError
     ) -> AttemptResult:
@@ -504,19 +471,6 @@
         self._unreachable_until = now + _UNREACHABLE_S
 
 
-def _count_evidence(
-    evidence: EvidenceCounter, route: str, elapsed_s: float, result: AttemptResult, status: int
-) -> None:
-    """Counts a response as evidence for or against its upstream's version."""
-    if result.outcome.verdict is Verdict.NOT_RUN:
-        return
-    is_invalid = result.outcome.reason == RefusalReason.TRUNCATED.value
-    if status >= _FIRST_FAILURE_STATUS or is_invalid:
-        evidence.on_failed(route, elapsed_s)
-    else:
-        evidence.on_completed(route, elapsed_s)
-
-
 def _return_connection(
     pool: ConnectionPool, connection: ClientConnection, is_reusable: bool
 ) -> None:
