--- a/tests/services/test_rollout_plays.py
+++ b/tests/services/test_rollout_plays.py
@@ -113,6 +113,14 @@
                 )
                 self.check_exposure(play(plan))
 
+    @pass_over_known_red
+    def test_a_rate_that_triples_in_the_hand_over_does_not_exceed_the_exposure(self) -> None:
+        for duration_s in (3.0, 6.0, 12.0):
+            plan = RolloutPlay(
+                14, 300.0, duration_s, rate_factor=3.0, rate_changes_at_s=duration_s - 0.5
+            )
+            self.check_exposure(play(plan))
+
     def test_a_version_whose_upstreams_never_appear_is_rolled_back_at_the_deadline(self) -> None:
         result = play(RolloutPlay(target_appears_at_s=100.0))
         self.check_rolled_back(result)
