--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
@@ -89,7 +89,7 @@
         """Sends a request to upstreams, one after the other.
 
         Args:
-            call: The request. The deadline of its scope is set, and its history is updated.
+            call: The request, whose scope has its deadline; its history is updated.
 
         Returns:
             The result of the last attempt.
@@ -99,9 +99,6 @@
         if self._directory.serving(call.service):
             reason = RefusalReason.QUEUE_FULL
         result = AttemptResult(make_failure(Verdict.NOT_RUN, reason))
-        call.scope.set_deadline(
-            call.deadline, partial(self._replies.make_cancelled, call), call.withdraw
-        )
         while not call.is_withdrawn:
             member = await self._select_member(call, frozenset(tried))
             if member is None or call.is_withdrawn:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_known_rollout.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_known_rollout.py
@@ -21,6 +21,9 @@
 _HEARD_S: Final = 1.0
 """Time for which a daemon that reported counts as present, in seconds."""
 
+REJECTED_PREFIX: Final = "rejected: "
+"""Start of the reason of an order that cannot be carried out."""
+
 
 class KnownRollout:
     """An order and the state of its roll-out; all times are those of the boot clock, in seconds.
@@ -35,6 +38,8 @@
         """The order."""
         self.problem = received.problem
         """Why the order cannot be carried out; empty if it can."""
+        self.is_only_version = False
+        """Whether it names the version in force, beside which no other one serves."""
         self.is_validated = bool(received.problem)
         """Whether the order was checked against the operator's document."""
         self.state: RolloutState | None = None
@@ -181,6 +186,8 @@
             int(duration_s * 1000) if math.isfinite(duration_s) else 0,
             max(0, int(self.age_s(now) * 1000)),
             phase,
+            share=1.0 if phase is RolloutPhase.COMPLETED else 0.0,
+            promote_at_ms=self.state.promote_at_ms if self.state else 0,
             reason=reason,
         )
 
@@ -194,7 +201,8 @@
     """Returns the order that a state belongs to."""
     duration_s = state.duration_ms / 1000
     order = RolloutOrder(state.service, state.target_version, duration_s, state.order_offset)
-    return ReceivedOrder(order)
+    is_rejected = state.reason.startswith(REJECTED_PREFIX)
+    return ReceivedOrder(order, state.reason.removeprefix(REJECTED_PREFIX) if is_rejected else "")
 
 
 def _without_age(state: RolloutState) -> RolloutState:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_quota.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_quota.py
@@ -44,7 +44,7 @@
         if decision.source is Source.TOKEN:
             call.quota_taken_at = taken_at
             return None
-        if decision.source is Source.SHARE:
+        if decision.source in (Source.SHARE, Source.UNLIMITED):
             return None
         if decision.source is Source.SILENT:
             reason, detail = RefusalReason.QUOTA_UNKNOWN, "the rest of the quota is not known"
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_replies.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_replies.py
@@ -55,7 +55,7 @@
         reason: RefusalReason,
         document_age_s: float | None = None,
     ) -> CallerResponse:
-        """Counts and logs the rejection of a request before its route is known.
+        """Counts and logs the rejection of a request for which there is no `ServiceCall` yet.
 
         Args:
             request: The request.
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
@@ -10,6 +10,7 @@
 import trio
 
 from fulmarstile_daemon.services._evaluator_ranking import rank_evaluators
+from fulmarstile_daemon.services._known_rollout import REJECTED_PREFIX
 from fulmarstile_daemon.services._links import DaemonUnreachableError
 from fulmarstile_daemon.services._relay_choice import RelayChoice
 from fulmarstile_wire.rollouts import RolloutPhase, RolloutReply, RolloutReport
@@ -154,7 +155,7 @@
         if rollout.state is None and not self._rollouts.has_decisions:
             return
         if rollout.problem:
-            reason = f"rejected: {rollout.problem}"
+            reason = REJECTED_PREFIX + rollout.problem
             proposal = rollout.make_state(RolloutPhase.ROLLED_BACK, reason, now)
         else:
             evaluator = rollout.open_evaluator(bounds)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -329,6 +329,7 @@
 
     def _start(self, announcement: UpstreamAnnouncement, address: str) -> None:
         limit = self._connection_limit(announcement.service)
+        self._service_times = ServiceTimes()
         self._response_notices = ResponseNotices(
             announcement, self._names, self._notice_merger, self._log
         )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream_choice.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -9,6 +10,7 @@
 
 from fulmarstile_daemon.services._links import DaemonUnreachableError
 from fulmarstile_daemon.services.events import ZoneShareChanged
+from fulmarstile_services.candidates import sample_members
 from fulmarstile_services.zone_spillover import ZoneSpillover
 from fulmarstile_wire.loads import LoadReply, LoadRequest
 
@@ -125,7 +127,7 @@
         candidates = self._balancer.find_candidates(members)
         penalty_s = self._balancer.cross_zone_penalty_s(size, target_s)
         zone = self._choose_zone(service, zones, candidates, penalty_s)
-        drawn = self._draw(candidates.by_zone.get(zone, ()), exclude)
+        drawn = self._draw(candidates.by_zone.get(zone, []), exclude)
         asked = list(drawn)
         if zone != self._availability_zone:
             # Without requests that stay, the load of the own zone would become unknown.
@@ -159,7 +161,10 @@
         now: float,
     ) -> None:
         for name in others:
-            if self._nursery is None or now - zones.asked_at.get(name, -1.0) < _ZONE_INTERVAL_S:
+            if (
+                self._nursery is None
+                or now - zones.asked_at.get(name, -math.inf) < _ZONE_INTERVAL_S
+            ):
                 continue
             zones.asked_at[name] = now
             member = self._random.choice(candidates.by_zone[name])
@@ -170,9 +175,10 @@
         zones.on_loads(loads, trio.current_time())
 
     def _draw(
-        self, members: Sequence[Member], exclude: frozenset[str], count: int = _COMPARED
+        self, members: list[Member], exclude: frozenset[str], count: int = _COMPARED
     ) -> list[Member]:
-        allowed = [member for member in members if member.name not in exclude]
+        sampled = sample_members(members, count + len(exclude), self._random)
+        allowed = [member for member in sampled if member.name not in exclude]
         return self._random.sample(allowed, min(count, len(allowed)))
 
     async def _ask_all(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -1,7 +1,8 @@
-"""Handles callers' requests: strings the stages of a request together."""
+"""Handles callers' requests: runs the stages of a request in order."""
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -149,8 +150,11 @@
                 call, RefusalReason.DRAINING, "the daemon stops", _STOPPING_RETRY_S
             )
         if call.deadline <= trio.current_time():
-            # It waited behind other requests of its connection for all of its time.
+            # Its time has passed, for example while it waited behind others of its connection.
             return self._replies.make_cancelled(call)
+        call.scope.set_deadline(
+            call.deadline, partial(self._replies.make_cancelled, call), call.withdraw
+        )
         refusal = await self.quota.admit(call)
         if refusal is not None:
             return refusal
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/quotas.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/quotas.py
@@ -141,12 +141,13 @@
         lease = tasks.shard.lease
         now = read_lease_clock()
         decision = lease.take(customer, now)
+        if decision.source is not Source.TOKEN or lease.needs_tokens_soon:
+            tasks.wake.set()
         if decision.source is Source.SILENT and decision.is_worth_waiting:
             return await self._take_after_wait(tasks, customer)
         if decision.source is not Source.WAIT:
             return decision, now
         lease.add_waiting(customer, 1)
-        tasks.wake.set()
         try:
             with trio.move_on_after(_FIRST_GRANT_S):
                 while lease.should_wait(customer, read_lease_clock()):
@@ -283,7 +284,7 @@
     def __init__(self, shard: QuotaShard) -> None:
         self.shard = shard
         self.wake = trio.Event()
-        """Set when a request waits for a token."""
+        """Set when the owner may have to be asked sooner than planned."""
         self.replied = trio.Event()
         """Set when the owner has been asked, and replaced."""
         self.lost_at: float | None = None
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/rollouts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/rollouts.py
@@ -192,10 +192,12 @@
             return None
         now = self.now()
         rollout = KnownRollout(received, now)
+        was_in_force = self._was_in_force(order)
         self.log.write_ordered(order, replaced, source)
         if replaced is not None and replaced.phase in (None, RolloutPhase.CANARY):
             self._end_rules(replaced, RolloutPhase.ROLLED_BACK)
         self._known[order.service] = rollout
+        rollout.is_only_version = was_in_force and not self._has_other_version(order, now)
         self._stop_counting(replaced)
         if rollout.problem:
             self.log.write_rejected(order, rollout.problem)
@@ -348,6 +350,9 @@
         rules = self.rules(order.service)
         if rollout.problem and self._was_in_force(order):
             return rules
+        if rollout.is_only_version and phase is RolloutPhase.ROLLED_BACK:
+            # Without it, the service would have no upstream left.
+            return rules
         return rules.on_final(order.target_version, phase)
 
     def _merge_report(self, rollout: KnownRollout, report: RolloutReport, now: float) -> None:
@@ -369,13 +374,20 @@
         return rollout.is_sealed or not (self._upstream.running or self._upstream.queued)
 
     def _was_in_force(self, order: RolloutOrder) -> bool:
-        """Returns whether the version of a rejected order served before."""
+        """Returns whether the version of an order served before it."""
         seen = self._seen.get(order.service)
-        if seen is None:
+        if seen is None or not self.rules(order.service).allows(order.target_version):
             return False
         now, orders_known = self.now(), self._documents.was_read
         return not seen.is_held(order.target_version, now, orders_known=orders_known)
 
+    def _has_other_version(self, order: RolloutOrder, now: float) -> bool:
+        """Returns whether an upstream of another version serves and may receive requests."""
+        return any(
+            member.upstream_version != order.target_version and self.serves(member, now)
+            for member in self._directory.serving(order.service)
+        )
+
     def _apply_decision(self, rollout: KnownRollout) -> None:
         decision = self._decisions.get(rollout.order.service)
         if decision is None or decision.order_offset != rollout.order.offset:
--- a/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/balancing.py
@@ -160,7 +160,7 @@
         now: float,
         priority: int,
     ) -> Member | None:
-        """Chooses among upstreams of one availability zone whose load was just reported.
+        """Chooses among given upstreams of one availability zone.
 
         Args:
             drawn: Daemons beside the upstreams.
--- a/packages/fulmarstile_services/src/fulmarstile_services/candidates.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/candidates.py
@@ -44,7 +44,7 @@
         ]
         """Members in other availability zones."""
         self.by_zone: dict[str, list[Member]] = {}
-        """Reachable members by availability zone."""
+        """Reachable members by availability zone; all members if none is reachable."""
         for candidate in reachable:
             self.by_zone.setdefault(candidate.availability_zone, []).append(candidate)
         self.unreachable = [member for member in members if not is_reachable(member.name)]
@@ -66,11 +66,21 @@
         if len(local) + len(remote) <= count:
             return local + remote
         remote_count = min(len(remote), max(min_remote, count - len(local)))
-        return _sample(local, count - remote_count, rng) + _sample(remote, remote_count, rng)
+        local_sample = sample_members(local, count - remote_count, rng)
+        return local_sample + sample_members(remote, remote_count, rng)
 
 
-def _sample(members: list[Member], count: int, rng: random.Random) -> list[Member]:
-    """Samples without replacement; fast if `count` is small compared with the list."""
+def sample_members(members: list[Member], count: int, rng: random.Random) -> list[Member]:
+    """Samples without replacement; fast if `count` is small compared with the list.
+
+    Args:
+        members: The members.
+        count: Number of members to sample.
+        rng: Source of randomness.
+
+    Returns:
+        The sample; the list itself if it has no more members.
+    """
     size = len(members)
     if count >= size:
         return members
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/_account.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/_account.py
@@ -124,6 +124,9 @@
         adopted = QuotaShare(
             min(share.rate, self._unknown_rate), min(share.burst, self._unknown_burst)
         )
+        if not adopted.rate or not adopted.burst:
+            # A share without a rate could never be removed from the sums again.
+            return NO_SHARE
         self._unknown_rate -= adopted.rate
         self._unknown_burst -= adopted.burst
         self.book(adopted, 1)
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/lease.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/lease.py
@@ -57,7 +57,11 @@
     """What allowed a request, or didn't."""
 
     TOKEN = "token"
+    """A token of the owner allowed it."""
     SHARE = "share"
+    """The daemon's share allowed it, while no owner is heard from."""
+    UNLIMITED = "unlimited"
+    """The customer has no quota any more."""
     WAIT = "wait"
     """The owner has to be asked first."""
     EXHAUSTED = "exhausted"
@@ -79,6 +83,7 @@
 
 _BY_TOKEN: Final = Decision(Source.TOKEN)
 _BY_SHARE: Final = Decision(Source.SHARE)
+_UNLIMITED: Final = Decision(Source.UNLIMITED)
 _UNKNOWN: Final = Decision(Source.SILENT, _UNKNOWN_RETRY_S, is_worth_waiting=False)
 _WAIT: Final = Decision(Source.WAIT)
 
@@ -120,6 +125,11 @@
         """Whether the last request was answered."""
         return self._epoch > 0 and not self._is_silent
 
+    @property
+    def needs_tokens_soon(self) -> bool:
+        """Whether few tokens are left, so that the owner should be asked sooner than planned."""
+        return self._is_low and not self._is_silent
+
     @property
     def active_count(self) -> int:
         """Number of customers that use their quota at this daemon."""
@@ -155,7 +165,7 @@
         tokens = self._customers.get(customer)
         if tokens is None:
             # A newer document than that of the request gives the customer no quota.
-            return _BY_SHARE
+            return _UNLIMITED
         if is_first:
             tokens.count_demand(now)
             self._active[customer] = tokens
@@ -170,6 +180,9 @@
             return Decision(Source.EXHAUSTED, max(_MIN_RETRY_S, tokens.retry_at - now))
         if is_first and not self._is_silent:
             return _WAIT
+        if not self._is_silent and tokens.retry_at > now:
+            # The owner answered, but granted too few tokens for the waiting requests.
+            return Decision(Source.EXHAUSTED, max(_MIN_RETRY_S, tokens.retry_at - now))
         # The owner doesn't answer, and the share may not be used before the lease ends.
         return Decision(Source.SILENT, max(_MIN_RETRY_S, self._heard_at + LEASE_S - now))
 
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evaluator.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evaluator.py
@@ -43,9 +43,11 @@
     exposed: float
     """Requests to the target version among them."""
     bad: float
-    """Failures of the target version, and responses of it that were too slow."""
+    """Failures of the target version plus its slow responses; a slow failure counts twice."""
     baseline_requests: float
+    """Requests to the other versions that have ended."""
     baseline_bad: float
+    """The same as `bad`, for the other versions."""
     evidence: float
     """Largest log likelihood ratio of a bad version against a good one."""
 
@@ -154,7 +156,8 @@
             upstream.daemon for upstream in pool.upstreams if upstream.is_cold
         }
         self._table.update_limits(now)
-        self._verdict = judge(self._table)
+        target = pool.list_target(self._order.target_version)
+        self._verdict = judge(self._table, len(target))
         if self._verdict.is_bad:
             self._change(RolloutPhase.ROLLED_BACK, f"bad: {self._verdict.reason}")
         elif self._state.phase is RolloutPhase.CANARY:
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evidence.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/evidence.py
@@ -13,7 +13,7 @@
     find_quantile,
     upper_bound_s,
 )
-from fulmarstile_services.rollouts.series import SMALL_BASELINE, Counts, RouteSeries
+from fulmarstile_services.rollouts.series import Counts, RouteSeries
 from fulmarstile_wire.rollouts import RouteEvidence
 
 if TYPE_CHECKING:
@@ -33,13 +33,8 @@
 _MAX_SPREAD_S: Final = 3.0
 """Longest time over which the requests of one report are spread, in seconds."""
 _SLOW_RATIO: Final = 3.0
-"""A response is slow if it takes longer than this multiple of the baseline's median."""
-_SMALL_SLOW_RATIO: Final = 3.1
-"""The same with a baseline of fewer than `SMALL_BASELINE` upstreams.
-
-Upstreams of one version differ in speed by a factor of 3, and the median of so few may happen to
-be that of fast ones.
-"""
+"""A response is slow if it takes longer than this multiple of the baseline's median, rounded up to
+a whole bucket of the histogram (3.2)."""
 _LIMIT_INTERVAL_S: Final = 0.75
 """Interval at which the limits of slow responses are computed, in seconds."""
 
@@ -123,14 +118,14 @@
         self._limits_at = now
         self._baseline_times = [0] * BUCKET_COUNT
         for route, series in self.baseline.items():
+            if route == ALL_ROUTES:
+                continue
             times = series.sum_service_times()
             for bucket, count in enumerate(times):
                 self._baseline_times[bucket] += count
             median = series.find_median_bucket(times)
             if median is not None:
-                is_small = len(series.upstreams) < SMALL_BASELINE
-                ratio = _SMALL_SLOW_RATIO if is_small else _SLOW_RATIO
-                offset = math.ceil(math.log2(ratio) * BUCKETS_PER_OCTAVE)
+                offset = math.ceil(math.log2(_SLOW_RATIO) * BUCKETS_PER_OCTAVE)
                 is_first = route not in self._slow_buckets
                 self._slow_buckets[route] = median + offset
                 if is_first:
@@ -197,7 +192,7 @@
                     continue
                 slow = sum(times[slow_from + 1 :]) - sum(cold[slow_from + 1 :])
                 counts = Counts(judged=sum(times) - sum(cold), slow=slow)
-                for name in (route, ALL_ROUTES):
+                for name in {route, ALL_ROUTES}:
                     group[name].add(key, counts, [self._last_bin])
 
     def _merge_routes(self, key: UpstreamKey, evidence: UpstreamEvidence, latest: _Latest) -> None:
@@ -210,7 +205,8 @@
             if counts is None:
                 continue
             latest.completed += round(counts.completed)
-            for name in (route.route, ALL_ROUTES):
+            # Requests whose entry daemon doesn't know the order yet have no route.
+            for name in {route.route, ALL_ROUTES}:
                 group.setdefault(name, RouteSeries()).add(key, counts, bins)
 
     def _merge_route(
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/model.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/model.py
@@ -112,5 +112,5 @@
     rank = _PHASE_RANKS[state.phase]
     if state.is_recorded and state.phase.is_final:
         rank = _RECORDED_RANK
-    # A recorded roll-back and a recorded completion never exist both; the phase breaks the tie.
+    # The store accepts one decision, so a recorded roll-back and completion never exist both.
     return rank, state.promote_at_ms, state.age_ms, state.share, state.canaries, state.reason
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/sequential_test.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/sequential_test.py
@@ -27,7 +27,12 @@
 
 
 def measure_evidence(
-    target: RouteSeries, baseline: BaselineRates, service: BaselineRates, kind: BadKind
+    target: RouteSeries,
+    baseline: BaselineRates,
+    service: BaselineRates,
+    kind: BadKind,
+    *,
+    is_only_upstream: bool = False,
 ) -> float:
     """Returns the evidence that a version is bad, as a log likelihood ratio of at least 0.
 
@@ -41,17 +46,18 @@
         service: Their rates on all routes, which show a burst that a rarely used route alone
             does not.
         kind: What counts as bad.
+        is_only_upstream: Whether the version has a single upstream, which then speaks for it.
     """
     if getattr(target.total, kind.field) <= 0.0:
         return 0.0
     worst, kept = cap_worst(target, kind)
-    if worst is None:
+    if worst is None and not is_only_upstream:
         return 0.0
     sums = [0.0] * len(kind.bad_rates)
     for number in sorted(target.bins):
         counts = target.bins[number]
         bad = getattr(counts, kind.field)
-        if number in worst.bad_bins:
+        if worst is not None and number in worst.bad_bins:
             bad -= getattr(worst.bad_bins[number], kind.field) * (1.0 - kept)
         trials = getattr(counts, kind.trials_field)
         if trials > 0.0 and (bad > 0.0 or any(sums)):
--- a/packages/fulmarstile_services/src/fulmarstile_services/rollouts/verdict.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/rollouts/verdict.py
@@ -28,11 +28,12 @@
         return self.evidence >= BAD_EVIDENCE
 
 
-def judge(table: EvidenceTable) -> Verdict:
+def judge(table: EvidenceTable, upstream_count: int) -> Verdict:
     """Tests each route and all routes together.
 
     Args:
         table: The evidence.
+        upstream_count: Number of serving upstreams of the target version.
 
     Returns:
         The verdict with the most evidence against the version.
@@ -42,7 +43,9 @@
     for route, target in table.target.items():
         for kind in KINDS:
             baseline = find_rates(table.baseline.get(route), kind)
-            evidence = measure_evidence(target, baseline, service[kind.name], kind)
+            evidence = measure_evidence(
+                target, baseline, service[kind.name], kind, is_only_upstream=upstream_count == 1
+            )
             if evidence > worst.evidence:
                 where = "all routes" if route == ALL_ROUTES else f"route {route}"
                 worst = Verdict(evidence, f"{kind.name} on {where}")
--- a/tests/services/test_rollout_evaluator.py
+++ b/tests/services/test_rollout_evaluator.py
@@ -19,23 +19,29 @@
 class EvaluatorRun:
     """Drives an evaluator with four daemons, each of which gets a request every 0.25 s."""
 
-    def __init__(self, duration_s: float = 12.0) -> None:
+    def __init__(self, duration_s: float = 12.0, without: tuple[str, ...] = ()) -> None:
+        self.pool = ServicePool(
+            tuple(each for each in POOL.upstreams if each.daemon not in without)
+        )
         order = RolloutOrder("planning", "v2", duration_s, 7)
         self.evaluator = RolloutEvaluator(order, BOUNDS, 100.0)
         self.counters = {
             name: EvidenceCounter(name, 1, name, 5, version) for name, version in DAEMONS.items()
         }
         self.states: list[RolloutState] = []
+        self.without = without
 
     def run(self, until_s: float, failing: tuple[str, ...] = (), silent: bool = False) -> None:
         age_s = len(self.states) / 4
         while age_s < until_s:
             for name, counter in self.counters.items():
+                if name in self.without:
+                    continue
                 count = counter.on_failed if name in failing else counter.on_completed
                 count("read", 0.01)
                 if not silent:
                     self.evaluator.on_evidence(counter.export(age_s, 0, 0), 100.0 + age_s)
-            self.states.append(self.evaluator.evaluate(POOL, 100.0 + age_s))
+            self.states.append(self.evaluator.evaluate(self.pool, 100.0 + age_s))
             age_s = len(self.states) / 4
 
 
@@ -70,6 +76,11 @@
         run.run(10.0, failing=("d-3", "d-4"))
         self.assertEqual(run.states[-1].phase, RolloutPhase.ROLLED_BACK)
 
+    def test_a_bad_version_with_a_single_upstream_is_rolled_back(self) -> None:
+        run = EvaluatorRun(without=("d-4",))
+        run.run(10.0, failing=("d-3",))
+        self.assertEqual(run.states[-1].phase, RolloutPhase.ROLLED_BACK)
+
     def test_the_recorded_decision_stands_against_later_evidence(self) -> None:
         run = EvaluatorRun()
         run.run(1.0)
--- a/tests/services/test_rollout_evidence.py
+++ b/tests/services/test_rollout_evidence.py
@@ -44,6 +44,13 @@
             with self.subTest(seed=seed):
                 self.assertEqual(describe(table), (40.0, 20.0, 42))
 
+    def test_a_request_without_a_route_is_counted_once(self) -> None:
+        table = EvidenceTable("v2", 12.0)
+        counter = build_counter()
+        counter.on_failed(ALL_ROUTES, 0.01)
+        table.merge(counter.export(1.0, 0, 0), 1.0)
+        self.assertEqual(table.target[ALL_ROUTES].total.failed, 1.0)
+
     def test_the_counts_of_a_restarted_daemon_are_added(self) -> None:
         table = EvidenceTable("v2", 12.0)
         old = export_history(build_counter(incarnation=1))
--- a/tests/services/test_version_choice.py
+++ b/tests/services/test_version_choice.py
@@ -156,6 +156,22 @@
         self.daemon.tell(RolloutPhase.ROLLED_BACK)
         self.assertEqual(self.daemon.choose_names(), OLD)
 
+    def test_a_roll_back_to_the_version_in_force_does_not_stop_the_service(self) -> None:
+        self.daemon.now += 2 * HOLD_S
+        self.daemon.choose_names()
+        self.daemon.order("v1")
+        self.daemon.tell(RolloutPhase.ROLLED_BACK)
+        self.assertEqual(self.daemon.choose_names(), OLD)
+
+    def test_the_version_in_force_stays_in_force_after_two_abandoned_orders(self) -> None:
+        self.daemon.now += 2 * HOLD_S
+        self.daemon.choose_names()
+        self.start()
+        self.daemon.order("v1", offset=2)
+        self.daemon.order("v3", offset=3)
+        self.daemon.add_upstreams(third="v3")
+        self.assertEqual(self.daemon.choose_names(), OLD)
+
     def test_tuples_stay_the_same_objects_while_their_members_do(self) -> None:
         self.start()
         self.daemon.tell(share=0.5, canaries=("new-1",))
