Keep the status of a roll-out that has ended

An evaluator of a later rank reports the start after a delay, unless it finds that status; it found another one, did not know the decision yet, and wrote its own over it.

Change: before it reports a start, an evaluator looks whether the store holds a decision about the order. Its status follows the decision, and the append is conditional, so the final status stays the last one.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
@@ -27,6 +27,7 @@
     from fulmarstile_daemon.services.ports import Platform
     from fulmarstile_daemon.services.rollouts import Rollouts
     from fulmarstile_platform.keyed_log import KeyedLog, KeyedPage
+    from fulmarstile_services.rollouts.model import RolloutOrder
     from fulmarstile_wire.rollouts import RolloutState
 
 _RETRY_S: Final = 0.3
@@ -211,6 +212,8 @@
                     if record in page.records:
                         return
                     end_offset = page.next_offset
+                if is_checked and not phase.is_final and await self._is_decided(store, order):
+                    return
                 await store.append_keyed(topic, record.key, record.value, at=end_offset)
             except LogConflictError:
                 # Another status came first; it may be this one.
@@ -222,6 +225,19 @@
             self._rollouts.log.write_status(order, phase)
             return
 
+    async def _is_decided(self, store: KeyedLog, order: RolloutOrder) -> bool:
+        """Returns whether the store holds a decision about an order, or about a later one.
+
+        Another evaluator may have recorded one that is not known here yet. Its status follows the
+        decision, so one that this daemon writes before cannot replace it.
+
+        Raises:
+            LogError: If the store cannot be read.
+        """
+        await self._read(store)
+        stored = self._stored.get(order.service)
+        return stored is not None and stored.order_offset >= order.offset
+
     def _is_due(self, rollout: KnownRollout, phase: RolloutPhase) -> bool:
         """Returns whether a status is still that of the service's newest roll-out."""
         return self._rollouts.is_current(rollout) and phase.is_final is rollout.is_final
