--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_quota_owner.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_quota_owner.py
@@ -7,7 +7,11 @@
 
 import trio
 
-from fulmarstile_daemon.services.events import QuotaOwnership, RecordIgnored
+from fulmarstile_daemon.services.events import (
+    QuotaDeductions,
+    QuotaOwnership,
+    RecordIgnored,
+)
 from fulmarstile_platform.keyed_log import LogConflictError, RecordsExpiredError
 from fulmarstile_platform.log import LogError
 from fulmarstile_wire.errors import WireError
@@ -18,6 +22,7 @@
 
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_platform.keyed_log import KeyedLog
+    from fulmarstile_services.quotas.ledger import DeductedRates
     from fulmarstile_services.quotas.shard import QuotaShard
     from fulmarstile_wire.quotas import OwnerRecord
 
@@ -31,6 +36,8 @@
 _TICK_S: Final = 0.2
 """Interval at which an append is considered, in seconds."""
 _APPEND_TIMEOUT_S: Final = 1.0
+_DEDUCTION_CHANGE_RATIO: Final = 0.05
+"""Change of a deduction, relative to the customers' rates, from which it is logged."""
 
 
 class ShardOwner:
@@ -61,6 +68,7 @@
         self._store: KeyedLog | None = None
         self._is_released = False
         self._was_owner = False
+        self._logged_rates: DeductedRates | None = None
 
     @property
     def _is_candidate(self) -> bool:
@@ -142,3 +150,32 @@
             self._log.write(
                 QuotaOwnership(shard=self._number, epoch=ownership.epoch, owned=is_owner)
             )
+            self._logged_rates = None
+        if is_owner:
+            self._log_deductions()
+
+    def _log_deductions(self) -> None:
+        """Logs what the owner deducts from the customers' rates, if that has changed."""
+        ledger = self._shard.ledger
+        if ledger is None:
+            return
+        rates, logged = ledger.deducted_rates, self._logged_rates
+        if logged is not None and not _differ(rates, logged):
+            return
+        self._logged_rates = rates
+        self._log.write(
+            QuotaDeductions(
+                shard=self._number,
+                epoch=ledger.epoch,
+                rate=round(rates.rate, 1),
+                unknown=round(rates.unknown, 1),
+                silent=round(rates.silent, 1),
+                daemons=ledger.daemon_count,
+            )
+        )
+
+
+def _differ(rates: DeductedRates, logged: DeductedRates) -> bool:
+    """Returns whether the deductions have changed so much that they are logged again."""
+    change = max(abs(rates.unknown - logged.unknown), abs(rates.silent - logged.silent))
+    return change > _DEDUCTION_CHANGE_RATIO * rates.rate
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -467,6 +467,7 @@
         if self._quotas is not None:
             quotas = self._quotas
             add("quota_shards_owned", lambda: quotas.owned_shards)
+            add("quota_unknown_rate", lambda: quotas.unknown_rate)
             add("quota_customers", lambda: quotas.active_customers)
             add("quota_exchanges", lambda: quotas.exchanges)
         add("rollouts_running", lambda: self._rollouts.running)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -359,6 +359,21 @@
     owned: bool
 
 
+class QuotaDeductions(LogEvent, tag="quota_deductions"):
+    """The owner of a shard deducts another part of the customers' rates than before."""
+
+    shard: int
+    epoch: int
+    rate: float
+    """Sum of the customers' rates, in requests per second."""
+    unknown: float
+    """Deduction for shares of an earlier owner that no daemon has reported."""
+    silent: float
+    """Deduction for shares of daemons that are not heard from."""
+    daemons: int
+    """Daemons that hold tokens or shares."""
+
+
 class Suspended(LogEvent, tag="suspended"):
     """The VM was suspended; idle connections are closed because they may be dead."""
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/quotas.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/quotas.py
@@ -102,6 +102,16 @@
         now = read_lease_clock()
         return sum(tasks.shard.ownership.may_grant(now) for tasks in self._shards)
 
+    @property
+    def unknown_rate(self) -> float:
+        """Rates that this daemon, as owner, deducts for unreported shares, per second."""
+        now = read_lease_clock()
+        return sum(
+            tasks.shard.ledger.deducted_rates.unknown
+            for tasks in self._shards
+            if tasks.shard.ledger is not None and tasks.shard.ownership.may_grant(now)
+        )
+
     @property
     def active_customers(self) -> int:
         """Number of customers that hold tokens or shares at this daemon."""
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/_account.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/_account.py
@@ -85,6 +85,16 @@
         self._unknown_rate = plan.share_rate if now < unknown_until else 0
         self._unknown_burst = plan.share_burst if now < unknown_until else 0
 
+    @property
+    def unknown_rate(self) -> int:
+        """Deduction for shares of an earlier owner that no daemon has reported, in thousandths."""
+        return self._unknown_rate
+
+    @property
+    def silent_rate(self) -> int:
+        """Deduction for shares of daemons that are not heard from, in thousandths."""
+        return self._reserved
+
     def fill(self, now: float) -> None:
         """Adds the tokens of the time since the last call, in seconds."""
         elapsed_s = now - self._filled_at
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/ledger.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_services.quotas._account import Account, Holding
@@ -26,6 +27,18 @@
 """Relative difference from which a share is replaced by another one."""
 
 
+@dataclass(frozen=True, slots=True)
+class DeductedRates:
+    """Rates of a shard's customers, and what their owner deducts, in requests per second."""
+
+    rate: float
+    """Sum of the customers' rates."""
+    unknown: float
+    """Deduction for shares of an earlier owner that no daemon has reported."""
+    silent: float
+    """Deduction for shares of daemons that are not heard from."""
+
+
 class _Daemon:
     """A daemon that holds tokens or shares of this shard."""
 
@@ -71,6 +84,16 @@
         """Number of daemons that hold tokens or shares."""
         return len(self._daemons)
 
+    @property
+    def deducted_rates(self) -> DeductedRates:
+        """What of the customers' rates is not granted."""
+        accounts = self._accounts.values()
+        return DeductedRates(
+            sum(account.plan.rate for account in accounts),
+            sum(account.unknown_rate for account in accounts) / 1000,
+            sum(account.silent_rate for account in accounts) / 1000,
+        )
+
     def set_plans(self, plans: Mapping[str, QuotaPlan], now: float) -> None:
         """Applies the limits of the shard's customers.
 
