List how much each daemon may hold of a quota, so that one that never returns holds back only its own share

What callers see: as before, if any daemon that held a share doesn't come back.

Cause: names alone say nothing about amounts, so the share of one lost VM made the next owner deduct all of them.

Change: the list gives an upper bound of each share, in powers of two so that it seldom changes (every 2 s at most). A share never exceeds the bound that is known to be listed, also if the reply to a later list was lost. The owner also drops the shares of daemons that it doesn't hear from and that have been started again.

Why it works: every share in use is listed with at least its size before it is assigned, by a conditional append to the log in which ownership is decided; so the sum over the listed processes that neither reported nor ended bounds what may still be in use.

--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/_account.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/_account.py
@@ -44,7 +44,8 @@
         plan: Limits of the customer.
         level: Tokens in the bucket at first.
         now: Current time, in seconds.
-        unknown_until: Time until which shares of an earlier owner may be in use, in seconds.
+        unreported: Upper bound of the shares of earlier owners; None if it is not known.
+        unknown_until: Time until which such shares may be in use, in seconds.
     """
 
     __slots__ = (
@@ -63,7 +64,14 @@
         "unmet",
     )
 
-    def __init__(self, plan: QuotaPlan, level: float, now: float, unknown_until: float) -> None:
+    def __init__(
+        self,
+        plan: QuotaPlan,
+        level: float,
+        now: float,
+        unreported: QuotaShare | None,
+        unknown_until: float,
+    ) -> None:
         self.plan = plan
         self.level = level
         """Tokens in the bucket."""
@@ -84,6 +92,8 @@
         self._unknown_until = unknown_until
         self._unknown_rate = plan.share_rate if now < unknown_until else 0
         self._unknown_burst = plan.share_burst if now < unknown_until else 0
+        if unreported is not None:
+            self.limit_unknown(unreported, now)
 
     @property
     def unknown_rate(self) -> int:
@@ -107,10 +117,11 @@
         if self._unknown_rate and now >= self._unknown_until:
             self._unknown_rate = self._unknown_burst = 0
 
-    def drop_unknown(self, now: float) -> None:
-        """Stops deducting shares of an earlier owner, because none can be unreported."""
+    def limit_unknown(self, unreported: QuotaShare, now: float) -> None:
+        """Deducts no more than an upper bound of the shares that are unreported."""
         self.fill(now)
-        self._unknown_rate = self._unknown_burst = 0
+        self._unknown_rate = min(self._unknown_rate, unreported.rate)
+        self._unknown_burst = min(self._unknown_burst, unreported.burst)
 
     def credit(self, tokens: float) -> None:
         """Adds tokens to the bucket as far as the capacity allows."""
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/ledger.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/ledger.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING, Final
 
 from fulmarstile_services.quotas._account import Account, Holding
-from fulmarstile_services.quotas.holders import ShareHolders
+from fulmarstile_services.quotas.holders import DaemonProcess, ShareHolders
 from fulmarstile_services.quotas.plan import LEASE_S, QUERY_TIMEOUT_S, SHARE_LIFETIME_S
-from fulmarstile_wire.quotas import QuotaGrant, QuotaShare, ShareHolder
+from fulmarstile_wire.quotas import QuotaGrant, QuotaShare
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -46,7 +46,7 @@
 
     __slots__ = ("answered_at", "heard_at", "holdings", "is_silent", "number", "process")
 
-    def __init__(self, process: ShareHolder) -> None:
+    def __init__(self, process: DaemonProcess) -> None:
         self.process = process
         self.number = 0
         """Number of its last request."""
@@ -72,9 +72,7 @@
         self._epoch = epoch
         self._starts_full = earlier is None
         self._holders = ShareHolders(earlier)
-        self._unknown_until = now
-        if earlier is not None and self._holders.awaits_reports:
-            self._unknown_until = earlier.valid_until
+        self._unknown_until = now if earlier is None else earlier.valid_until
         self._accounts: dict[str, Account] = {}
         self._daemons: dict[str, _Daemon] = {}
         self._swept_at = now
@@ -113,7 +111,10 @@
             account = self._accounts.get(customer)
             if account is None:
                 level = plan.capacity if self._starts_full else 0.0
-                self._accounts[customer] = Account(plan, level, now, self._unknown_until)
+                unreported = self._holders.find_unreported(customer)
+                self._accounts[customer] = Account(
+                    plan, level, now, unreported, self._unknown_until
+                )
             elif account.plan != plan:
                 account.replace_plan(plan, now)
         self._starts_full = False
@@ -135,10 +136,9 @@
             # The daemon doesn't wait for the reply any more.
             return ()
         is_same_epoch = request.epoch == self._epoch
-        if self._holders.awaits_reports:
-            # After its first answered request, a daemon holds only the shares that it reported.
-            self._holders.on_report(daemon.process, is_whole=is_same_epoch)
-            self._end_wait(now)
+        # After its first answered request, a daemon holds only the shares that it has reported.
+        if self._holders.on_report(daemon.process, is_whole=is_same_epoch):
+            self._limit_unknown(now)
         if is_same_epoch and request.answered and request.answered == daemon.number:
             daemon.answered_at = daemon.heard_at
             if daemon.is_silent and now < daemon.answered_at + _SILENT_S:
@@ -160,32 +160,44 @@
                 started; 0 if it is unknown.
             now: Current time, in seconds.
         """
+        for name, daemon in list(self._daemons.items()):
+            if daemon.is_silent and find_incarnation(name) > daemon.process.incarnation:
+                self._remove(name, daemon, now)
         if not self._holders.awaits_reports:
             return
-        self._holders.observe_restarts(find_incarnation)
+        has_changed = self._holders.observe_restarts(find_incarnation)
         if now >= self._unknown_until:
             self._holders.expire_earlier()
-        self._end_wait(now)
-
-    def next_holders(self) -> HoldersRecord | None:
-        """Returns the list of share holders to write to the store; None for none."""
-        return self._holders.next_record(
-            self._epoch,
-            (daemon.process for daemon in self._daemons.values()),
-            (daemon.process for daemon in self._daemons.values() if _has_share(daemon)),
-        )
+            has_changed = True
+        if has_changed:
+            self._limit_unknown(now)
+
+    def next_holders(self, now: float) -> HoldersRecord | None:
+        """Returns the list of share holders to write to the store; None for none.
+
+        Args:
+            now: Current time, in seconds.
+        """
+        if not self._holders.is_record_due(now):
+            return None
+        held = {
+            daemon.process: {
+                customer: holding.share for customer, holding in daemon.holdings.items()
+            }
+            for daemon in self._daemons.values()
+        }
+        return self._holders.make_record(self._epoch, held, now)
 
     def on_holders_recorded(self, record: HoldersRecord) -> None:
         """Processes that a list of share holders was written to the store."""
         self._holders.on_recorded(record)
 
-    def _end_wait(self, now: float) -> None:
-        """Grants the whole rate once no earlier share can be unreported."""
-        if self._holders.awaits_reports:
-            return
-        self._unknown_until = now
-        for account in self._accounts.values():
-            account.drop_unknown(now)
+    def _limit_unknown(self, now: float) -> None:
+        """Deducts no more than the shares that may still be unreported."""
+        for customer, account in self._accounts.items():
+            unreported = self._holders.find_unreported(customer)
+            if unreported is not None:
+                account.limit_unknown(unreported, now)
 
     def _find_daemon(self, request: QuotaRequest, now: float) -> _Daemon:
         daemon = self._daemons.get(request.sender)
@@ -194,7 +206,7 @@
             self._remove(request.sender, daemon, now)
             daemon = None
         if daemon is None:
-            process = ShareHolder(request.sender, request.incarnation)
+            process = DaemonProcess(request.sender, request.incarnation)
             daemon = self._daemons[request.sender] = _Daemon(process)
         elif daemon.process.incarnation > request.incarnation:
             return _STALE
@@ -223,7 +235,7 @@
         holding.held += tokens
         account.unmet += missing - holding.unmet
         holding.unmet = missing
-        share = self._assign_share(daemon, account, holding, now)
+        share = self._assign_share(daemon, account, demand.customer, holding, now)
         delay_s = account.retry_after_s() if holding.unmet else 0.0
         if not (holding.held or holding.mean_pace or holding.unmet or holding.share.rate):
             account.pace -= holding.pace
@@ -251,22 +263,20 @@
                 account.reserve(holding.share)
 
     def _assign_share(
-        self, daemon: _Daemon, account: Account, holding: Holding, now: float
+        self, daemon: _Daemon, account: Account, customer: str, holding: Holding, now: float
     ) -> QuotaShare:
         """Returns the share that the daemon should use from now on.
 
-        The larger of both shares stays booked until the daemon reports which one it holds. A
-        daemon that isn't listed as a holder in the store keeps the share that it has.
+        The larger of both shares stays booked until the daemon reports which one it holds.
         """
         held = holding.share
         proposed = account.propose_share(holding)
+        proposed = self._holders.limit(daemon.process, customer, proposed, held)
         is_similar = abs(proposed.rate - held.rate) <= held.rate * _SHARE_CHANGE_RATIO
         if held.rate and proposed.rate and is_similar:
             return held
         larger = QuotaShare(max(held.rate, proposed.rate), max(held.burst, proposed.burst))
         if larger != held:
-            if not self._holders.may_assign(daemon.process):
-                return held
             self._replace_share(daemon, account, holding, larger, now)
         return proposed
 
@@ -318,6 +328,7 @@
                 account.unreserve(holding.share, now)
             account.book(holding.share, -1)
         del self._daemons[name]
+        self._holders.on_removed()
 
 
 def _settle_tokens(account: Account, holding: Holding, demand: QuotaDemand) -> None:
@@ -330,11 +341,6 @@
         account.credit(returned)
 
 
-def _has_share(daemon: _Daemon) -> bool:
-    """Returns whether a daemon may hold a share."""
-    return any(holding.share.rate for holding in daemon.holdings.values())
-
-
-_STALE: Final = _Daemon(ShareHolder("", 0))
+_STALE: Final = _Daemon(DaemonProcess("", 0))
 """Stands for an earlier process of a daemon, whose requests are ignored."""
 _STALE.number = 1 << 62
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/shard.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/shard.py
@@ -111,7 +111,7 @@
         """
         if self._ledger is None or not self.ownership.may_grant(now):
             return None
-        return self._ledger.next_holders()
+        return self._ledger.next_holders(now)
 
     def on_holders_appended(self, record: HoldersRecord, at: int) -> None:
         """Processes a successful append of a list of share holders.
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/quotas.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/quotas.py
@@ -102,12 +102,14 @@
     """Whether the newest `HoldersRecord`, or none, names all processes that may hold shares."""
 
 
-class ShareHolder(msgspec.Struct, frozen=True, array_like=True, order=True):
+class ShareHolder(msgspec.Struct, frozen=True, array_like=True):
     """Process of a daemon that may hold shares of a shard."""
 
     name: str
     incarnation: int
     """Start of the process, see `Member.incarnation`."""
+    shares: dict[str, QuotaShare]
+    """Upper bounds of its shares, by customer."""
 
 
 class HoldersRecord(msgspec.Struct, frozen=True):
