Ignore records with impossible numbers, addresses or nesting, whoever wrote them

What callers see: one odd entry of another writer among the daemons' records (nested 100,000 deep, a number of 31 digits, port 99999) ends every daemon that reads it, again after each restart, as the newest record of a key is kept.

Cause: decoders caught malformed bytes only. Deep nesting raises RecursionError, and a number or a port that no codec or socket takes passed the decoder and raised OverflowError or ValueError later, when the record was sent on or dialled.

Change: one list of errors for all decoders (fulmarstile_wire.decoding), upper bounds for the numbers of records and messages, checked addresses, and an impossible address fails a connection as an unreachable one does. The same was looked for elsewhere: heartbeats, the operator's documents and orders, ownerships of quotas, roll-out decisions, the product's own rendezvous stream; all decode through the same list now. Ignored records are logged as before.

--- a/packages/fulmarstile_calls/src/fulmarstile_calls/claims/batch.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/claims/batch.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fulmarstile_wire.decoding import DECODE_ERRORS
 from fulmarstile_wire.records import ClaimRecord, OutcomeRecord
 
 MAX_PAYLOAD_BYTES: Final = 4 << 20
@@ -34,5 +35,5 @@
         return None
     try:
         return _decoder.decode(payload)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/api.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/admin/api.py
@@ -18,6 +18,7 @@
 from fulmarstile_mesh import compute_convergence
 from fulmarstile_platform.http_server import HttpAnswer, HttpProblemError, encode_answer
 from fulmarstile_wire.admin import AnnouncementBody
+from fulmarstile_wire.decoding import DECODE_ERRORS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -160,7 +161,7 @@
         try:
             body = msgspec.json.decode(request.body, type=AnnouncementBody)
             self._context.announce_upstream(_read_announcement(body))
-        except (msgspec.DecodeError, AnnouncementError) as error:
+        except (*DECODE_ERRORS, AnnouncementError) as error:
             raise HttpProblemError(HTTPStatus.BAD_REQUEST, str(error)) from error
         return encode_answer(body)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_records.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_records.py
@@ -8,6 +8,7 @@
 
 from fulmarstile_services.rollouts.evaluator import RolloutFigures
 from fulmarstile_services.rollouts.version_rules import VersionRules
+from fulmarstile_wire.decoding import DECODE_ERRORS
 from fulmarstile_wire.errors import WireError
 from fulmarstile_wire.rollouts import RolloutPhase
 
@@ -59,5 +60,5 @@
     """
     try:
         return _DECODER.decode(record.value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise WireError(f"malformed decision: {error}") from error
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -229,6 +229,9 @@
     set_socket_options(sock)
     try:
         await _connect(sock, (host, int(port)))
+    except (ValueError, OverflowError) as error:
+        sock.close()
+        raise OSError(errno.EINVAL, f"{address!r} is no address") from error
     except BaseException:
         sock.close()
         raise
--- a/packages/fulmarstile_mesh/src/fulmarstile_mesh/rendezvous.py
+++ b/packages/fulmarstile_mesh/src/fulmarstile_mesh/rendezvous.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fulmarstile_wire.decoding import DECODE_ERRORS
 from fulmarstile_wire.records import MemberRecord
 
 if TYPE_CHECKING:
@@ -35,6 +36,6 @@
     for payload in payloads:
         try:
             records.append(_decoder.decode(payload))
-        except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             continue
     return records
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http_log.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http_log.py
@@ -18,6 +18,7 @@
     LogRefusedError,
     LogUnavailableError,
 )
+from fulmarstile_wire.decoding import DECODE_ERRORS
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -198,5 +199,5 @@
 def _decode(response: HttpResponse, body_type: type[_Body], verdict: Verdict) -> _Body:
     try:
         return msgspec.json.decode(response.body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise LogUnavailableError(f"log sent a malformed answer: {error}", verdict) from error
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/codec.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/codec.py
@@ -11,6 +11,7 @@
 import msgspec
 import zstandard
 
+from fulmarstile_wire.decoding import DECODE_ERRORS
 from fulmarstile_wire.errors import WireError
 from fulmarstile_wire.messages import AnyMessage
 
@@ -77,7 +78,7 @@
     body = _decode_body(frame[1], frame[_HEADER_BYTES:])
     try:
         return _decoder.decode(body)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise WireError(f"malformed message: {error}") from error
 
 
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/quotas.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/quotas.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fulmarstile_wire.decoding import DECODE_ERRORS, MAX_RECORDED_NUMBER, Number
 from fulmarstile_wire.errors import WireError
 
 MAX_COUNT: Final = 1_000_000_000
@@ -55,14 +56,14 @@
     """
 
     sender: str
-    incarnation: int
+    incarnation: Number
     """Start of the sending daemon, see `Member.incarnation`."""
-    shard: int
-    epoch: int
+    shard: Number
+    epoch: Number
     """Epoch of the ownership under which the tokens were granted; 0 for none."""
-    number: int
+    number: Number
     """Increases with each request of an incarnation for a shard."""
-    answered: int
+    answered: Number
     """Number of the last request whose reply arrived in time; 0 for none."""
     demands: tuple[QuotaDemand, ...] = ()
 
@@ -85,7 +86,7 @@
     """Whether the replying daemon owns the shard; otherwise it grants nothing."""
     owner: str = ""
     """Owner as far as the replying daemon knows; empty if it doesn't."""
-    epoch: int = 0
+    epoch: Number = 0
     """Epoch of the ownership."""
     grants: tuple[QuotaGrant, ...] = ()
 
@@ -94,13 +95,13 @@
     """Record of the store by which a daemon owns a shard."""
 
     owner: str
-    epoch: int
+    epoch: Number
     """Increases with each acquisition; renewals keep it."""
     is_released: bool = False
     """Whether the owner has given up the shard and grants nothing any more."""
     lists_holders: bool = False
     """Whether the newest `HoldersRecord`, or none, names all processes that may hold shares."""
-    incarnation: int = 0
+    incarnation: Number = 0
     """Start of the owner's process, see `Member.incarnation`; 0 if it is not known."""
 
 
@@ -108,7 +109,7 @@
     """Process of a daemon that may hold shares of a shard."""
 
     name: str
-    incarnation: int
+    incarnation: Number
     """Start of the process, see `Member.incarnation`."""
     shares: dict[str, QuotaShare]
     """Upper bounds of its shares, by customer."""
@@ -117,7 +118,7 @@
 class HoldersRecord(msgspec.Struct, frozen=True):
     """Record of the store that lists the processes that may hold shares of a shard."""
 
-    holders_epoch: int
+    holders_epoch: Number
     """Epoch of the owner that wrote it."""
     holders: tuple[ShareHolder, ...]
 
@@ -135,12 +136,15 @@
     """Decodes the record of an ownership.
 
     Raises:
-        WireError: If it is malformed.
+        WireError: If it is malformed, or its epoch can't be followed by another one.
     """
     try:
-        return _OWNER_DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        record: OwnerRecord = _OWNER_DECODER.decode(value)
+    except DECODE_ERRORS as error:
         raise WireError(f"malformed ownership: {error}") from error
+    if record.epoch > MAX_RECORDED_NUMBER:
+        raise WireError(f"malformed ownership: epoch {record.epoch} is too large")
+    return record
 
 
 def encode_holders(record: HoldersRecord) -> bytes:
@@ -156,5 +160,5 @@
     """
     try:
         return _HOLDERS_DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise WireError(f"malformed list of share holders: {error}") from error
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/records.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/records.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from fulmarstile_wire.decoding import Number
+
 
 class MemberStatus(enum.IntEnum):
     """Status of a member; at equal incarnation the higher value wins."""
@@ -32,7 +34,7 @@
 
     daemon_id: str
     """Unique name of the daemon, from its settings; a restarted daemon keeps it."""
-    incarnation: int
+    incarnation: Number
     """Start time in milliseconds since the epoch, incremented to refute a suspicion."""
     status: MemberStatus
     peer_address: str
@@ -49,8 +51,8 @@
     """What the mesh knows about the upstream beside one daemon."""
 
     daemon_id: str
-    incarnation: int
-    sequence: int
+    incarnation: Number
+    sequence: Number
     """Incremented by the daemon on every change within one incarnation."""
     service: str
     status: UpstreamStatus
@@ -62,7 +64,7 @@
     """Configuration version that one daemon has in force for one customer."""
 
     daemon_id: str
-    incarnation: int
+    incarnation: Number
     customer: str
     version: int
     digest: bytes
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -11,6 +11,13 @@
 
 import msgspec
 
+from fulmarstile_wire.decoding import (
+    DECODE_ERRORS,
+    MAX_RECORDED_NUMBER,
+    Duration,
+    Number,
+    is_socket_address,
+)
 from fulmarstile_wire.errors import WireError
 from fulmarstile_wire.loads import LoadReply, LoadRequest
 from fulmarstile_wire.quotas import QuotaReply, QuotaRequest
@@ -45,8 +52,8 @@
     """What an upstream has said about itself in its responses."""
 
     upstream_id: str
-    upstream_born_ms: int
-    dated_ms: int
+    upstream_born_ms: Number
+    dated_ms: Number
     """Time at which the daemon beside the upstream read it, in milliseconds since the epoch.
 
     It increases from notice to notice of an upstream, even if the clock is set back.
@@ -69,22 +76,22 @@
     address: str
     """`host:port` at which the daemon accepts forwarded requests."""
     availability_zone: str
-    incarnation: int
+    incarnation: Number
     """Start time in milliseconds since the epoch, raised above that of any earlier start."""
-    revision: int = 0
+    revision: Number = 0
     """Counts the changes within the incarnation."""
     phase: MemberPhase = MemberPhase.ABSENT
     service: str = ""
     upstream_id: str = ""
-    upstream_born_ms: int = 0
+    upstream_born_ms: Number = 0
     upstream_version: str = ""
     """Version of the upstream's software; empty if it announces none."""
     upstream_leaves: bool = False
     """Whether the upstream has announced that it leaves; it never accepts requests again."""
-    slots: int = 0
-    cold_left_s: float = 0.0
+    slots: Number = 0
+    cold_left_s: Duration = 0.0
     """Remaining warm-up time of the upstream when this record was written, in seconds."""
-    link_kbps: int = 0
+    link_kbps: Number = 0
     """Capacity of the VM's network link, in kilobits per second; 0 if unknown."""
     notice: UpstreamNotice | None = None
     """What the upstream has said about itself, when this record was written."""
@@ -100,7 +107,7 @@
 
     fingerprint: bytes
     upstream_id: str
-    upstream_born_ms: int
+    upstream_born_ms: Number
 
 
 class HopRequest(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
@@ -370,9 +377,14 @@
     """Decodes a member's record.
 
     Raises:
-        WireError: If it is malformed.
+        WireError: If it is malformed, or names an address or a number that can't be used.
     """
-    return _decode(_MEMBER_DECODER, value)
+    member: Member = _decode(_MEMBER_DECODER, value)
+    if not is_socket_address(member.address):
+        raise WireError(f"malformed message: {member.address[:80]!r} is no address")
+    if member.incarnation > MAX_RECORDED_NUMBER:
+        raise WireError(f"malformed message: incarnation {member.incarnation} is too large")
+    return member
 
 
 def decode_crash(value: bytes) -> CrashReport:
@@ -387,5 +399,5 @@
 def _decode(decoder: Any, value: bytes) -> Any:
     try:
         return decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise WireError(f"malformed message: {error}") from error
--- a/tests/adapter/test_config_record.py
+++ b/tests/adapter/test_config_record.py
@@ -77,6 +77,7 @@
             make_config(change_row(Service=None)),
             make_config(ROW[:-1]),
             make_config()[:-20],
+            make_config()[:-1] + b',"Other":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
         ):
             with self.subTest(raw[:40]), self.assertRaises(DocumentError):
                 decode_config(raw)
--- a/tests/adapter/test_heartbeats.py
+++ b/tests/adapter/test_heartbeats.py
@@ -75,6 +75,13 @@
             make_heartbeat(born=1.5),
             make_heartbeat(born=None),
             make_heartbeat(Address="10.0.0.9:8080"),
+            make_heartbeat(Address="10.0.0.8:99999"),
+            make_heartbeat(born=10**30),
+            make_heartbeat(born=-1),
+            make_heartbeat(Info={"Service": "shop", "Slots": 10**30}),
+            make_heartbeat(Status={"State": "ready", "Sequence": 10**30}),
+            make_heartbeat(Status={"State": "ready", "Sequence": 4, "ColdLeftS": 1e300}),
+            make_heartbeat()[:-1] + b',"Other":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
         ):
             with self.subTest(body[:60]), self.assertRaises(HttpProblemError):
                 self.post("/v1/Instances.Heartbeat/i-1", body)
