Close a connection to an upstream after a response that says "not run"

What callers see: an upstream that writes a rejection a second time on a kept connection makes the next request there count as not run while it runs: its caller gets 503 and may try again (REFUSED), or it runs at a second upstream (TWICE).

Cause: a response was matched to its request by id, or without one if it was a failure. The second copy of a rejection without an id matches any later request on that connection, and one with an id matches a second attempt with the same id.

Change: the connection ends with the rejection, also with 421. The daemon beside the upstream alone sends to it and guards its slots, so upstreams reject rarely and few connections are lost.

Evidence: three tests with a stand-in that repeats a rejection before the next answer; without an id, and with the id of a second attempt, callers got 503 for a request that ran; both pass now, the third (another id) passed before. An answer that ends in its head is not passed on: test added, passed before.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -19,6 +19,7 @@
     MISDIRECTED_STATUS,
     classify_response,
     count_evidence,
+    is_rejection,
     receive_matching,
 )
 from fulmarstile_daemon.services.events import RecordIgnored, UpstreamChanged
@@ -389,7 +390,9 @@
         is_reusable = False
         try:
             response = await receive_matching(self._names, exchange, request)
-            is_reusable = not exchange.is_body_unfinished
+            # A second copy of a rejection on this connection could be taken for that of a later
+            # request, which then counts as not run.
+            is_reusable = not (exchange.is_body_unfinished or is_rejection(self._names, response))
         except trio.Cancelled:
             if evidence is not None:
                 evidence.on_cancelled(hop.route, trio.current_time() - started_at)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream_responses.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream_responses.py
@@ -54,6 +54,11 @@
     raise ExchangeError("too many responses belong to other requests")
 
 
+def is_rejection(names: CallHeaderNames, response: UpstreamResponse) -> bool:
+    """Returns whether a response says that its request has not run."""
+    return bool(response.headers.get_bytes(names.not_run)) or response.status == MISDIRECTED_STATUS
+
+
 def classify_response(names: CallHeaderNames, response: UpstreamResponse) -> AttemptResult:
     """Determines whether the request has run, and whether the response may be passed on.
 
@@ -65,8 +70,8 @@
         The result of the attempt.
     """
     headers = response.headers
-    not_run = headers.get_bytes(names.not_run)
-    if not_run or response.status == MISDIRECTED_STATUS:
+    if is_rejection(names, response):
+        not_run = headers.get_bytes(names.not_run)
         reason = RefusalReason.OVERLOADED if not_run else RefusalReason.NO_UPSTREAM
         return AttemptResult(make_failure(Verdict.NOT_RUN, reason, reached_upstream=True))
     is_success = 200 <= response.status < 300
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
@@ -31,6 +31,12 @@
 """The answer has no proof that it is an upstream's."""
 FAULT_SHED: Final = "shed"
 """The request is rejected as not run."""
+FAULT_SHED_AGAIN: Final = "shed-again"
+"""The request is rejected as not run, and the rejection follows again before the next answer."""
+FAULT_SHED_AGAIN_UNNAMED: Final = "shed-again-unnamed"
+"""The same, but the second rejection doesn't say to which request it belongs."""
+FAULT_CUT_HEAD: Final = "cut-head"
+"""The answer and its connection end in its head, at the byte that the query names as `at`."""
 FAULT_EARLY: Final = "early"
 """A rejection is sent before the body is read."""
 FAULT_CRASH: Final = "crash"
@@ -158,9 +164,9 @@
         if expected and expected != self.upstream_id:
             await self._answer(http, stream, served, 421, b"")
             return b""
-        if fault == FAULT_SHED:
+        if fault in (FAULT_SHED, FAULT_SHED_AGAIN, FAULT_SHED_AGAIN_UNNAMED):
             await self._answer(http, stream, served, 503, b"", not_run=True)
-            return b""
+            return self._make_late_rejection(served, fault)
         return await self._run(http, stream, served, query)
 
     async def _run(
@@ -196,6 +202,9 @@
         if fault == FAULT_CUT:
             await stream.send_all(whole[:-1])
             _reset(stream)
+        if fault == FAULT_CUT_HEAD:
+            await stream.send_all(whole[: int(query["at"])])
+            raise trio.BrokenResourceError("the answer ends in its head")
         if fault == FAULT_UNFRAMED:
             await stream.send_all(whole.replace(b"content-length", b"x-length"))
             return b""
@@ -244,6 +253,15 @@
         lines += [name + b": " + value for name, value in headers]
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
+    def _make_late_rejection(self, served: ServedRequest, fault: str) -> bytes:
+        """Returns the rejection that disturbs the next request, if any does."""
+        if fault == FAULT_SHED:
+            return b""
+        rejection = self._make_answer(served, 503, b"", not_run=True)
+        if fault == FAULT_SHED_AGAIN_UNNAMED:
+            rejection = rejection.replace(self._names.request_id, b"x-other-id")
+        return rejection
+
     def _make_headers(
         self, served: ServedRequest, body: bytes, not_run: bool, proven: bool
     ) -> list[tuple[bytes, bytes]]:
--- a/tests/services/test_upstream_faults.py
+++ b/tests/services/test_upstream_faults.py
@@ -12,11 +12,14 @@
 from fulmarstile_testing.service_upstream import (
     FAULT_CRASH,
     FAULT_CUT,
+    FAULT_CUT_HEAD,
     FAULT_EARLY,
     FAULT_EXTRA,
     FAULT_EXTRA_LATE,
     FAULT_RESET,
     FAULT_SHED,
+    FAULT_SHED_AGAIN,
+    FAULT_SHED_AGAIN_UNNAMED,
     FAULT_UNFRAMED,
     FAULT_UNPROVEN,
 )
@@ -66,6 +69,38 @@
     def test_a_rejection_before_the_body_is_read_closes_the_connection(self) -> None:
         self.check(FAULT_EARLY, status=503, runs=0)
 
+    def check_rejected_again(self, fault: str, request_id: str) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=ONCE) as mesh:
+                entry, beside = mesh.nodes
+                rejected = await entry.call(f"/a?fault={fault}", "POST")
+                self.assertEqual(rejected.status, 503)
+                following = await entry.call("/a?size=7", "POST", request_id=request_id)
+                self.assertEqual((following.status, following.body), (200, b"x" * 7))
+                self.assertEqual(beside.upstream.record.count_runs(request_id), 1)
+
+        trio.run(run)
+
+    def test_a_rejection_written_twice_is_not_taken_for_that_of_the_next_request(self) -> None:
+        self.check_rejected_again(FAULT_SHED_AGAIN, "request-2")
+
+    def test_a_rejection_written_twice_without_an_id_is_not_taken_for_the_next_one(self) -> None:
+        self.check_rejected_again(FAULT_SHED_AGAIN_UNNAMED, "request-2")
+
+    def test_a_rejection_written_twice_is_not_taken_for_that_of_a_second_attempt(self) -> None:
+        self.check_rejected_again(FAULT_SHED_AGAIN, "request-1")
+
+    def test_an_answer_that_ends_in_its_head_is_not_passed_on(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=ONCE) as mesh:
+                for at in (1, 8, 12, 15, 16, 17, 30, 45, 60, 75, 85, 90):
+                    answer = await mesh.nodes[0].call(
+                        f"/a?fault={FAULT_CUT_HEAD}&at={at}", "POST", request_id=f"r{at}"
+                    )
+                    self.assertEqual((at, answer.status, answer.complete), (at, 502, True))
+
+        trio.run(run)
+
     def test_a_status_that_promises_not_run_is_not_passed_on_if_the_request_ran(self) -> None:
         async def run() -> None:
             async with serve_mesh("stock", "shop", document=ONCE) as mesh:
