Test that a response cut off anywhere in its head is never taken as whole

Reported by other operators: an upstream that stopped in the middle of its head led to a 200 with an empty body, framed as whole. Here it can't: the parser ends a response without a length with its connection only after its head.

--- a/tests/http/test_response_parsing.py
+++ b/tests/http/test_response_parsing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 
 from hypothesis import given
@@ -96,6 +97,29 @@
         with self.assertRaises(MalformedResponseError):
             read_all(parser)
 
+    def test_a_response_that_is_cut_off_in_its_head_is_never_whole(self) -> None:
+        heads = (
+            b"HTTP/1.1 200 OK\r\nRequest-Id: r\r\nSeal: s\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nSeal: s\r\nConnection: close\r\n\r\n",
+            b"HTTP/1.1 204 No Content\r\nSeal: s\r\n\r\n",
+            b"HTTP/1.0 200 OK\nSeal: s\n\n",
+        )
+        earlier = (b"", b"HTTP/1.1 100 Continue\r\n\r\n", PLAIN)
+        for head, before in itertools.product(heads, earlier):
+            for cut in range(1, len(head)):
+                with self.subTest(head=head, before=before, cut=cut):
+                    parser = ResponseParser(64 * 1024)
+                    parser.feed(before)
+                    parser.feed(head[:cut])
+                    parser.feed(b"")
+                    events = []
+                    with self.assertRaises(MalformedResponseError):
+                        while (event := parser.next_event()) is not None:
+                            events.append(event)
+                    ends = sum(isinstance(event, ResponseEnd) for event in events)
+                    self.assertEqual(ends, int(before == PLAIN))
+
     @given(st.binary(min_size=1, max_size=200))
     def test_arbitrary_bytes_raise_nothing_else(self, data: bytes) -> None:
         parser = ResponseParser(64 * 1024)
