Test with real daemons that a customer's quota is back 15 s after all were killed at once

Cause: no test or soak stopped all daemons at once and counted what a customer with a key and a quota gets afterwards.

--- a/tests/services/test_quota_mesh.py
+++ b/tests/services/test_quota_mesh.py
@@ -23,6 +23,8 @@
 BAKER = make_customer("baker", "key", rate_per_s=20.0, burst=10.0)
 HEADERS = (("api-key", "key"),)
 BOUNDS = RequiredBounds(quota=QuotaBounds(5.0, 0.1, 20.0))
+RECOVERY_S = 15.0
+"""Time after the return of all VMs within which service has to be back, in seconds."""
 LIMIT = (20.0 * 5.0 + 10.0) * 1.1 + 20.0
 """Requests that the customer may send in one window."""
 
@@ -56,6 +58,12 @@
                 await trio.sleep(0.05)
 
 
+async def restart(mesh: ServiceMesh, node: ServiceNode) -> None:
+    """Starts a daemon again that was killed."""
+    name = node.platform.settings.name
+    await mesh.start_node(name, upstream=node.upstream, earlier=node)
+
+
 async def call_evenly(
     nodes: list[ServiceNode], count: int, gap_s: float, target: str = "/a"
 ) -> list[ClientAnswer]:
@@ -116,6 +124,26 @@
 
         trio.run(run)
 
+    def test_all_requests_are_served_15_s_after_all_daemons_were_killed_at_once(self) -> None:
+        async def run() -> None:
+            async with serve_customer() as mesh:
+                await call_evenly(mesh.nodes, 60, 0.05)
+                killed = list(mesh.nodes)
+                async with trio.open_nursery() as nursery:
+                    for node in killed:
+                        nursery.start_soon(node.kill)
+                async with trio.open_nursery() as nursery:
+                    for node in killed:
+                        nursery.start_soon(restart, mesh, node)
+                await mesh.wait_serving("shop", 3)
+                returned_at = trio.current_time()
+                while trio.current_time() < returned_at + RECOVERY_S:
+                    await call_evenly(mesh.nodes, 3, 0.1)
+                answers = await call_evenly(mesh.nodes, 20, 0.1)
+                self.assertEqual([answer.status for answer in answers], [200] * 20)
+
+        trio.run(run)
+
     @pass_over_known_red
     def test_shares_serve_while_the_store_is_down(self) -> None:
         async def run() -> None:
