Limit how often and how long the list of share holders is written

Cause: at 84 daemons and 84 customers a list has 11 to 18 KB and was due every 2 s; at 720 daemons and 300 customers it had 199 KB of the 256 KB that a record may have, and nothing bounded it.

Change: the interval grows with the number of listed shares, and no share beyond 4,000 is listed, so it is not assigned either.

--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/holders.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/holders.py
@@ -13,6 +13,10 @@
 
 RECORD_INTERVAL_S: Final = 2.0
 """Shortest interval between two lists, in seconds."""
+_LISTED_SHARES_PER_S: Final = 150
+"""Shares that are written per second on average, about 5 KB, however many are listed."""
+MAX_LISTED_SHARES: Final = 4000
+"""Number of shares from which no further ones are listed; about 200 KB in the store."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +58,7 @@
         self._unreported = _UnreportedShares(self._listed)
         self._wanted: defaultdict[DaemonProcess, Shares] = defaultdict(dict)
         self._is_outdated = listed is None
-        self._recorded_at = float("-inf")
+        self._record_due_at = float("-inf")
 
     @property
     def awaits_reports(self) -> bool:
@@ -138,7 +142,7 @@
 
     def is_record_due(self, now: float) -> bool:
         """Returns whether another list is to be written to the store."""
-        if not self._is_complete or now < self._recorded_at + RECORD_INTERVAL_S:
+        if not self._is_complete or now < self._record_due_at:
             return False
         return bool(self._wanted) or self._is_outdated
 
@@ -152,10 +156,8 @@
             held: Shares that the processes may hold which the owner hears from.
             now: Current time, in seconds.
         """
-        listed = {
-            process: _bound_shares(shares, self._wanted.get(process, {}))
-            for process, shares in held.items()
-        }
+        listed = {process: _bound_shares(shares) for process, shares in held.items()}
+        self._list_wanted(listed)
         for process in self._unreported.processes.values():
             listed[process] = _join(self._unreported.shares[process], listed.get(process, {}))
         listed = {process: shares for process, shares in listed.items() if shares}
@@ -166,14 +168,25 @@
             if process in listed
         }
         self._is_outdated = True
-        self._wanted.clear()
-        self._recorded_at = now
+        count = sum(map(len, listed.values()))
+        self._record_due_at = now + max(RECORD_INTERVAL_S, count / _LISTED_SHARES_PER_S)
         holders = tuple(
             ShareHolder(process.name, process.incarnation, shares)
             for process, shares in listed.items()
         )
         return HoldersRecord(epoch, holders)
 
+    def _list_wanted(self, listed: dict[DaemonProcess, Shares]) -> None:
+        """Adds shares that are to be assigned, as long as the list is not too long."""
+        wanted, self._wanted = self._wanted, defaultdict(dict)
+        room = MAX_LISTED_SHARES - sum(map(len, listed.values()))
+        for process, shares in wanted.items():
+            room -= len(shares)
+            if room < 0:
+                return
+            if process in listed:
+                listed[process] = _join(listed[process], _bound_shares(shares))
+
     def on_recorded(self, record: HoldersRecord) -> None:
         """Processes that a list was written to the store."""
         self._listed = _index(record.holders)
@@ -218,11 +231,11 @@
     return {DaemonProcess(each.name, each.incarnation): dict(each.shares) for each in holders}
 
 
-def _bound_shares(held: Shares, wanted: Shares) -> Shares:
+def _bound_shares(shares: Shares) -> Shares:
     """Returns upper bounds of shares, with room to grow so that they are seldom exceeded."""
     return {
         customer: QuotaShare(_round_up(share.rate), _round_up(share.burst))
-        for customer, share in _join(held, wanted).items()
+        for customer, share in shares.items()
         if share.rate
     }
 
--- a/tests/services/test_quota_holders.py
+++ b/tests/services/test_quota_holders.py
@@ -5,7 +5,12 @@
 import unittest
 
 from fulmarstile_services.document import Customer
-from fulmarstile_services.quotas.holders import RECORD_INTERVAL_S
+from fulmarstile_services.quotas.holders import (
+    MAX_LISTED_SHARES,
+    RECORD_INTERVAL_S,
+    DaemonProcess,
+    ShareHolders,
+)
 from fulmarstile_services.quotas.ownership import ShardOwnership
 from fulmarstile_services.quotas.plan import (
     GRANTING_S,
@@ -163,6 +168,17 @@
         self.assertIsNotNone(shard.next_holders(TAKEOVER_S))
         self.assertEqual(ask(shard, HOLDERS[0], 1), NO_SHARE)
 
+    def test_no_more_shares_are_listed_than_a_record_can_hold(self) -> None:
+        holders = ShareHolders(None)
+        processes = [DaemonProcess(f"daemon-{n}", 1) for n in range(MAX_LISTED_SHARES + 100)]
+        for process in processes:
+            holders.limit(process, "baker", SHARE, NO_SHARE)
+        record = holders.make_record(1, {process: {} for process in processes}, 0.0)
+        self.assertEqual(len(record.holders), MAX_LISTED_SHARES)
+        holders.on_recorded(record)
+        self.assertEqual(holders.limit(processes[-1], "baker", SHARE, NO_SHARE), NO_SHARE)
+        self.assertFalse(holders.is_record_due(RECORD_INTERVAL_S))
+
     def test_a_list_whose_reply_was_lost_is_written_again(self) -> None:
         shard = acquire(holders=())
         ask(shard, NEWCOMER, 1)
