Forget that an owner has ended once another one owns the quota shard

What callers see: after a restart of daemons that had been started together, quota shards could change hands again and again, and two owners could grant at the same time until the first one's next renewal.

Cause: the end of an owner was kept until a record with another incarnation was read. Daemons that are started in the same millisecond have the same incarnation, so the next owner was taken for one that had ended. A daemon that raised its own incarnation while it owned the shard didn't wait for the tokens that it had granted.

Change: the end belongs to one owner and incarnation. Daemons in virtual time that start in the same second have the same incarnation.

Evidence: two tests that failed before.

--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/ownership.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/ownership.py
@@ -93,10 +93,7 @@
             if isinstance(record, HoldersRecord):
                 self._holders = record
                 continue
-            if self._record is None or record.incarnation != self._record.incarnation:
-                self._ended_at = None
-            self._record = record
-            self._changed_at = now
+            self._set_record(record, now)
             if (record.owner, record.epoch) != (self._name, self._epoch):
                 self._is_owner = False
 
@@ -152,8 +149,7 @@
             if record.epoch > 1:
                 self._earlier_shares = self._find_earlier_shares(record)
         self._end_offset = at + 1
-        self._record = record
-        self._changed_at = now
+        self._set_record(record, now)
         self._sent_at = sent_at
         self._epoch = record.epoch
         # While the append was under way, this daemon may have been taken for a later process.
@@ -193,6 +189,17 @@
         self._incarnation = incarnation
         self._is_owner = False
 
+    def _set_record(self, record: OwnerRecord, now: float) -> None:
+        earlier, self._record = self._record, record
+        self._changed_at = now
+        # Daemons that are started at the same time have the same incarnation.
+        is_same_process = earlier is not None and (earlier.owner, earlier.incarnation) == (
+            record.owner,
+            record.incarnation,
+        )
+        if not is_same_process:
+            self._ended_at = None
+
     def _find_free_at(self, record: OwnerRecord) -> float:
         """Returns the time from which no token of the record's owner is valid, in seconds."""
         if record.is_released:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_quotas.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_quotas.py
@@ -88,7 +88,9 @@
         index = self.daemons.index(daemon)
 
         def start() -> None:
-            self.daemons[index] = self._start(daemon.name, daemon.known, int(self.now * 1000) + 2)
+            # Daemons that are started at about the same time have the same incarnation.
+            incarnation = max(daemon.incarnation + 1, int(self.now) * 1000)
+            self.daemons[index] = self._start(daemon.name, daemon.known, incarnation)
 
         self.call_at(self.now + delay_s, start)
 
--- a/tests/services/test_quota_holders.py
+++ b/tests/services/test_quota_holders.py
@@ -53,9 +53,10 @@
     """Makes a shard that daemon-1 acquires at `TAKEOVER_S` from an owner that listed holders."""
     shard = QuotaShard("daemon-1", 10, 0, BOUNDS.window_s)
     shard.set_plans(make_plans(100.0), 0.0)
-    earlier = OwnerRecord("daemon-9", 3, lists_holders=lists_holders)
+    earlier = OwnerRecord("daemon-9", 3, lists_holders=lists_holders, incarnation=90)
     shard.ownership.on_read((HoldersRecord(3, holders), earlier), 8, 0.0)
-    record = shard.ownership.next_record(TAKEOVER_S, is_candidate=True)
+    propose(shard.ownership, 0.0, 91)
+    record = propose(shard.ownership, TAKEOVER_S, 91)
     assert record is not None
     shard.on_appended(record, 8, TAKEOVER_S, TAKEOVER_S)
     return shard
@@ -221,6 +222,22 @@
                 ownership.on_read((OwnerRecord("daemon-9", 3, incarnation=incarnation),), 5, 0.0)
                 self.assertIsNone(propose(ownership, TAKEOVER_S - 0.1, known))
 
+    def test_the_end_of_an_owner_says_nothing_of_the_next_one_that_was_started_with_it(
+        self,
+    ) -> None:
+        ownership = ShardOwnership("daemon-1", 10)
+        ownership.on_read((OwnerRecord("daemon-8", 3, incarnation=90),), 5, 0.0)
+        self.assertIsNone(propose(ownership, 0.1, 91))
+        ownership.on_read((OwnerRecord("daemon-9", 4, incarnation=90),), 6, 1.1)
+        self.assertIsNone(propose(ownership, 1.1 + TAKEOVER_S - 0.1, 90))
+
+    def test_a_daemon_that_lost_its_ownership_waits_for_its_own_tokens(self) -> None:
+        shard = acquire()
+        shard.restart(11)
+        self.assertIsNone(propose(shard.ownership, TAKEOVER_S + 0.1, 11))
+        self.assertIsNone(propose(shard.ownership, TAKEOVER_S + LEASE_S, 11))
+        self.assertIsNotNone(propose(shard.ownership, TAKEOVER_S + 0.1 + LEASE_S, 11))
+
     def test_an_append_from_before_a_later_incarnation_gives_no_ownership(self) -> None:
         ownership = ShardOwnership("daemon-1", 10)
         ownership.on_read((), 0, 0.0)
