--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEED ?= 1
 TEST_JOBS ?= 4
 
-.PHONY: setup test lint format demo demo-platform soak scenarios bench-config bench-calls plots clean
+.PHONY: setup test lint format demo demo-platform soak soak-returns scenarios bench-config bench-calls plots clean
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml platform/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -40,6 +40,9 @@
 soak: setup
 	$(VENV)/bin/python -m fulmarstile_adapter_testing.soak --seed=$(SEED)
 
+soak-returns: setup
+	$(VENV)/bin/python -m fulmarstile_adapter_testing.soak_returns --seed=$(SEED)
+
 scenarios: setup
 	$(VENV)/bin/python -m fulmarstile_testing.scenarios --seeds=$(SEEDS)
 
