Take a malformed list of share holders for unknown holders

What callers see: nothing; without this, a quota could be exceeded.

Cause: a list that can't be decoded was ignored like any malformed record, so a new owner would have gone by an older list, or by none, and granted what listed daemons may still hold. Found by reading.

Change: after such a list, the new owner deducts all shares until the last one has ended, and its record doesn't claim a complete list.

Evidence: a test of the core, and one with three daemons in whose topic another writer puts three malformed lists.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_quota_owner.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_quota_owner.py
@@ -21,7 +21,7 @@
     from collections.abc import Callable
 
     from fulmarstile_daemon.services.event_log import EventLog
-    from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
+    from fulmarstile_platform.keyed_log import KeyedLog, KeyedPage, KeyedRecord
     from fulmarstile_services.quotas.ledger import DeductedRates
     from fulmarstile_services.quotas.shard import QuotaShard
     from fulmarstile_wire.quotas import HoldersRecord, OwnerRecord
@@ -105,13 +105,23 @@
         except LogError:
             # The outage of the store is logged by the topics that every daemon follows.
             return
+        self._process(page)
+
+    def _process(self, page: KeyedPage) -> None:
+        """Processes a page of the shard's topic; a malformed list of holders counts as unknown."""
+        ownership = self._shard.ownership
         records: list[OwnerRecord | HoldersRecord] = []
+        is_list_readable = True
         for record in page.records:
             try:
                 records.append(_decode(record))
+                is_list_readable = is_list_readable or record.key == HOLDERS_KEY
             except WireError as error:
+                is_list_readable = is_list_readable and record.key != HOLDERS_KEY
                 self._log.write(RecordIgnored(source=self._topic, reason=str(error)))
-        self._shard.ownership.on_read(records, page.next_offset, self._read_clock())
+        ownership.on_read(records, page.next_offset, self._read_clock())
+        if not is_list_readable:
+            ownership.on_unreadable_holders()
 
     async def append_forever(self, store: KeyedLog) -> None:
         """Acquires and renews the ownership, until cancelled."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/quotas.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/quotas.py
@@ -286,6 +286,8 @@
             self._log.write(DependencyRegained(dependency=f"quota shard {number}", after_s=after_s))
 
     def _find_incarnation(self, name: str) -> int:
+        """Returns the incarnation in which a daemon is known to have been started; 0 for none."""
+        # An owner must not renew with an incarnation that others know to be over.
         self._check_incarnation()
         member = self._directory.find(name)
         return 0 if member is None else member.incarnation
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/ownership.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/ownership.py
@@ -42,6 +42,7 @@
         self._epoch = 0
         self._is_owner = False
         self._holders: HoldersRecord | None = None
+        self._is_list_readable = True
         self._lists_holders = False
         self._earlier_shares: EarlierShares | None = None
 
@@ -92,11 +93,16 @@
         for record in records:
             if isinstance(record, HoldersRecord):
                 self._holders = record
+                self._is_list_readable = True
                 continue
             self._set_record(record, now)
             if (record.owner, record.epoch) != (self._name, self._epoch):
                 self._is_owner = False
 
+    def on_unreadable_holders(self) -> None:
+        """Processes that the newest list of share holders is malformed."""
+        self._is_list_readable = False
+
     def forget_offset(self) -> None:
         """Lets the topic be read from its newest record, because its records have expired."""
         self._end_offset = None
@@ -130,7 +136,8 @@
             self._ended_at = now
         if now < self._find_free_at(record):
             return None
-        return self._make_record(record.epoch + 1, lists_holders=record.lists_holders)
+        lists_holders = record.lists_holders and self._is_list_readable
+        return self._make_record(record.epoch + 1, lists_holders)
 
     def on_appended(self, record: OwnerRecord, at: int, sent_at: float, now: float) -> None:
         """Processes a successful append.
@@ -145,9 +152,9 @@
             # Another daemon has appended a later record, which has been read already.
             return
         if record.epoch != self._epoch:
-            self._lists_holders = record.lists_holders
+            self._lists_holders = record.lists_holders and self._is_list_readable
             if record.epoch > 1:
-                self._earlier_shares = self._find_earlier_shares(record)
+                self._earlier_shares = self._find_earlier_shares()
         self._end_offset = at + 1
         self._set_record(record, now)
         self._sent_at = sent_at
@@ -170,6 +177,7 @@
             return False
         self._end_offset = at + 1
         self._holders = record
+        self._is_list_readable = True
         self._lists_holders = True
         return True
 
@@ -212,11 +220,11 @@
     ) -> OwnerRecord:
         return OwnerRecord(self._name, epoch, is_released, lists_holders, self._incarnation)
 
-    def _find_earlier_shares(self, record: OwnerRecord) -> EarlierShares:
-        """Returns what is known of earlier shares when the shard is acquired with a record."""
+    def _find_earlier_shares(self) -> EarlierShares:
+        """Returns what is known of earlier shares when the shard is acquired."""
         holders = () if self._holders is None else self._holders.holders
         last_grant_at = self._changed_at + GRANTING_S
         return EarlierShares(
-            holders if record.lists_holders else None,
+            holders if self._lists_holders else None,
             last_grant_at + SHARE_LIFETIME_S + CLOCK_MARGIN_S,
         )
--- a/tests/services/test_quota_holders.py
+++ b/tests/services/test_quota_holders.py
@@ -196,6 +196,18 @@
         renewal = shard.ownership.next_record(TAKEOVER_S + 1.0, is_candidate=True)
         self.assertEqual(renewal, OwnerRecord("daemon-1", 4, lists_holders=True, incarnation=10))
 
+    def test_an_unreadable_list_counts_as_unknown_holders(self) -> None:
+        shard = QuotaShard("daemon-1", 10, 0, BOUNDS.window_s)
+        shard.set_plans(make_plans(100.0), 0.0)
+        earlier = OwnerRecord("daemon-9", 3, lists_holders=True)
+        shard.ownership.on_read((HoldersRecord(3, ()), earlier), 8, 0.0)
+        shard.ownership.on_unreadable_holders()
+        record = shard.ownership.next_record(TAKEOVER_S, is_candidate=True)
+        assert record is not None
+        self.assertFalse(record.lists_holders)
+        shard.on_appended(record, 8, TAKEOVER_S, TAKEOVER_S)
+        self.assertEqual(find_unknown(shard), 90.0)
+
     def test_an_unreadable_list_is_rejected(self) -> None:
         for value in (b"", b"{}", b"[" * 100_000, b'{"holders_epoch":1,"holders":[["a",1]]}'):
             with self.subTest(value=value[:20]), self.assertRaises(WireError):
--- a/tests/services/test_quota_mesh.py
+++ b/tests/services/test_quota_mesh.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from fulmarstile_daemon.services._quota_owner import HOLDERS_KEY, TOPIC_PREFIX
 from fulmarstile_services.quotas.plan import shard_of
 from fulmarstile_services.settings import QuotaBounds, RequiredBounds
 from fulmarstile_testing.builders.service_mesh import READY_TIMEOUT_S, serve_mesh
@@ -144,6 +145,25 @@
 
         trio.run(run)
 
+    def test_a_list_of_holders_by_another_writer_ends_no_daemon(self) -> None:
+        async def run() -> None:
+            async with serve_customer() as mesh:
+                topic = f"{TOPIC_PREFIX}{shard_of(BAKER.name)}"
+                for raw in (b"{", b"[" * 100_000, b'{"holders_epoch":-1,"holders":[]}'):
+                    mesh.store.put(topic, HOLDERS_KEY, raw)
+                    await call_evenly(mesh.nodes, 10, 0.1)
+                owner = find_owner(mesh)
+                assert owner is not None
+                mesh.store.put(topic, HOLDERS_KEY, b"{")
+                await owner.kill()
+                await wait_owned(mesh)
+                following = find_owner(mesh)
+                assert following is not None
+                ledger = following.daemon._quotas._shards[shard_of(BAKER.name)].shard.ledger
+                self.assertEqual(ledger.deducted_rates.unknown, 0.9 * BAKER.rate_per_s)
+
+        trio.run(run)
+
     @pass_over_known_red
     def test_shares_serve_while_the_store_is_down(self) -> None:
         async def run() -> None:
