--- a/tests/services/test_quota_mesh.py
+++ b/tests/services/test_quota_mesh.py
@@ -14,7 +14,6 @@
 from fulmarstile_services.settings import QuotaBounds, RequiredBounds
 from fulmarstile_testing.builders.service_mesh import READY_TIMEOUT_S, serve_mesh
 from fulmarstile_testing.builders.services import make_customer, make_document, make_route
-from fulmarstile_testing.known_red import pass_over_known_red
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -109,7 +108,6 @@
 
         trio.run(run)
 
-    @pass_over_known_red
     def test_another_daemon_owns_the_shard_after_its_owner_was_killed(self) -> None:
         async def run() -> None:
             async with serve_customer() as mesh:
@@ -164,7 +162,6 @@
 
         trio.run(run)
 
-    @pass_over_known_red
     def test_shares_serve_while_the_store_is_down(self) -> None:
         async def run() -> None:
             async with serve_customer() as mesh:
