List the time that is left of shares whose holder no owner hears from

Cause: each new owner waited anew for the longest time that a listed share could be valid.

Change: an owner lists the processes that it hasn't heard from with the time that is left of their shares; the next one waits no longer, from its reading of the list. A process that is listed so is assigned nothing until it is listed without a time, so no share outlives the time that the store says.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_quota_owner.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_quota_owner.py
@@ -160,7 +160,7 @@
         async with self._append_lock:
             at = await self._append(store, HOLDERS_KEY, encode_holders(record))
             if at is not None:
-                self._shard.on_holders_appended(record, at)
+                self._shard.on_holders_appended(record, at, self._read_clock())
 
     async def _append(self, store: KeyedLog, key: str, value: bytes) -> int | None:
         """Appends a record at the known end of the topic; returns its offset, None if it failed."""
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/holders.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/holders.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from fulmarstile_services.quotas.plan import CLOCK_MARGIN_S
 from fulmarstile_wire.quotas import NO_SHARE, HoldersRecord, QuotaShare, ShareHolder
 
 if TYPE_CHECKING:
@@ -33,6 +34,8 @@
 
     holders: tuple[ShareHolder, ...] | None
     """Processes that may hold them, with upper bounds; None if they are not listed."""
+    list_read_at: float
+    """Time at which this list was read, in seconds."""
     valid_until: float
     """Time at which the last of them ends, in seconds."""
 
@@ -46,6 +49,8 @@
 
     A daemon is listed with an upper bound of its share before it is assigned one. So the next
     owner deducts only the shares of processes that neither report what they hold nor have ended.
+    The shares of processes that no owner hears from are listed with the time that is left of them;
+    such a process is assigned nothing until it is listed without one.
 
     Args:
         earlier: Shares of earlier owners; None if there were none.
@@ -54,8 +59,10 @@
     def __init__(self, earlier: EarlierShares | None) -> None:
         listed = () if earlier is None else earlier.holders
         self._is_complete = listed is not None
+        self._complete_at = float("inf") if earlier is None else earlier.valid_until
         self._listed: dict[DaemonProcess, Shares] = _index(listed or ())
-        self._unreported = _UnreportedShares(self._listed)
+        self._expiring = _find_expiring(listed or ())
+        self._unreported = _UnreportedShares(earlier)
         self._wanted: defaultdict[DaemonProcess, Shares] = defaultdict(dict)
         self._is_outdated = listed is None
         self._record_due_at = float("-inf")
@@ -87,6 +94,9 @@
             proposed: The share.
             held: Share of the customer that the process may hold already.
         """
+        if process in self._expiring:
+            self._wanted[process][customer] = proposed
+            return NO_SHARE
         bound = self._listed.get(process, {}).get(customer, NO_SHARE)
         rate = min(proposed.rate, max(bound.rate, held.rate))
         burst = min(proposed.burst, max(bound.burst, held.burst))
@@ -130,11 +140,23 @@
         self._is_outdated = self._is_outdated or bool(ended)
         return bool(ended)
 
-    def expire_earlier(self) -> None:
-        """Stops waiting for reports, because all earlier shares have ended."""
-        self._unreported = _UnreportedShares({})
-        self._is_complete = True
-        self._is_outdated = True
+    def expire(self, now: float) -> bool:
+        """Stops waiting for reports of shares that are no longer valid.
+
+        Args:
+            now: Current time, in seconds.
+
+        Returns:
+            Whether fewer shares are unreported than before.
+        """
+        expired = [each for each, until in self._unreported.valid_until.items() if now >= until]
+        for process in expired:
+            self._unreported.remove(process)
+        becomes_complete = not self._is_complete and now >= self._complete_at
+        self._is_complete = self._is_complete or becomes_complete
+        has_changed = becomes_complete or bool(expired)
+        self._is_outdated = self._is_outdated or has_changed
+        return has_changed
 
     def on_removed(self) -> None:
         """Processes that a listed process can't hold shares any more."""
@@ -158,8 +180,14 @@
         """
         listed = {process: _bound_shares(shares) for process, shares in held.items()}
         self._list_wanted(listed)
-        for process in self._unreported.processes.values():
-            listed[process] = _join(self._unreported.shares[process], listed.get(process, {}))
+        unheard: list[ShareHolder] = []
+        for process, shares in self._unreported.shares.items():
+            if process in listed:
+                listed[process] = _join(shares, listed[process])
+            else:
+                left_s = max(0.0, self._unreported.valid_until[process] - now)
+                left_ms = int(left_s * 1000) + 1
+                unheard.append(ShareHolder(process.name, process.incarnation, shares, left_ms))
         listed = {process: shares for process, shares in listed.items() if shares}
         # If the reply is lost, only what both lists allow is certain to be listed.
         self._listed = {
@@ -167,6 +195,7 @@
             for process, shares in self._listed.items()
             if process in listed
         }
+        self._expiring |= _find_expiring(unheard)
         self._is_outdated = True
         count = sum(map(len, listed.values()))
         self._record_due_at = now + max(RECORD_INTERVAL_S, count / _LISTED_SHARES_PER_S)
@@ -174,7 +203,7 @@
             ShareHolder(process.name, process.incarnation, shares)
             for process, shares in listed.items()
         )
-        return HoldersRecord(epoch, holders)
+        return HoldersRecord(epoch, (*holders, *unheard))
 
     def _list_wanted(self, listed: dict[DaemonProcess, Shares]) -> None:
         """Adds shares that are to be assigned, as long as the list is not too long."""
@@ -190,6 +219,7 @@
     def on_recorded(self, record: HoldersRecord) -> None:
         """Processes that a list was written to the store."""
         self._listed = _index(record.holders)
+        self._expiring = _find_expiring(record.holders)
         self._is_outdated = False
 
 
@@ -197,28 +227,41 @@
     """Earlier shares that may be in use, and their sums.
 
     Args:
-        listed: Shares by process.
+        earlier: Shares of earlier owners; None if there were none.
     """
 
-    def __init__(self, listed: Mapping[DaemonProcess, Shares]) -> None:
+    def __init__(self, earlier: EarlierShares | None) -> None:
         self.processes: dict[str, DaemonProcess] = {}
         """Processes that may hold them, by name."""
         self.shares: dict[DaemonProcess, Shares] = {}
+        self.valid_until: dict[DaemonProcess, float] = {}
+        """Time until which the shares of each process may be in use, in seconds."""
         self.sums: Shares = {}
         """Upper bound of the shares of each customer."""
-        for process in sorted(listed, key=lambda each: each.incarnation):
+        if earlier is None or earlier.holders is None:
+            return
+        for holder in sorted(earlier.holders, key=lambda each: each.incarnation):
             # Of several processes of one name, only the newest can be running.
-            if process.name in self.processes:
-                self.remove(self.processes[process.name])
-            self.processes[process.name] = process
-            self.shares[process] = listed[process]
-            self._add(listed[process], 1)
+            if holder.name in self.processes:
+                self.remove(self.processes[holder.name])
+            self._put(holder, earlier)
 
     def remove(self, process: DaemonProcess) -> None:
         """Removes the shares of a process."""
         del self.processes[process.name]
+        del self.valid_until[process]
         self._add(self.shares.pop(process), -1)
 
+    def _put(self, holder: ShareHolder, earlier: EarlierShares) -> None:
+        process = DaemonProcess(holder.name, holder.incarnation)
+        self.processes[holder.name] = process
+        self.shares[process] = holder.shares
+        self.valid_until[process] = earlier.valid_until
+        if holder.valid_ms:
+            expires_at = earlier.list_read_at + holder.valid_ms / 1000 + CLOCK_MARGIN_S
+            self.valid_until[process] = min(expires_at, earlier.valid_until)
+        self._add(holder.shares, 1)
+
     def _add(self, shares: Shares, sign: int) -> None:
         for customer, share in shares.items():
             total = self.sums.get(customer, NO_SHARE)
@@ -228,7 +271,17 @@
 
 
 def _index(holders: Iterable[ShareHolder]) -> dict[DaemonProcess, Shares]:
-    return {DaemonProcess(each.name, each.incarnation): dict(each.shares) for each in holders}
+    """Returns the shares that the owner may extend, by process."""
+    return {
+        DaemonProcess(each.name, each.incarnation): dict(each.shares)
+        for each in holders
+        if not each.valid_ms
+    }
+
+
+def _find_expiring(holders: Iterable[ShareHolder]) -> set[DaemonProcess]:
+    """Returns the processes whose shares the owner may not extend."""
+    return {DaemonProcess(each.name, each.incarnation) for each in holders if each.valid_ms}
 
 
 def _bound_shares(shares: Shares) -> Shares:
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/ledger.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/ledger.py
@@ -166,10 +166,7 @@
         if not self._holders.awaits_reports:
             return
         has_changed = self._holders.observe_restarts(find_incarnation)
-        if now >= self._unknown_until:
-            self._holders.expire_earlier()
-            has_changed = True
-        if has_changed:
+        if self._holders.expire(now) or has_changed:
             self._limit_unknown(now)
 
     def next_holders(self, now: float) -> HoldersRecord | None:
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/ownership.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/ownership.py
@@ -42,6 +42,7 @@
         self._epoch = 0
         self._is_owner = False
         self._holders: HoldersRecord | None = None
+        self._list_read_at = 0.0
         self._is_list_readable = True
         self._lists_holders = False
         self._earlier_shares: EarlierShares | None = None
@@ -92,8 +93,7 @@
         self._end_offset = end_offset
         for record in records:
             if isinstance(record, HoldersRecord):
-                self._holders = record
-                self._is_list_readable = True
+                self._set_holders(record, now)
                 continue
             self._set_record(record, now)
             if (record.owner, record.epoch) != (self._name, self._epoch):
@@ -163,12 +163,13 @@
         is_current = record.incarnation in (0, self._incarnation)
         self._is_owner = is_current and not record.is_released
 
-    def on_holders_appended(self, record: HoldersRecord, at: int) -> bool:
+    def on_holders_appended(self, record: HoldersRecord, at: int, now: float) -> bool:
         """Processes a successful append of a list of share holders.
 
         Args:
             record: The record.
             at: Its offset.
+            now: Current time, in seconds.
 
         Returns:
             Whether it is the newest list, and this daemon still owns the shard.
@@ -176,8 +177,7 @@
         if not self._is_owner or self._end_offset is None or self._end_offset > at + 1:
             return False
         self._end_offset = at + 1
-        self._holders = record
-        self._is_list_readable = True
+        self._set_holders(record, now)
         self._lists_holders = True
         return True
 
@@ -208,6 +208,11 @@
         if not is_same_process:
             self._ended_at = None
 
+    def _set_holders(self, record: HoldersRecord, now: float) -> None:
+        self._holders = record
+        self._list_read_at = now
+        self._is_list_readable = True
+
     def _find_free_at(self, record: OwnerRecord) -> float:
         """Returns the time from which no token of the record's owner is valid, in seconds."""
         if record.is_released:
@@ -226,5 +231,6 @@
         last_grant_at = self._changed_at + GRANTING_S
         return EarlierShares(
             holders if self._lists_holders else None,
+            self._list_read_at,
             last_grant_at + SHARE_LIFETIME_S + CLOCK_MARGIN_S,
         )
--- a/packages/fulmarstile_services/src/fulmarstile_services/quotas/shard.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/quotas/shard.py
@@ -122,14 +122,15 @@
             return None
         return self._ledger.next_holders(now)
 
-    def on_holders_appended(self, record: HoldersRecord, at: int) -> None:
+    def on_holders_appended(self, record: HoldersRecord, at: int, now: float) -> None:
         """Processes a successful append of a list of share holders.
 
         Args:
             record: The record.
             at: Its offset.
+            now: Current time, in seconds.
         """
-        is_newest = self.ownership.on_holders_appended(record, at)
+        is_newest = self.ownership.on_holders_appended(record, at, now)
         if is_newest and self._ledger is not None and self._ledger.epoch == record.holders_epoch:
             self._ledger.on_holders_recorded(record)
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_quotas.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_quotas.py
@@ -270,7 +270,9 @@
             return
         holders = daemon.shard.next_holders(self.now)
         if holders is not None:
-            self._append(daemon, holders, lambda at: daemon.shard.on_holders_appended(holders, at))
+            self._append(
+                daemon, holders, lambda at: daemon.shard.on_holders_appended(holders, at, self.now)
+            )
 
     def _append(
         self,
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/quotas.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/quotas.py
@@ -113,6 +113,11 @@
     """Start of the process, see `Member.incarnation`."""
     shares: dict[str, QuotaShare]
     """Upper bounds of its shares, by customer."""
+    valid_ms: Number = 0
+    """Time for which they are valid from the writing of the list on, in milliseconds.
+
+    0 for a process whose shares the owner may extend without listing it again.
+    """
 
 
 class HoldersRecord(msgspec.Struct, frozen=True):
--- a/tests/services/test_quota_holders.py
+++ b/tests/services/test_quota_holders.py
@@ -13,6 +13,7 @@
 )
 from fulmarstile_services.quotas.ownership import ShardOwnership
 from fulmarstile_services.quotas.plan import (
+    CLOCK_MARGIN_S,
     GRANTING_S,
     LEASE_S,
     SHARE_LIFETIME_S,
@@ -150,7 +151,7 @@
         assert record is not None
         self.assertEqual([each.name for each in record.holders], ["daemon-4"])
         self.assertEqual(ask(shard, NEWCOMER, 2, is_answered=True), NO_SHARE)
-        shard.on_holders_appended(record, 9)
+        shard.on_holders_appended(record, 9, TAKEOVER_S)
         share = ask(shard, NEWCOMER, 3, is_answered=True)
         self.assertGreater(share.rate, 0)
         self.assertLessEqual(share.rate, record.holders[0].shares["baker"].rate)
@@ -161,7 +162,11 @@
         ask(shard, NEWCOMER, 1)
         record = shard.next_holders(TAKEOVER_S)
         assert record is not None
-        self.assertEqual([each for each in record.holders if each in HOLDERS], list(HOLDERS))
+        left = {each.name: (each.shares, each.valid_ms / 1000) for each in record.holders}
+        for holder in HOLDERS:
+            shares, left_s = left[holder.name]
+            self.assertEqual(shares, holder.shares)
+            self.assertGreaterEqual(left_s, GRANTING_S + SHARE_LIFETIME_S - TAKEOVER_S)
 
     def test_a_process_left_out_of_a_list_whose_reply_was_lost_is_assigned_no_share(self) -> None:
         shard = acquire()
@@ -180,6 +185,37 @@
         self.assertEqual(holders.limit(processes[-1], "baker", SHARE, NO_SHARE), NO_SHARE)
         self.assertFalse(holders.is_record_due(RECORD_INTERVAL_S))
 
+    def test_takeovers_do_not_prolong_the_shares_of_a_process_that_is_not_heard_from(self) -> None:
+        holders = (ShareHolder("daemon-2", 20, {"baker": SHARE}, valid_ms=5000),)
+        shard = acquire(holders=holders)
+        shard.observe_restarts(lambda _: 0, TAKEOVER_S + 0.9)
+        self.assertEqual(find_unknown(shard), 10.0)
+        shard.observe_restarts(lambda _: 0, 5.0 + CLOCK_MARGIN_S)
+        self.assertEqual(find_unknown(shard), 0.0)
+
+    def test_a_process_listed_with_a_time_is_assigned_nothing_until_it_is_listed_again(
+        self,
+    ) -> None:
+        holder = ShareHolder("daemon-2", 20, {"baker": SHARE}, valid_ms=5000)
+        shard = acquire(holders=(holder,))
+        self.assertEqual(ask(shard, holder, 1, share=SHARE), NO_SHARE)
+        self.assertEqual(ask(shard, holder, 2, share=NO_SHARE, is_answered=True), NO_SHARE)
+        record = shard.next_holders(TAKEOVER_S)
+        assert record is not None
+        self.assertEqual([each.valid_ms for each in record.holders], [0])
+        shard.on_holders_appended(record, 9, TAKEOVER_S)
+        self.assertGreater(ask(shard, holder, 3, is_answered=True).rate, 0)
+
+    def test_a_process_that_reports_while_it_is_listed_with_a_time_is_assigned_nothing(
+        self,
+    ) -> None:
+        shard = acquire(holders=HOLDERS[:1])
+        ask(shard, NEWCOMER, 1)
+        shard.set_plans(make_plans(200.0), TAKEOVER_S)
+        ask(shard, NEWCOMER, 2)
+        self.assertIsNotNone(shard.next_holders(TAKEOVER_S))
+        self.assertEqual(ask(shard, HOLDERS[0], 1, share=SHARE), NO_SHARE)
+
     def test_a_list_whose_reply_was_lost_is_written_again(self) -> None:
         shard = acquire(holders=())
         ask(shard, NEWCOMER, 1)
@@ -192,7 +228,7 @@
         shard.ledger.observe_restarts(lambda _: 0, 100.0)
         record = shard.ledger.next_holders(100.0)
         assert record is not None
-        shard.on_holders_appended(record, 9)
+        shard.on_holders_appended(record, 9, TAKEOVER_S)
         renewal = shard.ownership.next_record(TAKEOVER_S + 1.0, is_candidate=True)
         self.assertEqual(renewal, OwnerRecord("daemon-1", 4, lists_holders=True, incarnation=10))
 
