Log each read of the operator's topic with its purpose, size and times

Cause: nothing in the logs tells whether a document came late because reads wait for each other, because the same document is read several times at once, or because something else fills the link.

Change: document_read lines (purpose, records, bytes, time from the request and from the head), also for a confirmation that ends without an answer; gauges document_reads and document_bytes_read. No change of logic.

At sidecar-zurich-b-3 eight confirmations in a row were given up, and no document arrived meanwhile.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_topic_follower.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_topic_follower.py
@@ -10,15 +10,17 @@
 
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services.events import DependencyLost, DependencyRegained
-from fulmarstile_platform.keyed_log import MAX_READ_BYTES, RecordsExpiredError
+from fulmarstile_platform.keyed_log import MAX_READ_BYTES, PageTransfer, RecordsExpiredError
 from fulmarstile_platform.log import LogError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable, Sequence
 
     from fulmarstile_daemon.services.event_log import EventLog
-    from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
+    from fulmarstile_platform.keyed_log import KeyedLog, KeyedPage, KeyedRecord
 
+PURPOSE_POLL: Final = "follow"
+PURPOSE_NEWEST: Final = "newest"
 _POLL_TIMEOUT_S: Final = 25.0
 """Long-poll timeout of one read, in seconds."""
 _FIRST_PAUSE_S: Final = 0.08
@@ -45,6 +47,36 @@
     next_offset: int
     is_complete: bool
     """Whether the topic had no later records when the store answered."""
+    purpose: str
+    """Kind of the read, for the log."""
+    records: int = 0
+    """Number of records that it returned."""
+    elapsed_s: float = 0.0
+    """Time from the request to the end of the answer, in seconds."""
+    transfer: PageTransfer = PageTransfer()
+
+
+def describe_read(page: KeyedPage, purpose: str, sent_at: float, ended_at: float) -> TopicRead:
+    """Describes a successful read.
+
+    Args:
+        page: The page that it returned.
+        purpose: Kind of the read, for the log.
+        sent_at: Time at which it was sent, in seconds.
+        ended_at: Time at which its answer had arrived, in seconds.
+
+    Returns:
+        The description.
+    """
+    return TopicRead(
+        sent_at,
+        page.next_offset,
+        not page.has_more,
+        purpose,
+        len(page.records),
+        ended_at - sent_at,
+        page.transfer,
+    )
 
 
 async def follow_topic(
@@ -93,6 +125,7 @@
             await outage.wait(error)
             continue
         outage.end()
+        purpose = PURPOSE_NEWEST if reads_newest else PURPOSE_POLL
         is_burst = offset > 0 and page.next_offset - offset > 1
         reads_newest = latest_only and (is_burst or page.has_more)
         offset = page.next_offset
@@ -101,7 +134,7 @@
             if latest_only:
                 max_bytes = _room_for_one(page.records)
         if on_read is not None:
-            on_read(TopicRead(sent_at, page.next_offset, not page.has_more))
+            on_read(describe_read(page, purpose, sent_at, clock()))
         if latest_only and page.has_more:
             continue
         if on_caught_up is not None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -449,6 +449,8 @@
         add = self._metrics.add_gauge
         add("document_version", lambda: self._documents.version)
         add("document_age_seconds", lambda: self._freshness.age_s(read_boot_clock()))
+        add("document_reads", lambda: self._documents.reads)
+        add("document_bytes_read", lambda: self._documents.bytes_read)
         add("members", lambda: len(self._directory.members))
         add("requests_in_flight", lambda: self._callers.in_flight)
         add("hops_in_flight", lambda: self._peers.in_flight)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -8,8 +8,8 @@
 import trio
 
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
-from fulmarstile_daemon.services._topic_follower import TopicRead, follow_topic
-from fulmarstile_daemon.services.events import DocumentApplied, DocumentRejected
+from fulmarstile_daemon.services._topic_follower import TopicRead, describe_read, follow_topic
+from fulmarstile_daemon.services.events import DocumentApplied, DocumentRead, DocumentRejected
 from fulmarstile_services.document import DocumentError
 from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.routing_table import RoutingTable
@@ -23,6 +23,7 @@
 
 _SOURCE_STORE: Final = "store"
 _SOURCE_ACTIVE: Final = "active document"
+_PURPOSE_CONFIRM: Final = "confirm"
 _DEFAULT_CONNECTIONS: Final = 64
 """Connection limit of an upstream whose service is not in the active document."""
 _SETTLE_BYTES_PER_S: Final = 150_000
@@ -79,6 +80,10 @@
         """Called with the records of the operator's topic that hold no document."""
         self.was_read = False
         """Whether the operator's topic was read since the start."""
+        self.reads = 0
+        """Successful reads of the operator's topic."""
+        self.bytes_read = 0
+        """Bytes of the store's answers to them."""
 
     @property
     def version(self) -> int:
@@ -198,13 +203,25 @@
         if offset is None:
             return
         sent_at = self.clock()
-        page = await store.read_keyed(self._platform.document_topic, offset, 0.0)
+        try:
+            page = await store.read_keyed(self._platform.document_topic, offset, 0.0)
+        except trio.Cancelled:
+            elapsed_s = round(self.clock() - sent_at, 3)
+            self._log.write(
+                DocumentRead(purpose=_PURPOSE_CONFIRM, elapsed_s=elapsed_s, problem="timed out")
+            )
+            raise
+        ended_at = self.clock()
         self._on_records(page.records)
-        self._on_read(TopicRead(sent_at, page.next_offset, not page.has_more))
+        self._on_read(describe_read(page, _PURPOSE_CONFIRM, sent_at, ended_at))
 
     def _on_read(self, read: TopicRead) -> None:
         """Notes what a read of the topic proves, after its records were applied."""
         self._next_offset = max(self._next_offset or 0, read.next_offset)
+        self.reads += 1
+        self.bytes_read += read.transfer.size
+        if read.records:
+            self._log.write(_make_read_event(read))
         if read.is_complete:
             self.freshness.confirm(read.sent_at)
 
@@ -222,3 +239,15 @@
         self.apply_if_newer(newest, _SOURCE_STORE)
         if others:
             self.on_other_records(others)
+
+
+def _make_read_event(read: TopicRead) -> DocumentRead:
+    return DocumentRead(
+        purpose=read.purpose,
+        records=read.records,
+        next_offset=read.next_offset,
+        has_more=not read.is_complete,
+        bytes=read.transfer.size,
+        elapsed_s=round(read.elapsed_s, 3),
+        transfer_s=round(read.transfer.seconds, 3),
+    )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -171,6 +171,26 @@
     source: str
 
 
+class DocumentRead(LogEvent, tag="document_read"):
+    """A read of the operator's topic returned records, or ended without an answer."""
+
+    lines_per_s: ClassVar[int | None] = 20
+    purpose: str
+    """`follow` for the poll, `newest` for the newest record of each key, or `confirm`."""
+    records: int = 0
+    next_offset: int = 0
+    has_more: bool = False
+    """Whether the store had later records already."""
+    bytes: int = 0
+    """Size of the answer as the store encodes it."""
+    elapsed_s: float = 0.0
+    """Time from the request to the end of the answer; a poll waits for a record first."""
+    transfer_s: float = 0.0
+    """Time from the head of the answer to its end."""
+    problem: str = ""
+    """Why there is no answer; empty if there is one."""
+
+
 class DocumentRejected(LogEvent, tag="document_rejected"):
     """A document is invalid and was not applied."""
 
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
@@ -50,6 +50,8 @@
     body: bytes
     headers: Mapping[str, str] = field(default_factory=dict)
     """Headers by lower-case name; the last value of repeated ones."""
+    body_s: float = 0.0
+    """Time from the head of the response to the end of its body, in seconds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -277,10 +279,12 @@
         status = 0
         headers: dict[str, str] = {}
         body = bytearray()
+        head_at = 0.0
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 progress.on_head()
+                head_at = trio.current_time()
                 status = event.status_code
                 headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
             elif isinstance(event, h11.Data):
@@ -288,7 +292,8 @@
                 if len(body) > MAX_RESPONSE_BYTES:
                     raise h11.RemoteProtocolError("response body is too large")
             elif isinstance(event, h11.EndOfMessage):
-                return HttpResponse(status, bytes(body), headers)
+                body_s = trio.current_time() - head_at
+                return HttpResponse(status, bytes(body), headers, body_s)
             elif isinstance(event, h11.ConnectionClosed):
                 raise h11.RemoteProtocolError("connection closed before the response")
 
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
@@ -43,6 +43,16 @@
     """Position of the record in its topic."""
 
 
+@dataclass(frozen=True, slots=True)
+class PageTransfer:
+    """Cost of reading a page."""
+
+    size: int = 0
+    """Bytes of the store's answer, as encoded."""
+    seconds: float = 0.0
+    """Time for which these bytes arrived, in seconds, without the wait for the first one."""
+
+
 @dataclass(frozen=True, slots=True)
 class KeyedPage:
     """Records of a topic and the offset at which to continue reading."""
@@ -51,6 +61,8 @@
     next_offset: int
     has_more: bool = False
     """Whether the topic already had later records."""
+    transfer: PageTransfer = field(default=PageTransfer(), compare=False)
+    """What reading it has cost."""
 
 
 class KeyedLog(Protocol):
