--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_documents.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_documents.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import trio
 import trio.testing
@@ -30,6 +30,8 @@
 )
 from fulmarstile_testing.fakes.keyed_log import FakeKeyedLog
 from fulmarstile_testing.fakes.service_platform import DOCUMENT_KEY, DOCUMENT_TOPIC, FakePlatform
+from fulmarstile_testing.virtual_link import VirtualLink
+from fulmarstile_wire.services import SyncAnswer, SyncCall, encode_frame
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -41,6 +43,15 @@
 """Interval at which the fleet is observed, in seconds."""
 _START_S: Final = 1.0
 """Time for which the fleet runs before a scenario starts, in seconds."""
+_BASE64_RATIO: Final = 4 / 3
+"""Growth of values in the store's answer to a read of the newest records."""
+_HEAD_BYTES: Final = 200
+"""Size of an answer without its records."""
+_UNLIMITED_BYTES_PER_S: Final = 1e9
+_KBIT: Final = 125
+"""Bytes."""
+_FAST_LINK_RATIO: Final = 20
+"""Capacity of a fast link relative to the others."""
 
 
 class NetworkedLog(FakeKeyedLog):
@@ -48,10 +59,12 @@
 
     Args:
         shared: The store.
+        link: Link of the daemon's VM, on which answers arrive.
     """
 
-    def __init__(self, shared: FakeKeyedLog) -> None:
+    def __init__(self, shared: FakeKeyedLog, link: VirtualLink) -> None:
         super().__init__(shared)
+        self._link = link
         self.max_delay_s = 0.02
         """Longest delay of a read and of its answer, in seconds."""
         self.loses = False
@@ -66,6 +79,7 @@
         await self._delay()
         page = await super().read_newest(topic)
         await self._delay()
+        await self._link.carry(_HEAD_BYTES + int(_count_bytes(page) * _BASE64_RATIO))
         return page
 
     async def read_keyed(
@@ -76,6 +90,7 @@
         wait_s = 0.0 if self.answers_early else wait_s
         page = await super().read_keyed(topic, offset, wait_s, max_bytes)
         await self._delay()
+        await self._link.carry(_HEAD_BYTES + _count_bytes(page))
         return page
 
     async def _delay(self) -> None:
@@ -84,29 +99,44 @@
         await trio.sleep(self.random.uniform(0.0, self.max_delay_s))
 
 
+def _count_bytes(page: KeyedPage) -> int:
+    return sum(len(record.value) for record in page.records)
+
+
 class VirtualDocumentNode:
     """The parts of a daemon that know the document.
 
     Args:
         fleet: Fleet that it belongs to.
         name: Name of the daemon.
+        bytes_per_s: Capacity of the VM's link in each direction, in bytes per second.
     """
 
-    def __init__(self, fleet: VirtualDocumentFleet, name: str) -> None:
+    def __init__(
+        self,
+        fleet: VirtualDocumentFleet,
+        name: str,
+        bytes_per_s: float = _UNLIMITED_BYTES_PER_S,
+    ) -> None:
         log = EventLog(name)
         platform = FakePlatform(
             make_node_settings(name, "shop", "a", ""), fleet.store, fleet.documents
         )
         self.name = name
-        self.store = NetworkedLog(fleet.store)
+        self.inbound = VirtualLink(bytes_per_s)
+        """Link on which messages arrive."""
+        self.outbound = VirtualLink(bytes_per_s)
+        """Link on which messages leave."""
+        self.store = NetworkedLog(fleet.store, self.inbound)
         """This daemon's view of the store."""
         self.suspended_s = 0.0
         """Time for which the VM has been suspended, in seconds."""
-        self.freshness = Freshness(RevocationBounds(fleet.revoke_s))
+        bounds = RevocationBounds(fleet.revoke_s) if fleet.revoke_s else None
+        self.freshness = Freshness(bounds)
         self.document = ActiveDocument(
             platform, ActiveRoutes(), log, self.freshness, self.read_clock
         )
-        self.directory = Directory(make_member(name))
+        self.directory = Directory(make_member(name, link_kbps=int(bytes_per_s / _KBIT)))
         generator = random.Random(len(name))
         self.gossip = Gossip(
             self.directory,
@@ -146,11 +176,22 @@
 
     Args:
         size: Number of daemons.
-        revoke_s: Bound of revocations, in seconds.
+        revoke_s: Bound of revocations, in seconds; 0 for none.
+        link_bytes_per_s: Capacity of each VM's link in each direction, in bytes per second.
+        fast_links: Number of VMs whose links are faster.
+        document_bytes: Size of the document in the store, in bytes.
     """
 
-    def __init__(self, size: int, revoke_s: float) -> None:
+    def __init__(
+        self,
+        size: int,
+        revoke_s: float,
+        link_bytes_per_s: float = _UNLIMITED_BYTES_PER_S,
+        fast_links: int = 0,
+        document_bytes: int = 0,
+    ) -> None:
         self.revoke_s = revoke_s
+        self._document_bytes = document_bytes
         self.store = FakeKeyedLog()
         """The store."""
         self.documents: dict[bytes, ServiceDocument] = {}
@@ -161,16 +202,19 @@
         self.cut_off: set[str] = set()
         """Daemons whose messages are lost."""
         self._random = random.Random(2)
-        self.nodes = {
-            f"d-{number}": VirtualDocumentNode(self, f"d-{number}") for number in range(size)
-        }
+        self.nodes: dict[str, VirtualDocumentNode] = {}
+        for number in range(size):
+            name = f"d-{number}"
+            capacity = link_bytes_per_s * (_FAST_LINK_RATIO if number < fast_links else 1)
+            self.nodes[name] = VirtualDocumentNode(self, name, capacity)
         for node in self.nodes.values():
-            node.directory.merge_members(map(make_member, self.nodes))
+            others = [other.directory.local_member for other in self.nodes.values()]
+            node.directory.merge_members(others)
 
     def publish(self) -> None:
         """Publishes the next version, whose customer has another key."""
         version = len(self.published_at)
-        raw = b"document %d" % version
+        raw = (b"document %d" % version).ljust(self._document_bytes, b".")
         customer = make_customer("baker", f"key-{version}")
         self.documents[raw] = make_document(make_route(), version=version, customers=(customer,))
         self.published_at.append(trio.current_time())
@@ -187,19 +231,43 @@
         self, member: Member, message: SyncRequest, timeout_s: float
     ) -> SyncReply:
         """See `DaemonLinks.synchronize`."""
+        sender, receiver = self.nodes[message.sender], self.nodes[member.name]
         with trio.move_on_after(timeout_s):
-            await trio.sleep(self._random.uniform(0.0, self.max_delay_s))
-            if self.cut_off & {member.name, message.sender}:
-                await trio.sleep_forever()
-            reply = self.nodes[member.name].gossip.on_sync(message)
-            await trio.sleep(self._random.uniform(0.0, self.max_delay_s))
+            await self._carry(sender, receiver, len(encode_frame(SyncCall(1, message))))
+            reply = receiver.gossip.on_sync(message)
+            await self._carry(receiver, sender, len(encode_frame(SyncAnswer(1, reply))))
             return reply
         raise DaemonUnreachableError("no reply in time")
 
+    async def _carry(
+        self, sender: VirtualDocumentNode, receiver: VirtualDocumentNode, size: int
+    ) -> None:
+        """Carries a message from one daemon to another."""
+        await trio.sleep(self._random.uniform(0.0, self.max_delay_s))
+        if self.cut_off & {sender.name, receiver.name}:
+            await trio.sleep_forever()
+        await sender.outbound.carry(size)
+        await receiver.inbound.carry(size)
+
     def list_refusing(self) -> list[str]:
         """Lists the daemons that refuse keys now."""
         return [node.name for node in self.nodes.values() if not node.accepts]
 
+    def list_late(self, apply_s: float) -> list[str]:
+        """Lists daemons that lack a version which was published too long ago.
+
+        Args:
+            apply_s: Time within which a version must be in force, in seconds.
+        """
+        now = trio.current_time()
+        due = [at for at in self.published_at if at + apply_s < now]
+        newest_due = len(due) - 1
+        return [
+            f"{node.name} has {node.document.version} at {now:.2f}, not {newest_due}"
+            for node in self.nodes.values()
+            if node.document.version < newest_due
+        ]
+
     def list_violations(self) -> list[str]:
         """Lists daemons that use a version whose successor was published too long ago."""
         now = trio.current_time()
@@ -230,18 +298,22 @@
 
 
 def run_document_fleet(
-    size: int, revoke_s: float, scenario: Callable[[VirtualDocumentFleet], Awaitable[None]]
+    size: int,
+    revoke_s: float,
+    scenario: Callable[[VirtualDocumentFleet], Awaitable[None]],
+    **options: Any,
 ) -> None:
     """Runs a scenario on a fleet that has read a first document.
 
     Args:
         size: Number of daemons.
-        revoke_s: Bound of revocations, in seconds.
+        revoke_s: Bound of revocations, in seconds; 0 for none.
         scenario: The scenario.
+        options: Further arguments of `VirtualDocumentFleet`.
     """
 
     async def run() -> None:
-        fleet = VirtualDocumentFleet(size, revoke_s)
+        fleet = VirtualDocumentFleet(size, revoke_s, **options)
         fleet.publish()
         async with trio.open_nursery() as nursery:
             for node in fleet.nodes.values():
