--- a/packages/fulmarstile_services/src/fulmarstile_services/document_sources.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/document_sources.py
@@ -41,8 +41,7 @@
     @property
     def is_reader(self) -> bool:
         """Whether this daemon reads the store for others of its zone."""
-        local_name = self._directory.local_member.name
-        return any(member.name == local_name for member in self._list_readers())
+        return self._is_among(self._list_readers())
 
     def choose(self, now: float) -> Member | None:
         """Chooses the daemon to ask.
@@ -51,17 +50,18 @@
             now: Current time in seconds.
 
         Returns:
-            A reader of the own zone, of another zone if none of these is of use, or None.
+            For a reader, another one, of any zone and with a fast link, so that a version that one
+            zone has read reaches the others. Else a reader of the own zone, or of another one if
+            none of these is of use. None if there is nobody to ask.
         """
         self._failed_at = {name: at for name, at in self._failed_at.items() if now - at < _RETRY_S}
-        local_zone = self._directory.local_member.availability_zone
-        member = self._choose_among(self._list_readers())
-        if member is not None:
-            return member
-        zones = {member.availability_zone for member in self._directory.members} - {local_zone}
-        return self._choose_among(
-            reader for zone in sorted(zones) for reader in self._list_readers(zone)
-        )
+        local_readers = self._list_readers()
+        if not self._is_among(local_readers):
+            # Each daemon prefers another reader, so that they share the work.
+            member = self._choose_among(local_readers, lambda _: 0)
+            if member is not None:
+                return member
+        return self._choose_among(self._list_all_readers(), lambda reader: -reader.link_kbps)
 
     def on_reply(self, member: Member, now: float, *, is_current: bool) -> None:
         """Notes a reply.
@@ -97,15 +97,29 @@
     def _list_readers(self, zone: str = "") -> tuple[Member, ...]:
         return list_document_readers(self._directory, self._is_reachable, zone)
 
-    def _choose_among(self, members: Iterable[Member]) -> Member | None:
+    def _list_all_readers(self) -> list[Member]:
+        zones = {member.availability_zone for member in self._directory.members}
+        return [reader for zone in sorted(zones) for reader in self._list_readers(zone)]
+
+    def _is_among(self, members: Iterable[Member]) -> bool:
+        local_name = self._directory.local_member.name
+        return any(member.name == local_name for member in members)
+
+    def _choose_among(
+        self, members: Iterable[Member], rank: Callable[[Member], int]
+    ) -> Member | None:
+        """Chooses a usable daemon of the lowest rank, and another one for each daemon if equal."""
         local_name = self._directory.local_member.name
         usable = [
             member
             for member in members
             if member.name != local_name and member.name not in self._failed_at
         ]
-        # Each daemon prefers another reader, so that they share the work.
-        return min(usable, key=lambda member: _hash(local_name, member.name), default=None)
+        return min(
+            usable,
+            key=lambda member: (rank(member), _hash(local_name, member.name)),
+            default=None,
+        )
 
 
 def _hash(local_name: str, name: str) -> int:
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -45,6 +45,17 @@
 
         self.run_with_client(check)
 
+    def test_the_end_of_a_topic_is_read_without_its_records(self) -> None:
+        async def check(client: StoreClient) -> None:
+            self.assertEqual(await client.read_end(TOPIC), 0)
+            for value in (b"a", b"b"):
+                await client.append_keyed(TOPIC, "key", value)
+            self.assertEqual(await client.read_end(TOPIC), 2)
+            self.store.expire_history(TOPIC)
+            self.assertEqual(await client.read_end(TOPIC), 2)
+
+        self.run_with_client(check)
+
     def test_records_are_read_in_order_from_an_offset(self) -> None:
         async def check(client: StoreClient) -> None:
             for value in (b"a", b"b", b"c"):
--- a/tests/services/test_document_relay.py
+++ b/tests/services/test_document_relay.py
@@ -248,8 +248,9 @@
         self.assertLessEqual({"d-10", "d-11"}, {member.name for member in readers})
 
     def test_a_daemon_asks_a_reader_of_its_zone_and_the_next_one_after_a_failure(self) -> None:
-        sources = self.make_sources(0)
         readers = {member.name for member in self.find_readers()}
+        number = next(n for n in range(0, 10, 2) if f"d-{n}" not in readers)
+        sources = self.make_sources(number)
         asked: list[str] = []
         for _ in range(2 * READERS_PER_ZONE):
             member = sources.choose(1.0)
@@ -258,9 +259,8 @@
         local = [
             name for name in asked if self.members[int(name[2:])].availability_zone == "zone-0"
         ]
-        own = "d-0" in readers
         self.assertEqual(asked[: len(local)], local)
-        self.assertEqual(len(local), READERS_PER_ZONE - own)
+        self.assertEqual(len(local), READERS_PER_ZONE)
         self.assertLessEqual(set(asked), readers)
         self.assertEqual(sources.choose(2.5).name, asked[0])
 
@@ -277,6 +277,12 @@
         self.assertNotEqual(sources.choose(1.1).name, member.name)
         self.assertTrue(sources.should_read_store(1.5))
 
+    def test_readers_ask_one_with_a_fast_link_in_any_zone(self) -> None:
+        for reader in self.find_readers():
+            number = int(reader.name[2:])
+            chosen = self.make_sources(number).choose(0.0)
+            self.assertIn(chosen.name, {"d-10", "d-11"} - {reader.name})
+
     def test_a_stopped_daemon_is_not_asked(self) -> None:
         sources = self.make_sources(0)
         before = sources.choose(0.0)
