Assemble the parts of the document in one place, and pace reads by one class

DocumentPart is used by both. ReadPacer serves both followers of the store; pauses of members' reads now vary by 0.7 to 1.0, as those of the document do. No other change of behaviour; tests of documents, reads and orders pass.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING, Final
 
 import trio
 
 from fulmarstile_daemon.services._outage_tracker import OutageTracker
+from fulmarstile_daemon.services._read_pacer import ReadPacer
 from fulmarstile_daemon.services.events import DocumentRead
 from fulmarstile_platform.keyed_log import MAX_READ_BYTES, RecordsExpiredError
 from fulmarstile_platform.log import LogError
@@ -24,18 +24,14 @@
 """The same for one that reads only until another daemon replies to it again."""
 _TURN_INTERVAL_S: Final = 0.1
 """Interval of the check whether this daemon should read, in seconds."""
-_FIRST_PAUSE_S: Final = 0.08
-"""First pause after a read returned records, in seconds; doubled while more arrive, so that a burst
-of writes takes few reads."""
 _MAX_PAUSE_S: Final = 0.4
+"""Longest pause between reads during a burst, in seconds."""
 _MAX_SIZE_PAUSE_S: Final = 0.6
 """Longest pause after a read that took a large part of what the link carries, in seconds."""
 _LINK_SHARE: Final = 0.25
 """Fraction of the link that reads may use during a burst, unless the longest pause is reached."""
 _DEFAULT_LINK_BYTES_PER_S: Final = 800_000
 """Assumed capacity of a link whose capacity is unknown, in bytes per second."""
-_BURST_END_S: Final = 1.0
-"""Duration of a read after which a burst counts as over and pauses start anew, in seconds."""
 _READ_SIZE_FACTOR: Final = 1.5
 """Size of a read relative to the largest record of the last one."""
 _MIN_READ_BYTES: Final = 16 * 1024
@@ -69,7 +65,8 @@
         self._sources = sources
         self._log = log
         self._outage = OutageTracker(topic, log)
-        self._pacer = _ReadPacer(link_kbps * _KBIT or _DEFAULT_LINK_BYTES_PER_S)
+        link_bytes_per_s = link_kbps * _KBIT or _DEFAULT_LINK_BYTES_PER_S
+        self._pacer = ReadPacer(_MAX_PAUSE_S, link_bytes_per_s * _LINK_SHARE, _MAX_SIZE_PAUSE_S)
         self._is_following = False
         self.reads = 0
         """Successful reads."""
@@ -121,7 +118,7 @@
             if page.records:
                 max_bytes = _room_for_one(page.records)
             if not page.has_more:
-                await self._pacer.wait(page, read_s)
+                await self._pacer.wait(page.records, read_s)
 
     async def _wait_for_turn(self) -> None:
         while not self._sources.should_read_store(trio.current_time()):
@@ -153,32 +150,3 @@
     """Returns the read size that fits one record as large as the largest of these."""
     largest = max(len(record.value) for record in records)
     return min(MAX_READ_BYTES, max(_MIN_READ_BYTES, int(largest * _READ_SIZE_FACTOR)))
-
-
-class _ReadPacer:
-    """Paces reads with pauses that grow while more records arrive.
-
-    Args:
-        link_bytes_per_s: Capacity of the VM's link, in bytes per second.
-    """
-
-    def __init__(self, link_bytes_per_s: float) -> None:
-        self._bytes_per_s = link_bytes_per_s * _LINK_SHARE
-        self._pause_s = _FIRST_PAUSE_S
-
-    async def wait(self, page: KeyedPage, read_s: float) -> None:
-        """Pauses after a read.
-
-        Args:
-            page: What it returned.
-            read_s: Duration of the read, in seconds.
-        """
-        if read_s > _BURST_END_S:
-            self._pause_s = _FIRST_PAUSE_S
-        if not page.records:
-            return
-        size = sum(len(record.value) for record in page.records)
-        size_pause_s = min(_MAX_SIZE_PAUSE_S, size / self._bytes_per_s)
-        # The readers of a zone should not read at the same times.
-        await trio.sleep(max(self._pause_s, size_pause_s) * random.uniform(0.7, 1.0))
-        self._pause_s = min(_MAX_PAUSE_S, self._pause_s * 2)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_topic_follower.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_topic_follower.py
@@ -7,25 +7,21 @@
 import trio
 
 from fulmarstile_daemon.services._outage_tracker import OutageTracker
+from fulmarstile_daemon.services._read_pacer import ReadPacer
 from fulmarstile_platform.keyed_log import RecordsExpiredError
 from fulmarstile_platform.log import LogError
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterable, Sequence
+    from collections.abc import Awaitable, Callable, Iterable
 
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
 
 _POLL_TIMEOUT_S: Final = 25.0
 """Long-poll timeout of one read, in seconds."""
-_FIRST_PAUSE_S: Final = 0.08
-"""First pause after a read returned records, in seconds; doubled while more arrive, so that a burst
-of writes takes few reads."""
 _MAX_PAUSE_S: Final = 1.0
 _READ_BYTES_PER_S: Final = 200_000
 """Maximum read rate during a burst, in bytes per second, unless the longest pause is reached."""
-_BURST_END_S: Final = 1.0
-"""Duration of a read after which a burst counts as over and pauses start anew, in seconds."""
 
 
 async def follow_topic(
@@ -50,7 +46,7 @@
     offset = 0
     reads_newest = True
     outage = OutageTracker(topic, log)
-    pacer = _ReadPacer()
+    pacer = ReadPacer(_MAX_PAUSE_S, _READ_BYTES_PER_S, _MAX_PAUSE_S)
     while True:
         started_at = trio.current_time()
         try:
@@ -74,25 +70,3 @@
         await pacer.wait(page.records, trio.current_time() - started_at)
         if before_read is not None:
             await before_read()
-
-
-class _ReadPacer:
-    """Paces reads with pauses that grow while more records arrive."""
-
-    def __init__(self) -> None:
-        self._pause_s = _FIRST_PAUSE_S
-
-    async def wait(self, records: Sequence[KeyedRecord], read_s: float) -> None:
-        """Pauses after a read.
-
-        Args:
-            records: Records that it returned.
-            read_s: Duration of the read, in seconds.
-        """
-        if read_s > _BURST_END_S:
-            self._pause_s = _FIRST_PAUSE_S
-        if not records:
-            return
-        size = sum(len(record.value) for record in records)
-        await trio.sleep(min(_MAX_PAUSE_S, max(self._pause_s, size / _READ_BYTES_PER_S)))
-        self._pause_s = min(_MAX_PAUSE_S, self._pause_s * 2)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -14,11 +14,8 @@
 import trio
 
 from fulmarstile_daemon.services._body_admission import BodyAdmission
-from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._byte_budget import ByteBudget
-from fulmarstile_daemon.services._document_reader import DocumentReader
-from fulmarstile_daemon.services._document_relay import DocumentRelay
-from fulmarstile_daemon.services._freshness_keeper import FreshnessKeeper
+from fulmarstile_daemon.services._document_part import DocumentPart
 from fulmarstile_daemon.services._graceful_shutdown import GracefulShutdown
 from fulmarstile_daemon.services._link_server import LinkServer
 from fulmarstile_daemon.services._links import DaemonLinks
@@ -54,13 +51,11 @@
 from fulmarstile_services.balancing import BalancingSettings, LeastWaitBalancer
 from fulmarstile_services.directory import Directory
 from fulmarstile_services.document import RequestLimits
-from fulmarstile_services.document_sources import DocumentSources
 from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.retry_budget import RetryBudget
 from fulmarstile_services.settings import NodeSettingsError
 from fulmarstile_services.store_readers import is_reader
 from fulmarstile_services.weighted_round_robin import WeightedRoundRobin
-from fulmarstile_wire.documents import DocumentRequest
 from fulmarstile_wire.loads import LoadRequest
 from fulmarstile_wire.quotas import QuotaRequest
 from fulmarstile_wire.services import Member
@@ -194,21 +189,14 @@
             rng,
             log,
         )
-        sources = DocumentSources(self._directory, self._balancer.is_reachable)
-        self._document_reader = DocumentReader(
-            self._documents, platform.document_topic, sources, settings.link_kbps, log
-        )
-        self._relay = DocumentRelay(
-            settings.name,
+        self._document_part = DocumentPart(
             self._documents,
-            sources,
+            platform.document_topic,
+            self._directory,
+            self._balancer.is_reachable,
             self._links,
-            lambda: self._document_reader.is_current,
-        )
-        self._gossip.on_newer_document = self._relay.hint
-        self._gossip.fetch_document = self._relay.fetch
-        self._freshness_keeper = FreshnessKeeper(
-            self._documents, self._gossip, log, lambda: sources.is_reader
+            self._gossip,
+            log,
         )
         self._announcements.sync_daemons = self._gossip.sync_now
         self._body_admission = BodyAdmission(settings.link_kbps * _BYTES_PER_KBIT)
@@ -229,7 +217,7 @@
             self._body_admission,
             self._byte_budget,
             self._list_peer_handlers(),
-            {DocumentRequest: self._relay.answer},
+            self._document_part.waiting_handlers,
         )
         self._shutdown = GracefulShutdown(
             self._callers,
@@ -315,9 +303,7 @@
                     )
                 )
                 await nursery.start(self._rollouts.run, store)
-                nursery.start_soon(self._document_reader.run, store)
-                nursery.start_soon(self._relay.run)
-                nursery.start_soon(self._freshness_keeper.run, store)
+                nursery.start_soon(self._document_part.run, store)
                 nursery.start_soon(self._membership.follow, store)
                 nursery.start_soon(self._membership.write_forever, store)
                 nursery.start_soon(self._gossip.run)
@@ -466,12 +452,7 @@
 
     def _add_gauges(self) -> None:
         add = self._metrics.add_gauge
-        add("document_version", lambda: self._documents.version)
-        add("document_age_seconds", lambda: self._freshness.age_s(read_boot_clock()))
-        add("document_reads", lambda: self._document_reader.reads)
-        add("document_bytes_read", lambda: self._document_reader.bytes_read)
-        add("document_bytes_relayed", lambda: self._relay.bytes_sent)
-        add("document_bytes_received", lambda: self._relay.bytes_received)
+        self._document_part.add_gauges(self._metrics)
         add("members", lambda: len(self._directory.members))
         add("requests_in_flight", lambda: self._callers.in_flight)
         add("hops_in_flight", lambda: self._peers.in_flight)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_documents.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_documents.py
@@ -8,9 +8,7 @@
 import trio
 import trio.testing
 
-from fulmarstile_daemon.services._document_reader import DocumentReader
-from fulmarstile_daemon.services._document_relay import DocumentRelay
-from fulmarstile_daemon.services._freshness_keeper import FreshnessKeeper
+from fulmarstile_daemon.services._document_part import DocumentPart
 from fulmarstile_daemon.services._links import DaemonUnreachableError
 from fulmarstile_daemon.services._notice_merger import NoticeMerger
 from fulmarstile_daemon.services.documents import ActiveDocument, ActiveRoutes
@@ -20,7 +18,6 @@
 from fulmarstile_platform.keyed_log import MAX_READ_BYTES, KeyedPage
 from fulmarstile_services.balancing import BalancingSettings, LeastWaitBalancer
 from fulmarstile_services.directory import Directory
-from fulmarstile_services.document_sources import DocumentSources
 from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.settings import RevocationBounds
 from fulmarstile_testing.builders.service_mesh import make_node_settings
@@ -38,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from fulmarstile_daemon.services._document_relay import DocumentRelay
     from fulmarstile_services.document import ServiceDocument
     from fulmarstile_wire.documents import DocumentReply, DocumentRequest
     from fulmarstile_wire.services import Member, SyncReply, SyncRequest
@@ -158,16 +156,14 @@
             generator,
             log,
         )
-        sources = DocumentSources(self.directory, lambda _: True)
-        self._reader = DocumentReader(
-            self.document, DOCUMENT_TOPIC, sources, self.directory.local_member.link_kbps, log
+        self._part = DocumentPart(
+            self.document, DOCUMENT_TOPIC, self.directory, lambda _: True, fleet, self.gossip, log
         )
-        self.relay = DocumentRelay(
-            name, self.document, sources, fleet, lambda: self._reader.is_current
-        )
-        self.gossip.on_newer_document = self.relay.hint
-        self.gossip.fetch_document = self.relay.fetch
-        self._keeper = FreshnessKeeper(self.document, self.gossip, log, lambda: sources.is_reader)
+
+    @property
+    def relay(self) -> DocumentRelay:
+        """Answers other daemons' requests for newer versions."""
+        return self._part.relay
 
     @property
     def accepts(self) -> bool:
@@ -181,9 +177,7 @@
     async def run(self) -> None:
         """Runs until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._reader.run, self.store)
-            nursery.start_soon(self.relay.run)
-            nursery.start_soon(self._keeper.run, self.store)
+            nursery.start_soon(self._part.run, self.store)
             nursery.start_soon(self.gossip.run)
 
 
