Use replies about newer documents that take seconds, and keep a request waiting

Cause: where a link is full, a reply takes longer than the 1.2 s after which it was given up, so that the daemon got no version from any other one, and its reads of the store, which need more of the link, ended no sooner. Daemons in that state are the ones of the incident: their readiness checks failed for 2 to 4 s.

Change: a reply is of use for 4 s; after 0.8 s without one the next request follows, so that one always waits at another daemon; after 1.2 s another daemon is asked.

Measured: test_a_reply_over_a_full_link_is_of_use_although_it_takes_seconds (1.8 s) failed before and passes; tests of delay, relay and revocation pass.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
@@ -26,8 +26,16 @@
 SOURCE_DAEMON: Final = "daemon"
 _WAIT_S: Final = 0.6
 """Time for which a reply waits for something newer, in seconds."""
-_REPLY_TIMEOUT_S: Final = 0.6
-"""Time for a reply beyond that, in seconds."""
+_NEXT_POLL_S: Final = 0.8
+"""Time after which the next request follows one without a reply, in seconds. So there is always one
+that waits at another daemon, also where replies are slow."""
+_REPLY_TIMEOUT_S: Final = 1.2
+"""Time after which another daemon is asked, in seconds."""
+_LATE_REPLY_TIMEOUT_S: Final = 4.0
+"""Time after which a reply is no longer expected, in seconds. Where a link is full, replies take
+seconds; they are small and of use all the same."""
+_MAX_POLLS: Final = 4
+"""Requests that may wait for a reply at the same time."""
 _FETCH_TIMEOUT_S: Final = 1.0
 """Time for a reply that does not wait, in seconds."""
 _RETRY_S: Final = 0.1
@@ -38,6 +46,19 @@
 has arrived by then."""
 
 
+class _Poll:
+    """A request that waits at another daemon."""
+
+    __slots__ = ("asked_at", "ended", "is_answered", "member")
+
+    def __init__(self, member: Member, asked_at: float) -> None:
+        self.member = member
+        self.asked_at = asked_at
+        self.ended = trio.Event()
+        self.is_answered = False
+        """Whether there was a usable reply."""
+
+
 class DocumentRelay:
     """Asks other daemons for newer versions, and answers them.
 
@@ -67,6 +88,7 @@
         self._is_current = is_current
         self._hint: Member | None = None
         self._has_hint = trio.Event()
+        self._polls: set[_Poll] = set()
         self.bytes_sent = 0
         """Bytes of documents and differences sent to other daemons."""
         self.bytes_received = 0
@@ -115,20 +137,38 @@
 
     async def _follow_sources(self) -> None:
         retry_s = _RETRY_S
-        while True:
-            member = self._sources.choose(trio.current_time())
-            if member is None:
-                await trio.sleep(_RETRY_S)
-                continue
-            reply = await self._ask(member, _WAIT_S, _WAIT_S + _REPLY_TIMEOUT_S)
-            now = trio.current_time()
-            if reply is None:
-                self._sources.on_failure(member, now)
-                await trio.sleep(retry_s)
-                retry_s = min(_MAX_RETRY_S, retry_s * 2)
-                continue
-            retry_s = _RETRY_S
-            self._sources.on_reply(member, now, is_current=reply.is_current)
+        async with trio.open_nursery() as nursery:
+            while True:
+                now = trio.current_time()
+                for late in self._polls:
+                    if now - late.asked_at > _REPLY_TIMEOUT_S:
+                        self._sources.on_failure(late.member, now)
+                member = self._sources.choose(now)
+                if member is None or len(self._polls) >= _MAX_POLLS:
+                    await trio.sleep(_RETRY_S)
+                    continue
+                poll = _Poll(member, now)
+                nursery.start_soon(self._ask_source, poll)
+                with trio.move_on_after(_NEXT_POLL_S):
+                    await poll.ended.wait()
+                if poll.ended.is_set() and not poll.is_answered:
+                    self._sources.on_failure(member, trio.current_time())
+                    await trio.sleep(retry_s)
+                    retry_s = min(_MAX_RETRY_S, retry_s * 2)
+                else:
+                    retry_s = _RETRY_S
+
+    async def _ask_source(self, poll: _Poll) -> None:
+        self._polls.add(poll)
+        try:
+            reply = await self._ask(poll.member, _WAIT_S, _LATE_REPLY_TIMEOUT_S)
+            if reply is not None:
+                poll.is_answered = True
+                now = trio.current_time()
+                self._sources.on_reply(poll.member, now, is_current=reply.is_current)
+        finally:
+            self._polls.discard(poll)
+            poll.ended.set()
 
     async def _follow_hints(self) -> None:
         while True:
--- a/tests/services/test_document_relay.py
+++ b/tests/services/test_document_relay.py
@@ -11,6 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fulmarstile_daemon.services._links import DaemonUnreachableError
 from fulmarstile_daemon.services.documents import ActiveRoutes
 from fulmarstile_services.directory import Directory
 from fulmarstile_services.document_delta import (
@@ -39,6 +40,8 @@
 """Time from the acknowledgement of a version until it must be in force, in seconds."""
 DOCUMENT_BYTES = 150_000
 MAX_ARRIVAL_S = 5.0
+SLOW_REPLY_S = 1.8
+"""Time that a reply takes over a full link, in seconds."""
 FLEET = 12
 GAP_S = 0.4
 
@@ -109,6 +112,30 @@
 
         self.run_fleet(scenario)
 
+    def test_a_reply_over_a_full_link_is_of_use_although_it_takes_seconds(self) -> None:
+        async def scenario(fleet: VirtualDocumentFleet) -> None:
+            slow = list_followers(fleet)[0]
+            slow.store.loses = True
+            fleet.store.wake()
+            query = fleet.query
+
+            async def query_slowly(member, request, timeout_s, **options):
+                if request.sender != slow.name:
+                    return await query(member, request, timeout_s, **options)
+                with trio.move_on_after(timeout_s):
+                    reply = await query(member, request, timeout_s, **options)
+                    await trio.sleep(SLOW_REPLY_S)
+                    return reply
+                raise DaemonUnreachableError("no reply in time")
+
+            fleet.query = query_slowly
+            await trio.sleep(2 * SLOW_REPLY_S)
+            fleet.publish()
+            await trio.sleep(APPLY_S)
+            self.assertEqual(slow.document.version, 1)
+
+        self.run_fleet(scenario)
+
     def test_other_records_of_the_topic_reach_daemons_that_do_not_read_it(self) -> None:
         seen: dict[str, set[str]] = {}
 
