--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -160,6 +160,14 @@
         self._changed = asyncio.Event()
         self.address = ""
         self._server: asyncio.Server | None = None
+        self._lost_key = b""
+        self._late_s = 0.0
+        self._tasks: set[asyncio.Task[object]] = set()
+        self.on_late = lambda: None
+
+    def lose_next(self, key: bytes, late_s: float) -> None:
+        """Loses the answer to the next write of a key; the write is done some seconds later."""
+        self._lost_key, self._late_s = key, late_s
 
     async def start(self, address: str) -> None:
         self.address = address
@@ -180,6 +188,15 @@
         try:
             while (head := await read_head(reader)) and await read_body(reader, head):
                 await asyncio.sleep(0.004)
+                if self._lost_key and head.body[4:].startswith(
+                    bytes([len(self._lost_key)]) + self._lost_key
+                ):
+                    self._lost_key = b""
+                    task = asyncio.create_task(self._handle_late(head))
+                    self._tasks.add(task)
+                    # A connection on which an answer is lost returns nothing further.
+                    await reader.read()
+                    return
                 status, body, kind = await self._handle(head)
                 writer.write(encode(f"HTTP/1.1 {status} X", {"Content-Type": kind}, body))
                 await writer.drain()
@@ -188,6 +205,11 @@
         finally:
             close(writer)
 
+    async def _handle_late(self, head: Message) -> None:
+        await asyncio.sleep(self._late_s)
+        await self._handle(head)
+        self.on_late()
+
     async def _handle(self, head: Message) -> tuple[int, bytes, str]:
         target = urlsplit(head.first[1])
         query = dict(parse_qsl(target.query))
@@ -245,11 +267,16 @@
         self._open = asyncio.Event()
         self._open.set()
         self._writers: set[asyncio.StreamWriter] = set()
+        self._epoch = 0
 
     async def start(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         await asyncio.start_server(self._serve, host, int(port))
 
+    def silence(self) -> None:
+        """Lets the open connections go silent for good, without a reset; new ones work."""
+        self._epoch += 1
+
     def cut(self) -> None:
         """Cuts the path silently."""
         self._open.clear()
@@ -272,19 +299,27 @@
             reset(writer)
             return
         self._writers |= {writer, up_writer}
-        await asyncio.gather(self._pump(reader, up_writer), self._pump(up_reader, writer))
-        self._writers -= {writer, up_writer}
+        epoch = self._epoch
+        await asyncio.gather(
+            self._pump(reader, up_writer, epoch), self._pump(up_reader, writer, epoch)
+        )
+        if self._passes(epoch):
+            self._writers -= {writer, up_writer}
+
+    def _passes(self, epoch: int) -> bool:
+        return self._open.is_set() and epoch == self._epoch
 
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, epoch: int
+    ) -> None:
         try:
             while data := await reader.read(1 << 16):
-                if not self._open.is_set():
-                    return
-                writer.write(data)
-                await writer.drain()
+                if self._passes(epoch):
+                    writer.write(data)
+                    await writer.drain()
         except (ConnectionError, OSError):
             pass
-        if self._open.is_set():
+        if self._passes(epoch):
             close(writer)
 
 
