--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -20,12 +20,14 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HEARTBEAT_S = 1.5
+_METRICS_PORT = 9464
 # Those of the site dalazher-mesh.
 BOUNDS = {
     "SeedLagS": 3, "AddrReuseS": 2, "StableWindowS": 3, "AckS": 4, "CatchUpS": 4, "DrainS": 2,
@@ -513,7 +515,7 @@
     def __init__(self, case: Path, bounds: dict[str, object] | None = None) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.record = Record(case)
-        self.net = random.randrange(16, 250)
+        self.net = _free_net()
         self.bounds = {**BOUNDS, **(bounds or {})}
         roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
         self.command = next(iter(roles.values()))["run"].split()
@@ -622,6 +624,17 @@
         self.folder.rmdir()
 
 
+def _free_net() -> int:
+    """Returns a network 127.N whose machines can use the port of the metrics, which is fixed."""
+    for net in random.sample(range(16, 250), 50):
+        with contextlib.suppress(OSError):
+            for number in range(1, 13):
+                with socket.socket() as sock:
+                    sock.bind((f"127.{net}.{number}.1", _METRICS_PORT))
+            return net
+    raise CannotRunError("no free loopback network")
+
+
 def _free_ports(ip: str, count: int) -> list[int]:
     sockets = [socket.socket() for _ in range(count)]
     for each in sockets:
@@ -636,17 +649,21 @@
     """Plays a scenario; returns 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
 
     async def run() -> int:
-        mesh = Mesh(case, bounds)
+        mesh = None
         try:
-            async with asyncio.timeout(115):
+            mesh = Mesh(case, bounds)
+            async with asyncio.timeout(112):
                 broken = await scenario(mesh)
-        except (CannotRunError, TimeoutError, OSError) as error:
-            mesh.record.say(f"could not run: {error!r}")
+            mesh.record.say("BROKEN" if broken else "held")
+            return int(broken)
+        except Exception as error:
+            traceback.print_exc()
+            if mesh is not None:
+                mesh.record.say(f"could not run: {error!r}")
             return 2
         finally:
-            mesh.close()
-        mesh.record.say("BROKEN" if broken else "held")
-        return int(broken)
+            if mesh is not None:
+                mesh.close()
 
     # Connections that are open at the end are of no interest.
     sys.unraisablehook = lambda _: None
