--- a/review/2/case.py
+++ b/review/2/case.py
@@ -38,8 +38,8 @@
 
     began_at = record.now()
     if TROUBLE:
-        record.say(f"the store turns {node.name} away, without a response; it serves the others")
-        node.store_path.cut()
+        record.say(f"the store turns {node.name} away with 503; it serves the others")
+        node.store_path.turn_away()
     await mesh.until(began_at + 1.5)
     # It never reports draining: it deregisters, and goes on serving.
     instance.stop_beating()
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,7 +13,7 @@
 
 from mesh import TROUBLE, CannotRunError, Instance, Mesh, play
 
-LATE_S = 6.0
+LATE_S = 5.9
 """Time after which the write whose answer was lost is done."""
 LINGER_S = 16.0
 """How long the instance goes on serving after the acknowledgement."""
--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -261,38 +261,40 @@
         return status, json.dumps(value).encode(), "application/json"
 
 
-class Path_:
-    """A TCP path to an address that can be cut: nothing passes, and nobody is told."""
+class StorePath:
+    """A machine's path to the store, at the end of which the store may turn it away."""
 
     def __init__(self, target: str) -> None:
         self._target = target
-        self._open = asyncio.Event()
-        self._open.set()
         self._writers: set[asyncio.StreamWriter] = set()
-        self._epoch = 0
+        self._is_turned_away = False
 
     async def start(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         await asyncio.start_server(self._serve, host, int(port))
 
-    def silence(self) -> None:
-        """Lets the open connections go silent for good, without a reset; new ones work."""
-        self._epoch += 1
-
-    def cut(self) -> None:
-        """Cuts the path silently."""
-        self._open.clear()
+    def turn_away(self) -> None:
+        """Resets the open connections and answers each call with 503, which does nothing."""
+        self._is_turned_away = True
+        self._reset_all()
 
     def heal(self) -> None:
-        """Lets new connections pass; those that were cut stay dead, as after a long partition."""
+        """Lets new connections pass."""
+        self._is_turned_away = False
+        self._reset_all()
+
+    def _reset_all(self) -> None:
         for writer in self._writers:
             reset(writer)
         self._writers.clear()
-        self._open.set()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if not self._open.is_set():
+        if self._is_turned_away:
             self._writers.add(writer)
+            while (head := await read_head(reader)) and await read_body(reader, head):
+                writer.write(encode("HTTP/1.1 503 Service Unavailable", {}))
+            self._writers.discard(writer)
+            close(writer)
             return
         host, _, port = self._target.rpartition(":")
         try:
@@ -301,28 +303,17 @@
             reset(writer)
             return
         self._writers |= {writer, up_writer}
-        epoch = self._epoch
-        await asyncio.gather(
-            self._pump(reader, up_writer, epoch), self._pump(up_reader, writer, epoch)
-        )
-        if self._passes(epoch):
-            self._writers -= {writer, up_writer}
-
-    def _passes(self, epoch: int) -> bool:
-        return self._open.is_set() and epoch == self._epoch
+        await asyncio.gather(self._pump(reader, up_writer), self._pump(up_reader, writer))
+        self._writers -= {writer, up_writer}
 
-    async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, epoch: int
-    ) -> None:
+    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while data := await reader.read(1 << 16):
-                if self._passes(epoch):
-                    writer.write(data)
-                    await writer.drain()
+                writer.write(data)
+                await writer.drain()
         except (ConnectionError, OSError):
             pass
-        if self._passes(epoch):
-            close(writer)
+        close(writer)
 
 
 # ---------------------------------------------------------------- instances
@@ -435,7 +426,7 @@
         self.app_address, self.inbound, self.outbound, self.ready, self.control, self.store = (
             f"{self.ip}:{next(ports)}" for _ in range(6)
         )
-        self.store_path = Path_(mesh.store.address)
+        self.store_path = StorePath(mesh.store.address)
         self.settings_file = mesh.folder / f"{self.name}.json"
         self.process: subprocess.Popen[bytes] | None = None
         self.misses = 0
@@ -665,6 +656,8 @@
             if mesh is not None:
                 mesh.close()
 
+    # A script that is ended from outside ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     # Connections that are open at the end are of no interest.
     sys.unraisablehook = lambda _: None
     return asyncio.run(run())
