Show how late the event loop is, and what a daemon leaves unread at its end

A request that waits in the kernel's buffer while the event loop is late leaves no trace, because the daemon never knew it. The measurement uses the wake-ups of two periodic checks that exist already. No decision is changed.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -12,6 +12,7 @@
 import trio
 
 from fulmarstile_daemon.services._caller_messages import CallerDisconnectedError, CallerResponse
+from fulmarstile_daemon.services._loop_lateness import LoopLateness
 from fulmarstile_daemon.services._request_pipeline import RequestPipeline
 from fulmarstile_daemon.services._server_connection import ServerConnection
 from fulmarstile_daemon.services.events import CallerLeft
@@ -55,6 +56,7 @@
         budget: Memory limit for messages.
         log: Log of the daemon.
         id_header: Name of the header that identifies a request in the log.
+        lateness: Measures how late the event loop is while requests are in flight.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         budget: ByteBudget,
         log: EventLog,
         id_header: bytes,
+        lateness: LoopLateness | None = None,
     ) -> None:
         self._handle = handle
         self._limits = limits
@@ -72,6 +75,7 @@
         self._budget = budget
         self._log = log
         self._id_header = id_header
+        self._lateness = lateness or LoopLateness(log)
         self._connections: dict[ServerConnection, RequestPipeline] = {}
         self._in_flight: dict[RequestScope, ServerConnection] = {}
         self._is_closing = False
@@ -91,6 +95,11 @@
         """Requests that have been received in part."""
         return sum(connection.is_receiving for connection in self._connections)
 
+    @property
+    def unread(self) -> int:
+        """Connections with input that was not read."""
+        return sum(connection.has_unread for connection in self._connections)
+
     @property
     def connections(self) -> int:
         """Open connections."""
@@ -219,7 +228,7 @@
             if not self._in_flight:
                 self._has_in_flight = trio.Event()
                 await self._has_in_flight.wait()
-            await trio.sleep(_WATCH_INTERVAL_S)
+            await self._lateness.sleep(_WATCH_INTERVAL_S)
             for scope, connection in self._in_flight.items():
                 if connection.has_ended:
                     scope.abandon()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -104,6 +104,13 @@
         """Whether bytes behind the last request have been received."""
         return bool(self._reader.unparsed)
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether more has arrived than was read or parsed, perhaps the end of the connection."""
+        return self.has_unparsed or not (
+            self._stream.is_closed or self._stream.is_open_without_input
+        )
+
     @property
     def has_ended(self) -> bool:
         """Whether the caller has closed or reset the connection."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -19,6 +19,7 @@
 from fulmarstile_daemon.services._link_server import LinkServer
 from fulmarstile_daemon.services._links import DaemonLinks
 from fulmarstile_daemon.services._local_endpoints import LocalEndpoints
+from fulmarstile_daemon.services._loop_lateness import LoopLateness
 from fulmarstile_daemon.services._notice_merger import NoticeMerger
 from fulmarstile_daemon.services._request_server import RequestServer
 from fulmarstile_daemon.services._rollout_part import RolloutPart
@@ -207,11 +208,18 @@
         self._hops = HopServer(
             names, self._directory, notices, self._upstream, self._body_admission, log
         )
+        self._lateness = LoopLateness(log)
         connections = max(
             64, int((settings.descriptor_limit - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE)
         )
         self._callers = RequestServer(
-            self._entry.handle, self._limits, connections, self._byte_budget, log, names.request_id
+            self._entry.handle,
+            self._limits,
+            connections,
+            self._byte_budget,
+            log,
+            names.request_id,
+            self._lateness,
         )
         self._peers = LinkServer(
             self._hops.handle,
@@ -338,6 +346,7 @@
                     Stopped(
                         in_flight=self._callers.in_flight + self._peers.in_flight,
                         arriving=self._callers.arriving,
+                        unread=self._callers.unread,
                     )
                 )
                 nursery.cancel_scope.cancel()
@@ -409,7 +418,7 @@
         """Closes idle connections after a suspension of the VM, because they may be dead."""
         while True:
             offset_s = _read_suspended_s()
-            await trio.sleep(_SUSPEND_POLL_S)
+            await self._lateness.sleep(_SUSPEND_POLL_S)
             for_s = _read_suspended_s() - offset_s
             if for_s >= _MIN_SUSPEND_S:
                 self._log.write(Suspended(for_s=round(for_s, 2)))
@@ -446,6 +455,8 @@
         add("message_bytes_held", lambda: self._byte_budget.used_bytes)
         add("messages_cut", lambda: self._byte_budget.aborted_messages)
         add("body_wait_seconds", lambda: self._body_admission.wait_s)
+        add("loop_longest_late_seconds", lambda: self._lateness.longest_s)
+        add("loop_times_late", lambda: self._lateness.times_late)
         add("callers_left", lambda: self._callers.abandoned_requests)
         add("upstream_running", lambda: self._upstream.running)
         add("upstream_queued", lambda: self._upstream.queued)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -151,6 +151,8 @@
     """Requests of callers and of other daemons that were not answered."""
     arriving: int = 0
     """Requests of callers that had been received in part."""
+    unread: int = 0
+    """Connections of callers with input that was not read."""
 
 
 class SettingsReloaded(LogEvent, tag="settings_reloaded"):
@@ -408,6 +410,12 @@
     for_s: float
 
 
+class LoopLate(LogEvent, tag="loop_late"):
+    """The event loop ran its tasks late, so that requests waited unread."""
+
+    late_ms: float
+
+
 class LibraryMessage(LogEvent, tag="message"):
     """A record of one of the standard loggers."""
 
