--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -37,6 +37,8 @@
 """Time before the end of the grace period by which the daemon terminates, in seconds."""
 _FINAL_SEND_S: Final = 0.3
 """Maximum time for sending the last responses, in seconds."""
+_FINAL_CLOSE_S: Final = 0.1
+"""Maximum time for answering what arrives until the connections are closed, in seconds."""
 _POLL_INTERVAL_S: Final = 0.02
 
 
@@ -120,3 +122,5 @@
         self._links.close_all()
         with trio.move_on_after(_FINAL_SEND_S):
             await self._callers.wait_answered()
+        with trio.move_on_after(_FINAL_CLOSE_S):
+            await self._callers.finish()
