--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -244,6 +244,10 @@
         try:
             with scope.cancel_scope:
                 return await self._handle(request, scope)
+        except Exception:
+            # The caller still gets an answer, which doesn't say whether the request has run.
+            _LOGGER.exception("handling a request failed")
+            return make_error_response(HTTPStatus.INTERNAL_SERVER_ERROR, "internal error")
         finally:
             del self._in_flight[scope]
         if scope.make_response is not None:
