Keep a daemon running when a message of another daemon fails

Callers of a daemon lost all their open requests at once when one message of another daemon raised an error: synchronizations and queries are handled in the task of their connection, and any error but a broken connection left the nursery of the connection, that of the server and that of the daemon. A call id that was used twice while the first call ran did the same with a KeyError, as both calls removed the entry.

An error in a reply is logged and leaves the reply out, as a reply that waits has it already; an id that is used twice and any other error end the one connection.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -135,6 +135,9 @@
         except* LinkBrokenError as group:
             _LOGGER.info("connection from a daemon closed: %s", group.exceptions[0])
             release_frames(group)
+        except* Exception:
+            # An error on one connection must not end the daemon.
+            _LOGGER.exception("serving a connection from a daemon failed")
         finally:
             self._body_admission.release_all(frames)
             del self._connections[frames]
@@ -151,6 +154,8 @@
                     is_greeted = True
                 elif isinstance(message, HopCall):
                     self._body_admission.release(OfferKey(frames, message.call_id))
+                    if message.call_id in calls:
+                        raise LinkBrokenError(f"call id {message.call_id} is used twice")
                     served = calls[message.call_id] = _ServedCall(message)
                     nursery.start_soon(self._serve_call, frames, calls, served)
                 elif isinstance(message, BodyOffer):
@@ -163,11 +168,19 @@
                     if message.call_id in calls:
                         calls[message.call_id].progress.withdraw()
                 elif isinstance(message, SyncCall):
-                    reply = self._handle_sync(message.request)
-                    frames.send(SyncAnswer(message.call_id, reply))
+                    self._answer_sync(frames, message)
                 elif isinstance(message, PeerCall):
                     self._answer_query(frames, message, nursery)
 
+    def _answer_sync(self, frames: FrameStream, call: SyncCall) -> None:
+        try:
+            reply = self._handle_sync(call.request)
+        except Exception:
+            # An error in one reply must not end the other requests of its connection.
+            _LOGGER.exception("synchronizing with another daemon failed")
+            return
+        frames.send(SyncAnswer(call.call_id, reply))
+
     def _answer_query(self, frames: FrameStream, call: PeerCall, nursery: trio.Nursery) -> None:
         wait_and_handle = self._waiting_handlers.get(type(call.request))
         if wait_and_handle is not None:
@@ -177,7 +190,13 @@
         if handle is None:
             # The part is switched off here; the other daemon treats this one as unavailable.
             return
-        frames.send(PeerAnswer(call.call_id, handle(call.request)))
+        try:
+            reply = handle(call.request)
+        except Exception:
+            # An error in one reply must not end the other requests of its connection.
+            _LOGGER.exception("handling a request of another daemon failed")
+            return
+        frames.send(PeerAnswer(call.call_id, reply))
 
     async def _answer_later(
         self,
