Answer a forwarded request whose handling fails at once

If the handling of a forwarded request raised an error, the daemon logged it and sent no answer. The entry daemon waited for it until the deadline of the caller, who got 504, also if no upstream had the request and another one was free.

Evidence: the new test times out before (TooSlowError after 5 s), and passes afterwards. The answer follows from the progress of the request: not run unless the upstream may have received it.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -258,10 +258,22 @@
         except Exception:
             # An error in one request must not end the other requests of its connection.
             _LOGGER.exception("handling a forwarded request failed")
+            self._answer_unfinished(frames, served, RefusalReason.CONNECTION_LOST)
         finally:
             self._in_flight -= 1
             del calls[call.call_id]
 
+    def _answer_unfinished(
+        self, frames: FrameStream, served: _ServedCall, reason: RefusalReason
+    ) -> None:
+        """Answers a request that ends without a result, by what its upstream has of it."""
+        verdict = Verdict.MAY_HAVE_RUN if served.progress.may_have_begun else Verdict.NOT_RUN
+        failure = make_failure(verdict, reason, reached_upstream=verdict is Verdict.MAY_HAVE_RUN)
+        try:
+            frames.send(HopAnswer(served.call.call_id, self._add_load(failure)))
+        except LinkBrokenError as error:
+            _LOGGER.info("cannot send an answer: %s", error)
+
 
 class _ServedCall:
     """A forwarded request that is being handled."""
--- a/tests/services/test_link_server_errors.py
+++ b/tests/services/test_link_server_errors.py
@@ -8,6 +8,7 @@
 import trio
 import trio.testing
 
+from fulmarstile_calls.request import RefusalReason
 from fulmarstile_testing.builders.link_servers import (
     answer_call,
     make_hop_call,
@@ -50,6 +51,11 @@
     raise HandlerFailedError
 
 
+async def fail_call(*_: object) -> HopAnswer:
+    """Fails as the handler of a forwarded request with a fault does."""
+    raise HandlerFailedError
+
+
 async def work_long(*_: object) -> HopAnswer:
     """Works on a forwarded request until it is cancelled."""
     await trio.sleep_forever()
@@ -100,6 +106,22 @@
 
         trio.run(run)
 
+    def test_a_request_whose_handling_fails_is_answered_at_once(self) -> None:
+        async def run() -> None:
+            async with (
+                serve_links(make_link_server(fail_call)) as address,
+                open_link(address) as client,
+            ):
+                await client.send(make_hop_call(1))
+                with trio.fail_after(DURATION_S):
+                    answer = await client.receive()
+                self.assertEqual((answer.call_id, answer.status), (1, 0))
+                self.assertEqual(answer.outcome.verdict, Verdict.NOT_RUN)
+                self.assertEqual(answer.outcome.reason, RefusalReason.CONNECTION_LOST.value)
+
+        with self.assertLogs("fulmarstile_daemon.services._link_server", "ERROR"):
+            trio.run(run)
+
     def test_no_sequence_of_messages_ends_the_server_or_another_connection(self) -> None:
         async def handle(call, deadline, progress):
             if call.body == b"fail":
