End a replaced connection to a daemon with the last call on it

Connections between daemons that new calls no longer use ended in two wrong ways. One to an address that no member has any more was closed at once with all calls on it, though a daemon that has a new address may still finish the requests of its earlier process: callers got 502 for requests that had been answered. One that was replaced because it was silent, or after a suspension, was forgotten: if the other daemon lived it stayed open on both sides for good, and closing all connections at the end of a stop left it out, so that the rest of a message on it was still sent.

Each such connection is retired now: it is closed when the last call on it has ended.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -90,6 +90,7 @@
         self._frames = frames
         self._pending: dict[int, _PendingCall] = {}
         self._next_id = 0
+        self._is_retired = False
         self.received_at = trio.current_time()
         """Time of the last message, in seconds."""
 
@@ -142,10 +143,19 @@
 
     def end_call(self, call_id: int) -> None:
         """Removes a call, and cancels it at the other daemon if it has no answer."""
-        pending = self._pending.pop(call_id, None)
-        if pending is None or pending.done.is_set() or self._frames.is_closed:
-            return
-        self._send_or_close(HopCancel(call_id))
+        pending = self._pending.pop(call_id)
+        if not pending.done.is_set() and not self._frames.is_closed:
+            self._send_or_close(HopCancel(call_id))
+        self._close_if_unused()
+
+    def retire(self) -> None:
+        """Closes the connection at the end of the last call on it; no more may begin."""
+        self._is_retired = True
+        self._close_if_unused()
+
+    def _close_if_unused(self) -> None:
+        if self._is_retired and not self._pending:
+            self.close()
 
     def close(self) -> None:
         self._frames.close()
@@ -165,6 +175,9 @@
         except* LinkBrokenError as group:
             _LOGGER.info("connection to %s closed: %s", self._address, group.exceptions[0])
             release_frames(group)
+        except* Exception:
+            # An error on one connection must not end the daemon.
+            _LOGGER.exception("receiving from %s failed", self._address)
         finally:
             self.close()
 
@@ -195,6 +208,9 @@
         self._sender = sender
         self._budget = budget
         self._links: dict[tuple[str, bool], _Link] = {}
+        """Connections for new calls, by address and whether they are for large bodies."""
+        self._open_links: dict[_Link, None] = {}
+        """All connections, also those that are no longer used for new calls."""
         self._connect_locks: dict[tuple[str, bool], trio.Lock] = {}
         self._nursery: trio.Nursery | None = None
 
@@ -206,18 +222,24 @@
             await trio.sleep_forever()
 
     def close_unknown(self, addresses: Iterable[str]) -> None:
-        """Closes the connections to daemons that are no longer known.
+        """Retires the connections to addresses that are no longer known.
+
+        Calls on them may still be answered: a daemon may be known by a new address already while
+        its earlier process finishes its requests.
 
         Args:
             addresses: `host:port` of the known daemons.
         """
         kept = set(addresses)
         for key in [key for key in self._links if key[0] not in kept]:
-            self._links.pop(key).close()
+            self._links.pop(key).retire()
 
     def retire_all(self) -> None:
         """Retires all connections, which may be dead; later calls open new ones."""
+        links = tuple(self._links.values())
         self._links.clear()
+        for link in links:
+            link.retire()
 
     def replace_silent(self, address: str) -> None:
         """Makes later calls to a daemon open a new connection if the present one is silent.
@@ -231,7 +253,7 @@
 
     def close_all(self) -> None:
         """Closes all connections, so that no further data of any message arrives."""
-        for link in self._links.values():
+        for link in tuple(self._open_links):
             link.close()
 
     async def forward(
@@ -381,10 +403,17 @@
                 link.send(Hello(PROTOCOL_VERSION, self._sender))
             except (OSError, LinkBrokenError) as error:
                 raise DaemonUnreachableError(f"cannot connect to {address}: {error}") from error
-            self._nursery.start_soon(link.run)
+            self._open_links[link] = None
+            self._nursery.start_soon(self._run_link, link)
             return link
         raise DaemonUnreachableError(f"connecting to {address} timed out")
 
+    async def _run_link(self, link: _Link) -> None:
+        try:
+            await link.run()
+        finally:
+            del self._open_links[link]
+
     def _replace_if_silent(self, address: str, link: _Link) -> None:
         """Makes later calls open a new connection if nothing was received on this one lately."""
         if trio.current_time() - link.received_at < _SILENCE_S:
@@ -392,6 +421,7 @@
         for key in ((address, False), (address, True)):
             if self._links.get(key) is link:
                 del self._links[key]
+        link.retire()
 
 
 def _needs_grant(member: Member, size: int) -> bool:
