--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -135,6 +135,9 @@
         except* LinkBrokenError as group:
             _LOGGER.info("connection from a daemon closed: %s", group.exceptions[0])
             release_frames(group)
+        except* Exception:
+            # An error on one connection must not end the daemon.
+            _LOGGER.exception("serving a connection from a daemon failed")
         finally:
             self._body_admission.release_all(frames)
             del self._connections[frames]
@@ -151,6 +154,8 @@
                     is_greeted = True
                 elif isinstance(message, HopCall):
                     self._body_admission.release(OfferKey(frames, message.call_id))
+                    if message.call_id in calls:
+                        raise LinkBrokenError(f"call id {message.call_id} is used twice")
                     served = calls[message.call_id] = _ServedCall(message)
                     nursery.start_soon(self._serve_call, frames, calls, served)
                 elif isinstance(message, BodyOffer):
@@ -163,11 +168,19 @@
                     if message.call_id in calls:
                         calls[message.call_id].progress.withdraw()
                 elif isinstance(message, SyncCall):
-                    reply = self._handle_sync(message.request)
-                    frames.send(SyncAnswer(message.call_id, reply))
+                    self._answer_sync(frames, message)
                 elif isinstance(message, PeerCall):
                     self._answer_query(frames, message, nursery)
 
+    def _answer_sync(self, frames: FrameStream, call: SyncCall) -> None:
+        try:
+            reply = self._handle_sync(call.request)
+        except Exception:
+            # An error in one reply must not end the other requests of its connection.
+            _LOGGER.exception("synchronizing with another daemon failed")
+            return
+        frames.send(SyncAnswer(call.call_id, reply))
+
     def _answer_query(self, frames: FrameStream, call: PeerCall, nursery: trio.Nursery) -> None:
         wait_and_handle = self._waiting_handlers.get(type(call.request))
         if wait_and_handle is not None:
@@ -177,7 +190,13 @@
         if handle is None:
             # The part is switched off here; the other daemon treats this one as unavailable.
             return
-        frames.send(PeerAnswer(call.call_id, handle(call.request)))
+        try:
+            reply = handle(call.request)
+        except Exception:
+            # An error in one reply must not end the other requests of its connection.
+            _LOGGER.exception("handling a request of another daemon failed")
+            return
+        frames.send(PeerAnswer(call.call_id, reply))
 
     async def _answer_later(
         self,
@@ -239,10 +258,22 @@
         except Exception:
             # An error in one request must not end the other requests of its connection.
             _LOGGER.exception("handling a forwarded request failed")
+            self._answer_unfinished(frames, served, RefusalReason.CONNECTION_LOST)
         finally:
             self._in_flight -= 1
             del calls[call.call_id]
 
+    def _answer_unfinished(
+        self, frames: FrameStream, served: _ServedCall, reason: RefusalReason
+    ) -> None:
+        """Answers a request that ends without a result, by what its upstream has of it."""
+        verdict = Verdict.MAY_HAVE_RUN if served.progress.may_have_begun else Verdict.NOT_RUN
+        failure = make_failure(verdict, reason, reached_upstream=verdict is Verdict.MAY_HAVE_RUN)
+        try:
+            frames.send(HopAnswer(served.call.call_id, self._add_load(failure)))
+        except LinkBrokenError as error:
+            _LOGGER.info("cannot send an answer: %s", error)
+
 
 class _ServedCall:
     """A forwarded request that is being handled."""
