Never wait for the reader of the log

Callers saw: no answers from a daemon, for as long as whoever reads its standard output was slow.

Cause: `EventLog.flush` wrote with `os.write` to a descriptor that nobody makes non-blocking. With a full pipe the write blocked the event loop, and every request with it. A partial write also lost the rest of a batch in the middle of a line.

Evidence: test_slow_log_reader fails before: a flush into a pipe of 64 KiB that nobody reads doesn't return within 2 s; on a descriptor that is non-blocking, lines are lost; and the drop count for a closed reader leaves out 1,384 of 1,500 lines.

Fix: a pipe or terminal is opened once more through /proc/self/fd with O_NONBLOCK, which leaves the open file description of other processes as it is; elsewhere (a socket, no /proc) `poll` decides, with writes of PIPE_BUF at most. Lines that don't fit stay in the buffer up to its bound, and what doesn't fit there is dropped and counted as before.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import logging
-import os
-import sys
 import time
 from collections import deque
 from typing import TYPE_CHECKING, Final
@@ -12,6 +10,7 @@
 import msgspec
 import trio
 
+from fulmarstile_daemon.services._log_output import ATOMIC_WRITE_BYTES, open_log_output
 from fulmarstile_daemon.services.events import LibraryMessage
 
 if TYPE_CHECKING:
@@ -20,7 +19,6 @@
 _MAX_PENDING_LINES: Final = 2_000
 """Maximum number of buffered lines; further ones are dropped and counted."""
 _FLUSH_S: Final = 0.25
-_MAX_WRITE_BYTES: Final = 32 * 1024
 
 
 class _LinesDropped(msgspec.Struct, tag_field="event", tag="lines_left_out"):
@@ -38,6 +36,7 @@
     def __init__(self, daemon: str) -> None:
         self._daemon = daemon
         self._lines: deque[bytes] = deque()
+        self._unwritten = b""
         self._encoder = msgspec.json.Encoder()
         self._counts: dict[type[LogEvent], int] = {}
         self._window_end = 0.0
@@ -75,22 +74,31 @@
 
     def flush(self) -> None:
         """Writes the buffered lines, as far as standard output accepts them without blocking."""
-        while self._lines:
-            size = 0
-            batch = []
-            while self._lines and size < _MAX_WRITE_BYTES:
-                line = self._lines.popleft()
-                batch.append(line)
-                size += len(line)
-            try:
-                os.write(sys.stdout.fileno(), b"".join(batch))
-            except BlockingIOError:
-                self.dropped_lines += len(batch)
-                return
-            except OSError:
-                # Standard output is closed, and there is no other place to report that.
-                self.dropped_lines += len(batch)
-                return
+        try:
+            with open_log_output() as output:
+                while self._unwritten or self._lines:
+                    self._unwritten = self._unwritten or self._take_batch()
+                    written = output.write(self._unwritten)
+                    if not written:
+                        return
+                    self._unwritten = self._unwritten[written:]
+        except OSError:
+            # Standard output is closed, and there is no other place to report that.
+            self._drop_lines()
+
+    def _take_batch(self) -> bytes:
+        """Removes the next lines that fit into one atomic write, or one longer line."""
+        batch = [self._lines.popleft()]
+        size = len(batch[0])
+        while self._lines and size + len(self._lines[0]) <= ATOMIC_WRITE_BYTES:
+            batch.append(self._lines.popleft())
+            size += len(batch[-1])
+        return b"".join(batch)
+
+    def _drop_lines(self) -> None:
+        self.dropped_lines += self._unwritten.count(b"\n") + len(self._lines)
+        self._unwritten = b""
+        self._lines.clear()
 
     def _start_window(self, now: float) -> None:
         self._window_end = now + 1.0
--- /dev/null
+++ b/tests/services/test_slow_log_reader.py
@@ -0,0 +1,87 @@
+"""Standard output whose reader is slow or gone neither stops the daemon nor cuts log lines."""
+
+from __future__ import annotations
+
+import json
+import os
+import threading
+import unittest
+from contextlib import suppress
+from unittest import mock
+
+from fulmarstile_daemon.services.event_log import EventLog
+from fulmarstile_daemon.services.events import LibraryMessage
+
+LINES = 1_500
+TEXT = "x" * 200
+"""Together with `LINES`, more than a pipe holds."""
+FLUSH_TIMEOUT_S = 2.0
+
+
+def make_log(lines: int) -> EventLog:
+    log = EventLog("d-1")
+    with mock.patch.object(LibraryMessage, "lines_per_s", None):
+        for _ in range(lines):
+            log.write(LibraryMessage(level="INFO", text=TEXT))
+    return log
+
+
+class SlowLogReaderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reading, writing = os.pipe()
+        self.stdout = os.fdopen(writing, "w")
+        self.enterContext(mock.patch("sys.stdout", self.stdout))
+        self.received: list[bytes] = []
+
+    def read_all(self) -> None:
+        while data := os.read(self.reading, 1 << 16):
+            self.received.append(data)
+        os.close(self.reading)
+
+    def finish_reading(self) -> list[bytes]:
+        """Returns the lines that were not read before the last flush."""
+        self.stdout.close()
+        self.read_all()
+        return b"".join(self.received).splitlines(keepends=True)
+
+    def test_a_full_pipe_does_not_hold_up_the_daemon(self) -> None:
+        log = make_log(LINES)
+        flush = threading.Thread(target=log.flush, daemon=True)
+        flush.start()
+        flush.join(FLUSH_TIMEOUT_S)
+        is_blocked = flush.is_alive()
+        reader = threading.Thread(target=self.read_all)
+        reader.start()
+        flush.join()
+        self.stdout.close()
+        reader.join()
+        self.assertFalse(is_blocked)
+
+    def test_lines_that_do_not_fit_into_the_pipe_are_written_later_and_whole(self) -> None:
+        log = make_log(LINES)
+        os.set_blocking(self.reading, False)
+        os.set_blocking(self.stdout.fileno(), False)
+        for _ in range(100):
+            log.flush()
+            with suppress(BlockingIOError):
+                self.received.append(os.read(self.reading, 5_000))
+        os.set_blocking(self.reading, True)
+        lines = self.finish_reading()
+        self.assertEqual([json.loads(line)["text"] for line in lines], [TEXT] * LINES)
+        self.assertEqual(log.dropped_lines, 0)
+
+    def test_the_descriptor_stays_blocking_for_others_that_share_it(self) -> None:
+        make_log(1).flush()
+        self.assertTrue(os.get_blocking(self.stdout.fileno()))
+        self.assertEqual(len(self.finish_reading()), 1)
+
+    def test_lines_are_dropped_and_counted_if_the_reader_is_gone(self) -> None:
+        log = make_log(LINES)
+        os.close(self.reading)
+        log.flush()
+        self.assertEqual(log.dropped_lines, LINES)
+        self.stdout.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
