Keep running without a standard output

A daemon that is started with standard output closed has `sys.stdout` None; the first flush raised AttributeError in a task of the main nursery, which ended the daemon with all its open requests. Lines are dropped and counted now, as with a closed reader. Evidence: test_a_daemon_without_standard_output_drops_its_lines fails before with that error.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_log_output.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_log_output.py
@@ -57,7 +57,12 @@
 
     Yields:
         The output.
+
+    Raises:
+        OSError: If standard output is closed.
     """
+    if sys.stdout is None or sys.stdout.closed:
+        raise OSError("standard output is closed")
     shared = sys.stdout.fileno()
     descriptor = _reopen_nonblocking(shared)
     try:
--- a/tests/services/test_slow_log_reader.py
+++ b/tests/services/test_slow_log_reader.py
@@ -82,6 +82,13 @@
         self.assertEqual(log.dropped_lines, LINES)
         self.stdout.close()
 
+    def test_a_daemon_without_standard_output_drops_its_lines(self) -> None:
+        log = make_log(LINES)
+        with mock.patch("sys.stdout", None):
+            log.flush()
+        self.assertEqual(log.dropped_lines, LINES)
+        self.finish_reading()
+
 
 if __name__ == "__main__":
     unittest.main()
