Let the kernel break no connection because its peer reads late

Callers saw: an answer cut off if they didn't read for about 3 s, though it was complete in the daemon; 502 for an upload whose instance left the body unread for as long, though neither deadline nor timeout was reached.

Cause: TCP_USER_TIMEOUT (2 s) is meant for peers that are gone, but Linux also counts the time for which a live peer's receive buffer is full and acknowledges nothing but window probes. The kernel then resets the connection, without any line in the log. An answer already handed to the kernel, by a daemon that has ended since, is cut the same way.

Fix: connections to callers and to instances have no such option. Connections between daemons keep the option, as daemons always read.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local_upstream.py
@@ -113,7 +113,9 @@
         if self._pool is None or self._pool.address != address:
             if self._pool is not None:
                 self._pool.retire()
-            self._pool = ConnectionPool(address, connections, self._settings)
+            self._pool = ConnectionPool(
+                address, connections, self._settings, peer_may_read_late=True
+            )
         self._pool.limit = connections
 
     def set_draining(self, draining: bool, now: float) -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -128,7 +128,7 @@
             OSError: If the proxy cannot listen on the address.
         """
         self.replace_endpoints(self._context.endpoints)
-        with listen(self._settings.address) as listener:
+        with listen(self._settings.address, peer_may_read_late=True) as listener:
             self._address = listener.address
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -121,7 +121,7 @@
         Raises:
             OSError: If it cannot listen on the address.
         """
-        with listen(address) as listener, open_input_watch() as watch:
+        with listen(address, peer_may_read_late=True) as listener, open_input_watch() as watch:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(watch.run)
                 nursery.start_soon(self._watch_callers)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -336,7 +336,7 @@
         )
         if self._pool is not None:
             self._pool.retire()
-        self._pool = ConnectionPool(address, limit, _POOL_SETTINGS)
+        self._pool = ConnectionPool(address, limit, _POOL_SETTINGS, peer_may_read_late=True)
         self._slots.restart(announcement.slots, limit)
 
     def _refuse_unservable(self, hop: HopRequest) -> HopOutcome | None:
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import math
 import select
 import socket
 import struct
@@ -39,10 +40,13 @@
 
     Args:
         sock: Connected, non-blocking socket, owned by the stream from now on.
+        send_timeout_s: Longest time for which the other side may accept nothing while `send_all`
+            has more to send, in seconds.
     """
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, send_timeout_s: float = math.inf) -> None:
         self._socket = sock
+        self._send_timeout_s = send_timeout_s
         self.sent_bytes = 0
         """Bytes handed to the kernel since the stream was opened."""
 
@@ -111,14 +115,14 @@
             data: Bytes to send.
 
         Raises:
-            OSError: If the connection broke.
+            OSError: If the connection broke, or the other side accepted nothing for too long.
         """
         unsent = memoryview(data)
         while unsent:
             try:
                 count = self._socket.send(unsent)
             except BlockingIOError:
-                await self._wait(trio.lowlevel.wait_writable)
+                await self._wait_to_send()
                 continue
             self.sent_bytes += count
             unsent = unsent[count:]
@@ -186,6 +190,13 @@
         except trio.ClosedResourceError as error:
             raise OSError(errno.EBADF, "the stream was closed during the wait") from error
 
+    async def _wait_to_send(self) -> None:
+        try:
+            with trio.fail_after(self._send_timeout_s):
+                await self._wait(trio.lowlevel.wait_writable)
+        except trio.TooSlowError as error:
+            raise OSError(errno.ETIMEDOUT, "the other side does not read") from error
+
     def abort(self) -> None:
         """Resets the connection, so that the other side sees an error instead of a normal end."""
         if self._socket.fileno() < 0:
@@ -195,11 +206,14 @@
         self.close()
 
 
-def set_socket_options(sock: socket.socket) -> None:
+def set_socket_options(sock: socket.socket, *, peer_may_read_late: bool = False) -> None:
     """Disables Nagle's algorithm and makes the kernel break connections to a silent peer.
 
     Args:
         sock: TCP socket; connections accepted by a listening socket inherit the options.
+        peer_may_read_late: Whether the peer may leave data unread for as long as it wants. The
+            time limit for unacknowledged data does not allow that: it also runs while the
+            receive buffer of the peer is full.
     """
     with suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -207,14 +221,16 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_INTERVAL_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+        if not peer_may_read_late:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
 
 
-async def open_stream(address: str) -> ByteStream:
+async def open_stream(address: str, *, peer_may_read_late: bool = False) -> ByteStream:
     """Opens a TCP connection.
 
     Args:
         address: `host:port` with an IP address.
+        peer_may_read_late: See `set_socket_options`.
 
     Returns:
         The connected stream.
@@ -226,7 +242,7 @@
     host = host.strip("[]")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
-    set_socket_options(sock)
+    set_socket_options(sock, peer_may_read_late=peer_may_read_late)
     try:
         await _connect(sock, (host, int(port)))
     except (ValueError, OverflowError) as error:
--- a/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
@@ -225,12 +225,15 @@
             raise ExchangeError(str(error)) from error
 
 
-async def open_connection(address: str, head_limit: int) -> ClientConnection:
+async def open_connection(
+    address: str, head_limit: int, *, peer_may_read_late: bool = False
+) -> ClientConnection:
     """Opens a connection to an upstream or a daemon.
 
     Args:
         address: `host:port` with an IP address.
         head_limit: Largest response head, in bytes.
+        peer_may_read_late: Whether the other side may leave a request unread for long.
 
     Returns:
         The connection.
@@ -239,7 +242,7 @@
         ExchangeError: If the connection cannot be opened.
     """
     try:
-        stream = await open_stream(address)
+        stream = await open_stream(address, peer_may_read_late=peer_may_read_late)
     except OSError as error:
         raise ExchangeError(f"cannot connect to {address}: {error}") from error
     return ClientConnection(stream, head_limit)
--- a/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
@@ -51,10 +51,19 @@
         address: `host:port` of the other side.
         limit: Maximum number of open connections.
         settings: Limits of the connections.
+        peer_may_read_late: Whether the other side may leave a request unread for long.
     """
 
-    def __init__(self, address: str, limit: int, settings: ConnectionSettings) -> None:
+    def __init__(
+        self,
+        address: str,
+        limit: int,
+        settings: ConnectionSettings,
+        *,
+        peer_may_read_late: bool = False,
+    ) -> None:
         self._settings = settings
+        self._peer_may_read_late = peer_may_read_late
         self._idle: deque[ClientConnection] = deque()
         self._open = 0
         self.address = address
@@ -151,7 +160,11 @@
         connection = None
         try:
             with trio.move_on_after(self._settings.connect_timeout_s):
-                connection = await open_connection(self.address, self._settings.head_limit)
+                connection = await open_connection(
+                    self.address,
+                    self._settings.head_limit,
+                    peer_may_read_late=self._peer_may_read_late,
+                )
         finally:
             if connection is None:
                 self._open -= 1
--- a/packages/fulmarstile_http/src/fulmarstile_http/listener.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/listener.py
@@ -17,6 +17,8 @@
 _BACKLOG: Final = 1024
 _ACCEPT_PAUSE_S: Final = 0.05
 """Pause before the next accept after `OutOfDescriptorsError`, in seconds."""
+_SEND_TIMEOUT_S: Final = 30.0
+"""Longest time for which a client may accept no part of its response, in seconds."""
 _OUT_OF_DESCRIPTORS: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -58,7 +60,7 @@
                     raise OutOfDescriptorsError(error.errno, "cannot accept") from error
                 continue
             accepted.setblocking(False)
-            return ByteStream(accepted)
+            return ByteStream(accepted, _SEND_TIMEOUT_S)
 
     def accept_pending(self) -> list[ByteStream]:
         """Accepts the connections in the backlog, without waiting for more.
@@ -71,7 +73,7 @@
             while True:
                 accepted, _ = self._socket.accept()
                 accepted.setblocking(False)
-                streams.append(ByteStream(accepted))
+                streams.append(ByteStream(accepted, _SEND_TIMEOUT_S))
         return streams
 
     def close(self) -> None:
@@ -106,11 +108,12 @@
 
 
 @contextmanager
-def listen(address: str) -> Iterator[ConnectionListener]:
+def listen(address: str, *, peer_may_read_late: bool = False) -> Iterator[ConnectionListener]:
     """Listens at an address until the context ends.
 
     Args:
         address: `host:port` with an IP address; port 0 takes any free port.
+        peer_may_read_late: See `set_socket_options`; applies to the accepted connections.
 
     Yields:
         The listener.
@@ -123,7 +126,7 @@
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.create_server((host, int(port)), family=family, backlog=_BACKLOG)
     sock.setblocking(False)
-    set_socket_options(sock)
+    set_socket_options(sock, peer_may_read_late=peer_may_read_late)
     listener = ConnectionListener(sock)
     try:
         yield listener
