Let no second attempt of a request end the daemon

Callers would see: all open requests of a daemon reset at once. Second attempts of hedged requests run in a task of the main nursery, so that any error in one of them, or in the choice of its upstream, ended the process. A first attempt that ended in the pass in which its second one was started also left that one running, as its scope didn't exist yet.

Evidence: test_failing_hedges; all three tests fail before. That an error came there in operation was not seen; it is a path by which one request ends all others without a line that names the requests.

Fix: such an error is logged, and the first attempt decides; the scope exists before the task starts.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_hedges.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_hedges.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -13,6 +14,8 @@
 
     from fulmarstile_daemon.services._call import AttemptResult
 
+_LOGGER: Final = logging.getLogger(__name__)
+
 _TICK_INTERVAL_S: Final = 0.05
 """Interval of the check for hedges that are due, in seconds."""
 
@@ -89,21 +92,38 @@
                 now = trio.current_time()
                 for hedge in [waiting for waiting in self._waiting if waiting.due_at <= now]:
                     del self._waiting[hedge]
-                    second = hedge.start_second()
-                    if second is not None:
-                        hedge.second_ended = trio.Event()
-                        nursery.start_soon(self._run_second, hedge, second)
+                    self._start_second(nursery, hedge)
+
+    def _start_second(self, nursery: trio.Nursery, hedge: Hedge) -> None:
+        try:
+            second = hedge.start_second()
+        except Exception:
+            # The task that starts second attempts serves all requests.
+            _LOGGER.exception("starting a second attempt failed")
+            return
+        if second is not None:
+            ended = hedge.second_ended = trio.Event()
+            # The first attempt may end before the task of the second one runs.
+            scope = hedge.second_scope = trio.CancelScope()
+            nursery.start_soon(self._run_second, hedge, second, scope, ended)
 
     async def _run_second(
-        self, hedge: Hedge, second: Callable[[], Awaitable[AttemptResult]]
+        self,
+        hedge: Hedge,
+        second: Callable[[], Awaitable[AttemptResult]],
+        scope: trio.CancelScope,
+        ended: trio.Event,
     ) -> None:
-        hedge.second_scope = trio.CancelScope()
-        with hedge.second_scope:
-            hedge.result = await second()
-            if hedge.result.is_success:
-                hedge.finish_early(hedge.result)
-        if hedge.second_ended is not None:
-            hedge.second_ended.set()
+        try:
+            with scope:
+                hedge.result = await second()
+                if hedge.result.is_success:
+                    hedge.finish_early(hedge.result)
+        except Exception:
+            # The first attempt decides, as if there were no second one.
+            _LOGGER.exception("a second attempt failed")
+        finally:
+            ended.set()
 
 
 def _select_result(first: AttemptResult, second: AttemptResult | None) -> AttemptResult:
