Assign no slot of an upstream that was replaced meanwhile

Callers saw, at the moment in which another instance takes the place of the one on the VM: a connection closed without an answer, if the deadline of a waiting request passed in that pass of the event loop; and one request too many at the new instance.

Cause: a request that had been assigned a slot of the old incarnation used it at the new one, beyond its slots. If it was cancelled instead, its slot went to one of those that the replacement had already refused, and the look-up of that one raised KeyError, which ends the connection that the request came on.

Fix: what belongs to a replaced incarnation neither gives nor takes slots.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
@@ -188,12 +188,14 @@
                 self._has_waiting.set()
                 await waiter.event.wait()
         except BaseException:
-            self._apply(admission.on_cancelled(ticket_id, trio.current_time()))
+            # Those that waited with it for a previous incarnation have been refused.
+            if admission is self._admission:
+                self._apply(admission.on_cancelled(ticket_id, trio.current_time()))
             raise
         finally:
             progress.on_withdrawn = None
             del self._waiters[ticket_id]
-        if not waiter.admitted:
+        if not waiter.admitted or admission is not self._admission:
             raise SlotRefusedError(waiter.refusal or _REPLACED)
         return ticket_id
 
