--- a/tests/adapter/test_settings_file.py
+++ b/tests/adapter/test_settings_file.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import tempfile
 import unittest
 from pathlib import Path
@@ -83,3 +84,19 @@
         self.path.write_text(json.dumps(SETTINGS)[:-10])
         with self.assertRaisesRegex(NodeSettingsError, "settings.json"):
             read_settings_file(self.path)
+
+    def test_an_odd_file_at_a_reload_is_an_error_of_the_settings_and_ends_no_daemon(self) -> None:
+        whole = json.dumps(SETTINGS)
+        deep = whole[:-1] + ',"Deep":' + "[" * 100_000 + "]" * 100_000 + "}"
+        texts = {"empty": "", "half": whole[: len(whole) // 2], "deep": deep}
+        for name in ("MemoryMb", "GraceS", "HeartbeatS"):
+            for value in ("nan", "inf"):
+                key = f'"{name}": '
+                start = whole.index(key) + len(key)
+                end = start + re.match(r"[0-9.]+", whole[start:]).end()
+                texts[f"{name} {value}"] = f'{whole[:start]}"{value}"{whole[end:]}'
+        for name, text in texts.items():
+            with self.subTest(name):
+                self.path.write_text(text)
+                with self.assertRaises(NodeSettingsError):
+                    read_settings_file(self.path)
