Serve readiness probes although kept connections fill the limit

Two probes in a row without 200 take a daemon out, and a heartbeat that isn't answered makes its instance look dead.

Evidence: test_kept_connections_do_not_keep_a_new_one_from_being_served fails before (no answer within 2 s). Not seen in operation.

Fix: at the limit the connection that has waited longest for its next request is closed.

--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
@@ -36,7 +36,10 @@
 """Time after which a connection without a complete request head is closed, in seconds."""
 
 MAX_CONNECTIONS: Final = 512
-"""Maximum number of connections served concurrently; further ones wait."""
+"""Maximum number of connections served concurrently.
+
+A further one takes the place of the one that has waited longest for its next request, or waits.
+"""
 
 JSON_TYPE: Final = "application/json"
 """Media type of JSON bodies."""
@@ -122,14 +125,28 @@
         max_body_bytes: Largest body of a request, in bytes.
     """
     limiter = trio.CapacityLimiter(max_connections)
+    connections: set[_Connection] = set()
 
     async def serve_connection(stream: trio.SocketStream) -> None:
+        if not limiter.available_tokens:
+            _close_longest_idle(connections)
         async with limiter:
-            await _Connection(stream, handler, max_body_bytes).serve()
+            connection = _Connection(stream, handler, max_body_bytes)
+            connections.add(connection)
+            try:
+                await connection.serve()
+            finally:
+                connections.remove(connection)
 
     await trio.serve_listeners(serve_connection, listeners)
 
 
+def _close_longest_idle(connections: set[_Connection]) -> None:
+    idle = [connection for connection in connections if connection.idle_since is not None]
+    if idle:
+        min(idle, key=lambda connection: connection.idle_since or 0.0).close()
+
+
 class _Connection:
     """Connection of a client, whose requests are served one after another."""
 
@@ -140,8 +157,20 @@
         self._stream = stream
         self._handler = handler
         self._protocol = h11.Connection(h11.SERVER)
+        self._scope = trio.CancelScope()
+        self.idle_since: float | None = trio.current_time()
+        """Time since which the head of a request is awaited, in seconds; None if none is."""
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self.idle_since = None
+        self._scope.cancel()
 
     async def serve(self) -> None:
+        with self._scope:
+            await self._serve()
+
+    async def _serve(self) -> None:
         async with self._stream:
             try:
                 while await self._serve_request():
@@ -154,8 +183,10 @@
 
     async def _serve_request(self) -> bool:
         try:
+            self.idle_since = trio.current_time()
             with trio.fail_after(IDLE_TIMEOUT_S):
                 head = await self._next_event()
+            self.idle_since = None
             if not isinstance(head, h11.Request):
                 return False
             with trio.fail_after(REQUEST_TIMEOUT_S):
--- a/tests/platform/test_http_server.py
+++ b/tests/platform/test_http_server.py
@@ -4,7 +4,7 @@
 
 import random
 import unittest
-from contextlib import asynccontextmanager, suppress
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -13,6 +13,7 @@
 from fulmarstile_platform.http import open_http_client
 from fulmarstile_platform.http_server import (
     MAX_BODY_BYTES,
+    MAX_CONNECTIONS,
     HttpAnswer,
     HttpListenError,
     HttpProblemError,
@@ -38,11 +39,11 @@
 
 
 @asynccontextmanager
-async def open_server() -> AsyncIterator[str]:
+async def open_server(max_connections: int = MAX_CONNECTIONS) -> AsyncIterator[str]:
     listeners = await listen_http("127.0.0.1:0")
     port = listeners[0].socket.getsockname()[1]
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(serve_http, listeners, echo)
+        nursery.start_soon(serve_http, listeners, echo, max_connections)
         yield f"127.0.0.1:{port}"
         nursery.cancel_scope.cancel()
 
@@ -128,6 +129,27 @@
 
         trio.run(run)
 
+    def test_kept_connections_do_not_keep_a_new_one_from_being_served(self) -> None:
+        async def ask(stream: trio.SocketStream) -> bytes:
+            await stream.send_all(b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n")
+            return await stream.receive_some(4096)
+
+        async def run() -> None:
+            async with open_server(max_connections=3) as address, AsyncExitStack() as stack:
+                host, _, port = address.rpartition(":")
+                streams = []
+                for _ in range(8):
+                    stream = await trio.open_tcp_stream(host, int(port))
+                    streams.append(await stack.enter_async_context(stream))
+                    with trio.fail_after(2.0):
+                        self.assertIn(b" 200 ", await ask(stream))
+                    if len(streams) > 1:
+                        # The one used last is not the one that makes room.
+                        self.assertIn(b" 200 ", await ask(streams[-2]))
+                self.assertEqual(await streams[0].receive_some(), b"")
+
+        trio.run(run)
+
     def test_listening_at_an_address_in_use_is_an_error_that_names_it(self) -> None:
         async def run() -> None:
             async with open_server() as address:
