Reject a configuration with numbers that daemons cannot exchange

Callers would see: the reset of all open requests at all daemons at once, again and again, after a configuration with a customer's rate of 1e306 or more (OverflowError in `plan_quota`, raised in the task that reads the document); or each forwarded request of a route closed without an answer, if its target latency is 1e18 s (OverflowError in the encoder of frames).

The new test in test_config_record fails before for 8 of 8 values. No such configuration was seen in operation.

--- a/tests/adapter/test_config_record.py
+++ b/tests/adapter/test_config_record.py
@@ -81,3 +81,14 @@
         ):
             with self.subTest(raw[:40]), self.assertRaises(DocumentError):
                 decode_config(raw)
+
+    def test_numbers_that_daemons_cannot_exchange_are_rejected(self) -> None:
+        for name in ("TimeoutS", "TargetLatencyS"):
+            for value in (1e17, 1e308):
+                with self.subTest(name, value=value), self.assertRaises(DocumentError):
+                    decode_config(make_config(change_row(**{name: value})))
+        for name in ("RatePerS", "Burst"):
+            for value in (1e17, 1e308):
+                table = {"Columns": ["Name", "ApiKeys", name], "Rows": [["a", ["k"], value]]}
+                with self.subTest(name, value=value), self.assertRaises(DocumentError):
+                    decode_config(make_config(Tenants=table))
