--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -79,6 +79,8 @@
         self._connections: dict[ServerConnection, RequestPipeline] = {}
         self._in_flight: dict[RequestScope, ServerConnection] = {}
         self._is_closing = False
+        self._accept_scope = trio.CancelScope()
+        self._has_stopped_accepting = trio.Event()
         self._expired_at = -math.inf
         self._last_request_at = -math.inf
         self._has_in_flight = trio.Event()
@@ -137,10 +139,16 @@
                 nursery.start_soon(self._close_idle_forever)
                 task_status.started(listener.address)
                 serve = partial(self._serve_connection, nursery, watch)
-                await accept_forever(listener, nursery, serve, self._on_exhausted)
+                with self._accept_scope:
+                    await accept_forever(listener, nursery, serve, self._on_exhausted)
+                for stream in listener.accept_pending():
+                    nursery.start_soon(self._serve_pipeline, *self._open(nursery, watch, stream))
+                listener.close()
+                self._has_stopped_accepting.set()
+                await trio.sleep_forever()
 
     def begin_closing(self) -> None:
-        """Closes every connection after the response to the last request read from it."""
+        """Closes every connection after the response to the last request that has arrived on it."""
         self._is_closing = True
         for connection in self._connections:
             connection.must_close = True
@@ -162,6 +170,20 @@
         while any(connection.is_busy for connection in self._connections):
             await trio.sleep(_POLL_INTERVAL_S)
 
+    async def finish(self) -> None:
+        """Answers all requests that have arrived, then closes the connections and accepts no more.
+
+        Returns when all connections are closed.
+        """
+        self._accept_scope.cancel()
+        await self._has_stopped_accepting.wait()
+        while self._connections:
+            self.refuse_unreceived()
+            for connection in tuple(self._connections):
+                if connection.is_reusable:
+                    connection.try_close_idle()
+            await trio.sleep(_POLL_INTERVAL_S)
+
     def refuse_unreceived(self) -> None:
         """Refuses the requests that have not been received completely, and so have not run.
 
@@ -182,10 +204,20 @@
     ) -> None:
         if len(self._connections) >= self._connection_limit:
             self._evict_idle()
+        await self._serve_pipeline(*self._open(nursery, watch, stream))
+
+    def _open(
+        self, nursery: trio.Nursery, watch: InputWatch, stream: ByteStream
+    ) -> tuple[ServerConnection, RequestPipeline]:
         connection = ServerConnection(stream, self._limits, self._budget, _make_malformed_response)
         connection.must_close = self._is_closing
         pipeline = RequestPipeline(connection, self._run, nursery, watch)
         self._connections[connection] = pipeline
+        return connection, pipeline
+
+    async def _serve_pipeline(
+        self, connection: ServerConnection, pipeline: RequestPipeline
+    ) -> None:
         try:
             await pipeline.serve()
         except CallerDisconnectedError:
@@ -238,14 +270,15 @@
             await trio.sleep(_IDLE_CHECK_INTERVAL_S)
             oldest = trio.current_time() - self._limits().idle_timeout_s
             for connection in list(self._connections):
-                if connection.is_idle and connection.idle_since < oldest:
-                    connection.close_now()
+                if connection.idle_since < oldest:
+                    connection.try_close_idle()
 
     def _evict_idle(self) -> None:
         """Closes the connection that has been idle longest, if any is idle."""
         idle = [connection for connection in self._connections if connection.is_idle]
-        if idle:
-            min(idle, key=lambda connection: connection.idle_since).close_now()
+        for connection in sorted(idle, key=lambda connection: connection.idle_since):
+            if connection.try_close_idle():
+                return
 
 
 def make_error_response(status: int, detail: str, retry_after_s: float = 0.0) -> CallerResponse:
