--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -6,15 +6,19 @@
 
 import trio
 
+from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._stop_times import CLOSED, StopTimes
+from fulmarstile_daemon.services.events import StopPhase
 
 if TYPE_CHECKING:
     from fulmarstile_daemon.services._link_server import LinkServer
     from fulmarstile_daemon.services._links import DaemonLinks
+    from fulmarstile_daemon.services._loop_lateness import LoopLateness
     from fulmarstile_daemon.services._request_server import RequestServer
     from fulmarstile_daemon.services._upstream import LocalUpstream
     from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
     from fulmarstile_daemon.services.entry import CallEntry
+    from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.hops import HopServer
 
 _MIN_SERVING_S: Final = 1.0
@@ -54,6 +58,8 @@
         links: Connections to other daemons.
         upstream: Upstream on this VM.
         announcements: Publishes the state of the upstream to the other daemons.
+        lateness: Measures how late the event loop is.
+        log: Log of the daemon.
     """
 
     def __init__(
@@ -65,6 +71,8 @@
         links: DaemonLinks,
         upstream: LocalUpstream,
         announcements: UpstreamAnnouncements,
+        lateness: LoopLateness,
+        log: EventLog,
     ) -> None:
         self._callers = callers
         self._peers = peers
@@ -73,13 +81,18 @@
         self._links = links
         self._upstream = upstream
         self._announcements = announcements
+        self._lateness = lateness
+        self._log = log
+        self._requested_at = 0.0
 
-    async def run(self, grace_s: float) -> None:
+    async def run(self, grace_s: float, requested_at: float) -> None:
         """Runs all phases of the shutdown.
 
         Args:
             grace_s: Grace period after which the platform kills the process, in seconds.
+            requested_at: Arrival of SIGTERM by the boot clock, in seconds.
         """
+        self._requested_at = requested_at
         now = trio.current_time()
         ends_at = now + grace_s - _GRACE_MARGIN_S
         accepts_until = now + min(grace_s * _ACCEPT_SHARE, _MAX_ACCEPT_S)
@@ -104,19 +117,36 @@
 
     async def _drain(self) -> None:
         """Publishes the stop, refuses what no upstream has received, and waits for the rest."""
+        self._write_phase("draining")
         self._callers.withdraw_all()
         self._peers.refuse_bodies()
         self._callers.refuse_unreceived()
         await self._announcements.stop()
         await trio.sleep(_PEER_NOTICE_S)
         self._upstream.stop()
+        self._write_phase("waiting")
         while not (self._peers.is_quiet and self._callers.is_quiet(_CALLERS_GONE_S)):
             await trio.sleep(_POLL_INTERVAL_S)
 
     async def _answer_remaining(self) -> None:
         """Responds to the remaining requests according to their state so far."""
+        self._write_phase("answering")
         self._set_stop_times(CLOSED)
         self._callers.expire_all()
         self._links.close_all()
         with trio.move_on_after(_FINAL_SEND_S):
             await self._callers.finish()
+
+    def _write_phase(self, phase: str) -> None:
+        self._log.write(
+            StopPhase(
+                phase=phase,
+                elapsed_ms=round((read_boot_clock() - self._requested_at) * 1000, 1),
+                in_flight=self._callers.in_flight,
+                arriving=self._callers.arriving,
+                connections=self._callers.connections,
+                hops=self._peers.in_flight,
+                has_unsent=not self._peers.in_flight and not self._peers.is_quiet,
+                longest_late_ms=round(self._lateness.longest_s * 1000, 1),
+            )
+        )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -13,6 +13,7 @@
 import trio
 
 from fulmarstile_daemon.services._body_admission import BodyAdmission
+from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._document_part import DocumentPart
 from fulmarstile_daemon.services._graceful_shutdown import GracefulShutdown
@@ -23,6 +24,7 @@
 from fulmarstile_daemon.services._notice_merger import NoticeMerger
 from fulmarstile_daemon.services._request_server import RequestServer
 from fulmarstile_daemon.services._rollout_part import RolloutPart
+from fulmarstile_daemon.services._signals import ReceivedSignal, receive_signals
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
@@ -30,6 +32,7 @@
 from fulmarstile_daemon.services.entry import CallEntry
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_daemon.services.events import (
+    Ended,
     SettingsReloaded,
     Started,
     Stopped,
@@ -239,6 +242,8 @@
             self._links,
             self._upstream,
             self._announcements,
+            self._lateness,
+            log,
         )
         self._local_endpoints = LocalEndpoints(
             platform, self._announcements, self._metrics, lambda: self.is_ready, self.dump
@@ -246,6 +251,7 @@
         self._started_at = 0.0
         self._is_stopping = False
         self._stop_requested = trio.Event()
+        self._stop_requested_at = 0.0
         self._add_gauges()
 
     @property
@@ -299,7 +305,7 @@
         """
         self._started_at = trio.current_time()
         listeners = self._settings.listeners
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        with receive_signals(signal.SIGTERM, signal.SIGHUP) as signals:
             async with (
                 self._platform.open_store(self._settings.store_address) as store,
                 trio.open_nursery() as nursery,
@@ -337,10 +343,15 @@
                     self._reload_settings()
                 await self._stop_requested.wait()
                 self._is_stopping = True
-                self._log.write(Stopping(in_flight=self._callers.in_flight + self._peers.in_flight))
+                self._log.write(
+                    Stopping(
+                        in_flight=self._callers.in_flight + self._peers.in_flight,
+                        late_ms=self._stop_elapsed_ms(),
+                    )
+                )
                 if self._quotas is not None:
                     nursery.start_soon(self._quotas.release)
-                await self._shutdown.run(self._settings.bounds.grace_s)
+                await self._shutdown.run(self._settings.bounds.grace_s, self._stop_requested_at)
                 # The cancellation aborts whatever is still in flight.
                 self._log.write(
                     Stopped(
@@ -352,6 +363,11 @@
                 nursery.cancel_scope.cancel()
         self._log.flush()
 
+    def write_end(self) -> None:
+        """Writes the last line of the log, after the event loop has ended."""
+        self._log.write(Ended(elapsed_ms=self._stop_elapsed_ms()))
+        self._log.flush()
+
     def dump(self) -> ServiceState:
         """Returns the state of the daemon for inspection."""
         members = self._directory.members
@@ -379,17 +395,27 @@
             ),
         )
 
-    def begin_stopping(self) -> None:
-        """Starts the graceful shutdown; idempotent."""
+    def begin_stopping(self, requested_at: float | None = None) -> None:
+        """Starts the graceful shutdown; idempotent.
+
+        Args:
+            requested_at: Time of the request by the boot clock in seconds, now if None.
+        """
+        if self._stop_requested.is_set():
+            return
+        self._stop_requested_at = read_boot_clock() if requested_at is None else requested_at
         self._stop_requested.set()
 
-    async def _handle_signals(self, signals: AsyncIterator[int]) -> None:
+    async def _handle_signals(self, signals: AsyncIterator[ReceivedSignal]) -> None:
         """Reloads the settings on SIGHUP, and starts the shutdown on SIGTERM."""
-        async for number in signals:
-            if number == signal.SIGHUP:
+        async for received in signals:
+            if received.number == signal.SIGHUP:
                 self._reload_settings()
             else:
-                self.begin_stopping()
+                self.begin_stopping(received.received_at)
+
+    def _stop_elapsed_ms(self) -> float:
+        return round((read_boot_clock() - self._stop_requested_at) * 1000, 1)
 
     async def _watch_settings(self) -> None:
         stamp = self._platform.settings_stamp()
@@ -497,10 +523,12 @@
         return os.EX_CONFIG
     log = EventLog(settings.name)
     log.capture_logging()
+    daemon = ServiceDaemon(platform, settings, log, early_signals)
     try:
-        trio.run(ServiceDaemon(platform, settings, log, early_signals).run)
+        trio.run(daemon.run)
     except Exception:
         _LOGGER.exception("daemon terminated by an unexpected error")
         log.flush()
         return os.EX_SOFTWARE
+    daemon.write_end()
     return os.EX_OK
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -141,6 +141,37 @@
 
     lines_per_s: ClassVar[int | None] = None
     in_flight: int
+    late_ms: float = 0.0
+    """Time since SIGTERM, in milliseconds."""
+
+
+class StopPhase(LogEvent, tag="stop_phase"):
+    """The daemon enters a phase of its shutdown."""
+
+    lines_per_s: ClassVar[int | None] = None
+    phase: str
+    elapsed_ms: float
+    """Time since SIGTERM, in milliseconds."""
+    in_flight: int
+    """Requests of callers without an answer."""
+    arriving: int
+    """Requests of callers that have been received in part."""
+    connections: int
+    """Open connections of callers."""
+    hops: int
+    """Requests of other daemons without an answer, and bodies granted to them."""
+    longest_late_ms: float
+    """Largest lateness of the event loop since the start, in milliseconds."""
+    has_unsent: bool = False
+    """Whether nothing but answers to other daemons is still to be sent to them."""
+
+
+class Ended(LogEvent, tag="ended"):
+    """The event loop has ended, and the process is about to."""
+
+    lines_per_s: ClassVar[int | None] = None
+    elapsed_ms: float
+    """Time since SIGTERM, in milliseconds."""
 
 
 class Stopped(LogEvent, tag="stopped"):
