--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -93,7 +93,8 @@
             requested_at: Arrival of SIGTERM by the boot clock, in seconds.
         """
         self._requested_at = requested_at
-        now = trio.current_time()
+        # An event loop that was late has less time left.
+        now = trio.current_time() - max(0.0, read_boot_clock() - requested_at)
         ends_at = now + grace_s - _GRACE_MARGIN_S
         accepts_until = now + min(grace_s * _ACCEPT_SHARE, _MAX_ACCEPT_S)
         nested_until = now + min(grace_s * _NESTED_ACCEPT_SHARE, _MAX_NESTED_ACCEPT_S)
