--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -11,6 +12,8 @@
 from fulmarstile_daemon.services.events import StopPhase
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from fulmarstile_daemon.services._link_server import LinkServer
     from fulmarstile_daemon.services._links import DaemonLinks
     from fulmarstile_daemon.services._loop_lateness import LoopLateness
@@ -42,6 +45,8 @@
 _FINAL_SEND_S: Final = 0.3
 """Maximum time for sending the last responses and closing the connections, in seconds."""
 _POLL_INTERVAL_S: Final = 0.02
+_CLOCK_CHECK_S: Final = 0.1
+"""Interval of the check whether the VM was suspended, in seconds."""
 
 
 class GracefulShutdown:
@@ -60,6 +65,7 @@
         announcements: Publishes the state of the upstream to the other daemons.
         lateness: Measures how late the event loop is.
         log: Log of the daemon.
+        clock: Returns the time in seconds; counts while the VM is suspended, as the platform does.
     """
 
     def __init__(
@@ -73,6 +79,7 @@
         announcements: UpstreamAnnouncements,
         lateness: LoopLateness,
         log: EventLog,
+        clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._callers = callers
         self._peers = peers
@@ -83,7 +90,11 @@
         self._announcements = announcements
         self._lateness = lateness
         self._log = log
+        self._clock = clock
         self._requested_at = 0.0
+        self._boot_times = StopTimes()
+        self._phase = trio.CancelScope()
+        self._phase_ends_at = 0.0
 
     async def run(self, grace_s: float, requested_at: float) -> None:
         """Runs all phases of the shutdown.
@@ -93,21 +104,51 @@
             requested_at: Arrival of SIGTERM by the boot clock, in seconds.
         """
         self._requested_at = requested_at
-        # An event loop that was late has less time left.
-        now = trio.current_time() - max(0.0, read_boot_clock() - requested_at)
-        ends_at = now + grace_s - _GRACE_MARGIN_S
-        accepts_until = now + min(grace_s * _ACCEPT_SHARE, _MAX_ACCEPT_S)
-        nested_until = now + min(grace_s * _NESTED_ACCEPT_SHARE, _MAX_NESTED_ACCEPT_S)
-        self._set_stop_times(StopTimes(accepts_until, ends_at, nested_until))
-        self._callers.begin_closing()
-        with trio.move_on_at(ends_at - _DRAIN_S):
-            await self._serve_callers()
-        accepts_until = min(accepts_until, trio.current_time())
-        self._set_stop_times(StopTimes(accepts_until, ends_at, nested_until))
-        with trio.move_on_at(ends_at):
-            await self._drain()
+        ends_at = requested_at + grace_s - _GRACE_MARGIN_S
+        self._boot_times = StopTimes(
+            accepts_until=requested_at + min(grace_s * _ACCEPT_SHARE, _MAX_ACCEPT_S),
+            ends_at=ends_at,
+            accepts_nested_until=requested_at
+            + min(grace_s * _NESTED_ACCEPT_SHARE, _MAX_NESTED_ACCEPT_S),
+        )
+        async with trio.open_nursery() as nursery:
+            self._apply_boot_times()
+            nursery.start_soon(self._follow_boot_clock)
+            self._callers.begin_closing()
+            await self._run_until(ends_at - _DRAIN_S, self._serve_callers)
+            accepts_until = min(self._boot_times.accepts_until, self._clock())
+            self._boot_times = replace(self._boot_times, accepts_until=accepts_until)
+            self._apply_boot_times()
+            await self._run_until(ends_at, self._drain)
+            nursery.cancel_scope.cancel()
         await self._answer_remaining()
 
+    async def _run_until(self, ends_at: float, run_phase: Callable[[], Awaitable[None]]) -> None:
+        """Runs a phase, until a time of the boot clock at the latest."""
+        self._phase_ends_at = ends_at
+        with trio.CancelScope(deadline=self._to_loop_time(ends_at)) as self._phase:
+            await run_phase()
+
+    async def _follow_boot_clock(self) -> None:
+        """Moves all times ahead while the VM is suspended, which the loop's clock leaves out."""
+        while True:
+            await trio.sleep(_CLOCK_CHECK_S)
+            self._apply_boot_times()
+            self._phase.deadline = self._to_loop_time(self._phase_ends_at)
+
+    def _apply_boot_times(self) -> None:
+        times = self._boot_times
+        self._set_stop_times(
+            StopTimes(
+                self._to_loop_time(times.accepts_until),
+                self._to_loop_time(times.ends_at),
+                self._to_loop_time(times.accepts_nested_until),
+            )
+        )
+
+    def _to_loop_time(self, boot_time: float) -> float:
+        return trio.current_time() + boot_time - self._clock()
+
     def _set_stop_times(self, stop_times: StopTimes) -> None:
         self._entry.stop_times = self._hops.stop_times = stop_times
 
@@ -142,7 +183,7 @@
         self._log.write(
             StopPhase(
                 phase=phase,
-                elapsed_ms=round((read_boot_clock() - self._requested_at) * 1000, 1),
+                elapsed_ms=round((self._clock() - self._requested_at) * 1000, 1),
                 in_flight=self._callers.in_flight,
                 arriving=self._callers.arriving,
                 connections=self._callers.connections,
--- /dev/null
+++ b/tests/services/test_stopping_suspended.py
@@ -0,0 +1,86 @@
+"""A VM that is suspended during a shutdown doesn't get more time than its platform gives it."""
+
+from __future__ import annotations
+
+import unittest
+from unittest.mock import AsyncMock, Mock
+
+import trio
+import trio.testing
+
+from fulmarstile_daemon.services._graceful_shutdown import GracefulShutdown
+from fulmarstile_daemon.services._loop_lateness import LoopLateness
+from fulmarstile_daemon.services.event_log import EventLog
+
+GRACE_S = 6.0
+SUSPENDED_S = 2.0
+LAST_ACCEPTED_S = 3.0
+"""Time after SIGTERM up to which the rules allow a request to be cut off, in seconds."""
+
+
+class VmClock:
+    """Clock that goes on while the VM is suspended, unlike that of the event loop."""
+
+    def __init__(self) -> None:
+        self.suspended_s = 0.0
+
+    def __call__(self) -> float:
+        return trio.current_time() + self.suspended_s
+
+
+def make_shutdown(clock: VmClock) -> GracefulShutdown:
+    """Returns the shutdown of a daemon at which a request is in flight all the time."""
+    log = EventLog("daemon-1")
+    callers = Mock(in_flight=1, arriving=0, connections=1, finish=AsyncMock())
+    callers.is_quiet.return_value = False
+    peers = Mock(in_flight=0, is_quiet=True)
+    announcements = Mock(stop=AsyncMock())
+    parts = (callers, peers, Mock(), Mock(), Mock(), Mock(), announcements)
+    return GracefulShutdown(*parts, LoopLateness(log), log, clock)
+
+
+class StoppingSuspendedTest(unittest.TestCase):
+    def stop(self, suspended_after_s: float) -> tuple[float, float]:
+        """Stops a daemon, whose VM is suspended meanwhile.
+
+        Args:
+            suspended_after_s: Time from SIGTERM to the suspension, in seconds.
+
+        Returns:
+            The duration of the shutdown in seconds, and the time after SIGTERM up to which calls
+            of running requests are accepted once the VM runs again.
+        """
+        clock = VmClock()
+        shutdown = make_shutdown(clock)
+        accepted_s = 0.0
+
+        async def suspend(sent_at: float) -> None:
+            nonlocal accepted_s
+            await trio.sleep(suspended_after_s)
+            clock.suspended_s += SUSPENDED_S
+            await trio.sleep(0.2)
+            loop_time = shutdown._entry.stop_times.accepts_nested_until
+            accepted_s = loop_time + clock.suspended_s - sent_at
+
+        async def run() -> float:
+            sent_at = clock()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(suspend, sent_at)
+                await shutdown.run(GRACE_S, sent_at)
+            return clock() - sent_at
+
+        duration_s = trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        return duration_s, accepted_s
+
+    def test_a_suspension_while_callers_are_served_does_not_delay_the_end(self) -> None:
+        duration_s, accepted_s = self.stop(1.0)
+        self.assertLess(duration_s, GRACE_S)
+        self.assertLessEqual(accepted_s, LAST_ACCEPTED_S)
+
+    def test_a_suspension_while_requests_drain_does_not_delay_the_end(self) -> None:
+        duration_s, _ = self.stop(3.7)
+        self.assertLess(duration_s, GRACE_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
