--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -32,8 +32,9 @@
 """Longest such time, in seconds. A platform moves its callers away after two failed readiness
 probes, a second apart; whatever comes later would only be cut off."""
 _NESTED_ACCEPT_SHARE: Final = 0.5
-_MAX_NESTED_ACCEPT_S: Final = 3.0
-"""The same for the calls of requests that run on this VM, which fail without them."""
+_MAX_NESTED_ACCEPT_S: Final = 2.8
+"""The same for the calls of requests that run on this VM, which fail without them. A call that is
+sent more than 3 s after SIGTERM must not be cut off, and the signal may have arrived late."""
 _CALLERS_GONE_S: Final = 0.6
 """Time without a request after which callers are assumed to have moved away, in seconds."""
 _DRAIN_S: Final = 1.6
--- a/tests/services/test_stopping_in_time.py
+++ b/tests/services/test_stopping_in_time.py
@@ -26,6 +26,8 @@
 HELD_S = 0.9
 """Time for which a task keeps the event loop from handling SIGTERM, in seconds."""
 NESTED_HELD_S = 0.4
+QUOTA_PERIOD_S = 0.1
+"""Time for which a process may get no processor time, and so no signal, in seconds."""
 LATE_S = 3.05
 """Time after SIGTERM at which no request may be passed on that could be cut off, in seconds."""
 
@@ -78,6 +80,24 @@
 
         trio.run(run)
 
+    def test_a_call_sent_late_after_a_sigterm_that_arrived_late_is_not_cut_off(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                node = mesh.nodes[0]
+                async with ServiceClient(await connect(node.address)) as client:
+                    await send_long_request(client, node)
+                    sent_at = time.monotonic()
+                    await trio.sleep(QUOTA_PERIOD_S)
+                    node.stop()
+                    await trio.sleep(sent_at + LATE_S - time.monotonic())
+                    answer = await node.call(
+                        f"/b?delay_ms={LONG_MS}", "POST", request_id="request-1.1", wait_ms=LONG_MS
+                    )
+                self.assertEqual(answer.status, 503)
+                self.assertEqual(node.upstream.record.count_runs("request-1.1"), 0)
+
+        trio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
