--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -44,7 +44,9 @@
 _GRACE_MARGIN_S: Final = 0.8
 """Time before the end of the grace period by which the daemon terminates, in seconds."""
 _FINAL_SEND_S: Final = 0.3
-"""Maximum time for sending the last responses and closing the connections, in seconds."""
+"""Maximum time for sending the last responses, in seconds."""
+_FINAL_CLOSE_S: Final = 0.1
+"""Maximum time for answering what arrives until the connections are closed, in seconds."""
 _POLL_INTERVAL_S: Final = 0.02
 _CLOCK_CHECK_S: Final = 0.1
 """Interval of the check whether the VM was suspended, in seconds."""
@@ -178,6 +180,8 @@
         self._callers.expire_all()
         self._links.close_all()
         with trio.move_on_after(_FINAL_SEND_S):
+            await self._callers.wait_answered()
+        with trio.move_on_after(_FINAL_CLOSE_S):
             await self._callers.finish()
 
     def _write_phase(self, phase: str) -> None:
--- a/tests/services/test_stopping_suspended.py
+++ b/tests/services/test_stopping_suspended.py
@@ -31,7 +31,9 @@
 def make_shutdown(clock: VmClock) -> GracefulShutdown:
     """Returns the shutdown of a daemon at which a request is in flight all the time."""
     log = EventLog("daemon-1")
-    callers = Mock(in_flight=1, arriving=0, connections=1, finish=AsyncMock())
+    callers = Mock(
+        in_flight=1, arriving=0, connections=1, finish=AsyncMock(), wait_answered=AsyncMock()
+    )
     callers.is_quiet.return_value = False
     peers = Mock(in_flight=0, is_quiet=True)
     announcements = Mock(stop=AsyncMock())
