--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_loop_lateness.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_loop_lateness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -31,6 +32,13 @@
         """Largest lateness since the start, in seconds."""
         self.times_late = 0
         """Number of times that the loop was late enough to be logged."""
+        self._expected: dict[object, float] = {}
+
+    @property
+    def held_s(self) -> float:
+        """Time for which the loop has been late until now, in seconds; 0 if it is not."""
+        late_s = trio.current_time() - min(self._expected.values(), default=math.inf)
+        return late_s if late_s >= _MIN_LOGGED_S else 0.0
 
     async def sleep(self, duration_s: float) -> None:
         """Sleeps, and measures by how much it takes longer.
@@ -38,8 +46,12 @@
         Args:
             duration_s: Duration in seconds.
         """
-        expected_at = trio.current_time() + duration_s
-        await trio.sleep(duration_s)
+        sleep = object()
+        expected_at = self._expected[sleep] = trio.current_time() + duration_s
+        try:
+            await trio.sleep(duration_s)
+        finally:
+            del self._expected[sleep]
         late_s = trio.current_time() - expected_at
         self.longest_s = max(self.longest_s, late_s)
         if late_s >= _MIN_LOGGED_S:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_signals.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_signals.py
@@ -1,4 +1,4 @@
-"""Signals of the process, with the time of their arrival."""
+"""Signals of the process, with the time from which on they may have been sent."""
 
 from __future__ import annotations
 
@@ -16,22 +16,27 @@
     from collections.abc import Iterator
     from types import FrameType
 
+    from fulmarstile_daemon.services._loop_lateness import LoopLateness
+
 
 @dataclass(frozen=True, slots=True)
 class ReceivedSignal:
     """A signal."""
 
     number: int
-    received_at: float
-    """Time of its arrival by the boot clock, in seconds; the event loop may handle it later."""
+    sent_at: float
+    """Time by the boot clock at which it was sent at the earliest, in seconds."""
 
 
 @contextmanager
-def receive_signals(*numbers: int) -> Iterator[trio.MemoryReceiveChannel[ReceivedSignal]]:
+def receive_signals(
+    *numbers: int, lateness: LoopLateness
+) -> Iterator[trio.MemoryReceiveChannel[ReceivedSignal]]:
     """Receives signals until the context ends; only in the main thread.
 
     Args:
         numbers: Signals to receive.
+        lateness: Measures how late the event loop is.
 
     Yields:
         The signals in the order of their arrival.
@@ -40,8 +45,9 @@
     sender, receiver = trio.open_memory_channel[ReceivedSignal](math.inf)
 
     def on_signal(number: int, frame: FrameType | None) -> None:
-        # Runs between two instructions of whatever task keeps the event loop busy.
-        token.run_sync_soon(sender.send_nowait, ReceivedSignal(number, read_boot_clock()))
+        # A process that was halted gets its signals when it runs again, and the loop is late then.
+        received = ReceivedSignal(number, read_boot_clock() - lateness.held_s)
+        token.run_sync_soon(sender.send_nowait, received)
 
     earlier = {number: signal.signal(number, on_signal) for number in numbers}
     try:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -305,7 +305,7 @@
         """
         self._started_at = trio.current_time()
         listeners = self._settings.listeners
-        with receive_signals(signal.SIGTERM, signal.SIGHUP) as signals:
+        with receive_signals(signal.SIGTERM, signal.SIGHUP, lateness=self._lateness) as signals:
             async with (
                 self._platform.open_store(self._settings.store_address) as store,
                 trio.open_nursery() as nursery,
@@ -412,7 +412,7 @@
             if received.number == signal.SIGHUP:
                 self._reload_settings()
             else:
-                self.begin_stopping(received.received_at)
+                self.begin_stopping(received.sent_at)
 
     def _stop_elapsed_ms(self) -> float:
         return round((read_boot_clock() - self._stop_requested_at) * 1000, 1)
--- a/tests/services/test_stopping_in_time.py
+++ b/tests/services/test_stopping_in_time.py
@@ -16,6 +16,8 @@
 from fulmarstile_testing.builders.services import make_document, make_route
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from fulmarstile_testing.builders.service_mesh import ServiceNode
 
 DOCUMENT = make_document(
@@ -48,21 +50,41 @@
     return sent_at
 
 
+def send_sigterm_to_halted_process(halted_s: float) -> float:
+    """Sends SIGTERM to this process while it runs nothing for a time; returns when it was sent."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+    time.sleep(0.05)
+    sent_at = send_sigterm_to_busy_loop(halted_s)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
+    return sent_at
+
+
 class StoppingInTimeTest(unittest.TestCase):
-    def test_a_daemon_whose_loop_handles_sigterm_late_is_not_there_at_the_end_of_the_grace_period(
-        self,
-    ) -> None:
+    def measure_stop_s(self, send_sigterm: Callable[[float], float]) -> float:
+        """Stops a daemon beside a running request; returns the time from SIGTERM to its end."""
+
         async def run() -> float:
             bounds = RequiredBounds(grace_s=SHORT_GRACE_S)
             async with serve_mesh("shop", document=DOCUMENT, bounds=bounds) as mesh:
                 node = mesh.nodes[0]
                 async with ServiceClient(await connect(node.address)) as client:
                     await send_long_request(client, node)
-                    sent_at = send_sigterm_to_busy_loop(HELD_S)
+                    await trio.sleep(0.5)
+                    sent_at = send_sigterm(HELD_S)
                     await node.ended.wait()
                 return time.monotonic() - sent_at
 
-        self.assertLess(trio.run(run), SHORT_GRACE_S)
+        return trio.run(run)
+
+    def test_a_daemon_whose_loop_handles_sigterm_late_is_not_there_at_the_end_of_the_grace_period(
+        self,
+    ) -> None:
+        self.assertLess(self.measure_stop_s(send_sigterm_to_busy_loop), SHORT_GRACE_S)
+
+    def test_a_daemon_that_gets_sigterm_late_is_not_there_at_the_end_of_the_grace_period(
+        self,
+    ) -> None:
+        self.assertLess(self.measure_stop_s(send_sigterm_to_halted_process), SHORT_GRACE_S)
 
     def test_a_call_sent_late_after_a_sigterm_that_was_handled_late_is_not_cut_off(self) -> None:
         async def run() -> None:
