--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -181,8 +181,7 @@
         self._links.close_all()
         with trio.move_on_after(_FINAL_SEND_S):
             await self._callers.wait_answered()
-        with trio.move_on_after(_FINAL_CLOSE_S):
-            await self._callers.finish()
+        await self._callers.finish(_FINAL_CLOSE_S)
 
     def _write_phase(self, phase: str) -> None:
         self._log.write(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -40,6 +40,9 @@
 """`retry-after` while request bodies exceed the memory limit or during shutdown, in seconds."""
 _POLL_INTERVAL_S: Final = 0.01
 """Interval of the check whether all responses are sent, in seconds."""
+_MIN_FINAL_PASSES: Final = 2
+"""Times that the connections are looked at before they are closed: what waits is read, then
+answered."""
 _IDLE_CHECK_INTERVAL_S: Final = 1.0
 """Interval of the check for idle connections, in seconds."""
 
@@ -170,19 +173,26 @@
         while any(connection.is_busy for connection in self._connections):
             await trio.sleep(_POLL_INTERVAL_S)
 
-    async def finish(self) -> None:
+    async def finish(self, timeout_s: float) -> None:
         """Answers all requests that have arrived, then closes the connections and accepts no more.
 
-        Returns when all connections are closed.
+        Returns when all connections are closed. The event loop gets the time to read what has
+        arrived even if it is late, so the time limit may be exceeded by its lateness.
+
+        Args:
+            timeout_s: Time limit in seconds.
         """
         self._accept_scope.cancel()
         await self._has_stopped_accepting.wait()
-        while self._connections:
+        ends_at = trio.current_time() + timeout_s
+        passes = 0
+        while self._connections and (passes < _MIN_FINAL_PASSES or trio.current_time() < ends_at):
             self.refuse_unreceived()
             for connection in tuple(self._connections):
                 if connection.is_reusable:
                     connection.try_close_idle()
             await trio.sleep(_POLL_INTERVAL_S)
+            passes += 1
 
     def refuse_unreceived(self) -> None:
         """Refuses the requests that have not been received completely, and so have not run.
