Wait for the caller before a connection with a large answer is closed (LOST)

What callers saw: a caller that sends another request before it has read the large answer that announces the close lost the rest of that answer: the connection was closed as soon as the kernel had taken the answer, and the request reset it.

Behind an answer of more than 16 KiB the connection is closed after the caller has closed it, or after the limits that exist for unread input.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -27,6 +27,8 @@
 __all__ = ["CallerDisconnectedError", "CallerResponse", "ReceivedRequest", "ServerConnection"]
 
 _NO_BODY_STATUSES: Final = (204, 304)
+_MIN_LINGER_BYTES: Final = 16 * 1024
+"""Size of a response from which some of it may still be in transit when it is sent, in bytes."""
 
 
 class ServerConnection:
@@ -53,6 +55,7 @@
         self._unanswered = 0
         self._is_sending = False
         self._is_refused = False
+        self._last_response_bytes = 0
         self.read_ahead = ReadAhead(budget)
         """Limit of what is read behind requests without a response."""
         self.has_read_ahead = False
@@ -169,6 +172,7 @@
         self.is_reusable = exchange.keeps_alive and (has_next or not self.must_close)
         data = self._encode(exchange.method, response)
         self._unanswered -= 1
+        self._last_response_bytes = len(data)
         self._is_sending = True
         try:
             with self._budget.allocate() as allocation:
@@ -234,7 +238,8 @@
         caller that sends requests before the responses to earlier ones may have more on the way.
         """
         has_more = self.has_read_ahead or self.has_unparsed or self._reader.is_incomplete
-        if not has_more and self._stream.is_open_without_input:
+        is_large = self._last_response_bytes > _MIN_LINGER_BYTES
+        if not (has_more or is_large) and self._stream.is_open_without_input:
             self._stream.close()
             return
         await self._stream.close_after_peer()
