Refuse a request received in part in its turn, and read what has arrived of it (LOST)

What callers saw: a request behind a running one, of which a stopping daemon had read a part when it began to drain, was never answered, though all of it had arrived: the answer before it announced the close.

It keeps its turn now: it gets the refusal as soon as it is read whole or nothing more of it waits, and never runs. What has arrived behind it is answered as on any connection of a stopping daemon.

test_requests_that_were_read_are_answered_and_only_the_last_response_closes held that the request and what follows it are dropped, which is the fault. It is replaced by test_all_that_arrives_is_answered_and_only_the_last_response_closes, which checks each answer, their order, the refusal, and that only the last one announces the close.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_caller_messages.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_caller_messages.py
@@ -49,7 +49,7 @@
 
     method: bytes
     request: ReceivedRequest | None
-    """The request; None if it is malformed."""
+    """The request; None if it is malformed or refused before it was read completely."""
     keeps_alive: bool
     """Whether another request may follow on the connection."""
     held_bytes: int
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_pipeline.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_pipeline.py
@@ -25,6 +25,9 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
+_ARRIVAL_CHECK_S: Final = 0.01
+"""Time after which a request that is to be refused counts as not arrived whole, in seconds."""
+
 
 class RequestPipeline:
     """Serves a connection whose caller may send requests before earlier ones are answered.
@@ -88,8 +91,8 @@
     def refuse_partial(self, response: CallerResponse) -> None:
         """Refuses a request that has been received in part, so that it is not run.
 
-        Behind requests without a response it counts as not read: the response to the last of them
-        closes the connection.
+        Behind requests without a response it is refused in its turn, and what has arrived of it is
+        read until then.
 
         Args:
             response: The response, small enough to fit the send buffer.
@@ -104,12 +107,7 @@
             connection.refuse(response)
             return
         connection.must_close = True
-        if connection.unanswered == 0:
-            self._refusal = response
-            return
-        self._is_input_ended = True
-        if self._reading is not None:
-            self._reading.cancel()
+        self._refusal = response
 
     async def _serve_requests(self) -> None:
         connection = self._connection
@@ -147,17 +145,26 @@
             if self._reading is None:
                 self._next = await self._connection.receive_request()
                 return self._next
-            if self._refusal is not None and self._connection.is_receiving:
-                self._connection.refuse(self._refusal)
             read_ahead.is_next = True
             read_ahead.notify()
-            await read_ahead.wait_changed()
+            if self._refusal is None:
+                await read_ahead.wait_changed()
+            else:
+                await self._refuse_next(self._refusal)
         exchange = self._next = self._waiting.popleft()
         read_ahead.is_next = False
         read_ahead.pass_on(exchange.held_bytes)
         read_ahead.notify()
         return exchange
 
+    async def _refuse_next(self, refusal: CallerResponse) -> None:
+        """Refuses the request that is being read, whole if it has arrived whole."""
+        connection = self._connection
+        with trio.move_on_after(_ARRIVAL_CHECK_S):
+            await connection.read_ahead.wait_changed()
+        if connection.is_receiving and not connection.has_unread:
+            connection.refuse(refusal)
+
     async def _answer(self, exchange: CallerExchange) -> CallerResponse:
         """Handles a request, or waits for the task that does, while input is read ahead."""
         if exchange.request is None:
@@ -272,6 +279,9 @@
                 self._is_input_ended = True
                 return
             connection.read_ahead.is_next = False
+            if self._refusal is not None:
+                exchange.request, exchange.response = None, self._refusal
+                self._refusal = None
             if not connection.is_reusable or self._is_input_ended:
                 connection.read_ahead.pass_on(exchange.held_bytes)
                 connection.drop(exchange)
--- a/tests/services/test_pipelining.py
+++ b/tests/services/test_pipelining.py
@@ -326,7 +326,7 @@
 
 class PipeliningShutdownTest(unittest.TestCase):
     @in_trio
-    async def test_requests_that_were_read_are_answered_and_only_the_last_response_closes(
+    async def test_all_that_arrives_is_answered_and_only_the_last_response_closes(
         self,
     ) -> None:
         async with serve() as site:
@@ -343,10 +343,15 @@
             site.handler.is_open = True
             with trio.fail_after(ABANDONED_WITHIN_S):
                 await site.server.wait_answered()
-            expected = make_response("/0") + make_response("/1")
-            expected += make_response("/2", closes=True)
-            self.assertEqual(await site.receive_all(), expected)
-            self.assertEqual(site.handler.started, ["/0", "/1", "/2"])
+            received = await site.receive_all()
+            answered = b"".join(map(make_response, ["/0", "/1", "/2"]))
+            late = make_response("/late", closes=True)
+            refusal = received.removeprefix(answered).removesuffix(late)
+            self.assertEqual(received, answered + refusal + late)
+            self.assertTrue(refusal.startswith(b"HTTP/1.1 503 "), refusal)
+            self.assertEqual(received.count(b"HTTP/1.1 "), 5)
+            self.assertNotIn(b"connection: close", refusal)
+            self.assertEqual(site.handler.started, ["/0", "/1", "/2", "/late"])
 
     @in_trio
     async def test_a_request_not_started_when_all_expire_is_refused_and_not_run(self) -> None:
