--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -0,0 +1,312 @@
+"""One seeded case: daemons that stop and start while callers send requests."""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field
+from functools import partial
+from typing import TYPE_CHECKING, Final
+
+import trio
+import trio.testing
+
+from fulmarstile_services.document import Repeatability
+from fulmarstile_testing.builders.service_mesh import ServiceMesh, ServiceNode
+from fulmarstile_testing.builders.services import make_document, make_route
+from fulmarstile_testing.lost_search.callers import CallerConnection, SentRequest
+from fulmarstile_testing.lost_search.environment import (
+    LOCAL_DAEMON,
+    SimulatedLinks,
+    seed_scheduler,
+    virtual_environment,
+)
+from fulmarstile_testing.lost_search.judge import Violation, judge
+
+if TYPE_CHECKING:
+    from fulmarstile_services.document import ServiceDocument
+    from fulmarstile_testing.service_upstream import ServiceUpstream
+
+GRACE_S: Final = 6.0
+_PLAY_S: Final = 8.0
+"""Time in which callers send requests, in seconds."""
+_SETTLE_S: Final = 3.0
+"""Time before the first stop, in seconds."""
+_GRID_S: Final = 0.05
+"""Times are multiples of it, so that events coincide."""
+_ANNOUNCE_S: Final = 1.5
+_ROUTES: Final = {"/read/": 1.2, "/write/": 1.5, "/upload/": 3.0, "/long/": 7.5, "/sign/": 12.0}
+"""Timeouts of the routes by their prefix, in seconds."""
+_READS: Final = ("/read/", "/long/")
+_DELAYS_MS: Final = (1, 50, 50, 100, 200, 400, 1000, 2000, 3000, 5000)
+_SIZES: Final = (2, 2, 400, 30_000, 300_000)
+_BODIES: Final = (0, 0, 300, 40_000, 300_000)
+_FAULTS: Final = ("reset", "cut", "early", "shed", "extra", "unframed", "unproven")
+
+
+@dataclass(slots=True)
+class DaemonRun:
+    """A daemon from its start to its end."""
+
+    node: ServiceNode
+    stopped_at: float = math.inf
+    """Time of its SIGTERM, in seconds."""
+    is_killed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CaseOptions:
+    """What a case contains."""
+
+    daemons: int
+    callers: int
+    link_kbps: int
+    has_disruptions: bool
+    has_upstream_faults: bool
+    stalls_sends: bool
+    stalls_loop: bool
+    has_long_requests: bool
+
+    @classmethod
+    def draw(cls, rng: random.Random) -> CaseOptions:
+        """Draws the options of a case."""
+        return cls(
+            daemons=rng.choice((2, 2, 3, 4)),
+            callers=rng.choice((2, 4, 8)),
+            link_kbps=rng.choice((0, 0, 4_000, 10_000)),
+            has_disruptions=rng.random() < 0.4,
+            has_upstream_faults=rng.random() < 0.3,
+            stalls_sends=rng.random() < 0.3,
+            stalls_loop=rng.random() < 0.1,
+            has_long_requests=rng.random() < 0.3,
+        )
+
+
+@dataclass(slots=True)
+class CaseResult:
+    """What a case showed."""
+
+    options: CaseOptions
+    requests: list[SentRequest] = field(default_factory=list)
+    violations: list[Violation] = field(default_factory=list)
+    trace: list[str] = field(default_factory=list)
+
+
+class Case:
+    """Plays one seed.
+
+    Args:
+        seed: Seed of all that is drawn.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self._seed = seed
+        self._options = CaseOptions.draw(self._rng)
+        self._result = CaseResult(self._options)
+        self._runs: list[DaemonRun] = []
+        self._upstreams: list[ServiceUpstream] = []
+        self._disrupted_at: list[float] = []
+        self._sequence = 0
+
+    def play(self) -> CaseResult:
+        """Plays the case in virtual time and judges it."""
+        seed_scheduler(self._seed)
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(self._play, clock, clock=clock)
+        served = [each for upstream in self._upstreams for each in upstream.record.requests]
+        found = judge(self._result.requests, served, self._disrupted_at, GRACE_S)
+        self._result.violations.extend(found)
+        return self._result
+
+    async def _play(self, clock: trio.testing.MockClock) -> None:
+        options = self._options
+        async with trio.open_nursery() as nursery:
+            links = SimulatedLinks(nursery, self._rng, options.link_kbps * 125)
+            with virtual_environment(links, self._rng, stalls_sends=options.stalls_sends):
+                mesh = ServiceMesh(nursery)
+                mesh.link_kbps = options.link_kbps
+                mesh.put_document(_make_document(1))
+                for index in range(options.daemons):
+                    await self._start(mesh, links, f"daemon-{index + 1}")
+                await mesh.wait_serving("shop", options.daemons)
+                await self._drive(mesh, links, clock)
+                nursery.cancel_scope.cancel()
+
+    async def _drive(
+        self, mesh: ServiceMesh, links: SimulatedLinks, clock: trio.testing.MockClock
+    ) -> None:
+        options = self._options
+        async with trio.open_nursery() as nursery:
+            for _ in range(options.callers):
+                nursery.start_soon(self._call_forever, trio.current_time() + _PLAY_S)
+            for _ in range(self._rng.randint(1, options.daemons)):
+                nursery.start_soon(self._stop_one, mesh, links)
+            nursery.start_soon(self._change_documents, mesh)
+            if options.has_disruptions:
+                for _ in range(self._rng.randint(1, 4)):
+                    nursery.start_soon(self._disrupt, links)
+            if options.stalls_loop:
+                nursery.start_soon(self._stall_loop, clock)
+
+    async def _start(
+        self,
+        mesh: ServiceMesh,
+        links: SimulatedLinks,
+        name: str,
+        earlier: ServiceNode | None = None,
+    ) -> None:
+        LOCAL_DAEMON.set(name)
+        upstream = earlier.upstream if earlier else None
+        node = await mesh.start_node(name, earlier=earlier, upstream=upstream)
+        links.names[node.platform.settings.listeners.daemons] = name
+        if upstream is None:
+            self._upstreams.append(node.upstream)
+        self._runs.append(DaemonRun(node))
+        self._note(f"{name} started")
+        mesh._nursery.start_soon(self._announce_forever, node)
+
+    async def _announce_forever(self, node: ServiceNode) -> None:
+        while not node.ended.is_set():
+            self._sequence += 1
+            await node.announce(sequence=self._sequence + 1)
+            await trio.sleep(_ANNOUNCE_S)
+
+    def _draw_time(self, longest_s: float) -> float:
+        return round(self._rng.random() * longest_s / _GRID_S) * _GRID_S
+
+    def _note(self, text: str) -> None:
+        self._result.trace.append(f"{trio.current_time():.4f} {text}")
+
+    async def _stop_one(self, mesh: ServiceMesh, links: SimulatedLinks) -> None:
+        """Stops a daemon, and perhaps starts it again."""
+        await trio.sleep(self._draw_time(_PLAY_S - _SETTLE_S))
+        running = [run for run in self._runs if math.isinf(run.stopped_at)]
+        if not running:
+            return
+        run = self._rng.choice(running)
+        node = run.node
+        name = node.daemon.directory.local_member.name
+        run.stopped_at = trio.current_time()
+        if self._options.has_disruptions and self._rng.random() < 0.3:
+            run.is_killed = True
+            self._disrupted_at.append(run.stopped_at)
+            self._note(f"{name} is killed")
+            await node.kill()
+        else:
+            self._note(f"{name} is told to stop")
+            node.stop()
+            with trio.move_on_after(GRACE_S) as grace:
+                await node.ended.wait()
+            if grace.cancelled_caught:
+                self._result.violations.append(Violation("GRACE", f"{name} has not ended"))
+                await node.kill()
+            self._note(f"{name} has ended")
+        if self._rng.random() < 0.7:
+            await trio.sleep(self._draw_time(1.0))
+            await self._start(mesh, links, name, node)
+
+    async def _change_documents(self, mesh: ServiceMesh) -> None:
+        for version in range(2, self._rng.randint(2, 5)):
+            await trio.sleep(self._draw_time(_PLAY_S / 2))
+            mesh.put_document(_make_document(version))
+
+    async def _disrupt(self, links: SimulatedLinks) -> None:
+        await trio.sleep(self._draw_time(_PLAY_S))
+        names = [f"daemon-{index + 1}" for index in range(self._options.daemons)]
+        first, second = self._rng.sample(names, 2)
+        kind = self._rng.choice(("break", "one way", "silence"))
+        for_s = self._rng.choice((0.1, 0.5, 1.0, 3.0))
+        self._note(f"{kind} {first} {second} {for_s}")
+        self._disrupted_at.append(trio.current_time())
+        if kind == "break":
+            links.break_all(first, second)
+            return
+        links.silence(first, second, for_s)
+        if kind == "silence":
+            links.silence(second, first, for_s)
+        await trio.sleep(for_s)
+        self._disrupted_at.append(trio.current_time())
+
+    async def _stall_loop(self, clock: trio.testing.MockClock) -> None:
+        """Holds up all daemons now and then, as a machine without processor time does."""
+        for _ in range(self._rng.randint(1, 5)):
+            await trio.sleep(self._draw_time(_PLAY_S / 3))
+            clock.jump(self._rng.choice((0.05, 0.25, 0.5)))
+
+    async def _call_forever(self, until: float) -> None:
+        connections: list[CallerConnection] = []
+        moves_after_s = self._rng.uniform(0.3, 2.2)
+        while trio.current_time() < until:
+            await trio.sleep(self._draw_time(self._rng.choice((0.1, 0.5))))
+            runs = [
+                run
+                for run in self._runs
+                if not run.is_killed and trio.current_time() < run.stopped_at + moves_after_s
+            ]
+            if not runs:
+                continue
+            run = self._rng.choice(runs)
+            connection = await self._connect(run, connections)
+            if connection is not None:
+                await self._call(connection)
+        for connection in connections:
+            connection.close()
+
+    async def _connect(
+        self, run: DaemonRun, connections: list[CallerConnection]
+    ) -> CallerConnection | None:
+        connections[:] = [each for each in connections if each.is_open]
+        kept = [each for each in connections if each.entry is run]
+        if kept and self._rng.random() < 0.8:
+            return self._rng.choice(kept)
+        connection = await CallerConnection.open(run)
+        if connection is not None:
+            connections.append(connection)
+        return connection
+
+    async def _call(self, connection: CallerConnection) -> None:
+        rng = self._rng
+        count = rng.choice((1, 1, 1, 2, 4))
+        requests = [self._make_request() for _ in range(count)]
+        self._result.requests.extend(requests)
+        leaves = rng.random() < 0.1
+        await connection.exchange(
+            requests,
+            leave_after_s=self._draw_time(1.0) if leaves else math.inf,
+            read_after_s=rng.choice((0.0, 0.0, 0.0, 0.5)),
+        )
+
+    def _make_request(self) -> SentRequest:
+        rng = self._rng
+        prefixes = list(_ROUTES) if self._options.has_long_requests else list(_ROUTES)[:3]
+        prefix = rng.choice(prefixes)
+        is_read = prefix in _READS
+        size, fault = rng.choice(_SIZES), ""
+        if self._options.has_upstream_faults and rng.random() < 0.2:
+            fault = rng.choice(_FAULTS)
+        target = f"{prefix}?delay_ms={rng.choice(_DELAYS_MS)}&size={size}&fault={fault}"
+        return SentRequest(
+            f"r{len(self._result.requests)}-{rng.getrandbits(32):x}",
+            "GET" if is_read else "POST",
+            target,
+            b"" if is_read else b"y" * rng.choice(_BODIES),
+            min(_ROUTES[prefix], rng.choice((0.3, 1.0, 3.0, 12.0))),
+            size,
+            fault,
+            tuple(rng.choice(((0.0,), (0.0,), (0.0, 0.0), (0.0, 0.05, 0.2)))),
+        )
+
+
+def _make_document(version: int) -> ServiceDocument:
+    repeatable, once = Repeatability.IDEMPOTENT, Repeatability.AT_MOST_ONCE
+    make = partial(make_route, target_latency_s=0.4, max_attempts=3)
+    routes = [
+        make(
+            prefix=prefix,
+            timeout_s=timeout_s,
+            repeatability=repeatable if prefix in _READS else once,
+        )
+        for prefix, timeout_s in _ROUTES.items()
+    ]
+    return make_document(*routes, version=version)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
@@ -58,6 +58,8 @@
     ran: bool = False
     was_left: bool = False
     """Whether its connection ended before its answer."""
+    worked_until: float = math.inf
+    """Time at which the work on it ended, in seconds."""
 
 
 @dataclass(slots=True)
@@ -189,6 +191,7 @@
             await self._work(stream, served, work_s)
         finally:
             record.running -= 1
+            served.worked_until = trio.current_time()
         if fault == FAULT_CRASH:
             self.crash()
             await trio.sleep_forever()
