--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -104,6 +104,13 @@
         """Whether bytes behind the last request have been received."""
         return bool(self._reader.unparsed)
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether more has arrived than was read or parsed, perhaps the end of the connection."""
+        return self.has_unparsed or not (
+            self._stream.is_closed or self._stream.is_open_without_input
+        )
+
     @property
     def has_ended(self) -> bool:
         """Whether the caller has closed or reset the connection."""
@@ -154,7 +161,7 @@
         Args:
             exchange: Request that is answered, the first one without a response.
             response: The response.
-            has_next: Whether another request behind it was read.
+            has_next: Whether another request behind it was read, or may still be.
 
         Raises:
             CallerDisconnectedError: If the caller disconnected.
@@ -232,6 +239,19 @@
             return
         await self._stream.close_after_peer()
 
+    def try_close_idle(self) -> bool:
+        """Closes the connection if it is idle and nothing has arrived that was not read.
+
+        A request that waits unread while the event loop is late would be reset.
+
+        Returns:
+            Whether the connection was closed.
+        """
+        if not self.is_idle or self.has_unread:
+            return False
+        self._stream.close()
+        return True
+
     def close_now(self) -> None:
         """Closes the connection at once.
 
