--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/callers.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/callers.py
@@ -105,12 +105,12 @@
             leave_after_s: Time after which the caller leaves, in seconds.
             read_after_s: Time before it reads, in seconds.
         """
-        patience_s = max(each.wait_s + sum(each.sends_at) for each in requests) + _PATIENCE_S
+        patience_s = sum(each.wait_s + sum(each.sends_at) for each in requests) + _PATIENCE_S
         with trio.move_on_after(min(leave_after_s, patience_s)) as scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send, requests)
                 await trio.sleep(read_after_s)
-                await self._receive(requests)
+                await self._receive(requests, read_after_s)
                 nursery.cancel_scope.cancel()
         if scope.cancelled_caught:
             for request in requests:
@@ -134,14 +134,14 @@
             await self._stream.send_all(part)
         request.sent_at = trio.current_time()
 
-    async def _receive(self, requests: Sequence[SentRequest]) -> None:
+    async def _receive(self, requests: Sequence[SentRequest], late_s: float) -> None:
         for index, request in enumerate(requests):
             try:
                 await self._receive_one(request)
             except (OSError, EOFError):
                 self.close()
                 for later in requests[index:]:
-                    later.ended_at = trio.current_time()
+                    later.ended_at = trio.current_time() - late_s
                 return
             if request.headers.get(b"connection") == b"close":
                 self.is_open = False
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -18,7 +18,7 @@
 from fulmarstile_testing.lost_search.environment import (
     LOCAL_DAEMON,
     SimulatedLinks,
-    seed_scheduler,
+    seed_globally,
     virtual_environment,
 )
 from fulmarstile_testing.lost_search.judge import Violation, judge
@@ -111,7 +111,7 @@
 
     def play(self) -> CaseResult:
         """Plays the case in virtual time and judges it."""
-        seed_scheduler(self._seed)
+        seed_globally(self._seed)
         clock = trio.testing.MockClock(autojump_threshold=0)
         trio.run(self._play, clock, clock=clock)
         served = [each for upstream in self._upstreams for each in upstream.record.requests]
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
@@ -17,7 +17,7 @@
 from fulmarstile_http.byte_stream import ByteStream, open_stream, set_socket_options
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import AsyncIterator, Iterator
 
 LOCAL_DAEMON: ContextVar[str] = ContextVar("LOCAL_DAEMON")
 """Name of the daemon whose task opens a connection."""
@@ -184,10 +184,18 @@
     return ByteStream(near), ByteStream(inner)
 
 
-def seed_scheduler(seed: int) -> None:
-    """Makes the order in which trio runs tasks depend on a seed alone."""
+@contextlib.contextmanager
+def _receive_no_signals(*_: int) -> Iterator[AsyncIterator[int]]:
+    sender, receiver = trio.open_memory_channel[int](0)
+    with sender, receiver:
+        yield receiver
+
+
+def seed_globally(seed: int) -> None:
+    """Makes the shared generator, and the order in which trio runs tasks, depend on a seed."""
     trio_scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio_scheduler._r.seed(seed)
+    random.seed(seed)
 
 
 @contextlib.contextmanager
@@ -208,13 +216,14 @@
             await trio.sleep(rng.choice(_SEND_STALLS_S))
         await send_all(stream, data)
 
-    generators = SimpleNamespace(Random=lambda: random.Random(rng.random()))
+    make_generator = random.Random
     daemon = "fulmarstile_daemon.services.daemon"
     patches = [
+        mock.patch.object(trio, "open_signal_receiver", _receive_no_signals),
         mock.patch.object(time, "time", lambda: _EPOCH_S + trio.current_time()),
         mock.patch.object(time, "monotonic", lambda: _BOOT_S + trio.current_time()),
         mock.patch.object(time, "clock_gettime", lambda _: _BOOT_S + trio.current_time()),
-        mock.patch(f"{daemon}.random", generators),
+        mock.patch.object(random, "Random", lambda: make_generator(rng.random())),
         mock.patch(f"{daemon}.gc", SimpleNamespace(freeze=bool, set_threshold=lambda *_: None)),
         mock.patch("fulmarstile_daemon.services._links.open_stream", links.open_stream),
     ]
