--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/callers.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/callers.py
@@ -30,8 +30,10 @@
     method: str
     target: str
     body: bytes
+    asked_s: float
+    """Longest time until its deadline, in seconds."""
     wait_s: float
-    """Time until its deadline, with the timeout of its route."""
+    """Shortest time until its deadline, where a document shortens its route's timeout."""
     size: int
     """Size of the upstream's answer, in bytes."""
     fault: str
@@ -60,7 +62,7 @@
         """Returns the request as it is sent."""
         head = (
             f"{self.method} {self.target} HTTP/1.1\r\nhost: shop.example\r\n"
-            f"request-id: {self.request_id}\r\ntime-left-ms: {int(self.wait_s * 1000)}\r\n"
+            f"request-id: {self.request_id}\r\ntime-left-ms: {int(self.asked_s * 1000)}\r\n"
             f"content-length: {len(self.body)}\r\n\r\n"
         )
         return head.encode() + self.body
@@ -105,7 +107,7 @@
             leave_after_s: Time after which the caller leaves, in seconds.
             read_after_s: Time before it reads, in seconds.
         """
-        patience_s = sum(each.wait_s + sum(each.sends_at) for each in requests) + _PATIENCE_S
+        patience_s = sum(each.asked_s + sum(each.sends_at) for each in requests) + _PATIENCE_S
         with trio.move_on_after(min(leave_after_s, patience_s)) as scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send, requests)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import trio
 import trio.testing
 
-from fulmarstile_services.document import Repeatability
+from fulmarstile_services.document import Repeatability, RequestLimits
+from fulmarstile_services.upstream_registry import UpstreamPhase
 from fulmarstile_testing.builders.service_mesh import ServiceMesh, ServiceNode
 from fulmarstile_testing.builders.services import make_document, make_route
 from fulmarstile_testing.lost_search.callers import CallerConnection, SentRequest
@@ -35,6 +37,11 @@
 _GRID_S: Final = 0.05
 """Times are multiples of it, so that events coincide."""
 _ANNOUNCE_S: Final = 1.5
+_STOP_OFFSETS_S: Final = (0.0, 0.0, 0.05, 0.4, 1.0, 1.6, 2.0, 2.4, 2.8, 3.6, 5.2)
+"""Times between stops, among them those of the phases of a shutdown, in seconds."""
+_NESTED_RATIO: Final = 0.2
+_SHORTER: Final = 0.6
+"""Factor by which some versions of the document shorten the timeouts."""
 _ROUTES: Final = {"/read/": 1.2, "/write/": 1.5, "/upload/": 3.0, "/long/": 7.5, "/sign/": 12.0}
 """Timeouts of the routes by their prefix, in seconds."""
 _READS: Final = ("/read/", "/long/")
@@ -66,6 +73,8 @@
     stalls_sends: bool
     stalls_loop: bool
     has_long_requests: bool
+    has_leaving_upstreams: bool
+    idle_timeout_s: float
 
     @classmethod
     def draw(cls, rng: random.Random) -> CaseOptions:
@@ -78,7 +87,9 @@
             has_upstream_faults=rng.random() < 0.3,
             stalls_sends=rng.random() < 0.3,
             stalls_loop=rng.random() < 0.1,
-            has_long_requests=rng.random() < 0.3,
+            has_long_requests=rng.random() < 0.2,
+            has_leaving_upstreams=rng.random() < 0.2,
+            idle_timeout_s=rng.choice((1.0, 60.0, 60.0)),
         )
 
 
@@ -107,7 +118,10 @@
         self._runs: list[DaemonRun] = []
         self._upstreams: list[ServiceUpstream] = []
         self._disrupted_at: list[float] = []
-        self._sequence = 0
+        self._numbers = itertools.count()
+        self._sequence = 1
+        self._born_ms = 1_000
+        self._leaving: set[str] = set()
 
     def play(self) -> CaseResult:
         """Plays the case in virtual time and judges it."""
@@ -126,7 +140,7 @@
             with virtual_environment(links, self._rng, stalls_sends=options.stalls_sends):
                 mesh = ServiceMesh(nursery)
                 mesh.link_kbps = options.link_kbps
-                mesh.put_document(_make_document(1))
+                mesh.put_document(_make_document(1, 1.0, options.idle_timeout_s))
                 for index in range(options.daemons):
                     await self._start(mesh, links, f"daemon-{index + 1}")
                 await mesh.wait_serving("shop", options.daemons)
@@ -140,8 +154,13 @@
         async with trio.open_nursery() as nursery:
             for _ in range(options.callers):
                 nursery.start_soon(self._call_forever, trio.current_time() + _PLAY_S)
-            for _ in range(self._rng.randint(1, options.daemons)):
-                nursery.start_soon(self._stop_one, mesh, links)
+            first_s = self._draw_time(_PLAY_S - _SETTLE_S)
+            for index in range(self._rng.randint(1, options.daemons)):
+                offset_s = self._rng.choice(_STOP_OFFSETS_S) if index else 0.0
+                at_s = self._rng.choice((first_s + offset_s, self._draw_time(_PLAY_S)))
+                nursery.start_soon(self._stop_one, mesh, links, at_s)
+            if options.has_leaving_upstreams:
+                nursery.start_soon(self._replace_upstream)
             nursery.start_soon(self._change_documents, mesh)
             if options.has_disruptions:
                 for _ in range(self._rng.randint(1, 4)):
@@ -168,19 +187,39 @@
 
     async def _announce_forever(self, node: ServiceNode) -> None:
         while not node.ended.is_set():
-            self._sequence += 1
-            await node.announce(sequence=self._sequence + 1)
+            await self._announce(node)
             await trio.sleep(_ANNOUNCE_S)
 
+    async def _announce(self, node: ServiceNode) -> None:
+        self._sequence += 1
+        is_leaving = node.upstream.upstream_id in self._leaving
+        await node.announce(
+            sequence=self._sequence,
+            born_ms=self._born_ms,
+            phase=UpstreamPhase.LEAVING if is_leaving else UpstreamPhase.READY,
+        )
+
     def _draw_time(self, longest_s: float) -> float:
         return round(self._rng.random() * longest_s / _GRID_S) * _GRID_S
 
     def _note(self, text: str) -> None:
         self._result.trace.append(f"{trio.current_time():.4f} {text}")
 
-    async def _stop_one(self, mesh: ServiceMesh, links: SimulatedLinks) -> None:
-        """Stops a daemon, and perhaps starts it again."""
+    async def _replace_upstream(self) -> None:
+        """Lets an upstream leave and another one take its place."""
         await trio.sleep(self._draw_time(_PLAY_S - _SETTLE_S))
+        node = self._rng.choice(self._runs).node
+        self._note(f"{node.upstream.upstream_id} leaves")
+        self._leaving.add(node.upstream.upstream_id)
+        await self._announce(node)
+        await trio.sleep(self._draw_time(2.0))
+        self._leaving.clear()
+        self._born_ms += 1
+        await self._announce(node)
+
+    async def _stop_one(self, mesh: ServiceMesh, links: SimulatedLinks, at_s: float) -> None:
+        """Stops a daemon, and perhaps starts it again."""
+        await trio.sleep(at_s)
         running = [run for run in self._runs if math.isinf(run.stopped_at)]
         if not running:
             return
@@ -209,7 +248,8 @@
     async def _change_documents(self, mesh: ServiceMesh) -> None:
         for version in range(2, self._rng.randint(2, 5)):
             await trio.sleep(self._draw_time(_PLAY_S / 2))
-            mesh.put_document(_make_document(version))
+            factor = self._rng.choice((1.0, _SHORTER))
+            mesh.put_document(_make_document(version, factor, self._options.idle_timeout_s))
 
     async def _disrupt(self, links: SimulatedLinks) -> None:
         await trio.sleep(self._draw_time(_PLAY_S))
@@ -236,7 +276,7 @@
 
     async def _call_forever(self, until: float) -> None:
         connections: list[CallerConnection] = []
-        moves_after_s = self._rng.uniform(0.3, 2.2)
+        moves_after_s = self._rng.choice((self._rng.uniform(0.3, 2.2), 2.2, 6.0))
         while trio.current_time() < until:
             await trio.sleep(self._draw_time(self._rng.choice((0.1, 0.5))))
             runs = [
@@ -268,7 +308,7 @@
     async def _call(self, connection: CallerConnection) -> None:
         rng = self._rng
         count = rng.choice((1, 1, 1, 2, 4))
-        requests = [self._make_request() for _ in range(count)]
+        requests = [self._make_request(connection.entry) for _ in range(count)]
         self._result.requests.extend(requests)
         leaves = rng.random() < 0.1
         await connection.exchange(
@@ -277,36 +317,48 @@
             read_after_s=rng.choice((0.0, 0.0, 0.0, 0.5)),
         )
 
-    def _make_request(self) -> SentRequest:
+    def _make_request(self, entry: DaemonRun) -> SentRequest:
         rng = self._rng
         prefixes = list(_ROUTES) if self._options.has_long_requests else list(_ROUTES)[:3]
         prefix = rng.choice(prefixes)
         is_read = prefix in _READS
         size, fault = rng.choice(_SIZES), ""
+        asked_s = rng.choice((0.3, 1.0, 3.0, 12.0))
         if self._options.has_upstream_faults and rng.random() < 0.2:
             fault = rng.choice(_FAULTS)
         target = f"{prefix}?delay_ms={rng.choice(_DELAYS_MS)}&size={size}&fault={fault}"
         return SentRequest(
-            f"r{len(self._result.requests)}-{rng.getrandbits(32):x}",
+            self._make_id(entry),
             "GET" if is_read else "POST",
             target,
             b"" if is_read else b"y" * rng.choice(_BODIES),
-            min(_ROUTES[prefix], rng.choice((0.3, 1.0, 3.0, 12.0))),
+            min(_ROUTES[prefix], asked_s),
+            min(_ROUTES[prefix] * _SHORTER, asked_s),
             size,
             fault,
             tuple(rng.choice(((0.0,), (0.0,), (0.0, 0.0), (0.0, 0.05, 0.2)))),
         )
 
+    def _make_id(self, entry: DaemonRun) -> str:
+        """Makes the id of a request, at times one that the upstream beside its daemon calls."""
+        own = f"r{next(self._numbers)}"
+        arrived = entry.node.upstream.record.requests
+        running = [each.request_id for each in arrived if math.isinf(each.worked_until)]
+        if running and self._rng.random() < _NESTED_RATIO:
+            return f"{self._rng.choice(running)}.{own}"
+        return own
+
 
-def _make_document(version: int) -> ServiceDocument:
+def _make_document(version: int, factor: float, idle_timeout_s: float) -> ServiceDocument:
     repeatable, once = Repeatability.IDEMPOTENT, Repeatability.AT_MOST_ONCE
     make = partial(make_route, target_latency_s=0.4, max_attempts=3)
     routes = [
         make(
             prefix=prefix,
-            timeout_s=timeout_s,
+            timeout_s=timeout_s * factor,
             repeatability=repeatable if prefix in _READS else once,
         )
         for prefix, timeout_s in _ROUTES.items()
     ]
-    return make_document(*routes, version=version)
+    document = make_document(*routes, version=version)
+    return replace(document, limits=RequestLimits(idle_timeout_s=idle_timeout_s))
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
@@ -7,6 +7,8 @@
 import socket
 import time
 from contextvars import ContextVar
+from functools import partial
+from itertools import cycle, islice
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Final
 from unittest import mock
@@ -15,6 +17,7 @@
 from trio._core import _run as trio_scheduler
 
 from fulmarstile_http.byte_stream import ByteStream, open_stream, set_socket_options
+from fulmarstile_testing.free_ports import find_free_ports
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
@@ -33,6 +36,7 @@
 _USER_TIMEOUT_S: Final = 2.0
 """Time without acknowledgement after which the kernel breaks a connection, in seconds."""
 _POLL_S: Final = 0.05
+_MAX_PORTS: Final = 20
 
 
 class SimulatedLinks:
@@ -217,6 +221,8 @@
         await send_all(stream, data)
 
     make_generator = random.Random
+    # Finding ports draws a varying number of random numbers.
+    ports = cycle(list(find_free_ports(_MAX_PORTS)))
     daemon = "fulmarstile_daemon.services.daemon"
     patches = [
         mock.patch.object(trio, "open_signal_receiver", _receive_no_signals),
@@ -226,6 +232,9 @@
         mock.patch.object(random, "Random", lambda: make_generator(rng.random())),
         mock.patch(f"{daemon}.gc", SimpleNamespace(freeze=bool, set_threshold=lambda *_: None)),
         mock.patch("fulmarstile_daemon.services._links.open_stream", links.open_stream),
+        mock.patch(
+            "fulmarstile_testing.builders.service_mesh.find_free_ports", partial(islice, ports)
+        ),
     ]
     if stalls_sends:
         patches.append(mock.patch.object(ByteStream, "send_all", send_late))
