--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/callers.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/callers.py
@@ -118,6 +118,7 @@
             for request in requests:
                 if not request.status and math.isinf(request.ended_at):
                     request.is_left = leave_after_s < patience_s
+        if scope.cancelled_caught or not self.is_open:
             self.close()
 
     async def _send(self, requests: Sequence[SentRequest]) -> None:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -45,7 +45,8 @@
 _ROUTES: Final = {"/read/": 1.2, "/write/": 1.5, "/upload/": 3.0, "/long/": 7.5, "/sign/": 12.0}
 """Timeouts of the routes by their prefix, in seconds."""
 _READS: Final = ("/read/", "/long/")
-_DELAYS_MS: Final = (1, 50, 50, 100, 200, 400, 1000, 2000, 3000, 5000)
+_DELAYS_MS: Final = (1, 1, 5, 20, 50, 50, 100, 200, 400, 900)
+_LONG_DELAYS_MS: Final = (*_DELAYS_MS, 1500, 2000, 3000, 5000)
 _SIZES: Final = (2, 2, 400, 30_000, 300_000)
 _BODIES: Final = (0, 0, 300, 40_000, 300_000)
 _FAULTS: Final = ("reset", "cut", "early", "shed", "extra", "unframed", "unproven")
@@ -73,7 +74,9 @@
     stalls_sends: bool
     stalls_loop: bool
     has_long_requests: bool
+    has_long_delays: bool
     has_leaving_upstreams: bool
+    pipelines: bool
     idle_timeout_s: float
 
     @classmethod
@@ -81,14 +84,16 @@
         """Draws the options of a case."""
         return cls(
             daemons=rng.choice((2, 2, 3, 4)),
-            callers=rng.choice((2, 4, 8)),
+            callers=rng.choice((2, 4, 8, 16)),
             link_kbps=rng.choice((0, 0, 4_000, 10_000)),
             has_disruptions=rng.random() < 0.4,
             has_upstream_faults=rng.random() < 0.3,
             stalls_sends=rng.random() < 0.3,
             stalls_loop=rng.random() < 0.1,
             has_long_requests=rng.random() < 0.2,
+            has_long_delays=rng.random() < 0.5,
             has_leaving_upstreams=rng.random() < 0.2,
+            pipelines=rng.random() < 0.4,
             idle_timeout_s=rng.choice((1.0, 60.0, 60.0)),
         )
 
@@ -187,10 +192,12 @@
 
     async def _announce_forever(self, node: ServiceNode) -> None:
         while not node.ended.is_set():
-            await self._announce(node)
             await trio.sleep(_ANNOUNCE_S)
+            await self._announce(node)
 
     async def _announce(self, node: ServiceNode) -> None:
+        if node.ended.is_set():
+            return
         self._sequence += 1
         is_leaving = node.upstream.upstream_id in self._leaving
         await node.announce(
@@ -208,7 +215,10 @@
     async def _replace_upstream(self) -> None:
         """Lets an upstream leave and another one take its place."""
         await trio.sleep(self._draw_time(_PLAY_S - _SETTLE_S))
-        node = self._rng.choice(self._runs).node
+        running = [run.node for run in self._runs if math.isinf(run.stopped_at)]
+        if not running:
+            return
+        node = self._rng.choice(running)
         self._note(f"{node.upstream.upstream_id} leaves")
         self._leaving.add(node.upstream.upstream_id)
         await self._announce(node)
@@ -307,7 +317,7 @@
 
     async def _call(self, connection: CallerConnection) -> None:
         rng = self._rng
-        count = rng.choice((1, 1, 1, 2, 4))
+        count = rng.choice((1, 1, 1, 2, 4)) if self._options.pipelines else 1
         requests = [self._make_request(connection.entry) for _ in range(count)]
         self._result.requests.extend(requests)
         leaves = rng.random() < 0.1
@@ -322,11 +332,12 @@
         prefixes = list(_ROUTES) if self._options.has_long_requests else list(_ROUTES)[:3]
         prefix = rng.choice(prefixes)
         is_read = prefix in _READS
+        delays_ms = _LONG_DELAYS_MS if self._options.has_long_delays else _DELAYS_MS
         size, fault = rng.choice(_SIZES), ""
         asked_s = rng.choice((0.3, 1.0, 3.0, 12.0))
         if self._options.has_upstream_faults and rng.random() < 0.2:
             fault = rng.choice(_FAULTS)
-        target = f"{prefix}?delay_ms={rng.choice(_DELAYS_MS)}&size={size}&fault={fault}"
+        target = f"{prefix}?delay_ms={rng.choice(delays_ms)}&size={size}&fault={fault}"
         return SentRequest(
             self._make_id(entry),
             "GET" if is_read else "POST",
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/replay.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/replay.py
@@ -14,6 +14,10 @@
 """Time after which a case that has not ended fails, in seconds."""
 
 
+def _on_alarm(*_: object) -> None:
+    raise TimeoutError("the case has not ended")
+
+
 def play_seed(seed: int, *, with_trace: bool) -> tuple[int, list[str]]:
     """Plays one case.
 
@@ -26,12 +30,14 @@
     """
     if not with_trace:
         sys.stdout = open(os.devnull, "w")  # noqa: SIM115
+    signal.signal(signal.SIGALRM, _on_alarm)
     signal.alarm(_MAX_CASE_S)
     try:
         result = Case(seed).play()
     except Exception:
         return 0, [f"seed {seed}: ERROR\n{traceback.format_exc()}"]
     lines = [f"seed {seed}: {each.rule}: {each.detail}" for each in result.violations]
+    signal.alarm(0)
     if lines:
         lines.append(f"seed {seed}: {result.options}")
     return len(result.requests), lines + (result.trace if with_trace else [])
