--- /dev/null
+++ b/tests/services/test_stop_crossings.py
@@ -0,0 +1,115 @@
+"""Answers of a stopping daemon that cross what its callers and other daemons do at that time."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+import trio
+import trio.testing
+
+from fulmarstile_services.document import Repeatability
+from fulmarstile_testing.builders.service_mesh import serve_mesh
+from fulmarstile_testing.builders.services import make_document, make_route
+from fulmarstile_testing.lost_search.callers import CallerConnection, SentRequest
+from fulmarstile_testing.lost_search.case import DaemonRun
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from fulmarstile_testing.builders.service_mesh import ServiceNode
+
+DOCUMENT = make_document(
+    make_route(
+        repeatability=Repeatability.AT_MOST_ONCE,
+        timeout_s=12.0,
+        target_latency_s=6.0,
+        max_attempts=3,
+    )
+)
+FOREVER_S = 60.0
+
+
+def make_request(
+    number: int, *, delay_ms: int = 1, size: int = 2, body_bytes: int = 0, after_s: float = 0.0
+) -> SentRequest:
+    target = f"/a?delay_ms={delay_ms}&size={size}"
+    return SentRequest(
+        f"r{number}", "POST", target, b"y" * body_bytes, 12.0, 12.0, size, "", (after_s,)
+    )
+
+
+async def exchange(entry: ServiceNode, *requests: SentRequest, read_after_s: float = 0.0) -> None:
+    """Sends requests on one connection and reads their answers."""
+    connection = await CallerConnection.open(DaemonRun(entry))
+    assert connection is not None
+    await connection.exchange(requests, leave_after_s=FOREVER_S, read_after_s=read_after_s)
+    connection.close()
+
+
+def run_in_virtual_time(run: Callable[[], Awaitable[None]]) -> None:
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.001))
+
+
+class StopCrossingsTest(unittest.TestCase):
+    def test_an_answer_that_is_not_read_yet_survives_a_request_behind_the_close(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                entry = mesh.nodes[0]
+                requests = [
+                    make_request(1, size=300_000),
+                    make_request(2, after_s=0.3),
+                ]
+                entry.stop()
+                await exchange(entry, *requests, read_after_s=0.5)
+                self.assertEqual(requests[0].status, 200)
+                self.assertEqual(len(requests[0].answer), 300_000)
+
+        run_in_virtual_time(run)
+
+    def test_a_whole_upload_behind_a_running_request_is_answered(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                entry = mesh.nodes[0]
+                requests = [make_request(1, delay_ms=4_500), make_request(2, body_bytes=300_000)]
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(exchange, entry, *requests)
+                    await trio.sleep(0.5)
+                    entry.stop()
+                self.assertEqual([each.status for each in requests], [200, 503])
+
+        run_in_virtual_time(run)
+
+    def test_what_arrives_behind_a_whole_upload_is_answered_at_the_end(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                entry = mesh.nodes[0]
+                requests = [
+                    make_request(1, delay_ms=9_000),
+                    make_request(2),
+                    make_request(3, body_bytes=300_000),
+                    make_request(4),
+                ]
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(exchange, entry, *requests)
+                    await trio.sleep(0.5)
+                    entry.stop()
+                self.assertEqual([each.status for each in requests], [502, 503, 503, 503])
+
+        run_in_virtual_time(run)
+
+    def test_a_stopping_daemon_cuts_no_request_of_another_one_that_stops_later(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", "shop", document=DOCUMENT) as mesh:
+                entry, stopping, _ = mesh.nodes
+                requests = [make_request(number, delay_ms=5_000) for number in range(4)]
+                stopping.stop()
+                await trio.sleep(0.5)
+                async with trio.open_nursery() as nursery:
+                    for request in requests:
+                        nursery.start_soon(exchange, entry, request)
+                    await trio.sleep(0.5)
+                    entry.stop()
+                self.assertEqual([each.status for each in requests], [200] * 4)
+
+        run_in_virtual_time(run)
