--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/__main__.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/__main__.py
@@ -5,10 +5,11 @@
 
 from __future__ import annotations
 
+import sys
 import time
 from functools import partial
 from multiprocessing import get_context
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from absl import app, flags
 
@@ -17,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+_PROGRESS_CASES: Final = 100
+
 _FIRST_SEED = flags.DEFINE_integer("first_seed", 1, "Seed of the first case.")
 _SEEDS = flags.DEFINE_integer("seeds", 100, "Number of cases.")
 _SEED = flags.DEFINE_integer("seed", None, "Plays this case only.")
@@ -40,13 +43,16 @@
         seeds = range(_SEED.value, _SEED.value + 1)
     started_at = time.monotonic()
     play = partial(play_seed, with_trace=_TRACE.value)
-    failed = requests = 0
+    played = failed = requests = 0
     with get_context("spawn").Pool(min(_JOBS.value, len(seeds))) as pool:
         for count, lines in pool.imap_unordered(play, seeds):
+            played += 1
             requests += count
             failed += bool(lines)
             for line in lines:
                 print(line, flush=True)
+            if played % _PROGRESS_CASES == 0:
+                print(f"{played} cases played", file=sys.stderr, flush=True)
     elapsed_s = time.monotonic() - started_at
     print(f"{len(seeds)} cases, {requests} requests, {failed} failed, {elapsed_s:.1f} s")
     return 1 if failed else 0
