--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 import trio
 
+from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._stop_times import CLOSED, StopTimes
+from fulmarstile_daemon.services.events import StopPhase
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from fulmarstile_daemon.services._link_server import LinkServer
     from fulmarstile_daemon.services._links import DaemonLinks
+    from fulmarstile_daemon.services._loop_lateness import LoopLateness
     from fulmarstile_daemon.services._request_server import RequestServer
     from fulmarstile_daemon.services._upstream import LocalUpstream
     from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
     from fulmarstile_daemon.services.entry import CallEntry
+    from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.hops import HopServer
 
 _MIN_SERVING_S: Final = 1.0
@@ -25,8 +32,9 @@
 """Longest such time, in seconds. A platform moves its callers away after two failed readiness
 probes, a second apart; whatever comes later would only be cut off."""
 _NESTED_ACCEPT_SHARE: Final = 0.5
-_MAX_NESTED_ACCEPT_S: Final = 3.0
-"""The same for the calls of requests that run on this VM, which fail without them."""
+_MAX_NESTED_ACCEPT_S: Final = 2.8
+"""The same for the calls of requests that run on this VM, which fail without them. A call that is
+sent more than 3 s after SIGTERM must not be cut off, and the signal may have arrived late."""
 _CALLERS_GONE_S: Final = 0.6
 """Time without a request after which callers are assumed to have moved away, in seconds."""
 _DRAIN_S: Final = 1.6
@@ -40,6 +48,8 @@
 _FINAL_CLOSE_S: Final = 0.1
 """Maximum time for answering what arrives until the connections are closed, in seconds."""
 _POLL_INTERVAL_S: Final = 0.02
+_CLOCK_CHECK_S: Final = 0.1
+"""Interval of the check whether the VM was suspended, in seconds."""
 
 
 class GracefulShutdown:
@@ -56,6 +66,9 @@
         links: Connections to other daemons.
         upstream: Upstream on this VM.
         announcements: Publishes the state of the upstream to the other daemons.
+        lateness: Measures how late the event loop is.
+        log: Log of the daemon.
+        clock: Returns the time in seconds; counts while the VM is suspended, as the platform does.
     """
 
     def __init__(
@@ -67,6 +80,9 @@
         links: DaemonLinks,
         upstream: LocalUpstream,
         announcements: UpstreamAnnouncements,
+        lateness: LoopLateness,
+        log: EventLog,
+        clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._callers = callers
         self._peers = peers
@@ -75,27 +91,67 @@
         self._links = links
         self._upstream = upstream
         self._announcements = announcements
-
-    async def run(self, grace_s: float) -> None:
+        self._lateness = lateness
+        self._log = log
+        self._clock = clock
+        self._requested_at = 0.0
+        self._boot_times = StopTimes()
+        self._phase = trio.CancelScope()
+        self._phase_ends_at = 0.0
+
+    async def run(self, grace_s: float, requested_at: float) -> None:
         """Runs all phases of the shutdown.
 
         Args:
             grace_s: Grace period after which the platform kills the process, in seconds.
+            requested_at: Arrival of SIGTERM by the boot clock, in seconds.
         """
-        now = trio.current_time()
-        ends_at = now + grace_s - _GRACE_MARGIN_S
-        accepts_until = now + min(grace_s * _ACCEPT_SHARE, _MAX_ACCEPT_S)
-        nested_until = now + min(grace_s * _NESTED_ACCEPT_SHARE, _MAX_NESTED_ACCEPT_S)
-        self._set_stop_times(StopTimes(accepts_until, ends_at, nested_until))
-        self._callers.begin_closing()
-        with trio.move_on_at(ends_at - _DRAIN_S):
-            await self._serve_callers()
-        accepts_until = min(accepts_until, trio.current_time())
-        self._set_stop_times(StopTimes(accepts_until, ends_at, nested_until))
-        with trio.move_on_at(ends_at):
-            await self._drain()
+        self._requested_at = requested_at
+        ends_at = requested_at + grace_s - _GRACE_MARGIN_S
+        self._boot_times = StopTimes(
+            accepts_until=requested_at + min(grace_s * _ACCEPT_SHARE, _MAX_ACCEPT_S),
+            ends_at=ends_at,
+            accepts_nested_until=requested_at
+            + min(grace_s * _NESTED_ACCEPT_SHARE, _MAX_NESTED_ACCEPT_S),
+        )
+        async with trio.open_nursery() as nursery:
+            self._apply_boot_times()
+            nursery.start_soon(self._follow_boot_clock)
+            self._callers.begin_closing()
+            await self._run_until(ends_at - _DRAIN_S, self._serve_callers)
+            accepts_until = min(self._boot_times.accepts_until, self._clock())
+            self._boot_times = replace(self._boot_times, accepts_until=accepts_until)
+            self._apply_boot_times()
+            await self._run_until(ends_at, self._drain)
+            nursery.cancel_scope.cancel()
         await self._answer_remaining()
 
+    async def _run_until(self, ends_at: float, run_phase: Callable[[], Awaitable[None]]) -> None:
+        """Runs a phase, until a time of the boot clock at the latest."""
+        self._phase_ends_at = ends_at
+        with trio.CancelScope(deadline=self._to_loop_time(ends_at)) as self._phase:
+            await run_phase()
+
+    async def _follow_boot_clock(self) -> None:
+        """Moves all times ahead while the VM is suspended, which the loop's clock leaves out."""
+        while True:
+            await trio.sleep(_CLOCK_CHECK_S)
+            self._apply_boot_times()
+            self._phase.deadline = self._to_loop_time(self._phase_ends_at)
+
+    def _apply_boot_times(self) -> None:
+        times = self._boot_times
+        self._set_stop_times(
+            StopTimes(
+                self._to_loop_time(times.accepts_until),
+                self._to_loop_time(times.ends_at),
+                self._to_loop_time(times.accepts_nested_until),
+            )
+        )
+
+    def _to_loop_time(self, boot_time: float) -> float:
+        return trio.current_time() + boot_time - self._clock()
+
     def _set_stop_times(self, stop_times: StopTimes) -> None:
         self._entry.stop_times = self._hops.stop_times = stop_times
 
@@ -106,17 +162,20 @@
 
     async def _drain(self) -> None:
         """Publishes the stop, refuses what no upstream has received, and waits for the rest."""
+        self._write_phase("draining")
         self._callers.withdraw_all()
         self._peers.refuse_bodies()
         self._callers.refuse_unreceived()
         await self._announcements.stop()
         await trio.sleep(_PEER_NOTICE_S)
         self._upstream.stop()
+        self._write_phase("waiting")
         while not (self._peers.is_quiet and self._callers.is_quiet(_CALLERS_GONE_S)):
             await trio.sleep(_POLL_INTERVAL_S)
 
     async def _answer_remaining(self) -> None:
         """Responds to the remaining requests according to their state so far."""
+        self._write_phase("answering")
         self._set_stop_times(CLOSED)
         self._callers.expire_all()
         self._links.close_all()
@@ -124,3 +183,17 @@
             await self._callers.wait_answered()
         with trio.move_on_after(_FINAL_CLOSE_S):
             await self._callers.finish()
+
+    def _write_phase(self, phase: str) -> None:
+        self._log.write(
+            StopPhase(
+                phase=phase,
+                elapsed_ms=round((self._clock() - self._requested_at) * 1000, 1),
+                in_flight=self._callers.in_flight,
+                arriving=self._callers.arriving,
+                connections=self._callers.connections,
+                hops=self._peers.in_flight,
+                has_unsent=not self._peers.in_flight and not self._peers.is_quiet,
+                longest_late_ms=round(self._lateness.longest_s * 1000, 1),
+            )
+        )
