--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
@@ -189,7 +189,7 @@
 
 
 @contextlib.contextmanager
-def _receive_no_signals(*_: int) -> Iterator[AsyncIterator[int]]:
+def _receive_no_signals(*_: int, **__: object) -> Iterator[AsyncIterator[int]]:
     sender, receiver = trio.open_memory_channel[int](0)
     with sender, receiver:
         yield receiver
@@ -202,6 +202,17 @@
     random.seed(seed)
 
 
+@contextlib.contextmanager
+def virtual_clocks() -> Iterator[None]:
+    """Lets the clocks of the process follow the clock of the event loop."""
+    with (
+        mock.patch.object(time, "time", lambda: _EPOCH_S + trio.current_time()),
+        mock.patch.object(time, "monotonic", lambda: _BOOT_S + trio.current_time()),
+        mock.patch.object(time, "clock_gettime", lambda _: _BOOT_S + trio.current_time()),
+    ):
+        yield
+
+
 @contextlib.contextmanager
 def virtual_environment(
     links: SimulatedLinks, rng: random.Random, *, stalls_sends: bool
@@ -225,10 +236,7 @@
     ports = cycle(list(find_free_ports(_MAX_PORTS)))
     daemon = "fulmarstile_daemon.services.daemon"
     patches = [
-        mock.patch.object(trio, "open_signal_receiver", _receive_no_signals),
-        mock.patch.object(time, "time", lambda: _EPOCH_S + trio.current_time()),
-        mock.patch.object(time, "monotonic", lambda: _BOOT_S + trio.current_time()),
-        mock.patch.object(time, "clock_gettime", lambda _: _BOOT_S + trio.current_time()),
+        mock.patch(f"{daemon}.receive_signals", _receive_no_signals),
         mock.patch.object(random, "Random", lambda: make_generator(rng.random())),
         mock.patch(f"{daemon}.gc", SimpleNamespace(freeze=bool, set_threshold=lambda *_: None)),
         mock.patch("fulmarstile_daemon.services._links.open_stream", links.open_stream),
@@ -239,6 +247,7 @@
     if stalls_sends:
         patches.append(mock.patch.object(ByteStream, "send_all", send_late))
     with contextlib.ExitStack() as stack:
+        stack.enter_context(virtual_clocks())
         for patch in patches:
             stack.enter_context(patch)
         yield
--- a/tests/services/test_stop_crossings.py
+++ b/tests/services/test_stop_crossings.py
@@ -13,6 +13,7 @@
 from fulmarstile_testing.builders.services import make_document, make_route
 from fulmarstile_testing.lost_search.callers import CallerConnection, SentRequest
 from fulmarstile_testing.lost_search.case import DaemonRun
+from fulmarstile_testing.lost_search.environment import virtual_clocks
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -48,7 +49,11 @@
 
 
 def run_in_virtual_time(run: Callable[[], Awaitable[None]]) -> None:
-    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.001))
+    async def run_with_clocks() -> None:
+        with virtual_clocks():
+            await run()
+
+    trio.run(run_with_clocks, clock=trio.testing.MockClock(autojump_threshold=0.001))
 
 
 class StopCrossingsTest(unittest.TestCase):
