--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_loop_lateness.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_loop_lateness.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-import math
+import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -16,6 +17,16 @@
 """Lateness from which it is logged, in seconds."""
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class _Sleep:
+    """A wait whose end shows whether the loop is late."""
+
+    ends_at: float
+    """Time at which it should end, in seconds."""
+    processor_s: float
+    """Processor time that the thread had used at its start, in seconds."""
+
+
 class LoopLateness:
     """Compares when periodic tasks wake up with when they should.
 
@@ -32,13 +43,17 @@
         """Largest lateness since the start, in seconds."""
         self.times_late = 0
         """Number of times that the loop was late enough to be logged."""
-        self._expected: dict[object, float] = {}
+        self._sleeps: dict[_Sleep, None] = {}
 
     @property
-    def held_s(self) -> float:
-        """Time for which the loop has been late until now, in seconds; 0 if it is not."""
-        late_s = trio.current_time() - min(self._expected.values(), default=math.inf)
-        return late_s if late_s >= _MIN_LOGGED_S else 0.0
+    def halted_s(self) -> float:
+        """Time for which the process has not run while the loop was late until now, in seconds."""
+        if not self._sleeps:
+            return 0.0
+        first = min(self._sleeps, key=lambda sleep: sleep.ends_at)
+        used_s = time.thread_time() - first.processor_s
+        halted_s = trio.current_time() - first.ends_at - used_s
+        return halted_s if halted_s >= _MIN_LOGGED_S else 0.0
 
     async def sleep(self, duration_s: float) -> None:
         """Sleeps, and measures by how much it takes longer.
@@ -46,13 +61,13 @@
         Args:
             duration_s: Duration in seconds.
         """
-        sleep = object()
-        expected_at = self._expected[sleep] = trio.current_time() + duration_s
+        sleep = _Sleep(trio.current_time() + duration_s, time.thread_time())
+        self._sleeps[sleep] = None
         try:
             await trio.sleep(duration_s)
         finally:
-            del self._expected[sleep]
-        late_s = trio.current_time() - expected_at
+            del self._sleeps[sleep]
+        late_s = trio.current_time() - sleep.ends_at
         self.longest_s = max(self.longest_s, late_s)
         if late_s >= _MIN_LOGGED_S:
             self.times_late += 1
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_signals.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_signals.py
@@ -45,8 +45,8 @@
     sender, receiver = trio.open_memory_channel[ReceivedSignal](math.inf)
 
     def on_signal(number: int, frame: FrameType | None) -> None:
-        # A process that was halted gets its signals when it runs again, and the loop is late then.
-        received = ReceivedSignal(number, read_boot_clock() - lateness.held_s)
+        # A process that was halted gets its signals only when it runs again.
+        received = ReceivedSignal(number, read_boot_clock() - lateness.halted_s)
         token.run_sync_soon(sender.send_nowait, received)
 
     earlier = {number: signal.signal(number, on_signal) for number in numbers}
