End the connections from other daemons in order at the end of a daemon (LOST)

A daemon that ended closed the connections of other daemons while messages arrived on them. The kernel resets a socket that is closed with unread input, and drops what it still has to send: - An answer that its upstream had made was destroyed on its way to a daemon that read late. Its caller got 502. - A request that waited unread in the kernel, or on a connection that was not accepted, was reset. It counted as possibly run though no upstream had it: 502 instead of another daemon's answer. - A request that waited for a slot of its upstream was cut without an answer, with the same effect. `is_quiet` looked at the data in the process alone, so that the answers in the kernel did not hold back the end.

`LinkServer.end` answers all that has arrived by what its upstream has of it, accepts and refuses what waits in the backlog, sends the new message `GoAway`, sends all, and closes when the other daemon has closed. Calls without an answer before `GoAway` were never handled, so their daemon may try another one. The end of the connection alone doesn't say so: that of a killed process looks the same. Requests that reached their deadline here are answered before it, as the other daemon may not have noticed its own yet. `Hello` says who knows the message, so that daemons of both versions work together. `is_quiet` asks the kernel what is not acknowledged.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import fcntl
+import struct
+import termios
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import trio
 
@@ -15,6 +18,8 @@
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_wire.services import LinkMessage
 
+_C_INT: Final = struct.Struct("i")
+
 
 class LinkBrokenError(FulmarstileError):
     """The connection to another daemon was closed or failed."""
@@ -74,6 +79,19 @@
         """Whether messages are still to be passed to the kernel."""
         return bool(self._unsent)
 
+    @property
+    def has_unacknowledged(self) -> bool:
+        """Whether the peer's kernel has not confirmed all messages, so that a reset loses some."""
+        if self._stream.is_closed:
+            return False
+        queued = fcntl.ioctl(self._stream.fileno(), termios.TIOCOUTQ, bytes(_C_INT.size))
+        return bool(self._unsent) or _C_INT.unpack(queued)[0] > 0
+
+    @property
+    def has_input(self) -> bool:
+        """Whether input or the end of the connection waits to be received."""
+        return not self._stream.is_open_without_input
+
     def send(self, message: LinkMessage) -> OutgoingFrame:
         """Sends a message.
 
@@ -166,6 +184,10 @@
             if messages:
                 return messages
 
+    def send_eof(self) -> None:
+        """Ends sending, so that the peer closes the connection after the last message."""
+        self._stream.send_eof()
+
     def close(self) -> None:
         """Closes the connection."""
         self._stream.close()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -179,10 +179,16 @@
         self._set_stop_times(CLOSED)
         self._callers.expire_all()
         self._links.close_all()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._end_peers)
+            with trio.move_on_after(_FINAL_SEND_S):
+                await self._callers.wait_answered()
+            with trio.move_on_after(_FINAL_CLOSE_S):
+                await self._callers.finish()
+
+    async def _end_peers(self) -> None:
         with trio.move_on_after(_FINAL_SEND_S):
-            await self._callers.wait_answered()
-        with trio.move_on_after(_FINAL_CLOSE_S):
-            await self._callers.finish()
+            await self._peers.end()
 
     def _write_phase(self, phase: str) -> None:
         self._log.write(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -8,16 +8,17 @@
 import trio
 
 from fulmarstile_calls.request import RefusalReason
-from fulmarstile_daemon.services._attempt_progress import AttemptProgress
 from fulmarstile_daemon.services._body_admission import BodyAdmission, OfferKey
 from fulmarstile_daemon.services._call import make_failure
 from fulmarstile_daemon.services._error_frames import release_frames
 from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
+from fulmarstile_daemon.services._served_link import ServedCall, ServedLink
 from fulmarstile_http.listener import accept_forever, listen
 from fulmarstile_wire.services import (
     PROTOCOL_VERSION,
     BodyGrant,
     BodyOffer,
+    GoAway,
     Hello,
     HopAnswer,
     HopCall,
@@ -33,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
 
+    from fulmarstile_daemon.services._attempt_progress import AttemptProgress
     from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_http.listener import OutOfDescriptorsError
@@ -47,6 +49,9 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
+_POLL_INTERVAL_S: Final = 0.01
+"""Interval of the checks while the connections end, in seconds."""
+
 
 class LinkServer:
     """Serves forwarded requests and state synchronizations.
@@ -85,20 +90,23 @@
         self._rate_wait_s = rate_wait_s
         self._body_admission = body_admission
         self._budget = budget
-        self._in_flight = 0
-        self._connections: dict[FrameStream, None] = {}
+        self._connections: dict[ServedLink, None] = {}
+        self._accepting = trio.CancelScope()
+        self._ending = trio.Event()
+        self._ended = trio.Event()
 
     @property
     def in_flight(self) -> int:
         """Requests without an answer so far, and granted bodies that have not arrived."""
-        return self._in_flight + self._body_admission.granted_count
+        calls = sum(len(link.calls) for link in self._connections)
+        return calls + self._body_admission.granted_count
 
     @property
     def is_quiet(self) -> bool:
-        """Whether nothing is in flight and all answers are sent."""
+        """Whether nothing is in flight and all answers have arrived."""
         if self.in_flight:
             return False
-        return not any(frames.has_unsent for frames in self._connections)
+        return not any(link.frames.has_unacknowledged for link in self._connections)
 
     def refuse_bodies(self) -> None:
         """Refuses the large bodies that wait for a grant, and all later ones."""
@@ -120,18 +128,36 @@
         with listen(address) as listener:
             async with trio.open_nursery() as nursery:
                 task_status.started(listener.address)
-                await accept_forever(
-                    listener, nursery, self._serve_connection, _log_out_of_descriptors
-                )
+                with self._accepting:
+                    await accept_forever(
+                        listener, nursery, self._serve_connection, _log_out_of_descriptors
+                    )
+                for stream in listener.accept_pending():
+                    nursery.start_soon(self._serve_connection, stream)
+                listener.close()
+        self._ended.set()
+
+    async def end(self) -> None:
+        """Ends all connections, such that the other daemons know what became of each request.
+
+        Requests that have arrived are answered: those that no upstream has received, and all that
+        still arrive, as not run. A connection is closed when the other daemon has closed it,
+        because closing it with unread input would destroy what is still being sent. Wait for it
+        with a timeout.
+        """
+        self.refuse_bodies()
+        self._ending.set()
+        self._accepting.cancel()
+        await self._ended.wait()
 
     async def _serve_connection(self, stream: ByteStream) -> None:
-        frames = FrameStream(stream, self._budget)
-        calls: dict[int, _ServedCall] = {}
-        self._connections[frames] = None
+        link = ServedLink(FrameStream(stream, self._budget))
+        self._connections[link] = None
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(frames.send_forever)
-                await self._serve_messages(frames, calls, nursery)
+                nursery.start_soon(link.frames.send_forever)
+                nursery.start_soon(self._end_connection, link)
+                await self._serve_messages(link, nursery)
         except* LinkBrokenError as group:
             _LOGGER.info("connection from a daemon closed: %s", group.exceptions[0])
             release_frames(group)
@@ -139,38 +165,68 @@
             # An error on one connection must not end the daemon.
             _LOGGER.exception("serving a connection from a daemon failed")
         finally:
-            self._body_admission.release_all(frames)
-            del self._connections[frames]
-            frames.close()
+            self._body_admission.release_all(link.frames)
+            del self._connections[link]
+            link.frames.close()
+
+    async def _end_connection(self, link: ServedLink) -> None:
+        """Waits for the end of the server, and says goodbye once all that arrived is answered."""
+        await self._ending.wait()
+        for served in link.calls.values():
+            served.scope.cancel()
+        await link.greeted.wait()
+        while link.calls or link.frames.has_input:
+            await trio.sleep(_POLL_INTERVAL_S)
+        # No message is handled between this check and `GoAway`, or later.
+        link.has_gone_away = True
+        for call_id, progress in link.expired.items():
+            self._answer_unfinished(link.frames, call_id, progress, RefusalReason.DEADLINE)
+        try:
+            if link.reads_go_away:
+                link.frames.send(GoAway())
+        except LinkBrokenError as error:
+            _LOGGER.info("cannot announce the end of a connection: %s", error)
+        while link.frames.has_unsent:
+            await trio.sleep(_POLL_INTERVAL_S)
+        link.frames.send_eof()
 
-    async def _serve_messages(
-        self, frames: FrameStream, calls: dict[int, _ServedCall], nursery: trio.Nursery
-    ) -> None:
-        is_greeted = False
+    async def _serve_messages(self, link: ServedLink, nursery: trio.Nursery) -> None:
         while True:
-            for message in await frames.receive():
-                if not is_greeted:
-                    _check_hello(message)
-                    is_greeted = True
-                elif isinstance(message, HopCall):
-                    self._body_admission.release(OfferKey(frames, message.call_id))
-                    if message.call_id in calls:
-                        raise LinkBrokenError(f"call id {message.call_id} is used twice")
-                    served = calls[message.call_id] = _ServedCall(message)
-                    nursery.start_soon(self._serve_call, frames, calls, served)
-                elif isinstance(message, BodyOffer):
-                    self._handle_offer(frames, message)
-                elif isinstance(message, HopCancel):
-                    self._body_admission.release(OfferKey(frames, message.call_id))
-                    if message.call_id in calls:
-                        calls[message.call_id].scope.cancel()
-                elif isinstance(message, HopWithdraw):
-                    if message.call_id in calls:
-                        calls[message.call_id].progress.withdraw()
-                elif isinstance(message, SyncCall):
-                    self._answer_sync(frames, message)
-                elif isinstance(message, PeerCall):
-                    self._answer_query(frames, message, nursery)
+            for message in await link.frames.receive():
+                if not link.greeted.is_set():
+                    link.on_hello(_check_hello(message))
+                elif not link.has_gone_away:
+                    self._on_message(link, message, nursery)
+
+    def _on_message(self, link: ServedLink, message: LinkMessage, nursery: trio.Nursery) -> None:
+        frames, calls = link.frames, link.calls
+        if isinstance(message, HopCall):
+            self._accept_call(link, message, nursery)
+        elif isinstance(message, BodyOffer):
+            self._handle_offer(frames, message)
+        elif isinstance(message, HopCancel):
+            self._body_admission.release(OfferKey(frames, message.call_id))
+            link.expired.pop(message.call_id, None)
+            if message.call_id in calls:
+                calls[message.call_id].cancel()
+        elif isinstance(message, HopWithdraw):
+            if message.call_id in calls:
+                calls[message.call_id].progress.withdraw()
+        elif isinstance(message, SyncCall):
+            self._answer_sync(frames, message)
+        elif isinstance(message, PeerCall):
+            self._answer_query(frames, message, nursery)
+
+    def _accept_call(self, link: ServedLink, call: HopCall, nursery: trio.Nursery) -> None:
+        self._body_admission.release(OfferKey(link.frames, call.call_id))
+        if call.call_id in link.calls:
+            raise LinkBrokenError(f"call id {call.call_id} is used twice")
+        if self._ending.is_set():
+            failure = make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING)
+            link.frames.send(HopAnswer(call.call_id, self._add_load(failure)))
+            return
+        served = link.calls[call.call_id] = ServedCall(call)
+        nursery.start_soon(self._serve_call, link, served)
 
     def _answer_sync(self, frames: FrameStream, call: SyncCall) -> None:
         try:
@@ -239,11 +295,8 @@
         except LinkBrokenError as error:
             _LOGGER.info("cannot send the refusal of a body: %s", error)
 
-    async def _serve_call(
-        self, frames: FrameStream, calls: dict[int, _ServedCall], served: _ServedCall
-    ) -> None:
+    async def _serve_call(self, link: ServedLink, served: ServedCall) -> None:
         call = served.call
-        self._in_flight += 1
         try:
             with served.scope, self._budget.allocate() as allocation:
                 await trio.lowlevel.checkpoint_if_cancelled()
@@ -252,45 +305,49 @@
                 else:
                     failure = make_failure(Verdict.NOT_RUN, RefusalReason.OVERLOADED)
                     answer = HopAnswer(call.call_id, self._add_load(failure))
-                frames.send(answer)
+                link.frames.send(answer)
+            if served.scope.cancelled_caught and not served.is_cancelled:
+                self._on_cut(link, served)
         except LinkBrokenError as error:
             _LOGGER.info("cannot send an answer: %s", error)
         except Exception:
             # An error in one request must not end the other requests of its connection.
             _LOGGER.exception("handling a forwarded request failed")
-            self._answer_unfinished(frames, served, RefusalReason.CONNECTION_LOST)
+            self._answer_unfinished(
+                link.frames, call.call_id, served.progress, RefusalReason.CONNECTION_LOST
+            )
         finally:
-            self._in_flight -= 1
-            del calls[call.call_id]
+            del link.calls[call.call_id]
+
+    def _on_cut(self, link: ServedLink, served: ServedCall) -> None:
+        """Handles the cancellation of a request by its deadline or by the end of the server."""
+        if trio.current_time() >= served.deadline:
+            link.expired[served.call.call_id] = served.progress
+        else:
+            self._answer_unfinished(
+                link.frames, served.call.call_id, served.progress, RefusalReason.DRAINING
+            )
 
     def _answer_unfinished(
-        self, frames: FrameStream, served: _ServedCall, reason: RefusalReason
+        self,
+        frames: FrameStream,
+        call_id: int,
+        progress: AttemptProgress,
+        reason: RefusalReason,
     ) -> None:
         """Answers a request that ends without a result, by what its upstream has of it."""
-        verdict = Verdict.MAY_HAVE_RUN if served.progress.may_have_begun else Verdict.NOT_RUN
+        verdict = Verdict.MAY_HAVE_RUN if progress.may_have_begun else Verdict.NOT_RUN
         failure = make_failure(verdict, reason, reached_upstream=verdict is Verdict.MAY_HAVE_RUN)
         try:
-            frames.send(HopAnswer(served.call.call_id, self._add_load(failure)))
+            frames.send(HopAnswer(call_id, self._add_load(failure)))
         except LinkBrokenError as error:
             _LOGGER.info("cannot send an answer: %s", error)
 
 
-class _ServedCall:
-    """A forwarded request that is being handled."""
-
-    __slots__ = ("call", "deadline", "progress", "scope")
-
-    def __init__(self, call: HopCall) -> None:
-        self.call = call
-        self.deadline = trio.current_time() + call.hop.remaining_ms / 1000
-        """Time at which the other daemon stops waiting, in seconds."""
-        self.scope = trio.CancelScope(deadline=self.deadline)
-        self.progress = AttemptProgress()
-
-
-def _check_hello(message: LinkMessage) -> None:
+def _check_hello(message: LinkMessage) -> Hello:
     if not isinstance(message, Hello) or message.version != PROTOCOL_VERSION:
         raise LinkBrokenError("the other daemon uses a different protocol version")
+    return message
 
 
 def _log_out_of_descriptors(error: OutOfDescriptorsError) -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -23,6 +23,7 @@
     PROTOCOL_VERSION,
     BodyGrant,
     BodyOffer,
+    GoAway,
     Hello,
     HopAnswer,
     HopCall,
@@ -71,7 +72,7 @@
 class _PendingCall:
     """A call that waits for its answer."""
 
-    __slots__ = ("answer", "done", "granted", "is_lost")
+    __slots__ = ("answer", "done", "granted", "is_lost", "is_refused")
 
     def __init__(self) -> None:
         self.done = trio.Event()
@@ -80,6 +81,8 @@
         """Set when the body was granted, or when the call has ended without a grant."""
         self.is_lost = False
         """Whether the connection failed before the answer."""
+        self.is_refused = False
+        """Whether the other daemon has ended without having read the call."""
 
 
 class _Link:
@@ -183,6 +186,10 @@
 
     def _on_message(self, message: object) -> None:
         self.received_at = trio.current_time()
+        if isinstance(message, GoAway):
+            for pending in self._pending.values():
+                pending.is_refused = not pending.done.is_set()
+            raise LinkBrokenError("the other daemon has ended")
         if not isinstance(message, HopAnswer | SyncAnswer | PeerAnswer | BodyGrant):
             raise LinkBrokenError(f"unexpected message {type(message).__name__}")
         pending = self._pending.get(message.call_id)
@@ -304,6 +311,8 @@
             link.end_call(call_id)
         if isinstance(pending.answer, HopAnswer):
             return _read_result(pending.answer)
+        if pending.is_refused:
+            return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING))
         return AttemptResult(_make_lost_outcome(progress))
 
     async def synchronize(
@@ -400,7 +409,7 @@
             try:
                 stream = await open_stream(address)
                 link = _Link(FrameStream(stream, self._budget), address)
-                link.send(Hello(PROTOCOL_VERSION, self._sender))
+                link.send(Hello(PROTOCOL_VERSION, self._sender, reads_go_away=True))
             except (OSError, LinkBrokenError) as error:
                 raise DaemonUnreachableError(f"cannot connect to {address}: {error}") from error
             self._open_links[link] = None
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/link_servers.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/link_servers.py
@@ -128,17 +128,25 @@
 
 
 @asynccontextmanager
-async def open_link(address: str) -> AsyncIterator[LinkClient]:
+async def open_link(
+    address: str, *, reads_go_away: bool = True, buffer_bytes: int = 0
+) -> AsyncIterator[LinkClient]:
     """Opens a connection to a server, as another daemon does.
 
     Args:
         address: `host:port` of the server.
+        reads_go_away: Whether the daemon knows the message `GoAway`.
+        buffer_bytes: Size of the receive buffer; 0 for that of the system.
 
     Yields:
         The connection.
     """
     host, _, port = address.rpartition(":")
-    async with await trio.open_tcp_stream(host, int(port)) as stream:
+    sock = trio.socket.socket()
+    if buffer_bytes:
+        sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, buffer_bytes)
+    await sock.connect((host, int(port)))
+    async with trio.SocketStream(sock) as stream:
         client = LinkClient(stream)
-        await client.send(Hello(PROTOCOL_VERSION, "client"))
+        await client.send(Hello(PROTOCOL_VERSION, "client", reads_go_away))
         yield client
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -204,6 +204,8 @@
 
     version: int
     sender: str
+    reads_go_away: bool = False
+    """Whether the sender knows the message `GoAway`."""
 
 
 class HopCall(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -271,6 +273,10 @@
     call_id: int
 
 
+class GoAway(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Last message of a daemon that ends; calls without an answer so far will never run."""
+
+
 PeerRequest = RolloutReport | QuotaRequest | LoadRequest | DocumentRequest
 """Every request that a daemon makes to another one with a `PeerCall`."""
 PeerReply = RolloutReply | QuotaReply | LoadReply | DocumentReply
@@ -303,6 +309,7 @@
     | BodyGrant
     | PeerCall
     | PeerAnswer
+    | GoAway
 )
 """Every message that daemons send to each other."""
 
--- a/tests/services/test_link_retirement.py
+++ b/tests/services/test_link_retirement.py
@@ -16,7 +16,7 @@
 from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_testing.builders.link_servers import LinkClient, make_hop_call
 from fulmarstile_testing.builders.services import make_member
-from fulmarstile_wire.services import Hello, HopAnswer, HopCall, HopOutcome
+from fulmarstile_wire.services import GoAway, Hello, HopAnswer, HopCall, HopOutcome
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -116,6 +116,17 @@
 
         trio.run(run)
 
+    def test_a_request_that_an_ending_daemon_has_not_read_counts_as_not_run(self) -> None:
+        async def run() -> None:
+            async with open_call() as call:
+                await call.peer.send(GoAway())
+                with self.assertRaises(EOFError):
+                    await call.peer.receive()
+                await call.wait_results(1)
+                self.assertEqual(call.results[0].outcome.verdict, Verdict.NOT_RUN)
+
+        trio.run(run)
+
     def test_closing_all_connections_includes_retired_ones(self) -> None:
         async def run() -> None:
             async with open_call() as call:
