Log the forwarded requests that the end of a daemon cuts again (LOST)

The line hop_cut was never written at the end of a stop: it asked whether the end of the daemon is a finite time, and at the end the times are those that accept nothing, minus infinity.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
@@ -88,7 +88,7 @@
         try:
             result = await self._upstream.run(hop, request, deadline, useful_until, progress)
         except trio.Cancelled:
-            if math.isfinite(self.stop_times.ends_at):
+            if self.stop_times.ends_at < math.inf:
                 self._log_cut(request, progress, deadline)
             raise
         response = result.response
--- a/tests/services/test_link_server_end.py
+++ b/tests/services/test_link_server_end.py
@@ -8,11 +8,13 @@
 from typing import TYPE_CHECKING
 from unittest import mock
 
+import msgspec
 import trio
 import trio.testing
 
 from fulmarstile_daemon.services.event_log import EventLog
-from fulmarstile_daemon.services.events import Stopped
+from fulmarstile_daemon.services.events import HopCut, Stopped
+from fulmarstile_services.settings import RequiredBounds
 from fulmarstile_testing.builders.link_servers import (
     answer_call,
     make_hop_call,
@@ -21,6 +23,7 @@
     serve_links,
 )
 from fulmarstile_testing.builders.service_mesh import serve_mesh
+from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
 from fulmarstile_wire.services import (
     PROTOCOL_VERSION,
     FrameDecoder,
@@ -44,6 +47,8 @@
 
 TIMEOUT_S = 5.0
 BUFFER_BYTES = 4_096
+GRACE_S = 3.0
+HEADERS = [(b"host", b"shop.example"), (HEADER_NAMES.request_id, b"r1")]
 LARGE_BODY = b"x" * 200_000
 """Larger than the receive buffer of the other daemon, smaller than the send buffer."""
 BEGUN = b"begun"
@@ -206,6 +211,36 @@
 
         trio.run(run)
 
+    def test_a_request_whose_upstream_still_works_is_logged_and_may_have_run(self) -> None:
+        events: list[object] = []
+        write = EventLog.write
+
+        def record(log: EventLog, event: object) -> None:
+            events.append(event)
+            write(log, event)
+
+        async def run() -> None:
+            bounds = RequiredBounds(grace_s=GRACE_S)
+            async with serve_mesh("shop", bounds=bounds) as mesh:
+                node = mesh.nodes[0]
+                call = make_hop_call(1, upstream_id=node.upstream.upstream_id)
+                call = msgspec.structs.replace(call, target=b"/a?delay_ms=20000", headers=HEADERS)
+                address = node.platform.settings.listeners.daemons
+                with trio.fail_after(TIMEOUT_S):
+                    async with open_link(address) as client:
+                        await client.send(call)
+                        while not node.upstream.record.running:
+                            await trio.sleep(0.01)
+                        with mock.patch.object(EventLog, "write", record):
+                            node.stop()
+                            messages = await receive_all(client)
+                            await node.ended.wait()
+                self.assertEqual(read_verdicts(messages), {1: Verdict.MAY_HAVE_RUN})
+                cuts = [event.stage for event in events if isinstance(event, HopCut)]
+                self.assertEqual(cuts, ["begun"])
+
+        trio.run(run)
+
 
 def read_until_end(sock: socket.socket) -> list[LinkMessage]:
     """Reads messages until the end of a connection, or until it is reset."""
