Answer requests whose headers hold numbers of hundreds of digits

Callers saw: their connection closed without an answer, if they named a time limit of 309 digits or more, or if the instance named a keep-alive timeout as long; `int` or the conversion to `float` raised an error that nothing on the way to the caller handles. The instance's answer was lost with it.

Fix: numbers that long set no limit.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
@@ -22,6 +22,9 @@
 _KEEP_ALIVE_MARGIN_S: Final = 1.0
 """Time before the server's keep-alive timeout from which a connection is not reused, in seconds."""
 
+_MAX_TIMEOUT_DIGITS: Final = 9
+"""Longest keep-alive timeout that is read, in decimal digits; a longer one sets no limit."""
+
 
 class ResponseTooLargeError(ExchangeError):
     """A response exceeds the memory budget, or was aborted as the largest one when it ran out."""
@@ -160,5 +163,6 @@
                 continue
             for option in value.split(b","):
                 key, _, timeout = option.strip().partition(b"=")
-                if key.lower() == b"timeout" and timeout.isdigit():
+                is_number = timeout.isdigit() and len(timeout) <= _MAX_TIMEOUT_DIGITS
+                if key.lower() == b"timeout" and is_number:
                     self._connection.idle_limit_s = max(0.0, int(timeout) - _KEEP_ALIVE_MARGIN_S)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -45,6 +45,9 @@
 _STOPPING_RETRY_S: Final = 0.1
 """`retry-after` of a daemon that is shutting down, in seconds."""
 
+_MAX_TIME_DIGITS: Final = 15
+"""Longest time left that is read, in decimal digits; a longer one sets no limit."""
+
 
 class CallEntry:
     """Handles the requests of the callers on this VM.
@@ -191,7 +194,7 @@
             parent = None
         wait_s = route.timeout_s
         value = request.headers.get_bytes(self._names.time_left_ms)
-        if value.isdigit():
+        if value.isdigit() and len(value) <= _MAX_TIME_DIGITS:
             wait_s = min(wait_s, int(value) / 1000)
         arrived_at = request.arrived_at
         return ServiceCall(
