--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -12,6 +12,7 @@
 import trio
 
 from fulmarstile_daemon.services._caller_messages import CallerDisconnectedError, CallerResponse
+from fulmarstile_daemon.services._loop_lateness import LoopLateness
 from fulmarstile_daemon.services._request_pipeline import RequestPipeline
 from fulmarstile_daemon.services._server_connection import ServerConnection
 from fulmarstile_daemon.services.events import CallerLeft
@@ -55,6 +56,7 @@
         budget: Memory limit for messages.
         log: Log of the daemon.
         id_header: Name of the header that identifies a request in the log.
+        lateness: Measures how late the event loop is while requests are in flight.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         budget: ByteBudget,
         log: EventLog,
         id_header: bytes,
+        lateness: LoopLateness | None = None,
     ) -> None:
         self._handle = handle
         self._limits = limits
@@ -72,9 +75,12 @@
         self._budget = budget
         self._log = log
         self._id_header = id_header
+        self._lateness = lateness or LoopLateness(log)
         self._connections: dict[ServerConnection, RequestPipeline] = {}
         self._in_flight: dict[RequestScope, ServerConnection] = {}
         self._is_closing = False
+        self._accept_scope = trio.CancelScope()
+        self._has_stopped_accepting = trio.Event()
         self._expired_at = -math.inf
         self._last_request_at = -math.inf
         self._has_in_flight = trio.Event()
@@ -91,6 +97,11 @@
         """Requests that have been received in part."""
         return sum(connection.is_receiving for connection in self._connections)
 
+    @property
+    def unread(self) -> int:
+        """Connections with input that was not read."""
+        return sum(connection.has_unread for connection in self._connections)
+
     @property
     def connections(self) -> int:
         """Open connections."""
@@ -128,10 +139,16 @@
                 nursery.start_soon(self._close_idle_forever)
                 task_status.started(listener.address)
                 serve = partial(self._serve_connection, nursery, watch)
-                await accept_forever(listener, nursery, serve, self._on_exhausted)
+                with self._accept_scope:
+                    await accept_forever(listener, nursery, serve, self._on_exhausted)
+                for stream in listener.accept_pending():
+                    nursery.start_soon(self._serve_pipeline, *self._open(nursery, watch, stream))
+                listener.close()
+                self._has_stopped_accepting.set()
+                await trio.sleep_forever()
 
     def begin_closing(self) -> None:
-        """Closes every connection after the response to the last request read from it."""
+        """Closes every connection after the response to the last request that has arrived on it."""
         self._is_closing = True
         for connection in self._connections:
             connection.must_close = True
@@ -153,6 +170,20 @@
         while any(connection.is_busy for connection in self._connections):
             await trio.sleep(_POLL_INTERVAL_S)
 
+    async def finish(self) -> None:
+        """Answers all requests that have arrived, then closes the connections and accepts no more.
+
+        Returns when all connections are closed.
+        """
+        self._accept_scope.cancel()
+        await self._has_stopped_accepting.wait()
+        while self._connections:
+            self.refuse_unreceived()
+            for connection in tuple(self._connections):
+                if connection.is_reusable:
+                    connection.try_close_idle()
+            await trio.sleep(_POLL_INTERVAL_S)
+
     def refuse_unreceived(self) -> None:
         """Refuses the requests that have not been received completely, and so have not run.
 
@@ -173,10 +204,20 @@
     ) -> None:
         if len(self._connections) >= self._connection_limit:
             self._evict_idle()
+        await self._serve_pipeline(*self._open(nursery, watch, stream))
+
+    def _open(
+        self, nursery: trio.Nursery, watch: InputWatch, stream: ByteStream
+    ) -> tuple[ServerConnection, RequestPipeline]:
         connection = ServerConnection(stream, self._limits, self._budget, _make_malformed_response)
         connection.must_close = self._is_closing
         pipeline = RequestPipeline(connection, self._run, nursery, watch)
         self._connections[connection] = pipeline
+        return connection, pipeline
+
+    async def _serve_pipeline(
+        self, connection: ServerConnection, pipeline: RequestPipeline
+    ) -> None:
         try:
             await pipeline.serve()
         except CallerDisconnectedError:
@@ -203,6 +244,10 @@
         try:
             with scope.cancel_scope:
                 return await self._handle(request, scope)
+        except Exception:
+            # The caller still gets an answer, which doesn't say whether the request has run.
+            _LOGGER.exception("handling a request failed")
+            return make_error_response(HTTPStatus.INTERNAL_SERVER_ERROR, "internal error")
         finally:
             del self._in_flight[scope]
         if scope.make_response is not None:
@@ -219,7 +264,7 @@
             if not self._in_flight:
                 self._has_in_flight = trio.Event()
                 await self._has_in_flight.wait()
-            await trio.sleep(_WATCH_INTERVAL_S)
+            await self._lateness.sleep(_WATCH_INTERVAL_S)
             for scope, connection in self._in_flight.items():
                 if connection.has_ended:
                     scope.abandon()
@@ -229,14 +274,15 @@
             await trio.sleep(_IDLE_CHECK_INTERVAL_S)
             oldest = trio.current_time() - self._limits().idle_timeout_s
             for connection in list(self._connections):
-                if connection.is_idle and connection.idle_since < oldest:
-                    connection.close_now()
+                if connection.idle_since < oldest:
+                    connection.try_close_idle()
 
     def _evict_idle(self) -> None:
         """Closes the connection that has been idle longest, if any is idle."""
         idle = [connection for connection in self._connections if connection.is_idle]
-        if idle:
-            min(idle, key=lambda connection: connection.idle_since).close_now()
+        for connection in sorted(idle, key=lambda connection: connection.idle_since):
+            if connection.try_close_idle():
+                return
 
 
 def make_error_response(status: int, detail: str, retry_after_s: float = 0.0) -> CallerResponse:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -141,6 +141,37 @@
 
     lines_per_s: ClassVar[int | None] = None
     in_flight: int
+    late_ms: float = 0.0
+    """Time since SIGTERM, in milliseconds."""
+
+
+class StopPhase(LogEvent, tag="stop_phase"):
+    """The daemon enters a phase of its shutdown."""
+
+    lines_per_s: ClassVar[int | None] = None
+    phase: str
+    elapsed_ms: float
+    """Time since SIGTERM, in milliseconds."""
+    in_flight: int
+    """Requests of callers without an answer."""
+    arriving: int
+    """Requests of callers that have been received in part."""
+    connections: int
+    """Open connections of callers."""
+    hops: int
+    """Requests of other daemons without an answer, and bodies granted to them."""
+    longest_late_ms: float
+    """Largest lateness of the event loop since the start, in milliseconds."""
+    has_unsent: bool = False
+    """Whether nothing but answers to other daemons is still to be sent to them."""
+
+
+class Ended(LogEvent, tag="ended"):
+    """The event loop has ended, and the process is about to."""
+
+    lines_per_s: ClassVar[int | None] = None
+    elapsed_ms: float
+    """Time since SIGTERM, in milliseconds."""
 
 
 class Stopped(LogEvent, tag="stopped"):
@@ -151,6 +182,8 @@
     """Requests of callers and of other daemons that were not answered."""
     arriving: int = 0
     """Requests of callers that had been received in part."""
+    unread: int = 0
+    """Connections of callers with input that was not read."""
 
 
 class SettingsReloaded(LogEvent, tag="settings_reloaded"):
@@ -408,6 +441,12 @@
     for_s: float
 
 
+class LoopLate(LogEvent, tag="loop_late"):
+    """The event loop ran its tasks late, so that requests waited unread."""
+
+    late_ms: float
+
+
 class LibraryMessage(LogEvent, tag="message"):
     """A record of one of the standard loggers."""
 
