Let no error in a background task end the daemon

Callers would see: all open requests of a daemon reset at once, and connections refused until it is started again. Twelve tasks of the daemon, from the log to the reader of the configuration, run in its main nursery, where one exception that nobody expected ends the process.

An exit by an error was not seen in operation, where exit codes were not kept.

Fix: an error is logged with its trace, and the task is run again with the state that it has left. The servers for callers and daemons, the connections to daemons and roll-outs are not started again, as they hold listeners or nurseries that others use; their own tasks handle errors.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream_choice.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream_choice.py
@@ -79,7 +79,10 @@
         """Asks for the loads of other availability zones when they are needed, until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await trio.sleep_forever()
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._nursery = None
 
     def zone_shares(self) -> dict[str, dict[str, float]]:
         """Returns the share of requests that goes to each other zone, by service."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from fulmarstile_daemon.services._background_tasks import keep_running
 from fulmarstile_daemon.services._body_admission import BodyAdmission
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._byte_budget import ByteBudget
@@ -310,7 +311,7 @@
                 self._platform.open_store(self._settings.store_address) as store,
                 trio.open_nursery() as nursery,
             ):
-                nursery.start_soon(self._log.flush_forever)
+                nursery.start_soon(keep_running, self._log.flush_forever)
                 await nursery.start(self._callers.serve, listeners.callers)
                 await nursery.start(self._links.run)
                 await nursery.start(self._peers.serve, listeners.daemons)
@@ -324,21 +325,21 @@
                     )
                 )
                 await nursery.start(self._rollouts.run, store)
-                nursery.start_soon(self._document_part.run, store)
-                nursery.start_soon(self._membership.follow, store)
-                nursery.start_soon(self._membership.write_forever, store)
-                nursery.start_soon(self._gossip.run)
-                nursery.start_soon(self._upstream.tick_forever)
-                nursery.start_soon(self._entry.run_hedges)
-                nursery.start_soon(self._chooser.run)
+                nursery.start_soon(keep_running, self._document_part.run, store)
+                nursery.start_soon(keep_running, self._membership.follow, store)
+                nursery.start_soon(keep_running, self._membership.write_forever, store)
+                nursery.start_soon(keep_running, self._gossip.run)
+                nursery.start_soon(keep_running, self._upstream.tick_forever)
+                nursery.start_soon(keep_running, self._entry.run_hedges)
+                nursery.start_soon(keep_running, self._chooser.run)
                 if self._quotas is not None:
-                    nursery.start_soon(self._quotas.run, store)
-                nursery.start_soon(self._watch_settings)
-                nursery.start_soon(self._watch_suspension)
+                    nursery.start_soon(keep_running, self._quotas.run, store)
+                nursery.start_soon(keep_running, self._watch_settings)
+                nursery.start_soon(keep_running, self._watch_suspension)
                 # All objects that exist now live until the end, so collections need not scan them.
                 gc.freeze()
                 gc.set_threshold(*_COLLECTION_THRESHOLDS)
-                nursery.start_soon(self._handle_signals, signals)
+                nursery.start_soon(keep_running, self._handle_signals, signals)
                 if self._early_signals is not None and self._early_signals.wants_reload:
                     self._reload_settings()
                 await self._stop_requested.wait()
@@ -350,7 +351,7 @@
                     )
                 )
                 if self._quotas is not None:
-                    nursery.start_soon(self._quotas.release)
+                    nursery.start_soon(keep_running, self._quotas.release)
                 await self._shutdown.run(self._settings.bounds.grace_s, self._stop_requested_at)
                 # The cancellation aborts whatever is still in flight.
                 self._log.write(
