Blame no request for a crash because the daemon is at a limit

Callers saw: refusals (quarantined) of requests that had done nothing, at all daemons, and refusals of all requests at one instance for 0.5 s.

Cause: a broken exchange is followed by a test connection to the instance; any failure to open it counted as a crash, and all requests running there became suspects. While all connections of the instance are in use, the test itself exceeded the limit, as the broken connection was still counted; with no free descriptor it can't be opened either.

Fix: the broken connection is closed before the test, and a limit of the daemon itself is an error type of its own that says nothing about the instance.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -23,7 +23,7 @@
     receive_matching,
 )
 from fulmarstile_daemon.services.events import RecordIgnored, UpstreamChanged
-from fulmarstile_http.client_connection import ExchangeError
+from fulmarstile_http.client_connection import ExchangeError, LocalLimitError
 from fulmarstile_http.connection_pool import ConnectionPool, PoolSettings
 from fulmarstile_services.service_times import ServiceTimes
 from fulmarstile_services.slot_class import SlotClass
@@ -370,7 +370,8 @@
                 math.inf if hop.idempotent else _MAX_NON_IDEMPOTENT_IDLE_S
             )
         except ExchangeError as error:
-            self._mark_unreachable(str(error))
+            if not isinstance(error, LocalLimitError):
+                self._mark_unreachable(str(error))
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED))
         if not progress.try_begin():
             pool.release(connection)
@@ -387,7 +388,7 @@
         )
         started_at = trio.current_time()
         evidence = self.evidence
-        is_reusable = False
+        is_reusable = is_discarded = False
         try:
             response = await receive_matching(self._names, exchange, request)
             # A second copy of a rejection on this connection could be taken for that of a later
@@ -400,11 +401,15 @@
                 pool.report_timeout(connection)
             raise
         except ExchangeError as error:
+            # The check for a crash needs room for a connection of its own.
+            pool.discard(connection)
+            is_discarded = True
             if evidence is not None and exchange.may_have_arrived:
                 evidence.on_failed(hop.route, trio.current_time() - started_at)
             return await self._handle_broken_exchange(exchange, pool, started_at, error)
         finally:
-            _return_connection(pool, connection, is_reusable)
+            if not is_discarded:
+                _return_connection(pool, connection, is_reusable)
         elapsed_s = trio.current_time() - started_at
         if response_notices is not None and response.status != MISDIRECTED_STATUS:
             response_notices.read(response)
@@ -488,6 +493,8 @@
     """Checks whether the upstream refuses new connections."""
     try:
         connection = await pool.open()
+    except LocalLimitError:
+        return False
     except ExchangeError:
         return True
     pool.release(connection)
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -17,6 +17,8 @@
 
 READ_SIZE: Final = 64 * 1024
 """Maximum number of bytes per read."""
+OUT_OF_DESCRIPTORS: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+"""Error numbers of a process with too many files open, or too little memory."""
 _KEEPALIVE_INTERVAL_S: Final = 1
 """Idle time before the first TCP keepalive probe and time between probes, in seconds."""
 _KEEPALIVE_PROBES: Final = 2
--- a/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from fulmarstile_http.byte_stream import ByteStream, open_stream
+from fulmarstile_http.byte_stream import OUT_OF_DESCRIPTORS, ByteStream, open_stream
 from fulmarstile_http.messages import ResponseHead, encode_chunk, encode_request
 from fulmarstile_http.response_parser import MalformedResponseError, ResponseEnd, ResponseParser
 from fulmarstile_wire.errors import FulmarstileError
@@ -22,6 +22,13 @@
     """An exchange failed; its connection must be closed."""
 
 
+class LocalLimitError(ExchangeError):
+    """A connection was not opened because of a limit of this process.
+
+    It says nothing about the other side.
+    """
+
+
 class ClientConnection:
     """Connection that carries exchanges one after another.
 
@@ -239,10 +246,13 @@
         The connection.
 
     Raises:
+        LocalLimitError: If this process cannot open another connection.
         ExchangeError: If the connection cannot be opened.
     """
     try:
         stream = await open_stream(address, peer_may_read_late=peer_may_read_late)
     except OSError as error:
-        raise ExchangeError(f"cannot connect to {address}: {error}") from error
+        is_local = error.errno in OUT_OF_DESCRIPTORS
+        kind = LocalLimitError if is_local else ExchangeError
+        raise kind(f"cannot connect to {address}: {error}") from error
     return ClientConnection(stream, head_limit)
--- a/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
@@ -9,7 +9,12 @@
 
 import trio
 
-from fulmarstile_http.client_connection import ClientConnection, ExchangeError, open_connection
+from fulmarstile_http.client_connection import (
+    ClientConnection,
+    ExchangeError,
+    LocalLimitError,
+    open_connection,
+)
 
 
 class ConnectionSettings(Protocol):
@@ -40,7 +45,7 @@
     fresh_connection_s: float = 4.0
 
 
-class PoolExhaustedError(ExchangeError):
+class PoolExhaustedError(LocalLimitError):
     """The maximum number of connections to an address is open already."""
 
 
--- a/packages/fulmarstile_http/src/fulmarstile_http/listener.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/listener.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import errno
 import socket
 from contextlib import contextmanager, suppress
 from typing import TYPE_CHECKING, Final
 
 import trio
 
-from fulmarstile_http.byte_stream import ByteStream, set_socket_options
+from fulmarstile_http.byte_stream import OUT_OF_DESCRIPTORS, ByteStream, set_socket_options
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator
@@ -19,7 +18,6 @@
 """Pause before the next accept after `OutOfDescriptorsError`, in seconds."""
 _SEND_TIMEOUT_S: Final = 30.0
 """Longest time for which a client may accept no part of its response, in seconds."""
-_OUT_OF_DESCRIPTORS: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class OutOfDescriptorsError(OSError):
@@ -56,7 +54,7 @@
             try:
                 accepted, _ = self._socket.accept()
             except OSError as error:
-                if error.errno in _OUT_OF_DESCRIPTORS:
+                if error.errno in OUT_OF_DESCRIPTORS:
                     raise OutOfDescriptorsError(error.errno, "cannot accept") from error
                 continue
             accepted.setblocking(False)
