Keep answers for callers that don't read only while there is memory

Since the kernel breaks no connection to a caller that reads late (30 s in place of 2 s), callers that never read could hold their answers in memory for that long, beyond the limit: complete answers are held whatever the limit. While more than half of the memory for messages is in use, such a caller has 2 s again, as before.

Evidence: the new test in test_late_readers fails without it (16 MB are still held after 4 s).

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
@@ -11,6 +11,9 @@
 _MESSAGE_SHARE: Final = 0.5
 """Maximum share of the budget for a single message, and for all callers' requests together."""
 
+_SCARCE_SHARE: Final = 0.5
+"""Share of the budget in use above which memory is scarce."""
+
 
 class Allocation:
     """Memory accounted to one message.
@@ -73,6 +76,11 @@
         """Bytes in use."""
         return self._used_bytes
 
+    @property
+    def is_scarce(self) -> bool:
+        """Whether so much memory is in use that messages should not wait long to be sent."""
+        return self._used_bytes > self._limit * _SCARCE_SHARE
+
     @property
     def message_limit(self) -> int:
         """Maximum size of one message in bytes."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -48,6 +48,7 @@
     ) -> None:
         self._budget = budget
         self._stream = stream
+        stream.may_stall = lambda: not budget.is_scarce
         self._make_error = make_error
         self._reader = RequestReader(stream, limits, budget)
         self._unanswered = 0
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -25,6 +25,9 @@
 """Unanswered keepalive probes after which the kernel breaks the connection."""
 _USER_TIMEOUT_MS: Final = 2_000
 """Time after which the kernel breaks a connection with unacknowledged data, in milliseconds."""
+_STALL_CHECK_INTERVAL_S: Final = 0.5
+_SHORT_SEND_TIMEOUT_S: Final = 2.0
+"""Time for which the other side may accept nothing while memory is scarce, in seconds."""
 _LINGER_S: Final = 1.0
 """Longest time for which input is discarded before a close, in seconds."""
 _LINGER_BYTES: Final = 1024 * 1024
@@ -49,6 +52,8 @@
     def __init__(self, sock: socket.socket, send_timeout_s: float = math.inf) -> None:
         self._socket = sock
         self._send_timeout_s = send_timeout_s
+        self.may_stall: Callable[[], bool] = lambda: True
+        """Returns whether there is memory for what waits longer than 2 s to be sent."""
         self.sent_bytes = 0
         """Bytes handed to the kernel since the stream was opened."""
 
@@ -193,11 +198,15 @@
             raise OSError(errno.EBADF, "the stream was closed during the wait") from error
 
     async def _wait_to_send(self) -> None:
-        try:
-            with trio.fail_after(self._send_timeout_s):
+        started_at = trio.current_time()
+        while True:
+            with trio.move_on_after(min(_STALL_CHECK_INTERVAL_S, self._send_timeout_s)):
                 await self._wait(trio.lowlevel.wait_writable)
-        except trio.TooSlowError as error:
-            raise OSError(errno.ETIMEDOUT, "the other side does not read") from error
+                return
+            stalled_s = trio.current_time() - started_at
+            is_needed = stalled_s >= _SHORT_SEND_TIMEOUT_S and not self.may_stall()
+            if is_needed or stalled_s >= self._send_timeout_s:
+                raise OSError(errno.ETIMEDOUT, "the other side does not read")
 
     def abort(self) -> None:
         """Resets the connection, so that the other side sees an error instead of a normal end."""
--- a/tests/services/test_byte_budget.py
+++ b/tests/services/test_byte_budget.py
@@ -47,6 +47,14 @@
             self.assertEqual(self.budget.used_bytes, 2 * LIMIT)
         self.assertEqual(self.budget.used_bytes, 0)
 
+    def test_memory_is_scarce_while_answers_hold_more_than_half_of_it(self) -> None:
+        with self.budget.allocate() as allocation:
+            allocation.grow(LIMIT // 2)
+            self.assertFalse(self.budget.is_scarce)
+            allocation.grow(1)
+            self.assertTrue(self.budget.is_scarce)
+        self.assertFalse(self.budget.is_scarce)
+
     def test_memory_returned_after_the_release_is_not_counted_twice(self) -> None:
         allocation = self.open("ended", 300)
         self.budget.release(allocation)
--- a/tests/services/test_late_readers.py
+++ b/tests/services/test_late_readers.py
@@ -10,6 +10,7 @@
 import trio
 
 from fulmarstile_daemon.services._attempt_progress import AttemptProgress
+from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
 from fulmarstile_http import listener
 from fulmarstile_http.headers import MessageHeaders
@@ -89,19 +90,21 @@
                 with trio.fail_at(deadline):
                     result = await local.run(HOP, request, deadline, deadline, AttemptProgress())
                 nursery.cancel_scope.cancel()
+            local.close_idle_connections()
             self.assertIsNotNone(result.response, result.outcome)
 
         trio.run(run)
 
-    @mock.patch.object(listener, "_SEND_TIMEOUT_S", 0.3, create=True)
-    def test_the_answer_to_a_caller_that_never_reads_does_not_stay_in_memory(self) -> None:
+    def check_memory_is_freed(self, timeout_s: float) -> None:
+        """Checks that the answer to a caller that never reads doesn't stay in memory."""
+
         async def run() -> None:
             async with serve_mesh("shop") as mesh:
                 node = mesh.nodes[0]
                 async with await connect_with_small_buffer(node) as client:
                     await client.send(f"/a?size={LARGE_BODY_BYTES}")
                     budget = node.daemon.byte_budget
-                    with trio.fail_after(5.0):
+                    with trio.fail_after(timeout_s):
                         while budget.used_bytes < LARGE_BODY_BYTES:
                             await trio.sleep(0.01)
                         while budget.used_bytes:
@@ -109,6 +112,14 @@
 
         trio.run(run)
 
+    @mock.patch.object(listener, "_SEND_TIMEOUT_S", 0.3, create=True)
+    def test_the_answer_to_a_caller_that_never_reads_is_dropped_in_the_end(self) -> None:
+        self.check_memory_is_freed(timeout_s=2.0)
+
+    @mock.patch.object(ByteBudget, "is_scarce", True, create=True)
+    def test_it_is_dropped_sooner_while_memory_is_scarce(self) -> None:
+        self.check_memory_is_freed(timeout_s=4.0)
+
 
 if __name__ == "__main__":
     unittest.main()
