Let no error in the periodic tasks for callers end the daemon

The watch for input, the check for callers that have left and the one for idle connections run in the nursery of the server for callers, so that an error in one of them ended the daemon, too. They are run again now, as the other background tasks. Evidence: test_failing_tasks, extended by these three, fails before for each of them.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -11,6 +11,7 @@
 import msgspec
 import trio
 
+from fulmarstile_daemon.services._background_tasks import keep_running
 from fulmarstile_daemon.services._caller_messages import CallerDisconnectedError, CallerResponse
 from fulmarstile_daemon.services._loop_lateness import LoopLateness
 from fulmarstile_daemon.services._request_pipeline import RequestPipeline
@@ -134,9 +135,9 @@
         """
         with listen(address, peer_may_read_late=True) as listener, open_input_watch() as watch:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(watch.run)
-                nursery.start_soon(self._watch_callers)
-                nursery.start_soon(self._close_idle_forever)
+                nursery.start_soon(keep_running, watch.run)
+                nursery.start_soon(keep_running, self._watch_callers)
+                nursery.start_soon(keep_running, self._close_idle_forever)
                 task_status.started(listener.address)
                 serve = partial(self._serve_connection, nursery, watch)
                 with self._accept_scope:
--- a/tests/services/test_failing_tasks.py
+++ b/tests/services/test_failing_tasks.py
@@ -9,6 +9,7 @@
 import trio
 
 from fulmarstile_daemon.services._document_part import DocumentPart
+from fulmarstile_daemon.services._request_server import RequestServer
 from fulmarstile_daemon.services._slots import Slots
 from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
 from fulmarstile_daemon.services.daemon import ServiceDaemon
@@ -17,6 +18,7 @@
 from fulmarstile_daemon.services.gossip import Gossip
 from fulmarstile_daemon.services.membership import Membership
 from fulmarstile_daemon.services.quotas import Quotas
+from fulmarstile_http.input_watch import InputWatch
 from fulmarstile_services.settings import QuotaBounds, RequiredBounds
 from fulmarstile_testing.builders.service_mesh import serve_mesh
 
@@ -33,6 +35,9 @@
     (CallEntry, "run_hedges"),
     (UpstreamChooser, "run"),
     (Quotas, "run"),
+    (InputWatch, "run"),
+    (RequestServer, "_watch_callers"),
+    (RequestServer, "_close_idle_forever"),
     (ServiceDaemon, "_watch_settings"),
     (ServiceDaemon, "_watch_suspension"),
     (ServiceDaemon, "_handle_signals"),
