Let no log line fail what logs it

A text that is no valid Unicode (UnicodeEncodeError in the encoder), or a message of a library whose arguments don't fit it (TypeError), raised its error in the code that logs: a request's, whose connection then closed without an answer, or a background task's. A line that names the kind and the error takes its place now. Evidence: the two new tests in test_event_log fail before. Not seen in operation.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
@@ -26,6 +26,11 @@
     count: int
 
 
+class _LineFailed(msgspec.Struct, tag_field="event", tag="line_failed"):
+    kind: str
+    reason: str
+
+
 class EventLog:
     """Writes one JSON line for each event to standard output.
 
@@ -45,7 +50,7 @@
         """Lines dropped since the start."""
 
     def write(self, event: LogEvent) -> None:
-        """Writes an event, unless the rate limit of its type is exceeded.
+        """Writes an event, unless the rate limit of its type is exceeded; raises no error.
 
         Args:
             event: The event.
@@ -57,7 +62,7 @@
         count = self._counts[kind] = self._counts.get(kind, 0) + 1
         if kind.lines_per_s is not None and count > kind.lines_per_s:
             return
-        self._add(self._encoder.encode(event))
+        self._add(self._encode(event))
 
     def capture_logging(self) -> None:
         """Redirects the records of the standard loggers to this log."""
@@ -100,6 +105,13 @@
         self._unwritten = b""
         self._lines.clear()
 
+    def _encode(self, event: LogEvent) -> bytes:
+        try:
+            return self._encoder.encode(event)
+        except Exception as error:
+            # For example a text of a library that is no valid Unicode.
+            return self._encoder.encode(_LineFailed(type(event).__name__, ascii(error)))
+
     def _start_window(self, now: float) -> None:
         self._window_end = now + 1.0
         counts, self._counts = self._counts, {}
@@ -127,4 +139,8 @@
         self._log = log
 
     def emit(self, record: logging.LogRecord) -> None:
-        self._log.write(LibraryMessage(level=record.levelname, text=self.format(record)))
+        try:
+            text = self.format(record)
+        except Exception as error:
+            text = f"{record.msg!r} cannot be formatted: {error}"
+        self._log.write(LibraryMessage(level=record.levelname, text=text))
--- a/tests/services/test_event_log.py
+++ b/tests/services/test_event_log.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import json
+import logging
 import tempfile
 import unittest
 from unittest import mock
 
 from fulmarstile_daemon.services import event_log
 from fulmarstile_daemon.services.event_log import EventLog
-from fulmarstile_daemon.services.events import CallEnded, CallServed
+from fulmarstile_daemon.services.events import CallEnded, CallServed, LibraryMessage
 
 
 def make_event(kind: type[CallEnded], number: int, status: int) -> CallEnded:
@@ -50,3 +51,23 @@
         left_out = sum(line.get("count", 0) for line in lines)
         self.assertEqual(served - 1, CallServed.lines_per_s)
         self.assertEqual(served + left_out, 1001)
+
+    def test_an_event_that_cannot_be_encoded_does_not_fail_what_logs_it(self) -> None:
+        log = EventLog("d-1")
+        log.write(LibraryMessage(level="INFO", text="\udcff"))
+        (line,) = self.flush(log)
+        self.assertEqual((line["event"], line["kind"]), ("line_failed", "LibraryMessage"))
+
+    def test_a_malformed_message_of_a_library_does_not_fail_what_logs_it(self) -> None:
+        log = EventLog("d-1")
+        record = logging.makeLogRecord({"msg": "%s %s", "args": (1,), "levelname": "INFO"})
+        event_log._LogHandler(log).emit(record)
+        (line,) = self.flush(log)
+        self.assertIn("%s %s", line["text"])
+
+    def flush(self, log: EventLog) -> list[dict[str, object]]:
+        """Returns the lines that are written."""
+        with tempfile.TemporaryFile("w+") as file, mock.patch("sys.stdout", file):
+            log.flush()
+            file.seek(0)
+            return [json.loads(line) for line in file]
