Close no connection of a probe on which a request has arrived for a new one

The server of probes and announcements makes room for a new connection by closing the one that has been idle longest, and went by what it had read: a request that had arrived was reset.

--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+import select
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -143,8 +144,10 @@
 
 def _close_longest_idle(connections: set[_Connection]) -> None:
     idle = [connection for connection in connections if connection.idle_since is not None]
-    if idle:
-        min(idle, key=lambda connection: connection.idle_since or 0.0).close()
+    for connection in sorted(idle, key=lambda connection: connection.idle_since or 0.0):
+        if not connection.has_unread:
+            connection.close()
+            return
 
 
 class _Connection:
@@ -161,6 +164,13 @@
         self.idle_since: float | None = trio.current_time()
         """Time since which the head of a request is awaited, in seconds; None if none is."""
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether input, or the end of the connection, waits to be read."""
+        poll = select.poll()
+        poll.register(self._stream.socket, select.POLLIN)
+        return bool(poll.poll(0))
+
     def close(self) -> None:
         """Closes the connection at once."""
         self.idle_since = None
