--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -60,6 +60,8 @@
         """Last valid `Fulmarstile-Hop` header on this connection; spares checking it again."""
         self.must_close = False
         """Whether to close the connection after the next answer."""
+        self.is_draining = False
+        """Whether to close the connection after the answer to the last request that arrived."""
         self.scope = trio.CancelScope()
         """Cancel scope of the task that serves the connection."""
         self.call: Call | None = None
@@ -82,6 +84,14 @@
         """Whether a request head has arrived in part, or an accepted call is not finished."""
         return self.has_partial_head or self.call is not None
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether more has arrived than was read or parsed, perhaps the end of the connection."""
+        stream = self._stream
+        if self._http.trailing_data[0]:
+            return True
+        return not (stream.is_closed or stream.is_open_without_input)
+
     @property
     def is_answered(self) -> bool:
         """Whether the answer to the last request was fully written."""
@@ -204,7 +214,8 @@
             CallerDisconnectedError: If the caller disconnected.
         """
         http = self._http
-        if self.must_close or http.their_state is h11.SEND_BODY:
+        closes = self.must_close or (self.is_draining and not self.has_unread)
+        if closes or http.their_state is h11.SEND_BODY:
             headers = [*headers, (b"connection", b"close")]
         data = http.send(h11.Response(status_code=status, headers=make_h11_headers(headers)))
         if body:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -194,7 +194,7 @@
         now = trio.current_time()
         self._drain.begin(now)
         for caller in self._connections:
-            caller.must_close = True
+            caller.is_draining = True
         self._advance_drain(now)
 
     async def wait_drained(self) -> None:
@@ -275,13 +275,13 @@
     def _close_idle(self, oldest: float) -> None:
         """Closes the connections that have been idle since before a time."""
         for caller in self._connections:
-            if caller.is_idle and caller.idle_since < oldest:
+            if caller.is_idle and caller.idle_since < oldest and not caller.has_unread:
                 caller.scope.cancel()
 
     def _evict_idle(self) -> bool:
         """Closes the oldest idle connection; returns whether there was one."""
         for caller in self._connections:
-            if caller.is_idle:
+            if caller.is_idle and not caller.has_unread:
                 self._counters.connections_evicted += 1
                 caller.scope.cancel()
                 return True
@@ -300,7 +300,7 @@
 
     async def _serve_connection(self, stream: ByteStream) -> None:
         caller = CallerConnection(stream, self._settings)
-        caller.must_close = self.is_draining
+        caller.is_draining = self.is_draining
         self._connections[caller] = None
         try:
             with caller.scope:
