--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 	$(foreach name,$(ADAPTER_PACKAGES),-e platform/fulmarstile_$(name))
 SEEDS ?= 200
 SEED ?= 1
+TROUBLE ?= all
 TEST_JOBS ?= 4
 
-.PHONY: setup test lint format demo demo-platform soak soak-returns scenarios bench-config bench-calls plots clean
+.PHONY: setup test lint format demo demo-platform soak soak-lost soak-returns scenarios bench-config bench-calls plots clean
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml platform/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -40,6 +41,9 @@
 soak: setup
 	$(VENV)/bin/python -m fulmarstile_adapter_testing.soak --seed=$(SEED)
 
+soak-lost: setup
+	$(VENV)/bin/python -m fulmarstile_adapter_testing.soak_lost --seed=$(SEED) --trouble=$(TROUBLE)
+
 soak-returns: setup
 	$(VENV)/bin/python -m fulmarstile_adapter_testing.soak_returns --seed=$(SEED)
 
