--- /dev/null
+++ b/tests/processes/test_soak_lost.py
@@ -0,0 +1,96 @@
+"""A short soak of rule LOST: real daemons are stopped while callers send requests."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import trio
+
+from fulmarstile_adapter_testing.lost_rules import (
+    APART,
+    BEHIND_WRITE,
+    OWN_ANSWER,
+    STEADY,
+    FaultHistory,
+    SentRequest,
+    UpstreamRun,
+    classify,
+)
+from fulmarstile_adapter_testing.soak_lost import TROUBLES, run_soak
+
+SECONDS = 6.0
+TERM_AT = 10.0
+
+
+def make_request(sent_at: float, ended_at: float, **values: object) -> SentRequest:
+    request = SentRequest("1", "vm-1", "search", "0.0#1", sent_at, 12.0, sent_at, ended_at)
+    for name, value in values.items():
+        setattr(request, name, value)
+    return request
+
+
+def make_history() -> FaultHistory:
+    """Makes the history of a VM that gets SIGTERM."""
+    history = FaultHistory()
+    history.terms["vm-1"].append(TERM_AT)
+    return history
+
+
+def make_run(begun_at: float, ended_at: float, **values: object) -> UpstreamRun:
+    return UpstreamRun("vm-2", begun_at, ended_at, work_s=9.0, **values)
+
+
+class LostSoakTest(unittest.TestCase):
+    def check_nothing_is_lost(self, trouble: str) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            report = trio.run(run_soak, 1, TROUBLES[trouble], SECONDS, Path(folder))
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.statuses["200"], 0)
+        self.assertGreater(report.faults["stops"], 0)
+
+    def test_large_answers_that_are_read_late_arrive_whole_beside_stops(self) -> None:
+        self.check_nothing_is_lost("late")
+
+    def test_requests_are_answered_beside_stops_configurations_and_reloads(self) -> None:
+        self.check_nothing_is_lost("storm")
+
+
+class LostRulesTest(unittest.TestCase):
+    def test_a_request_that_was_passed_on_is_lost_without_an_answer(self) -> None:
+        runs = [make_run(11.0, 11.1)]
+        self.assertEqual(classify(make_request(11.0, 11.1), runs, make_history()), "SIGTERM")
+        self.assertEqual(classify(make_request(11.0, 11.1), runs, FaultHistory()), STEADY)
+
+    def test_a_request_that_crosses_a_close_is_not_lost(self) -> None:
+        self.assertEqual(classify(make_request(11.0, 11.1), [], make_history()), "")
+
+    def test_a_request_that_was_sent_0_2_s_before_the_close_is_lost(self) -> None:
+        self.assertEqual(classify(make_request(11.0, 11.3), [], make_history()), "SIGTERM")
+
+    def test_a_request_that_was_written_behind_another_is_lost_if_it_was_passed_on(self) -> None:
+        request = make_request(11.0, 11.3, behind=BEHIND_WRITE)
+        self.assertIn(APART, classify(request, [], make_history()))
+        self.assertEqual(
+            classify(request, [make_run(11.1, 11.2)], make_history()), f"{BEHIND_WRITE}, SIGTERM"
+        )
+
+    def test_an_answer_of_the_daemon_while_the_upstream_works_is_lost(self) -> None:
+        request = make_request(9.0, 14.0, status=502)
+        self.assertEqual(classify(request, [make_run(9.0, 14.0)], make_history()), OWN_ANSWER)
+
+    def test_an_upstream_at_work_in_the_last_sixth_excuses_a_request_of_the_first_3_s(self) -> None:
+        runs = [make_run(9.0, 15.2, was_cut=True)]
+        request = make_request(12.9, 15.2, status=502)
+        self.assertIn(APART, classify(request, runs, make_history()))
+        request = make_request(13.1, 15.2, status=502)
+        self.assertEqual(classify(request, runs, make_history()), OWN_ANSWER)
+
+    def test_a_signed_answer_is_not_lost(self) -> None:
+        request = make_request(11.0, 11.3, status=500, is_signed=True)
+        self.assertEqual(classify(request, [make_run(11.0, 12.0)], make_history()), "")
+
+
+if __name__ == "__main__":
+    unittest.main()
