--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -292,7 +292,8 @@
             runs = [
                 run
                 for run in self._runs
-                if not run.is_killed and trio.current_time() < run.stopped_at + moves_after_s
+                if not (run.is_killed or run.node.ended.is_set())
+                and trio.current_time() < run.stopped_at + moves_after_s
             ]
             if not runs:
                 continue
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+import errno
+import math
 import random
 import socket
 import time
@@ -16,7 +18,7 @@
 import trio
 from trio._core import _run as trio_scheduler
 
-from fulmarstile_http.byte_stream import ByteStream, open_stream, set_socket_options
+from fulmarstile_http.byte_stream import ByteStream
 from fulmarstile_testing.free_ports import find_free_ports
 
 if TYPE_CHECKING:
@@ -54,6 +56,7 @@
         self._bytes_per_s = bytes_per_s
         self._silent_until: dict[tuple[str, str], float] = {}
         self._open: list[_Link] = []
+        self._listeners: dict[str, _LinkListener] = {}
         self.names: dict[str, str] = {}
         """Names of the daemons by their address for other daemons."""
 
@@ -73,13 +76,26 @@
         await trio.sleep(2 * latency_s)
         while self.is_silent(ends) or self.is_silent(ends[::-1]):
             await trio.sleep(_POLL_S)
-        far = await open_stream(address)
+        listener = self._listeners.get(address)
+        if listener is None:
+            raise ConnectionRefusedError(errno.ECONNREFUSED, "no daemon listens there")
         near, inner = _make_pair()
+        far, outer = _make_pair()
+        listener.offer(outer)
         link = _Link(self, ends, inner, far, latency_s)
         self._open.append(link)
         self._nursery.start_soon(link.run)
         return near
 
+    @contextlib.contextmanager
+    def listen(self, address: str) -> Iterator[_LinkListener]:
+        """Replaces `listen` for the connections from other daemons."""
+        listener = self._listeners[address] = _LinkListener(address)
+        try:
+            yield listener
+        finally:
+            del self._listeners[address]
+
     def is_silent(self, direction: tuple[str, str]) -> bool:
         """Returns whether nothing arrives in a direction at present."""
         return trio.current_time() < self._silent_until.get(direction, 0.0)
@@ -174,20 +190,28 @@
 
 
 def _make_pair() -> tuple[ByteStream, ByteStream]:
-    """Makes the two ends of a connection over loopback."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        near = socket.socket()
-        for sock in (server, near):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SMALL_BUFFER_BYTES)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES)
-        near.connect(server.getsockname())
-        inner, _ = server.accept()
+    """Makes the two ends of a connection, between which bytes arrive at once."""
+    near, inner = socket.socketpair()
     for sock in (near, inner):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SMALL_BUFFER_BYTES)
         sock.setblocking(False)
-        set_socket_options(sock)
     return ByteStream(near), ByteStream(inner)
 
 
+class _LinkListener:
+    """Takes the far ends of the connections to one daemon."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._sender, self._receiver = trio.open_memory_channel[ByteStream](math.inf)
+
+    async def accept(self) -> ByteStream:
+        return await self._receiver.receive()
+
+    def offer(self, stream: ByteStream) -> None:
+        self._sender.send_nowait(stream)
+
+
 @contextlib.contextmanager
 def _receive_no_signals(*_: int, **__: object) -> Iterator[AsyncIterator[int]]:
     sender, receiver = trio.open_memory_channel[int](0)
@@ -240,6 +264,7 @@
         mock.patch.object(random, "Random", lambda: make_generator(rng.random())),
         mock.patch(f"{daemon}.gc", SimpleNamespace(freeze=bool, set_threshold=lambda *_: None)),
         mock.patch("fulmarstile_daemon.services._links.open_stream", links.open_stream),
+        mock.patch("fulmarstile_daemon.services._link_server.listen", links.listen),
         mock.patch(
             "fulmarstile_testing.builders.service_mesh.find_free_ports", partial(islice, ports)
         ),
