--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/callers.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/callers.py
@@ -84,6 +84,11 @@
         self.is_open = True
         """Whether another request may be sent."""
 
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the daemon has not closed the connection as far as the caller can see."""
+        return self.is_open and self._stream.is_open_without_input
+
     @classmethod
     async def open(cls, entry: DaemonRun) -> CallerConnection | None:
         """Connects to a daemon; returns None if it accepts no connection."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -307,6 +307,9 @@
     async def _connect(
         self, run: DaemonRun, connections: list[CallerConnection]
     ) -> CallerConnection | None:
+        for each in connections:
+            if not each.is_reusable:
+                each.close()
         connections[:] = [each for each in connections if each.is_open]
         kept = [each for each in connections if each.entry is run]
         if kept and self._rng.random() < 0.8:
