--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -292,7 +292,8 @@
             runs = [
                 run
                 for run in self._runs
-                if not run.is_killed and trio.current_time() < run.stopped_at + moves_after_s
+                if not (run.is_killed or run.node.ended.is_set())
+                and trio.current_time() < run.stopped_at + moves_after_s
             ]
             if not runs:
                 continue
@@ -306,6 +307,9 @@
     async def _connect(
         self, run: DaemonRun, connections: list[CallerConnection]
     ) -> CallerConnection | None:
+        for each in connections:
+            if not each.is_reusable:
+                each.close()
         connections[:] = [each for each in connections if each.is_open]
         kept = [each for each in connections if each.entry is run]
         if kept and self._rng.random() < 0.8:
