--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
@@ -77,7 +77,7 @@
         while self.is_silent(ends) or self.is_silent(ends[::-1]):
             await trio.sleep(_POLL_S)
         listener = self._listeners.get(address)
-        if listener is None:
+        if listener is None or listener.is_closed:
             raise ConnectionRefusedError(errno.ECONNREFUSED, "no daemon listens there")
         near, inner = _make_pair()
         far, outer = _make_pair()
@@ -204,6 +204,17 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self._sender, self._receiver = trio.open_memory_channel[ByteStream](math.inf)
+        self.is_closed = False
+
+    def accept_pending(self) -> list[ByteStream]:
+        streams = []
+        with contextlib.suppress(trio.WouldBlock):
+            while True:
+                streams.append(self._receiver.receive_nowait())
+        return streams
+
+    def close(self) -> None:
+        self.is_closed = True
 
     async def accept(self) -> ByteStream:
         return await self._receiver.receive()
