--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -86,11 +86,8 @@
 
     @property
     def has_unread(self) -> bool:
-        """Whether more has arrived than was read or parsed, perhaps the end of the connection."""
-        stream = self._stream
-        if self._http.trailing_data[0]:
-            return True
-        return not (stream.is_closed or stream.is_open_without_input)
+        """Whether more has arrived than was read, perhaps the end of the connection."""
+        return not (self._stream.is_closed or self._stream.is_open_without_input)
 
     @property
     def is_answered(self) -> bool:
@@ -214,7 +211,9 @@
             CallerDisconnectedError: If the caller disconnected.
         """
         http = self._http
-        closes = self.must_close or (self.is_draining and not self.has_unread)
+        closes = self.must_close
+        if self.is_draining and not http.trailing_data[0]:
+            closes |= not self.has_unread
         if closes or http.their_state is h11.SEND_BODY:
             headers = [*headers, (b"connection", b"close")]
         data = http.send(h11.Response(status_code=status, headers=make_h11_headers(headers)))
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -50,6 +50,8 @@
 """Delay after which to retry at another daemon than the stopped one, in seconds."""
 _ACCEPT_RETRY_S: Final = 0.05
 """Delay before accepting again when the process is out of file descriptors, in seconds."""
+_EVICTION_RETRY_S: Final = 0.02
+"""Time in which input that has arrived is read, in seconds."""
 
 
 class CallProxy:
@@ -261,7 +263,7 @@
         self._counters.connections += 1
         is_full = len(self._connections) >= self._settings.connection_limit
         if is_full and not self._evict_idle():
-            nursery.start_soon(self._refuse_connection, stream)
+            nursery.start_soon(self._evict_or_refuse, stream)
         else:
             nursery.start_soon(self._serve_connection, stream)
 
@@ -287,6 +289,14 @@
                 return True
         return False
 
+    async def _evict_or_refuse(self, stream: ByteStream) -> None:
+        """Serves a connection if another one proves idle once its input is read, or refuses it."""
+        await trio.sleep(_EVICTION_RETRY_S)
+        if self._evict_idle():
+            await self._serve_connection(stream)
+        else:
+            await self._refuse_connection(stream)
+
     async def _refuse_connection(self, stream: ByteStream) -> None:
         """Refuses the first request on a connection beyond the connection limit."""
         caller = CallerConnection(stream, self._settings)
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
@@ -42,6 +42,9 @@
 A further one takes the place of the one that has waited longest for its next request, or waits.
 """
 
+_EVICTION_RETRY_S: Final = 0.05
+"""Interval at which a connection beyond the maximum looks for an idle one, in seconds."""
+
 JSON_TYPE: Final = "application/json"
 """Media type of JSON bodies."""
 
@@ -129,8 +132,8 @@
     connections: set[_Connection] = set()
 
     async def serve_connection(stream: trio.SocketStream) -> None:
-        if not limiter.available_tokens:
-            _close_longest_idle(connections)
+        while not limiter.available_tokens and not _close_longest_idle(connections):
+            await trio.sleep(_EVICTION_RETRY_S)
         async with limiter:
             connection = _Connection(stream, handler, max_body_bytes)
             connections.add(connection)
@@ -142,12 +145,14 @@
     await trio.serve_listeners(serve_connection, listeners)
 
 
-def _close_longest_idle(connections: set[_Connection]) -> None:
+def _close_longest_idle(connections: set[_Connection]) -> bool:
+    """Closes the connection that has been idle longest; returns whether there was one."""
     idle = [connection for connection in connections if connection.idle_since is not None]
     for connection in sorted(idle, key=lambda connection: connection.idle_since or 0.0):
         if not connection.has_unread:
             connection.close()
-            return
+            return True
+    return False
 
 
 class _Connection:
--- a/tests/platform/test_http_server_eviction.py
+++ b/tests/platform/test_http_server_eviction.py
@@ -44,9 +44,9 @@
                     kept.sendall(REQUEST)
                     self.assertIn(b" 200 ", await trio.to_thread.run_sync(read, kept))
 
-                    def arrive_and_close(connections: set[http_server._Connection]) -> None:
+                    def arrive_and_close(connections: set[http_server._Connection]) -> bool:
                         kept.sendall(REQUEST)
-                        close_longest_idle(connections)
+                        return close_longest_idle(connections)
 
                     with (
                         mock.patch.object(http_server, "_close_longest_idle", arrive_and_close),
