Name the times of a shutdown, and what is not sent, for what they are

Names and docstrings that the review stumbled on. The stand-in of the server for daemons in test_stopping_suspended gets the call that the end of a stop makes since; without it both tests ended with a TypeError.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -95,7 +95,7 @@
         self._log = log
         self._clock = clock
         self._requested_at = 0.0
-        self._boot_times = StopTimes()
+        self._times_by_boot_clock = StopTimes()
         self._phase = trio.CancelScope()
         self._phase_ends_at = 0.0
 
@@ -108,20 +108,22 @@
         """
         self._requested_at = requested_at
         ends_at = requested_at + grace_s - _GRACE_MARGIN_S
-        self._boot_times = StopTimes(
+        self._times_by_boot_clock = StopTimes(
             accepts_until=requested_at + min(grace_s * _ACCEPT_SHARE, _MAX_ACCEPT_S),
             ends_at=ends_at,
             accepts_nested_until=requested_at
             + min(grace_s * _NESTED_ACCEPT_SHARE, _MAX_NESTED_ACCEPT_S),
         )
         async with trio.open_nursery() as nursery:
-            self._apply_boot_times()
+            self._apply_times()
             nursery.start_soon(self._follow_boot_clock)
             self._callers.begin_closing()
             await self._run_until(ends_at - _DRAIN_S, self._serve_callers)
-            accepts_until = min(self._boot_times.accepts_until, self._clock())
-            self._boot_times = replace(self._boot_times, accepts_until=accepts_until)
-            self._apply_boot_times()
+            accepts_until = min(self._times_by_boot_clock.accepts_until, self._clock())
+            self._times_by_boot_clock = replace(
+                self._times_by_boot_clock, accepts_until=accepts_until
+            )
+            self._apply_times()
             await self._run_until(ends_at, self._drain)
             nursery.cancel_scope.cancel()
         await self._answer_remaining()
@@ -136,11 +138,11 @@
         """Moves all times ahead while the VM is suspended, which the loop's clock leaves out."""
         while True:
             await trio.sleep(_CLOCK_CHECK_S)
-            self._apply_boot_times()
+            self._apply_times()
             self._phase.deadline = self._to_loop_time(self._phase_ends_at)
 
-    def _apply_boot_times(self) -> None:
-        times = self._boot_times
+    def _apply_times(self) -> None:
+        times = self._times_by_boot_clock
         self._set_stop_times(
             StopTimes(
                 self._to_loop_time(times.accepts_until),
@@ -149,8 +151,9 @@
             )
         )
 
-    def _to_loop_time(self, boot_time: float) -> float:
-        return trio.current_time() + boot_time - self._clock()
+    def _to_loop_time(self, at: float) -> float:
+        """Converts a time of the boot clock to one of the event loop's clock."""
+        return trio.current_time() + at - self._clock()
 
     def _set_stop_times(self, stop_times: StopTimes) -> None:
         self._entry.stop_times = self._hops.stop_times = stop_times
@@ -198,7 +201,7 @@
                 arriving=self._callers.arriving,
                 connections=self._callers.connections,
                 hops=self._peers.in_flight,
-                has_unsent=not self._peers.in_flight and not self._peers.is_quiet,
+                has_unsent=self._peers.has_unsent,
                 longest_late_ms=round(self._lateness.longest_s * 1000, 1),
             )
         )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -104,9 +104,12 @@
     @property
     def is_quiet(self) -> bool:
         """Whether nothing is in flight and all answers have arrived."""
-        if self.in_flight:
-            return False
-        return not any(link.frames.has_unacknowledged for link in self._connections)
+        return not (self.in_flight or self.has_unsent)
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether another daemon's kernel has not confirmed all that was sent to it."""
+        return any(link.frames.has_unacknowledged for link in self._connections)
 
     def refuse_bodies(self) -> None:
         """Refuses the large bodies that wait for a grant, and all later ones."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -66,7 +66,7 @@
         self.is_reusable = True
         """Whether the connection may receive another request."""
         self.must_close = False
-        """Whether the response to the last request that was read is the last one."""
+        """Whether the response to the last request that has arrived is the last one."""
 
     @property
     def is_receiving(self) -> bool:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -163,7 +163,7 @@
     longest_late_ms: float
     """Largest lateness of the event loop since the start, in milliseconds."""
     has_unsent: bool = False
-    """Whether nothing but answers to other daemons is still to be sent to them."""
+    """Whether messages to other daemons have not arrived there."""
 
 
 class Ended(LogEvent, tag="ended"):
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -218,7 +218,7 @@
 
 
 def set_socket_options(sock: socket.socket, *, peer_may_read_late: bool = False) -> None:
-    """Disables Nagle's algorithm and makes the kernel break connections to a silent peer.
+    """Disables Nagle's algorithm and makes the kernel break connections to a peer that is gone.
 
     Args:
         sock: TCP socket; connections accepted by a listening socket inherit the options.
--- a/tests/services/test_late_readers.py
+++ b/tests/services/test_late_readers.py
@@ -112,7 +112,7 @@
 
         trio.run(run)
 
-    @mock.patch.object(listener, "_SEND_TIMEOUT_S", 0.3, create=True)
+    @mock.patch.object(listener, "_SEND_TIMEOUT_S", 0.3)
     def test_the_answer_to_a_caller_that_never_reads_is_dropped_in_the_end(self) -> None:
         self.check_memory_is_freed(timeout_s=2.0)
 
--- a/tests/services/test_stop_log.py
+++ b/tests/services/test_stop_log.py
@@ -14,7 +14,7 @@
 
 
 class StopLogTest(unittest.TestCase):
-    def test_a_stop_without_a_line_for_each_phase_does_not_show_where_its_time_went(self) -> None:
+    def test_each_phase_of_a_stop_is_logged_with_the_time_since_sigterm(self) -> None:
         async def run() -> list[dict[str, object]]:
             async with serve_mesh("shop", document=DOCUMENT) as mesh:
                 node = mesh.nodes[0]
--- a/tests/services/test_stopping_suspended.py
+++ b/tests/services/test_stopping_suspended.py
@@ -35,7 +35,7 @@
         in_flight=1, arriving=0, connections=1, finish=AsyncMock(), wait_answered=AsyncMock()
     )
     callers.is_quiet.return_value = False
-    peers = Mock(in_flight=0, is_quiet=True)
+    peers = Mock(in_flight=0, is_quiet=True, has_unsent=False, end=AsyncMock())
     announcements = Mock(stop=AsyncMock())
     parts = (callers, peers, Mock(), Mock(), Mock(), Mock(), announcements)
     return GracefulShutdown(*parts, LoopLateness(log), log, clock)
