Write a departure at once after an outage of the store, if its caller waits

What callers saw: a departure announced right after the store was back was answered with 503 (`DepartureNotStoredError`) where no other daemon was reachable, although the store worked.

Cause: after a failed write the writer of the member records sleeps for up to 1 s, while the acknowledgement of a departure waits for the store for 0.6 s only. Nothing woke the writer.

Change: `publish_and_wait` ends the retry delay, so that a caller who waits gets one attempt at once. Writes that nobody waits for keep their delay.

The new test, in virtual time, failed on ("False is not true" for the first of 50 outages) and passes now; 14 tests of test_departures pass. Other retry loops of the daemon (topic follower, rollout log) have no caller who waits for them.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
@@ -76,6 +76,7 @@
         self._log = log
         self._on_change = on_change
         self._write_requested = trio.Event()
+        self._retry_requested = trio.Event()
         self._written: Member | None = None
         self._written_changed = trio.Event()
         self._crashes: list[CrashReport] = []
@@ -113,6 +114,7 @@
         """
         wanted = self._directory.local_member.order
         self.publish()
+        self._retry_requested.set()
         with trio.move_on_after(timeout_s):
             while (
                 self._written is None
@@ -248,13 +250,16 @@
             with trio.move_on_after(_RELAY_CHECK_INTERVAL_S):
                 await self._write_requested.wait()
             self._write_requested = trio.Event()
+            self._retry_requested = trio.Event()
             try:
                 await self._write(store)
             except LogError as error:
                 if not is_store_lost:
                     self._log.write(DependencyLost(dependency="store, writing", reason=str(error)))
                 is_store_lost = True
-                await trio.sleep(retry_s * random.uniform(0.5, 1.0))
+                # A caller who waits for a write gets an attempt at once: the store may be back.
+                with trio.move_on_after(retry_s * random.uniform(0.5, 1.0)):
+                    await self._retry_requested.wait()
                 retry_s = min(_MAX_RETRY_S, retry_s * 1.5)
                 self._write_requested.set()
                 continue
--- a/tests/services/test_departures.py
+++ b/tests/services/test_departures.py
@@ -6,6 +6,7 @@
 import unittest
 
 import trio
+import trio.testing
 
 from fulmarstile_daemon.services._notice_merger import NoticeMerger
 from fulmarstile_daemon.services.event_log import EventLog
@@ -16,6 +17,7 @@
 from fulmarstile_services.upstream_registry import UpstreamPhase
 from fulmarstile_testing.builders.service_mesh import ServiceMesh, ServiceNode, serve_mesh
 from fulmarstile_testing.builders.services import make_member
+from fulmarstile_testing.fakes.keyed_log import FakeKeyedLog
 from fulmarstile_wire.departures import UpstreamDeparture, decode_departure
 from fulmarstile_wire.services import MemberPhase, encode_member
 
@@ -23,6 +25,9 @@
 """Time within which a restarted daemon serves an upstream that hasn't left, in seconds."""
 
 
+OUTAGES = 50
+ACKNOWLEDGED_WITHIN_S = 0.1
+"""Time within which a store that is available again is written for a caller, in seconds."""
 WRITTEN_WITHIN_S = 6.0
 """Time within which the store has a departure that another daemon has to write, in seconds."""
 
@@ -204,6 +209,27 @@
 
         trio.run(run)
 
+    def test_a_departure_does_not_wait_for_the_retry_delay_after_an_outage(self) -> None:
+        directory = Directory(make_member())
+        log = EventLog("daemon-1")
+        membership = Membership(directory, NoticeMerger(directory, log), log, lambda: None)
+        store = FakeKeyedLog()
+
+        async def run() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(membership.write_forever, store)
+                for number in range(OUTAGES):
+                    store.is_down = True
+                    membership.apply_departures(
+                        [UpstreamDeparture("daemon-1", f"upstream-{number}", number)]
+                    )
+                    self.assertFalse(await membership.publish_and_wait(3.0))
+                    store.is_down = False
+                    self.assertTrue(await membership.publish_and_wait(ACKNOWLEDGED_WITHIN_S))
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
     def test_a_later_incarnation_is_served_at_once_after_such_a_departure(self) -> None:
         async def run() -> None:
             async with serve_mesh("stock", "shop", "stock") as mesh:
