Drop a message between daemons for lack of memory without its connection

Callers saw: 502 (not repeatable) or a second attempt (idempotent) for all requests under way between two daemons, when one large message on their connection was aborted for the memory limit, found no memory, or was larger than one message may be at a daemon with less memory. The request in the aborted message, which can't have run, counted as one that may have.

Cause: the memory of an incomplete message was freed by closing the connection, as the decoder couldn't get past a message that it doesn't keep.

Fix: the decoder discards the rest of such a message by its length and reports its kind and call, which its first bytes tell. The limit of a message is checked against its announced length, so that less of it is held than before. The protocol is unchanged. Incomplete messages below 1 KiB aren't counted, like those that arrive in one read, so that no control message is dropped.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -16,9 +16,11 @@
 if TYPE_CHECKING:
     from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_http.byte_stream import ByteStream
-    from fulmarstile_wire.services import LinkMessage
+    from fulmarstile_wire.services import DroppedMessage, LinkMessage
 
 _C_INT: Final = struct.Struct("i")
+_MIN_COUNTED_BYTES: Final = 1024
+"""Size from which an incomplete message is counted, and dropped if there is no memory for it."""
 
 
 class LinkBrokenError(FulmarstileError):
@@ -63,8 +65,8 @@
     def __init__(self, stream: ByteStream, budget: ByteBudget) -> None:
         self._stream = stream
         self._budget = budget
-        self._decoder = FrameDecoder(budget.message_limit)
-        self._incoming = budget.open(self.close)
+        self._decoder = FrameDecoder()
+        self._incoming = budget.open(self._drop_incoming)
         self._outgoing = budget.open()
         self._unsent: deque[OutgoingFrame] = deque()
         self._has_unsent = trio.Event()
@@ -163,11 +165,12 @@
         frame.unsent = frame.unsent[sent:]
         return sent
 
-    async def receive(self) -> list[LinkMessage]:
+    async def receive(self) -> list[LinkMessage | DroppedMessage]:
         """Receives messages.
 
         Returns:
-            One message or more.
+            One message or more. A message for which there is no memory is dropped while it
+            arrives, and only what is known of it is returned.
 
         Raises:
             LinkBrokenError: If the connection is closed, fails or delivers an invalid message.
@@ -196,9 +199,22 @@
         self._budget.release(self._outgoing)
 
     def _count_incoming(self) -> None:
-        """Accounts for the received part of an incomplete message."""
-        grown = self._decoder.pending_bytes - self._incoming.size
+        """Accounts for the received part of an incomplete message, or drops that message."""
+        decoder = self._decoder
+        if decoder.pending_length < _MIN_COUNTED_BYTES:
+            self._incoming.shrink(self._incoming.size)
+            return
+        # A message that will exceed the limit is dropped without receiving it up to the limit.
+        is_oversize = decoder.pending_length > self._budget.message_limit
+        size = decoder.pending_length if is_oversize else decoder.pending_bytes
+        grown = size - self._incoming.size
         if grown <= 0:
             self._incoming.shrink(-grown)
         elif not self._incoming.try_grow(grown):
-            raise LinkBrokenError("receiving failed: the memory limit for messages is reached")
+            self._drop_incoming()
+
+    def _drop_incoming(self) -> None:
+        """Drops the incomplete message; the connection and its other calls go on."""
+        self._decoder.drop_pending()
+        self._budget.release(self._incoming)
+        self._incoming = self._budget.open(self._drop_incoming)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -23,6 +23,7 @@
     PROTOCOL_VERSION,
     BodyGrant,
     BodyOffer,
+    DroppedMessage,
     GoAway,
     Hello,
     HopAnswer,
@@ -72,7 +73,7 @@
 class _PendingCall:
     """A call that waits for its answer."""
 
-    __slots__ = ("answer", "done", "granted", "is_lost", "is_refused")
+    __slots__ = ("answer", "done", "granted", "is_dropped", "is_lost", "is_refused")
 
     def __init__(self) -> None:
         self.done = trio.Event()
@@ -81,6 +82,8 @@
         """Set when the body was granted, or when the call has ended without a grant."""
         self.is_lost = False
         """Whether the connection failed before the answer."""
+        self.is_dropped = False
+        """Whether there was no memory for the answer."""
         self.is_refused = False
         """Whether the other daemon has ended without having read the call."""
 
@@ -190,6 +193,9 @@
             for pending in self._pending.values():
                 pending.is_refused = not pending.done.is_set()
             raise LinkBrokenError("the other daemon has ended")
+        if isinstance(message, DroppedMessage):
+            self._on_dropped(message)
+            return
         if not isinstance(message, HopAnswer | SyncAnswer | PeerAnswer | BodyGrant):
             raise LinkBrokenError(f"unexpected message {type(message).__name__}")
         pending = self._pending.get(message.call_id)
@@ -202,6 +208,15 @@
         pending.granted.set()
         pending.done.set()
 
+    def _on_dropped(self, message: DroppedMessage) -> None:
+        kind = message.kind.__name__
+        _LOGGER.warning("no memory for a message from %s: %s", self._address, kind)
+        pending = self._pending.get(message.call_id)
+        if pending is not None:
+            pending.is_dropped = True
+            pending.granted.set()
+            pending.done.set()
+
 
 class DaemonLinks:
     """Sends requests and state synchronizations to other daemons.
@@ -313,6 +328,8 @@
             return _read_result(pending.answer)
         if pending.is_refused:
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING))
+        if pending.is_dropped:
+            return AttemptResult(_make_dropped_outcome())
         return AttemptResult(_make_lost_outcome(progress))
 
     async def synchronize(
@@ -470,6 +487,11 @@
     return msgspec.structs.replace(failure, body_wait_ms=round(wait_s * 1000, 1))
 
 
+def _make_dropped_outcome() -> HopOutcome:
+    """Creates the outcome of a call for whose answer there was no memory."""
+    return make_failure(Verdict.MAY_HAVE_RUN, RefusalReason.ANSWER_TOO_LARGE, reached_upstream=True)
+
+
 def _make_lost_outcome(progress: AttemptProgress) -> HopOutcome:
     """Creates the outcome of a call that was withdrawn or whose connection failed."""
     if progress.stage is AttemptStage.SENT:
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import enum
-from typing import Annotated, Any, Final
+from dataclasses import dataclass
+from typing import Annotated, Any, Final, get_args
 
 import msgspec
 
@@ -315,6 +316,7 @@
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[LinkMessage] = msgspec.msgpack.Decoder(LinkMessage)
+_CALL_ID_DECODER: msgspec.msgpack.Decoder[int] = msgspec.msgpack.Decoder(int)
 
 
 def encode_frame(message: LinkMessage) -> bytes:
@@ -323,6 +325,23 @@
     return len(body).to_bytes(_LENGTH_BYTES, "big") + body
 
 
+_MESSAGE_TYPES: Final = {kind.__struct_config__.tag: kind for kind in get_args(LinkMessage)}
+_CALL_ID_OFFSET: Final = 2
+"""Position of the identifier in a message with a call: it follows the length and the tag."""
+_HEAD_BYTES: Final = 11
+"""Longest beginning of a message that says which call it belongs to."""
+_INTEGER_BYTES: Final = {0xCC: 2, 0xCD: 3, 0xCE: 5, 0xCF: 9}
+"""Encoded sizes of MessagePack integers that take more than one byte, by their first byte."""
+
+
+@dataclass(frozen=True, slots=True)
+class DroppedMessage:
+    """A message that was dropped before it was complete."""
+
+    kind: type[LinkMessage]
+    call_id: int
+
+
 class FrameDecoder:
     """Splits a stream of bytes into messages.
 
@@ -333,31 +352,55 @@
     def __init__(self, max_bytes: int = MAX_FRAME_BYTES) -> None:
         self._max_bytes = max_bytes
         self._received = bytearray()
+        self._dropped_head: bytes | None = None
+        """Beginning of the message that is being dropped; None if there is no such message."""
+        self._dropped_left = 0
+        """Bytes of the message that is being dropped that have not arrived."""
 
     @property
     def pending_bytes(self) -> int:
         """Number of bytes received of an incomplete message."""
         return len(self._received)
 
+    @property
+    def pending_length(self) -> int:
+        """Length of the incomplete message without its prefix; 0 if not known."""
+        if len(self._received) < _LENGTH_BYTES:
+            return 0
+        return int.from_bytes(self._received[:_LENGTH_BYTES], "big")
+
     def clear(self) -> None:
         """Drops the bytes of an incomplete message."""
         self._received = bytearray()
 
-    def feed(self, data: bytes) -> list[LinkMessage]:
+    def drop_pending(self) -> None:
+        """Drops the incomplete message: its bytes, and those that are still to arrive.
+
+        The length of the message must be known. It is reported by `feed` in place of the message.
+        """
+        length = self.pending_length
+        body = self._received[_LENGTH_BYTES:]
+        self._dropped_head = bytes(body[:_HEAD_BYTES])
+        self._dropped_left = length - len(body)
+        self.clear()
+
+    def feed(self, data: bytes) -> list[LinkMessage | DroppedMessage]:
         """Decodes received bytes.
 
         Args:
             data: Received bytes.
 
         Returns:
-            The messages completed by these bytes.
+            The messages completed by these bytes, and a dropped message once all of it arrived.
 
         Raises:
             WireError: If a message is malformed or oversize; the connection must be closed.
         """
+        messages: list[LinkMessage | DroppedMessage] = []
+        if self._dropped_head is not None:
+            data = self._discard(data, messages)
         received = self._received
         received += data
-        messages: list[LinkMessage] = []
         position = 0
         while len(received) - position >= _LENGTH_BYTES:
             start = position + _LENGTH_BYTES
@@ -372,6 +415,27 @@
             del received[:position]
         return messages
 
+    def _discard(self, data: bytes, messages: list[LinkMessage | DroppedMessage]) -> bytes:
+        """Discards bytes of the message that is being dropped, and returns those behind it."""
+        head = self._dropped_head or b""
+        part, rest = data[: self._dropped_left], data[self._dropped_left :]
+        self._dropped_left -= len(part)
+        self._dropped_head = head + part[: _HEAD_BYTES - len(head)]
+        if not self._dropped_left:
+            messages.append(_identify_dropped(self._dropped_head))
+            self._dropped_head = None
+        return rest
+
+
+def _identify_dropped(head: bytes) -> DroppedMessage:
+    """Reads the kind of a message and its call from its first bytes."""
+    fields = head[_CALL_ID_OFFSET:]
+    kind = _MESSAGE_TYPES.get(head[1]) if fields else None
+    if kind is None or "call_id" not in kind.__struct_fields__:
+        raise WireError("malformed message: it belongs to no call")
+    call_id = _decode(_CALL_ID_DECODER, fields[: _INTEGER_BYTES.get(fields[0], 1)])
+    return DroppedMessage(kind, call_id)
+
 
 def encode_member(member: Member) -> bytes:
     """Encodes a member as a record of the store."""
--- a/tests/wire/test_link_frames.py
+++ b/tests/wire/test_link_frames.py
@@ -23,6 +23,7 @@
 )
 from fulmarstile_wire.services import (
     MAX_FRAME_BYTES,
+    DroppedMessage,
     FrameDecoder,
     Hello,
     HopAnswer,
@@ -83,6 +84,26 @@
                 position += size
             self.assertEqual(tuple(received), MESSAGES)
 
+    def test_a_dropped_message_is_reported_by_its_call_and_the_next_ones_are_decoded(self) -> None:
+        for call_id in (1, 200, 60_000, 1 << 30, 1 << 40):
+            for kind in (HopCall(call_id, HOP, b"GET", b"/", [], b"body"), HopCancel(call_id)):
+                data = encode_frame(kind)
+                for cut in range(4, len(data)):
+                    decoder = FrameDecoder()
+                    self.assertEqual(decoder.feed(data[:cut]), [])
+                    decoder.drop_pending()
+                    self.assertEqual(decoder.pending_bytes, 0)
+                    received = decoder.feed(data[cut:-1]) + decoder.feed(data[-1:] + data)
+                    self.assertEqual(received, [DroppedMessage(type(kind), call_id), kind])
+
+    def test_a_dropped_message_that_belongs_to_no_call_is_a_wire_error(self) -> None:
+        for body in (b"", b"\x91", b"\x92\x0b\x01", b"\x92\x01\xc0", b"\x92\x01\xcf", b"\xc1" * 20):
+            with self.subTest(body), self.assertRaises(WireError):
+                decoder = FrameDecoder()
+                decoder.feed((len(body) + 1).to_bytes(4, "big") + body)
+                decoder.drop_pending()
+                decoder.feed(b"\xc1")
+
     def test_a_daemon_without_notices_and_one_with_more_fields_are_understood(self) -> None:
         for message, kind in ((HOP, HopRequest), (HopOutcome(Verdict.RAN), HopOutcome)):
             noticed = msgspec.structs.replace(message, notice=NOTICE)
