Let no connection that ends while another arrives end the daemon

When all 64 connections of a probe, announcement or metrics address were in use, a new one arrived as an idle one was reset, and the task of the idle one had closed its socket but not ended, the process ended with exit code 70 and with it all requests in flight. Found by reading, never seen in operation.

Cause: polls the socket of each idle connection for unread input, and a closed socket has no descriptor (ValueError), in a task whose error leaves the server and the main nursery of the daemon.

A closed connection has nothing unread, so it counts as the one that makes room.

--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
@@ -172,6 +172,9 @@
     @property
     def has_unread(self) -> bool:
         """Whether input, or the end of the connection, waits to be read."""
+        if self._stream.socket.fileno() < 0:
+            # Its task has closed the stream and is about to end.
+            return False
         poll = select.poll()
         poll.register(self._stream.socket, select.POLLIN)
         return bool(poll.poll(0))
--- a/tests/platform/test_http_server_eviction.py
+++ b/tests/platform/test_http_server_eviction.py
@@ -1,12 +1,14 @@
-"""A connection on which a request has arrived makes no room for a new one."""
+"""Making room for a new connection costs no request that has arrived, and not the process."""
 
 from __future__ import annotations
 
 import socket
+import struct
 import unittest
 from unittest import mock
 
 import trio
+import trio.testing
 
 from fulmarstile_platform import http_server
 from fulmarstile_platform.http_server import (
@@ -19,6 +21,9 @@
 
 REQUEST = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n"
 TIMEOUT_S = 2.0
+ROUNDS = 40
+"""Times that a reset and a new connection meet; trio runs their tasks in either order."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 async def answer(request: HttpRequest) -> HttpAnswer:
@@ -58,6 +63,26 @@
 
         self.assertIn(b" 200 ", trio.run(run))
 
+    def test_a_new_connection_beside_one_that_is_reset_does_not_end_the_server(self) -> None:
+        async def run() -> bytes:
+            listeners = await listen_http("127.0.0.1:0")
+            address = listeners[0].socket.getsockname()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(serve_http, listeners, answer, 1)
+                kept = socket.create_connection(address, timeout=TIMEOUT_S)
+                for _ in range(ROUNDS):
+                    await trio.testing.wait_all_tasks_blocked()
+                    kept.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                    kept.close()
+                    kept = socket.create_connection(address, timeout=TIMEOUT_S)
+                with kept:
+                    kept.sendall(REQUEST)
+                    received = await trio.to_thread.run_sync(read, kept)
+                nursery.cancel_scope.cancel()
+            return received
+
+        self.assertIn(b" 200 ", trio.run(run))
+
 
 if __name__ == "__main__":
     unittest.main()
