Send no request to the upstream that replaces its own during a connect (ROUTE)

A request for one service was run by the upstream of another one at the same address: while its connection was opened, which takes up to 0.5 s, the upstream was replaced, and the request was then sent with the id of the new one as the expected upstream, so that this one had no reason to reject it. Found by reading, never seen in operation.

Cause: whether the upstream can serve a request was checked before the connection was opened, and its name was read afterwards. The request is now refused as not run unless the pool is still that of the present upstream, and its daemon can send it elsewhere. There is no wait between this check and the choice of the headers.

tests.services.test_upstream_replaced: red 3 of 3 runs before (the verdict was that it ran), green 3 of 3 now.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -373,6 +373,10 @@
             if not isinstance(error, LocalLimitError):
                 self._mark_unreachable(str(error))
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED))
+        if pool is not self._pool:
+            # It was replaced while the connection was opened, perhaps by one of another service.
+            pool.release(connection)
+            return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.NO_UPSTREAM))
         if not progress.try_begin():
             pool.release(connection)
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING))
