--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -86,7 +86,9 @@
 
     @property
     def has_unread(self) -> bool:
-        """Whether more has arrived than was read, perhaps the end of the connection."""
+        """Whether more has arrived than was handled, perhaps the end of the connection."""
+        if self._http.trailing_data[0]:
+            return True
         return not (self._stream.is_closed or self._stream.is_open_without_input)
 
     @property
@@ -212,7 +214,7 @@
         """
         http = self._http
         closes = self.must_close
-        if self.is_draining and not http.trailing_data[0]:
+        if self.is_draining:
             closes |= not self.has_unread
         if closes or http.their_state is h11.SEND_BODY:
             headers = [*headers, (b"connection", b"close")]
--- a/tests/daemon/test_calls_unread.py
+++ b/tests/daemon/test_calls_unread.py
@@ -6,17 +6,22 @@
 import socket
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
 import trio
 
+from fulmarstile_daemon.calls._caller import CallerConnection
 from fulmarstile_testing.builders.call_proxies import make_request, serve_daemon
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from fulmarstile_daemon.calls import CallProxy
+    from fulmarstile_daemon.calls._caller import ReceivedRequest
 
 TIMEOUT_S = 3.0
+ROUNDS = 12
+"""Times that a close meets a request; trio runs their tasks in either order."""
 
 
 def read_until_end(caller: socket.socket) -> bytes:
@@ -61,6 +66,43 @@
         answers = self.call_and_close(make_request() * 2, lambda proxy: proxy.begin_draining())
         self.assertEqual(answers.count(b"HTTP/1.1 "), 2, answers)
 
+    def check_second_of_one_write(self, close: Callable[[CallProxy], object]) -> None:
+        """Checks that the second request of one write is answered if its connection is closed now.
+
+        Args:
+            close: Called after the answer to the first request.
+        """
+        receive_request = CallerConnection.receive_request
+
+        async def run() -> bytes:
+            async with serve_daemon() as daemon:
+
+                async def receive(caller: CallerConnection) -> ReceivedRequest | None:
+                    if daemon.proxy.counters.answers == 1:
+                        trio.lowlevel.spawn_system_task(close_now)
+                    return await receive_request(caller)
+
+                async def close_now() -> None:
+                    close(daemon.proxy)
+
+                host, _, port = daemon.proxy.address.rpartition(":")
+                with (
+                    mock.patch.object(CallerConnection, "receive_request", receive),
+                    socket.create_connection((host, int(port)), timeout=TIMEOUT_S) as caller,
+                ):
+                    caller.sendall(make_request() + make_request(headers={"Connection": "close"}))
+                    return await trio.to_thread.run_sync(read_until_end, caller)
+
+        for _ in range(ROUNDS):
+            answers = trio.run(run)
+            self.assertEqual(answers.count(b"HTTP/1.1 200 "), 2, answers)
+
+    def test_a_connection_whose_next_request_was_read_is_not_evicted(self) -> None:
+        self.check_second_of_one_write(lambda proxy: proxy._evict_idle())
+
+    def test_a_connection_whose_next_request_was_read_is_not_idle_for_too_long(self) -> None:
+        self.check_second_of_one_write(lambda proxy: proxy._close_idle(math.inf))
+
 
 if __name__ == "__main__":
     unittest.main()
