Do not take the failed connection of a replaced upstream for one of its successor

What callers saw: 503 for all requests to an upstream for 0.5 s after it had replaced another one at its address, if a connection to the other one was still being opened then and failed.

Cause: the failure marked whatever upstream is the present one as unreachable, though its announcement had just cleared the mark.

The check after a crash asks the same question; that line has no test of its own.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -370,7 +370,7 @@
                 math.inf if hop.idempotent else _MAX_NON_IDEMPOTENT_IDLE_S
             )
         except ExchangeError as error:
-            if not isinstance(error, LocalLimitError):
+            if pool is self._pool and not isinstance(error, LocalLimitError):
                 self._mark_unreachable(str(error))
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED))
         if pool is not self._pool:
@@ -446,7 +446,7 @@
             crashed = await _refuses_connections(pool)
         finally:
             suspects = self._crash_watch.end_check(crashed, trio.current_time())
-        if crashed:
+        if crashed and pool is self._pool:
             self._mark_unreachable(str(error))
         if suspects:
             self._on_suspects(suspects)
