Run no waiting call on an upstream of another service on the own call path

A call that waited for a slot was run by the upstream of another service, if that one had taken the place of its own meanwhile.

Cause: the service was compared before the wait for a slot and a connection, and not after it.

The new test in tests.daemon.test_calls_verdicts: red 3 of 3 runs before (the call was answered), green 3 of 3 now.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
@@ -142,6 +142,8 @@
             pool = self._local.pool
             connection = await _acquire(call, pool)
             try:
+                # While the call waited, an upstream of another service may have replaced this one.
+                self._local.check_service(call)
                 exchange = Exchange(call, caller, connection, self._settings)
                 answer = await exchange.run(build_upstream_headers(call, now), to_daemon=False)
                 if not answer.complete:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_local_upstream.py
@@ -130,6 +130,19 @@
         elif self._refuse_from == math.inf:
             self._refuse_from = now + self._settings.drain_announce_s
 
+    def check_service(self, call: Call) -> None:
+        """Checks that the upstream is of the service that a call goes to.
+
+        Args:
+            call: The call.
+
+        Raises:
+            CallFailedError: If it is of another one.
+        """
+        if self.service and call.service != self.service:
+            detail = f"the upstream here is of service {self.service}"
+            raise call.make_error(RefusalReason.NO_UPSTREAM, detail)
+
     async def acquire_slot(self, call: Call, now: float) -> int:
         """Acquires a slot; waits until one is free.
 
@@ -148,9 +161,7 @@
             raise call.make_error(
                 RefusalReason.NO_UPSTREAM, "no upstream has announced itself", 1.0
             )
-        if self.service and call.service != self.service:
-            detail = f"the upstream here is of service {self.service}"
-            raise call.make_error(RefusalReason.NO_UPSTREAM, detail)
+        self.check_service(call)
         if now >= self._refuse_from:
             raise call.make_error(RefusalReason.DRAINING, "the upstream is draining", 1.0)
         ticket_id = self._next_ticket = self._next_ticket + 1
--- a/tests/daemon/test_calls_verdicts.py
+++ b/tests/daemon/test_calls_verdicts.py
@@ -221,6 +221,23 @@
 
         trio.run(run)
 
+    def test_a_call_that_waits_for_a_slot_runs_on_no_upstream_of_another_service(self) -> None:
+        async def run() -> None:
+            async with serve_daemon(slots=1) as daemon:
+                first, waiting = await daemon.connect(), await daemon.connect()
+                await first.send(make_request("/write?delay_ms=300", "POST", b"x"))
+                while not daemon.upstream.counts.running:
+                    await trio.sleep(0.005)
+                await waiting.send(make_request("/write", "POST", b"x"))
+                while not daemon.proxy.dump().upstream_queued:
+                    await trio.sleep(0.005)
+                daemon.proxy.set_upstream(daemon.upstream.address, 1, 12, service="wallet")
+                answer = await waiting.receive()
+                self.assertEqual((answer.reason, answer.verdict), ("no-upstream", "NOT_RUN"))
+                self.assertEqual(daemon.upstream.counts.total, 1)
+
+        trio.run(run)
+
     def test_timeouts_due_to_slow_callers_are_not_counted_as_upstream_failures(self) -> None:
         async def run() -> None:
             samples: list = []
