--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/__main__.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/__main__.py
@@ -1,6 +1,7 @@
-"""Command that searches: `PYTHONHASHSEED=0 python -m fulmarstile_testing.lost_search --seeds=100`.
+"""Command that searches: `python -m fulmarstile_testing.lost_search --seeds=100`.
 
-`--seed=N` replays one case; `--trace` prints its events and the logs of its daemons.
+`--seed=N` replays one case; `--trace` prints its events, its requests and the logs of
+its daemons.
 """
 
 from __future__ import annotations
@@ -45,11 +46,11 @@
     play = partial(play_seed, with_trace=_TRACE.value)
     played = failed = requests = 0
     with get_context("spawn").Pool(min(_JOBS.value, len(seeds))) as pool:
-        for count, lines in pool.imap_unordered(play, seeds):
+        for result in pool.imap_unordered(play, seeds):
             played += 1
-            requests += count
-            failed += bool(lines)
-            for line in lines:
+            requests += result.requests
+            failed += bool(result.failures)
+            for line in result.failures + result.trace:
                 print(line, flush=True)
             if played % _PROGRESS_CASES == 0:
                 print(f"{played} cases played", file=sys.stderr, flush=True)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -16,6 +16,7 @@
 from fulmarstile_services.upstream_registry import UpstreamPhase
 from fulmarstile_testing.builders.service_mesh import ServiceMesh, ServiceNode
 from fulmarstile_testing.builders.services import make_document, make_route
+from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
 from fulmarstile_testing.lost_search.callers import CallerConnection, SentRequest
 from fulmarstile_testing.lost_search.environment import (
     LOCAL_DAEMON,
@@ -23,11 +24,11 @@
     seed_globally,
     virtual_environment,
 )
-from fulmarstile_testing.lost_search.judge import Violation, judge
+from fulmarstile_testing.lost_search.judge import Violation, describe_requests, judge
+from fulmarstile_testing.service_upstream import ServiceUpstream
 
 if TYPE_CHECKING:
     from fulmarstile_services.document import ServiceDocument
-    from fulmarstile_testing.service_upstream import ServiceUpstream
 
 GRACE_S: Final = 6.0
 _PLAY_S: Final = 8.0
@@ -136,6 +137,7 @@
         served = [each for upstream in self._upstreams for each in upstream.record.requests]
         found = judge(self._result.requests, served, self._disrupted_at, GRACE_S)
         self._result.violations.extend(found)
+        self._result.trace.extend(describe_requests(self._result.requests, served))
         return self._result
 
     async def _play(self, clock: trio.testing.MockClock) -> None:
@@ -181,11 +183,14 @@
         earlier: ServiceNode | None = None,
     ) -> None:
         LOCAL_DAEMON.set(name)
-        upstream = earlier.upstream if earlier else None
+        if earlier is None:
+            upstream = ServiceUpstream(HEADER_NAMES, f"upstream-of-{name}", f"{name}:80")
+            self._upstreams.append(upstream)
+            links.serve(upstream)
+        else:
+            upstream = earlier.upstream
         node = await mesh.start_node(name, earlier=earlier, upstream=upstream)
         links.names[node.platform.settings.listeners.daemons] = name
-        if upstream is None:
-            self._upstreams.append(node.upstream)
         self._runs.append(DaemonRun(node))
         self._note(f"{name} started")
         mesh._nursery.start_soon(self._announce_forever, node)
@@ -200,11 +205,17 @@
             return
         self._sequence += 1
         is_leaving = node.upstream.upstream_id in self._leaving
-        await node.announce(
-            sequence=self._sequence,
-            born_ms=self._born_ms,
-            phase=UpstreamPhase.LEAVING if is_leaving else UpstreamPhase.READY,
-        )
+        try:
+            await node.announce(
+                sequence=self._sequence,
+                born_ms=self._born_ms,
+                phase=UpstreamPhase.LEAVING if is_leaving else UpstreamPhase.READY,
+            )
+        except* RuntimeError:
+            # In a process, the announcement is handled by a task that ends with the daemon.
+            await trio.sleep(_GRID_S)
+            if not node.ended.is_set():
+                raise
 
     def _draw_time(self, longest_s: float) -> float:
         return round(self._rng.random() * longest_s / _GRID_S) * _GRID_S
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
@@ -9,21 +9,21 @@
 import socket
 import time
 from contextvars import ContextVar
-from functools import partial
-from itertools import cycle, islice
+from itertools import count
 from types import SimpleNamespace
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NoReturn, Protocol
 from unittest import mock
 
 import trio
 from trio._core import _run as trio_scheduler
 
-from fulmarstile_http.byte_stream import ByteStream
-from fulmarstile_testing.free_ports import find_free_ports
+from fulmarstile_http.byte_stream import READ_SIZE, ByteStream
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
 
+    from fulmarstile_testing.service_upstream import ServiceUpstream
+
 LOCAL_DAEMON: ContextVar[str] = ContextVar("LOCAL_DAEMON")
 """Name of the daemon whose task opens a connection."""
 
@@ -38,16 +38,28 @@
 _USER_TIMEOUT_S: Final = 2.0
 """Time without acknowledgement after which the kernel breaks a connection, in seconds."""
 _POLL_S: Final = 0.05
-_MAX_PORTS: Final = 20
+_FIRST_PORT: Final = 20_001
+
+
+class _Listener(Protocol):
+    """Takes the far ends of the connections to one address."""
+
+    is_closed: bool
+
+    def offer(self, stream: ByteStream) -> None:
+        """Takes a connection."""
 
 
 class SimulatedLinks:
-    """Connections between daemons, with latency, limited rate and faults.
+    """All connections: those between daemons with latency, limited rate and faults.
+
+    The kernel's TCP is not used, because its timers and its deferred deliveries take real time, in
+    which virtual time may go on.
 
     Args:
         nursery: Carries the bytes.
         rng: Draws latencies.
-        bytes_per_s: Rate of each direction of a connection; 0 for no limit.
+        bytes_per_s: Rate of each direction of a connection between daemons; 0 for no limit.
     """
 
     def __init__(self, nursery: trio.Nursery, rng: random.Random, bytes_per_s: int) -> None:
@@ -56,7 +68,8 @@
         self._bytes_per_s = bytes_per_s
         self._silent_until: dict[tuple[str, str], float] = {}
         self._open: list[_Link] = []
-        self._listeners: dict[str, _LinkListener] = {}
+        self._listeners: dict[str, _Listener] = {}
+        self._reset: set[socket.socket] = set()
         self.names: dict[str, str] = {}
         """Names of the daemons by their address for other daemons."""
 
@@ -69,41 +82,57 @@
         for link in [link for link in self._open if {*link.ends} == {first, second}]:
             link.reset()
 
-    async def open_stream(self, address: str) -> ByteStream:
-        """Replaces `open_stream` of the connections to other daemons."""
-        ends = LOCAL_DAEMON.get(), self.names[address]
+    async def open_stream(self, address: str, *, peer_may_read_late: bool = False) -> ByteStream:
+        """Replaces `open_stream`."""
+        name = self.names.get(address)
+        if name is None:
+            return self._connect(address, ("", ""), 0.0, 0)
+        ends = LOCAL_DAEMON.get(), name
         latency_s = self._rng.choice(_LATENCIES_S)
         await trio.sleep(2 * latency_s)
         while self.is_silent(ends) or self.is_silent(ends[::-1]):
             await trio.sleep(_POLL_S)
+        return self._connect(address, ends, latency_s, self._bytes_per_s)
+
+    def _connect(
+        self, address: str, ends: tuple[str, str], latency_s: float, bytes_per_s: int
+    ) -> ByteStream:
         listener = self._listeners.get(address)
         if listener is None or listener.is_closed:
-            raise ConnectionRefusedError(errno.ECONNREFUSED, "no daemon listens there")
+            raise ConnectionRefusedError(errno.ECONNREFUSED, "nothing listens there")
         near, inner = _make_pair()
         far, outer = _make_pair()
+        link = _Link(self, ends, (near, inner), (outer, far), latency_s, bytes_per_s)
         listener.offer(outer)
-        link = _Link(self, ends, inner, far, latency_s)
         self._open.append(link)
         self._nursery.start_soon(link.run)
         return near
 
     @contextlib.contextmanager
-    def listen(self, address: str) -> Iterator[_LinkListener]:
-        """Replaces `listen` for the connections from other daemons."""
+    def listen(self, address: str, *, peer_may_read_late: bool = False) -> Iterator[_LinkListener]:
+        """Replaces `listen`."""
         listener = self._listeners[address] = _LinkListener(address)
         try:
             yield listener
         finally:
-            del self._listeners[address]
+            listener.close()
+
+    def serve(self, upstream: ServiceUpstream) -> None:
+        """Lets an upstream take the connections to its address."""
+        self._listeners[upstream.address] = _UpstreamListener(upstream, self._nursery)
+
+    def mark_reset(self, sock: socket.socket) -> None:
+        """Lets the end of a connection be a reset, for those who read it at this socket."""
+        self._reset.add(sock)
+
+    def is_reset(self, sock: socket.socket) -> bool:
+        """Returns whether the connection of a socket was reset, by either side."""
+        return sock in self._reset
 
     def is_silent(self, direction: tuple[str, str]) -> bool:
         """Returns whether nothing arrives in a direction at present."""
         return trio.current_time() < self._silent_until.get(direction, 0.0)
 
-    def send_time_s(self, size: int) -> float:
-        """Returns how long a number of bytes is under way besides the latency, in seconds."""
-        return size / self._bytes_per_s if self._bytes_per_s else 0.0
-
     def draw_flush(self) -> bool:
         """Returns whether bytes that were sent before a reset still arrive."""
         return self._rng.random() < 0.5
@@ -120,22 +149,27 @@
         self,
         links: SimulatedLinks,
         ends: tuple[str, str],
-        near: ByteStream,
-        far: ByteStream,
+        near: tuple[ByteStream, ByteStream],
+        far: tuple[ByteStream, ByteStream],
         latency_s: float,
+        bytes_per_s: int,
     ) -> None:
         self._links = links
         self.ends = ends
-        self._near = near
-        self._far = far
+        near_end, self._near = near
+        far_end, self._far = far
+        self._sockets = near_end._socket, far_end._socket
         self._latency_s = latency_s
+        self._bytes_per_s = bytes_per_s
         self._scope = trio.CancelScope()
 
     def reset(self) -> None:
         """Resets both ends."""
         self._scope.cancel()
-        self._near.abort()
-        self._far.abort()
+        for each in self._sockets:
+            self._links.mark_reset(each)
+        self._near.close()
+        self._far.close()
 
     async def run(self) -> None:
         """Carries bytes until both directions have ended."""
@@ -160,8 +194,11 @@
                 try:
                     while data := await source.receive(_CHUNK_BYTES):
                         sent_at = max(sent_at, trio.current_time())
-                        sent_at += self._links.send_time_s(len(data))
+                        if self._bytes_per_s:
+                            sent_at += len(data) / self._bytes_per_s
                         await queue.send((sent_at + self._latency_s, data))
+                    if any(self._links.is_reset(each) for each in self._sockets):
+                        raise ConnectionResetError
                 except OSError:
                     if not self._links.draw_flush():
                         self.reset()
@@ -199,7 +236,7 @@
 
 
 class _LinkListener:
-    """Takes the far ends of the connections to one daemon."""
+    """Takes the far ends of the connections to one listener of a daemon."""
 
     def __init__(self, address: str) -> None:
         self.address = address
@@ -215,6 +252,8 @@
 
     def close(self) -> None:
         self.is_closed = True
+        for stream in self.accept_pending():
+            stream.abort()
 
     async def accept(self) -> ByteStream:
         return await self._receiver.receive()
@@ -223,6 +262,20 @@
         self._sender.send_nowait(stream)
 
 
+class _UpstreamListener:
+    """Hands connections to an upstream."""
+
+    is_closed = False
+
+    def __init__(self, upstream: ServiceUpstream, nursery: trio.Nursery) -> None:
+        self._upstream = upstream
+        self._nursery = nursery
+
+    def offer(self, stream: ByteStream) -> None:
+        sock = trio.socket.from_stdlib_socket(stream._socket)
+        self._nursery.start_soon(self._upstream.serve_connection, trio.SocketStream(sock))
+
+
 @contextlib.contextmanager
 def _receive_no_signals(*_: int, **__: object) -> Iterator[AsyncIterator[int]]:
     sender, receiver = trio.open_memory_channel[int](0)
@@ -259,7 +312,22 @@
         rng: Seeds the daemons' generators.
         stalls_sends: Whether some sends wait as if the kernel's buffer were full.
     """
-    send_all = ByteStream.send_all
+    receive, send_all = ByteStream.receive, ByteStream.send_all
+
+    async def receive_or_fail(stream: ByteStream, max_bytes: int = READ_SIZE) -> bytes:
+        data = await receive(stream, max_bytes)
+        if not data and links.is_reset(stream._socket):
+            raise ConnectionResetError(errno.ECONNRESET, "the connection was reset")
+        return data
+
+    def abort(stream: ByteStream) -> None:
+        links.mark_reset(stream._socket)
+        stream.close()
+
+    def reset_upstream_connection(stream: trio.SocketStream) -> NoReturn:
+        links.mark_reset(stream.socket._sock)
+        stream.socket.close()
+        raise trio.BrokenResourceError("the connection was reset")
 
     async def send_late(stream: ByteStream, data: bytes) -> None:
         if rng.random() < _SEND_STALL_RATIO:
@@ -267,17 +335,26 @@
         await send_all(stream, data)
 
     make_generator = random.Random
-    # Finding ports draws a varying number of random numbers.
-    ports = cycle(list(find_free_ports(_MAX_PORTS)))
-    daemon = "fulmarstile_daemon.services.daemon"
+    # Sockets listen at ports 0, but no connection to them is opened.
+    ports = count(_FIRST_PORT)
+    services = "fulmarstile_daemon.services"
     patches = [
-        mock.patch(f"{daemon}.receive_signals", _receive_no_signals),
+        mock.patch(f"{services}.daemon.receive_signals", _receive_no_signals),
         mock.patch.object(random, "Random", lambda: make_generator(rng.random())),
-        mock.patch(f"{daemon}.gc", SimpleNamespace(freeze=bool, set_threshold=lambda *_: None)),
-        mock.patch("fulmarstile_daemon.services._links.open_stream", links.open_stream),
-        mock.patch("fulmarstile_daemon.services._link_server.listen", links.listen),
         mock.patch(
-            "fulmarstile_testing.builders.service_mesh.find_free_ports", partial(islice, ports)
+            f"{services}.daemon.gc", SimpleNamespace(freeze=bool, set_threshold=lambda *_: None)
+        ),
+        mock.patch(f"{services}._links.open_stream", links.open_stream),
+        mock.patch("fulmarstile_http.client_connection.open_stream", links.open_stream),
+        mock.patch("fulmarstile_testing.lost_search.callers.open_stream", links.open_stream),
+        mock.patch(f"{services}._link_server.listen", links.listen),
+        mock.patch(f"{services}._request_server.listen", links.listen),
+        mock.patch("fulmarstile_testing.service_upstream._reset", reset_upstream_connection),
+        mock.patch.object(ByteStream, "abort", abort),
+        mock.patch.object(ByteStream, "receive", receive_or_fail),
+        mock.patch(
+            "fulmarstile_testing.builders.service_mesh.find_free_ports",
+            lambda _: (next(ports), next(ports), 0, 0, 0),
         ),
     ]
     if stalls_sends:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/judge.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/judge.py
@@ -48,15 +48,37 @@
     Yields:
         The violations.
     """
-    served_by_id: dict[str, list[ServedRequest]] = {}
-    for each in served:
-        served_by_id.setdefault(each.request_id, []).append(each)
+    served_by_id = _group_by_id(served)
     for request in requests:
         arrivals = served_by_id.get(request.request_id, [])
         for rule in _judge_one(request, arrivals, disrupted_at, grace_s):
             yield Violation(rule, _describe(request, arrivals))
 
 
+def describe_requests(
+    requests: Sequence[SentRequest], served: Sequence[ServedRequest]
+) -> Iterator[str]:
+    """Describes what became of the requests of a case.
+
+    Args:
+        requests: Requests as seen by their callers.
+        served: Requests as seen by the upstreams.
+
+    Yields:
+        A line for each request.
+    """
+    served_by_id = _group_by_id(served)
+    for request in requests:
+        yield _describe(request, served_by_id.get(request.request_id, []))
+
+
+def _group_by_id(served: Sequence[ServedRequest]) -> dict[str, list[ServedRequest]]:
+    served_by_id: dict[str, list[ServedRequest]] = {}
+    for each in served:
+        served_by_id.setdefault(each.request_id, []).append(each)
+    return served_by_id
+
+
 def _judge_one(
     request: SentRequest,
     arrivals: list[ServedRequest],
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/replay.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/replay.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import traceback
+from dataclasses import dataclass
 from typing import Final
 
 from fulmarstile_testing.lost_search.case import Case
@@ -14,11 +15,22 @@
 """Time after which a case that has not ended fails, in seconds."""
 
 
+@dataclass(frozen=True, slots=True)
+class PlayedSeed:
+    """What is to be printed about a case."""
+
+    requests: int
+    """Number of requests."""
+    failures: list[str]
+    """Violations and the options of the case, or the error that ended it."""
+    trace: list[str]
+
+
 def _on_alarm(*_: object) -> None:
     raise TimeoutError("the case has not ended")
 
 
-def play_seed(seed: int, *, with_trace: bool) -> tuple[int, list[str]]:
+def play_seed(seed: int, *, with_trace: bool) -> PlayedSeed:
     """Plays one case.
 
     Args:
@@ -26,7 +38,7 @@
         with_trace: Whether to keep the events and the logs of the daemons.
 
     Returns:
-        Number of requests, and what is to be printed.
+        What it showed.
     """
     if not with_trace:
         sys.stdout = open(os.devnull, "w")  # noqa: SIM115
@@ -35,9 +47,9 @@
     try:
         result = Case(seed).play()
     except Exception:
-        return 0, [f"seed {seed}: ERROR\n{traceback.format_exc()}"]
-    lines = [f"seed {seed}: {each.rule}: {each.detail}" for each in result.violations]
+        return PlayedSeed(0, [f"seed {seed}: ERROR\n{traceback.format_exc()}"], [])
     signal.alarm(0)
-    if lines:
-        lines.append(f"seed {seed}: {result.options}")
-    return len(result.requests), lines + (result.trace if with_trace else [])
+    failures = [f"seed {seed}: {each.rule}: {each.detail}" for each in result.violations]
+    if failures:
+        failures.append(f"seed {seed}: {result.options}")
+    return PlayedSeed(len(result.requests), failures, result.trace if with_trace else [])
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
@@ -82,9 +82,11 @@
     Args:
         names: Names of headers.
         upstream_id: Id that requests may demand.
+        address: `host:port` of a listener that passes connections to `serve_connection`; by
+            default it listens itself, at a free port.
     """
 
-    def __init__(self, names: CallHeaderNames, upstream_id: str) -> None:
+    def __init__(self, names: CallHeaderNames, upstream_id: str, address: str = "") -> None:
         self._names = names
         self.upstream_id = upstream_id
         """Id of the upstream."""
@@ -106,22 +108,23 @@
         self.slow_by_s = 0.0
         """Time that each request takes longer, in seconds."""
         self._scope = trio.CancelScope()
-        self._socket = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        self._socket = None if address else socket.create_server(("127.0.0.1", 0))
+        self.address = address or f"127.0.0.1:{self._socket.getsockname()[1]}"
         """`host:port` that it listens at."""
 
     async def serve(self) -> None:
         """Serves until it crashes or is cancelled."""
         listener = trio.SocketListener(trio.socket.from_stdlib_socket(self._socket))
         with self._scope:
-            await trio.serve_listeners(self._serve_connection, [listener])
+            await trio.serve_listeners(self.serve_connection, [listener])
 
     def crash(self) -> None:
         """Ends at once; all connections break and no new one is accepted."""
         self._scope.cancel()
         self._socket.close()
 
-    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+    async def serve_connection(self, stream: trio.SocketStream) -> None:
+        """Serves one connection."""
         self.record.connections += 1
         late = b""
         http = h11.Connection(h11.SERVER)
--- a/tests/services/test_lost_search.py
+++ b/tests/services/test_lost_search.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import os
+import subprocess
+import sys
 import unittest
 
 from fulmarstile_testing.lost_search.case import Case
 
 SEEDS = range(1, 13)
+TIGHT_SEED = 338
+"""Case of many callers and large bodies on slow links."""
 
 
 class LostSearchTest(unittest.TestCase):
@@ -22,3 +27,22 @@
             [(each.request_id, each.ended_at, each.status) for each in first.requests],
             [(each.request_id, each.ended_at, each.status) for each in second.requests],
         )
+
+    def test_a_case_plays_the_same_in_another_process(self) -> None:
+        """Guards against a case that depends on hashes, addresses of objects or real time.
+
+        With connections of the kernel, virtual time went on before bytes had been delivered.
+        """
+        first, second = (_trace(TIGHT_SEED, hash_seed) for hash_seed in (1, 2))
+        self.assertEqual(first, second)
+
+
+def _trace(seed: int, hash_seed: int) -> list[str]:
+    """Plays a case in a process of its own; returns its events, requests and logs."""
+    command = [sys.executable, "-m", "fulmarstile_testing.lost_search", f"--seed={seed}", "--trace"]
+    environment = {**os.environ, "PYTHONHASHSEED": str(hash_seed)}
+    played = subprocess.run(command, env=environment, capture_output=True, text=True, check=True)
+    *lines, summary = played.stdout.splitlines()
+    if not summary.startswith("1 cases, "):
+        raise ValueError(f"the case was not played: {summary}")
+    return lines
