Let each component of the daemon add its own gauges and read its own settings

`daemon.py` assembles the components, but also listed the gauges of all of them and read the settings again.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
@@ -8,6 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from fulmarstile_daemon.services.metrics import ServiceMetrics
+
 _MESSAGE_SHARE: Final = 0.5
 """Maximum share of the budget for a single message, and for all callers' requests together."""
 
@@ -86,6 +88,16 @@
         """Maximum size of one message in bytes."""
         return int(self._limit * _MESSAGE_SHARE)
 
+    def add_gauges(self, metrics: ServiceMetrics) -> None:
+        """Adds the gauges of buffered messages.
+
+        Args:
+            metrics: Metrics of the daemon.
+        """
+        add = metrics.add_gauge
+        add("message_bytes_held", lambda: self.used_bytes)
+        add("messages_cut", lambda: self.aborted_messages)
+
     @contextmanager
     def allocate(self, abort: Callable[[], None] | None = None) -> Iterator[Allocation]:
         """Accounts for a message while the context is open.
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_loop_lateness.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_loop_lateness.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from fulmarstile_daemon.services.event_log import EventLog
+    from fulmarstile_daemon.services.metrics import ServiceMetrics
 
 _MIN_LOGGED_S: Final = 0.1
 """Lateness from which it is logged, in seconds."""
@@ -55,6 +56,16 @@
         halted_s = trio.current_time() - first.ends_at - used_s
         return halted_s if halted_s >= _MIN_LOGGED_S else 0.0
 
+    def add_gauges(self, metrics: ServiceMetrics) -> None:
+        """Adds the gauges of the event loop.
+
+        Args:
+            metrics: Metrics of the daemon.
+        """
+        add = metrics.add_gauge
+        add("loop_longest_late_seconds", lambda: self.longest_s)
+        add("loop_times_late", lambda: self.times_late)
+
     async def sleep(self, duration_s: float) -> None:
         """Sleeps, and measures by how much it takes longer.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -27,6 +27,7 @@
     from fulmarstile_daemon.services._caller_messages import ReceivedRequest
     from fulmarstile_daemon.services._request_scope import RequestScope
     from fulmarstile_daemon.services.event_log import EventLog
+    from fulmarstile_daemon.services.metrics import ServiceMetrics
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_http.input_watch import InputWatch
     from fulmarstile_http.listener import OutOfDescriptorsError
@@ -111,6 +112,17 @@
         """Open connections."""
         return len(self._connections)
 
+    def add_gauges(self, metrics: ServiceMetrics) -> None:
+        """Adds the gauges of callers' requests.
+
+        Args:
+            metrics: Metrics of the daemon.
+        """
+        add = metrics.add_gauge
+        add("requests_in_flight", lambda: self.in_flight)
+        add("caller_connections", lambda: self.connections)
+        add("callers_left", lambda: self.abandoned_requests)
+
     def is_quiet(self, for_s: float) -> bool:
         """Checks that all responses are sent, and no request is being received or arrived lately.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -25,6 +25,7 @@
 from fulmarstile_daemon.services._notice_merger import NoticeMerger
 from fulmarstile_daemon.services._request_server import RequestServer
 from fulmarstile_daemon.services._rollout_part import RolloutPart
+from fulmarstile_daemon.services._settings_reload import SettingsReloader
 from fulmarstile_daemon.services._signals import ReceivedSignal, receive_signals
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
@@ -34,7 +35,6 @@
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_daemon.services.events import (
     Ended,
-    SettingsReloaded,
     Started,
     Stopped,
     Stopping,
@@ -69,7 +69,6 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
-_SETTINGS_POLL_S: Final = 1.0
 _SUSPEND_POLL_S: Final = 0.5
 _MIN_SUSPEND_S: Final = 0.5
 """Duration of a VM suspension from which idle connections are closed, in seconds."""
@@ -103,7 +102,7 @@
     ) -> None:
         self._early_signals = early_signals
         self._platform = platform
-        self._settings = settings
+        self._reloader = SettingsReloader(platform, settings, self._apply_settings, log)
         self._log = log
         rng = random.Random()
         names = platform.header_names
@@ -305,10 +304,11 @@
             OSError: If it cannot listen on an address.
         """
         self._started_at = trio.current_time()
-        listeners = self._settings.listeners
+        settings = self._reloader.settings
+        listeners = settings.listeners
         with receive_signals(signal.SIGTERM, signal.SIGHUP, lateness=self._lateness) as signals:
             async with (
-                self._platform.open_store(self._settings.store_address) as store,
+                self._platform.open_store(settings.store_address) as store,
                 trio.open_nursery() as nursery,
             ):
                 nursery.start_soon(keep_running, self._log.flush_forever)
@@ -318,9 +318,9 @@
                 await self._local_endpoints.serve(nursery, listeners)
                 self._log.write(
                     Started(
-                        name=self._settings.name,
-                        availability_zone=self._settings.availability_zone,
-                        service=self._settings.service,
+                        name=settings.name,
+                        availability_zone=settings.availability_zone,
+                        service=settings.service,
                         incarnation=self._directory.local_member.incarnation,
                     )
                 )
@@ -334,14 +334,14 @@
                 nursery.start_soon(keep_running, self._chooser.run)
                 if self._quotas is not None:
                     nursery.start_soon(keep_running, self._quotas.run, store)
-                nursery.start_soon(keep_running, self._watch_settings)
+                nursery.start_soon(keep_running, self._reloader.watch)
                 nursery.start_soon(keep_running, self._watch_suspension)
                 # All objects that exist now live until the end, so collections need not scan them.
                 gc.freeze()
                 gc.set_threshold(*_COLLECTION_THRESHOLDS)
                 nursery.start_soon(keep_running, self._handle_signals, signals)
                 if self._early_signals is not None and self._early_signals.wants_reload:
-                    self._reload_settings()
+                    self._reloader.reload()
                 await self._stop_requested.wait()
                 self._is_stopping = True
                 self._log.write(
@@ -352,7 +352,9 @@
                 )
                 if self._quotas is not None:
                     nursery.start_soon(keep_running, self._quotas.release)
-                await self._shutdown.run(self._settings.bounds.grace_s, self._stop_requested_at)
+                await self._shutdown.run(
+                    self._reloader.settings.bounds.grace_s, self._stop_requested_at
+                )
                 # The cancellation aborts whatever is still in flight.
                 self._log.write(
                     Stopped(
@@ -373,7 +375,7 @@
         """Returns the state of the daemon for inspection."""
         members = self._directory.members
         return ServiceState(
-            name=self._settings.name,
+            name=self._reloader.settings.name,
             is_ready=self.is_ready,
             is_stopping=self._is_stopping,
             document_version=self._documents.version,
@@ -411,36 +413,17 @@
         """Reloads the settings on SIGHUP, and starts the shutdown on SIGTERM."""
         async for received in signals:
             if received.number == signal.SIGHUP:
-                self._reload_settings()
+                self._reloader.reload()
             else:
                 self.begin_stopping(received.sent_at)
 
     def _stop_elapsed_ms(self) -> float:
         return round((read_boot_clock() - self._stop_requested_at) * 1000, 1)
 
-    async def _watch_settings(self) -> None:
-        stamp = self._platform.settings_stamp()
-        while True:
-            await trio.sleep(_SETTINGS_POLL_S)
-            current = self._platform.settings_stamp()
-            if current != stamp:
-                stamp = current
-                self._reload_settings()
-
     def _apply_settings(self, settings: NodeSettings) -> None:
-        self._settings = settings
         self._entry.caller_service = settings.service
         self._freshness.bounds = settings.bounds.revocation
 
-    def _reload_settings(self) -> None:
-        try:
-            settings = self._platform.read_settings()
-        except NodeSettingsError as error:
-            self._log.write(SettingsReloaded(service=self._settings.service, error=str(error)))
-            return
-        self._apply_settings(settings)
-        self._log.write(SettingsReloaded(service=settings.service))
-
     async def _watch_suspension(self) -> None:
         """Closes idle connections after a suspension of the VM, because they may be dead."""
         while True:
@@ -473,33 +456,20 @@
         return handlers | self._rollouts.handlers
 
     def _add_gauges(self) -> None:
-        add = self._metrics.add_gauge
-        self._document_part.add_gauges(self._metrics)
-        add("members", lambda: len(self._directory.members))
-        add("requests_in_flight", lambda: self._callers.in_flight)
-        add("hops_in_flight", lambda: self._peers.in_flight)
-        add("caller_connections", lambda: self._callers.connections)
-        add("message_bytes_held", lambda: self._byte_budget.used_bytes)
-        add("messages_cut", lambda: self._byte_budget.aborted_messages)
-        add("body_wait_seconds", lambda: self._body_admission.wait_s)
-        add("loop_longest_late_seconds", lambda: self._lateness.longest_s)
-        add("loop_times_late", lambda: self._lateness.times_late)
-        add("callers_left", lambda: self._callers.abandoned_requests)
-        add("upstream_running", lambda: self._upstream.running)
-        add("upstream_queued", lambda: self._upstream.queued)
-        add("upstream_slots", lambda: self._upstream.slots)
-        add("upstream_rate_limit", lambda: self._upstream.rate_limit)
-        add("upstream_requests_sent", lambda: self._upstream.requests_sent)
-        add("upstream_service_seconds", lambda: self._upstream.service_s)
-        add("load_requests", lambda: self._chooser.load_requests)
+        metrics = self._metrics
+        self._document_part.add_gauges(metrics)
+        self._callers.add_gauges(metrics)
+        self._byte_budget.add_gauges(metrics)
+        self._lateness.add_gauges(metrics)
+        self._upstream.add_gauges(metrics)
         if self._quotas is not None:
-            quotas = self._quotas
-            add("quota_shards_owned", lambda: quotas.owned_shards)
-            add("quota_unknown_rate", lambda: quotas.unknown_rate)
-            add("quota_customers", lambda: quotas.active_customers)
-            add("quota_exchanges", lambda: quotas.exchanges)
-        add("rollouts_running", lambda: self._rollouts.running)
-        add("log_lines_left_out", lambda: self._log.dropped_lines)
+            self._quotas.add_gauges(metrics)
+        metrics.add_gauge("members", lambda: len(self._directory.members))
+        metrics.add_gauge("hops_in_flight", lambda: self._peers.in_flight)
+        metrics.add_gauge("body_wait_seconds", lambda: self._body_admission.wait_s)
+        metrics.add_gauge("load_requests", lambda: self._chooser.load_requests)
+        metrics.add_gauge("rollouts_running", lambda: self._rollouts.running)
+        metrics.add_gauge("log_lines_left_out", lambda: self._log.dropped_lines)
 
 
 def _read_suspended_s() -> float:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/quotas.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/quotas.py
@@ -28,6 +28,7 @@
     from fulmarstile_daemon.services._links import DaemonLinks
     from fulmarstile_daemon.services.documents import ActiveRoutes
     from fulmarstile_daemon.services.event_log import EventLog
+    from fulmarstile_daemon.services.metrics import ServiceMetrics
     from fulmarstile_platform.keyed_log import KeyedLog
     from fulmarstile_services.directory import Directory
     from fulmarstile_services.quotas.plan import QuotaPlan
@@ -124,6 +125,18 @@
         """Number of customers that hold tokens or shares at this daemon."""
         return sum(tasks.shard.lease.active_count for tasks in self._shards)
 
+    def add_gauges(self, metrics: ServiceMetrics) -> None:
+        """Adds the gauges of customers' quotas.
+
+        Args:
+            metrics: Metrics of the daemon.
+        """
+        add = metrics.add_gauge
+        add("quota_shards_owned", lambda: self.owned_shards)
+        add("quota_unknown_rate", lambda: self.unknown_rate)
+        add("quota_customers", lambda: self.active_customers)
+        add("quota_exchanges", lambda: self.exchanges)
+
     def apply_document(self) -> None:
         """Applies the quotas of the active document; called when another one becomes active."""
         table = self._routes.table
--- a/tests/services/test_failing_tasks.py
+++ b/tests/services/test_failing_tasks.py
@@ -10,6 +10,7 @@
 
 from fulmarstile_daemon.services._document_part import DocumentPart
 from fulmarstile_daemon.services._request_server import RequestServer
+from fulmarstile_daemon.services._settings_reload import SettingsReloader
 from fulmarstile_daemon.services._slots import Slots
 from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
 from fulmarstile_daemon.services.daemon import ServiceDaemon
@@ -38,7 +39,7 @@
     (InputWatch, "run"),
     (RequestServer, "_watch_callers"),
     (RequestServer, "_close_idle_forever"),
-    (ServiceDaemon, "_watch_settings"),
+    (SettingsReloader, "watch"),
     (ServiceDaemon, "_watch_suspension"),
     (ServiceDaemon, "_handle_signals"),
 )
