--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -177,21 +177,29 @@
             await trio.sleep(_POLL_INTERVAL_S)
 
     async def _answer_remaining(self) -> None:
-        """Responds to the remaining requests according to their state so far."""
+        """Responds to the remaining requests according to their state so far.
+
+        If the event loop is late, this takes less time, not time after the grace period.
+        """
         self._write_phase("answering")
         self._set_stop_times(CLOSED)
         self._callers.expire_all()
         self._links.close_all()
+        sent_by = self._times_by_boot_clock.ends_at + _FINAL_SEND_S
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._end_peers)
-            with trio.move_on_after(_FINAL_SEND_S):
+            nursery.start_soon(self._end_peers, sent_by)
+            with trio.move_on_after(self._limit_s(_FINAL_SEND_S, sent_by)):
                 await self._callers.wait_answered()
-            await self._callers.finish(_FINAL_CLOSE_S)
+            await self._callers.finish(self._limit_s(_FINAL_CLOSE_S, sent_by + _FINAL_CLOSE_S))
 
-    async def _end_peers(self) -> None:
-        with trio.move_on_after(_FINAL_SEND_S):
+    async def _end_peers(self, sent_by: float) -> None:
+        with trio.move_on_after(self._limit_s(_FINAL_SEND_S, sent_by)):
             await self._peers.end()
 
+    def _limit_s(self, duration_s: float, ends_at: float) -> float:
+        """Shortens a time limit that would pass a time of the boot clock, in seconds."""
+        return max(0.0, min(duration_s, ends_at - self._clock()))
+
     def _write_phase(self, phase: str) -> None:
         self._log.write(
             StopPhase(
--- a/tests/services/test_late_finish.py
+++ b/tests/services/test_late_finish.py
@@ -9,11 +9,26 @@
 
 import trio
 
-from fulmarstile_testing.builders.service_mesh import serve_mesh
+from fulmarstile_services.document import Repeatability
+from fulmarstile_services.settings import RequiredBounds
+from fulmarstile_testing.builders.service_mesh import (
+    ClientAnswer,
+    ServiceClient,
+    connect,
+    serve_mesh,
+)
+from fulmarstile_testing.builders.services import make_document, make_route
 from tests.services.test_unread_requests import REQUEST, open_caller, read_until_end
 
 LATE_S = 0.3
 """Time for which the event loop is held, more than `LossSlackS`, in seconds."""
+BOUNDS = RequiredBounds(grace_s=3.0)
+PHASE_S = 0.5
+"""Longest time that the last phase may take, in seconds."""
+LONG_MS = 40_000
+DOCUMENT = make_document(
+    make_route(repeatability=Repeatability.AT_MOST_ONCE, timeout_s=60.0, target_latency_s=30.0)
+)
 
 
 class LateFinishTest(unittest.TestCase):
@@ -47,6 +62,33 @@
         for answer in trio.run(run):
             self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
 
+    def test_a_running_request_is_answered_although_the_event_loop_is_late_for_the_whole_phase(
+        self,
+    ) -> None:
+        async def run() -> ClientAnswer:
+            async with serve_mesh("shop", document=DOCUMENT, bounds=BOUNDS) as mesh:
+                node = mesh.nodes[0]
+                callers = node.daemon._callers
+                expire_all = callers.expire_all
+
+                def expire_late() -> None:
+                    time.sleep(PHASE_S)
+                    expire_all()
+
+                async with ServiceClient(await connect(node.address)) as client:
+                    await client.send(f"/a?delay_ms={LONG_MS}", "POST", wait_ms=LONG_MS)
+                    with trio.fail_after(5.0):
+                        while not node.upstream.record.running:
+                            await trio.sleep(0.01)
+                    with mock.patch.object(callers, "expire_all", expire_late):
+                        node.stop()
+                        answer = await client.receive()
+                        await node.ended.wait()
+                return answer
+
+        answer = trio.run(run)
+        self.assertEqual((answer.status, answer.complete), (502, True))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/services/test_stopping_suspended.py
+++ b/tests/services/test_stopping_suspended.py
@@ -1,4 +1,4 @@
-"""A VM that is suspended during a shutdown doesn't get more time than its platform gives it."""
+"""A VM that is suspended or late in a shutdown doesn't get more time than its platform gives it."""
 
 from __future__ import annotations
 
@@ -14,6 +14,8 @@
 
 GRACE_S = 6.0
 SUSPENDED_S = 2.0
+LATE_S = 0.6
+"""Time for which the event loop is late in the last phase of a shutdown, in seconds."""
 LAST_ACCEPTED_S = 3.0
 """Time after SIGTERM up to which the rules allow a request to be cut off, in seconds."""
 
@@ -83,6 +85,22 @@
         duration_s, _ = self.stop(3.7)
         self.assertLess(duration_s, GRACE_S)
 
+    def test_an_event_loop_that_is_late_in_the_last_phase_does_not_delay_the_end(self) -> None:
+        """The last phase must not wait for its whole time limits if it begins too late for them."""
+        mock_clock = trio.testing.MockClock(autojump_threshold=0)
+
+        async def run() -> float:
+            shutdown = make_shutdown(VmClock())
+            shutdown._callers.expire_all = lambda: mock_clock.jump(LATE_S)
+            shutdown._callers.wait_answered = trio.sleep_forever
+            shutdown._callers.finish = trio.sleep
+            shutdown._peers.end = trio.sleep_forever
+            sent_at = trio.current_time()
+            await shutdown.run(GRACE_S, sent_at)
+            return trio.current_time() - sent_at
+
+        self.assertLess(trio.run(run, clock=mock_clock), GRACE_S)
+
 
 if __name__ == "__main__":
     unittest.main()
