Handle SIGTERM of fulmarstiled before it reports its start

Cause: `started` was logged before the handlers of SIGTERM and SIGINT were installed. A signal in between ended the process by its default action.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/runner.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/runner.py
@@ -49,7 +49,11 @@
         CallListenError: If the listener for calls cannot be opened.
     """
     admin_listeners = await listen_http(settings.admin.address)
-    with open_peer_links(settings.peers.address, settings.mesh.key) as links:
+    with (
+        # A signal that arrives during the start is handled as soon as the daemon runs.
+        trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals,
+        open_peer_links(settings.peers.address, settings.mesh.key) as links,
+    ):
         async with _open_log(settings) as log, trio.open_nursery() as nursery:
             keys = TrustedKeys(settings.customers, settings.mesh.key)
             core = assemble_core(
@@ -62,7 +66,7 @@
             nursery.start_soon(daemon.run_ticks)
             nursery.start_soon(daemon.run_claim_appends)
             logger.info("started", daemon=settings.daemon.name)
-            await _wait_for_stop(daemon)
+            await _wait_for_stop(daemon, signals)
             nursery.cancel_scope.cancel()
 
 
@@ -73,13 +77,12 @@
         raise CallListenError(f"cannot listen at {proxy.address}: {error.strerror}") from error
 
 
-async def _wait_for_stop(daemon: Daemon) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        await anext(aiter(signals))
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_end_drain_on_second_signal, signals, daemon)
-            await daemon.drain()
-            nursery.cancel_scope.cancel()
+async def _wait_for_stop(daemon: Daemon, signals: AsyncIterator[int]) -> None:
+    await anext(aiter(signals))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_end_drain_on_second_signal, signals, daemon)
+        await daemon.drain()
+        nursery.cancel_scope.cancel()
 
 
 async def _end_drain_on_second_signal(signals: AsyncIterator[int], daemon: Daemon) -> None:
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -4,6 +4,9 @@
 
 import contextlib
 import io
+import signal
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -18,6 +21,8 @@
 from fulmarstile_testing.builders.settings import build_settings_text
 from fulmarstile_testing.free_ports import find_free_ports
 
+PROGRAM = "from fulmarstile_daemon.main import run; run()"
+
 
 def run_main(settings: str | None) -> tuple[int, str]:
     if not flags.FLAGS.is_parsed():
@@ -28,6 +33,17 @@
     return code, errors.getvalue()
 
 
+def start_daemon(directory: str) -> subprocess.Popen[str]:
+    """Starts a daemon in a process of its own, which logs to a pipe."""
+    peers, calls, admin = (f"127.0.0.1:{port}" for port in find_free_ports(3))
+    path = Path(directory) / "a.ini"
+    path.write_text(
+        build_settings_text(peers__address=peers, calls__address=calls, admin__address=admin)
+    )
+    command = [sys.executable, "-c", PROGRAM, f"--settings={path}"]
+    return subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+
+
 class MainTest(unittest.TestCase):
     def test_missing_and_invalid_settings_are_usage_errors(self) -> None:
         self.assertEqual(run_main(None)[0], ExitCode.USAGE)
@@ -45,6 +61,16 @@
         self.assertEqual(code, ExitCode.LISTEN)
         self.assertIn(f"a.ini: [peers] address: cannot listen at {peers}", errors)
 
+    def test_a_sigterm_right_after_the_start_stops_the_daemon_without_an_error(self) -> None:
+        """Its default action would end the process, and with it the first calls."""
+        with tempfile.TemporaryDirectory() as directory, start_daemon(directory) as process:
+            assert process.stderr is not None
+            self.assertIn("started", process.stderr.readline())
+            process.send_signal(signal.SIGTERM)
+            lines = process.stderr.read().splitlines()
+        self.assertEqual(process.returncode, ExitCode.OK)
+        self.assertIn("stopped", lines[-1])
+
     def test_help_lists_the_flag_and_the_exit_codes(self) -> None:
         output = io.StringIO()
         with patch("sys.argv", ["fulmarstiled", "--help"]), contextlib.redirect_stdout(output):
