Keep connections to daemons that are alive and read late

Callers saw: 502, or a second attempt, for all requests under way on a connection to a daemon that read nothing for 2 s (a process that was stopped, or short of processor time), if more was sent to it than its kernel took. The same for its answers to such a daemon.

Evidence: in test_late_daemons, two requests and two answers (300 KB and 16 MB) that are read after 6 s fail before (connection reset after about 2.3 s), and are complete now. Daemons that are cut off (a packet filter on their socket drops all that arrives) are noticed after 1.6 to 2.5 s, in 12 cases of pauses between 0 and 8 s before the cut; the bound is 3 s, and these tests also pass before.

Fix: the option stays, and is extended while the kernel reports that the peer is alive: it acknowledges the probes of its closed window, or data again, without progress (TCP_INFO). A peer with data in flight that acknowledges nothing is never extended. A stall ends after 30 s, or at 2 s while memory is scarce and messages wait in the process, as for callers. Where the kernel doesn't report acknowledgements, nothing changes. A check costs no system call for a connection on which nothing was sent since its last one.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -10,10 +10,13 @@
 
 import trio
 
+from fulmarstile_http.late_readers import CHECK_INTERVAL_S, STALLED_CHECK_INTERVAL_S
 from fulmarstile_wire.errors import FulmarstileError, WireError
 from fulmarstile_wire.services import FrameDecoder, encode_frame
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
     from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_wire.services import DroppedMessage, LinkMessage
@@ -64,6 +67,7 @@
 
     def __init__(self, stream: ByteStream, budget: ByteBudget) -> None:
         self._stream = stream
+        stream.may_stall = self._may_stall
         self._budget = budget
         self._decoder = FrameDecoder()
         self._incoming = budget.open(self._drop_incoming)
@@ -187,6 +191,14 @@
             if messages:
                 return messages
 
+    def allow_late_reader(self, now: float) -> bool:
+        """See `ByteStream.allow_late_reader`."""
+        return self._stream.allow_late_reader(now)
+
+    def _may_stall(self) -> bool:
+        """Whether there is memory for what waits because the peer reads late."""
+        return not (self._unsent and self._budget.is_scarce)
+
     def send_eof(self) -> None:
         """Ends sending, so that the peer closes the connection after the last message."""
         self._stream.send_eof()
@@ -218,3 +230,17 @@
         self._decoder.drop_pending()
         self._budget.release(self._incoming)
         self._incoming = self._budget.open(self._drop_incoming)
+
+
+async def allow_late_readers(list_streams: Callable[[], Iterable[FrameStream]]) -> None:
+    """Keeps connections to daemons that are alive but don't read, until cancelled.
+
+    Args:
+        list_streams: Returns the open connections.
+    """
+    interval_s = CHECK_INTERVAL_S
+    while True:
+        await trio.sleep(interval_s)
+        now = trio.current_time()
+        late = [stream for stream in list_streams() if stream.allow_late_reader(now)]
+        interval_s = STALLED_CHECK_INTERVAL_S if late else CHECK_INTERVAL_S
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -11,7 +11,11 @@
 from fulmarstile_daemon.services._body_admission import BodyAdmission, OfferKey
 from fulmarstile_daemon.services._call import make_failure
 from fulmarstile_daemon.services._error_frames import release_frames
-from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
+from fulmarstile_daemon.services._frame_stream import (
+    FrameStream,
+    LinkBrokenError,
+    allow_late_readers,
+)
 from fulmarstile_daemon.services._served_link import ServedCall, ServedLink
 from fulmarstile_http.listener import accept_forever, listen
 from fulmarstile_wire.services import (
@@ -130,15 +134,20 @@
             OSError: If it cannot listen on the address.
         """
         with listen(address) as listener:
-            async with trio.open_nursery() as nursery:
-                task_status.started(listener.address)
-                with self._accepting:
-                    await accept_forever(
-                        listener, nursery, self._serve_connection, _log_out_of_descriptors
-                    )
-                for stream in listener.accept_pending():
-                    nursery.start_soon(self._serve_connection, stream)
-                listener.close()
+            async with trio.open_nursery() as watch_nursery:
+                watch_nursery.start_soon(
+                    allow_late_readers, lambda: [link.frames for link in self._connections]
+                )
+                async with trio.open_nursery() as nursery:
+                    task_status.started(listener.address)
+                    with self._accepting:
+                        await accept_forever(
+                            listener, nursery, self._serve_connection, _log_out_of_descriptors
+                        )
+                    for stream in listener.accept_pending():
+                        nursery.start_soon(self._serve_connection, stream)
+                    listener.close()
+                watch_nursery.cancel_scope.cancel()
         self._ended.set()
 
     async def end(self) -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -14,7 +14,11 @@
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
 from fulmarstile_daemon.services._error_frames import release_frames
 from fulmarstile_daemon.services._exchange import UpstreamResponse
-from fulmarstile_daemon.services._frame_stream import FrameStream, LinkBrokenError
+from fulmarstile_daemon.services._frame_stream import (
+    FrameStream,
+    LinkBrokenError,
+    allow_late_readers,
+)
 from fulmarstile_http.byte_stream import open_stream
 from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_services.wait_policy import max_body_wait_s
@@ -93,7 +97,7 @@
 
     def __init__(self, frames: FrameStream, address: str) -> None:
         self._address = address
-        self._frames = frames
+        self.frames = frames
         self._pending: dict[int, _PendingCall] = {}
         self._next_id = 0
         self._is_retired = False
@@ -102,7 +106,7 @@
 
     @property
     def is_closed(self) -> bool:
-        return self._frames.is_closed
+        return self.frames.is_closed
 
     def begin_call(self) -> tuple[int, _PendingCall]:
         self._next_id += 1
@@ -110,7 +114,7 @@
         return self._next_id, pending
 
     def send(self, message: Hello | HopCall | SyncCall | PeerCall | BodyOffer) -> OutgoingFrame:
-        return self._frames.send(message)
+        return self.frames.send(message)
 
     def withdraw(self, call_id: int, progress: AttemptProgress) -> None:
         """Withdraws a call, which the other daemon refuses unless its upstream has received it."""
@@ -136,21 +140,21 @@
 
     def _drop_unsent(self, progress: AttemptProgress) -> bool:
         frame = progress.frame
-        if frame is None or not self._frames.drop(frame):
+        if frame is None or not self.frames.drop(frame):
             return False
         progress.revert_to_waiting()
         return True
 
     def _send_or_close(self, message: HopCancel | HopWithdraw) -> None:
         try:
-            self._frames.send(message)
+            self.frames.send(message)
         except LinkBrokenError:
             self.close()
 
     def end_call(self, call_id: int) -> None:
         """Removes a call, and cancels it at the other daemon if it has no answer."""
         pending = self._pending.pop(call_id)
-        if not pending.done.is_set() and not self._frames.is_closed:
+        if not pending.done.is_set() and not self.frames.is_closed:
             self._send_or_close(HopCancel(call_id))
         self._close_if_unused()
 
@@ -164,7 +168,7 @@
             self.close()
 
     def close(self) -> None:
-        self._frames.close()
+        self.frames.close()
         for pending in self._pending.values():
             pending.is_lost = True
             pending.granted.set()
@@ -174,9 +178,9 @@
         """Receives answers until the connection ends."""
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._frames.send_forever)
+                nursery.start_soon(self.frames.send_forever)
                 while True:
-                    for message in await self._frames.receive():
+                    for message in await self.frames.receive():
                         self._on_message(message)
         except* LinkBrokenError as group:
             _LOGGER.info("connection to %s closed: %s", self._address, group.exceptions[0])
@@ -241,7 +245,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
-            await trio.sleep_forever()
+            await allow_late_readers(lambda: [link.frames for link in self._open_links])
 
     def close_unknown(self, addresses: Iterable[str]) -> None:
         """Retires the connections to addresses that are no longer known.
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -12,6 +12,8 @@
 
 import trio
 
+from fulmarstile_http.late_readers import LateReaderWatch
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -56,6 +58,9 @@
         """Returns whether there is memory for what waits longer than 2 s to be sent."""
         self.sent_bytes = 0
         """Bytes handed to the kernel since the stream was opened."""
+        self._late_reader = LateReaderWatch(sock, _USER_TIMEOUT_MS / 1000)
+        self._acknowledged_bytes = 0
+        """Bytes handed to the kernel that need no further check by `allow_late_reader`."""
 
     @property
     def is_closed(self) -> bool:
@@ -161,6 +166,25 @@
         """
         await self._wait(trio.lowlevel.wait_writable)
 
+    def allow_late_reader(self, now: float) -> bool:
+        """Keeps the kernel from breaking the connection while the peer is alive but reads late.
+
+        To be called periodically; needs no system call while nothing was sent.
+
+        Args:
+            now: The current time, in seconds.
+
+        Returns:
+            Whether the peer is late at present: the next call is due `STALLED_CHECK_INTERVAL_S`
+            later, otherwise `CHECK_INTERVAL_S`.
+        """
+        if self.sent_bytes == self._acknowledged_bytes or self.is_closed:
+            return False
+        sent_bytes = self.sent_bytes
+        if not self._late_reader.check(now, may_stall=self.may_stall()):
+            self._acknowledged_bytes = sent_bytes
+        return self._late_reader.is_extended
+
     def send_eof(self) -> None:
         """Shuts down sending, so that the other side reads the end of the stream."""
         with suppress(OSError):
@@ -224,7 +248,7 @@
         sock: TCP socket; connections accepted by a listening socket inherit the options.
         peer_may_read_late: Whether the peer may leave data unread for as long as it wants. The
             time limit for unacknowledged data does not allow that: it also runs while the
-            receive buffer of the peer is full.
+            receive buffer of the peer is full, unless `ByteStream.allow_late_reader` is called.
     """
     with suppress(OSError):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
