Do not take a process without a free port for a crash of its upstream

What callers saw: while the daemon had no port left for a connection of its own, one connection that its upstream broke blamed all requests in flight for a crash, the upstream was sent nothing for 0.5 s, and repeats of these requests came nearer to their quarantine.

Cause: EADDRNOTAVAIL was not among the errors that say nothing about the other side (EMFILE and the like are).

The new test in test_upstream_crashes: red 3 of 3 runs before (four suspects), green 3 of 3 now. The error is injected; ports were not really used up. The existing tests name the resource that is exhausted now, and check the same.

--- a/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 from contextlib import suppress
 from typing import TYPE_CHECKING
@@ -252,7 +253,7 @@
     try:
         stream = await open_stream(address, peer_may_read_late=peer_may_read_late)
     except OSError as error:
-        is_local = error.errno in OUT_OF_DESCRIPTORS
+        is_local = error.errno in (*OUT_OF_DESCRIPTORS, errno.EADDRNOTAVAIL)
         kind = LocalLimitError if is_local else ExchangeError
         raise kind(f"cannot connect to {address}: {error}") from error
     return ClientConnection(stream, head_limit)
--- a/tests/services/test_upstream_crashes.py
+++ b/tests/services/test_upstream_crashes.py
@@ -24,6 +24,7 @@
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from contextlib import AbstractContextManager
 
     from fulmarstile_daemon.services._upstream import LocalUpstream
@@ -59,6 +60,12 @@
     return mock.patch.object(byte_stream.socket, "socket", side_effect=error)
 
 
+def out_of_ports() -> AbstractContextManager[object]:
+    """Returns a context in which the process has no port left for a connection."""
+    error = OSError(errno.EADDRNOTAVAIL, "cannot assign requested address")
+    return mock.patch.object(byte_stream, "_connect", side_effect=error)
+
+
 class UpstreamCrashTest(unittest.TestCase):
     def test_a_request_that_has_completed_before_is_not_suspected_of_a_crash(self) -> None:
         suspects: list[bytes] = []
@@ -109,7 +116,11 @@
         trio.run(run)
         self.assertEqual(suspects, [b"request-%d" % number for number in range(COPIES)])
 
-    def check_one_broken_connection(self, connections: int) -> None:
+    def check_one_broken_connection(
+        self,
+        connections: int,
+        exhausted: Callable[[], AbstractContextManager[object]] = nullcontext,
+    ) -> None:
         """Checks that a broken connection blames none of the requests on the others."""
         suspects: list[bytes] = []
         verdicts: list[Verdict] = []
@@ -133,7 +144,7 @@
                 streams = [await listener.accept() for _ in range(COPIES)]
                 for stream in streams:
                     await stream.receive_some()
-                with out_of_descriptors() if connections > COPIES else nullcontext():
+                with exhausted():
                     await trio.aclose_forcefully(streams[0])
                     await trio.testing.wait_all_tasks_blocked(0.05)
                 self.assertEqual(suspects, [])
@@ -148,7 +159,10 @@
         self.check_one_broken_connection(connections=COPIES)
 
     def test_a_broken_connection_is_no_crash_while_the_daemon_can_open_no_socket(self) -> None:
-        self.check_one_broken_connection(connections=2 * COPIES)
+        self.check_one_broken_connection(2 * COPIES, out_of_descriptors)
+
+    def test_a_broken_connection_is_no_crash_while_the_daemon_has_no_port_left(self) -> None:
+        self.check_one_broken_connection(2 * COPIES, out_of_ports)
 
 
 if __name__ == "__main__":
