Let no error of a roll-out end the daemon

No such error was seen in operation; only deployments with roll-outs are concerned.

Reading goes on after an error, as other background tasks; a decision or status whose recording fails is logged, and left to the next evaluation.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_background_tasks.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_background_tasks.py
@@ -32,3 +32,16 @@
             await trio.sleep(_RESTART_DELAY_S)
         else:
             return
+
+
+async def run_and_log(run: Callable[..., Awaitable[None]], *arguments: Any) -> None:
+    """Runs a task whose unexpected error is logged instead of ending the daemon.
+
+    Args:
+        run: The task, which is not run again.
+        arguments: Its arguments.
+    """
+    try:
+        await run(*arguments)
+    except Exception:
+        _LOGGER.exception("%s failed", run.__qualname__)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from fulmarstile_daemon.services._background_tasks import keep_running, run_and_log
 from fulmarstile_daemon.services._rollout_records import (
     ROLLOUTS_TOPIC,
     RolloutDecision,
@@ -81,21 +82,14 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
-            while not self._rollouts.has_decisions:
-                try:
-                    await self._read(store)
-                except LogError as error:
-                    await self._wait_for_store(error)
-                    continue
-                self._on_store_call()
-                self._rollouts.on_decisions(self._stored.values())
+            nursery.start_soon(keep_running, self._read_decisions, store)
             await trio.sleep_forever()
 
     def record(self, rollout: KnownRollout) -> None:
         """Records the proposal of a roll-out, unless that is under way."""
         if not rollout.is_recording and self._nursery is not None:
             rollout.is_recording = True
-            self._nursery.start_soon(self._record, rollout)
+            self._nursery.start_soon(run_and_log, self._record, rollout)
 
     def report_start(self, rollout: KnownRollout, rank: int, *, is_new: bool) -> None:
         """Tells the operator that a roll-out runs, unless another evaluator has done so.
@@ -109,15 +103,27 @@
             rollout.is_reporting_start = True
             phase, delay_s = RolloutPhase.CANARY, rank * _STATUS_CHECK_S
             is_first = is_new and not rank
-            self._nursery.start_soon(self._write_status, rollout, phase, delay_s, not is_first)
+            self._nursery.start_soon(
+                run_and_log, self._write_status, rollout, phase, delay_s, not is_first
+            )
 
     def ensure_status(self, rollout: KnownRollout) -> None:
         """Writes the status of a roll-out that has ended, if it is still missing in a while."""
         if rollout.phase is not None and self._nursery is not None:
             self._nursery.start_soon(
-                self._write_status, rollout, rollout.phase, 2 * _STATUS_CHECK_S, True
+                run_and_log, self._write_status, rollout, rollout.phase, 2 * _STATUS_CHECK_S, True
             )
 
+    async def _read_decisions(self, store: KeyedLog) -> None:
+        while not self._rollouts.has_decisions:
+            try:
+                await self._read(store)
+            except LogError as error:
+                await self._wait_for_store(error)
+                continue
+            self._on_store_call()
+            self._rollouts.on_decisions(self._stored.values())
+
     async def _record(self, rollout: KnownRollout) -> None:
         try:
             while rollout.proposal is not None and self._rollouts.is_current(rollout):
--- a/tests/services/test_rollout_recorder.py
+++ b/tests/services/test_rollout_recorder.py
@@ -1,9 +1,10 @@
-"""The status of a roll-out that has ended is never replaced by one that says that it runs."""
+"""Records of roll-outs: a final status is never replaced, and an error doesn't end the daemon."""
 
 from __future__ import annotations
 
 import random
 import unittest
+from typing import TYPE_CHECKING
 from unittest.mock import MagicMock
 
 import trio
@@ -22,7 +23,10 @@
 from fulmarstile_testing.builders.service_mesh import make_node_settings
 from fulmarstile_testing.fakes.keyed_log import FakeKeyedLog
 from fulmarstile_testing.fakes.service_platform import STATUS_TOPIC, FakePlatform
-from fulmarstile_wire.rollouts import RolloutPhase
+from fulmarstile_wire.rollouts import RolloutPhase, RolloutState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 ORDER = RolloutOrder("shop", "v2", 12.0, 7)
 
@@ -66,3 +70,63 @@
 
     def test_a_missing_status_is_written(self) -> None:
         self.assertEqual(self.report_start(None), ["canary v2"])
+
+
+class FailingRecorderTest(unittest.TestCase):
+    """The tasks of the recorder run in the main nursery of the daemon."""
+
+    def check_failure(
+        self,
+        start: Callable[[RolloutRecorder, KnownRollout], None],
+        *,
+        rollouts: MagicMock | None = None,
+        platform: MagicMock | None = None,
+    ) -> None:
+        """Checks that an error is logged, and that the recorder goes on."""
+
+        async def run() -> None:
+            recorder = RolloutRecorder(
+                "d-1",
+                rollouts or MagicMock(has_decisions=True),
+                platform or MagicMock(),
+                random.Random(1),
+                EventLog("d-1"),
+            )
+            rollout = KnownRollout(ReceivedOrder(ORDER), 0.0)
+            rollout.proposal = RolloutState(
+                "shop", ORDER.offset, "v2", 12_000, 9_000, RolloutPhase.COMPLETED
+            )
+            async with trio.open_nursery() as nursery:
+                await nursery.start(recorder.run, FakeKeyedLog())
+                start(recorder, rollout)
+                await trio.sleep(10.0)
+                nursery.cancel_scope.cancel()
+            self.assertFalse(rollout.is_recording)
+
+        with self.assertLogs(level="ERROR"):
+            trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_an_error_while_decisions_are_read_is_not_the_end(self) -> None:
+        rollouts = MagicMock(has_decisions=False)
+
+        def fail_once(_: object) -> None:
+            if rollouts.has_decisions:
+                return
+            rollouts.has_decisions = True
+            raise LookupError("an error of the test")
+
+        rollouts.on_decisions = fail_once
+        self.check_failure(lambda *_: None, rollouts=rollouts)
+
+    def test_an_error_while_a_decision_is_recorded_is_not_the_end(self) -> None:
+        rollouts = MagicMock(has_decisions=True)
+        rollouts.make_rules.side_effect = LookupError("an error of the test")
+        self.check_failure(RolloutRecorder.record, rollouts=rollouts)
+
+    def test_an_error_while_a_status_is_written_is_not_the_end(self) -> None:
+        platform = MagicMock()
+        platform.encode_rollout_status.side_effect = LookupError("an error of the test")
+        self.check_failure(
+            lambda recorder, rollout: recorder.report_start(rollout, 0, is_new=True),
+            platform=platform,
+        )
