Bound how many connections a stopping daemon accepts from its backlog

A client that connects faster than the daemon accepts kept the loop that empties the backlog running at the end of a stop, for as long as there were descriptors, and with it the event loop, which has the last answers of all other callers to send. Found by reading.

No more connections are accepted there than the backlog holds, which on Linux is one more than its length.

--- a/packages/fulmarstile_http/src/fulmarstile_http/listener.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/listener.py
@@ -63,12 +63,15 @@
     def accept_pending(self) -> list[ByteStream]:
         """Accepts the connections in the backlog, without waiting for more.
 
+        No more than fit into it, because clients may connect faster than that.
+
         Returns:
             The accepted streams.
         """
         streams = []
         with suppress(OSError):
-            while True:
+            # Linux holds one connection more than the length of the backlog.
+            for _ in range(_BACKLOG + 1):
                 accepted, _ = self._socket.accept()
                 accepted.setblocking(False)
                 streams.append(ByteStream(accepted, _SEND_TIMEOUT_S))
