--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
@@ -99,9 +99,9 @@
         if self._directory.serving(call.service):
             reason = RefusalReason.QUEUE_FULL
         result = AttemptResult(make_failure(Verdict.NOT_RUN, reason))
-        while not call.is_withdrawn:
+        while call.may_be_sent:
             member = await self._select_member(call, frozenset(tried))
-            if member is None or call.is_withdrawn:
+            if member is None or not call.may_be_sent:
                 break
             tried.add(member.name)
             result = await self._attempt_hedged(call, member, tried)
@@ -230,7 +230,7 @@
         if outcome.phase is not MemberPhase.SERVING:
             self._balancer.set_reachable(member, True, trio.current_time())
         left_s = call.deadline - trio.current_time()
-        if call.is_withdrawn:
+        if not call.may_be_sent:
             decision = RetryDecision(False, "the daemon is shutting down")
         else:
             decision = self._retry_policy.decide(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -57,7 +57,7 @@
     unresolved: list[AttemptProgress] = field(default_factory=list)
     """Attempts that may still run or may have run."""
     is_withdrawn: bool = False
-    """Whether the request must not be sent to another upstream."""
+    """Whether the daemon is draining; see `may_be_sent`."""
     is_version_drawn: bool = False
     """Whether an attempt was sent during a roll-out; later ones go to the baseline version."""
     is_version_moved: bool = False
@@ -72,6 +72,18 @@
             attempt.may_have_begun for attempt in self.unresolved
         )
 
+    @property
+    def may_be_sent(self) -> bool:
+        """Whether the request may be sent to an upstream, or to another one.
+
+        While the daemon drains, only a request that may have run, and may be repeated, is sent
+        again: it can't be refused as not run any more.
+        """
+        if not self.is_withdrawn:
+            return True
+        is_answered = self.last_failure is not None
+        return self.history.may_have_run and self.route.is_idempotent and not is_answered
+
     def withdraw(self) -> None:
         """Cancels the request at all upstreams that have not received it yet."""
         self.is_withdrawn = True
--- a/tests/services/test_stop_crossings.py
+++ b/tests/services/test_stop_crossings.py
@@ -12,37 +12,51 @@
 from fulmarstile_testing.builders.service_mesh import serve_mesh
 from fulmarstile_testing.builders.services import make_document, make_route
 from fulmarstile_testing.lost_search.callers import CallerConnection, SentRequest
-from fulmarstile_testing.lost_search.case import DaemonRun
+from fulmarstile_testing.lost_search.case import GRACE_S, DaemonRun
 from fulmarstile_testing.lost_search.environment import virtual_clocks
+from fulmarstile_testing.lost_search.judge import judge
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from fulmarstile_testing.builders.service_mesh import ServiceNode
 
-DOCUMENT = make_document(
-    make_route(
-        repeatability=Repeatability.AT_MOST_ONCE,
-        timeout_s=12.0,
-        target_latency_s=6.0,
-        max_attempts=3,
+DOCUMENT, READS_DOCUMENT = (
+    make_document(
+        make_route(
+            repeatability=repeatability, timeout_s=12.0, target_latency_s=6.0, max_attempts=3
+        )
     )
+    for repeatability in (Repeatability.AT_MOST_ONCE, Repeatability.IDEMPOTENT)
 )
 FOREVER_S = 60.0
 
 
 def make_request(
-    number: int, *, delay_ms: int = 1, size: int = 2, body_bytes: int = 0, after_s: float = 0.0
+    number: int,
+    *,
+    method: str = "POST",
+    delay_ms: int = 1,
+    size: int = 2,
+    body_bytes: int = 0,
+    after_s: float = 0.0,
 ) -> SentRequest:
     target = f"/a?delay_ms={delay_ms}&size={size}"
     return SentRequest(
-        f"r{number}", "POST", target, b"y" * body_bytes, 12.0, 12.0, size, "", (after_s,)
+        f"r{number}", method, target, b"y" * body_bytes, 12.0, 12.0, size, "", (after_s,)
     )
 
 
 async def exchange(entry: ServiceNode, *requests: SentRequest, read_after_s: float = 0.0) -> None:
     """Sends requests on one connection and reads their answers."""
-    connection = await CallerConnection.open(DaemonRun(entry))
+    await exchange_with(DaemonRun(entry), *requests, read_after_s=read_after_s)
+
+
+async def exchange_with(
+    entry: DaemonRun, *requests: SentRequest, read_after_s: float = 0.0
+) -> None:
+    """Sends requests to a daemon whose stop is recorded, and reads their answers."""
+    connection = await CallerConnection.open(entry)
     assert connection is not None
     await connection.exchange(requests, leave_after_s=FOREVER_S, read_after_s=read_after_s)
     connection.close()
@@ -103,6 +117,36 @@
 
         run_in_virtual_time(run)
 
+    def test_a_read_that_ends_with_another_daemon_is_repeated_while_its_own_one_drains(
+        self,
+    ) -> None:
+        """Guards against 502 for a read at whose upstream work goes on, after two stops in a row.
+
+        The daemon beside the upstream ends while the one that took the read is draining, and sends
+        nothing to upstreams that they have not received yet.
+        """
+
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", "shop", document=READS_DOCUMENT) as mesh:
+                entry, stopping, other = mesh.nodes
+                run = DaemonRun(entry)
+                requests = [
+                    make_request(number, method="GET", delay_ms=5_000) for number in range(4)
+                ]
+                stopping.stop()
+                await trio.sleep(0.5)
+                async with trio.open_nursery() as nursery:
+                    for request in requests:
+                        nursery.start_soon(exchange_with, run, request)
+                    await trio.sleep(0.5)
+                    run.stopped_at = trio.current_time()
+                    entry.stop()
+                served = stopping.upstream.record.requests + other.upstream.record.requests
+                self.assertTrue(any(each.was_left for each in stopping.upstream.record.requests))
+                self.assertEqual(list(judge(requests, served, (), GRACE_S)), [])
+
+        run_in_virtual_time(run)
+
     def test_a_stopping_daemon_cuts_no_request_of_another_one_that_stops_later(self) -> None:
         async def run() -> None:
             async with serve_mesh("stock", "shop", "shop", document=DOCUMENT) as mesh:
