--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -41,8 +41,17 @@
 _STOP_OFFSETS_S: Final = (0.0, 0.0, 0.05, 0.4, 1.0, 1.6, 2.0, 2.4, 2.8, 3.6, 5.2)
 """Times between stops, among them those of the phases of a shutdown, in seconds."""
 _NESTED_RATIO: Final = 0.2
-_SHORTER: Final = 0.6
-"""Factor by which some versions of the document shorten the timeouts."""
+_FACTORS: Final = (1.0, 0.6)
+"""Factors that versions of the document apply to the timeouts."""
+_SHORT_FACTORS: Final = (1.0, 0.6, 0.3)
+_ROW_GAPS_S: Final = (0.05, 0.3, 0.6, 1.0)
+"""Times between the stops of daemons that stop one after the other, in seconds."""
+_SILENCES_S: Final = (1.0, 2.0, 3.0)
+_SILENCE_LEADS_S: Final = (0.0, 0.05, 0.5)
+"""Times for which a link has been silent when a daemon is told to stop, in seconds."""
+_LATE_S: Final = (2.0, 3.5)
+"""Times after SIGTERM between which late requests are sent, in seconds."""
+_LATE_DELAYS_MS: Final = (1000, 1500, 2000, 3000, 4000)
 _ROUTES: Final = {"/read/": 1.2, "/write/": 1.5, "/upload/": 3.0, "/long/": 7.5, "/sign/": 12.0}
 """Timeouts of the routes by their prefix, in seconds."""
 _READS: Final = ("/read/", "/long/")
@@ -62,6 +71,11 @@
     """Time of its SIGTERM, in seconds."""
     is_killed: bool = False
 
+    @property
+    def name(self) -> str:
+        """Name of the daemon."""
+        return self.node.daemon.directory.local_member.name
+
 
 @dataclass(frozen=True, slots=True)
 class CaseOptions:
@@ -79,6 +93,16 @@
     has_leaving_upstreams: bool
     pipelines: bool
     idle_timeout_s: float
+    stops_in_a_row: bool
+    """Whether all daemons stop, so that a retry may meet one that stops as well."""
+    stops_again: bool
+    """Whether a daemon that has started again is told to stop soon."""
+    has_silent_stops: bool
+    """Whether a link of a stopping daemon goes silent."""
+    has_late_requests: bool
+    """Whether callers send long requests when they should have moved away."""
+    changes_routes: bool
+    """Whether versions of the document remove routes, and shorten timeouts much."""
 
     @classmethod
     def draw(cls, rng: random.Random) -> CaseOptions:
@@ -93,9 +117,14 @@
             stalls_loop=rng.random() < 0.1,
             has_long_requests=rng.random() < 0.2,
             has_long_delays=rng.random() < 0.5,
-            has_leaving_upstreams=rng.random() < 0.2,
+            has_leaving_upstreams=rng.random() < 0.3,
             pipelines=rng.random() < 0.4,
             idle_timeout_s=rng.choice((1.0, 60.0, 60.0)),
+            stops_in_a_row=rng.random() < 0.2,
+            stops_again=rng.random() < 0.25,
+            has_silent_stops=rng.random() < 0.2,
+            has_late_requests=rng.random() < 0.25,
+            changes_routes=rng.random() < 0.3,
         )
 
 
@@ -126,7 +155,7 @@
         self._disrupted_at: list[float] = []
         self._numbers = itertools.count()
         self._sequence = 1
-        self._born_ms = 1_000
+        self._born_ms: dict[str, int] = {}
         self._leaving: set[str] = set()
 
     def play(self) -> CaseResult:
@@ -161,13 +190,11 @@
         async with trio.open_nursery() as nursery:
             for _ in range(options.callers):
                 nursery.start_soon(self._call_forever, trio.current_time() + _PLAY_S)
-            first_s = self._draw_time(_PLAY_S - _SETTLE_S)
-            for index in range(self._rng.randint(1, options.daemons)):
-                offset_s = self._rng.choice(_STOP_OFFSETS_S) if index else 0.0
-                at_s = self._rng.choice((first_s + offset_s, self._draw_time(_PLAY_S)))
+            for at_s in self._draw_stops():
                 nursery.start_soon(self._stop_one, mesh, links, at_s)
             if options.has_leaving_upstreams:
-                nursery.start_soon(self._replace_upstream)
+                for _ in range(self._rng.randint(1, 3)):
+                    nursery.start_soon(self._replace_upstream, links)
             nursery.start_soon(self._change_documents, mesh)
             if options.has_disruptions:
                 for _ in range(self._rng.randint(1, 4)):
@@ -175,25 +202,44 @@
             if options.stalls_loop:
                 nursery.start_soon(self._stall_loop, clock)
 
+    def _draw_stops(self) -> list[float]:
+        first_s = self._draw_time(_PLAY_S - _SETTLE_S)
+        if self._options.stops_in_a_row:
+            gap_s = self._rng.choice(_ROW_GAPS_S)
+            return [first_s + index * gap_s for index in range(self._options.daemons)]
+        stops = []
+        for index in range(self._rng.randint(1, self._options.daemons)):
+            offset_s = self._rng.choice(_STOP_OFFSETS_S) if index else 0.0
+            stops.append(self._rng.choice((first_s + offset_s, self._draw_time(_PLAY_S))))
+        return stops
+
     async def _start(
         self,
         mesh: ServiceMesh,
         links: SimulatedLinks,
         name: str,
         earlier: ServiceNode | None = None,
-    ) -> None:
+    ) -> DaemonRun:
         LOCAL_DAEMON.set(name)
         if earlier is None:
-            upstream = ServiceUpstream(HEADER_NAMES, f"upstream-of-{name}", f"{name}:80")
-            self._upstreams.append(upstream)
-            links.serve(upstream)
+            upstream = self._serve_upstream(links, f"upstream-of-{name}", f"{name}:80")
         else:
             upstream = earlier.upstream
         node = await mesh.start_node(name, earlier=earlier, upstream=upstream)
         links.names[node.platform.settings.listeners.daemons] = name
-        self._runs.append(DaemonRun(node))
+        run = DaemonRun(node)
+        self._runs.append(run)
         self._note(f"{name} started")
         mesh._nursery.start_soon(self._announce_forever, node)
+        return run
+
+    def _serve_upstream(
+        self, links: SimulatedLinks, upstream_id: str, address: str
+    ) -> ServiceUpstream:
+        upstream = ServiceUpstream(HEADER_NAMES, upstream_id, address)
+        self._upstreams.append(upstream)
+        links.serve(upstream)
+        return upstream
 
     async def _announce_forever(self, node: ServiceNode) -> None:
         while not node.ended.is_set():
@@ -208,7 +254,7 @@
         try:
             await node.announce(
                 sequence=self._sequence,
-                born_ms=self._born_ms,
+                born_ms=self._born_ms.get(node.upstream.address, 1_000),
                 phase=UpstreamPhase.LEAVING if is_leaving else UpstreamPhase.READY,
             )
         except* RuntimeError:
@@ -223,19 +269,26 @@
     def _note(self, text: str) -> None:
         self._result.trace.append(f"{trio.current_time():.4f} {text}")
 
-    async def _replace_upstream(self) -> None:
-        """Lets an upstream leave and another one take its place."""
+    async def _replace_upstream(self, links: SimulatedLinks) -> None:
+        """Lets an upstream leave and another one take its place and address."""
         await trio.sleep(self._draw_time(_PLAY_S - _SETTLE_S))
         running = [run.node for run in self._runs if math.isinf(run.stopped_at)]
         if not running:
             return
         node = self._rng.choice(running)
-        self._note(f"{node.upstream.upstream_id} leaves")
-        self._leaving.add(node.upstream.upstream_id)
-        await self._announce(node)
-        await trio.sleep(self._draw_time(2.0))
-        self._leaving.clear()
-        self._born_ms += 1
+        upstream_id, address = node.upstream.upstream_id, node.upstream.address
+        if self._rng.random() < 0.7:
+            self._note(f"{upstream_id} leaves")
+            self._leaving.add(upstream_id)
+            await self._announce(node)
+            await trio.sleep(self._draw_time(2.0))
+            self._leaving.discard(upstream_id)
+        if self._rng.random() < 0.6:
+            # What the earlier one works on, it still finishes.
+            upstream_id = f"upstream-{next(self._numbers)}"
+            node.upstream = self._serve_upstream(links, upstream_id, address)
+        self._note(f"{upstream_id} takes the place")
+        self._born_ms[address] = self._born_ms.get(address, 1_000) + 1
         await self._announce(node)
 
     async def _stop_one(self, mesh: ServiceMesh, links: SimulatedLinks, at_s: float) -> None:
@@ -245,46 +298,75 @@
         if not running:
             return
         run = self._rng.choice(running)
-        node = run.node
-        name = node.daemon.directory.local_member.name
+        await self._stop(mesh, links, run)
+        if not self._options.stops_again and self._rng.random() < 0.3:
+            return
+        await trio.sleep(self._draw_time(1.0))
+        run = await self._start(mesh, links, run.name, run.node)
+        if self._options.stops_again:
+            await trio.sleep(self._draw_time(1.5))
+            if math.isinf(run.stopped_at):
+                await self._stop(mesh, links, run)
+
+    async def _stop(self, mesh: ServiceMesh, links: SimulatedLinks, run: DaemonRun) -> None:
         run.stopped_at = trio.current_time()
         if self._options.has_disruptions and self._rng.random() < 0.3:
             run.is_killed = True
             self._disrupted_at.append(run.stopped_at)
-            self._note(f"{name} is killed")
-            await node.kill()
-        else:
-            self._note(f"{name} is told to stop")
-            node.stop()
-            with trio.move_on_after(GRACE_S) as grace:
-                await node.ended.wait()
-            if grace.cancelled_caught:
-                self._result.violations.append(Violation("GRACE", f"{name} has not ended"))
-                await node.kill()
-            self._note(f"{name} has ended")
-        if self._rng.random() < 0.7:
-            await trio.sleep(self._draw_time(1.0))
-            await self._start(mesh, links, name, node)
+            self._note(f"{run.name} is killed")
+            await run.node.kill()
+            return
+        if self._options.has_silent_stops:
+            mesh._nursery.start_soon(self._silence, links, run.name, self._rng.choice(_SILENCES_S))
+            await trio.sleep(self._rng.choice(_SILENCE_LEADS_S))
+            run.stopped_at = trio.current_time()
+        self._note(f"{run.name} is told to stop")
+        run.node.stop()
+        with trio.move_on_after(GRACE_S) as grace:
+            await run.node.ended.wait()
+        if grace.cancelled_caught:
+            self._result.violations.append(Violation("GRACE", f"{run.name} has not ended"))
+            await run.node.kill()
+        self._note(f"{run.name} has ended")
 
     async def _change_documents(self, mesh: ServiceMesh) -> None:
-        for version in range(2, self._rng.randint(2, 5)):
-            await trio.sleep(self._draw_time(_PLAY_S / 2))
-            factor = self._rng.choice((1.0, _SHORTER))
-            mesh.put_document(_make_document(version, factor, self._options.idle_timeout_s))
+        changes_routes = self._options.changes_routes
+        for version in range(2, self._rng.randint(2, 8 if changes_routes else 5)):
+            await trio.sleep(self._draw_time(_PLAY_S / (4 if changes_routes else 2)))
+            factor = self._rng.choice(self._factors)
+            removed = self._rng.choice(list(_ROUTES)) if changes_routes else ""
+            self._note(f"version {version}: factor {factor}, without {removed or 'nothing'}")
+            idle_timeout_s = self._options.idle_timeout_s
+            mesh.put_document(_make_document(version, factor, idle_timeout_s, removed))
+
+    @property
+    def _factors(self) -> tuple[float, ...]:
+        return _SHORT_FACTORS if self._options.changes_routes else _FACTORS
+
+    def _draw_other(self, name: str) -> str:
+        names = [f"daemon-{index + 1}" for index in range(self._options.daemons)]
+        names.remove(name)
+        return self._rng.choice(names)
 
     async def _disrupt(self, links: SimulatedLinks) -> None:
         await trio.sleep(self._draw_time(_PLAY_S))
-        names = [f"daemon-{index + 1}" for index in range(self._options.daemons)]
-        first, second = self._rng.sample(names, 2)
-        kind = self._rng.choice(("break", "one way", "silence"))
-        for_s = self._rng.choice((0.1, 0.5, 1.0, 3.0))
-        self._note(f"{kind} {first} {second} {for_s}")
-        self._disrupted_at.append(trio.current_time())
-        if kind == "break":
-            links.break_all(first, second)
+        name = f"daemon-{self._rng.randint(1, self._options.daemons)}"
+        if self._rng.random() < 2 / 3:
+            await self._silence(links, name, self._rng.choice((0.1, 0.5, 1.0, 3.0)))
             return
+        other = self._draw_other(name)
+        self._note(f"break {name} {other}")
+        self._disrupted_at.append(trio.current_time())
+        links.break_all(name, other)
+
+    async def _silence(self, links: SimulatedLinks, name: str, for_s: float) -> None:
+        """Holds back all bytes between two daemons, or those in one direction."""
+        first, second = self._rng.sample((name, self._draw_other(name)), 2)
+        both_ways = self._rng.random() < 0.5
+        self._note(f"silence {'both ways' if both_ways else 'one way'} {first} {second} {for_s}")
+        self._disrupted_at.append(trio.current_time())
         links.silence(first, second, for_s)
-        if kind == "silence":
+        if both_ways:
             links.silence(second, first, for_s)
         await trio.sleep(for_s)
         self._disrupted_at.append(trio.current_time())
@@ -298,6 +380,8 @@
     async def _call_forever(self, until: float) -> None:
         connections: list[CallerConnection] = []
         moves_after_s = self._rng.choice((self._rng.uniform(0.3, 2.2), 2.2, 6.0))
+        if self._options.has_late_requests:
+            moves_after_s = _LATE_S[1]
         while trio.current_time() < until:
             await trio.sleep(self._draw_time(self._rng.choice((0.1, 0.5))))
             runs = [
@@ -308,6 +392,8 @@
             ]
             if not runs:
                 continue
+            if self._options.has_late_requests:
+                runs = [run for run in runs if self._is_late(run)] or runs
             run = self._rng.choice(runs)
             connection = await self._connect(run, connections)
             if connection is not None:
@@ -315,6 +401,10 @@
         for connection in connections:
             connection.close()
 
+    def _is_late(self, run: DaemonRun) -> bool:
+        first_s, last_s = _LATE_S
+        return first_s <= trio.current_time() - run.stopped_at <= last_s
+
     async def _connect(
         self, run: DaemonRun, connections: list[CallerConnection]
     ) -> CallerConnection | None:
@@ -348,6 +438,9 @@
         prefix = rng.choice(prefixes)
         is_read = prefix in _READS
         delays_ms = _LONG_DELAYS_MS if self._options.has_long_delays else _DELAYS_MS
+        if self._options.has_late_requests and self._is_late(entry):
+            prefix, delays_ms = rng.choice(("/long/", "/sign/")), _LATE_DELAYS_MS
+            is_read = prefix in _READS
         size, fault = rng.choice(_SIZES), ""
         asked_s = rng.choice((0.3, 1.0, 3.0, 12.0))
         if self._options.has_upstream_faults and rng.random() < 0.2:
@@ -359,7 +452,7 @@
             target,
             b"" if is_read else b"y" * rng.choice(_BODIES),
             min(_ROUTES[prefix], asked_s),
-            min(_ROUTES[prefix] * _SHORTER, asked_s),
+            min(_ROUTES[prefix] * min(self._factors), asked_s),
             size,
             fault,
             tuple(rng.choice(((0.0,), (0.0,), (0.0, 0.0), (0.0, 0.05, 0.2)))),
@@ -375,7 +468,9 @@
         return own
 
 
-def _make_document(version: int, factor: float, idle_timeout_s: float) -> ServiceDocument:
+def _make_document(
+    version: int, factor: float, idle_timeout_s: float, removed: str = ""
+) -> ServiceDocument:
     repeatable, once = Repeatability.IDEMPOTENT, Repeatability.AT_MOST_ONCE
     make = partial(make_route, target_latency_s=0.4, max_attempts=3)
     routes = [
@@ -385,6 +480,7 @@
             repeatability=repeatable if prefix in _READS else once,
         )
         for prefix, timeout_s in _ROUTES.items()
+        if prefix != removed
     ]
     document = make_document(*routes, version=version)
     return replace(document, limits=RequestLimits(idle_timeout_s=idle_timeout_s))
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
@@ -50,6 +50,13 @@
         """Takes a connection."""
 
 
+class _CarrierStream(ByteStream):
+    """End of a socket pair on the side of the network, which doesn't wait as a daemon may."""
+
+    receive = ByteStream.receive
+    send_all = ByteStream.send_all
+
+
 class SimulatedLinks:
     """All connections: those between daemons with latency, limited rate and faults.
 
@@ -149,8 +156,8 @@
         self,
         links: SimulatedLinks,
         ends: tuple[str, str],
-        near: tuple[ByteStream, ByteStream],
-        far: tuple[ByteStream, ByteStream],
+        near: tuple[ByteStream, _CarrierStream],
+        far: tuple[ByteStream, _CarrierStream],
         latency_s: float,
         bytes_per_s: int,
     ) -> None:
@@ -226,13 +233,13 @@
             self.reset()
 
 
-def _make_pair() -> tuple[ByteStream, ByteStream]:
-    """Makes the two ends of a connection, between which bytes arrive at once."""
+def _make_pair() -> tuple[ByteStream, _CarrierStream]:
+    """Makes the end of a connection that is used, and the one from which its bytes are carried."""
     near, inner = socket.socketpair()
     for sock in (near, inner):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SMALL_BUFFER_BYTES)
         sock.setblocking(False)
-    return ByteStream(near), ByteStream(inner)
+    return ByteStream(near), _CarrierStream(inner)
 
 
 class _LinkListener:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/judge.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/judge.py
@@ -131,7 +131,7 @@
     runs = [(round(each.arrived_at, 3), round(each.worked_until, 3)) for each in arrivals]
     return (
         f"{request.request_id} {request.method} {request.target} body={len(request.body)}"
-        f" entry={entry.node.daemon.directory.local_member.name if entry else '-'}"
+        f" entry={entry.name if entry else '-'}"
         f" stopped_at={entry.stopped_at if entry else math.inf:.3f} wait={request.wait_s}"
         f" started={request.started_at:.3f} sent={request.sent_at:.3f} ended={request.ended_at:.3f}"
         f" status={request.status} {request.answer[:60]!r} runs={runs}"
