--- a/tests/processes/test_soak_lost.py
+++ b/tests/processes/test_soak_lost.py
@@ -18,7 +18,8 @@
     UpstreamRun,
     classify,
 )
-from fulmarstile_adapter_testing.soak_lost import TROUBLES, run_soak
+from fulmarstile_adapter_testing.lost_troubles import MIX, TROUBLES, Trouble, find_trouble
+from fulmarstile_adapter_testing.soak_lost import run_soak
 
 SECONDS = 10.0
 TERM_AT = 10.0
@@ -81,10 +82,42 @@
         request = make_request(13.1, 15.2, status=502)
         self.assertEqual(classify(request, runs, make_history()), OWN_ANSWER)
 
+    def test_an_upstream_that_ends_excuses_only_the_request_that_it_ran_last(self) -> None:
+        cut = make_run(11.0, 11.1, was_cut=True, upstream_ended=True)
+        request = make_request(11.0, 11.2, status=502)
+        self.assertIn(APART, classify(request, [cut], make_history()))
+        runs = [cut, make_run(11.1, 11.2)]
+        self.assertEqual(classify(request, runs, make_history()), OWN_ANSWER)
+
     def test_a_signed_answer_is_not_lost(self) -> None:
         request = make_request(11.0, 11.3, status=500, is_signed=True)
         self.assertEqual(classify(request, [make_run(11.0, 12.0)], make_history()), "")
 
 
+class LostMixTest(unittest.TestCase):
+    def test_a_seed_always_draws_the_same_trouble(self) -> None:
+        self.assertEqual(find_trouble(MIX, 7), find_trouble(MIX, 7))
+
+    def test_seeds_draw_every_kind_of_trouble_together_with_others(self) -> None:
+        kinds = (
+            "in_series",
+            "stops_again",
+            "has_versions",
+            "has_reloads",
+            "has_store_faults",
+            "has_replacements",
+            "pauses",
+            "has_relays",
+            "given_up",
+        )
+        drawn = [find_trouble(MIX, seed) for seed in range(60)]
+        counts = [sum(bool(getattr(each, kind)) for kind in kinds) for each in drawn]
+        self.assertGreaterEqual(min(counts), 2)
+        self.assertLessEqual(max(counts), 4)
+        for kind in kinds:
+            self.assertTrue(any(getattr(each, kind) for each in drawn), kind)
+            self.assertFalse(getattr(Trouble(), kind), kind)
+
+
 if __name__ == "__main__":
     unittest.main()
