--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -11,7 +11,7 @@
 import trio
 
 from fulmarstile_wire.errors import FulmarstileError, WireError
-from fulmarstile_wire.services import FrameDecoder, encode_frame
+from fulmarstile_wire.services import DiscardedMessage, FrameDecoder, encode_frame
 
 if TYPE_CHECKING:
     from fulmarstile_daemon.services._byte_budget import ByteBudget
@@ -19,6 +19,9 @@
     from fulmarstile_wire.services import LinkMessage
 
 _C_INT: Final = struct.Struct("i")
+_MIN_DISCARDED_BYTES: Final = 1024
+"""Received size from which an incomplete message may be discarded; what is smaller is kept even if
+the memory is exhausted."""
 
 
 class LinkBrokenError(FulmarstileError):
@@ -64,7 +67,8 @@
         self._stream = stream
         self._budget = budget
         self._decoder = FrameDecoder(budget.message_limit)
-        self._incoming = budget.open(self.close)
+        self._incoming = budget.open(self._discard_incoming)
+        self._discarded: list[DiscardedMessage] = []
         self._outgoing = budget.open()
         self._unsent: deque[OutgoingFrame] = deque()
         self._has_unsent = trio.Event()
@@ -163,9 +167,12 @@
         frame.unsent = frame.unsent[sent:]
         return sent
 
-    async def receive(self) -> list[LinkMessage]:
+    async def receive(self) -> list[LinkMessage | DiscardedMessage]:
         """Receives messages.
 
+        A message that is discarded because the memory is exhausted ends no other one on the
+        connection; the rest of it is read and dropped.
+
         Returns:
             One message or more.
 
@@ -175,12 +182,14 @@
         while True:
             try:
                 data = await self._stream.receive()
-                messages = self._decoder.feed(data)
+                messages: list[LinkMessage | DiscardedMessage] = [*self._decoder.feed(data)]
+                self._count_incoming()
             except (OSError, WireError) as error:
                 raise LinkBrokenError(f"receiving failed: {error}") from error
             if not data:
                 raise LinkBrokenError("the other daemon closed the connection")
-            self._count_incoming()
+            messages += self._discarded
+            self._discarded.clear()
             if messages:
                 return messages
 
@@ -200,5 +209,16 @@
         grown = self._decoder.pending_bytes - self._incoming.size
         if grown <= 0:
             self._incoming.shrink(-grown)
+        elif self._decoder.pending_bytes < _MIN_DISCARDED_BYTES:
+            self._incoming.grow(grown)
         elif not self._incoming.try_grow(grown):
-            raise LinkBrokenError("receiving failed: the memory limit for messages is reached")
+            self._discard_incoming()
+
+    def _discard_incoming(self) -> None:
+        """Discards the incomplete message, which frees its memory."""
+        self._budget.release(self._incoming)
+        self._incoming = self._budget.open(self._discard_incoming)
+        try:
+            self._discarded.append(self._decoder.discard())
+        except WireError:
+            self.close()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -18,6 +18,7 @@
     PROTOCOL_VERSION,
     BodyGrant,
     BodyOffer,
+    DiscardedMessage,
     GoAway,
     Hello,
     HopAnswer,
@@ -201,7 +202,9 @@
                 elif not link.has_gone_away:
                     self._on_message(link, message, nursery)
 
-    def _on_message(self, link: ServedLink, message: LinkMessage, nursery: trio.Nursery) -> None:
+    def _on_message(
+        self, link: ServedLink, message: LinkMessage | DiscardedMessage, nursery: trio.Nursery
+    ) -> None:
         frames, calls = link.frames, link.calls
         if isinstance(message, HopCall):
             self._accept_call(link, message, nursery)
@@ -219,6 +222,10 @@
             self._answer_sync(frames, message)
         elif isinstance(message, PeerCall):
             self._answer_query(frames, message, nursery)
+        elif isinstance(message, DiscardedMessage) and message.is_call:
+            self._body_admission.release(OfferKey(frames, message.call_id))
+            failure = make_failure(Verdict.NOT_RUN, RefusalReason.OVERLOADED)
+            frames.send(HopAnswer(message.call_id, self._add_load(failure)))
 
     def _accept_call(self, link: ServedLink, call: HopCall, nursery: trio.Nursery) -> None:
         self._body_admission.release(OfferKey(link.frames, call.call_id))
@@ -347,7 +354,7 @@
             _LOGGER.info("cannot send an answer: %s", error)
 
 
-def _check_hello(message: LinkMessage) -> Hello:
+def _check_hello(message: LinkMessage | DiscardedMessage) -> Hello:
     if not isinstance(message, Hello) or message.version != PROTOCOL_VERSION:
         raise LinkBrokenError("the other daemon uses a different protocol version")
     return message
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -23,6 +23,7 @@
     PROTOCOL_VERSION,
     BodyGrant,
     BodyOffer,
+    DiscardedMessage,
     GoAway,
     Hello,
     HopAnswer,
@@ -190,6 +191,14 @@
             for pending in self._pending.values():
                 pending.is_refused = not pending.done.is_set()
             raise LinkBrokenError("the other daemon has ended")
+        if isinstance(message, DiscardedMessage):
+            # Calls of this daemon itself end at their timeout.
+            if not message.is_answer:
+                return
+            failure = make_failure(
+                Verdict.MAY_HAVE_RUN, RefusalReason.ANSWER_TOO_LARGE, reached_upstream=True
+            )
+            message = HopAnswer(message.call_id, failure)
         if not isinstance(message, HopAnswer | SyncAnswer | PeerAnswer | BodyGrant):
             raise LinkBrokenError(f"unexpected message {type(message).__name__}")
         pending = self._pending.get(message.call_id)
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+from dataclasses import dataclass
 from typing import Annotated, Any, Final
 
 import msgspec
@@ -315,6 +316,14 @@
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[LinkMessage] = msgspec.msgpack.Decoder(LinkMessage)
+_HEAD_DECODER: Final = msgspec.msgpack.Decoder(tuple[int, int])
+_ARRAY_OF_TWO: Final = b"\x92"
+_HEAD_BYTES: Final = 11
+"""Largest size of the start of a message up to the id of its call, in bytes."""
+_UNSIGNED_SIZES: Final = {0xCC: 2, 0xCD: 3, 0xCE: 5, 0xCF: 9}
+"""Bytes of an unsigned integer in MessagePack by their first one; any other has one byte."""
+_HOP_CALL_TAG: Final = HopCall.__struct_config__.tag
+_HOP_ANSWER_TAG: Final = HopAnswer.__struct_config__.tag
 
 
 def encode_frame(message: LinkMessage) -> bytes:
@@ -323,6 +332,17 @@
     return len(body).to_bytes(_LENGTH_BYTES, "big") + body
 
 
+@dataclass(frozen=True, slots=True)
+class DiscardedMessage:
+    """A message of which a part was received and which was discarded for lack of memory."""
+
+    is_call: bool
+    """Whether it was a `HopCall`."""
+    is_answer: bool
+    """Whether it was a `HopAnswer`."""
+    call_id: int
+
+
 class FrameDecoder:
     """Splits a stream of bytes into messages.
 
@@ -333,6 +353,7 @@
     def __init__(self, max_bytes: int = MAX_FRAME_BYTES) -> None:
         self._max_bytes = max_bytes
         self._received = bytearray()
+        self._skipped_bytes = 0
 
     @property
     def pending_bytes(self) -> int:
@@ -343,6 +364,27 @@
         """Drops the bytes of an incomplete message."""
         self._received = bytearray()
 
+    def discard(self) -> DiscardedMessage:
+        """Drops an incomplete message, and skips what is still to come of it.
+
+        Returns:
+            The message.
+
+        Raises:
+            WireError: If too little of it was received to tell which one it is.
+        """
+        received, self._received = self._received, bytearray()
+        if len(received) < _LENGTH_BYTES + _HEAD_BYTES:
+            raise WireError("an incomplete message has no head")
+        length = int.from_bytes(received[:_LENGTH_BYTES], "big")
+        self._skipped_bytes = _LENGTH_BYTES + length - len(received)
+        # A message is an array that starts with its tag, of one byte, and the id of its call.
+        start = _LENGTH_BYTES + 1
+        size = _UNSIGNED_SIZES.get(received[start + 1], 1)
+        head = _ARRAY_OF_TWO + received[start : start + 1 + size]
+        tag, call_id = _decode(_HEAD_DECODER, bytes(head))
+        return DiscardedMessage(tag == _HOP_CALL_TAG, tag == _HOP_ANSWER_TAG, call_id)
+
     def feed(self, data: bytes) -> list[LinkMessage]:
         """Decodes received bytes.
 
@@ -355,8 +397,10 @@
         Raises:
             WireError: If a message is malformed or oversize; the connection must be closed.
         """
+        skipped = min(self._skipped_bytes, len(data))
+        self._skipped_bytes -= skipped
         received = self._received
-        received += data
+        received += data[skipped:]
         messages: list[LinkMessage] = []
         position = 0
         while len(received) - position >= _LENGTH_BYTES:
--- a/tests/wire/test_link_frames.py
+++ b/tests/wire/test_link_frames.py
@@ -23,6 +23,7 @@
 )
 from fulmarstile_wire.services import (
     MAX_FRAME_BYTES,
+    DiscardedMessage,
     FrameDecoder,
     Hello,
     HopAnswer,
@@ -128,6 +129,35 @@
             pass
         self.assertLessEqual(decoder.pending_bytes, len(mutated))
 
+    @given(st.data())
+    def test_only_the_discarded_message_is_missing(self, data: st.DataObject) -> None:
+        call_id = data.draw(st.integers(0, 2**64 - 1))
+        is_call = data.draw(st.booleans())
+        body = b"x" * data.draw(st.integers(0, 300))
+        discarded = HopAnswer(call_id, HopOutcome(Verdict.RAN), 200, [], body)
+        if is_call:
+            discarded = HopCall(call_id, HOP, b"POST", b"/", [], body)
+        frame = encode_frame(discarded)
+        cut = data.draw(st.integers(15, len(frame) - 1))
+        decoder = FrameDecoder()
+        self.assertEqual(decoder.feed(encode_frame(HopCancel(1)) + frame[:cut]), [HopCancel(1)])
+        self.assertEqual(decoder.discard(), DiscardedMessage(is_call, not is_call, call_id))
+        self.assertEqual(decoder.pending_bytes, 0)
+        rest = frame[cut:] + encode_frame(HopCancel(2))
+        middle = data.draw(st.integers(0, len(rest)))
+        messages = decoder.feed(rest[:middle]) + decoder.feed(rest[middle:])
+        self.assertEqual(messages, [HopCancel(2)])
+
+    @given(st.binary(max_size=40))
+    def test_bytes_that_are_no_message_are_a_wire_error_if_discarded(self, body: bytes) -> None:
+        decoder = FrameDecoder()
+        decoder.feed((1_000).to_bytes(4, "big") + body)
+        try:
+            decoder.discard()
+        except WireError:
+            return
+        self.assertGreaterEqual(len(body), 11)
+
     def test_a_smaller_size_limit_is_enforced_before_a_message_is_received(self) -> None:
         with self.assertRaisesRegex(WireError, "too large"):
             FrameDecoder(max_bytes=100).feed((101).to_bytes(4, "big"))
