End the process of fulmarstiled without the clean-up of the interpreter, too

Cause: as on the services path, the process still freed all objects and modules after its last line; here also the messaging library's. Its sockets are closed and its log is written before.

The new test failed before: 9 != 0 (the interpreter began to clean up).

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/main.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/main.py
@@ -5,7 +5,7 @@
 import enum
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NoReturn
 
 import trio
 from absl import app, flags
@@ -13,6 +13,7 @@
 
 from fulmarstile_daemon.logging_setup import configure_logging
 from fulmarstile_daemon.peers.links import PeerListenError
+from fulmarstile_daemon.process_end import end_process
 from fulmarstile_daemon.runner import CallListenError, run_daemon
 from fulmarstile_daemon.settings import SettingsError, load_settings
 from fulmarstile_platform.http_server import HttpListenError
@@ -100,7 +101,11 @@
     if _HELP_FLAGS.intersection(sys.argv[1:]):
         print(HELP, end="")
         return
-    app.run(main)
+    app.run(_run_and_end_process)
+
+
+def _run_and_end_process(arguments: Sequence[str]) -> NoReturn:
+    end_process(main(arguments))
 
 
 def _get_first_error(error: BaseException) -> BaseException:
--- a/tests/processes/test_process_end.py
+++ b/tests/processes/test_process_end.py
@@ -9,6 +9,8 @@
 import json
 import os
 import signal
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -19,14 +21,15 @@
 from fulmarstile_adapter_testing.configuration import make_configuration
 from fulmarstile_adapter_testing.store import StoreStandIn, serve_store
 from fulmarstile_adapter_testing.vm import PlatformVm, VmPlacement
+from fulmarstile_testing.builders.settings import build_settings_text
+from fulmarstile_testing.free_ports import find_free_ports
 
 CLEAN_UP_CODE = 9
 """Exit code of a process whose interpreter begins to clean up."""
-PROGRAM = f"""
-import atexit, os, runpy
-atexit.register(os._exit, {CLEAN_UP_CODE})
-runpy.run_module("fulmarstile_adapter", run_name="__main__")
-"""
+WATCH = f"import atexit, os; atexit.register(os._exit, {CLEAN_UP_CODE})"
+PROGRAM = f"{WATCH}; import runpy; runpy.run_module('fulmarstile_adapter', run_name='__main__')"
+OWN_PROGRAM = f"{WATCH}; from fulmarstile_daemon.main import run; run()"
+"""The daemon of the product's own call path."""
 
 
 class WatchedVm(PlatformVm):
@@ -57,6 +60,21 @@
         self.assertEqual(json.loads(lines[-1])["event"], "ended")
         self.assertEqual(code, 0)
 
+    def test_a_stopped_daemon_of_the_own_call_path_skips_the_clean_up(self) -> None:
+        peers, calls, admin = (f"127.0.0.1:{port}" for port in find_free_ports(3))
+        text = build_settings_text(peers__address=peers, calls__address=calls, admin__address=admin)
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "a.ini"
+            path.write_text(text)
+            command = [sys.executable, "-c", OWN_PROGRAM, f"--settings={path}"]
+            with subprocess.Popen(command, stderr=subprocess.PIPE, text=True) as process:
+                assert process.stderr is not None
+                self.assertIn("started", process.stderr.readline())
+                process.send_signal(signal.SIGTERM)
+                lines = process.stderr.read().splitlines()
+        self.assertIn("stopped", lines[-1])
+        self.assertEqual(process.returncode, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
