--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_loop_lateness.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_loop_lateness.py
@@ -71,4 +71,7 @@
         self.longest_s = max(self.longest_s, late_s)
         if late_s >= _MIN_LOGGED_S:
             self.times_late += 1
-            self._log.write(LoopLate(late_ms=round(late_s * 1000, 1)))
+            used_s = time.thread_time() - sleep.processor_s
+            self._log.write(
+                LoopLate(late_ms=round(late_s * 1000, 1), processor_ms=round(used_s * 1000, 1))
+            )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -445,6 +445,8 @@
     """The event loop ran its tasks late, so that requests waited unread."""
 
     late_ms: float
+    processor_ms: float
+    """Processor time that the loop has used since the wait began that ended late."""
 
 
 class LibraryMessage(LogEvent, tag="message"):
