Refuse a message that doesn't fit a connection between daemons, not the connection

Callers saw: 502 (not repeatable) or a second attempt for all requests under way between two daemons, when one more message would have made what waits to be sent on their connection larger than the limit of a message, as with large bodies or answers at a daemon that reads slowly. Since connections to late readers live on, that can come up more often.

Cause: the queue closed the connection when it was over its limit, after it had taken the message. Found by reading.

Fix: the queue checks before it takes a message. Smaller messages, mostly about other messages, have 256 KiB more; beyond that the connection still closes. A message for an empty queue is always taken, also one that exceeded the limit by its headers.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -24,12 +24,23 @@
 _C_INT: Final = struct.Struct("i")
 _MIN_COUNTED_BYTES: Final = 1024
 """Size from which an incomplete message is counted, and dropped if there is no memory for it."""
+_MIN_REFUSED_BYTES: Final = 1024
+"""Size from which a message is refused if it doesn't fit the queue.
+
+Smaller ones are mostly about other messages: cancellations, refusals, grants.
+"""
+_RESERVED_BYTES: Final = 256 * 1024
+"""Queue beyond the limit that is left to messages too small to be refused."""
 
 
 class LinkBrokenError(FulmarstileError):
     """The connection to another daemon was closed or failed."""
 
 
+class QueueFullError(LinkBrokenError):
+    """Too much waits to be sent for one more message; the connection goes on without it."""
+
+
 class OutgoingFrame:
     """An encoded message that is being sent.
 
@@ -37,17 +48,18 @@
         data: The complete frame.
     """
 
-    __slots__ = ("_size", "unsent")
+    __slots__ = ("size", "unsent")
 
     def __init__(self, data: bytes) -> None:
-        self._size = len(data)
+        self.size = len(data)
+        """Size of the frame in bytes."""
         self.unsent = memoryview(data)
         """Bytes not yet passed to the kernel."""
 
     @property
     def is_untouched(self) -> bool:
         """Whether none of it was passed to the kernel."""
-        return len(self.unsent) == self._size
+        return len(self.unsent) == self.size
 
     @property
     def is_sent(self) -> bool:
@@ -108,21 +120,34 @@
             The frame that is being sent.
 
         Raises:
+            QueueFullError: If it doesn't fit behind what waits to be sent; none of it was sent.
             LinkBrokenError: If the connection is closed, fails or has too much unsent data.
         """
         frame = OutgoingFrame(encode_frame(message))
         if self._stream.is_closed:
             raise LinkBrokenError("the connection is closed")
+        self._check_fits(frame)
         if not self._unsent:
             self._push(frame)
         if frame.unsent:
             self._unsent.append(frame)
             self._outgoing.grow(len(frame.unsent))
             self._has_unsent.set()
-        if self._outgoing.size > self._budget.message_limit:
+        return frame
+
+    def _check_fits(self, frame: OutgoingFrame) -> None:
+        """Checks that a message may wait to be sent behind the others."""
+        if not self._unsent:
+            # Answers are held whatever the limit, and one that is larger has to wait for nothing.
+            return
+        size = self._outgoing.size + frame.size
+        if size <= self._budget.message_limit:
+            return
+        if frame.size >= _MIN_REFUSED_BYTES:
+            raise QueueFullError("the other daemon reads too slowly for another message")
+        if size > self._budget.message_limit + _RESERVED_BYTES:
             self.close()
             raise LinkBrokenError("the other daemon reads too slowly")
-        return frame
 
     def drop(self, frame: OutgoingFrame) -> bool:
         """Drops a message of which nothing was sent.
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -14,6 +14,7 @@
 from fulmarstile_daemon.services._frame_stream import (
     FrameStream,
     LinkBrokenError,
+    QueueFullError,
     allow_late_readers,
 )
 from fulmarstile_daemon.services._served_link import ServedCall, ServedLink
@@ -261,7 +262,7 @@
             # An error in one reply must not end the other requests of its connection.
             _LOGGER.exception("synchronizing with another daemon failed")
             return
-        frames.send(SyncAnswer(call.call_id, reply))
+        _send_reply(frames, SyncAnswer(call.call_id, reply))
 
     def _answer_query(self, frames: FrameStream, call: PeerCall, nursery: trio.Nursery) -> None:
         wait_and_handle = self._waiting_handlers.get(type(call.request))
@@ -278,7 +279,7 @@
             # An error in one reply must not end the other requests of its connection.
             _LOGGER.exception("handling a request of another daemon failed")
             return
-        frames.send(PeerAnswer(call.call_id, reply))
+        _send_reply(frames, PeerAnswer(call.call_id, reply))
 
     async def _answer_later(
         self,
@@ -331,7 +332,7 @@
                 else:
                     failure = make_failure(Verdict.NOT_RUN, RefusalReason.OVERLOADED)
                     answer = HopAnswer(call.call_id, self._add_load(failure))
-                link.frames.send(answer)
+                _send_answer(link.frames, answer)
             if served.scope.cancelled_caught and not served.is_cancelled:
                 self._on_cut(link, served)
         except LinkBrokenError as error:
@@ -370,6 +371,26 @@
             _LOGGER.info("cannot send an answer: %s", error)
 
 
+def _send_reply(frames: FrameStream, reply: SyncAnswer | PeerAnswer) -> None:
+    """Sends a reply, unless the other daemon reads too slowly: it gets none in time."""
+    try:
+        frames.send(reply)
+    except QueueFullError as error:
+        _LOGGER.warning("cannot send a reply: %s", error)
+
+
+def _send_answer(frames: FrameStream, answer: HopAnswer) -> None:
+    """Sends the answer to a request, or reports that it doesn't fit the queue."""
+    try:
+        frames.send(answer)
+    except QueueFullError as error:
+        _LOGGER.warning("cannot send an answer: %s", error)
+        failure = make_failure(
+            Verdict.MAY_HAVE_RUN, RefusalReason.ANSWER_TOO_LARGE, reached_upstream=True
+        )
+        frames.send(HopAnswer(answer.call_id, failure))
+
+
 def _check_hello(message: LinkMessage | DroppedMessage) -> Hello:
     if not isinstance(message, Hello) or message.version != PROTOCOL_VERSION:
         raise LinkBrokenError("the other daemon uses a different protocol version")
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -17,6 +17,7 @@
 from fulmarstile_daemon.services._frame_stream import (
     FrameStream,
     LinkBrokenError,
+    QueueFullError,
     allow_late_readers,
 )
 from fulmarstile_http.byte_stream import open_stream
@@ -318,6 +319,8 @@
                 call = HopCall(call_id, hop, request.method, request.target, headers, request.body)
                 progress.mark_sending(link.send(call))
                 await pending.done.wait()
+        except QueueFullError:
+            return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.LINK_BUSY))
         except LinkBrokenError:
             # The message was not sent completely, so the other daemon cannot have received it.
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED))
