Keep no unsent messages of a connection between daemons that ended

Whether messages may wait is passed with each check instead. A connection whose kernel doesn't report acknowledgements isn't asked again.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -79,7 +79,6 @@
 
     def __init__(self, stream: ByteStream, budget: ByteBudget) -> None:
         self._stream = stream
-        stream.may_stall = self._may_stall
         self._budget = budget
         self._decoder = FrameDecoder()
         self._incoming = budget.open(self._drop_incoming)
@@ -218,11 +217,8 @@
 
     def allow_late_reader(self, now: float) -> bool:
         """See `ByteStream.allow_late_reader`."""
-        return self._stream.allow_late_reader(now)
-
-    def _may_stall(self) -> bool:
-        """Whether there is memory for what waits because the peer reads late."""
-        return not (self._unsent and self._budget.is_scarce)
+        may_stall = not (self._unsent and self._budget.is_scarce)
+        return self._stream.allow_late_reader(now, may_stall=may_stall)
 
     def send_eof(self) -> None:
         """Ends sending, so that the peer closes the connection after the last message."""
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -166,13 +166,14 @@
         """
         await self._wait(trio.lowlevel.wait_writable)
 
-    def allow_late_reader(self, now: float) -> bool:
+    def allow_late_reader(self, now: float, *, may_stall: bool) -> bool:
         """Keeps the kernel from breaking the connection while the peer is alive but reads late.
 
         To be called periodically; needs no system call while nothing was sent.
 
         Args:
             now: The current time, in seconds.
+            may_stall: Whether there is memory for what waits to be sent.
 
         Returns:
             Whether the peer is late at present: the next call is due `STALLED_CHECK_INTERVAL_S`
@@ -181,7 +182,7 @@
         if self.sent_bytes == self._acknowledged_bytes or self.is_closed:
             return False
         sent_bytes = self.sent_bytes
-        if not self._late_reader.check(now, may_stall=self.may_stall()):
+        if not self._late_reader.check(now, may_stall=may_stall):
             self._acknowledged_bytes = sent_bytes
         return self._late_reader.is_extended
 
--- a/packages/fulmarstile_http/src/fulmarstile_http/late_readers.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/late_readers.py
@@ -71,6 +71,8 @@
         self._stalled_since = math.inf
         """Time of the first check that saw the present stall, in seconds."""
         self._is_extended = False
+        self._is_blind = False
+        """Whether the kernel doesn't tell what the peer acknowledges."""
 
     @property
     def is_extended(self) -> bool:
@@ -87,8 +89,9 @@
         Returns:
             Whether something is still unacknowledged, so that another check is needed.
         """
-        state = read_send_state(self._socket)
+        state = None if self._is_blind else read_send_state(self._socket)
         if state is None:
+            self._is_blind = True
             return False
         if not (state.in_flight or state.unsent_bytes):
             self._acknowledged_bytes = -1
--- a/tests/services/test_endless_bytes.py
+++ b/tests/services/test_endless_bytes.py
@@ -22,7 +22,7 @@
 from fulmarstile_testing.builders.service_mesh import connect, make_local_upstream, serve_mesh
 from fulmarstile_testing.builders.services import make_announcement
 from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
-from fulmarstile_wire.services import HopRequest
+from fulmarstile_wire.services import HopAnswer, HopOutcome, HopRequest
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -228,6 +228,27 @@
 
         self.assertLess(trio.run(run), 2 * FRAME_BYTES)
 
+    def test_connections_that_broke_with_unsent_messages_keep_no_memory(self) -> None:
+        def break_connection(budget: ByteBudget) -> None:
+            near, far = socket.socketpair()
+            near.setblocking(False)
+            frames = FrameStream(ByteStream(near), budget)
+            answer = HopAnswer(1, HopOutcome(Verdict.RAN), 200, [], b"x" * FRAME_BYTES)
+            frames.send(answer)
+            self.assertTrue(frames.has_unsent)
+            frames.allow_late_reader(0.0)
+            far.close()
+            frames.close()
+
+        async def run() -> int:
+            budget = ByteBudget(HELD_BYTES)
+            with trace_kept_memory() as kept:
+                for _ in range(BROKEN_CONNECTIONS):
+                    break_connection(budget)
+                return kept()
+
+        self.assertLess(trio.run(run), 2 * FRAME_BYTES)
+
     def test_malformed_messages_of_other_daemons_keep_no_memory(self) -> None:
         async def send_malformed(address: str) -> None:
             async with await connect(address) as stream:
