Keep uploads between call proxies to an upstream that reads late

Callers saw: 502 (connection-lost) for an upload through two daemons, if its upstream left the body unread for about 2 s.

Evidence: test_calls_late_readers, 24 MB read after 6 s, fails before (502 after about 2.5 s), and passes now.

Fix: the proxy checks the connections of its pools to other daemons while they are in use, every 0.25 s, and extends the kernel's time limit as connections between daemons do. A body waits at its sender, so that no memory is at stake.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_attempts.py
@@ -81,6 +81,15 @@
         """Pools of connections to other daemons."""
         return tuple(self._daemon_pools.values())
 
+    def allow_late_readers(self, now: float) -> None:
+        """Keeps the connections to daemons that are alive but read late, as upstreams may.
+
+        Args:
+            now: The current time, in seconds.
+        """
+        for pool in self._daemon_pools.values():
+            pool.allow_late_readers(now)
+
     def close_unknown_daemons(self, addresses: frozenset[str]) -> None:
         """Closes the connections to daemons that are no longer known.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -25,6 +25,7 @@
 from fulmarstile_daemon.calls._runner import CallRunner
 from fulmarstile_daemon.calls.counters import CallCounters
 from fulmarstile_daemon.calls.dump import CallDump
+from fulmarstile_http.late_readers import STALLED_CHECK_INTERVAL_S
 from fulmarstile_http.listener import OutOfDescriptorsError, listen
 from fulmarstile_wire.verdict import Verdict
 
@@ -236,7 +237,7 @@
         )
 
     async def _tick_forever(self) -> None:
-        next_idle_check = 0.0
+        next_idle_check = next_reader_check = 0.0
         while True:
             self._scheduling_delay.plan_wake(trio.current_time() + _TICK_INTERVAL_S)
             await trio.sleep(_TICK_INTERVAL_S)
@@ -245,6 +246,9 @@
             self._local.tick(now)
             self._disconnect_watch.tick(now)
             self._advance_drain(now)
+            if now >= next_reader_check:
+                next_reader_check = now + STALLED_CHECK_INTERVAL_S
+                self._attempts.allow_late_readers(now)
             if now >= next_idle_check:
                 next_idle_check = now + _IDLE_CHECK_INTERVAL_S
                 self._close_idle(now - self._settings.idle_timeout_s)
--- a/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
@@ -154,6 +154,10 @@
         """
         self._is_answered = False
 
+    def allow_late_reader(self, now: float) -> None:
+        """See `ByteStream.allow_late_reader`; the caller of `send_body` bounds what waits."""
+        self._stream.allow_late_reader(now, may_stall=True)
+
     async def wait_closed(self) -> None:
         """Waits until the other side closes or breaks the connection, which must be idle."""
         with suppress(OSError):
--- a/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
@@ -70,6 +70,7 @@
         self._settings = settings
         self._peer_may_read_late = peer_may_read_late
         self._idle: deque[ClientConnection] = deque()
+        self._in_use: dict[ClientConnection, None] = {}
         self._open = 0
         self.address = address
         """`host:port` of the other side."""
@@ -105,6 +106,7 @@
             connection = self._idle.popleft()
             age_s = now - connection.last_answer_at
             if age_s <= min(fresh_s, connection.idle_limit_s) and connection.is_open_without_input:
+                self._in_use[connection] = None
                 return connection
             self._close(connection)
         return await self.open()
@@ -119,6 +121,7 @@
             self._close(connection)
             return
         connection.start_next_exchange(trio.current_time())
+        self._in_use.pop(connection, None)
         self._idle.append(connection)
 
     def discard(self, connection: ClientConnection) -> None:
@@ -175,8 +178,21 @@
                 self._open -= 1
         if connection is None:
             raise ExchangeError(f"connecting to {self.address} timed out")
+        self._in_use[connection] = None
         return connection
 
+    def allow_late_readers(self, now: float) -> None:
+        """Keeps the connections in use whose other side is alive but reads late.
+
+        To be called every `STALLED_CHECK_INTERVAL_S`.
+
+        Args:
+            now: The current time, in seconds.
+        """
+        for connection in self._in_use:
+            connection.allow_late_reader(now)
+
     def _close(self, connection: ClientConnection) -> None:
         self._open -= 1
+        self._in_use.pop(connection, None)
         connection.close()
