--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from fulmarstile_daemon.services._background_tasks import run_and_log
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._stop_times import CLOSED, StopTimes
 from fulmarstile_daemon.services.events import StopPhase
@@ -169,7 +170,7 @@
         self._callers.withdraw_all()
         self._peers.refuse_bodies()
         self._callers.refuse_unreceived()
-        await self._announcements.stop()
+        await run_and_log(self._announcements.stop)
         await trio.sleep(_PEER_NOTICE_S)
         self._upstream.stop()
         self._write_phase("waiting")
--- a/tests/services/test_failing_tasks.py
+++ b/tests/services/test_failing_tasks.py
@@ -12,6 +12,7 @@
 from fulmarstile_daemon.services._request_server import RequestServer
 from fulmarstile_daemon.services._slots import Slots
 from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
+from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
 from fulmarstile_daemon.services.daemon import ServiceDaemon
 from fulmarstile_daemon.services.entry import CallEntry
 from fulmarstile_daemon.services.event_log import EventLog
@@ -21,6 +22,7 @@
 from fulmarstile_http.input_watch import InputWatch
 from fulmarstile_services.settings import QuotaBounds, RequiredBounds
 from fulmarstile_testing.builders.service_mesh import serve_mesh
+from fulmarstile_testing.builders.services import make_document, make_route
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -43,6 +45,9 @@
     (ServiceDaemon, "_handle_signals"),
 )
 FAILS_AFTER_S = 0.3
+ENDS_AFTER_S = 4.0
+"""Time after SIGTERM at which a request ends, when the daemon drains, in seconds."""
+SLOW = make_document(make_route(timeout_s=10.0))
 BOUNDS = RequiredBounds(quota=QuotaBounds(1.0, 0.1, 20.0))
 
 
@@ -81,6 +86,34 @@
             ):
                 trio.run(run)
 
+    def test_a_stop_answers_the_request_in_flight_although_it_cannot_be_published(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=SLOW) as mesh:
+                node = mesh.nodes[0]
+                statuses: list[int] = []
+
+                async def call() -> None:
+                    answer = await node.call(
+                        f"/a?delay_ms={ENDS_AFTER_S * 1000:.0f}", wait_ms=5_000
+                    )
+                    statuses.append(answer.status)
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(call)
+                    while not node.upstream.record.running:
+                        await trio.sleep(0.01)
+                    node.stop()
+                await node.ended.wait()
+                self.assertEqual(statuses, [200])
+
+        failing = mock.AsyncMock(side_effect=LookupError("an error of the test"))
+        failing.__qualname__ = "stop"
+        with (
+            mock.patch.object(UpstreamAnnouncements, "stop", failing),
+            self.assertLogs(level="ERROR"),
+        ):
+            trio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
