--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -86,8 +86,11 @@
 
     @property
     def has_unread(self) -> bool:
-        """Whether more has arrived than was handled, perhaps the end of the connection."""
-        if self._http.trailing_data[0]:
+        """Whether more has arrived than was handled, perhaps the end of the connection.
+
+        The part of a head whose rest is awaited doesn't count.
+        """
+        if self._http.trailing_data[0] and not self.has_partial_head:
             return True
         return not (self._stream.is_closed or self._stream.is_open_without_input)
 
