Count errors of the core in crashes, announcements and stops like all others

On the product's own call path, an error of the decision core while it handled a crash or the end of a lease of the upstream, or the start or end of a stop, ended the process and with it all calls in flight; an error in any other event is counted and costs only that event. Found by reading, never seen.

The two new tests in test_core_faults: red 3 of 3 runs before (KeyError), green 3 of 3 now. The two calls of a stop have no test of their own.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
@@ -135,7 +135,7 @@
         """Shuts down gracefully: refuses new calls, waits for calls in flight, tells the peers."""
         self._leaving = True
         logger.info("draining")
-        self._execute_effects(self._core.begin_leaving(self.now))
+        self._dispatch(self._core.begin_leaving)
         self._proxy.begin_draining()
         self._drain_wait.deadline = self.now + self._settings.daemon.drain_limit_s
         with self._drain_wait:
@@ -144,7 +144,7 @@
             logger.warning("stopped draining with calls still in flight")
         await self._proxy.terminate_calls()
         self._proxy.stop_listening()
-        self._execute_effects(self._core.leave(self.now))
+        self._dispatch(self._core.leave)
         await trio.sleep(LEAVE_FLUSH_S)
 
     def end_drain_wait(self) -> None:
@@ -224,7 +224,7 @@
 
     def _report_crash(self, fingerprints: tuple[bytes, ...]) -> None:
         logger.warning("upstream crashed", suspected_requests=len(fingerprints))
-        self._execute_effects(self._core.report_crash(fingerprints, self.now))
+        self._dispatch(self._core.report_crash, fingerprints)
         if self._lease.on_crash(self.now):
             self._on_lease_changed()
 
@@ -241,10 +241,9 @@
                 draining=announcement.draining,
                 service=announcement.service,
             )
-        effects = self._core.announce_upstream(
-            announcement.service, status, announcement.slots, self.now
+        self._dispatch(
+            self._core.announce_upstream, announcement.service, status, announcement.slots
         )
-        self._execute_effects(effects)
 
     def _execute_claim_effects(self, effects: Iterable[Effect]) -> None:
         self._execute_effects(self._core.apply_local_effects(effects, self.now))
