--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -38,6 +38,8 @@
 _GRID_S: Final = 0.05
 """Times are multiples of it, so that events coincide."""
 _ANNOUNCE_S: Final = 1.5
+_CONFIG_APPLY_S: Final = 2.0
+"""Longest time for which a daemon may still apply an earlier version, in seconds."""
 _STOP_OFFSETS_S: Final = (0.0, 0.0, 0.05, 0.4, 1.0, 1.6, 2.0, 2.4, 2.8, 3.6, 5.2)
 """Times between stops, among them those of the phases of a shutdown, in seconds."""
 _NESTED_RATIO: Final = 0.2
@@ -155,6 +157,8 @@
         self._disrupted_at: list[float] = []
         self._numbers = itertools.count()
         self._sequence = 1
+        self._factors_from: list[tuple[float, float]] = [(0.0, 1.0)]
+        """Times of the versions of the document, in seconds, and their factors."""
         self._born_ms: dict[str, int] = {}
         self._leaving: set[str] = set()
 
@@ -164,6 +168,8 @@
         clock = trio.testing.MockClock(autojump_threshold=0)
         trio.run(self._play, clock, clock=clock)
         served = [each for upstream in self._upstreams for each in upstream.record.requests]
+        for request in self._result.requests:
+            self._apply_timeout(request)
         found = judge(self._result.requests, served, self._disrupted_at, GRACE_S)
         self._result.violations.extend(found)
         self._result.trace.extend(describe_requests(self._result.requests, served))
@@ -333,15 +339,24 @@
         changes_routes = self._options.changes_routes
         for version in range(2, self._rng.randint(2, 8 if changes_routes else 5)):
             await trio.sleep(self._draw_time(_PLAY_S / (4 if changes_routes else 2)))
-            factor = self._rng.choice(self._factors)
+            factor = self._rng.choice(_SHORT_FACTORS if changes_routes else _FACTORS)
+            self._factors_from.append((trio.current_time(), factor))
             removed = self._rng.choice(list(_ROUTES)) if changes_routes else ""
             self._note(f"version {version}: factor {factor}, without {removed or 'nothing'}")
             idle_timeout_s = self._options.idle_timeout_s
             mesh.put_document(_make_document(version, factor, idle_timeout_s, removed))
 
-    @property
-    def _factors(self) -> tuple[float, ...]:
-        return _SHORT_FACTORS if self._options.changes_routes else _FACTORS
+    def _apply_timeout(self, request: SentRequest) -> None:
+        """Applies the shortest timeout that a daemon may have had for a request."""
+        oldest_at = request.started_at - _CONFIG_APPLY_S
+        ages = [at for at, _ in self._factors_from if at <= oldest_at]
+        factors = [
+            factor
+            for at, factor in self._factors_from
+            if max(ages, default=0.0) <= at <= request.ended_at
+        ]
+        timeout_s = next(s for prefix, s in _ROUTES.items() if request.target.startswith(prefix))
+        request.wait_s = min(request.asked_s, timeout_s * min(factors))
 
     def _draw_other(self, name: str) -> str:
         names = [f"daemon-{index + 1}" for index in range(self._options.daemons)]
@@ -452,7 +467,7 @@
             target,
             b"" if is_read else b"y" * rng.choice(_BODIES),
             min(_ROUTES[prefix], asked_s),
-            min(_ROUTES[prefix] * min(self._factors), asked_s),
+            min(_ROUTES[prefix], asked_s),
             size,
             fault,
             tuple(rng.choice(((0.0,), (0.0,), (0.0, 0.0), (0.0, 0.05, 0.2)))),
