Check again after connecting that the upstream may run the request (ROUTE, DRAIN)

A request that had its slot and waited up to 0.5 s for a connection was sent even if the upstream on the VM had left or been replaced meanwhile. It carried the id of the new upstream, so that one of another service ran it, and one of the same service got it beyond its slots.

It is refused as not run now, and its daemon tries another upstream. A slow connection on loopback was not seen in operation.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -373,6 +373,13 @@
             if not isinstance(error, LocalLimitError):
                 self._mark_unreachable(str(error))
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED))
+        # The same may have happened while the connection was opened.
+        refusal = self._refuse_unservable(hop)
+        if refusal is None and pool is not self._pool:
+            refusal = make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING)
+        if refusal is not None:
+            pool.release(connection)
+            return AttemptResult(refusal)
         if not progress.try_begin():
             pool.release(connection)
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING))
