--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -348,7 +348,8 @@
 
     def _apply_timeout(self, request: SentRequest) -> None:
         """Applies the shortest timeout that a daemon may have had for a request."""
-        oldest_at = request.started_at - _CONFIG_APPLY_S
+        # A request that was never sent ends with its connection.
+        oldest_at = min(request.started_at, request.ended_at) - _CONFIG_APPLY_S
         ages = [at for at, _ in self._factors_from if at <= oldest_at]
         factors = [
             factor
