--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -388,10 +388,13 @@
             if pool is self._pool and not isinstance(error, LocalLimitError):
                 self._mark_unreachable(str(error))
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECT_FAILED))
-        if pool is not self._pool:
-            # It was replaced while the connection was opened, perhaps by one of another service.
+        # The upstream may have left, or been replaced, while the connection was opened.
+        refusal = self._refuse_unservable(hop)
+        if refusal is None and pool is not self._pool:
+            refusal = make_failure(Verdict.NOT_RUN, RefusalReason.NO_UPSTREAM)
+        if refusal is not None:
             pool.release(connection)
-            return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.NO_UPSTREAM))
+            return AttemptResult(refusal)
         if not progress.try_begin():
             pool.release(connection)
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING))
