Serve no connection that was closed before its task ran

No caller lost anything: only connections without input are closed so.

Cause: at the end of a stop the connections of the backlog are accepted and then closed if they are idle; tasks run in random order, so some of theirs began after that and registered a closed descriptor.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_pipeline.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_pipeline.py
@@ -77,6 +77,9 @@
         Raises:
             CallerDisconnectedError: If the caller disconnected before all responses were sent.
         """
+        if self._connection.fileno() < 0:
+            # It was closed as idle at the end of the daemon, before this task ran.
+            return
         self._watch.add(self._descriptor, self._on_input)
         try:
             await self._serve_requests()
--- a/tests/services/test_late_finish.py
+++ b/tests/services/test_late_finish.py
@@ -14,6 +14,8 @@
 
 LATE_S = 0.3
 """Time for which the event loop is held, more than `LossSlackS`, in seconds."""
+CONNECTIONS = 40
+"""Enough that the task of at least one runs late, as tasks run in random order."""
 
 
 class LateFinishTest(unittest.TestCase):
@@ -47,6 +49,27 @@
         for answer in trio.run(run):
             self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
 
+    def test_connections_without_a_request_at_the_end_cause_no_error(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop") as mesh:
+                node = mesh.nodes[0]
+                with ExitStack() as opened:
+                    callers = node.daemon._callers
+                    finish = callers.finish
+
+                    async def finish_late(timeout_s: float) -> None:
+                        for _ in range(CONNECTIONS):
+                            opened.enter_context(open_caller(node.address))
+                        await finish(timeout_s)
+
+                    with mock.patch.object(callers, "finish", finish_late):
+                        node.stop()
+                        await node.ended.wait()
+
+        # They may be closed as idle before the tasks that serve them run.
+        with self.assertNoLogs("fulmarstile_daemon.services._request_server", "ERROR"):
+            trio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
