--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
@@ -11,6 +11,12 @@
 _MESSAGE_SHARE: Final = 0.5
 """Maximum share of the budget for a single message, and for all callers' requests together."""
 
+_SMALL_MESSAGE_BYTES: Final = 16 * 1024
+"""Largest size of a message that finds room in the reserve."""
+_RESERVE_SHARE: Final = 1 / 16
+"""Share of the budget that large messages and callers' requests leave to small messages, such as
+the answers of upstreams that have done their work."""
+
 _SCARCE_SHARE: Final = 0.5
 """Share of the budget in use above which memory is scarce."""
 
@@ -81,6 +87,10 @@
         """Whether so much memory is in use that messages should not wait long to be sent."""
         return self._used_bytes > self._limit * _SCARCE_SHARE
 
+    @property
+    def _limit_without_reserve(self) -> int:
+        return int(self._limit * (1.0 - _RESERVE_SHARE))
+
     @property
     def message_limit(self) -> int:
         """Maximum size of one message in bytes."""
@@ -141,7 +151,7 @@
         """Checks whether `try_reserve_for_caller` would reserve this number of bytes."""
         if self._caller_bytes + size > self.message_limit:
             return False
-        return self._used_bytes + size <= self._limit
+        return self._used_bytes + size <= self._limit_without_reserve
 
     def release_for_caller(self, size: int) -> None:
         """Returns memory that `try_reserve_for_caller` reserved."""
@@ -166,7 +176,9 @@
 
     def _make_room(self, size: int, wanted: int) -> bool:
         """Aborts messages larger than `wanted`, largest first, until `size` more bytes fit."""
-        while self._used_bytes + size > self._limit:
+        is_small = wanted <= _SMALL_MESSAGE_BYTES
+        limit = self._limit if is_small else self._limit_without_reserve
+        while self._used_bytes + size > limit:
             largest = max(
                 (
                     allocation
--- a/tests/services/test_byte_budget.py
+++ b/tests/services/test_byte_budget.py
@@ -66,6 +66,17 @@
         self.assertFalse(self.budget.try_reserve_for_caller(1))
         self.open("answer", LIMIT // 2)
 
+    def test_a_small_answer_finds_memory_although_requests_have_taken_all_they_can(self) -> None:
+        # Without it, the answer of an upstream that has done its work was dropped (502).
+        budget = ByteBudget(1_000_000)
+        while budget.open().try_grow(20_000):
+            pass
+        while budget.try_reserve_for_caller(1_000):
+            pass
+        for _ in range(5):
+            self.assertTrue(budget.open().try_grow(9_000))
+        self.assertLessEqual(budget.used_bytes, 1_000_000)
+
     @given(st.lists(st.tuples(st.integers(0, 5), st.integers(1, 600)), max_size=60))
     def test_no_order_of_messages_exceeds_the_bound(self, steps: list[tuple[int, int]]) -> None:
         budget = ByteBudget(LIMIT)
