--- a/tests/processes/test_process_end.py
+++ b/tests/processes/test_process_end.py
@@ -17,7 +17,7 @@
 
 import trio
 
-from fulmarstile_adapter.names import CONFIG_KEY, CONFIG_TOPIC
+from fulmarstile_adapter.names import CONFIG_KEY, CONFIG_TOPIC, SETTINGS_VARIABLE
 from fulmarstile_adapter_testing.configuration import make_configuration
 from fulmarstile_adapter_testing.store import StoreStandIn, serve_store
 from fulmarstile_adapter_testing.vm import PlatformVm, VmPlacement
@@ -60,6 +60,15 @@
         self.assertEqual(json.loads(lines[-1])["event"], "ended")
         self.assertEqual(code, 0)
 
+    def test_an_error_at_the_start_is_written_before_the_process_ends(self) -> None:
+        environment = {**os.environ, SETTINGS_VARIABLE: "/nonexistent"}
+        command = [sys.executable, "-c", PROGRAM]
+        ended = subprocess.run(
+            command, env=environment, capture_output=True, timeout=60.0, check=False
+        )
+        self.assertEqual(ended.returncode, os.EX_CONFIG)
+        self.assertIn(b"/nonexistent", ended.stderr)
+
     def test_a_stopped_daemon_of_the_own_call_path_skips_the_clean_up(self) -> None:
         peers, calls, admin = (f"127.0.0.1:{port}" for port in find_free_ports(3))
         text = build_settings_text(peers__address=peers, calls__address=calls, admin__address=admin)
--- a/tests/services/test_late_finish.py
+++ b/tests/services/test_late_finish.py
@@ -29,6 +29,8 @@
 DOCUMENT = make_document(
     make_route(repeatability=Repeatability.AT_MOST_ONCE, timeout_s=60.0, target_latency_s=30.0)
 )
+CONNECTIONS = 40
+"""Enough that the task of at least one runs late, as tasks run in random order."""
 
 
 class LateFinishTest(unittest.TestCase):
@@ -89,6 +91,27 @@
         answer = trio.run(run)
         self.assertEqual((answer.status, answer.complete), (502, True))
 
+    def test_connections_without_a_request_at_the_end_cause_no_error(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop") as mesh:
+                node = mesh.nodes[0]
+                with ExitStack() as opened:
+                    callers = node.daemon._callers
+                    finish = callers.finish
+
+                    async def finish_late(timeout_s: float) -> None:
+                        for _ in range(CONNECTIONS):
+                            opened.enter_context(open_caller(node.address))
+                        await finish(timeout_s)
+
+                    with mock.patch.object(callers, "finish", finish_late):
+                        node.stop()
+                        await node.ended.wait()
+
+        # They may be closed as idle before the tasks that serve them run.
+        with self.assertNoLogs("fulmarstile_daemon.services._request_server", "ERROR"):
+            trio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
