Let no slow reader of its log hold up fulmarstiled and its shutdown

Cause: the own call path wrote its log with blocking writes to standard error. In a trial with a full pipe the daemon answered nothing on its admin address within 2 s, and was still there 8 s after SIGTERM.

The buffer of lines of the services path now serves both.

test_a_log_that_nobody_reads_does_not_hold_up_the_daemon failed before: TimeoutExpired, not ended 30 s after SIGTERM.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/logging_setup.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/logging_setup.py
@@ -10,6 +10,8 @@
 
 from loguru import logger
 
+from fulmarstile_daemon.log_output import LineBuffer
+
 _HUMAN_FORMAT: Final = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level:<7} {message} {extra}"
 
 
@@ -21,7 +23,19 @@
         level: Minimum level that is written.
     """
     logger.remove()
+    sink = _ErrorOutputSink()
     if log_format == "json":
-        logger.add(sys.stderr, level=level, serialize=True)
+        logger.add(sink, level=level, serialize=True)
         return
-    logger.add(sys.stderr, level=level, format=_HUMAN_FORMAT, colorize=False)
+    logger.add(sink, level=level, format=_HUMAN_FORMAT, colorize=False)
+
+
+class _ErrorOutputSink:
+    """Writes lines to standard error; those without room wait for the next line."""
+
+    def __init__(self) -> None:
+        self._buffer = LineBuffer(lambda: sys.stderr)
+
+    def write(self, line: str) -> None:
+        self._buffer.add(line.encode(errors="replace"))
+        self._buffer.flush()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
@@ -3,21 +3,19 @@
 from __future__ import annotations
 
 import logging
+import sys
 import time
-from collections import deque
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 import trio
 
-from fulmarstile_daemon.services._log_output import ATOMIC_WRITE_BYTES, open_log_output
+from fulmarstile_daemon.log_output import LineBuffer
 from fulmarstile_daemon.services.events import LibraryMessage
 
 if TYPE_CHECKING:
     from fulmarstile_daemon.services.events import LogEvent
 
-_MAX_PENDING_LINES: Final = 2_000
-"""Maximum number of buffered lines; further ones are dropped and counted."""
 _FLUSH_S: Final = 0.25
 
 
@@ -40,14 +38,18 @@
 
     def __init__(self, daemon: str) -> None:
         self._daemon = daemon
-        self._lines: deque[bytes] = deque()
-        self._unwritten = b""
+        self._buffer = LineBuffer(lambda: sys.stdout)
+        self._lines = self._buffer.lines
         self._encoder = msgspec.json.Encoder()
         self._counts: dict[type[LogEvent], int] = {}
         self._window_end = 0.0
         self._has_lines: trio.Event | None = None
-        self.dropped_lines = 0
+        self._suppressed_lines = 0
+
+    @property
+    def dropped_lines(self) -> int:
         """Lines dropped since the start."""
+        return self._suppressed_lines + self._buffer.dropped
 
     def write(self, event: LogEvent) -> None:
         """Writes an event, unless the rate limit of its type is exceeded; raises no error.
@@ -79,31 +81,7 @@
 
     def flush(self) -> None:
         """Writes the buffered lines, as far as standard output accepts them without blocking."""
-        try:
-            with open_log_output() as output:
-                while self._unwritten or self._lines:
-                    self._unwritten = self._unwritten or self._take_batch()
-                    written = output.write(self._unwritten)
-                    if not written:
-                        return
-                    self._unwritten = self._unwritten[written:]
-        except OSError:
-            # Standard output is closed, and there is no other place to report that.
-            self._drop_lines()
-
-    def _take_batch(self) -> bytes:
-        """Removes the next lines that fit into one atomic write, or one longer line."""
-        batch = [self._lines.popleft()]
-        size = len(batch[0])
-        while self._lines and size + len(self._lines[0]) <= ATOMIC_WRITE_BYTES:
-            batch.append(self._lines.popleft())
-            size += len(batch[-1])
-        return b"".join(batch)
-
-    def _drop_lines(self) -> None:
-        self.dropped_lines += self._unwritten.count(b"\n") + len(self._lines)
-        self._unwritten = b""
-        self._lines.clear()
+        self._buffer.flush()
 
     def _encode(self, event: LogEvent) -> bytes:
         try:
@@ -118,16 +96,12 @@
         for kind, count in counts.items():
             if kind.lines_per_s is not None and count > kind.lines_per_s:
                 dropped = count - kind.lines_per_s
-                self.dropped_lines += dropped
+                self._suppressed_lines += dropped
                 self._add(self._encoder.encode(_LinesDropped(kind.__name__, dropped)))
 
     def _add(self, encoded: bytes) -> None:
-        if len(self._lines) >= _MAX_PENDING_LINES:
-            self.dropped_lines += 1
-            return
         stamp = f'{{"time":{time.time():.4f},"daemon":"{self._daemon}",'.encode()
-        self._lines.append(stamp + encoded[1:] + b"\n")
-        if self._has_lines is not None:
+        if self._buffer.add(stamp + encoded[1:] + b"\n") and self._has_lines is not None:
             self._has_lines.set()
 
 
