Write the last lines of the log once there is room, not only with the next line

Cause: what a full pipe had refused was kept apart from the waiting lines, and the task that flushes the log waited for new lines only. The last batch, up to 4 KiB, stayed unwritten until something else was logged, so that a log could seem to end early.

The new test failed before: TooSlowError.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/log_output.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/log_output.py
@@ -65,6 +65,11 @@
         self.dropped = 0
         """Lines dropped since the start."""
 
+    @property
+    def has_pending(self) -> bool:
+        """Whether anything waits to be written."""
+        return bool(self._unwritten or self.lines)
+
     def add(self, line: bytes) -> bool:
         """Adds a line, unless too many wait.
 
@@ -84,7 +89,7 @@
         """Writes the lines, as far as the stream accepts them without blocking."""
         try:
             with open_log_output(self._get_stream()) as output:
-                while self._unwritten or self.lines:
+                while self.has_pending:
                     self._unwritten = self._unwritten or self._take_batch()
                     written = output.write(self._unwritten)
                     if not written:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
@@ -73,7 +73,7 @@
     async def flush_forever(self) -> None:
         """Flushes the buffered lines periodically, until cancelled."""
         while True:
-            if not self._lines:
+            if not self._buffer.has_pending:
                 self._has_lines = trio.Event()
                 await self._has_lines.wait()
             await trio.sleep(_FLUSH_S)
--- a/tests/services/test_slow_log_reader.py
+++ b/tests/services/test_slow_log_reader.py
@@ -4,11 +4,14 @@
 
 import json
 import os
+import select
 import threading
 import unittest
 from contextlib import suppress
 from unittest import mock
 
+import trio
+
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_daemon.services.events import LibraryMessage
 
@@ -70,6 +73,31 @@
         self.assertEqual([json.loads(line)["text"] for line in lines], [TEXT] * LINES)
         self.assertEqual(log.dropped_lines, 0)
 
+    def test_the_last_lines_are_written_once_there_is_room_and_not_only_with_the_next_one(
+        self,
+    ) -> None:
+        log = make_log(1)
+        os.set_blocking(self.reading, False)
+        os.set_blocking(self.stdout.fileno(), False)
+        with suppress(BlockingIOError):
+            while True:
+                os.write(self.stdout.fileno(), bytes(select.PIPE_BUF))
+        log.flush()
+
+        async def read_last_line() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(log.flush_forever)
+                with trio.fail_after(FLUSH_TIMEOUT_S):
+                    while not b"".join(self.received).endswith(b"\n"):
+                        with suppress(BlockingIOError):
+                            self.received.append(os.read(self.reading, 1 << 16))
+                        await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+
+        trio.run(read_last_line)
+        self.finish_reading()
+        self.assertEqual(json.loads(b"".join(self.received).lstrip(b"\0"))["text"], TEXT)
+
     def test_the_descriptor_stays_blocking_for_others_that_share_it(self) -> None:
         make_log(1).flush()
         self.assertTrue(os.get_blocking(self.stdout.fileno()))
