--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/call_proxies.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/call_proxies.py
@@ -30,8 +30,9 @@
 CHARGE_ROUTE: Final = Route("charge", "/charge", "planning", at_most_once=True)
 LIMITED_ROUTE: Final = Route("limited", "/limited", "planning", limit="one")
 SHORT_ROUTE: Final = Route("short", "/short", "planning", timeout_ms=300)
+UPLOAD_ROUTE: Final = Route("upload", "/upload", "planning", timeout_ms=60_000)
 HEDGED_ROUTE: Final = Route("hedged", "/", "planning", retry="hedge", idempotent=True)
-ROUTES: Final = (READ_ROUTE, WRITE_ROUTE, CHARGE_ROUTE, LIMITED_ROUTE, SHORT_ROUTE)
+ROUTES: Final = (READ_ROUTE, WRITE_ROUTE, CHARGE_ROUTE, LIMITED_ROUTE, SHORT_ROUTE, UPLOAD_ROUTE)
 
 
 def make_table(routes: Sequence[Route] = ROUTES, customer: str = CUSTOMER) -> RoutingTable:
