--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_signals.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_signals.py
@@ -26,6 +26,8 @@
     number: int
     sent_at: float
     """Time by the boot clock at which it was sent at the earliest, in seconds."""
+    uncertainty_s: float
+    """Time by which it may have been sent later, in seconds."""
 
 
 @contextmanager
@@ -46,7 +48,8 @@
 
     def on_signal(number: int, frame: FrameType | None) -> None:
         # A process that was halted gets its signals only when it runs again.
-        received = ReceivedSignal(number, read_boot_clock() - lateness.halted_s)
+        halted_s = lateness.halted_s
+        received = ReceivedSignal(number, read_boot_clock() - halted_s, halted_s)
         token.run_sync_soon(sender.send_nowait, received)
 
     earlier = {number: signal.signal(number, on_signal) for number in numbers}
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -251,7 +251,7 @@
         self._started_at = 0.0
         self._is_stopping = False
         self._stop_requested = trio.Event()
-        self._stop_requested_at = 0.0
+        self._stop_requested_at = self._stop_uncertainty_s = 0.0
         self._add_gauges()
 
     @property
@@ -353,7 +353,9 @@
                 if self._quotas is not None:
                     nursery.start_soon(keep_running, self._quotas.release)
                 await self._shutdown.run(
-                    self._reloader.settings.bounds.grace_s, self._stop_requested_at
+                    self._reloader.settings.bounds.grace_s,
+                    self._stop_requested_at,
+                    self._stop_uncertainty_s,
                 )
                 # The cancellation aborts whatever is still in flight.
                 self._log.write(
@@ -398,15 +400,17 @@
             ),
         )
 
-    def begin_stopping(self, requested_at: float | None = None) -> None:
+    def begin_stopping(self, requested_at: float | None = None, uncertainty_s: float = 0.0) -> None:
         """Starts the graceful shutdown; idempotent.
 
         Args:
             requested_at: Time of the request by the boot clock in seconds, now if None.
+            uncertainty_s: Time by which it may have come later, in seconds.
         """
         if self._stop_requested.is_set():
             return
         self._stop_requested_at = read_boot_clock() if requested_at is None else requested_at
+        self._stop_uncertainty_s = uncertainty_s
         self._stop_requested.set()
 
     async def _handle_signals(self, signals: AsyncIterator[ReceivedSignal]) -> None:
@@ -415,7 +419,7 @@
             if received.number == signal.SIGHUP:
                 self._reloader.reload()
             else:
-                self.begin_stopping(received.sent_at)
+                self.begin_stopping(received.sent_at, received.uncertainty_s)
 
     def _stop_elapsed_ms(self) -> float:
         return round((read_boot_clock() - self._stop_requested_at) * 1000, 1)
--- a/tests/services/test_stopping_suspended.py
+++ b/tests/services/test_stopping_suspended.py
@@ -16,6 +16,11 @@
 SUSPENDED_S = 2.0
 LATE_S = 0.6
 """Time for which the event loop is late in the last phase of a shutdown, in seconds."""
+HALTS_S = (0.0, 0.1, 0.28, 0.5, 2.0)
+CUT_AFTER_S = 5.0
+"""Time after SIGTERM from which the rules allow a request at work to be broken off, in seconds."""
+LONGEST_HALT_S = 0.5
+"""Longest halt for which the end can be in time whenever SIGTERM was sent, in seconds."""
 LAST_ACCEPTED_S = 3.0
 """Time after SIGTERM up to which the rules allow a request to be cut off, in seconds."""
 
@@ -85,6 +90,37 @@
         duration_s, _ = self.stop(3.7)
         self.assertLess(duration_s, GRACE_S)
 
+    def stop_after_halt(self, halt_s: float) -> tuple[float, float]:
+        """Stops a daemon whose process was halted, with SIGTERM at some time in the halt.
+
+        Args:
+            halt_s: Duration of the halt, in seconds.
+
+        Returns:
+            The times from the begin of the halt to when requests at work are broken off, and to
+            the end of the shutdown, in seconds.
+        """
+        shutdown = make_shutdown(VmClock())
+        broken_off = []
+        shutdown._callers.expire_all = lambda: broken_off.append(trio.current_time())
+
+        async def run() -> tuple[float, float]:
+            halted_at = trio.current_time()
+            await trio.sleep(halt_s)
+            await shutdown.run(GRACE_S, halted_at, halt_s)
+            return broken_off[0] - halted_at, trio.current_time() - halted_at
+
+        return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_a_signal_sent_at_either_end_of_a_halt_breaks_off_no_request_early(self) -> None:
+        """The process gets a signal only after the halt, and can't tell when it was sent."""
+        for halt_s in HALTS_S:
+            with self.subTest(halt_s):
+                broken_off_s, duration_s = self.stop_after_halt(halt_s)
+                self.assertLess(duration_s, GRACE_S)
+                if halt_s <= LONGEST_HALT_S:
+                    self.assertGreaterEqual(broken_off_s - halt_s, CUT_AFTER_S - 1e-6)
+
     def test_an_event_loop_that_is_late_in_the_last_phase_does_not_delay_the_end(self) -> None:
         """The last phase must not wait for its whole time limits if it begins too late for them."""
         mock_clock = trio.testing.MockClock(autojump_threshold=0)
