Break no request off early if SIGTERM may have come later than assumed (LOST)

Cause: vm-10 had no core for 0.28 s, and SIGTERM came at the end of that. The time of a signal is assumed as the begin of such a halt (`stopping late_ms` 278), so the daemon gave its answers at 4.93 s in place of 5.2 s.

Up to 0.3 s of the margin before the kill are now given up when the signal may have come later; 0.5 s of it stay.

No soak was run with it.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -43,6 +43,9 @@
 """Time for which other daemons may still send requests after the announcement, in seconds."""
 _GRACE_MARGIN_S: Final = 0.8
 """Time before the end of the grace period by which the daemon terminates, in seconds."""
+_MAX_LATER_S: Final = 0.3
+"""Part of the grace margin that is given up if SIGTERM may have come later, in seconds. A request
+may not be broken off before the last sixth of the grace period."""
 _FINAL_SEND_S: Final = 0.3
 """Maximum time for sending the last responses, in seconds."""
 _FINAL_CLOSE_S: Final = 0.1
@@ -107,7 +110,9 @@
             requested_at: Arrival of SIGTERM by the boot clock, in seconds.
         """
         self._requested_at = requested_at
-        ends_at = requested_at + grace_s - _GRACE_MARGIN_S
+        # The signal may have come any time from `requested_at` until now.
+        later_s = min(max(0.0, self._clock() - requested_at), _MAX_LATER_S)
+        ends_at = requested_at + grace_s - _GRACE_MARGIN_S + later_s
         self._times_by_boot_clock = StopTimes(
             accepts_until=requested_at + min(grace_s * _ACCEPT_SHARE, _MAX_ACCEPT_S),
             ends_at=ends_at,
