--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -56,9 +56,13 @@
 _LATE_DELAYS_MS: Final = (1000, 1500, 2000, 3000, 4000)
 _ROUTES: Final = {"/read/": 1.2, "/write/": 1.5, "/upload/": 3.0, "/long/": 7.5, "/sign/": 12.0}
 """Timeouts of the routes by their prefix, in seconds."""
+_LONG_ROUTES: Final = ("/long/", "/sign/")
 _READS: Final = ("/read/", "/long/")
 _DELAYS_MS: Final = (1, 1, 5, 20, 50, 50, 100, 200, 400, 900)
-_LONG_DELAYS_MS: Final = (*_DELAYS_MS, 1500, 2000, 3000, 5000)
+_LONG_DELAYS_MS: Final = (1, 50, 400, 900, 1500, 2000, 3000, 4000, 5000)
+_ASKED_S: Final = (0.3, 1.0, 3.0, 12.0)
+"""Times that callers have for an answer, in seconds."""
+_LONG_ASKED_S: Final = (3.0, 12.0, 12.0)
 _SIZES: Final = (2, 2, 400, 30_000, 300_000)
 _BODIES: Final = (0, 0, 300, 40_000, 300_000)
 _FAULTS: Final = ("reset", "cut", "early", "shed", "extra", "unframed", "unproven")
@@ -103,14 +107,17 @@
     """Whether a link of a stopping daemon goes silent."""
     has_late_requests: bool
     """Whether callers send long requests when they should have moved away."""
+    forwards_all: bool
+    """Whether the first daemon is beside the upstream of another service."""
     changes_routes: bool
     """Whether versions of the document remove routes, and shorten timeouts much."""
 
     @classmethod
     def draw(cls, rng: random.Random) -> CaseOptions:
         """Draws the options of a case."""
+        daemons = rng.choice((2, 2, 3, 4))
         return cls(
-            daemons=rng.choice((2, 2, 3, 4)),
+            daemons=daemons,
             callers=rng.choice((2, 4, 8, 16)),
             link_kbps=rng.choice((0, 0, 4_000, 10_000)),
             has_disruptions=rng.random() < 0.4,
@@ -126,6 +133,7 @@
             stops_again=rng.random() < 0.25,
             has_silent_stops=rng.random() < 0.2,
             has_late_requests=rng.random() < 0.25,
+            forwards_all=daemons > 2 and rng.random() < 0.5,
             changes_routes=rng.random() < 0.3,
         )
 
@@ -185,7 +193,7 @@
                 mesh.put_document(_make_document(1, 1.0, options.idle_timeout_s))
                 for index in range(options.daemons):
                     await self._start(mesh, links, f"daemon-{index + 1}")
-                await mesh.wait_serving("shop", options.daemons)
+                await mesh.wait_serving("shop", options.daemons - options.forwards_all)
                 await self._drive(mesh, links, clock)
                 nursery.cancel_scope.cancel()
 
@@ -231,7 +239,8 @@
             upstream = self._serve_upstream(links, f"upstream-of-{name}", f"{name}:80")
         else:
             upstream = earlier.upstream
-        node = await mesh.start_node(name, earlier=earlier, upstream=upstream)
+        service = "stock" if self._options.forwards_all and name == "daemon-1" else "shop"
+        node = await mesh.start_node(name, service=service, earlier=earlier, upstream=upstream)
         links.names[node.platform.settings.listeners.daemons] = name
         run = DaemonRun(node)
         self._runs.append(run)
@@ -259,6 +268,7 @@
         is_leaving = node.upstream.upstream_id in self._leaving
         try:
             await node.announce(
+                service=node.platform.settings.service,
                 sequence=self._sequence,
                 born_ms=self._born_ms.get(node.upstream.address, 1_000),
                 phase=UpstreamPhase.LEAVING if is_leaving else UpstreamPhase.READY,
@@ -450,15 +460,15 @@
 
     def _make_request(self, entry: DaemonRun) -> SentRequest:
         rng = self._rng
-        prefixes = list(_ROUTES) if self._options.has_long_requests else list(_ROUTES)[:3]
-        prefix = rng.choice(prefixes)
+        has_long = self._options.has_long_requests
+        prefix = rng.choice((*_ROUTES, *_LONG_ROUTES) if has_long else list(_ROUTES)[:3])
         is_read = prefix in _READS
         delays_ms = _LONG_DELAYS_MS if self._options.has_long_delays else _DELAYS_MS
         if self._options.has_late_requests and self._is_late(entry):
-            prefix, delays_ms = rng.choice(("/long/", "/sign/")), _LATE_DELAYS_MS
+            prefix, delays_ms = rng.choice(_LONG_ROUTES), _LATE_DELAYS_MS
             is_read = prefix in _READS
         size, fault = rng.choice(_SIZES), ""
-        asked_s = rng.choice((0.3, 1.0, 3.0, 12.0))
+        asked_s = rng.choice(_LONG_ASKED_S if has_long else _ASKED_S)
         if self._options.has_upstream_faults and rng.random() < 0.2:
             fault = rng.choice(_FAULTS)
         target = f"{prefix}?delay_ms={rng.choice(delays_ms)}&size={size}&fault={fault}"
--- a/tests/services/test_stop_crossings.py
+++ b/tests/services/test_stop_crossings.py
@@ -11,6 +11,7 @@
 from fulmarstile_services.document import Repeatability
 from fulmarstile_testing.builders.service_mesh import serve_mesh
 from fulmarstile_testing.builders.services import make_document, make_route
+from fulmarstile_testing.known_red import pass_over_known_red
 from fulmarstile_testing.lost_search.callers import CallerConnection, SentRequest
 from fulmarstile_testing.lost_search.case import GRACE_S, DaemonRun
 from fulmarstile_testing.lost_search.environment import virtual_clocks
@@ -147,6 +148,57 @@
 
         run_in_virtual_time(run)
 
+    @pass_over_known_red
+    def test_a_request_that_waits_for_a_slot_is_not_begun_by_a_daemon_that_ends_before_it(
+        self,
+    ) -> None:
+        """Guards against 502 for a request that begins at its upstream after the SIGTERM there.
+
+        It was forwarded before the SIGTERM, can't be repeated, and outlasts the daemon.
+        """
+
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=DOCUMENT) as mesh:
+                entry, stopping = mesh.nodes
+                run = DaemonRun(entry)
+                requests = [make_request(number, delay_ms=1_000) for number in range(4)]
+                requests.append(make_request(4, delay_ms=5_000))
+                async with trio.open_nursery() as nursery:
+                    for request in requests:
+                        nursery.start_soon(exchange_with, run, request)
+                        await trio.sleep(0.01)
+                    await trio.sleep(0.5)
+                    stopping.stop()
+                    await trio.sleep(0.3)
+                    run.stopped_at = trio.current_time()
+                    entry.stop()
+                served = stopping.upstream.record.requests
+                self.assertEqual([each.status for each in requests[:4]], [200] * 4)
+                self.assertEqual(list(judge(requests, served, (), GRACE_S)), [])
+
+        run_in_virtual_time(run)
+
+    @pass_over_known_red
+    def test_a_stopping_daemon_cuts_no_read_for_which_there_is_no_other_upstream(self) -> None:
+        """Guards against 502 for a read that nobody else can repeat, after two stops in a row."""
+
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=READS_DOCUMENT) as mesh:
+                entry, stopping = mesh.nodes
+                run = DaemonRun(entry)
+                request = make_request(1, method="GET", delay_ms=5_000)
+                stopping.stop()
+                await trio.sleep(0.5)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(exchange_with, run, request)
+                    await trio.sleep(0.5)
+                    run.stopped_at = trio.current_time()
+                    entry.stop()
+                served = stopping.upstream.record.requests
+                self.assertEqual(list(judge([request], served, (), GRACE_S)), [])
+
+        run_in_virtual_time(run)
+
     def test_a_stopping_daemon_cuts_no_request_of_another_one_that_stops_later(self) -> None:
         async def run() -> None:
             async with serve_mesh("stock", "shop", "shop", document=DOCUMENT) as mesh:
