--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/callers.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/callers.py
@@ -16,7 +16,7 @@
     from collections.abc import Sequence
 
     from fulmarstile_http.byte_stream import ByteStream
-    from fulmarstile_testing.lost_search.case import DaemonRun
+    from fulmarstile_testing.lost_search.daemon_run import DaemonRun
 
 _PATIENCE_S: Final = 2.0
 """Time after its deadline for which a caller waits for an answer, in seconds."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -5,19 +5,17 @@
 import itertools
 import math
 import random
-from dataclasses import dataclass, field, replace
-from functools import partial
-from typing import TYPE_CHECKING, Final
+from dataclasses import dataclass, field
+from typing import Final
 
 import trio
 import trio.testing
 
-from fulmarstile_services.document import Repeatability, RequestLimits
 from fulmarstile_services.upstream_registry import UpstreamPhase
 from fulmarstile_testing.builders.service_mesh import ServiceMesh, ServiceNode
-from fulmarstile_testing.builders.services import make_document, make_route
 from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
 from fulmarstile_testing.lost_search.callers import CallerConnection, SentRequest
+from fulmarstile_testing.lost_search.daemon_run import DaemonRun
 from fulmarstile_testing.lost_search.environment import (
     LOCAL_DAEMON,
     SimulatedLinks,
@@ -25,11 +23,11 @@
     virtual_environment,
 )
 from fulmarstile_testing.lost_search.judge import Violation, describe_requests, judge
+from fulmarstile_testing.lost_search.options import CaseOptions
+from fulmarstile_testing.lost_search.request_draw import LATE_S, RequestDraw
+from fulmarstile_testing.lost_search.routes import ROUTES, make_case_document
 from fulmarstile_testing.service_upstream import ServiceUpstream
 
-if TYPE_CHECKING:
-    from fulmarstile_services.document import ServiceDocument
-
 GRACE_S: Final = 6.0
 _PLAY_S: Final = 8.0
 """Time in which callers send requests, in seconds."""
@@ -42,7 +40,6 @@
 """Longest time for which a daemon may still apply an earlier version, in seconds."""
 _STOP_OFFSETS_S: Final = (0.0, 0.0, 0.05, 0.4, 1.0, 1.6, 2.0, 2.4, 2.8, 3.6, 5.2)
 """Times between stops, among them those of the phases of a shutdown, in seconds."""
-_NESTED_RATIO: Final = 0.2
 _FACTORS: Final = (1.0, 0.6)
 """Factors that versions of the document apply to the timeouts."""
 _SHORT_FACTORS: Final = (1.0, 0.6, 0.3)
@@ -51,91 +48,6 @@
 _SILENCES_S: Final = (1.0, 2.0, 3.0)
 _SILENCE_LEADS_S: Final = (0.0, 0.05, 0.5)
 """Times for which a link has been silent when a daemon is told to stop, in seconds."""
-_LATE_S: Final = (2.0, 3.5)
-"""Times after SIGTERM between which late requests are sent, in seconds."""
-_LATE_DELAYS_MS: Final = (1000, 1500, 2000, 3000, 4000)
-_ROUTES: Final = {"/read/": 1.2, "/write/": 1.5, "/upload/": 3.0, "/long/": 7.5, "/sign/": 12.0}
-"""Timeouts of the routes by their prefix, in seconds."""
-_LONG_ROUTES: Final = ("/long/", "/sign/")
-_READS: Final = ("/read/", "/long/")
-_DELAYS_MS: Final = (1, 1, 5, 20, 50, 50, 100, 200, 400, 900)
-_LONG_DELAYS_MS: Final = (1, 50, 400, 900, 1500, 2000, 3000, 4000, 5000)
-_ASKED_S: Final = (0.3, 1.0, 3.0, 12.0)
-"""Times that callers have for an answer, in seconds."""
-_LONG_ASKED_S: Final = (3.0, 12.0, 12.0)
-_SIZES: Final = (2, 2, 400, 30_000, 300_000)
-_BODIES: Final = (0, 0, 300, 40_000, 300_000)
-_FAULTS: Final = ("reset", "cut", "early", "shed", "extra", "unframed", "unproven")
-
-
-@dataclass(slots=True)
-class DaemonRun:
-    """A daemon from its start to its end."""
-
-    node: ServiceNode
-    stopped_at: float = math.inf
-    """Time of its SIGTERM, in seconds."""
-    is_killed: bool = False
-
-    @property
-    def name(self) -> str:
-        """Name of the daemon."""
-        return self.node.daemon.directory.local_member.name
-
-
-@dataclass(frozen=True, slots=True)
-class CaseOptions:
-    """What a case contains."""
-
-    daemons: int
-    callers: int
-    link_kbps: int
-    has_disruptions: bool
-    has_upstream_faults: bool
-    stalls_sends: bool
-    stalls_loop: bool
-    has_long_requests: bool
-    has_long_delays: bool
-    has_leaving_upstreams: bool
-    pipelines: bool
-    idle_timeout_s: float
-    stops_in_a_row: bool
-    """Whether all daemons stop, so that a retry may meet one that stops as well."""
-    stops_again: bool
-    """Whether a daemon that has started again is told to stop soon."""
-    has_silent_stops: bool
-    """Whether a link of a stopping daemon goes silent."""
-    has_late_requests: bool
-    """Whether callers send long requests when they should have moved away."""
-    forwards_all: bool
-    """Whether the first daemon is beside the upstream of another service."""
-    changes_routes: bool
-    """Whether versions of the document remove routes, and shorten timeouts much."""
-
-    @classmethod
-    def draw(cls, rng: random.Random) -> CaseOptions:
-        """Draws the options of a case."""
-        daemons = rng.choice((2, 2, 3, 4))
-        return cls(
-            daemons=daemons,
-            callers=rng.choice((2, 4, 8, 16)),
-            link_kbps=rng.choice((0, 0, 4_000, 10_000)),
-            has_disruptions=rng.random() < 0.4,
-            has_upstream_faults=rng.random() < 0.3,
-            stalls_sends=rng.random() < 0.3,
-            stalls_loop=rng.random() < 0.1,
-            has_long_requests=rng.random() < 0.2,
-            has_long_delays=rng.random() < 0.5,
-            has_leaving_upstreams=rng.random() < 0.3,
-            pipelines=rng.random() < 0.4,
-            idle_timeout_s=rng.choice((1.0, 60.0, 60.0)),
-            stops_in_a_row=rng.random() < 0.2,
-            stops_again=rng.random() < 0.25,
-            has_silent_stops=rng.random() < 0.2,
-            has_late_requests=rng.random() < 0.25,
-            forwards_all=daemons > 2 and rng.random() < 0.5,
-            changes_routes=rng.random() < 0.3,
-        )
 
 
 @dataclass(slots=True)
@@ -164,6 +76,7 @@
         self._upstreams: list[ServiceUpstream] = []
         self._disrupted_at: list[float] = []
         self._numbers = itertools.count()
+        self._requests = RequestDraw(self._rng, self._options, self._numbers)
         self._sequence = 1
         self._factors_from: list[tuple[float, float]] = [(0.0, 1.0)]
         """Times of the versions of the document, in seconds, and their factors."""
@@ -190,7 +103,7 @@
             with virtual_environment(links, self._rng, stalls_sends=options.stalls_sends):
                 mesh = ServiceMesh(nursery)
                 mesh.link_kbps = options.link_kbps
-                mesh.put_document(_make_document(1, 1.0, options.idle_timeout_s))
+                mesh.put_document(make_case_document(1, 1.0, options.idle_timeout_s))
                 for index in range(options.daemons):
                     await self._start(mesh, links, f"daemon-{index + 1}")
                 await mesh.wait_serving("shop", options.daemons - options.forwards_all)
@@ -351,10 +264,10 @@
             await trio.sleep(self._draw_time(_PLAY_S / (4 if changes_routes else 2)))
             factor = self._rng.choice(_SHORT_FACTORS if changes_routes else _FACTORS)
             self._factors_from.append((trio.current_time(), factor))
-            removed = self._rng.choice(list(_ROUTES)) if changes_routes else ""
+            removed = self._rng.choice(list(ROUTES)) if changes_routes else ""
             self._note(f"version {version}: factor {factor}, without {removed or 'nothing'}")
             idle_timeout_s = self._options.idle_timeout_s
-            mesh.put_document(_make_document(version, factor, idle_timeout_s, removed))
+            mesh.put_document(make_case_document(version, factor, idle_timeout_s, removed))
 
     def _apply_timeout(self, request: SentRequest) -> None:
         """Applies the shortest timeout that a daemon may have had for a request."""
@@ -366,7 +279,7 @@
             for at, factor in self._factors_from
             if max(ages, default=0.0) <= at <= request.ended_at
         ]
-        timeout_s = next(s for prefix, s in _ROUTES.items() if request.target.startswith(prefix))
+        timeout_s = next(s for prefix, s in ROUTES.items() if request.target.startswith(prefix))
         request.wait_s = min(request.asked_s, timeout_s * min(factors))
 
     def _draw_other(self, name: str) -> str:
@@ -407,7 +320,7 @@
         connections: list[CallerConnection] = []
         moves_after_s = self._rng.choice((self._rng.uniform(0.3, 2.2), 2.2, 6.0))
         if self._options.has_late_requests:
-            moves_after_s = _LATE_S[1]
+            moves_after_s = LATE_S[1]
         while trio.current_time() < until:
             await trio.sleep(self._draw_time(self._rng.choice((0.1, 0.5))))
             runs = [
@@ -419,7 +332,7 @@
             if not runs:
                 continue
             if self._options.has_late_requests:
-                runs = [run for run in runs if self._is_late(run)] or runs
+                runs = [run for run in runs if self._requests.is_late(run)] or runs
             run = self._rng.choice(runs)
             connection = await self._connect(run, connections)
             if connection is not None:
@@ -427,10 +340,6 @@
         for connection in connections:
             connection.close()
 
-    def _is_late(self, run: DaemonRun) -> bool:
-        first_s, last_s = _LATE_S
-        return first_s <= trio.current_time() - run.stopped_at <= last_s
-
     async def _connect(
         self, run: DaemonRun, connections: list[CallerConnection]
     ) -> CallerConnection | None:
@@ -449,7 +358,7 @@
     async def _call(self, connection: CallerConnection) -> None:
         rng = self._rng
         count = rng.choice((1, 1, 1, 2, 4)) if self._options.pipelines else 1
-        requests = [self._make_request(connection.entry) for _ in range(count)]
+        requests = [self._requests.make(connection.entry) for _ in range(count)]
         self._result.requests.extend(requests)
         leaves = rng.random() < 0.1
         await connection.exchange(
@@ -457,56 +366,3 @@
             leave_after_s=self._draw_time(1.0) if leaves else math.inf,
             read_after_s=rng.choice((0.0, 0.0, 0.0, 0.5)),
         )
-
-    def _make_request(self, entry: DaemonRun) -> SentRequest:
-        rng = self._rng
-        has_long = self._options.has_long_requests
-        prefix = rng.choice((*_ROUTES, *_LONG_ROUTES) if has_long else list(_ROUTES)[:3])
-        is_read = prefix in _READS
-        delays_ms = _LONG_DELAYS_MS if self._options.has_long_delays else _DELAYS_MS
-        if self._options.has_late_requests and self._is_late(entry):
-            prefix, delays_ms = rng.choice(_LONG_ROUTES), _LATE_DELAYS_MS
-            is_read = prefix in _READS
-        size, fault = rng.choice(_SIZES), ""
-        asked_s = rng.choice(_LONG_ASKED_S if has_long else _ASKED_S)
-        if self._options.has_upstream_faults and rng.random() < 0.2:
-            fault = rng.choice(_FAULTS)
-        target = f"{prefix}?delay_ms={rng.choice(delays_ms)}&size={size}&fault={fault}"
-        return SentRequest(
-            self._make_id(entry),
-            "GET" if is_read else "POST",
-            target,
-            b"" if is_read else b"y" * rng.choice(_BODIES),
-            min(_ROUTES[prefix], asked_s),
-            min(_ROUTES[prefix], asked_s),
-            size,
-            fault,
-            tuple(rng.choice(((0.0,), (0.0,), (0.0, 0.0), (0.0, 0.05, 0.2)))),
-        )
-
-    def _make_id(self, entry: DaemonRun) -> str:
-        """Makes the id of a request, at times one that the upstream beside its daemon calls."""
-        own = f"r{next(self._numbers)}"
-        arrived = entry.node.upstream.record.requests
-        running = [each.request_id for each in arrived if math.isinf(each.worked_until)]
-        if running and self._rng.random() < _NESTED_RATIO:
-            return f"{self._rng.choice(running)}.{own}"
-        return own
-
-
-def _make_document(
-    version: int, factor: float, idle_timeout_s: float, removed: str = ""
-) -> ServiceDocument:
-    repeatable, once = Repeatability.IDEMPOTENT, Repeatability.AT_MOST_ONCE
-    make = partial(make_route, target_latency_s=0.4, max_attempts=3)
-    routes = [
-        make(
-            prefix=prefix,
-            timeout_s=timeout_s * factor,
-            repeatability=repeatable if prefix in _READS else once,
-        )
-        for prefix, timeout_s in _ROUTES.items()
-        if prefix != removed
-    ]
-    document = make_document(*routes, version=version)
-    return replace(document, limits=RequestLimits(idle_timeout_s=idle_timeout_s))
--- a/tests/services/test_stop_crossings.py
+++ b/tests/services/test_stop_crossings.py
@@ -13,7 +13,8 @@
 from fulmarstile_testing.builders.services import make_document, make_route
 from fulmarstile_testing.known_red import pass_over_known_red
 from fulmarstile_testing.lost_search.callers import CallerConnection, SentRequest
-from fulmarstile_testing.lost_search.case import GRACE_S, DaemonRun
+from fulmarstile_testing.lost_search.case import GRACE_S
+from fulmarstile_testing.lost_search.daemon_run import DaemonRun
 from fulmarstile_testing.lost_search.environment import virtual_clocks
 from fulmarstile_testing.lost_search.judge import judge
 
