Keep the time for the last answers where SIGTERM may have come later than assumed (LOST)

The end moves by the whole uncertainty now, by 0.3 s at most as before; 0.5 s remain before the kill.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -46,8 +46,6 @@
 """Time before the end of the grace period by which the daemon terminates, in seconds."""
 _MAX_LATER_END_S: Final = 0.3
 """Maximum time by which the end moves because the signal may have been sent later, in seconds."""
-_CUT_SHARE: Final = 1 / 6
-"""Share of the grace period, at its end, in which a request at work may be broken off."""
 _FINAL_SEND_S: Final = 0.3
 """Maximum time for sending the last responses, in seconds."""
 _FINAL_CLOSE_S: Final = 0.1
@@ -114,10 +112,9 @@
         """
         self._requested_at = requested_at
         ends_at = requested_at + grace_s - _GRACE_MARGIN_S
-        # No request at work is broken off early, whenever the signal was sent, while the process
-        # still ends in time.
-        early_s = max(0.0, grace_s * _CUT_SHARE - _GRACE_MARGIN_S)
-        ends_at += min(max(0.0, uncertainty_s - early_s), _MAX_LATER_END_S)
+        # Whenever the signal was sent, no request may be broken off before the last sixth of the
+        # grace period, and the process has to end in time.
+        ends_at += min(uncertainty_s, _MAX_LATER_END_S)
         self._times_by_boot_clock = StopTimes(
             accepts_until=requested_at + min(grace_s * _ACCEPT_SHARE, _MAX_ACCEPT_S),
             ends_at=ends_at,
