Let no error in a check for late daemons end the daemon (LOST)

Callers would see all open requests of a daemon reset at once: checks the connections in tasks whose errors leave the main nursery. Both new tests in test_late_daemons failed before (LookupError out of the task), and pass.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -8,6 +8,7 @@
 import trio
 
 from fulmarstile_calls.request import RefusalReason
+from fulmarstile_daemon.services._background_tasks import keep_running
 from fulmarstile_daemon.services._body_admission import BodyAdmission, OfferKey
 from fulmarstile_daemon.services._call import make_failure
 from fulmarstile_daemon.services._error_frames import release_frames
@@ -137,7 +138,9 @@
         with listen(address) as listener:
             async with trio.open_nursery() as watch_nursery:
                 watch_nursery.start_soon(
-                    allow_late_readers, lambda: [link.frames for link in self._connections]
+                    keep_running,
+                    allow_late_readers,
+                    lambda: [link.frames for link in self._connections],
                 )
                 async with trio.open_nursery() as nursery:
                     task_status.started(listener.address)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -11,6 +11,7 @@
 
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._attempt_progress import AttemptStage
+from fulmarstile_daemon.services._background_tasks import keep_running
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
 from fulmarstile_daemon.services._error_frames import release_frames
 from fulmarstile_daemon.services._exchange import UpstreamResponse
@@ -246,7 +247,9 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
-            await allow_late_readers(lambda: [link.frames for link in self._open_links])
+            await keep_running(
+                allow_late_readers, lambda: [link.frames for link in self._open_links]
+            )
 
     def close_unknown(self, addresses: Iterable[str]) -> None:
         """Retires the connections to addresses that are no longer known.
--- a/tests/services/test_late_daemons.py
+++ b/tests/services/test_late_daemons.py
@@ -24,6 +24,7 @@
 from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_testing.builders.link_servers import (
     LinkClient,
+    answer_call,
     make_hop_call,
     make_link_server,
     open_link,
@@ -41,6 +42,8 @@
 READ_DELAY_S = 6.0
 """Long enough for three of the kernel's time limits, one behind another."""
 PAUSE_S = 2.5
+CHECKED_AFTER_S = 1.0
+"""Time within which connections are checked at least once, in seconds."""
 NOTICED_WITHIN_S = 3.0
 """Time within which a daemon that is cut off is noticed: about 2 s, and 1 s for a busy machine."""
 TIMEOUT_S = 15.0
@@ -138,6 +141,51 @@
         trio.run(run)
 
 
+class FailingCheckTest(unittest.TestCase):
+    """An error in a check of connections costs no request, and not the daemon."""
+
+    def run_with_failing_check(self, run: Callable[[], Awaitable[None]]) -> None:
+        failed = []
+
+        def fail_once(*_: object, **__: object) -> bool:
+            if failed:
+                return False
+            failed.append(True)
+            raise LookupError("an error of the test")
+
+        with (
+            mock.patch.object(late_readers.LateReaderWatch, "check", fail_once),
+            self.assertLogs(level="ERROR"),
+        ):
+            trio.run(run)
+
+    def test_a_daemon_that_forwards_requests_goes_on(self) -> None:
+        async def answer_later(peer: LinkClient) -> None:
+            message = await peer.receive()
+            while not isinstance(message, HopCall):
+                message = await peer.receive()
+            await trio.sleep(CHECKED_AFTER_S)
+            await peer.send(HopAnswer(message.call_id, HopOutcome(Verdict.RAN), 200))
+
+        async def run() -> None:
+            (result,) = await forward_to(answer_later, 10, calls=1)
+            self.assertTrue(result.response is not None, result.outcome)
+
+        self.run_with_failing_check(run)
+
+    def test_a_daemon_that_answers_them_goes_on(self) -> None:
+        async def run() -> None:
+            server = make_link_server(answer_call)
+            async with serve_links(server) as address, open_link(address) as client:
+                await client.send(make_hop_call(1))
+                await client.receive()
+                await trio.sleep(CHECKED_AFTER_S)
+                await client.send(make_hop_call(2, b"body"))
+                self.assertEqual((await client.receive()).body, b"body")
+
+        self.run_with_failing_check(run)
+
+
 class CutOffDaemonTest(unittest.TestCase):
     def check_noticed(self, pause_s: float, *, reads: bool) -> None:
         cut_at = math.inf
