Split the connections between daemons, the upstream and the daemon by concern

No behaviour changes; public items that were private got docstrings. test_failing_tasks names one task by its new place. Architecture, links, upstream, call path and stop tests pass.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -13,7 +12,6 @@
 from fulmarstile_daemon.services._attempt_progress import AttemptStage
 from fulmarstile_daemon.services._background_tasks import keep_running
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
-from fulmarstile_daemon.services._error_frames import release_frames
 from fulmarstile_daemon.services._exchange import UpstreamResponse
 from fulmarstile_daemon.services._frame_stream import (
     FrameStream,
@@ -21,21 +19,17 @@
     QueueFullError,
     allow_late_readers,
 )
+from fulmarstile_daemon.services._link import Link, PendingCall
 from fulmarstile_http.byte_stream import open_stream
 from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_services.wait_policy import max_body_wait_s
 from fulmarstile_wire.errors import FulmarstileError
 from fulmarstile_wire.services import (
     PROTOCOL_VERSION,
-    BodyGrant,
     BodyOffer,
-    DroppedMessage,
-    GoAway,
     Hello,
     HopAnswer,
     HopCall,
-    HopCancel,
-    HopWithdraw,
     PeerAnswer,
     PeerCall,
     SyncAnswer,
@@ -48,7 +42,6 @@
 
     from fulmarstile_daemon.services._attempt_progress import AttemptProgress
     from fulmarstile_daemon.services._byte_budget import ByteBudget
-    from fulmarstile_daemon.services._frame_stream import OutgoingFrame
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_wire.services import (
         HopOutcome,
@@ -60,8 +53,6 @@
         SyncRequest,
     )
 
-_LOGGER: Final = logging.getLogger(__name__)
-
 _MIN_LARGE_BODY_BYTES: Final = 32 * 1024
 """Size from which a body uses a second connection, so that small ones do not queue behind it."""
 _MIN_OFFER_S: Final = 0.05
@@ -76,154 +67,6 @@
     """A daemon did not accept a connection, or did not reply."""
 
 
-class _PendingCall:
-    """A call that waits for its answer."""
-
-    __slots__ = ("answer", "done", "granted", "is_dropped", "is_lost", "is_refused")
-
-    def __init__(self) -> None:
-        self.done = trio.Event()
-        self.answer: HopAnswer | SyncAnswer | PeerAnswer | None = None
-        self.granted = trio.Event()
-        """Set when the body was granted, or when the call has ended without a grant."""
-        self.is_lost = False
-        """Whether the connection failed before the answer."""
-        self.is_dropped = False
-        """Whether there was no memory for the answer."""
-        self.is_refused = False
-        """Whether the other daemon has ended without having read the call."""
-
-
-class _Link:
-    """A connection and the calls on it."""
-
-    def __init__(self, frames: FrameStream, address: str) -> None:
-        self._address = address
-        self.frames = frames
-        self._pending: dict[int, _PendingCall] = {}
-        self._next_id = 0
-        self._is_retired = False
-        self.received_at = trio.current_time()
-        """Time of the last message, in seconds."""
-
-    @property
-    def is_closed(self) -> bool:
-        return self.frames.is_closed
-
-    def begin_call(self) -> tuple[int, _PendingCall]:
-        self._next_id += 1
-        pending = self._pending[self._next_id] = _PendingCall()
-        return self._next_id, pending
-
-    def send(self, message: Hello | HopCall | SyncCall | PeerCall | BodyOffer) -> OutgoingFrame:
-        return self.frames.send(message)
-
-    def withdraw(self, call_id: int, progress: AttemptProgress) -> None:
-        """Withdraws a call, which the other daemon refuses unless its upstream has received it."""
-        pending = self._pending[call_id]
-        if progress.frame is None:
-            pending.granted.set()
-        elif self._drop_unsent(progress):
-            # Releases the grant of its body.
-            self._send_or_close(HopCancel(call_id))
-            pending.done.set()
-        else:
-            self._send_or_close(HopWithdraw(call_id))
-
-    def abandon_call(self, progress: AttemptProgress) -> None:
-        """Drops a cancelled call that was not sent, so that the other daemon never runs it."""
-        if progress.stage is not AttemptStage.SENDING:
-            return
-        if self.is_closed:
-            # The other daemon cannot have received the complete message.
-            progress.revert_to_waiting()
-        else:
-            self._drop_unsent(progress)
-
-    def _drop_unsent(self, progress: AttemptProgress) -> bool:
-        frame = progress.frame
-        if frame is None or not self.frames.drop(frame):
-            return False
-        progress.revert_to_waiting()
-        return True
-
-    def _send_or_close(self, message: HopCancel | HopWithdraw) -> None:
-        try:
-            self.frames.send(message)
-        except LinkBrokenError:
-            self.close()
-
-    def end_call(self, call_id: int) -> None:
-        """Removes a call, and cancels it at the other daemon if it has no answer."""
-        pending = self._pending.pop(call_id)
-        if not pending.done.is_set() and not self.frames.is_closed:
-            self._send_or_close(HopCancel(call_id))
-        self._close_if_unused()
-
-    def retire(self) -> None:
-        """Closes the connection at the end of the last call on it; no more may begin."""
-        self._is_retired = True
-        self._close_if_unused()
-
-    def _close_if_unused(self) -> None:
-        if self._is_retired and not self._pending:
-            self.close()
-
-    def close(self) -> None:
-        self.frames.close()
-        for pending in self._pending.values():
-            pending.is_lost = True
-            pending.granted.set()
-            pending.done.set()
-
-    async def run(self) -> None:
-        """Receives answers until the connection ends."""
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.frames.send_forever)
-                while True:
-                    for message in await self.frames.receive():
-                        self._on_message(message)
-        except* LinkBrokenError as group:
-            _LOGGER.info("connection to %s closed: %s", self._address, group.exceptions[0])
-            release_frames(group)
-        except* Exception:
-            # An error on one connection must not end the daemon.
-            _LOGGER.exception("receiving from %s failed", self._address)
-        finally:
-            self.close()
-
-    def _on_message(self, message: object) -> None:
-        self.received_at = trio.current_time()
-        if isinstance(message, GoAway):
-            for pending in self._pending.values():
-                pending.is_refused = not pending.done.is_set()
-            raise LinkBrokenError("the other daemon has ended")
-        if isinstance(message, DroppedMessage):
-            self._on_dropped(message)
-            return
-        if not isinstance(message, HopAnswer | SyncAnswer | PeerAnswer | BodyGrant):
-            raise LinkBrokenError(f"unexpected message {type(message).__name__}")
-        pending = self._pending.get(message.call_id)
-        if pending is None:
-            return
-        if isinstance(message, BodyGrant):
-            pending.granted.set()
-            return
-        pending.answer = message
-        pending.granted.set()
-        pending.done.set()
-
-    def _on_dropped(self, message: DroppedMessage) -> None:
-        kind = message.kind.__name__
-        _LOGGER.warning("no memory for a message from %s: %s", self._address, kind)
-        pending = self._pending.get(message.call_id)
-        if pending is not None:
-            pending.is_dropped = True
-            pending.granted.set()
-            pending.done.set()
-
-
 class DaemonLinks:
     """Sends requests and state synchronizations to other daemons.
 
@@ -235,9 +78,9 @@
     def __init__(self, sender: str, budget: ByteBudget) -> None:
         self._sender = sender
         self._budget = budget
-        self._links: dict[tuple[str, bool], _Link] = {}
+        self._links: dict[tuple[str, bool], Link] = {}
         """Connections for new calls, by address and whether they are for large bodies."""
-        self._open_links: dict[_Link, None] = {}
+        self._open_links: dict[Link, None] = {}
         """All connections, also those that are no longer used for new calls."""
         self._connect_locks: dict[tuple[str, bool], trio.Lock] = {}
         self._nursery: trio.Nursery | None = None
@@ -401,7 +244,7 @@
         replace_silent: bool = True,
     ) -> HopAnswer | SyncAnswer | PeerAnswer | None:
         """Sends a call and waits for its answer; None if there is none in time."""
-        pending: _PendingCall | None = None
+        pending: PendingCall | None = None
         with trio.move_on_after(timeout_s):
             link = await self._get_link(member.address, large=False)
             call_id, pending = link.begin_call()
@@ -418,7 +261,7 @@
                 link.end_call(call_id)
         return None if pending is None else pending.answer
 
-    async def _get_link(self, address: str, large: bool) -> _Link:
+    async def _get_link(self, address: str, large: bool) -> Link:
         key = (address, large)
         link = self._links.get(key)
         if link is not None and not link.is_closed:
@@ -429,13 +272,13 @@
                 link = self._links[key] = await self._connect(address)
             return link
 
-    async def _connect(self, address: str) -> _Link:
+    async def _connect(self, address: str) -> Link:
         if self._nursery is None:
             raise DaemonUnreachableError("connections cannot be opened before the daemon runs")
         with trio.move_on_after(_CONNECT_TIMEOUT_S):
             try:
                 stream = await open_stream(address)
-                link = _Link(FrameStream(stream, self._budget), address)
+                link = Link(FrameStream(stream, self._budget), address)
                 link.send(Hello(PROTOCOL_VERSION, self._sender, reads_go_away=True))
             except (OSError, LinkBrokenError) as error:
                 raise DaemonUnreachableError(f"cannot connect to {address}: {error}") from error
@@ -444,13 +287,13 @@
             return link
         raise DaemonUnreachableError(f"connecting to {address} timed out")
 
-    async def _run_link(self, link: _Link) -> None:
+    async def _run_link(self, link: Link) -> None:
         try:
             await link.run()
         finally:
             del self._open_links[link]
 
-    def _replace_if_silent(self, address: str, link: _Link) -> None:
+    def _replace_if_silent(self, address: str, link: Link) -> None:
         """Makes later calls open a new connection if nothing was received on this one lately."""
         if trio.current_time() - link.received_at < _SILENCE_S:
             return
@@ -466,7 +309,7 @@
 
 
 async def _wait_for_grant(
-    pending: _PendingCall, hop: HopRequest, wait_s: float
+    pending: PendingCall, hop: HopRequest, wait_s: float
 ) -> HopRequest | None:
     """Waits for the grant of a body.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -13,8 +13,10 @@
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._call import AttemptResult, make_failure
 from fulmarstile_daemon.services._exchange import Exchange, ResponseTooLargeError
+from fulmarstile_daemon.services._load_reports import read_load
 from fulmarstile_daemon.services._response_notices import ResponseNotices
 from fulmarstile_daemon.services._slots import SlotRefusedError, Slots
+from fulmarstile_daemon.services._upstream_headers import make_upstream_headers
 from fulmarstile_daemon.services._upstream_responses import (
     MISDIRECTED_STATUS,
     classify_response,
@@ -22,12 +24,11 @@
     is_rejection,
     receive_matching,
 )
-from fulmarstile_daemon.services.events import RecordIgnored, UpstreamChanged
+from fulmarstile_daemon.services.events import UpstreamChanged
 from fulmarstile_http.client_connection import ExchangeError, LocalLimitError
 from fulmarstile_http.connection_pool import ConnectionPool, PoolSettings
 from fulmarstile_services.service_times import ServiceTimes
 from fulmarstile_services.slot_class import SlotClass
-from fulmarstile_services.upstream_load import parse_load
 from fulmarstile_services.upstream_registry import UpstreamPhase
 from fulmarstile_wire.loads import LoadReply
 from fulmarstile_wire.services import HopOutcome, MemberPhase
@@ -325,23 +326,9 @@
         )
 
     def _read_load(self, response: UpstreamResponse) -> None:
-        value = response.headers.get_bytes(self._names.load)
-        if not value:
-            return
-        load = parse_load(value)
-        if load is None:
-            self._log.write(
-                RecordIgnored(source="response", reason=f"its load is malformed: {value[:40]!r}")
-            )
-        elif self._service_times.on_load(load, response.head_at):
-            self._log.write(
-                UpstreamChanged(
-                    upstream=self._announcement.upstream_id if self._announcement else "",
-                    born_ms=self._announcement.born_ms if self._announcement else 0,
-                    change="reports the speed of its VM",
-                    slots=load.slots,
-                )
-            )
+        if self._announcement is not None:
+            value = response.headers.get_bytes(self._names.load)
+            read_load(value, response.head_at, self._service_times, self._announcement, self._log)
 
     def _start(self, announcement: UpstreamAnnouncement, address: str) -> None:
         limit = self._connection_limit(announcement.service)
@@ -461,7 +448,7 @@
     async def _check_crash(self, pool: ConnectionPool, error: ExchangeError) -> None:
         crashed = False
         try:
-            crashed = await _refuses_connections(pool)
+            crashed = await pool.refuses_connections()
         finally:
             suspects = self._crash_watch.end_check(crashed, trio.current_time())
         if crashed and pool is self._pool:
@@ -472,21 +459,16 @@
     def _make_headers(
         self, hop: HopRequest, request: ReceivedRequest, deadline: float
     ) -> list[tuple[bytes, bytes]]:
-        names = self._names
-        replaced = (names.caller_service, names.expected_upstream, names.time_left_ms)
-        if hop.customer or self.names_customers():
+        announcement = self._announcement
+        return make_upstream_headers(
+            self._names,
+            hop,
+            request,
+            deadline - trio.current_time(),
+            upstream_id="" if announcement is None else announcement.upstream_id,
             # The entry daemon may still have a document without customers.
-            replaced += (names.api_key, names.customer)
-        headers = [header for header in request.headers.end_to_end if header[0] not in replaced]
-        left_ms = max(1, int((deadline - trio.current_time()) * 1000))
-        headers.append((names.time_left_ms, b"%d" % left_ms))
-        headers.append((names.caller_service, hop.caller_service.encode()))
-        if hop.customer:
-            headers.append((names.customer, hop.customer.encode()))
-        if self._announcement is not None:
-            upstream_id = self._announcement.upstream_id.encode()
-            headers.append((names.expected_upstream, upstream_id))
-        return headers
+            names_customers=bool(hop.customer) or self.names_customers(),
+        )
 
     def _mark_unreachable(self, reason: str) -> None:
         now = trio.current_time()
@@ -509,15 +491,3 @@
         pool.release(connection)
     else:
         pool.discard(connection)
-
-
-async def _refuses_connections(pool: ConnectionPool) -> bool:
-    """Checks whether the upstream refuses new connections."""
-    try:
-        connection = await pool.open()
-    except LocalLimitError:
-        return False
-    except ExchangeError:
-        return True
-    pool.release(connection)
-    return False
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -27,19 +27,14 @@
 from fulmarstile_daemon.services._rollout_part import RolloutPart
 from fulmarstile_daemon.services._settings_reload import SettingsReloader
 from fulmarstile_daemon.services._signals import ReceivedSignal, receive_signals
+from fulmarstile_daemon.services._suspension import watch_suspension
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
 from fulmarstile_daemon.services.documents import ActiveDocument, ActiveRoutes
 from fulmarstile_daemon.services.entry import CallEntry
 from fulmarstile_daemon.services.event_log import EventLog
-from fulmarstile_daemon.services.events import (
-    Ended,
-    Started,
-    Stopped,
-    Stopping,
-    Suspended,
-)
+from fulmarstile_daemon.services.events import Ended, Started, Stopped, Stopping
 from fulmarstile_daemon.services.gossip import Gossip
 from fulmarstile_daemon.services.hops import HopServer
 from fulmarstile_daemon.services.membership import Membership
@@ -69,9 +64,6 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
-_SUSPEND_POLL_S: Final = 0.5
-_MIN_SUSPEND_S: Final = 0.5
-"""Duration of a VM suspension from which idle connections are closed, in seconds."""
 _DESCRIPTOR_SHARE: Final = 0.6
 """Share of the unreserved file descriptors that callers' connections may use."""
 _RESERVED_DESCRIPTORS: Final = 300
@@ -335,7 +327,9 @@
                 if self._quotas is not None:
                     nursery.start_soon(keep_running, self._quotas.run, store)
                 nursery.start_soon(keep_running, self._reloader.watch)
-                nursery.start_soon(keep_running, self._watch_suspension)
+                nursery.start_soon(
+                    keep_running, watch_suspension, self._lateness, self._log, self._on_suspended
+                )
                 # All objects that exist now live until the end, so collections need not scan them.
                 gc.freeze()
                 gc.set_threshold(*_COLLECTION_THRESHOLDS)
@@ -428,16 +422,10 @@
         self._entry.caller_service = settings.service
         self._freshness.bounds = settings.bounds.revocation
 
-    async def _watch_suspension(self) -> None:
+    def _on_suspended(self) -> None:
         """Closes idle connections after a suspension of the VM, because they may be dead."""
-        while True:
-            offset_s = _read_suspended_s()
-            await self._lateness.sleep(_SUSPEND_POLL_S)
-            for_s = _read_suspended_s() - offset_s
-            if for_s >= _MIN_SUSPEND_S:
-                self._log.write(Suspended(for_s=round(for_s, 2)))
-                self._links.retire_all()
-                self._upstream.close_idle_connections()
+        self._links.retire_all()
+        self._upstream.close_idle_connections()
 
     def _limits(self) -> RequestLimits:
         table = self._routes.table
@@ -476,11 +464,6 @@
         metrics.add_gauge("log_lines_left_out", lambda: self._log.dropped_lines)
 
 
-def _read_suspended_s() -> float:
-    """Returns the total time that the VM has been suspended since boot, in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(time.CLOCK_MONOTONIC)
-
-
 def run_service_daemon(platform: Platform, early_signals: EarlySignals) -> int:
     """Runs the daemon until it is stopped.
 
--- a/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
@@ -181,6 +181,21 @@
         self._in_use[connection] = None
         return connection
 
+    async def refuses_connections(self) -> bool:
+        """Checks whether the other side refuses new connections.
+
+        Returns:
+            False also if this process can open none.
+        """
+        try:
+            connection = await self.open()
+        except LocalLimitError:
+            return False
+        except ExchangeError:
+            return True
+        self.release(connection)
+        return False
+
     def allow_late_readers(self, now: float) -> None:
         """Keeps the connections in use whose other side is alive but reads late.
 
--- a/tests/services/test_failing_tasks.py
+++ b/tests/services/test_failing_tasks.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from fulmarstile_daemon.services import daemon
 from fulmarstile_daemon.services._document_part import DocumentPart
 from fulmarstile_daemon.services._request_server import RequestServer
 from fulmarstile_daemon.services._settings_reload import SettingsReloader
@@ -42,7 +43,7 @@
     (RequestServer, "_watch_callers"),
     (RequestServer, "_close_idle_forever"),
     (SettingsReloader, "watch"),
-    (ServiceDaemon, "_watch_suspension"),
+    (daemon, "watch_suspension"),
     (ServiceDaemon, "_handle_signals"),
 )
 FAILS_AFTER_S = 0.3
