--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -10,6 +10,7 @@
 from fulmarstile_daemon.services._attempt_progress import AttemptProgress
 from fulmarstile_services.retry_policy import AttemptHistory
 from fulmarstile_wire.services import HopOutcome, MemberPhase
+from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
     from fulmarstile_calls.request import RefusalReason
@@ -18,7 +19,6 @@
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_services.document import Customer, ServiceRoute
     from fulmarstile_services.slot_class import SlotClass
-    from fulmarstile_wire.verdict import Verdict
 
 
 @dataclass(slots=True)
@@ -134,6 +134,18 @@
     )
 
 
+def make_lost_answer(reason: RefusalReason) -> HopOutcome:
+    """Creates the outcome of an attempt that reached an upstream, whose answer is lost.
+
+    Args:
+        reason: Why there is no answer.
+
+    Returns:
+        The outcome: the request may have run.
+    """
+    return make_failure(Verdict.MAY_HAVE_RUN, reason, reached_upstream=True)
+
+
 def compute_fingerprint(caller_service: str, request: ReceivedRequest) -> bytes:
     """Computes a hash by which retries of the same request are recognized.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -10,7 +10,7 @@
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._background_tasks import keep_running
 from fulmarstile_daemon.services._body_admission import BodyAdmission, OfferKey
-from fulmarstile_daemon.services._call import make_failure
+from fulmarstile_daemon.services._call import make_failure, make_lost_answer
 from fulmarstile_daemon.services._error_frames import release_frames
 from fulmarstile_daemon.services._frame_stream import (
     FrameStream,
@@ -388,10 +388,8 @@
         frames.send(answer)
     except QueueFullError as error:
         _LOGGER.warning("cannot send an answer: %s", error)
-        failure = make_failure(
-            Verdict.MAY_HAVE_RUN, RefusalReason.ANSWER_TOO_LARGE, reached_upstream=True
-        )
-        frames.send(HopAnswer(answer.call_id, failure))
+        lost = make_lost_answer(RefusalReason.ANSWER_TOO_LARGE)
+        frames.send(HopAnswer(answer.call_id, lost))
 
 
 def _check_hello(message: LinkMessage | DroppedMessage) -> Hello:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -11,7 +11,7 @@
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_daemon.services._attempt_progress import AttemptStage
 from fulmarstile_daemon.services._background_tasks import keep_running
-from fulmarstile_daemon.services._call import AttemptResult, make_failure
+from fulmarstile_daemon.services._call import AttemptResult, make_failure, make_lost_answer
 from fulmarstile_daemon.services._exchange import UpstreamResponse
 from fulmarstile_daemon.services._frame_stream import (
     FrameStream,
@@ -182,7 +182,7 @@
         if pending.is_refused:
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING))
         if pending.is_dropped:
-            return AttemptResult(_make_dropped_outcome())
+            return AttemptResult(make_lost_answer(RefusalReason.ANSWER_TOO_LARGE))
         return AttemptResult(_make_lost_outcome(progress))
 
     async def synchronize(
@@ -340,17 +340,10 @@
     return msgspec.structs.replace(failure, body_wait_ms=round(wait_s * 1000, 1))
 
 
-def _make_dropped_outcome() -> HopOutcome:
-    """Creates the outcome of a call for whose answer there was no memory."""
-    return make_failure(Verdict.MAY_HAVE_RUN, RefusalReason.ANSWER_TOO_LARGE, reached_upstream=True)
-
-
 def _make_lost_outcome(progress: AttemptProgress) -> HopOutcome:
     """Creates the outcome of a call that was withdrawn or whose connection failed."""
     if progress.stage is AttemptStage.SENT:
-        return make_failure(
-            Verdict.MAY_HAVE_RUN, RefusalReason.CONNECTION_LOST, reached_upstream=True
-        )
+        return make_lost_answer(RefusalReason.CONNECTION_LOST)
     if progress.is_withdrawn:
         return make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING)
     return make_failure(Verdict.NOT_RUN, RefusalReason.CONNECTION_LOST)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -11,7 +11,7 @@
 from fulmarstile_calls.crash_watch import CrashWatch
 from fulmarstile_calls.quarantine import Quarantine, QuarantineSettings
 from fulmarstile_calls.request import RefusalReason
-from fulmarstile_daemon.services._call import AttemptResult, make_failure
+from fulmarstile_daemon.services._call import AttemptResult, make_failure, make_lost_answer
 from fulmarstile_daemon.services._exchange import Exchange, ResponseTooLargeError
 from fulmarstile_daemon.services._load_reports import read_load
 from fulmarstile_daemon.services._response_notices import ResponseNotices
@@ -434,16 +434,10 @@
         if not exchange.may_have_arrived:
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.CONNECTION_LOST))
         if isinstance(error, ResponseTooLargeError):
-            return AttemptResult(
-                make_failure(
-                    Verdict.MAY_HAVE_RUN, RefusalReason.ANSWER_TOO_LARGE, reached_upstream=True
-                )
-            )
+            return AttemptResult(make_lost_answer(RefusalReason.ANSWER_TOO_LARGE))
         if self._crash_watch.begin_check(self._running.values(), started_at):
             await self._check_crash(pool, error)
-        return AttemptResult(
-            make_failure(Verdict.MAY_HAVE_RUN, RefusalReason.CONNECTION_LOST, reached_upstream=True)
-        )
+        return AttemptResult(make_lost_answer(RefusalReason.CONNECTION_LOST))
 
     async def _check_crash(self, pool: ConnectionPool, error: ExchangeError) -> None:
         crashed = False
