Check the end of a stop after a long halt by its stated bound

Halts of up to 0.5 s are checked as before; one of 0.9 s, for which an end that is right for both times of the signal exists, has a test of its own that fails (4.6 s in place of 5.0 s) and is listed; after more than the last sixth of the grace time no end is right for both, so only the end in time is checked, as before.

--- a/tests/services/test_stopping_suspended.py
+++ b/tests/services/test_stopping_suspended.py
@@ -11,16 +11,19 @@
 from fulmarstile_daemon.services._graceful_shutdown import GracefulShutdown
 from fulmarstile_daemon.services._loop_lateness import LoopLateness
 from fulmarstile_daemon.services.event_log import EventLog
+from fulmarstile_testing.known_red import pass_over_known_red
 
 GRACE_S = 6.0
 SUSPENDED_S = 2.0
 LATE_S = 0.6
 """Time for which the event loop is late in the last phase of a shutdown, in seconds."""
-HALTS_S = (0.0, 0.1, 0.28, 0.5, 2.0)
+HALTS_S = (0.0, 0.1, 0.28, 0.5)
+LONG_HALT_S = 0.9
+VERY_LONG_HALT_S = 2.0
+"""Halt of more than the last sixth of the grace period, in seconds: no time of the end is right
+whenever the signal was sent."""
 CUT_AFTER_S = 5.0
 """Time after SIGTERM from which the rules allow a request at work to be broken off, in seconds."""
-LONGEST_HALT_S = 0.5
-"""Longest halt for which the end can be in time whenever SIGTERM was sent, in seconds."""
 LAST_ACCEPTED_S = 3.0
 """Time after SIGTERM up to which the rules allow a request to be cut off, in seconds."""
 
@@ -112,14 +115,24 @@
 
         return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def check_halt(self, halt_s: float) -> None:
+        """Checks both ends of the halt: the process can't tell when the signal was sent."""
+        broken_off_s, duration_s = self.stop_after_halt(halt_s)
+        self.assertLess(duration_s, GRACE_S)
+        self.assertGreaterEqual(broken_off_s - halt_s, CUT_AFTER_S - 1e-6)
+
     def test_a_signal_sent_at_either_end_of_a_halt_breaks_off_no_request_early(self) -> None:
-        """The process gets a signal only after the halt, and can't tell when it was sent."""
         for halt_s in HALTS_S:
             with self.subTest(halt_s):
-                broken_off_s, duration_s = self.stop_after_halt(halt_s)
-                self.assertLess(duration_s, GRACE_S)
-                if halt_s <= LONGEST_HALT_S:
-                    self.assertGreaterEqual(broken_off_s - halt_s, CUT_AFTER_S - 1e-6)
+                self.check_halt(halt_s)
+
+    @pass_over_known_red
+    def test_a_signal_sent_at_either_end_of_a_long_halt_breaks_off_no_request_early(self) -> None:
+        self.check_halt(LONG_HALT_S)
+
+    def test_a_process_that_was_halted_for_very_long_ends_in_time(self) -> None:
+        _, duration_s = self.stop_after_halt(VERY_LONG_HALT_S)
+        self.assertLess(duration_s, GRACE_S)
 
     def test_an_event_loop_that_is_late_in_the_last_phase_does_not_delay_the_end(self) -> None:
         """The last phase must not wait for its whole time limits if it begins too late for them."""
