--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -97,7 +97,7 @@
         self._lateness = lateness
         self._log = log
         self._clock = clock
-        self._requested_at = 0.0
+        self._requested_at = self._uncertainty_s = 0.0
         self._times_by_boot_clock = StopTimes()
         self._phase = trio.CancelScope()
         self._phase_ends_at = 0.0
@@ -110,7 +110,7 @@
             requested_at: Earliest time of SIGTERM by the boot clock, in seconds.
             uncertainty_s: Time by which it may have been sent later, in seconds.
         """
-        self._requested_at = requested_at
+        self._requested_at, self._uncertainty_s = requested_at, uncertainty_s
         ends_at = requested_at + grace_s - _GRACE_MARGIN_S
         # Whenever the signal was sent, no request may be broken off before the last sixth of the
         # grace period, and the process has to end in time.
@@ -212,6 +212,7 @@
             StopPhase(
                 phase=phase,
                 elapsed_ms=round((self._clock() - self._requested_at) * 1000, 1),
+                uncertain_ms=round(self._uncertainty_s * 1000, 1),
                 in_flight=self._callers.in_flight,
                 arriving=self._callers.arriving,
                 connections=self._callers.connections,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -342,6 +342,7 @@
                     Stopping(
                         in_flight=self._callers.in_flight + self._peers.in_flight,
                         late_ms=self._stop_elapsed_ms(),
+                        uncertain_ms=round(self._stop_uncertainty_s * 1000, 1),
                     )
                 )
                 if self._quotas is not None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -142,7 +142,9 @@
     lines_per_s: ClassVar[int | None] = None
     in_flight: int
     late_ms: float = 0.0
-    """Time since SIGTERM, in milliseconds."""
+    """Time since the earliest time of SIGTERM, in milliseconds."""
+    uncertain_ms: float = 0.0
+    """Time by which SIGTERM may have been sent later, in milliseconds."""
 
 
 class StopPhase(LogEvent, tag="stop_phase"):
@@ -151,7 +153,9 @@
     lines_per_s: ClassVar[int | None] = None
     phase: str
     elapsed_ms: float
-    """Time since SIGTERM, in milliseconds."""
+    """Time since the earliest time of SIGTERM, in milliseconds."""
+    uncertain_ms: float
+    """Time by which SIGTERM may have been sent later, in milliseconds."""
     in_flight: int
     """Requests of callers without an answer."""
     arriving: int
