Count a halt around SIGTERM from the last sign of life (LOST)

A halted process shows when its next periodic wait ends late, so the halt was counted from that time. It may have begun up to 0.5 s earlier (0.2 s while callers wait), and so may the signal have been sent: the assumed earliest time was later than the signal, and the grace time was taken for longer than it is. What lies between stays uncertain, so the earliest time is now the begin of the last wait, at which the process ran.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_loop_lateness.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_loop_lateness.py
@@ -22,10 +22,12 @@
 class _Sleep:
     """A wait whose end shows whether the loop is late."""
 
+    began_at: float
+    """Time of its begin, in seconds."""
     ends_at: float
     """Time at which it should end, in seconds."""
     processor_s: float
-    """Processor time that the thread had used at its start, in seconds."""
+    """Processor time that the thread had used at its begin, in seconds."""
 
 
 class LoopLateness:
@@ -48,13 +50,18 @@
 
     @property
     def halted_s(self) -> float:
-        """Time for which the process has not run while the loop was late until now, in seconds."""
+        """Longest time for which the process may have been halted until now, in seconds.
+
+        A halt shows when a wait should have ended, and may have begun with the wait.
+        """
         if not self._sleeps:
             return 0.0
         first = min(self._sleeps, key=lambda sleep: sleep.ends_at)
+        now = trio.current_time()
         used_s = time.thread_time() - first.processor_s
-        halted_s = trio.current_time() - first.ends_at - used_s
-        return halted_s if halted_s >= _MIN_LOGGED_S else 0.0
+        if now - first.ends_at - used_s < _MIN_LOGGED_S:
+            return 0.0
+        return now - max(sleep.began_at for sleep in self._sleeps)
 
     def add_gauges(self, metrics: ServiceMetrics) -> None:
         """Adds the gauges of the event loop.
@@ -72,7 +79,8 @@
         Args:
             duration_s: Duration in seconds.
         """
-        sleep = _Sleep(trio.current_time() + duration_s, time.thread_time())
+        now = trio.current_time()
+        sleep = _Sleep(now, now + duration_s, time.thread_time())
         self._sleeps[sleep] = None
         try:
             await trio.sleep(duration_s)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_signals.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_signals.py
@@ -48,8 +48,10 @@
 
     def on_signal(number: int, frame: FrameType | None) -> None:
         # A process that was halted gets its signals only when it runs again.
+        # The clock is read first: the time until the halt is measured must not make it later.
+        now = read_boot_clock()
         halted_s = lateness.halted_s
-        received = ReceivedSignal(number, read_boot_clock() - halted_s, halted_s)
+        received = ReceivedSignal(number, now - halted_s, halted_s)
         token.run_sync_soon(sender.send_nowait, received)
 
     earlier = {number: signal.signal(number, on_signal) for number in numbers}
--- a/tests/services/test_loop_lateness.py
+++ b/tests/services/test_loop_lateness.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import signal
 import time
 import unittest
 from typing import TYPE_CHECKING, Any
@@ -10,7 +12,9 @@
 import trio
 import trio.testing
 
+from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._loop_lateness import LoopLateness
+from fulmarstile_daemon.services._signals import ReceivedSignal, receive_signals
 from fulmarstile_daemon.services.event_log import EventLog
 
 if TYPE_CHECKING:
@@ -18,6 +22,9 @@
 
 INTERVAL_S = 0.05
 HELD_S = 0.3
+LONG_INTERVAL_S = 0.5
+LONG_HALT_S = 0.9
+"""Time for which a process runs nothing from the begin of a long interval on, in seconds."""
 
 
 def compute() -> None:
@@ -56,6 +63,25 @@
         _, event = self.hold_loop(compute)
         self.assertGreaterEqual(event["processor_ms"], HELD_S * 1000)
 
+    def test_a_signal_in_a_halt_that_began_within_a_wait_is_not_assumed_too_late(self) -> None:
+        lateness = LoopLateness(EventLog("daemon-1"))
+
+        async def run() -> tuple[float, ReceivedSignal]:
+            with receive_signals(signal.SIGTERM, lateness=lateness) as signals:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(lateness.sleep, LONG_INTERVAL_S)
+                    await trio.testing.wait_all_tasks_blocked()
+                    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+                    sent_at = read_boot_clock()
+                    os.kill(os.getpid(), signal.SIGTERM)
+                    time.sleep(LONG_HALT_S)
+                    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
+                    return sent_at, await anext(aiter(signals))
+
+        sent_at, received = trio.run(run)
+        self.assertLessEqual(received.sent_at, sent_at)
+        self.assertGreaterEqual(received.sent_at + received.uncertainty_s, sent_at + LONG_HALT_S)
+
     def test_an_event_loop_in_time_is_not_logged(self) -> None:
         log = EventLog("daemon-1")
         lateness = LoopLateness(log)
