Take no request that outlasts a process halted for very long (LOST)

They are refused as not run now, unless they surely end in time.

The new test failed before: both such requests were accepted.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -122,15 +122,20 @@
             uncertainty_s: Time by which it may have been sent later, in seconds.
         """
         self._requested_at, self._uncertainty_s = requested_at, uncertainty_s
-        ends_at = requested_at + grace_s - _GRACE_MARGIN_S
         self._killed_at = requested_at + grace_s
-        cut_at = requested_at + uncertainty_s + grace_s * _CUT_SHARE + _CUT_MARGIN_S
-        cut_at = max(ends_at, min(cut_at, self._killed_at - _LATEST_CUT_S))
+        ends_at = self._killed_at - _GRACE_MARGIN_S
+        may_cut_from = requested_at + uncertainty_s + grace_s * _CUT_SHARE
+        must_cut_at = self._killed_at - _LATEST_CUT_S
+        cut_at = max(ends_at, min(may_cut_from + _CUT_MARGIN_S, must_cut_at))
+        accept_s = min(grace_s * _ACCEPT_SHARE, _MAX_ACCEPT_S)
+        nested_accept_s = min(grace_s * _NESTED_ACCEPT_SHARE, _MAX_NESTED_ACCEPT_S)
+        if may_cut_from > must_cut_at:
+            # A request that is at work at the end would be broken off too early.
+            accept_s = nested_accept_s = 0.0
         self._times_by_boot_clock = StopTimes(
-            accepts_until=requested_at + min(grace_s * _ACCEPT_SHARE, _MAX_ACCEPT_S),
+            accepts_until=requested_at + accept_s,
             ends_at=ends_at,
-            accepts_nested_until=requested_at
-            + min(grace_s * _NESTED_ACCEPT_SHARE, _MAX_NESTED_ACCEPT_S),
+            accepts_nested_until=requested_at + nested_accept_s,
         )
         async with trio.open_nursery() as nursery:
             self._apply_times()
--- a/tests/services/test_stopping_suspended.py
+++ b/tests/services/test_stopping_suspended.py
@@ -157,6 +157,40 @@
         _, duration_s = self.stop_after_halt(VERY_LONG_HALT_S)
         self.assertLess(duration_s, GRACE_S)
 
+    def accept_after_halt(self, halt_s: float) -> list[bool]:
+        """Stops a daemon whose process was halted, with SIGTERM at some time in the halt.
+
+        Args:
+            halt_s: Duration of the halt, in seconds.
+
+        Returns:
+            Whether it accepts a request that ends in time, one that may outlast it, and such a call
+            of a running request.
+        """
+        shutdown = make_shutdown(VmClock())
+        is_accepted = []
+
+        async def run() -> None:
+            halted_at = trio.current_time()
+            await trio.sleep(halt_s)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(shutdown.run, GRACE_S, halted_at, halt_s)
+                await trio.testing.wait_all_tasks_blocked()
+                now, accepts = trio.current_time(), shutdown._entry.stop_times.accepts
+                is_accepted.append(accepts(now + 1.0, now))
+                is_accepted.append(accepts(now + GRACE_S, now))
+                is_accepted.append(accepts(now + GRACE_S, now, is_nested=True))
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        return is_accepted
+
+    def test_a_request_that_outlasts_a_process_halted_for_very_long_is_not_begun_and_cut(
+        self,
+    ) -> None:
+        self.assertEqual(self.accept_after_halt(VERY_LONG_HALT_S), [True, False, False])
+        self.assertEqual(self.accept_after_halt(HALTS_S[-1]), [True, True, True])
+
     def test_an_event_loop_that_is_late_in_the_last_phase_does_not_delay_the_end(self) -> None:
         """The last phase must not wait for its whole time limits if it begins too late for them."""
         mock_clock = trio.testing.MockClock(autojump_threshold=0)
