Share one attempt to connect among the calls to a daemon (LOST)

Callers saw refusals long after their target latency, or a deadline without any offer to an upstream, while a VM dropped all packets: calls to the daemon on it connected one after the other, each with a timeout of 0.4 s. In virtual time, five calls begun 0.05 s apart failed up to 1.8 s after their begin.

Cause: the connection was opened by the first call, under a lock for which the others waited, and each of these began an attempt of its own once the lock was free. A cancelled call also ended the attempt for all that waited.

Now the attempt runs in a task of the connections. All calls that need the connection wait for its end and share its outcome; an attempt is forgotten when it ends, so that a later call begins another. An unexpected error costs just the calls that wait, which try other upstreams.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -53,6 +54,8 @@
         SyncRequest,
     )
 
+_LOGGER: Final = logging.getLogger(__name__)
+
 _MIN_LARGE_BODY_BYTES: Final = 32 * 1024
 """Size from which a body uses a second connection, so that small ones do not queue behind it."""
 _MIN_OFFER_S: Final = 0.05
@@ -67,6 +70,20 @@
     """A daemon did not accept a connection, or did not reply."""
 
 
+class _ConnectAttempt:
+    """An attempt to open a connection, shared by all calls that wait for it."""
+
+    __slots__ = ("ended", "failure", "link")
+
+    def __init__(self) -> None:
+        self.ended = trio.Event()
+        """Set when the attempt has succeeded or failed."""
+        self.link: Link | None = None
+        """The connection; None until the attempt has succeeded."""
+        self.failure = "the daemon ends"
+        """Why there is no connection."""
+
+
 class DaemonLinks:
     """Sends requests and state synchronizations to other daemons.
 
@@ -82,7 +99,8 @@
         """Connections for new calls, by address and whether they are for large bodies."""
         self._open_links: dict[Link, None] = {}
         """All connections, also those that are no longer used for new calls."""
-        self._connect_locks: dict[tuple[str, bool], trio.Lock] = {}
+        self._connecting: dict[tuple[str, bool], _ConnectAttempt] = {}
+        """Attempts to open the connections that calls wait for, by the same key."""
         self._nursery: trio.Nursery | None = None
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
@@ -266,15 +284,36 @@
         link = self._links.get(key)
         if link is not None and not link.is_closed:
             return link
-        async with self._connect_locks.setdefault(key, trio.Lock()):
-            link = self._links.get(key)
-            if link is None or link.is_closed:
-                link = self._links[key] = await self._connect(address)
-            return link
+        attempt = self._connecting.get(key) or self._begin_connecting(key)
+        await attempt.ended.wait()
+        if attempt.link is None:
+            raise DaemonUnreachableError(attempt.failure)
+        return attempt.link
 
-    async def _connect(self, address: str) -> Link:
+    def _begin_connecting(self, key: tuple[str, bool]) -> _ConnectAttempt:
         if self._nursery is None:
             raise DaemonUnreachableError("connections cannot be opened before the daemon runs")
+        attempt = _ConnectAttempt()
+        self._nursery.start_soon(self._connect, key, attempt)
+        self._connecting[key] = attempt
+        return attempt
+
+    async def _connect(self, key: tuple[str, bool], attempt: _ConnectAttempt) -> None:
+        """Opens a connection for all calls that wait for it."""
+        address, _ = key
+        try:
+            attempt.link = self._links[key] = await self._open_link(address)
+        except DaemonUnreachableError as error:
+            attempt.failure = str(error)
+        except Exception:
+            # An error in one attempt must not end the daemon.
+            _LOGGER.exception("connecting to %s failed", address)
+            attempt.failure = f"connecting to {address} failed"
+        finally:
+            del self._connecting[key]
+            attempt.ended.set()
+
+    async def _open_link(self, address: str) -> Link:
         with trio.move_on_after(_CONNECT_TIMEOUT_S):
             try:
                 stream = await open_stream(address)
