Let an error while a roll-out is followed not end the daemon (LOST)

Callers would have seen all requests of a daemon end without an answer: an error between two polls of a roll-out, or as its status is ensured at the end, left the task that follows it, whose nursery is that of the daemon. Found by reading, never seen.

The polls run again after an error, as the other tasks of the daemon do, and an error at the end is logged. Both tests ended with the error before.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from fulmarstile_daemon.services._background_tasks import keep_running, run_and_log
 from fulmarstile_daemon.services._evaluator_ranking import rank_evaluators
 from fulmarstile_daemon.services._known_rollout import REJECTED_PREFIX
 from fulmarstile_daemon.services._links import DaemonUnreachableError
@@ -90,6 +91,10 @@
         return rank_evaluators(rollout.order, self._directory.members, self._is_trusted)
 
     async def _follow(self, rollout: KnownRollout) -> None:
+        await keep_running(self._poll_until_settled, rollout)
+        await run_and_log(self._ensure_status, rollout)
+
+    async def _poll_until_settled(self, rollout: KnownRollout) -> None:
         while self._rollouts.is_current(rollout) and not rollout.is_settled:
             started_at = trio.current_time()
             takes_part = False
@@ -102,6 +107,9 @@
             if takes_part and _is_handing_over(rollout, self._rollouts.now()):
                 interval_s = _HANDOVER_INTERVAL_S
             await trio.sleep_until(started_at + interval_s * self._random.uniform(0.9, 1.1))
+
+    async def _ensure_status(self, rollout: KnownRollout) -> None:
+        """Lets the status of a roll-out that has ended be written, as one of its evaluators."""
         evaluators = self.list_evaluators(rollout)
         if self._rollouts.is_current(rollout) and self._is_evaluator(rollout, evaluators):
             self._recorder.ensure_status(rollout)
