--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from fulmarstile_daemon.services._background_tasks import run_and_log
+from fulmarstile_daemon.background_tasks import run_and_log
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._stop_times import CLOSED, StopTimes
 from fulmarstile_daemon.services.events import StopPhase
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -8,7 +8,7 @@
 import trio
 
 from fulmarstile_calls.request import RefusalReason
-from fulmarstile_daemon.services._background_tasks import keep_running
+from fulmarstile_daemon.background_tasks import keep_running
 from fulmarstile_daemon.services._body_admission import BodyAdmission, OfferKey
 from fulmarstile_daemon.services._call import make_failure, make_lost_answer
 from fulmarstile_daemon.services._error_frames import release_frames
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -10,8 +10,8 @@
 import trio
 
 from fulmarstile_calls.request import RefusalReason
+from fulmarstile_daemon.background_tasks import keep_running
 from fulmarstile_daemon.services._attempt_progress import AttemptStage
-from fulmarstile_daemon.services._background_tasks import keep_running
 from fulmarstile_daemon.services._call import AttemptResult, make_failure, make_lost_answer
 from fulmarstile_daemon.services._exchange import UpstreamResponse
 from fulmarstile_daemon.services._frame_stream import (
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from fulmarstile_daemon.services._background_tasks import keep_running
+from fulmarstile_daemon.background_tasks import keep_running
 from fulmarstile_daemon.services._caller_messages import CallerDisconnectedError, CallerResponse
 from fulmarstile_daemon.services._loop_lateness import LoopLateness
 from fulmarstile_daemon.services._request_pipeline import RequestPipeline
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_polls.py
@@ -9,7 +9,7 @@
 import msgspec
 import trio
 
-from fulmarstile_daemon.services._background_tasks import keep_running, run_and_log
+from fulmarstile_daemon.background_tasks import keep_running, run_and_log
 from fulmarstile_daemon.services._evaluator_ranking import rank_evaluators
 from fulmarstile_daemon.services._known_rollout import REJECTED_PREFIX
 from fulmarstile_daemon.services._links import DaemonUnreachableError
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from fulmarstile_daemon.services._background_tasks import keep_running, run_and_log
+from fulmarstile_daemon.background_tasks import keep_running, run_and_log
 from fulmarstile_daemon.services._rollout_records import (
     ROLLOUTS_TOPIC,
     RolloutDecision,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from fulmarstile_daemon.services._background_tasks import keep_running
+from fulmarstile_daemon.background_tasks import keep_running
 from fulmarstile_daemon.services._body_admission import BodyAdmission
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._byte_budget import ByteBudget
