--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -15,6 +15,7 @@
 from fulmarstile_calls.request import RefusalReason
 from fulmarstile_calls.retries import RetryBudgets, RetrySettings
 from fulmarstile_calls.scheduling_delay import SchedulingDelay
+from fulmarstile_daemon.background_tasks import keep_running, run_and_log
 from fulmarstile_daemon.calls._attempts import AttemptRunner
 from fulmarstile_daemon.calls._call import CallerDisconnectedError, CallFailedError, make_refusal
 from fulmarstile_daemon.calls._call_reader import CallReader
@@ -135,13 +136,13 @@
             self._address = listener.address
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
-                nursery.start_soon(self._tick_forever)
+                nursery.start_soon(keep_running, self._tick_forever)
                 task_status.started(listener.address)
                 try:
                     with self._accept_scope:
-                        await self._accept_forever(listener, nursery)
+                        await keep_running(self._accept_forever, listener, nursery)
                     for stream in listener.accept_pending():
-                        self._start_serving(stream, nursery)
+                        nursery.start_soon(self._serve_or_refuse, stream)
                     listener.close()
                     await trio.sleep_forever()
                 finally:
@@ -261,15 +262,7 @@
                 self._evict_idle()
                 await trio.sleep(_ACCEPT_RETRY_S)
                 continue
-            self._start_serving(stream, nursery)
-
-    def _start_serving(self, stream: ByteStream, nursery: trio.Nursery) -> None:
-        self._counters.connections += 1
-        is_full = len(self._connections) >= self._settings.connection_limit
-        if is_full and not self._evict_idle():
-            nursery.start_soon(self._evict_or_refuse, stream)
-        else:
-            nursery.start_soon(self._serve_connection, stream)
+            nursery.start_soon(self._serve_or_refuse, stream)
 
     def _advance_drain(self, now: float) -> None:
         if not self.is_draining:
@@ -293,13 +286,28 @@
                 return True
         return False
 
-    async def _evict_or_refuse(self, stream: ByteStream) -> None:
-        """Serves a connection if another one proves idle once its input is read, or refuses it."""
+    async def _serve_or_refuse(self, stream: ByteStream) -> None:
+        """Serves a connection; an error ends this connection alone."""
+        self._counters.connections += 1
+        try:
+            if await self._find_place():
+                await self._serve_connection(stream)
+            else:
+                await self._refuse_connection(stream)
+        except Exception:
+            self._counters.errors += 1
+            logger.exception("unexpected error while accepting a connection")
+            stream.close()
+
+    async def _find_place(self) -> bool:
+        """Evicts a connection if there are too many; returns whether one more may be served.
+
+        If none is idle, one may prove idle once its input is read.
+        """
+        if len(self._connections) < self._settings.connection_limit or self._evict_idle():
+            return True
         await trio.sleep(_EVICTION_RETRY_S)
-        if self._evict_idle():
-            await self._serve_connection(stream)
-        else:
-            await self._refuse_connection(stream)
+        return self._evict_idle()
 
     async def _refuse_connection(self, stream: ByteStream) -> None:
         """Refuses the first request on a connection beyond the connection limit."""
@@ -390,7 +398,7 @@
 
     def _on_connection_lost(self, in_flight: tuple[bytes, ...], started_at: float) -> None:
         if self._nursery is not None:
-            self._nursery.start_soon(self._check_crash, in_flight, started_at)
+            self._nursery.start_soon(run_and_log, self._check_crash, in_flight, started_at)
 
     async def _check_crash(self, in_flight: tuple[bytes, ...], started_at: float) -> None:
         suspects = await self._local.find_suspects(in_flight, started_at)
