--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -156,7 +156,7 @@
                 task_status.started(listener.address)
                 serve = partial(self._serve_connection, nursery, watch)
                 with self._accept_scope:
-                    await accept_forever(listener, nursery, serve, self._on_exhausted)
+                    await keep_running(accept_forever, listener, nursery, serve, self._on_exhausted)
                 for stream in listener.accept_pending():
                     nursery.start_soon(self._serve_pipeline, *self._open(nursery, watch, stream))
                 listener.close()
@@ -225,9 +225,16 @@
     async def _serve_connection(
         self, nursery: trio.Nursery, watch: InputWatch, stream: ByteStream
     ) -> None:
-        if len(self._connections) >= self._connection_limit:
-            self._evict_idle()
-        await self._serve_pipeline(*self._open(nursery, watch, stream))
+        try:
+            if len(self._connections) >= self._connection_limit:
+                self._evict_idle()
+            connection, pipeline = self._open(nursery, watch, stream)
+        except Exception:
+            # An error on one connection must not terminate the daemon.
+            _LOGGER.exception("accepting a connection failed")
+            stream.close()
+            return
+        await self._serve_pipeline(connection, pipeline)
 
     def _open(
         self, nursery: trio.Nursery, watch: InputWatch, stream: ByteStream
