--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -19,7 +19,7 @@
 
     from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_http.byte_stream import ByteStream
-    from fulmarstile_wire.services import DroppedMessage, LinkMessage
+    from fulmarstile_wire.services import LinkMessage, ReceivedMessage
 
 _C_INT: Final = struct.Struct("i")
 _MIN_COUNTED_BYTES: Final = 1024
@@ -193,7 +193,7 @@
         frame.unsent = frame.unsent[sent:]
         return sent
 
-    async def receive(self) -> list[LinkMessage | DroppedMessage]:
+    async def receive(self) -> list[ReceivedMessage]:
         """Receives messages.
 
         Returns:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link.py
@@ -24,6 +24,7 @@
     PeerCall,
     SyncAnswer,
     SyncCall,
+    UnknownMessage,
 )
 
 if TYPE_CHECKING:
@@ -174,6 +175,9 @@
         if isinstance(message, DroppedMessage):
             self._on_dropped(message)
             return
+        if isinstance(message, UnknownMessage):
+            _LOGGER.info("ignored a message of an unknown kind: %s", message.kind)
+            return
         if not isinstance(message, HopAnswer | SyncAnswer | PeerAnswer | BodyGrant):
             raise LinkBrokenError(f"unexpected message {type(message).__name__}")
         pending = self._pending.get(message.call_id)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -35,6 +35,7 @@
     PeerCall,
     SyncAnswer,
     SyncCall,
+    UnknownMessage,
 )
 from fulmarstile_wire.verdict import Verdict
 
@@ -47,9 +48,9 @@
     from fulmarstile_http.listener import OutOfDescriptorsError
     from fulmarstile_wire.services import (
         HopOutcome,
-        LinkMessage,
         PeerReply,
         PeerRequest,
+        ReceivedMessage,
         SyncReply,
         SyncRequest,
     )
@@ -216,7 +217,7 @@
                     self._on_message(link, message, nursery)
 
     def _on_message(
-        self, link: ServedLink, message: LinkMessage | DroppedMessage, nursery: trio.Nursery
+        self, link: ServedLink, message: ReceivedMessage, nursery: trio.Nursery
     ) -> None:
         frames, calls = link.frames, link.calls
         if isinstance(message, HopCall):
@@ -237,6 +238,9 @@
             self._answer_query(frames, message, nursery)
         elif isinstance(message, DroppedMessage):
             self._refuse_dropped(link, message)
+        elif isinstance(message, UnknownMessage):
+            # A daemon of a newer version doesn't rely on the answer of an older one.
+            _LOGGER.info("ignored a message of an unknown kind: %s", message.kind)
 
     def _refuse_dropped(self, link: ServedLink, message: DroppedMessage) -> None:
         """Refuses a forwarded request for which there was no memory; other calls time out."""
@@ -392,7 +396,7 @@
         frames.send(HopAnswer(answer.call_id, lost))
 
 
-def _check_hello(message: LinkMessage | DroppedMessage) -> Hello:
+def _check_hello(message: ReceivedMessage) -> Hello:
     if not isinstance(message, Hello) or message.version != PROTOCOL_VERSION:
         raise LinkBrokenError("the other daemon uses a different protocol version")
     return message
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -23,6 +23,7 @@
 from fulmarstile_wire.members import CrashReport, Member, MemberPhase, UpstreamNotice
 from fulmarstile_wire.quotas import QuotaReply, QuotaRequest
 from fulmarstile_wire.rollouts import RolloutReply, RolloutReport
+from fulmarstile_wire.unknown_kinds import find_unknown_kind
 from fulmarstile_wire.verdict import Verdict
 
 PROTOCOL_VERSION: Final = 2
@@ -248,8 +249,17 @@
 
 
 _MESSAGE_TYPES: Final = {kind.__struct_config__.tag: kind for kind in get_args(LinkMessage)}
+_CONTENT_TAGS: Final = {
+    message.__struct_config__.tag: {kind.__struct_config__.tag for kind in get_args(content)}
+    for message, content in ((PeerCall, PeerRequest), (PeerAnswer, PeerReply))
+}
+"""Tags of the requests and replies between daemons, by the tag of the message that has them."""
 _CALL_ID_OFFSET: Final = 2
 """Position of the identifier in a message with a call: it follows the length and the tag."""
+_SHORT_ARRAYS: Final = range(0x90, 0xA0)
+"""First bytes of MessagePack arrays of up to 15 fields, which all messages are."""
+_UNKNOWN_TAGS: Final = frozenset(range(0x80)) - _MESSAGE_TYPES.keys()
+"""Tags of one byte that only a newer daemon knows."""
 _HEAD_BYTES: Final = 11
 """Longest beginning of a message that says which call it belongs to."""
 _INTEGER_BYTES: Final = {0xCC: 2, 0xCD: 3, 0xCE: 5, 0xCF: 9}
@@ -264,6 +274,17 @@
     call_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class UnknownMessage:
+    """A well-formed message of a kind that only a newer daemon knows."""
+
+    kind: str
+
+
+ReceivedMessage = LinkMessage | DroppedMessage | UnknownMessage
+"""Everything that a daemon may receive from another one."""
+
+
 class FrameDecoder:
     """Splits a stream of bytes into messages.
 
@@ -306,7 +327,7 @@
         self._dropped_left = length - len(body)
         self.clear()
 
-    def feed(self, data: bytes) -> list[LinkMessage | DroppedMessage]:
+    def feed(self, data: bytes) -> list[ReceivedMessage]:
         """Decodes received bytes.
 
         Args:
@@ -318,7 +339,7 @@
         Raises:
             WireError: If a message is malformed or oversize; the connection must be closed.
         """
-        messages: list[LinkMessage | DroppedMessage] = []
+        messages: list[ReceivedMessage] = []
         if self._dropped_head is not None:
             data = self._discard(data, messages)
         received = self._received
@@ -331,13 +352,13 @@
                 raise WireError(f"a message of {length} bytes is too large")
             if len(received) < start + length:
                 break
-            messages.append(_decode(_DECODER, bytes(received[start : start + length])))
+            messages.append(_decode_message(bytes(received[start : start + length])))
             position = start + length
         if position:
             del received[:position]
         return messages
 
-    def _discard(self, data: bytes, messages: list[LinkMessage | DroppedMessage]) -> bytes:
+    def _discard(self, data: bytes, messages: list[ReceivedMessage]) -> bytes:
         """Discards bytes of the message that is being dropped, and returns those behind it."""
         head = self._dropped_head or b""
         part, rest = data[: self._dropped_left], data[self._dropped_left :]
@@ -349,9 +370,21 @@
         return rest
 
 
-def _identify_dropped(head: bytes) -> DroppedMessage:
+def _decode_message(body: bytes) -> LinkMessage | UnknownMessage:
+    try:
+        return _DECODER.decode(body)
+    except DECODE_ERRORS as error:
+        kind = find_unknown_kind(body, _MESSAGE_TYPES, _CONTENT_TAGS)
+        if not kind:
+            raise WireError(f"malformed message: {error}") from error
+        return UnknownMessage(kind)
+
+
+def _identify_dropped(head: bytes) -> DroppedMessage | UnknownMessage:
     """Reads the kind of a message and its call from its first bytes."""
     fields = head[_CALL_ID_OFFSET:]
+    if fields and head[0] in _SHORT_ARRAYS and head[1] in _UNKNOWN_TAGS:
+        return UnknownMessage(str(head[1]))
     kind = _MESSAGE_TYPES.get(head[1]) if fields else None
     if kind is None or "call_id" not in kind.__struct_fields__:
         raise WireError("malformed message: it belongs to no call")
--- a/tests/wire/test_link_frames.py
+++ b/tests/wire/test_link_frames.py
@@ -37,6 +37,7 @@
     SyncCall,
     SyncReply,
     SyncRequest,
+    UnknownMessage,
     UpstreamNotice,
     encode_frame,
 )
@@ -70,6 +71,22 @@
 )
 
 
+encode_body = msgspec.msgpack.encode
+UNKNOWN = (
+    encode_body([90]),
+    encode_body([200, 1, "text", {"a": [b"b", None]}]),
+    encode_body([90, *range(20)]),
+    encode_body([9, 1, ["weather", "baker", 3]]),
+    encode_body([10, 1, ["weather"], "more"]),
+)
+"""Well-formed messages, and a request and a reply in one, of kinds that no daemon knows so far."""
+
+
+def make_frame(body: bytes) -> bytes:
+    """Puts the length before a message."""
+    return len(body).to_bytes(4, "big") + body
+
+
 class FrameTest(unittest.TestCase):
     def test_messages_are_decoded_however_their_bytes_are_split(self) -> None:
         data = b"".join(map(encode_frame, MESSAGES))
@@ -120,6 +137,45 @@
             with self.assertRaises(WireError):
                 FrameDecoder().feed(encode_frame(HopCall(1, hop, b"GET", b"/", [], b"")))
 
+    def test_a_message_of_an_unknown_kind_costs_that_message_alone(self) -> None:
+        known = encode_frame(HopCancel(1))
+        for body in UNKNOWN:
+            for cut in range(len(body) + 4):
+                with self.subTest(body, cut=cut):
+                    data = known + make_frame(body) + known
+                    cut_at = len(known) + cut
+                    decoder = FrameDecoder()
+                    received = decoder.feed(data[:cut_at]) + decoder.feed(data[cut_at:])
+                    kinds = [type(message) for message in received]
+                    self.assertEqual(kinds, [HopCancel, UnknownMessage, HopCancel])
+
+    def test_a_dropped_message_of_an_unknown_kind_costs_that_message_alone(self) -> None:
+        frame = make_frame(encode_body([90, 1, b"body"]))
+        decoder = FrameDecoder()
+        decoder.feed(frame[:6])
+        decoder.drop_pending()
+        received = decoder.feed(frame[6:] + encode_frame(HopCancel(1)))
+        self.assertEqual([type(message) for message in received], [UnknownMessage, HopCancel])
+
+    def test_a_malformed_message_of_an_unknown_kind_is_a_wire_error(self) -> None:
+        unknown = encode_body([90, 1, [b"body"]])
+        nested = b"\x91" * 100_000 + b"\x01"
+        for body in (
+            unknown[:-1],
+            unknown + b"\x01",
+            b"\x93\x5a\x01\xc1",
+            b"\x92\x5a" + nested,
+            b"\x93\x09\x01\xc1",
+            encode_body([9, 1, [7]]),
+            encode_body([9, 1, ["load", 7]]),
+            encode_body([1, 1]),
+            encode_body({"tag": 90}),
+            encode_body(["90"]),
+            encode_body([]),
+        ):
+            with self.subTest(body[:20]), self.assertRaises(WireError):
+                FrameDecoder().feed(make_frame(body))
+
     def test_an_oversize_message_is_refused_before_it_is_received(self) -> None:
         with self.assertRaisesRegex(WireError, "too large"):
             FrameDecoder().feed((MAX_FRAME_BYTES + 1).to_bytes(4, "big"))
