--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempt_progress.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempt_progress.py
@@ -38,6 +38,8 @@
         """Called by `withdraw`; set by the component that the request waits in."""
         self.may_begin: Callable[[], bool] = lambda: True
         """Returns whether the request may be passed to the upstream on this VM now."""
+        self.is_answering: Callable[[], bool] = _is_not_answering
+        """Returns whether a part of the answer has arrived, and the rest is expected."""
 
     @property
     def stage(self) -> AttemptStage:
@@ -91,3 +93,7 @@
         self.is_withdrawn = True
         if self.on_withdrawn is not None:
             self.on_withdrawn()
+
+
+def _is_not_answering() -> bool:
+    return False
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_call.py
@@ -72,6 +72,10 @@
             attempt.may_have_begun for attempt in self.unresolved
         )
 
+    def is_answering(self) -> bool:
+        """Returns whether a part of an answer has arrived, and the rest is expected."""
+        return any(attempt.is_answering() for attempt in self.unresolved)
+
     @property
     def may_be_sent(self) -> bool:
         """Whether the request may be sent to an upstream, or to another one.
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
@@ -71,12 +71,17 @@
         self._body = body
         self.is_body_unfinished = False
         """Whether the response preceded the end of the body, so the connection must be closed."""
+        self._is_receiving_body = False
 
     @property
     def may_have_arrived(self) -> bool:
         """Whether the server may have received the request head."""
         return self._connection.head_may_have_arrived
 
+    def is_answering(self) -> bool:
+        """Returns whether the head of a response has arrived, and its body is being received."""
+        return self._is_receiving_body
+
     async def run(self) -> UpstreamResponse:
         """Sends the request and receives the first response.
 
@@ -134,7 +139,11 @@
     async def _receive(self) -> UpstreamResponse:
         response = await self._connection.receive_response()
         head_at = trio.current_time()
-        body = await self._receive_body()
+        self._is_receiving_body = True
+        try:
+            body = await self._receive_body()
+        finally:
+            self._is_receiving_body = False
         self._note_keep_alive(response)
         return UpstreamResponse(response.status, read_headers(response.headers), body, head_at)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -109,6 +109,11 @@
         """Whether input or the end of the connection waits to be received."""
         return not self._stream.is_open_without_input
 
+    @property
+    def arriving_answer(self) -> int | None:
+        """Call whose answer has arrived in part; None if there is no such message."""
+        return self._decoder.pending_answer
+
     def send(self, message: LinkMessage) -> OutgoingFrame:
         """Sends a message.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link.py
@@ -76,6 +76,15 @@
         """Whether the connection is closed on this side."""
         return self.frames.is_closed
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether a part of an answer has arrived that a call waits for."""
+        return self.frames.arriving_answer in self._pending
+
+    def is_answering_call(self, call_id: int) -> bool:
+        """Returns whether a part of the answer to a call has arrived."""
+        return self.frames.arriving_answer == call_id
+
     def begin_call(self) -> tuple[int, PendingCall]:
         """Begins a call, of which nothing is sent yet.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -18,6 +18,7 @@
     QueueFullError,
     allow_late_readers,
 )
+from fulmarstile_daemon.services._request_scope import FINAL_RECEIVE_S
 from fulmarstile_daemon.services._served_link import ServedCall, ServedLink
 from fulmarstile_http.listener import accept_forever, listen
 from fulmarstile_wire.services import (
@@ -190,6 +191,12 @@
     async def _end_connection(self, link: ServedLink) -> None:
         """Waits for the end of the server, and says goodbye once all that arrived is answered."""
         await self._ending.wait()
+        for served in link.calls.values():
+            if not served.progress.is_answering():
+                served.scope.cancel()
+        with trio.move_on_after(FINAL_RECEIVE_S):
+            while any(served.progress.is_answering() for served in link.calls.values()):
+                await trio.sleep(_POLL_INTERVAL_S)
         for served in link.calls.values():
             served.scope.cancel()
         await link.greeted.wait()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -143,9 +143,13 @@
             self._replace_if_silent(address, link)
 
     def close_all(self) -> None:
-        """Closes all connections, so that no further data of any message arrives."""
+        """Closes all connections, so that no further data of any message arrives.
+
+        Those on which an answer is arriving stay open.
+        """
         for link in tuple(self._open_links):
-            link.close()
+            if not link.is_answering:
+                link.close()
 
     async def forward(
         self, member: Member, hop: HopRequest, request: ReceivedRequest, progress: AttemptProgress
@@ -169,6 +173,7 @@
             return AttemptResult(make_failure(Verdict.NOT_RUN, RefusalReason.DRAINING))
         call_id, pending = link.begin_call()
         progress.on_withdrawn = partial(link.withdraw, call_id, progress)
+        progress.is_answering = partial(link.is_answering_call, call_id)
         try:
             if _needs_grant(member, len(request.body)):
                 wait_s = max_body_wait_s(hop.target_ms / 1000, hop.remaining_ms / 1000)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_scope.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_scope.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import trio
 
@@ -11,6 +11,9 @@
 
     from fulmarstile_daemon.services._server_connection import CallerResponse
 
+FINAL_RECEIVE_S: Final = 0.2
+"""Longest time for which a daemon that ends receives the rest of answers, in seconds."""
+
 
 class RequestScope:
     """Cancel scope of a request, with the response to send after cancellation.
@@ -26,6 +29,8 @@
         """Whether the caller has disconnected."""
         self.make_response: Callable[[], CallerResponse] | None = None
         """Creates the response after cancellation; None if no caller waits for one."""
+        self.is_answering: Callable[[], bool] = lambda: False
+        """Returns whether a part of its answer has arrived, and the rest is expected."""
         self._withdraw: Callable[[], None] | None = None
 
     def set_deadline(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -15,6 +15,7 @@
 from fulmarstile_daemon.services._caller_messages import CallerDisconnectedError, CallerResponse
 from fulmarstile_daemon.services._loop_lateness import LoopLateness
 from fulmarstile_daemon.services._request_pipeline import RequestPipeline
+from fulmarstile_daemon.services._request_scope import FINAL_RECEIVE_S
 from fulmarstile_daemon.services._server_connection import ServerConnection
 from fulmarstile_daemon.services.events import CallerLeft
 from fulmarstile_http.input_watch import open_input_watch
@@ -175,14 +176,26 @@
             scope.withdraw()
 
     def expire_all(self) -> None:
-        """Ends all requests in flight; their responses are derived from their state so far."""
+        """Ends all requests in flight; their responses are derived from their state so far.
+
+        Those whose answer is arriving are ended by `wait_answered` or `finish`.
+        """
         self._expired_at = trio.current_time()
         for scope in tuple(self._in_flight):
-            scope.expire()
+            if not scope.is_answering():
+                scope.expire()
         self.refuse_unreceived()
 
+    def _expire_answering(self) -> None:
+        for scope in tuple(self._in_flight):
+            scope.expire()
+
     async def wait_answered(self) -> None:
-        """Waits until all responses are sent."""
+        """Waits until all responses are sent, and for a limited time for those that arrive."""
+        with trio.move_on_after(FINAL_RECEIVE_S):
+            while any(scope.is_answering() for scope in self._in_flight):
+                await trio.sleep(_POLL_INTERVAL_S)
+        self._expire_answering()
         while any(connection.is_busy for connection in self._connections):
             await trio.sleep(_POLL_INTERVAL_S)
 
@@ -195,6 +208,7 @@
         Args:
             timeout_s: Time limit in seconds.
         """
+        self._expire_answering()
         self._accept_scope.cancel()
         await self._has_stopped_accepting.wait()
         ends_at = trio.current_time() + timeout_s
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -395,6 +395,7 @@
             request.body,
             self._budget,
         )
+        progress.is_answering = exchange.is_answering
         started_at = trio.current_time()
         evidence = self.evidence
         is_reusable = is_discarded = False
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -159,6 +159,7 @@
         call.scope.set_deadline(
             call.deadline, partial(self._replies.make_cancelled, call), call.withdraw
         )
+        call.scope.is_answering = call.is_answering
         refusal = await self.quota.admit(call)
         if refusal is not None:
             return refusal
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -312,6 +312,17 @@
             return 0
         return int.from_bytes(self._received[:_LENGTH_BYTES], "big")
 
+    @property
+    def pending_answer(self) -> int | None:
+        """Call that the incomplete message answers; None if it is another message or unknown."""
+        head = bytes(self._received[_LENGTH_BYTES : _LENGTH_BYTES + _HEAD_BYTES])
+        try:
+            message = _identify_dropped(head)
+        except WireError:
+            return None
+        is_answer = isinstance(message, DroppedMessage) and message.kind is HopAnswer
+        return message.call_id if is_answer else None
+
     def clear(self) -> None:
         """Drops the bytes of an incomplete message."""
         self._received = bytearray()
