--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -186,7 +186,9 @@
         )
         self._announcement = announcement
         if is_new:
-            self._start(announcement, address)
+            self._start(announcement)
+        if self._pool is None or is_new or self._pool.address != address:
+            self._replace_pool(announcement.service, address)
         if announcement.phase is UpstreamPhase.LEAVING:
             self._slots.refuse_all()
         else:
@@ -330,16 +332,18 @@
             value = response.headers.get_bytes(self._names.load)
             read_load(value, response.head_at, self._service_times, self._announcement, self._log)
 
-    def _start(self, announcement: UpstreamAnnouncement, address: str) -> None:
-        limit = self._connection_limit(announcement.service)
+    def _start(self, announcement: UpstreamAnnouncement) -> None:
         self._service_times = ServiceTimes()
         self._response_notices = ResponseNotices(
             announcement, self._names, self._notice_merger, self._log
         )
+        self._slots.restart(announcement.slots, self._connection_limit(announcement.service))
+
+    def _replace_pool(self, service: str, address: str) -> None:
         if self._pool is not None:
             self._pool.retire()
+        limit = self._connection_limit(service)
         self._pool = ConnectionPool(address, limit, _POOL_SETTINGS, peer_may_read_late=True)
-        self._slots.restart(announcement.slots, limit)
 
     def _refuse_unservable(self, hop: HopRequest) -> HopOutcome | None:
         """Returns a refusal if the upstream cannot serve the request."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/announcements.py
@@ -84,6 +84,18 @@
         """
         notices.on_change = self.on_notice
 
+    def move_upstream(self, address: str) -> None:
+        """Sends later requests to another address, after a change of the settings.
+
+        Args:
+            address: `host:port` of the upstream on this VM.
+        """
+        if address == self._address:
+            return
+        self._address = address
+        if self._upstream.announcement is not None:
+            self._upstream.apply_announcement(self._upstream.announcement, address)
+
     async def announce(self, announcement: UpstreamAnnouncement) -> None:
         """See `UpstreamEvents.announce`."""
         if announcement.phase is UpstreamPhase.READY and not await self._wait_for_recovery(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -420,6 +420,7 @@
 
     def _apply_settings(self, settings: NodeSettings) -> None:
         self._entry.caller_service = settings.service
+        self._announcements.move_upstream(settings.upstream_address)
         self._freshness.bounds = settings.bounds.revocation
 
     def _on_suspended(self) -> None:
