--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -19,7 +19,7 @@
 
     from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_http.byte_stream import ByteStream
-    from fulmarstile_wire.services import DroppedMessage, LinkMessage
+    from fulmarstile_wire.services import LinkMessage, ReceivedMessage
 
 _C_INT: Final = struct.Struct("i")
 _MIN_COUNTED_BYTES: Final = 1024
@@ -109,6 +109,11 @@
         """Whether input or the end of the connection waits to be received."""
         return not self._stream.is_open_without_input
 
+    @property
+    def arriving_answer(self) -> int | None:
+        """Call whose answer has arrived in part; None if there is no such message."""
+        return self._decoder.pending_answer
+
     def send(self, message: LinkMessage) -> OutgoingFrame:
         """Sends a message.
 
@@ -193,7 +198,7 @@
         frame.unsent = frame.unsent[sent:]
         return sent
 
-    async def receive(self) -> list[LinkMessage | DroppedMessage]:
+    async def receive(self) -> list[ReceivedMessage]:
         """Receives messages.
 
         Returns:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link.py
@@ -24,6 +24,7 @@
     PeerCall,
     SyncAnswer,
     SyncCall,
+    UnknownMessage,
 )
 
 if TYPE_CHECKING:
@@ -75,6 +76,15 @@
         """Whether the connection is closed on this side."""
         return self.frames.is_closed
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether a part of an answer has arrived that a call waits for."""
+        return self.frames.arriving_answer in self._pending
+
+    def is_answering_call(self, call_id: int) -> bool:
+        """Returns whether a part of the answer to a call has arrived."""
+        return self.frames.arriving_answer == call_id
+
     def begin_call(self) -> tuple[int, PendingCall]:
         """Begins a call, of which nothing is sent yet.
 
@@ -174,6 +184,9 @@
         if isinstance(message, DroppedMessage):
             self._on_dropped(message)
             return
+        if isinstance(message, UnknownMessage):
+            _LOGGER.info("ignored a message of an unknown kind: %s", message.kind)
+            return
         if not isinstance(message, HopAnswer | SyncAnswer | PeerAnswer | BodyGrant):
             raise LinkBrokenError(f"unexpected message {type(message).__name__}")
         pending = self._pending.get(message.call_id)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -8,7 +8,7 @@
 import trio
 
 from fulmarstile_calls.request import RefusalReason
-from fulmarstile_daemon.services._background_tasks import keep_running
+from fulmarstile_daemon.background_tasks import keep_running
 from fulmarstile_daemon.services._body_admission import BodyAdmission, OfferKey
 from fulmarstile_daemon.services._call import make_failure, make_lost_answer
 from fulmarstile_daemon.services._error_frames import release_frames
@@ -18,6 +18,7 @@
     QueueFullError,
     allow_late_readers,
 )
+from fulmarstile_daemon.services._request_scope import FINAL_RECEIVE_S
 from fulmarstile_daemon.services._served_link import ServedCall, ServedLink
 from fulmarstile_http.listener import accept_forever, listen
 from fulmarstile_wire.services import (
@@ -35,6 +36,7 @@
     PeerCall,
     SyncAnswer,
     SyncCall,
+    UnknownMessage,
 )
 from fulmarstile_wire.verdict import Verdict
 
@@ -47,9 +49,9 @@
     from fulmarstile_http.listener import OutOfDescriptorsError
     from fulmarstile_wire.services import (
         HopOutcome,
-        LinkMessage,
         PeerReply,
         PeerRequest,
+        ReceivedMessage,
         SyncReply,
         SyncRequest,
     )
@@ -189,6 +191,12 @@
     async def _end_connection(self, link: ServedLink) -> None:
         """Waits for the end of the server, and says goodbye once all that arrived is answered."""
         await self._ending.wait()
+        for served in link.calls.values():
+            if not served.progress.is_answering():
+                served.scope.cancel()
+        with trio.move_on_after(FINAL_RECEIVE_S):
+            while any(served.progress.is_answering() for served in link.calls.values()):
+                await trio.sleep(_POLL_INTERVAL_S)
         for served in link.calls.values():
             served.scope.cancel()
         await link.greeted.wait()
@@ -216,7 +224,7 @@
                     self._on_message(link, message, nursery)
 
     def _on_message(
-        self, link: ServedLink, message: LinkMessage | DroppedMessage, nursery: trio.Nursery
+        self, link: ServedLink, message: ReceivedMessage, nursery: trio.Nursery
     ) -> None:
         frames, calls = link.frames, link.calls
         if isinstance(message, HopCall):
@@ -237,6 +245,9 @@
             self._answer_query(frames, message, nursery)
         elif isinstance(message, DroppedMessage):
             self._refuse_dropped(link, message)
+        elif isinstance(message, UnknownMessage):
+            # A daemon of a newer version doesn't rely on the answer of an older one.
+            _LOGGER.info("ignored a message of an unknown kind: %s", message.kind)
 
     def _refuse_dropped(self, link: ServedLink, message: DroppedMessage) -> None:
         """Refuses a forwarded request for which there was no memory; other calls time out."""
@@ -392,7 +403,7 @@
         frames.send(HopAnswer(answer.call_id, lost))
 
 
-def _check_hello(message: LinkMessage | DroppedMessage) -> Hello:
+def _check_hello(message: ReceivedMessage) -> Hello:
     if not isinstance(message, Hello) or message.version != PROTOCOL_VERSION:
         raise LinkBrokenError("the other daemon uses a different protocol version")
     return message
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from fulmarstile_daemon.services._background_tasks import keep_running
+from fulmarstile_daemon.background_tasks import keep_running
 from fulmarstile_daemon.services._body_admission import BodyAdmission
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._byte_budget import ByteBudget
@@ -421,6 +421,7 @@
 
     def _apply_settings(self, settings: NodeSettings) -> None:
         self._entry.caller_service = settings.service
+        self._announcements.move_upstream(settings.upstream_address)
         self._freshness.bounds = settings.bounds.revocation
 
     def _on_suspended(self) -> None:
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -6,113 +6,36 @@
 
 from __future__ import annotations
 
-import enum
 from dataclasses import dataclass
-from typing import Annotated, Any, Final, get_args
+from typing import Any, Final, get_args
 
 import msgspec
 
 from fulmarstile_wire.decoding import (
     DECODE_ERRORS,
     MAX_RECORDED_NUMBER,
-    Duration,
-    Number,
     is_socket_address,
 )
 from fulmarstile_wire.departures import UpstreamDeparture
 from fulmarstile_wire.documents import DocumentReply, DocumentRequest
 from fulmarstile_wire.errors import WireError
 from fulmarstile_wire.loads import LoadReply, LoadRequest
+from fulmarstile_wire.members import CrashReport, Member, MemberPhase, UpstreamNotice
 from fulmarstile_wire.quotas import QuotaReply, QuotaRequest
 from fulmarstile_wire.rollouts import RolloutReply, RolloutReport
+from fulmarstile_wire.unknown_kinds import find_unknown_kind
 from fulmarstile_wire.verdict import Verdict
 
 PROTOCOL_VERSION: Final = 2
 """Version of this protocol, announced in `Hello`."""
 MAX_FRAME_BYTES: Final = 96 * 1024 * 1024
 """Largest message, in bytes."""
-MAX_RATE_LIMIT: Final = 1e12
-"""Highest rate limit that an upstream may announce, in requests per second."""
 _LENGTH_BYTES: Final = 4
 
 HeaderPair = tuple[bytes, bytes]
 """Name of a header in lower case, and its value."""
 
 
-class MemberPhase(enum.Enum):
-    """Whether the upstream beside a daemon accepts requests."""
-
-    ABSENT = "absent"
-    """No upstream has announced itself."""
-    SERVING = "serving"
-    LEAVING = "leaving"
-    """The upstream is leaving; the daemon keeps running."""
-    STOPPED = "stopped"
-    """The daemon itself is stopping."""
-
-
-class UpstreamNotice(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
-    """What an upstream has said about itself in its responses."""
-
-    upstream_id: str
-    upstream_born_ms: Number
-    dated_ms: Number
-    """Time at which the daemon beside the upstream read it, in milliseconds since the epoch.
-
-    It increases from notice to notice of an upstream, even if the clock is set back.
-    """
-    rate_limit: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATE_LIMIT)] = 0.0
-    """Requests per second that it accepts from all daemons together; 0 for no limit."""
-    leaves: bool = False
-    """Whether it leaves; it never accepts requests again."""
-
-    @property
-    def is_restrictive(self) -> bool:
-        """Whether the upstream accepts fewer requests than without this notice."""
-        return self.leaves or self.rate_limit > 0.0
-
-
-class Member(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A daemon and the upstream beside it; a higher (incarnation, revision) replaces a lower."""
-
-    name: str
-    address: str
-    """`host:port` at which the daemon accepts forwarded requests."""
-    availability_zone: str
-    incarnation: Number
-    """Start time in milliseconds since the epoch, raised above that of any earlier start."""
-    revision: Number = 0
-    """Counts the changes within the incarnation."""
-    phase: MemberPhase = MemberPhase.ABSENT
-    service: str = ""
-    upstream_id: str = ""
-    upstream_born_ms: Number = 0
-    upstream_version: str = ""
-    """Version of the upstream's software; empty if it announces none."""
-    upstream_leaves: bool = False
-    """Whether the upstream has announced that it leaves; it never accepts requests again."""
-    slots: Number = 0
-    cold_left_s: Duration = 0.0
-    """Remaining warm-up time of the upstream when this record was written, in seconds."""
-    link_kbps: Number = 0
-    """Capacity of the VM's network link, in kilobits per second; 0 if unknown."""
-    notice: UpstreamNotice | None = None
-    """What the upstream has said about itself, when this record was written."""
-
-    @property
-    def order(self) -> tuple[int, int]:
-        """Sort key among the records of one daemon; the highest is the newest."""
-        return (self.incarnation, self.revision)
-
-
-class CrashReport(msgspec.Struct, frozen=True):
-    """A request that was running when an upstream crashed."""
-
-    fingerprint: bytes
-    upstream_id: str
-    upstream_born_ms: Number
-
-
 class HopRequest(msgspec.Struct, frozen=True, omit_defaults=True, array_like=True):
     """Metadata of a forwarded request for the daemon beside the upstream."""
 
@@ -326,8 +249,17 @@
 
 
 _MESSAGE_TYPES: Final = {kind.__struct_config__.tag: kind for kind in get_args(LinkMessage)}
+_CONTENT_TAGS: Final = {
+    message.__struct_config__.tag: {kind.__struct_config__.tag for kind in get_args(content)}
+    for message, content in ((PeerCall, PeerRequest), (PeerAnswer, PeerReply))
+}
+"""Tags of the requests and replies between daemons, by the tag of the message that has them."""
 _CALL_ID_OFFSET: Final = 2
 """Position of the identifier in a message with a call: it follows the length and the tag."""
+_SHORT_ARRAYS: Final = range(0x90, 0xA0)
+"""First bytes of MessagePack arrays of up to 15 fields, which all messages are."""
+_UNKNOWN_TAGS: Final = frozenset(range(0x80)) - _MESSAGE_TYPES.keys()
+"""Tags of one byte that only a newer daemon knows."""
 _HEAD_BYTES: Final = 11
 """Longest beginning of a message that says which call it belongs to."""
 _INTEGER_BYTES: Final = {0xCC: 2, 0xCD: 3, 0xCE: 5, 0xCF: 9}
@@ -342,6 +274,17 @@
     call_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class UnknownMessage:
+    """A well-formed message of a kind that only a newer daemon knows."""
+
+    kind: str
+
+
+ReceivedMessage = LinkMessage | DroppedMessage | UnknownMessage
+"""Everything that a daemon may receive from another one."""
+
+
 class FrameDecoder:
     """Splits a stream of bytes into messages.
 
@@ -369,6 +312,17 @@
             return 0
         return int.from_bytes(self._received[:_LENGTH_BYTES], "big")
 
+    @property
+    def pending_answer(self) -> int | None:
+        """Call that the incomplete message answers; None if it is another message or unknown."""
+        head = bytes(self._received[_LENGTH_BYTES : _LENGTH_BYTES + _HEAD_BYTES])
+        try:
+            message = _identify_dropped(head)
+        except WireError:
+            return None
+        is_answer = isinstance(message, DroppedMessage) and message.kind is HopAnswer
+        return message.call_id if is_answer else None
+
     def clear(self) -> None:
         """Drops the bytes of an incomplete message."""
         self._received = bytearray()
@@ -384,7 +338,7 @@
         self._dropped_left = length - len(body)
         self.clear()
 
-    def feed(self, data: bytes) -> list[LinkMessage | DroppedMessage]:
+    def feed(self, data: bytes) -> list[ReceivedMessage]:
         """Decodes received bytes.
 
         Args:
@@ -396,7 +350,7 @@
         Raises:
             WireError: If a message is malformed or oversize; the connection must be closed.
         """
-        messages: list[LinkMessage | DroppedMessage] = []
+        messages: list[ReceivedMessage] = []
         if self._dropped_head is not None:
             data = self._discard(data, messages)
         received = self._received
@@ -409,13 +363,13 @@
                 raise WireError(f"a message of {length} bytes is too large")
             if len(received) < start + length:
                 break
-            messages.append(_decode(_DECODER, bytes(received[start : start + length])))
+            messages.append(_decode_message(bytes(received[start : start + length])))
             position = start + length
         if position:
             del received[:position]
         return messages
 
-    def _discard(self, data: bytes, messages: list[LinkMessage | DroppedMessage]) -> bytes:
+    def _discard(self, data: bytes, messages: list[ReceivedMessage]) -> bytes:
         """Discards bytes of the message that is being dropped, and returns those behind it."""
         head = self._dropped_head or b""
         part, rest = data[: self._dropped_left], data[self._dropped_left :]
@@ -427,9 +381,21 @@
         return rest
 
 
-def _identify_dropped(head: bytes) -> DroppedMessage:
+def _decode_message(body: bytes) -> LinkMessage | UnknownMessage:
+    try:
+        return _DECODER.decode(body)
+    except DECODE_ERRORS as error:
+        kind = find_unknown_kind(body, _MESSAGE_TYPES, _CONTENT_TAGS)
+        if not kind:
+            raise WireError(f"malformed message: {error}") from error
+        return UnknownMessage(kind)
+
+
+def _identify_dropped(head: bytes) -> DroppedMessage | UnknownMessage:
     """Reads the kind of a message and its call from its first bytes."""
     fields = head[_CALL_ID_OFFSET:]
+    if fields and head[0] in _SHORT_ARRAYS and head[1] in _UNKNOWN_TAGS:
+        return UnknownMessage(str(head[1]))
     kind = _MESSAGE_TYPES.get(head[1]) if fields else None
     if kind is None or "call_id" not in kind.__struct_fields__:
         raise WireError("malformed message: it belongs to no call")
