--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_loop_lateness.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_loop_lateness.py
@@ -11,6 +11,8 @@
 from fulmarstile_daemon.services.events import LoopLate
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.metrics import ServiceMetrics
 
@@ -47,12 +49,14 @@
         self.times_late = 0
         """Number of times that the loop was late enough to be logged."""
         self._sleeps: dict[_Sleep, None] = {}
+        self._signs_of_life: list[Callable[[], float]] = []
 
     @property
     def halted_s(self) -> float:
         """Longest time for which the process may have been halted until now, in seconds.
 
-        A halt shows when a wait should have ended, and may have begun with the wait.
+        A halt shows when a wait should have ended, and may have begun with the wait, or after
+        another sign of life.
         """
         if not self._sleeps:
             return 0.0
@@ -61,7 +65,16 @@
         used_s = time.thread_time() - first.processor_s
         if now - first.ends_at - used_s < _MIN_LOGGED_S:
             return 0.0
-        return now - max(sleep.began_at for sleep in self._sleeps)
+        ran_at = max(sleep.began_at for sleep in self._sleeps)
+        return now - max([ran_at, *(read() for read in self._signs_of_life)])
+
+    def add_sign_of_life(self, read: Callable[[], float]) -> None:
+        """Adds a time at which the loop ran, read only when the loop is late.
+
+        Args:
+            read: Returns the last such time by the loop's clock, in seconds.
+        """
+        self._signs_of_life.append(read)
 
     def add_gauges(self, metrics: ServiceMetrics) -> None:
         """Adds the gauges of the event loop.
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -88,6 +88,7 @@
         self._has_stopped_accepting = trio.Event()
         self._expired_at = -math.inf
         self._last_request_at = -math.inf
+        self._lateness.add_sign_of_life(lambda: self._last_request_at)
         self._has_in_flight = trio.Event()
         self.abandoned_requests = 0
         """Requests whose caller disconnected before the response."""
--- a/tests/services/test_stopping_in_time.py
+++ b/tests/services/test_stopping_in_time.py
@@ -86,6 +86,25 @@
     ) -> None:
         self.assertLess(self.measure_stop_s(send_sigterm_to_halted_process), SHORT_GRACE_S)
 
+    def test_a_halt_is_not_counted_from_before_the_last_request(self) -> None:
+        async def run() -> tuple[float, float]:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                node = mesh.nodes[0]
+                daemon = node.daemon
+                async with (
+                    ServiceClient(await connect(node.address)) as client,
+                    ServiceClient(await connect(node.address)) as second,
+                ):
+                    await send_long_request(client, node)
+                    await second.call("/b", "POST", request_id="request-2")
+                    time.sleep(HELD_S)
+                    halted_s = daemon._lateness.halted_s
+                    return halted_s, trio.current_time() - daemon._callers._last_request_at
+
+        halted_s, since_request_s = trio.run(run)
+        self.assertGreaterEqual(halted_s, HELD_S)
+        self.assertLessEqual(halted_s, since_request_s)
+
     def test_a_call_sent_late_after_a_sigterm_that_was_handled_late_is_not_cut_off(self) -> None:
         async def run() -> None:
             async with serve_mesh("shop", document=DOCUMENT) as mesh:
