--- a/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
+++ b/packages/fulmarstile_calls/src/fulmarstile_calls/admission/fair.py
@@ -50,6 +50,8 @@
 
     def __init__(self, settings: AdmissionSettings) -> None:
         self._settings = settings
+        self._connections = settings.connections
+        self._announced_slots = settings.slots
         self._slots = min(settings.slots, settings.connections)
         self._customers: dict[str, CustomerQueue] = {}
         self._waiting: dict[int, AdmissionTicket] = {}
@@ -142,9 +144,23 @@
 
     def set_slots(self, slots: int, now: float) -> list[AdmissionEffect]:
         """See `Admission.set_slots`; never more than the connections."""
-        self._slots = max(0, min(slots, self._settings.connections))
+        self._announced_slots = slots
+        self._slots = max(0, min(slots, self._connections))
         return self._admit(now)
 
+    def set_connections(self, connections: int, now: float) -> list[AdmissionEffect]:
+        """Changes the number of connections that the upstream accepts.
+
+        Args:
+            connections: The number; requests that hold a slot keep it.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The waiting requests that get a slot.
+        """
+        self._connections = connections
+        return self.set_slots(self._announced_slots, now)
+
     def set_rate_limit(self, rate_limit: float, now: float) -> list[AdmissionEffect]:
         """Changes the rate limit that the upstream has announced.
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
@@ -116,6 +116,10 @@
         if count != self._admission.slots:
             self._apply(self._admission.set_slots(count, trio.current_time()))
 
+    def set_connections(self, connections: int) -> None:
+        """Changes the number of connections; requests that hold a slot keep it."""
+        self._apply(self._admission.set_connections(connections, trio.current_time()))
+
     def set_rate_limit(self, rate_limit: float) -> None:
         """Limits how many requests start per second; 0 for no limit."""
         self._apply(self._admission.set_rate_limit(rate_limit, trio.current_time()))
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -196,6 +196,13 @@
         self.apply_notice()
         self._unreachable_until = -math.inf
 
+    def apply_connection_limit(self) -> None:
+        """Applies the connection limit of the active document, which may have changed."""
+        if self._announcement is not None and self._pool is not None:
+            limit = self._connection_limit(self._announcement.service)
+            self._pool.resize(limit)
+            self._slots.set_connections(limit)
+
     def apply_notice(self) -> None:
         """Applies what the upstream has said about itself."""
         self._slots.set_rate_limit(self.rate_limit)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -129,6 +129,7 @@
             log,
         )
         self._upstream.names_customers = lambda: self._routes.names_customers
+        self._documents.on_change.append(self._upstream.apply_connection_limit)
         self._announcements = UpstreamAnnouncements(
             settings, self._directory, self._membership, self._upstream, notices, log
         )
@@ -176,7 +177,7 @@
                 log,
             )
             self._entry.quota.quotas = self._quotas
-            self._documents.on_change = self._quotas.apply_document
+            self._documents.on_change.append(self._quotas.apply_document)
         self._apply_settings(settings)
         self._gossip = Gossip(
             self._directory,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -91,8 +91,8 @@
         """Set, and replaced by another event, when more of the operator's topic is known."""
         self.was_read = False
         """Whether the operator's topic was read since the start, here or by another daemon."""
-        self.on_change: Callable[[], None] = lambda: None
-        """Called when another version becomes active."""
+        self.on_change: list[Callable[[], None]] = []
+        """Functions that are called when another version becomes active."""
         self.on_other_records: Callable[[list[KeyedRecord]], None] = lambda _: None
         """Called with the records of the operator's topic that hold no document."""
 
@@ -176,7 +176,8 @@
                 bytes=received_bytes or len(raw),
             )
         )
-        self.on_change()
+        for on_change in self.on_change:
+            on_change()
         self._notify()
         return True
 
--- a/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/connection_pool.py
@@ -147,10 +147,19 @@
         while self._idle:
             self._close(self._idle.pop())
 
+    def resize(self, limit: int) -> None:
+        """Changes the maximum number of connections, and closes idle ones beyond it.
+
+        Args:
+            limit: The number; connections in use stay open until their exchange ends.
+        """
+        self.limit = limit
+        while self._idle and self._open > limit:
+            self._close(self._idle.popleft())
+
     def retire(self) -> None:
         """Closes the idle connections now and the others when their exchanges end."""
-        self.limit = 0
-        self.close_idle()
+        self.resize(0)
 
     async def open(self) -> ClientConnection:
         """Opens a connection.
