Let an error in a task of fulmarstiled not end the process (LOST)

Callers of the own call path would have seen all calls of the daemon end without an answer: an error while a message of another daemon is received, between two ticks, while an append of claims is started, while the log is used, or while an effect of the core is executed left its task and ended the process; only the core itself was guarded. Found while every task of both daemons was looked at, never seen.

The three tasks run again after an error. An error while one effect is executed costs that effect, because the others may be results that calls wait for. An unexpected error of the log counts as a failed read, or as an append that may have taken effect, as the core expects one result for each.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/daemon.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from fulmarstile_calls.upstream_lease import UpstreamLease
+from fulmarstile_daemon.background_tasks import keep_running
 from fulmarstile_daemon.call_context import CoreCallContext
 from fulmarstile_daemon.calls import CallProxy, CallSettings
 from fulmarstile_daemon.claim_service import ClaimEffect, ClaimService
@@ -44,7 +45,7 @@
         core: The decision core.
         links: Links to the other daemons.
         log: The platform's log.
-        nursery: Nursery in which the log requests run.
+        nursery: Nursery in which the tasks of the daemon run.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self._links = links
         self._claims = ClaimService(core.requester, self._execute_claim_effects)
         self._proxy = CallProxy(_make_call_settings(settings), self._make_call_context())
+        self._nursery = nursery
         self._log_worker = LogWorker(log, nursery, self)
         self._metrics = MetricsPage()
         self._lease = UpstreamLease()
@@ -104,15 +106,20 @@
         """Whether a graceful shutdown has begun."""
         return self._leaving
 
-    async def receive_messages(self) -> None:
+    def start(self) -> None:
+        """Starts the core, and the tasks that run until they are cancelled."""
+        self._execute_effects(self._core.start(self.now))
+        for run in (self._receive_messages, self._run_ticks, self._run_claim_appends):
+            self._nursery.start_soon(keep_running, run)
+
+    async def _receive_messages(self) -> None:
         """Passes messages from other daemons to the core until cancelled."""
         while True:
             message = await self._links.receive()
             self._dispatch(self._core.on_message, message)
 
-    async def run_ticks(self) -> None:
-        """Starts the core and calls its `on_tick` at regular intervals until cancelled."""
-        self._execute_effects(self._core.start(self.now))
+    async def _run_ticks(self) -> None:
+        """Calls `on_tick` of the core at regular intervals until cancelled."""
         while True:
             if self._lease.on_tick(self.now):
                 logger.warning("upstream lease expired")
@@ -120,7 +127,7 @@
             self._dispatch(self._core.on_tick)
             await trio.sleep(TICK_INTERVAL_S)
 
-    async def run_claim_appends(self) -> None:
+    async def _run_claim_appends(self) -> None:
         """Starts appends of claims when they are due, until cancelled."""
         while True:
             due_at = self._core.claims_due_at
@@ -250,19 +257,27 @@
 
     def _execute_effects(self, effects: Iterable[Effect]) -> None:
         for effect in effects:
-            if isinstance(effect, Send):
-                self._links.send(effect.address, effect.message)
-            elif isinstance(effect, Disconnect):
-                self._links.disconnect(effect.address)
-            elif isinstance(effect, ReadLog):
-                self._log_worker.read(effect)
-            elif isinstance(effect, AppendLog):
-                self._log_worker.append(effect)
-            elif isinstance(effect, ClaimEffect):
-                self._claims.on_result(effect)
+            try:
+                self._execute(effect)
+            except Exception:
+                # The other effects may belong to calls that wait for them.
+                self._core.counters.faults += 1
+                logger.exception("executing an effect failed", effect=type(effect).__name__)
         self._update_proxy_endpoints()
         self._wake_claim_task()
 
+    def _execute(self, effect: Effect) -> None:
+        if isinstance(effect, Send):
+            self._links.send(effect.address, effect.message)
+        elif isinstance(effect, Disconnect):
+            self._links.disconnect(effect.address)
+        elif isinstance(effect, ReadLog):
+            self._log_worker.read(effect)
+        elif isinstance(effect, AppendLog):
+            self._log_worker.append(effect)
+        elif isinstance(effect, ClaimEffect):
+            self._claims.on_result(effect)
+
     def _wake_claim_task(self) -> None:
         due_at = self._core.claims_due_at
         if due_at != self._claims_due_at:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/log_worker.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/log_worker.py
@@ -5,14 +5,15 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from fulmarstile_daemon.background_tasks import run_and_log
 from fulmarstile_platform.log import LogError
+from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
     import trio
 
     from fulmarstile_mesh import AppendLog, ReadLog
     from fulmarstile_platform.log import Log, LogPage
-    from fulmarstile_wire.verdict import Verdict
 
 
 class LogListener(Protocol):
@@ -68,27 +69,32 @@
     def read(self, effect: ReadLog) -> None:
         """Starts a read."""
         self._counters.reads += 1
-        self._nursery.start_soon(self._read, effect)
+        self._nursery.start_soon(run_and_log, self._read, effect)
 
     def append(self, effect: AppendLog) -> None:
         """Starts an append."""
         self._counters.appends += 1
-        self._nursery.start_soon(self._append, effect)
+        self._nursery.start_soon(run_and_log, self._append, effect)
 
     async def _read(self, effect: ReadLog) -> None:
         try:
             page = await self._log.read(effect.stream, effect.offset, wait_s=effect.wait_s)
-        except LogError:
+        except Exception as error:
             self._counters.failed_reads += 1
             self._listener.on_log_failure(effect.stream)
+            if not isinstance(error, LogError):
+                raise
             return
         self._listener.on_log_page(effect.stream, page)
 
     async def _append(self, effect: AppendLog) -> None:
         try:
             offset = await self._log.append(effect.stream, effect.payload)
-        except LogError as error:
+        except Exception as error:
             self._counters.failed_appends += 1
-            self._listener.on_append_failure(effect.stream, error.verdict)
+            verdict = error.verdict if isinstance(error, LogError) else Verdict.MAY_HAVE_RUN
+            self._listener.on_append_failure(effect.stream, verdict)
+            if not isinstance(error, LogError):
+                raise
             return
         self._listener.on_append_done(effect.stream, offset)
