Let state that only a newer daemon can read cost its message alone (LOST)

The same fault as with messages of unknown kinds, one level below: a phase of a member, or any other content of state or of a request between daemons, that only a newer daemon knows ended the connection, and gossip repeats it on every new one. Found by reading, never seen.

A well-formed message of these four kinds that can't be read is ignored, as one of an unknown kind is; this takes the place of the look for unknown requests and replies inside them. Forwarded requests and their answers still have to be readable, as their tests ask.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link.py
@@ -185,7 +185,7 @@
             self._on_dropped(message)
             return
         if isinstance(message, UnknownMessage):
-            _LOGGER.info("ignored a message of an unknown kind: %s", message.kind)
+            _LOGGER.info("ignored a message that can't be read, of kind %d", message.tag)
             return
         if not isinstance(message, HopAnswer | SyncAnswer | PeerAnswer | BodyGrant):
             raise LinkBrokenError(f"unexpected message {type(message).__name__}")
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -247,7 +247,7 @@
             self._refuse_dropped(link, message)
         elif isinstance(message, UnknownMessage):
             # A daemon of a newer version doesn't rely on the answer of an older one.
-            _LOGGER.info("ignored a message of an unknown kind: %s", message.kind)
+            _LOGGER.info("ignored a message that can't be read, of kind %d", message.tag)
 
     def _refuse_dropped(self, link: ServedLink, message: DroppedMessage) -> None:
         """Refuses a forwarded request for which there was no memory; other calls time out."""
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/services.py
@@ -249,11 +249,12 @@
 
 
 _MESSAGE_TYPES: Final = {kind.__struct_config__.tag: kind for kind in get_args(LinkMessage)}
-_CONTENT_TAGS: Final = {
-    message.__struct_config__.tag: {kind.__struct_config__.tag for kind in get_args(content)}
-    for message, content in ((PeerCall, PeerRequest), (PeerAnswer, PeerReply))
-}
-"""Tags of the requests and replies between daemons, by the tag of the message that has them."""
+_READABLE_TAGS: Final = frozenset(
+    tag
+    for tag, kind in _MESSAGE_TYPES.items()
+    if kind not in (SyncCall, SyncAnswer, PeerCall, PeerAnswer)
+)
+"""Tags of the messages that have to be readable; a newer daemon extends the content of others."""
 _CALL_ID_OFFSET: Final = 2
 """Position of the identifier in a message with a call: it follows the length and the tag."""
 _SHORT_ARRAYS: Final = range(0x90, 0xA0)
@@ -276,9 +277,9 @@
 
 @dataclass(frozen=True, slots=True)
 class UnknownMessage:
-    """A well-formed message of a kind that only a newer daemon knows."""
+    """A well-formed message of a kind, or with content, that only a newer daemon can read."""
 
-    kind: str
+    tag: int
 
 
 ReceivedMessage = LinkMessage | DroppedMessage | UnknownMessage
@@ -385,17 +386,17 @@
     try:
         return _DECODER.decode(body)
     except DECODE_ERRORS as error:
-        kind = find_unknown_kind(body, _MESSAGE_TYPES, _CONTENT_TAGS)
-        if not kind:
+        tag = find_unknown_kind(body, _READABLE_TAGS)
+        if tag is None:
             raise WireError(f"malformed message: {error}") from error
-        return UnknownMessage(kind)
+        return UnknownMessage(tag)
 
 
 def _identify_dropped(head: bytes) -> DroppedMessage | UnknownMessage:
     """Reads the kind of a message and its call from its first bytes."""
     fields = head[_CALL_ID_OFFSET:]
     if fields and head[0] in _SHORT_ARRAYS and head[1] in _UNKNOWN_TAGS:
-        return UnknownMessage(str(head[1]))
+        return UnknownMessage(head[1])
     kind = _MESSAGE_TYPES.get(head[1]) if fields else None
     if kind is None or "call_id" not in kind.__struct_fields__:
         raise WireError("malformed message: it belongs to no call")
