--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -88,6 +88,8 @@
         self._accept_scope = trio.CancelScope()
         self._has_stopped_accepting = trio.Event()
         self._expired_at = -math.inf
+        self._last_answers: list[RequestScope] = []
+        """Requests of which a part of the answer had arrived when all others were ended."""
         self._last_request_at = -math.inf
         self._has_in_flight = trio.Event()
         self.abandoned_requests = 0
@@ -181,21 +183,23 @@
         Those whose answer is arriving are ended by `wait_answered` or `finish`.
         """
         self._expired_at = trio.current_time()
+        self._last_answers = [scope for scope in self._in_flight if scope.is_answering()]
         for scope in tuple(self._in_flight):
-            if not scope.is_answering():
+            if scope not in self._last_answers:
                 scope.expire()
         self.refuse_unreceived()
 
-    def _expire_answering(self) -> None:
-        for scope in tuple(self._in_flight):
-            scope.expire()
+    def _expire_last_answers(self) -> None:
+        for scope in self._last_answers:
+            if scope in self._in_flight:
+                scope.expire()
 
     async def wait_answered(self) -> None:
         """Waits until all responses are sent, and for a limited time for those that arrive."""
         with trio.move_on_after(FINAL_RECEIVE_S):
-            while any(scope.is_answering() for scope in self._in_flight):
+            while any(scope in self._in_flight for scope in self._last_answers):
                 await trio.sleep(_POLL_INTERVAL_S)
-        self._expire_answering()
+        self._expire_last_answers()
         while any(connection.is_busy for connection in self._connections):
             await trio.sleep(_POLL_INTERVAL_S)
 
@@ -208,7 +212,7 @@
         Args:
             timeout_s: Time limit in seconds.
         """
-        self._expire_answering()
+        self._expire_last_answers()
         self._accept_scope.cancel()
         await self._has_stopped_accepting.wait()
         ends_at = trio.current_time() + timeout_s
--- a/tests/services/test_stopping_while_answered.py
+++ b/tests/services/test_stopping_while_answered.py
@@ -103,6 +103,23 @@
         answer = self.stop(("stock", "shop"), 1, HELD_UP_S)
         self.assertEqual((answer.status, len(answer.body)), (200, ANSWER_BYTES))
 
+    def test_closing_the_other_connections_cuts_off_no_answer(self) -> None:
+        async def run() -> ClientAnswer:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                node = mesh.nodes[0]
+                async with (
+                    ServiceClient(await connect(node.address)) as client,
+                    trio.open_nursery() as nursery,
+                ):
+                    await client.send(f"/a?size={ANSWER_BYTES}", "POST", wait_ms=WAIT_MS)
+                    await trio.sleep(HELD_UP_S / 2)
+                    nursery.start_soon(node.daemon._callers.finish, HELD_UP_S)
+                    return await client.receive()
+
+        with mock.patch.object(ServiceUpstream, "_answer", answer_in_two_parts(HELD_UP_S)):
+            answer = run_in_virtual_time(run)
+        self.assertEqual((answer.status, len(answer.body)), (200, ANSWER_BYTES))
+
     def test_a_daemon_does_not_wait_for_an_answer_without_end(self) -> None:
         for services, stopping in ((("shop",), 0), (("stock", "shop"), 1)):
             with self.subTest(services):
