--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -43,7 +43,6 @@
     from fulmarstile_daemon.services._notice_merger import NoticeMerger
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_daemon.services.event_log import EventLog
-    from fulmarstile_daemon.services.metrics import ServiceMetrics
     from fulmarstile_daemon.services.ports import CallHeaderNames
     from fulmarstile_http.client_connection import ClientConnection
     from fulmarstile_services.rollouts.evidence import EvidenceCounter
@@ -216,20 +215,6 @@
         self._is_stopping = True
         self._slots.close()
 
-    def add_gauges(self, metrics: ServiceMetrics) -> None:
-        """Adds the gauges of the upstream.
-
-        Args:
-            metrics: Metrics of the daemon.
-        """
-        add = metrics.add_gauge
-        add("upstream_running", lambda: self.running)
-        add("upstream_queued", lambda: self.queued)
-        add("upstream_slots", lambda: self.slots)
-        add("upstream_rate_limit", lambda: self.rate_limit)
-        add("upstream_requests_sent", lambda: self.requests_sent)
-        add("upstream_service_seconds", lambda: self.service_s)
-
     def close_idle_connections(self) -> None:
         """Closes idle connections, which may be dead after the VM was suspended."""
         if self._pool is not None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -30,6 +30,7 @@
 from fulmarstile_daemon.services._suspension import watch_suspension
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
+from fulmarstile_daemon.services._upstream_gauges import add_upstream_gauges
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
 from fulmarstile_daemon.services.documents import ActiveDocument, ActiveRoutes
 from fulmarstile_daemon.services.entry import CallEntry
@@ -455,7 +456,7 @@
         self._callers.add_gauges(metrics)
         self._byte_budget.add_gauges(metrics)
         self._lateness.add_gauges(metrics)
-        self._upstream.add_gauges(metrics)
+        add_upstream_gauges(metrics, self._upstream)
         if self._quotas is not None:
             self._quotas.add_gauges(metrics)
         metrics.add_gauge("members", lambda: len(self._directory.members))
