Let an error in one message between daemons cost that message alone (LOST)

Callers would have seen all requests between two daemons end with "connection lost" at an error while an offer of a body, a cancellation or the acceptance of a request was handled: only synchronizations, queries and requests that have begun were guarded. Found by reading, never seen.

The error is logged, and a request that could not be accepted is refused as not run. The three new tests ended with the connection before.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -221,7 +221,21 @@
                 if not link.greeted.is_set():
                     link.on_hello(_check_hello(message))
                 elif not link.has_gone_away:
-                    self._on_message(link, message, nursery)
+                    self._handle_message(link, message, nursery)
+
+    def _handle_message(
+        self, link: ServedLink, message: ReceivedMessage, nursery: trio.Nursery
+    ) -> None:
+        try:
+            self._on_message(link, message, nursery)
+        except LinkBrokenError:
+            raise
+        except Exception:
+            # An error in one message must not end the requests of its connection.
+            _LOGGER.exception("handling a message of another daemon failed")
+            if isinstance(message, HopCall) and message.call_id not in link.calls:
+                failure = make_failure(Verdict.NOT_RUN, RefusalReason.OVERLOADED)
+                link.frames.send(HopAnswer(message.call_id, failure))
 
     def _on_message(
         self, link: ServedLink, message: ReceivedMessage, nursery: trio.Nursery
--- a/tests/services/test_link_server_errors.py
+++ b/tests/services/test_link_server_errors.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import unittest
+from typing import TYPE_CHECKING
 
 import trio
 import trio.testing
@@ -35,6 +37,9 @@
 )
 from fulmarstile_wire.verdict import Verdict
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 SYNC = SyncRequest("client", b"digest")
 DURATION_S = 5.0
 SEQUENCES = 60
@@ -51,6 +56,16 @@
     raise HandlerFailedError
 
 
+def fail_from_second_call(function: Callable[..., object]) -> Callable[..., object]:
+    """Makes a function that fails after its first call."""
+    calls = itertools.count()
+
+    def call(*arguments: object) -> object:
+        return function(*arguments) if next(calls) == 0 else fail()
+
+    return call
+
+
 async def fail_call(*_: object) -> HopAnswer:
     """Fails as the handler of a forwarded request with a fault does."""
     raise HandlerFailedError
@@ -72,6 +87,32 @@
         server = make_link_server(self.wait_for_release, handlers={LoadRequest: fail})
         self.check_request_survives(PeerCall(1, LoadRequest("shop")), server)
 
+    def test_a_failing_offer_ends_no_request_of_its_connection(self) -> None:
+        server = make_link_server(self.wait_for_release)
+        server._rate_wait_s = fail
+        self.check_request_survives(BodyOffer(1, 100_000, 5_000), server)
+
+    def test_a_failing_cancellation_ends_no_request_of_its_connection(self) -> None:
+        server = make_link_server(self.wait_for_release)
+        server._body_admission.release = fail_from_second_call(server._body_admission.release)
+        self.check_request_survives(HopCancel(1), server)
+
+    def test_a_request_that_cannot_be_accepted_is_answered_at_once(self) -> None:
+        async def run() -> None:
+            server = make_link_server()
+            server._body_admission.release = fail_from_second_call(server._body_admission.release)
+            async with serve_links(server) as address, open_link(address) as client:
+                with trio.fail_after(DURATION_S):
+                    await client.send(make_hop_call(1))
+                    self.assertEqual((await client.receive()).status, 200)
+                    await client.send(make_hop_call(2))
+                    answer = await client.receive()
+                self.assertEqual((answer.call_id, answer.status), (2, 0))
+                self.assertEqual(answer.outcome.verdict, Verdict.NOT_RUN)
+
+        with self.assertLogs("fulmarstile_daemon.services._link_server", "ERROR"):
+            trio.run(run)
+
     async def wait_for_release(self, call, deadline, progress):
         await self.released.wait()
         return await answer_call(call, deadline, progress)
