Close a connection to a daemon that breaks before its first message (LOST)

A connection that was reset between its opening and `Hello`, for example by a daemon that is killed, kept its descriptor and its place in the memory budget for as long as the process ran; without descriptors a daemon accepts no callers. Found by reading, never seen.

The connection is closed. The new test found its stream open before.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -322,9 +322,13 @@
         with trio.move_on_after(_CONNECT_TIMEOUT_S):
             try:
                 stream = await open_stream(address)
-                link = Link(FrameStream(stream, self._budget), address)
+            except OSError as error:
+                raise DaemonUnreachableError(f"cannot connect to {address}: {error}") from error
+            link = Link(FrameStream(stream, self._budget), address)
+            try:
                 link.send(Hello(PROTOCOL_VERSION, self._sender, reads_go_away=True))
-            except (OSError, LinkBrokenError) as error:
+            except LinkBrokenError as error:
+                link.close()
                 raise DaemonUnreachableError(f"cannot connect to {address}: {error}") from error
             self._open_links[link] = None
             self._nursery.start_soon(self._run_link, link)
--- a/tests/services/test_shared_connecting.py
+++ b/tests/services/test_shared_connecting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import socket
 import unittest
 from typing import TYPE_CHECKING
 from unittest import mock
@@ -15,7 +16,7 @@
 from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._links import DaemonLinks, DaemonUnreachableError
 from fulmarstile_daemon.services._server_connection import ReceivedRequest
-from fulmarstile_http.byte_stream import open_stream
+from fulmarstile_http.byte_stream import ByteStream, open_stream
 from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_testing.builders.link_servers import (
     answer_call,
@@ -29,7 +30,6 @@
     from collections.abc import Awaitable, Callable
 
     from fulmarstile_daemon.services._call import AttemptResult
-    from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_wire.services import Member
 
 CALLS = 5
@@ -139,6 +139,22 @@
 
         self.play(open_second, run)
 
+    def test_a_connection_that_breaks_before_its_first_message_keeps_no_descriptor(self) -> None:
+        opened: list[ByteStream] = []
+
+        async def open_broken(address: str) -> ByteStream:
+            near, far = socket.socketpair()
+            near.setblocking(False)
+            far.close()
+            opened.append(ByteStream(near))
+            return opened[-1]
+
+        async def run(links: DaemonLinks) -> None:
+            await measure_failure(links, make_member("other"))
+
+        self.play(open_broken, run)
+        self.assertEqual([stream.is_closed for stream in opened], [True])
+
     def test_an_unexpected_error_while_connecting_costs_only_the_calls_that_wait(self) -> None:
         numbers = itertools.count()
 
