--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -43,7 +43,6 @@
     from fulmarstile_daemon.services._notice_merger import NoticeMerger
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_daemon.services.event_log import EventLog
-    from fulmarstile_daemon.services.metrics import ServiceMetrics
     from fulmarstile_daemon.services.ports import CallHeaderNames
     from fulmarstile_http.client_connection import ClientConnection
     from fulmarstile_services.rollouts.evidence import EvidenceCounter
@@ -196,6 +195,13 @@
         self.apply_notice()
         self._unreachable_until = -math.inf
 
+    def apply_connection_limit(self) -> None:
+        """Applies the connection limit of the active document, which may have changed."""
+        if self._announcement is not None and self._pool is not None:
+            limit = self._connection_limit(self._announcement.service)
+            self._pool.resize(limit)
+            self._slots.set_connections(limit)
+
     def apply_notice(self) -> None:
         """Applies what the upstream has said about itself."""
         self._slots.set_rate_limit(self.rate_limit)
@@ -209,20 +215,6 @@
         self._is_stopping = True
         self._slots.close()
 
-    def add_gauges(self, metrics: ServiceMetrics) -> None:
-        """Adds the gauges of the upstream.
-
-        Args:
-            metrics: Metrics of the daemon.
-        """
-        add = metrics.add_gauge
-        add("upstream_running", lambda: self.running)
-        add("upstream_queued", lambda: self.queued)
-        add("upstream_slots", lambda: self.slots)
-        add("upstream_rate_limit", lambda: self.rate_limit)
-        add("upstream_requests_sent", lambda: self.requests_sent)
-        add("upstream_service_seconds", lambda: self.service_s)
-
     def close_idle_connections(self) -> None:
         """Closes idle connections, which may be dead after the VM was suspended."""
         if self._pool is not None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -30,6 +30,7 @@
 from fulmarstile_daemon.services._suspension import watch_suspension
 from fulmarstile_daemon.services._upstream import LocalUpstream
 from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
+from fulmarstile_daemon.services._upstream_gauges import add_upstream_gauges
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
 from fulmarstile_daemon.services.documents import ActiveDocument, ActiveRoutes
 from fulmarstile_daemon.services.entry import CallEntry
@@ -129,6 +130,7 @@
             log,
         )
         self._upstream.names_customers = lambda: self._routes.names_customers
+        self._documents.on_change.append(self._upstream.apply_connection_limit)
         self._announcements = UpstreamAnnouncements(
             settings, self._directory, self._membership, self._upstream, notices, log
         )
@@ -176,7 +178,7 @@
                 log,
             )
             self._entry.quota.quotas = self._quotas
-            self._documents.on_change = self._quotas.apply_document
+            self._documents.on_change.append(self._quotas.apply_document)
         self._apply_settings(settings)
         self._gossip = Gossip(
             self._directory,
@@ -455,7 +457,7 @@
         self._callers.add_gauges(metrics)
         self._byte_budget.add_gauges(metrics)
         self._lateness.add_gauges(metrics)
-        self._upstream.add_gauges(metrics)
+        add_upstream_gauges(metrics, self._upstream)
         if self._quotas is not None:
             self._quotas.add_gauges(metrics)
         metrics.add_gauge("members", lambda: len(self._directory.members))
