Say in the soak why event loops were late (LOST)

The soak recorded when a daemon waited for a core and the daemons log loop_late with processor_ms, but nobody laid the two side by side, so that a loop that hangs looked like one without a core.

Tests feed logs and core waits: the three causes are told apart, and the waits of one process aren't counted for the next.

--- a/tests/processes/test_soak_lost.py
+++ b/tests/processes/test_soak_lost.py
@@ -8,6 +8,12 @@
 
 import trio
 
+from fulmarstile_adapter_testing.lost_processor import (
+    BLOCKED,
+    COMPUTED,
+    STARVED,
+    ProcessorHistory,
+)
 from fulmarstile_adapter_testing.lost_rules import (
     APART,
     BEHIND_WRITE,
@@ -119,5 +125,27 @@
             self.assertFalse(getattr(Trouble(), kind), kind)
 
 
+class ProcessorHistoryTest(unittest.TestCase):
+    def list_causes(self, processor_ms: float, core_waits_s: list[tuple[int, float]]) -> list[str]:
+        history = ProcessorHistory()
+        for now, (process_id, total_s) in enumerate(core_waits_s, 100):
+            history.add(process_id, total_s, float(now))
+        with tempfile.NamedTemporaryFile() as log:
+            line = b'{"time":102.5,"event":"loop_late","late_ms":1000.0,"processor_ms":%.1f}'
+            log.write(line % processor_ms + b'\n{"time":1,"event":"loop_late","late')
+            log.flush()
+            return [late.cause for late in history.list_late(Path(log.name))]
+
+    def test_a_late_loop_without_a_core_is_told_from_one_that_computes_or_hangs(self) -> None:
+        waits = [(7, 0.1), (7, 0.1), (7, 0.7), (7, 0.7)]
+        self.assertEqual(self.list_causes(10.0, waits), [STARVED])
+        self.assertEqual(self.list_causes(600.0, waits), [COMPUTED])
+        self.assertEqual(self.list_causes(10.0, [(7, 0.1)] * 4), [BLOCKED])
+
+    def test_times_without_a_core_are_counted_for_each_process(self) -> None:
+        waits = [(7, 5.0), (8, 0.1), (8, 0.2), (8, 0.2)]
+        self.assertEqual(self.list_causes(10.0, waits), [BLOCKED])
+
+
 if __name__ == "__main__":
     unittest.main()
