Let a request without progress give its memory to others (clients outside the limits)

What callers saw: beside clients that stop just short of the end of their bodies, and stay, every upload of others is refused with 503, for as long as such a client sends a byte within HeaderTimeoutS. Cause: the callers' share of the memory went to whoever came first and was kept without progress. Change: a request that is being received, and has moved less than 16 KiB for a second, gives way when others need memory, the one that holds most first. It is refused with 503, which is true: it has not run. Without lack of memory nobody is refused sooner than before, and among requests that make progress the later ones are refused, so that one of many finishes.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
@@ -5,6 +5,8 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Final
 
+from fulmarstile_daemon.services._transfers import Transfers
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -64,8 +66,8 @@
 class ByteBudget:
     """Limits the memory used by the messages of all connections.
 
-    When the budget is exhausted, the largest abortable message is aborted, so that a message that
-    grows without end does not starve the others.
+    When the budget is exhausted, a message whose caller neither sends nor reads gives way first,
+    then the largest abortable one, so that one that grows without end does not starve the others.
 
     Args:
         limit: Maximum number of bytes in use.
@@ -76,6 +78,8 @@
         self._used_bytes = 0
         self._caller_bytes = 0
         self._allocations: dict[Allocation, None] = {}
+        self.transfers = Transfers()
+        """Messages that wait for their callers, and give way if they make no progress."""
         self.aborted_messages = 0
         """Messages aborted or rejected because of their size."""
 
@@ -153,8 +157,11 @@
         Returns:
             Whether the memory was reserved; callers' requests share a part of the budget.
         """
-        if not self.has_room_for_caller(size):
+        if size > self.message_limit:
             return False
+        while not self.has_room_for_caller(size):
+            if not self._drop_stalled():
+                return False
         self._used_bytes += size
         self._caller_bytes += size
         return True
@@ -191,6 +198,8 @@
         is_small = wanted <= _SMALL_MESSAGE_BYTES
         limit = self._limit if is_small else self._limit_without_reserve
         while self._used_bytes + size > limit:
+            if self._drop_stalled():
+                continue
             largest = max(
                 (
                     allocation
@@ -207,3 +216,10 @@
             largest.abort()
             self.add(largest, -largest.size)
         return True
+
+    def _drop_stalled(self) -> bool:
+        """Drops a message whose caller neither sends nor reads; returns whether there was one."""
+        if not self.transfers.drop_stalled():
+            return False
+        self.aborted_messages += 1
+        return True
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -12,6 +12,7 @@
     CallerExchange,
     ReceivedRequest,
 )
+from fulmarstile_daemon.services._transfers import Transfer
 from fulmarstile_http.headers import read_headers
 from fulmarstile_http.request_checks import (
     MalformedRequestError,
@@ -59,6 +60,10 @@
         self._waited_s = 0.0
         self._reserved_bytes = 0
         self._wire_bytes = 0
+        self._body = bytearray()
+        self._transfer: Transfer | None = None
+        self._waiting = trio.CancelScope()
+        self._has_given_way = False
         self.unparsed = b""
         """Bytes received behind the last request."""
         self.method = b""
@@ -88,6 +93,8 @@
         self._read_ahead = read_ahead
         self._waited_s = 0.0
         self._wire_bytes = 0
+        self._transfer = None
+        self._has_given_way = False
         self.method = b""
         received, self.unparsed = self.unparsed, b""
         if not received:
@@ -124,6 +131,9 @@
         """Returns the memory of a request that was received in part to the budget."""
         self._budget.release_for_caller(self._reserved_bytes)
         self._reserved_bytes = 0
+        # It refers to this reader: the cycle would keep the body.
+        self._transfer = None
+        self._body = bytearray()
 
     async def _receive_head(self, received: bytes) -> bytes:
         limits = self._limits()
@@ -150,7 +160,7 @@
         parser = self._parser
         if not received and not parser.is_complete and _wants_continue(head):
             await self._send_continue()
-        body = bytearray()
+        body = self._body = bytearray()
         tail = b""
         while not parser.is_complete:
             if not received:
@@ -171,6 +181,7 @@
             self._reserve_received(len(body) - size)
         # Data after the body belongs to the next request.
         self.unparsed = received
+        self._body = bytearray()
         return bytes(body)
 
     def _reserve_head(self, size: int, headers: int) -> None:
@@ -195,9 +206,17 @@
 
     def _reserve(self, size: int) -> None:
         if not self._budget.try_reserve_for_caller(size):
-            raise MalformedRequestError("too many large requests are held", 503)
+            raise _make_no_memory_error()
         self._reserved_bytes += size
 
+    def _give_way(self) -> None:
+        """Refuses the request that is being received, because others need its memory."""
+        self._has_given_way = True
+        # The task that reads the request refers to the same buffer.
+        self._body.clear()
+        self.release_partial()
+        self._waiting.cancel()
+
     async def _send_continue(self) -> None:
         """Asks for the body, after the responses to all earlier requests."""
         if self._read_ahead is not None:
@@ -208,8 +227,7 @@
             raise CallerDisconnectedError from error
 
     async def _receive_more_of_head(self) -> bytes:
-        data = await self._receive()
-        self._wire_bytes += len(data)
+        data = await self._receive_part(math.inf)
         self._reserve_received(len(data))
         return data
 
@@ -217,22 +235,43 @@
         """Receives more of a head; pauses of reading don't count towards its time limit."""
         started_at = trio.current_time()
         paused_s = await self._wait_for_room()
-        with trio.move_on_after(self._limits().head_timeout_s - self._waited_s) as scope:
-            data = await self._receive_more_of_head()
-        if scope.cancelled_caught:
-            raise MalformedRequestError("the request head arrived too slowly", 408)
+        data = await self._receive_part(self._limits().head_timeout_s - self._waited_s)
         self._waited_s += trio.current_time() - started_at - paused_s
         return data
 
     async def _receive_more(self, timeout_s: float) -> bytes:
         await self._wait_for_room()
-        with trio.move_on_after(timeout_s) as scope:
-            data = await self._receive()
-        if scope.cancelled_caught:
-            raise MalformedRequestError("the request body arrived too slowly", 408)
+        data = await self._receive_part(timeout_s)
         if not data:
             raise CallerDisconnectedError
+        return data
+
+    async def _receive_part(self, timeout_s: float) -> bytes:
+        """Waits for more of a request, which may have to give way meanwhile.
+
+        Args:
+            timeout_s: Longest time, in seconds.
+
+        Returns:
+            The bytes received; empty at the end of the stream.
+
+        Raises:
+            MalformedRequestError: If nothing arrives in time, or if others need the memory.
+        """
+        transfer = self._transfer
+        if transfer is None:
+            transfer = self._transfer = Transfer(lambda: self._reserved_bytes, self._give_way)
+        with (
+            self._budget.transfers.track(transfer),
+            trio.move_on_after(timeout_s) as self._waiting,
+        ):
+            data = await self._receive()
+        if self._has_given_way:
+            raise _make_no_memory_error()
+        if self._waiting.cancelled_caught:
+            raise MalformedRequestError("the request arrived too slowly", 408)
         self._wire_bytes += len(data)
+        transfer.on_moved(len(data))
         return data
 
     async def _wait_for_room(self) -> float:
@@ -254,6 +293,10 @@
         return data
 
 
+def _make_no_memory_error() -> MalformedRequestError:
+    return MalformedRequestError("too many large requests are held", 503)
+
+
 def _find_possible_end(tail: bytes, received: bytes) -> int:
     """Finds where a chunked body may end, which is behind an empty line.
 
--- /dev/null
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_transfers.py
@@ -0,0 +1,90 @@
+"""Messages on their way from or to callers, and which of them gives way to others."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+_STALL_S: Final = 1.0
+"""Time without progress from which a message gives way to others, in seconds."""
+_PROGRESS_BYTES: Final = 16 * 1024
+"""Bytes that count as progress, so that a trickle does not."""
+
+
+class Transfer:
+    """A message that waits for its caller to send or to read more of it.
+
+    Args:
+        held_bytes: Returns the memory that is reserved for it, in bytes.
+        drop: Drops it, and returns its memory at once.
+    """
+
+    __slots__ = ("_drop", "_held_bytes", "_moved_at", "_moved_bytes")
+
+    def __init__(self, held_bytes: Callable[[], int], drop: Callable[[], None]) -> None:
+        self._held_bytes = held_bytes
+        self._drop = drop
+        self._moved_at = trio.current_time()
+        self._moved_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that is reserved for it, in bytes."""
+        return self._held_bytes()
+
+    def on_moved(self, size: int) -> None:
+        """Records progress.
+
+        Args:
+            size: Bytes received or sent.
+        """
+        self._moved_bytes += size
+        if self._moved_bytes >= _PROGRESS_BYTES:
+            self._moved_bytes = 0
+            self._moved_at = trio.current_time()
+
+    def is_stalled(self, now: float) -> bool:
+        """Checks whether it has made no progress for long, at a time in seconds."""
+        return now - self._moved_at >= _STALL_S
+
+    def drop(self) -> None:
+        """Drops it, and returns its memory at once."""
+        self._drop()
+
+
+class Transfers:
+    """Messages that wait for their callers, on all connections."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[Transfer, None] = {}
+
+    @contextmanager
+    def track(self, transfer: Transfer) -> Iterator[None]:
+        """Lets a message give way to others while the context is open."""
+        self._waiting[transfer] = None
+        try:
+            yield
+        finally:
+            self._waiting.pop(transfer, None)
+
+    def drop_stalled(self) -> bool:
+        """Drops the message that holds most memory of those without progress.
+
+        Returns:
+            Whether there was one.
+        """
+        if not self._waiting:
+            return False
+        now = trio.current_time()
+        stalled = [each for each in self._waiting if each.is_stalled(now) and each.held_bytes]
+        if not stalled:
+            return False
+        largest = max(stalled, key=lambda transfer: transfer.held_bytes)
+        del self._waiting[largest]
+        largest.drop()
+        return True
