Let an answer that nobody reads give its memory to others (clients outside the limits)

Cause: an answer was copied behind its head, so that the process held it twice and counted it once; and answers that wait for a slow reader were counted whatever the limit, kept for up to 30 s, or for 2 s while memory is scarce. Change: a body above 16 KiB is sent behind its head without a copy. An answer of which a caller has read nothing for a second gives way when others need memory, by the mechanism for requests that don't arrive. An answer that the kernel takes at once is no longer accounted for at all.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
@@ -56,6 +56,7 @@
 
     def grow(self, size: int) -> None:
         """Grows the allocation regardless of the limit, for data that must be sent anyway."""
+        self._budget.make_room_for_ready(size)
         self._budget.add(self, size)
 
     def shrink(self, size: int) -> None:
@@ -188,6 +189,15 @@
         self.add(allocation, size)
         return True
 
+    def make_room_for_ready(self, size: int) -> None:
+        """Drops messages without progress as far as ready data needs their memory.
+
+        Args:
+            size: Size of the data in bytes.
+        """
+        while self._used_bytes + size > self._limit and self._drop_stalled():
+            pass
+
     def add(self, allocation: Allocation, size: int) -> None:
         """Changes the size of an allocation regardless of the limit."""
         allocation.size += size
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -14,19 +15,23 @@
 )
 from fulmarstile_daemon.services._read_ahead import ReadAhead
 from fulmarstile_daemon.services._request_reader import RequestReader
+from fulmarstile_daemon.services._transfers import Transfer
+from fulmarstile_http.byte_stream import READ_SIZE
 from fulmarstile_http.messages import encode_response
 from fulmarstile_http.request_checks import MalformedRequestError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from fulmarstile_daemon.services._byte_budget import ByteBudget
+    from fulmarstile_daemon.services._byte_budget import Allocation, ByteBudget
     from fulmarstile_http.byte_stream import ByteStream
     from fulmarstile_services.document import RequestLimits
 
 __all__ = ["CallerDisconnectedError", "CallerResponse", "ReceivedRequest", "ServerConnection"]
 
 _NO_BODY_STATUSES: Final = (204, 304)
+_MAX_JOINED_BYTES: Final = 16 * 1024
+"""Largest body that is copied behind its head, to be sent together, in bytes."""
 _MIN_LINGER_BYTES: Final = 16 * 1024
 """Size of a response from which some of it may still be in transit when it is sent, in bytes."""
 
@@ -171,14 +176,18 @@
             CallerDisconnectedError: If the caller disconnected.
         """
         self.is_reusable = exchange.keeps_alive and (has_next or not self.must_close)
-        data = self._encode(exchange.method, response)
+        head, body = self._encode(exchange.method, response)
         self._unanswered -= 1
-        self._last_response_bytes = len(data)
+        self._last_response_bytes = len(head) + len(body)
         self._is_sending = True
         try:
-            with self._budget.allocate() as allocation:
-                allocation.grow(len(data))
-                await self._send(data)
+            if len(body) <= _MAX_JOINED_BYTES:
+                await self._send(head + body)
+            else:
+                await self._send(head)
+                await self._send(body)
+        except OSError as error:
+            raise CallerDisconnectedError from error
         finally:
             self._is_sending = False
         self.idle_since = trio.current_time()
@@ -194,7 +203,7 @@
         """
         self.is_reusable = False
         self._is_refused = True
-        data = self._encode(self._reader.method, response)
+        data = b"".join(self._encode(self._reader.method, response))
         self._reader.is_receiving = False
         try:
             sent = self._stream.send_nowait(data)
@@ -268,19 +277,33 @@
         else:
             self._stream.abort()
 
-    def _encode(self, method: bytes, response: CallerResponse) -> bytes:
+    def _encode(self, method: bytes, response: CallerResponse) -> tuple[bytes, bytes]:
+        """Returns the head and the body to send."""
         headers = [header for header in response.headers if header[0] != b"content-length"]
-        if response.status not in _NO_BODY_STATUSES:
+        has_body = response.status not in _NO_BODY_STATUSES
+        if has_body:
             headers.append((b"content-length", b"%d" % len(response.body)))
         if not self.is_reusable:
             headers.append((b"connection", b"close"))
-        data = encode_response(response.status, headers)
-        if response.status not in _NO_BODY_STATUSES and method != b"HEAD":
-            data += response.body
-        return data
+        head = encode_response(response.status, headers)
+        return head, response.body if has_body and method != b"HEAD" else b""
 
     async def _send(self, data: bytes) -> None:
-        try:
-            await self._stream.send_all(data)
-        except OSError as error:
-            raise CallerDisconnectedError from error
+        """Sends a part of a response, which gives way to others while its caller doesn't read."""
+        sent = self._stream.send_nowait(data)
+        if sent == len(data):
+            return
+        unsent = memoryview(data)[sent:]
+        with self._budget.allocate() as allocation:
+            allocation.grow(len(data))
+            transfer = Transfer(lambda: allocation.size, partial(self._drop_unread, allocation))
+            with self._budget.transfers.track(transfer):
+                for start in range(0, len(unsent), READ_SIZE):
+                    piece = unsent[start : start + READ_SIZE]
+                    await self._stream.send_all(piece)
+                    transfer.on_moved(len(piece))
+
+    def _drop_unread(self, allocation: Allocation) -> None:
+        """Breaks the connection of a caller that doesn't read, and returns its memory."""
+        allocation.shrink(allocation.size)
+        self._stream.abort()
--- a/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/byte_stream.py
@@ -120,7 +120,7 @@
             except BlockingIOError:
                 continue
 
-    async def send_all(self, data: bytes) -> None:
+    async def send_all(self, data: bytes | memoryview) -> None:
         """Sends all bytes, waiting only if the kernel's buffer is full.
 
         Args:
