Refuse a request whose body arrives past its deadline (clients outside the limits)

What callers saw: nothing ends a client that sends its body byte by byte; it holds memory and a connection for as long as it likes. Cause: the time limit of a body counted only the pause between two parts. Change: a body has to be complete before its request can no longer be answered: the route's time limit, or the time that the caller says it has left. Then the answer is 408 at once, which promises that it has not run. The body of a request without a route has 10 s. No client inside the limits meets it: its request is past its time.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -29,7 +30,6 @@
     from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_daemon.services._read_ahead import ReadAhead
     from fulmarstile_http.byte_stream import ByteStream
-    from fulmarstile_http.headers import MessageHeaders
     from fulmarstile_http.messages import RequestHead
     from fulmarstile_services.document import RequestLimits
 
@@ -40,6 +40,11 @@
 """Memory up to which a head is not accounted for, in bytes."""
 
 
+def never(_: ReceivedRequest) -> float:
+    """Sets no deadline for the body of a request."""
+    return math.inf
+
+
 class RequestReader:
     """Reads requests, one after the other.
 
@@ -47,14 +52,21 @@
         stream: Stream of the connection.
         limits: Returns the current limits.
         budget: Memory limit for messages.
+        find_deadline: Returns the time at which a request, whose body is still missing, can no
+            longer be answered in time, in seconds.
     """
 
     def __init__(
-        self, stream: ByteStream, limits: Callable[[], RequestLimits], budget: ByteBudget
+        self,
+        stream: ByteStream,
+        limits: Callable[[], RequestLimits],
+        budget: ByteBudget,
+        find_deadline: Callable[[ReceivedRequest], float] = never,
     ) -> None:
         self._stream = stream
         self._limits = limits
         self._budget = budget
+        self._find_deadline = find_deadline
         self._parser = RequestParser()
         self._read_ahead: ReadAhead | None = None
         self._waited_s = 0.0
@@ -113,9 +125,12 @@
         check_framing(head, headers)
         check_head(head)
         self._reserve_head(end, len(head.headers))
-        arrived_at = trio.current_time()
-        body = await self._receive_body(head, headers, received[end:])
-        request = ReceivedRequest(head.method, head.target, headers, body, arrived_at)
+        request = ReceivedRequest(head.method, head.target, headers, b"", trio.current_time())
+        if not parser.is_complete:
+            body = await self._receive_body(head, request, received[end:])
+            request = replace(request, body=body)
+        else:
+            self.unparsed = received[end:]
         keeps_alive = parser.keeps_alive and not parser.has_pipelined_bytes
         self.is_receiving = False
         return CallerExchange(head.method, request, keeps_alive, self.take_held_bytes())
@@ -151,20 +166,24 @@
         return received
 
     async def _receive_body(
-        self, head: RequestHead, headers: MessageHeaders, received: bytes
+        self, head: RequestHead, request: ReceivedRequest, received: bytes
     ) -> bytes:
         limits = self._limits()
-        length = headers.content_length
+        length = request.headers.content_length
         if (length or 0) > limits.body_bytes:
             raise MalformedRequestError("the request body is too large", 413)
         parser = self._parser
-        if not received and not parser.is_complete and _wants_continue(head):
+        if not received and _wants_continue(head):
             await self._send_continue()
+        deadline = math.nan
         body = self._body = bytearray()
         tail = b""
         while not parser.is_complete:
             if not received:
-                received = await self._receive_more(limits.head_timeout_s)
+                if math.isnan(deadline):
+                    deadline = self._find_deadline(request)
+                left_s = max(0.0, deadline - trio.current_time())
+                received = await self._receive_more(min(left_s, limits.head_timeout_s))
             if length is None:
                 end = _find_possible_end(tail, received)
                 tail = (tail + received[:end])[-len(HEAD_END) + 1 :]
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -15,6 +15,7 @@
 from fulmarstile_daemon.services._caller_messages import CallerDisconnectedError, CallerResponse
 from fulmarstile_daemon.services._loop_lateness import LoopLateness
 from fulmarstile_daemon.services._request_pipeline import RequestPipeline
+from fulmarstile_daemon.services._request_reader import never
 from fulmarstile_daemon.services._request_scope import FINAL_RECEIVE_S
 from fulmarstile_daemon.services._server_connection import ServerConnection
 from fulmarstile_daemon.services.events import CallerLeft
@@ -63,6 +64,8 @@
         log: Log of the daemon.
         id_header: Name of the header that identifies a request in the log.
         lateness: Measures how late the event loop is while requests are in flight.
+        find_deadline: Returns the time by which the body of a request has to be complete, in
+            seconds.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         log: EventLog,
         id_header: bytes,
         lateness: LoopLateness | None = None,
+        find_deadline: Callable[[ReceivedRequest], float] = never,
     ) -> None:
         self._handle = handle
         self._limits = limits
@@ -82,6 +86,7 @@
         self._log = log
         self._id_header = id_header
         self._lateness = lateness or LoopLateness(log)
+        self._find_deadline = find_deadline
         self._connections: dict[ServerConnection, RequestPipeline] = {}
         self._in_flight: dict[RequestScope, ServerConnection] = {}
         self._is_closing = False
@@ -253,7 +258,9 @@
     def _open(
         self, nursery: trio.Nursery, watch: InputWatch, stream: ByteStream
     ) -> tuple[ServerConnection, RequestPipeline]:
-        connection = ServerConnection(stream, self._limits, self._budget, _make_malformed_response)
+        connection = ServerConnection(
+            stream, self._limits, self._budget, _make_malformed_response, self._find_deadline
+        )
         connection.must_close = self._is_closing
         pipeline = RequestPipeline(connection, self._run, nursery, watch)
         self._connections[connection] = pipeline
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -44,6 +44,8 @@
         limits: Returns the current limits.
         budget: Memory limit for messages.
         make_error: Creates the response to a malformed request.
+        find_deadline: Returns the time by which the body of a request has to be complete, in
+            seconds.
     """
 
     def __init__(
@@ -52,12 +54,13 @@
         limits: Callable[[], RequestLimits],
         budget: ByteBudget,
         make_error: Callable[[MalformedRequestError], CallerResponse],
+        find_deadline: Callable[[ReceivedRequest], float],
     ) -> None:
         self._budget = budget
         self._stream = stream
         stream.may_stall = lambda: not budget.is_scarce
         self._make_error = make_error
-        self._reader = RequestReader(stream, limits, budget)
+        self._reader = RequestReader(stream, limits, budget, find_deadline)
         self._unanswered = 0
         self._is_sending = False
         self._is_refused = False
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -215,6 +215,7 @@
             log,
             names.request_id,
             self._lateness,
+            self._entry.find_deadline,
         )
         self._peers = LinkServer(
             self._hops.handle,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -32,6 +32,7 @@
     from fulmarstile_daemon.services.ports import CallHeaderNames
     from fulmarstile_services.balancing import LeastWaitBalancer
     from fulmarstile_services.directory import Directory
+    from fulmarstile_services.document import ServiceRoute
     from fulmarstile_services.freshness import Freshness
     from fulmarstile_services.retry_budget import RetryBudget
     from fulmarstile_services.routing_table import RoutingTable
@@ -45,6 +46,9 @@
 _STOPPING_RETRY_S: Final = 0.1
 """`retry-after` of a daemon that is shutting down, in seconds."""
 
+_UNKNOWN_BODY_S: Final = 10.0
+"""Longest time for the body of a request without a route, in seconds."""
+
 _MAX_TIME_DIGITS: Final = 15
 """Longest time left that is read, in decimal digits; a longer one sets no limit."""
 
@@ -119,6 +123,21 @@
         """Starts the second attempts of hedged requests, until cancelled."""
         await self._attempts.run_hedges()
 
+    def find_deadline(self, request: ReceivedRequest) -> float:
+        """Returns the time after which a request cannot be answered in time.
+
+        Args:
+            request: The request; its body may be missing.
+
+        Returns:
+            The time in seconds.
+        """
+        table = self._routes.table
+        route = table.find(request.headers.get(b"host"), read_path(request)) if table else None
+        if route is None:
+            return request.arrived_at + _UNKNOWN_BODY_S
+        return request.arrived_at + self._read_wait_s(request, route)
+
     async def handle(self, request: ReceivedRequest, scope: RequestScope) -> CallerResponse:
         """Handles a request.
 
@@ -193,10 +212,7 @@
         if identity.customer is not None:
             # It is a caller's own request, whatever its id looks like.
             parent = None
-        wait_s = route.timeout_s
-        value = request.headers.get_bytes(self._names.time_left_ms)
-        if value.isdigit() and len(value) <= _MAX_TIME_DIGITS:
-            wait_s = min(wait_s, int(value) / 1000)
+        wait_s = self._read_wait_s(request, route)
         arrived_at = request.arrived_at
         return ServiceCall(
             request,
@@ -214,6 +230,13 @@
             customer=identity.customer,
         )
 
+    def _read_wait_s(self, request: ReceivedRequest, route: ServiceRoute) -> float:
+        """Returns how long the caller waits for the answer, in seconds."""
+        value = request.headers.get_bytes(self._names.time_left_ms)
+        if value.isdigit() and len(value) <= _MAX_TIME_DIGITS:
+            return min(route.timeout_s, int(value) / 1000)
+        return route.timeout_s
+
     def _find_parent(self, request: ReceivedRequest) -> SlotClass | None:
         """Finds the class of the request for which the upstream on this VM makes this one."""
         request_id = request.headers.get_bytes(self._names.request_id)
