Parse costly bodies in slices, one at a time (clients outside the limits)

Cause: the event loop parsed a whole read of each such body in one step; the search for the end of a chunked body also copied the rest of the read at each empty line in it, also for well-behaved callers. Change: a chunked body is parsed in slices of 16 KiB and 128 possible ends. Bodies in chunks of under 128 bytes, or with that many possible ends, take turns: one slice of one body in each pass of the loop. Nothing is copied for an empty line. Bodies of known length and requests without a body are read as before.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -36,6 +36,10 @@
 _CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 _HEADER_BYTES: Final = 160
 """Memory that a parsed header takes beside its characters, in bytes."""
+_SLICE_BYTES: Final = 16 * 1024
+"""Input of a chunked body that is parsed at once, in bytes."""
+_SLICE_PARTS: Final = 128
+"""Pieces of it that are passed to the parser at once, and chunks from which parsing is costly."""
 _SMALL_HEAD_BYTES: Final = 4 * 1024
 """Memory up to which a head is not accounted for, in bytes."""
 
@@ -54,6 +58,8 @@
         budget: Memory limit for messages.
         find_deadline: Returns the time at which a request, whose body is still missing, can no
             longer be answered in time, in seconds.
+        costly_input: Held while a body is parsed of which much input carries little; shared by
+            all connections.
     """
 
     def __init__(
@@ -62,8 +68,11 @@
         limits: Callable[[], RequestLimits],
         budget: ByteBudget,
         find_deadline: Callable[[ReceivedRequest], float] = never,
+        costly_input: trio.Lock | None = None,
     ) -> None:
         self._stream = stream
+        self._costly_input = costly_input or trio.Lock()
+        self._is_costly = False
         self._limits = limits
         self._budget = budget
         self._find_deadline = find_deadline
@@ -73,6 +82,7 @@
         self._reserved_bytes = 0
         self._wire_bytes = 0
         self._body = bytearray()
+        self._tail = b""
         self._transfer: Transfer | None = None
         self._waiting = trio.CancelScope()
         self._has_given_way = False
@@ -107,6 +117,7 @@
         self._wire_bytes = 0
         self._transfer = None
         self._has_given_way = False
+        self._is_costly = False
         self.method = b""
         received, self.unparsed = self.unparsed, b""
         if not received:
@@ -176,8 +187,8 @@
         if not received and _wants_continue(head):
             await self._send_continue()
         deadline = math.nan
-        body = self._body = bytearray()
-        tail = b""
+        self._body = bytearray()
+        self._tail = b""
         while not parser.is_complete:
             if not received:
                 if math.isnan(deadline):
@@ -185,24 +196,67 @@
                 left_s = max(0.0, deadline - trio.current_time())
                 received = await self._receive_more(min(left_s, limits.head_timeout_s))
             if length is None:
-                end = _find_possible_end(tail, received)
-                tail = (tail + received[:end])[-len(HEAD_END) + 1 :]
+                received = await self._parse_chunks(received)
             else:
-                end = length - len(body)
-            part, received = received[:end], received[end:]
-            parser.feed_body(part)
-            # An object for each of many small chunks would take far more memory than the body.
-            size = len(body)
-            for part in parser.pop_body_parts():
-                body += part
-            if len(body) > limits.body_bytes:
-                raise MalformedRequestError("the request body is too large", 413)
-            self._reserve_received(len(body) - size)
+                end = length - len(self._body)
+                self._parse_body(received[:end])
+                received = received[end:]
         # Data after the body belongs to the next request.
         self.unparsed = received
-        self._body = bytearray()
+        body, self._body = self._body, bytearray()
         return bytes(body)
 
+    async def _parse_chunks(self, received: bytes) -> bytes:
+        """Parses a part of a chunked body, and returns what follows the body."""
+        start = 0
+        while start < len(received) and not self._parser.is_complete:
+            if self._is_costly:
+                # One at a time, so that many callers with tiny chunks don't hold up the others.
+                async with self._costly_input:
+                    start = self._parse_slice(received, start)
+            else:
+                start = self._parse_slice(received, start)
+        return received[start:]
+
+    def _parse_slice(self, received: bytes, start: int) -> int:
+        """Parses some of a chunked body.
+
+        Args:
+            received: Bytes of the body, perhaps followed by another request.
+            start: Position of the first one to parse.
+
+        Returns:
+            Position of the first one that was not parsed.
+        """
+        view = memoryview(received)
+        limit = min(len(received), start + _SLICE_BYTES)
+        feeds = 0
+        while start < limit and feeds < _SLICE_PARTS and not self._parser.is_complete:
+            end = _find_possible_end(self._tail, received, start, limit)
+            self._tail = (self._tail + received[max(start, end - 3) : end])[-3:]
+            self._parser.feed_body(view[start:end])
+            start = end
+            feeds += 1
+        self._is_costly = max(feeds, self._take_body()) >= _SLICE_PARTS
+        return start
+
+    def _parse_body(self, data: bytes) -> None:
+        """Parses a part of a body of known length."""
+        self._parser.feed_body(data)
+        self._take_body()
+
+    def _take_body(self) -> int:
+        """Takes over and accounts for what was parsed of the body, and returns its parts."""
+        size = len(self._body)
+        parts = self._parser.pop_body_parts()
+        # An object for each of many small chunks would take far more memory than the body.
+        for part in parts:
+            self._body += part
+        if len(self._body) > self._limits().body_bytes:
+            raise MalformedRequestError("the request body is too large", 413)
+        self._reserve_received(len(self._body) - size)
+        return len(parts)
+
     def _reserve_head(self, size: int, headers: int) -> None:
         """Reserves the memory of a parsed head, unless it is small.
 
@@ -316,21 +370,23 @@
     return MalformedRequestError("too many large requests are held", 503)
 
 
-def _find_possible_end(tail: bytes, received: bytes) -> int:
+def _find_possible_end(tail: bytes, received: bytes, start: int, limit: int) -> int:
     """Finds where a chunked body may end, which is behind an empty line.
 
     Args:
-        tail: Last bytes before `received`.
+        tail: Last bytes of the body before `start`.
         received: Bytes of the body, perhaps followed by another request.
+        start: Position of the first byte to look at.
+        limit: Position behind the last one.
 
     Returns:
-        Number of bytes up to the first possible end, or all of them.
+        Position of the first possible end, or `limit`.
     """
-    at = (tail + received[: len(HEAD_END)]).find(HEAD_END)
+    at = (tail + received[start : start + len(HEAD_END)]).find(HEAD_END)
     if 0 <= at < len(tail):
-        return at + len(HEAD_END) - len(tail)
-    at = received.find(HEAD_END)
-    return len(received) if at < 0 else at + len(HEAD_END)
+        return min(limit, start + at + len(HEAD_END) - len(tail))
+    at = received.find(HEAD_END, start, limit)
+    return limit if at < 0 else at + len(HEAD_END)
 
 
 def _wants_continue(head: RequestHead) -> bool:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -87,6 +87,7 @@
         self._id_header = id_header
         self._lateness = lateness or LoopLateness(log)
         self._find_deadline = find_deadline
+        self._costly_input = trio.Lock()
         self._connections: dict[ServerConnection, RequestPipeline] = {}
         self._in_flight: dict[RequestScope, ServerConnection] = {}
         self._is_closing = False
@@ -259,7 +260,12 @@
         self, nursery: trio.Nursery, watch: InputWatch, stream: ByteStream
     ) -> tuple[ServerConnection, RequestPipeline]:
         connection = ServerConnection(
-            stream, self._limits, self._budget, _make_malformed_response, self._find_deadline
+            stream,
+            self._limits,
+            self._budget,
+            _make_malformed_response,
+            self._find_deadline,
+            self._costly_input,
         )
         connection.must_close = self._is_closing
         pipeline = RequestPipeline(connection, self._run, nursery, watch)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -46,6 +46,7 @@
         make_error: Creates the response to a malformed request.
         find_deadline: Returns the time by which the body of a request has to be complete, in
             seconds.
+        costly_input: See `RequestReader`.
     """
 
     def __init__(
@@ -55,12 +56,13 @@
         budget: ByteBudget,
         make_error: Callable[[MalformedRequestError], CallerResponse],
         find_deadline: Callable[[ReceivedRequest], float],
+        costly_input: trio.Lock,
     ) -> None:
         self._budget = budget
         self._stream = stream
         stream.may_stall = lambda: not budget.is_scarce
         self._make_error = make_error
-        self._reader = RequestReader(stream, limits, budget, find_deadline)
+        self._reader = RequestReader(stream, limits, budget, find_deadline, costly_input)
         self._unanswered = 0
         self._is_sending = False
         self._is_refused = False
--- a/packages/fulmarstile_http/src/fulmarstile_http/request_parser.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/request_parser.py
@@ -64,7 +64,7 @@
             raise MalformedRequestError("the request head is malformed")
         return head
 
-    def feed_body(self, data: bytes) -> None:
+    def feed_body(self, data: bytes | memoryview) -> None:
         """Parses bytes of the body.
 
         Args:
@@ -135,7 +135,7 @@
         except httptools.HttpParserUpgrade as error:
             raise MalformedRequestError("the method is not supported", status=501) from error
 
-    def _feed(self, data: bytes) -> None:
+    def _feed(self, data: bytes | memoryview) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
