Drop a client of a local address that does not read (clients outside the limits)

Cause: an answer at the control, readiness, metrics and admin addresses was kept until its client had read it, however long. Change: a client has 30 s to read its answer. Evidence: the new test needs the limit; without it nothing bounds the wait (found by reading).

--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
@@ -33,6 +33,9 @@
 REQUEST_TIMEOUT_S: Final = 30.0
 """Longest time from the head of a request to the end of its body, in seconds."""
 
+SEND_TIMEOUT_S: Final = 30.0
+"""Longest time in which a client has to read its answer, in seconds."""
+
 IDLE_TIMEOUT_S: Final = 300.0
 """Time after which a connection without a complete request head is closed, in seconds."""
 
@@ -266,7 +269,8 @@
         parts = [self._protocol.send(response)]
         parts.append(self._protocol.send(h11.Data(data=answer.body)))
         parts.append(self._protocol.send(h11.EndOfMessage()))
-        await self._stream.send_all(b"".join(part for part in parts if part))
+        with trio.fail_after(SEND_TIMEOUT_S):
+            await self._stream.send_all(b"".join(part for part in parts if part))
 
 
 def _parse_request(head: h11.Request, body: bytes) -> HttpRequest:
--- a/tests/platform/test_http_server_memory.py
+++ b/tests/platform/test_http_server_memory.py
@@ -4,23 +4,32 @@
 
 import tracemalloc
 import unittest
+from contextlib import suppress
 
 import trio
 import trio.testing
 
+from fulmarstile_platform import http_server
 from fulmarstile_platform.http_server import HttpAnswer, HttpRequest, listen_http, serve_http
 
 BODY_BYTES = 64 * 1024
 TINY_CHUNKS = b"2\r\nab\r\n" * (BODY_BYTES // 2)
 HEAD = b"POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+GET = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n"
 HELD_BYTES = 16 * BODY_BYTES
 """Bound of what may be allocated for a body: itself, its copy, and what is being parsed."""
+LARGE_BYTES = 16_000_000
+"""Size of an answer, in bytes; more than the buffers of both kernels take."""
 
 
 async def answer(request: HttpRequest) -> HttpAnswer:
     return HttpAnswer(body=b"%d" % len(request.body))
 
 
+async def answer_at_length(request: HttpRequest) -> HttpAnswer:
+    return HttpAnswer(body=bytes(LARGE_BYTES))
+
+
 class HttpServerMemoryTest(unittest.TestCase):
     def test_a_body_in_tiny_chunks_costs_no_more_memory_than_its_size_explains(self) -> None:
         async def run() -> int:
@@ -43,6 +52,28 @@
         finally:
             tracemalloc.stop()
 
+    def test_a_client_that_reads_nothing_of_its_answer_is_dropped(self) -> None:
+        clock = trio.testing.MockClock(rate=0.0)
+
+        async def run() -> None:
+            listeners = await listen_http("127.0.0.1:0")
+            address = listeners[0].socket.getsockname()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(serve_http, listeners, answer_at_length)
+                client = await trio.open_tcp_stream(*address)
+                await client.send_all(GET)
+                await trio.testing.wait_all_tasks_blocked(0.1)
+                clock.jump(http_server.SEND_TIMEOUT_S + 1.0)
+                await trio.testing.wait_all_tasks_blocked(0.1)
+                received = 0
+                with suppress(trio.BrokenResourceError):
+                    while data := await client.receive_some():
+                        received += len(data)
+                self.assertLess(received, LARGE_BYTES)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=clock)
+
 
 if __name__ == "__main__":
     unittest.main()
