Bound the connections that wait at the local addresses (clients outside the limits)

Cause: beyond the connections that are served, each further one was accepted and waited in a task of its own, up to the descriptors of the process, which callers need as well. Change: as many may wait as are served; a further one is closed at once.

--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http_server.py
@@ -43,6 +43,7 @@
 """Maximum number of connections served concurrently.
 
 A further one takes the place of the one that has waited longest for its next request, or waits.
+As many may wait; more are closed at once.
 """
 
 _EVICTION_RETRY_S: Final = 0.05
@@ -133,17 +134,28 @@
     """
     limiter = trio.CapacityLimiter(max_connections)
     connections: set[_Connection] = set()
+    waiting = trio.CapacityLimiter(max_connections)
 
-    async def serve_connection(stream: trio.SocketStream) -> None:
+    async def wait_for_turn() -> None:
         while not limiter.available_tokens and not _close_longest_idle(connections):
             await trio.sleep(_EVICTION_RETRY_S)
-        async with limiter:
+        await limiter.acquire_on_behalf_of(trio.lowlevel.current_task())
+
+    async def serve_connection(stream: trio.SocketStream) -> None:
+        if not waiting.available_tokens:
+            await stream.aclose()
+            return
+        async with waiting:
+            await wait_for_turn()
+        try:
             connection = _Connection(stream, handler, max_body_bytes)
             connections.add(connection)
             try:
                 await connection.serve()
             finally:
                 connections.remove(connection)
+        finally:
+            limiter.release_on_behalf_of(trio.lowlevel.current_task())
 
     await trio.serve_listeners(serve_connection, listeners)
 
--- a/tests/platform/test_http_server_memory.py
+++ b/tests/platform/test_http_server_memory.py
@@ -5,6 +5,7 @@
 import tracemalloc
 import unittest
 from contextlib import suppress
+from unittest import mock
 
 import trio
 import trio.testing
@@ -20,6 +21,7 @@
 """Bound of what may be allocated for a body: itself, its copy, and what is being parsed."""
 LARGE_BYTES = 16_000_000
 """Size of an answer, in bytes; more than the buffers of both kernels take."""
+CONNECTIONS = 4
 
 
 async def answer(request: HttpRequest) -> HttpAnswer:
@@ -74,6 +76,20 @@
 
         trio.run(run, clock=clock)
 
+    def test_connections_that_wait_to_be_served_are_bounded(self) -> None:
+        async def run() -> None:
+            listeners = await listen_http("127.0.0.1:0")
+            address = listeners[0].socket.getsockname()
+            with mock.patch.object(http_server, "_close_longest_idle", return_value=False):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(serve_http, listeners, answer, CONNECTIONS)
+                    clients = [await trio.open_tcp_stream(*address) for _ in range(4 * CONNECTIONS)]
+                    await trio.testing.wait_all_tasks_blocked(0.1)
+                    self.assertEqual(await clients[-1].receive_some(), b"")
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(rate=0.0))
+
 
 if __name__ == "__main__":
     unittest.main()
