--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -30,6 +29,7 @@
     from fulmarstile_daemon.services._byte_budget import ByteBudget
     from fulmarstile_daemon.services._read_ahead import ReadAhead
     from fulmarstile_http.byte_stream import ByteStream
+    from fulmarstile_http.headers import MessageHeaders
     from fulmarstile_http.messages import RequestHead
     from fulmarstile_services.document import RequestLimits
 
@@ -136,12 +136,15 @@
         check_framing(head, headers)
         check_head(head)
         self._reserve_head(end, len(head.headers))
-        request = ReceivedRequest(head.method, head.target, headers, b"", trio.current_time())
-        if not parser.is_complete:
-            body = await self._receive_body(head, request, received[end:])
-            request = replace(request, body=body)
+        arrived_at = trio.current_time()
+        received = received[end:]
+        if parser.is_complete:
+            body, self.unparsed = b"", received
+        elif headers.content_length and len(received) >= headers.content_length:
+            body = self._take_whole_body(headers.content_length, received)
         else:
-            self.unparsed = received[end:]
+            body = await self._receive_body(head, headers, arrived_at, received)
+        request = ReceivedRequest(head.method, head.target, headers, body, arrived_at)
         keeps_alive = parser.keeps_alive and not parser.has_pipelined_bytes
         self.is_receiving = False
         return CallerExchange(head.method, request, keeps_alive, self.take_held_bytes())
@@ -176,11 +179,20 @@
             raise MalformedRequestError("the request head is too large", 431)
         return received
 
+    def _take_whole_body(self, length: int, received: bytes) -> bytes:
+        """Takes a body that has arrived whole with its head."""
+        if length > self._limits().body_bytes:
+            raise MalformedRequestError("the request body is too large", 413)
+        self._parser.feed_body(received[:length])
+        self._reserve_received(length)
+        self.unparsed = received[length:]
+        return b"".join(self._parser.pop_body_parts())
+
     async def _receive_body(
-        self, head: RequestHead, request: ReceivedRequest, received: bytes
+        self, head: RequestHead, headers: MessageHeaders, arrived_at: float, received: bytes
     ) -> bytes:
         limits = self._limits()
-        length = request.headers.content_length
+        length = headers.content_length
         if (length or 0) > limits.body_bytes:
             raise MalformedRequestError("the request body is too large", 413)
         parser = self._parser
@@ -192,7 +204,8 @@
         while not parser.is_complete:
             if not received:
                 if math.isnan(deadline):
-                    deadline = self._find_deadline(request)
+                    partial = ReceivedRequest(head.method, head.target, headers, b"", arrived_at)
+                    deadline = self._find_deadline(partial)
                 left_s = max(0.0, deadline - trio.current_time())
                 received = await self._receive_more(min(left_s, limits.head_timeout_s))
             if length is None:
