Account for trailers, and hold no input that was parsed (clients outside the limits)

What callers saw: nothing yet. Found by the unit test of one trailer line: within MaxHeaderBytes, 128 connections held 4.3 MB of trailers that no limit knew, and each kept the whole first read of its request while it waited for more. Cause: an unfinished trailer is held by the parser and wasn't accounted for; the parser and its callbacks refer to each other, so that what it held stayed until the collector ran; local variables kept what was parsed. Change: input beside the body is reserved in the callers' share, the parser is released with its request, and parsed input is dropped before more is awaited. The test leaves the list with this commit.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -80,6 +80,7 @@
         self._read_ahead: ReadAhead | None = None
         self._waited_s = 0.0
         self._reserved_bytes = 0
+        self._framing_bytes = 0
         self._wire_bytes = 0
         self._body = bytearray()
         self._tail = b""
@@ -115,19 +116,30 @@
         self._read_ahead = read_ahead
         self._waited_s = 0.0
         self._wire_bytes = 0
+        self._framing_bytes = 0
         self._transfer = None
         self._has_given_way = False
         self._is_costly = False
         self.method = b""
-        received, self.unparsed = self.unparsed, b""
-        if not received:
-            received = await self._receive()
-            if not received:
+        if not self.unparsed:
+            self.unparsed = await self._receive()
+            if not self.unparsed:
                 return None
-        self._wire_bytes = len(received)
+        self._wire_bytes = len(self.unparsed)
         self.is_receiving = True
-        parser = self._parser = RequestParser(self._limits().head_bytes)
-        received = await self._receive_head(received)
+        self._parser = RequestParser(self._limits().head_bytes)
+        try:
+            return await self._receive_request()
+        except MalformedRequestError:
+            self.unparsed = b""
+            raise
+        finally:
+            self._parser.release()
+
+    async def _receive_request(self) -> CallerExchange:
+        """Receives the rest of a request of which some bytes have arrived."""
+        parser = self._parser
+        received = await self._receive_head()
         end = received.find(HEAD_END) + len(HEAD_END)
         check_line_ends(received[: end - 2])
         head = parser.parse_complete_head(received[:end])
@@ -137,13 +149,15 @@
         check_head(head)
         self._reserve_head(end, len(head.headers))
         arrived_at = trio.current_time()
-        received = received[end:]
+        self.unparsed = received[end:]
+        # What has been parsed must not be held while the rest is awaited.
+        del received
         if parser.is_complete:
-            body, self.unparsed = b"", received
-        elif headers.content_length and len(received) >= headers.content_length:
-            body = self._take_whole_body(headers.content_length, received)
+            body = b""
+        elif headers.content_length and len(self.unparsed) >= headers.content_length:
+            body = self._take_whole_body(headers.content_length)
         else:
-            body = await self._receive_body(head, headers, arrived_at, received)
+            body = await self._receive_body(head, headers, arrived_at)
         request = ReceivedRequest(head.method, head.target, headers, body, arrived_at)
         keeps_alive = parser.keeps_alive and not parser.has_pipelined_bytes
         self.is_receiving = False
@@ -158,20 +172,32 @@
 
     def release_partial(self) -> None:
         """Returns the memory of a request that was received in part to the budget."""
-        self._budget.release_for_caller(self._reserved_bytes)
-        self._reserved_bytes = 0
+        self._release_reserved()
         # It refers to this reader: the cycle would keep the body.
         self._transfer = None
         self._body = bytearray()
 
-    async def _receive_head(self, received: bytes) -> bytes:
+    def _release_reserved(self) -> None:
+        self._budget.release_for_caller(self._reserved_bytes)
+        self._reserved_bytes = 0
+
+    def _pop_unparsed(self) -> bytes:
+        received, self.unparsed = self.unparsed, b""
+        return received
+
+    async def _receive_head(self) -> bytes:
+        """Receives until a head is complete, and returns all that has arrived."""
         limits = self._limits()
-        if received.find(HEAD_END) < 0:
+        if self.unparsed.find(HEAD_END) >= 0:
+            received = self._pop_unparsed()
+        else:
             receive, timeout_s = self._receive_more_of_head, limits.head_timeout_s
             if self._read_ahead is not None:
                 receive, timeout_s = self._receive_ahead_of_head, math.inf
-            self._reserve_received(len(received))
-            received = await receive_rest_of_head(received, receive, limits.head_bytes, timeout_s)
+            self._reserve_received(len(self.unparsed))
+            received = await receive_rest_of_head(
+                self._pop_unparsed(), receive, limits.head_bytes, timeout_s
+            )
         end = received.find(HEAD_END)
         if end < 0:
             raise CallerDisconnectedError
@@ -179,19 +205,20 @@
             raise MalformedRequestError("the request head is too large", 431)
         return received
 
-    def _take_whole_body(self, length: int, received: bytes) -> bytes:
+    def _take_whole_body(self, length: int) -> bytes:
         """Takes a body that has arrived whole with its head."""
         if length > self._limits().body_bytes:
             raise MalformedRequestError("the request body is too large", 413)
-        self._parser.feed_body(received[:length])
+        self._parser.feed_body(self.unparsed[:length])
         self._reserve_received(length)
-        self.unparsed = received[length:]
+        self.unparsed = self.unparsed[length:]
         return b"".join(self._parser.pop_body_parts())
 
     async def _receive_body(
-        self, head: RequestHead, headers: MessageHeaders, arrived_at: float, received: bytes
+        self, head: RequestHead, headers: MessageHeaders, arrived_at: float
     ) -> bytes:
         limits = self._limits()
+        received = self._pop_unparsed()
         length = headers.content_length
         if (length or 0) > limits.body_bytes:
             raise MalformedRequestError("the request body is too large", 413)
@@ -267,7 +294,9 @@
             self._body += part
         if len(self._body) > self._limits().body_bytes:
             raise MalformedRequestError("the request body is too large", 413)
-        self._reserve_received(len(self._body) - size)
+        framing_bytes = max(self._framing_bytes, self._parser.framing_bytes)
+        self._reserve_received(len(self._body) - size + framing_bytes - self._framing_bytes)
+        self._framing_bytes = framing_bytes
         return len(parts)
 
     def _reserve_head(self, size: int, headers: int) -> None:
@@ -277,7 +306,7 @@
             size: Size of the head in bytes.
             headers: Number of its headers.
         """
-        self.release_partial()
+        self._release_reserved()
         if self._read_ahead is not None:
             # Its characters were reserved when they were read.
             size = 0
--- a/packages/fulmarstile_http/src/fulmarstile_http/request_parser.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/request_parser.py
@@ -27,7 +27,7 @@
     """
 
     def __init__(self, framing_limit: int = _DEFAULT_FRAMING_BYTES) -> None:
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self._framing = FramingLimit(framing_limit)
         self._body_bytes = 0
         self._target = b""
@@ -42,6 +42,11 @@
         self.keeps_alive = False
         """Whether the other side may send another request afterwards."""
 
+    @property
+    def framing_bytes(self) -> int:
+        """Input beside the body that it may hold, such as an unfinished trailer, in bytes."""
+        return self._framing.stalled_bytes
+
     def parse_complete_head(self, data: bytes) -> RequestHead:
         """Parses a complete head, without any bytes after it.
 
@@ -84,6 +89,13 @@
         parts, self._parts = self._parts, []
         return parts
 
+    def release(self) -> None:
+        """Ends the parsing, and frees what was received of an unfinished part.
+
+        Until then the parser and its callbacks refer to each other.
+        """
+        self._parser = None
+
     def on_message_begin(self) -> None:
         """Called by the parser at the first byte of a request."""
         if self.is_complete:
@@ -101,10 +113,10 @@
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of the head."""
-        if not self._in_head:
+        parser = self._parser
+        if not self._in_head or parser is None:
             return
         self._in_head = False
-        parser = self._parser
         self.keeps_alive = parser.should_keep_alive()
         self._head = RequestHead(
             parser.get_method(), self._target, self._headers, parser.get_http_version().encode()
@@ -136,6 +148,8 @@
             raise MalformedRequestError("the method is not supported", status=501) from error
 
     def _feed(self, data: bytes | memoryview) -> None:
+        if self._parser is None:
+            raise MalformedRequestError("the request has ended")
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
--- a/tests/services/test_requests_outside_limits.py
+++ b/tests/services/test_requests_outside_limits.py
@@ -101,7 +101,6 @@
         print(f"{self.id()}: {held_bytes} bytes held")
         self.assertLessEqual(held_bytes, MAX_HELD_BYTES)
 
-    @pass_over_known_red
     def test_one_trailer_line_without_end_is_not_held(self) -> None:
         self.check(CHUNKED + LAST_CHUNK + b"x-more: ", b"a" * PIECE, 16)
 
