Let stalled requests give their connections to others (clients outside the limits)

What callers saw: nothing yet; found by a review by reading. Connections with an unfinished head or body, or an answer that nobody reads, were never evicted, so that they exceeded the limit of callers' connections up to the descriptors, which the daemon needs for its upstream and for other daemons.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -245,14 +245,14 @@
 
     def _on_exhausted(self, error: OutOfDescriptorsError) -> None:
         _LOGGER.warning("cannot accept a connection: %s", error)
-        self._evict_idle()
+        self._evict()
 
     async def _serve_connection(
         self, nursery: trio.Nursery, watch: InputWatch, stream: ByteStream
     ) -> None:
         try:
             if len(self._connections) >= self._connection_limit:
-                self._evict_idle()
+                self._evict()
             connection, pipeline = self._open(nursery, watch, stream)
         except Exception:
             # An error on one connection must not terminate the daemon.
@@ -339,12 +339,18 @@
                 if connection.idle_since < oldest:
                     connection.try_close_idle()
 
-    def _evict_idle(self) -> None:
-        """Closes the connection that has been idle longest, if any is idle."""
+    def _evict(self) -> None:
+        """Makes room for a connection: closes an idle one, or ends a message without progress."""
+        if not self._evict_idle():
+            self._budget.transfers.drop_longest_stalled()
+
+    def _evict_idle(self) -> bool:
+        """Closes the connection that has been idle longest; returns whether one is idle."""
         idle = [connection for connection in self._connections if connection.is_idle]
         for connection in sorted(idle, key=lambda connection: connection.idle_since):
             if connection.try_close_idle():
-                return
+                return True
+        return False
 
 
 def make_error_response(status: int, detail: str, retry_after_s: float = 0.0) -> CallerResponse:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_transfers.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_transfers.py
@@ -24,13 +24,14 @@
         drop: Drops it, and returns its memory at once.
     """
 
-    __slots__ = ("_drop", "_held_bytes", "_moved_at", "_moved_bytes")
+    __slots__ = ("_drop", "_held_bytes", "_moved_bytes", "moved_at")
 
     def __init__(self, held_bytes: Callable[[], int], drop: Callable[[], None]) -> None:
         self._held_bytes = held_bytes
         self._drop = drop
-        self._moved_at = trio.current_time()
         self._moved_bytes = 0
+        self.moved_at = trio.current_time()
+        """Time of the last progress, in seconds."""
 
     @property
     def held_bytes(self) -> int:
@@ -46,11 +47,11 @@
         self._moved_bytes += size
         if self._moved_bytes >= _PROGRESS_BYTES:
             self._moved_bytes = 0
-            self._moved_at = trio.current_time()
+            self.moved_at = trio.current_time()
 
     def is_stalled(self, now: float) -> bool:
         """Checks whether it has made no progress for long, at a time in seconds."""
-        return now - self._moved_at >= _STALL_S
+        return now - self.moved_at >= _STALL_S
 
     def drop(self) -> None:
         """Drops it, and returns its memory at once."""
@@ -78,13 +79,30 @@
         Returns:
             Whether there was one.
         """
-        if not self._waiting:
+        stalled = [each for each in self._find_stalled() if each.held_bytes]
+        if not stalled:
             return False
-        now = trio.current_time()
-        stalled = [each for each in self._waiting if each.is_stalled(now) and each.held_bytes]
+        self._drop(max(stalled, key=lambda transfer: transfer.held_bytes))
+        return True
+
+    def drop_longest_stalled(self) -> bool:
+        """Drops the message that has made no progress for the longest time.
+
+        Returns:
+            Whether there was one.
+        """
+        stalled = self._find_stalled()
         if not stalled:
             return False
-        largest = max(stalled, key=lambda transfer: transfer.held_bytes)
-        del self._waiting[largest]
-        largest.drop()
+        self._drop(min(stalled, key=lambda transfer: transfer.moved_at))
         return True
+
+    def _find_stalled(self) -> list[Transfer]:
+        if not self._waiting:
+            return []
+        now = trio.current_time()
+        return [each for each in self._waiting if each.is_stalled(now)]
+
+    def _drop(self, transfer: Transfer) -> None:
+        del self._waiting[transfer]
+        transfer.drop()
--- a/tests/services/test_stalled_uploads.py
+++ b/tests/services/test_stalled_uploads.py
@@ -40,9 +40,12 @@
         self._budget = budget
         self._clock = clock
 
+    async def connect(self) -> trio.SocketStream:
+        return await connect(self._address)
+
     async def begin_uploads(self) -> list[trio.SocketStream]:
         """Sends the begin of uploads that together take all memory for callers' requests."""
-        callers = [await connect(self._address) for _ in range(CALLERS)]
+        callers = [await self.connect() for _ in range(CALLERS)]
         for caller in callers:
             await caller.send_all(UPLOAD_HEAD + b"x" * SENT_BYTES)
         await self.wait_held(CALLERS * SENT_BYTES)
@@ -55,7 +58,7 @@
 
     async def upload(self) -> bytes:
         """Sends a whole upload, and returns the begin of the answer."""
-        caller = await connect(self._address)
+        caller = await self.connect()
         await caller.send_all(UPLOAD_HEAD + b"x" * UPLOAD_BYTES)
         return await caller.receive_some()
 
@@ -68,9 +71,9 @@
 
 
 @asynccontextmanager
-async def serve(clock: trio.testing.MockClock) -> AsyncIterator[Site]:
+async def serve(clock: trio.testing.MockClock, connections: int = 100) -> AsyncIterator[Site]:
     budget = ByteBudget(BUDGET_BYTES)
-    server = RequestServer(answer, RequestLimits, 100, budget, EventLog("d"), b"request-id")
+    server = RequestServer(answer, RequestLimits, connections, budget, EventLog("d"), b"request-id")
     async with trio.open_nursery() as nursery:
         yield Site(await nursery.start(server.serve, "127.0.0.1:0"), budget, clock)
         nursery.cancel_scope.cancel()
@@ -91,6 +94,20 @@
 
         trio.run(run, clock=self.clock)
 
+    def test_unfinished_heads_give_their_connections_to_others(self) -> None:
+        async def run() -> None:
+            async with serve(self.clock, connections=CALLERS) as site:
+                stalled = [await site.connect() for _ in range(CALLERS)]
+                for caller in stalled:
+                    await caller.send_all(UPLOAD_HEAD[:20])
+                await trio.testing.wait_all_tasks_blocked(0.01)
+                site.pass_time(STALL_S)
+                self.assertTrue((await site.upload()).startswith(b"HTTP/1.1 200"))
+                refused = await stalled[0].receive_some()
+                self.assertTrue(refused.startswith(b"HTTP/1.1 503"), refused)
+
+        trio.run(run, clock=self.clock)
+
     def test_a_trickle_does_not_keep_the_memory_of_an_upload(self) -> None:
         async def run() -> None:
             async with serve(self.clock) as site:
