--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/background_tasks.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/background_tasks.py
@@ -34,14 +34,19 @@
             return
 
 
-async def run_and_log(run: Callable[..., Awaitable[None]], *arguments: Any) -> None:
+async def run_and_log(run: Callable[..., Awaitable[None]], *arguments: Any) -> bool:
     """Runs a task whose unexpected error is logged instead of ending the daemon.
 
     Args:
         run: The task, which is not run again.
         arguments: Its arguments.
+
+    Returns:
+        Whether it ended without an error.
     """
     try:
         await run(*arguments)
     except Exception:
         _LOGGER.exception("%s failed", run.__qualname__)
+        return False
+    return True
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from fulmarstile_daemon.background_tasks import run_and_log
+from fulmarstile_daemon.background_tasks import keep_running, run_and_log
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._stop_times import CLOSED, StopTimes
 from fulmarstile_daemon.services.events import StopPhase
@@ -123,7 +123,7 @@
         )
         async with trio.open_nursery() as nursery:
             self._apply_times()
-            nursery.start_soon(self._follow_boot_clock)
+            nursery.start_soon(keep_running, self._follow_boot_clock)
             self._callers.begin_closing()
             await self._run_until(ends_at - _DRAIN_S, self._serve_callers)
             accepts_until = min(self._times_by_boot_clock.accepts_until, self._clock())
@@ -139,7 +139,9 @@
         """Runs a phase, until a time of the boot clock at the latest."""
         self._phase_ends_at = ends_at
         with trio.CancelScope(deadline=self._to_loop_time(ends_at)) as self._phase:
-            await run_phase()
+            if not await run_and_log(run_phase):
+                # Requests in flight have the rest of the phase.
+                await trio.sleep_forever()
 
     async def _follow_boot_clock(self) -> None:
         """Moves all times ahead while the VM is suspended, which the loop's clock leaves out."""
