--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/log_output.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/log_output.py
@@ -5,6 +5,7 @@
 import os
 import select
 import stat
+import threading
 from collections import deque
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Final, TextIO
@@ -16,6 +17,8 @@
 """Largest write that a pipe accepts either whole or not at all."""
 _MAX_PENDING_LINES: Final = 2_000
 """Maximum number of buffered lines; further ones are dropped and counted."""
+_MAX_STALL_S: Final = 0.1
+"""Longest time for which a write that stalls is waited for, in seconds."""
 
 
 class LogOutput:
@@ -59,6 +62,7 @@
 
     def __init__(self, get_stream: Callable[[], TextIO | None]) -> None:
         self._get_stream = get_stream
+        self._writing = threading.Lock()
         self._unwritten = b""
         self.lines: deque[bytes] = deque()
         """Lines of which nothing was written, except for those being written."""
@@ -70,6 +74,21 @@
         """Whether anything waits to be written."""
         return bool(self._unwritten or self.lines)
 
+    @property
+    def may_stall(self) -> bool:
+        """Whether a write may block although there is room, as that to a file on a slow disk."""
+        stream = self._get_stream()
+        try:
+            return stream is not None and stat.S_ISREG(os.fstat(stream.fileno()).st_mode)
+        except (OSError, ValueError):
+            # It is closed, or no file of the operating system.
+            return False
+
+    @property
+    def is_writing(self) -> bool:
+        """Whether a thread is writing, which goes on to the lines that are added meanwhile."""
+        return self._writing.locked()
+
     def add(self, line: bytes) -> bool:
         """Adds a line, unless too many wait.
 
@@ -86,9 +105,12 @@
         return True
 
     def flush(self) -> None:
-        """Writes the lines, as far as the stream accepts them without blocking."""
+        """Writes the lines, as far as the stream accepts them without blocking.
+
+        If it may stall, this belongs into another thread than that of the event loop.
+        """
         try:
-            with open_log_output(self._get_stream()) as output:
+            with self._writing, open_log_output(self._get_stream()) as output:
                 while self.has_pending:
                     self._unwritten = self._unwritten or self._take_batch()
                     written = output.write(self._unwritten)
@@ -99,6 +121,20 @@
             # The stream is closed, and there is no other place to report that.
             self._drop_lines()
 
+    def flush_briefly(self) -> None:
+        """Writes the lines; a write that stalls goes on in a thread of its own."""
+        if not self.may_stall:
+            self.flush()
+            return
+        thread = threading.Thread(target=self.flush, daemon=True)
+        try:
+            thread.start()
+        except RuntimeError:
+            # The process may start no more threads.
+            self.flush()
+        else:
+            thread.join(_MAX_STALL_S)
+
     def _take_batch(self) -> bytes:
         """Removes the next lines that fit into one atomic write, or one longer line."""
         batch = [self.lines.popleft()]
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/logging_setup.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/logging_setup.py
@@ -38,4 +38,5 @@
 
     def write(self, line: str) -> None:
         self._buffer.add(line.encode(errors="replace"))
-        self._buffer.flush()
+        if not self._buffer.is_writing:
+            self._buffer.flush_briefly()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/event_log.py
@@ -77,11 +77,14 @@
                 self._has_lines = trio.Event()
                 await self._has_lines.wait()
             await trio.sleep(_FLUSH_S)
-            self.flush()
+            if self._buffer.may_stall:
+                await trio.to_thread.run_sync(self._buffer.flush, abandon_on_cancel=True)
+            else:
+                self._buffer.flush()
 
     def flush(self) -> None:
-        """Writes the buffered lines, as far as standard output accepts them without blocking."""
-        self._buffer.flush()
+        """Writes the buffered lines, as far as that is possible at once or in a short time."""
+        self._buffer.flush_briefly()
 
     def _encode(self, event: LogEvent) -> bytes:
         try:
--- a/tests/services/test_slow_log_reader.py
+++ b/tests/services/test_slow_log_reader.py
@@ -5,16 +5,23 @@
 import json
 import os
 import select
+import tempfile
 import threading
 import unittest
 from contextlib import suppress
+from typing import TYPE_CHECKING
 from unittest import mock
 
 import trio
+from loguru import logger
 
+from fulmarstile_daemon.logging_setup import configure_logging
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_daemon.services.events import LibraryMessage
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 LINES = 1_500
 TEXT = "x" * 200
 """Together with `LINES`, more than a pipe holds."""
@@ -118,5 +125,62 @@
         self.finish_reading()
 
 
+class StallingLogFileTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.file = self.enterContext(tempfile.NamedTemporaryFile("r"))
+        stdout = self.enterContext(open(self.file.name, "w"))
+        self.enterContext(mock.patch("sys.stdout", stdout))
+        self.stalls, self.goes_on = threading.Event(), threading.Event()
+        self.timed_out = False
+        self.enterContext(mock.patch("fulmarstile_daemon.log_output.os.write", self.write))
+
+    def write(self, descriptor: int, data: bytes, write: Callable = os.write) -> int:
+        self.stalls.set()
+        self.timed_out |= not self.goes_on.wait(FLUSH_TIMEOUT_S)
+        return write(descriptor, data)
+
+    async def read_lines(self) -> list[str]:
+        with trio.fail_after(FLUSH_TIMEOUT_S):
+            while not (lines := self.file.readlines()):
+                await trio.sleep(0.01)
+        return lines
+
+    def test_a_file_whose_writes_stall_does_not_hold_up_the_event_loop(self) -> None:
+        log = make_log(1)
+
+        async def run() -> list[str]:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(log.flush_forever)
+                while not self.stalls.is_set():
+                    await trio.sleep(0.01)
+                self.goes_on.set()
+                lines = await self.read_lines()
+                nursery.cancel_scope.cancel()
+            return lines
+
+        self.assertEqual(json.loads(trio.run(run)[0])["text"], TEXT)
+        self.assertFalse(self.timed_out)
+
+    def test_a_file_whose_writes_stall_does_not_hold_up_the_end_of_the_process(self) -> None:
+        log = make_log(1)
+        log.flush()
+        self.assertTrue(self.stalls.wait(FLUSH_TIMEOUT_S))
+        self.goes_on.set()
+        self.assertEqual(len(trio.run(self.read_lines)), 1)
+        self.assertFalse(self.timed_out)
+
+    def test_a_file_whose_writes_stall_does_not_hold_up_the_other_daemon(self) -> None:
+        stderr = self.enterContext(open(self.file.name, "w"))
+        self.enterContext(mock.patch("sys.stderr", stderr))
+        self.addCleanup(logger.remove)
+        configure_logging("json", "INFO")
+        logger.info("first")
+        logger.info("second")
+        self.assertTrue(self.stalls.wait(FLUSH_TIMEOUT_S))
+        self.goes_on.set()
+        self.assertIn("first", trio.run(self.read_lines)[0])
+        self.assertFalse(self.timed_out)
+
+
 if __name__ == "__main__":
     unittest.main()
