--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/__main__.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/__main__.py
@@ -25,6 +25,9 @@
 _SEEDS = flags.DEFINE_integer("seeds", 100, "Number of cases.")
 _SEED = flags.DEFINE_integer("seed", None, "Plays this case only.")
 _JOBS = flags.DEFINE_integer("jobs", 2, "Number of processes.")
+_ONLY_STOPS = flags.DEFINE_bool(
+    "only_stops", False, "All daemons stop in a row beside long requests, without other faults."
+)
 _TRACE = flags.DEFINE_bool("trace", False, "Print the events of the cases.")
 
 
@@ -43,7 +46,7 @@
     if _SEED.value is not None:
         seeds = range(_SEED.value, _SEED.value + 1)
     started_at = time.monotonic()
-    play = partial(play_seed, with_trace=_TRACE.value)
+    play = partial(play_seed, with_trace=_TRACE.value, only_stops=_ONLY_STOPS.value)
     played = failed = requests = 0
     with get_context("spawn").Pool(min(_JOBS.value, len(seeds))) as pool:
         for result in pool.imap_unordered(play, seeds):
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/case.py
@@ -65,12 +65,14 @@
 
     Args:
         seed: Seed of all that is drawn.
+        only_stops: Whether all daemons stop in a row beside long requests, without other faults.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, only_stops: bool = False) -> None:
         self._rng = random.Random(seed)
         self._seed = seed
-        self._options = CaseOptions.draw(self._rng)
+        options = CaseOptions.draw(self._rng)
+        self._options = options.beside_stops() if only_stops else options
         self._result = CaseResult(self._options)
         self._runs: list[DaemonRun] = []
         self._upstreams: list[ServiceUpstream] = []
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/options.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/options.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     import random
 
+_MIN_STOPPING_DAEMONS: Final = 3
+"""Minimum number of daemons, so that two upstreams of a service stop one after the other."""
+
 
 @dataclass(frozen=True, slots=True)
 class CaseOptions:
@@ -62,3 +65,17 @@
             forwards_all=daemons > 2 and rng.random() < 0.5,
             changes_routes=rng.random() < 0.3,
         )
+
+    def beside_stops(self) -> CaseOptions:
+        """Returns options with long requests beside stops in a row, and without other faults."""
+        return replace(
+            self,
+            daemons=max(self.daemons, _MIN_STOPPING_DAEMONS),
+            has_disruptions=False,
+            has_upstream_faults=False,
+            has_long_requests=True,
+            has_long_delays=True,
+            has_leaving_upstreams=False,
+            stops_in_a_row=True,
+            forwards_all=True,
+        )
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/replay.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/replay.py
@@ -30,12 +30,13 @@
     raise TimeoutError("the case has not ended")
 
 
-def play_seed(seed: int, *, with_trace: bool) -> PlayedSeed:
+def play_seed(seed: int, *, with_trace: bool, only_stops: bool = False) -> PlayedSeed:
     """Plays one case.
 
     Args:
         seed: Its seed.
         with_trace: Whether to keep the events and the logs of the daemons.
+        only_stops: See `Case`.
 
     Returns:
         What it showed.
@@ -45,7 +46,7 @@
     signal.signal(signal.SIGALRM, _on_alarm)
     signal.alarm(_MAX_CASE_S)
     try:
-        result = Case(seed).play()
+        result = Case(seed, only_stops=only_stops).play()
     except Exception:
         return PlayedSeed(0, [f"seed {seed}: ERROR\n{traceback.format_exc()}"], [])
     signal.alarm(0)
