--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -136,6 +136,7 @@
             accepts_until=requested_at + accept_s,
             ends_at=ends_at,
             accepts_nested_until=requested_at + nested_accept_s,
+            may_break_off_at=min(cut_at, may_cut_from),
         )
         async with trio.open_nursery() as nursery:
             self._apply_times()
@@ -175,6 +176,7 @@
                 self._to_loop_time(times.accepts_until),
                 self._to_loop_time(times.ends_at),
                 self._to_loop_time(times.accepts_nested_until),
+                self._to_loop_time(times.may_break_off_at),
             )
         )
 
