Count only the time for which a body is awaited (clients outside the limits)

Change: the time limit counts the time for which the body was awaited, not the pauses of this side; and what has arrived when the time is over is read, as the event loop may be late. Such a request gets the answer of a late one, as before.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -56,8 +56,8 @@
         stream: Stream of the connection.
         limits: Returns the current limits.
         budget: Memory limit for messages.
-        find_deadline: Returns the time at which a request, whose body is still missing, can no
-            longer be answered in time, in seconds.
+        find_wait_s: Returns how long the caller of a request, whose body is missing, waits for
+            the answer, in seconds.
         costly_input: Held while a body is parsed of which much input carries little; shared by
             all connections.
     """
@@ -67,7 +67,7 @@
         stream: ByteStream,
         limits: Callable[[], RequestLimits],
         budget: ByteBudget,
-        find_deadline: Callable[[ReceivedRequest], float] = never,
+        find_wait_s: Callable[[ReceivedRequest], float] = never,
         costly_input: trio.Lock | None = None,
     ) -> None:
         self._stream = stream
@@ -75,7 +75,7 @@
         self._is_costly = False
         self._limits = limits
         self._budget = budget
-        self._find_deadline = find_deadline
+        self._find_wait_s = find_wait_s
         self._parser = RequestParser()
         self._read_ahead: ReadAhead | None = None
         self._waited_s = 0.0
@@ -225,15 +225,16 @@
         parser = self._parser
         if not received and _wants_continue(head):
             await self._send_continue()
-        deadline = math.nan
+        limit_s = math.nan
+        self._waited_s = 0.0
         self._body = bytearray()
         self._tail = b""
         while not parser.is_complete:
             if not received:
-                if math.isnan(deadline):
+                if math.isnan(limit_s):
                     partial = ReceivedRequest(head.method, head.target, headers, b"", arrived_at)
-                    deadline = self._find_deadline(partial)
-                left_s = max(0.0, deadline - trio.current_time())
+                    limit_s = self._find_wait_s(partial)
+                left_s = max(0.0, limit_s - self._waited_s)
                 received = await self._receive_more(min(left_s, limits.head_timeout_s))
             if length is None:
                 received = await self._parse_chunks(received)
@@ -348,11 +349,8 @@
 
     async def _receive_ahead_of_head(self) -> bytes:
         """Receives more of a head; pauses of reading don't count towards its time limit."""
-        started_at = trio.current_time()
-        paused_s = await self._wait_for_room()
-        data = await self._receive_part(self._limits().head_timeout_s - self._waited_s)
-        self._waited_s += trio.current_time() - started_at - paused_s
-        return data
+        await self._wait_for_room()
+        return await self._receive_part(self._limits().head_timeout_s - self._waited_s)
 
     async def _receive_more(self, timeout_s: float) -> bytes:
         await self._wait_for_room()
@@ -376,26 +374,28 @@
         transfer = self._transfer
         if transfer is None:
             transfer = self._transfer = Transfer(lambda: self._reserved_bytes, self._give_way)
+        started_at = trio.current_time()
         with (
             self._budget.transfers.track(transfer),
             trio.move_on_after(timeout_s) as self._waiting,
         ):
             data = await self._receive()
+        self._waited_s += trio.current_time() - started_at
         if self._has_given_way:
             raise _make_no_memory_error()
         if self._waiting.cancelled_caught:
-            raise MalformedRequestError("the request arrived too slowly", 408)
+            if self._stream.is_open_without_input:
+                raise MalformedRequestError("the request arrived too slowly", 408)
+            # It has arrived in time: this side didn't read it, or its event loop is late.
+            data = await self._receive()
         self._wire_bytes += len(data)
         transfer.on_moved(len(data))
         return data
 
-    async def _wait_for_room(self) -> float:
-        """Waits until reading may go on, and returns for how long in seconds."""
-        if self._read_ahead is None:
-            return 0.0
-        started_at = trio.current_time()
-        await self._read_ahead.wait_for_room()
-        return trio.current_time() - started_at
+    async def _wait_for_room(self) -> None:
+        """Waits until reading may go on."""
+        if self._read_ahead is not None:
+            await self._read_ahead.wait_for_room()
 
     async def _receive(self) -> bytes:
         try:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -64,8 +64,7 @@
         log: Log of the daemon.
         id_header: Name of the header that identifies a request in the log.
         lateness: Measures how late the event loop is while requests are in flight.
-        find_deadline: Returns the time by which the body of a request has to be complete, in
-            seconds.
+        find_wait_s: Returns how long the caller of a request waits for the answer, in seconds.
     """
 
     def __init__(
@@ -77,7 +76,7 @@
         log: EventLog,
         id_header: bytes,
         lateness: LoopLateness | None = None,
-        find_deadline: Callable[[ReceivedRequest], float] = never,
+        find_wait_s: Callable[[ReceivedRequest], float] = never,
     ) -> None:
         self._handle = handle
         self._limits = limits
@@ -86,7 +85,7 @@
         self._log = log
         self._id_header = id_header
         self._lateness = lateness or LoopLateness(log)
-        self._find_deadline = find_deadline
+        self._find_wait_s = find_wait_s
         self._costly_input = trio.Lock()
         self._connections: dict[ServerConnection, RequestPipeline] = {}
         self._in_flight: dict[RequestScope, ServerConnection] = {}
@@ -269,7 +268,7 @@
             self._limits,
             self._budget,
             _make_malformed_response,
-            self._find_deadline,
+            self._find_wait_s,
             self._costly_input,
         )
         connection.must_close = self._is_closing
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -44,8 +44,7 @@
         limits: Returns the current limits.
         budget: Memory limit for messages.
         make_error: Creates the response to a malformed request.
-        find_deadline: Returns the time by which the body of a request has to be complete, in
-            seconds.
+        find_wait_s: Returns how long the caller of a request waits for the answer, in seconds.
         costly_input: See `RequestReader`.
     """
 
@@ -55,14 +54,14 @@
         limits: Callable[[], RequestLimits],
         budget: ByteBudget,
         make_error: Callable[[MalformedRequestError], CallerResponse],
-        find_deadline: Callable[[ReceivedRequest], float],
+        find_wait_s: Callable[[ReceivedRequest], float],
         costly_input: trio.Lock,
     ) -> None:
         self._budget = budget
         self._stream = stream
         stream.may_stall = lambda: not budget.is_scarce
         self._make_error = make_error
-        self._reader = RequestReader(stream, limits, budget, find_deadline, costly_input)
+        self._reader = RequestReader(stream, limits, budget, find_wait_s, costly_input)
         self._unanswered = 0
         self._is_sending = False
         self._is_refused = False
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -217,7 +217,7 @@
             log,
             names.request_id,
             self._lateness,
-            self._entry.find_deadline,
+            self._entry.find_wait_s,
         )
         self._peers = LinkServer(
             self._hops.handle,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -130,8 +130,8 @@
         """Starts the second attempts of hedged requests, until cancelled."""
         await self._attempts.run_hedges()
 
-    def find_deadline(self, request: ReceivedRequest) -> float:
-        """Returns the time after which a request cannot be answered in time.
+    def find_wait_s(self, request: ReceivedRequest) -> float:
+        """Returns how long the caller of a request waits for the answer.
 
         Args:
             request: The request; its body may be missing.
@@ -141,9 +141,7 @@
         """
         table = self._routes.table
         route = table.find(request.headers.get(b"host"), read_path(request)) if table else None
-        if route is None:
-            return request.arrived_at + _UNKNOWN_BODY_S
-        return request.arrived_at + self._read_wait_s(request, route)
+        return _UNKNOWN_BODY_S if route is None else self._read_wait_s(request, route)
 
     async def handle(self, request: ReceivedRequest, scope: RequestScope) -> CallerResponse:
         """Handles a request.
--- a/tests/services/test_endless_uploads.py
+++ b/tests/services/test_endless_uploads.py
@@ -24,6 +24,8 @@
 class Trickle:
     """Stream on which a byte of a body arrives each second."""
 
+    is_open_without_input = True
+
     async def receive(self) -> bytes:
         await trio.sleep(PAUSE_S)
         return b"1\r\nx\r\n"
@@ -47,7 +49,7 @@
                 HeadThenTrickle(),
                 RequestLimits,
                 ByteBudget(1_000_000),
-                lambda request: request.arrived_at + ROUTE_TIMEOUT_S,
+                lambda _: ROUTE_TIMEOUT_S,
             )
             with self.assertRaises(MalformedRequestError) as caught:
                 await reader.receive()
