--- a/tests/services/test_stopping_in_time.py
+++ b/tests/services/test_stopping_in_time.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import threading
 import time
 import unittest
 from typing import TYPE_CHECKING
@@ -54,7 +55,10 @@
     """Sends SIGTERM to this process while it runs nothing for a time; returns when it was sent."""
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
     time.sleep(0.05)
-    sent_at = send_sigterm_to_busy_loop(halted_s)
+    sent_at = time.monotonic()
+    # Another thread, which doesn't block it, would get a signal of the process.
+    signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
+    time.sleep(halted_s)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM})
     return sent_at
 
