--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -108,11 +108,23 @@
         self._lateness = lateness
         self._log = log
         self._clock = clock
-        self._requested_at = self._uncertainty_s = self._killed_at = 0.0
+        self._requested_at = self._uncertainty_s = self._cut_at = self._killed_at = 0.0
         self._times_by_boot_clock = StopTimes()
         self._phase = trio.CancelScope()
         self._phase_ends_at = 0.0
 
+    def announce(self, grace_s: float, requested_at: float, uncertainty_s: float) -> None:
+        """Applies the times of the shutdown to requests that arrive until it runs.
+
+        Requests that have waited unread would otherwise begin before the first phase does. A signal
+        handler may call it. Takes the arguments of `run`; does nothing after the first call.
+        """
+        if not self._requested_at:
+            self._plan(grace_s, requested_at, uncertainty_s)
+            stop_times = self._make_loop_times()
+            self._entry.stop_times = stop_times
+            self._hops.announce_stop(stop_times)
+
     async def run(self, grace_s: float, requested_at: float, uncertainty_s: float = 0.0) -> None:
         """Runs all phases of the shutdown.
 
@@ -121,12 +133,32 @@
             requested_at: Earliest time of SIGTERM by the boot clock, in seconds.
             uncertainty_s: Time by which it may have been sent later, in seconds.
         """
+        self._plan(grace_s, requested_at, uncertainty_s)
+        ends_at, cut_at = self._times_by_boot_clock.ends_at, self._cut_at
+        async with trio.open_nursery() as nursery:
+            self._apply_times()
+            nursery.start_soon(keep_running, self._follow_boot_clock)
+            self._callers.begin_closing()
+            await self._run_until(ends_at - _DRAIN_S, self._serve_callers)
+            accepts_until = min(self._times_by_boot_clock.accepts_until, self._clock())
+            self._times_by_boot_clock = replace(
+                self._times_by_boot_clock, accepts_until=accepts_until
+            )
+            self._apply_times()
+            await self._run_until(ends_at, self._drain)
+            if cut_at > ends_at:
+                await self._run_until(cut_at, self._finish_work)
+            nursery.cancel_scope.cancel()
+        await self._answer_remaining()
+
+    def _plan(self, grace_s: float, requested_at: float, uncertainty_s: float) -> None:
+        """Sets the times of the shutdown; takes the arguments of `run`."""
         self._requested_at, self._uncertainty_s = requested_at, uncertainty_s
         self._killed_at = requested_at + grace_s
         ends_at = self._killed_at - _GRACE_MARGIN_S
         may_cut_from = requested_at + uncertainty_s + grace_s * _CUT_SHARE
         must_cut_at = self._killed_at - _LATEST_CUT_S
-        cut_at = max(ends_at, min(may_cut_from + _CUT_MARGIN_S, must_cut_at))
+        self._cut_at = max(ends_at, min(may_cut_from + _CUT_MARGIN_S, must_cut_at))
         accept_s = min(grace_s * _ACCEPT_SHARE, _MAX_ACCEPT_S)
         nested_accept_s = min(grace_s * _NESTED_ACCEPT_SHARE, _MAX_NESTED_ACCEPT_S)
         if may_cut_from > must_cut_at:
@@ -136,23 +168,8 @@
             accepts_until=requested_at + accept_s,
             ends_at=ends_at,
             accepts_nested_until=requested_at + nested_accept_s,
-            may_break_off_at=min(cut_at, may_cut_from),
+            may_break_off_at=min(self._cut_at, may_cut_from),
         )
-        async with trio.open_nursery() as nursery:
-            self._apply_times()
-            nursery.start_soon(keep_running, self._follow_boot_clock)
-            self._callers.begin_closing()
-            await self._run_until(ends_at - _DRAIN_S, self._serve_callers)
-            accepts_until = min(self._times_by_boot_clock.accepts_until, self._clock())
-            self._times_by_boot_clock = replace(
-                self._times_by_boot_clock, accepts_until=accepts_until
-            )
-            self._apply_times()
-            await self._run_until(ends_at, self._drain)
-            if cut_at > ends_at:
-                await self._run_until(cut_at, self._finish_work)
-            nursery.cancel_scope.cancel()
-        await self._answer_remaining(cut_at)
 
     async def _run_until(self, ends_at: float, run_phase: Callable[[], Awaitable[None]]) -> None:
         """Runs a phase, until a time of the boot clock at the latest."""
@@ -170,14 +187,15 @@
             self._phase.deadline = self._to_loop_time(self._phase_ends_at)
 
     def _apply_times(self) -> None:
+        self._set_stop_times(self._make_loop_times())
+
+    def _make_loop_times(self) -> StopTimes:
         times = self._times_by_boot_clock
-        self._set_stop_times(
-            StopTimes(
-                self._to_loop_time(times.accepts_until),
-                self._to_loop_time(times.ends_at),
-                self._to_loop_time(times.accepts_nested_until),
-                self._to_loop_time(times.may_break_off_at),
-            )
+        return StopTimes(
+            self._to_loop_time(times.accepts_until),
+            self._to_loop_time(times.ends_at),
+            self._to_loop_time(times.accepts_nested_until),
+            self._to_loop_time(times.may_break_off_at),
         )
 
     def _to_loop_time(self, at: float) -> float:
@@ -220,20 +238,17 @@
         while not (self._peers.is_quiet and self._callers.is_quiet(for_s)):
             await trio.sleep(_POLL_INTERVAL_S)
 
-    async def _answer_remaining(self, cut_at: float) -> None:
+    async def _answer_remaining(self) -> None:
         """Responds to the remaining requests according to their state so far.
 
         If the event loop is late, this takes less time, not time after the grace period.
-
-        Args:
-            cut_at: Time by the boot clock at which it should begin at the latest, in seconds.
         """
         self._write_phase("answering")
         self._set_stop_times(CLOSED)
         self._callers.expire_all()
         self._links.close_all()
         latest = self._killed_at - _LATEST_END_S
-        sent_by = min(cut_at + _FINAL_SEND_S, latest)
+        sent_by = min(self._cut_at + _FINAL_SEND_S, latest)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._end_peers, sent_by)
             with trio.move_on_after(self._limit_s(_FINAL_SEND_S, sent_by)):
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_signals.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_signals.py
@@ -13,7 +13,7 @@
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
     from types import FrameType
 
     from fulmarstile_daemon.services._loop_lateness import LoopLateness
@@ -32,13 +32,17 @@
 
 @contextmanager
 def receive_signals(
-    *numbers: int, lateness: LoopLateness
+    *numbers: int,
+    lateness: LoopLateness,
+    on_receive: Callable[[ReceivedSignal], None] | None = None,
 ) -> Iterator[trio.MemoryReceiveChannel[ReceivedSignal]]:
     """Receives signals until the context ends; only in the main thread.
 
     Args:
         numbers: Signals to receive.
         lateness: Measures how late the event loop is.
+        on_receive: Called at once, before any task that the event loop will run next; may interrupt
+            a task anywhere, so it must only set attributes.
 
     Yields:
         The signals in the order of their arrival.
@@ -52,6 +56,8 @@
         now = read_boot_clock()
         halted_s = lateness.halted_s
         received = ReceivedSignal(number, now - halted_s, halted_s)
+        if on_receive is not None:
+            on_receive(received)
         token.run_sync_soon(sender.send_nowait, received)
 
     earlier = {number: signal.signal(number, on_signal) for number in numbers}
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -301,7 +301,9 @@
         self._started_at = trio.current_time()
         settings = self._reloader.settings
         listeners = settings.listeners
-        with receive_signals(signal.SIGTERM, signal.SIGHUP, lateness=self._lateness) as signals:
+        with receive_signals(
+            signal.SIGTERM, signal.SIGHUP, lateness=self._lateness, on_receive=self._on_signal
+        ) as signals:
             async with (
                 self._platform.open_store(settings.store_address) as store,
                 trio.open_nursery() as nursery,
@@ -411,6 +413,11 @@
         self._stop_uncertainty_s = uncertainty_s
         self._stop_requested.set()
 
+    def _on_signal(self, received: ReceivedSignal) -> None:
+        if received.number == signal.SIGTERM:
+            grace_s = self._reloader.settings.bounds.grace_s
+            self._shutdown.announce(grace_s, received.sent_at, received.uncertainty_s)
+
     async def _handle_signals(self, signals: AsyncIterator[ReceivedSignal]) -> None:
         """Reloads the settings on SIGHUP, and starts the shutdown on SIGTERM."""
         async for received in signals:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/hops.py
@@ -81,6 +81,10 @@
             if not (progress.may_have_begun or progress.may_begin()):
                 progress.withdraw()
 
+    def announce_stop(self, stop_times: StopTimes) -> None:
+        """Applies times to requests that arrive from now on; a signal handler may call it."""
+        self._stop_times = stop_times
+
     async def handle(self, call: HopCall, deadline: float, progress: AttemptProgress) -> HopAnswer:
         """Handles a forwarded request.
 
--- a/tests/services/test_stopping_in_time.py
+++ b/tests/services/test_stopping_in_time.py
@@ -25,10 +25,16 @@
     make_route(repeatability=Repeatability.AT_MOST_ONCE, timeout_s=60.0, target_latency_s=30.0)
 )
 LONG_MS = 40_000
+LONG_REQUEST = (
+    b"POST /b?delay_ms=%d HTTP/1.1\r\nhost: shop.example\r\nrequest-id: request-2\r\n"
+    b"time-left-ms: %d\r\ncontent-length: 0\r\n\r\n" % (LONG_MS, LONG_MS)
+)
 SHORT_GRACE_S = 3.0
 HELD_S = 0.9
 """Time for which a task keeps the event loop from handling SIGTERM, in seconds."""
 NESTED_HELD_S = 0.4
+LONG_HALT_S = 1.2
+"""Halt of more than the last sixth of the grace period, in seconds."""
 QUOTA_PERIOD_S = 0.1
 """Time for which a process may get no processor time, and so no signal, in seconds."""
 LATE_S = 3.05
@@ -90,6 +96,22 @@
     ) -> None:
         self.assertLess(self.measure_stop_s(send_sigterm_to_halted_process), SHORT_GRACE_S)
 
+    def test_a_long_request_that_waited_through_a_long_halt_is_not_begun_and_cut(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                node = mesh.nodes[0]
+                async with ServiceClient(await connect(node.address)) as client:
+                    await client.call("/a", request_id="request-1")
+                    # Written past the event loop, so that it is read only after the halt.
+                    os.write(client.stream.socket.fileno(), LONG_REQUEST)
+                    send_sigterm_to_halted_process(LONG_HALT_S)
+                    with trio.fail_after(SHORT_GRACE_S):
+                        answer = await client.stream.receive_some()
+                self.assertEqual(answer.split()[1], b"503")
+                self.assertEqual(node.upstream.record.count_runs("request-2"), 0)
+
+        trio.run(run)
+
     def test_a_halt_is_not_counted_from_before_the_last_request(self) -> None:
         async def run() -> tuple[float, float]:
             async with serve_mesh("shop", document=DOCUMENT) as mesh:
