Return the memory of pipelined heads with many headers (clients outside the limits)

Callers saw nothing at first, then 503 for all that needs memory: each request that was read ahead and has more than 25 headers left the cost of its headers in the memory limit for good. Three pipelined requests of 41 headers left 13,120 bytes when their connection was gone.

Cause: since heads are accounted for at what they cost, the cost of a head that is read ahead was reserved beside the count of the read-ahead, but was taken off that count when the turn of the request came. The count became negative, and the end of the connection took the bytes again.

The cost is now held by the read-ahead, as the characters are.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -81,7 +81,7 @@
         self._waited_s = 0.0
         self._reserved_bytes = 0
         self._framing_bytes = 0
-        self._wire_bytes = 0
+        self._ahead_bytes = 0
         self._body = bytearray()
         self._tail = b""
         self._transfer: Transfer | None = None
@@ -115,7 +115,7 @@
         """
         self._read_ahead = read_ahead
         self._waited_s = 0.0
-        self._wire_bytes = 0
+        self._ahead_bytes = 0
         self._framing_bytes = 0
         self._transfer = None
         self._has_given_way = False
@@ -125,7 +125,7 @@
             self.unparsed = await self._receive()
             if not self.unparsed:
                 return None
-        self._wire_bytes = len(self.unparsed)
+        self._ahead_bytes = len(self.unparsed)
         self.is_receiving = True
         self._parser = RequestParser(self._limits().head_bytes)
         try:
@@ -167,7 +167,7 @@
         """Returns the bytes reserved for the last request, for the caller to release."""
         held, self._reserved_bytes = self._reserved_bytes, 0
         if self._read_ahead is not None:
-            held += self._wire_bytes - len(self.unparsed)
+            held += self._ahead_bytes - len(self.unparsed)
         return held
 
     def release_partial(self) -> None:
@@ -307,12 +307,14 @@
             headers: Number of its headers.
         """
         self._release_reserved()
-        if self._read_ahead is not None:
+        parsed_bytes = headers * _HEADER_BYTES
+        if self._read_ahead is None:
+            if size + parsed_bytes > _SMALL_HEAD_BYTES:
+                self._reserve(size + parsed_bytes)
+        elif parsed_bytes > _SMALL_HEAD_BYTES:
             # Its characters were reserved when they were read.
-            size = 0
-        size += headers * _HEADER_BYTES
-        if size > _SMALL_HEAD_BYTES:
-            self._reserve(size)
+            self._read_ahead.hold(parsed_bytes)
+            self._ahead_bytes += parsed_bytes
 
     def _reserve_received(self, size: int) -> None:
         """Reserves memory for received bytes, unless it was reserved when they were read."""
@@ -385,7 +387,7 @@
             raise _make_no_memory_error()
         if self._waiting.cancelled_caught:
             raise MalformedRequestError("the request arrived too slowly", 408)
-        self._wire_bytes += len(data)
+        self._ahead_bytes += len(data)
         transfer.on_moved(len(data))
         return data
 
