--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -352,7 +352,8 @@
         """Receives more of a head; pauses of reading don't count towards its time limit."""
         started_at = trio.current_time()
         paused_s = await self._wait_for_room()
-        data = await self._receive_part(self._limits().head_timeout_s - self._waited_s)
+        left_s = max(0.0, self._limits().head_timeout_s - self._waited_s)
+        data = await self._receive_part(left_s)
         self._waited_s += trio.current_time() - started_at - paused_s
         return data
 
