Return the memory of a request read ahead only once (clients outside the limits)

Nothing was refused that should not be, but the limit of memory grew: a caller that left while the last part of its pipelined, finely chunked request waited for its turn to be parsed had the memory of that request taken off the limit twice. Callers that do it again and again lift the limit.

Cause: the end of a connection returns all that was read ahead. The task that reads ahead is cancelled then, but it has its turn already and ends without a further wait, so it finishes the request, and dropped it with its memory. Since such bodies are parsed in turns, there is a wait behind the last input, while the connection may end.

A request that is finished after the end of its connection returns nothing.

The new test failed 3 of 3 times before (-18,073 bytes in use) and passes 3 of 3.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_pipeline.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_pipeline.py
@@ -285,6 +285,9 @@
             if self._refusal is not None:
                 exchange.request, exchange.response = None, self._refusal
                 self._refusal = None
+            if self._is_input_ended:
+                # The end of the connection has returned the memory of all that was read ahead.
+                exchange.held_bytes = 0
             if not connection.is_reusable or self._is_input_ended:
                 connection.read_ahead.pass_on(exchange.held_bytes)
                 connection.drop(exchange)
