Let a request that was read ahead give way too (clients outside the limits)

Callers saw 503 for uploads while other connections held all memory for callers' requests: a short request, and behind it, in the same write, an upload that stops just short of its end.

Cause: an upload without progress gives its memory to others, but what it holds was counted only where it is reserved by the request itself. What is read behind a request without an answer is reserved by the read-ahead, so such an upload counted as holding nothing, until its deadline.

What the read-ahead holds for the request is counted now, and returned when it gives way.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_read_ahead.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_read_ahead.py
@@ -68,10 +68,18 @@
         """Stops counting a request whose response is next; its memory stays reserved."""
         self.held_bytes -= size
 
+    def release(self, size: int) -> None:
+        """Returns memory to the budget.
+
+        Args:
+            size: Number of bytes that were held.
+        """
+        self._budget.release_for_caller(size)
+        self.held_bytes -= size
+
     def release_all(self) -> None:
         """Returns all memory to the budget."""
-        self._budget.release_for_caller(self.held_bytes)
-        self.held_bytes = 0
+        self.release(self.held_bytes)
 
     def notify(self) -> None:
         """Wakes the tasks that wait for a change."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -168,11 +168,19 @@
         held, self._reserved_bytes = self._reserved_bytes, 0
         if self._read_ahead is not None:
             held += self._ahead_bytes - len(self.unparsed)
+            self._ahead_bytes = 0
         return held
 
+    def _count_held(self) -> int:
+        """Returns the memory that is reserved for a request that is being received, in bytes."""
+        return self._reserved_bytes + (self._ahead_bytes if self._read_ahead is not None else 0)
+
     def release_partial(self) -> None:
         """Returns the memory of a request that was received in part to the budget."""
         self._release_reserved()
+        if self._read_ahead is not None:
+            self._read_ahead.release(self._ahead_bytes)
+            self._ahead_bytes = 0
         # It refers to this reader: the cycle would keep the body.
         self._transfer = None
         self._body = bytearray()
@@ -378,7 +386,7 @@
         """
         transfer = self._transfer
         if transfer is None:
-            transfer = self._transfer = Transfer(lambda: self._reserved_bytes, self._give_way)
+            transfer = self._transfer = Transfer(self._count_held, self._give_way)
         with (
             self._budget.transfers.track(transfer),
             trio.move_on_after(timeout_s) as self._waiting,
--- a/tests/services/test_stalled_uploads.py
+++ b/tests/services/test_stalled_uploads.py
@@ -40,12 +40,17 @@
         self._budget = budget
         self._clock = clock
 
-    async def begin_uploads(self) -> list[trio.SocketStream]:
-        """Sends the begin of uploads that together take all memory for callers' requests."""
+    async def begin_uploads(self, before: bytes = b"") -> list[trio.SocketStream]:
+        """Sends the begin of uploads that together take all memory for callers' requests.
+
+        Args:
+            before: Request that is sent before each upload, without waiting for its answer.
+        """
         callers = [await connect(self._address) for _ in range(CALLERS)]
         for caller in callers:
-            await caller.send_all(UPLOAD_HEAD + b"x" * SENT_BYTES)
-        await self.wait_held(CALLERS * SENT_BYTES)
+            await caller.send_all(before + UPLOAD_HEAD + b"x" * SENT_BYTES)
+        # What is read ahead is held with its head.
+        await self.wait_held(CALLERS * (SENT_BYTES + len(UPLOAD_HEAD if before else b"")))
         return callers
 
     async def wait_held(self, size: int) -> None:
@@ -91,6 +96,18 @@
 
         trio.run(run, clock=self.clock)
 
+    def test_an_upload_takes_the_memory_of_one_that_was_read_ahead(self) -> None:
+        async def run() -> None:
+            async with serve(self.clock) as site:
+                stalled = await site.begin_uploads(before=b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n")
+                site.pass_time(STALL_S)
+                self.assertTrue((await site.upload()).startswith(b"HTTP/1.1 200"))
+                answers = [await caller.receive_some() for caller in stalled]
+                self.assertTrue(all(each.startswith(b"HTTP/1.1 200") for each in answers))
+                self.assertIn(b"HTTP/1.1 503", answers[0] + await stalled[0].receive_some())
+
+        trio.run(run, clock=self.clock)
+
     def test_a_trickle_does_not_keep_the_memory_of_an_upload(self) -> None:
         async def run() -> None:
             async with serve(self.clock) as site:
