Let no waiting request begin once a stop only finishes work (LOST)

What callers may see (shown without processes only): after a stop whose signal came during a halt, 502 for a forwarded request that waited for a slot of the upstream, got it in the last 0.7 s of the stop, and was broken off at work.

Cause: the upstream was closed to waiting requests at the end of the drain. The drain is cut off at a fixed time; if it began late, because of the halt, or took long, because the store doesn't answer, it doesn't come to that. The phase that only finishes work then let waiting requests of other daemons begin, which were broken off at its end. It withdraws those of the callers on this VM only.

That phase closes the upstream first, so they are refused as not run.

The new test failed before (1 of 1: the upstream was never closed) and passes now (1 of 1).

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_graceful_shutdown.py
@@ -205,6 +205,8 @@
         self._write_phase("finishing")
         self._times_by_boot_clock = CLOSED
         self._apply_times()
+        # The drain may have ended before it came to this.
+        self._upstream.stop()
         self._callers.withdraw_all()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._callers.finish, math.inf)
--- a/tests/services/test_stopping_suspended.py
+++ b/tests/services/test_stopping_suspended.py
@@ -117,6 +117,22 @@
 
         return trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def test_no_request_that_waits_begins_at_the_upstream_once_only_running_ones_are_finished(
+        self,
+    ) -> None:
+        shutdown = make_shutdown(VmClock())
+        shutdown._announcements.stop = trio.sleep_forever
+        events: list[str] = []
+        shutdown._upstream.stop = lambda: events.append("upstream stopped")
+        shutdown._callers.finish.side_effect = lambda _: events.append("finishing")
+        halt_s = HALTS_S[-1]
+
+        async def run() -> None:
+            await shutdown.run(GRACE_S, trio.current_time() - halt_s, halt_s)
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(events[:2], ["upstream stopped", "finishing"])
+
     def check_halt(self, halt_s: float) -> None:
         """Checks both ends of the halt: the process can't tell when the signal was sent."""
         broken_off_s, duration_s = self.stop_after_halt(halt_s)
