--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_slots.py
@@ -113,8 +113,7 @@
 
     def resize(self, count: int) -> None:
         """Changes the number of slots; requests that hold one keep it."""
-        if count != self._admission.slots:
-            self._apply(self._admission.set_slots(count, trio.current_time()))
+        self._apply(self._admission.set_slots(count, trio.current_time()))
 
     def set_connections(self, connections: int) -> None:
         """Changes the number of connections; requests that hold a slot keep it."""
--- a/tests/services/test_changed_upstream_settings.py
+++ b/tests/services/test_changed_upstream_settings.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from fulmarstile_daemon.services._slots import Slots
 from fulmarstile_services.document import ServiceDefinition
 from fulmarstile_testing.builders.service_mesh import ServiceClient, connect, serve_mesh
 from fulmarstile_testing.builders.services import make_document, make_route
@@ -91,6 +92,16 @@
     def test_a_higher_limit_is_used(self) -> None:
         self.assertEqual(self.play((1, 100), SLOTS), SLOTS)
 
+    def test_slots_announced_under_a_lower_limit_are_kept_under_a_higher_one(self) -> None:
+        async def run() -> None:
+            slots = Slots()
+            slots.restart(3 * SLOTS, connections=SLOTS)
+            slots.resize(SLOTS)
+            slots.set_connections(100)
+            self.assertEqual(slots.count, SLOTS)
+
+        trio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
