--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -81,7 +81,7 @@
         self._waited_s = 0.0
         self._reserved_bytes = 0
         self._framing_bytes = 0
-        self._wire_bytes = 0
+        self._ahead_bytes = 0
         self._body = bytearray()
         self._tail = b""
         self._transfer: Transfer | None = None
@@ -115,7 +115,7 @@
         """
         self._read_ahead = read_ahead
         self._waited_s = 0.0
-        self._wire_bytes = 0
+        self._ahead_bytes = 0
         self._framing_bytes = 0
         self._transfer = None
         self._has_given_way = False
@@ -125,7 +125,7 @@
             self.unparsed = await self._receive()
             if not self.unparsed:
                 return None
-        self._wire_bytes = len(self.unparsed)
+        self._ahead_bytes = len(self.unparsed)
         self.is_receiving = True
         self._parser = RequestParser(self._limits().head_bytes)
         try:
@@ -167,12 +167,20 @@
         """Returns the bytes reserved for the last request, for the caller to release."""
         held, self._reserved_bytes = self._reserved_bytes, 0
         if self._read_ahead is not None:
-            held += self._wire_bytes - len(self.unparsed)
+            held += self._ahead_bytes - len(self.unparsed)
+            self._ahead_bytes = 0
         return held
 
+    def _count_held(self) -> int:
+        """Returns the memory that is reserved for a request that is being received, in bytes."""
+        return self._reserved_bytes + (self._ahead_bytes if self._read_ahead is not None else 0)
+
     def release_partial(self) -> None:
         """Returns the memory of a request that was received in part to the budget."""
         self._release_reserved()
+        if self._read_ahead is not None:
+            self._read_ahead.release(self._ahead_bytes)
+            self._ahead_bytes = 0
         # It refers to this reader: the cycle would keep the body.
         self._transfer = None
         self._body = bytearray()
@@ -308,12 +316,14 @@
             headers: Number of its headers.
         """
         self._release_reserved()
-        if self._read_ahead is not None:
+        parsed_bytes = headers * _HEADER_BYTES
+        if self._read_ahead is None:
+            if size + parsed_bytes > _SMALL_HEAD_BYTES:
+                self._reserve(size + parsed_bytes)
+        elif parsed_bytes > _SMALL_HEAD_BYTES:
             # Its characters were reserved when they were read.
-            size = 0
-        size += headers * _HEADER_BYTES
-        if size > _SMALL_HEAD_BYTES:
-            self._reserve(size)
+            self._read_ahead.hold(parsed_bytes)
+            self._ahead_bytes += parsed_bytes
 
     def _reserve_received(self, size: int) -> None:
         """Reserves memory for received bytes, unless it was reserved when they were read."""
@@ -350,7 +360,8 @@
     async def _receive_ahead_of_head(self) -> bytes:
         """Receives more of a head; pauses of reading don't count towards its time limit."""
         await self._wait_for_room()
-        return await self._receive_part(self._limits().head_timeout_s - self._waited_s)
+        left_s = max(0.0, self._limits().head_timeout_s - self._waited_s)
+        return await self._receive_part(left_s)
 
     async def _receive_more(self, timeout_s: float) -> bytes:
         await self._wait_for_room()
@@ -373,7 +384,7 @@
         """
         transfer = self._transfer
         if transfer is None:
-            transfer = self._transfer = Transfer(lambda: self._reserved_bytes, self._give_way)
+            transfer = self._transfer = Transfer(self._count_held, self._give_way)
         started_at = trio.current_time()
         with (
             self._budget.transfers.track(transfer),
@@ -388,7 +399,7 @@
                 raise MalformedRequestError("the request arrived too slowly", 408)
             # It has arrived in time: this side didn't read it, or its event loop is late.
             data = await self._receive()
-        self._wire_bytes += len(data)
+        self._ahead_bytes += len(data)
         transfer.on_moved(len(data))
         return data
 
