--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_pipeline.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_pipeline.py
@@ -27,6 +27,10 @@
 
 _ARRIVAL_CHECK_S: Final = 0.01
 """Time after which a request that is to be refused counts as not arrived whole, in seconds."""
+_TRANSIT_S: Final = 0.05
+"""Time within which requests arrive that a caller sent while its connection wasn't read."""
+_TRANSIT_CHECK_S: Final = 0.005
+"""Interval of the check whether one has arrived, in seconds."""
 
 
 class RequestPipeline:
@@ -124,10 +128,23 @@
                 break
             response = await self._answer(exchange)
             connection.release(exchange)
-            await connection.send(exchange, response, self._has_next())
+            has_next = self._has_next()
+            if not has_next and connection.must_close and connection.sends_ahead:
+                has_next = await self._wait_for_next()
+            await connection.send(exchange, response, has_next)
         await self._stop_reading()
         await connection.close()
 
+    async def _wait_for_next(self) -> bool:
+        """Checks for a request again until those that were on their way must have arrived.
+
+        What the kernels had no room for arrives only when what is before it has been read.
+        """
+        waits_until = trio.current_time() + _TRANSIT_S
+        while not self._has_next() and trio.current_time() < waits_until:
+            await trio.sleep(_TRANSIT_CHECK_S)
+        return self._has_next()
+
     def _has_next(self) -> bool:
         """Checks for a request that the next response must not exclude by closing the connection.
 
@@ -136,7 +153,10 @@
         connection = self._connection
         if self._waiting or not connection.must_close:
             return bool(self._waiting)
-        return not self._is_input_ended and (connection.is_receiving or connection.has_unread)
+        if self._is_input_ended or not (connection.is_receiving or connection.has_unread):
+            return False
+        connection.sends_ahead = True
+        return True
 
     async def _take_next(self) -> CallerExchange | None:
         """Returns the request whose response is next, once it is read."""
@@ -247,7 +267,7 @@
             self._start_reading()
 
     def _start_reading(self) -> None:
-        self._connection.has_read_ahead = True
+        self._connection.sends_ahead = True
         self._connection.read_ahead.is_next = False
         scope = self._reading = trio.CancelScope()
         self._nursery.start_soon(self._read_ahead, scope)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -59,8 +59,8 @@
         self._last_response_bytes = 0
         self.read_ahead = ReadAhead(budget)
         """Limit of what is read behind requests without a response."""
-        self.has_read_ahead = False
-        """Whether a request was read before the response to an earlier one."""
+        self.sends_ahead = False
+        """Whether a request arrived before the response to an earlier one."""
         self.idle_since = trio.current_time()
         """Time since which the next request is awaited, in seconds."""
         self.is_reusable = True
@@ -238,7 +238,7 @@
         Closing it with unread input would reset it, which could discard a response in transit. A
         caller that sends requests before the responses to earlier ones may have more on the way.
         """
-        has_more = self.has_read_ahead or self.has_unparsed or self._reader.is_incomplete
+        has_more = self.sends_ahead or self.has_unparsed or self._reader.is_incomplete
         is_large = self._last_response_bytes > _MIN_LINGER_BYTES
         if not (has_more or is_large) and self._stream.is_open_without_input:
             self._stream.close()
--- a/tests/services/test_stop_crossings.py
+++ b/tests/services/test_stop_crossings.py
@@ -121,6 +121,25 @@
 
         run_in_virtual_time(run)
 
+    def test_a_pipelined_request_that_is_still_on_its_way_behind_a_refused_one_is_answered(
+        self,
+    ) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                entry = mesh.nodes[0]
+                requests = [
+                    make_request(1, delay_ms=4_500),
+                    make_request(2),
+                    make_request(3, after_s=4.52),
+                ]
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(exchange, entry, *requests)
+                    await trio.sleep(0.5)
+                    entry.stop()
+                self.assertEqual([each.status for each in requests], [200, 503, 503])
+
+        run_in_virtual_time(run)
+
     def test_a_read_that_ends_with_another_daemon_is_repeated_while_its_own_one_drains(
         self,
     ) -> None:
