Parse costly input at the address for calls in turns (clients outside the limits)

Callers saw: one read of 64 KiB in chunks of two bytes keeps the event loop of `fulmarstiled` for 45 ms (9,362 chunks, h11), a head of 8,000 header lines for 50 ms; many such connections do so in the same pass of the loop, and nothing else runs meanwhile.

Cause: a body was parsed in one step as far as it had been read, and a head always is.

Change: after each 128 chunks of a request, and before a head of more than 4 KiB and 128 lines is parsed, the connection waits for its turn, as the services path does: a lock that all connections share is held for one pass of the loop. A refused body is discarded up to 128 chunks; beyond that the connection closes. A whole head that waits for its turn counts as in use, so neither an eviction nor a drain overlooks it. A small body is collected in a bytearray instead of being copied with each chunk.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import h11
 import trio
@@ -28,6 +28,11 @@
     from fulmarstile_daemon.calls.settings import CallSettings
     from fulmarstile_http.byte_stream import ByteStream
 
+_COSTLY_PARTS: Final = 128
+"""Chunks or header lines whose parsing takes so long that others run in between."""
+_SMALL_HEAD_BYTES: Final = 4 * 1024
+"""Size up to which a head is parsed at once, in bytes."""
+
 
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
@@ -43,9 +48,13 @@
     Args:
         stream: Accepted stream; the connection takes ownership.
         settings: Settings of the call proxy.
+        costly_input: Held while input of which much carries little is parsed; shared by all
+            connections.
     """
 
-    def __init__(self, stream: ByteStream, settings: CallSettings) -> None:
+    def __init__(self, stream: ByteStream, settings: CallSettings, costly_input: trio.Lock) -> None:
+        self._costly_input = costly_input
+        self._parsed_parts = 0
         self._stream = stream
         self._settings = settings
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=settings.head_limit)
@@ -135,7 +144,13 @@
         end = received.find(HEAD_END)
         if end > self._settings.head_limit:
             raise _make_bad_request_error("the request head is too large", status=431)
-        self.is_idle = self.has_partial_head = False
+        self.is_idle = False
+        if end > _SMALL_HEAD_BYTES and received.count(b"\n", 0, end) > _COSTLY_PARTS:
+            # In use from now on, so that a drain waits for the request.
+            self.has_partial_head = True
+            await self._wait_turn()
+        self.has_partial_head = False
+        self._parsed_parts = 0
         try:
             check_line_ends(received[: end + 2])
             event = self._parse()
@@ -162,6 +177,9 @@
         while True:
             event = self._parse()
             if type(event) is h11.Data:
+                self._parsed_parts += 1
+                if self._parsed_parts % _COSTLY_PARTS == 0:
+                    await self._wait_turn()
                 return bytes(event.data)
             if type(event) is h11.EndOfMessage:
                 return None
@@ -185,13 +203,13 @@
             CallerDisconnectedError: If the caller disconnected.
             CallFailedError: If the body is malformed.
         """
-        body = b""
+        body = bytearray()
         while len(body) <= limit:
             part = await self.receive_body()
             if part is None:
-                return body, True
+                return bytes(body), True
             body += part
-        return body, False
+        return bytes(body), False
 
     async def send_continue(self) -> None:
         """Sends `100 Continue`, which asks the caller for the body.
@@ -282,13 +300,22 @@
             self._stream.abort()
 
     def _discard_received_body(self) -> None:
-        """Discards the received part of a body; if it is the whole, the connection is reusable."""
+        """Discards the received part of a body; if it is the whole, the connection is reusable.
+
+        The connection is not reusable if parsing that part would take long.
+        """
         try:
-            while type(self._http.next_event()) is h11.Data:
-                pass
+            for _ in range(_COSTLY_PARTS):
+                if type(self._http.next_event()) is not h11.Data:
+                    return
         except h11.RemoteProtocolError:
             return
 
+    async def _wait_turn(self) -> None:
+        """Lets others run before costly input is parsed, of one connection at a time."""
+        async with self._costly_input:
+            await trio.lowlevel.checkpoint()
+
     async def _receive_rest_of_head(self, received: bytes) -> bytes:
         settings = self._settings
         try:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -102,6 +102,7 @@
         )
         self._disconnect_watch = DisconnectWatch()
         self._connections: dict[CallerConnection, None] = {}
+        self._costly_input = trio.Lock()
         self._nursery: trio.Nursery | None = None
         self._accept_scope = trio.CancelScope()
         self._address = settings.address
@@ -311,7 +312,7 @@
 
     async def _refuse_connection(self, stream: ByteStream) -> None:
         """Refuses the first request on a connection beyond the connection limit."""
-        caller = CallerConnection(stream, self._settings)
+        caller = CallerConnection(stream, self._settings, self._costly_input)
         detail = "all connections are in use"
         refusal = make_refusal(RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, retry_after_s=1.0)
         try:
@@ -321,7 +322,7 @@
             caller.close_now()
 
     async def _serve_connection(self, stream: ByteStream) -> None:
-        caller = CallerConnection(stream, self._settings)
+        caller = CallerConnection(stream, self._settings, self._costly_input)
         caller.is_draining = self.is_draining
         self._connections[caller] = None
         try:
--- a/tests/services/test_costly_bodies.py
+++ b/tests/services/test_costly_bodies.py
@@ -11,6 +11,7 @@
 from fulmarstile_http.byte_stream import READ_SIZE
 from fulmarstile_http.messages import encode_chunk
 from fulmarstile_services.document import RequestLimits
+from fulmarstile_testing.turn_counter import TurnCounter
 
 HEAD = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
 EMPTY_LINES = b"\r\n" * (READ_SIZE // 2)
@@ -30,21 +31,9 @@
         return next(self._reads)
 
 
-class OtherRequest:
-    """Task that counts how often it runs beside others."""
-
-    def __init__(self) -> None:
-        self.turns = 0
-
-    async def run(self) -> None:
-        while True:
-            await trio.lowlevel.checkpoint()
-            self.turns += 1
-
-
 async def count_turns(data: bytes, callers: int) -> int:
     """Reads a body from each of some callers, and counts the turns of another task meanwhile."""
-    other = OtherRequest()
+    other = TurnCounter()
     lock = trio.Lock()
 
     async def read() -> None:
