Bound what callers make `fulmarstiled` hold together (clients outside the limits)

Callers saw: 128 connections that each send a head of 7,900 short header lines and no body made the process take 301 MB of a machine's 150. 4,096 connections are allowed, each with a head of 32 KiB held twice, a body of up to 64 KiB and an answer that nobody reads; a parsed header takes 205 to 294 bytes beside its characters.

Cause: heads, buffered bodies and waiting answers were bounded one by one, not together, and a head was not counted at what its headers take.

Change: a connection reserves partial heads, heads of more than 4 KiB or 32 headers and buffered bodies in the `MessageMemory` of the proxy (`message_memory_bytes`, 32 MiB). Without room, a request or an answer without 16 KiB of progress for a second gives way, the largest first; otherwise the request is refused with 503, NOT_RUN, Retry-After. An answer that the kernel doesn't take at once is always held; beyond twice the limit any waiting message gives way to it. An answer that the kernel takes at once costs no more than before.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/_caller.py
@@ -27,12 +27,22 @@
     from fulmarstile_daemon.calls._headers import Header
     from fulmarstile_daemon.calls.settings import CallSettings
     from fulmarstile_http.byte_stream import ByteStream
+    from fulmarstile_platform.message_memory import HeldMessage, MessageMemory
 
 _COSTLY_PARTS: Final = 128
 """Chunks or header lines whose parsing takes so long that others run in between."""
 _SMALL_HEAD_BYTES: Final = 4 * 1024
 """Size up to which a head is parsed at once, in bytes."""
 
+_FEW_HEADERS: Final = 32
+"""Number of headers up to which a small head is not accounted for."""
+_HEADER_BYTES: Final = 320
+"""Memory that a parsed header takes beside its characters, in bytes."""
+_PARTIAL_COPIES: Final = 2
+"""Times that an incomplete head is held: here and by the parser."""
+_SEND_BYTES: Final = 16 * 1024
+"""Part of an answer after whose sending the caller is taken to read, in bytes."""
+
 
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
@@ -50,9 +60,18 @@
         settings: Settings of the call proxy.
         costly_input: Held while input of which much carries little is parsed; shared by all
             connections.
+        memory: Bounds what callers make the daemon hold; shared by all connections.
     """
 
-    def __init__(self, stream: ByteStream, settings: CallSettings, costly_input: trio.Lock) -> None:
+    def __init__(
+        self,
+        stream: ByteStream,
+        settings: CallSettings,
+        costly_input: trio.Lock,
+        memory: MessageMemory,
+    ) -> None:
+        self._memory = memory
+        self._held: HeldMessage | None = None
         self._costly_input = costly_input
         self._parsed_parts = 0
         self._stream = stream
@@ -127,6 +146,7 @@
             CallFailedError: If the head is malformed, too large or arrives too slowly.
         """
         self.call = None
+        self._release()
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
         received = self._http.trailing_data[0]
@@ -140,6 +160,7 @@
             self._http.receive_data(received)
         if received.find(HEAD_END) < 0:
             self.has_partial_head = True
+            self._reserve(_PARTIAL_COPIES * len(received))
             received = await self._receive_rest_of_head(received)
         end = received.find(HEAD_END)
         if end > self._settings.head_limit:
@@ -160,6 +181,7 @@
             check_framing(event, headers)
         except MalformedRequestError as error:
             raise _make_bad_request_error(str(error), status=error.status) from error
+        self._reserve_head(end, len(event.headers))
         if event.http_version != b"1.1":
             _add_missing_host(headers)
         return ReceivedRequest(event, headers)
@@ -201,13 +223,14 @@
 
         Raises:
             CallerDisconnectedError: If the caller disconnected.
-            CallFailedError: If the body is malformed.
+            CallFailedError: If the body is malformed, or others need its memory.
         """
         body = bytearray()
         while len(body) <= limit:
             part = await self.receive_body()
             if part is None:
                 return bytes(body), True
+            self._reserve(len(part))
             body += part
         return bytes(body), False
 
@@ -294,6 +317,7 @@
 
     def close_now(self) -> None:
         """Closes the connection at once; resets it if an answer is unfinished."""
+        self._release()
         if self.is_idle or self.is_answered:
             self._stream.close()
         else:
@@ -331,23 +355,75 @@
     async def _receive_and_feed(self) -> bytes:
         data = await self._receive()
         if data:
+            self._reserve(_PARTIAL_COPIES * len(data))
             self._http.receive_data(data)
         return data
 
     async def _receive(self) -> bytes:
+        held = self._held
         try:
-            return await self._stream.receive()
+            if held is None:
+                return await self._stream.receive()
+            data = b""
+            with held.wait_for_client():
+                data = await self._stream.receive()
         except OSError:
             return b""
+        if held.has_given_way:
+            raise _make_no_memory_error()
+        held.on_moved(len(data))
+        return data
 
     async def _send(self, data: bytes) -> None:
         self._has_unsent = True
         try:
-            await self._stream.send_all(data)
+            sent = self._stream.send_nowait(data)
+            if sent < len(data):
+                await self._send_slowly(memoryview(data)[sent:])
         except OSError as error:
             raise CallerDisconnectedError from error
         self._has_unsent = False
 
+    async def _send_slowly(self, data: memoryview) -> None:
+        """Sends what the kernel doesn't take at once, unless others need the memory."""
+        with self._memory.hold() as held:
+            held.grow(len(data))
+            with held.wait_for_client():
+                for start in range(0, len(data), _SEND_BYTES):
+                    piece = data[start : start + _SEND_BYTES]
+                    await self._stream.send_all(piece)
+                    held.on_moved(len(piece))
+            if held.has_given_way:
+                raise CallerDisconnectedError
+
+    def _reserve_head(self, size: int, headers: int) -> None:
+        """Reserves the memory of a parsed head, unless it is small.
+
+        Args:
+            size: Size of the head in bytes.
+            headers: Number of its headers.
+        """
+        self._release()
+        if size > _SMALL_HEAD_BYTES or headers > _FEW_HEADERS:
+            self._reserve(size + headers * _HEADER_BYTES)
+
+    def _reserve(self, size: int) -> None:
+        """Reserves memory for a part of a request.
+
+        Raises:
+            CallFailedError: If there is none.
+        """
+        if self._held is None:
+            self._held = self._memory.open()
+        if not self._held.try_grow(size):
+            raise _make_no_memory_error()
+
+    def _release(self) -> None:
+        """Returns the memory of the last request."""
+        if self._held is not None:
+            self._held.release()
+            self._held = None
+
     def _parse(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         try:
             return self._http.next_event()
@@ -361,6 +437,13 @@
     )
 
 
+def _make_no_memory_error() -> CallFailedError:
+    detail = "too many large requests are held"
+    return CallFailedError(
+        make_refusal(RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, retry_after_s=1.0)
+    )
+
+
 def _add_missing_host(headers: MessageHeaders) -> None:
     """Adds the `Host` header, which HTTP/1.1 requires and an HTTP/1.0 request may lack."""
     if all(name != b"host" for name, _ in headers.end_to_end):
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -28,6 +28,7 @@
 from fulmarstile_daemon.calls.dump import CallDump
 from fulmarstile_http.late_readers import STALLED_CHECK_INTERVAL_S
 from fulmarstile_http.listener import OutOfDescriptorsError, listen
+from fulmarstile_platform.message_memory import MessageMemory
 from fulmarstile_wire.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -103,6 +104,7 @@
         self._disconnect_watch = DisconnectWatch()
         self._connections: dict[CallerConnection, None] = {}
         self._costly_input = trio.Lock()
+        self._memory = MessageMemory(settings.message_memory_bytes)
         self._nursery: trio.Nursery | None = None
         self._accept_scope = trio.CancelScope()
         self._address = settings.address
@@ -312,7 +314,7 @@
 
     async def _refuse_connection(self, stream: ByteStream) -> None:
         """Refuses the first request on a connection beyond the connection limit."""
-        caller = CallerConnection(stream, self._settings, self._costly_input)
+        caller = CallerConnection(stream, self._settings, self._costly_input, self._memory)
         detail = "all connections are in use"
         refusal = make_refusal(RefusalReason.OVERLOADED, Verdict.NOT_RUN, detail, retry_after_s=1.0)
         try:
@@ -322,7 +324,7 @@
             caller.close_now()
 
     async def _serve_connection(self, stream: ByteStream) -> None:
-        caller = CallerConnection(stream, self._settings, self._costly_input)
+        caller = CallerConnection(stream, self._settings, self._costly_input, self._memory)
         caller.is_draining = self.is_draining
         self._connections[caller] = None
         try:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/settings.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/settings.py
@@ -21,6 +21,9 @@
     """Largest request or response head, in bytes."""
     buffered_body_limit: int = 64 * 1024
     """Largest body that is buffered in memory, in bytes; a larger one is streamed."""
+    message_memory_bytes: int = 32 << 20
+    """Most memory for callers' requests and answers together, in bytes; small ones aren't counted.
+    """
     queue_limit: int = 128
     """Most calls waiting for a slot of the local upstream."""
     head_timeout_s: float = 10.0
--- a/packages/fulmarstile_http/src/fulmarstile_http/transfers.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/transfers.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-_STALL_S: Final = 1.0
+STALL_S: Final = 1.0
 """Time without progress from which a message gives way to others, in seconds."""
 _PROGRESS_BYTES: Final = 16 * 1024
 """Bytes that count as progress, so that a trickle does not."""
@@ -48,9 +48,9 @@
             self._moved_bytes = 0
             self._moved_at = trio.current_time()
 
-    def is_stalled(self, now: float) -> bool:
-        """Checks whether it has made no progress for long, at a time in seconds."""
-        return now - self._moved_at >= _STALL_S
+    def is_stalled(self, now: float, stall_s: float) -> bool:
+        """Checks whether it has made no progress for `stall_s`, at a time in seconds."""
+        return now - self._moved_at >= stall_s
 
     def drop(self) -> None:
         """Drops it, and returns its memory at once."""
@@ -72,16 +72,21 @@
         finally:
             self._waiting.pop(transfer, None)
 
-    def drop_stalled(self) -> bool:
+    def drop_stalled(self, stall_s: float = STALL_S) -> bool:
         """Drops the message that holds most memory of those without progress.
 
+        Args:
+            stall_s: Time without progress from which a message gives way, in seconds.
+
         Returns:
             Whether there was one.
         """
         if not self._waiting:
             return False
         now = trio.current_time()
-        stalled = [each for each in self._waiting if each.is_stalled(now) and each.held_bytes]
+        stalled = [
+            each for each in self._waiting if each.is_stalled(now, stall_s) and each.held_bytes
+        ]
         if not stalled:
             return False
         largest = max(stalled, key=lambda transfer: transfer.held_bytes)
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/message_memory.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/message_memory.py
@@ -1,4 +1,4 @@
-"""Bound of the memory that the clients of small HTTP servers make a process hold."""
+"""Bound of the memory that the clients of HTTP servers make a process hold."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 import trio
 
-from fulmarstile_http.transfers import Transfer, Transfers
+from fulmarstile_http.transfers import STALL_S, Transfer, Transfers
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -21,6 +21,9 @@
 _LOG_INTERVAL_S: Final = 10.0
 """Shortest time between two log lines about messages without room, in seconds."""
 
+_READY_FACTOR: Final = 2
+"""Multiple of the limit from which data that must be sent makes any waiting message give way."""
+
 
 class HeldMessage:
     """A body or an answer that is held in memory.
@@ -58,6 +61,17 @@
         self._reserved_bytes += grown
         return True
 
+    def grow(self, size: int) -> None:
+        """Reserves room for more of it regardless of the limit, for data that must be sent.
+
+        Args:
+            size: Additional bytes.
+        """
+        self._size += size
+        if self._size > SMALL_MESSAGE_BYTES:
+            self._memory.reserve_ready(self._size - self._reserved_bytes)
+            self._reserved_bytes = self._size
+
     def on_moved(self, size: int) -> None:
         """Records progress.
 
@@ -69,6 +83,7 @@
     @contextmanager
     def wait_for_client(self) -> Iterator[None]:
         """Lets the message give way to others while the context is open, which it then ends."""
+        self._scope = trio.CancelScope()
         with self._memory.transfers.track(self._transfer), self._scope:
             yield
 
@@ -108,10 +123,14 @@
         """Bytes in use."""
         return self._used_bytes
 
+    def open(self) -> HeldMessage:
+        """Returns a message that is accounted for until it is released."""
+        return HeldMessage(self)
+
     @contextmanager
     def hold(self) -> Iterator[HeldMessage]:
         """Accounts for a message while the context is open."""
-        message = HeldMessage(self)
+        message = self.open()
         try:
             yield message
         finally:
@@ -128,17 +147,37 @@
             Whether the memory was reserved.
         """
         while self._used_bytes + size > self._limit and self._used_bytes > reserved_bytes:
-            if not self.transfers.drop_stalled():
+            if not self._drop_stalled():
                 self._on_cut("refused a message: the others leave no room for it")
                 return False
-            self._on_cut("dropped a message whose client neither sends nor reads")
         self._used_bytes += size
         return True
 
+    def reserve_ready(self, size: int) -> None:
+        """Reserves memory for data that must be sent, in place of messages without progress.
+
+        Args:
+            size: Size of the data in bytes.
+        """
+        while self._used_bytes + size > self._limit and self._drop_stalled():
+            pass
+        # Many clients that begin to read slowly at the same time have not stalled yet.
+        limit = _READY_FACTOR * self._limit
+        while self._used_bytes + size > limit and self._drop_stalled(stall_s=0.0):
+            pass
+        self._used_bytes += size
+
     def release(self, size: int) -> None:
         """Returns memory that `try_reserve` reserved."""
         self._used_bytes -= size
 
+    def _drop_stalled(self, stall_s: float = STALL_S) -> bool:
+        """Drops the largest message without progress; returns whether there was one."""
+        if not self.transfers.drop_stalled(stall_s):
+            return False
+        self._on_cut("dropped a message whose client sends or reads too slowly")
+        return True
+
     def _on_cut(self, event: str) -> None:
         """Counts a message without room, and logs it at most once in an interval."""
         self.cut_messages += 1
--- a/tests/daemon/test_calls_costly_input.py
+++ b/tests/daemon/test_calls_costly_input.py
@@ -12,6 +12,7 @@
 from fulmarstile_daemon.calls._caller import CallerConnection
 from fulmarstile_http.byte_stream import READ_SIZE
 from fulmarstile_http.messages import encode_chunk
+from fulmarstile_platform.message_memory import MessageMemory
 from fulmarstile_testing.builders.call_proxies import MESH_KEY
 from fulmarstile_testing.turn_counter import TurnCounter
 
@@ -41,14 +42,16 @@
 
 async def receive_tiny_chunks(turns: trio.Lock) -> None:
     stream = PreparedStream(HEAD, TINY_CHUNKS, encode_chunk(b""))
-    caller = CallerConnection(stream, CallSettings(MESH_KEY), turns)
+    caller = CallerConnection(stream, CallSettings(MESH_KEY), turns, MessageMemory(BODY_LIMIT << 6))
     await caller.receive_request()
     body, _ = await caller.receive_small_body(BODY_LIMIT)
     assert len(body) == READ_SIZE // 7 * 2
 
 
 async def receive_long_head(turns: trio.Lock) -> None:
-    caller = CallerConnection(PreparedStream(LONG_HEAD), CallSettings(MESH_KEY), turns)
+    caller = CallerConnection(
+        PreparedStream(LONG_HEAD), CallSettings(MESH_KEY), turns, MessageMemory(BODY_LIMIT << 6)
+    )
     assert await caller.receive_request() is not None
 
 
@@ -78,7 +81,9 @@
     def test_a_refused_body_in_tiny_chunks_is_not_parsed_to_its_end_in_one_step(self) -> None:
         async def run() -> int:
             stream = PreparedStream(HEAD + TINY_CHUNKS)
-            caller = CallerConnection(stream, CallSettings(MESH_KEY), trio.Lock())
+            caller = CallerConnection(
+                stream, CallSettings(MESH_KEY), trio.Lock(), MessageMemory(BODY_LIMIT)
+            )
             await caller.receive_request()
             http = caller._http
             with mock.patch.object(http, "next_event", wraps=http.next_event) as next_event:
--- a/tests/processes/test_clients_outside_limits_of_own_path.py
+++ b/tests/processes/test_clients_outside_limits_of_own_path.py
@@ -25,6 +25,7 @@
     from fulmarstile_adapter_testing.guarded_daemon import Outcome
 
 CROWD = 64
+MANY = 2 * CROWD
 MEMORY_BYTES = 150_000_000
 """Memory of a machine; `fulmarstiled` has no setting for it."""
 MAX_DESCRIPTORS = 1_024
@@ -44,6 +45,9 @@
 LAST_CHUNK = b"1\r\nx\r\n0\r\n"
 BODY_BYTES = 64 * 1024 - 2
 """Just under the size of a body that is held in memory whole."""
+SHORT_LINE = b"a:\r\n"
+SHORT_LINES = 7_900
+"""Header lines in a head just under the largest size of a head."""
 CALL_ABUSES = (
     Abuse(CHUNKED + LAST_CHUNK + b"x-more: ", PIECE, 64),
     Abuse(CHUNKED + LAST_CHUNK, (b"x-more: " + b"a" * 1_000 + b"\r\n") * 64, 64),
@@ -91,6 +95,10 @@
         head = encode_head("/v1/upstream", f"content-length: {ADMIN_BODY_BYTES}", method="PUT")
         self.check(True, [Abuse(head + b"x" * (ADMIN_BODY_BYTES - 1))] * CROWD)
 
+    def test_heads_of_thousands_of_lines_before_missing_bodies_stay_within_the_memory(self) -> None:
+        head = encode_head(PATH, "content-length: 1000")[:-2] + SHORT_LINE * SHORT_LINES + b"\r\n"
+        self.check(False, [Abuse(head)] * MANY)
+
 
 async def call(mesh: LiveMesh) -> int:
     return (await mesh.call(SPEC.name, PATH)).status
