Release the head of an answered request on an idle connection (clients outside the limits)

Callers saw nothing; an idle connection to `fulmarstiled` kept the parsed head of its last request, up to 1.6 MB for 8,000 short header lines, while its memory counted as returned.

Cause: the task of the connection referred to the request while it waited for the next one.

Change: it drops the reference first.

Measured: the new test finds one such head on an idle connection without the change, none with it.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/calls/proxy.py
@@ -351,6 +351,8 @@
             if request is None:
                 return
             await self._serve_request(caller, request)
+            # A connection that waits for its next request must not keep the head of the last one.
+            del request
             if not caller.is_reusable:
                 break
             caller.is_idle = True
--- a/tests/daemon/test_calls_memory.py
+++ b/tests/daemon/test_calls_memory.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import gc
 import socket
 import unittest
 
 import trio
 
 from fulmarstile_daemon.calls import CallSettings
+from fulmarstile_http.headers import MessageHeaders
 from fulmarstile_testing.builders.call_proxies import MESH_KEY, make_request, serve_daemon
 
 LIMIT_BYTES = 256 * 1024
@@ -90,6 +92,25 @@
 
         trio.run(run)
 
+    def test_an_idle_connection_does_not_keep_the_head_of_its_last_request(self) -> None:
+        async def run() -> None:
+            async with serve_daemon(settings=SETTINGS) as daemon:
+                caller = await daemon.connect()
+                await caller.send(make_request(headers={"A": "a" * 10_000}))
+                self.assertEqual((await caller.receive()).status, 200)
+                await trio.sleep(0.05)
+                held = [item for item in gc.get_objects() if is_long_request(item)]
+                self.assertEqual(len(held), 0)
+
+        trio.run(run)
+
+
+def is_long_request(item: object) -> bool:
+    """Checks whether it is the classified headers of the request, which only the proxy makes."""
+    if type(item) is not MessageHeaders:
+        return False
+    return any(len(value) > 9_000 for _, value in item.end_to_end)
+
 
 if __name__ == "__main__":
     unittest.main()
