--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_transfers.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/transfers.py
@@ -1,4 +1,4 @@
-"""Messages on their way from or to callers, and which of them gives way to others."""
+"""Messages on their way from or to clients, and which of them gives way to others."""
 
 from __future__ import annotations
 
@@ -10,14 +10,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-_STALL_S: Final = 1.0
+STALL_S: Final = 1.0
 """Time without progress from which a message gives way to others, in seconds."""
 _PROGRESS_BYTES: Final = 16 * 1024
 """Bytes that count as progress, so that a trickle does not."""
 
 
 class Transfer:
-    """A message that waits for its caller to send or to read more of it.
+    """A message that waits for its client to send or to read more of it.
 
     Args:
         held_bytes: Returns the memory that is reserved for it, in bytes.
@@ -49,9 +49,9 @@
             self._moved_bytes = 0
             self.moved_at = trio.current_time()
 
-    def is_stalled(self, now: float) -> bool:
-        """Checks whether it has made no progress for long, at a time in seconds."""
-        return now - self.moved_at >= _STALL_S
+    def is_stalled(self, now: float, stall_s: float) -> bool:
+        """Checks whether it has made no progress for `stall_s`, at a time in seconds."""
+        return now - self.moved_at >= stall_s
 
     def drop(self) -> None:
         """Drops it, and returns its memory at once."""
@@ -59,7 +59,7 @@
 
 
 class Transfers:
-    """Messages that wait for their callers, on all connections."""
+    """Messages that wait for their clients, on all connections."""
 
     def __init__(self) -> None:
         self._waiting: dict[Transfer, None] = {}
@@ -73,13 +73,16 @@
         finally:
             self._waiting.pop(transfer, None)
 
-    def drop_stalled(self) -> bool:
+    def drop_stalled(self, stall_s: float = STALL_S) -> bool:
         """Drops the message that holds most memory of those without progress.
 
+        Args:
+            stall_s: Time without progress from which a message gives way, in seconds.
+
         Returns:
             Whether there was one.
         """
-        stalled = [each for each in self._find_stalled() if each.held_bytes]
+        stalled = [each for each in self._find_stalled(stall_s) if each.held_bytes]
         if not stalled:
             return False
         self._drop(max(stalled, key=lambda transfer: transfer.held_bytes))
@@ -91,17 +94,17 @@
         Returns:
             Whether there was one.
         """
-        stalled = self._find_stalled()
+        stalled = self._find_stalled(STALL_S)
         if not stalled:
             return False
         self._drop(min(stalled, key=lambda transfer: transfer.moved_at))
         return True
 
-    def _find_stalled(self) -> list[Transfer]:
+    def _find_stalled(self, stall_s: float) -> list[Transfer]:
         if not self._waiting:
             return []
         now = trio.current_time()
-        return [each for each in self._waiting if each.is_stalled(now)]
+        return [each for each in self._waiting if each.is_stalled(now, stall_s)]
 
     def _drop(self, transfer: Transfer) -> None:
         del self._waiting[transfer]
