--- a/tests/processes/test_clients_outside_limits.py
+++ b/tests/processes/test_clients_outside_limits.py
@@ -112,6 +112,12 @@
     def test_bodies_that_stop_short_of_their_length_stay_within_the_memory(self) -> None:
         self.check_outbound(*[SHORT_LENGTH] * LARGE_CROWD)
 
+    def test_bodies_of_16_mib_that_stop_short_stay_within_a_memory_of_128_mb(self) -> None:
+        limits = LowLimits(memory_mb=128, max_body_bytes=16 << 20)
+        size = limits.max_body_bytes
+        head = encode_head("/photo/1", f"content-length: {size}")
+        self.check_outbound(*[Abuse(head + b"x" * (size - 2))] * 8, limits=limits)
+
 
 class UnreadAnswersTest(OutsideLimitsTestCase):
     def test_long_answers_that_nobody_reads_stay_within_the_memory(self) -> None:
