--- a/tests/services/test_calm_clients.py
+++ b/tests/services/test_calm_clients.py
@@ -57,7 +57,7 @@
                 budget,
                 EventLog("d"),
                 b"request-id",
-                find_deadline=lambda request: request.arrived_at + TIMEOUT_S,
+                find_wait_s=lambda _: TIMEOUT_S,
             )
             async with trio.open_nursery() as nursery:
                 caller = await connect(await nursery.start(server.serve, "127.0.0.1:0"))
@@ -145,7 +145,7 @@
                 ByteBudget(BUDGET_BYTES),
                 EventLog("d"),
                 b"request-id",
-                find_deadline=lambda request: request.arrived_at + 1.0,
+                find_wait_s=lambda _: 1.0,
             )
             async with trio.open_nursery() as nursery:
                 caller = await connect(await nursery.start(server.serve, "127.0.0.1:0"))
--- a/tests/services/test_memory_is_returned.py
+++ b/tests/services/test_memory_is_returned.py
@@ -83,7 +83,7 @@
             self._budget,
             EventLog("d"),
             b"request-id",
-            find_deadline=lambda request: request.arrived_at + 8.0,
+            find_wait_s=lambda _: 8.0,
         )
         self.lowest = 0
 
