--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_attempts.py
@@ -114,6 +114,10 @@
             call.history.add_outcome(result.outcome)
             call.last_failure = result.response or call.last_failure
             call.is_version_moved |= result.outcome.reason == RefusalReason.VERSION_MOVED.value
+            if _was_cut(result.outcome):
+                # Those that had no room when it was sent may have some now.
+                tried = {member.name}
+                call.history.refusals = 0
             if not self._should_retry(call, member, result.outcome):
                 break
         return result
@@ -271,3 +275,9 @@
             )
         )
         return decision.retry
+
+
+def _was_cut(outcome: HopOutcome) -> bool:
+    """Checks whether the daemon beside the upstream broke a request off because it terminates."""
+    is_draining = outcome.reason == RefusalReason.DRAINING.value
+    return is_draining and outcome.verdict is Verdict.MAY_HAVE_RUN
--- a/tests/services/test_stop_crossings.py
+++ b/tests/services/test_stop_crossings.py
@@ -4,10 +4,12 @@
 
 import unittest
 from typing import TYPE_CHECKING
+from unittest import mock
 
 import trio
 import trio.testing
 
+from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
 from fulmarstile_services.document import Repeatability
 from fulmarstile_testing.builders.service_mesh import serve_mesh
 from fulmarstile_testing.builders.services import make_document, make_route
@@ -21,6 +23,7 @@
     from collections.abc import Awaitable, Callable
 
     from fulmarstile_testing.builders.service_mesh import ServiceNode
+    from fulmarstile_wire.services import Member
 
 DOCUMENT, READS_DOCUMENT = (
     make_document(
@@ -170,6 +173,42 @@
 
         run_in_virtual_time(run)
 
+    def test_a_read_that_a_stopping_daemon_cuts_is_repeated_where_it_was_refused_before(
+        self,
+    ) -> None:
+        """Guards against 502 for a read although an upstream that was full has room by then."""
+
+        async def choose_last(
+            chooser: UpstreamChooser,
+            members: tuple[Member, ...],
+            _: int,
+            tried: frozenset[str],
+            *__: object,
+        ) -> Member | None:
+            return max(
+                (each for each in members if each.name not in tried),
+                key=lambda each: each.name,
+                default=None,
+            )
+
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", "shop", document=SHORT_READS_DOCUMENT) as mesh:
+                entry, stopping, other = mesh.nodes
+                first = [make_request(n, method="GET", delay_ms=2_000) for n in range(4)]
+                request = make_request(4, method="GET", delay_ms=5_500)
+                async with trio.open_nursery() as nursery:
+                    for each in first:
+                        nursery.start_soon(exchange, other, each)
+                    await trio.sleep(0.1)
+                    nursery.start_soon(exchange, entry, request)
+                    await trio.sleep(0.3)
+                    stopping.stop()
+                self.assertEqual(len(stopping.upstream.record.requests), 1)
+                self.assertEqual(request.status, 200)
+
+        with mock.patch.object(UpstreamChooser, "choose", choose_last):
+            run_in_virtual_time(run)
+
     def test_a_request_that_waits_for_a_slot_is_not_begun_by_a_daemon_that_ends_before_it(
         self,
     ) -> None:
