--- a/Makefile
+++ b/Makefile
@@ -21,10 +21,11 @@
 
 test: setup
 	$(VENV)/bin/python -m unittest -b tests.test_architecture
-	ls -d tests/*/__init__.py | xargs -n 1 dirname | grep -v -x tests/services | \
+	ls -d tests/*/__init__.py | xargs -n 1 dirname | grep -v -x -e tests/services -e tests/limits | \
 		xargs -P $(TEST_JOBS) -I{} $(VENV)/bin/python -m unittest discover -s {} -t . -b
 	ls tests/services/test_*.py | \
 		xargs -P $(TEST_JOBS) -I{} $(VENV)/bin/python -m unittest -b {}
+	$(VENV)/bin/python -m unittest discover -s tests/limits -t . -b
 
 lint: setup
 	$(VENV)/bin/black --check -q packages platform tests
