--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
@@ -71,7 +71,7 @@
         self._body = body
         self.is_body_unfinished = False
         """Whether the response preceded the end of the body, so the connection must be closed."""
-        self._is_receiving_body = False
+        self._has_answer = False
 
     @property
     def may_have_arrived(self) -> bool:
@@ -79,8 +79,8 @@
         return self._connection.head_may_have_arrived
 
     def is_answering(self) -> bool:
-        """Returns whether the head of a response has arrived, and its body is being received."""
-        return self._is_receiving_body
+        """Returns whether the head of a response has arrived, and the rest too or is expected."""
+        return self._has_answer
 
     async def run(self) -> UpstreamResponse:
         """Sends the request and receives the first response.
@@ -105,6 +105,7 @@
         Raises:
             ExchangeError: If no complete response arrives.
         """
+        self._has_answer = False
         self._connection.expect_another_response()
         return await self._receive()
 
@@ -139,11 +140,12 @@
     async def _receive(self) -> UpstreamResponse:
         response = await self._connection.receive_response()
         head_at = trio.current_time()
-        self._is_receiving_body = True
+        self._has_answer = True
         try:
             body = await self._receive_body()
-        finally:
-            self._is_receiving_body = False
+        except ExchangeError:
+            self._has_answer = False
+            raise
         self._note_keep_alive(response)
         return UpstreamResponse(response.status, read_headers(response.headers), body, head_at)
 
