Bound the connections at the address for daemons (clients outside the limits)

Callers saw: nothing bounded the connections at the address for daemons but the descriptors, which callers need as well, and a connection that never said Hello stayed for ever.

Cause: each accepted connection was served until the other side closed it.

Change: at most a fifth of the descriptors beyond 300 (64 at least) and two for each known daemon. Beyond that, new connections wait to be accepted, as they do when the process is out of descriptors, while one that said nothing for 5 s is closed, or the one idle longest is retired: it gets `GoAway`, so that the other daemon knows what it sent is not run, and is closed 5 s later if the other side keeps it. A connection with requests, unread input or unsent messages is never chosen.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -18,6 +18,7 @@
     QueueFullError,
     allow_late_readers,
 )
+from fulmarstile_daemon.services._link_bound import LinkBound
 from fulmarstile_daemon.services._request_scope import FINAL_RECEIVE_S
 from fulmarstile_daemon.services._served_link import ServedCall, ServedLink
 from fulmarstile_http.listener import accept_forever, listen
@@ -60,6 +61,8 @@
 
 _POLL_INTERVAL_S: Final = 0.01
 """Interval of the checks while the connections end, in seconds."""
+_RETIRED_S: Final = 5.0
+"""Time in which the other daemon closes a connection that has ended to make room, in seconds."""
 
 
 class LinkServer:
@@ -78,6 +81,7 @@
         budget: Memory limit for messages.
         handlers: Handlers of other daemons' requests, by the type of the request.
         waiting_handlers: Handlers that may wait before they reply.
+        max_connections: Returns the maximum number of connections.
     """
 
     def __init__(
@@ -90,6 +94,7 @@
         budget: ByteBudget,
         handlers: Mapping[type[PeerRequest], Callable[[Any], PeerReply]],
         waiting_handlers: Mapping[type[PeerRequest], Callable[[Any], Awaitable[PeerReply]]],
+        max_connections: Callable[[], int],
     ) -> None:
         self._waiting_handlers = waiting_handlers
         self._handlers = handlers
@@ -100,6 +105,7 @@
         self._body_admission = body_admission
         self._budget = budget
         self._connections: dict[ServedLink, None] = {}
+        self._bound = LinkBound(max_connections, self._connections.keys())
         self._accepting = trio.CancelScope()
         self._ending = trio.Event()
         self._ended = trio.Event()
@@ -144,11 +150,16 @@
                     allow_late_readers,
                     lambda: [link.frames for link in self._connections],
                 )
+                watch_nursery.start_soon(keep_running, self._bound.close_silent)
                 async with trio.open_nursery() as nursery:
                     task_status.started(listener.address)
                     with self._accepting:
                         await accept_forever(
-                            listener, nursery, self._serve_connection, _log_out_of_descriptors
+                            listener,
+                            nursery,
+                            self._serve_connection,
+                            _log_out_of_descriptors,
+                            self._bound.wait_for_room,
                         )
                     for stream in listener.accept_pending():
                         nursery.start_soon(self._serve_connection, stream)
@@ -166,17 +177,19 @@
         """
         self.refuse_bodies()
         self._ending.set()
+        for link in self._connections:
+            link.ending.set()
         self._accepting.cancel()
         await self._ended.wait()
 
     async def _serve_connection(self, stream: ByteStream) -> None:
         link = ServedLink(FrameStream(stream, self._budget))
         self._connections[link] = None
+        if self._ending.is_set():
+            link.ending.set()
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(link.frames.send_forever)
-                nursery.start_soon(self._end_connection, link)
-                await self._serve_messages(link, nursery)
+            with link.scope:
+                await self._serve_link(link)
         except* LinkBrokenError as group:
             _LOGGER.info("connection from a daemon closed: %s", group.exceptions[0])
             release_frames(group)
@@ -188,17 +201,19 @@
             del self._connections[link]
             link.frames.close()
 
+    async def _serve_link(self, link: ServedLink) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(link.frames.send_forever)
+            nursery.start_soon(self._end_connection, link)
+            await self._serve_messages(link, nursery)
+
     async def _end_connection(self, link: ServedLink) -> None:
-        """Waits for the end of the server, and says goodbye once all that arrived is answered."""
-        await self._ending.wait()
-        for served in link.calls.values():
-            if not served.progress.is_answering():
-                served.scope.cancel()
-        with trio.move_on_after(FINAL_RECEIVE_S):
-            while any(served.progress.is_answering() for served in link.calls.values()):
-                await trio.sleep(_POLL_INTERVAL_S)
-        for served in link.calls.values():
-            served.scope.cancel()
+        """Waits until the connection should end, and says goodbye once all is answered."""
+        await link.ending.wait()
+        while not (link.is_quiet or self._ending.is_set()):
+            await trio.sleep(_POLL_INTERVAL_S)
+        if self._ending.is_set():
+            await self._end_calls(link)
         await link.greeted.wait()
         while link.calls or link.frames.has_input:
             await trio.sleep(_POLL_INTERVAL_S)
@@ -214,10 +229,26 @@
         while link.frames.has_unsent:
             await trio.sleep(_POLL_INTERVAL_S)
         link.frames.send_eof()
+        if not self._ending.is_set():
+            await trio.sleep(_RETIRED_S)
+            raise LinkBrokenError("the other daemon kept a connection that has ended")
+
+    async def _end_calls(self, link: ServedLink) -> None:
+        """Cancels the requests of a connection, those whose answers arrive a little later."""
+        for served in link.calls.values():
+            if not served.progress.is_answering():
+                served.scope.cancel()
+        with trio.move_on_after(FINAL_RECEIVE_S):
+            while any(served.progress.is_answering() for served in link.calls.values()):
+                await trio.sleep(_POLL_INTERVAL_S)
+        for served in link.calls.values():
+            served.scope.cancel()
 
     async def _serve_messages(self, link: ServedLink, nursery: trio.Nursery) -> None:
         while True:
-            for message in await link.frames.receive():
+            messages = await link.frames.receive()
+            link.received_at = trio.current_time()
+            for message in messages:
                 if not link.greeted.is_set():
                     link.on_hello(_check_hello(message))
                 elif not link.has_gone_away:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_served_link.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_served_link.py
@@ -44,7 +44,17 @@
         frames: Messages on the connection.
     """
 
-    __slots__ = ("calls", "expired", "frames", "greeted", "has_gone_away", "reads_go_away")
+    __slots__ = (
+        "calls",
+        "ending",
+        "expired",
+        "frames",
+        "greeted",
+        "has_gone_away",
+        "reads_go_away",
+        "received_at",
+        "scope",
+    )
 
     def __init__(self, frames: FrameStream) -> None:
         self.frames = frames
@@ -59,6 +69,30 @@
         self.has_gone_away = False
         """Whether `GoAway` was sent, so that no later message may be handled."""
 
+        self.ending = trio.Event()
+        """Set when the connection should end once all that arrived on it is answered."""
+        self.received_at = trio.current_time()
+        """Time of the last message, at first of the connection, in seconds."""
+        self.scope = trio.CancelScope()
+        """Cancel scope of the task that serves the connection."""
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether the other side has never said Hello, and nothing waits to be read."""
+        return not (self.greeted.is_set() or self.frames.has_input)
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether no request is without an answer and nothing waits to be read."""
+        return not (self.calls or self.frames.has_input)
+
+    @property
+    def may_retire(self) -> bool:
+        """Whether it can end such that the other daemon knows that nothing was lost."""
+        if self.ending.is_set() or not self.reads_go_away:
+            return False
+        return self.is_quiet and not self.expired and not self.frames.has_unsent
+
     def on_hello(self, message: Hello) -> None:
         """Records what the other daemon can read."""
         self.reads_go_away = message.reads_go_away
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -18,6 +18,7 @@
 from fulmarstile_daemon.services._byte_budget import ByteBudget
 from fulmarstile_daemon.services._document_part import DocumentPart
 from fulmarstile_daemon.services._graceful_shutdown import GracefulShutdown
+from fulmarstile_daemon.services._link_bound import compute_link_limit
 from fulmarstile_daemon.services._link_server import LinkServer
 from fulmarstile_daemon.services._links import DaemonLinks
 from fulmarstile_daemon.services._local_endpoints import LocalEndpoints
@@ -204,9 +205,8 @@
             names, self._directory, notices, self._upstream, self._body_admission, log
         )
         self._lateness = LoopLateness(log)
-        connections = max(
-            64, int((settings.descriptor_limit - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE)
-        )
+        descriptors = settings.descriptor_limit - _RESERVED_DESCRIPTORS
+        connections = max(64, int(descriptors * _DESCRIPTOR_SHARE))
         self._callers = RequestServer(
             self._entry.handle,
             self._limits,
@@ -226,6 +226,7 @@
             self._byte_budget,
             self._list_peer_handlers(),
             self._document_part.waiting_handlers,
+            lambda: compute_link_limit(descriptors, len(self._directory.members)),
         )
         self._shutdown = GracefulShutdown(
             self._callers,
--- a/packages/fulmarstile_http/src/fulmarstile_http/listener.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/listener.py
@@ -89,6 +89,7 @@
     nursery: trio.Nursery,
     serve: Callable[[ByteStream], Awaitable[None]],
     on_exhausted: Callable[[OutOfDescriptorsError], None],
+    wait_for_room: Callable[[], Awaitable[None]] | None = None,
 ) -> None:
     """Serves each connection in its own task, until cancelled.
 
@@ -97,8 +98,11 @@
         nursery: Runs the tasks.
         serve: Serves one connection.
         on_exhausted: Called when the process cannot open another connection.
+        wait_for_room: Waits until another connection may be accepted; by default none waits.
     """
     while True:
+        if wait_for_room is not None:
+            await wait_for_room()
         try:
             stream = await listener.accept()
         except OutOfDescriptorsError as error:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/link_servers.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/link_servers.py
@@ -67,6 +67,7 @@
     handle_sync: Callable[[SyncRequest], SyncReply] = answer_sync,
     handlers: Mapping[type[LoadRequest], Callable[[Any], PeerReply]] | None = None,
     budget: ByteBudget | None = None,
+    max_connections: int = 1_000,
 ) -> LinkServer:
     """Makes a server whose handlers answer at once."""
     return LinkServer(
@@ -78,6 +79,7 @@
         budget or ByteBudget(1 << 30),
         {LoadRequest: answer_load} if handlers is None else handlers,
         {},
+        lambda: max_connections,
     )
 
 
