Return no memory of a head when none was reserved (clients outside the limits)

Every request called the budget to return the memory of its head, also the usual one whose head arrived at once and holds none.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -324,7 +324,8 @@
             size: Size of the head in bytes.
             headers: Number of its headers.
         """
-        self._release_reserved()
+        if self._reserved_bytes or self._large is not None:
+            self._release_reserved()
         if self._read_ahead is not None:
             # Its characters were reserved when they were read.
             size = 0
