--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -64,8 +64,7 @@
         log: Log of the daemon.
         id_header: Name of the header that identifies a request in the log.
         lateness: Measures how late the event loop is while requests are in flight.
-        find_deadline: Returns the time by which the body of a request has to be complete, in
-            seconds.
+        find_wait_s: Returns how long the caller of a request waits for the answer, in seconds.
     """
 
     def __init__(
@@ -77,7 +76,7 @@
         log: EventLog,
         id_header: bytes,
         lateness: LoopLateness | None = None,
-        find_deadline: Callable[[ReceivedRequest], float] = never,
+        find_wait_s: Callable[[ReceivedRequest], float] = never,
     ) -> None:
         self._handle = handle
         self._limits = limits
@@ -86,7 +85,7 @@
         self._log = log
         self._id_header = id_header
         self._lateness = lateness or LoopLateness(log)
-        self._find_deadline = find_deadline
+        self._find_wait_s = find_wait_s
         self._costly_input = trio.Lock()
         self._connections: dict[ServerConnection, RequestPipeline] = {}
         self._in_flight: dict[RequestScope, ServerConnection] = {}
@@ -94,7 +93,10 @@
         self._accept_scope = trio.CancelScope()
         self._has_stopped_accepting = trio.Event()
         self._expired_at = -math.inf
+        self._last_answers: list[RequestScope] = []
+        """Requests of which a part of the answer had arrived when all others were ended."""
         self._last_request_at = -math.inf
+        self._lateness.add_sign_of_life(lambda: self._last_request_at)
         self._has_in_flight = trio.Event()
         self.abandoned_requests = 0
         """Requests whose caller disconnected before the response."""
@@ -187,21 +189,23 @@
         Those whose answer is arriving are ended by `wait_answered` or `finish`.
         """
         self._expired_at = trio.current_time()
+        self._last_answers = [scope for scope in self._in_flight if scope.is_answering()]
         for scope in tuple(self._in_flight):
-            if not scope.is_answering():
+            if scope not in self._last_answers:
                 scope.expire()
         self.refuse_unreceived()
 
-    def _expire_answering(self) -> None:
-        for scope in tuple(self._in_flight):
-            scope.expire()
+    def _expire_last_answers(self) -> None:
+        for scope in self._last_answers:
+            if scope in self._in_flight:
+                scope.expire()
 
     async def wait_answered(self) -> None:
         """Waits until all responses are sent, and for a limited time for those that arrive."""
         with trio.move_on_after(FINAL_RECEIVE_S):
-            while any(scope.is_answering() for scope in self._in_flight):
+            while any(scope in self._in_flight for scope in self._last_answers):
                 await trio.sleep(_POLL_INTERVAL_S)
-        self._expire_answering()
+        self._expire_last_answers()
         while any(connection.is_busy for connection in self._connections):
             await trio.sleep(_POLL_INTERVAL_S)
 
@@ -214,7 +218,7 @@
         Args:
             timeout_s: Time limit in seconds.
         """
-        self._expire_answering()
+        self._expire_last_answers()
         self._accept_scope.cancel()
         await self._has_stopped_accepting.wait()
         ends_at = trio.current_time() + timeout_s
@@ -240,14 +244,14 @@
 
     def _on_exhausted(self, error: OutOfDescriptorsError) -> None:
         _LOGGER.warning("cannot accept a connection: %s", error)
-        self._evict_idle()
+        self._evict()
 
     async def _serve_connection(
         self, nursery: trio.Nursery, watch: InputWatch, stream: ByteStream
     ) -> None:
         try:
             if len(self._connections) >= self._connection_limit:
-                self._evict_idle()
+                self._evict()
             connection, pipeline = self._open(nursery, watch, stream)
         except Exception:
             # An error on one connection must not terminate the daemon.
@@ -264,7 +268,7 @@
             self._limits,
             self._budget,
             _make_malformed_response,
-            self._find_deadline,
+            self._find_wait_s,
             self._costly_input,
         )
         connection.must_close = self._is_closing
@@ -334,12 +338,18 @@
                 if connection.idle_since < oldest:
                     connection.try_close_idle()
 
-    def _evict_idle(self) -> None:
-        """Closes the connection that has been idle longest, if any is idle."""
+    def _evict(self) -> None:
+        """Makes room for a connection: closes an idle one, or ends a message without progress."""
+        if not self._evict_idle():
+            self._budget.transfers.drop_longest_stalled()
+
+    def _evict_idle(self) -> bool:
+        """Closes the connection that has been idle longest; returns whether one is idle."""
         idle = [connection for connection in self._connections if connection.is_idle]
         for connection in sorted(idle, key=lambda connection: connection.idle_since):
             if connection.try_close_idle():
-                return
+                return True
+        return False
 
 
 def make_error_response(status: int, detail: str, retry_after_s: float = 0.0) -> CallerResponse:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -43,7 +43,6 @@
     from fulmarstile_daemon.services._notice_merger import NoticeMerger
     from fulmarstile_daemon.services._server_connection import ReceivedRequest
     from fulmarstile_daemon.services.event_log import EventLog
-    from fulmarstile_daemon.services.metrics import ServiceMetrics
     from fulmarstile_daemon.services.ports import CallHeaderNames
     from fulmarstile_http.client_connection import ClientConnection
     from fulmarstile_services.rollouts.evidence import EvidenceCounter
@@ -154,6 +153,15 @@
         notice = self.notice
         return 0.0 if notice is None else notice.rate_limit
 
+    def expect_service_s(self, hop: HopRequest) -> float:
+        """Returns the time that a request is expected to take once it has a slot, in seconds.
+
+        It is the usual time of its class, or the target latency of its route if that is longer.
+        """
+        times = self._service_times
+        usual_s = times.class_mean_s(hop.priority) * (times.slowdown(trio.current_time()) or 1.0)
+        return max(hop.target_ms / 1000, usual_s)
+
     def rate_wait_s(self) -> float:
         """Returns the time for which the rate limit alone holds back a new request, in seconds."""
         return self._slots.rate_wait_s
@@ -196,6 +204,13 @@
         self.apply_notice()
         self._unreachable_until = -math.inf
 
+    def apply_connection_limit(self) -> None:
+        """Applies the connection limit of the active document, which may have changed."""
+        if self._announcement is not None and self._pool is not None:
+            limit = self._connection_limit(self._announcement.service)
+            self._pool.resize(limit)
+            self._slots.set_connections(limit)
+
     def apply_notice(self) -> None:
         """Applies what the upstream has said about itself."""
         self._slots.set_rate_limit(self.rate_limit)
@@ -209,20 +224,6 @@
         self._is_stopping = True
         self._slots.close()
 
-    def add_gauges(self, metrics: ServiceMetrics) -> None:
-        """Adds the gauges of the upstream.
-
-        Args:
-            metrics: Metrics of the daemon.
-        """
-        add = metrics.add_gauge
-        add("upstream_running", lambda: self.running)
-        add("upstream_queued", lambda: self.queued)
-        add("upstream_slots", lambda: self.slots)
-        add("upstream_rate_limit", lambda: self.rate_limit)
-        add("upstream_requests_sent", lambda: self.requests_sent)
-        add("upstream_service_seconds", lambda: self.service_s)
-
     def close_idle_connections(self) -> None:
         """Closes idle connections, which may be dead after the VM was suspended."""
         if self._pool is not None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -14,7 +14,6 @@
 from fulmarstile_daemon.services._quota import QuotaStage
 from fulmarstile_daemon.services._replies import CallReplies, read_path
 from fulmarstile_daemon.services._request_server import make_error_response
-from fulmarstile_daemon.services._stop_times import StopTimes
 from fulmarstile_services.slot_class import classify
 from fulmarstile_services.wait_policy import useful_wait_s
 
@@ -23,6 +22,7 @@
     from fulmarstile_daemon.services._notice_merger import NoticeMerger
     from fulmarstile_daemon.services._request_scope import RequestScope
     from fulmarstile_daemon.services._server_connection import CallerResponse, ReceivedRequest
+    from fulmarstile_daemon.services._stop_times import StopTimes
     from fulmarstile_daemon.services._upstream import LocalUpstream
     from fulmarstile_daemon.services._upstream_choice import UpstreamChooser
     from fulmarstile_daemon.services._version_choice import VersionChoice
@@ -116,15 +116,22 @@
         )
         self.caller_service = ""
         """Service of the upstream on this VM, passed to upstreams as the caller."""
-        self.stop_times = StopTimes()
+
+    @property
+    def stop_times(self) -> StopTimes:
         """Decides which requests are accepted during shutdown."""
+        return self._attempts.stop_times
+
+    @stop_times.setter
+    def stop_times(self, stop_times: StopTimes) -> None:
+        self._attempts.stop_times = stop_times
 
     async def run_hedges(self) -> None:
         """Starts the second attempts of hedged requests, until cancelled."""
         await self._attempts.run_hedges()
 
-    def find_deadline(self, request: ReceivedRequest) -> float:
-        """Returns the time after which a request cannot be answered in time.
+    def find_wait_s(self, request: ReceivedRequest) -> float:
+        """Returns how long the caller of a request waits for the answer.
 
         Args:
             request: The request; its body may be missing.
@@ -134,9 +141,7 @@
         """
         table = self._routes.table
         route = table.find(request.headers.get(b"host"), read_path(request)) if table else None
-        if route is None:
-            return request.arrived_at + _UNKNOWN_BODY_S
-        return request.arrived_at + self._read_wait_s(request, route)
+        return _UNKNOWN_BODY_S if route is None else self._read_wait_s(request, route)
 
     async def handle(self, request: ReceivedRequest, scope: RequestScope) -> CallerResponse:
         """Handles a request.
