--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -334,7 +334,8 @@
             size: Size of the head in bytes.
             headers: Number of its headers.
         """
-        self._release_reserved()
+        if self._reserved_bytes or self._large is not None:
+            self._release_reserved()
         parsed_bytes = headers * _HEADER_BYTES
         if self._read_ahead is None:
             if size + parsed_bytes > _SMALL_HEAD_BYTES:
