Bound the answers that wait for many callers at the same moment (clients outside the limits)

Callers saw: 2,270 connections that each ask for 2 MB and read nothing drove the daemon of a machine of 128 MB with 4,100 descriptors to 117 to 242 MB.

Cause (in part): a ready answer was always taken, and only messages without progress for a second gave way to it, so the answers of one second were held whatever their sum.

Change: beyond twice the limit, the message that waits longest for its caller gives way to a ready answer. The memory of the own path picks the same one.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
@@ -5,7 +5,7 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Final
 
-from fulmarstile_http.transfers import Transfers
+from fulmarstile_http.transfers import READY_FACTOR, Transfers
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -197,6 +197,10 @@
         """
         while self._used_bytes + size > self._limit and self._drop_stalled():
             pass
+        # Many callers that begin to read slowly at the same time have not stalled yet.
+        limit = READY_FACTOR * self._limit
+        while self._used_bytes + size > limit and self.transfers.drop_slowest():
+            self.aborted_messages += 1
 
     def add(self, allocation: Allocation, size: int) -> None:
         """Changes the size of an allocation regardless of the limit."""
--- a/packages/fulmarstile_http/src/fulmarstile_http/transfers.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/transfers.py
@@ -10,11 +10,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-STALL_S: Final = 1.0
+_STALL_S: Final = 1.0
 """Time without progress from which a message gives way to others, in seconds."""
 _PROGRESS_BYTES: Final = 16 * 1024
 """Bytes that count as progress, so that a trickle does not."""
 
+READY_FACTOR: Final = 2
+"""Multiple of a limit from which data that must be sent makes any waiting message give way."""
+
 
 class Transfer:
     """A message that waits for its client to send or to read more of it.
@@ -48,9 +51,14 @@
             self._moved_bytes = 0
             self._moved_at = trio.current_time()
 
-    def is_stalled(self, now: float, stall_s: float) -> bool:
-        """Checks whether it has made no progress for `stall_s`, at a time in seconds."""
-        return now - self._moved_at >= stall_s
+    @property
+    def moved_at(self) -> float:
+        """Time of its last progress in seconds."""
+        return self._moved_at
+
+    def is_stalled(self, now: float) -> bool:
+        """Checks whether it has made no progress for long, at a time in seconds."""
+        return now - self._moved_at >= _STALL_S
 
     def drop(self) -> None:
         """Drops it, and returns its memory at once."""
@@ -72,24 +80,33 @@
         finally:
             self._waiting.pop(transfer, None)
 
-    def drop_stalled(self, stall_s: float = STALL_S) -> bool:
+    def drop_stalled(self) -> bool:
         """Drops the message that holds most memory of those without progress.
 
-        Args:
-            stall_s: Time without progress from which a message gives way, in seconds.
-
         Returns:
             Whether there was one.
         """
         if not self._waiting:
             return False
         now = trio.current_time()
-        stalled = [
-            each for each in self._waiting if each.is_stalled(now, stall_s) and each.held_bytes
-        ]
+        stalled = [each for each in self._waiting if each.is_stalled(now) and each.held_bytes]
         if not stalled:
             return False
-        largest = max(stalled, key=lambda transfer: transfer.held_bytes)
-        del self._waiting[largest]
-        largest.drop()
+        self._drop(max(stalled, key=lambda transfer: transfer.held_bytes))
         return True
+
+    def drop_slowest(self) -> bool:
+        """Drops the message whose last progress is longest ago, however short that is.
+
+        Returns:
+            Whether there was one.
+        """
+        waiting = [each for each in self._waiting if each.held_bytes]
+        if not waiting:
+            return False
+        self._drop(min(waiting, key=lambda transfer: transfer.moved_at))
+        return True
+
+    def _drop(self, transfer: Transfer) -> None:
+        del self._waiting[transfer]
+        transfer.drop()
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/message_memory.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/message_memory.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from fulmarstile_http.transfers import STALL_S, Transfer, Transfers
+from fulmarstile_http.transfers import READY_FACTOR, Transfer, Transfers
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -21,9 +21,6 @@
 _LOG_INTERVAL_S: Final = 10.0
 """Shortest time between two log lines about messages without room, in seconds."""
 
-_READY_FACTOR: Final = 2
-"""Multiple of the limit from which data that must be sent makes any waiting message give way."""
-
 
 class HeldMessage:
     """A body or an answer that is held in memory.
@@ -162,18 +159,18 @@
         while self._used_bytes + size > self._limit and self._drop_stalled():
             pass
         # Many clients that begin to read slowly at the same time have not stalled yet.
-        limit = _READY_FACTOR * self._limit
-        while self._used_bytes + size > limit and self._drop_stalled(stall_s=0.0):
-            pass
+        limit = READY_FACTOR * self._limit
+        while self._used_bytes + size > limit and self.transfers.drop_slowest():
+            self._on_cut("dropped the message that waits longest for its client")
         self._used_bytes += size
 
     def release(self, size: int) -> None:
         """Returns memory that `try_reserve` reserved."""
         self._used_bytes -= size
 
-    def _drop_stalled(self, stall_s: float = STALL_S) -> bool:
+    def _drop_stalled(self) -> bool:
         """Drops the largest message without progress; returns whether there was one."""
-        if not self.transfers.drop_stalled(stall_s):
+        if not self.transfers.drop_stalled():
             return False
         self._on_cut("dropped a message whose client sends or reads too slowly")
         return True
--- a/tests/services/test_byte_budget.py
+++ b/tests/services/test_byte_budget.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from contextlib import ExitStack
 
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fulmarstile_daemon.services._byte_budget import ByteBudget
+from fulmarstile_daemon.services._byte_budget import Allocation, ByteBudget
+from fulmarstile_http.transfers import Transfer
 
 LIMIT = 1_000
 
@@ -91,3 +94,23 @@
             budget.release(holding)
             budget.release(holding)
         self.assertEqual(budget.used_bytes, 0)
+
+    def test_answers_that_wait_from_the_same_moment_do_not_exceed_twice_the_bound(self) -> None:
+        async def run() -> None:
+            dropped = []
+            with ExitStack() as stack:
+                for number in range(20):
+                    allocation = stack.enter_context(self.budget.allocate())
+                    allocation.grow(LIMIT // 3)
+
+                    def drop(number: int = number, allocation: Allocation = allocation) -> None:
+                        dropped.append(number)
+                        allocation.shrink(allocation.size)
+
+                    transfer = Transfer(lambda each=allocation: each.size, drop)
+                    stack.enter_context(self.budget.transfers.track(transfer))
+                    self.assertLessEqual(self.budget.used_bytes, 2 * LIMIT)
+            self.assertEqual(dropped, sorted(dropped))
+            self.assertEqual(self.budget.used_bytes, 0)
+
+        trio.run(run)
