--- a/packages/fulmarstile_http/src/fulmarstile_http/transfers.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/transfers.py
@@ -10,11 +10,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-STALL_S: Final = 1.0
+_STALL_S: Final = 1.0
 """Time without progress from which a message gives way to others, in seconds."""
 _PROGRESS_BYTES: Final = 16 * 1024
 """Bytes that count as progress, so that a trickle does not."""
 
+READY_FACTOR: Final = 2
+"""Multiple of a limit from which data that must be sent makes any waiting message give way."""
+
 
 class Transfer:
     """A message that waits for its client to send or to read more of it.
@@ -49,9 +52,9 @@
             self._moved_bytes = 0
             self.moved_at = trio.current_time()
 
-    def is_stalled(self, now: float, stall_s: float) -> bool:
-        """Checks whether it has made no progress for `stall_s`, at a time in seconds."""
-        return now - self.moved_at >= stall_s
+    def is_stalled(self, now: float) -> bool:
+        """Checks whether it has made no progress for long, at a time in seconds."""
+        return now - self.moved_at >= _STALL_S
 
     def drop(self) -> None:
         """Drops it, and returns its memory at once."""
@@ -73,16 +76,13 @@
         finally:
             self._waiting.pop(transfer, None)
 
-    def drop_stalled(self, stall_s: float = STALL_S) -> bool:
+    def drop_stalled(self) -> bool:
         """Drops the message that holds most memory of those without progress.
 
-        Args:
-            stall_s: Time without progress from which a message gives way, in seconds.
-
         Returns:
             Whether there was one.
         """
-        stalled = [each for each in self._find_stalled(stall_s) if each.held_bytes]
+        stalled = [each for each in self._find_stalled() if each.held_bytes]
         if not stalled:
             return False
         self._drop(max(stalled, key=lambda transfer: transfer.held_bytes))
@@ -94,17 +94,27 @@
         Returns:
             Whether there was one.
         """
-        stalled = self._find_stalled(STALL_S)
-        if not stalled:
+        return self._drop_slowest_of(self._find_stalled())
+
+    def drop_slowest(self) -> bool:
+        """Drops the message whose last progress is longest ago, however short that is.
+
+        Returns:
+            Whether there was one.
+        """
+        return self._drop_slowest_of([each for each in self._waiting if each.held_bytes])
+
+    def _drop_slowest_of(self, transfers: list[Transfer]) -> bool:
+        if not transfers:
             return False
-        self._drop(min(stalled, key=lambda transfer: transfer.moved_at))
+        self._drop(min(transfers, key=lambda transfer: transfer.moved_at))
         return True
 
-    def _find_stalled(self, stall_s: float) -> list[Transfer]:
+    def _find_stalled(self) -> list[Transfer]:
         if not self._waiting:
             return []
         now = trio.current_time()
-        return [each for each in self._waiting if each.is_stalled(now, stall_s)]
+        return [each for each in self._waiting if each.is_stalled(now)]
 
     def _drop(self, transfer: Transfer) -> None:
         del self._waiting[transfer]
