Keep nothing of an answer that failed (clients outside the limits)

Cause: what had arrived of an answer stayed in memory, and no limit knew it, in two ways: the error of an answer that is too large refers to the call that received it, for as long as the error is handled; and a parser of responses and its callbacks refer to each other, so that what a closed connection had received stayed until the collector ran. Change: the received part is dropped with the error, and a closed connection releases its parser.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_exchange.py
@@ -160,6 +160,8 @@
                         )
                     body += part
             except ExchangeError as error:
+                # The error refers to this call for as long as it is handled.
+                body.clear()
                 if allocation.is_aborted:
                     raise ResponseTooLargeError(
                         "the response was aborted as the largest in memory"
--- a/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/client_connection.py
@@ -208,10 +208,12 @@
             self._stream.close()
         else:
             self._stream.abort()
+        self._responses.release()
 
     def abort(self) -> None:
         """Breaks the connection at once, so that an exchange waiting on it fails."""
         self._stream.abort()
+        self._responses.release()
 
     async def _send(self, data: bytes) -> None:
         try:
--- a/packages/fulmarstile_http/src/fulmarstile_http/response_parser.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/response_parser.py
@@ -39,7 +39,7 @@
 
     def __init__(self, head_limit: int) -> None:
         self._framing = FramingLimit(head_limit)
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._events: deque[ResponseEvent] = deque()
         self._headers: list[Header] = []
         self._body_bytes = 0
@@ -64,7 +64,8 @@
         Args:
             data: The bytes; empty at the end of the stream.
         """
-        if self._error is not None:
+        parser = self._parser
+        if self._error is not None or parser is None:
             return
         if not data:
             self._end_stream()
@@ -72,7 +73,7 @@
         self._framing.count(len(data), 0)
         self._body_bytes = 0
         try:
-            self._parser.feed_data(data)
+            parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # No request offers another protocol, so a response that switches is malformed as well.
             self._error = MalformedResponseError(f"malformed response: {error}")
@@ -97,6 +98,15 @@
             raise self._error
         return None
 
+    def release(self) -> None:
+        """Ends the parsing, and frees what was received and not read.
+
+        Until then the parser and its callbacks refer to each other.
+        """
+        self._parser = None
+        self._events.clear()
+        self._error = self._error or MalformedResponseError("the connection was closed")
+
     def on_message_begin(self) -> None:
         """Called by the parser at the first byte of a response."""
         self._started_count += 1
@@ -110,13 +120,16 @@
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of a head."""
-        status = self._parser.get_status_code()
+        parser = self._parser
+        if parser is None:
+            return
+        status = parser.get_status_code()
         self._in_head = False
         self._is_interim = status < 200
         if not self._is_interim:
             self._framing.reset()
         self._events.append(ResponseHead(status, self._headers))
-        self.keeps_alive = self._parser.should_keep_alive()
+        self.keeps_alive = parser.should_keep_alive()
         if not self.has_body and not self._is_interim:
             # The parser would wait for the body that the headers describe.
             self._finish(keeps_alive=False)
@@ -132,7 +145,7 @@
         if self._is_interim:
             self._started_count -= 1
             self._in_head = True
-        elif self._ended_count < self._started_count:
+        elif self._ended_count < self._started_count and self._parser is not None:
             self._finish(keeps_alive=self._parser.should_keep_alive())
 
     def _finish(self, *, keeps_alive: bool) -> None:
