--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_signals.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_signals.py
@@ -52,7 +52,7 @@
 
     def on_signal(number: int, frame: FrameType | None) -> None:
         # A process that was halted gets its signals only when it runs again.
-        # The clock is read first: the time until the halt is measured must not make it later.
+        # The clock is read first, as it goes on while the duration of the halt is found out.
         now = read_boot_clock()
         halted_s = lateness.halted_s
         received = ReceivedSignal(number, now - halted_s, halted_s)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -66,9 +66,6 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
-_DESCRIPTOR_SHARE: Final = 0.6
-"""Share of the unreserved file descriptors that callers' connections may use."""
-_RESERVED_DESCRIPTORS: Final = 300
 _BYTES_PER_KBIT: Final = 125
 _READY_WITHOUT_MEMBERS_S: Final = 1.5
 """Time after the start from which the daemon is ready even if the store was not read."""
@@ -207,12 +204,10 @@
             names, self._directory, notices, self._upstream, self._body_admission, log
         )
         self._lateness = LoopLateness(log)
-        descriptors = settings.descriptor_limit - _RESERVED_DESCRIPTORS
-        connections = max(64, int(descriptors * _DESCRIPTOR_SHARE))
         self._callers = RequestServer(
             self._entry.handle,
             self._limits,
-            connections,
+            settings.caller_connection_limit,
             self._byte_budget,
             log,
             names.request_id,
@@ -228,7 +223,9 @@
             self._byte_budget,
             self._list_peer_handlers(),
             self._document_part.waiting_handlers,
-            lambda: compute_link_limit(descriptors, len(self._directory.members)),
+            lambda: compute_link_limit(
+                settings.unreserved_descriptors, len(self._directory.members)
+            ),
         )
         self._shutdown = GracefulShutdown(
             self._callers,
--- a/packages/fulmarstile_services/src/fulmarstile_services/settings.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/settings.py
@@ -15,6 +15,12 @@
 _MIN_MESSAGE_MEMORY_BYTES: Final = 4 * 1024 * 1024
 """Lower bound of `message_memory_bytes`, for a daemon with little free memory."""
 
+_RESERVED_DESCRIPTORS: Final = 300
+"""File descriptors left to files, the upstream, the store and probes."""
+_CALLER_DESCRIPTOR_SHARE: Final = 0.6
+"""Share of the other descriptors that callers' connections may use."""
+_MIN_CALLER_CONNECTIONS: Final = 64
+
 
 class NodeSettingsError(FulmarstileError):
     """The settings of the daemon cannot be read or are invalid."""
@@ -110,6 +116,17 @@
     """Capacity of the VM's link, in kilobits per second; 0 if unknown."""
     bounds: RequiredBounds = field(default_factory=RequiredBounds)
 
+    @property
+    def unreserved_descriptors(self) -> int:
+        """File descriptors for the connections of callers and of other daemons."""
+        return self.descriptor_limit - _RESERVED_DESCRIPTORS
+
+    @property
+    def caller_connection_limit(self) -> int:
+        """Maximum number of callers' connections."""
+        share = int(self.unreserved_descriptors * _CALLER_DESCRIPTOR_SHARE)
+        return max(_MIN_CALLER_CONNECTIONS, share)
+
     @property
     def message_memory_bytes(self) -> int:
         """Maximum number of bytes of messages that the daemon may hold in memory.
