--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -66,7 +66,6 @@
 
 _LOGGER: Final = logging.getLogger(__name__)
 
-_BYTES_PER_KBIT: Final = 125
 _READY_WITHOUT_MEMBERS_S: Final = 1.5
 """Time after the start from which the daemon is ready even if the store was not read."""
 _COLLECTION_THRESHOLDS: Final = (20_000, 20, 50)
@@ -199,11 +198,12 @@
         self._announcements.hand_over_departure = self._gossip.hand_over_departure
         if not settings.is_first_start:
             self._membership.ask_daemons = self._gossip.ask_for_departures
-        self._body_admission = BodyAdmission(settings.link_kbps * _BYTES_PER_KBIT)
+        self._body_admission = BodyAdmission(settings.link_bytes_per_s)
         self._hops = HopServer(
             names, self._directory, notices, self._upstream, self._body_admission, log
         )
         self._lateness = LoopLateness(log)
+        descriptors = settings.unreserved_descriptors
         self._callers = RequestServer(
             self._entry.handle,
             self._limits,
@@ -223,9 +223,7 @@
             self._byte_budget,
             self._list_peer_handlers(),
             self._document_part.waiting_handlers,
-            lambda: compute_link_limit(
-                settings.unreserved_descriptors, len(self._directory.members)
-            ),
+            lambda: compute_link_limit(descriptors, len(self._directory.members)),
         )
         self._shutdown = GracefulShutdown(
             self._callers,
--- a/packages/fulmarstile_services/src/fulmarstile_services/settings.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/settings.py
@@ -15,6 +15,7 @@
 _MIN_MESSAGE_MEMORY_BYTES: Final = 4 * 1024 * 1024
 """Lower bound of `message_memory_bytes`, for a daemon with little free memory."""
 
+_BYTES_PER_KBIT: Final = 125
 _RESERVED_DESCRIPTORS: Final = 300
 """File descriptors left to files, the upstream, the store and probes."""
 _CALLER_DESCRIPTOR_SHARE: Final = 0.6
@@ -116,6 +117,11 @@
     """Capacity of the VM's link, in kilobits per second; 0 if unknown."""
     bounds: RequiredBounds = field(default_factory=RequiredBounds)
 
+    @property
+    def link_bytes_per_s(self) -> float:
+        """Capacity of the VM's link, in bytes per second; 0 if unknown."""
+        return self.link_kbps * _BYTES_PER_KBIT
+
     @property
     def unreserved_descriptors(self) -> int:
         """File descriptors for the connections of callers and of other daemons."""
