Log that a message without progress gave its memory to others (clients outside the limits)

The counter of cut messages didn't tell it from a message that was too large. The volume of such lines is bounded like that of all messages of the library logger.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_byte_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Final
 
@@ -12,6 +13,8 @@
 
     from fulmarstile_daemon.services.metrics import ServiceMetrics
 
+_LOGGER: Final = logging.getLogger(__name__)
+
 _MESSAGE_SHARE: Final = 0.5
 """Maximum share of the budget for a single message, and for all callers' requests together."""
 
@@ -320,5 +323,6 @@
         """Drops a message whose caller neither sends nor reads; returns whether there was one."""
         if not self.transfers.drop_stalled():
             return False
+        _LOGGER.warning("a message without progress gave its memory to others")
         self.aborted_messages += 1
         return True
