Free the body of a request when the request ends (clients outside the limits)

Cause: a request and its scope referred to each other, so each body stayed until a collection of garbage, after its memory was returned to the budget. A sent frame kept an empty part of the body, and with it the whole. The server for other daemons held the last message until the next one arrived.

Change: the scope forgets the request at its end, a sent frame holds nothing, the message is let go.

Not freed at once: a forwarded request that is cancelled while its upstream works, at the daemon beside the upstream (seen in a trial with the collection off; the cycle is not traced).

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_frame_stream.py
@@ -88,7 +88,8 @@
     def advance(self, size: int) -> None:
         """Removes bytes that were passed to the kernel."""
         self.unsent = self.unsent[size:]
-        if not self.unsent and self._body:
+        if not self.unsent:
+            # An empty part of the body would keep it in memory.
             self.unsent, self._body = memoryview(self._body), b""
 
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -222,6 +222,8 @@
                     link.on_hello(_check_hello(message))
                 elif not link.has_gone_away:
                     self._handle_message(link, message, nursery)
+            # It would be held until the next one arrives.
+            del message
 
     def _handle_message(
         self, link: ServedLink, message: ReceivedMessage, nursery: trio.Nursery
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_scope.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_scope.py
@@ -29,7 +29,7 @@
         """Whether the caller has disconnected."""
         self.make_response: Callable[[], CallerResponse] | None = None
         """Creates the response after cancellation; None if no caller waits for one."""
-        self.is_answering: Callable[[], bool] = lambda: False
+        self.is_answering: Callable[[], bool] = _is_not_answering
         """Returns whether a part of its answer has arrived, and the rest is expected."""
         self._withdraw: Callable[[], None] | None = None
 
@@ -70,8 +70,22 @@
             self.make_response = make_response
             self.cancel_scope.cancel()
 
+    def release(self) -> Callable[[], CallerResponse] | None:
+        """Ends the handling, and returns what creates the response after cancellation.
+
+        Until then the request and its scope refer to each other: the cycle would keep its body.
+        """
+        make_response = self.make_response
+        self.make_response = self._withdraw = None
+        self.is_answering = _is_not_answering
+        return make_response
+
     def abandon(self) -> None:
         """Cancels the request because its caller has disconnected."""
         self.is_abandoned = True
         self.make_response = None
         self.cancel_scope.cancel()
+
+
+def _is_not_answering() -> bool:
+    return False
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -311,8 +311,9 @@
             return make_error_response(HTTPStatus.INTERNAL_SERVER_ERROR, "internal error")
         finally:
             del self._in_flight[scope]
-        if scope.make_response is not None:
-            return scope.make_response()
+            make_response = scope.release()
+        if make_response is not None:
+            return make_response()
         self.abandoned_requests += 1
         elapsed_ms = (trio.current_time() - request.arrived_at) * 1000
         self._log.write(
