Show that input behind requests at work is not accounted for (clients outside the limits)

What a client may do: send a request that takes long, and up to 64 KB behind it in the same write, on many connections.

--- a/tests/services/test_held_heads.py
+++ b/tests/services/test_held_heads.py
@@ -28,6 +28,13 @@
 HEAD_START = b"GET /a HTTP/1.1\r\nhost: shop.example\r\n"
 PARTIAL_HEAD = HEAD_START + b"x-a: " + b"a" * 27_000
 MANY_HEADERS = HEAD_START + b"".join(b"h%d: a\r\n" % number for number in range(2_500)) + b"\r\n"
+BEHIND = (
+    HEAD_START
+    + b"\r\n"
+    + b"POST /a HTTP/1.1\r\nhost: shop.example\r\ncontent-length: 70000\r\n\r\n"
+    + b"x" * 60_000
+)
+"""A request, and in the same write the begin of another one."""
 SMALL_HEAD = HEAD_START + b"x-small: 1\r\n\r\n"
 TIMEOUT_S = 10.0
 """Ends a test that hangs, in seconds."""
@@ -82,6 +89,9 @@
     def test_heads_with_many_headers_do_not_exceed_the_memory_limit(self) -> None:
         self.check(MANY_HEADERS)
 
+    def test_input_behind_requests_at_work_does_not_exceed_the_memory_limit(self) -> None:
+        self.check(BEHIND)
+
 
 if __name__ == "__main__":
     unittest.main()
