Account for input behind a request at work (clients outside the limits)

What a client may do: a request that takes long, and up to 64 KB behind it in the same write, on many connections. Without memory to read ahead, that input was held and not accounted for. Change: more than 4 KiB behind a request is reserved in the callers' share until it is read; without room the request before it is refused with 503, not run, and the connection closes.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -358,7 +358,7 @@
         else:
             size += self._reserved_bytes
             if not self._budget.may_be_large(max(size, self._expected_bytes)):
-                raise _make_no_memory_error()
+                raise make_no_memory_error()
             self._release_reserved()
             self._reserve_large(size)
 
@@ -367,7 +367,7 @@
         if self._large is None:
             self._large = self._budget.open()
         if not self._large.try_grow_large(size):
-            raise _make_no_memory_error()
+            raise make_no_memory_error()
 
     def _give_way(self) -> None:
         """Refuses the request that is being received, because others need its memory."""
@@ -427,7 +427,7 @@
             data = await self._receive()
         self._waited_s += trio.current_time() - started_at
         if self._has_given_way:
-            raise _make_no_memory_error()
+            raise make_no_memory_error()
         if self._waiting.cancelled_caught:
             if self._stream.is_open_without_input:
                 raise MalformedRequestError("the request arrived too slowly", 408)
@@ -453,7 +453,8 @@
         return data
 
 
-def _make_no_memory_error() -> MalformedRequestError:
+def make_no_memory_error() -> MalformedRequestError:
+    """Creates the error of a request for which there is no memory."""
     return MalformedRequestError("too many large requests are held", 503)
 
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_server_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -14,7 +15,7 @@
     ReceivedRequest,
 )
 from fulmarstile_daemon.services._read_ahead import ReadAhead
-from fulmarstile_daemon.services._request_reader import RequestReader
+from fulmarstile_daemon.services._request_reader import RequestReader, make_no_memory_error
 from fulmarstile_http.byte_stream import READ_SIZE
 from fulmarstile_http.messages import encode_response
 from fulmarstile_http.request_checks import MalformedRequestError
@@ -32,6 +33,8 @@
 _NO_BODY_STATUSES: Final = (204, 304)
 _MAX_JOINED_BYTES: Final = 16 * 1024
 """Largest body that is copied behind its head, to be sent together, in bytes."""
+_SMALL_INPUT_BYTES: Final = 4 * 1024
+"""Input behind a request up to which it is not accounted for, in bytes."""
 _MIN_LINGER_BYTES: Final = 16 * 1024
 """Size of a response from which some of it may still be in transit when it is sent, in bytes."""
 
@@ -66,6 +69,8 @@
         self._is_sending = False
         self._is_refused = False
         self._last_response_bytes = 0
+        self._unparsed_bytes = 0
+        """Bytes behind the last request that are accounted for."""
         self.read_ahead = ReadAhead(budget)
         """Limit of what is read behind requests without a response."""
         self.sends_ahead = False
@@ -139,8 +144,25 @@
         Returns:
             Whether the memory was reserved.
         """
+        self._release_unparsed()
         return self.read_ahead.try_hold(len(self._reader.unparsed))
 
+    def _hold_unparsed(self, exchange: CallerExchange) -> CallerExchange:
+        """Accounts for the bytes behind a request until they are read; refuses it without room."""
+        size = len(self._reader.unparsed)
+        if size <= _SMALL_INPUT_BYTES:
+            return exchange
+        if self._budget.try_reserve_for_caller(size):
+            self._unparsed_bytes = size
+            return exchange
+        self._reader.unparsed = b""
+        error = self._make_error(make_no_memory_error())
+        return replace(exchange, request=None, keeps_alive=False, response=error)
+
+    def _release_unparsed(self) -> None:
+        self._budget.release_for_caller(self._unparsed_bytes)
+        self._unparsed_bytes = 0
+
     async def receive_request(self, is_ahead: bool = False) -> CallerExchange | None:
         """Receives the next request.
 
@@ -155,6 +177,8 @@
             CallerDisconnectedError: If the caller disconnected within a request.
         """
         reader = self._reader
+        if self._unparsed_bytes:
+            self._release_unparsed()
         try:
             exchange = await reader.receive(self.read_ahead if is_ahead else None)
         except MalformedRequestError as error:
@@ -165,6 +189,8 @@
             exchange.large = reader.take_large()
         if exchange is not None:
             self._unanswered += 1
+            if reader.unparsed and not is_ahead:
+                return self._hold_unparsed(exchange)
         return exchange
 
     async def send(
@@ -247,6 +273,7 @@
     def release_unread(self) -> None:
         """Returns the memory of what was read but isn't part of a complete request."""
         self._reader.release_partial()
+        self._release_unparsed()
         self.read_ahead.release_all()
 
     async def close(self) -> None:
