--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -12,6 +12,7 @@
     CallerExchange,
     ReceivedRequest,
 )
+from fulmarstile_http.chunked_bodies import SLICE_PARTS, ChunkedBody
 from fulmarstile_http.headers import read_headers
 from fulmarstile_http.request_checks import (
     MalformedRequestError,
@@ -36,10 +37,6 @@
 _CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 _HEADER_BYTES: Final = 160
 """Memory that a parsed header takes beside its characters, in bytes."""
-_SLICE_BYTES: Final = 16 * 1024
-"""Input of a chunked body that is parsed at once, in bytes."""
-_SLICE_PARTS: Final = 128
-"""Pieces of it that are passed to the parser at once, and chunks from which parsing is costly."""
 _MAX_COPIED_BYTES: Final = 64 * 1024
 """Largest body that is copied out of its buffer, in bytes."""
 _SMALL_HEAD_BYTES: Final = 4 * 1024
@@ -47,7 +44,7 @@
 
 
 def never(_: ReceivedRequest) -> float:
-    """Sets no deadline for the body of a request."""
+    """Sets no time limit for the body of a request."""
     return math.inf
 
 
@@ -60,8 +57,8 @@
         budget: Memory limit for messages.
         find_wait_s: Returns how long the caller of a request, whose body is missing, waits for
             the answer, in seconds.
-        costly_input: Held while a body is parsed of which much input carries little; shared by
-            all connections.
+        costly_input: Held while a slice of a body in tiny chunks is parsed; shared by all
+            connections.
     """
 
     def __init__(
@@ -87,7 +84,7 @@
         self._framing_bytes = 0
         self._ahead_bytes = 0
         self._body = bytearray()
-        self._tail = b""
+        self._chunked = ChunkedBody(self._parser)
         self._transfer: Transfer | None = None
         self._waiting = trio.CancelScope()
         self._has_given_way = False
@@ -254,7 +251,7 @@
         self._waited_s = 0.0
         self._expected_bytes = length or 0
         self._body = bytearray()
-        self._tail = b""
+        self._chunked = ChunkedBody(parser)
         while not parser.is_complete:
             if not received:
                 if math.isnan(limit_s):
@@ -296,17 +293,9 @@
         Returns:
             Position of the first one that was not parsed.
         """
-        view = memoryview(received)
-        limit = min(len(received), start + _SLICE_BYTES)
-        feeds = 0
-        while start < limit and feeds < _SLICE_PARTS and not self._parser.is_complete:
-            end = _find_possible_end(self._tail, received, start, limit)
-            self._tail = (self._tail + received[max(start, end - 3) : end])[-3:]
-            self._parser.feed_body(view[start:end])
-            start = end
-            feeds += 1
-        self._is_costly = max(feeds, self._take_body()) >= _SLICE_PARTS
-        return start
+        end, pieces = self._chunked.feed_slice(received, start)
+        self._is_costly = max(pieces, self._take_body()) >= SLICE_PARTS
+        return end
 
     def _parse_body(self, data: bytes) -> None:
         """Parses a part of a body of known length."""
@@ -458,25 +447,6 @@
     return MalformedRequestError("too many large requests are held", 503)
 
 
-def _find_possible_end(tail: bytes, received: bytes, start: int, limit: int) -> int:
-    """Finds where a chunked body may end, which is behind an empty line.
-
-    Args:
-        tail: Last bytes of the body before `start`.
-        received: Bytes of the body, perhaps followed by another request.
-        start: Position of the first byte to look at.
-        limit: Position behind the last one.
-
-    Returns:
-        Position of the first possible end, or `limit`.
-    """
-    at = (tail + received[start : start + len(HEAD_END)]).find(HEAD_END)
-    if 0 <= at < len(tail):
-        return min(limit, start + at + len(HEAD_END) - len(tail))
-    at = received.find(HEAD_END, start, limit)
-    return limit if at < 0 else at + len(HEAD_END)
-
-
 def _wants_continue(head: RequestHead) -> bool:
     """Checks whether the caller waits for `100 Continue` before it sends the body."""
     return any(
