--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link_server.py
@@ -253,8 +253,8 @@
                     link.on_hello(_check_hello(message))
                 elif not link.has_gone_away:
                     self._handle_message(link, message, nursery)
-            # It would be held until the next one arrives.
-            del message
+            # They would be held until the next ones arrive.
+            del message, messages
 
     def _handle_message(
         self, link: ServedLink, message: ReceivedMessage, nursery: trio.Nursery
