--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -108,9 +108,13 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
-            await keep_running(
-                allow_late_readers, lambda: [link.frames for link in self._open_links]
-            )
+            try:
+                await keep_running(
+                    allow_late_readers, lambda: [link.frames for link in self._open_links]
+                )
+            finally:
+                # Other tasks of the daemon may still ask for a connection while it ends.
+                self._nursery = None
 
     def close_unknown(self, addresses: Iterable[str]) -> None:
         """Retires the connections to addresses that are no longer known.
@@ -297,18 +301,21 @@
         return attempt.link
 
     def _begin_connecting(self, key: tuple[str, bool]) -> _ConnectAttempt:
-        if self._nursery is None:
-            raise DaemonUnreachableError("connections cannot be opened before the daemon runs")
+        nursery = self._nursery
+        if nursery is None:
+            raise DaemonUnreachableError("connections are opened only while the daemon runs")
         attempt = _ConnectAttempt()
-        self._nursery.start_soon(self._connect, key, attempt)
+        nursery.start_soon(self._connect, nursery, key, attempt)
         self._connecting[key] = attempt
         return attempt
 
-    async def _connect(self, key: tuple[str, bool], attempt: _ConnectAttempt) -> None:
+    async def _connect(
+        self, nursery: trio.Nursery, key: tuple[str, bool], attempt: _ConnectAttempt
+    ) -> None:
         """Opens a connection for all calls that wait for it."""
         address, _ = key
         try:
-            attempt.link = self._links[key] = await self._open_link(address)
+            attempt.link = self._links[key] = await self._open_link(nursery, address)
         except DaemonUnreachableError as error:
             attempt.failure = str(error)
         except Exception:
@@ -319,7 +326,7 @@
             del self._connecting[key]
             attempt.ended.set()
 
-    async def _open_link(self, address: str) -> Link:
+    async def _open_link(self, nursery: trio.Nursery, address: str) -> Link:
         with trio.move_on_after(_CONNECT_TIMEOUT_S):
             try:
                 stream = await open_stream(address)
@@ -332,7 +339,7 @@
                 link.close()
                 raise DaemonUnreachableError(f"cannot connect to {address}: {error}") from error
             self._open_links[link] = None
-            self._nursery.start_soon(self._run_link, link)
+            nursery.start_soon(self._run_link, link)
             return link
         raise DaemonUnreachableError(f"connecting to {address} timed out")
 
--- a/tests/services/test_shared_connecting.py
+++ b/tests/services/test_shared_connecting.py
@@ -172,6 +172,16 @@
         with self.assertLogs(level="ERROR"):
             self.play(fail_first, run)
 
+    def test_a_call_at_the_end_of_the_daemon_fails_without_ending_it_by_an_error(self) -> None:
+        async def run() -> None:
+            links = DaemonLinks("entry", ByteBudget(1 << 30))
+            async with trio.open_nursery() as nursery:
+                await nursery.start(links.run)
+                nursery.cancel_scope.cancel()
+            await measure_failure(links, make_member("other"))
+
+        trio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
