Log why connections between daemons are closed, and when nobody tells of newer versions (CONFIG)

Now the line gives the reason. A daemon tracks its contact: when the store last answered, to it or to a daemon that replied to it. `document_silent` names whom it has asked without a reply, `document_heard` how long it took, `document_applied` has `silent_s`; gauges `document_silent_seconds` and `document_silences`. The contact travels in replies between daemons as the time from the arrival of the request, so that delays on the way never make it look more recent than it is.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_part.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_part.py
@@ -9,6 +9,7 @@
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services._document_reader import DocumentReader
 from fulmarstile_daemon.services._document_relay import DocumentRelay
+from fulmarstile_daemon.services._document_watch import DocumentWatch
 from fulmarstile_daemon.services._freshness_keeper import FreshnessKeeper
 from fulmarstile_services.document_sources import DocumentSources
 from fulmarstile_wire.documents import DocumentRequest
@@ -55,6 +56,9 @@
         self._relay = DocumentRelay(
             local_member.name, documents, sources, links, lambda: self._reader.is_current
         )
+        self._watch = DocumentWatch(
+            documents, lambda: self._relay.asked, lambda: sources.is_reader, log
+        )
         gossip.on_newer_document = self._relay.hint
         gossip.fetch_document = self._relay.fetch
         self._keeper = FreshnessKeeper(documents, gossip, log, lambda: sources.is_reader)
@@ -79,6 +83,7 @@
             nursery.start_soon(self._reader.run, store)
             nursery.start_soon(self._relay.run)
             nursery.start_soon(self._keeper.run, store)
+            nursery.start_soon(self._watch.run)
 
     def add_gauges(self, metrics: ServiceMetrics) -> None:
         """Adds the gauges of the document.
@@ -90,6 +95,8 @@
         freshness = self._documents.freshness
         add("document_version", lambda: self._documents.version)
         add("document_age_seconds", lambda: freshness.age_s(read_boot_clock()))
+        add("document_silent_seconds", lambda: self._documents.contact.silent_s(read_boot_clock()))
+        add("document_silences", lambda: self._watch.silences)
         add("document_reads", lambda: self._reader.reads)
         add("document_bytes_read", lambda: self._reader.bytes_read)
         add("document_bytes_relayed", lambda: self._relay.bytes_sent)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -115,6 +115,7 @@
             documents.apply_records(page.records, page.next_offset)
             if not page.has_more:
                 documents.freshness.confirm(sent_at)
+                documents.contact.hear(documents.clock())
                 self._is_following = True
             is_burst = known_offset is not None and page.next_offset - known_offset > 1
             reads_newest = page.has_more or is_burst
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
@@ -94,6 +94,11 @@
         self.bytes_received = 0
         """Bytes of those that were received."""
 
+    @property
+    def asked(self) -> tuple[str, ...]:
+        """Names of the daemons that were asked and have not replied."""
+        return tuple(sorted({poll.member.name for poll in self._polls}))
+
     async def run(self) -> None:
         """Keeps asking, until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -109,11 +114,12 @@
         Returns:
             What it lacks, as soon as there is anything, or after the time that it waits.
         """
+        arrived_at = self._documents.clock()
         self._documents.hear_version(request.version)
         with trio.move_on_after(min(request.wait_ms / 1000, _WAIT_S)):
             while not self._has_more_than(request):
                 await self._documents.changed.wait()
-        return self._make_reply(request)
+        return self._make_reply(request, arrived_at)
 
     async def fetch(self, member: Member) -> bool:
         """Fetches what another daemon has and this one lacks.
@@ -202,6 +208,8 @@
             return None
         if not isinstance(reply, DocumentReply) or not self._apply(reply, base):
             return None
+        if reply.heard_ms is not None:
+            documents.contact.hear(asked_at + reply.heard_ms / 1000)
         if reply.age_ms >= 0 and reply.version == documents.version:
             documents.freshness.confirm_by_peer(asked_at, reply.age_ms / 1000)
         return reply
@@ -236,7 +244,7 @@
             documents.list_others(request.next_offset)
         )
 
-    def _make_reply(self, request: DocumentRequest) -> DocumentReply:
+    def _make_reply(self, request: DocumentRequest, arrived_at: float) -> DocumentReply:
         documents = self._documents
         encoded = None
         if documents.version > request.version:
@@ -248,6 +256,7 @@
             for record in documents.list_others(request.next_offset)
         )
         age_s = documents.freshness.age_s(documents.clock())
+        heard_s = documents.contact.heard_at - arrived_at
         return DocumentReply(
             documents.version,
             content,
@@ -256,4 +265,5 @@
             records,
             self._is_current(),
             math.ceil(age_s * 1000) if math.isfinite(age_s) else -1,
+            math.floor(heard_s * 1000) if math.isfinite(heard_s) else None,
         )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_link.py
@@ -68,6 +68,7 @@
         self._pending: dict[int, PendingCall] = {}
         self._next_id = 0
         self._is_retired = False
+        self._closed_because = ""
         self.received_at = trio.current_time()
         """Time of the last message, in seconds."""
 
@@ -136,8 +137,8 @@
     def _send_or_close(self, message: HopCancel | HopWithdraw) -> None:
         try:
             self.frames.send(message)
-        except LinkBrokenError:
-            self.close()
+        except LinkBrokenError as error:
+            self.close(str(error))
 
     def end_call(self, call_id: int) -> None:
         """Removes a call, and cancels it at the other daemon if it has no answer."""
@@ -146,17 +147,27 @@
             self._send_or_close(HopCancel(call_id))
         self._close_if_unused()
 
-    def retire(self) -> None:
-        """Closes the connection at the end of the last call on it; no more may begin."""
+    def retire(self, reason: str) -> None:
+        """Closes the connection at the end of the last call on it; no more may begin.
+
+        Args:
+            reason: Why, for the log.
+        """
         self._is_retired = True
+        self._closed_because = self._closed_because or reason
         self._close_if_unused()
 
     def _close_if_unused(self) -> None:
         if self._is_retired and not self._pending:
             self.close()
 
-    def close(self) -> None:
-        """Closes the connection; the calls on it are lost."""
+    def close(self, reason: str = "") -> None:
+        """Closes the connection; the calls on it are lost.
+
+        Args:
+            reason: Why, for the log, if the connection was not retired before.
+        """
+        self._closed_because = self._closed_because or reason
         self.frames.close()
         for pending in self._pending.values():
             pending.is_lost = True
@@ -172,7 +183,8 @@
                     for message in await self.frames.receive():
                         self._on_message(message)
         except* LinkBrokenError as group:
-            _LOGGER.info("connection to %s closed: %s", self._address, group.exceptions[0])
+            reason = self._closed_because or group.exceptions[0]
+            _LOGGER.info("connection to %s closed: %s", self._address, reason)
             release_frames(group)
         except* Exception:
             # An error on one connection must not end the daemon.
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -127,14 +127,18 @@
         """
         kept = set(addresses)
         for key in [key for key in self._links if key[0] not in kept]:
-            self._links.pop(key).retire()
+            self._links.pop(key).retire("its address is no longer known")
 
-    def retire_all(self) -> None:
-        """Retires all connections, which may be dead; later calls open new ones."""
+    def retire_all(self, reason: str = "it may be dead") -> None:
+        """Retires all connections, which may be dead; later calls open new ones.
+
+        Args:
+            reason: Why, for the log.
+        """
         links = tuple(self._links.values())
         self._links.clear()
         for link in links:
-            link.retire()
+            link.retire(reason)
 
     def replace_silent(self, address: str) -> None:
         """Makes later calls to a daemon open a new connection if the present one is silent.
@@ -153,7 +157,7 @@
         """
         for link in tuple(self._open_links):
             if not link.is_answering:
-                link.close()
+                link.close("the daemon ends")
 
     async def forward(
         self, member: Member, hop: HopRequest, request: ReceivedRequest, progress: AttemptProgress
@@ -351,12 +355,13 @@
 
     def _replace_if_silent(self, address: str, link: Link) -> None:
         """Makes later calls open a new connection if nothing was received on this one lately."""
-        if trio.current_time() - link.received_at < _SILENCE_S:
+        silent_s = trio.current_time() - link.received_at
+        if silent_s < _SILENCE_S:
             return
         for key in ((address, False), (address, True)):
             if self._links.get(key) is link:
                 del self._links[key]
-        link.retire()
+        link.retire(f"silent for {silent_s:.2f} s")
 
 
 def _needs_grant(member: Member, size: int) -> bool:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -432,7 +432,7 @@
 
     def _on_suspended(self) -> None:
         """Closes idle connections after a suspension of the VM, because they may be dead."""
-        self._links.retire_all()
+        self._links.retire_all("the VM was suspended")
         self._upstream.close_idle_connections()
 
     def _limits(self) -> RequestLimits:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -9,6 +10,7 @@
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services.events import DocumentApplied, DocumentRejected
 from fulmarstile_services.document import DocumentError
+from fulmarstile_services.document_contact import DocumentContact
 from fulmarstile_services.document_history import DocumentHistory
 from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.routing_table import RoutingTable
@@ -85,6 +87,8 @@
         """Age of the knowledge that the active version is the newest."""
         self.clock = clock
         """Returns the time that freshness is measured by, in seconds."""
+        self.contact = DocumentContact()
+        """When the store last told what it has, directly or through other daemons."""
         self.history = DocumentHistory()
         """Recent versions without customers' keys, as other daemons receive them."""
         self.changed = trio.Event()
@@ -112,6 +116,12 @@
         """Offset up to which its topic is known; None if nothing is."""
         return self._next_offset
 
+    @property
+    def silent_s(self) -> float | None:
+        """Time since the last contact with the store, rounded; None if there was none."""
+        silent_s = self.contact.silent_s(self.clock())
+        return round(silent_s, 2) if math.isfinite(silent_s) else None
+
     def hear_version(self, version: int) -> bool:
         """Notes which version another daemon has.
 
@@ -174,6 +184,7 @@
                 routes=len(document.routes),
                 source=source,
                 bytes=received_bytes or len(raw),
+                silent_s=self.silent_s,
             )
         )
         for on_change in self.on_change:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -208,6 +208,29 @@
     source: str
     bytes: int = 0
     """Size in which it was received; from another daemon, that of the difference."""
+    silent_s: float | None = None
+    """Time since the last contact with the store, direct or through others; None if none."""
+
+
+class DocumentSilent(LogEvent, tag="document_silent"):
+    """Nobody has told for too long what the store has of the operator's document."""
+
+    lines_per_s: ClassVar[int | None] = None
+    version: int
+    silent_s: float | None = None
+    """Time since the last contact; None if there was none since the start."""
+    asked: tuple[str, ...] = ()
+    """Other daemons that were asked and have not replied."""
+    is_reader: bool = False
+    """Whether this daemon reads the store for others."""
+
+
+class DocumentHeard(LogEvent, tag="document_heard"):
+    """It is known again what the store has of the operator's document."""
+
+    lines_per_s: ClassVar[int | None] = None
+    version: int
+    after_s: float
 
 
 class DocumentRead(LogEvent, tag="document_read"):
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/documents.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/documents.py
@@ -46,3 +46,7 @@
     """Whether the replying daemon follows the store itself, without an error."""
     age_ms: int = -1
     """Time since its version was known to be the newest, in milliseconds; -1 if unknown."""
+    heard_ms: int | None = None
+    """Time from the arrival of the request to the last contact of the replying daemon with the
+    store, direct or through others, in milliseconds; negative if that was before, None if there was
+    none."""
