Notice together that all open connections have gone silent (CONFIG)

Cause: connections to the store and between daemons go silent at one moment, while new ones work. Each path noticed that by itself: the poll of two readers after 2.0 s, that of the others after 5.8 s, a connection between daemons 1.2 to 1.6 s after a request on it, one daemon after the other, each of which was then not asked for 1 s. Earlier tests silenced one kind of connection, and the other kind carried the version.

Now a reply that is late by 0.3 s is asked for again over a new connection. If that one is answered and the late one still isn't, open connections are known to be silent: all that received nothing since are replaced, and the waiting read of the store is sent again, over a new connection. `DocumentWatch` compares the time without contact with the bound, whatever the path, and sends a reader's read again as the last resort. After a failed read the store is asked without waiting, so that its return is known at once.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_part.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_part.py
@@ -56,8 +56,13 @@
         self._relay = DocumentRelay(
             local_member.name, documents, sources, links, lambda: self._reader.is_current
         )
+        self._relay.on_silence.append(self._reader.renew)
         self._watch = DocumentWatch(
-            documents, lambda: self._relay.asked, lambda: sources.is_reader, log
+            documents,
+            lambda: self._relay.asked,
+            lambda: sources.is_reader,
+            self._reader.renew,
+            log,
         )
         gossip.on_newer_document = self._relay.hint
         gossip.fetch_document = self._relay.fetch
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -31,6 +31,8 @@
 """Longest pause between reads during a burst, in seconds."""
 _MAX_SIZE_PAUSE_S: Final = 0.6
 """Longest pause after a read that took a large part of what the link carries, in seconds."""
+_MIN_SILENT_S: Final = 0.3
+"""Time for which a read must have been silent to be ended before its timeout, in seconds."""
 _LINK_SHARE: Final = 0.25
 """Fraction of the link that reads may use during a burst, unless the longest pause is reached."""
 _DEFAULT_LINK_BYTES_PER_S: Final = 800_000
@@ -71,6 +73,7 @@
         link_bytes_per_s = link_kbps * _KBIT or _DEFAULT_LINK_BYTES_PER_S
         self._pacer = ReadPacer(_MAX_PAUSE_S, link_bytes_per_s * _LINK_SHARE, _MAX_SIZE_PAUSE_S)
         self._is_following = False
+        self._store: KeyedLog | None = None
         self.reads = 0
         """Successful reads."""
         self.bytes_read = 0
@@ -87,6 +90,7 @@
         Args:
             store: The platform's store.
         """
+        self._store = store
         documents = self._documents
         max_bytes = MAX_READ_BYTES
         reads_newest = True
@@ -124,12 +128,20 @@
             if not page.has_more:
                 await self._pacer.wait(page.records, read_s)
 
+    def renew(self) -> None:
+        """Ends a read that waits in silence, so that another one follows over a new connection."""
+        if self._store is not None:
+            self._store.end_silent_reads(self._topic, _MIN_SILENT_S)
+
     async def _wait_for_turn(self) -> None:
         while not self._sources.should_read_store(trio.current_time()):
             self._is_following = False
             await trio.sleep(_TURN_INTERVAL_S)
 
     def _poll_timeout_s(self) -> float:
+        if self._outage.is_ongoing:
+            # Shows at once whether the store answers again.
+            return 0.0
         if not self._sources.is_reader:
             return _POLL_TIMEOUT_S
         if self._documents.freshness.is_strict or not self._sources.is_prompt_reader:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
@@ -26,11 +26,12 @@
 SOURCE_DAEMON: Final = "daemon"
 _WAIT_S: Final = 0.6
 """Time for which a reply waits for something newer, in seconds."""
-_NEXT_POLL_S: Final = 0.8
-"""Time after which the next request follows one without a reply, in seconds. So there is always one
-that waits at another daemon, also where replies are slow."""
-_REPLY_TIMEOUT_S: Final = 1.2
-"""Time after which another daemon is asked, in seconds."""
+_REPLY_DUE_S: Final = 0.9
+"""Time after which a reply is late, in seconds: the wait of the other daemon and the way. Then
+another one is asked, and the same one over a new connection, as the present one may be silent."""
+_SILENCE_MARGIN_S: Final = _WAIT_S + 0.1
+"""Time by which a reply on a new connection must be earlier for the old one to count as silent, in
+seconds. A daemon whose loop was late still lets the earlier request wait."""
 _LATE_REPLY_TIMEOUT_S: Final = 4.0
 """Time after which a reply is no longer expected, in seconds. Where a link is full, replies take
 seconds; they are small and of use all the same."""
@@ -58,6 +59,14 @@
         self.is_answered = False
         """Whether there was a usable reply."""
 
+    @property
+    def due_at(self) -> float:
+        """Time by which the other daemon should have replied, in seconds.
+
+        If the reply is late because the connection went silent, that was before this time.
+        """
+        return self.asked_at + _WAIT_S
+
 
 class DocumentRelay:
     """Asks other daemons for newer versions, and answers them.
@@ -89,6 +98,8 @@
         self._hint: Member | None = None
         self._has_hint = trio.Event()
         self._polls: set[_Poll] = set()
+        self.on_silence: list[Callable[[], None]] = []
+        """Functions that are called when open connections have gone silent while new ones work."""
         self.bytes_sent = 0
         """Bytes of documents and differences sent to other daemons."""
         self.bytes_received = 0
@@ -143,32 +154,39 @@
 
     async def _follow_sources(self) -> None:
         retry_s = _RETRY_S
+        silent_since: float | None = None
         async with trio.open_nursery() as nursery:
             while True:
                 now = trio.current_time()
-                for late in self._polls:
-                    if now - late.asked_at > _REPLY_TIMEOUT_S:
-                        self._sources.on_failure(late.member, now)
-                        self._links.replace_silent(late.member.address)
                 member = self._sources.choose(now)
                 if member is None or len(self._polls) >= _MAX_POLLS:
                     await trio.sleep(_RETRY_S)
                     continue
+                if silent_since is not None:
+                    # If connections went silent, this one may have, too.
+                    self._links.replace_silent(member.address, silent_since)
                 poll = _Poll(member, now)
                 nursery.start_soon(self._ask_source, poll)
-                with trio.move_on_after(_NEXT_POLL_S):
+                with trio.move_on_after(_REPLY_DUE_S):
                     await poll.ended.wait()
-                if poll.ended.is_set() and not poll.is_answered:
-                    self._sources.on_failure(member, trio.current_time())
+                if poll.is_answered:
+                    retry_s = _RETRY_S
+                    silent_since = None
+                    continue
+                self._sources.on_failure(member, trio.current_time())
+                if poll.ended.is_set():
                     await trio.sleep(retry_s)
                     retry_s = min(_MAX_RETRY_S, retry_s * 2)
-                else:
-                    retry_s = _RETRY_S
+                    continue
+                if silent_since is None:
+                    silent_since = poll.due_at
+                if self._links.replace_silent(member.address, poll.due_at):
+                    nursery.start_soon(self._ask_again, poll)
 
-    async def _ask_source(self, poll: _Poll) -> None:
+    async def _ask_source(self, poll: _Poll, wait_s: float = _WAIT_S) -> None:
         self._polls.add(poll)
         try:
-            reply = await self._ask(poll.member, _WAIT_S, _LATE_REPLY_TIMEOUT_S)
+            reply = await self._ask(poll.member, wait_s, _LATE_REPLY_TIMEOUT_S)
             if reply is not None:
                 poll.is_answered = True
                 now = trio.current_time()
@@ -177,6 +195,18 @@
             self._polls.discard(poll)
             poll.ended.set()
 
+    async def _ask_again(self, late: _Poll) -> None:
+        """Asks a daemon over a new connection; a reply shows that open ones have gone silent."""
+        again = _Poll(late.member, trio.current_time())
+        await self._ask_source(again, 0.0)
+        if not again.is_answered:
+            return
+        await trio.sleep(_SILENCE_MARGIN_S)
+        if not late.is_answered:
+            self._links.retire_silent(late.due_at)
+            for on_silence in self.on_silence:
+                on_silence()
+
     async def _follow_hints(self) -> None:
         while True:
             await self._has_hint.wait()
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_watch.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_watch.py
@@ -8,6 +8,7 @@
 import trio
 
 from fulmarstile_daemon.services.events import DocumentHeard, DocumentSilent
+from fulmarstile_services.document_contact import MAX_READER_SILENT_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,15 +17,21 @@
     from fulmarstile_daemon.services.event_log import EventLog
 
 _CHECK_INTERVAL_S: Final = 0.1
+_RENEW_INTERVAL_S: Final = 1.5
+"""Interval at which the read of the store is sent again without contact, in seconds."""
 
 
 class DocumentWatch:
     """Compares the time since the last contact with the bound, whatever the path of the contact.
 
+    Each wait on each path is bounded by itself. This is where their sum is, and where something is
+    done if it exceeds the bound.
+
     Args:
         documents: The active document.
         list_asked: Returns the names of the daemons that were asked and have not replied.
         is_reader: Returns whether this daemon reads the store for others.
+        renew: Sends the read of the store again, if one waits in silence.
         log: Log of the daemon.
     """
 
@@ -33,12 +40,15 @@
         documents: ActiveDocument,
         list_asked: Callable[[], tuple[str, ...]],
         is_reader: Callable[[], bool],
+        renew: Callable[[], None],
         log: EventLog,
     ) -> None:
         self._documents = documents
         self._list_asked = list_asked
         self._is_reader = is_reader
+        self._renew = renew
         self._log = log
+        self._renewed_at = -math.inf
         self._silent_since: float | None = None
         self.silences = 0
         """Number of times that the contact was missing for too long."""
@@ -46,18 +56,25 @@
     async def run(self) -> None:
         """Watches the contact, until cancelled."""
         while True:
-            self._check(self._documents.clock())
+            now = self._documents.clock()
+            self._note_changes(now)
+            if self._should_renew(now):
+                self._renewed_at = now
+                self._renew()
             await trio.sleep(_CHECK_INTERVAL_S)
 
-    def _check(self, now: float) -> None:
+    def _should_renew(self, now: float) -> bool:
+        if now - self._renewed_at < _RENEW_INTERVAL_S:
+            return False
+        silent_s = self._documents.contact.silent_s(now)
+        return MAX_READER_SILENT_S < silent_s < math.inf and self._is_reader()
+
+    def _note_changes(self, now: float) -> None:
+        """Logs when contact has been missing for too long, and when there is contact again."""
         documents = self._documents
-        if documents.version < 0:
-            return
-        contact = documents.contact
-        is_silent = contact.is_silent(now)
+        is_silent = documents.contact.is_silent(now)
         if is_silent and self._silent_since is None:
-            silent_s = contact.silent_s(now)
-            self._silent_since = now - (silent_s if math.isfinite(silent_s) else 0.0)
+            self._silent_since = documents.contact.heard_at
             self.silences += 1
             self._log.write(
                 DocumentSilent(
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_links.py
@@ -140,15 +140,31 @@
         for link in links:
             link.retire(reason)
 
-    def replace_silent(self, address: str) -> None:
+    def replace_silent(self, address: str, since: float) -> bool:
         """Makes later calls to a daemon open a new connection if the present one is silent.
 
         Args:
             address: `host:port` of the daemon.
+            since: Time since which it must have received nothing, in seconds.
+
+        Returns:
+            Whether it is replaced.
         """
         link = self._links.get((address, False))
-        if link is not None:
-            self._replace_if_silent(address, link)
+        if link is None or link.received_at > since:
+            return False
+        self._replace(address, link)
+        return True
+
+    def retire_silent(self, since: float) -> None:
+        """Retires all connections that are silent, as others are known to have gone silent.
+
+        Args:
+            since: Time since which they must have received nothing, in seconds.
+        """
+        for (address, _), link in tuple(self._links.items()):
+            if link.received_at <= since:
+                self._replace(address, link)
 
     def close_all(self) -> None:
         """Closes all connections, so that no further data of any message arrives.
@@ -355,13 +371,14 @@
 
     def _replace_if_silent(self, address: str, link: Link) -> None:
         """Makes later calls open a new connection if nothing was received on this one lately."""
-        silent_s = trio.current_time() - link.received_at
-        if silent_s < _SILENCE_S:
-            return
+        if trio.current_time() - link.received_at >= _SILENCE_S:
+            self._replace(address, link)
+
+    def _replace(self, address: str, link: Link) -> None:
         for key in ((address, False), (address, True)):
             if self._links.get(key) is link:
                 del self._links[key]
-        link.retire(f"silent for {silent_s:.2f} s")
+        link.retire(f"silent for {trio.current_time() - link.received_at:.2f} s")
 
 
 def _needs_grant(member: Member, size: int) -> bool:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -247,6 +247,7 @@
         if self._next_offset is None or end_offset > self._next_offset:
             return False
         self.freshness.confirm(sent_at)
+        self.contact.hear(self.clock())
         return True
 
     def _redact(self, raw: bytes) -> bytes:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -218,7 +218,7 @@
     lines_per_s: ClassVar[int | None] = None
     version: int
     silent_s: float | None = None
-    """Time since the last contact; None if there was none since the start."""
+    """Time since the last contact with the store, direct or through others."""
     asked: tuple[str, ...] = ()
     """Other daemons that were asked and have not replied."""
     is_reader: bool = False
--- a/packages/fulmarstile_services/src/fulmarstile_services/document_contact.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/document_contact.py
@@ -5,9 +5,11 @@
 import math
 from typing import Final
 
-MAX_SILENT_S: Final = 2.4
+MAX_SILENT_S: Final = 2.8
 """Time without contact after which a version that is due may be missing, in seconds. In calm it is
-at most 1.9 s: the poll of a daemon that all others ask, and the time for which its reply waits."""
+at most 2.4 s: the poll of a daemon that all others ask, and the time that two replies wait."""
+MAX_READER_SILENT_S: Final = 2.4
+"""The same for a daemon that reads the store or asks one that does; in calm at most 1.8 s."""
 
 
 class DocumentContact:
@@ -41,5 +43,5 @@
         return now - self._heard_at
 
     def is_silent(self, now: float) -> bool:
-        """Returns whether versions that are due may be missing here."""
-        return self.silent_s(now) > MAX_SILENT_S
+        """Returns whether contact was lost for so long that due versions may be missing."""
+        return MAX_SILENT_S < self.silent_s(now) < math.inf
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_documents.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_documents.py
@@ -268,9 +268,13 @@
             return reply
         raise DaemonUnreachableError("no reply in time")
 
-    def replace_silent(self, address: str) -> None:
+    def replace_silent(self, address: str, since: float) -> bool:
         """See `DaemonLinks.replace_silent`; notes the address."""
         self.replaced.add(address)
+        return True
+
+    def retire_silent(self, since: float) -> None:
+        """See `DaemonLinks.retire_silent`; connections of this fleet are never silent alone."""
 
     async def _carry(
         self, sender: VirtualDocumentNode, receiver: VirtualDocumentNode, size: int
