Reject nothing for good that a newer version may allow, without contact to the store (CONFIG)

What callers saw: 404 for a route that a version had added, which clients never repeat, from daemons that had heard nothing of the store for seconds.

Cause: a daemon rejected what its version lacks, however long ago anybody had told it that this version is the newest.

What the last known version allows is served as before, so that an outage of the store is survived.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_authentication.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_authentication.py
@@ -48,6 +48,7 @@
         freshness: Age of the knowledge of the document.
         replies: Counts and logs refusals.
         metrics: Counters.
+        is_outdated: Returns whether there may be a newer version of the document.
         clock: Returns the time that `freshness` is measured by, in seconds.
     """
 
@@ -57,6 +58,7 @@
         freshness: Freshness,
         replies: CallReplies,
         metrics: ServiceMetrics,
+        is_outdated: Callable[[], bool],
         clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._names = names
@@ -64,6 +66,7 @@
         self._freshness = freshness
         self._replies = replies
         self._metrics = metrics
+        self._is_outdated = is_outdated
         self._clock = clock
 
     def authenticate(
@@ -95,6 +98,8 @@
             return self._refuse_key(request, RefusalReason.API_KEY_MISSING)
         customer = table.customers.find(keys[0])
         if customer is None:
+            if self._is_outdated():
+                return self._refuse_stale(request)
             return self._refuse_key(request, RefusalReason.API_KEY_UNKNOWN)
         if customer.priority is not None and customer.priority != route.priority:
             route = table.prioritize(route, customer.priority)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -31,11 +31,18 @@
 
 
 class ActiveRoutes:
-    """The active routing table; None until the first document is known."""
+    """The active routing table; None until the first document is known.
 
-    def __init__(self) -> None:
+    Args:
+        clock: Returns the time that the contact is measured by, in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = read_boot_clock) -> None:
         self.table: RoutingTable | None = None
         """The active table."""
+        self.contact = DocumentContact()
+        """When the store last told what it has, directly or through other daemons."""
+        self._clock = clock
         self._newest_version = -1
         self._heard_at = 0.0
 
@@ -52,10 +59,16 @@
 
     @property
     def is_outdated(self) -> bool:
-        """Whether another daemon has a newer version, which should arrive soon."""
-        if self.table is None or self.table.version >= self._newest_version:
+        """Whether there may be a newer version.
+
+        Another daemon has one, which should arrive soon, or nobody has told for too long.
+        """
+        if self.table is None:
             return False
-        return trio.current_time() - self._heard_at < _ARRIVAL_S
+        if self.contact.is_silent(self._clock()):
+            return True
+        is_behind = self.table.version < self._newest_version
+        return is_behind and trio.current_time() - self._heard_at < _ARRIVAL_S
 
 
 class ActiveDocument:
@@ -87,7 +100,7 @@
         """Age of the knowledge that the active version is the newest."""
         self.clock = clock
         """Returns the time that freshness is measured by, in seconds."""
-        self.contact = DocumentContact()
+        self.contact = routes.contact
         """When the store last told what it has, directly or through other daemons."""
         self.history = DocumentHistory()
         """Recent versions without customers' keys, as other daemons receive them."""
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -98,7 +98,9 @@
         self._upstream = upstream
         self._metrics = metrics
         self._replies = CallReplies(names, routes, metrics, log)
-        self._authenticator = Authenticator(names, freshness, self._replies, metrics)
+        self._authenticator = Authenticator(
+            names, freshness, self._replies, metrics, lambda: routes.is_outdated
+        )
         self.quota = QuotaStage(self._replies)
         """Refuses requests beyond their customer's quota."""
         self._attempts = AttemptRunner(
@@ -200,7 +202,7 @@
     def _reject_unknown(self, request: ReceivedRequest) -> CallerResponse:
         """Rejects a request without a route; for good only if no newer version may have one."""
         if self._routes.is_outdated:
-            reply = make_error_response(503, "a newer configuration arrives", _OUTDATED_RETRY_S)
+            reply = make_error_response(503, "a newer configuration may exist", _OUTDATED_RETRY_S)
             return self._replies.reject(request, reply, RefusalReason.STALE_CONFIGURATION)
         reply = make_error_response(404, "no route matches")
         return self._replies.reject(request, reply, RefusalReason.NO_ROUTE)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/bench_keys.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/bench_keys.py
@@ -67,7 +67,7 @@
     replies = CallReplies(HEADER_NAMES, ActiveRoutes(), metrics, EventLog("bench"))
     freshness = Freshness(RevocationBounds(3_600.0))
     freshness.confirm(read_boot_clock())
-    stage = Authenticator(HEADER_NAMES, freshness, replies, metrics)
+    stage = Authenticator(HEADER_NAMES, freshness, replies, metrics, lambda: False)
     (route,) = table.document.routes
     requests = [
         make_request(make_key(number % customers, number % _KEYS.value))
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_documents.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_documents.py
@@ -143,7 +143,7 @@
         bounds = RevocationBounds(fleet.revoke_s) if fleet.revoke_s else None
         self.freshness = Freshness(bounds)
         self.document = ActiveDocument(
-            platform, ActiveRoutes(), log, self.freshness, self.read_clock
+            platform, ActiveRoutes(self.read_clock), log, self.freshness, self.read_clock
         )
         self.directory = Directory(make_member(name, link_kbps=int(bytes_per_s / _KBIT)))
         generator = random.Random(len(name))
