Use all documents of a page, not only its last record (CONFIG)

A page of the operator's topic that holds version 45 and then an older one, a record that can't be decoded or a deletion was taken for its last record alone, and 45 was skipped until the next version. The store may do a write whose answer is lost seconds later, behind a newer one that was acknowledged.

Before: three of the tests fail with TooSlowError after 2 s (test_document_versions, [45, 44], [45, no document], [45, deletion]); after: all pass. The usual page holds one document, so that no more is decoded than before; in a page of several each costs its decoding (2.4 ms for 300 routes, 21 ms for 2,098, measured beside other load).

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -188,14 +188,14 @@
             records: The records in their order, or the newest one of each key.
             next_offset: Offset up to which the topic is known with them.
         """
-        newest = b""
+        documents: list[KeyedRecord] = []
         others: list[KeyedRecord] = []
         for record in records:
-            if record.key == self._platform.document_key:
-                newest = record.value
-            else:
-                others.append(record)
-        self.apply_if_newer(newest, SOURCE_STORE)
+            is_document = record.key == self._platform.document_key
+            (documents if is_document else others).append(record)
+        # The last one is mostly the newest, but a write that the store delayed may follow it.
+        for record in reversed(documents):
+            self.apply_if_newer(record.value, SOURCE_STORE)
         self.apply_others(others, next_offset)
 
     def apply_others(self, records: list[KeyedRecord], next_offset: int) -> None:
--- a/tests/services/test_document_versions.py
+++ b/tests/services/test_document_versions.py
@@ -10,9 +10,14 @@
 from fulmarstile_testing.builders.services import make_document, make_route
 from fulmarstile_testing.fakes.service_platform import DOCUMENT_KEY, DOCUMENT_TOPIC
 
+APPLY_S = 2.0
+"""Time from the acknowledgement of a version until it must be in force, in seconds."""
+QUIET_S = 0.5
+"""Time after which a long poll waits for the next record, in seconds."""
+
 
 async def wait_version(node, version: int) -> None:
-    with trio.fail_after(5):
+    with trio.fail_after(APPLY_S):
         while node.daemon.routes.table is None or node.daemon.routes.table.version != version:
             await trio.sleep(0.01)
 
@@ -42,6 +47,42 @@
 
         trio.run(run)
 
+    def test_a_version_is_not_lost_to_an_older_one_that_the_store_holds_behind_it(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop") as mesh:
+                await trio.sleep(QUIET_S)
+                mesh.put_document(make_document(make_route(), version=45))
+                mesh.put_document(make_document(make_route(prefix="/old/"), version=44))
+                await wait_version(mesh.nodes[0], 45)
+
+        trio.run(run)
+
+    def test_a_version_is_not_lost_to_a_record_behind_it_that_holds_no_document(self) -> None:
+        for value in (b"no document", b""):
+
+            async def run(value: bytes = value) -> None:
+                async with serve_mesh("shop") as mesh:
+                    await trio.sleep(QUIET_S)
+                    mesh.put_document(make_document(make_route(), version=45))
+                    mesh.store.put(DOCUMENT_TOPIC, DOCUMENT_KEY, value)
+                    await wait_version(mesh.nodes[0], 45)
+
+            with self.subTest(value):
+                trio.run(run)
+
+    def test_a_daemon_that_starts_gets_the_version_that_an_older_one_hides_in_the_store(
+        self,
+    ) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop") as mesh:
+                for version in (45, 44):
+                    mesh.put_document(make_document(make_route(), version=version))
+                    await wait_version(mesh.nodes[0], 45)
+                    await trio.sleep(QUIET_S)
+                await wait_version(await mesh.start_node("late"), 45)
+
+        trio.run(run)
+
     def test_a_store_that_lost_its_history_is_read_from_its_newest_records(self) -> None:
         async def run() -> None:
             async with serve_mesh("shop") as mesh:
