Pause after a read that returns early without a record (CONFIG)

A store that answers long polls at once without a record, or whose records all count as expired while none is left, was asked without a pause. Such a daemon takes a large part of the store's limit of 2,000 reads a second from the others, which then get 429.

The pause is 0.1 s at most and follows only an empty read that took less; a read that returned records, or waited, is as before.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_read_pacer.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_read_pacer.py
@@ -17,6 +17,9 @@
 of writes takes few reads."""
 _BURST_END_S: Final = 1.0
 """Duration of a read after which a burst counts as over and pauses start anew, in seconds."""
+_MIN_EMPTY_READ_S: Final = 0.1
+"""Shortest interval of reads that return no record, in seconds. A store may answer a long poll
+early."""
 _MIN_PAUSE_RATIO: Final = 0.7
 """Shortest pause relative to the longest; daemons should not read at the same times."""
 
@@ -46,6 +49,7 @@
         if read_s > _BURST_END_S:
             self._pause_s = _FIRST_PAUSE_S
         if not records:
+            await trio.sleep(max(0.0, _MIN_EMPTY_READ_S - read_s))
             return
         size = sum(len(record.value) for record in records)
         size_pause_s = min(self._max_size_pause_s, size / self._bytes_per_s)
--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/collected_records.py
@@ -0,0 +1,36 @@
+"""Stand-in for the active document that passes on what was read."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from fulmarstile_services.freshness import Freshness
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from fulmarstile_platform.keyed_log import KeyedRecord
+
+
+class CollectedRecords:
+    """Stands in for the active document, and passes on what was read.
+
+    Args:
+        collect: Called with the records of each read.
+    """
+
+    def __init__(self, collect: Callable[[Iterable[KeyedRecord]], None]) -> None:
+        self._collect = collect
+        self.next_offset: int | None = None
+        """Offset up to which the topic is known; None if nothing is."""
+        self.freshness = Freshness()
+        """Updated with what reads of the store prove."""
+        self.clock = trio.current_time
+        """Returns the time in seconds."""
+
+    def apply_records(self, records: Iterable[KeyedRecord], next_offset: int) -> None:
+        """See `ActiveDocument.apply_records`."""
+        self.next_offset = max(self.next_offset or 0, next_offset)
+        self._collect(records)
--- a/tests/services/test_store_reads.py
+++ b/tests/services/test_store_reads.py
@@ -12,15 +12,15 @@
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_daemon.services.membership import MEMBERS_TOPIC, Membership
 from fulmarstile_services.directory import Directory
-from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.store_readers import READERS_PER_ZONE, SMALL_FLEET_SIZE, is_reader
 from fulmarstile_testing.builders.documents import make_document_reader
 from fulmarstile_testing.builders.services import make_member
+from fulmarstile_testing.fakes.collected_records import CollectedRecords
 from fulmarstile_testing.fakes.keyed_log import FakeKeyedLog
 from fulmarstile_wire.services import MemberPhase, encode_member
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from fulmarstile_platform.keyed_log import KeyedRecord
 
@@ -62,20 +62,6 @@
     ]
 
 
-class CollectedRecords:
-    """Stands in for the active document, and passes on what was read."""
-
-    def __init__(self, collect: Callable[[Iterable[KeyedRecord]], None]) -> None:
-        self._collect = collect
-        self.next_offset: int | None = None
-        self.freshness = Freshness()
-        self.clock = trio.current_time
-
-    def apply_records(self, records: Iterable[KeyedRecord], next_offset: int) -> None:
-        self.next_offset = max(self.next_offset or 0, next_offset)
-        self._collect(records)
-
-
 class BurstTest(unittest.TestCase):
     def test_a_burst_of_records_is_not_read_completely_but_the_newest_is_known_soon(self) -> None:
         store = FakeKeyedLog()
