--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -90,6 +90,7 @@
         documents = self._documents
         max_bytes = MAX_READ_BYTES
         reads_newest = True
+        expired_offset = -1
         while True:
             await self._wait_for_turn()
             known_offset = documents.next_offset
@@ -104,7 +105,7 @@
                     timeout_s = self._poll_timeout_s()
                     page = await store.read_keyed(self._topic, known_offset, timeout_s, max_bytes)
             except RecordsExpiredError:
-                reads_newest = True
+                reads_newest, expired_offset = True, known_offset or 0
                 continue
             except LogError as error:
                 await self._outage.wait(error)
@@ -112,11 +113,14 @@
             self._outage.end()
             read_s = trio.current_time() - started_at
             self._note(page, purpose, read_s)
-            documents.apply_records(page.records, page.next_offset)
+            next_offset = page.next_offset
+            if purpose == _PURPOSE_NEWEST:
+                next_offset = _find_proven_end(page, expired_offset)
+            documents.apply_records(page.records, next_offset)
             if not page.has_more:
                 documents.freshness.confirm(sent_at)
                 self._is_following = True
-            is_burst = known_offset is not None and page.next_offset - known_offset > 1
+            is_burst = known_offset is not None and next_offset - known_offset > 1
             reads_newest = page.has_more or is_burst
             if page.records:
                 max_bytes = _room_for_one(page.records)
@@ -153,6 +157,20 @@
         )
 
 
+def _find_proven_end(page: KeyedPage, expired_offset: int) -> int:
+    """Returns the offset up to which a read of the newest records shows all of them.
+
+    What lies between the last record of the answer and its end may be a version that it lacks.
+
+    Args:
+        page: What was read.
+        expired_offset: Offset from which records have expired before; there is no use in asking for
+            them again.
+    """
+    end = 1 + max((record.offset for record in page.records), default=-1)
+    return page.next_offset if end <= expired_offset else min(end, page.next_offset)
+
+
 def _room_for_one(records: tuple[KeyedRecord, ...]) -> int:
     """Returns the read size that fits one record as large as the largest of these."""
     largest = max(len(record.value) for record in records)
--- a/tests/services/test_odd_store_answers.py
+++ b/tests/services/test_odd_store_answers.py
@@ -23,6 +23,8 @@
 """Time from the acknowledgement of a version until it must be in force, in seconds."""
 QUIET_S = 5.0
 """Time after which a daemon that has started waits for the next record, in seconds."""
+COUNTED_S = 30.0
+"""Time for which reads are counted, in seconds; long polls last 1.2 s."""
 READS_PER_S = 2_000 / 100
 """Reads a second of which the store's limit leaves each of a hundred daemons its share."""
 CALM_READS_PER_S = 1.0
@@ -48,8 +50,22 @@
 
     async def count_calls_per_s(self) -> float:
         before = self.store.calls
-        await trio.sleep(QUIET_S)
-        return (self.store.calls - before) / QUIET_S
+        await trio.sleep(COUNTED_S)
+        return (self.store.calls - before) / COUNTED_S
+
+    def test_a_version_that_the_newest_records_lack_is_read_though_their_end_is_beyond_it(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            for value in (b"44", b"45"):
+                self.store.put(TOPIC, KEY, value)
+            self.store.hidden.add(1)
+            await trio.sleep(APPLY_S)
+            self.assertEqual(self.seen[-1], b"45")
+            await trio.sleep(QUIET_S)
+            self.assertLess(await self.count_calls_per_s(), CALM_READS_PER_S)
+
+        self.run_reader(scenario)
 
     def test_expired_records_behind_the_newest_ones_are_not_asked_for_again(self) -> None:
         async def scenario() -> None:
