--- a/tests/adapter/test_config_record.py
+++ b/tests/adapter/test_config_record.py
@@ -7,7 +7,12 @@
 from typing import Any
 
 from fulmarstile_adapter.config_record import decode_config
-from fulmarstile_services.document import DocumentError, Repeatability, WeightedDestination
+from fulmarstile_services.document import (
+    DocumentError,
+    Repeatability,
+    RequestLimits,
+    WeightedDestination,
+)
 
 COLUMNS = [
     "Name",
@@ -65,6 +70,40 @@
             (route,) = decode_config(make_config(change_row(RouteType=route_type))).routes
             self.assertIs(route.repeatability, Repeatability.AT_MOST_ONCE)
 
+    def test_whole_numbers_may_be_written_with_a_fraction_of_zero(self) -> None:
+        services = {"Columns": ["Name", "MaxConnections"], "Rows": [["shop", 110.0]]}
+        limits = {"MaxHeaderBytes": 16384.0, "MaxBodyBytes": 1e6, "HeaderTimeoutS": 3}
+        row = change_row(MaxAttempts=3.0, Priority=2.0, TimeoutS=2)
+        document = decode_config(make_config(row, Services=services, Limits=limits))
+        (route,) = document.routes
+        self.assertEqual((route.max_attempts, route.priority, route.timeout_s), (3, 2, 2.0))
+        self.assertEqual(document.services["shop"].connection_limit, 110)
+        self.assertEqual(document.limits.head_bytes, 16384)
+        self.assertEqual(document.limits.body_bytes, 1_000_000)
+        for value in (
+            route.max_attempts,
+            route.priority,
+            document.services["shop"].connection_limit,
+            document.limits.head_bytes,
+            document.limits.body_bytes,
+        ):
+            self.assertIsInstance(value, int)
+
+    def test_omitted_limits_take_their_defaults_whether_missing_or_null(self) -> None:
+        nulls = dict.fromkeys(("MaxHeaderBytes", "MaxBodyBytes", "HeaderTimeoutS", "IdleTimeoutS"))
+        for limits in (None, {}, nulls):
+            with self.subTest(limits):
+                document = decode_config(make_config(Limits=limits))
+                self.assertEqual(document.limits, RequestLimits())
+
+    def test_columns_may_have_any_order_and_unknown_ones_are_ignored(self) -> None:
+        columns = ["Later", *reversed(COLUMNS)]
+        row = [{"any": [1]}, *reversed(ROW)]
+        routes = {"Columns": columns, "Rows": [row]}
+        self.assertEqual(
+            decode_config(make_config(Routes=routes)).routes, decode_config(make_config()).routes
+        )
+
     def test_a_malformed_record_is_rejected(self) -> None:
         for raw in (
             b"",
@@ -73,6 +112,11 @@
             make_config(Version="latest"),
             make_config(Version=None),
             make_config(change_row(TimeoutS="soon")),
+            make_config(change_row(MaxAttempts=2.5)),
+            make_config(change_row(MaxAttempts=1e300)),
+            make_config(change_row(MaxAttempts="2")),
+            make_config(change_row(Priority=True)),
+            make_config(Limits={"MaxBodyBytes": 1.5}),
             make_config(change_row(TimeoutS=None)),
             make_config(change_row(Service=None)),
             make_config(ROW[:-1]),
