Follow the store to a changed address (CONFIG)

The store's address was read at the start only: after a change of the settings, with SIGHUP or without, a daemon went on reading at the earlier address, until its restart, and got no version from there. Now the client of the store sends later calls to the address that the settings name, and lets those that wait time out, so that their callers ask again.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_settings_reload.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_settings_reload.py
@@ -43,6 +43,8 @@
         self._settings = settings
         self._apply = apply
         self._log = log
+        self.on_reload: list[Callable[[NodeSettings], None]] = []
+        """Functions that are called with settings read again, after `apply`."""
 
     @property
     def settings(self) -> NodeSettings:
@@ -58,6 +60,8 @@
             return
         self._settings = settings
         self._apply(settings)
+        for on_reload in self.on_reload:
+            on_reload(settings)
         self._log.write(SettingsReloaded(service=settings.service))
 
     async def watch(self) -> None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -304,6 +304,7 @@
                 self._platform.open_store(settings.store_address) as store,
                 trio.open_nursery() as nursery,
             ):
+                self._reloader.on_reload.append(lambda later: store.move(later.store_address))
                 nursery.start_soon(keep_running, self._log.flush_forever)
                 await nursery.start(self._callers.serve, listeners.callers)
                 await nursery.start(self._links.run)
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
@@ -142,6 +142,18 @@
         for connection in idle:
             await connection.aclose()
 
+    def move(self, address: str) -> None:
+        """Sends later requests to another address, and lets those that wait time out.
+
+        Args:
+            address: `host:port` of the server; nothing happens if it is the one in use.
+        """
+        if address == self._address:
+            return
+        self._address = address
+        for progress in self._waiting:
+            progress.expire()
+
     def expire_silent(self, since: float, path_start: str = "") -> None:
         """Lets the requests time out for which nothing was sent or received since before a time.
 
@@ -166,7 +178,7 @@
             message = f"{self._address} sent a malformed response: {error}"
             raise HttpError(message, progress.verdict) from error
         finally:
-            if reusable:
+            if reusable and connection.host == self._address:
                 connection.idle_since = trio.current_time()
                 self._idle.append(connection)
             else:
@@ -175,11 +187,14 @@
     async def _acquire(self) -> _Connection:
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_usable(self._settings.max_idle_s):
+            if self._is_usable(connection):
                 return connection
             await connection.aclose()
         return await self._connect()
 
+    def _is_usable(self, connection: _Connection) -> bool:
+        return connection.host == self._address and connection.is_usable(self._settings.max_idle_s)
+
     async def _connect(self) -> _Connection:
         host, _, port = self._address.rpartition(":")
         try:
@@ -266,7 +281,8 @@
 
     def __init__(self, stream: trio.SocketStream, host: str, max_response_bytes: int) -> None:
         self._stream = stream
-        self._host = host
+        self.host = host
+        """`host:port` of the server."""
         self._max_response_bytes = max_response_bytes
         self._http = h11.Connection(h11.CLIENT)
         self.idle_since = 0.0
@@ -315,7 +331,7 @@
 
     def _encode(self, request: _Request) -> bytes:
         headers = [
-            ("Host", self._host),
+            ("Host", self.host),
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(request.body))),
             *request.headers.items(),
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
@@ -132,6 +132,14 @@
         """
         ...
 
+    def move(self, address: str) -> None:
+        """Sends later calls to another address; those that wait fail if it is a different one.
+
+        Args:
+            address: `host:port` of the store.
+        """
+        ...
+
     async def append_together(self, topic: str, records: Sequence[KeyedRecord]) -> None:
         """Appends records of several keys, all or none of them.
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
@@ -88,6 +88,9 @@
     def end_silent_reads(self, topic: str, silent_s: float) -> None:
         """See `KeyedLog.end_silent_reads`; reads of the fake are never silent."""
 
+    def move(self, address: str) -> None:
+        """See `KeyedLog.move`; the fake has no address."""
+
     async def append_together(self, topic: str, records: Sequence[KeyedRecord]) -> None:
         """See `KeyedLog.append_together`."""
         await self._check_available()
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -56,6 +56,31 @@
 
         self.run_with_client(check)
 
+    def test_a_read_that_waits_at_an_address_that_the_store_has_left_ends_at_once(self) -> None:
+        moved = StoreStandIn()
+        moved.put(TOPIC, "key", b"at the new address")
+
+        async def check(client: StoreClient) -> None:
+            async def read_in_vain() -> None:
+                with self.assertRaises(LogUnavailableError):
+                    await client.read_keyed(TOPIC, 0, 30.0)
+
+            async with serve_store(moved) as address, trio.open_nursery() as nursery:
+                await client.read_newest(TOPIC)
+                with trio.fail_after(2.0):
+                    async with trio.open_nursery() as reading:
+                        reading.start_soon(read_in_vain)
+                        while "/v1/log-read" not in self.store.calls:
+                            await trio.sleep(0.01)
+                        client.move(address)
+                page = await client.read_newest(TOPIC)
+                self.assertEqual(page.records, (KeyedRecord("key", b"at the new address"),))
+                client.move(address)
+                self.assertEqual((await client.read_keyed(TOPIC, 0, 0.0)).next_offset, 1)
+                nursery.cancel_scope.cancel()
+
+        self.run_with_client(check)
+
     def test_records_are_read_in_order_from_an_offset(self) -> None:
         async def check(client: StoreClient) -> None:
             for value in (b"a", b"b", b"c"):
