Play silent connections of a whole fleet in virtual time (CONFIG)

No test played both at once.

The test runs 8 to 12 whole daemons of four availability zones, a version each 0.33 s, with the real pool and time-outs of `HttpClient` (`simulated_store`) and connections between daemons that go silent for good (`SimulatedLinks.silence_open`). Bounds: in force 2.0 s after the acknowledgement, or 3.0 s after the silence.

--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
@@ -193,6 +193,8 @@
         self._documents: dict[bytes, ServiceDocument] = {}
         self.store = FakeKeyedLog()
         """The store."""
+        self.make_store: Callable[[str], FakeKeyedLog] = lambda _: FakeKeyedLog(self.store)
+        """Makes the client of the store of a daemon, by its name."""
         self.nodes: list[ServiceNode] = []
         """Daemons in the order in which they were started."""
 
@@ -243,6 +245,7 @@
         if earlier is not None:
             settings = earlier.platform.settings
         platform = FakePlatform(settings, self.store, self._documents)
+        platform.store = self.make_store(name)
         log = EventLog(name)
         node = ServiceNode(ServiceDaemon(platform, settings, log), platform, upstream, version)
         self.nodes.append(node)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
@@ -89,6 +89,15 @@
         for link in [link for link in self._open if {*link.ends} == {first, second}]:
             link.reset()
 
+    def silence_open(self, share: float = 1.0) -> None:
+        """Makes open connections silent for good, without an end or a reset; new ones work.
+
+        Args:
+            share: Share of the connections that this happens to.
+        """
+        for link in self._open:
+            link.is_silent = link.is_silent or share >= 1.0 or self._rng.random() < share
+
     async def open_stream(self, address: str, *, peer_may_read_late: bool = False) -> ByteStream:
         """Replaces `open_stream`."""
         name = self.names.get(address)
@@ -169,6 +178,8 @@
         self._latency_s = latency_s
         self._bytes_per_s = bytes_per_s
         self._scope = trio.CancelScope()
+        self.is_silent = False
+        """Whether all that is sent is acknowledged and lost, also the end of the connection."""
 
     def reset(self) -> None:
         """Resets both ends."""
@@ -207,6 +218,8 @@
                     if any(self._links.is_reset(each) for each in self._sockets):
                         raise ConnectionResetError
                 except OSError:
+                    if self.is_silent:
+                        return
                     if not self._links.draw_flush():
                         self.reset()
                         return
@@ -221,6 +234,8 @@
         try:
             async for at, data in arriving:
                 await trio.sleep_until(at)
+                if self.is_silent:
+                    continue
                 with trio.move_on_after(_USER_TIMEOUT_S):
                     while self._links.is_silent(direction):
                         await trio.sleep(_POLL_S)
@@ -228,7 +243,8 @@
                     self.reset()
                     return
                 await target.send_all(data)
-            target.send_eof()
+            if not self.is_silent:
+                target.send_eof()
         except OSError:
             self.reset()
 
--- /dev/null
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/observed_fleet.py
@@ -0,0 +1,204 @@
+"""Fleet of whole daemons in virtual time, which notes the versions in force on each of them."""
+
+from __future__ import annotations
+
+import math
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+import trio
+import trio.testing
+
+from fulmarstile_testing.builders.service_mesh import ServiceMesh, ServiceNode
+from fulmarstile_testing.builders.services import make_document, make_route
+from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
+from fulmarstile_testing.lost_search.environment import (
+    LOCAL_DAEMON,
+    SimulatedLinks,
+    seed_globally,
+    virtual_environment,
+)
+from fulmarstile_testing.service_upstream import ServiceUpstream
+from fulmarstile_testing.simulated_store import SimulatedStore
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+CONFIG_APPLY_S: Final = 2.0
+"""Time after its acknowledgement from which a version must be in force, in seconds."""
+STABLE_WINDOW_S: Final = 3.0
+"""Time after the end of a disruption from which that holds again, in seconds."""
+_ANNOUNCE_S: Final = 1.5
+_VERSION_S: Final = 0.33
+
+
+@dataclass(frozen=True, slots=True)
+class Disruption:
+    """A span in which no bound holds, nor in the stable window after it."""
+
+    started_at: float
+    ended_at: float
+    names: frozenset[str] = frozenset()
+    """Daemons that it concerns; none for all."""
+
+    def excuses(self, name: str, at: float) -> bool:
+        """Returns whether a daemon may lack a version at a time."""
+        is_concerned = not self.names or name in self.names
+        return is_concerned and self.started_at <= at < self.ended_at + STABLE_WINDOW_S
+
+
+@dataclass(slots=True)
+class Incarnation:
+    """A daemon from its start to its end, and the versions that were in force there."""
+
+    node: ServiceNode
+    name: str
+    started_at: float
+    ended_at: float = math.inf
+    applied: list[tuple[float, int]] = field(default_factory=list)
+    """Times and versions, in order of time."""
+
+    def in_force_at(self, version: int) -> float:
+        """Returns from when on a version, or a newer one, is in force."""
+        return next((at for at, applied in self.applied if applied >= version), math.inf)
+
+
+class ObservedFleet:
+    """Daemons of several availability zones.
+
+    Args:
+        nursery: Runs them.
+        links: Connections between them.
+        rng: Source of randomness.
+    """
+
+    def __init__(self, nursery: trio.Nursery, links: SimulatedLinks, rng: random.Random) -> None:
+        self.mesh = ServiceMesh(nursery)
+        self.links = links
+        self.stores: dict[str, SimulatedStore] = {}
+        """Clients of the store by the name of the daemon."""
+        self.incarnations: list[Incarnation] = []
+        self.disruptions: list[Disruption] = []
+        self.acknowledged_at: dict[int, float] = {}
+        self._rng = rng
+        self._nursery = nursery
+        self._sequence = 0
+        self.mesh.make_store = self._make_store
+
+    def _make_store(self, name: str) -> SimulatedStore:
+        self.stores[name] = SimulatedStore(self.mesh.store, self._rng)
+        return self.stores[name]
+
+    def publish(self) -> None:
+        """Writes the next version, which is acknowledged at once."""
+        version = len(self.acknowledged_at) + 1
+        self.mesh.put_document(make_document(make_route(), version=version))
+        self.acknowledged_at[version] = trio.current_time()
+
+    async def publish_forever(self) -> None:
+        """Writes a version at a regular interval."""
+        while True:
+            await trio.sleep(_VERSION_S)
+            self.publish()
+
+    async def start(self, name: str, zone: str = "", earlier: ServiceNode | None = None) -> None:
+        """Starts a daemon, and waits until it is ready."""
+        LOCAL_DAEMON.set(name)
+        upstream = ServiceUpstream(HEADER_NAMES, f"upstream-of-{name}", f"{name}:80")
+        started_at = trio.current_time()
+        node = await self.mesh.start_node(name, zone=zone, upstream=upstream, earlier=earlier)
+        self.links.names[node.platform.settings.listeners.daemons] = name
+        incarnation = Incarnation(node, name, started_at)
+        documents = node.daemon._documents
+
+        def note() -> None:
+            incarnation.applied.append((trio.current_time(), documents.version))
+
+        note()
+        documents.on_change.append(note)
+        self.incarnations.append(incarnation)
+        self._nursery.start_soon(self._announce_forever, node)
+
+    async def kill(self, incarnation: Incarnation) -> None:
+        """Kills a daemon."""
+        incarnation.ended_at = trio.current_time()
+        await incarnation.node.kill()
+
+    async def _announce_forever(self, node: ServiceNode) -> None:
+        while True:
+            await trio.sleep(_ANNOUNCE_S)
+            if node.ended.is_set():
+                return
+            self._sequence += 1
+            await node.announce(sequence=self._sequence, born_ms=1_000)
+
+    def silence_open(self) -> None:
+        """Makes all open connections silent for good, those to the store and between daemons."""
+        now = trio.current_time()
+        self.disruptions.append(Disruption(now, now))
+        self.links.silence_open()
+        for store in self.stores.values():
+            store.silence_open()
+
+    def list_late(self, apply_s: float = CONFIG_APPLY_S) -> list[str]:
+        """Lists the versions that were not in force in time, and returns to older ones."""
+        now = trio.current_time()
+        found = []
+        for each in self.incarnations:
+            for version, acknowledged_at in self.acknowledged_at.items():
+                due_at = self._due_at(each, acknowledged_at + apply_s)
+                late_s = min(each.in_force_at(version), each.ended_at, now) - due_at
+                if late_s > 0:
+                    found.append(
+                        f"{each.name}: version {version}, acknowledged at {acknowledged_at:.2f}, "
+                        f"due at {due_at:.2f}, late by {late_s:.2f} s"
+                    )
+            versions = [version for _, version in each.applied]
+            if versions != sorted(versions):
+                found.append(f"{each.name}: an older version after a newer one: {versions}")
+        return found
+
+    def _due_at(self, incarnation: Incarnation, at: float) -> float:
+        """Returns when a version must be in force that would be due at a time in calm."""
+        at = max(at, incarnation.started_at + STABLE_WINDOW_S)
+        for each in sorted(self.disruptions, key=lambda each: each.started_at):
+            if each.excuses(incarnation.name, at):
+                at = each.ended_at + STABLE_WINDOW_S
+        return at
+
+
+@asynccontextmanager
+async def run_fleet(
+    rng: random.Random, size: int, zones: int, link_kbps: Callable[[], int] = lambda: 0
+) -> AsyncIterator[ObservedFleet]:
+    """Runs daemons, which have read a first version.
+
+    Args:
+        rng: Source of randomness.
+        size: Number of daemons.
+        zones: Number of availability zones.
+        link_kbps: Draws the capacity of a link, in kilobits per second.
+
+    Yields:
+        The fleet.
+    """
+    async with trio.open_nursery() as nursery:
+        links = SimulatedLinks(nursery, rng, 0)
+        with virtual_environment(links, rng, stalls_sends=False):
+            fleet = ObservedFleet(nursery, links, rng)
+            fleet.publish()
+            for index in range(size):
+                fleet.mesh.link_kbps = link_kbps()
+                await fleet.start(f"daemon-{index + 1}", f"zone-{index % zones}")
+            await fleet.mesh.wait_serving("shop", size)
+            yield fleet
+            nursery.cancel_scope.cancel()
+
+
+def play(seed: int, scenario: Callable[[trio.testing.MockClock], Awaitable[None]]) -> None:
+    """Plays a scenario in virtual time."""
+    seed_globally(seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(scenario, clock, clock=clock)
--- /dev/null
+++ b/tests/services/test_silent_connections.py
@@ -0,0 +1,62 @@
+"""Versions are in force in time although all open connections have gone silent."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+from fulmarstile_testing.known_red import pass_over_known_red
+from fulmarstile_testing.observed_fleet import ObservedFleet, play, run_fleet
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+_SEEDS: Final = range(1, 7)
+_ZONES: Final = 4
+_CALM_S: Final = 4.0
+_MAX_PHASE_S: Final = 1.0
+_REST_S: Final = 8.0
+
+
+class SilentConnectionsTest(unittest.TestCase):
+    maxDiff = None
+
+    @pass_over_known_red
+    def test_versions_are_in_force_in_time_after_all_open_connections_went_silent(self) -> None:
+        """Guards against each path that waits to notice the silence by itself.
+
+        The reads of the store and the requests to other daemons were unanswered at the same time,
+        and one connection was replaced after the other, for more than five seconds.
+        """
+        late = {seed: _play_silence(seed, silences=True) for seed in _SEEDS}
+        self.assertEqual(late, dict.fromkeys(_SEEDS, []))
+
+    def test_versions_are_in_force_in_time_without_a_disruption(self) -> None:
+        self.assertEqual(_play_silence(1, silences=False), [])
+
+
+def _play_silence(seed: int, *, silences: bool) -> list[str]:
+    """Plays a fleet whose open connections go silent; returns what was late."""
+    rng = random.Random(seed)
+    late: list[str] = []
+
+    async def scenario(_: MockClock) -> None:
+        async with run_fleet(rng, rng.randint(8, 12), _ZONES) as fleet:
+            await _silence(fleet, rng.uniform(0.0, _MAX_PHASE_S), silences=silences)
+            late.extend(fleet.list_late())
+
+    play(seed, scenario)
+    return late
+
+
+async def _silence(fleet: ObservedFleet, phase_s: float, *, silences: bool) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.publish_forever)
+        await trio.sleep(_CALM_S + phase_s)
+        if silences:
+            fleet.silence_open()
+        await trio.sleep(_REST_S)
+        nursery.cancel_scope.cancel()
