--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
@@ -67,12 +67,20 @@
         nursery: Carries the bytes.
         rng: Draws latencies.
         bytes_per_s: Rate of each direction of a connection between daemons; 0 for no limit.
+        latencies_s: Latencies of such connections, of which one is drawn for each, in seconds.
     """
 
-    def __init__(self, nursery: trio.Nursery, rng: random.Random, bytes_per_s: int) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        rng: random.Random,
+        bytes_per_s: int,
+        latencies_s: tuple[float, ...] = _LATENCIES_S,
+    ) -> None:
         self._nursery = nursery
         self._rng = rng
         self._bytes_per_s = bytes_per_s
+        self._latencies_s = latencies_s
         self._silent_until: dict[tuple[str, str], float] = {}
         self._open: list[_Link] = []
         self._listeners: dict[str, _Listener] = {}
@@ -104,7 +112,7 @@
         if name is None:
             return self._connect(address, ("", ""), 0.0, 0)
         ends = LOCAL_DAEMON.get(), name
-        latency_s = self._rng.choice(_LATENCIES_S)
+        latency_s = self._rng.choice(self._latencies_s)
         await trio.sleep(2 * latency_s)
         while self.is_silent(ends) or self.is_silent(ends[::-1]):
             await trio.sleep(_POLL_S)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/observed_fleet.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/observed_fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
@@ -24,7 +24,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
 
 CONFIG_APPLY_S: Final = 2.0
 """Time after its acknowledgement from which a version must be in force, in seconds."""
@@ -60,6 +60,12 @@
     applied: list[tuple[float, int]] = field(default_factory=list)
     """Times and versions, in order of time."""
 
+    @property
+    def reader_rank(self) -> int:
+        """Returns 0 for a daemon that all others rely on, 1 for another reader of the store."""
+        sources = self.node.daemon._document_part._reader._sources
+        return 2 - sources.is_reader - (sources.is_reader and sources.is_prompt_reader)
+
     def in_force_at(self, version: int) -> float:
         """Returns from when on a version, or a newer one, is in force."""
         return next((at for at, applied in self.applied if applied >= version), math.inf)
@@ -88,8 +94,16 @@
         self.mesh.make_store = self._make_store
 
     def _make_store(self, name: str) -> SimulatedStore:
-        self.stores[name] = SimulatedStore(self.mesh.store, self._rng)
-        return self.stores[name]
+        store = SimulatedStore(self.mesh.store, self._rng)
+        earlier = self.stores.get(name)
+        if earlier is not None:
+            store.faults = earlier.faults
+        self.stores[name] = store
+        return store
+
+    def list_running(self) -> list[Incarnation]:
+        """Lists the daemons that run, and were not told to stop."""
+        return [each for each in self.incarnations if math.isinf(each.ended_at)]
 
     def publish(self) -> None:
         """Writes the next version, which is acknowledged at once."""
@@ -119,28 +133,52 @@
         note()
         documents.on_change.append(note)
         self.incarnations.append(incarnation)
-        self._nursery.start_soon(self._announce_forever, node)
+        self._nursery.start_soon(self._announce_forever, incarnation)
 
     async def kill(self, incarnation: Incarnation) -> None:
         """Kills a daemon."""
         incarnation.ended_at = trio.current_time()
         await incarnation.node.kill()
 
-    async def _announce_forever(self, node: ServiceNode) -> None:
+    async def stop(self, incarnation: Incarnation, grace_s: float) -> None:
+        """Tells a daemon to stop, and kills it after the grace time."""
+        incarnation.ended_at = trio.current_time()
+        incarnation.node.stop()
+        with trio.move_on_after(grace_s):
+            await incarnation.node.ended.wait()
+        await incarnation.node.kill()
+
+    async def _announce_forever(self, incarnation: Incarnation) -> None:
         while True:
             await trio.sleep(_ANNOUNCE_S)
-            if node.ended.is_set():
+            if not math.isinf(incarnation.ended_at):
                 return
             self._sequence += 1
-            await node.announce(sequence=self._sequence, born_ms=1_000)
+            await incarnation.node.announce(sequence=self._sequence, born_ms=1_000)
 
-    def silence_open(self) -> None:
-        """Makes all open connections silent for good, those to the store and between daemons."""
-        now = trio.current_time()
-        self.disruptions.append(Disruption(now, now))
-        self.links.silence_open()
-        for store in self.stores.values():
-            store.silence_open()
+    @contextmanager
+    def disrupted(self, names: Iterable[str] = ()) -> Iterator[None]:
+        """Notes a disruption, of some daemons or of all."""
+        started_at = trio.current_time()
+        try:
+            yield
+        finally:
+            ended_at = trio.current_time()
+            self.disruptions.append(Disruption(started_at, ended_at, frozenset(names)))
+
+    def silence_open(self, share: float = 1.0, *, store: bool = True, links: bool = True) -> None:
+        """Makes open connections silent for good.
+
+        Args:
+            share: Share of the connections that this happens to.
+            store: Whether connections to the store do.
+            links: Whether connections between daemons do.
+        """
+        with self.disrupted():
+            if links:
+                self.links.silence_open(share)
+            for client in self.stores.values() if store else ():
+                client.silence_open(share)
 
     def list_late(self, apply_s: float = CONFIG_APPLY_S) -> list[str]:
         """Lists the versions that were not in force in time, and returns to older ones."""
@@ -171,7 +209,11 @@
 
 @asynccontextmanager
 async def run_fleet(
-    rng: random.Random, size: int, zones: int, link_kbps: Callable[[], int] = lambda: 0
+    rng: random.Random,
+    size: int,
+    zones: int,
+    link_kbps: tuple[int, ...] = (0,),
+    latencies_s: tuple[float, ...] = (0.0005, 0.002, 0.01),
 ) -> AsyncIterator[ObservedFleet]:
     """Runs daemons, which have read a first version.
 
@@ -179,18 +221,19 @@
         rng: Source of randomness.
         size: Number of daemons.
         zones: Number of availability zones.
-        link_kbps: Draws the capacity of a link, in kilobits per second.
+        link_kbps: Capacities of links, of which one is drawn for each, in kilobits per second.
+        latencies_s: Latencies of connections between daemons, in seconds.
 
     Yields:
         The fleet.
     """
     async with trio.open_nursery() as nursery:
-        links = SimulatedLinks(nursery, rng, 0)
+        links = SimulatedLinks(nursery, rng, 0, latencies_s)
         with virtual_environment(links, rng, stalls_sends=False):
             fleet = ObservedFleet(nursery, links, rng)
             fleet.publish()
             for index in range(size):
-                fleet.mesh.link_kbps = link_kbps()
+                fleet.mesh.link_kbps = rng.choice(link_kbps)
                 await fleet.start(f"daemon-{index + 1}", f"zone-{index % zones}")
             await fleet.mesh.wait_serving("shop", size)
             yield fleet
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
@@ -72,16 +72,20 @@
         self.rng = rng
         self.faults = StoreFaults()
         """What is wrong at present."""
-        self.connections: set[_StoreConnection] = set()
+        self.connections: dict[_StoreConnection, None] = {}
         """All open connections."""
         self._http = _SimulatedHttp(self)
         self._numbers = count()
         self._calls: dict[str, _Call] = {}
 
-    def silence_open(self) -> None:
-        """Makes all open connections silent for good; new ones work."""
+    def silence_open(self, share: float = 1.0) -> None:
+        """Makes open connections silent for good; new ones work.
+
+        Args:
+            share: Share of the connections that this happens to.
+        """
         for connection in self.connections:
-            connection.is_silent = True
+            connection.is_silent |= share >= 1.0 or self.rng.random() < share
 
     async def handle(self, path: str) -> None:
         """Handles a request at the store.
@@ -186,7 +190,7 @@
         except trio.TooSlowError as error:
             raise HttpTimeoutError("connecting timed out", Verdict.NOT_RUN) from error
         # What happened to other connections meanwhile doesn't concern it.
-        self._store.connections.add(connection)
+        self._store.connections[connection] = None
         return connection
 
 
@@ -234,5 +238,5 @@
             await trio.sleep_forever()
 
     async def aclose(self) -> None:
-        self._store.connections.discard(self)
+        self._store.connections.pop(self, None)
         await trio.lowlevel.checkpoint()
