--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/collected_records.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/collected_records.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from fulmarstile_services.document_contact import DocumentContact
 from fulmarstile_services.freshness import Freshness
 
 if TYPE_CHECKING:
@@ -27,6 +28,8 @@
         """Offset up to which the topic is known; None if nothing is."""
         self.freshness = Freshness()
         """Updated with what reads of the store prove."""
+        self.contact = DocumentContact()
+        """Updated with when the store answers."""
         self.clock = trio.current_time
         """Returns the time in seconds."""
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
@@ -39,6 +39,7 @@
 _MAX_LATENCY_S: Final = 0.01
 _CHECK_S: Final = 0.02
 _OK: Final = 200
+_ADDRESS: Final = "store:80"
 
 
 @dataclass(slots=True)
@@ -178,7 +179,7 @@
     """The pool and the timeouts of the client, with simulated connections."""
 
     def __init__(self, store: SimulatedStore) -> None:
-        super().__init__("store:80", HttpClientSettings(connect_timeout_s=_CONNECT_TIMEOUT_S))
+        super().__init__(_ADDRESS, HttpClientSettings(connect_timeout_s=_CONNECT_TIMEOUT_S))
         self._store = store
 
     async def _connect(self) -> Any:
@@ -198,6 +199,7 @@
     """Takes the place of a connection of `HttpClient`."""
 
     is_reusable = True
+    host = _ADDRESS
 
     def __init__(self, store: SimulatedStore) -> None:
         self._store = store
