--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 TROUBLE ?= all
 TEST_JOBS ?= 4
 
-.PHONY: setup test lint format demo demo-platform soak soak-lost soak-returns scenarios bench-config bench-calls plots clean
+.PHONY: setup test lint format demo demo-platform soak soak-lost soak-config soak-returns scenarios bench-config bench-calls plots clean
 
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml platform/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -44,6 +44,9 @@
 soak: setup
 	$(VENV)/bin/python -m fulmarstile_adapter_testing.soak --seed=$(SEED)
 
+soak-config: setup
+	$(VENV)/bin/python -m fulmarstile_adapter_testing.soak_config --seed=$(SEED)
+
 soak-lost: setup
 	$(VENV)/bin/python -m fulmarstile_adapter_testing.soak_lost --seed=$(SEED) --trouble=$(TROUBLE)
 
