--- a/tests/processes/test_soak_config.py
+++ b/tests/processes/test_soak_config.py
@@ -21,7 +21,6 @@
 )
 from fulmarstile_adapter_testing.config_versions import ConfigRoute, ConfigVersion
 from fulmarstile_adapter_testing.soak_config import run_soak
-from fulmarstile_testing.known_red import pass_over_known_red
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -56,7 +55,6 @@
 
 
 class ConfigSoakTest(unittest.TestCase):
-    @pass_over_known_red
     def test_versions_come_into_force_in_time_after_all_open_connections_went_silent(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             report = trio.run(run_soak, 1, "silence_all", SECONDS, Path(folder))
