Close idle connections to the store when a silent call is cancelled (QUOTA, silence)

An owner of a quota shard bounds its appends by 1 s itself, which is less than the client's own time-out of 1.5 s. So after all connections to the store had gone silent, each append was cancelled, only its own connection was closed, and the next append took the next silent one.

Evidence: owner behind a relay with 6 further idle connections that all go silent. The test failed on the code before.

A cancelled request that has been silent for 0.5 s now closes the idle connections, as one that times out does. It ends no other request: whether the cancelled one was late isn't known.

--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
@@ -23,6 +23,9 @@
 MAX_RESPONSE_BYTES: Final = 32 << 20
 """Largest response body accepted by default, in bytes."""
 
+_MIN_SILENCE_S: Final = 0.5
+"""Time without a byte from which a cancelled request counts as one that timed out, in seconds."""
+
 
 class HttpError(VerdictError):
     """A request got no complete response; `verdict` says whether the server may have handled it."""
@@ -95,7 +98,8 @@
         """Sends one request and waits for its complete response; never sends it twice.
 
         A request that times out without having received anything shows that connections may have
-        gone silent. Then those that have waited in silence for longer time out, too.
+        gone silent. Then those that have waited in silence for longer time out, too. Idle
+        connections are closed also if the caller cancels the request after a time in silence.
 
         Args:
             method: HTTP method.
@@ -133,6 +137,11 @@
                 f"{trio.current_time() - started_at:.1f} s",
                 progress.verdict,
             ) from error
+        except trio.Cancelled:
+            if trio.current_time() - progress.silent_since >= _MIN_SILENCE_S:
+                with trio.CancelScope(shield=True):
+                    await self.aclose()
+            raise
         finally:
             self._waiting.discard(progress)
 
--- a/tests/adapter/test_silent_store.py
+++ b/tests/adapter/test_silent_store.py
@@ -13,13 +13,16 @@
 from fulmarstile_adapter_testing.store import StoreStandIn, serve_store
 from fulmarstile_daemon.services._document_reader import DocumentReader
 from fulmarstile_daemon.services._freshness_keeper import FreshnessKeeper
+from fulmarstile_daemon.services._quota_owner import ShardOwner
 from fulmarstile_daemon.services.documents import ActiveDocument, ActiveRoutes
 from fulmarstile_daemon.services.event_log import EventLog
+from fulmarstile_daemon.services.quotas import read_lease_clock
 from fulmarstile_platform.http import HttpTimeoutError, open_http_client
 from fulmarstile_platform.log import LogUnavailableError
 from fulmarstile_services.directory import Directory
 from fulmarstile_services.document_sources import DocumentSources
 from fulmarstile_services.freshness import Freshness
+from fulmarstile_services.quotas.shard import QuotaShard
 from fulmarstile_services.settings import RevocationBounds
 from fulmarstile_testing.builders.service_mesh import make_node_settings
 from fulmarstile_testing.builders.services import make_document, make_member, make_route
@@ -40,6 +43,8 @@
 CALM_S = 3.0
 """Time after a disruption from which the users' bounds hold again (`StableWindowS`), in seconds."""
 REVOKE_S = 4.0
+WINDOW_S = 5.0
+OPEN_CONNECTIONS = 6
 TOPIC = "keyed.test"
 
 
@@ -129,6 +134,33 @@
 
         trio.run(run)
 
+    def test_the_owner_of_a_quota_shard_may_grant_in_time_after_connections_went_silent(
+        self,
+    ) -> None:
+        shard = QuotaShard("daemon-1", 1, 0, WINDOW_S)
+        owner = ShardOwner(
+            0, shard, lambda _: ["daemon-1"], lambda _: 1, read_lease_clock, EventLog("daemon-1")
+        )
+        granting: list[bool] = []
+
+        async def run() -> None:
+            async with self.open_client() as client, trio.open_nursery() as nursery:
+                nursery.start_soon(owner.follow, client)
+                nursery.start_soon(owner.append_forever, client)
+                while not shard.ownership.may_grant(read_lease_clock()):
+                    await trio.sleep(0.01)
+                # Leaves connections open for the calls after the silence.
+                async with trio.open_nursery() as calls:
+                    for _ in range(OPEN_CONNECTIONS):
+                        calls.start_soon(client.read_end, TOPIC)
+                self.relay.silence()
+                await trio.sleep(CALM_S)
+                granting.append(shard.ownership.may_grant(read_lease_clock()))
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+        self.assertEqual(granting, [True])
+
     def test_an_answer_that_stops_midway_times_out_long_before_a_slow_one(self) -> None:
         async def serve_part(stream: trio.SocketStream) -> None:
             await stream.receive_some(10_000)
