--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -9,6 +10,7 @@
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
 from fulmarstile_daemon.services.events import DocumentApplied, DocumentRejected
 from fulmarstile_services.document import DocumentError
+from fulmarstile_services.document_contact import DocumentContact
 from fulmarstile_services.document_history import DocumentHistory
 from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.routing_table import RoutingTable
@@ -29,11 +31,18 @@
 
 
 class ActiveRoutes:
-    """The active routing table; None until the first document is known."""
+    """The active routing table; None until the first document is known.
 
-    def __init__(self) -> None:
+    Args:
+        clock: Returns the time that the contact is measured by, in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = read_boot_clock) -> None:
         self.table: RoutingTable | None = None
         """The active table."""
+        self.contact = DocumentContact()
+        """When the store last told what it has, directly or through other daemons."""
+        self._clock = clock
         self._newest_version = -1
         self._heard_at = 0.0
 
@@ -50,10 +59,16 @@
 
     @property
     def is_outdated(self) -> bool:
-        """Whether another daemon has a newer version, which should arrive soon."""
-        if self.table is None or self.table.version >= self._newest_version:
+        """Whether there may be a newer version.
+
+        Another daemon has one, which should arrive soon, or nobody has told for too long.
+        """
+        if self.table is None:
             return False
-        return trio.current_time() - self._heard_at < _ARRIVAL_S
+        if self.contact.is_silent(self._clock()):
+            return True
+        is_behind = self.table.version < self._newest_version
+        return is_behind and trio.current_time() - self._heard_at < _ARRIVAL_S
 
 
 class ActiveDocument:
@@ -85,6 +100,8 @@
         """Age of the knowledge that the active version is the newest."""
         self.clock = clock
         """Returns the time that freshness is measured by, in seconds."""
+        self.contact = routes.contact
+        """When the store last told what it has, directly or through other daemons."""
         self.history = DocumentHistory()
         """Recent versions without customers' keys, as other daemons receive them."""
         self.changed = trio.Event()
@@ -112,6 +129,12 @@
         """Offset up to which its topic is known; None if nothing is."""
         return self._next_offset
 
+    @property
+    def silent_s(self) -> float | None:
+        """Time since the last contact with the store, rounded; None if there was none."""
+        silent_s = self.contact.silent_s(self.clock())
+        return round(silent_s, 2) if math.isfinite(silent_s) else None
+
     def hear_version(self, version: int) -> bool:
         """Notes which version another daemon has.
 
@@ -174,6 +197,7 @@
                 routes=len(document.routes),
                 source=source,
                 bytes=received_bytes or len(raw),
+                silent_s=self.silent_s,
             )
         )
         for on_change in self.on_change:
@@ -236,6 +260,7 @@
         if self._next_offset is None or end_offset > self._next_offset:
             return False
         self.freshness.confirm(sent_at)
+        self.contact.hear(self.clock())
         return True
 
     def _redact(self, raw: bytes) -> bytes:
