Close idle connections to the upstream once others are known to be silent (credit, silence)

All open connections, also those to the upstream on the same VM, go silent at one moment. A kept connection is used for up to 4 s after its last answer, so requests sent 3 to 4 s after the silence (StableWindowS is 3 s) waited on it until their deadline, if no earlier request had timed out there.

What shows that connections between daemons went silent (DocumentRelay.on_silence) now also closes the idle ones to the upstream, as the end of a suspension does.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream.py
@@ -225,7 +225,7 @@
         self._slots.close()
 
     def close_idle_connections(self) -> None:
-        """Closes idle connections, which may be dead after the VM was suspended."""
+        """Closes idle connections, which may be dead after a suspension or a silence of others."""
         if self._pool is not None:
             self._pool.close_idle()
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -195,6 +195,7 @@
             self._gossip,
             log,
         )
+        self._document_part.relay.on_silence.append(self._upstream.close_idle_connections)
         self._announcements.hand_over_departure = self._gossip.hand_over_departure
         if not settings.is_first_start:
             self._membership.ask_daemons = self._gossip.ask_for_departures
