--- a/packages/fulmarstile_testing/src/fulmarstile_testing/config_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/config_search/case.py
@@ -42,7 +42,10 @@
     "drops_requests": (True,),
     "drops_answers": (True,),
 }
-_TROUBLES: Final = ("silence", "silence", "store", "store", "cut", "end", "end", "halt", "forget")
+_TROUBLES: Final = (
+    *("silence", "silence", "store", "store", "cut", "cut", "end", "end"),
+    *("halt", "forget", "readers"),
+)
 
 
 @dataclass(slots=True)
@@ -121,6 +124,8 @@
             await self._cut(fleet)
         elif trouble == "end":
             await self._end(fleet)
+        elif trouble == "readers":
+            await self._end_readers(fleet)
         elif trouble == "halt":
             with fleet.disrupted():
                 for_s = rng.uniform(0.5, 4.0)
@@ -199,9 +204,23 @@
             for index, each in enumerate(self._draw_running(fleet)):
                 nursery.start_soon(self._end_one, fleet, each, kills, index * row_s)
 
+    async def _end_readers(self, fleet: ObservedFleet) -> None:
+        """Ends those that would notice for all others that connections to the store are silent."""
+        self._note("silence of open connections to the store")
+        fleet.silence_open(links=False)
+        away_s = self._rng.uniform(0.3, 3.0)
+        kills = self._rng.random() < 0.6
+        await trio.sleep(away_s)
+        async with trio.open_nursery() as nursery:
+            for each in fleet.list_running():
+                if each.reader_rank == 0:
+                    nursery.start_soon(self._end_one, fleet, each, kills, 0.0)
+
     async def _end_one(
         self, fleet: ObservedFleet, each: Incarnation, kills: bool, at_s: float
     ) -> None:
+        # Drawn first, as the order in which daemons end depends on addresses of objects.
+        away_s = self._rng.uniform(0.0, 2.0)
         await trio.sleep(at_s)
         if each not in fleet.list_running():
             return
@@ -210,6 +229,6 @@
             await fleet.kill(each)
         else:
             await fleet.stop(each, _GRACE_S)
-        await trio.sleep(self._rng.uniform(0.0, 2.0))
+        await trio.sleep(away_s)
         self._note(f"{each.name} starts again")
         await fleet.start(each.name, earlier=each.node)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/observed_fleet.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/observed_fleet.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import math
+import random
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
+from unittest import mock
 
 import trio
 import trio.testing
@@ -23,7 +25,6 @@
 from fulmarstile_testing.simulated_store import SimulatedStore
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
 
 CONFIG_APPLY_S: Final = 2.0
@@ -88,13 +89,12 @@
         self.incarnations: list[Incarnation] = []
         self.disruptions: list[Disruption] = []
         self.acknowledged_at: dict[int, float] = {}
-        self._rng = rng
         self._nursery = nursery
         self._sequence = 0
         self.mesh.make_store = self._make_store
 
     def _make_store(self, name: str) -> SimulatedStore:
-        store = SimulatedStore(self.mesh.store, self._rng)
+        store = SimulatedStore(self.mesh.store, random.Random())
         earlier = self.stores.get(name)
         if earlier is not None:
             store.faults = earlier.faults
@@ -207,6 +207,12 @@
         return at
 
 
+async def _run_at_once(function: Callable[..., Any], *args: Any, **_: object) -> Any:
+    """Replaces `trio.to_thread.run_sync`, as a thread takes real time."""
+    await trio.lowlevel.checkpoint()
+    return function(*args)
+
+
 @asynccontextmanager
 async def run_fleet(
     rng: random.Random,
@@ -229,7 +235,10 @@
     """
     async with trio.open_nursery() as nursery:
         links = SimulatedLinks(nursery, rng, 0, latencies_s)
-        with virtual_environment(links, rng, stalls_sends=False):
+        with (
+            virtual_environment(links, rng, stalls_sends=False),
+            mock.patch.object(trio.to_thread, "run_sync", _run_at_once),
+        ):
             fleet = ObservedFleet(nursery, links, rng)
             fleet.publish()
             for index in range(size):
