Reject no request for its missing key for good that a newer version may allow (CONFIG)

A request without a key, or with several, got 401 without contact to the store, though a newer version may need none: the check of the number of keys came before the check of the contact. Now every rejection for a key asks first whether there may be a newer version.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_authentication.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_authentication.py
@@ -98,8 +98,6 @@
             return self._refuse_key(request, RefusalReason.API_KEY_MISSING)
         customer = table.customers.find(keys[0])
         if customer is None:
-            if self._is_outdated():
-                return self._refuse_stale(request)
             return self._refuse_key(request, RefusalReason.API_KEY_UNKNOWN)
         if customer.priority is not None and customer.priority != route.priority:
             route = table.prioritize(route, customer.priority)
@@ -134,6 +132,9 @@
         return self._replies.reject(request, reply, reason, self._age_s())
 
     def _refuse_key(self, request: ReceivedRequest, reason: RefusalReason) -> CallerResponse:
+        if self._is_outdated():
+            # A newer version may have the key, or need none.
+            return self._refuse_stale(request)
         self._metrics.count_unauthorized(reason)
         reply = make_error_response(401, "the request has no valid key")
         reply.headers.append(_CHALLENGE)
