Let a silence be noticed beside daemons that froze or end, and count contact as it was (CONFIG)

What callers saw, in virtual time: versions late by up to 1.1 s on calm daemons when all connections went silent while readers of their zone froze or lost power, by up to 0.6 s when both prompt readers ended 2 to 3 s after connections to the store alone had gone silent; and 503 for unknown routes in calm, for good, beside daemons of an earlier release and where keys are revoked within 15 s and more.

Causes, all in how silence is noticed: - requests at frozen daemons filled the limit of open ones, so that nobody else was asked; a frozen daemon was preferred again after 1 s. Now a daemon with an open request is asked again only if there is no other, and the request that tests a connection doesn't count; - a daemon that began to read the store, or was told that connections are silent, used an idle connection that had gone silent as well. Now these are dropped whenever a turn of reading begins and whenever a silence is known; a read that waits is ended however short, if no byte of its answer has come; - the last resort (`DocumentWatch`) acted only on readers of a zone, not on daemons that read because nobody replies; - a poll of the store in silence went unnoticed while other daemons passed the versions on. Now a poll that waits for what others have passed on for 0.6 s is sent again; - contact was counted when an answer had been processed, not when the store made it, and replies of an earlier release had none; - with a slow bound of revocation, neither polls nor confirmations came within the time of contact. Now prompt readers poll as without a bound there.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_part.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_part.py
@@ -58,11 +58,7 @@
         )
         self._relay.on_silence.append(self._reader.renew)
         self._watch = DocumentWatch(
-            documents,
-            lambda: self._relay.asked,
-            lambda: sources.is_reader,
-            self._reader.renew,
-            log,
+            documents, lambda: self._relay.asked, self._reader, lambda: sources.is_reader, log
         )
         gossip.on_newer_document = self._relay.hint
         gossip.fetch_document = self._relay.fetch
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -31,8 +31,6 @@
 """Longest pause between reads during a burst, in seconds."""
 _MAX_SIZE_PAUSE_S: Final = 0.6
 """Longest pause after a read that took a large part of what the link carries, in seconds."""
-_MIN_SILENT_S: Final = 0.3
-"""Time for which a read must have been silent to be ended before its timeout, in seconds."""
 _LINK_SHARE: Final = 0.25
 """Fraction of the link that reads may use during a burst, unless the longest pause is reached."""
 _DEFAULT_LINK_BYTES_PER_S: Final = 800_000
@@ -74,6 +72,9 @@
         self._pacer = ReadPacer(_MAX_PAUSE_S, link_bytes_per_s * _LINK_SHARE, _MAX_SIZE_PAUSE_S)
         self._is_following = False
         self._store: KeyedLog | None = None
+        self._waits_from: int | None = None
+        self.is_reading = False
+        """Whether it is this daemon's turn to read."""
         self.reads = 0
         """Successful reads."""
         self.bytes_read = 0
@@ -84,6 +85,13 @@
         """Whether this daemon follows the store, without an error."""
         return self._is_following and not self._outage.is_ongoing
 
+    @property
+    def is_overtaken(self) -> bool:
+        """Whether a poll waits for records that another daemon has passed on already."""
+        return self._waits_from is not None and self._waits_from < (
+            self._documents.next_offset or 0
+        )
+
     async def run(self, store: KeyedLog) -> None:
         """Follows the topic, until cancelled.
 
@@ -100,6 +108,7 @@
             known_offset = documents.next_offset
             started_at = trio.current_time()
             sent_at = documents.clock()
+            timeout_s = 0.0
             try:
                 if reads_newest or known_offset is None:
                     purpose = _PURPOSE_NEWEST
@@ -107,6 +116,7 @@
                 else:
                     purpose = _PURPOSE_POLL
                     timeout_s = self._poll_timeout_s()
+                    self._waits_from = known_offset
                     page = await store.read_keyed(self._topic, known_offset, timeout_s, max_bytes)
             except RecordsExpiredError:
                 reads_newest, expired_offset = True, known_offset or 0
@@ -114,8 +124,14 @@
             except LogError as error:
                 await self._outage.wait(error)
                 continue
+            finally:
+                self._waits_from = None
             self._outage.end()
             read_s = trio.current_time() - started_at
+            heard_at = documents.clock() - page.transfer.seconds
+            if not page.records:
+                # It was made when the wait had passed, however late it arrived.
+                heard_at = min(heard_at, sent_at + timeout_s)
             self._note(page, purpose, read_s)
             next_offset = page.next_offset
             if purpose == _PURPOSE_NEWEST:
@@ -123,7 +139,7 @@
             documents.apply_records(page.records, next_offset)
             if not page.has_more:
                 documents.freshness.confirm(sent_at)
-                documents.contact.hear(documents.clock())
+                documents.contact.hear(heard_at)
                 self._is_following = True
             is_burst = known_offset is not None and next_offset - known_offset > 1
             reads_newest = page.has_more or is_burst
@@ -135,12 +151,16 @@
     def renew(self) -> None:
         """Ends a read that waits in silence, so that another one follows over a new connection."""
         if self._store is not None:
-            self._store.end_silent_reads(self._topic, _MIN_SILENT_S)
+            self._store.end_silent_reads(self._topic, 0.0)
 
     async def _wait_for_turn(self) -> None:
         while not self._sources.should_read_store(trio.current_time()):
-            self._is_following = False
+            self._is_following = self.is_reading = False
             await trio.sleep(_TURN_INTERVAL_S)
+        if not self.is_reading:
+            # Others have not replied, perhaps because open connections have gone silent.
+            self.renew()
+        self.is_reading = True
 
     def _poll_timeout_s(self) -> float:
         if self._outage.is_ongoing:
@@ -148,7 +168,8 @@
             return 0.0
         if not self._sources.is_reader:
             return _POLL_TIMEOUT_S
-        if self._documents.freshness.is_strict or not self._sources.is_prompt_reader:
+        confirms_soon = self._documents.freshness.confirm_interval_s <= _PROMPT_POLL_TIMEOUT_S
+        if confirms_soon or not self._sources.is_prompt_reader:
             return _READER_POLL_TIMEOUT_S
         return _PROMPT_POLL_TIMEOUT_S
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
@@ -158,7 +158,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 now = trio.current_time()
-                member = self._sources.choose(now)
+                member = self._sources.choose(now, {poll.member.name for poll in self._polls})
                 if member is None or len(self._polls) >= _MAX_POLLS:
                     await trio.sleep(_RETRY_S)
                     continue
@@ -183,30 +183,33 @@
                 if self._links.replace_silent(member.address, poll.due_at):
                     nursery.start_soon(self._ask_again, poll)
 
-    async def _ask_source(self, poll: _Poll, wait_s: float = _WAIT_S) -> None:
+    async def _ask_source(self, poll: _Poll) -> None:
         self._polls.add(poll)
         try:
-            reply = await self._ask(poll.member, wait_s, _LATE_REPLY_TIMEOUT_S)
-            if reply is not None:
-                poll.is_answered = True
-                now = trio.current_time()
-                self._sources.on_reply(poll.member, now, is_current=reply.is_current)
+            poll.is_answered = await self._ask_member(poll.member, _WAIT_S, _LATE_REPLY_TIMEOUT_S)
         finally:
             self._polls.discard(poll)
             poll.ended.set()
 
     async def _ask_again(self, late: _Poll) -> None:
         """Asks a daemon over a new connection; a reply shows that open ones have gone silent."""
-        again = _Poll(late.member, trio.current_time())
-        await self._ask_source(again, 0.0)
-        if not again.is_answered:
+        if not await self._ask_member(late.member, 0.0, _FETCH_TIMEOUT_S):
             return
+        self._polls.discard(late)
         await trio.sleep(_SILENCE_MARGIN_S)
         if not late.is_answered:
             self._links.retire_silent(late.due_at)
             for on_silence in self.on_silence:
                 on_silence()
 
+    async def _ask_member(self, member: Member, wait_s: float, timeout_s: float) -> bool:
+        """Asks a daemon as a source; returns whether there was a usable reply."""
+        reply = await self._ask(member, wait_s, timeout_s)
+        if reply is None:
+            return False
+        self._sources.on_reply(member, trio.current_time(), is_current=reply.is_current)
+        return True
+
     async def _follow_hints(self) -> None:
         while True:
             await self._has_hint.wait()
@@ -240,6 +243,9 @@
             return None
         if reply.heard_ms is not None:
             documents.contact.hear(asked_at + reply.heard_ms / 1000)
+        elif reply.is_current:
+            # A daemon of an earlier release doesn't say when it had contact.
+            documents.contact.hear(asked_at)
         if reply.age_ms >= 0 and reply.version == documents.version:
             documents.freshness.confirm_by_peer(asked_at, reply.age_ms / 1000)
         return reply
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -221,8 +221,8 @@
     """Time since the last contact with the store, direct or through others."""
     asked: tuple[str, ...] = ()
     """Other daemons that were asked and have not replied."""
-    is_reader: bool = False
-    """Whether this daemon reads the store for others."""
+    reads_store: bool = False
+    """Whether this daemon reads the store, for others or because none replies."""
 
 
 class DocumentHeard(LogEvent, tag="document_heard"):
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
@@ -83,6 +83,7 @@
         self._settings = settings or HttpClientSettings()
         self._limiter = trio.CapacityLimiter(self._settings.max_connections)
         self._idle: list[_Connection] = []
+        self._trusted_since = -math.inf
         self._waiting: set[_Progress] = set()
 
     async def request(
@@ -163,17 +164,26 @@
         for progress in self._waiting:
             progress.expire()
 
-    def expire_silent(self, since: float, path_start: str = "") -> None:
+    def expire_silent(
+        self, since: float, path_start: str = "", *, only_unanswered: bool = False
+    ) -> None:
         """Lets the requests time out for which nothing was sent or received since before a time.
 
         Args:
             since: The time, in seconds.
             path_start: What the path of such a request begins with.
+            only_unanswered: Whether requests are left out whose response has begun to arrive.
         """
         for progress in self._waiting:
+            if only_unanswered and progress.is_answered:
+                continue
             if progress.silent_since < since and progress.path.startswith(path_start):
                 progress.expire()
 
+    def distrust_idle(self) -> None:
+        """Lets later requests use none of the connections that are idle now."""
+        self._trusted_since = trio.current_time()
+
     async def _exchange(self, request: _Request, progress: _Progress) -> HttpResponse:
         connection = await self._acquire()
         reusable = False
@@ -202,7 +212,9 @@
         return await self._connect()
 
     def _is_usable(self, connection: _Connection) -> bool:
-        return connection.host == self._address and connection.is_usable(self._settings.max_idle_s)
+        if connection.host != self._address or connection.idle_since < self._trusted_since:
+            return False
+        return connection.is_usable(self._settings.max_idle_s)
 
     async def _connect(self) -> _Connection:
         host, _, port = self._address.rpartition(":")
@@ -254,6 +266,8 @@
         self._silence_timeout_s = silence_timeout_s
         self.is_sent = False
         """Whether any byte of the request may have reached the server."""
+        self.is_answered = False
+        """Whether any byte of the response has arrived."""
         self.silent_since = math.inf
         """Time of the last byte in either direction, in seconds; infinite before the first."""
         self.scope = trio.CancelScope()
@@ -266,6 +280,7 @@
 
     def on_receive(self) -> None:
         """Notes that a part of the response has arrived, and extends the deadline for the rest."""
+        self.is_answered = True
         self.silent_since = trio.current_time()
         silence_ends_at = self.silent_since + self._silence_timeout_s
         self.scope.deadline = max(self._ends_at, min(self._body_ends_at, silence_ends_at))
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
@@ -124,7 +124,7 @@
         """Lets the reads of a topic fail that wait, without any part of their answer so far.
 
         It is for a caller that knows that the topic has what they wait for, so that a connection
-        must have failed without a sign.
+        must have failed without a sign. Later calls use new connections.
 
         Args:
             topic: Name of the topic.
--- a/packages/fulmarstile_services/src/fulmarstile_services/document_sources.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/document_sources.py
@@ -10,7 +10,7 @@
 from fulmarstile_services.store_readers import list_document_readers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Container, Iterable
 
     from fulmarstile_services.directory import Directory
     from fulmarstile_wire.services import Member
@@ -50,11 +50,13 @@
         """Whether this daemon polls the store at short intervals for the others."""
         return self._is_among(self._list_prompt_readers(self._list_all_readers()))
 
-    def choose(self, now: float) -> Member | None:
+    def choose(self, now: float, asked: Collection[str] = ()) -> Member | None:
         """Chooses the daemon to ask.
 
         Args:
             now: Current time in seconds.
+            asked: Names of daemons that have not replied yet, which are asked again only if there
+                is no other.
 
         Returns:
             For a reader, another one, of any zone, that polls at short intervals or has a fast
@@ -62,16 +64,19 @@
             own zone, or of another one if none of these is of use. None if there is nobody to ask.
         """
         self._failed_at = {name: at for name, at in self._failed_at.items() if now - at < _RETRY_S}
+        return self._choose({*self._failed_at, *asked}) or self._choose(self._failed_at)
+
+    def _choose(self, excluded: Container[str]) -> Member | None:
         local_readers = self._list_readers()
         if not self._is_among(local_readers):
             # Each daemon prefers another reader, so that they share the work.
-            member = self._choose_among(local_readers, lambda _: (0, 0))
+            member = self._choose_among(local_readers, lambda _: (0, 0), excluded)
             if member is not None:
                 return member
         readers = self._list_all_readers()
         prompt = {reader.name for reader in self._list_prompt_readers(readers)}
         return self._choose_among(
-            readers, lambda reader: (int(reader.name not in prompt), -reader.link_kbps)
+            readers, lambda reader: (int(reader.name not in prompt), -reader.link_kbps), excluded
         )
 
     def on_reply(self, member: Member, now: float, *, is_current: bool) -> None:
@@ -122,14 +127,17 @@
         return any(member.name == local_name for member in members)
 
     def _choose_among(
-        self, members: Iterable[Member], rank: Callable[[Member], tuple[int, int]]
+        self,
+        members: Iterable[Member],
+        rank: Callable[[Member], tuple[int, int]],
+        excluded: Container[str],
     ) -> Member | None:
         """Chooses a usable daemon of the lowest rank, and another one for each daemon if equal."""
         local_name = self._directory.local_member.name
         usable = [
             member
             for member in members
-            if member.name != local_name and member.name not in self._failed_at
+            if member.name != local_name and member.name not in excluded
         ]
         return min(
             usable,
--- a/packages/fulmarstile_services/src/fulmarstile_services/freshness.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/freshness.py
@@ -44,6 +44,11 @@
         """Whether old knowledge must not be used."""
         return self.bounds is not None
 
+    @property
+    def confirm_interval_s(self) -> float:
+        """Age in seconds from which a reader asks the store again; infinite if it need not."""
+        return math.inf if self.bounds is None else _CONFIRM_RATIO * self.bounds.revoke_s
+
     def confirm(self, at: float) -> bool:
         """Notes that no newer version existed at a time.
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
@@ -137,7 +137,9 @@
 
     def end_silent_reads(self, topic: str, silent_s: float) -> None:
         """See `KeyedLog.end_silent_reads`."""
-        self._http.expire_silent(trio.current_time() - silent_s, f"/read/{topic}/")
+        since = trio.current_time() - silent_s
+        self._http.expire_silent(since, f"/read/{topic}/", only_unanswered=True)
+        self._http.distrust_idle()
 
     async def _request(
         self,
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_documents.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/virtual_documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Final
 
 import trio
@@ -15,7 +16,7 @@
 from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_daemon.services.gossip import Gossip
 from fulmarstile_daemon.services.membership import Membership
-from fulmarstile_platform.keyed_log import MAX_READ_BYTES, KeyedPage
+from fulmarstile_platform.keyed_log import MAX_READ_BYTES, KeyedPage, PageTransfer
 from fulmarstile_services.balancing import BalancingSettings, LeastWaitBalancer
 from fulmarstile_services.directory import Directory
 from fulmarstile_services.freshness import Freshness
@@ -80,8 +81,7 @@
         await self._delay()
         page = await super().read_newest(topic)
         await self._delay()
-        await self._link.carry(_HEAD_BYTES + int(_count_bytes(page) * _BASE64_RATIO))
-        return page
+        return await self._carry(page, _HEAD_BYTES + int(_count_bytes(page) * _BASE64_RATIO))
 
     async def read_keyed(
         self, topic: str, offset: int, wait_s: float, max_bytes: int = MAX_READ_BYTES
@@ -91,8 +91,7 @@
         wait_s = 0.0 if self.answers_early else wait_s
         page = await super().read_keyed(topic, offset, wait_s, max_bytes)
         await self._delay()
-        await self._link.carry(_HEAD_BYTES + _count_bytes(page))
-        return page
+        return await self._carry(page, _HEAD_BYTES + _count_bytes(page))
 
     async def read_end(self, topic: str) -> int:
         """See `KeyedLog.read_end`."""
@@ -102,6 +101,13 @@
         await self._link.carry(_HEAD_BYTES)
         return end
 
+    async def _carry(self, page: KeyedPage, size: int) -> KeyedPage:
+        """Carries an answer over the link of the VM, and notes how long that takes."""
+        started_at = trio.current_time()
+        await self._link.carry(size)
+        transfer = PageTransfer(size, trio.current_time() - started_at)
+        return replace(page, transfer=transfer)
+
     async def _delay(self) -> None:
         if self.loses:
             await trio.sleep_forever()
--- a/tests/services/test_document_contact.py
+++ b/tests/services/test_document_contact.py
@@ -5,6 +5,7 @@
 import unittest
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
 
 from fulmarstile_services.document_contact import MAX_SILENT_S, DocumentContact
@@ -15,6 +16,8 @@
 if TYPE_CHECKING:
     from fulmarstile_testing.builders.service_mesh import ServiceMesh
     from fulmarstile_testing.virtual_documents import VirtualDocumentFleet
+    from fulmarstile_wire.documents import DocumentReply, DocumentRequest
+    from fulmarstile_wire.services import Member
 
 CALM_S = 20.0
 CONTACT_S = 1.0
@@ -23,6 +26,19 @@
 OTHER_KEY = ("api-key", "key-2")
 
 
+def leave_out_contact(fleet: VirtualDocumentFleet) -> None:
+    """Lets all replies be those of an earlier release, without the time of the last contact."""
+    query = fleet.query
+
+    async def query_old_daemon(
+        member: Member, request: DocumentRequest, timeout_s: float, **options: bool
+    ) -> DocumentReply:
+        reply = await query(member, request, timeout_s, **options)
+        return msgspec.structs.replace(reply, heard_ms=None)
+
+    fleet.query = query_old_daemon
+
+
 class ContactTest(unittest.TestCase):
     def test_an_earlier_contact_does_not_replace_a_later_one(self) -> None:
         contact = DocumentContact()
@@ -39,7 +55,9 @@
 
 
 class FleetContactTest(unittest.TestCase):
-    def check_calm(self, size: int) -> None:
+    def check_calm(
+        self, size: int, revoke_s: float = 0.0, *, has_old_daemons: bool = False
+    ) -> None:
         silent: list[str] = []
 
         def list_silent(fleet: VirtualDocumentFleet) -> list[str]:
@@ -50,9 +68,11 @@
             ]
 
         async def run(fleet: VirtualDocumentFleet) -> None:
+            if has_old_daemons:
+                leave_out_contact(fleet)
             silent.extend(await fleet.observe(lambda: list_silent(fleet), CALM_S))
 
-        run_document_fleet(size, 0.0, run)
+        run_document_fleet(size, revoke_s, run)
         self.assertEqual(silent[:5], [])
 
     def test_no_daemon_of_a_small_fleet_misses_contact_in_calm(self) -> None:
@@ -61,6 +81,14 @@
     def test_daemons_that_do_not_read_the_store_have_contact_through_others(self) -> None:
         self.check_calm(40)
 
+    def test_no_daemon_misses_contact_in_calm_where_keys_are_revoked_slowly(self) -> None:
+        for revoke_s in (5.0, 10.0, 20.0, 30.0):
+            with self.subTest(revoke_s):
+                self.check_calm(12, revoke_s)
+
+    def test_no_daemon_misses_contact_in_calm_beside_an_earlier_release(self) -> None:
+        self.check_calm(12, has_old_daemons=True)
+
     def test_daemons_that_only_hear_each_other_do_not_take_that_for_contact(self) -> None:
         async def run(fleet: VirtualDocumentFleet) -> None:
             fleet.max_delay_s = 0.5
