--- a/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/lost_search/environment.py
@@ -67,12 +67,20 @@
         nursery: Carries the bytes.
         rng: Draws latencies.
         bytes_per_s: Rate of each direction of a connection between daemons; 0 for no limit.
+        latencies_s: Latencies of such connections, of which one is drawn for each, in seconds.
     """
 
-    def __init__(self, nursery: trio.Nursery, rng: random.Random, bytes_per_s: int) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        rng: random.Random,
+        bytes_per_s: int,
+        latencies_s: tuple[float, ...] = _LATENCIES_S,
+    ) -> None:
         self._nursery = nursery
         self._rng = rng
         self._bytes_per_s = bytes_per_s
+        self._latencies_s = latencies_s
         self._silent_until: dict[tuple[str, str], float] = {}
         self._open: list[_Link] = []
         self._listeners: dict[str, _Listener] = {}
@@ -89,13 +97,22 @@
         for link in [link for link in self._open if {*link.ends} == {first, second}]:
             link.reset()
 
+    def silence_open(self, share: float = 1.0) -> None:
+        """Makes open connections silent for good, without an end or a reset; new ones work.
+
+        Args:
+            share: Share of the connections that this happens to.
+        """
+        for link in self._open:
+            link.is_silent = link.is_silent or share >= 1.0 or self._rng.random() < share
+
     async def open_stream(self, address: str, *, peer_may_read_late: bool = False) -> ByteStream:
         """Replaces `open_stream`."""
         name = self.names.get(address)
         if name is None:
             return self._connect(address, ("", ""), 0.0, 0)
         ends = LOCAL_DAEMON.get(), name
-        latency_s = self._rng.choice(_LATENCIES_S)
+        latency_s = self._rng.choice(self._latencies_s)
         await trio.sleep(2 * latency_s)
         while self.is_silent(ends) or self.is_silent(ends[::-1]):
             await trio.sleep(_POLL_S)
@@ -169,6 +186,8 @@
         self._latency_s = latency_s
         self._bytes_per_s = bytes_per_s
         self._scope = trio.CancelScope()
+        self.is_silent = False
+        """Whether all that is sent is acknowledged and lost, also the end of the connection."""
 
     def reset(self) -> None:
         """Resets both ends."""
@@ -207,6 +226,8 @@
                     if any(self._links.is_reset(each) for each in self._sockets):
                         raise ConnectionResetError
                 except OSError:
+                    if self.is_silent:
+                        return
                     if not self._links.draw_flush():
                         self.reset()
                         return
@@ -221,6 +242,8 @@
         try:
             async for at, data in arriving:
                 await trio.sleep_until(at)
+                if self.is_silent:
+                    continue
                 with trio.move_on_after(_USER_TIMEOUT_S):
                     while self._links.is_silent(direction):
                         await trio.sleep(_POLL_S)
@@ -228,7 +251,8 @@
                     self.reset()
                     return
                 await target.send_all(data)
-            target.send_eof()
+            if not self.is_silent:
+                target.send_eof()
         except OSError:
             self.reset()
 
