Do not count newest records that may lack a version as confirmed (CONFIG)

A read of the newest records whose end lies beyond its last record may lack a version. It still confirmed the knowledge of the document, which with StrictRevoke lets keys be used that the missing version removes. It confirms nothing now; the read of what is between, which follows at once, does.

Before: test_odd_store_answers sees an age of 2.005 s where nothing confirmed 44 as the newest version; after: none.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -121,7 +121,7 @@
             if purpose == _PURPOSE_NEWEST:
                 next_offset = _find_proven_end(page, expired_offset)
             documents.apply_records(page.records, next_offset)
-            if not page.has_more:
+            if not page.has_more and next_offset >= page.next_offset:
                 documents.freshness.confirm(sent_at)
                 documents.contact.hear(documents.clock())
                 self._is_following = True
--- a/tests/services/test_odd_store_answers.py
+++ b/tests/services/test_odd_store_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 from typing import TYPE_CHECKING
 
@@ -40,7 +41,8 @@
 
     def run_reader(self, scenario: Callable[[], Awaitable[None]]) -> None:
         async def run() -> None:
-            reader = make_document_reader(CollectedRecords(self.collect), TOPIC)
+            self.documents = CollectedRecords(self.collect)
+            reader = make_document_reader(self.documents, TOPIC)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(reader.run, self.store)
                 await scenario()
@@ -67,6 +69,21 @@
 
         self.run_reader(scenario)
 
+    def test_newest_records_that_may_lack_a_version_do_not_count_as_confirmed(self) -> None:
+        async def scenario() -> None:
+            for value in (b"44", b"45"):
+                self.store.put(TOPIC, KEY, value)
+            self.store.hidden.add(1)
+            while not self.seen:
+                await trio.sleep(0.001)
+            self.store.is_down = True
+            await trio.sleep(APPLY_S)
+            self.assertEqual(self.seen, [b"44"])
+            age_s = self.documents.freshness.age_s(trio.current_time())
+            self.assertEqual(age_s, math.inf)
+
+        self.run_reader(scenario)
+
     def test_expired_records_behind_the_newest_ones_are_not_asked_for_again(self) -> None:
         async def scenario() -> None:
             self.store.put(TOPIC, KEY, b"44")
