--- a/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
@@ -39,6 +39,7 @@
 _MAX_LATENCY_S: Final = 0.01
 _CHECK_S: Final = 0.02
 _OK: Final = 200
+_ADDRESS: Final = "store:80"
 
 
 @dataclass(slots=True)
@@ -72,16 +73,20 @@
         self.rng = rng
         self.faults = StoreFaults()
         """What is wrong at present."""
-        self.connections: set[_StoreConnection] = set()
+        self.connections: dict[_StoreConnection, None] = {}
         """All open connections."""
         self._http = _SimulatedHttp(self)
         self._numbers = count()
         self._calls: dict[str, _Call] = {}
 
-    def silence_open(self) -> None:
-        """Makes all open connections silent for good; new ones work."""
+    def silence_open(self, share: float = 1.0) -> None:
+        """Makes open connections silent for good; new ones work.
+
+        Args:
+            share: Share of the connections that this happens to.
+        """
         for connection in self.connections:
-            connection.is_silent = True
+            connection.is_silent |= share >= 1.0 or self.rng.random() < share
 
     async def handle(self, path: str) -> None:
         """Handles a request at the store.
@@ -174,7 +179,7 @@
     """The pool and the timeouts of the client, with simulated connections."""
 
     def __init__(self, store: SimulatedStore) -> None:
-        super().__init__("store:80", HttpClientSettings(connect_timeout_s=_CONNECT_TIMEOUT_S))
+        super().__init__(_ADDRESS, HttpClientSettings(connect_timeout_s=_CONNECT_TIMEOUT_S))
         self._store = store
 
     async def _connect(self) -> Any:
@@ -186,7 +191,7 @@
         except trio.TooSlowError as error:
             raise HttpTimeoutError("connecting timed out", Verdict.NOT_RUN) from error
         # What happened to other connections meanwhile doesn't concern it.
-        self._store.connections.add(connection)
+        self._store.connections[connection] = None
         return connection
 
 
@@ -194,6 +199,7 @@
     """Takes the place of a connection of `HttpClient`."""
 
     is_reusable = True
+    host = _ADDRESS
 
     def __init__(self, store: SimulatedStore) -> None:
         self._store = store
@@ -234,5 +240,5 @@
             await trio.sleep_forever()
 
     async def aclose(self) -> None:
-        self._store.connections.discard(self)
+        self._store.connections.pop(self, None)
         await trio.lowlevel.checkpoint()
