Read the store again on all topics once connections are known to be silent (CONFIG, silence)

A long poll of member records waits for up to 25.8 s in silence, one of a quota shard's owner for 10.8 s. Once other connections were known to be silent, only the read of the operator's document was sent again.

DocumentRelay.on_silence now ends all reads that have waited in silence for 0.3 s. It costs a read for each long poll of a daemon, and only a few daemons of a zone have any in a large fleet.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -68,6 +68,9 @@
 
 _READY_WITHOUT_MEMBERS_S: Final = 1.5
 """Time after the start from which the daemon is ready even if the store was not read."""
+_MIN_SILENT_S: Final = 0.3
+"""Time without a byte from which a read of the store ends when connections are silent, in seconds.
+"""
 _COLLECTION_THRESHOLDS: Final = (20_000, 20, 50)
 """Garbage collection thresholds of the three generations."""
 _DEFAULT_LIMITS: Final = RequestLimits()
@@ -320,6 +323,9 @@
                     )
                 )
                 await nursery.start(self._rollouts.run, store)
+                self._document_part.relay.on_silence.append(
+                    lambda: store.end_silent_reads("", _MIN_SILENT_S)
+                )
                 nursery.start_soon(keep_running, self._document_part.run, store)
                 nursery.start_soon(keep_running, self._membership.follow, store)
                 nursery.start_soon(keep_running, self._membership.write_forever, store)
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
@@ -123,11 +123,11 @@
     def end_silent_reads(self, topic: str, silent_s: float) -> None:
         """Lets the reads of a topic fail that wait, without any part of their answer so far.
 
-        It is for a caller that knows that the topic has what they wait for, so that a connection
-        must have failed without a sign.
+        It is for a caller that knows that the topic has what they wait for, or that other
+        connections have failed, so that theirs must have failed without a sign.
 
         Args:
-            topic: Name of the topic.
+            topic: Name of the topic; empty for all topics.
             silent_s: Time for which they must have waited, in seconds.
         """
         ...
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
@@ -137,7 +137,8 @@
 
     def end_silent_reads(self, topic: str, silent_s: float) -> None:
         """See `KeyedLog.end_silent_reads`."""
-        self._http.expire_silent(trio.current_time() - silent_s, f"/read/{topic}/")
+        path_start = f"/read/{topic}/" if topic else "/read/"
+        self._http.expire_silent(trio.current_time() - silent_s, path_start)
 
     async def _request(
         self,
