--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/log.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/log.py
@@ -33,6 +33,8 @@
     on_page: Callable[[LogPage], None]
     on_failure: Callable[[], None]
     is_done: bool = False
+    is_silent: bool = False
+    """Whether its connection carries nothing any more, without an end."""
 
 
 class FakeLog:
@@ -129,6 +131,12 @@
         """Ends the outage; requests are answered again."""
         self.switches.outage = False
 
+    def silence_open(self) -> None:
+        """Lets the reads that wait now time out without an answer; later ones are answered."""
+        waiting, self._waiting = self._waiting, []
+        for read in waiting:
+            read.is_silent = True
+
     def forget(self) -> None:
         """Drops all streams; offsets start at 0 again."""
         self._store.forget()
@@ -196,6 +204,9 @@
         if read.is_done:
             return
         read.is_done = True
+        if read.is_silent:
+            self._clock.call_later(TIMEOUT_S, read.on_failure)
+            return
         if read in self._waiting:
             self._waiting.remove(read)
         read.on_page(self._read_page(read))
--- a/tests/mesh/test_log_follower.py
+++ b/tests/mesh/test_log_follower.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from itertools import combinations
 
 from fulmarstile_mesh import RelaySettings
 from fulmarstile_platform.log import DEFAULT_READ_LIMIT
 from fulmarstile_testing.builders.mesh import CUSTOMER, ZONES, VirtualMesh
+from fulmarstile_testing.known_red import pass_over_known_red
 
 STREAM = f"config.{CUSTOMER}"
 RETENTION_S = 200.0
@@ -47,6 +49,25 @@
                 polls = 60.0 / mesh.relay_settings.poll_wait_s + 1
                 self.assertLessEqual(count_reads(mesh) - before, len(ZONES) * polls)
 
+    @pass_over_known_red
+    def test_a_version_is_in_force_in_time_after_all_open_connections_went_silent(self) -> None:
+        """Guards against long polls in silence, those of all readers, that outlast the limit."""
+        late = []
+        for seed in range(1, 7):
+            mesh = build_mesh(seed)
+            mesh.run(60.0)
+            # Then the polls of all readers begin at the same time.
+            self.publish(mesh)
+            mesh.run(0.1)
+            mesh.log.silence_open()
+            for first, second in combinations(mesh.running, 2):
+                mesh.links.silence(first.address, second.address)
+            mesh.publish()
+            mesh.run_until(lambda mesh=mesh: mesh.is_in_force(2), RECOVERY_LIMIT_S)
+            if not mesh.is_in_force(2):
+                late.append(seed)
+        self.assertEqual(late, [])
+
     def test_a_returning_herd_catches_up_from_peers_while_the_log_is_down(self) -> None:
         mesh = build_mesh(seed=2, count=60)
         for _ in range(3):
