Leave a read alone that was sent after the last renewal (CONFIG)

Cause: the relay knew of the silence and had the read of the store sent again; 0.5 s later the watch, which counted only its own renewals, ended that read, which was healthy and slow. Inferred from the times of the record, as the second failure isn't logged; the same holds for two late replies of one silence.

Now a read that was sent after the last renewal has 1.5 s, whoever asks for the next one, and a silence is told once in 1.5 s.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -31,6 +32,8 @@
 """Longest pause between reads during a burst, in seconds."""
 _MAX_SIZE_PAUSE_S: Final = 0.6
 """Longest pause after a read that took a large part of what the link carries, in seconds."""
+_RENEWAL_S: Final = 1.5
+"""Time that a read has after a renewal before it may be ended by the next one, in seconds."""
 _LINK_SHARE: Final = 0.25
 """Fraction of the link that reads may use during a burst, unless the longest pause is reached."""
 _DEFAULT_LINK_BYTES_PER_S: Final = 800_000
@@ -73,6 +76,7 @@
         self._is_following = False
         self._store: KeyedLog | None = None
         self._waits_from: int | None = None
+        self._renewed_at = -math.inf
         self.is_reading = False
         """Whether it is this daemon's turn to read."""
         self.reads = 0
@@ -150,8 +154,15 @@
 
     def renew(self) -> None:
         """Ends a read that waits in silence, so that another one follows over a new connection."""
-        if self._store is not None:
-            self._store.end_silent_reads(self._topic, 0.0)
+        if self._store is None:
+            return
+        now = trio.current_time()
+        # A read that was sent after the last renewal uses a new connection already.
+        silent_s = now - self._renewed_at
+        if silent_s >= _RENEWAL_S:
+            silent_s = 0.0
+            self._renewed_at = now
+        self._store.end_silent_reads(self._topic, silent_s)
 
     async def _wait_for_turn(self) -> None:
         while not self._sources.should_read_store(trio.current_time()):
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
@@ -37,6 +37,9 @@
 seconds; they are small and of use all the same."""
 _MAX_POLLS: Final = 4
 """Requests that may wait for a reply at the same time."""
+_SILENCE_INTERVAL_S: Final = 1.5
+"""Shortest time between two silences, in seconds; requests that the first one made late may show it
+again."""
 _FETCH_TIMEOUT_S: Final = 1.0
 """Time for a reply that does not wait, in seconds."""
 _RETRY_S: Final = 0.1
@@ -98,6 +101,7 @@
         self._hint: Member | None = None
         self._has_hint = trio.Event()
         self._polls: set[_Poll] = set()
+        self._silence_at = -math.inf
         self.on_silence: list[Callable[[], None]] = []
         """Functions that are called when open connections have gone silent while new ones work."""
         self.bytes_sent = 0
@@ -197,7 +201,9 @@
             return
         self._polls.discard(late)
         await trio.sleep(_SILENCE_MARGIN_S)
-        if not late.is_answered:
+        now = trio.current_time()
+        if not late.is_answered and now - self._silence_at >= _SILENCE_INTERVAL_S:
+            self._silence_at = now
             self._links.retire_silent(late.due_at)
             for on_silence in self.on_silence:
                 on_silence()
