--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -195,6 +195,7 @@
             self._gossip,
             log,
         )
+        self._document_part.relay.on_silence.append(self._upstream.close_idle_connections)
         self._announcements.hand_over_departure = self._gossip.hand_over_departure
         if not settings.is_first_start:
             self._membership.ask_daemons = self._gossip.ask_for_departures
@@ -304,6 +305,7 @@
                 self._platform.open_store(settings.store_address) as store,
                 trio.open_nursery() as nursery,
             ):
+                self._reloader.on_reload.append(lambda later: store.move(later.store_address))
                 nursery.start_soon(keep_running, self._log.flush_forever)
                 await nursery.start(self._callers.serve, listeners.callers)
                 await nursery.start(self._links.run)
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/http.py
@@ -23,6 +23,9 @@
 MAX_RESPONSE_BYTES: Final = 32 << 20
 """Largest response body accepted by default, in bytes."""
 
+_MIN_SILENCE_S: Final = 0.5
+"""Time without a byte from which a cancelled request counts as one that timed out, in seconds."""
+
 
 class HttpError(VerdictError):
     """A request got no complete response; `verdict` says whether the server may have handled it."""
@@ -95,7 +98,8 @@
         """Sends one request and waits for its complete response; never sends it twice.
 
         A request that times out without having received anything shows that connections may have
-        gone silent. Then those that have waited in silence for longer time out, too.
+        gone silent. Then those that have waited in silence for longer time out, too. Idle
+        connections are closed also if the caller cancels the request after a time in silence.
 
         Args:
             method: HTTP method.
@@ -133,6 +137,11 @@
                 f"{trio.current_time() - started_at:.1f} s",
                 progress.verdict,
             ) from error
+        except trio.Cancelled:
+            if trio.current_time() - progress.silent_since >= _MIN_SILENCE_S:
+                with trio.CancelScope(shield=True):
+                    await self.aclose()
+            raise
         finally:
             self._waiting.discard(progress)
 
@@ -142,6 +151,18 @@
         for connection in idle:
             await connection.aclose()
 
+    def move(self, address: str) -> None:
+        """Sends later requests to another address, and lets those that wait time out.
+
+        Args:
+            address: `host:port` of the server; nothing happens if it is the one in use.
+        """
+        if address == self._address:
+            return
+        self._address = address
+        for progress in self._waiting:
+            progress.expire()
+
     def expire_silent(self, since: float, path_start: str = "") -> None:
         """Lets the requests time out for which nothing was sent or received since before a time.
 
@@ -166,7 +187,7 @@
             message = f"{self._address} sent a malformed response: {error}"
             raise HttpError(message, progress.verdict) from error
         finally:
-            if reusable:
+            if reusable and connection.host == self._address:
                 connection.idle_since = trio.current_time()
                 self._idle.append(connection)
             else:
@@ -175,11 +196,14 @@
     async def _acquire(self) -> _Connection:
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_usable(self._settings.max_idle_s):
+            if self._is_usable(connection):
                 return connection
             await connection.aclose()
         return await self._connect()
 
+    def _is_usable(self, connection: _Connection) -> bool:
+        return connection.host == self._address and connection.is_usable(self._settings.max_idle_s)
+
     async def _connect(self) -> _Connection:
         host, _, port = self._address.rpartition(":")
         try:
@@ -266,7 +290,8 @@
 
     def __init__(self, stream: trio.SocketStream, host: str, max_response_bytes: int) -> None:
         self._stream = stream
-        self._host = host
+        self.host = host
+        """`host:port` of the server."""
         self._max_response_bytes = max_response_bytes
         self._http = h11.Connection(h11.CLIENT)
         self.idle_since = 0.0
@@ -315,7 +340,7 @@
 
     def _encode(self, request: _Request) -> bytes:
         headers = [
-            ("Host", self._host),
+            ("Host", self.host),
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(request.body))),
             *request.headers.items(),
