--- a/tests/services/test_silent_connections.py
+++ b/tests/services/test_silent_connections.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from fulmarstile_testing.known_red import pass_over_known_red
 from fulmarstile_testing.observed_fleet import ObservedFleet, play, run_fleet
 
 if TYPE_CHECKING:
