Log which records of the operator's topic were read, skipped or older (CONFIG)

document_read has from_offset and skipped, document_applied and document_rejected have offset and digest, and document_outdated names an older version behind the active one. No change of what is applied.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -136,7 +136,7 @@
             if not page.records:
                 # It was made when the wait had passed, however late it arrived.
                 heard_at = min(heard_at, sent_at + timeout_s)
-            self._note(page, purpose, read_s)
+            self._note(page, purpose, read_s, known_offset)
             next_offset = page.next_offset
             if purpose == _PURPOSE_NEWEST:
                 next_offset = _find_proven_end(page, expired_offset)
@@ -184,15 +184,18 @@
             return _READER_POLL_TIMEOUT_S
         return _PROMPT_POLL_TIMEOUT_S
 
-    def _note(self, page: KeyedPage, purpose: str, read_s: float) -> None:
+    def _note(self, page: KeyedPage, purpose: str, read_s: float, known_offset: int | None) -> None:
         self.reads += 1
         self.bytes_read += page.transfer.size
         if not page.records:
             return
+        from_offset = min(record.offset for record in page.records)
         self._log.write(
             DocumentRead(
                 purpose=purpose,
                 records=len(page.records),
+                from_offset=from_offset,
+                skipped=max(0, from_offset - (known_offset or 0)),
                 next_offset=page.next_offset,
                 has_more=page.has_more,
                 bytes=page.transfer.size,
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -8,9 +8,14 @@
 import trio
 
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
-from fulmarstile_daemon.services.events import DocumentApplied, DocumentRejected
+from fulmarstile_daemon.services.events import (
+    DocumentApplied,
+    DocumentOutdated,
+    DocumentRejected,
+)
 from fulmarstile_services.document import DocumentError
 from fulmarstile_services.document_contact import DocumentContact
+from fulmarstile_services.document_delta import digest_document
 from fulmarstile_services.document_history import DocumentHistory
 from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.routing_table import RoutingTable
@@ -94,6 +99,7 @@
         self._routes = routes
         self._log = log
         self._raw = b""
+        self._offset: int | None = None
         self._others: dict[str, KeyedRecord] = {}
         self._next_offset: int | None = None
         self.freshness = freshness or Freshness()
@@ -165,30 +171,38 @@
         definition = table.document.services.get(service) if table else None
         return definition.connection_limit if definition else _DEFAULT_CONNECTIONS
 
-    def apply_if_newer(self, raw: bytes, source: str, received_bytes: int = 0) -> bool:
+    def apply_if_newer(
+        self, raw: bytes, source: str, received_bytes: int = 0, offset: int | None = None
+    ) -> bool:
         """Applies a document if it is newer than the active one.
 
         Args:
             raw: Document as encoded in the store, or as another daemon sent it.
             source: Source of the document, for the log.
             received_bytes: Size in which it was received, for the log.
+            offset: Position of its record in the operator's topic, if it was read there.
 
         Returns:
             Whether it was applied.
         """
         if not raw or raw == self._raw:
             return False
+        digest = digest_document(raw).hex()
         try:
             document = self._platform.decode_document(raw)
             if document.version <= self.version:
+                self._note_outdated(document.version, offset, digest)
                 return False
             table = RoutingTable(document)
         except DocumentError as error:
-            self._log.write(DocumentRejected(reason=str(error), source=source))
+            self._log.write(
+                DocumentRejected(reason=str(error), source=source, offset=offset, digest=digest)
+            )
             return False
         replaced = self.version
         self._routes.table = table
         self._raw = raw
+        self._offset = offset
         self.history.add(self._redact(raw))
         self._log.write(
             DocumentApplied(
@@ -196,6 +210,8 @@
                 replaced=replaced,
                 routes=len(document.routes),
                 source=source,
+                offset=offset,
+                digest=digest,
                 bytes=received_bytes or len(raw),
                 silent_s=self.silent_s,
             )
@@ -219,7 +235,7 @@
             (documents if is_document else others).append(record)
         # The last one is mostly the newest, but a write that the store delayed may follow it.
         for record in reversed(documents):
-            self.apply_if_newer(record.value, SOURCE_STORE)
+            self.apply_if_newer(record.value, SOURCE_STORE, offset=record.offset)
         self.apply_others(others, next_offset)
 
     def apply_others(self, records: list[KeyedRecord], next_offset: int) -> None:
@@ -263,6 +279,17 @@
         self.contact.hear(self.clock())
         return True
 
+    def _note_outdated(self, version: int, offset: int | None, digest: str) -> None:
+        """Logs an older version that the topic holds behind the active one."""
+        if offset is None:
+            return
+        if version == self.version:
+            self._offset = offset if self._offset is None else self._offset
+        elif self._offset is not None and offset > self._offset:
+            self._log.write(
+                DocumentOutdated(version=version, active=self.version, offset=offset, digest=digest)
+            )
+
     def _redact(self, raw: bytes) -> bytes:
         try:
             return self._platform.redact_document(raw)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -206,6 +206,10 @@
     replaced: int
     routes: int
     source: str
+    offset: int | None = None
+    """Position of its record in the operator's topic, if it was read there."""
+    digest: str = ""
+    """Digest of the document as it was received."""
     bytes: int = 0
     """Size in which it was received; from another daemon, that of the difference."""
     silent_s: float | None = None
@@ -240,7 +244,11 @@
     purpose: str
     """`follow` for the poll, `newest` for the newest record of each key."""
     records: int = 0
+    from_offset: int = 0
+    """Offset of the first of these records."""
     next_offset: int = 0
+    skipped: int = 0
+    """Records before the first one that were neither read nor known."""
     has_more: bool = False
     """Whether the store had later records already."""
     bytes: int = 0
@@ -256,6 +264,21 @@
 
     reason: str
     source: str
+    offset: int | None = None
+    """Position of its record in the operator's topic, if it was read there."""
+    digest: str = ""
+    """Digest of the document as it was received."""
+
+
+class DocumentOutdated(LogEvent, tag="document_outdated"):
+    """A record behind the active version holds an older one and was not applied."""
+
+    version: int
+    """Version in the record."""
+    active: int
+    offset: int
+    """Position of the record in the operator's topic."""
+    digest: str
 
 
 class DocumentStale(LogEvent, tag="document_stale"):
