--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
@@ -190,6 +190,8 @@
         self.link_kbps = 0
         self.bounds = RequiredBounds()
         """Bounds in the settings of the daemons that start."""
+        self.document_bytes = 0
+        """Least size of a document in the store, in bytes."""
         self._documents: dict[bytes, ServiceDocument] = {}
         self.store = FakeKeyedLog()
         """The store."""
@@ -200,7 +202,7 @@
 
     def put_document(self, document: ServiceDocument) -> None:
         """Writes a document to the store."""
-        raw = b"document %d" % document.version
+        raw = (b"document %d" % document.version).ljust(self.document_bytes, b".")
         self._documents[raw] = document
         self.store.put(DOCUMENT_TOPIC, DOCUMENT_KEY, raw)
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
@@ -108,9 +108,15 @@
         """Returns all records of a topic, also while the store is down."""
         return list(self._content.topics.get(topic, []))
 
-    def forget_history(self, topic: str) -> None:
-        """Expires all records except the newest of each key."""
-        self._content.first_offsets[topic] = len(self._content.topics.get(topic, []))
+    def forget_history(self, topic: str, before: int | None = None) -> None:
+        """Expires all records before an offset except the newest of each key.
+
+        Args:
+            topic: Name of the topic.
+            before: The offset; by default the end of the topic.
+        """
+        end = len(self._content.topics.get(topic, []))
+        self._content.first_offsets[topic] = end if before is None else before
 
     def wake(self) -> None:
         """Wakes waiting reads, which check again for records and outages."""
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/observed_fleet.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/observed_fleet.py
@@ -12,9 +12,13 @@
 import trio
 import trio.testing
 
-from fulmarstile_testing.builders.service_mesh import ServiceMesh, ServiceNode
+from fulmarstile_testing.builders.service_mesh import ServiceClient, ServiceMesh, ServiceNode
 from fulmarstile_testing.builders.services import make_document, make_route
-from fulmarstile_testing.fakes.service_platform import HEADER_NAMES
+from fulmarstile_testing.fakes.service_platform import (
+    DOCUMENT_KEY,
+    DOCUMENT_TOPIC,
+    HEADER_NAMES,
+)
 from fulmarstile_testing.lost_search.environment import (
     LOCAL_DAEMON,
     SimulatedLinks,
@@ -27,6 +31,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Iterator
 
+    from fulmarstile_services.document import ServiceDocument, ServiceRoute
+
 CONFIG_APPLY_S: Final = 2.0
 """Time after its acknowledgement from which a version must be in force, in seconds."""
 STABLE_WINDOW_S: Final = 3.0
@@ -89,6 +95,7 @@
         self.incarnations: list[Incarnation] = []
         self.disruptions: list[Disruption] = []
         self.acknowledged_at: dict[int, float] = {}
+        self._documents: dict[int, ServiceDocument] = {}
         self._nursery = nursery
         self._sequence = 0
         self.mesh.make_store = self._make_store
@@ -105,12 +112,40 @@
         """Lists the daemons that run, and were not told to stop."""
         return [each for each in self.incarnations if math.isinf(each.ended_at)]
 
-    def publish(self) -> None:
-        """Writes the next version, which is acknowledged at once."""
+    @property
+    def version(self) -> int:
+        """The newest version that was acknowledged."""
+        return max(self.acknowledged_at)
+
+    def publish(self, *routes: ServiceRoute) -> None:
+        """Writes the next version, which is acknowledged at once.
+
+        Args:
+            routes: Its routes; by default one for all requests.
+        """
         version = len(self.acknowledged_at) + 1
-        self.mesh.put_document(make_document(make_route(), version=version))
+        document = make_document(*(routes or (make_route(),)), version=version)
+        self._documents[version] = document
+        self.mesh.put_document(document)
         self.acknowledged_at[version] = trio.current_time()
 
+    def write_again(self, version: int) -> None:
+        """Writes a version once more, as a write does that takes effect late."""
+        self.mesh.put_document(self._documents[version])
+
+    def write_value(self, value: bytes) -> None:
+        """Writes a record that holds no document; a deletion if it is empty."""
+        self.mesh.store.put(DOCUMENT_TOPIC, DOCUMENT_KEY, value)
+
+    def expire_records(self, before: int) -> None:
+        """Lets the store expire the records of the operator's topic before an offset."""
+        self.mesh.store.forget_history(DOCUMENT_TOPIC, before)
+
+    def hold_reads(self, before: int) -> None:
+        """Lets the store not answer reads of records of the operator's topic before an offset."""
+        for client in self.stores.values():
+            client.faults.held_before[DOCUMENT_TOPIC] = before
+
     async def publish_forever(self) -> None:
         """Writes a version at a regular interval."""
         while True:
@@ -135,6 +170,29 @@
         self.incarnations.append(incarnation)
         self._nursery.start_soon(self._announce_forever, incarnation)
 
+    async def start_together(self, ended: Iterable[Incarnation]) -> None:
+        """Starts daemons that have ended, all at the same time, and waits until they are ready."""
+        async with trio.open_nursery() as nursery:
+            for each in ended:
+                nursery.start_soon(self.start, each.name, "", each.node)
+
+    async def call(self, incarnation: Incarnation, target: str) -> int:
+        """Sends a request to a daemon; returns the status of its answer."""
+        for each in self.list_running():
+            self.links.serve(each.node.upstream)
+        stream = await self.links.open_stream(incarnation.node.address)
+        sock = trio.socket.from_stdlib_socket(stream._socket)
+        async with ServiceClient(trio.SocketStream(sock)) as client:
+            return (await client.call(target)).status
+
+    async def kill_all(self) -> list[Incarnation]:
+        """Kills all daemons, and returns them."""
+        killed = self.list_running()
+        async with trio.open_nursery() as nursery:
+            for each in killed:
+                nursery.start_soon(self.kill, each)
+        return killed
+
     async def kill(self, incarnation: Incarnation) -> None:
         """Kills a daemon."""
         incarnation.ended_at = trio.current_time()
@@ -166,6 +224,22 @@
             ended_at = trio.current_time()
             self.disruptions.append(Disruption(started_at, ended_at, frozenset(names)))
 
+    @contextmanager
+    def store_out_of_reach(self, fault: str = "refuses") -> Iterator[None]:
+        """Cuts all daemons off from the store.
+
+        Args:
+            fault: What is wrong, the name of a field of `StoreFaults`.
+        """
+        with self.disrupted():
+            for client in self.stores.values():
+                setattr(client.faults, fault, True)
+            try:
+                yield
+            finally:
+                for client in self.stores.values():
+                    setattr(client.faults, fault, False)
+
     def silence_open(self, share: float = 1.0, *, store: bool = True, links: bool = True) -> None:
         """Makes open connections silent for good.
 
@@ -220,6 +294,7 @@
     zones: int,
     link_kbps: tuple[int, ...] = (0,),
     latencies_s: tuple[float, ...] = (0.0005, 0.002, 0.01),
+    document_bytes: int = 0,
 ) -> AsyncIterator[ObservedFleet]:
     """Runs daemons, which have read a first version.
 
@@ -229,6 +304,7 @@
         zones: Number of availability zones.
         link_kbps: Capacities of links, of which one is drawn for each, in kilobits per second.
         latencies_s: Latencies of connections between daemons, in seconds.
+        document_bytes: Least size of a version in the store, in bytes.
 
     Yields:
         The fleet.
@@ -240,6 +316,7 @@
             mock.patch.object(trio.to_thread, "run_sync", _run_at_once),
         ):
             fleet = ObservedFleet(nursery, links, rng)
+            fleet.mesh.document_bytes = document_bytes
             fleet.publish()
             for index in range(size):
                 fleet.mesh.link_kbps = rng.choice(link_kbps)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import errno
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from itertools import count
 from typing import TYPE_CHECKING, Any, Final
 
@@ -58,6 +58,8 @@
     """Whether nothing arrives at the store until this ends."""
     drops_answers: bool = False
     """Whether nothing arrives from the store until this ends."""
+    held_before: dict[str, int] = field(default_factory=dict)
+    """Offsets by topic; a read of earlier records is not answered until this ends."""
 
 
 class SimulatedStore(FakeKeyedLog):
@@ -116,7 +118,7 @@
         """See `KeyedLog.read_keyed`."""
         return await self._request(
             topic,
-            lambda: FakeKeyedLog.read_keyed(self, topic, offset, wait_s, max_bytes),
+            lambda: self._read_unless_held(topic, offset, wait_s, max_bytes),
             max(_TIMEOUT_S, wait_s + _POLL_TIMEOUT_S),
             kind="read",
         )
@@ -142,6 +144,13 @@
         self._http.expire_silent(since, path_start, only_unanswered=True)
         self._http.distrust_idle()
 
+    async def _read_unless_held(
+        self, topic: str, offset: int, wait_s: float, max_bytes: int
+    ) -> KeyedPage:
+        while offset < self.faults.held_before.get(topic, 0):
+            await trio.sleep(_CHECK_S)
+        return await FakeKeyedLog.read_keyed(self, topic, offset, wait_s, max_bytes)
+
     async def _request(
         self,
         topic: str,
