Read what a read of the newest record has skipped before it counts as known (CONFIG, DENIED)

Callers got 404 for routes of an acknowledged version, and had requests run by the service that it had taken them from, on all daemons, until the next version: the operator's topic held an older version, bytes that are no document or a deletion behind it, and each reader took the newest record by its position for the newest version after a burst, an outage, expired history or a start. The read still counted as contact and as proof that nothing newer exists, here and at all daemons that asked, so that a missing route was refused for good.

Readers read in sequence what the link carries. What a read of the newest record skips is unread (TopicProgress) until it was read back or another daemon that knows it has told so; until then nobody claims contact, freshness or the offset, and a missing route or key is answered 503. The same where the newest record is of no use.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import logging
 import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 import trio
@@ -12,6 +14,7 @@
 from fulmarstile_daemon.services.events import DocumentRead
 from fulmarstile_platform.keyed_log import MAX_READ_BYTES, RecordsExpiredError
 from fulmarstile_platform.log import LogError
+from fulmarstile_services.topic_progress import TopicProgress
 
 if TYPE_CHECKING:
     from fulmarstile_daemon.services.documents import ActiveDocument
@@ -19,6 +22,8 @@
     from fulmarstile_platform.keyed_log import KeyedLog, KeyedPage, KeyedRecord
     from fulmarstile_services.document_sources import DocumentSources
 
+_LOGGER: Final = logging.getLogger(__name__)
+
 _READER_POLL_TIMEOUT_S: Final = 5.0
 """Long-poll timeout of a daemon that reads for others, in seconds."""
 _PROMPT_POLL_TIMEOUT_S: Final = 1.2
@@ -45,10 +50,31 @@
 """Bytes."""
 _PURPOSE_POLL: Final = "follow"
 _PURPOSE_NEWEST: Final = "newest"
+_PURPOSE_SKIPPED: Final = "skipped"
+_TELL_S: Final = 0.5
+"""Time in which another daemon may tell what skipped records hold, in seconds. They are large, and
+only the few daemons that all others rely on read them, unless these don't."""
+_LATE_TELL_S: Final = 1.2
+"""The same for all other daemons."""
+_RETRY_S: Final = 0.3
+"""Pause after a read of skipped records that failed, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Proof:
+    """What a read proves; times are in seconds of the clock of the active document."""
+
+    sent_at: float
+    """Time at which there was nothing newer than the read returned."""
+    heard_at: float
+    """Time at which the store answered."""
 
 
 class DocumentReader:
-    """Follows the operator's topic; superseded versions are skipped.
+    """Follows the operator's topic.
+
+    If more has come than the link carries at once, the newest record is read first, and what was
+    skipped afterwards.
 
     Args:
         documents: The active document.
@@ -72,7 +98,12 @@
         self._log = log
         self._outage = OutageTracker(topic, log)
         link_bytes_per_s = link_kbps * _KBIT or _DEFAULT_LINK_BYTES_PER_S
-        self._pacer = ReadPacer(_MAX_PAUSE_S, link_bytes_per_s * _LINK_SHARE, _MAX_SIZE_PAUSE_S)
+        read_bytes_per_s = link_bytes_per_s * _LINK_SHARE
+        self._pacer = ReadPacer(_MAX_PAUSE_S, read_bytes_per_s, _MAX_SIZE_PAUSE_S)
+        self._max_burst_bytes = min(MAX_READ_BYTES, int(read_bytes_per_s * _MAX_SIZE_PAUSE_S))
+        self._progress = TopicProgress()
+        self._has_unread = trio.Event()
+        self._proof: _Proof | None = None
         self._is_following = False
         self._store: KeyedLog | None = None
         self._waits_from: int | None = None
@@ -103,13 +134,18 @@
             store: The platform's store.
         """
         self._store = store
-        documents = self._documents
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_skipped, store)
+            await self._follow(store)
+
+    async def _follow(self, store: KeyedLog) -> None:
+        documents, progress = self._documents, self._progress
         max_bytes = MAX_READ_BYTES
         reads_newest = True
-        expired_offset = -1
         while True:
             await self._wait_for_turn()
-            known_offset = documents.next_offset
+            self._note_told()
+            known_offset = progress.next_offset
             started_at = trio.current_time()
             sent_at = documents.clock()
             timeout_s = 0.0
@@ -123,7 +159,7 @@
                     self._waits_from = known_offset
                     page = await store.read_keyed(self._topic, known_offset, timeout_s, max_bytes)
             except RecordsExpiredError:
-                reads_newest, expired_offset = True, known_offset or 0
+                reads_newest = True
                 continue
             except LogError as error:
                 await self._outage.wait(error)
@@ -137,21 +173,78 @@
                 # It was made when the wait had passed, however late it arrived.
                 heard_at = min(heard_at, sent_at + timeout_s)
             self._note(page, purpose, read_s, known_offset)
-            next_offset = page.next_offset
             if purpose == _PURPOSE_NEWEST:
-                next_offset = _find_proven_end(page, expired_offset)
-            documents.apply_records(page.records, next_offset)
-            if not page.has_more and next_offset >= page.next_offset:
-                documents.freshness.confirm(sent_at)
-                documents.contact.hear(heard_at)
-                self._is_following = True
-            is_burst = known_offset is not None and next_offset - known_offset > 1
-            reads_newest = page.has_more or is_burst
+                offsets = {record.offset for record in page.records}
+                progress.on_newest(offsets, page.next_offset)
+            else:
+                progress.on_read(page.next_offset)
+            documents.apply_records(page.records)
+            if not page.has_more:
+                self._proof = _Proof(sent_at, heard_at)
+            self._settle()
+            reads_newest = page.has_more
             if page.records:
-                max_bytes = _room_for_one(page.records)
+                max_bytes = max(self._max_burst_bytes, _room_for_one(page.records))
             if not page.has_more:
                 await self._pacer.wait(page.records, read_s)
 
+    async def _read_skipped(self, store: KeyedLog) -> None:
+        """Reads back what reads of the newest records have skipped, until cancelled."""
+        while True:
+            await self._has_unread.wait()
+            self._has_unread = trio.Event()
+            # Another daemon may know these records; a few of them are enough to read them.
+            await trio.sleep(_TELL_S if self._sources.is_prompt_reader else _LATE_TELL_S)
+            self._note_told()
+            while self._progress.unread:
+                await self._read_back(store)
+                self._note_told()
+
+    async def _read_back(self, store: KeyedLog) -> None:
+        """Reads some of the unread records."""
+        progress = self._progress
+        unread = progress.unread
+        started_at = trio.current_time()
+        try:
+            page = await store.read_keyed(self._topic, unread.start, 0.0, self._max_burst_bytes)
+        except RecordsExpiredError as error:
+            first_offset = error.first_offset
+            is_known = first_offset is not None and first_offset > unread.start
+            progress.on_read_back(first_offset if is_known else unread.stop)
+            return
+        except LogError as error:
+            _LOGGER.debug("skipped records could not be read: %s", error)
+            await trio.sleep(_RETRY_S)
+            return
+        read_s = trio.current_time() - started_at
+        self._note(page, _PURPOSE_SKIPPED, read_s, unread.start)
+        self._documents.apply_records(page.records)
+        is_news = page.next_offset > unread.start
+        progress.on_read_back(page.next_offset if is_news else unread.stop)
+        # Half of the link remains for requests.
+        await trio.sleep(read_s)
+
+    def _note_told(self) -> None:
+        """Notes what other daemons know of the topic."""
+        self._progress.on_told(self._documents.next_offset or 0)
+        self._settle()
+
+    def _settle(self) -> None:
+        """Notes what the last read proves, unless there are records that nobody has read."""
+        progress, documents = self._progress, self._documents
+        if progress.next_offset is None:
+            return
+        if progress.unread:
+            documents.expect(progress.unread.stop)
+            self._has_unread.set()
+            return
+        documents.learn(progress.next_offset)
+        if self._proof is not None:
+            documents.freshness.confirm(self._proof.sent_at)
+            documents.contact.hear(self._proof.heard_at)
+            self._proof = None
+            self._is_following = True
+
     def renew(self) -> None:
         """Ends a read that waits in silence, so that another one follows over a new connection."""
         if self._store is None:
@@ -205,20 +298,6 @@
         )
 
 
-def _find_proven_end(page: KeyedPage, expired_offset: int) -> int:
-    """Returns the offset up to which a read of the newest records shows all of them.
-
-    What lies between the last record of the answer and its end may be a version that it lacks.
-
-    Args:
-        page: What was read.
-        expired_offset: Offset from which records have expired before; there is no use in asking for
-            them again.
-    """
-    end = 1 + max((record.offset for record in page.records), default=-1)
-    return page.next_offset if end <= expired_offset else min(end, page.next_offset)
-
-
 def _room_for_one(records: tuple[KeyedRecord, ...]) -> int:
     """Returns the read size that fits one record as large as the largest of these."""
     largest = max(len(record.value) for record in records)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
@@ -276,15 +276,15 @@
             for record in reply.records
             if record.offset >= known
         ]
-        if reply.next_offset >= 0:
-            documents.apply_others(records, reply.next_offset)
+        documents.apply_others(records)
+        documents.learn_from(reply)
         return True
 
     def _has_more_than(self, request: DocumentRequest) -> bool:
         documents = self._documents
-        return documents.version > request.version or bool(
-            documents.list_others(request.next_offset)
-        )
+        if documents.version > request.version or documents.list_others(request.next_offset):
+            return True
+        return documents.next_offset is not None and request.next_offset < documents.next_offset
 
     def _make_reply(self, request: DocumentRequest, arrived_at: float) -> DocumentReply:
         documents = self._documents
@@ -308,4 +308,5 @@
             self._is_current(),
             math.ceil(age_s * 1000) if math.isfinite(age_s) else -1,
             math.floor(heard_s * 1000) if math.isfinite(heard_s) else None,
+            documents.unusable_offset,
         )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -26,6 +26,7 @@
     from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.ports import Platform
     from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
+    from fulmarstile_wire.documents import DocumentReply
 
 SOURCE_STORE: Final = "store"
 _SOURCE_ACTIVE: Final = "active document"
@@ -47,6 +48,9 @@
         """The active table."""
         self.contact = DocumentContact()
         """When the store last told what it has, directly or through other daemons."""
+        self.may_lack_version = False
+        """Whether the operator's topic has records that are unread or of no use, which may hold a
+        newer version."""
         self._clock = clock
         self._newest_version = -1
         self._heard_at = 0.0
@@ -66,11 +70,11 @@
     def is_outdated(self) -> bool:
         """Whether there may be a newer version.
 
-        Another daemon has one, which should arrive soon, or nobody has told for too long.
+        The store or another daemon may have one, or nobody has told for too long.
         """
         if self.table is None:
             return False
-        if self.contact.is_silent(self._clock()):
+        if self.may_lack_version or self.contact.is_silent(self._clock()):
             return True
         is_behind = self.table.version < self._newest_version
         return is_behind and trio.current_time() - self._heard_at < _ARRIVAL_S
@@ -102,6 +106,8 @@
         self._offset: int | None = None
         self._others: dict[str, KeyedRecord] = {}
         self._next_offset: int | None = None
+        self._end_offset = 0
+        self._usable_offset = self._unusable_offset = -1
         self.freshness = freshness or Freshness()
         """Age of the knowledge that the active version is the newest."""
         self.clock = clock
@@ -135,6 +141,11 @@
         """Offset up to which its topic is known; None if nothing is."""
         return self._next_offset
 
+    @property
+    def unusable_offset(self) -> int:
+        """Offset of the newest record of the document if it is of no use; else -1."""
+        return self._unusable_offset if self._unusable_offset > self._usable_offset else -1
+
     @property
     def silent_s(self) -> float | None:
         """Time since the last contact with the store, rounded; None if there was none."""
@@ -185,12 +196,17 @@
         Returns:
             Whether it was applied.
         """
-        if not raw or raw == self._raw:
+        if not raw:
+            self._note_use(offset, is_usable=False)
+            return False
+        if raw == self._raw:
+            self._note_use(offset)
             return False
         digest = digest_document(raw).hex()
         try:
             document = self._platform.decode_document(raw)
             if document.version <= self.version:
+                self._note_use(offset)
                 self._note_outdated(document.version, offset, digest)
                 return False
             table = RoutingTable(document)
@@ -198,11 +214,13 @@
             self._log.write(
                 DocumentRejected(reason=str(error), source=source, offset=offset, digest=digest)
             )
+            self._note_use(offset, is_usable=False)
             return False
         replaced = self.version
         self._routes.table = table
         self._raw = raw
         self._offset = offset
+        self._note_use(offset)
         self.history.add(self._redact(raw))
         self._log.write(
             DocumentApplied(
@@ -221,12 +239,11 @@
         self._notify()
         return True
 
-    def apply_records(self, records: Iterable[KeyedRecord], next_offset: int) -> None:
+    def apply_records(self, records: Iterable[KeyedRecord]) -> None:
         """Applies records of the operator's topic from the store.
 
         Args:
             records: The records in their order, or the newest one of each key.
-            next_offset: Offset up to which the topic is known with them.
         """
         documents: list[KeyedRecord] = []
         others: list[KeyedRecord] = []
@@ -236,17 +253,48 @@
         # The last one is mostly the newest, but a write that the store delayed may follow it.
         for record in reversed(documents):
             self.apply_if_newer(record.value, SOURCE_STORE, offset=record.offset)
-        self.apply_others(others, next_offset)
+        self.apply_others(others)
 
-    def apply_others(self, records: list[KeyedRecord], next_offset: int) -> None:
-        """Applies records of the operator's topic that hold no document.
+    def expect(self, end_offset: int) -> None:
+        """Notes that the operator's topic has records up to an offset, some of them unread.
 
         Args:
-            records: The records in their order, or the newest one of each key.
-            next_offset: Offset up to which the topic is known, the document included.
+            end_offset: Offset at which the topic ended.
         """
+        self._end_offset = max(self._end_offset, end_offset)
+        self._note_completeness()
+
+    def learn(self, next_offset: int) -> None:
+        """Notes that the operator's topic is known up to an offset.
+
+        Args:
+            next_offset: Offset of the first record that is unknown.
+        """
+        is_news = self._next_offset is None or self._next_offset < next_offset
         self._next_offset = max(self._next_offset or 0, next_offset)
         self.was_read = True
+        self._note_completeness()
+        if is_news:
+            self._notify()
+
+    def learn_from(self, reply: DocumentReply) -> None:
+        """Notes what another daemon knows of the operator's topic.
+
+        Args:
+            reply: Its reply, whose version is in force here, or a newer one.
+        """
+        if reply.next_offset < (self._next_offset or 0):
+            return
+        if self._unusable_offset < reply.next_offset:
+            self._unusable_offset = reply.unusable_offset
+        self.learn(reply.next_offset)
+
+    def apply_others(self, records: list[KeyedRecord]) -> None:
+        """Applies records of the operator's topic that hold no document.
+
+        Args:
+            records: The records in their order, or the newest one of each key.
+        """
         if not records:
             return
         for record in records:
@@ -279,6 +327,18 @@
         self.contact.hear(self.clock())
         return True
 
+    def _note_use(self, offset: int | None, *, is_usable: bool = True) -> None:
+        """Notes whether a record of the document could be used."""
+        if offset is not None and is_usable:
+            self._usable_offset = max(self._usable_offset, offset)
+        elif offset is not None:
+            self._unusable_offset = max(self._unusable_offset, offset)
+        self._note_completeness()
+
+    def _note_completeness(self) -> None:
+        is_known = self._next_offset is not None and self._next_offset >= self._end_offset
+        self._routes.may_lack_version = not is_known or self.unusable_offset >= 0
+
     def _note_outdated(self, version: int, offset: int | None, digest: str) -> None:
         """Logs an older version that the topic holds behind the active one."""
         if offset is None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -242,7 +242,8 @@
 
     lines_per_s: ClassVar[int | None] = 20
     purpose: str
-    """`follow` for the poll, `newest` for the newest record of each key."""
+    """`follow` for the poll, `newest` for the newest record of each key, `skipped` for
+    what that has skipped."""
     records: int = 0
     from_offset: int = 0
     """Offset of the first of these records."""
--- a/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
+++ b/packages/fulmarstile_platform/src/fulmarstile_platform/keyed_log.py
@@ -16,10 +16,17 @@
 
 
 class RecordsExpiredError(LogError):
-    """The records at an offset have expired; read the newest record of each key instead."""
+    """The records at an offset have expired; read the newest record of each key instead.
 
-    def __init__(self, message: str) -> None:
+    Args:
+        message: What has expired.
+        first_offset: Offset of the oldest record that is left; None if unknown.
+    """
+
+    def __init__(self, message: str, first_offset: int | None = None) -> None:
         super().__init__(message, Verdict.NOT_RUN)
+        self.first_offset = first_offset
+        """Offset of the oldest record that is left; None if unknown."""
 
 
 class LogConflictError(LogError):
--- /dev/null
+++ b/packages/fulmarstile_services/src/fulmarstile_services/topic_progress.py
@@ -0,0 +1,79 @@
+"""Which records of a keyed topic a reader knows, and which it has skipped."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+READ_BACK_RECORDS: Final = 16
+"""Records at the end of a topic that are read back at most. A write that takes effect late, behind
+newer ones, is done within seconds."""
+
+
+class TopicProgress:
+    """Tracks the part of a topic that is known.
+
+    The newest record of a key by its position need not hold the newest version: a write that the
+    store delayed may follow it. So what a read of the newest records skips is unread until it was
+    read back, or until another reader tells that it knows it.
+    """
+
+    def __init__(self) -> None:
+        self._next_offset: int | None = None
+        self._unread = range(0)
+
+    @property
+    def next_offset(self) -> int | None:
+        """Offset at which reading continues; None before the first read."""
+        return self._next_offset
+
+    @property
+    def unread(self) -> range:
+        """Offsets before that of which a record may be unknown."""
+        return self._unread
+
+    def on_newest(self, offsets: Collection[int], end_offset: int) -> None:
+        """Notes a read of the newest record of each key.
+
+        Args:
+            offsets: Offsets of the records that were returned.
+            end_offset: Offset at which the topic ended.
+        """
+        start = max(0, end_offset - READ_BACK_RECORDS)
+        if self._unread:
+            start = max(start, self._unread.start)
+        elif self._next_offset is not None:
+            start = max(start, self._next_offset)
+        stop = end_offset
+        while stop - 1 in offsets:
+            stop -= 1
+        self._unread = range(start, stop)
+        self.on_read(end_offset)
+
+    def on_read(self, next_offset: int) -> None:
+        """Notes a read of all records from `next_offset` on.
+
+        Args:
+            next_offset: Offset behind the last of them.
+        """
+        self._next_offset = max(self._next_offset or 0, next_offset)
+
+    def on_read_back(self, next_offset: int) -> None:
+        """Notes a read of unread records.
+
+        Args:
+            next_offset: Offset behind the last of them, or of the oldest one that is left.
+        """
+        self._unread = range(max(self._unread.start, next_offset), self._unread.stop)
+
+    def on_told(self, known_offset: int) -> None:
+        """Notes that another reader knows all records before an offset.
+
+        Args:
+            known_offset: The offset.
+        """
+        self.on_read_back(known_offset)
+        if self._next_offset is not None:
+            self.on_read(known_offset)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/collected_records.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/collected_records.py
@@ -33,7 +33,13 @@
         self.clock = trio.current_time
         """Returns the time in seconds."""
 
-    def apply_records(self, records: Iterable[KeyedRecord], next_offset: int) -> None:
+    def apply_records(self, records: Iterable[KeyedRecord]) -> None:
         """See `ActiveDocument.apply_records`."""
-        self.next_offset = max(self.next_offset or 0, next_offset)
         self._collect(records)
+
+    def expect(self, end_offset: int) -> None:
+        """See `ActiveDocument.expect`."""
+
+    def learn(self, next_offset: int) -> None:
+        """See `ActiveDocument.learn`."""
+        self.next_offset = max(self.next_offset or 0, next_offset)
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/documents.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/documents.py
@@ -50,3 +50,6 @@
     """Time from the arrival of the request to the last contact of the replying daemon with the
     store, direct or through others, in milliseconds; negative if that was before, None if there was
     none."""
+    unusable_offset: int = -1
+    """Offset of the topic's newest record of the document if it is of no use to the replying
+    daemon; else -1."""
--- /dev/null
+++ b/tests/services/test_topic_progress.py
@@ -0,0 +1,60 @@
+"""A reader knows which records of a topic it has skipped."""
+
+from __future__ import annotations
+
+import unittest
+
+from fulmarstile_services.topic_progress import READ_BACK_RECORDS, TopicProgress
+
+
+class TopicProgressTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.progress = TopicProgress()
+
+    def test_all_that_a_single_record_follows_is_unread_at_a_start(self) -> None:
+        self.progress.on_newest({4}, 5)
+        self.assertEqual(self.progress.unread, range(4))
+        self.assertEqual(self.progress.next_offset, 5)
+
+    def test_nothing_is_unread_if_the_newest_records_are_all_there_are(self) -> None:
+        for offsets, end in (({0}, 1), ({0, 1}, 2), (set(), 0)):
+            with self.subTest(end):
+                progress = TopicProgress()
+                progress.on_newest(offsets, end)
+                self.assertFalse(progress.unread)
+
+    def test_records_between_the_last_one_and_the_end_are_unread(self) -> None:
+        self.progress.on_newest({3}, 6)
+        self.assertEqual(self.progress.unread, range(6))
+
+    def test_records_that_were_read_before_are_not_unread(self) -> None:
+        self.progress.on_newest({0}, 1)
+        self.progress.on_read(4)
+        self.progress.on_newest({9}, 10)
+        self.assertEqual(self.progress.unread, range(4, 9))
+
+    def test_a_second_jump_keeps_what_is_unread(self) -> None:
+        self.progress.on_newest({4}, 5)
+        self.progress.on_read_back(2)
+        self.progress.on_newest({9}, 10)
+        self.assertEqual(self.progress.unread, range(2, 9))
+
+    def test_few_records_are_read_back_of_a_long_topic(self) -> None:
+        self.progress.on_newest({999}, 1000)
+        self.assertEqual(self.progress.unread, range(1000 - READ_BACK_RECORDS, 999))
+
+    def test_records_are_known_once_they_are_read_back_or_another_reader_knows_them(self) -> None:
+        self.progress.on_newest({4}, 5)
+        self.progress.on_read_back(3)
+        self.assertEqual(self.progress.unread, range(3, 4))
+        self.progress.on_told(7)
+        self.assertFalse(self.progress.unread)
+        self.assertEqual(self.progress.next_offset, 7)
+
+    def test_an_offset_told_before_the_first_read_does_not_replace_it(self) -> None:
+        self.progress.on_told(7)
+        self.assertIsNone(self.progress.next_offset)
+
+
+if __name__ == "__main__":
+    unittest.main()
