Copy a version that the operator's topic hides, for a fleet that starts as one (CONFIG)

Callers got the answers of an older version from all daemons after they had all started at once, until the next version: the topic held an older version behind the newest one, and the store had deleted all records but the newest of each key. What a running fleet knew was known nowhere else.

A version that has another record of the document behind it is copied, compressed and without customers' keys, to a topic of the daemons, on the condition that nothing came between. It is read only where records before the newest have expired and no daemon knows them: no call in calm, a read and a write for each hidden version, one read on two daemons of a fleet that starts.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from fulmarstile_daemon.services._document_copies import DocumentCopies
 from fulmarstile_daemon.services._outage_tracker import OutageTracker
 from fulmarstile_daemon.services._read_pacer import ReadPacer
 from fulmarstile_daemon.services.events import DocumentRead
@@ -102,6 +103,7 @@
         self._pacer = ReadPacer(_MAX_PAUSE_S, read_bytes_per_s, _MAX_SIZE_PAUSE_S)
         self._max_burst_bytes = min(MAX_READ_BYTES, int(read_bytes_per_s * _MAX_SIZE_PAUSE_S))
         self._progress = TopicProgress()
+        self._copies = DocumentCopies(documents, sources, log)
         self._has_unread = trio.Event()
         self._proof: _Proof | None = None
         self._is_following = False
@@ -136,6 +138,7 @@
         self._store = store
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._read_skipped, store)
+            nursery.start_soon(self._copies.run, store)
             await self._follow(store)
 
     async def _follow(self, store: KeyedLog) -> None:
@@ -196,8 +199,11 @@
             # Another daemon may know these records; a few of them are enough to read them.
             await trio.sleep(_TELL_S if self._sources.is_prompt_reader else _LATE_TELL_S)
             self._note_told()
-            while self._progress.unread:
-                await self._read_back(store)
+            while not self._progress.is_complete:
+                if self._progress.unread:
+                    await self._read_back(store)
+                else:
+                    await self._read_copy(store)
                 self._note_told()
 
     async def _read_back(self, store: KeyedLog) -> None:
@@ -208,9 +214,7 @@
         try:
             page = await store.read_keyed(self._topic, unread.start, 0.0, self._max_burst_bytes)
         except RecordsExpiredError as error:
-            first_offset = error.first_offset
-            is_known = first_offset is not None and first_offset > unread.start
-            progress.on_read_back(first_offset if is_known else unread.stop)
+            progress.on_expired(error.first_offset)
             return
         except LogError as error:
             _LOGGER.debug("skipped records could not be read: %s", error)
@@ -224,17 +228,27 @@
         # Half of the link remains for requests.
         await trio.sleep(read_s)
 
+    async def _read_copy(self, store: KeyedLog) -> None:
+        """Reads the copy of a version whose record may have expired."""
+        try:
+            await self._copies.read(store)
+        except LogError as error:
+            _LOGGER.debug("the copy of a hidden version could not be read: %s", error)
+            await trio.sleep(_RETRY_S)
+            return
+        self._progress.on_copy()
+
     def _note_told(self) -> None:
         """Notes what other daemons know of the topic."""
         self._progress.on_told(self._documents.next_offset or 0)
         self._settle()
 
     def _settle(self) -> None:
-        """Notes what the last read proves, unless there are records that nobody has read."""
+        """Notes what the last read proves, unless there are records that may be unknown."""
         progress, documents = self._progress, self._documents
         if progress.next_offset is None:
             return
-        if progress.unread:
+        if not progress.is_complete:
             documents.expect(progress.unread.stop)
             self._has_unread.set()
             return
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -122,6 +122,9 @@
         """Whether the operator's topic was read since the start, here or by another daemon."""
         self.on_change: list[Callable[[], None]] = []
         """Functions that are called when another version becomes active."""
+        self.on_hidden: Callable[[], None] = lambda: None
+        """Called when the topic has another record of the document behind that of the active
+        version."""
         self.on_other_records: Callable[[list[KeyedRecord]], None] = lambda _: None
         """Called with the records of the operator's topic that hold no document."""
 
@@ -146,6 +149,12 @@
         """Offset of the newest record of the document if it is of no use; else -1."""
         return self._unusable_offset if self._unusable_offset > self._usable_offset else -1
 
+    @property
+    def is_hidden(self) -> bool:
+        """Whether the topic has another record of the document behind the active version's."""
+        last_offset = max(self._usable_offset, self._unusable_offset)
+        return self._offset is not None and last_offset > self._offset
+
     @property
     def silent_s(self) -> float | None:
         """Time since the last contact with the store, rounded; None if there was none."""
@@ -201,6 +210,7 @@
             return False
         if raw == self._raw:
             self._note_use(offset)
+            self._note_again(offset)
             return False
         digest = digest_document(raw).hex()
         try:
@@ -253,6 +263,8 @@
         # The last one is mostly the newest, but a write that the store delayed may follow it.
         for record in reversed(documents):
             self.apply_if_newer(record.value, SOURCE_STORE, offset=record.offset)
+        if self.is_hidden:
+            self.on_hidden()
         self.apply_others(others)
 
     def expect(self, end_offset: int) -> None:
@@ -335,6 +347,11 @@
             self._unusable_offset = max(self._unusable_offset, offset)
         self._note_completeness()
 
+    def _note_again(self, offset: int | None) -> None:
+        """Notes that a record holds the active version."""
+        if offset is not None:
+            self._offset = max(self._offset or 0, offset)
+
     def _note_completeness(self) -> None:
         is_known = self._next_offset is not None and self._next_offset >= self._end_offset
         self._routes.may_lack_version = not is_known or self.unusable_offset >= 0
@@ -344,7 +361,7 @@
         if offset is None:
             return
         if version == self.version:
-            self._offset = offset if self._offset is None else self._offset
+            self._note_again(offset)
         elif self._offset is not None and offset > self._offset:
             self._log.write(
                 DocumentOutdated(version=version, active=self.version, offset=offset, digest=digest)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -282,6 +282,15 @@
     digest: str
 
 
+class DocumentCopied(LogEvent, tag="document_copied"):
+    """The active version, which the operator's topic hides, was written to another topic."""
+
+    version: int
+    bytes: int = 0
+    error: str = ""
+    """Why it was not written."""
+
+
 class DocumentStale(LogEvent, tag="document_stale"):
     """The document may be outdated, so requests that need a key are refused."""
 
--- a/packages/fulmarstile_services/src/fulmarstile_services/topic_progress.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/topic_progress.py
@@ -23,6 +23,7 @@
     def __init__(self) -> None:
         self._next_offset: int | None = None
         self._unread = range(0)
+        self._has_expired = False
 
     @property
     def next_offset(self) -> int | None:
@@ -34,6 +35,16 @@
         """Offsets before that of which a record may be unknown."""
         return self._unread
 
+    @property
+    def has_expired(self) -> bool:
+        """Whether records may be unknown that can't be read back any more."""
+        return self._has_expired
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all records before `next_offset` are known."""
+        return self._next_offset is not None and not self._unread and not self._has_expired
+
     def on_newest(self, offsets: Collection[int], end_offset: int) -> None:
         """Notes a read of the newest record of each key.
 
@@ -46,6 +57,8 @@
             start = max(start, self._unread.start)
         elif self._next_offset is not None:
             start = max(start, self._next_offset)
+        else:
+            self._has_expired = start > 0
         stop = end_offset
         while stop - 1 in offsets:
             stop -= 1
@@ -68,6 +81,20 @@
         """
         self._unread = range(max(self._unread.start, next_offset), self._unread.stop)
 
+    def on_expired(self, first_offset: int | None) -> None:
+        """Notes that unread records have expired.
+
+        Args:
+            first_offset: Offset of the oldest record that is left; None if unknown.
+        """
+        self._has_expired = True
+        is_left = first_offset is not None and first_offset > self._unread.start
+        self.on_read_back(first_offset if is_left else self._unread.stop)
+
+    def on_copy(self) -> None:
+        """Notes that a copy was read of what has expired."""
+        self._has_expired = False
+
     def on_told(self, known_offset: int) -> None:
         """Notes that another reader knows all records before an offset.
 
@@ -75,5 +102,6 @@
             known_offset: The offset.
         """
         self.on_read_back(known_offset)
+        self._has_expired &= known_offset < self._unread.stop
         if self._next_offset is not None:
             self.on_read(known_offset)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/collected_records.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/collected_records.py
@@ -32,6 +32,10 @@
         """Updated with when the store answers."""
         self.clock = trio.current_time
         """Returns the time in seconds."""
+        self.is_hidden = False
+        """See `ActiveDocument.is_hidden`."""
+        self.on_hidden: Callable[[], None] = lambda: None
+        """Never called."""
 
     def apply_records(self, records: Iterable[KeyedRecord]) -> None:
         """See `ActiveDocument.apply_records`."""
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/documents.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/documents.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from fulmarstile_wire.decoding import DECODE_ERRORS, Number
+from fulmarstile_wire.errors import WireError
+
 
 class TopicRecord(msgspec.Struct, frozen=True, array_like=True):
     """Another record of the operator's topic."""
@@ -53,3 +56,31 @@
     unusable_offset: int = -1
     """Offset of the topic's newest record of the document if it is of no use to the replying
     daemon; else -1."""
+
+
+class DocumentCopy(msgspec.Struct, frozen=True, array_like=True):
+    """Record of a version that the operator's topic no longer shows as its newest."""
+
+    version: Number
+    content: bytes
+    """The compressed document without keys."""
+
+
+_COPY_DECODER = msgspec.msgpack.Decoder(DocumentCopy)
+
+
+def encode_copy(copy: DocumentCopy) -> bytes:
+    """Encodes a copy as a record of the store."""
+    return msgspec.msgpack.encode(copy)
+
+
+def decode_copy(value: bytes) -> DocumentCopy:
+    """Decodes the record of a copy.
+
+    Raises:
+        WireError: If it is malformed.
+    """
+    try:
+        return _COPY_DECODER.decode(value)
+    except DECODE_ERRORS as error:
+        raise WireError(f"malformed copy: {error}") from error
--- a/tests/services/test_hidden_versions.py
+++ b/tests/services/test_hidden_versions.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from fulmarstile_daemon.services._document_copies import DOCUMENT_COPIES_TOPIC
 from fulmarstile_testing.builders.service_mesh import READY_TIMEOUT_S
 from fulmarstile_testing.builders.services import make_route
 from fulmarstile_testing.fakes.service_platform import DOCUMENT_TOPIC
@@ -108,6 +109,39 @@
         """Guards against a fleet that gives up as some of the earlier records have expired."""
         self._check(_write_older_and_expire)
 
+    def test_a_hidden_version_is_in_force_after_all_daemons_start_and_its_record_expired(
+        self,
+    ) -> None:
+        """Guards against the loss of a version of which the store has only an older record left."""
+
+        async def scenario(fleet: ObservedFleet, _: random.Random) -> None:
+            await trio.sleep(_CALM_S)
+            await _publish_some(fleet)
+            fleet.write_again(fleet.version - 1)
+            await trio.sleep(CONFIG_APPLY_S)
+            ended = await fleet.kill_all()
+            fleet.expire_records(before=_offset_of_last(fleet))
+            await fleet.start_together(ended)
+            await trio.sleep(_REST_S)
+
+        self.assertEqual(_list_late(_FEW_SEEDS, scenario), {})
+
+    def test_a_missing_route_is_rejected_after_a_start_though_the_copy_is_unusable(self) -> None:
+        """Guards against daemons that wait for ever for what a broken copy may hold."""
+        statuses: set[int] = set()
+
+        async def scenario(fleet: ObservedFleet, _: random.Random) -> None:
+            fleet.publish(make_route(prefix="/new/"))
+            ended = await fleet.kill_all()
+            fleet.mesh.store.put(DOCUMENT_COPIES_TOPIC, "newest", _NO_DOCUMENT)
+            fleet.expire_records(before=_offset_of_last(fleet))
+            await fleet.start_together(ended)
+            await trio.sleep(STABLE_WINDOW_S)
+            statuses.update(await _call_all(fleet, _MISSING))
+
+        _play(1, scenario)
+        self.assertEqual(statuses, {404})
+
     def _check(self, write: Callable[[ObservedFleet], None]) -> None:
         async def scenario(fleet: ObservedFleet, _: random.Random) -> None:
             await trio.sleep(_CALM_S)
--- a/tests/services/test_topic_progress.py
+++ b/tests/services/test_topic_progress.py
@@ -51,6 +51,23 @@
         self.assertFalse(self.progress.unread)
         self.assertEqual(self.progress.next_offset, 7)
 
+    def test_records_that_expired_before_they_were_read_need_the_copy(self) -> None:
+        for first_offset, unread in ((2, range(2, 4)), (None, range(4, 4)), (9, range(9, 4))):
+            with self.subTest(first_offset):
+                progress = TopicProgress()
+                progress.on_newest({4}, 5)
+                progress.on_expired(first_offset)
+                self.assertEqual(progress.unread, unread)
+                progress.on_read_back(4)
+                self.assertFalse(progress.is_complete)
+                progress.on_copy()
+                self.assertTrue(progress.is_complete)
+
+    def test_a_reader_that_is_told_of_expired_records_does_not_need_the_copy(self) -> None:
+        self.progress.on_newest({999}, 1000)
+        self.progress.on_told(1000)
+        self.assertTrue(self.progress.is_complete)
+
     def test_an_offset_told_before_the_first_read_does_not_replace_it(self) -> None:
         self.progress.on_told(7)
         self.assertIsNone(self.progress.next_offset)
