--- a/tests/processes/test_soak_config.py
+++ b/tests/processes/test_soak_config.py
@@ -40,6 +40,15 @@
     return ConfigJudge(versions, disturbances)
 
 
+def make_repeated_judge() -> ConfigJudge:
+    """Makes a judge of a version that is acknowledged 1 s after its first write."""
+    versions = [
+        ConfigVersion(1, 0.0, {"a": ConfigRoute({"old": 1})}),
+        ConfigVersion(5, 11.0, {"a": ConfigRoute({"new": 1})}, unanswered_s=1.0),
+    ]
+    return ConfigJudge(versions, ())
+
+
 def make_process(applied_at: float, begun_at: float = 0.0) -> Incarnation:
     """Makes a process that applies version 5 at a time."""
     return Incarnation("vm-1", begun_at, applied=[(begun_at + 0.1, 1), (applied_at, 5)])
@@ -118,6 +127,41 @@
         cases = make_judge().find_regressions(outcomes, processes)
         self.assertEqual(list_beyond(cases, BACK), [0.6])
 
+    def test_a_version_may_be_used_from_its_first_write_and_is_due_after_its_acknowledgement(
+        self,
+    ) -> None:
+        judge = make_repeated_judge()
+        allowed = make_outcome(10.5, "new"), make_outcome(12.9, "old")
+        self.assertEqual(list(judge.find_old_outcomes(allowed)), [])
+        self.assertEqual(
+            list_beyond(judge.find_old_outcomes([make_outcome(13.5, "old")]), OLD), [0.5]
+        )
+
+
+class DeniedTest(unittest.TestCase):
+    def list_denied(self, sent_at: float, host: str, *disturbances: Disturbance) -> list[Outcome]:
+        refusal = make_outcome(sent_at, "", host)
+        return list(make_judge(*disturbances).find_denied([refusal]))
+
+    def test_a_refusal_counts_if_all_versions_that_may_be_in_force_have_the_route(self) -> None:
+        self.assertEqual(len(self.list_denied(11.0, "a")), 1)
+        self.assertEqual(len(self.list_denied(12.5, "b")), 1)
+
+    def test_a_refusal_that_a_version_allows_does_not_count(self) -> None:
+        self.assertEqual(self.list_denied(11.5, "b"), [])
+        self.assertEqual(self.list_denied(12.5, "unknown"), [])
+
+    def test_a_refusal_out_of_touch_does_not_count(self) -> None:
+        cut = Disturbance("cut", frozenset({"vm-1"}), 10.0, 12.0)
+        self.assertEqual(self.list_denied(12.5, "b", cut), [])
+        self.assertEqual(len(self.list_denied(15.0, "b", cut)), 1)
+
+    def test_a_refusal_out_of_touch_counts_if_all_versions_so_far_have_the_route(self) -> None:
+        judge = make_judge(Disturbance("cut", frozenset({"vm-1"}), 10.0, 12.0))
+        refusals = [make_outcome(at, "", host) for at in (12.5, 15.0) for host in "ab"]
+        found = [(each.sent_at, each.host) for each in judge.find_denied_out_of_touch(refusals)]
+        self.assertEqual(found, [(12.5, "a")])
+
 
 if __name__ == "__main__":
     unittest.main()
