--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_copies.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_copies.py
@@ -24,10 +24,9 @@
 SOURCE_COPY: Final = "copy"
 _MAX_RECORD_BYTES: Final = 256 * 1024 - 64
 """Largest copy, in bytes; the store takes records of up to 256 KiB with their keys."""
-_DELAY_S: Final = 0.3
-"""Time for which the next version may end it that one is hidden, in seconds."""
 _LATE_DELAY_S: Final = 2.0
-"""The same for daemons that all others don't rely on; mostly these have written the copy then."""
+"""Time after which a daemon that others don't rely on writes a copy, in seconds, as mostly it is
+written then."""
 _RETRY_S: Final = 0.5
 
 
@@ -61,7 +60,8 @@
         while True:
             await self._is_hidden.wait()
             self._is_hidden = trio.Event()
-            await trio.sleep(_DELAY_S if self._sources.is_prompt_reader else _LATE_DELAY_S)
+            if not self._sources.is_prompt_reader:
+                await trio.sleep(_LATE_DELAY_S)
             while documents.is_hidden and self._copied_version < documents.version:
                 try:
                     await self._copy(store)
