Search for late versions beside records that are out of order (CONFIG)

The seeded search wrote versions in order only, so it could not find versions that are hidden in the operator's topic. With `--records` versions come in bursts, with older versions, bytes that are no document, deletions and swapped versions behind them.

A version that neither the store nor a running daemon has any more is not judged.

--- a/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/builders/service_mesh.py
@@ -192,7 +192,8 @@
         """Bounds in the settings of the daemons that start."""
         self.document_bytes = 0
         """Least size of a document in the store, in bytes."""
-        self._documents: dict[bytes, ServiceDocument] = {}
+        self.documents: dict[bytes, ServiceDocument] = {}
+        """Documents by the bytes that represent them in the store."""
         self.store = FakeKeyedLog()
         """The store."""
         self.make_store: Callable[[str], FakeKeyedLog] = lambda _: FakeKeyedLog(self.store)
@@ -203,9 +204,18 @@
     def put_document(self, document: ServiceDocument) -> None:
         """Writes a document to the store."""
         raw = (b"document %d" % document.version).ljust(self.document_bytes, b".")
-        self._documents[raw] = document
+        self.documents[raw] = document
         self.store.put(DOCUMENT_TOPIC, DOCUMENT_KEY, raw)
 
+    def newest_readable_version(self) -> int:
+        """Returns the newest version in the store that has not expired; -1 if there is none."""
+        records = [
+            self.documents.get(record.value)
+            for record in self.store.list_readable(DOCUMENT_TOPIC)
+            if record.key == DOCUMENT_KEY
+        ]
+        return max((document.version for document in records if document), default=-1)
+
     def put_order(self, service: str, version: str, duration_s: float) -> None:
         """Writes an order for a roll-out to the store."""
         value = f"{version} {duration_s}".encode()
@@ -246,7 +256,7 @@
         settings = dataclasses.replace(settings, bounds=self.bounds)
         if earlier is not None:
             settings = earlier.platform.settings
-        platform = FakePlatform(settings, self.store, self._documents)
+        platform = FakePlatform(settings, self.store, self.documents)
         platform.store = self.make_store(name)
         log = EventLog(name)
         node = ServiceNode(ServiceDaemon(platform, settings, log), platform, upstream, version)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/config_search/__main__.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/config_search/__main__.py
@@ -1,5 +1,6 @@
 """Command that searches: `python -m fulmarstile_testing.config_search --seeds=100`.
 
+`--records` plays cases with records out of order in the operator's topic.
 `--trace` prints the troubles of each case, and the logs of its daemons.
 """
 
@@ -20,6 +21,7 @@
 _FIRST_SEED = flags.DEFINE_integer("first_seed", 1, "Seed of the first case.")
 _SEEDS = flags.DEFINE_integer("seeds", 1, "Number of cases.")
 _JOBS = flags.DEFINE_integer("jobs", 2, "Number of processes.")
+_RECORDS = flags.DEFINE_bool("records", False, "Play cases with records out of order.")
 _TRACE = flags.DEFINE_bool("trace", False, "Print the troubles and logs of all cases.")
 
 
@@ -37,7 +39,7 @@
     seeds = range(_FIRST_SEED.value, _FIRST_SEED.value + _SEEDS.value)
     started_at = time.monotonic()
     failed = 0
-    play = partial(play_seed, with_trace=_TRACE.value)
+    play = partial(play_seed, with_records=_RECORDS.value, with_trace=_TRACE.value)
     # What an earlier case leaves behind in a process may change how a case plays.
     pool_size = min(_JOBS.value, len(seeds))
     with get_context("spawn").Pool(pool_size, maxtasksperchild=1) as pool:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/config_search/case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/config_search/case.py
@@ -8,7 +8,6 @@
 
 import trio
 
-from fulmarstile_testing.fakes.service_platform import DOCUMENT_TOPIC
 from fulmarstile_testing.observed_fleet import CONFIG_APPLY_S, play, run_fleet
 
 if TYPE_CHECKING:
@@ -19,22 +18,22 @@
 _SIZES: Final = (4, 6, 8, 8, 10, 12, 12, 12, 12, 16)
 _LARGE_SIZES: Final = (24, 40)
 _LARGE_RATIO: Final = 0.05
-_LARGE_SIZE: Final = 16
-_LARGE_APPLY_S: Final = 2.5
+LARGE_SIZE: Final = 16
+LARGE_APPLY_S: Final = 2.5
 """Time from which a version must be in force in a larger fleet, in seconds."""
 _LATENCIES_S: Final = ((0.0005, 0.002, 0.01), (0.002, 0.02))
 _LINK_KBPS: Final = ((0,), (1_000_000,), (4_000, 20_000, 70_000))
-_SETTLE_S: Final = 2.5
+SETTLE_S: Final = 2.5
 _PLAY_S: Final = 6.0
 """Time in which troubles begin, in seconds."""
 _REST_S: Final = 6.5
 """Time after the end of the last trouble, in seconds."""
 _MAX_TROUBLE_S: Final = 5.0
-_MAX_TROUBLES: Final = 3
-_GRACE_S: Final = 6.0
-_MAX_TRAVEL_S: Final = 0.05
+MAX_TROUBLES: Final = 3
+GRACE_S: Final = 6.0
+MAX_TRAVEL_S: Final = 0.05
 """Longest time from the write of a version to a trouble that meets it on its way, in seconds."""
-_STORE_FAULTS: Final = {
+STORE_FAULTS: Final = {
     "hangs": (True,),
     "refuses": (True,),
     "delay_s": (0.3, 0.8, 1.6),
@@ -42,7 +41,7 @@
     "drops_requests": (True,),
     "drops_answers": (True,),
 }
-_TROUBLES: Final = (
+TROUBLES: Final = (
     *("silence", "silence", "store", "store", "cut", "cut", "end", "end"),
     *("halt", "forget", "readers"),
 )
@@ -83,7 +82,7 @@
         return self.result
 
     async def _play(self, clock: MockClock) -> None:
-        apply_s = _LARGE_APPLY_S if self._size > _LARGE_SIZE else CONFIG_APPLY_S
+        apply_s = LARGE_APPLY_S if self._size > LARGE_SIZE else CONFIG_APPLY_S
         async with run_fleet(
             self._rng, self._size, self._zones, self._link_kbps, self._latencies_s
         ) as fleet:
@@ -91,9 +90,9 @@
                 background.start_soon(fleet.publish_forever)
                 if self._has_late_loops:
                     background.start_soon(self._stall_loop, clock)
-                await trio.sleep(_SETTLE_S)
+                await trio.sleep(SETTLE_S)
                 async with trio.open_nursery() as nursery:
-                    for _ in range(self._rng.randint(1, _MAX_TROUBLES)):
+                    for _ in range(self._rng.randint(1, MAX_TROUBLES)):
                         nursery.start_soon(self._disrupt, fleet, clock)
                 await trio.sleep(_REST_S)
                 background.cancel_scope.cancel()
@@ -114,8 +113,11 @@
         await trio.sleep(rng.uniform(0.0, _PLAY_S))
         if rng.random() < 0.5:
             fleet.publish()
-            await trio.sleep(rng.uniform(0.0, _MAX_TRAVEL_S))
-        trouble = rng.choice(_TROUBLES)
+            await trio.sleep(rng.uniform(0.0, MAX_TRAVEL_S))
+        await self._run_trouble(rng.choice(TROUBLES), fleet, clock)
+
+    async def _run_trouble(self, trouble: str, fleet: ObservedFleet, clock: MockClock) -> None:
+        rng = self._rng
         if trouble == "silence":
             self._silence(fleet)
         elif trouble == "store":
@@ -133,7 +135,7 @@
                 clock.jump(for_s)
         else:
             self._note("history forgotten")
-            fleet.mesh.store.forget_history(DOCUMENT_TOPIC)
+            fleet.expire_records()
 
     def _silence(self, fleet: ObservedFleet) -> None:
         share = self._rng.choice((1.0, 1.0, 0.3, 0.7))
@@ -146,8 +148,8 @@
         names = sorted(fleet.stores)
         if rng.random() < 0.4:
             names = rng.sample(names, rng.randint(1, len(names)))
-        fault = rng.choice(list(_STORE_FAULTS))
-        value = rng.choice(_STORE_FAULTS[fault])
+        fault = rng.choice(list(STORE_FAULTS))
+        value = rng.choice(STORE_FAULTS[fault])
         for_s = rng.uniform(0.3, _MAX_TROUBLE_S)
         who = "all" if len(names) == len(fleet.stores) else ", ".join(names)
         self._note(f"store: {fault} {value} for {for_s:.2f} s at {who}")
@@ -228,7 +230,7 @@
         if kills:
             await fleet.kill(each)
         else:
-            await fleet.stop(each, _GRACE_S)
+            await fleet.stop(each, GRACE_S)
         await trio.sleep(away_s)
         self._note(f"{each.name} starts again")
         await fleet.start(each.name, earlier=each.node)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/config_search/replay.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/config_search/replay.py
@@ -9,6 +9,7 @@
 from typing import Final
 
 from fulmarstile_testing.config_search.case import Case
+from fulmarstile_testing.config_search.record_case import RecordCase
 
 _MAX_CASE_S: Final = 180
 """Time after which a case that has not ended fails, in seconds."""
@@ -20,11 +21,12 @@
     raise TimeoutError("the case has not ended")
 
 
-def play_seed(seed: int, *, with_trace: bool) -> tuple[int, list[str]]:
+def play_seed(seed: int, *, with_records: bool, with_trace: bool) -> tuple[int, list[str]]:
     """Plays a case.
 
     Args:
         seed: Its seed.
+        with_records: Whether records are out of order in the operator's topic.
         with_trace: Whether to print the troubles and the logs of the daemons in any case.
 
     Returns:
@@ -34,7 +36,7 @@
         sys.stdout = open(os.devnull, "w")  # noqa: SIM115
     signal.signal(signal.SIGALRM, _on_alarm)
     signal.alarm(_MAX_CASE_S)
-    case = Case(seed)
+    case = RecordCase(seed) if with_records else Case(seed)
     try:
         case.play()
     except Exception:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/keyed_log.py
@@ -109,6 +109,15 @@
         """Returns all records of a topic, also while the store is down."""
         return list(self._content.topics.get(topic, []))
 
+    def list_readable(self, topic: str) -> list[KeyedRecord]:
+        """Returns the records that have not expired, and the newest one of each key."""
+        records = self.list_records(topic)
+        newest = {record.key: record.offset for record in records}
+        first = self._content.first_offsets.get(topic, 0)
+        return [
+            each for each in records if each.offset in {*newest.values()} or each.offset >= first
+        ]
+
     def forget_history(self, topic: str, before: int | None = None) -> None:
         """Expires all records before an offset except the newest of each key.
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/observed_fleet.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/observed_fleet.py
@@ -39,6 +39,8 @@
 """Time after the end of a disruption from which that holds again, in seconds."""
 _ANNOUNCE_S: Final = 1.5
 _VERSION_S: Final = 0.33
+_KBIT: Final = 125
+"""Bytes."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,16 +97,22 @@
         self.incarnations: list[Incarnation] = []
         self.disruptions: list[Disruption] = []
         self.acknowledged_at: dict[int, float] = {}
+        self.lost: set[int] = set()
+        """Versions that neither the store nor a running daemon has any more."""
+        self.limits_links = False
+        """Whether records from the store arrive only as fast as the links of the daemons carry."""
         self._documents: dict[int, ServiceDocument] = {}
         self._nursery = nursery
         self._sequence = 0
         self.mesh.make_store = self._make_store
 
     def _make_store(self, name: str) -> SimulatedStore:
-        store = SimulatedStore(self.mesh.store, random.Random())
+        link_bytes_per_s = self.mesh.link_kbps * _KBIT if self.limits_links else 0
+        store = SimulatedStore(self.mesh.store, random.Random(), link_bytes_per_s)
         earlier = self.stores.get(name)
         if earlier is not None:
             store.faults = earlier.faults
+            store.link_bytes_per_s = earlier.link_bytes_per_s
         self.stores[name] = store
         return store
 
@@ -123,7 +131,15 @@
         Args:
             routes: Its routes; by default one for all requests.
         """
+        self._write(len(self.acknowledged_at) + 1, *routes)
+
+    def publish_swapped(self) -> None:
+        """Writes two versions at once, of which the store appends the newer one first."""
         version = len(self.acknowledged_at) + 1
+        for each in (version + 1, version):
+            self._write(each)
+
+    def _write(self, version: int, *routes: ServiceRoute) -> None:
         document = make_document(*(routes or (make_route(),)), version=version)
         self._documents[version] = document
         self.mesh.put_document(document)
@@ -137,9 +153,20 @@
         """Writes a record that holds no document; a deletion if it is empty."""
         self.mesh.store.put(DOCUMENT_TOPIC, DOCUMENT_KEY, value)
 
-    def expire_records(self, before: int) -> None:
-        """Lets the store expire the records of the operator's topic before an offset."""
+    def is_newest_usable(self) -> bool:
+        """Returns whether the newest record of the document is one."""
+        return self.mesh.store.list_records(DOCUMENT_TOPIC)[-1].value in self.mesh.documents
+
+    def expire_records(self, before: int | None = None) -> None:
+        """Lets the store expire the records of the operator's topic before an offset, or all."""
         self.mesh.store.forget_history(DOCUMENT_TOPIC, before)
+        self._note_lost()
+
+    def _note_lost(self) -> None:
+        """Notes the versions that no daemon can get any more."""
+        left = [each.node.daemon._documents.version for each in self.list_running()]
+        left.append(self.mesh.newest_readable_version())
+        self.lost.update(version for version in self.acknowledged_at if version > max(left))
 
     def hold_reads(self, before: int) -> None:
         """Lets the store not answer reads of records of the operator's topic before an offset."""
@@ -197,6 +224,7 @@
         """Kills a daemon."""
         incarnation.ended_at = trio.current_time()
         await incarnation.node.kill()
+        self._note_lost()
 
     async def stop(self, incarnation: Incarnation, grace_s: float) -> None:
         """Tells a daemon to stop, and kills it after the grace time."""
@@ -260,7 +288,9 @@
         found = []
         for each in self.incarnations:
             for version, acknowledged_at in self.acknowledged_at.items():
-                due_at = self._due_at(each, acknowledged_at + apply_s)
+                if version in self.lost:
+                    continue
+                due_at = self.due_at(each, acknowledged_at + apply_s)
                 late_s = min(each.in_force_at(version), each.ended_at, now) - due_at
                 if late_s > 0:
                     found.append(
@@ -272,7 +302,7 @@
                 found.append(f"{each.name}: an older version after a newer one: {versions}")
         return found
 
-    def _due_at(self, incarnation: Incarnation, at: float) -> float:
+    def due_at(self, incarnation: Incarnation, at: float) -> float:
         """Returns when a version must be in force that would be due at a time in calm."""
         at = max(at, incarnation.started_at + STABLE_WINDOW_S)
         for each in sorted(self.disruptions, key=lambda each: each.started_at):
@@ -295,6 +325,8 @@
     link_kbps: tuple[int, ...] = (0,),
     latencies_s: tuple[float, ...] = (0.0005, 0.002, 0.01),
     document_bytes: int = 0,
+    *,
+    limits_links: bool = False,
 ) -> AsyncIterator[ObservedFleet]:
     """Runs daemons, which have read a first version.
 
@@ -305,6 +337,7 @@
         link_kbps: Capacities of links, of which one is drawn for each, in kilobits per second.
         latencies_s: Latencies of connections between daemons, in seconds.
         document_bytes: Least size of a version in the store, in bytes.
+        limits_links: Whether records from the store arrive only as fast as these links carry.
 
     Yields:
         The fleet.
@@ -317,6 +350,7 @@
         ):
             fleet = ObservedFleet(nursery, links, rng)
             fleet.mesh.document_bytes = document_bytes
+            fleet.limits_links = limits_links
             fleet.publish()
             for index in range(size):
                 fleet.mesh.link_kbps = rng.choice(link_kbps)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/simulated_store.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import errno
-from dataclasses import dataclass, field
+from collections import Counter
+from dataclasses import dataclass, field, replace
 from itertools import count
 from typing import TYPE_CHECKING, Any, Final
 
@@ -16,7 +17,13 @@
     HttpResponse,
     HttpTimeoutError,
 )
-from fulmarstile_platform.keyed_log import MAX_READ_BYTES, LogConflictError, RecordsExpiredError
+from fulmarstile_platform.keyed_log import (
+    MAX_READ_BYTES,
+    KeyedPage,
+    LogConflictError,
+    PageTransfer,
+    RecordsExpiredError,
+)
 from fulmarstile_platform.log import LogUnavailableError
 from fulmarstile_testing.fakes.keyed_log import FakeKeyedLog
 from fulmarstile_wire.verdict import Verdict
@@ -26,7 +33,7 @@
     from collections.abc import Awaitable, Callable, Sequence
 
     from fulmarstile_platform.http import _Progress, _Request
-    from fulmarstile_platform.keyed_log import KeyedPage, KeyedRecord
+    from fulmarstile_platform.keyed_log import KeyedRecord
 
 # The timeouts of the platform's client.
 _TIMEOUT_S: Final = 1.5
@@ -38,6 +45,8 @@
 """Time without acknowledgement after which the kernel breaks a connection, in seconds."""
 _MAX_LATENCY_S: Final = 0.01
 _CHECK_S: Final = 0.02
+_ENCODED_RATIO: Final = 4 / 3
+"""Size of a record in an answer of the store, which encodes it in base64, relative to its own."""
 _OK: Final = 200
 _ADDRESS: Final = "store:80"
 
@@ -68,11 +77,20 @@
     Args:
         shared: The store.
         rng: Draws latencies and losses.
+        link_bytes_per_s: Rate at which records arrive, which answers share; 0 for no limit.
     """
 
-    def __init__(self, shared: FakeKeyedLog, rng: random.Random) -> None:
+    def __init__(
+        self, shared: FakeKeyedLog, rng: random.Random, link_bytes_per_s: float = 0.0
+    ) -> None:
         super().__init__(shared)
         self.rng = rng
+        self.link_bytes_per_s = link_bytes_per_s
+        """Rate at which records arrive, which answers share; 0 for no limit."""
+        self.topic_calls: Counter[str] = Counter()
+        """Calls that were begun, by topic."""
+        self.topic_bytes: Counter[str] = Counter()
+        """Bytes of the answers' records, as encoded, by topic."""
         self.faults = StoreFaults()
         """What is wrong at present."""
         self.connections: dict[_StoreConnection, None] = {}
@@ -80,6 +98,7 @@
         self._http = _SimulatedHttp(self)
         self._numbers = count()
         self._calls: dict[str, _Call] = {}
+        self._transfers = 0
 
     def silence_open(self, share: float = 1.0) -> None:
         """Makes open connections silent for good; new ones work.
@@ -108,6 +127,32 @@
             call.error = error
         await trio.sleep(self.faults.delay_s)
 
+    async def transfer(self, path: str, progress: _Progress) -> None:
+        """Carries the records of an answer over the link.
+
+        Args:
+            path: Path of the request.
+            progress: Told of each part that arrives.
+        """
+        call = self._calls[path]
+        if not self.link_bytes_per_s or not isinstance(call.result, KeyedPage):
+            return
+        size = _encoded_size(call.result)
+        started_at = trio.current_time()
+        self._transfers += 1
+        try:
+            left = float(size)
+            while left > 0:
+                share = self.link_bytes_per_s / self._transfers
+                part_s = min(_CHECK_S, left / share)
+                await trio.sleep(part_s)
+                left -= share * part_s
+                progress.on_receive()
+        finally:
+            self._transfers -= 1
+        transfer = PageTransfer(size, trio.current_time() - started_at)
+        call.result = replace(call.result, transfer=transfer)
+
     async def read_newest(self, topic: str) -> KeyedPage:
         """See `KeyedLog.read_newest`."""
         return await self._request(topic, lambda: FakeKeyedLog.read_newest(self, topic))
@@ -160,6 +205,7 @@
         kind: str = "other",
     ) -> Any:
         path = f"/{kind}/{topic}/{next(self._numbers)}"
+        self.topic_calls[topic] += 1
         call = self._calls[path] = _Call(run)
         try:
             await self._http.request(
@@ -175,6 +221,8 @@
             del self._calls[path]
         if call.error is not None:
             raise call.error
+        if isinstance(call.result, KeyedPage):
+            self.topic_bytes[topic] += _encoded_size(call.result)
         return call.result
 
 
@@ -230,6 +278,9 @@
             await trio.sleep_forever()
         await self.carry_answer()
         progress.on_head()
+        await self._store.transfer(request.path, progress)
+        if self.is_silent:
+            await trio.sleep_forever()
         return HttpResponse(_OK, b"")
 
     async def carry_request(self) -> None:
@@ -254,3 +305,7 @@
     async def aclose(self) -> None:
         self._store.connections.pop(self, None)
         await trio.lowlevel.checkpoint()
+
+
+def _encoded_size(page: KeyedPage) -> int:
+    return int(sum(len(record.value) for record in page.records) * _ENCODED_RATIO)
