Read back from the last skipped record on (CONFIG)

Callers of fleets with links of 5 to 10 Mbit/s and documents of 100 to 200 kB were served by an older version for up to 3.7 s after it was due, if a later record hid it after a burst or a start of the whole fleet.

Skipped records were read back from the oldest on, one at a time over half of the link, 0.75 s each. The version that counts is mostly the last one of them. It is now read first, and the read back begins without a wait on the two prompt readers if the newest record is of no use, as nothing of what was skipped is in force then.

A record that has expired is skipped alone if the store does not say what is left, in place of all unread ones.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -193,34 +193,40 @@
         while True:
             await self._has_unread.wait()
             self._has_unread = trio.Event()
-            # Another daemon may know these records; a few of them are enough to read them.
-            await trio.sleep(_TELL_S if self._sources.is_prompt_reader else _LATE_TELL_S)
+            await trio.sleep(self._tell_s())
             self._note_told()
             while self._progress.unread:
                 await self._read_back(store)
                 self._note_told()
 
+    def _tell_s(self) -> float:
+        """Returns for how long another daemon may tell what skipped records hold."""
+        if not self._sources.is_prompt_reader:
+            return _LATE_TELL_S
+        # If the newest record is of no use, nothing of what was skipped is in force yet.
+        return 0.0 if self._documents.unusable_offset >= 0 else _TELL_S
+
     async def _read_back(self, store: KeyedLog) -> None:
-        """Reads some of the unread records."""
+        """Reads some of the unread records, the last ones first."""
         progress = self._progress
-        unread = progress.unread
+        # Where no document is known, the size of a record isn't, either.
+        count = self._max_burst_bytes // (self._documents.size or self._max_burst_bytes)
+        offset = progress.choose_read_back(max(1, count))
         started_at = trio.current_time()
         try:
-            page = await store.read_keyed(self._topic, unread.start, 0.0, self._max_burst_bytes)
+            page = await store.read_keyed(self._topic, offset, 0.0, self._max_burst_bytes)
         except RecordsExpiredError as error:
-            first_offset = error.first_offset
-            is_known = first_offset is not None and first_offset > unread.start
-            progress.on_read_back(first_offset if is_known else unread.stop)
+            progress.on_read_back(max(error.first_offset or 0, offset + 1))
             return
         except LogError as error:
             _LOGGER.debug("skipped records could not be read: %s", error)
             await trio.sleep(_RETRY_S)
             return
         read_s = trio.current_time() - started_at
-        self._note(page, _PURPOSE_SKIPPED, read_s, unread.start)
+        self._note(page, _PURPOSE_SKIPPED, read_s, offset)
         self._documents.apply_records(page.records)
-        is_news = page.next_offset > unread.start
-        progress.on_read_back(page.next_offset if is_news else unread.stop)
+        is_news = page.next_offset > offset
+        progress.on_read_back(page.next_offset if is_news else progress.unread.stop, offset)
         # Half of the link remains for requests.
         await trio.sleep(read_s)
 
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -131,6 +131,11 @@
         table = self._routes.table
         return -1 if table is None else table.version
 
+    @property
+    def size(self) -> int:
+        """Size of the active document in bytes; 0 if there is none."""
+        return len(self._raw)
+
     @property
     def topic(self) -> str:
         """Topic that holds the document in the store."""
--- a/packages/fulmarstile_services/src/fulmarstile_services/topic_progress.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/topic_progress.py
@@ -18,11 +18,14 @@
     The newest record of a key by its position need not hold the newest version: a write that the
     store delayed may follow it. So what a read of the newest records skips is unread until it was
     read back, or until another reader tells that it knows it.
+
+    It is read back from its end: over a slow link, all of it takes longer than a version may, and a
+    hidden version is mostly close to the record that hides it.
     """
 
     def __init__(self) -> None:
         self._next_offset: int | None = None
-        self._unread = range(0)
+        self._unread: list[range] = []
 
     @property
     def next_offset(self) -> int | None:
@@ -31,8 +34,19 @@
 
     @property
     def unread(self) -> range:
-        """Offsets before that of which a record may be unknown."""
-        return self._unread
+        """Offsets from the first to the last one of which a record may be unknown."""
+        if not self._unread:
+            return range(0)
+        return range(self._unread[0].start, self._unread[-1].stop)
+
+    def choose_read_back(self, count: int) -> int:
+        """Returns the offset at which to read back next; there must be unread records.
+
+        Args:
+            count: Number of records that one read returns, at least one.
+        """
+        last = self._unread[-1]
+        return max(last.start, last.stop - count)
 
     def on_newest(self, offsets: Collection[int], end_offset: int) -> None:
         """Notes a read of the newest record of each key.
@@ -42,14 +56,14 @@
             end_offset: Offset at which the topic ended.
         """
         start = max(0, end_offset - READ_BACK_RECORDS)
-        if self._unread:
-            start = max(start, self._unread.start)
-        elif self._next_offset is not None:
+        self.on_read_back(start)
+        if self._next_offset is not None:
             start = max(start, self._next_offset)
         stop = end_offset
         while stop - 1 in offsets:
             stop -= 1
-        self._unread = range(start, stop)
+        if start < stop:
+            self._unread.append(range(start, stop))
         self.on_read(end_offset)
 
     def on_read(self, next_offset: int) -> None:
@@ -60,13 +74,22 @@
         """
         self._next_offset = max(self._next_offset or 0, next_offset)
 
-    def on_read_back(self, next_offset: int) -> None:
+    def on_read_back(self, next_offset: int, from_offset: int = 0) -> None:
         """Notes a read of unread records.
 
         Args:
             next_offset: Offset behind the last of them, or of the oldest one that is left.
+            from_offset: Offset of the first of them; by default all before are known.
         """
-        self._unread = range(max(self._unread.start, next_offset), self._unread.stop)
+        parts = [
+            part
+            for each in self._unread
+            for part in (
+                range(each.start, min(each.stop, from_offset)),
+                range(max(each.start, next_offset), each.stop),
+            )
+        ]
+        self._unread = [part for part in parts if part]
 
     def on_told(self, known_offset: int) -> None:
         """Notes that another reader knows all records before an offset.
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/collected_records.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/collected_records.py
@@ -26,6 +26,10 @@
         self._collect = collect
         self.next_offset: int | None = None
         """Offset up to which the topic is known; None if nothing is."""
+        self.size = 0
+        """Size of the largest record, in bytes."""
+        self.unusable_offset = -1
+        """Every record counts as usable."""
         self.freshness = Freshness()
         """Updated with what reads of the store prove."""
         self.contact = DocumentContact()
@@ -35,6 +39,8 @@
 
     def apply_records(self, records: Iterable[KeyedRecord]) -> None:
         """See `ActiveDocument.apply_records`."""
+        records = tuple(records)
+        self.size = max(self.size, *(len(record.value) for record in records), 0)
         self._collect(records)
 
     def expect(self, end_offset: int) -> None:
--- /dev/null
+++ b/tests/services/test_hidden_on_slow_links.py
@@ -0,0 +1,104 @@
+"""A version hidden by a later record is in force in time where a link carries few records."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import TYPE_CHECKING, Final
+
+import trio
+
+from fulmarstile_testing.observed_fleet import STABLE_WINDOW_S, ObservedFleet, play, run_fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from trio.testing import MockClock
+
+_SEEDS: Final = range(1, 4)
+_SIZES: Final = (1, 6)
+_ZONES: Final = 3
+_LINK_KBPS: Final = 5_000
+_DOCUMENT_BYTES: Final = 169_000
+"""Size of a document of 2,098 routes in the store."""
+_CALM_S: Final = 4.0
+_BURST: Final = 8
+_WITHIN_PAUSE_S: Final = 0.1
+_HISTORY: Final = 20
+_REST_S: Final = 8.0
+_SHOWN: Final = 2
+
+
+class SlowLinkTest(unittest.TestCase):
+    maxDiff = None
+
+    def test_the_newest_version_of_a_burst_is_in_force_though_an_older_one_follows_it(self) -> None:
+        """Guards against a read back that begins with records long superseded."""
+
+        async def scenario(fleet: ObservedFleet) -> None:
+            for _ in range(_BURST):
+                fleet.publish()
+                await trio.sleep(_WITHIN_PAUSE_S)
+            fleet.write_again(fleet.version - 1)
+            await trio.sleep(_REST_S)
+
+        self.assertEqual(_list_late(scenario), {})
+
+    def test_the_newest_version_of_a_burst_is_in_force_though_a_deletion_follows_it(self) -> None:
+        """Guards against a read back that begins with records long superseded."""
+
+        async def scenario(fleet: ObservedFleet) -> None:
+            for _ in range(_BURST):
+                fleet.publish()
+                await trio.sleep(_WITHIN_PAUSE_S)
+            fleet.write_value(b"")
+            await trio.sleep(_REST_S)
+
+        self.assertEqual(_list_late(scenario), {})
+
+    def test_a_hidden_version_is_in_force_after_all_daemons_start_on_a_long_history(self) -> None:
+        """Guards against a read back that takes longer than a start may."""
+
+        async def scenario(fleet: ObservedFleet) -> None:
+            ended = await fleet.kill_all()
+            for _ in range(_HISTORY):
+                fleet.publish()
+            fleet.write_again(fleet.version - 1)
+            await fleet.start_together(ended)
+            await trio.sleep(STABLE_WINDOW_S + _REST_S)
+
+        self.assertEqual(_list_late(scenario), {})
+
+
+def _list_late(scenario: Callable[[ObservedFleet], Awaitable[None]]) -> dict[str, list[str]]:
+    """Plays a scenario on fleets of each size; returns what was late."""
+    cases = {
+        f"seed {seed}, {size} daemons": _play(seed, size, scenario)
+        for seed in _SEEDS
+        for size in _SIZES
+    }
+    return {name: late[:_SHOWN] for name, late in cases.items() if late}
+
+
+def _play(seed: int, size: int, scenario: Callable[[ObservedFleet], Awaitable[None]]) -> list[str]:
+    late: list[str] = []
+
+    async def run(_: MockClock) -> None:
+        async with run_fleet(
+            random.Random(seed),
+            size,
+            _ZONES,
+            (_LINK_KBPS,),
+            document_bytes=_DOCUMENT_BYTES,
+            limits_links=True,
+        ) as fleet:
+            await trio.sleep(_CALM_S)
+            await scenario(fleet)
+            late.extend(fleet.list_late())
+
+    play(seed, run)
+    return late
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/services/test_topic_progress.py
+++ b/tests/services/test_topic_progress.py
@@ -51,6 +51,29 @@
         self.assertFalse(self.progress.unread)
         self.assertEqual(self.progress.next_offset, 7)
 
+    def test_unread_records_are_read_back_from_the_last_ones_on(self) -> None:
+        self.progress.on_newest({9}, 10)
+        self.assertEqual(self.progress.choose_read_back(2), 7)
+        self.progress.on_read_back(9, 7)
+        self.assertEqual(self.progress.choose_read_back(2), 5)
+        self.assertEqual(self.progress.unread, range(7))
+
+    def test_what_a_short_read_back_leaves_is_read_before_what_is_older(self) -> None:
+        self.progress.on_newest({9}, 10)
+        self.progress.on_read_back(7, 4)
+        self.assertEqual(self.progress.choose_read_back(4), 7)
+        self.assertEqual(self.progress.unread, range(9))
+        self.progress.on_read_back(9, 7)
+        self.assertEqual(self.progress.choose_read_back(4), 0)
+
+    def test_records_that_were_read_back_are_not_read_again_after_a_second_jump(self) -> None:
+        self.progress.on_newest({4}, 5)
+        self.progress.on_read_back(4, 2)
+        self.progress.on_newest({7}, 8)
+        self.assertEqual(self.progress.choose_read_back(8), 5)
+        self.progress.on_read_back(7, 5)
+        self.assertEqual(self.progress.unread, range(2))
+
     def test_an_offset_told_before_the_first_read_does_not_replace_it(self) -> None:
         self.progress.on_told(7)
         self.assertIsNone(self.progress.next_offset)
