--- a/packages/fulmarstile_services/src/fulmarstile_services/topic_progress.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/topic_progress.py
@@ -18,11 +18,15 @@
     The newest record of a key by its position need not hold the newest version: a write that the
     store delayed may follow it. So what a read of the newest records skips is unread until it was
     read back, or until another reader tells that it knows it.
+
+    It is read back from its end: over a slow link, all of it takes longer than a version may, and a
+    hidden version is mostly close to the record that hides it.
     """
 
     def __init__(self) -> None:
         self._next_offset: int | None = None
-        self._unread = range(0)
+        self._unread: list[range] = []
+        self._skipped_end = 0
         self._has_expired = False
 
     @property
@@ -32,13 +36,24 @@
 
     @property
     def unread(self) -> range:
-        """Offsets before that of which a record may be unknown."""
-        return self._unread
+        """Offsets from the first to the last one of which a record may be unknown."""
+        if not self._unread:
+            return range(0)
+        return range(self._unread[0].start, self._unread[-1].stop)
+
+    def choose_read_back(self, count: int) -> int:
+        """Returns the offset at which to read back next; there must be unread records.
+
+        Args:
+            count: Number of records that one read returns, at least one.
+        """
+        last = self._unread[-1]
+        return max(last.start, last.stop - count)
 
     @property
-    def has_expired(self) -> bool:
-        """Whether records may be unknown that can't be read back any more."""
-        return self._has_expired
+    def skipped_end(self) -> int:
+        """Offset behind the last record that was skipped, known meanwhile or not."""
+        return self._skipped_end
 
     @property
     def is_complete(self) -> bool:
@@ -53,16 +68,17 @@
             end_offset: Offset at which the topic ended.
         """
         start = max(0, end_offset - READ_BACK_RECORDS)
-        if self._unread:
-            start = max(start, self._unread.start)
-        elif self._next_offset is not None:
+        self.on_read_back(start)
+        if self._next_offset is not None:
             start = max(start, self._next_offset)
         else:
             self._has_expired = start > 0
         stop = end_offset
         while stop - 1 in offsets:
             stop -= 1
-        self._unread = range(start, stop)
+        if start < stop:
+            self._unread.append(range(start, stop))
+        self._skipped_end = stop
         self.on_read(end_offset)
 
     def on_read(self, next_offset: int) -> None:
@@ -73,23 +89,32 @@
         """
         self._next_offset = max(self._next_offset or 0, next_offset)
 
-    def on_read_back(self, next_offset: int) -> None:
+    def on_read_back(self, next_offset: int, from_offset: int = 0) -> None:
         """Notes a read of unread records.
 
         Args:
             next_offset: Offset behind the last of them, or of the oldest one that is left.
+            from_offset: Offset of the first of them; by default all before are known.
         """
-        self._unread = range(max(self._unread.start, next_offset), self._unread.stop)
-
-    def on_expired(self, first_offset: int | None) -> None:
+        parts = [
+            part
+            for each in self._unread
+            for part in (
+                range(each.start, min(each.stop, from_offset)),
+                range(max(each.start, next_offset), each.stop),
+            )
+        ]
+        self._unread = [part for part in parts if part]
+
+    def on_expired(self, offset: int, first_offset: int | None) -> None:
         """Notes that unread records have expired.
 
         Args:
+            offset: Offset of one of them.
             first_offset: Offset of the oldest record that is left; None if unknown.
         """
         self._has_expired = True
-        is_left = first_offset is not None and first_offset > self._unread.start
-        self.on_read_back(first_offset if is_left else self._unread.stop)
+        self.on_read_back(max(first_offset or 0, offset + 1))
 
     def on_copy(self) -> None:
         """Notes that a copy was read of what has expired."""
@@ -102,6 +127,6 @@
             known_offset: The offset.
         """
         self.on_read_back(known_offset)
-        self._has_expired &= known_offset < self._unread.stop
+        self._has_expired &= known_offset < self._skipped_end
         if self._next_offset is not None:
             self.on_read(known_offset)
