--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -48,9 +48,10 @@
         """The active table."""
         self.contact = DocumentContact()
         """When the store last told what it has, directly or through other daemons."""
-        self.may_lack_version = False
-        """Whether the operator's topic has records that are unread or of no use, which may hold a
-        newer version."""
+        self.has_unread = False
+        """Whether the operator's topic has records that are unread."""
+        self.has_unusable = False
+        """Whether its newest record is of no use, and may be a newer version."""
         self._clock = clock
         self._newest_version = -1
         self._heard_at = 0.0
@@ -74,7 +75,10 @@
         """
         if self.table is None:
             return False
-        if self.may_lack_version or self.contact.is_silent(self._clock()):
+        now = self._clock()
+        if self.has_unusable or self.contact.is_silent(now):
+            return True
+        if self.has_unread and self.contact.may_lack_unread(now):
             return True
         is_behind = self.table.version < self._newest_version
         return is_behind and trio.current_time() - self._heard_at < _ARRIVAL_S
@@ -342,7 +346,8 @@
 
     def _note_completeness(self) -> None:
         is_known = self._next_offset is not None and self._next_offset >= self._end_offset
-        self._routes.may_lack_version = not is_known or self.unusable_offset >= 0
+        self._routes.has_unread = not is_known
+        self._routes.has_unusable = self.unusable_offset >= 0
 
     def _note_outdated(self, version: int, offset: int | None, digest: str) -> None:
         """Logs an older version that the topic holds behind the active one."""
--- a/packages/fulmarstile_services/src/fulmarstile_services/document_contact.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/document_contact.py
@@ -10,6 +10,10 @@
 at most 2.4 s: the poll of a daemon that all others ask, and the time that two replies wait."""
 MAX_READER_SILENT_S: Final = 2.4
 """The same for a daemon that reads the store or asks one that does; in calm at most 1.8 s."""
+MAX_UNREAD_SILENT_S: Final = 1.8
+"""The same where the operator's topic is known to have records that are unread: a version among
+them is due 2.0 s after its acknowledgement, and what was acknowledged before the last contact is
+known."""
 
 
 class DocumentContact:
@@ -45,3 +49,7 @@
     def is_silent(self, now: float) -> bool:
         """Returns whether contact was lost for so long that due versions may be missing."""
         return MAX_SILENT_S < self.silent_s(now) < math.inf
+
+    def may_lack_unread(self, now: float) -> bool:
+        """Returns whether a version that is due may be among records known to be unread."""
+        return self.silent_s(now) > MAX_UNREAD_SILENT_S
--- a/tests/services/test_document_contact.py
+++ b/tests/services/test_document_contact.py
@@ -8,7 +8,13 @@
 import msgspec
 import trio
 
-from fulmarstile_services.document_contact import MAX_SILENT_S, DocumentContact
+from fulmarstile_daemon.services.documents import ActiveRoutes
+from fulmarstile_services.document_contact import (
+    MAX_SILENT_S,
+    MAX_UNREAD_SILENT_S,
+    DocumentContact,
+)
+from fulmarstile_services.routing_table import RoutingTable
 from fulmarstile_testing.builders.service_mesh import serve_mesh
 from fulmarstile_testing.builders.services import make_customer, make_document, make_route
 from fulmarstile_testing.virtual_documents import run_document_fleet
@@ -22,6 +28,8 @@
 CALM_S = 20.0
 STABLE_WINDOW_S = 3.0
 """Time after a disruption from which versions must be in force, in seconds."""
+APPLY_S = 2.0
+"""Time from the acknowledgement of a version until it must be in force, in seconds."""
 CONTACT_S = 1.0
 """Time within which contact is found again on an idle machine, in seconds."""
 KEY = ("api-key", "key-1")
@@ -56,6 +64,27 @@
         self.assertTrue(contact.is_silent(MAX_SILENT_S + 0.01))
 
 
+class UnreadRecordsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.routes = ActiveRoutes(lambda: self.now)
+        self.routes.table = RoutingTable(make_document(make_route()))
+        self.routes.has_unread = True
+
+    def test_a_request_is_not_rejected_for_good_without_any_contact(self) -> None:
+        self.assertTrue(self.routes.is_outdated)
+
+    def test_a_request_is_rejected_for_good_until_an_unread_version_may_be_due(self) -> None:
+        """Guards against a 503 in each burst, though all that is due is known."""
+        self.routes.contact.hear(self.now)
+        self.now += MAX_UNREAD_SILENT_S
+        self.assertFalse(self.routes.is_outdated)
+        self.now = 100.0 + APPLY_S
+        self.assertTrue(self.routes.is_outdated)
+        self.routes.has_unread = False
+        self.assertFalse(self.routes.is_outdated)
+
+
 class FleetContactTest(unittest.TestCase):
     def check_calm(
         self, size: int, revoke_s: float = 0.0, *, has_old_daemons: bool = False
