--- a/tests/processes/test_soak_config.py
+++ b/tests/processes/test_soak_config.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from fulmarstile_adapter_testing.config_operator import Records, WriteForm, Writes
 from fulmarstile_adapter_testing.config_rules import (
     BACK,
     LATE,
@@ -20,7 +21,7 @@
     Outcome,
 )
 from fulmarstile_adapter_testing.config_versions import ConfigRoute, ConfigVersion
-from fulmarstile_adapter_testing.soak_config import run_soak
+from fulmarstile_adapter_testing.soak_config import DEFAULT_RATE, run_soak
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -72,6 +73,17 @@
         self.assertGreater(report.statuses["200"], 0)
 
 
+class OlderVersionSoakTest(unittest.TestCase):
+    def test_versions_stay_in_force_after_an_outage_with_older_ones_behind_them(self) -> None:
+        # The seed puts a burst into the outage, and the next one 5.5 s behind its end.
+        form = WriteForm(Writes.PAUSES, Records.OLDER)
+        with tempfile.TemporaryDirectory() as folder:
+            report = trio.run(run_soak, 23, "outage", 16.0, Path(folder), DEFAULT_RATE, form)
+        self.assertEqual(report.violations, [])
+        self.assertEqual(report.faults["denied"], 0)
+        self.assertGreater(report.statuses["200"], 0)
+
+
 class LateVersionTest(unittest.TestCase):
     def list_late(
         self, applied_at: float, *disturbances: Disturbance, begun_at: float = 0.0
