Read skipped records again after an early answer of the store (CONFIG, DENIED)

A store that answered the read back at once and without a record let a daemon take all skipped records for read: it claimed contact and freshness without a version hidden among them, so that callers got 404 for its routes and revoked keys were accepted.

Such a read was taken for the end of the unread records, so that it would not be repeated without end. It is now repeated after 0.2 s, doubled up to 0.8 s, and so is a failed one (0.3 s before), which bounds the calls of one that never succeeds.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -56,8 +56,10 @@
 only the few daemons that all others rely on read them, unless these don't."""
 _LATE_TELL_S: Final = 1.2
 """The same for all other daemons."""
-_RETRY_S: Final = 0.3
-"""Pause after a read of skipped records that failed, in seconds."""
+_RETRY_S: Final = 0.2
+"""Pause after a read of skipped records that returned nothing, in seconds; doubled with each
+more."""
+_MAX_RETRY_S: Final = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +105,7 @@
         self._max_burst_bytes = min(MAX_READ_BYTES, int(read_bytes_per_s * _MAX_SIZE_PAUSE_S))
         self._progress = TopicProgress()
         self._has_unread = trio.Event()
+        self._retry_s = _RETRY_S
         self._proof: _Proof | None = None
         self._is_following = False
         self._store: KeyedLog | None = None
@@ -220,16 +223,24 @@
             return
         except LogError as error:
             _LOGGER.debug("skipped records could not be read: %s", error)
-            await trio.sleep(_RETRY_S)
+            await self._defer_read_back()
             return
         read_s = trio.current_time() - started_at
         self._note(page, _PURPOSE_SKIPPED, read_s, offset)
         self._documents.apply_records(page.records)
-        is_news = page.next_offset > offset
-        progress.on_read_back(page.next_offset if is_news else progress.unread.stop, offset)
+        if page.next_offset <= offset:
+            # A store may answer early.
+            await self._defer_read_back()
+            return
+        progress.on_read_back(page.next_offset, offset)
+        self._retry_s = _RETRY_S
         # Half of the link remains for requests.
         await trio.sleep(read_s)
 
+    async def _defer_read_back(self) -> None:
+        await trio.sleep(self._retry_s)
+        self._retry_s = min(_MAX_RETRY_S, 2 * self._retry_s)
+
     def _note_told(self) -> None:
         """Notes what other daemons know of the topic."""
         self._progress.on_told(self._documents.next_offset or 0)
