Know where the topic holds the active version, on whichever daemon it was read (CONFIG, DENIED)

- A hidden version was mostly not copied: the daemons that read the older record had the newer one from another daemon and didn't know its offset, the others were told past it.
Replies carry the offsets of the version, of the last record and of the last unusable one (DocumentPosition); they only grow, so what daemons tell can be merged in any order.
A reply of an earlier release, without them, teaches no offset.
- An older version behind unusable bytes made a missing route a 404 again, {404} != {503}.
Other records are told as far as the topic is known.
- Records larger than a read, of which the store returns none, were never read back, ({3}, None) != ({0, 1, 2, 3}, 4); the read gets room.
- Skipped records beyond the 16 last ones, and unread ones that another jump left behind, counted as known.
They need the copy now.
- The check of the long poll took unread records for a poll that doesn't deliver, and ended reads (read off the code).
- Others relied on a daemon without bound that can't read back; copies were retried without a growing pause, one log line each.

document_unread and document_complete say when records are unread; events of the document stand in a module of their own.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_copies.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_copies.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, Final
 
 import trio
 
-from fulmarstile_daemon.services.events import DocumentCopied, RecordIgnored
-from fulmarstile_platform.log import LogError
+from fulmarstile_daemon.services.document_events import DocumentCopied, DocumentNotCopied
+from fulmarstile_daemon.services.events import RecordIgnored
+from fulmarstile_platform.keyed_log import LogConflictError
+from fulmarstile_platform.log import LogError, LogRefusedError
 from fulmarstile_services.document_delta import DeltaError, compress_document, restore_document
 from fulmarstile_wire.documents import DocumentCopy, decode_copy, encode_copy
 from fulmarstile_wire.errors import WireError
@@ -18,6 +21,8 @@
     from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
     from fulmarstile_services.document_sources import DocumentSources
 
+_LOGGER: Final = logging.getLogger(__name__)
+
 DOCUMENT_COPIES_TOPIC: Final = "keyed.fulmarstile.document"
 """Topic that holds the last version that was hidden."""
 _KEY: Final = "newest"
@@ -28,6 +33,8 @@
 """Time after which a daemon that others don't rely on writes a copy, in seconds, as mostly it is
 written then."""
 _RETRY_S: Final = 0.5
+"""Pause after a failure, in seconds; doubled with each more."""
+_MAX_RETRY_S: Final = 8.0
 
 
 class DocumentCopies:
@@ -62,12 +69,19 @@
             self._is_hidden = trio.Event()
             if not self._sources.is_prompt_reader:
                 await trio.sleep(_LATE_DELAY_S)
-            while documents.is_hidden and self._copied_version < documents.version:
+            retry_s = _RETRY_S
+            while documents.position.is_hidden and self._copied_version < documents.version:
                 try:
                     await self._copy(store)
+                except LogConflictError:
+                    # Another daemon has written a copy.
+                    continue
+                except LogRefusedError as error:
+                    self._give_up(documents.version, str(error))
                 except LogError as error:
-                    self._log.write(DocumentCopied(version=documents.version, error=str(error)))
-                    await trio.sleep(_RETRY_S)
+                    _LOGGER.debug("a hidden version was not copied: %s", error)
+                    await trio.sleep(retry_s)
+                    retry_s = min(_MAX_RETRY_S, retry_s * 2)
 
     async def read(self, store: KeyedLog) -> None:
         """Applies the version that was copied, if it is newer than the active one.
@@ -102,11 +116,14 @@
         if copy is None or copy.version < version:
             value = encode_copy(DocumentCopy(version, compress_document(document)))
             if not document or len(value) > _MAX_RECORD_BYTES:
-                reason = f"it can't be copied: {len(document)} bytes, {len(value)} compressed"
-                self._log.write(DocumentCopied(version=version, error=reason))
-            else:
-                await store.append_keyed(DOCUMENT_COPIES_TOPIC, _KEY, value, page.next_offset)
-                self._log.write(DocumentCopied(version=version, bytes=len(value)))
+                self._give_up(version, f"{len(document)} bytes, {len(value)} compressed")
+                return
+            await store.append_keyed(DOCUMENT_COPIES_TOPIC, _KEY, value, page.next_offset)
+            self._log.write(DocumentCopied(version=version, bytes=len(value)))
+        self._copied_version = max(self._copied_version, version)
+
+    def _give_up(self, version: int, reason: str) -> None:
+        self._log.write(DocumentNotCopied(version=version, reason=reason))
         self._copied_version = max(self._copied_version, version)
 
     def _decode(self, records: tuple[KeyedRecord, ...]) -> DocumentCopy | None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -12,7 +12,11 @@
 from fulmarstile_daemon.services._document_copies import DocumentCopies
 from fulmarstile_daemon.services._outage_tracker import OutageTracker
 from fulmarstile_daemon.services._read_pacer import ReadPacer
-from fulmarstile_daemon.services.events import DocumentRead
+from fulmarstile_daemon.services.document_events import (
+    DocumentComplete,
+    DocumentRead,
+    DocumentUnread,
+)
 from fulmarstile_platform.keyed_log import MAX_READ_BYTES, RecordsExpiredError
 from fulmarstile_platform.log import LogError
 from fulmarstile_services.topic_progress import TopicProgress
@@ -57,6 +61,8 @@
 only the few daemons that all others rely on read them, unless these don't."""
 _LATE_TELL_S: Final = 1.2
 """The same for all other daemons."""
+_MAX_UNREAD_S: Final = 1.2
+"""Time for which others rely on a daemon that has skipped records, in seconds."""
 _RETRY_S: Final = 0.2
 """Pause after a read of skipped records that returned nothing, in seconds; doubled with each
 more."""
@@ -104,10 +110,12 @@
         read_bytes_per_s = link_bytes_per_s * _LINK_SHARE
         self._pacer = ReadPacer(_MAX_PAUSE_S, read_bytes_per_s, _MAX_SIZE_PAUSE_S)
         self._max_burst_bytes = min(MAX_READ_BYTES, int(read_bytes_per_s * _MAX_SIZE_PAUSE_S))
+        self._read_back_bytes = self._max_burst_bytes
         self._progress = TopicProgress()
         self._copies = DocumentCopies(documents, sources, log)
         self._has_unread = trio.Event()
         self._retry_s = _RETRY_S
+        self._unread_since: float | None = None
         self._proof: _Proof | None = None
         self._is_following = False
         self._store: KeyedLog | None = None
@@ -122,8 +130,11 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether this daemon follows the store, without an error."""
-        return self._is_following and not self._outage.is_ongoing
+        """Whether this daemon follows the store, without an error, and soon knows all of it."""
+        if not self._is_following or self._outage.is_ongoing:
+            return False
+        unread_since = self._unread_since
+        return unread_since is None or trio.current_time() - unread_since < _MAX_UNREAD_S
 
     @property
     def is_overtaken(self) -> bool:
@@ -213,7 +224,7 @@
         if not self._sources.is_prompt_reader:
             return _LATE_TELL_S
         # If the newest record is of no use, nothing of what was skipped is in force yet.
-        return 0.0 if self._documents.unusable_offset >= 0 else _TELL_S
+        return 0.0 if self._documents.position.may_be_superseded else _TELL_S
 
     async def _read_back(self, store: KeyedLog) -> None:
         """Reads some of the unread records, the last ones first."""
@@ -223,7 +234,7 @@
         offset = progress.choose_read_back(max(1, count))
         started_at = trio.current_time()
         try:
-            page = await store.read_keyed(self._topic, offset, 0.0, self._max_burst_bytes)
+            page = await store.read_keyed(self._topic, offset, 0.0, self._read_back_bytes)
         except RecordsExpiredError as error:
             progress.on_expired(offset, error.first_offset)
             return
@@ -235,7 +246,8 @@
         self._note(page, _PURPOSE_SKIPPED, read_s, offset)
         self._documents.apply_records(page.records)
         if page.next_offset <= offset:
-            # A store may answer early.
+            # A store may answer early, or return no record that is larger than the read.
+            self._read_back_bytes = MAX_READ_BYTES
             await self._defer_read_back()
             return
         progress.on_read_back(page.next_offset, offset)
@@ -268,16 +280,37 @@
         if progress.next_offset is None:
             return
         if not progress.is_complete:
-            documents.expect(progress.skipped_end)
+            documents.expect(progress.next_offset)
+            self._note_unread()
             self._has_unread.set()
             return
         documents.learn(progress.next_offset)
+        self._note_complete()
         if self._proof is not None:
             documents.freshness.confirm(self._proof.sent_at)
             documents.contact.hear(self._proof.heard_at)
             self._proof = None
             self._is_following = True
 
+    def _note_unread(self) -> None:
+        if self._unread_since is not None:
+            return
+        self._unread_since = trio.current_time()
+        self._log.write(
+            DocumentUnread(
+                version=self._documents.version,
+                from_offset=self._progress.unread.start,
+                next_offset=self._progress.next_offset or 0,
+            )
+        )
+
+    def _note_complete(self) -> None:
+        if self._unread_since is None:
+            return
+        after_s = round(trio.current_time() - self._unread_since, 2)
+        self._unread_since = None
+        self._log.write(DocumentComplete(version=self._documents.version, after_s=after_s))
+
     def renew(self) -> None:
         """Ends a read that waits in silence, so that another one follows over a new connection."""
         if self._store is None:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
@@ -308,5 +308,7 @@
             self._is_current(),
             math.ceil(age_s * 1000) if math.isfinite(age_s) else -1,
             math.floor(heard_s * 1000) if math.isfinite(heard_s) else None,
-            documents.unusable_offset,
+            documents.position.active_offset,
+            documents.position.last_offset,
+            documents.position.unusable_offset,
         )
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_watch.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_watch.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from fulmarstile_daemon.services.events import DocumentHeard, DocumentSilent
+from fulmarstile_daemon.services.document_events import DocumentHeard, DocumentSilent
 from fulmarstile_services.document_contact import MAX_READER_SILENT_S
 
 if TYPE_CHECKING:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_freshness_keeper.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_freshness_keeper.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from fulmarstile_daemon.services.events import DocumentConfirmed, DocumentStale
+from fulmarstile_daemon.services.document_events import DocumentConfirmed, DocumentStale
 from fulmarstile_platform.log import LogError
 
 if TYPE_CHECKING:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -8,7 +8,7 @@
 import trio
 
 from fulmarstile_daemon.services._boot_clock import read_boot_clock
-from fulmarstile_daemon.services.events import (
+from fulmarstile_daemon.services.document_events import (
     DocumentApplied,
     DocumentOutdated,
     DocumentRejected,
@@ -17,6 +17,7 @@
 from fulmarstile_services.document_contact import DocumentContact
 from fulmarstile_services.document_delta import digest_document
 from fulmarstile_services.document_history import DocumentHistory
+from fulmarstile_services.document_position import UNKNOWN_OFFSET, DocumentPosition
 from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.routing_table import RoutingTable
 
@@ -107,11 +108,11 @@
         self._routes = routes
         self._log = log
         self._raw = b""
-        self._offset: int | None = None
         self._others: dict[str, KeyedRecord] = {}
         self._next_offset: int | None = None
         self._end_offset = 0
-        self._usable_offset = self._unusable_offset = -1
+        self.position = DocumentPosition()
+        """Where the operator's topic holds the active version."""
         self.freshness = freshness or Freshness()
         """Age of the knowledge that the active version is the newest."""
         self.clock = clock
@@ -153,17 +154,6 @@
         """Offset up to which its topic is known; None if nothing is."""
         return self._next_offset
 
-    @property
-    def unusable_offset(self) -> int:
-        """Offset of the newest record of the document if it is of no use; else -1."""
-        return self._unusable_offset if self._unusable_offset > self._usable_offset else -1
-
-    @property
-    def is_hidden(self) -> bool:
-        """Whether the topic has another record of the document behind the active version's."""
-        last_offset = max(self._usable_offset, self._unusable_offset)
-        return self._offset is not None and last_offset > self._offset
-
     @property
     def silent_s(self) -> float | None:
         """Time since the last contact with the store, rounded; None if there was none."""
@@ -189,9 +179,10 @@
             next_offset: Offset of the first record that is of interest.
 
         Returns:
-            The records in their order in the topic.
+            The records in their order in the topic, up to where all of it is known.
         """
-        records = [each for each in self._others.values() if each.offset >= next_offset]
+        known = range(next_offset, self._next_offset or 0)
+        records = [each for each in self._others.values() if each.offset in known]
         return sorted(records, key=lambda record: record.offset)
 
     def connection_limit(self, service: str) -> int:
@@ -215,31 +206,29 @@
             Whether it was applied.
         """
         if not raw:
-            self._note_use(offset, is_usable=False)
+            self._note_unusable(offset)
             return False
         if raw == self._raw:
-            self._note_use(offset)
-            self._note_again(offset)
+            self._note_known(self.version, offset)
             return False
         digest = digest_document(raw).hex()
         try:
             document = self._platform.decode_document(raw)
             if document.version <= self.version:
-                self._note_use(offset)
-                self._note_outdated(document.version, offset, digest)
+                self._note_known(document.version, offset, digest)
                 return False
             table = RoutingTable(document)
         except DocumentError as error:
             self._log.write(
                 DocumentRejected(reason=str(error), source=source, offset=offset, digest=digest)
             )
-            self._note_use(offset, is_usable=False)
+            self._note_unusable(offset)
             return False
         replaced = self.version
         self._routes.table = table
         self._raw = raw
-        self._offset = offset
-        self._note_use(offset)
+        self.position.on_active(UNKNOWN_OFFSET if offset is None else offset, is_new=True)
+        self._note_completeness()
         self.history.add(self._redact(raw))
         self._log.write(
             DocumentApplied(
@@ -272,15 +261,14 @@
         # The last one is mostly the newest, but a write that the store delayed may follow it.
         for record in reversed(documents):
             self.apply_if_newer(record.value, SOURCE_STORE, offset=record.offset)
-        if self.is_hidden:
-            self.on_hidden()
+        self._report_hidden()
         self.apply_others(others)
 
     def expect(self, end_offset: int) -> None:
-        """Notes that the operator's topic has records up to an offset, some of them unread.
+        """Notes that the operator's topic was read up to an offset, but for what was skipped.
 
         Args:
-            end_offset: Offset at which the topic ended.
+            end_offset: Offset up to which it was read.
         """
         self._end_offset = max(self._end_offset, end_offset)
         self._note_completeness()
@@ -304,11 +292,16 @@
         Args:
             reply: Its reply, whose version is in force here, or a newer one.
         """
-        if reply.next_offset < (self._next_offset or 0):
+        if reply.active_offset is None:
             return
-        if self._unusable_offset < reply.next_offset:
-            self._unusable_offset = reply.unusable_offset
-        self.learn(reply.next_offset)
+        if reply.version == self.version:
+            self.position.on_active(reply.active_offset, is_new=False)
+        self.position.on_older(reply.last_offset)
+        self.position.on_unusable(reply.unusable_offset)
+        self._note_completeness()
+        self._report_hidden()
+        if reply.next_offset >= (self._next_offset or 0):
+            self.learn(reply.next_offset)
 
     def apply_others(self, records: list[KeyedRecord]) -> None:
         """Applies records of the operator's topic that hold no document.
@@ -326,7 +319,7 @@
         self._notify()
 
     async def confirm(self, store: KeyedLog) -> bool:
-        """Asks the store whether its topic has records beyond what is known.
+        """Asks the store whether its topic has records beyond what was read.
 
         Only the end of the topic is read: a read that returned records would bring the document
         once more while it is on its way already.
@@ -335,48 +328,49 @@
             store: The platform's store.
 
         Returns:
-            Whether the store has nothing newer.
+            Whether the store has nothing that was not read; what reads have skipped is of no
+            concern, but keeps the version from being confirmed as the newest one.
 
         Raises:
             LogError: If the store cannot be read.
         """
         sent_at = self.clock()
         end_offset = await store.read_end(self.topic)
-        if self._next_offset is None or end_offset > self._next_offset:
-            return False
-        self.freshness.confirm(sent_at)
-        self.contact.hear(self.clock())
-        return True
+        if self._next_offset is not None and end_offset <= self._next_offset:
+            self.freshness.confirm(sent_at)
+            self.contact.hear(self.clock())
+            return True
+        return end_offset <= self._end_offset
 
-    def _note_use(self, offset: int | None, *, is_usable: bool = True) -> None:
-        """Notes whether a record of the document could be used."""
-        if offset is not None and is_usable:
-            self._usable_offset = max(self._usable_offset, offset)
-        elif offset is not None:
-            self._unusable_offset = max(self._unusable_offset, offset)
-        self._note_completeness()
+    def _report_hidden(self) -> None:
+        if self.position.is_hidden:
+            self.on_hidden()
 
-    def _note_again(self, offset: int | None) -> None:
-        """Notes that a record holds the active version."""
+    def _note_unusable(self, offset: int | None) -> None:
+        """Notes a record that is a deletion or cannot be decoded."""
         if offset is not None:
-            self._offset = max(self._offset or 0, offset)
-
-    def _note_completeness(self) -> None:
-        is_known = self._next_offset is not None and self._next_offset >= self._end_offset
-        self._routes.has_unread = not is_known
-        self._routes.has_unusable = self.unusable_offset >= 0
+            self.position.on_unusable(offset)
+            self._note_completeness()
 
-    def _note_outdated(self, version: int, offset: int | None, digest: str) -> None:
-        """Logs an older version that the topic holds behind the active one."""
+    def _note_known(self, version: int, offset: int | None, digest: str = "") -> None:
+        """Notes a record that holds the active version or an older one."""
         if offset is None:
             return
         if version == self.version:
-            self._note_again(offset)
-        elif self._offset is not None and offset > self._offset:
+            self.position.on_active(offset, is_new=False)
+            self._note_completeness()
+            return
+        self.position.on_older(offset)
+        if UNKNOWN_OFFSET < self.position.active_offset < offset:
             self._log.write(
                 DocumentOutdated(version=version, active=self.version, offset=offset, digest=digest)
             )
 
+    def _note_completeness(self) -> None:
+        is_known = self._next_offset is not None and self._next_offset >= self._end_offset
+        self._routes.has_unread = not is_known
+        self._routes.has_unusable = self.position.may_be_superseded
+
     def _redact(self, raw: bytes) -> bytes:
         try:
             return self._platform.redact_document(raw)
--- a/packages/fulmarstile_services/src/fulmarstile_services/topic_progress.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/topic_progress.py
@@ -27,7 +27,7 @@
         self._next_offset: int | None = None
         self._unread: list[range] = []
         self._skipped_end = 0
-        self._has_expired = False
+        self._needs_copy = False
 
     @property
     def next_offset(self) -> int | None:
@@ -41,6 +41,11 @@
             return range(0)
         return range(self._unread[0].start, self._unread[-1].stop)
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether all records before `next_offset` are known."""
+        return self._next_offset is not None and not self._unread and not self._needs_copy
+
     def choose_read_back(self, count: int) -> int:
         """Returns the offset at which to read back next; there must be unread records.
 
@@ -50,16 +55,6 @@
         last = self._unread[-1]
         return max(last.start, last.stop - count)
 
-    @property
-    def skipped_end(self) -> int:
-        """Offset behind the last record that was skipped, known meanwhile or not."""
-        return self._skipped_end
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether all records before `next_offset` are known."""
-        return self._next_offset is not None and not self._unread and not self._has_expired
-
     def on_newest(self, offsets: Collection[int], end_offset: int) -> None:
         """Notes a read of the newest record of each key.
 
@@ -67,12 +62,11 @@
             offsets: Offsets of the records that were returned.
             end_offset: Offset at which the topic ended.
         """
-        start = max(0, end_offset - READ_BACK_RECORDS)
-        self.on_read_back(start)
-        if self._next_offset is not None:
-            start = max(start, self._next_offset)
-        else:
-            self._has_expired = start > 0
+        limit = max(0, end_offset - READ_BACK_RECORDS)
+        known_offset = self._next_offset or 0
+        self._needs_copy |= limit > known_offset or any(each.start < limit for each in self._unread)
+        self.on_read_back(limit)
+        start = max(limit, known_offset)
         stop = end_offset
         while stop - 1 in offsets:
             stop -= 1
@@ -113,12 +107,12 @@
             offset: Offset of one of them.
             first_offset: Offset of the oldest record that is left; None if unknown.
         """
-        self._has_expired = True
+        self._needs_copy = True
         self.on_read_back(max(first_offset or 0, offset + 1))
 
     def on_copy(self) -> None:
         """Notes that a copy was read of what has expired."""
-        self._has_expired = False
+        self._needs_copy = False
 
     def on_told(self, known_offset: int) -> None:
         """Notes that another reader knows all records before an offset.
@@ -127,6 +121,6 @@
             known_offset: The offset.
         """
         self.on_read_back(known_offset)
-        self._has_expired &= known_offset < self._skipped_end
+        self._needs_copy &= known_offset < self._skipped_end
         if self._next_offset is not None:
             self.on_read(known_offset)
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/collected_records.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/collected_records.py
@@ -7,6 +7,7 @@
 import trio
 
 from fulmarstile_services.document_contact import DocumentContact
+from fulmarstile_services.document_position import DocumentPosition
 from fulmarstile_services.freshness import Freshness
 
 if TYPE_CHECKING:
@@ -28,16 +29,16 @@
         """Offset up to which the topic is known; None if nothing is."""
         self.size = 0
         """Size of the largest record, in bytes."""
-        self.unusable_offset = -1
-        """Every record counts as usable."""
+        self.position = DocumentPosition()
+        """Knows no record, so that every one counts as usable."""
         self.freshness = Freshness()
         """Updated with what reads of the store prove."""
         self.contact = DocumentContact()
         """Updated with when the store answers."""
         self.clock = trio.current_time
         """Returns the time in seconds."""
-        self.is_hidden = False
-        """See `ActiveDocument.is_hidden`."""
+        self.version = -1
+        """No version is applied."""
         self.on_hidden: Callable[[], None] = lambda: None
         """Never called."""
 
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/odd_keyed_log.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/fakes/odd_keyed_log.py
@@ -59,3 +59,16 @@
     async def _begin_call(self) -> None:
         self.calls += 1
         await trio.sleep(_ANSWER_S)
+
+
+class StrictKeyedLog(FakeKeyedLog):
+    """Store that returns no record which is larger than the read."""
+
+    async def read_keyed(
+        self, topic: str, offset: int, wait_s: float, max_bytes: int = MAX_READ_BYTES
+    ) -> KeyedPage:
+        """See `KeyedLog.read_keyed`."""
+        page = await super().read_keyed(topic, offset, wait_s, max_bytes)
+        if sum(len(record.value) for record in page.records) > max_bytes:
+            return KeyedPage((), offset, has_more=True)
+        return page
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/documents.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/documents.py
@@ -53,9 +53,14 @@
     """Time from the arrival of the request to the last contact of the replying daemon with the
     store, direct or through others, in milliseconds; negative if that was before, None if there was
     none."""
+    active_offset: int | None = None
+    """Offset of the last record of the version, -1 if unknown; None from a daemon of an earlier
+    release, which may not know all records before `next_offset`."""
+    last_offset: int = -1
+    """Offset of the last record of the document, -1 if unknown."""
     unusable_offset: int = -1
-    """Offset of the topic's newest record of the document if it is of no use to the replying
-    daemon; else -1."""
+    """Offset of the last record of the document that is a deletion or cannot be decoded, -1 if
+    there is none."""
 
 
 class DocumentCopy(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/services/test_hidden_versions.py
+++ b/tests/services/test_hidden_versions.py
@@ -6,13 +6,15 @@
 import unittest
 from itertools import product
 from typing import TYPE_CHECKING, Final
+from unittest import mock
 
 import trio
 
 from fulmarstile_daemon.services._document_copies import DOCUMENT_COPIES_TOPIC
+from fulmarstile_daemon.services._document_relay import DocumentRelay
 from fulmarstile_testing.builders.service_mesh import READY_TIMEOUT_S
 from fulmarstile_testing.builders.services import make_route
-from fulmarstile_testing.fakes.service_platform import DOCUMENT_TOPIC
+from fulmarstile_testing.fakes.service_platform import DOCUMENT_TOPIC, ORDER_KEY
 from fulmarstile_testing.observed_fleet import (
     CONFIG_APPLY_S,
     STABLE_WINDOW_S,
@@ -26,8 +28,12 @@
 
     from trio.testing import MockClock
 
+    from fulmarstile_wire.documents import DocumentReply, DocumentRequest
+
 _SEEDS: Final = range(1, 7)
 _FEW_SEEDS: Final = range(1, 4)
+_COPY_SEEDS: Final = range(1, 13)
+_MANY_DAEMONS: Final = 12
 _MAX_DAEMONS: Final = 8
 _ZONES: Final = 3
 _CALM_S: Final = 4.0
@@ -44,6 +50,10 @@
 """Sizes of a version; of the larger ones, a reader that lags behind reads one at a time."""
 _SHOWN: Final = 2
 """Number of late versions that are shown of each case."""
+_LARGE_DOCUMENT_BYTES: Final = 600_000
+"""Size of a version of which a read returns one."""
+_MAX_ANSWERS: Final = 400
+"""Replies between eight daemons within 3 s, of which each asks twice a second in calm."""
 _NO_DOCUMENT: Final = b"no document"
 _DELETION: Final = b""
 _MISSING: Final = "/none/a"
@@ -126,6 +136,24 @@
 
         self.assertEqual(_list_late(_FEW_SEEDS, scenario), {})
 
+    def test_a_hidden_version_is_copied_whoever_reads_which_of_the_two_records(self) -> None:
+        """Guards against versions that no single daemon knows to be hidden."""
+        missing: set[int] = set()
+
+        async def scenario(fleet: ObservedFleet, rng: random.Random) -> None:
+            await trio.sleep(_CALM_S + rng.random())
+            for _ in range(4):
+                fleet.publish()
+                await trio.sleep(rng.uniform(*_WITHIN_PAUSE_S))
+            fleet.write_again(fleet.version - 1)
+            await trio.sleep(CONFIG_APPLY_S)
+            if not fleet.mesh.store.list_records(DOCUMENT_COPIES_TOPIC):
+                missing.add(seed)
+
+        for seed in _COPY_SEEDS:
+            _play(seed, scenario, daemons=_MANY_DAEMONS)
+        self.assertEqual(missing, set())
+
     def test_a_missing_route_is_rejected_after_a_start_though_the_copy_is_unusable(self) -> None:
         """Guards against daemons that wait for ever for what a broken copy may hold."""
         statuses: set[int] = set()
@@ -253,6 +281,53 @@
         self.assertEqual(undecoded, {503})
 
 
+class OtherRecordsTest(unittest.TestCase):
+    def test_an_older_version_behind_an_unusable_record_does_not_make_that_known(self) -> None:
+        """Guards against a 404 beside a record that may be a newer version."""
+        statuses: set[int] = set()
+
+        async def scenario(fleet: ObservedFleet, _: random.Random) -> None:
+            fleet.publish(make_route(prefix="/new/"))
+            fleet.publish(make_route(prefix="/new/"))
+            await trio.sleep(_CALM_S)
+            fleet.write_value(_NO_DOCUMENT)
+            await trio.sleep(CONFIG_APPLY_S)
+            fleet.write_again(fleet.version - 1)
+            await trio.sleep(CONFIG_APPLY_S)
+            statuses.update(await _call_all(fleet, _MISSING))
+
+        _play(1, scenario)
+        self.assertEqual(statuses, {503})
+
+    def test_a_record_of_another_key_behind_unread_ones_does_not_let_daemons_ask_in_a_loop(
+        self,
+    ) -> None:
+        """Guards against replies that repeat what the other daemon can't take over yet."""
+        answers = 0
+        answer = DocumentRelay.answer
+
+        async def count(relay: DocumentRelay, request: DocumentRequest) -> DocumentReply:
+            nonlocal answers
+            answers += 1
+            return await answer(relay, request)
+
+        async def scenario(fleet: ObservedFleet, _: random.Random) -> None:
+            await trio.sleep(_CALM_S)
+            with fleet.store_out_of_reach():
+                await trio.sleep(_OUTAGE_S / 2)
+                for _ in range(4):
+                    fleet.publish()
+                fleet.mesh.store.put(DOCUMENT_TOPIC, ORDER_KEY, b"order")
+                await trio.sleep(_OUTAGE_S / 2)
+            nonlocal answers
+            answers = 0
+            await trio.sleep(STABLE_WINDOW_S)
+
+        with mock.patch.object(DocumentRelay, "answer", count):
+            _play(1, scenario, _LARGE_DOCUMENT_BYTES, daemons=_MAX_DAEMONS)
+        self.assertLess(answers, _MAX_ANSWERS)
+
+
 async def _publish_burst(fleet: ObservedFleet, rng: random.Random) -> None:
     """Publishes versions within the pauses of the readers, and an older one behind the newest."""
     await trio.sleep(_CALM_S + rng.random())
@@ -324,15 +399,19 @@
     scenario: Callable[[ObservedFleet, random.Random], Awaitable[None]],
     document_bytes: int = 0,
     max_daemons: int = _MAX_DAEMONS,
+    daemons: int = 0,
 ) -> list[str]:
-    """Plays a scenario on a fleet; returns what was late, and whether a daemon did not start."""
+    """Plays a scenario on a fleet; returns what was late, and whether a daemon did not start.
+
+    The size of the fleet is drawn unless it is given.
+    """
     rng = random.Random(seed)
     # Draws of the daemons must not change what the scenario does.
     scenario_rng = random.Random(seed)
     late: list[str] = []
 
     async def run(_: MockClock) -> None:
-        size = rng.randint(min(2, max_daemons), max_daemons)
+        size = daemons or rng.randint(min(2, max_daemons), max_daemons)
         async with run_fleet(rng, size, _ZONES, document_bytes=document_bytes) as fleet:
             await scenario(fleet, scenario_rng)
             late.extend(fleet.list_late())
--- a/tests/services/test_topic_progress.py
+++ b/tests/services/test_topic_progress.py
@@ -91,6 +91,20 @@
         self.progress.on_read_back(7, 5)
         self.assertEqual(self.progress.unread, range(2))
 
+    def test_skipped_records_that_are_too_many_to_be_read_back_need_the_copy(self) -> None:
+        self.progress.on_newest({99}, 100)
+        self.progress.on_told(100)
+        self.progress.on_newest({121}, 122)
+        self.progress.on_read_back(121)
+        self.assertFalse(self.progress.is_complete)
+
+    def test_unread_records_that_another_jump_leaves_behind_need_the_copy(self) -> None:
+        self.progress.on_newest({9}, 10)
+        self.progress.on_read_back(3)
+        self.progress.on_newest({39}, 40)
+        self.progress.on_read_back(39)
+        self.assertFalse(self.progress.is_complete)
+
     def test_an_offset_told_before_the_first_read_does_not_replace_it(self) -> None:
         self.progress.on_told(7)
         self.assertIsNone(self.progress.next_offset)
--- a/tests/services/test_unproven_end.py
+++ b/tests/services/test_unproven_end.py
@@ -11,7 +11,7 @@
 
 from fulmarstile_testing.builders.documents import make_document_reader
 from fulmarstile_testing.fakes.collected_records import CollectedRecords
-from fulmarstile_testing.fakes.odd_keyed_log import OddKeyedLog
+from fulmarstile_testing.fakes.odd_keyed_log import OddKeyedLog, StrictKeyedLog
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -23,6 +23,9 @@
 APPLY_S = 2.0
 """Time within which the newest version must be known, in seconds."""
 STEP_S = 0.005
+RECORDS = 4
+LARGE_BYTES = 169_000
+REST_S = 10.0
 HASTY_S = 10.0
 MAX_CALLS_PER_S = 13
 """Ten early answers of the poll each second, and those of the read back."""
@@ -91,6 +94,24 @@
         trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
         self.assertEqual(set(confirmed), {b"45"})
 
+    def test_records_larger_than_a_read_are_not_taken_for_known(self) -> None:
+        """Guards against an empty answer that counts as a read of all that was skipped."""
+        store = StrictKeyedLog()
+        seen: set[int] = set()
+        documents = CollectedRecords(lambda records: seen.update(each.offset for each in records))
+        reader = make_document_reader(documents, TOPIC)
+
+        async def run() -> None:
+            for number in range(RECORDS):
+                store.put(TOPIC, KEY, b"%d" % number * LARGE_BYTES)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(reader.run, store)
+                await trio.sleep(REST_S)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual((seen, documents.next_offset), (set(range(RECORDS)), RECORDS))
+
 
 if __name__ == "__main__":
     unittest.main()
