Choose who reads back when other daemons are known (CONFIG)

At its start a daemon knows no other one and takes itself for one of the two that all others rely on. Who reads back is now decided after their wait of 0.5 s, and all others wait for 1.7 s at a start: the two need 1.2 s there, and a version is due after 3 s.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_reader.py
@@ -56,6 +56,8 @@
 only the few daemons that all others rely on read them, unless these don't."""
 _LATE_TELL_S: Final = 1.2
 """The same for all other daemons."""
+_START_TELL_S: Final = 1.7
+"""The same at a start, where the few read more records, and a version is due after 3 s."""
 _RETRY_S: Final = 0.2
 """Pause after a read of skipped records that returned nothing, in seconds; doubled with each
 more."""
@@ -196,18 +198,24 @@
         while True:
             await self._has_unread.wait()
             self._has_unread = trio.Event()
-            await trio.sleep(self._tell_s())
+            await self._wait_for_others()
             self._note_told()
             while self._progress.unread:
                 await self._read_back(store)
                 self._note_told()
 
-    def _tell_s(self) -> float:
-        """Returns for how long another daemon may tell what skipped records hold."""
-        if not self._sources.is_prompt_reader:
-            return _LATE_TELL_S
-        # If the newest record is of no use, nothing of what was skipped is in force yet.
-        return 0.0 if self._documents.unusable_offset >= 0 else _TELL_S
+    async def _wait_for_others(self) -> None:
+        """Waits while another daemon may tell what skipped records hold."""
+        sources, documents = self._sources, self._documents
+        has_started = math.isfinite(documents.contact.heard_at)
+        if has_started and documents.unusable_offset >= 0 and sources.is_prompt_reader:
+            # The newest record is of no use, so nothing of what was skipped is in force yet.
+            return
+        await trio.sleep(_TELL_S)
+        # Known only now at a start, when other daemons have become known.
+        if not sources.is_prompt_reader:
+            late_tell_s = _LATE_TELL_S if has_started else _START_TELL_S
+            await trio.sleep(late_tell_s - _TELL_S)
 
     async def _read_back(self, store: KeyedLog) -> None:
         """Reads some of the unread records, the last ones first."""
