--- a/tests/services/test_hidden_on_slow_links.py
+++ b/tests/services/test_hidden_on_slow_links.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import random
 import unittest
 from typing import TYPE_CHECKING, Final
 
 import trio
 
+from fulmarstile_services.document_contact import MAX_SILENT_S
 from fulmarstile_services.document_sources import PROMPT_READERS
 from fulmarstile_testing.fakes.service_platform import DOCUMENT_TOPIC
 from fulmarstile_testing.known_red import pass_over_known_red
@@ -31,6 +33,8 @@
 _STARTED_SIZES: Final = (6, 24)
 _FEW: Final = 4
 """Records that a daemon reads at a start which leaves the read back to others, at most."""
+_LONG_BURST: Final = 36
+_VERSION_S: Final = 0.33
 _HISTORY: Final = 20
 _REST_S: Final = 8.0
 _SHOWN: Final = 2
@@ -101,6 +105,46 @@
         self.assertLessEqual(max(readers), PROMPT_READERS, readers)
 
 
+class ContactTest(unittest.TestCase):
+    """Contact and fresh knowledge are not claimed before all skipped records are read."""
+
+    maxDiff = None
+
+    @pass_over_known_red
+    def test_a_fleet_has_contact_while_versions_come_faster_than_its_links_carry_them(self) -> None:
+        """Guards against keys that are refused, and a 503 for each missing route."""
+        silent_s: list[float] = []
+
+        async def scenario(fleet: ObservedFleet) -> None:
+            for _ in range(_LONG_BURST):
+                fleet.publish()
+                await trio.sleep(_VERSION_S)
+                silent_s.extend(
+                    each.node.daemon._documents.silent_s for each in fleet.list_running()
+                )
+
+        self.assertEqual(_list_late(scenario), {})
+        self.assertLessEqual(max(silent_s), MAX_SILENT_S)
+
+    @pass_over_known_red
+    def test_a_fleet_that_starts_has_contact_in_time(self) -> None:
+        """Guards against keys that are refused, and a 503 for each missing route."""
+        silent_s: list[float] = []
+
+        async def scenario(fleet: ObservedFleet) -> None:
+            for _ in range(_HISTORY):
+                fleet.publish()
+            await trio.sleep(_REST_S)
+            await fleet.start_together(await fleet.kill_all())
+            await trio.sleep(STABLE_WINDOW_S)
+            silent_s.extend(
+                each.node.daemon._documents.silent_s or math.inf for each in fleet.list_running()
+            )
+
+        self.assertEqual(_list_late(scenario), {})
+        self.assertLessEqual(max(silent_s), MAX_SILENT_S)
+
+
 def _list_late(scenario: Callable[[ObservedFleet], Awaitable[None]]) -> dict[str, list[str]]:
     """Plays a scenario on fleets of each size; returns what was late."""
     cases = {
