Read what the newest records of a followed topic lack

A read of the newest records may name an end beyond the last record that it returns. The follower of a topic took that end for known, so a record between the two was never read. The members' topic is followed like that. If the record is the departure of an upstream and all daemons start at once, so that none can tell the others, requests go to an upstream whose departure was acknowledged, for as long as it isn't announced again.

The follower now goes on from the end that the records prove, at once and without a wait, and counts as caught up only then. Where records have expired behind the newest ones, they are asked for once. find_proven_end stands in a module of its own, with the rule that the reader of the document has already.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_topic_follower.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_topic_follower.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from fulmarstile_daemon.services._newest_records import find_proven_end
 from fulmarstile_daemon.services._outage_tracker import OutageTracker
 from fulmarstile_daemon.services._read_pacer import ReadPacer
 from fulmarstile_platform.keyed_log import RecordsExpiredError
@@ -41,10 +42,12 @@
         on_records: Called with the records in order.
         log: Log of the daemon.
         on_caught_up: Called whenever all existing records have been delivered.
-        before_read: Awaited before each read except the first.
+        before_read: Awaited before each read that waits for records that don't exist yet.
     """
     offset = 0
+    expired_offset = -1
     reads_newest = True
+    is_caught_up = False
     outage = OutageTracker(topic, log)
     pacer = ReadPacer(_MAX_PAUSE_S, _READ_BYTES_PER_S, _MAX_PAUSE_S)
     while True:
@@ -53,20 +56,23 @@
             if reads_newest:
                 page = await store.read_newest(topic)
             else:
-                page = await store.read_keyed(topic, offset, _POLL_TIMEOUT_S)
+                timeout_s = _POLL_TIMEOUT_S if is_caught_up else 0.0
+                page = await store.read_keyed(topic, offset, timeout_s)
         except RecordsExpiredError:
-            reads_newest = True
+            reads_newest, expired_offset = True, offset
             continue
         except LogError as error:
             await outage.wait(error)
             continue
         outage.end()
-        reads_newest = False
-        offset = page.next_offset
+        offset = find_proven_end(page, expired_offset) if reads_newest else page.next_offset
+        is_caught_up = offset >= page.next_offset and not page.has_more
         if page.records:
             on_records(page.records)
-        if on_caught_up is not None:
+        if is_caught_up and on_caught_up is not None:
             on_caught_up()
-        await pacer.wait(page.records, trio.current_time() - started_at)
-        if before_read is not None:
+        if is_caught_up or not reads_newest:
+            await pacer.wait(page.records, trio.current_time() - started_at)
+        reads_newest = False
+        if is_caught_up and before_read is not None:
             await before_read()
