Read decisions about roll-outs that the newest records lack

A decision is appended on condition that the topic ends where it was read to. The recorder took the end that a read of the newest records names, though a record between the last one and that end may be lacking. The condition holds all the same, so a second decision about the same order was accepted behind the one that it had not seen; a status for the operator rests on the same read. The operator reads "completed" for a roll-out that was rolled back, and stops the other instances; a daemon that starts lets a withdrawn version serve again, until the next order for the service.

read_all_newest reads what lies between the proven end and the end named, with one more read only if there is anything, and the recorder uses it for decisions and for statuses. Where those records have expired, the newest ones count as complete.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_newest_records.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_newest_records.py
@@ -4,8 +4,41 @@
 
 from typing import TYPE_CHECKING
 
+from fulmarstile_platform.keyed_log import KeyedPage, RecordsExpiredError
+from fulmarstile_platform.log import LogUnavailableError
+from fulmarstile_wire.verdict import Verdict
+
 if TYPE_CHECKING:
-    from fulmarstile_platform.keyed_log import KeyedPage
+    from fulmarstile_platform.keyed_log import KeyedLog, KeyedRecord
+
+
+async def read_all_newest(store: KeyedLog, topic: str) -> KeyedPage:
+    """Reads the newest record of each key, with those that a read of the newest may lack.
+
+    An append on condition that the topic ends at the offset returned fails if there is any other
+    record.
+
+    Args:
+        store: The platform's store.
+        topic: Name of the topic.
+
+    Returns:
+        The records, in no particular order, and the offset at which later ones start.
+
+    Raises:
+        LogError: If the store cannot be read, or does not return all that it has.
+    """
+    expired_offset = -1
+    while True:
+        page = await store.read_newest(topic)
+        proven_end = find_proven_end(page, expired_offset)
+        try:
+            later, end_offset = await _read_up_to(store, topic, proven_end, page.next_offset)
+        except RecordsExpiredError:
+            expired_offset = proven_end
+            continue
+        newest = {record.key: record for record in (*page.records, *later)}
+        return KeyedPage(tuple(newest.values()), end_offset)
 
 
 def find_proven_end(page: KeyedPage, expired_offset: int) -> int:
@@ -23,3 +56,21 @@
     """
     end = 1 + max((record.offset for record in page.records), default=-1)
     return page.next_offset if end <= expired_offset else min(end, page.next_offset)
+
+
+async def _read_up_to(
+    store: KeyedLog, topic: str, offset: int, end_offset: int
+) -> tuple[list[KeyedRecord], int]:
+    """Reads records that exist already; returns them and the offset at which later ones start."""
+    records: list[KeyedRecord] = []
+    while offset < end_offset:
+        page = await store.read_keyed(topic, offset, 0.0)
+        if page.next_offset <= offset:
+            raise LogUnavailableError(
+                f"{topic}: the store returns no record at {offset}, though the topic ends at "
+                f"{end_offset}",
+                Verdict.NOT_RUN,
+            )
+        records += page.records
+        offset = page.next_offset
+    return records, offset
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
@@ -8,6 +8,7 @@
 import trio
 
 from fulmarstile_daemon.background_tasks import keep_running, run_and_log
+from fulmarstile_daemon.services._newest_records import read_all_newest
 from fulmarstile_daemon.services._rollout_records import (
     ROLLOUTS_TOPIC,
     RolloutDecision,
@@ -174,7 +175,7 @@
         return stored.order_offset == rollout.order.offset and stored.decided_by == self._name
 
     async def _read(self, store: KeyedLog) -> None:
-        page = await store.read_newest(ROLLOUTS_TOPIC)
+        page = await read_all_newest(store, ROLLOUTS_TOPIC)
         self._stored = self._decode_all(page)
         self._end_offset = page.next_offset
 
@@ -214,7 +215,7 @@
             try:
                 end_offset: int | None = None
                 if is_checked:
-                    page = await store.read_newest(topic)
+                    page = await read_all_newest(store, topic)
                     if record in page.records:
                         return
                     end_offset = page.next_offset
