Read owners of quota shards that the newest records lack

A daemon acquires a quota shard with an append on condition that the topic ends where it was read to. It took the end that a read of the newest records names, though the record of the owner may lie between the last one and that end and be lacking. Its append is then accepted: two daemons own the shard, with the same epoch, and each grants the whole quota of each of its customers, until the first one renews. If the list of share holders is lacking, the next owner grants anew what other daemons still use (up to 15 s).

The first read of a shard's topic now also reads what lies between the proven end and the end named.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_quota_owner.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_quota_owner.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from fulmarstile_daemon.services._newest_records import read_all_newest
 from fulmarstile_daemon.services.events import (
     QuotaDeductions,
     QuotaOwnership,
@@ -96,7 +97,7 @@
         offset = self._shard.ownership.end_offset
         try:
             if offset is None:
-                page = await store.read_newest(self._topic)
+                page = await read_all_newest(store, self._topic)
             else:
                 page = await store.read_keyed(self._topic, offset, _READ_WAIT_S)
         except RecordsExpiredError:
