Write the status of a roll-out on condition that none came first

The status "running" of the first evaluator and the final status were appended without a condition. If such an append gets no answer, the store may do it seconds later, behind a newer status of the same service, and the newest by offset is the one that the operator reads: a roll-out that has ended is shown as running for good, so the operator waits, or the next roll-out is shown as completed while it runs, so the operator stops the other instances.

Before (tests.services.test_rollout_late_status, 2 of 2 fail, each in the last assertion, after the late append is done):

test_a_status_done_late_does_not_replace_that_of_the_end AssertionError: 'canary v2' != 'completed v2' test_a_status_done_late_does_not_replace_that_of_the_next_order AssertionError: 'completed v2' != 'canary v3'

Every status is now appended on condition that its topic ends where it did before the append: the late one fails then, or comes first and is followed by the next. A status that was not checked before costs one read of the end of the topic.

After: 2 of 2 pass, and so do tests/services/test_rollout*.py (3 known red passed over) and tests.cli.test_rollouts.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_rollout_recorder.py
@@ -206,19 +206,24 @@
     async def _write_status(
         self, rollout: KnownRollout, phase: RolloutPhase, delay_s: float, is_checked: bool
     ) -> None:
-        """Writes a status after a delay; if it is checked, only if it is not there already."""
+        """Writes a status after a delay; if it is checked, only if it is not there already.
+
+        Each append is on condition that the topic has not changed, as one without an answer may be
+        done seconds later and would replace the status of the end, or of a later order.
+        """
         order, store = rollout.order, self._store
         record = self._platform.encode_rollout_status(order.service, order.target_version, phase)
         topic = self._platform.rollout_status_topic
         await trio.sleep(delay_s)
         while store is not None and self._is_due(rollout, phase):
             try:
-                end_offset: int | None = None
                 if is_checked:
                     page = await read_all_newest(store, topic)
                     if record in page.records:
                         return
                     end_offset = page.next_offset
+                else:
+                    end_offset = await store.read_end(topic)
                 if is_checked and not phase.is_final and await self._is_decided(store, order):
                     return
                 await store.append_keyed(topic, record.key, record.value, at=end_offset)
