--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/rollouts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/rollouts.py
@@ -238,6 +238,9 @@
                 if not rollout.problem:
                     rules = rules.on_order(rollout.order.target_version)
                 self._set_rules(decision.service, rules)
+                if rollout.state is not None and rollout.is_final:
+                    # It ended while the store could not record that.
+                    self._end_rules(rollout, rollout.state.phase)
             if rollout is not None:
                 self._apply_decision(rollout)
         self.has_decisions = True
