Keep each crash report under a key of its own

The key of a crash report in the store named the request and the id of the upstream, but not its start. An upstream that starts again keeps its id, so the report of its second crash took the place of the first, and a late write of the first that of the second. The daemons that run know both and refuse the request; after all have started again, the newest records hold one, and a request that crashed an upstream twice crashes it a third time.

FAIL: tests.services.test_crash_records.CrashRecordsTest. test_a_request_that_crashed_one_upstream_twice_is_suspect_after_a_start AssertionError: False is not true

The key is now a hash of request, id and start, as that of a departure. It also has a bounded length, which that with an id did not. Records under earlier keys are read as before.

After: it passes, and so do test_directory, test_odd_records, test_upstream_crashes, test_departures, test_gossip_exchanges and test_start.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
@@ -273,8 +273,9 @@
         await self._write_member(store, local_member)
         while self._crashes:
             report = self._crashes[0]
-            key = f"{_CRASH_PREFIX}{report.fingerprint.hex()}/{report.upstream_id}"
-            await store.append_keyed(MEMBERS_TOPIC, key, encode_crash(report))
+            await store.append_keyed(
+                MEMBERS_TOPIC, _CRASH_PREFIX + report.key, encode_crash(report)
+            )
             del self._crashes[0]
         if local_member != self._directory.local_member:
             self._write_requested.set()
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/members.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/members.py
@@ -6,6 +6,7 @@
 from typing import Annotated, Final
 
 import msgspec
+import xxhash
 
 from fulmarstile_wire.decoding import Duration, Number
 
@@ -85,3 +86,9 @@
     fingerprint: bytes
     upstream_id: str
     upstream_born_ms: Number
+
+    @property
+    def key(self) -> str:
+        """Hash that identifies the crash in the store; no other one overwrites it."""
+        text = "\0".join((self.fingerprint.hex(), self.upstream_id, str(self.upstream_born_ms)))
+        return xxhash.xxh3_64_hexdigest(text.encode())
