Write the newest record of a daemon again if an older one came later

A write of a daemon's record that gets no answer may be done seconds later, behind a newer record of the same daemon, or of the one that was started in its place. Running daemons compare incarnation and revision and keep the newer one. In the store the older one stays the newest by offset: the daemon itself replaces it only when it reads the topic (each 30 s in a fleet of more than 30), and nobody does if it has ended. Daemons that then start all at once take the older record: a limit that an upstream has announced is forgotten until its next response, an upstream that was replaced is asked instead of the present one until the daemon beside it has started, and that daemon restores the earlier one.

Daemons that read the topic, and read an older record of another daemon than they know, now write the known one after 1 to 3 s at random, unless the store has it by then, as they do with departures. This costs nothing while records are in order.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/membership.py
@@ -19,6 +19,7 @@
 from fulmarstile_platform.keyed_log import KeyedRecord
 from fulmarstile_platform.log import LogError
 from fulmarstile_services.departure_records import DepartureRecords
+from fulmarstile_services.member_records import MemberRecords
 from fulmarstile_wire.departures import UpstreamDeparture, decode_departure, encode_departure
 from fulmarstile_wire.errors import WireError
 from fulmarstile_wire.services import (
@@ -43,7 +44,9 @@
 _CRASH_PREFIX: Final = "crash/"
 _DEPARTURE_PREFIX: Final = "left/"
 _RELAY_CHECK_INTERVAL_S: Final = 1.0
-"""Interval of the check for departures that the store lacks, in seconds."""
+"""Interval of the check for departures and records that the store lacks, in seconds."""
+_MAX_RELAYED: Final = 32
+"""Maximum number of other daemons' records in one call; the size of a call is limited."""
 _READER_CHECK_INTERVAL_S: Final = 0.5
 """Interval at which a daemon checks whether it is a reader of the store, in seconds."""
 _PASSIVE_READ_INTERVAL_S: Final = 30.0
@@ -83,6 +86,7 @@
         self._departure_records = DepartureRecords(
             directory.local_member.name, directory.departures, random.Random()
         )
+        self._member_records = MemberRecords(random.Random())
         self._is_announced = False
         self._previous_record: Member | None = None
         self.is_caught_up = trio.Event()
@@ -281,15 +285,17 @@
             self._write_requested.set()
 
     async def _write_member(self, store: KeyedLog, local_member: Member) -> None:
-        """Writes departures and the record of this daemon in one call, if there are any.
+        """Writes departures and records of daemons in one call, if there are any.
 
         Each departure has a key of its own, so an earlier write that the store does late can't
-        replace it.
+        replace it. It can replace the record of a daemon, which readers then write again.
         """
         departures = self._departure_records
         added = departures.list_unwritten()
+        relayed: list[Member] = []
         if self.is_caught_up.is_set() and self.is_reader():
             added += departures.list_to_relay(trio.current_time())
+            relayed = self._list_members_to_relay()
         removed = departures.list_obsolete()
         records = [
             KeyedRecord(_DEPARTURE_PREFIX + departure.key, encode_departure(departure))
@@ -298,9 +304,13 @@
         records += [KeyedRecord(_DEPARTURE_PREFIX + departure.key, b"") for departure in removed]
         if self._is_announced and local_member != self._written:
             records.append(KeyedRecord(local_member.name, encode_member(local_member)))
+        records += [KeyedRecord(member.name, encode_member(member)) for member in relayed]
         if not records:
             return
         await store.append_together(MEMBERS_TOPIC, records)
+        for member in relayed:
+            if self._directory.find(member.name) == member:
+                self._member_records.on_written(member)
         for departure in added:
             departures.on_stored(departure)
         for departure in removed:
@@ -329,8 +339,21 @@
         self._apply_stored_departures(departures)
         self._rewrite_if_outdated(members)
         self.apply_members(members)
+        self._compare_with_stored(members)
         self.apply_crashes(crashes)
 
+    def _list_members_to_relay(self) -> list[Member]:
+        names = self._member_records.list_to_relay(trio.current_time())[:_MAX_RELAYED]
+        known = [self._directory.find(name) for name in names]
+        return [member for member in known if member is not None]
+
+    def _compare_with_stored(self, members: Iterable[Member]) -> None:
+        """Notes which of the last records of other daemons in the store are outdated."""
+        for name, stored in {member.name: member for member in members}.items():
+            known = self._directory.find(name)
+            if known is not None and name != self._directory.local_member.name:
+                self._member_records.on_stored(stored, known, trio.current_time())
+
     def _apply_stored_departures(self, departures: Iterable[UpstreamDeparture]) -> None:
         departures = tuple(departures)
         self.apply_departures(departures)
