Prove the end of the newest records by those of the first page only

One of these was taken as proof that the first page lacked nothing before its end. Daemons of a fleet of more than 500, whose members' topic has several pages, would miss a departure that the first page lacks while another record changes.

FAIL: tests.services.test_newest_records.NewestRecordsTest. test_a_record_from_a_later_page_does_not_prove_the_end_of_the_first AssertionError: 2 != 1

and, with that mended alone, the older record that is read once more replaces the newer one of the later page:

FAIL: test_a_record_that_is_read_once_more_does_not_replace_a_newer_one AssertionError: {'a': b'1', 'b': b'2'} != {'a': b'1', 'b': b'3'}

Only records before the end count as proof, and the highest offset of a key wins.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_newest_records.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_newest_records.py
@@ -37,7 +37,8 @@
         except RecordsExpiredError:
             expired_offset = proven_end
             continue
-        newest = {record.key: record for record in (*page.records, *later)}
+        records = sorted((*page.records, *later), key=lambda record: record.offset)
+        newest = {record.key: record for record in records}
         return KeyedPage(tuple(newest.values()), end_offset)
 
 
@@ -45,6 +46,7 @@
     """Returns the offset up to which a read of the newest records shows all of them.
 
     What lies between the last record of the answer and its end may be a record that it lacks.
+    Records from the end on come from later pages and prove nothing about the first one.
 
     Args:
         page: What was read.
@@ -54,8 +56,9 @@
     Returns:
         The offset at which to continue reading.
     """
-    end = 1 + max((record.offset for record in page.records), default=-1)
-    return page.next_offset if end <= expired_offset else min(end, page.next_offset)
+    offsets = (record.offset for record in page.records if record.offset < page.next_offset)
+    end = 1 + max(offsets, default=-1)
+    return page.next_offset if end <= expired_offset else end
 
 
 async def _read_up_to(
