Keep what replaced orders left when older decisions are read

FAIL: tests.services.test_rollout_decisions.EarlierDecisionTest. test_a_version_whose_order_was_replaced_gets_no_requests AssertionError: Lists differ: ['new', 'old'] != ['old']

Ends that become known before the decisions are kept until these are read, and those of later orders are applied again on top, in their order.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/rollouts.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/rollouts.py
@@ -79,6 +79,8 @@
         self._rules: dict[str, VersionRules] = {}
         self._seen: dict[str, SeenVersions] = {}
         self._decisions: dict[str, RolloutDecision] = {}
+        self._unrecorded_ends: dict[str, list[tuple[KnownRollout, RolloutPhase]]] = {}
+        """Ends that became known before the decisions, by service, in their order."""
         self.has_decisions = False
         """Whether the decisions in the store were read since the start."""
         self.revision = 0
@@ -202,8 +204,7 @@
         if rollout.problem:
             self.log.write_rejected(order, rollout.problem)
         self.validate(rollout)
-        if not rollout.problem:
-            self._set_rules(order.service, self.rules(order.service).on_order(order.target_version))
+        self._apply_order(rollout)
         self.revision += 1
         self._apply_decision(rollout)
         if not rollout.is_settled:
@@ -230,20 +231,13 @@
         """
         for decision in decisions:
             self._decisions[decision.service] = decision
+            self._set_rules(decision.service, decision.rules)
+            self._reapply_later_orders(decision)
             rollout = self._known.get(decision.service)
-            if rollout is None or rollout.order.offset <= decision.order_offset:
-                self._set_rules(decision.service, decision.rules)
-            else:
-                rules = decision.rules
-                if not rollout.problem:
-                    rules = rules.on_order(rollout.order.target_version)
-                self._set_rules(decision.service, rules)
-                if rollout.state is not None and rollout.is_final:
-                    # It ended while the store could not record that.
-                    self._end_rules(rollout, rollout.state.phase)
             if rollout is not None:
                 self._apply_decision(rollout)
         self.has_decisions = True
+        self._unrecorded_ends.clear()
         self.revision += 1
 
     def merge(self, rollout: KnownRollout, state: RolloutState) -> None:
@@ -399,7 +393,31 @@
         self.adopt(rollout, msgspec.structs.replace(state, is_recorded=True))
         self._set_rules(rollout.order.service, decision.rules)
 
+    def _reapply_later_orders(self, decision: RolloutDecision) -> None:
+        """Applies again what is known of the orders after the one that a decision is about.
+
+        They ended while the store could not record that, or were replaced.
+        """
+        ends = self._unrecorded_ends.pop(decision.service, [])
+        for rollout, phase in ends:
+            if rollout.order.offset > decision.order_offset:
+                self._apply_order(rollout)
+                self._end_rules(rollout, phase)
+        current = self._known.get(decision.service)
+        if current is None or current.is_final:
+            return
+        if current.order.offset > decision.order_offset:
+            self._apply_order(current)
+
+    def _apply_order(self, rollout: KnownRollout) -> None:
+        """Lets the version that an order names serve, unless the order cannot be carried out."""
+        if not rollout.problem:
+            service, target_version = rollout.order.service, rollout.order.target_version
+            self._set_rules(service, self.rules(service).on_order(target_version))
+
     def _end_rules(self, rollout: KnownRollout, phase: RolloutPhase) -> None:
+        if not self.has_decisions:
+            self._unrecorded_ends.setdefault(rollout.order.service, []).append((rollout, phase))
         self._set_rules(rollout.order.service, self.make_rules(rollout, phase))
 
     def _stop_counting(self, rollout: KnownRollout | None) -> None:
--- a/tests/services/test_rollout_decisions.py
+++ b/tests/services/test_rollout_decisions.py
@@ -47,6 +47,22 @@
         self.knowledge.rollouts.on_decisions([make_decision(1, RolloutPhase.COMPLETED, "v1")])
         self.assertEqual(self.knowledge.choose_names(), ["new"])
 
+    def test_a_version_whose_order_was_replaced_gets_no_requests(self) -> None:
+        self.knowledge.order("v2", offset=2)
+        self.knowledge.tell(RolloutPhase.CANARY)
+        self.knowledge.order("v3", offset=3)
+        self.assertEqual(self.knowledge.choose_names(), ["old"])
+        self.knowledge.rollouts.on_decisions([make_decision(1, RolloutPhase.ROLLED_BACK, "v0")])
+        self.assertEqual(self.knowledge.choose_names(), ["old"])
+        self.knowledge.tell(RolloutPhase.ROLLED_BACK)
+        self.assertEqual(self.knowledge.choose_names(), ["old"])
+
+    def test_a_decision_about_the_newest_order_replaces_what_was_known_before(self) -> None:
+        self.knowledge.order("v2", offset=2)
+        self.knowledge.tell(RolloutPhase.ROLLED_BACK)
+        self.knowledge.rollouts.on_decisions([make_decision(2, RolloutPhase.COMPLETED, "v2")])
+        self.assertEqual(self.knowledge.choose_names(), ["new"])
+
     def test_a_version_in_force_is_not_excluded_by_a_later_order_that_names_it(self) -> None:
         self.knowledge.remove_upstreams("new")
         self.knowledge.order("v1", offset=2)
