--- a/tests/adapter/test_config_record.py
+++ b/tests/adapter/test_config_record.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import json
 import unittest
-from typing import Any
 
 from fulmarstile_adapter.config_record import decode_config
+from fulmarstile_adapter_testing.config_records import COLUMNS, ROW, change_row, make_config
 from fulmarstile_services.document import (
     DocumentError,
     Repeatability,
@@ -14,34 +13,6 @@
     WeightedDestination,
 )
 
-COLUMNS = [
-    "Name",
-    "Hostname",
-    "PathPrefix",
-    "RouteType",
-    "TimeoutS",
-    "TargetLatencyS",
-    "Priority",
-    "Service",
-    "MaxAttempts",
-    "WeightedSplit",
-]
-ROW = ["r-1", "shop.example", "/a/", "idempotent", 1.5, 0.4, 2, "shop", 3, None]
-
-
-def make_config(row: list[Any] | None = None, **changes: Any) -> bytes:
-    fields: dict[str, Any] = {
-        "Version": "0000001f",
-        "Routes": {"Columns": COLUMNS, "Rows": [row or ROW]},
-        "Services": {"Columns": ["Name", "MaxConnections"], "Rows": [["shop", 110]]},
-        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1000, "IdleTimeoutS": 15},
-    }
-    return json.dumps(fields | changes).encode()
-
-
-def change_row(**changes: Any) -> list[Any]:
-    return [changes.get(name, value) for name, value in zip(COLUMNS, ROW, strict=True)]
-
 
 class ConfigRecordTest(unittest.TestCase):
     def test_every_field_is_decoded_into_the_document(self) -> None:
