--- a/tests/adapter/test_invalid_configurations.py
+++ b/tests/adapter/test_invalid_configurations.py
@@ -9,7 +9,7 @@
 import unittest
 
 from fulmarstile_adapter.config_record import decode_config
-from fulmarstile_adapter_testing.config_records import change_row, make_config, make_split
+from fulmarstile_adapter_testing.config_records import COLUMNS, change_row, make_config, make_split
 from fulmarstile_services.document import DocumentError
 from fulmarstile_services.routing_table import RoutingTable
 
@@ -42,6 +42,39 @@
     def test_a_route_without_a_host_is_refused(self) -> None:
         self.check_refused(*(make_config(change_row(Hostname=host)) for host in (None, "", " ")))
 
+    def test_a_route_without_a_timeout_is_refused(self) -> None:
+        self.check_refused(
+            *(make_config(change_row(TimeoutS=timeout_s)) for timeout_s in (None, 0, 0.0, -1, ""))
+        )
+
+
+class AllowedConfigurationTest(unittest.TestCase):
+    def test_a_part_of_a_split_may_have_the_weight_0(self) -> None:
+        table = check_taken(make_split(SHOP, {"Service": "stock", "Weight": 0}))
+        route = table.find("shop.example", "/a/")
+        self.assertEqual(route and [part.weight for part in route.destinations], [9, 0])
+
+    def test_hosts_may_be_written_in_upper_case(self) -> None:
+        table = check_taken(make_config(change_row(Hostname="SHOP.Example")))
+        self.assertIsNotNone(table.find("shop.example", "/a/"))
+
+    def test_a_version_may_have_digits_in_upper_case_and_be_the_largest(self) -> None:
+        for version in ("0000000C", "0000000c", "FFFFFFFF"):
+            self.assertEqual(check_taken(make_config(Version=version)).version, int(version, 16))
+
+    def test_a_service_may_have_no_route_and_a_configuration_none_at_all(self) -> None:
+        services = {"Columns": ["Name"], "Rows": [["shop"], ["idle"]]}
+        self.assertIn("idle", check_taken(make_config(Services=services)).document.services)
+        empty = {"Columns": ["Hostname"], "Rows": []}
+        self.assertEqual(check_taken(make_config(Routes=empty)).document.routes, ())
+
+    def test_routes_may_be_listed_in_any_order(self) -> None:
+        rows = [change_row(PathPrefix=prefix) for prefix in ("/a/", "/a/b/", "/")]
+        for listed in (rows, rows[::-1]):
+            table = check_taken(make_config(Routes={"Columns": COLUMNS, "Rows": listed}))
+            found = [table.find("shop.example", path) for path in ("/a/b/c", "/a/c", "/c")]
+            self.assertEqual([route and route.prefix for route in found], ["/a/b/", "/a/", "/"])
+
 
 if __name__ == "__main__":
     unittest.main()
