--- a/tests/adapter/test_invalid_configurations.py
+++ b/tests/adapter/test_invalid_configurations.py
@@ -47,6 +47,14 @@
             *(make_config(change_row(TimeoutS=timeout_s)) for timeout_s in (None, 0, 0.0, -1, ""))
         )
 
+    def test_a_part_of_a_split_without_a_weight_is_refused(self) -> None:
+        self.check_refused(
+            make_split(SHOP, {"Service": "stock"}),
+            make_split(SHOP, {"Service": "stock", "Weight": None}),
+            make_split(SHOP, {"Service": "stock", "Weight": -1}),
+            make_split({"Service": "shop", "Weight": 0}, {"Service": "stock", "Weight": 0}),
+        )
+
 
 class AllowedConfigurationTest(unittest.TestCase):
     def test_a_part_of_a_split_may_have_the_weight_0(self) -> None:
