--- a/tests/adapter/test_invalid_configurations.py
+++ b/tests/adapter/test_invalid_configurations.py
@@ -55,6 +55,11 @@
             make_split({"Service": "shop", "Weight": 0}, {"Service": "stock", "Weight": 0}),
         )
 
+    def test_a_prefix_that_does_not_begin_and_end_with_a_slash_is_refused(self) -> None:
+        self.check_refused(
+            *(make_config(change_row(PathPrefix=prefix)) for prefix in (None, "", "a/", "/a", "a"))
+        )
+
 
 class AllowedConfigurationTest(unittest.TestCase):
     def test_a_part_of_a_split_may_have_the_weight_0(self) -> None:
