--- a/tests/adapter/test_invalid_configurations.py
+++ b/tests/adapter/test_invalid_configurations.py
@@ -60,6 +60,12 @@
             *(make_config(change_row(PathPrefix=prefix)) for prefix in (None, "", "a/", "/a", "a"))
         )
 
+    def test_a_version_that_is_longer_than_eight_hexadecimal_digits_or_other_text_is_refused(
+        self,
+    ) -> None:
+        versions = ("", "100000000", "f" * 40, "0x00000c", "0000_00c", "-000000c", " 000000c")
+        self.check_refused(*(make_config(Version=version) for version in (*versions, None, 12)))
+
 
 class AllowedConfigurationTest(unittest.TestCase):
     def test_a_part_of_a_split_may_have_the_weight_0(self) -> None:
