--- a/packages/fulmarstile_http/src/fulmarstile_http/headers.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/headers.py
@@ -13,6 +13,9 @@
 IDEMPOTENCY_KEY: Final = b"idempotency-key"
 RETRY_AFTER: Final = b"retry-after"
 
+BLANKS: Final = b" \t"
+"""Characters around a header's value that are not part of it; parsers keep those behind it."""
+
 DAEMON_HEADER_PREFIX: Final = b"fulmarstile-"
 """Prefix of the headers that only daemons may set."""
 
--- a/packages/fulmarstile_http/src/fulmarstile_http/request_parser.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/request_parser.py
@@ -7,6 +7,7 @@
 import httptools
 
 from fulmarstile_http.framing_limit import FramingLimit
+from fulmarstile_http.headers import BLANKS
 from fulmarstile_http.messages import RequestHead
 from fulmarstile_http.request_checks import MalformedRequestError
 
@@ -109,7 +110,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser for each header and trailer."""
         if self._in_head:
-            self._headers.append((name, value))
+            self._headers.append((name, value.rstrip(BLANKS)))
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of the head."""
--- a/packages/fulmarstile_http/src/fulmarstile_http/response_parser.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/response_parser.py
@@ -8,6 +8,7 @@
 import httptools
 
 from fulmarstile_http.framing_limit import FramingLimit
+from fulmarstile_http.headers import BLANKS
 from fulmarstile_http.messages import ResponseHead
 from fulmarstile_wire.errors import FulmarstileError
 
@@ -116,7 +117,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser for each header and trailer."""
         if self._in_head:
-            self._headers.append((name, value))
+            self._headers.append((name, value.rstrip(BLANKS)))
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of a head."""
--- a/tests/http/test_request_parsing.py
+++ b/tests/http/test_request_parsing.py
@@ -30,6 +30,11 @@
         self.assertEqual((head.method, head.target), (b"GET", b"/a/b?c=d"))
         self.assertEqual(read_headers(head.headers).get(b"x-id"), "7")
 
+    def test_blanks_around_a_header_value_are_not_part_of_it(self) -> None:
+        head = parse_head(b"GET / HTTP/1.1\r\nHost: a.example \t\r\nX-Id:\t 7 8 \r\n\r\n")
+        headers = read_headers(head.headers)
+        self.assertEqual((headers.get(b"host"), headers.get(b"x-id")), ("a.example", "7 8"))
+
     def test_a_chunked_body_is_decoded_without_framing_and_trailers(self) -> None:
         parser = RequestParser()
         head = RequestHead(b"POST", b"/", [HOST, (b"Transfer-Encoding", b"chunked")])
--- a/tests/http/test_response_parsing.py
+++ b/tests/http/test_response_parsing.py
@@ -65,6 +65,13 @@
         with self.assertRaises(MalformedResponseError):
             parser.next_event()
 
+    def test_blanks_around_a_header_value_are_not_part_of_it(self) -> None:
+        parser = ResponseParser(64 * 1024)
+        parser.feed(b"HTTP/1.1 200 OK\r\nx-id:\t 7 8 \t\r\ncontent-length: 0 \r\n\r\n")
+        head = parser.next_event()
+        self.assertIsInstance(head, ResponseHead)
+        self.assertEqual(head.headers[0], (b"x-id", b"7 8"))
+
     def test_a_response_with_connection_close_ends_keep_alive(self) -> None:
         parser = ResponseParser(64 * 1024)
         parser.feed(encode_response(200, [(b"content-length", b"0"), (b"connection", b"close")]))
