--- a/packages/fulmarstile_http/src/fulmarstile_http/request_head.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/request_head.py
@@ -34,7 +34,8 @@
     """
     with trio.move_on_after(timeout_s):
         while received.find(HEAD_END) < 0:
-            if len(received) > limit:
+            # All but the last byte of the end of the head may have arrived, and is not part of it.
+            if len(received) - len(HEAD_END) >= limit:
                 raise MalformedRequestError("the request head is too large", 431)
             if received[0] <= 0x20 or b"\n\n" in received:
                 raise MalformedRequestError("the request head is malformed")
--- a/tests/services/test_proper_requests.py
+++ b/tests/services/test_proper_requests.py
@@ -5,12 +5,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import re
 import unittest
 from typing import TYPE_CHECKING
 
 import trio
 
+from fulmarstile_services.document import RequestLimits
 from fulmarstile_testing.builders.service_mesh import connect, serve_mesh
 from fulmarstile_testing.builders.services import make_document, make_route
 
@@ -70,6 +72,14 @@
             ],
         )
 
+    def test_a_head_as_large_as_the_limit_is_accepted_in_whatever_pieces_it_arrives(self) -> None:
+        limit = 1_000
+        document = dataclasses.replace(DOCUMENT, limits=RequestLimits(head_bytes=limit))
+        size = limit + len(b"\r\n\r\n") - len(make_request(more=b"x-a: \r\n"))
+        whole = make_request(more=b"x-a: " + b"a" * size + b"\r\n")
+        cuts = (4, 3, 2, 1)
+        self.check([whole], *([whole[:-cut], whole[-cut:]] for cut in cuts), document=document)
+
 
 if __name__ == "__main__":
     unittest.main()
