--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -122,11 +122,8 @@
         self._has_given_way = False
         self._is_costly = False
         self.method = b""
-        if not self.unparsed:
-            self.unparsed = await self._receive()
-            if not self.unparsed:
-                return None
-        self._ahead_bytes = len(self.unparsed)
+        if not await self._receive_first():
+            return None
         self.is_receiving = True
         self._parser = RequestParser(self._limits().head_bytes)
         try:
@@ -138,6 +135,24 @@
         finally:
             self._parser.release()
 
+    async def _receive_first(self) -> bool:
+        """Receives the first bytes of a request; returns whether there are any.
+
+        Some callers send an empty line behind a body. It begins no request.
+        """
+        self._ahead_bytes = len(self.unparsed)
+        self._skip_empty_lines()
+        while not self.unparsed:
+            self.unparsed = await self._receive()
+            if not self.unparsed:
+                return False
+            self._ahead_bytes += len(self.unparsed)
+            self._skip_empty_lines()
+        return True
+
+    def _skip_empty_lines(self) -> None:
+        self.unparsed = self.unparsed.lstrip(b"\r\n")
+
     async def _receive_request(self) -> CallerExchange:
         """Receives the rest of a request of which some bytes have arrived."""
         parser = self._parser
@@ -160,6 +175,7 @@
             body = self._take_whole_body(headers.content_length)
         else:
             body = await self._receive_body(head, headers, arrived_at)
+        self._skip_empty_lines()
         request = ReceivedRequest(head.method, head.target, headers, body, arrived_at)
         keeps_alive = parser.keeps_alive and not parser.has_pipelined_bytes
         self.is_receiving = False
--- a/tests/services/test_proper_requests.py
+++ b/tests/services/test_proper_requests.py
@@ -80,6 +80,21 @@
         cuts = (4, 3, 2, 1)
         self.check([whole], *([whole[:-cut], whole[-cut:]] for cut in cuts), document=document)
 
+    def test_empty_lines_before_a_request_are_ignored(self) -> None:
+        line = b"\r\n"
+        self.check([line + REQUEST], [line, REQUEST], [b"\r", b"\n", REQUEST], [line * 2 + REQUEST])
+
+    def test_an_empty_line_behind_a_body_is_not_part_of_the_next_request(self) -> None:
+        more = b"content-length: 2\r\n"
+        post = make_request(b"POST /a/b HTTP/1.1", more=more) + b"xx\r\n"
+        self.check(
+            [post + REQUEST],
+            [post, REQUEST],
+            [post[:-2], post[-2:], REQUEST],
+            [post[:-1], post[-1:] + REQUEST],
+            count=2,
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
