--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -22,6 +22,7 @@
 )
 from fulmarstile_http.request_head import HEAD_END, receive_rest_of_head
 from fulmarstile_http.request_parser import RequestParser
+from fulmarstile_http.request_target import use_origin_form
 from fulmarstile_http.transfers import Transfer
 
 if TYPE_CHECKING:
@@ -161,9 +162,10 @@
         check_line_ends(received[: end - 2])
         head = parser.parse_complete_head(received[:end])
         self.method = head.method
+        check_head(head)
+        head = use_origin_form(head)
         headers = read_headers(head.headers)
         check_framing(head, headers)
-        check_head(head)
         self._reserve_head(end, len(head.headers))
         arrived_at = trio.current_time()
         self.unparsed = received[end:]
--- a/tests/services/test_proper_requests.py
+++ b/tests/services/test_proper_requests.py
@@ -21,6 +21,7 @@
 
 REST = b"request-id: r-1\r\ntime-left-ms: 2000\r\n"
 REQUEST = b"GET /a/b HTTP/1.1\r\nhost: shop.example\r\n" + REST + b"\r\n"
+TARGET = ("/a/b?c=d", b"shop.example")
 PIECE_GAP_S = 0.02
 """Time between two pieces, so that they are read one by one, in seconds."""
 TIMEOUT_S = 3.0
@@ -95,6 +96,20 @@
             count=2,
         )
 
+    def test_a_target_in_absolute_form_selects_the_route_by_its_host_and_path(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("shop", document=DOCUMENT) as mesh:
+                (node,) = mesh.nodes
+                for scheme, host in ((b"http", b"a.example"), (b"HTTP", b"shop.example")):
+                    request = make_request(
+                        b"GET %b://shop.example/a/b?c=d HTTP/1.1" % scheme, b"host: " + host
+                    )
+                    self.assertEqual(await send(node.address, [request], 1), [200])
+                    seen = node.upstream.record.requests[-1]
+                    self.assertEqual((seen.target, seen.headers[b"host"]), TARGET)
+
+        trio.run(run)
+
 
 if __name__ == "__main__":
     unittest.main()
