--- a/packages/fulmarstile_services/src/fulmarstile_services/routing_table.py
+++ b/packages/fulmarstile_services/src/fulmarstile_services/routing_table.py
@@ -120,7 +120,7 @@
 
 
 def normalize_host(host: str) -> str:
-    """Removes the port from a host and converts it to lower case.
+    """Removes what doesn't matter in a host: its port, its case and the dot behind a complete name.
 
     Args:
         host: Value of a `Host` header or of a route.
@@ -129,6 +129,6 @@
         The host name.
     """
     name, colon, port = host.rpartition(":")
-    if colon and port.isdigit():
+    if colon and (not port or port.isdigit()):
         host = name
-    return host.lower()
+    return host.lower().removesuffix(".")
--- a/tests/services/test_routing_table.py
+++ b/tests/services/test_routing_table.py
@@ -28,6 +28,20 @@
     def test_port_and_case_of_the_host_are_ignored(self) -> None:
         self.assertIsNotNone(self.table.find("SHOP.example:8080", "/a/"))
 
+    def test_an_empty_port_and_the_dot_of_a_complete_name_are_ignored(self) -> None:
+        for host in ("shop.example:", "shop.example.", "shop.example.:80", "SHOP.example.:"):
+            self.assertIsNotNone(self.table.find(host, "/a/"), host)
+
+    def test_a_route_may_name_its_host_in_any_of_these_forms(self) -> None:
+        for host in ("Shop.Example", "shop.example.", "shop.example:80"):
+            table = RoutingTable(make_document(make_route(host=host)))
+            self.assertIsNotNone(table.find("shop.example", "/a/"), host)
+
+    def test_addresses_in_place_of_names_are_told_from_ports(self) -> None:
+        table = RoutingTable(make_document(make_route(host="[::1]"), make_route(host="127.0.0.1")))
+        for host in ("[::1]", "[::1]:80", "127.0.0.1", "127.0.0.1:80"):
+            self.assertIsNotNone(table.find(host, "/a/"), host)
+
     def test_another_host_has_no_route(self) -> None:
         self.assertIsNone(self.table.find("other.example", "/a/"))
 
