Refuse large requests as not run while newer limits may exist (DENIED)

Callers see: 413 or 431 for a proper request from a daemon whose document is outdated, or that knows none yet and applies default limits. Callers don't repeat a request after these, unlike after 503. A request without a route was already answered 503 in these states, one that is larger than the limits of the known document was not. The new tests fail on the code before:

test_a_large_request_is_not_rejected_for_good_without_contact test_a_large_request_is_not_rejected_for_good_while_a_newer_version_is_on_its_way AssertionError: Lists differ: [413, 431] != [503, 503]

Cause: the server of callers' requests got the limits without knowing how old they may be.

Change: it asks whether they may be outdated, by the same test as for a missing route, and then answers 503 with the delay that the missing route gets. The limits move out of daemon.py into a module of their own. While the document is known to be current, 413 and 431 stay.

Result: the tests pass; the tests of held heads, calls, pipelining, unread requests and starts pass.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -42,6 +42,10 @@
 """Interval of the check for disconnected callers, in seconds."""
 _MEMORY_RETRY_S: Final = 0.3
 """`retry-after` while request bodies exceed the memory limit or during shutdown, in seconds."""
+_OUTDATED_RETRY_S: Final = 0.3
+"""`retry-after` of a request that newer limits may allow, in seconds."""
+_LIMIT_STATUSES: Final = (413, 431)
+"""Statuses of requests that are larger than the document allows."""
 _POLL_INTERVAL_S: Final = 0.01
 """Interval of the check whether all responses are sent, in seconds."""
 _MIN_FINAL_PASSES: Final = 2
@@ -65,6 +69,7 @@
         id_header: Name of the header that identifies a request in the log.
         lateness: Measures how late the event loop is while requests are in flight.
         find_wait_s: Returns how long the caller of a request waits for the answer, in seconds.
+        may_be_outdated: Returns whether newer limits may exist, which allow larger requests.
     """
 
     def __init__(
@@ -77,6 +82,7 @@
         id_header: bytes,
         lateness: LoopLateness | None = None,
         find_wait_s: Callable[[ReceivedRequest], float] = never,
+        may_be_outdated: Callable[[], bool] = lambda: False,
     ) -> None:
         self._handle = handle
         self._limits = limits
@@ -86,6 +92,7 @@
         self._id_header = id_header
         self._lateness = lateness or LoopLateness(log)
         self._find_wait_s = find_wait_s
+        self._may_be_outdated = may_be_outdated
         self._costly_input = trio.Lock()
         self._connections: dict[ServerConnection, RequestPipeline] = {}
         self._in_flight: dict[RequestScope, ServerConnection] = {}
@@ -267,7 +274,7 @@
             stream,
             self._limits,
             self._budget,
-            _make_malformed_response,
+            self._make_malformed_response,
             self._find_wait_s,
             self._costly_input,
         )
@@ -276,6 +283,16 @@
         self._connections[connection] = pipeline
         return connection, pipeline
 
+    def _make_malformed_response(self, error: MalformedRequestError) -> CallerResponse:
+        """Creates the response to a request that cannot be read or exceeds a limit."""
+        if error.status in _LIMIT_STATUSES and self._may_be_outdated():
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            detail = f"{error}, but newer limits may exist"
+            return make_error_response(status, detail, _OUTDATED_RETRY_S)
+        is_overloaded = error.status == HTTPStatus.SERVICE_UNAVAILABLE
+        delay_s = _MEMORY_RETRY_S if is_overloaded else 0.0
+        return make_error_response(error.status, str(error), delay_s)
+
     async def _serve_pipeline(
         self, connection: ServerConnection, pipeline: RequestPipeline
     ) -> None:
@@ -370,10 +387,5 @@
     return CallerResponse(status, headers, msgspec.json.encode({"error": detail}))
 
 
-def _make_malformed_response(error: MalformedRequestError) -> CallerResponse:
-    is_overloaded = error.status == HTTPStatus.SERVICE_UNAVAILABLE
-    return make_error_response(error.status, str(error), _MEMORY_RETRY_S if is_overloaded else 0.0)
-
-
 def _make_stopping_response() -> CallerResponse:
     return make_error_response(HTTPStatus.SERVICE_UNAVAILABLE, "the daemon stops", _MEMORY_RETRY_S)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -24,6 +24,7 @@
 from fulmarstile_daemon.services._local_endpoints import LocalEndpoints
 from fulmarstile_daemon.services._loop_lateness import LoopLateness
 from fulmarstile_daemon.services._notice_merger import NoticeMerger
+from fulmarstile_daemon.services._request_limits import DocumentLimits
 from fulmarstile_daemon.services._request_server import RequestServer
 from fulmarstile_daemon.services._rollout_part import RolloutPart
 from fulmarstile_daemon.services._settings_reload import SettingsReloader
@@ -45,7 +46,6 @@
 from fulmarstile_daemon.services.state import MemberState, ServiceState
 from fulmarstile_services.balancing import BalancingSettings, LeastWaitBalancer
 from fulmarstile_services.directory import Directory
-from fulmarstile_services.document import RequestLimits
 from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.retry_budget import RetryBudget
 from fulmarstile_services.settings import NodeSettingsError
@@ -73,7 +73,6 @@
 """
 _COLLECTION_THRESHOLDS: Final = (20_000, 20, 50)
 """Garbage collection thresholds of the three generations."""
-_DEFAULT_LIMITS: Final = RequestLimits()
 
 
 class ServiceDaemon:
@@ -208,15 +207,17 @@
         )
         self._lateness = LoopLateness(log)
         descriptors = settings.unreserved_descriptors
+        limits = DocumentLimits(self._routes)
         self._callers = RequestServer(
             self._entry.handle,
-            self._limits,
+            limits.get,
             settings.caller_connection_limit,
             self._byte_budget,
             log,
             names.request_id,
             self._lateness,
             self._entry.find_wait_s,
+            limits.may_be_outdated,
         )
         self._peers = LinkServer(
             self._hops.handle,
@@ -443,10 +444,6 @@
         self._links.retire_all("the VM was suspended")
         self._upstream.close_idle_connections()
 
-    def _limits(self) -> RequestLimits:
-        table = self._routes.table
-        return _DEFAULT_LIMITS if table is None else table.document.limits
-
     def _on_members(self) -> None:
         members = self._directory.members
         self._links.close_unknown(member.address for member in members)
