--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream_responses.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_upstream_responses.py
@@ -46,7 +46,7 @@
     response = await exchange.run()
     for _ in range(_MAX_STRAY_RESPONSES):
         response_id = response.headers.get_bytes(names.request_id)
-        if response_id == request_id or (not response_id and response.status >= 400):
+        if response_id == request_id or (not response_id and _may_lack_id(names, response)):
             return response
         if not response_id:
             raise ExchangeError("the response has no request id")
@@ -54,6 +54,11 @@
     raise ExchangeError("too many responses belong to other requests")
 
 
+def _may_lack_id(names: CallHeaderNames, response: UpstreamResponse) -> bool:
+    """Returns whether a response without an id is taken for that of the request that was sent."""
+    return response.status >= _FIRST_FAILURE_STATUS or is_rejection(names, response)
+
+
 def is_rejection(names: CallHeaderNames, response: UpstreamResponse) -> bool:
     """Returns whether a response says that its request has not run."""
     return bool(response.headers.get_bytes(names.not_run)) or response.status == MISDIRECTED_STATUS
@@ -74,12 +79,15 @@
         not_run = headers.get_bytes(names.not_run)
         reason = RefusalReason.OVERLOADED if not_run else RefusalReason.NO_UPSTREAM
         return AttemptResult(make_failure(Verdict.NOT_RUN, reason, reached_upstream=True))
+    is_signed = bool(headers.get_bytes(names.response_signature))
     is_success = 200 <= response.status < 300
-    if is_success and not headers.get_bytes(names.response_signature):
+    if is_success and not is_signed:
         return AttemptResult(
             make_failure(Verdict.RAN, RefusalReason.TRUNCATED, reached_upstream=True)
         )
-    if response.status in _NOT_RUN_STATUSES:
+    # Without the upstream's signature, the caller would take it for the daemon's own rejection.
+    is_unproven = response.status < _FIRST_FAILURE_STATUS and not is_signed
+    if is_unproven or response.status in _NOT_RUN_STATUSES:
         return AttemptResult(
             make_failure(Verdict.RAN, RefusalReason.UPSTREAM_FAILED, reached_upstream=True)
         )
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/service_upstream.py
@@ -29,6 +29,8 @@
 """The answer has no length and ends with its connection."""
 FAULT_UNPROVEN: Final = "unproven"
 """The answer has no proof that it is an upstream's."""
+FAULT_UNNAMED: Final = "unnamed"
+"""The answer has neither a proof nor the id of its request, and no body."""
 FAULT_SHED: Final = "shed"
 """The request is rejected as not run."""
 FAULT_SHED_AGAIN: Final = "shed-again"
@@ -214,6 +216,9 @@
         if fault == FAULT_UNFRAMED:
             await stream.send_all(whole.replace(b"content-length", b"x-length"))
             return b""
+        if fault == FAULT_UNNAMED:
+            await stream.send_all(b"HTTP/1.1 %d X\r\ncontent-length: 0\r\n\r\n" % status)
+            return b""
         proven = fault != FAULT_UNPROVEN
         await self._answer(http, stream, served, status, body, proven=proven)
         if fault == FAULT_EXTRA:
--- a/tests/services/test_upstream_faults.py
+++ b/tests/services/test_upstream_faults.py
@@ -21,6 +21,7 @@
     FAULT_SHED_AGAIN,
     FAULT_SHED_AGAIN_UNNAMED,
     FAULT_UNFRAMED,
+    FAULT_UNNAMED,
     FAULT_UNPROVEN,
 )
 
@@ -54,6 +55,32 @@
     def test_an_answer_without_proof_is_not_passed_on(self) -> None:
         self.check(FAULT_UNPROVEN, status=502, runs=1)
 
+    def test_a_rejection_without_proof_is_not_passed_on_as_the_daemons_own(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=ONCE) as mesh:
+                entry, beside = mesh.nodes
+                for fault in (FAULT_UNPROVEN, FAULT_UNNAMED):
+                    for status in (301, 400, 401, 403, 404, 405, 413, 431):
+                        request_id = f"{fault}-{status}"
+                        with self.subTest(request_id):
+                            target = f"/a?fault={fault}&status={status}"
+                            answer = await entry.call(target, "POST", request_id=request_id)
+                            self.assertEqual(answer.status, 502)
+                        self.assertEqual(beside.upstream.record.count_runs(request_id), 1)
+                self.assertEqual((await entry.call("/a", request_id="last")).status, 200)
+
+        trio.run(run)
+
+    def test_a_rejection_with_proof_is_passed_on_unchanged(self) -> None:
+        async def run() -> None:
+            async with serve_mesh("stock", "shop", document=ONCE) as mesh:
+                for status in (400, 404):
+                    answer = await mesh.nodes[0].call(f"/a?status={status}&size=9", "POST")
+                    self.assertEqual((answer.status, len(answer.body)), (status, 9))
+                    self.assertIn(b"answer-proof", answer.headers)
+
+        trio.run(run)
+
     def test_an_answer_without_a_length_is_passed_on_completely(self) -> None:
         self.check(FAULT_UNFRAMED, status=200, runs=1)
 
