--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_server.py
@@ -18,7 +18,7 @@
 from fulmarstile_daemon.services._request_reader import never
 from fulmarstile_daemon.services._request_scope import FINAL_RECEIVE_S
 from fulmarstile_daemon.services._server_connection import ServerConnection
-from fulmarstile_daemon.services.events import CallerLeft
+from fulmarstile_daemon.services.events import CallerLeft, RequestUnreadable
 from fulmarstile_http.input_watch import open_input_watch
 from fulmarstile_http.listener import accept_forever, listen
 
@@ -284,14 +284,15 @@
         return connection, pipeline
 
     def _make_malformed_response(self, error: MalformedRequestError) -> CallerResponse:
-        """Creates the response to a request that cannot be read or exceeds a limit."""
-        if error.status in _LIMIT_STATUSES and self._may_be_outdated():
-            status = HTTPStatus.SERVICE_UNAVAILABLE
-            detail = f"{error}, but newer limits may exist"
-            return make_error_response(status, detail, _OUTDATED_RETRY_S)
-        is_overloaded = error.status == HTTPStatus.SERVICE_UNAVAILABLE
-        delay_s = _MEMORY_RETRY_S if is_overloaded else 0.0
-        return make_error_response(error.status, str(error), delay_s)
+        """Creates and logs the response to a request that cannot be read or exceeds a limit."""
+        status, detail, delay_s = error.status, str(error), 0.0
+        if status in _LIMIT_STATUSES and self._may_be_outdated():
+            status, delay_s = HTTPStatus.SERVICE_UNAVAILABLE.value, _OUTDATED_RETRY_S
+            detail += ", but newer limits may exist"
+        elif status == HTTPStatus.SERVICE_UNAVAILABLE:
+            delay_s = _MEMORY_RETRY_S
+        self._log.write(RequestUnreadable(status=status, reason=detail))
+        return make_error_response(status, detail, delay_s)
 
     async def _serve_pipeline(
         self, connection: ServerConnection, pipeline: RequestPipeline
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/events.py
@@ -58,6 +58,15 @@
     """Time since the version was known to be the newest, if the document names customers."""
 
 
+class RequestUnreadable(LogEvent, tag="request_unreadable"):
+    """A request was rejected while it was read: malformed, too large, too slow or out of memory."""
+
+    lines_per_s: ClassVar[int | None] = 40
+
+    status: int
+    reason: str
+
+
 class AttemptFailed(LogEvent, tag="attempt_failed"):
     """An attempt reached an upstream and failed; `retried` says whether another one follows."""
 
