--- a/packages/fulmarstile_http/src/fulmarstile_http/request_parser.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/request_parser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Final
 
 import httptools
@@ -15,6 +16,7 @@
     from fulmarstile_http.headers import Header
 
 _LINE_END: Final = b"\r\n"
+_METHOD: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+ ")
 _UPGRADE_HEADER: Final = b"upgrade"
 _DEFAULT_FRAMING_BYTES: Final = 32 * 1024
 
@@ -157,4 +159,8 @@
             if self.is_complete:
                 self.has_pipelined_bytes = True
                 return
+            is_unknown_method = isinstance(error, httptools.HttpParserInvalidMethodError)
+            if is_unknown_method and _METHOD.match(data):
+                # The parser knows a fixed set of methods; others are allowed, too.
+                raise MalformedRequestError("the method is not supported", status=501) from error
             raise MalformedRequestError(f"malformed request: {error}") from error
--- a/tests/http/test_request_parsing.py
+++ b/tests/http/test_request_parsing.py
@@ -96,6 +96,19 @@
             with self.subTest(name), self.assertRaises(MalformedRequestError):
                 parse_head(b"POST / HTTP/1.1\r\nHost: a.example\r\n" + head + b"\r\n")
 
+    def test_an_unknown_method_is_told_from_a_malformed_request(self) -> None:
+        for method, status in (
+            (b"FROB", 501),
+            (b"get", 501),
+            (b"X-1~!", 501),
+            (b"G\x00T", 400),
+            (b"\x16\x03\x01", 400),
+            (b"G(T", 400),
+        ):
+            with self.subTest(method), self.assertRaises(MalformedRequestError) as caught:
+                parse_head(method + b" / HTTP/1.1\r\nHost: a.example\r\n\r\n")
+            self.assertEqual(caught.exception.status, status, method)
+
     def test_a_request_without_a_host_is_refused(self) -> None:
         with self.assertRaises(MalformedRequestError):
             parse_head(b"GET / HTTP/1.1\r\n\r\n")
