--- a/packages/fulmarstile_http/src/fulmarstile_http/request_target.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/request_target.py
@@ -17,7 +17,7 @@
     Servers only have to expect the path. The host in the target replaces that of the header.
 
     Args:
-        head: Head of a request with one host.
+        head: Head of a request with at most one host.
 
     Returns:
         The head with the path and query as the target; the same one if they are.
@@ -33,6 +33,6 @@
     host, rest = match.groups()
     if not host or b"@" in host:
         raise MalformedRequestError("the target of the request does not name a host")
-    headers = [(name, host if name.lower() == b"host" else value) for name, value in head.headers]
+    others = [header for header in head.headers if header[0].lower() != b"host"]
     target = rest if rest.startswith(b"/") else b"/" + rest
-    return RequestHead(head.method, target, headers, head.http_version)
+    return RequestHead(head.method, target, [(b"Host", host), *others], head.http_version)
--- a/tests/http/test_request_target.py
+++ b/tests/http/test_request_target.py
@@ -27,6 +27,12 @@
                 self.assertEqual(head.target, path)
                 self.assertEqual(head.headers, [(b"Host", host), (b"X-A", b"1")])
 
+    def test_the_host_of_the_target_is_added_to_a_request_without_one(self) -> None:
+        head = RequestHead(b"GET", b"http://a.example/b", [(b"X-A", b"1")], b"1.0")
+        used = use_origin_form(head)
+        self.assertEqual(used.headers, [(b"Host", b"a.example"), (b"X-A", b"1")])
+        self.assertEqual(used.http_version, b"1.0")
+
     def test_other_targets_are_unchanged(self) -> None:
         for target in (b"/", b"//a/b", b"/http://a/b", b"*", b"ftp://a/b"):
             head = make_head(target)
