--- a/tests/services/test_request_framing.py
+++ b/tests/services/test_request_framing.py
@@ -73,16 +73,20 @@
     method = rng.choice((b"GET", b"POST", b"PUT", b"DELETE"))
     target = b"/%d" % rng.randrange(1_000)
     body = rng.choice((b"", b"x" * rng.randrange(1, 200), SMUGGLED, b"0\r\n\r\n" + SMUGGLED))
-    head = b"%b %b HTTP/1.1\r\nHost: a\r\n" % (method, target)
+    written = rng.choice((target, target, b"http://a" + target))
+    blanks = rng.choice((b"", b"", b" ", b"\t "))
+    head = b"%b %b HTTP/1.1\r\nHost: a%b\r\n" % (method, written, blanks)
     headers = [OFFER] if rng.random() < 0.5 else []
     if not body and method == b"GET":
         framing, content = b"", b""
     elif rng.random() < 0.5:
-        framing, content = b"Content-Length: %d\r\n" % len(body), body
+        framing, content = b"Content-Length: %d%b\r\n" % (len(body), blanks), body
     else:
         framing, content = b"Transfer-Encoding: chunked\r\n", encode_chunks(rng, body)
     headers.append(framing)
     rng.shuffle(headers)
+    # Some callers send empty lines behind a request.
+    content += rng.choice((b"", b"", b"\r\n", b"\r\n\r\n"))
     return Framed(method, target, body), head + b"".join(headers) + b"\r\n" + content
 
 
