Skip empty lines before a request without an additional call

What is left behind a request begins without a line end already, so only what is read newly is looked at.

The tests of framing, pipelining, calls, held and late heads, memory, small chunks and stops pass.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -36,6 +36,7 @@
     from fulmarstile_services.document import RequestLimits
 
 _CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+_LINE_END: Final = b"\r\n"
 _HEADER_BYTES: Final = 160
 """Memory that a parsed header takes beside its characters, in bytes."""
 _MAX_COPIED_BYTES: Final = 64 * 1024
@@ -117,14 +118,19 @@
         """
         self._read_ahead = read_ahead
         self._waited_s = 0.0
-        self._ahead_bytes = 0
         self._framing_bytes = 0
         self._transfer = None
         self._has_given_way = False
         self._is_costly = False
         self.method = b""
-        if not await self._receive_first():
-            return None
+        self._ahead_bytes = len(self.unparsed)
+        while not self.unparsed:
+            received = await self._receive()
+            if not received:
+                return None
+            self._ahead_bytes += len(received)
+            # Some callers send an empty line behind a body. It begins no request.
+            self.unparsed = received.lstrip(_LINE_END)
         self.is_receiving = True
         self._parser = RequestParser(self._limits().head_bytes)
         try:
@@ -136,24 +142,6 @@
         finally:
             self._parser.release()
 
-    async def _receive_first(self) -> bool:
-        """Receives the first bytes of a request; returns whether there are any.
-
-        Some callers send an empty line behind a body. It begins no request.
-        """
-        self._ahead_bytes = len(self.unparsed)
-        self._skip_empty_lines()
-        while not self.unparsed:
-            self.unparsed = await self._receive()
-            if not self.unparsed:
-                return False
-            self._ahead_bytes += len(self.unparsed)
-            self._skip_empty_lines()
-        return True
-
-    def _skip_empty_lines(self) -> None:
-        self.unparsed = self.unparsed.lstrip(b"\r\n")
-
     async def _receive_request(self) -> CallerExchange:
         """Receives the rest of a request of which some bytes have arrived."""
         parser = self._parser
@@ -177,7 +165,8 @@
             body = self._take_whole_body(headers.content_length)
         else:
             body = await self._receive_body(head, headers, arrived_at)
-        self._skip_empty_lines()
+        if self.unparsed:
+            self.unparsed = self.unparsed.lstrip(_LINE_END)
         request = ReceivedRequest(head.method, head.target, headers, body, arrived_at)
         keeps_alive = parser.keeps_alive and not parser.has_pipelined_bytes
         self.is_receiving = False
