--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_request_reader.py
@@ -22,6 +22,7 @@
 )
 from fulmarstile_http.request_head import HEAD_END, receive_rest_of_head
 from fulmarstile_http.request_parser import RequestParser
+from fulmarstile_http.request_target import use_origin_form
 from fulmarstile_http.transfers import Transfer
 
 if TYPE_CHECKING:
@@ -35,6 +36,7 @@
     from fulmarstile_services.document import RequestLimits
 
 _CONTINUE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
+_LINE_END: Final = b"\r\n"
 _HEADER_BYTES: Final = 160
 """Memory that a parsed header takes beside its characters, in bytes."""
 _MAX_COPIED_BYTES: Final = 64 * 1024
@@ -116,17 +118,19 @@
         """
         self._read_ahead = read_ahead
         self._waited_s = 0.0
-        self._ahead_bytes = 0
         self._framing_bytes = 0
         self._transfer = None
         self._has_given_way = False
         self._is_costly = False
         self.method = b""
-        if not self.unparsed:
-            self.unparsed = await self._receive()
-            if not self.unparsed:
-                return None
         self._ahead_bytes = len(self.unparsed)
+        while not self.unparsed:
+            received = await self._receive()
+            if not received:
+                return None
+            self._ahead_bytes += len(received)
+            # Some callers send an empty line behind a body. It begins no request.
+            self.unparsed = received.lstrip(_LINE_END)
         self.is_receiving = True
         self._parser = RequestParser(self._limits().head_bytes)
         try:
@@ -146,9 +150,10 @@
         check_line_ends(received[: end - 2])
         head = parser.parse_complete_head(received[:end])
         self.method = head.method
+        check_head(head)
+        head = use_origin_form(head)
         headers = read_headers(head.headers)
         check_framing(head, headers)
-        check_head(head)
         self._reserve_head(end, len(head.headers))
         arrived_at = trio.current_time()
         self.unparsed = received[end:]
@@ -160,6 +165,8 @@
             body = self._take_whole_body(headers.content_length)
         else:
             body = await self._receive_body(head, headers, arrived_at)
+        if self.unparsed:
+            self.unparsed = self.unparsed.lstrip(_LINE_END)
         request = ReceivedRequest(head.method, head.target, headers, body, arrived_at)
         keeps_alive = parser.keeps_alive and not parser.has_pipelined_bytes
         self.is_receiving = False
--- a/packages/fulmarstile_http/src/fulmarstile_http/request_parser.py
+++ b/packages/fulmarstile_http/src/fulmarstile_http/request_parser.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Final
 
 import httptools
 
 from fulmarstile_http.framing_limit import FramingLimit
+from fulmarstile_http.headers import BLANKS
 from fulmarstile_http.messages import RequestHead
 from fulmarstile_http.request_checks import MalformedRequestError
 
@@ -14,6 +16,7 @@
     from fulmarstile_http.headers import Header
 
 _LINE_END: Final = b"\r\n"
+_METHOD: Final = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+ ")
 _UPGRADE_HEADER: Final = b"upgrade"
 _DEFAULT_FRAMING_BYTES: Final = 32 * 1024
 
@@ -109,7 +112,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser for each header and trailer."""
         if self._in_head:
-            self._headers.append((name, value))
+            self._headers.append((name, value.rstrip(BLANKS)))
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of the head."""
@@ -156,4 +159,8 @@
             if self.is_complete:
                 self.has_pipelined_bytes = True
                 return
+            is_unknown_method = isinstance(error, httptools.HttpParserInvalidMethodError)
+            if is_unknown_method and _METHOD.match(data):
+                # The parser knows a fixed set of methods; others are allowed, too.
+                raise MalformedRequestError("the method is not supported", status=501) from error
             raise MalformedRequestError(f"malformed request: {error}") from error
--- a/tests/http/test_request_parsing.py
+++ b/tests/http/test_request_parsing.py
@@ -30,6 +30,11 @@
         self.assertEqual((head.method, head.target), (b"GET", b"/a/b?c=d"))
         self.assertEqual(read_headers(head.headers).get(b"x-id"), "7")
 
+    def test_blanks_around_a_header_value_are_not_part_of_it(self) -> None:
+        head = parse_head(b"GET / HTTP/1.1\r\nHost: a.example \t\r\nX-Id:\t 7 8 \r\n\r\n")
+        headers = read_headers(head.headers)
+        self.assertEqual((headers.get(b"host"), headers.get(b"x-id")), ("a.example", "7 8"))
+
     def test_a_chunked_body_is_decoded_without_framing_and_trailers(self) -> None:
         parser = RequestParser()
         head = RequestHead(b"POST", b"/", [HOST, (b"Transfer-Encoding", b"chunked")])
@@ -91,6 +96,19 @@
             with self.subTest(name), self.assertRaises(MalformedRequestError):
                 parse_head(b"POST / HTTP/1.1\r\nHost: a.example\r\n" + head + b"\r\n")
 
+    def test_an_unknown_method_is_told_from_a_malformed_request(self) -> None:
+        for method, status in (
+            (b"FROB", 501),
+            (b"get", 501),
+            (b"X-1~!", 501),
+            (b"G\x00T", 400),
+            (b"\x16\x03\x01", 400),
+            (b"G(T", 400),
+        ):
+            with self.subTest(method), self.assertRaises(MalformedRequestError) as caught:
+                parse_head(method + b" / HTTP/1.1\r\nHost: a.example\r\n\r\n")
+            self.assertEqual(caught.exception.status, status, method)
+
     def test_a_request_without_a_host_is_refused(self) -> None:
         with self.assertRaises(MalformedRequestError):
             parse_head(b"GET / HTTP/1.1\r\n\r\n")
