--- a/packages/fulmarstile_testing/src/fulmarstile_testing/config_search/record_case.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/config_search/record_case.py
@@ -233,11 +233,12 @@
         with fleet.disrupted(() if len(names) == len(fleet.stores) else names):
             for name in names:
                 fleet.stores[name].faults.held_before[DOCUMENT_TOPIC] = end - 1
-            if rng.random() < 0.7:
-                await self._start_all(fleet)
-            await trio.sleep(for_s)
-            for name in names:
-                fleet.stores[name].faults.held_before.clear()
+            async with trio.open_nursery() as nursery:
+                if rng.random() < 0.7:
+                    nursery.start_soon(self._start_all, fleet)
+                await trio.sleep(for_s)
+                for name in names:
+                    fleet.stores[name].faults.held_before.clear()
 
     async def _replace_one(self, fleet: ObservedFleet) -> None:
         """Ends a daemon for good, and starts one of another name in its zone."""
