Don't take what an earlier release has skipped for known (CONFIG, DENIED)

While a fleet was updated, a daemon took skipped records for read as soon as a daemon of the release before told the end of the topic, although that one may have skipped the same: callers got 404 for routes of a hidden version, from daemons of the new release, too.

The two couldn't be told apart, as both can send -1 for the unusable offset. It is None now where a reply lacks it. What such a reply tells of the topic still serves to ask for what follows and, on a daemon that has skipped nothing, as contact; it neither makes records known nor is passed on.

No whole fleet of both releases was run.

--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_document_relay.py
@@ -231,12 +231,12 @@
         documents = self._documents
         history = documents.history
         base = history.current
-        next_offset = documents.next_offset
+        told_offset = documents.told_offset
         request = DocumentRequest(
             self._name,
             documents.version,
             history.digest,
-            -1 if next_offset is None else next_offset,
+            -1 if told_offset is None else told_offset,
             int(wait_s * 1000),
         )
         asked_at = documents.clock()
@@ -247,6 +247,9 @@
             return None
         if not isinstance(reply, DocumentReply) or not self._apply(reply, base):
             return None
+        if reply.unusable_offset is None and documents.has_unread:
+            # A daemon of an earlier release may have skipped the same records.
+            return reply
         if reply.heard_ms is not None:
             documents.contact.hear(asked_at + reply.heard_ms / 1000)
         elif reply.is_current:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -110,6 +110,7 @@
         self._offset: int | None = None
         self._others: dict[str, KeyedRecord] = {}
         self._next_offset: int | None = None
+        self._told_offset: int | None = None
         self._end_offset = 0
         self._usable_offset = self._unusable_offset = -1
         self.freshness = freshness or Freshness()
@@ -150,6 +151,16 @@
         """Offset up to which its topic is known; None if nothing is."""
         return self._next_offset
 
+    @property
+    def told_offset(self) -> int | None:
+        """The same, or a greater one by daemons of an earlier release, which may skip records."""
+        return self._told_offset
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether the topic has records that are known to be unread."""
+        return self._end_offset > (self._next_offset or 0)
+
     @property
     def unusable_offset(self) -> int:
         """Offset of the newest record of the document if it is of no use; else -1."""
@@ -281,6 +292,7 @@
         """
         is_news = self._next_offset is None or self._next_offset < next_offset
         self._next_offset = max(self._next_offset or 0, next_offset)
+        self._told_offset = max(self._told_offset or 0, next_offset)
         self.was_read = True
         self._note_completeness()
         if is_news:
@@ -292,6 +304,11 @@
         Args:
             reply: Its reply, whose version is in force here, or a newer one.
         """
+        if reply.unusable_offset is None:
+            self._told_offset = max(self._told_offset or 0, reply.next_offset)
+            self.was_read = True
+            self._note_completeness()
+            return
         if reply.next_offset < (self._next_offset or 0):
             return
         if self._unusable_offset < reply.next_offset:
@@ -330,7 +347,7 @@
         """
         sent_at = self.clock()
         end_offset = await store.read_end(self.topic)
-        if self._next_offset is None or end_offset > self._next_offset:
+        if self._told_offset is None or end_offset > self._told_offset or self.has_unread:
             return False
         self.freshness.confirm(sent_at)
         self.contact.hear(self.clock())
@@ -345,8 +362,7 @@
         self._note_completeness()
 
     def _note_completeness(self) -> None:
-        is_known = self._next_offset is not None and self._next_offset >= self._end_offset
-        self._routes.has_unread = not is_known
+        self._routes.has_unread = self._told_offset is None or self.has_unread
         self._routes.has_unusable = self.unusable_offset >= 0
 
     def _note_outdated(self, version: int, offset: int | None, digest: str) -> None:
--- a/packages/fulmarstile_wire/src/fulmarstile_wire/documents.py
+++ b/packages/fulmarstile_wire/src/fulmarstile_wire/documents.py
@@ -50,6 +50,7 @@
     """Time from the arrival of the request to the last contact of the replying daemon with the
     store, direct or through others, in milliseconds; negative if that was before, None if there was
     none."""
-    unusable_offset: int = -1
+    unusable_offset: int | None = None
     """Offset of the topic's newest record of the document if it is of no use to the replying
-    daemon; else -1."""
+    daemon; else -1. None from a daemon of an earlier release, which counts records as known that it
+    has skipped."""
