--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -110,6 +110,7 @@
         self._raw = b""
         self._others: dict[str, KeyedRecord] = {}
         self._next_offset: int | None = None
+        self._told_offset: int | None = None
         self._end_offset = 0
         self.position = DocumentPosition()
         """Where the operator's topic holds the active version."""
@@ -154,6 +155,16 @@
         """Offset up to which its topic is known; None if nothing is."""
         return self._next_offset
 
+    @property
+    def told_offset(self) -> int | None:
+        """The same, or a greater one by daemons of an earlier release, which may skip records."""
+        return self._told_offset
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether the topic has records that are known to be unread."""
+        return self._end_offset > (self._next_offset or 0)
+
     @property
     def silent_s(self) -> float | None:
         """Time since the last contact with the store, rounded; None if there was none."""
@@ -281,6 +292,7 @@
         """
         is_news = self._next_offset is None or self._next_offset < next_offset
         self._next_offset = max(self._next_offset or 0, next_offset)
+        self._told_offset = max(self._told_offset or 0, next_offset)
         self.was_read = True
         self._note_completeness()
         if is_news:
@@ -293,6 +305,10 @@
             reply: Its reply, whose version is in force here, or a newer one.
         """
         if reply.active_offset is None:
+            if reply.next_offset >= 0:
+                self._told_offset = max(self._told_offset or 0, reply.next_offset)
+                self.was_read = True
+                self._note_completeness()
             return
         if reply.version == self.version:
             self.position.on_active(reply.active_offset, is_new=False)
@@ -336,7 +352,8 @@
         """
         sent_at = self.clock()
         end_offset = await store.read_end(self.topic)
-        if self._next_offset is not None and end_offset <= self._next_offset:
+        is_told = self._told_offset is not None and end_offset <= self._told_offset
+        if is_told and not self.has_unread:
             self.freshness.confirm(sent_at)
             self.contact.hear(self.clock())
             return True
@@ -367,8 +384,7 @@
             )
 
     def _note_completeness(self) -> None:
-        is_known = self._next_offset is not None and self._next_offset >= self._end_offset
-        self._routes.has_unread = not is_known
+        self._routes.has_unread = self._told_offset is None or self.has_unread
         self._routes.has_unusable = self.position.may_be_superseded
 
     def _redact(self, raw: bytes) -> bytes:
