--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_authentication.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/_authentication.py
@@ -48,7 +48,7 @@
         freshness: Age of the knowledge of the document.
         replies: Counts and logs refusals.
         metrics: Counters.
-        is_outdated: Returns whether there may be a newer version of the document.
+        is_behind: Returns whether there may be a newer version of the document.
         clock: Returns the time that `freshness` is measured by, in seconds.
     """
 
@@ -58,7 +58,7 @@
         freshness: Freshness,
         replies: CallReplies,
         metrics: ServiceMetrics,
-        is_outdated: Callable[[], bool],
+        is_behind: Callable[[], bool],
         clock: Callable[[], float] = read_boot_clock,
     ) -> None:
         self._names = names
@@ -66,7 +66,7 @@
         self._freshness = freshness
         self._replies = replies
         self._metrics = metrics
-        self._is_outdated = is_outdated
+        self._is_behind = is_behind
         self._clock = clock
 
     def authenticate(
@@ -132,7 +132,7 @@
         return self._replies.reject(request, reply, reason, self._age_s())
 
     def _refuse_key(self, request: ReceivedRequest, reason: RefusalReason) -> CallerResponse:
-        if self._is_outdated():
+        if self._is_behind():
             # A newer version may have the key, or need none.
             return self._refuse_stale(request)
         self._metrics.count_unauthorized(reason)
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/documents.py
@@ -69,20 +69,28 @@
             self._heard_at = trio.current_time()
 
     @property
-    def is_outdated(self) -> bool:
-        """Whether there may be a newer version.
+    def is_behind(self) -> bool:
+        """Whether a newer version may exist that is not known here.
 
         The store or another daemon may have one, or nobody has told for too long.
         """
         if self.table is None:
             return False
         now = self._clock()
-        if self.has_unusable or self.contact.is_silent(now):
+        if self.contact.is_silent(now):
             return True
         if self.has_unread and self.contact.may_lack_unread(now):
             return True
-        is_behind = self.table.version < self._newest_version
-        return is_behind and trio.current_time() - self._heard_at < _ARRIVAL_S
+        is_older = self.table.version < self._newest_version
+        return is_older and trio.current_time() - self._heard_at < _ARRIVAL_S
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether there may be a newer version, known here or not.
+
+        A record that cannot be decoded may be one.
+        """
+        return self.is_behind or (self.table is not None and self.has_unusable)
 
 
 class ActiveDocument:
--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/entry.py
@@ -99,7 +99,7 @@
         self._metrics = metrics
         self._replies = CallReplies(names, routes, metrics, log)
         self._authenticator = Authenticator(
-            names, freshness, self._replies, metrics, lambda: routes.is_outdated
+            names, freshness, self._replies, metrics, lambda: routes.is_behind
         )
         self.quota = QuotaStage(self._replies)
         """Refuses requests beyond their customer's quota."""
