--- a/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
+++ b/packages/fulmarstile_daemon/src/fulmarstile_daemon/services/daemon.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import gc
-import logging
-import os
 import random
 import signal
 import time
@@ -36,7 +34,6 @@
 from fulmarstile_daemon.services.announcements import UpstreamAnnouncements
 from fulmarstile_daemon.services.documents import ActiveDocument, ActiveRoutes
 from fulmarstile_daemon.services.entry import CallEntry
-from fulmarstile_daemon.services.event_log import EventLog
 from fulmarstile_daemon.services.events import Ended, Started, Stopped, Stopping
 from fulmarstile_daemon.services.gossip import Gossip
 from fulmarstile_daemon.services.hops import HopServer
@@ -48,7 +45,6 @@
 from fulmarstile_services.directory import Directory
 from fulmarstile_services.freshness import Freshness
 from fulmarstile_services.retry_budget import RetryBudget
-from fulmarstile_services.settings import NodeSettingsError
 from fulmarstile_services.store_readers import is_reader
 from fulmarstile_services.weighted_round_robin import WeightedRoundRobin
 from fulmarstile_wire.loads import LoadRequest
@@ -59,13 +55,12 @@
     from collections.abc import AsyncIterator, Callable
 
     from fulmarstile_daemon.services.early_signals import EarlySignals
+    from fulmarstile_daemon.services.event_log import EventLog
     from fulmarstile_daemon.services.ports import Platform
     from fulmarstile_daemon.services.rollouts import Rollouts
     from fulmarstile_services.settings import NodeSettings
     from fulmarstile_wire.services import PeerReply, PeerRequest
 
-_LOGGER: Final = logging.getLogger(__name__)
-
 _READY_WITHOUT_MEMBERS_S: Final = 1.5
 """Time after the start from which the daemon is ready even if the store was not read."""
 _MIN_SILENT_S: Final = 0.3
@@ -475,31 +470,3 @@
         metrics.add_gauge("load_requests", lambda: self._chooser.load_requests)
         metrics.add_gauge("rollouts_running", lambda: self._rollouts.running)
         metrics.add_gauge("log_lines_left_out", lambda: self._log.dropped_lines)
-
-
-def run_service_daemon(platform: Platform, early_signals: EarlySignals) -> int:
-    """Runs the daemon until it is stopped.
-
-    Args:
-        platform: Platform that it runs on.
-        early_signals: Handles the signals that arrive before the daemon does.
-
-    Returns:
-        The exit code of the process.
-    """
-    try:
-        settings = platform.read_settings()
-    except NodeSettingsError as error:
-        _LOGGER.error("%s", error)
-        return os.EX_CONFIG
-    log = EventLog(settings.name)
-    log.capture_logging()
-    daemon = ServiceDaemon(platform, settings, log, early_signals)
-    try:
-        trio.run(daemon.run)
-    except Exception:
-        _LOGGER.exception("daemon terminated by an unexpected error")
-        log.flush()
-        return os.EX_SOFTWARE
-    daemon.write_end()
-    return os.EX_OK
