--- a/tests/services/test_keys_path.py
+++ b/tests/services/test_keys_path.py
@@ -290,8 +290,8 @@
                 # The fake document is its key's bytes, so that a document sent as it is would show.
                 raw = f"document with {KEY}".encode()
                 secret = make_document(*ROUTES, version=2, customers=(BAKER,))
-                mesh._documents[raw] = secret
-                mesh._documents[b"redacted"] = secret
+                mesh.documents[raw] = secret
+                mesh.documents[b"redacted"] = secret
                 for node in mesh.nodes:
                     node.platform.redact_document = lambda raw: b"redacted"
                 # The second daemon receives the document from the first one.
