--- a/packages/fulmarstile_testing/src/fulmarstile_testing/config_search/contact_observer.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/config_search/contact_observer.py
@@ -89,7 +89,7 @@
         return [
             newer
             for newer in range(version + 1, fleet.version + 1)
-            if fleet.acknowledged_at[newer] < first_at and newer not in fleet.lost
+            if fleet.acknowledged_at[newer] < first_at
         ]
 
     def _is_wrong(self, acknowledged_at: float, due_at: float, at: float) -> bool:
--- a/packages/fulmarstile_testing/src/fulmarstile_testing/observed_fleet.py
+++ b/packages/fulmarstile_testing/src/fulmarstile_testing/observed_fleet.py
@@ -288,8 +288,6 @@
         found = []
         for each in self.incarnations:
             for version, acknowledged_at in self.acknowledged_at.items():
-                if version in self.lost:
-                    continue
                 due_at = self.due_at(each, acknowledged_at + apply_s)
                 late_s = min(each.in_force_at(version), each.ended_at, now) - due_at
                 if late_s > 0:
