--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -121,7 +121,11 @@
                 _STARTED.append(vm)
                 stack.callback(vm.kill)
             for vm in vms:
-                await vm.wait_ready()
+                try:
+                    await vm.wait_ready()
+                except trio.TooSlowError:
+                    print(f"{vm.name} doesn't start, exit code {vm.exit_code}: {vm.log_file.read_text()}")
+                    end(2)
                 await vm.send_heartbeat()
                 nursery.start_soon(send_heartbeats, vm)
             yield vms, store, nursery
